--- /dev/null
+++ b/src/entry/protocol/body.ts
@@ -0,0 +1,44 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import {createFailure, FailureKind, RequestError} from '../../model/index.js';
+
+/**
+ * Reads a body whole. Throws a `RequestError` as soon as it is known to be longer than the limit;
+ * the rest is then thrown away unread, so that the caller can still read the refusal. Node's request
+ * timeout bounds how long that may take.
+ */
+export function readBody(request: IncomingMessage, limitBytes: number): Promise<Uint8Array> {
+	return new Promise((resolve, reject) => {
+		const chunks: Uint8Array[] = [];
+		let length = 0;
+		const refuse = () => {
+			chunks.length = 0;
+			request.off('data', collect);
+			request.resume();
+			reject(RequestError.create(createFailure(FailureKind.tooLarge, `The body is longer than the ${limitBytes} bytes allowed here.`)));
+		};
+
+		const collect = (chunk: Uint8Array) => {
+			length += chunk.length;
+			if (length > limitBytes) {
+				refuse();
+				return;
+			}
+
+			chunks.push(chunk);
+		};
+
+		if (Number(request.headers['content-length'] ?? 0) > limitBytes) {
+			refuse();
+			return;
+		}
+
+		request.on('data', collect);
+		request.once('end', () => {
+			resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+		});
+		request.once('close', () => {
+			reject(RequestError.create(createFailure(FailureKind.cancelled, 'The caller left before its body was complete.')));
+		});
+	});
+}
--- /dev/null
+++ b/src/entry/protocol/route.ts
@@ -0,0 +1,63 @@
+import {createFailure, FailureKind, RequestError, type TargetName} from '../../model/index.js';
+
+/** What a caller's request line asks for. */
+export type Route
+	= | {readonly type: 'chat' | 'completion'; readonly path: string}
+		| {readonly type: 'models'}
+	/** A call of a plain service; `path` is what the service sees, query included. */
+		| {readonly type: 'service'; readonly name: TargetName; readonly path: string};
+
+const chatPath = '/v1/chat/completions';
+const completionPath = '/v1/completions';
+const modelsPath = '/v1/models';
+const servicePattern = /^\/services\/(?<name>[a-z\d](?:[a-z\d.\-]{0,62}[a-z\d])?)(?<rest>[\/?].*)?$/v;
+
+/** Finds the route of a request; throws a `RequestError` for an unknown path or a wrong method. */
+export function routeCall(method: string, url: string): Route {
+	const service = servicePattern.exec(url)?.groups;
+	if (service?.name !== undefined) {
+		return {type: 'service', name: service.name as TargetName, path: servicePath(service.rest ?? '/')};
+	}
+
+	const path = url.split('?', 1)[0] ?? url;
+	switch (path) {
+		case chatPath: {
+			requireMethod(method, 'POST', path);
+			return {type: 'chat', path};
+		}
+
+		case completionPath: {
+			requireMethod(method, 'POST', path);
+			return {type: 'completion', path};
+		}
+
+		case modelsPath: {
+			requireMethod(method, 'GET', path);
+			return {type: 'models'};
+		}
+
+		default: {
+			throw RequestError.create(createFailure(FailureKind.unknownPath, 'There is nothing at this path. Known are /v1/chat/completions, /v1/completions, /v1/models and /services/NAME/.'));
+		}
+	}
+}
+
+function requireMethod(method: string, wanted: string, path: string): void {
+	if (method !== wanted) {
+		throw RequestError.create(createFailure(FailureKind.wrongMethod, `${path} takes ${wanted} only.`));
+	}
+}
+
+/**
+ * Failure: a path such as //other.example/x, resolved against the service's address, names another
+ * host. Symptom: a caller reaches hosts that only the side can reach. Paths that start with two
+ * slashes, or with a backslash that URL parsers read as one, are refused before they go anywhere.
+ */
+function servicePath(rest: string): string {
+	const path = rest.startsWith('?') ? `/${rest}` : rest;
+	if (/^\/[\/\\]/v.test(path)) {
+		throw RequestError.create(createFailure(FailureKind.badRequest, 'The path after the service name must not start with two slashes.'));
+	}
+
+	return path;
+}
