Define settings once for flags, variables and help

Cause: each binary needs flags and CASSIAFLOW_* variables that are all checked at start. Change: src/bin/settings; entry and side definitions, PEM files, exit codes 0, 1 and 2. Conclusion: one message names each wrong setting by flag and variable, and never its value.

--- /dev/null
+++ b/src/bin/settings/entry-settings.ts
@@ -0,0 +1,23 @@
+import {defineSettings, type SettingsOf} from './definition.js';
+import {ipNumber, port, wholeNumber} from './schemas.js';
+import {checkTransport, platformSettings, processSettings, transportSettings} from './shared-settings.js';
+
+const mebibyte = 1_048_576;
+
+/** Settings of `cassiaflow-entry`. */
+export const entrySettings = defineSettings({
+	program: 'cassiaflow-entry',
+	summary: 'Takes callers\' requests, chooses an endpoint for each and passes the answer back.',
+	settings: {
+		listenHost: {schema: ipNumber.default('127.0.0.1'), description: 'IP number to take callers\' requests on.'},
+		listenPort: {schema: port.default(8080), description: 'Port for the same; 0 takes any free one.'},
+		internalHost: {schema: ipNumber.default('127.0.0.1'), description: 'IP number for the system\'s other processes.'},
+		internalPort: {schema: port.default(0), description: 'Port for the same; 0 takes any free one.'},
+		...processSettings,
+		...platformSettings,
+		...transportSettings,
+		bodyLimitBytes: {schema: wholeNumber(1, 1024 * mebibyte).default(16 * mebibyte), description: 'Longest request body of a model call, in bytes.'},
+	},
+	check: checkTransport,
+});
+export type EntrySettings = SettingsOf<typeof entrySettings.settings>;
--- /dev/null
+++ b/src/bin/settings/index.ts
@@ -0,0 +1,11 @@
+/** Settings of the binaries: defined once, read from flags and CASSIAFLOW_* variables. */
+export {
+	defineSettings, flagOf, type SettingsDefinition, type SettingsOf, SettingsError, variableOf,
+} from './definition.js';
+export {type CommandLine, parseSettings, readCommandLine} from './command-line.js';
+export {ExitCode, runProgram} from './run-program.js';
+export {entrySettings, type EntrySettings} from './entry-settings.js';
+export {sideSettings, type SideSettings} from './side-settings.js';
+export {platformSettings, processSettings, transportSettings} from './shared-settings.js';
+export {readTransport, type Transport} from './transport.js';
+export * from './schemas.js';
--- /dev/null
+++ b/src/bin/settings/run-program.ts
@@ -0,0 +1,46 @@
+import process from 'node:process';
+import {readCommandLine} from './command-line.js';
+import {type Setting, type SettingsDefinition, SettingsError, type SettingsOf} from './definition.js';
+
+/** The exit codes of every binary. */
+export const ExitCode = {ok: 0, failure: 1, usage: 2} as const;
+export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
+
+/**
+ * Starts a program from the process's own command line and variables and sets the exit code. `main`
+ * resolves once the program has stopped as asked; a throw is a failure and is told on standard error.
+ */
+export async function runProgram<All extends Readonly<Record<string, Setting>>>(definition: SettingsDefinition<All>, main: (values: SettingsOf<All>) => Promise<void>): Promise<void> {
+	const commandLine = await readCommandLine(definition, process.argv.slice(2), process.env);
+	switch (commandLine.type) {
+		case 'print': {
+			process.stdout.write(`${commandLine.text}\n`);
+			return;
+		}
+
+		case 'wrong': {
+			process.stderr.write(`${commandLine.message}\n`);
+			process.exitCode = ExitCode.usage;
+			return;
+		}
+
+		case 'run': {
+			process.exitCode = await runMain(definition.program, async () => main(commandLine.values));
+		}
+	}
+}
+
+async function runMain(program: string, main: () => Promise<void>): Promise<ExitCode> {
+	try {
+		await main();
+		return ExitCode.ok;
+	} catch (error) {
+		if (error instanceof SettingsError) {
+			process.stderr.write(`${error.message}\n`);
+			return ExitCode.usage;
+		}
+
+		process.stderr.write(`${program}: ${error instanceof Error ? error.message : 'The program failed.'}\n`);
+		return ExitCode.failure;
+	}
+}
