Add platform clients and the stand-ins that tests are judged by

Cause: nothing could be run or tested before the log, the membership list, the weight store, engines and services had something on the other end. The engine's answer depends on the body alone, so a resumed stream can be checked to the letter, and runs are counted by request id, key and prompt.

--- /dev/null
+++ b/fakes/engine/index.ts
@@ -0,0 +1,5 @@
+/** A stand-in of a model engine, and the answer that it must give to a body. */
+export {FakeEngine, type FakeEngineSettings} from './engine.js';
+export {defaultCosts, type EngineCosts} from './batch.js';
+export type {EngineFaults} from './faults.js';
+export {expectedAnswer} from './answer.js';
--- /dev/null
+++ b/fakes/index.ts
@@ -0,0 +1,6 @@
+/** Stand-ins of what surrounds the product, for development and tests. Product code never imports them. */
+export * from './engine/index.js';
+export {FakeLog, type LogFaults} from './log.js';
+export {FakeMembers, type MembersFaults} from './members.js';
+export {FakeService, type ServiceFaults} from './service.js';
+export {FakeWeights, type WeightsFaults} from './weights.js';
--- /dev/null
+++ b/fakes/service.ts
@@ -0,0 +1,194 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
+import {z} from 'zod';
+import {
+	FakeServer, readBody, replyError, replyJson, serverFaultShape, type Exchange,
+} from './server.js';
+
+export const serviceFaultsSchema = z.strictObject({
+	...serverFaultShape,
+	/** How many of the next calls run and lose their answer. */
+	loseAnswers: z.number().int().nonnegative().default(0),
+	/** How many of the next answers stop in the middle of the body. */
+	truncateAnswers: z.number().int().nonnegative().default(0),
+	/** How many of the next calls are refused with 429 before they run. */
+	refuseCalls: z.number().int().nonnegative().default(0),
+	/** A call whose body holds this text crashes the service; empty means none does. */
+	poison: z.string().default(''),
+	/** After a crash the service comes back so much later; 0 means it stays down until `start`. */
+	restartMilliseconds: z.number().nonnegative().default(0),
+	/** How long a ticket takes. */
+	workMilliseconds: z.number().nonnegative().default(0),
+});
+export type ServiceFaults = z.infer<typeof serviceFaultsSchema>;
+
+const chunkBytes = 16 * 1024;
+
+/**
+ * A stand-in of a plain service. `/echo` gives the body back, `/tickets` counts what it ran by
+ * `Idempotency-Key` and `X-Request-Id`, `/bytes?count=N` streams a large answer.
+ */
+export class FakeService implements AsyncDisposable {
+	static async create(settings: {port?: number; faults?: Partial<ServiceFaults>} = {}): Promise<FakeService> {
+		const service = new FakeService(serviceFaultsSchema.parse(settings.faults ?? {}));
+		service.#server = await FakeServer.create({
+			port: settings.port ?? 0,
+			faults: service.faults,
+			parseFaults: value => serviceFaultsSchema.parse(value),
+			handle: exchange => service.#handle(exchange),
+			counts: () => ({
+				runsByKey: Object.fromEntries(service.runsByKey), runsByRequest: Object.fromEntries(service.runsByRequest), crashes: service.crashes,
+			}),
+		});
+		return service;
+	}
+
+	readonly faults: ServiceFaults;
+	/** The truth of tests: how often each key and each request ran here. */
+	readonly runsByKey = new Map<string, number>();
+	readonly runsByRequest = new Map<string, number>();
+	/** How often a body ran, by its text: covers calls whose request id the caller never learns. */
+	readonly runsByBody = new Map<string, number>();
+	crashes = 0;
+	#tickets = 0;
+	#server: FakeServer<ServiceFaults> | undefined;
+
+	private constructor(faults: ServiceFaults) {
+		this.faults = faults;
+	}
+
+	get url(): string {
+		return this.#server!.url;
+	}
+
+	/** Cuts every call and refuses connections. */
+	async crash(): Promise<void> {
+		this.crashes++;
+		await this.#server!.stop();
+		if (this.faults.restartMilliseconds > 0) {
+			setTimeout(() => {
+				void this.start();
+			}, this.faults.restartMilliseconds).unref();
+		}
+	}
+
+	async start(): Promise<void> {
+		await this.#server!.start();
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.faults.restartMilliseconds = 0;
+		await this.#server?.[Symbol.asyncDispose]();
+	}
+
+	async #handle(exchange: Exchange): Promise<void> {
+		const root = exchange.path[0] ?? '';
+		switch (root) {
+			case 'health': {
+				replyJson(exchange.response, 200, {});
+				return;
+			}
+
+			case 'echo': {
+				await echo(exchange);
+				return;
+			}
+
+			case 'bytes': {
+				await streamBytes(exchange);
+				return;
+			}
+
+			case 'tickets': {
+				await this.#ticket(exchange);
+				return;
+			}
+
+			default: {
+				replyError(exchange.response, 404, 'no such path');
+			}
+		}
+	}
+
+	async #ticket({request, response}: Exchange): Promise<void> {
+		const body = await readBody(request);
+		if (this.faults.refuseCalls > 0) {
+			this.faults.refuseCalls--;
+			replyError(response, 429, 'told to refuse', {'retry-after': '1'});
+			return;
+		}
+
+		this.#count(request.headers['idempotency-key'], request.headers['x-request-id'], body);
+		if (this.faults.poison !== '' && body.includes(this.faults.poison)) {
+			await this.crash();
+			return;
+		}
+
+		this.#tickets++;
+		const answer = {ticket: this.#tickets, body};
+		await delay(this.faults.workMilliseconds);
+		if (this.faults.loseAnswers > 0) {
+			this.faults.loseAnswers--;
+			request.socket.resetAndDestroy();
+			return;
+		}
+
+		if (this.faults.truncateAnswers > 0) {
+			this.faults.truncateAnswers--;
+			const text = JSON.stringify(answer);
+			response.writeHead(200, {'content-type': 'application/json', 'content-length': text.length});
+			response.write(text.slice(0, text.length / 2));
+			await delay(1);
+			response.destroy();
+			return;
+		}
+
+		replyJson(response, 200, answer);
+	}
+
+	#count(key: string | string[] | undefined, requestId: string | string[] | undefined, body: string): void {
+		increment(this.runsByBody, body);
+		if (typeof key === 'string') {
+			increment(this.runsByKey, key);
+		}
+
+		if (typeof requestId === 'string') {
+			increment(this.runsByRequest, requestId);
+		}
+	}
+}
+
+function increment(counts: Map<string, number>, name: string): void {
+	counts.set(name, (counts.get(name) ?? 0) + 1);
+}
+
+async function echo({method, request, response}: Exchange): Promise<void> {
+	response.writeHead(200, {
+		'content-type': request.headers['content-type'] ?? 'application/octet-stream',
+		'x-echo-method': method,
+		'x-echo-path': request.url ?? '',
+		'x-echo-request-id': String(request.headers['x-request-id'] ?? ''),
+	});
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		if (!response.write(chunk)) {
+			await once(response, 'drain');
+		}
+	}
+
+	response.end();
+}
+
+async function streamBytes({query, response}: Exchange): Promise<void> {
+	let left = z.coerce.number().int().nonnegative().parse(query.get('count') ?? 0);
+	response.writeHead(200, {'content-type': 'application/octet-stream', 'content-length': left});
+	while (left > 0 && !response.destroyed) {
+		const size = Math.min(left, chunkBytes);
+		left -= size;
+		if (!response.write(Buffer.alloc(size, 'x'))) {
+			await Promise.race([once(response, 'drain'), once(response, 'close')]);
+		}
+	}
+
+	response.end();
+}
--- /dev/null
+++ b/src/platform/error.ts
@@ -0,0 +1,25 @@
+/** Why a call to the platform failed, and whether it may have taken effect there. */
+export type PlatformFailure
+	/** No connection came about: the call did not take effect. */
+	= | {readonly type: 'unreachable'; readonly reason: string}
+	/** The call left, and no whole answer came back: it may have taken effect. */
+		| {readonly type: 'lost'; readonly reason: string}
+	/** An error status: 4xx did not take effect, 5xx may have. */
+		| {readonly type: 'status'; readonly status: number; readonly reason: string; readonly retryAfterMilliseconds?: number}
+	/** An answer that does not follow the published protocol. */
+		| {readonly type: 'malformed'; readonly reason: string};
+
+/** A failure of the platform on its way up through code that throws. */
+export class PlatformError extends Error {
+	static create(failure: PlatformFailure): PlatformError {
+		return new PlatformError(failure);
+	}
+
+	readonly failure: PlatformFailure;
+
+	private constructor(failure: PlatformFailure) {
+		super(`Platform: ${failure.type === 'status' ? `status ${failure.status}, ` : ''}${failure.reason}`);
+		this.name = 'PlatformError';
+		this.failure = failure;
+	}
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,7 @@
+/** Clients of the platform's log, membership list and weight store, and the interfaces they keep. */
+export type * from './types.js';
+export {PlatformError, type PlatformFailure} from './error.js';
+export type {HttpClientSettings} from './http-caller.js';
+export {HttpLogClient} from './log-client.js';
+export {HttpMembershipClient, memberSchema} from './membership-client.js';
+export {HttpWeightStoreClient} from './weight-store-client.js';
--- /dev/null
+++ b/src/platform/log-client.ts
@@ -0,0 +1,111 @@
+import {z} from 'zod';
+import {PlatformError} from './error.js';
+import {HttpCaller, type HttpClientSettings} from './http-caller.js';
+import {type AppendResult, type LogClient, type ReadResult} from './types.js';
+
+const appendedSchema = z.object({offset: z.number().int().nonnegative()});
+const pageSchema = z.object({
+	records: z.array(z.object({offset: z.number().int().nonnegative(), time: z.number(), value: z.unknown()})),
+	first: z.number().int().nonnegative(),
+	next: z.number().int().nonnegative(),
+});
+const goneSchema = z.object({first: z.number().int().nonnegative(), next: z.number().int().nonnegative()});
+
+const statusGone = 410;
+const firstServerError = 500;
+const defaultLimit = 500;
+
+/** The platform's log over HTTP, as docs/PLATFORM.md gives it. */
+export class HttpLogClient implements LogClient, AsyncDisposable {
+	static create(settings: HttpClientSettings): HttpLogClient {
+		return new HttpLogClient(settings);
+	}
+
+	readonly #caller: HttpCaller;
+	readonly #timeoutMilliseconds: number;
+
+	private constructor(settings: HttpClientSettings) {
+		this.#caller = HttpCaller.create(settings);
+		this.#timeoutMilliseconds = settings.timeoutMilliseconds;
+	}
+
+	/** Never throws: every failure is `refused` (nothing was kept) or `unknown` (only reading tells). */
+	async append(stream: string, value: unknown): Promise<AppendResult> {
+		try {
+			const {body} = await this.#caller.call({method: 'POST', path: recordsPath(stream), body: {value}});
+			const parsed = appendedSchema.safeParse(body);
+			return parsed.success ? {type: 'appended', offset: parsed.data.offset} : {type: 'unknown', reason: 'the answer has no offset'};
+		} catch (error) {
+			return outcomeOfFailure(error);
+		}
+	}
+
+	async read(stream: string, from: number, options: {limit?: number; waitMilliseconds?: number; signal?: AbortSignal} = {}): Promise<ReadResult> {
+		const wait = options.waitMilliseconds ?? 0;
+		const {status, body} = await this.#caller.call({
+			method: 'GET',
+			path: `${recordsPath(stream)}?from=${from}&limit=${options.limit ?? defaultLimit}&wait=${wait}`,
+			timeoutMilliseconds: this.#timeoutMilliseconds + wait,
+			signal: options.signal,
+		});
+		return status === statusGone ? {type: 'gone', ...parse(goneSchema, body)} : {type: 'records', ...inOrder(parse(pageSchema, body), from)};
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await this.#caller[Symbol.asyncDispose]();
+	}
+}
+
+function recordsPath(stream: string): string {
+	return `/streams/${encodeURIComponent(stream)}/records`;
+}
+
+function outcomeOfFailure(error: unknown): AppendResult {
+	if (!(error instanceof PlatformError)) {
+		throw error;
+	}
+
+	const {failure} = error;
+	switch (failure.type) {
+		case 'unreachable': {
+			return {type: 'refused', reason: failure.reason};
+		}
+
+		case 'status': {
+			return {type: failure.status < firstServerError ? 'refused' : 'unknown', reason: failure.reason};
+		}
+
+		case 'lost':
+		case 'malformed': {
+			return {type: 'unknown', reason: failure.reason};
+		}
+	}
+}
+
+type Page = z.infer<typeof pageSchema>;
+
+/**
+ * Failure: a log that answers with records out of order or from before `from`. Symptom: a fold that
+ * goes back. Nothing after this check needs to look at the order of a page again.
+ */
+function inOrder(page: Page, from: number): Page {
+	let expected = from;
+	for (const record of page.records) {
+		if (record.offset < expected) {
+			throw PlatformError.create({type: 'malformed', reason: `offset ${record.offset} came where ${expected} or later was due`});
+		}
+
+		expected = record.offset + 1;
+	}
+
+	return page;
+}
+
+function parse<Value>(schema: z.ZodType<Value>, body: unknown): Value {
+	const parsed = schema.safeParse(body);
+	if (!parsed.success) {
+		throw PlatformError.create({type: 'malformed', reason: z.prettifyError(parsed.error)});
+	}
+
+	return parsed.data;
+}
--- /dev/null
+++ b/src/platform/membership-client.ts
@@ -0,0 +1,47 @@
+import {z} from 'zod';
+import {PlatformError} from './error.js';
+import {HttpCaller, type HttpClientSettings} from './http-caller.js';
+import {type Member, type MembershipClient} from './types.js';
+
+/** One line of the list as it travels. */
+export const memberSchema = z.object({
+	instance: z.string().min(1),
+	role: z.enum(['entry', 'side']),
+	address: z.string().min(1),
+	zone: z.string().min(1),
+	state: z.enum(['live', 'leaving']),
+	endpoint: z.string().optional(),
+	targets: z.array(z.string()).readonly().optional(),
+});
+
+const listSchema = z.object({members: z.array(z.unknown())});
+
+/** The platform's membership list over HTTP. A line that can't be read is left out, the rest is used. */
+export class HttpMembershipClient implements MembershipClient, AsyncDisposable {
+	static create(settings: HttpClientSettings): HttpMembershipClient {
+		return new HttpMembershipClient(settings);
+	}
+
+	readonly #caller: HttpCaller;
+
+	private constructor(settings: HttpClientSettings) {
+		this.#caller = HttpCaller.create(settings);
+	}
+
+	async list(signal?: AbortSignal): Promise<readonly Member[]> {
+		const {body} = await this.#caller.call({method: 'GET', path: '/members', signal});
+		const parsed = listSchema.safeParse(body);
+		if (!parsed.success) {
+			throw PlatformError.create({type: 'malformed', reason: 'the answer holds no list of members'});
+		}
+
+		return parsed.data.members.flatMap(line => {
+			const member = memberSchema.safeParse(line);
+			return member.success ? [member.data] : [];
+		});
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await this.#caller[Symbol.asyncDispose]();
+	}
+}
