--- a/src/bin/settings/command-line.ts
+++ b/src/bin/settings/command-line.ts
@@ -73,7 +73,7 @@
 	const known = new Set(Object.keys(definition.settings).map(name => flagOf(name)));
 	for (const [flag, value] of Object.entries(parsed)) {
 		if (known.has(flag)) {
-			flags[flag] = value === undefined ? undefined : String(value);
+			flags[flag] = value === undefined ? undefined : toText(value);
 			continue;
 		}
 
@@ -121,7 +121,7 @@
 }
 
 function defaultNote(value: unknown): string {
-	return value === undefined || value === false ? '' : ` Default: ${String(value)}.`;
+	return value === undefined || value === false ? '' : ` Default: ${toText(value)}.`;
 }
 
 function variable(environment: Environment, name: string): string | undefined {
