Add the tiered queue and first come first served

Cause: a side needs to decide whom to serve, who waits and who is refused.

Change: tiered() composes order (tier, fair by tokens, deadline), floor share, eviction, slots, preemption and refusal, each in its own module with its asserted rules; firstCome() is the baseline. RequestSummary gains two optional fields, betweenTokensMilliseconds and preemptions; the interface of the scheduler is unchanged, but for the note that started may be answered with refuse.

--- a/src/model/request.ts
+++ b/src/model/request.ts
@@ -16,6 +16,8 @@
 	readonly idempotent: boolean;
 	/** How long after arrival the first token is due. */
 	readonly firstTokenMilliseconds: number;
+	/** The time between tokens that the class can bear; missing: the queue's own setting. */
+	readonly betweenTokensMilliseconds?: number;
 	/** How long after arrival the request may still be waiting in a queue. */
 	readonly queueMilliseconds: number;
 	/** The length of the prompt in tokens, estimated from its bytes. */
@@ -24,4 +26,6 @@
 	readonly fingerprint: string;
 	/** A hash of the prompt's leading blocks, for prefix affinity. */
 	readonly prefix: string;
+	/** How often it has been preempted; missing: never. It resumes then, and its tokens so far are in `promptTokens`. */
+	readonly preemptions?: number;
 };
--- /dev/null
+++ b/src/policy/scheduler/order.ts
@@ -0,0 +1,57 @@
+import {type Tier, type WorkspaceName} from '../../model/index.js';
+import {type Waiting} from './ledger.js';
+
+/**
+ * Whom a tier serves next: the workspace that is furthest behind, and of its requests the one whose
+ * first token is due soonest.
+ *
+ * Load pattern: more work than slots, with unlike deadlines. Serving by deadline alone fails when
+ * there is too much work: the request that is about to be late always goes first, is late all the
+ * same, and so makes the next one late. Requests that can't be in time any more therefore come after
+ * those that can. A request that was preempted goes before both, since its caller holds half an answer.
+ */
+export function nextOf(waiting: readonly Waiting[], counters: ReadonlyMap<WorkspaceName, number>, latestStart: LatestStart, now: number): Waiting | undefined {
+	let best: Waiting | undefined;
+	let bestRank: readonly number[] = [];
+	for (const candidate of waiting) {
+		const inTime = latestStart(candidate) >= now;
+		const rank = [
+			counters.get(candidate.summary.workspace) ?? 0,
+			resumes(candidate) ? 0 : 1,
+			inTime ? 0 : 1,
+			inTime ? candidate.dueAt : candidate.sequence,
+			candidate.sequence,
+		];
+		if (best === undefined || isLess(rank, bestRank)) {
+			best = candidate;
+			bestRank = rank;
+		}
+	}
+
+	return best;
+}
+
+/** When a request must start, so that its first token is in time. */
+export type LatestStart = (waiting: Waiting) => number;
+
+/** True if `waiting` belongs to a request that was preempted and resumes. */
+export function resumes({summary}: Waiting): boolean {
+	return (summary.preemptions ?? 0) > 0;
+}
+
+/** The highest tier that waits, or nothing. */
+export function highestWaiting(waiting: Iterable<Waiting>): Tier | undefined {
+	let highest: Tier | undefined;
+	for (const {summary} of waiting) {
+		if (highest === undefined || summary.tier < highest) {
+			highest = summary.tier;
+		}
+	}
+
+	return highest;
+}
+
+function isLess(one: readonly number[], other: readonly number[]): boolean {
+	const differing = one.findIndex((value, index) => value !== other[index]);
+	return differing !== -1 && one[differing]! < other[differing]!;
+}
--- /dev/null
+++ b/src/policy/scheduler/tiered-decisions.ts
@@ -0,0 +1,119 @@
+import {type Tier, tiers} from '../../model/index.js';
+import {countDeparture, retryAfter} from './drain.js';
+import {advance, countersOf, greatestLag, lagBound} from './fairness.js';
+import {floorTurn, floorWaitBound} from './floor.js';
+import {assertRule, Rule} from './invariants.js';
+import {andThen, occupy, type Occupied, quiet, remove, update, type Waiting, waitingIn} from './ledger.js';
+import {highestWaiting, nextOf} from './order.js';
+import {mayBePreempted, stopping, victimFor} from './preemption.js';
+import {refuse, RefusalReason} from './refusal.js';
+import {type Context, type SchedulerSettings} from './settings.js';
+import {slotCount} from './slots.js';
+import {freeSlots, isOpen, latestStart, longestHeld, noteTurn, type TieredState} from './tiered-state.js';
+import {type SchedulerStep} from './types.js';
+
+type Step = SchedulerStep<TieredState>;
+
+/** Refuses whatever has waited as long as it may, and takes back offers that nobody answered. */
+export function expire(state: TieredState, {now, settings}: Context): Step {
+	const {ledger} = state;
+	const expired = [...ledger.waiting.values()].filter(({expiresAt}) => expiresAt <= now);
+	const lapsed = [...ledger.occupied.values()].filter(({phase, offeredAt}) => phase === 'offered' && offeredAt + settings.holdMilliseconds <= now);
+	let rest = ledger;
+	for (const {id} of [...expired, ...lapsed]) {
+		rest = remove(rest, id);
+	}
+
+	const actions = [
+		...expired.map(({id, summary}) => refuse(id, RefusalReason.expired, retryAfter(state.drain, ledger, summary.tier))),
+		...lapsed.map(({id}) => refuse(id, RefusalReason.lapsed, 0)),
+	];
+	const longestMilliseconds = Math.max(state.longestMilliseconds, ...lapsed.map(({offeredAt}) => now - offeredAt));
+	return actions.length === 0 ? quiet(state) : {state: {...state, ledger: rest, longestMilliseconds}, actions};
+}
+
+/** Offers free slots one by one, each to the request whose turn it is then. */
+export function offerSlots(state: TieredState, context: Context): Step {
+	const {settings} = context;
+	const highest = highestWaiting(state.ledger.waiting.values());
+	if (highest === undefined || !isOpen(state) || freeSlots(state) <= 0) {
+		return quiet(state);
+	}
+
+	const floor = state.reserved > 0 ? undefined : floorTurn(state.floor, state.ledger, slotCount(state.slots), settings);
+	const next = chooseIn(state, floor ?? highest, context);
+	if (next === undefined) {
+		return quiet(state);
+	}
+
+	checkTurns(state, next.summary.tier, context);
+	const isFloor = floor !== undefined && floor !== highest;
+	const offered: Step = {state: offer(state, next, isFloor, context), actions: [{type: 'offer', id: next.id}]};
+	return andThen(offered, rest => offerSlots(rest, context));
+}
+
+function chooseIn(state: TieredState, tier: Tier, {now, settings}: Context): Waiting | undefined {
+	const counters = countersOf(state.fairness, state.ledger, tier, settings);
+	return nextOf(waitingIn(state.ledger, tier), counters, waiting => latestStart(state, waiting), now);
+}
+
+function offer(state: TieredState, next: Waiting, floor: boolean, {now, settings}: Context): TieredState {
+	const {summary} = next;
+	const ledger = occupy(state.ledger, next, floor, now);
+	assertRule(isOpen(state), Rule.closedOffersNothing, () => `offered ${next.id}`, settings.onViolation);
+	assertRule(ledger.occupied.size <= slotCount(state.slots), Rule.slotsBounded, () => `${ledger.occupied.size} of ${slotCount(state.slots)} slots`, settings.onViolation);
+	const fairness = advance(state.fairness, state.ledger, summary, settings);
+	const lag = greatestLag(fairness, state.ledger, summary.tier, settings);
+	assertRule(lag <= lagBound(fairness, settings), Rule.fairWithinBound, () => `tier ${summary.tier}: a workspace is ${lag} tokens off`, settings.onViolation);
+	const served = {
+		...state, ledger, fairness, drain: countDeparture(state.drain, summary, ledger), reserved: Math.max(0, state.reserved - 1),
+	};
+	return noteTurn(served, summary.tier, waitingIn(ledger, summary.tier).length === 0 ? undefined : now);
+}
+
+/** Asserts that no lower tier has waited past its bound while `served` gets this slot. */
+function checkTurns(state: TieredState, served: Tier, {now, settings}: Context): void {
+	for (const tier of tiers) {
+		const since = state.turnAt[tier];
+		if (tier > served && since !== undefined && waitingIn(state.ledger, tier).length > 0) {
+			const bound = floorWaitBound({tier, ahead: 0, slots: settings.minimumSlots, longestMilliseconds: longestHeld(state, now)}, settings);
+			assertRule(now - since <= bound, Rule.floorWithinBound, () => `tier ${tier} waited ${now - since} ms, bound ${bound}`, settings.onViolation);
+		}
+	}
+}
+
+/** Frees slots of lower tiers for requests that would else be late. */
+export function preempt(state: TieredState, {now, settings}: Context): Step {
+	if (!isOpen(state) || freeSlots(state) > 0) {
+		return quiet(state);
+	}
+
+	// Slots that are being freed already will serve as many of the first in line.
+	const late = tiers.flatMap(tier => waitingIn(state.ledger, tier)).filter(waiting => latestStart(state, waiting) < now + marginMilliseconds);
+	let step = quiet(state);
+	for (const waiting of late.slice(stopping(state.ledger) + state.reserved)) {
+		step = andThen(step, next => preemptFor(next, waiting, settings));
+	}
+
+	return step;
+}
+
+/** What a preemption itself takes: the engine stops within a step, and the offer travels there and back. */
+const marginMilliseconds = 50;
+
+function preemptFor(state: TieredState, waiting: Waiting, settings: SchedulerSettings): Step {
+	const victim = victimFor(state.ledger, waiting, settings);
+	if (victim === undefined) {
+		return quiet(state);
+	}
+
+	checkVictim(victim, waiting, settings);
+	const ledger = update(state.ledger, {...victim, phase: 'stopping'});
+	return {state: {...state, ledger}, actions: [{type: 'preempt', id: victim.id, forRequest: waiting.summary.id}]};
+}
+
+function checkVictim(victim: Occupied, waiting: Waiting, settings: SchedulerSettings): void {
+	const downward = victim.summary.tier > waiting.summary.tier;
+	const allowed = downward && victim.summary.idempotent && mayBePreempted(victim, waiting, settings);
+	assertRule(allowed, Rule.preemptionDownward, () => `tier ${victim.summary.tier} preempted for tier ${waiting.summary.tier}`, settings.onViolation);
+}
--- /dev/null
+++ b/src/policy/scheduler/tiered-state.ts
@@ -0,0 +1,68 @@
+import {type Tier} from '../../model/index.js';
+import {type Drain, freshDrain} from './drain.js';
+import {evenFairness, type Fairness} from './fairness.js';
+import {type Floor, freshFloor} from './floor.js';
+import {emptyLedger, type Ledger, type Occupied, type Waiting} from './ledger.js';
+import {type SchedulerSettings} from './settings.js';
+import {initialSlots, slotCount, type Slots} from './slots.js';
+
+/** All that the tiered queue of one side knows. */
+export type TieredState = {
+	readonly ledger: Ledger;
+	readonly fairness: Fairness;
+	readonly floor: Floor;
+	readonly drain: Drain;
+	readonly slots: Slots;
+	/** Usual time from an offer to the first token. */
+	readonly firstTokenMilliseconds: number;
+	/** The longest that a request has held a slot. */
+	readonly longestMilliseconds: number;
+	/** Slots that preemptions have freed and that belong to a higher tier than the one that lost them. */
+	readonly reserved: number;
+	/** By tier: when it last got an offer, or began to wait for one. */
+	readonly turnAt: ReadonlyArray<number | undefined>;
+	readonly leaving: boolean;
+	readonly up: boolean;
+};
+
+/** The state of a side that has seen nothing yet. */
+export function createState(settings: SchedulerSettings): TieredState {
+	return {
+		ledger: emptyLedger,
+		fairness: evenFairness,
+		floor: freshFloor,
+		drain: freshDrain,
+		slots: initialSlots(settings),
+		firstTokenMilliseconds: 0,
+		longestMilliseconds: 0,
+		reserved: 0,
+		turnAt: [undefined, undefined, undefined],
+		leaving: false,
+		up: true,
+	};
+}
+
+/** True if the side may offer slots. */
+export function isOpen({leaving, up}: TieredState): boolean {
+	return !leaving && up;
+}
+
+/** How many more requests may start now. */
+export function freeSlots({slots, ledger}: TieredState): number {
+	return slotCount(slots) - ledger.occupied.size;
+}
+
+/** When a request must get its slot for its first token to be in time. */
+export function latestStart({firstTokenMilliseconds}: TieredState, {dueAt}: Waiting): number {
+	return dueAt - firstTokenMilliseconds;
+}
+
+/** The longest that any request has held a slot, those that run now included. */
+export function longestHeld({ledger, longestMilliseconds}: TieredState, now: number): number {
+	return Math.max(longestMilliseconds, ...[...ledger.occupied.values()].map((occupied: Occupied) => now - occupied.offeredAt));
+}
+
+/** Notes that a tier begins to wait, or got a turn. */
+export function noteTurn(state: TieredState, tier: Tier, at: number | undefined): TieredState {
+	return {...state, turnAt: state.turnAt.with(tier, at)};
+}
--- /dev/null
+++ b/src/policy/scheduler/tiered.ts
@@ -0,0 +1,55 @@
+import {tiers} from '../../model/index.js';
+import {elapse} from './drain.js';
+import {accrue} from './floor.js';
+import {andThen, waitingIn} from './ledger.js';
+import {type Context, createSettings, type SchedulerSettings} from './settings.js';
+import {adapt, slotCount} from './slots.js';
+import {apply} from './tiered-events.js';
+import {expire, offerSlots, preempt} from './tiered-decisions.js';
+import {createState, type TieredState} from './tiered-state.js';
+import {type Scheduler, type SchedulerEvent, type SchedulerStep} from './types.js';
+
+/**
+ * The queue of one side: tiers in strict order but for a bounded floor share, fair between workspaces
+ * within a tier, deadlines within a workspace, slots that follow the time between tokens, preemption
+ * where a target would else be missed, and an answer at once for whatever can't be served in time.
+ *
+ * Each of these is a module of its own; this one says in which order they act. First time passes, then
+ * the event is taken in, then what is out of time goes, then slots are offered, and only what still
+ * finds none may preempt.
+ */
+export function tiered(given: Partial<SchedulerSettings> = {}): Scheduler<TieredState> {
+	const settings = createSettings(given);
+	return {
+		create: () => createState(settings),
+		step: (state, event, now) => step(state, event, {now, settings}),
+		view: ({slots, ledger, leaving}) => ({
+			slots: slotCount(slots),
+			running: ledger.occupied.size,
+			waiting: tiers.map(tier => waitingIn(ledger, tier).length),
+			tokenMilliseconds: slots.tokenMilliseconds,
+			leaving,
+		}),
+	};
+}
+
+function step(state: TieredState, event: SchedulerEvent, context: Context): SchedulerStep<TieredState> {
+	const applied = apply(passTime(state, context), event, context);
+	if (event.type === 'progressed' && slotCount(applied.state.slots) <= slotCount(state.slots)) {
+		// Tokens come by the thousand and free no slot; the next tick does what else is due.
+		return applied;
+	}
+
+	const expired = andThen(applied, next => expire(next, context));
+	const offered = andThen(expired, next => offerSlots(next, context));
+	return andThen(offered, next => preempt(next, context));
+}
+
+function passTime(state: TieredState, context: Context): TieredState {
+	const {now} = context;
+	const {ledger} = state;
+	const slots = adapt(state.slots, ledger.occupied.size, context);
+	return {
+		...state, slots, floor: accrue(state.floor, ledger, slotCount(slots), context), drain: elapse(state.drain, ledger, now),
+	};
+}
--- a/src/policy/scheduler/types.ts
+++ b/src/policy/scheduler/types.ts
@@ -10,7 +10,10 @@
 export type SchedulerEvent
 	= | {readonly type: 'arrived'; readonly id: string; readonly summary: RequestSummary}
 		| {readonly type: 'withdrawn'; readonly id: string}
-	/** The body came in answer to an offer: the request runs. `promptTokens` includes resumed ones. */
+	/**
+	 * The body came in answer to an offer: the request runs, unless the step answers with `refuse`. It
+	 * does so if the offer had lapsed or was taken back; then the body must not be given to the endpoint.
+	 */
 		| {readonly type: 'started'; readonly id: string}
 	/** The engine produced tokens; `milliseconds` is the time since the last ones, or since the start. */
 		| {readonly type: 'progressed'; readonly id: string; readonly tokens: number; readonly milliseconds: number}
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -24,10 +24,12 @@
 	target: text,
 	idempotent: z.boolean(),
 	firstTokenMilliseconds: milliseconds,
+	betweenTokensMilliseconds: milliseconds.optional(),
 	queueMilliseconds: milliseconds,
 	promptTokens: z.number().nonnegative(),
 	fingerprint: text,
 	prefix: text,
+	preemptions: z.number().int().nonnegative().optional(),
 });
 
 const hello = z.object({
