--- a/src/entry/protocol/model-call.ts
+++ b/src/entry/protocol/model-call.ts
@@ -43,7 +43,7 @@
 const chatSchema = z.looseObject({...commonFields, messages: z.array(chatMessage).min(1)});
 const completionSchema = z.looseObject({
 	...commonFields,
-	prompt: z.union([z.string(), z.array(z.string()).length(1, 'only one prompt a request is supported'), z.array(z.number().int()).min(1)]),
+	prompt: z.union([z.string(), z.array(z.string()).length(1), z.array(z.number().int()).min(1)], 'one text, or one list of token numbers, is supported'),
 });
 type Chat = z.infer<typeof chatSchema>;
 type Completion = z.infer<typeof completionSchema>;
