--- a/src/catalogue/entry.ts
+++ b/src/catalogue/entry.ts
@@ -4,7 +4,7 @@
  * What operators write. Units stand in the names. Every entry has an owner, the one who answers
  * for it, and is named uniquely by kind and name; a class is named WORKSPACE/CLASS.
  */
-const name = z.string().regex(/^[a-z\d](?:[a-z\d.-]{0,62}[a-z\d])?$/v, 'lower-case letters, digits, dots and hyphens, 64 at most');
+const name = z.string().regex(/^[a-z\d](?:[a-z\d.\-]{0,62}[a-z\d])?$/v, 'lower-case letters, digits, dots and hyphens, 64 at most');
 const owner = z.string().min(1).max(128);
 const positive = z.number().positive();
 
@@ -24,7 +24,7 @@
 /** A class of requests of one workspace: its tier, its targets and its limits. */
 export const classEntrySchema = z.strictObject({
 	kind: z.literal('class'),
-	name: z.string().regex(/^[a-z\d][a-z\d.-]{0,63}\/[a-z\d][a-z\d.-]{0,63}$/v, 'WORKSPACE/CLASS'),
+	name: z.string().regex(/^[a-z\d][a-z\d.\-]{0,63}\/[a-z\d][a-z\d.\-]{0,63}$/v, 'WORKSPACE/CLASS'),
 	owner,
 	/** 0 is served first, 2 last. */
 	tier: z.union([z.literal(0), z.literal(1), z.literal(2)]),
--- /dev/null
+++ b/test/platform/catalogue-follower.test.ts
@@ -0,0 +1,121 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import tap from 'tap';
+import {type Catalogue} from '../../src/catalogue/index.js';
+import {CatalogueFollower, type FollowerOptions} from '../../src/platform/catalogue-follower.js';
+import {change, put, sampleModel} from '../catalogue/sample.js';
+import {MemoryLog} from './memory-log.js';
+
+const times = {firstRetryMilliseconds: 1, longestRetryMilliseconds: 5, snapshotCheckMilliseconds: 2, snapshotSpreadMilliseconds: 10};
+
+function follow(log: MemoryLog, more: Partial<FollowerOptions> = {}): CatalogueFollower {
+	return CatalogueFollower.create({log, instance: 'entry-1', times, ...more});
+}
+
+async function until(condition: () => boolean): Promise<void> {
+	for (let attempt = 0; attempt < 5000 && !condition(); attempt++) {
+		await delay(2);
+	}
+
+	if (!condition()) {
+		throw new Error('The condition was not met.');
+	}
+}
+
+async function publish(log: MemoryLog, ...names: string[]): Promise<void> {
+	for (const name of names) {
+		await log.append('catalogue', change(put(sampleModel(name))));
+	}
+}
+
+function modelNames(catalogue: Catalogue): string[] {
+	return catalogue.models().map(model => model.name);
+}
+
+tap.test('a change reaches a follower that was there before it', async t => {
+	const log = MemoryLog.create();
+	await using follower = follow(log);
+	await follower.ready;
+	t.equal(follower.current().offset, -1);
+	await publish(log, 'menu');
+	await until(() => follower.current().offset === 0);
+	t.same(modelNames(follower.current()), ['menu']);
+	t.match(follower.recentAudit(), [{offset: 0, verdict: {type: 'accepted'}}]);
+});
+
+tap.test('an outage of the log delays changes and loses none', async t => {
+	// The caller sees a class that was published during the outage only after it. The log answers
+	// nothing, then comes back with two more records; the follower keeps what it had and reads on
+	// from its own offset, so nothing is skipped or applied twice.
+	const log = MemoryLog.create();
+	await publish(log, 'menu');
+	await using follower = follow(log);
+	await follower.ready;
+	log.isDown = true;
+	await delay(20);
+	t.same(modelNames(follower.current()), ['menu']);
+	log.isDown = false;
+	await publish(log, 'order', 'stitch');
+	await until(() => follower.current().offset === 2);
+	t.same(modelNames(follower.current()), ['menu', 'order', 'stitch']);
+});
+
+tap.test('a process that starts while the log is down takes the catalogue from a peer', async t => {
+	// The caller is refused as not ready until a peer is met. The log is down; the new process asks a
+	// peer, gets the records, and serves. Later a stale peer sends old records again: nothing reverts.
+	const log = MemoryLog.create();
+	await publish(log, 'menu', 'order');
+	await using peer = follow(log);
+	await until(() => peer.current().offset === 1);
+	const stale = peer.recordsFrom(0);
+	log.isDown = true;
+	await using follower = follow(log);
+	t.notOk(follower.isReady);
+	t.ok(follower.accept(peer.recordsFrom(follower.current().offset + 1)));
+	await follower.ready;
+	t.notOk(follower.accept(stale));
+	t.equal(follower.current().offset, 1);
+});
+
+tap.test('a peer too far ahead of the records it kept sends its catalogue whole', async t => {
+	const log = MemoryLog.create();
+	await publish(log, 'menu', 'order');
+	await using writer = follow(log, {snapshots: {intervalMilliseconds: 60_000, intervalRecords: 2}});
+	await until(() => log.records.length === 3 && writer.current().offset === 2);
+	log.dropBefore(2);
+	await using restarted = follow(log);
+	await restarted.ready;
+	t.same(modelNames(restarted.current()), ['menu', 'order'], 'restored from the snapshot in the log');
+	log.isDown = true;
+	const answer = restarted.recordsFrom(0);
+	t.ok(answer.snapshot);
+	await using follower = follow(log);
+	t.ok(follower.accept(answer));
+	t.same(modelNames(follower.current()), ['menu', 'order']);
+});
+
+tap.test('retention never leaves the stream without a usable snapshot', async t => {
+	// An operator's old change would vanish for a process that starts after retention dropped it. The
+	// log drops all but its newest records again and again; some follower has written a snapshot
+	// before, also where the answer to its append was lost, and writes no more than it must.
+	const log = MemoryLog.create();
+	log.losesAnswers = true;
+	await publish(log, 'menu');
+	const snapshots = {intervalMilliseconds: 40, intervalRecords: 100};
+	await using first = follow(log, {snapshots});
+	await using second = follow(log, {snapshots, instance: 'entry-2'});
+	await first.ready;
+	await second.ready;
+	await until(() => log.records.length > 0 && first.current().offset >= 0);
+	log.dropBefore(1);
+	for (let round = 0; round < 4; round++) {
+		const known = log.records.at(-1)?.offset ?? 0;
+		await until(() => (log.records.at(-1)?.offset ?? 0) > known);
+		const latest = log.records.at(-1)!;
+		await until(() => first.current().offset >= latest.offset && second.current().offset >= latest.offset);
+		log.dropBefore(latest.offset);
+	}
+
+	await using restarted = follow(log);
+	await restarted.ready;
+	t.same(modelNames(restarted.current()), ['menu']);
+});
