--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -5,3 +5,7 @@
 export {HttpLogClient} from './log-client.js';
 export {HttpMembershipClient, memberSchema} from './membership-client.js';
 export {HttpWeightStoreClient} from './weight-store-client.js';
+export {
+	CatalogueFollower, defaultFollowerTimes,
+	type AuditEntry, type FollowerOptions, type FollowerTimes, type RecordsAnswer,
+} from './catalogue-follower.js';
