Keep the newest decisions of each process and serve them to operators

Cause: an operator must learn why a named request was refused. The membership list may name an admin port.

--- a/src/platform/membership-client.ts
+++ b/src/platform/membership-client.ts
@@ -8,6 +8,7 @@
 	instance: z.string().min(1),
 	role: z.enum(['entry', 'side']),
 	address: z.string().min(1),
+	admin: z.string().optional(),
 	zone: z.string().min(1),
 	state: z.enum(['live', 'leaving']),
 	endpoint: z.string().optional(),
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -33,6 +33,8 @@
 	readonly role: 'entry' | 'side';
 	/** IP number and port for our own protocol. */
 	readonly address: string;
+	/** IP number and port of its admin port, for operators. */
+	readonly admin?: string;
 	readonly zone: string;
 	readonly state: 'live' | 'leaving';
 	/** For a side: the endpoint it stands beside, and what that serves. */
--- /dev/null
+++ b/src/telemetry/journal/index.ts
@@ -0,0 +1,9 @@
+/** Decisions with their reasons, and the admin routes through which operators ask for them. */
+export {
+	DecisionJournal, ReasonCode, type Decision, type DecisionDetail,
+} from './decision-journal.js';
+export {
+	explainAnswerSchema, quarantineAnswerSchema, releaseRequestSchema, statusAnswerSchema,
+	type ExplainAnswer, type QuarantineAnswer, type ReleaseRequest, type StatusAnswer,
+} from './operator-protocol.js';
+export {createOperatorRoutes, type OperatorRoutesOptions} from './operator-routes.js';
