--- /dev/null
+++ b/src/policy/claims/log-entry.ts
@@ -0,0 +1,2 @@
+/** A record of a claims stream, as the platform's log gives it. */
+export type LogEntry = {readonly offset: number; readonly time: number; readonly value: unknown};
