--- a/fakes/service.ts
+++ b/fakes/service.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
+import {Readable} from 'node:stream';
+import {pipeline} from 'node:stream/promises';
 import {setTimeout as delay} from 'node:timers/promises';
 import {z} from 'zod';
 import {
@@ -180,15 +182,14 @@
 }
 
 async function streamBytes({query, response}: Exchange): Promise<void> {
-	let left = z.coerce.number().int().nonnegative().parse(query.get('count') ?? 0);
-	response.writeHead(200, {'content-type': 'application/octet-stream', 'content-length': left});
-	while (left > 0 && !response.destroyed) {
-		const size = Math.min(left, chunkBytes);
-		left -= size;
-		if (!response.write(Buffer.alloc(size, 'x'))) {
-			await Promise.race([once(response, 'drain'), once(response, 'close')]);
-		}
-	}
+	const count = z.coerce.number().int().nonnegative().parse(query.get('count') ?? 0);
+	response.writeHead(200, {'content-type': 'application/octet-stream', 'content-length': count});
+	// A caller that leaves in the middle is no fault of the service.
+	await pipeline(Readable.from(blocks(count)), response).catch(() => undefined);
+}
 
-	response.end();
+function * blocks(count: number): Generator<Uint8Array> {
+	for (let left = count; left > 0; left -= chunkBytes) {
+		yield Buffer.alloc(Math.min(left, chunkBytes), 'x');
+	}
 }
--- /dev/null
+++ b/test/endpoint/engine-client.test.ts
@@ -0,0 +1,159 @@
+import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
+import tap from 'tap';
+import {expectedAnswer, FakeEngine} from '../../fakes/index.js';
+import {EngineClient, type EngineEvent, type EngineRun} from '../../src/endpoint/index.js';
+
+const costs = {stepMilliseconds: 0.5, stepMillisecondsPerRequest: 0};
+
+function runOf(prompt: string, more: Partial<EngineRun> = {}): EngineRun {
+	const body = Buffer.from(JSON.stringify({model: 'model', stream: true, messages: [{role: 'user', content: prompt}]}));
+	return {
+		requestId: `id-${prompt.slice(0, 8)}`, method: 'POST', path: '/v1/chat/completions', headers: {}, body, resumeTokens: 0, resumeText: '', priority: 0, ...more,
+	};
+}
+
+async function collect(events: AsyncGenerator<EngineEvent[]>): Promise<EngineEvent[]> {
+	const all: EngineEvent[] = [];
+	for await (const turn of events) {
+		all.push(...turn);
+	}
+
+	return all;
+}
+
+function textOf(events: EngineEvent[]): string {
+	const tokens = events.filter(event => event.type === 'token');
+	return tokens.map(event => (JSON.parse(event.data) as {choices: Array<{delta: {content: string}}>}).choices[0]!.delta.content).join('');
+}
+
+function expected(run: EngineRun): string {
+	return expectedAnswer(Buffer.from(run.body).toString('utf8'));
+}
+
+tap.test('a whole answer comes token by token, then usage, then done', async t => {
+	await using engine = await FakeEngine.create({costs});
+	await using client = EngineClient.create({baseUrl: engine.url});
+	const run = runOf('hello [[tokens=30]]', {idempotencyKey: 'k'});
+	const events = await collect(client.run(run));
+	t.equal(textOf(events), expected(run));
+	t.same(events.slice(-2).map(event => event.type), ['usage', 'done']);
+	t.equal(engine.runsByKey.get('k'), 1);
+});
+
+tap.test('a call resumes with the next token', async t => {
+	await using engine = await FakeEngine.create({costs});
+	await using client = EngineClient.create({baseUrl: engine.url});
+	const run = runOf('resume [[tokens=30]]');
+	const first = await collect(client.run(run));
+	const resumeText = textOf(first.slice(0, 12));
+	const rest = await collect(client.run({...run, resumeTokens: 12, resumeText}));
+	t.equal(resumeText + textOf(rest), expected(run));
+	t.equal(engine.resumeMismatches, 0);
+});
+
+tap.test('faulty events end the answer as failed and are never passed on', async t => {
+	// The engine repeats, skips, mixes up or invents an event. The caller would read a wrong word.
+	// The answer must stop before that event, with all that came before it right.
+	for (const fault of ['duplicateEvents', 'dropEvents', 'foreignEvents', 'truncateStreams'] as const) {
+		await using engine = await FakeEngine.create({costs});
+		await using client = EngineClient.create({baseUrl: engine.url});
+		const run = runOf('fault [[tokens=40]]');
+		const events: EngineEvent[] = [];
+		for await (const turn of client.run(run)) {
+			events.push(...turn);
+			engine.faults[fault] ||= events.length < 20 ? 1 : 0;
+		}
+
+		t.match(events.at(-1), {type: 'failed', failure: {kind: 'bad_answer', verdict: 'may-have-run'}}, fault);
+		t.ok(expected(run).startsWith(textOf(events)), fault);
+	}
+});
+
+tap.test('events that two requests got of each other fail both', async t => {
+	// Two callers read streams of one engine, which writes an event of one into the other's stream.
+	// The receiver sees a foreign id, the owner a gap: neither may end as whole with a wrong word.
+	await using engine = await FakeEngine.create({costs, faults: {crossEvents: 1}});
+	await using client = EngineClient.create({baseUrl: engine.url});
+	const runs = [runOf('first [[tokens=40]]'), runOf('second [[tokens=40]]')];
+	const answers = await Promise.all(runs.map(run => collect(client.run(run))));
+	for (const [index, events] of answers.entries()) {
+		t.match(events.at(-1), {type: 'failed', failure: {kind: 'bad_answer'}});
+		t.ok(expected(runs[index]!).startsWith(textOf(events)));
+	}
+});
+
+tap.test('a late event of an earlier request is not passed on', async t => {
+	await using engine = await FakeEngine.create({costs});
+	await using client = EngineClient.create({baseUrl: engine.url});
+	await collect(client.run(runOf('earlier [[tokens=3]]')));
+	engine.faults.lateEvents = 1;
+	t.match((await collect(client.run(runOf('later [[tokens=3]]')))), [{type: 'failed', failure: {kind: 'bad_answer'}}]);
+});
+
+tap.test('a crash mid-stream keeps what came before it and may have run', async t => {
+	await using engine = await FakeEngine.create({costs, faults: {crashAfterTokens: 10}});
+	await using client = EngineClient.create({baseUrl: engine.url});
+	const run = runOf('crash [[tokens=40]]');
+	const events = await collect(client.run(run));
+	t.match(events.at(-1), {type: 'failed', failure: {kind: 'endpoint_lost', verdict: 'may-have-run'}});
+	t.ok(expected(run).startsWith(textOf(events)));
+});
+
+tap.test('verdicts: refused and unreachable did not run, a server error may have', async t => {
+	await using engine = await FakeEngine.create({costs, faults: {refuseRequests: 1}});
+	await using client = EngineClient.create({baseUrl: engine.url});
+	t.match(await collect(client.run(runOf('a'))), [{type: 'failed', failure: {kind: 'queue_full', verdict: 'not-run', retryAfterMilliseconds: 1000}}]);
+	engine.faults.mode = 'error';
+	t.match(await collect(client.run(runOf('b'))), [{type: 'failed', failure: {verdict: 'may-have-run'}}]);
+	await engine.crash();
+	t.match(await collect(client.run(runOf('c', {idempotencyKey: 'k'}))), [{type: 'failed', failure: {kind: 'no_endpoint', verdict: 'not-run'}}]);
+	t.equal(engine.runsByRequest.size, 0);
+});
+
+tap.test('an engine that freezes is given up after a bounded silence', async t => {
+	await using engine = await FakeEngine.create({costs, faults: {frozen: true}});
+	await using client = EngineClient.create({baseUrl: engine.url, silenceMilliseconds: 50});
+	t.match(await collect(client.run(runOf('frozen'))), [{type: 'failed', failure: {verdict: 'may-have-run'}}]);
+	engine.faults.mode = 'hang';
+	t.match(await collect(client.run(runOf('hangs'))), [{type: 'failed', failure: {verdict: 'may-have-run'}}]);
+});
+
+tap.test('ending the iteration, and aborting, cancels at the engine', async t => {
+	await using engine = await FakeEngine.create();
+	await using client = EngineClient.create({baseUrl: engine.url});
+	const left = client.run(runOf('left [[tokens=4000]]'));
+	const turn = await left.next();
+	t.notOk(turn.done);
+	await left.return(undefined);
+
+	const controller = new AbortController();
+	for await (const turn of client.run(runOf('abort [[tokens=4000]]', {signal: controller.signal}))) {
+		controller.abort();
+		t.ok(turn.length > 0);
+	}
+
+	while (engine.running > 0) {
+		await delay(5);
+	}
+
+	t.ok(engine.tokensProduced < 8000);
+});
+
+tap.test('a consumer that does not ask holds back its own stream in bounded memory', async t => {
+	// The caller reads one turn and then nothing, while the engine goes on. The connection must
+	// stay unread, and the rest must still come whole and in order once the caller reads again.
+	await using engine = await FakeEngine.create({costs: {stepMilliseconds: 0.01, stepMillisecondsPerRequest: 0}});
+	await using client = EngineClient.create({baseUrl: engine.url});
+	const run = runOf('slow [[tokens=6000]]');
+	const events = client.run(run);
+	const first = await events.next();
+	while (engine.running > 0) {
+		await delay(5);
+	}
+
+	const rest = await collect(events);
+	const all = [...(first.value as EngineEvent[]), ...rest];
+	t.equal(all.at(-1)?.type, 'done');
+	t.equal(textOf(all), expected(run));
+});
