--- a/src/bin/settings/index.ts
+++ b/src/bin/settings/index.ts
@@ -1,6 +1,6 @@
 /** Settings of the binaries: defined once, read from flags and CASSIAFLOW_* variables. */
 export {
-	defineSettings, flagOf, type SettingsDefinition, type SettingsOf, SettingsError, variableOf,
+	defineSettings, flagOf, type Setting, type SettingsDefinition, type SettingsOf, SettingsError, variableOf,
 } from './definition.js';
 export {type CommandLine, parseSettings, readCommandLine} from './command-line.js';
 export {ExitCode, runProgram} from './run-program.js';
