Add the entry's and the side's processes around the policies

Cause: the whole path needs the processes before it can be measured. Change: frames, connections, side with queue and runs, entry with late binding, relay and resume. Before: no path.

--- a/src/concurrency/index.ts
+++ b/src/concurrency/index.ts
@@ -1,6 +1,6 @@
 /** Processes and channels: js-csp with types, supervision and bounded buffers. */
 export {spawn, type Body, type OnFailure} from './process.js';
 export {
-	channel, receive, receiveWithin, send, sleep, tryDeliver, tryReceive, wait, type Selected,
+	channel, deliver, receive, receiveWithin, send, sleep, tryDeliver, tryReceive, wait, type Selected,
 } from './operations.js';
 export type {Channel} from 'js-csp';
--- a/src/concurrency/operations.ts
+++ b/src/concurrency/operations.ts
@@ -75,3 +75,16 @@
 
 	return result.value === csp.CLOSED ? {type: 'closed'} : {type: 'value', value: result.value};
 }
+
+/**
+ * Hands over a value even if the channel is full: false says that it waits, and `onRoom` is called
+ * when it was taken. The caller must stop producing until then, as a paused socket does.
+ */
+export function deliver<Value>(target: Channel<Value>, value: Value, onRoom: () => void): boolean {
+	if (target.closed || tryDeliver(target, value)) {
+		return true;
+	}
+
+	csp.putAsync(target, value, onRoom);
+	return false;
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,221 @@
+import {once} from 'node:events';
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {type Catalogue} from '../catalogue/index.js';
+import {type Body, spawn, wait} from '../concurrency/index.js';
+import {
+	createFailure, createRequestId, FailureKind, type InstanceId, RequestError, type RequestId, type ZoneName,
+} from '../model/index.js';
+import {type MembershipClient} from '../platform/index.js';
+import {type Placement} from '../policy/placement/index.js';
+import {type Logger} from '../telemetry/index.js';
+import {type Message, type Security} from '../wire/index.js';
+import {type Caller, checkTarget, identifyCaller, summarize} from './admission.js';
+import {Fleet} from './fleet.js';
+import {type CallEnd, ModelCallInProgress, stoppingFailure} from './model-call.js';
+import {
+	parseModelCall, readBody, type Route, routeCall, sendFailure, StreamAnswer, WholeAnswer,
+} from './protocol/index.js';
+import {type SideLink} from './side-link.js';
+
+/** Where an entry reads its catalogue; the follower of the platform's log is the usual one. */
+export type CatalogueSource = {
+	readonly ready: boolean;
+	current(): Catalogue;
+};
+
+export type EntryOptions<State> = {
+	readonly instance: InstanceId;
+	readonly zone: ZoneName;
+	readonly host: string;
+	readonly port: number;
+	readonly bodyLimitBytes: number;
+	readonly security: Security;
+	readonly catalogue: CatalogueSource;
+	readonly membership: MembershipClient;
+	readonly placement: Placement<State>;
+	readonly logger: Logger;
+	readonly random: () => number;
+	readonly onPeerMessage?: (link: SideLink, message: Message) => void;
+	/** Called once per model call, with how it ended. */
+	readonly onEnd?: (caller: Caller, end: CallEnd) => void;
+};
+
+type ModelRoute = Extract<Route, {type: 'chat' | 'completion'}>;
+
+/** A thin instance behind the balancer: takes callers' requests and finds each one an endpoint. */
+export class Entry<State = unknown> implements AsyncDisposable {
+	static async create<State>(options: EntryOptions<State>): Promise<Entry<State>> {
+		const entry = new Entry(options);
+		entry.server.listen(options.port, options.host);
+		await once(entry.server, 'listening');
+		return entry;
+	}
+
+	readonly fleet: Fleet<State>;
+	private readonly options: EntryOptions<State>;
+	private readonly server: http.Server;
+	private active = 0;
+	private stopping = false;
+	private onIdle: (() => void) | undefined;
+
+	private constructor(options: EntryOptions<State>) {
+		this.options = options;
+		this.fleet = Fleet.create({
+			...options,
+			catalogueOffset: () => options.catalogue.current().offset,
+			onPeerMessage: options.onPeerMessage ?? ignorePeerMessage,
+		});
+		this.server = http.createServer({keepAliveTimeout: 65_000}, (request, response) => {
+			this.accept(request, response);
+		});
+	}
+
+	/** IP number and port that callers use. */
+	get address(): string {
+		return `${this.options.host}:${(this.server.address() as AddressInfo).port}`;
+	}
+
+	/** True while the balancer should send work here. */
+	get isReady(): boolean {
+		return !this.stopping && this.options.catalogue.ready;
+	}
+
+	get activeRequests(): number {
+		return this.active;
+	}
+
+	/** Fails readiness, lets every request in progress end, and refuses new ones as not run. */
+	async drain(): Promise<void> {
+		this.stopping = true;
+		if (this.active > 0) {
+			await new Promise<void>(resolve => {
+				this.onIdle = resolve;
+			});
+		}
+	}
+
+	/** Closes at once; `drain` first for a stop that cuts nothing. */
+	async [Symbol.asyncDispose](): Promise<void> {
+		await this.fleet[Symbol.asyncDispose]();
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	private accept(request: IncomingMessage, response: ServerResponse): void {
+		const id = createRequestId();
+		this.active += 1;
+		void spawn('request', () => this.serve(id, request, response)).finally(() => {
+			this.active -= 1;
+			if (this.active === 0) {
+				this.onIdle?.();
+			}
+		});
+	}
+
+	private * serve(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
+		try {
+			yield * this.route(id, request, response);
+		} catch (error) {
+			this.refuse(id, response, error);
+		}
+	}
+
+	/**
+	 * Whatever is thrown before a body left for a side is a refusal, and certain to be not run.
+	 * Later failures never get here: the call in progress tells them itself.
+	 */
+	private refuse(id: RequestId, response: ServerResponse, error: unknown): void {
+		if (error instanceof RequestError) {
+			sendFailure(response, error.failure, id);
+			return;
+		}
+
+		this.options.logger.error({request: id, error: String(error)}, 'A request failed inside the entry.');
+		sendFailure(response, createFailure(FailureKind.internal, 'The request failed inside the router.', {verdict: 'may-have-run'}), id);
+	}
+
+	private * route(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
+		const arrivedAt = performance.now();
+		const route = routeCall(request.method ?? 'GET', request.url ?? '/');
+		const catalogue = this.catalogueForWork();
+		const caller = identifyCaller(catalogue, request.headers.authorization, headerText(request, 'cassiaflow-class'));
+		switch (route.type) {
+			case 'models': {
+				sendModels(response, catalogue, caller);
+				break;
+			}
+
+			case 'chat':
+			case 'completion': {
+				yield * this.serveModelCall({id, request, response, arrivedAt, route, catalogue, caller});
+				break;
+			}
+
+			case 'service': {
+				throw RequestError.create(createFailure(FailureKind.unknownPath, 'Plain services are not served yet.'));
+			}
+		}
+	}
+
+	private catalogueForWork(): Catalogue {
+		if (this.stopping) {
+			throw RequestError.create(stoppingFailure());
+		}
+
+		if (!this.options.catalogue.ready) {
+			throw RequestError.create(createFailure(FailureKind.notReady, 'This instance has no catalogue yet.', {retryAfterMilliseconds: 1000}));
+		}
+
+		return this.options.catalogue.current();
+	}
+
+	private * serveModelCall(context: CallContext): Body<void> {
+		const {id, request, response, arrivedAt, route, catalogue, caller} = context;
+		const body = yield * wait(readBody(request, this.options.bodyLimitBytes));
+		const call = parseModelCall(route, body);
+		checkTarget(catalogue, caller, 'model', call.model);
+		const summary = summarize(caller, {
+			id, target: call.model, idempotent: true, promptTokens: call.promptTokens, prefix: call.prefix, fingerprintSource: call.fingerprintSource,
+		});
+		const answer = call.stream ? StreamAnswer.create(response, {requestId: id, includeUsage: call.includeUsage}) : WholeAnswer.create(response, {requestId: id, kind: route.type});
+		const inProgress = ModelCallInProgress.create({
+			fleet: this.fleet, summary, path: route.path, call, answer, arrivedAt, spendRetry: () => true,
+		});
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				inProgress.callerLeft();
+			}
+		});
+		const end = yield * inProgress.run();
+		this.options.logger.debug({request: id, end: end.type, tokens: end.tokens, attempts: end.attempts}, 'A model call ended.');
+		this.options.onEnd?.(caller, end);
+	}
+}
+
+type CallContext = {
+	readonly id: RequestId;
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly arrivedAt: number;
+	readonly route: ModelRoute;
+	readonly catalogue: Catalogue;
+	readonly caller: Caller;
+};
+
+function sendModels(response: ServerResponse, catalogue: Catalogue, caller: Caller): void {
+	const {targets} = caller.classEntry;
+	const open = catalogue.models().filter(model => targets.length === 0 || targets.includes(model.name));
+	const data = open.map(model => ({id: model.name, object: 'model', created: 0, owned_by: model.owner}));
+	response.writeHead(200, {'content-type': 'application/json'});
+	response.end(JSON.stringify({object: 'list', data}));
+}
+
+function headerText(request: IncomingMessage, name: string): string | undefined {
+	const value = request.headers[name];
+	return typeof value === 'string' ? value : undefined;
+}
+
+function ignorePeerMessage(): void {
+	// Nothing follows the peers' catalogue offsets unless the options say who does.
+}
--- /dev/null
+++ b/src/entry/model-call.ts
@@ -0,0 +1,211 @@
+import {type Body, channel, type Channel, sleep, tryDeliver} from '../concurrency/index.js';
+import {
+	combineVerdicts, createFailure, type EndpointId, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
+} from '../model/index.js';
+import {type Fleet} from './fleet.js';
+import {type Answer, type ModelCall} from './protocol/index.js';
+import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
+import {inboxCapacity, type RequestEvent} from './request-event.js';
+import {noEndpoint, type Slot, SlotSearch} from './slot.js';
+
+/** Attempts at one request, the first included. The retry budget is what bounds retries over all requests. */
+const maximumAttempts = 4;
+/** Pause before the sides are asked again when none can be used. */
+const noEndpointPauseMilliseconds = 100;
+
+export type ModelCallOptions = {
+	readonly fleet: Fleet;
+	readonly summary: RequestSummary;
+	readonly path: string;
+	readonly call: ModelCall;
+	readonly answer: Answer;
+	readonly arrivedAt: number;
+	/** True if the fleet's retry budget has room for one more. */
+	readonly spendRetry: () => boolean;
+};
+
+export type CallEnd =
+	| {readonly type: 'whole'; readonly tokens: number; readonly firstTokenMilliseconds: number | undefined; readonly attempts: number}
+	| {readonly type: 'failed'; readonly failure: Failure; readonly tokens: number; readonly attempts: number}
+	| {readonly type: 'caller-left'; readonly tokens: number; readonly attempts: number};
+
+/**
+ * One model call from its admission to its last byte: find a slot, send the body, relay the answer,
+ * and go elsewhere if the verdict allows. Whatever the caller already has stays; a new attempt
+ * resumes after it.
+ */
+export class ModelCallInProgress {
+	static create(options: ModelCallOptions): ModelCallInProgress {
+		return new ModelCallInProgress(options);
+	}
+
+	/** Where the caller's connection and the side links report to. */
+	readonly inbox: Channel<RequestEvent> = channel<RequestEvent>(inboxCapacity);
+	private readonly options: ModelCallOptions;
+	private readonly progress: Progress = {events: [], firstTokenAt: undefined};
+	private readonly excluded = new Set<EndpointId>();
+	private verdict: Verdict = Verdict.notRun;
+	private attempts = 0;
+	private alarm: NodeJS.Timeout | undefined;
+
+	private constructor(options: ModelCallOptions) {
+		this.options = options;
+	}
+
+	/** The caller closed its connection. */
+	callerLeft(): void {
+		tryDeliver(this.inbox, {type: 'caller-left'});
+	}
+
+	* run(): Body<CallEnd> {
+		try {
+			return yield * this.attempt();
+		} finally {
+			clearTimeout(this.alarm);
+			this.inbox.close();
+		}
+	}
+
+	private * attempt(): Body<CallEnd> {
+		for (;;) {
+			const found = yield * this.findSlot();
+			if (found.type !== 'slot') {
+				return found.type === 'failed' ? this.fail(found.failure) : this.left();
+			}
+
+			this.attempts += 1;
+			const end = yield * this.runAt(found.slot);
+			if (end.type === 'whole') {
+				return this.whole(end.usage);
+			}
+
+			if (end.type === 'caller-left') {
+				return this.left();
+			}
+
+			if (!this.mayGoOn(end.failure)) {
+				return this.fail(end.failure);
+			}
+
+			this.excluded.add(found.slot.endpoint);
+		}
+	}
+
+	private * findSlot(): Body<{type: 'slot'; slot: Slot} | {type: 'failed'; failure: Failure} | {type: 'caller-left'}> {
+		const {fleet, summary} = this.options;
+		let failure = noEndpoint();
+		while (this.queueTimeLeft() > 0) {
+			const choice = fleet.choose(summary, this.excluded);
+			if (choice.endpoints.length === 0) {
+				yield * sleep(noEndpointPauseMilliseconds);
+				this.excluded.clear();
+				continue;
+			}
+
+			this.setAlarm(this.queueTimeLeft());
+			const result = yield * SlotSearch.create(fleet, summary, this.inbox).run(choice.endpoints);
+			if (result.type !== 'failed') {
+				return result;
+			}
+
+			failure = result.failure;
+			if (!this.mayAskElsewhere(result.tried)) {
+				break;
+			}
+		}
+
+		return {type: 'failed', failure};
+	}
+
+	/** After a refusal the remaining sides are asked, each once; a refusal by all is final and told at once. */
+	private mayAskElsewhere(tried: readonly EndpointId[]): boolean {
+		for (const endpoint of tried) {
+			this.excluded.add(endpoint);
+		}
+
+		const {fleet, summary} = this.options;
+		return fleet.choose(summary, this.excluded).endpoints.length > 0;
+	}
+
+	private * runAt(slot: Slot): Body<RelayEnd> {
+		const {summary, path, call, fleet, answer} = this.options;
+		const {events} = this.progress;
+		slot.link.send({
+			type: 'start',
+			stream: slot.stream,
+			request: summary.id,
+			method: 'POST',
+			path,
+			headers: {'content-type': 'application/json'},
+			body: call.body,
+			more: false,
+			resumeTokens: events.length,
+			resumeText: textOf(events),
+			credit: creditWindow,
+		});
+		fleet.observe({type: 'started', endpoint: slot.endpoint, request: summary.id});
+		return yield * Relay.create({
+			fleet,
+			summary,
+			inbox: this.inbox,
+			slot,
+			answer,
+			progress: this.progress,
+			setAlarm: milliseconds => {
+				this.setAlarm(milliseconds);
+			},
+		}).run();
+	}
+
+	private mayGoOn(failure: Failure): boolean {
+		this.verdict = combineVerdicts(this.verdict, failure.verdict);
+		const again = mayRetry(failure.verdict, this.options.summary.idempotent);
+		return again && this.attempts < maximumAttempts && this.options.spendRetry();
+	}
+
+	private queueTimeLeft(): number {
+		return this.options.arrivedAt + this.options.summary.queueMilliseconds - performance.now();
+	}
+
+	private setAlarm(milliseconds: number): void {
+		clearTimeout(this.alarm);
+		this.alarm = setTimeout(() => {
+			tryDeliver(this.inbox, {type: 'alarm'});
+		}, Math.max(0, milliseconds));
+	}
+
+	private whole(usage: string | undefined): CallEnd {
+		const {answer, arrivedAt} = this.options;
+		answer.finish(usage);
+		const {firstTokenAt, events} = this.progress;
+		return {
+			type: 'whole', tokens: events.length, firstTokenMilliseconds: firstTokenAt === undefined ? undefined : firstTokenAt - arrivedAt, attempts: this.attempts,
+		};
+	}
+
+	private fail(failure: Failure): CallEnd {
+		const verdict = combineVerdicts(this.verdict, failure.verdict);
+		const told = {...failure, verdict};
+		this.options.answer.fail(told);
+		return {type: 'failed', failure: told, tokens: this.progress.events.length, attempts: this.attempts};
+	}
+
+	private left(): CallEnd {
+		return {type: 'caller-left', tokens: this.progress.events.length, attempts: this.attempts};
+	}
+}
+
+type TokenEvent = {choices?: Array<{delta?: {content?: string | null}; text?: string}>};
+
+/** The text of an answer so far, as an engine needs it to resume. */
+function textOf(events: readonly string[]): string {
+	return events.map(event => {
+		const choice = (JSON.parse(event) as TokenEvent).choices?.[0];
+		return choice?.delta?.content ?? choice?.text ?? '';
+	}).join('');
+}
+
+/** The failure of a request that came while its entry was stopping. */
+export function stoppingFailure(): Failure {
+	return createFailure(FailureKind.stopping, 'This instance is stopping.', {retryAfterMilliseconds: 0});
+}
--- /dev/null
+++ b/src/entry/relay.ts
@@ -0,0 +1,181 @@
+import {type Body, type Channel, receive, wait} from '../concurrency/index.js';
+import {createFailure, type Failure, FailureKind, type RequestSummary, Verdict} from '../model/index.js';
+import {type MessageOf, type StreamMessage} from '../wire/index.js';
+import {type Fleet} from './fleet.js';
+import {type Answer} from './protocol/index.js';
+import {type RequestEvent} from './request-event.js';
+import {type Slot} from './slot.js';
+
+/** Events that a side may send ahead of what the caller has taken. */
+export const creditWindow = 256;
+/** Credit is given back in portions, so that one frame serves many events. */
+const creditPortion = creditWindow / 4;
+
+/** The part of the answer that the caller has; it outlives an attempt, so that a stream can resume. */
+export type Progress = {
+	/** Every token event so far, in order; its length is the next token's index. */
+	readonly events: string[];
+	firstTokenAt: number | undefined;
+};
+
+export type RelayEnd =
+	| {readonly type: 'whole'; readonly usage: string | undefined}
+	| {readonly type: 'failed'; readonly failure: Failure}
+	| {readonly type: 'caller-left'};
+
+/** How long a side may send nothing while a request runs there, before it counts as hung. */
+export const stalledMilliseconds = 20_000;
+
+export type RelayOptions = {
+	readonly fleet: Fleet;
+	readonly summary: RequestSummary;
+	readonly inbox: Channel<RequestEvent>;
+	readonly slot: Slot;
+	readonly answer: Answer;
+	readonly progress: Progress;
+	/** Restarts the alarm that ends a request which makes no progress. */
+	readonly setAlarm: (milliseconds: number) => void;
+};
+
+/**
+ * Passes one attempt's answer on to the caller. Every chunk must continue exactly where the caller's
+ * part ends: a gap, a repeat or a short count is a fault of the endpoint and ends the attempt, and a
+ * truncated stream is never ended as if it were whole.
+ */
+export class Relay {
+	static create(options: RelayOptions): Relay {
+		return new Relay(options);
+	}
+
+	private readonly options: RelayOptions;
+	private owed = 0;
+	private progressedAt = performance.now();
+
+	private constructor(options: RelayOptions) {
+		this.options = options;
+	}
+
+	* run(): Body<RelayEnd> {
+		for (;;) {
+			this.options.setAlarm(stalledMilliseconds);
+			const event = yield * receive(this.options.inbox);
+			const end = yield * this.take(event ?? {type: 'caller-left'});
+			if (end !== undefined) {
+				this.close(end);
+				return end;
+			}
+		}
+	}
+
+	private * take(event: RequestEvent): Body<RelayEnd | undefined> {
+		const {slot} = this.options;
+		switch (event.type) {
+			case 'frame': {
+				const ours = event.link === slot.link && event.message.stream === slot.stream;
+				return ours ? yield * this.takeFrame(event.message) : undefined;
+			}
+
+			case 'link-lost': {
+				return event.link === slot.link ? lost('The connection to the endpoint broke.') : undefined;
+			}
+
+			case 'caller-left': {
+				this.send({type: 'cancel'});
+				return {type: 'caller-left'};
+			}
+
+			case 'alarm': {
+				this.send({type: 'cancel'});
+				return lost('The endpoint made no progress.');
+			}
+		}
+	}
+
+	private * takeFrame(message: StreamMessage): Body<RelayEnd | undefined> {
+		switch (message.type) {
+			case 'chunk': {
+				return yield * this.takeChunk(message);
+			}
+
+			case 'end': {
+				return message.count === this.options.progress.events.length ? {type: 'whole', usage: message.usage} : badAnswer('The answer is shorter than announced.');
+			}
+
+			case 'fail': {
+				const {kind, verdict, message: text, retryAfterMilliseconds} = message;
+				return {type: 'failed', failure: {kind, verdict, message: text, retryAfterMilliseconds}};
+			}
+
+			case 'refuse':
+			case 'offer':
+			case 'head':
+			case 'data':
+			case 'reserve':
+			case 'withdraw':
+			case 'start':
+			case 'body':
+			case 'credit':
+			case 'cancel': {
+				return badAnswer(`A side sent ${message.type} while a request ran.`);
+			}
+		}
+	}
+
+	private * takeChunk(message: MessageOf<'chunk'>): Body<RelayEnd | undefined> {
+		const {progress, answer} = this.options;
+		if (message.index !== progress.events.length) {
+			this.send({type: 'cancel'});
+			return badAnswer('Tokens came out of order.');
+		}
+
+		this.observe(message.events.length);
+		progress.events.push(...message.events);
+		if (!answer.write(message.events)) {
+			yield * wait(answer.drained());
+		}
+
+		this.giveCredit(message.events.length);
+		return undefined;
+	}
+
+	private observe(tokens: number): void {
+		const {fleet, slot, summary, progress} = this.options;
+		const now = performance.now();
+		const milliseconds = now - this.progressedAt;
+		this.progressedAt = now;
+		if (progress.firstTokenAt === undefined) {
+			progress.firstTokenAt = now;
+			fleet.observe({type: 'first-token', endpoint: slot.endpoint, request: summary.id, milliseconds});
+			return;
+		}
+
+		fleet.observe({type: 'progressed', endpoint: slot.endpoint, request: summary.id, tokens, milliseconds});
+	}
+
+	private giveCredit(events: number): void {
+		this.owed += events;
+		if (this.owed >= creditPortion) {
+			this.send({type: 'credit', events: this.owed});
+			this.owed = 0;
+		}
+	}
+
+	private send(message: {type: 'cancel'} | {type: 'credit'; events: number}): void {
+		const {slot, summary} = this.options;
+		slot.link.send({...message, stream: slot.stream, request: summary.id});
+	}
+
+	private close(end: RelayEnd): void {
+		const {slot, fleet, summary} = this.options;
+		slot.link.closeStream(slot.stream);
+		fleet.observe({type: 'ended', endpoint: slot.endpoint, request: summary.id, whole: end.type === 'whole'});
+	}
+}
+
+function lost(message: string): RelayEnd {
+	return {type: 'failed', failure: createFailure(FailureKind.endpointLost, message, {verdict: Verdict.mayHaveRun})};
+}
+
+function badAnswer(message: string): RelayEnd {
+	return {type: 'failed', failure: createFailure(FailureKind.badAnswer, message, {verdict: Verdict.mayHaveRun})};
+}
--- /dev/null
+++ b/src/side/credit-window.ts
@@ -0,0 +1,44 @@
+import {type Body, type Channel, receive, tryReceive} from '../concurrency/index.js';
+import {type RunInput} from './reservation.js';
+
+/**
+ * How many more events the entry is ready to take. Failure: a caller that reads slowly makes its
+ * answer pile up at the entry. Symptom: memory grows with each slow caller. A run that has used up
+ * its credit stops reading the engine, so the engine's own flow control holds just that stream back.
+ */
+export class CreditWindow {
+	static create(events: number, input: Channel<RunInput>): CreditWindow {
+		return new CreditWindow(events, input);
+	}
+
+	private available: number;
+	private readonly input: Channel<RunInput>;
+
+	private constructor(events: number, input: Channel<RunInput>) {
+		this.available = events;
+		this.input = input;
+	}
+
+	/** Counts events that were sent. One turn's events may overdraw the window by that turn. */
+	spend(events: number): void {
+		this.available -= events;
+	}
+
+	/** Takes the credit that has come and waits for some if there is none; false if the entry cancelled. */
+	* hasCredit(): Body<boolean> {
+		for (;;) {
+			const message = this.available > 0 ? tryReceive(this.input) : yield * receive(this.input);
+			if (message === undefined) {
+				return this.available > 0;
+			}
+
+			if (message.type === 'cancel') {
+				return false;
+			}
+
+			if (message.type === 'credit') {
+				this.available += message.events;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/side/index.ts
@@ -0,0 +1,2 @@
+/** The process beside one endpoint: its queue, its slots, and the only sender to it. */
+export {Side, type SideOptions} from './side.js';
--- /dev/null
+++ b/src/wire/connection.ts
@@ -0,0 +1,159 @@
+import {Buffer} from 'node:buffer';
+import {type Duplex} from 'node:stream';
+import {channel, deliver, type Channel} from '../concurrency/index.js';
+import {encodeFrame, FrameDecoder} from './frames.js';
+import {type Message} from './messages.js';
+
+/** Turns of arrived messages that may wait for the reader before the socket is paused. */
+const incomingTurns = 32;
+/**
+ * Failure: a peer stops reading, and what we send it piles up here. Symptom: memory grows without
+ * bound. Streams are bounded by credit, so only a peer that reads nothing at all gets this far;
+ * closing its connection frees the memory and turns its requests into failures with a verdict.
+ */
+const maximumUnsentBytes = 64 * 1024 * 1024;
+/** A peer is taken for lost when nothing has come from it for so long. */
+export const silenceMilliseconds = 6000;
+
+/**
+ * One connection between two of our processes. `incoming` carries the messages of each turn of the
+ * event loop in one array, in order; it closes when the connection ends, for whatever reason, and
+ * `closeReason` then tells why. Messages sent in one turn leave in one write.
+ */
+export class Connection implements AsyncDisposable {
+	static create(socket: Duplex, peer: string): Connection {
+		return new Connection(socket, peer);
+	}
+
+	readonly incoming: Channel<Message[]> = channel<Message[]>(incomingTurns);
+	readonly closed: Promise<void>;
+	readonly peer: string;
+	closeReason = 'closed';
+	/** Bytes and messages so far, for the metrics. */
+	readonly counts = {sentMessages: 0, sentBytes: 0, receivedMessages: 0, receivedBytes: 0};
+	private readonly socket: Duplex;
+	private readonly decoder = FrameDecoder.create();
+	private unsent: Uint8Array[] = [];
+	private heardAt = performance.now();
+	private readonly silenceCheck: NodeJS.Timeout;
+
+	private constructor(socket: Duplex, peer: string) {
+		this.socket = socket;
+		this.peer = peer;
+		this.closed = new Promise(resolve => {
+			socket.once('close', () => {
+				this.incoming.close();
+				clearInterval(this.silenceCheck);
+				resolve();
+			});
+		});
+		socket.on('data', (bytes: Uint8Array) => {
+			this.receive(bytes);
+		});
+		socket.on('error', error => {
+			this.close(error.message);
+		});
+		this.silenceCheck = setInterval(() => {
+			this.checkSilence();
+		}, silenceMilliseconds / 3).unref();
+	}
+
+	get isOpen(): boolean {
+		return !this.socket.destroyed;
+	}
+
+	/** Queues a message; it leaves at the end of this turn. A closed connection drops it. */
+	send(message: Message): void {
+		if (this.socket.destroyed) {
+			return;
+		}
+
+		if (this.unsent.length === 0) {
+			queueMicrotask(() => {
+				this.flush();
+			});
+		}
+
+		const frame = encodeFrame(message);
+		this.counts.sentMessages += 1;
+		this.counts.sentBytes += frame.byteLength;
+		this.unsent.push(frame);
+	}
+
+	/** Ends the connection at once; the peer sees it break. */
+	close(reason: string): void {
+		if (this.socket.destroyed) {
+			return;
+		}
+
+		this.closeReason = reason;
+		this.flush();
+		this.socket.destroy();
+	}
+
+	/** Sends what waits, then ends the connection. */
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.flush();
+		this.socket.end();
+		const patience = setTimeout(() => {
+			this.socket.destroy();
+		}, 500);
+		await this.closed;
+		clearTimeout(patience);
+	}
+
+	private flush(): void {
+		const frames = this.unsent;
+		this.unsent = [];
+		if (frames.length === 0 || this.socket.destroyed) {
+			return;
+		}
+
+		this.socket.write(frames.length === 1 ? frames[0] : Buffer.concat(frames));
+		if (this.socket.writableLength > maximumUnsentBytes) {
+			this.close('the peer does not read');
+		}
+	}
+
+	private receive(bytes: Uint8Array): void {
+		this.heardAt = performance.now();
+		this.counts.receivedBytes += bytes.byteLength;
+		let messages: Message[];
+		try {
+			messages = this.decoder.push(bytes);
+		} catch (error) {
+			this.close((error as Error).message);
+			return;
+		}
+
+		if (messages.length > 0) {
+			this.counts.receivedMessages += messages.length;
+			this.pass(messages);
+		}
+	}
+
+	private pass(messages: Message[]): void {
+		const accepted = deliver(this.incoming, messages, () => {
+			this.socket.resume();
+		});
+		if (!accepted) {
+			this.socket.pause();
+		}
+	}
+
+	/**
+	 * Failure: the peer's instance vanished and no packet says so. Symptom: requests wait for ever on
+	 * a half-open connection. Both ends send heartbeats well within the bound, so silence means loss;
+	 * while we ourselves have paused the socket, silence says nothing and is not counted.
+	 */
+	private checkSilence(): void {
+		if (this.socket.isPaused()) {
+			this.heardAt = performance.now();
+			return;
+		}
+
+		if (performance.now() - this.heardAt > silenceMilliseconds) {
+			this.close('the peer is silent');
+		}
+	}
+}
--- /dev/null
+++ b/src/wire/index.ts
@@ -0,0 +1,7 @@
+/** Frames, messages and connections between our own processes. */
+export {encodeFrame, FrameDecoder, FrameError, maximumFrameBytes, type FrameFault} from './frames.js';
+export {
+	messageSchema, protocolVersion, type Message, type MessageOf, type StreamMessage,
+} from './messages.js';
+export {Connection, silenceMilliseconds} from './connection.js';
+export {dial, Listener, type Security} from './transport.js';
--- /dev/null
+++ b/src/wire/transport.ts
@@ -0,0 +1,76 @@
+import {once} from 'node:events';
+import net, {type AddressInfo} from 'node:net';
+import tls from 'node:tls';
+import {Connection} from './connection.js';
+
+/** Who may talk to whom. Plain text must be asked for by name. */
+export type Security
+	= | {readonly type: 'plaintext'}
+		| {readonly type: 'mutual-tls'; readonly certificate: string; readonly key: string; readonly authority: string};
+
+const dialMilliseconds = 2000;
+
+/** Accepts connections from peers. With mutual TLS, one without our authority's certificate gets nothing. */
+export class Listener implements AsyncDisposable {
+	static async create(options: {host: string; port: number; security: Security; onConnection: (connection: Connection) => void; onRefused?: (reason: string) => void}): Promise<Listener> {
+		const accept = (socket: net.Socket): void => {
+			socket.setNoDelay(true);
+			options.onConnection(Connection.create(socket, `${socket.remoteAddress}:${socket.remotePort}`));
+		};
+
+		const server = options.security.type === 'plaintext' ? net.createServer(accept) : createTlsServer(options.security, accept, options.onRefused);
+		server.listen(options.port, options.host);
+		await once(server, 'listening');
+		return new Listener(server, options.host);
+	}
+
+	/** IP number and port, as others reach us. */
+	readonly address: string;
+	private readonly server: net.Server;
+
+	private constructor(server: net.Server, host: string) {
+		this.server = server;
+		this.address = `${host}:${(server.address() as AddressInfo).port}`;
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.server.close();
+	}
+}
+
+function createTlsServer(security: Extract<Security, {type: 'mutual-tls'}>, accept: (socket: net.Socket) => void, onRefused?: (reason: string) => void): net.Server {
+	const server = tls.createServer({
+		cert: security.certificate, key: security.key, ca: security.authority, requestCert: true, rejectUnauthorized: true, minVersion: 'TLSv1.3',
+	}, accept);
+	server.on('tlsClientError', error => {
+		onRefused?.(error.message);
+	});
+	return server;
+}
+
+/** Connects to a peer. Rejects if it does not answer or its certificate is not our authority's. */
+export async function dial(address: string, security: Security): Promise<Connection> {
+	const separator = address.lastIndexOf(':');
+	const host = address.slice(0, separator);
+	const port = Number(address.slice(separator + 1));
+	const socket = security.type === 'plaintext'
+		? net.connect({host, port})
+		: tls.connect({
+			host, port, cert: security.certificate, key: security.key, ca: security.authority, minVersion: 'TLSv1.3', checkServerIdentity: trustAuthority,
+		});
+	const signal = AbortSignal.timeout(dialMilliseconds);
+	try {
+		await once(socket, security.type === 'plaintext' ? 'connect' : 'secureConnect', {signal});
+	} catch (error) {
+		socket.destroy();
+		throw error;
+	}
+
+	socket.setNoDelay(true);
+	return Connection.create(socket, address);
+}
+
+/** Instances are met by IP number and replaced at any time: the authority's signature is the identity. */
+function trustAuthority(): undefined {
+	return undefined;
+}
