--- /dev/null
+++ b/bench/harness/caller.ts
@@ -0,0 +1,191 @@
+import {Buffer} from 'node:buffer';
+import http, {type IncomingMessage} from 'node:http';
+import {createParser} from 'eventsource-parser';
+import {expectedAnswer} from '../../fakes/index.js';
+import {type Verdict} from '../../src/model/index.js';
+
+/** What a caller asks for; `prompt` decides the one right answer. */
+export type CallOptions = {
+	/** IP number and port of an entry. */
+	readonly address: string;
+	readonly key: string;
+	readonly className?: string;
+	readonly model: string;
+	readonly prompt: string;
+	readonly maxTokens?: number;
+	readonly idempotencyKey?: string;
+	readonly signal?: AbortSignal;
+};
+
+/** What the caller got, judged against what any engine must answer to its prompt. */
+export type CallResult = {
+	readonly outcome: 'whole' | 'wrong' | 'failed' | 'broken';
+	readonly verdict: Verdict | undefined;
+	readonly code: string | undefined;
+	readonly status: number;
+	readonly retryAfterSeconds: number | undefined;
+	readonly tokens: number;
+	readonly text: string;
+	readonly milliseconds: number;
+	readonly firstTokenMilliseconds: number | undefined;
+	/** Times between tokens, in milliseconds. */
+	readonly gaps: readonly number[];
+	readonly requestId: string | undefined;
+};
+
+const agent = new http.Agent({keepAlive: true, maxSockets: Number.POSITIVE_INFINITY});
+
+/** Sends one streamed chat call as an ordinary client would, and checks every token of the answer. */
+export async function callModel(options: CallOptions): Promise<CallResult> {
+	const body = JSON.stringify({
+		model: options.model, stream: true, max_tokens: options.maxTokens, messages: [{role: 'user', content: options.prompt}],
+	});
+	const reading = CallReading.create(expectedAnswer(body));
+	try {
+		const response = await send(options, body);
+		await reading.read(response);
+	} catch {
+		reading.broke();
+	}
+
+	return reading.result();
+}
+
+async function send(options: CallOptions, body: string): Promise<IncomingMessage> {
+	const separator = options.address.lastIndexOf(':');
+	return new Promise((resolve, reject) => {
+		const request = http.request({
+			agent,
+			host: options.address.slice(0, separator),
+			port: Number(options.address.slice(separator + 1)),
+			method: 'POST',
+			path: '/v1/chat/completions',
+			signal: options.signal,
+			headers: {
+				authorization: `Bearer ${options.key}`,
+				'content-type': 'application/json',
+				'content-length': Buffer.byteLength(body),
+				...(options.className !== undefined && {'cassiaflow-class': options.className}),
+				...(options.idempotencyKey !== undefined && {'idempotency-key': options.idempotencyKey}),
+			},
+		});
+		request.once('response', resolve);
+		request.once('error', reject);
+		request.end(body);
+	});
+}
+
+type ErrorBody = {error?: {code?: string; verdict?: Verdict}};
+type EventBody = ErrorBody & {choices?: Array<{delta?: {content?: string}}>};
+
+class CallReading {
+	static create(expected: string): CallReading {
+		return new CallReading(expected);
+	}
+
+	readonly #expected: string;
+	readonly #startedAt = performance.now();
+	#lastAt = this.#startedAt;
+	#firstTokenAt: number | undefined;
+	readonly #gaps: number[] = [];
+	readonly #parts: string[] = [];
+	#done = false;
+	#broken = false;
+	#error: ErrorBody['error'];
+	#status = 0;
+	#retryAfter: string | undefined;
+	#requestId: string | undefined;
+
+	private constructor(expected: string) {
+		this.#expected = expected;
+	}
+
+	async read(response: IncomingMessage): Promise<void> {
+		this.#status = response.statusCode ?? 0;
+		this.#retryAfter = response.headers['retry-after'];
+		this.#requestId = response.headers['cassiaflow-request-id'] as string | undefined;
+		response.setEncoding('utf8');
+		if (this.#status !== 200) {
+			this.#error = (JSON.parse(await collect(response)) as ErrorBody).error;
+			return;
+		}
+
+		const parser = createParser({
+			onEvent: event => {
+				this.#take(event.data);
+			},
+		});
+		for await (const part of response) {
+			parser.feed(part as string);
+		}
+	}
+
+	broke(): void {
+		this.#broken = true;
+	}
+
+	result(): CallResult {
+		const text = this.#parts.join('');
+		return {
+			outcome: this.#outcome(text),
+			verdict: this.#error?.verdict,
+			code: this.#error?.code,
+			status: this.#status,
+			retryAfterSeconds: this.#retryAfter === undefined ? undefined : Number(this.#retryAfter),
+			tokens: this.#parts.length,
+			text,
+			milliseconds: performance.now() - this.#startedAt,
+			firstTokenMilliseconds: this.#firstTokenAt === undefined ? undefined : this.#firstTokenAt - this.#startedAt,
+			gaps: this.#gaps,
+			requestId: this.#requestId,
+		};
+	}
+
+	/** A clean end must be the whole answer; before any end, what came must be its beginning. */
+	#outcome(text: string): CallResult['outcome'] {
+		if (this.#done) {
+			return text === this.#expected ? 'whole' : 'wrong';
+		}
+
+		if (!this.#expected.startsWith(text)) {
+			return 'wrong';
+		}
+
+		return this.#error === undefined || (this.#broken && this.#status === 0) ? 'broken' : 'failed';
+	}
+
+	#take(data: string): void {
+		if (data === '[DONE]') {
+			this.#done = true;
+			return;
+		}
+
+		const event = JSON.parse(data) as EventBody;
+		this.#error ??= event.error;
+		const content = event.choices?.[0]?.delta?.content;
+		if (content !== undefined && content !== '') {
+			this.#takeToken(content);
+		}
+	}
+
+	#takeToken(content: string): void {
+		const now = performance.now();
+		if (this.#firstTokenAt === undefined) {
+			this.#firstTokenAt = now;
+		} else {
+			this.#gaps.push(now - this.#lastAt);
+		}
+
+		this.#lastAt = now;
+		this.#parts.push(content);
+	}
+}
+
+async function collect(response: IncomingMessage): Promise<string> {
+	let text = '';
+	for await (const part of response) {
+		text += part as string;
+	}
+
+	return text;
+}
--- /dev/null
+++ b/bench/harness/load.ts
@@ -0,0 +1,56 @@
+import {callModel, type CallResult} from './caller.js';
+import {type ClassPlan, keyOf} from './catalogue.js';
+import {type Random} from './random.js';
+
+/** One kind of traffic: which workspace sends what, how often, and how long the answers are. */
+export type Flow = {
+	readonly workspace: string;
+	readonly plan: ClassPlan;
+	readonly model: string;
+	readonly requestsPerSecond: number;
+	readonly meanTokens: number;
+};
+
+export type LoadOptions = {
+	readonly flows: readonly Flow[];
+	readonly seconds: number;
+	readonly random: Random;
+	/** The entry that the platform's balancer would choose now. */
+	readonly address: () => string;
+	readonly onResult: (flow: Flow, result: CallResult) => void;
+};
+
+/** Sends every flow as a Poisson process, open loop, and resolves once each request has its outcome. */
+export async function runLoad(options: LoadOptions): Promise<void> {
+	const pending: Array<Promise<void>> = [];
+	const until = performance.now() + (options.seconds * 1000);
+	await Promise.all(options.flows.map(async flow => {
+		for (;;) {
+			await pause(options.random.exponential(1000 / flow.requestsPerSecond));
+			if (performance.now() > until) {
+				return;
+			}
+
+			pending.push(sendOne(options, flow));
+		}
+	}));
+	await Promise.all(pending);
+}
+
+async function sendOne({random, address, onResult}: LoadOptions, flow: Flow): Promise<void> {
+	const tokens = 1 + Math.floor(random.exponential(flow.meanTokens));
+	const result = await callModel({
+		address: address(),
+		key: keyOf(flow.workspace),
+		className: flow.plan.name,
+		model: flow.model,
+		prompt: `Request ${random.below(1e9)} of ${flow.workspace}: [[tokens=${tokens}]]`,
+	});
+	onResult(flow, result);
+}
+
+async function pause(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
--- /dev/null
+++ b/bench/harness/local-fleet.ts
@@ -0,0 +1,213 @@
+import {randomUUID} from 'node:crypto';
+import {EngineClient, EngineControl} from '../../src/endpoint/index.js';
+import {type Entry as CatalogueEntry, catalogueStream, type Change} from '../../src/catalogue/index.js';
+import {Entry, type EntryOptions} from '../../src/entry/index.js';
+import {
+	createInstanceId, type EndpointId, type InstanceId, type TargetName, type ZoneName,
+} from '../../src/model/index.js';
+import {
+	CatalogueFollower, exchangeCatalogue, HttpLogClient, HttpMembershipClient,
+} from '../../src/platform/index.js';
+import {type Placement, subsetPlacement} from '../../src/policy/placement/index.js';
+import {createSettings, type Scheduler, tiered} from '../../src/policy/scheduler/index.js';
+import {EndpointWatch, Side} from '../../src/side/index.js';
+import {createLogger, forPart, type Logger} from '../../src/telemetry/index.js';
+import {
+	type EngineCosts, FakeEngine, FakeLog, FakeMembers,
+} from '../../fakes/index.js';
+import {type Security} from '../../src/wire/index.js';
+
+const platformTimeoutMilliseconds = 2000;
+const healthTimeoutMilliseconds = 1000;
+const loopback = '127.0.0.1';
+
+/** One endpoint with its side, as started by the harness. */
+export type LocalEndpoint = {
+	readonly name: string;
+	readonly engine: FakeEngine;
+	readonly side: Side<any>;
+	readonly instance: InstanceId;
+	readonly parts: readonly AsyncDisposable[];
+};
+
+export type LocalEntry = {readonly entry: Entry<any>; readonly follower: CatalogueFollower; readonly instance: InstanceId; readonly zone: string};
+
+export type LocalFleetOptions = {
+	readonly entries: number;
+	readonly endpoints: number;
+	readonly zones: readonly string[];
+	readonly models: readonly string[];
+	readonly costs?: Partial<EngineCosts>;
+	readonly scheduler?: () => Scheduler<any>;
+	readonly placement?: () => Promise<Placement<any>>;
+	readonly random: () => number;
+	readonly security?: Security;
+	readonly logLevel?: 'debug' | 'info' | 'warn' | 'error' | 'fatal';
+	readonly onEnd?: EntryOptions<unknown>['onEnd'];
+};
+
+/**
+ * The product's entries and sides in this process, over real TCP on loopback, with stand-ins around
+ * them. Only the harness lives here; every decision is the product's own code.
+ */
+export class LocalFleet implements AsyncDisposable {
+	static async create(options: LocalFleetOptions): Promise<LocalFleet> {
+		const fleet = new LocalFleet(options, await FakeLog.create(), await FakeMembers.create());
+		for (let index = 0; index < options.endpoints; index++) {
+			await fleet.addEndpoint(`engine-${index}`, options.zones[index % options.zones.length]!);
+		}
+
+		for (let index = 0; index < options.entries; index++) {
+			await fleet.addEntry(options.zones[index % options.zones.length]!);
+		}
+
+		return fleet;
+	}
+
+	readonly entries: LocalEntry[] = [];
+	readonly endpoints: LocalEndpoint[] = [];
+	readonly log: FakeLog;
+	readonly members: FakeMembers;
+	readonly logger: Logger;
+	readonly #options: LocalFleetOptions;
+	readonly #security: Security;
+
+	private constructor(options: LocalFleetOptions, log: FakeLog, members: FakeMembers) {
+		this.#options = options;
+		this.log = log;
+		this.members = members;
+		this.#security = options.security ?? {type: 'plaintext'};
+		this.logger = createLogger({name: 'local-fleet', level: options.logLevel ?? 'error'});
+	}
+
+	/** Starts an engine and its side, and lists the side. */
+	async addEndpoint(name: string, zone: string): Promise<LocalEndpoint> {
+		const engine = await FakeEngine.create({models: this.#options.models, costs: this.#options.costs});
+		const instance = createInstanceId('side');
+		const follower = this.#follow(instance);
+		const client = EngineClient.create({baseUrl: engine.url});
+		const side = await Side.create({
+			instance,
+			endpoint: name as EndpointId,
+			targets: this.#options.models as TargetName[],
+			zone: zone as ZoneName,
+			host: loopback,
+			port: 0,
+			security: this.#security,
+			engine: client,
+			scheduler: this.#options.scheduler?.() ?? tiered(createSettings()),
+			logger: forPart(this.logger, 'Side'),
+			catalogueOffset: () => follower.current().offset,
+			onPeerMessage(message, reply) {
+				exchangeCatalogue(follower, message, reply);
+			},
+		});
+		const watch = EndpointWatch.create(EngineControl.create({baseUrl: engine.url, timeoutMilliseconds: healthTimeoutMilliseconds}), side);
+		const endpoint = {name, engine, side, instance, parts: [watch, side, client, follower, engine]};
+		this.endpoints.push(endpoint);
+		this.members.set({instance, role: 'side', address: side.address, zone, state: 'live', endpoint: name, targets: this.#options.models});
+		return endpoint;
+	}
+
+	async addEntry(zone: string): Promise<LocalEntry> {
+		const instance = createInstanceId('entry');
+		const follower = this.#follow(instance);
+		const entry = await Entry.create({
+			instance,
+			zone: zone as ZoneName,
+			host: loopback,
+			port: 0,
+			bodyLimitBytes: 4_000_000,
+			security: this.#security,
+			catalogue: follower,
+			membership: HttpMembershipClient.create({baseUrl: this.members.url, timeoutMilliseconds: platformTimeoutMilliseconds}),
+			placement: await (this.#options.placement?.() ?? subsetPlacement),
+			logger: forPart(this.logger, 'Entry'),
+			random: this.#options.random,
+			onPeerMessage(link, message) {
+				exchangeCatalogue(follower, message, reply => {
+					link.send(reply);
+				});
+			},
+			onEnd: this.#options.onEnd,
+		});
+		const local = {entry, follower, instance, zone};
+		this.entries.push(local);
+		this.members.set({instance, role: 'entry', address: entry.address, zone, state: 'live'});
+		return local;
+	}
+
+	/** Publishes entries that are not in the catalogue yet, and waits until every process has them. */
+	async publish(entries: readonly CatalogueEntry[], author = 'operator'): Promise<void> {
+		const log = HttpLogClient.create({baseUrl: this.log.url, timeoutMilliseconds: platformTimeoutMilliseconds});
+		const change: Change = {
+			type: 'change', id: randomUUID(), author, time: Date.now(), operations: entries.map(entry => ({type: 'put', entry})),
+		};
+		const result = await log.append(catalogueStream, change);
+		if (result.type !== 'appended') {
+			throw new Error(`The change was not appended: ${result.reason}`);
+		}
+
+		await until(() => this.entries.every(({follower}) => follower.isReady && follower.current().offset >= result.offset));
+	}
+
+	/** Waits until every entry is connected to every side. */
+	async connected(): Promise<void> {
+		await until(() => this.entries.every(({entry}) => entry.fleet.connected.length >= this.endpoints.length));
+	}
+
+	/** A planned stop: listed as leaving, drained, then gone. */
+	async stopEndpoint(endpoint: LocalEndpoint): Promise<void> {
+		await endpoint.side.drain();
+		this.members.remove(endpoint.instance);
+		await disposeAll(endpoint.parts);
+		this.endpoints.splice(this.endpoints.indexOf(endpoint), 1);
+	}
+
+	async stopEntry(local: LocalEntry): Promise<void> {
+		await local.entry.drain();
+		this.members.remove(local.instance);
+		await disposeAll([local.entry, local.follower]);
+		this.entries.splice(this.entries.indexOf(local), 1);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await disposeAll(this.entries.flatMap(({entry, follower}) => [entry, follower]));
+		await disposeAll(this.endpoints.flatMap(({parts}) => parts));
+		await disposeAll([this.members, this.log]);
+	}
+
+	#follow(instance: string): CatalogueFollower {
+		const logger = forPart(this.logger, 'Catalogue');
+		return CatalogueFollower.create({
+			log: HttpLogClient.create({baseUrl: this.log.url, timeoutMilliseconds: platformTimeoutMilliseconds}),
+			instance,
+			onLog(message) {
+				logger.debug(message);
+			},
+		});
+	}
+}
+
+async function disposeAll(parts: readonly AsyncDisposable[]): Promise<void> {
+	for (const part of parts) {
+		await part[Symbol.asyncDispose]();
+	}
+}
+
+const pollMilliseconds = 10;
+const patienceMilliseconds = 20_000;
+
+/** Polls until the condition holds; throws if it does not within twenty seconds. */
+export async function until(condition: () => boolean): Promise<void> {
+	const deadline = performance.now() + patienceMilliseconds;
+	while (!condition()) {
+		if (performance.now() > deadline) {
+			throw new Error('The awaited condition did not come about.');
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, pollMilliseconds);
+		});
+	}
+}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,10 +6,10 @@
 import {
 	createFailure, createRequestId, FailureKind, type InstanceId, RequestError, type RequestId, type ZoneName,
 } from '../model/index.js';
-import {type MembershipClient} from '../platform/index.js';
+import {type CatalogueMessage, type MembershipClient} from '../platform/index.js';
 import {type Placement} from '../policy/placement/index.js';
-import {type Logger} from '../telemetry/index.js';
-import {type Message, type Security} from '../wire/index.js';
+import {type PartLogger} from '../telemetry/index.js';
+import {type Security} from '../wire/index.js';
 import {type Caller, checkTarget, identifyCaller, summarize} from './admission.js';
 import {Fleet} from './fleet.js';
 import {type CallEnd, ModelCallInProgress, stoppingFailure} from './model-call.js';
@@ -20,7 +20,7 @@
 
 /** Where an entry reads its catalogue; the follower of the platform's log is the usual one. */
 export type CatalogueSource = {
-	readonly ready: boolean;
+	readonly isReady: boolean;
 	current(): Catalogue;
 };
 
@@ -34,9 +34,9 @@
 	readonly catalogue: CatalogueSource;
 	readonly membership: MembershipClient;
 	readonly placement: Placement<State>;
-	readonly logger: Logger;
+	readonly logger: PartLogger;
 	readonly random: () => number;
-	readonly onPeerMessage?: (link: SideLink, message: Message) => void;
+	readonly onPeerMessage?: (link: SideLink, message: CatalogueMessage) => void;
 	/** Called once per model call, with how it ended. */
 	readonly onEnd?: (caller: Caller, end: CallEnd) => void;
 };
@@ -47,50 +47,50 @@
 export class Entry<State = unknown> implements AsyncDisposable {
 	static async create<State>(options: EntryOptions<State>): Promise<Entry<State>> {
 		const entry = new Entry(options);
-		entry.server.listen(options.port, options.host);
-		await once(entry.server, 'listening');
+		entry.#server.listen(options.port, options.host);
+		await once(entry.#server, 'listening');
 		return entry;
 	}
 
 	readonly fleet: Fleet<State>;
-	private readonly options: EntryOptions<State>;
-	private readonly server: http.Server;
-	private active = 0;
-	private stopping = false;
-	private onIdle: (() => void) | undefined;
+	readonly #options: EntryOptions<State>;
+	readonly #server: http.Server;
+	#active = 0;
+	#stopping = false;
+	#onIdle: (() => void) | undefined;
 
 	private constructor(options: EntryOptions<State>) {
-		this.options = options;
+		this.#options = options;
 		this.fleet = Fleet.create({
 			...options,
 			catalogueOffset: () => options.catalogue.current().offset,
 			onPeerMessage: options.onPeerMessage ?? ignorePeerMessage,
 		});
-		this.server = http.createServer({keepAliveTimeout: 65_000}, (request, response) => {
-			this.accept(request, response);
+		this.#server = http.createServer({keepAliveTimeout: 65_000}, (request, response) => {
+			this.#accept(request, response);
 		});
 	}
 
 	/** IP number and port that callers use. */
 	get address(): string {
-		return `${this.options.host}:${(this.server.address() as AddressInfo).port}`;
+		return `${this.#options.host}:${(this.#server.address() as AddressInfo).port}`;
 	}
 
 	/** True while the balancer should send work here. */
 	get isReady(): boolean {
-		return !this.stopping && this.options.catalogue.ready;
+		return !this.#stopping && this.#options.catalogue.isReady;
 	}
 
 	get activeRequests(): number {
-		return this.active;
+		return this.#active;
 	}
 
 	/** Fails readiness, lets every request in progress end, and refuses new ones as not run. */
 	async drain(): Promise<void> {
-		this.stopping = true;
-		if (this.active > 0) {
+		this.#stopping = true;
+		if (this.#active > 0) {
 			await new Promise<void>(resolve => {
-				this.onIdle = resolve;
+				this.#onIdle = resolve;
 			});
 		}
 	}
@@ -98,26 +98,26 @@
 	/** Closes at once; `drain` first for a stop that cuts nothing. */
 	async [Symbol.asyncDispose](): Promise<void> {
 		await this.fleet[Symbol.asyncDispose]();
-		this.server.close();
-		this.server.closeAllConnections();
+		this.#server.close();
+		this.#server.closeAllConnections();
 	}
 
-	private accept(request: IncomingMessage, response: ServerResponse): void {
+	#accept(request: IncomingMessage, response: ServerResponse): void {
 		const id = createRequestId();
-		this.active += 1;
-		void spawn('request', () => this.serve(id, request, response)).finally(() => {
-			this.active -= 1;
-			if (this.active === 0) {
-				this.onIdle?.();
+		this.#active += 1;
+		void spawn('request', () => this.#serve(id, request, response)).finally(() => {
+			this.#active -= 1;
+			if (this.#active === 0) {
+				this.#onIdle?.();
 			}
 		});
 	}
 
-	private * serve(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
+	* #serve(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
 		try {
-			yield * this.route(id, request, response);
+			yield * this.#route(id, request, response);
 		} catch (error) {
-			this.refuse(id, response, error);
+			this.#refuse(id, response, error);
 		}
 	}
 
@@ -125,20 +125,20 @@
 	 * Whatever is thrown before a body left for a side is a refusal, and certain to be not run.
 	 * Later failures never get here: the call in progress tells them itself.
 	 */
-	private refuse(id: RequestId, response: ServerResponse, error: unknown): void {
+	#refuse(id: RequestId, response: ServerResponse, error: unknown): void {
 		if (error instanceof RequestError) {
 			sendFailure(response, error.failure, id);
 			return;
 		}
 
-		this.options.logger.error({request: id, error: String(error)}, 'A request failed inside the entry.');
+		this.#options.logger.error('A request failed inside the entry.', {request: id, err: error});
 		sendFailure(response, createFailure(FailureKind.internal, 'The request failed inside the router.', {verdict: 'may-have-run'}), id);
 	}
 
-	private * route(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
+	* #route(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
 		const arrivedAt = performance.now();
 		const route = routeCall(request.method ?? 'GET', request.url ?? '/');
-		const catalogue = this.catalogueForWork();
+		const catalogue = this.#catalogueForWork();
 		const caller = identifyCaller(catalogue, request.headers.authorization, headerText(request, 'cassiaflow-class'));
 		switch (route.type) {
 			case 'models': {
@@ -148,7 +148,7 @@
 
 			case 'chat':
 			case 'completion': {
-				yield * this.serveModelCall({id, request, response, arrivedAt, route, catalogue, caller});
+				yield * this.#serveModelCall({id, request, response, arrivedAt, route, catalogue, caller});
 				break;
 			}
 
@@ -158,21 +158,21 @@
 		}
 	}
 
-	private catalogueForWork(): Catalogue {
-		if (this.stopping) {
+	#catalogueForWork(): Catalogue {
+		if (this.#stopping) {
 			throw RequestError.create(stoppingFailure());
 		}
 
-		if (!this.options.catalogue.ready) {
+		if (!this.#options.catalogue.isReady) {
 			throw RequestError.create(createFailure(FailureKind.notReady, 'This instance has no catalogue yet.', {retryAfterMilliseconds: 1000}));
 		}
 
-		return this.options.catalogue.current();
+		return this.#options.catalogue.current();
 	}
 
-	private * serveModelCall(context: CallContext): Body<void> {
+	* #serveModelCall(context: CallContext): Body<void> {
 		const {id, request, response, arrivedAt, route, catalogue, caller} = context;
-		const body = yield * wait(readBody(request, this.options.bodyLimitBytes));
+		const body = yield * wait(readBody(request, this.#options.bodyLimitBytes));
 		const call = parseModelCall(route, body);
 		checkTarget(catalogue, caller, 'model', call.model);
 		const summary = summarize(caller, {
@@ -188,8 +188,8 @@
 			}
 		});
 		const end = yield * inProgress.run();
-		this.options.logger.debug({request: id, end: end.type, tokens: end.tokens, attempts: end.attempts}, 'A model call ended.');
-		this.options.onEnd?.(caller, end);
+		this.#options.logger.debug('A model call ended.', {request: id, end: end.type, tokens: end.tokens, attempts: end.attempts});
+		this.#options.onEnd?.(caller, end);
 	}
 }
 
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -1,9 +1,9 @@
 import {type Body, sleep, spawn, wait} from '../concurrency/index.js';
 import {type EndpointId, type InstanceId, type RequestSummary, type ZoneName} from '../model/index.js';
-import {type Member, type MembershipClient} from '../platform/index.js';
+import {type CatalogueMessage, type Member, type MembershipClient} from '../platform/index.js';
 import {type Choice, type Placement, type PlacementEvent} from '../policy/placement/index.js';
-import {type Logger} from '../telemetry/index.js';
-import {dial, type Message, protocolVersion, type Security} from '../wire/index.js';
+import {type PartLogger} from '../telemetry/index.js';
+import {dial, protocolVersion, type Security} from '../wire/index.js';
 import {SideLink, type SideLinkOwner} from './side-link.js';
 
 const membershipMilliseconds = 1000;
@@ -17,10 +17,10 @@
 	readonly security: Security;
 	readonly membership: MembershipClient;
 	readonly placement: Placement<State>;
-	readonly logger: Logger;
+	readonly logger: PartLogger;
 	readonly random: () => number;
 	readonly catalogueOffset: () => number;
-	readonly onPeerMessage: (link: SideLink, message: Message) => void;
+	readonly onPeerMessage: (link: SideLink, message: CatalogueMessage) => void;
 };
 
 /**
@@ -31,48 +31,48 @@
 export class Fleet<State = unknown> implements AsyncDisposable, SideLinkOwner {
 	static create<State>(options: FleetOptions<State>): Fleet<State> {
 		const fleet = new Fleet(options);
-		void spawn('membership', () => fleet.followMembership());
+		void spawn('membership', () => fleet.#followMembership());
 		return fleet;
 	}
 
-	private readonly options: FleetOptions<State>;
-	private placementState: State;
-	private members = new Map<string, Member>();
-	private readonly dialing = new Set<string>();
-	private readonly links = new Map<EndpointId, SideLink>();
-	private readonly timers: NodeJS.Timeout[];
-	private closed = false;
+	readonly #options: FleetOptions<State>;
+	#placementState: State;
+	#members = new Map<string, Member>();
+	readonly #dialing = new Set<string>();
+	readonly #links = new Map<EndpointId, SideLink>();
+	readonly #timers: NodeJS.Timeout[];
+	#closed = false;
 
 	private constructor(options: FleetOptions<State>) {
-		this.options = options;
-		this.placementState = options.placement.create({instance: options.instance, zone: options.zone});
+		this.#options = options;
+		this.#placementState = options.placement.create({instance: options.instance, zone: options.zone});
 		const heartbeat = setInterval(() => {
-			this.beat();
+			this.#beat();
 		}, heartbeatMilliseconds);
 		const tick = setInterval(() => {
 			this.observe({type: 'tick'});
 		}, tickMilliseconds);
-		this.timers = [heartbeat, tick];
+		this.#timers = [heartbeat, tick];
 	}
 
 	/** Where to reserve a slot, best first. */
 	choose(summary: RequestSummary, excluded: ReadonlySet<EndpointId>): Choice {
-		return this.options.placement.choose(this.placementState, summary, excluded, this.options.random(), performance.now());
+		return this.#options.placement.choose(this.#placementState, summary, excluded, this.#options.random(), performance.now());
 	}
 
 	/** The open connection to an endpoint's side, if there is one. */
 	link(endpoint: EndpointId): SideLink | undefined {
-		return this.links.get(endpoint);
+		return this.#links.get(endpoint);
 	}
 
 	/** Every connected side. */
 	get connected(): readonly SideLink[] {
-		return [...this.links.values()];
+		return [...this.#links.values()];
 	}
 
 	/** Tells the placement policy what happened to a request or a side. */
 	observe(event: PlacementEvent): void {
-		this.placementState = this.options.placement.step(this.placementState, event, performance.now());
+		this.#placementState = this.#options.placement.step(this.#placementState, event, performance.now());
 	}
 
 	sideSeen(link: SideLink): void {
@@ -81,12 +81,12 @@
 			return;
 		}
 
-		const earlier = this.links.get(identity.endpoint);
+		const earlier = this.#links.get(identity.endpoint);
 		if (earlier !== undefined && earlier !== link) {
 			earlier.close('a newer connection to the same endpoint');
 		}
 
-		this.links.set(identity.endpoint, link);
+		this.#links.set(identity.endpoint, link);
 		this.observe({
 			type: 'side-seen',
 			side: {
@@ -105,86 +105,86 @@
 
 	sideLost(link: SideLink): void {
 		const endpoint = link.identity?.endpoint;
-		if (endpoint === undefined || this.links.get(endpoint) !== link) {
+		if (endpoint === undefined || this.#links.get(endpoint) !== link) {
 			return;
 		}
 
-		this.links.delete(endpoint);
+		this.#links.delete(endpoint);
 		this.observe({type: 'side-lost', endpoint});
 	}
 
-	peerMessage(link: SideLink, message: Message): void {
-		this.options.onPeerMessage(link, message);
+	peerMessage(link: SideLink, message: CatalogueMessage): void {
+		this.#options.onPeerMessage(link, message);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		this.closed = true;
-		for (const timer of this.timers) {
+		this.#closed = true;
+		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
 
-		for (const link of this.links.values()) {
+		for (const link of this.#links.values()) {
 			link.close('the entry stops');
 		}
 	}
 
-	private * followMembership(): Body<void> {
-		while (!this.closed) {
-			yield * this.refresh();
+	* #followMembership(): Body<void> {
+		while (!this.#closed) {
+			yield * this.#refresh();
 			yield * sleep(membershipMilliseconds);
 		}
 	}
 
 	/** A list that can't be had changes nothing: connections and sides' own words go on. */
-	private * refresh(): Body<void> {
+	* #refresh(): Body<void> {
 		let list: readonly Member[];
 		try {
-			list = yield * wait(this.options.membership.list());
+			list = yield * wait(this.#options.membership.list());
 		} catch (error) {
-			this.options.logger.warn({error: String(error)}, 'The membership list can not be read.');
+			this.#options.logger.warn('The membership list can not be read.', {error: String(error)});
 			return;
 		}
 
-		this.members = new Map(list.filter(member => member.role === 'side').map(member => [member.address, member]));
-		for (const member of this.members.values()) {
-			if (!this.dialing.has(member.address) && member.state === 'live') {
-				this.dialing.add(member.address);
-				void spawn('side-link', () => this.keepLink(member.address));
+		this.#members = new Map(list.filter(member => member.role === 'side').map(member => [member.address, member]));
+		for (const member of this.#members.values()) {
+			if (!this.#dialing.has(member.address) && member.state === 'live') {
+				this.#dialing.add(member.address);
+				void spawn('side-link', () => this.#keepLink(member.address));
 			}
 		}
 	}
 
 	/** Keeps a connection to one address for as long as the list names it. */
-	private * keepLink(address: string): Body<void> {
-		while (!this.closed && this.members.has(address)) {
-			yield * this.connect(address);
+	* #keepLink(address: string): Body<void> {
+		while (!this.#closed && this.#members.has(address)) {
+			yield * this.#connect(address);
 			yield * sleep(redialMilliseconds);
 		}
 
-		this.dialing.delete(address);
+		this.#dialing.delete(address);
 	}
 
-	private * connect(address: string): Body<void> {
+	* #connect(address: string): Body<void> {
 		try {
-			const connection = yield * wait(dial(address, this.options.security));
+			const connection = yield * wait(dial(address, this.#options.security));
 			const link = SideLink.create(connection);
 			link.send({
-				type: 'hello', protocol: protocolVersion, role: 'entry', instance: this.options.instance, zone: this.options.zone, catalogueOffset: this.options.catalogueOffset(),
+				type: 'hello', protocol: protocolVersion, role: 'entry', instance: this.#options.instance, zone: this.#options.zone, catalogueOffset: this.#options.catalogueOffset(),
 			});
-			if (this.closed) {
+			if (this.#closed) {
 				link.close('the entry stops');
 			}
 
 			yield * link.read(this);
-			this.options.logger.info({address, reason: connection.closeReason}, 'A connection to a side ended.');
+			this.#options.logger.info('A connection to a side ended.', {address, reason: connection.closeReason});
 		} catch (error) {
-			this.options.logger.debug({address, error: String(error)}, 'A side does not answer.');
+			this.#options.logger.debug('A side does not answer.', {address, error: String(error)});
 		}
 	}
 
-	private beat(): void {
-		for (const link of this.links.values()) {
-			link.send({type: 'heartbeat', catalogueOffset: this.options.catalogueOffset()});
+	#beat(): void {
+		for (const link of this.#links.values()) {
+			link.send({type: 'heartbeat', catalogueOffset: this.#options.catalogueOffset()});
 		}
 	}
 }
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -24,10 +24,10 @@
 	readonly spendRetry: () => boolean;
 };
 
-export type CallEnd =
-	| {readonly type: 'whole'; readonly tokens: number; readonly firstTokenMilliseconds: number | undefined; readonly attempts: number}
-	| {readonly type: 'failed'; readonly failure: Failure; readonly tokens: number; readonly attempts: number}
-	| {readonly type: 'caller-left'; readonly tokens: number; readonly attempts: number};
+export type CallEnd
+	= | {readonly type: 'whole'; readonly tokens: number; readonly firstTokenMilliseconds: number | undefined; readonly attempts: number}
+		| {readonly type: 'failed'; readonly failure: Failure; readonly tokens: number; readonly attempts: number}
+		| {readonly type: 'caller-left'; readonly tokens: number; readonly attempts: number};
 
 /**
  * One model call from its admission to its last byte: find a slot, send the body, relay the answer,
@@ -41,15 +41,15 @@
 
 	/** Where the caller's connection and the side links report to. */
 	readonly inbox: Channel<RequestEvent> = channel<RequestEvent>(inboxCapacity);
-	private readonly options: ModelCallOptions;
-	private readonly progress: Progress = {events: [], firstTokenAt: undefined};
-	private readonly excluded = new Set<EndpointId>();
-	private verdict: Verdict = Verdict.notRun;
-	private attempts = 0;
-	private alarm: NodeJS.Timeout | undefined;
+	readonly #options: ModelCallOptions;
+	readonly #progress: Progress = {events: [], firstTokenAt: undefined};
+	readonly #excluded = new Set<EndpointId>();
+	#verdict: Verdict = Verdict.notRun;
+	#attempts = 0;
+	#alarm: NodeJS.Timeout | undefined;
 
 	private constructor(options: ModelCallOptions) {
-		this.options = options;
+		this.#options = options;
 	}
 
 	/** The caller closed its connection. */
@@ -59,57 +59,57 @@
 
 	* run(): Body<CallEnd> {
 		try {
-			return yield * this.attempt();
+			return yield * this.#attempt();
 		} finally {
-			clearTimeout(this.alarm);
+			clearTimeout(this.#alarm);
 			this.inbox.close();
 		}
 	}
 
-	private * attempt(): Body<CallEnd> {
+	* #attempt(): Body<CallEnd> {
 		for (;;) {
-			const found = yield * this.findSlot();
+			const found = yield * this.#findSlot();
 			if (found.type !== 'slot') {
-				return found.type === 'failed' ? this.fail(found.failure) : this.left();
+				return found.type === 'failed' ? this.#fail(found.failure) : this.#left();
 			}
 
-			this.attempts += 1;
-			const end = yield * this.runAt(found.slot);
+			this.#attempts += 1;
+			const end = yield * this.#runAt(found.slot);
 			if (end.type === 'whole') {
-				return this.whole(end.usage);
+				return this.#whole(end.usage);
 			}
 
 			if (end.type === 'caller-left') {
-				return this.left();
+				return this.#left();
 			}
 
-			if (!this.mayGoOn(end.failure)) {
-				return this.fail(end.failure);
+			if (!this.#mayGoOn(end.failure)) {
+				return this.#fail(end.failure);
 			}
 
-			this.excluded.add(found.slot.endpoint);
+			this.#excluded.add(found.slot.endpoint);
 		}
 	}
 
-	private * findSlot(): Body<{type: 'slot'; slot: Slot} | {type: 'failed'; failure: Failure} | {type: 'caller-left'}> {
-		const {fleet, summary} = this.options;
+	* #findSlot(): Body<{type: 'slot'; slot: Slot} | {type: 'failed'; failure: Failure} | {type: 'caller-left'}> {
+		const {fleet, summary} = this.#options;
 		let failure = noEndpoint();
-		while (this.queueTimeLeft() > 0) {
-			const choice = fleet.choose(summary, this.excluded);
+		while (this.#queueTimeLeft() > 0) {
+			const choice = fleet.choose(summary, this.#excluded);
 			if (choice.endpoints.length === 0) {
 				yield * sleep(noEndpointPauseMilliseconds);
-				this.excluded.clear();
+				this.#excluded.clear();
 				continue;
 			}
 
-			this.setAlarm(this.queueTimeLeft());
+			this.#setAlarm(this.#queueTimeLeft());
 			const result = yield * SlotSearch.create(fleet, summary, this.inbox).run(choice.endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
 
 			failure = result.failure;
-			if (!this.mayAskElsewhere(result.tried)) {
+			if (!this.#mayAskElsewhere(result.tried)) {
 				break;
 			}
 		}
@@ -118,18 +118,18 @@
 	}
 
 	/** After a refusal the remaining sides are asked, each once; a refusal by all is final and told at once. */
-	private mayAskElsewhere(tried: readonly EndpointId[]): boolean {
+	#mayAskElsewhere(tried: readonly EndpointId[]): boolean {
 		for (const endpoint of tried) {
-			this.excluded.add(endpoint);
+			this.#excluded.add(endpoint);
 		}
 
-		const {fleet, summary} = this.options;
-		return fleet.choose(summary, this.excluded).endpoints.length > 0;
+		const {fleet, summary} = this.#options;
+		return fleet.choose(summary, this.#excluded).endpoints.length > 0;
 	}
 
-	private * runAt(slot: Slot): Body<RelayEnd> {
-		const {summary, path, call, fleet, answer} = this.options;
-		const {events} = this.progress;
+	* #runAt(slot: Slot): Body<RelayEnd> {
+		const {summary, path, call, fleet, answer} = this.#options;
+		const {events} = this.#progress;
 		slot.link.send({
 			type: 'start',
 			stream: slot.stream,
@@ -137,7 +137,7 @@
 			method: 'POST',
 			path,
 			headers: {'content-type': 'application/json'},
-			body: call.body,
+			body: call.body as Uint8Array<ArrayBuffer>,
 			more: false,
 			resumeTokens: events.length,
 			resumeText: textOf(events),
@@ -150,52 +150,52 @@
 			inbox: this.inbox,
 			slot,
 			answer,
-			progress: this.progress,
+			progress: this.#progress,
 			setAlarm: milliseconds => {
-				this.setAlarm(milliseconds);
+				this.#setAlarm(milliseconds);
 			},
 		}).run();
 	}
 
-	private mayGoOn(failure: Failure): boolean {
-		this.verdict = combineVerdicts(this.verdict, failure.verdict);
-		const again = mayRetry(failure.verdict, this.options.summary.idempotent);
-		return again && this.attempts < maximumAttempts && this.options.spendRetry();
+	#mayGoOn(failure: Failure): boolean {
+		this.#verdict = combineVerdicts(this.#verdict, failure.verdict);
+		const again = mayRetry(failure.verdict, this.#options.summary.idempotent);
+		return again && this.#attempts < maximumAttempts && this.#options.spendRetry();
 	}
 
-	private queueTimeLeft(): number {
-		return this.options.arrivedAt + this.options.summary.queueMilliseconds - performance.now();
+	#queueTimeLeft(): number {
+		return this.#options.arrivedAt + this.#options.summary.queueMilliseconds - performance.now();
 	}
 
-	private setAlarm(milliseconds: number): void {
-		clearTimeout(this.alarm);
-		this.alarm = setTimeout(() => {
+	#setAlarm(milliseconds: number): void {
+		clearTimeout(this.#alarm);
+		this.#alarm = setTimeout(() => {
 			tryDeliver(this.inbox, {type: 'alarm'});
 		}, Math.max(0, milliseconds));
 	}
 
-	private whole(usage: string | undefined): CallEnd {
-		const {answer, arrivedAt} = this.options;
+	#whole(usage: string | undefined): CallEnd {
+		const {answer, arrivedAt} = this.#options;
 		answer.finish(usage);
-		const {firstTokenAt, events} = this.progress;
+		const {firstTokenAt, events} = this.#progress;
 		return {
-			type: 'whole', tokens: events.length, firstTokenMilliseconds: firstTokenAt === undefined ? undefined : firstTokenAt - arrivedAt, attempts: this.attempts,
+			type: 'whole', tokens: events.length, firstTokenMilliseconds: firstTokenAt === undefined ? undefined : firstTokenAt - arrivedAt, attempts: this.#attempts,
 		};
 	}
 
-	private fail(failure: Failure): CallEnd {
-		const verdict = combineVerdicts(this.verdict, failure.verdict);
+	#fail(failure: Failure): CallEnd {
+		const verdict = combineVerdicts(this.#verdict, failure.verdict);
 		const told = {...failure, verdict};
-		this.options.answer.fail(told);
-		return {type: 'failed', failure: told, tokens: this.progress.events.length, attempts: this.attempts};
+		this.#options.answer.fail(told);
+		return {type: 'failed', failure: told, tokens: this.#progress.events.length, attempts: this.#attempts};
 	}
 
-	private left(): CallEnd {
-		return {type: 'caller-left', tokens: this.progress.events.length, attempts: this.attempts};
+	#left(): CallEnd {
+		return {type: 'caller-left', tokens: this.#progress.events.length, attempts: this.#attempts};
 	}
 }
 
-type TokenEvent = {choices?: Array<{delta?: {content?: string | null}; text?: string}>};
+type TokenEvent = {choices?: Array<{delta?: {content?: string | undefined}; text?: string}>};
 
 /** The text of an answer so far, as an engine needs it to resume. */
 function textOf(events: readonly string[]): string {
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -18,10 +18,10 @@
 	firstTokenAt: number | undefined;
 };
 
-export type RelayEnd =
-	| {readonly type: 'whole'; readonly usage: string | undefined}
-	| {readonly type: 'failed'; readonly failure: Failure}
-	| {readonly type: 'caller-left'};
+export type RelayEnd
+	= | {readonly type: 'whole'; readonly usage: string | undefined}
+		| {readonly type: 'failed'; readonly failure: Failure}
+		| {readonly type: 'caller-left'};
 
 /** How long a side may send nothing while a request runs there, before it counts as hung. */
 export const stalledMilliseconds = 20_000;
@@ -47,32 +47,32 @@
 		return new Relay(options);
 	}
 
-	private readonly options: RelayOptions;
-	private owed = 0;
-	private progressedAt = performance.now();
+	readonly #options: RelayOptions;
+	#owed = 0;
+	#progressedAt = performance.now();
 
 	private constructor(options: RelayOptions) {
-		this.options = options;
+		this.#options = options;
 	}
 
 	* run(): Body<RelayEnd> {
 		for (;;) {
-			this.options.setAlarm(stalledMilliseconds);
-			const event = yield * receive(this.options.inbox);
-			const end = yield * this.take(event ?? {type: 'caller-left'});
+			this.#options.setAlarm(stalledMilliseconds);
+			const event = yield * receive(this.#options.inbox);
+			const end = yield * this.#take(event ?? {type: 'caller-left'});
 			if (end !== undefined) {
-				this.close(end);
+				this.#close(end);
 				return end;
 			}
 		}
 	}
 
-	private * take(event: RequestEvent): Body<RelayEnd | undefined> {
-		const {slot} = this.options;
+	* #take(event: RequestEvent): Body<RelayEnd | undefined> {
+		const {slot} = this.#options;
 		switch (event.type) {
 			case 'frame': {
 				const ours = event.link === slot.link && event.message.stream === slot.stream;
-				return ours ? yield * this.takeFrame(event.message) : undefined;
+				return ours ? yield * this.#takeFrame(event.message) : undefined;
 			}
 
 			case 'link-lost': {
@@ -80,25 +80,25 @@
 			}
 
 			case 'caller-left': {
-				this.send({type: 'cancel'});
+				this.#send({type: 'cancel'});
 				return {type: 'caller-left'};
 			}
 
 			case 'alarm': {
-				this.send({type: 'cancel'});
+				this.#send({type: 'cancel'});
 				return lost('The endpoint made no progress.');
 			}
 		}
 	}
 
-	private * takeFrame(message: StreamMessage): Body<RelayEnd | undefined> {
+	* #takeFrame(message: StreamMessage): Body<RelayEnd | undefined> {
 		switch (message.type) {
 			case 'chunk': {
-				return yield * this.takeChunk(message);
+				return yield * this.#takeChunk(message);
 			}
 
 			case 'end': {
-				return message.count === this.options.progress.events.length ? {type: 'whole', usage: message.usage} : badAnswer('The answer is shorter than announced.');
+				return message.count === this.#options.progress.events.length ? {type: 'whole', usage: message.usage} : badAnswer('The answer is shorter than announced.');
 			}
 
 			case 'fail': {
@@ -121,28 +121,28 @@
 		}
 	}
 
-	private * takeChunk(message: MessageOf<'chunk'>): Body<RelayEnd | undefined> {
-		const {progress, answer} = this.options;
+	* #takeChunk(message: MessageOf<'chunk'>): Body<RelayEnd | undefined> {
+		const {progress, answer} = this.#options;
 		if (message.index !== progress.events.length) {
-			this.send({type: 'cancel'});
+			this.#send({type: 'cancel'});
 			return badAnswer('Tokens came out of order.');
 		}
 
-		this.observe(message.events.length);
+		this.#observe(message.events.length);
 		progress.events.push(...message.events);
 		if (!answer.write(message.events)) {
 			yield * wait(answer.drained());
 		}
 
-		this.giveCredit(message.events.length);
+		this.#giveCredit(message.events.length);
 		return undefined;
 	}
 
-	private observe(tokens: number): void {
-		const {fleet, slot, summary, progress} = this.options;
+	#observe(tokens: number): void {
+		const {fleet, slot, summary, progress} = this.#options;
 		const now = performance.now();
-		const milliseconds = now - this.progressedAt;
-		this.progressedAt = now;
+		const milliseconds = now - this.#progressedAt;
+		this.#progressedAt = now;
 		if (progress.firstTokenAt === undefined) {
 			progress.firstTokenAt = now;
 			fleet.observe({type: 'first-token', endpoint: slot.endpoint, request: summary.id, milliseconds});
@@ -152,21 +152,21 @@
 		fleet.observe({type: 'progressed', endpoint: slot.endpoint, request: summary.id, tokens, milliseconds});
 	}
 
-	private giveCredit(events: number): void {
-		this.owed += events;
-		if (this.owed >= creditPortion) {
-			this.send({type: 'credit', events: this.owed});
-			this.owed = 0;
+	#giveCredit(events: number): void {
+		this.#owed += events;
+		if (this.#owed >= creditPortion) {
+			this.#send({type: 'credit', events: this.#owed});
+			this.#owed = 0;
 		}
 	}
 
-	private send(message: {type: 'cancel'} | {type: 'credit'; events: number}): void {
-		const {slot, summary} = this.options;
+	#send(message: {type: 'cancel'} | {type: 'credit'; events: number}): void {
+		const {slot, summary} = this.#options;
 		slot.link.send({...message, stream: slot.stream, request: summary.id});
 	}
 
-	private close(end: RelayEnd): void {
-		const {slot, fleet, summary} = this.options;
+	#close(end: RelayEnd): void {
+		const {slot, fleet, summary} = this.#options;
 		slot.link.closeStream(slot.stream);
 		fleet.observe({type: 'ended', endpoint: slot.endpoint, request: summary.id, whole: end.type === 'whole'});
 	}
--- a/src/entry/side-link.ts
+++ b/src/entry/side-link.ts
@@ -1,3 +1,4 @@
+import {type CatalogueMessage} from '../platform/index.js';
 import {type Body, type Channel, receive, tryDeliver} from '../concurrency/index.js';
 import {type EndpointId, type RequestId, type TargetName, type ZoneName} from '../model/index.js';
 import {type Connection, type Message, type MessageOf, protocolVersion, type StreamMessage} from '../wire/index.js';
@@ -9,7 +10,7 @@
 	sideSeen(link: SideLink): void;
 	sideLost(link: SideLink): void;
 	/** A message about no request: catalogue records and heartbeats. */
-	peerMessage(link: SideLink, message: Message): void;
+	peerMessage(link: SideLink, message: CatalogueMessage): void;
 };
 
 type OpenStream = {readonly request: RequestId; readonly inbox: Channel<RequestEvent>};
@@ -32,77 +33,80 @@
 	staleFrames = 0;
 	/** Frames whose request id is not the stream's: always a fault. */
 	foreignFrames = 0;
-	private readonly connection: Connection;
-	private readonly streams = new Map<number, OpenStream>();
-	private nextStream = 0;
+	readonly #connection: Connection;
+	readonly #streams = new Map<number, OpenStream>();
+	#nextStream = 0;
 
 	private constructor(connection: Connection) {
-		this.connection = connection;
+		this.#connection = connection;
 	}
 
 	get isOpen(): boolean {
-		return this.connection.isOpen;
+		return this.#connection.isOpen;
 	}
 
 	/** Opens a stream for a request; its frames go to `inbox` until `closeStream`. */
 	openStream(request: RequestId, inbox: Channel<RequestEvent>): number {
-		this.nextStream += 1;
-		this.streams.set(this.nextStream, {request, inbox});
-		return this.nextStream;
+		this.#nextStream += 1;
+		this.#streams.set(this.#nextStream, {request, inbox});
+		return this.#nextStream;
 	}
 
 	/** Nothing that comes for this stream from now on reaches anyone. */
 	closeStream(stream: number): void {
-		this.streams.delete(stream);
+		this.#streams.delete(stream);
 	}
 
 	send(message: Message): void {
-		this.connection.send(message);
+		this.#connection.send(message);
 	}
 
 	close(reason: string): void {
-		this.connection.close(reason);
+		this.#connection.close(reason);
 	}
 
 	/** Reads until the connection ends; every open stream is then told so. */
 	* read(owner: SideLinkOwner): Body<void> {
 		for (;;) {
-			const messages = yield * receive(this.connection.incoming);
+			const messages = yield * receive(this.#connection.incoming);
 			if (messages === undefined) {
 				break;
 			}
 
 			for (const message of messages) {
-				this.accept(message, owner);
+				this.#accept(message, owner);
 			}
 		}
 
 		owner.sideLost(this);
-		for (const {inbox} of this.streams.values()) {
+		for (const {inbox} of this.#streams.values()) {
 			tryDeliver(inbox, {type: 'link-lost', link: this});
 		}
 
-		this.streams.clear();
+		this.#streams.clear();
 	}
 
-	private accept(message: Message, owner: SideLinkOwner): void {
+	#accept(message: Message, owner: SideLinkOwner): void {
 		if ('stream' in message) {
-			this.route(message);
+			this.#route(message);
 			return;
 		}
 
-		if (message.type === 'hello') {
-			this.greet(message);
-			owner.sideSeen(this);
-		} else if (message.type === 'state') {
+		if (message.type === 'state') {
 			this.state = message;
 			owner.sideSeen(this);
+			return;
+		}
+
+		if (message.type === 'hello') {
+			this.#greet(message);
+			owner.sideSeen(this);
 		}
 
 		owner.peerMessage(this, message);
 	}
 
-	private greet(message: MessageOf<'hello'>): void {
+	#greet(message: MessageOf<'hello'>): void {
 		if (message.role !== 'side' || message.protocol !== protocolVersion || message.endpoint === undefined) {
 			this.close('no hello from a side of this protocol version');
 			return;
@@ -113,8 +117,8 @@
 		};
 	}
 
-	private route(message: StreamMessage): void {
-		const open = this.streams.get(message.stream);
+	#route(message: StreamMessage): void {
+		const open = this.#streams.get(message.stream);
 		if (open === undefined) {
 			this.staleFrames += 1;
 			return;
--- a/src/entry/slot.ts
+++ b/src/entry/slot.ts
@@ -10,10 +10,10 @@
 /** A slot that a side holds for this request; the body may leave for it. */
 export type Slot = {readonly endpoint: EndpointId; readonly link: SideLink; readonly stream: number};
 
-export type SlotResult =
-	| {readonly type: 'slot'; readonly slot: Slot}
-	| {readonly type: 'failed'; readonly failure: Failure; readonly tried: readonly EndpointId[]}
-	| {readonly type: 'caller-left'};
+export type SlotResult
+	= | {readonly type: 'slot'; readonly slot: Slot}
+		| {readonly type: 'failed'; readonly failure: Failure; readonly tried: readonly EndpointId[]}
+		| {readonly type: 'caller-left'};
 
 /**
  * Late binding: the request waits at several sides at once and runs at the first that has a free
@@ -25,115 +25,115 @@
 		return new SlotSearch(fleet, summary, inbox);
 	}
 
-	private readonly open = new Map<string, Slot>();
-	private readonly tried: EndpointId[] = [];
-	private refusal: Failure | undefined;
-	private readonly fleet: Fleet;
-	private readonly summary: RequestSummary;
-	private readonly inbox: Channel<RequestEvent>;
+	readonly #open = new Map<string, Slot>();
+	readonly #tried: EndpointId[] = [];
+	#refusal: Failure | undefined;
+	readonly #fleet: Fleet;
+	readonly #summary: RequestSummary;
+	readonly #inbox: Channel<RequestEvent>;
 
 	private constructor(fleet: Fleet, summary: RequestSummary, inbox: Channel<RequestEvent>) {
-		this.fleet = fleet;
-		this.summary = summary;
-		this.inbox = inbox;
+		this.#fleet = fleet;
+		this.#summary = summary;
+		this.#inbox = inbox;
 	}
 
 	/** Reserves at the endpoints, in order, and waits until one offers a slot or all have refused. */
 	* run(endpoints: readonly EndpointId[]): Body<SlotResult> {
 		for (const endpoint of endpoints) {
-			this.reserve(endpoint);
+			this.#reserve(endpoint);
 		}
 
-		while (this.open.size > 0) {
-			const event = yield * receive(this.inbox);
-			const result = this.take(event ?? {type: 'caller-left'});
+		while (this.#open.size > 0) {
+			const event = yield * receive(this.#inbox);
+			const result = this.#take(event ?? {type: 'caller-left'});
 			if (result !== undefined) {
 				return result;
 			}
 		}
 
-		return {type: 'failed', failure: this.refusal ?? noEndpoint(), tried: this.tried};
+		return {type: 'failed', failure: this.#refusal ?? noEndpoint(), tried: this.#tried};
 	}
 
-	private reserve(endpoint: EndpointId): void {
-		const link = this.fleet.link(endpoint);
-		this.tried.push(endpoint);
+	#reserve(endpoint: EndpointId): void {
+		const link = this.#fleet.link(endpoint);
+		this.#tried.push(endpoint);
 		if (link === undefined) {
 			return;
 		}
 
-		const stream = link.openStream(this.summary.id, this.inbox);
+		const stream = link.openStream(this.#summary.id, this.#inbox);
 		const slot = {endpoint, link, stream};
-		this.open.set(keyOf(link, stream), slot);
-		link.send({type: 'reserve', stream, request: this.summary.id, summary: {...this.summary}});
-		this.fleet.observe({type: 'reserved', endpoint, request: this.summary.id});
+		this.#open.set(keyOf(link, stream), slot);
+		link.send({type: 'reserve', stream, request: this.#summary.id, summary: {...this.#summary}});
+		this.#fleet.observe({type: 'reserved', endpoint, request: this.#summary.id});
 	}
 
-	private take(event: RequestEvent): SlotResult | undefined {
+	#take(event: RequestEvent): SlotResult | undefined {
 		switch (event.type) {
 			case 'frame': {
-				return this.takeFrame(event.link, event.message);
+				return this.#takeFrame(event.link, event.message);
 			}
 
 			case 'link-lost': {
-				this.dropLink(event.link);
+				this.#dropLink(event.link);
 				return undefined;
 			}
 
 			case 'caller-left': {
-				this.withdrawAll();
+				this.#withdrawAll();
 				return {type: 'caller-left'};
 			}
 
 			case 'alarm': {
-				this.withdrawAll();
-				return {type: 'failed', failure: createFailure(FailureKind.queueTimeout, 'No slot became free in time.', {retryAfterMilliseconds: 1000}), tried: this.tried};
+				this.#withdrawAll();
+				return {type: 'failed', failure: createFailure(FailureKind.queueTimeout, 'No slot became free in time.', {retryAfterMilliseconds: 1000}), tried: this.#tried};
 			}
 		}
 	}
 
-	private takeFrame(link: SideLink, message: StreamMessage): SlotResult | undefined {
-		const slot = this.open.get(keyOf(link, message.stream));
+	#takeFrame(link: SideLink, message: StreamMessage): SlotResult | undefined {
+		const slot = this.#open.get(keyOf(link, message.stream));
 		if (slot === undefined) {
 			return undefined;
 		}
 
 		if (message.type === 'offer') {
-			this.fleet.observe({type: 'offered', endpoint: slot.endpoint, request: this.summary.id});
-			this.open.delete(keyOf(link, message.stream));
-			this.withdrawAll();
+			this.#fleet.observe({type: 'offered', endpoint: slot.endpoint, request: this.#summary.id});
+			this.#open.delete(keyOf(link, message.stream));
+			this.#withdrawAll();
 			return {type: 'slot', slot};
 		}
 
 		if (message.type === 'refuse' || message.type === 'fail') {
-			this.refusal = {
+			this.#refusal = {
 				kind: message.kind, message: message.message, verdict: 'not-run', retryAfterMilliseconds: message.retryAfterMilliseconds,
 			};
-			this.close(slot, 'refused');
+			this.#close(slot, 'refused');
 		}
 
 		return undefined;
 	}
 
-	private withdrawAll(): void {
-		for (const slot of this.open.values()) {
-			slot.link.send({type: 'withdraw', stream: slot.stream, request: this.summary.id});
-			this.close(slot, 'withdrawn');
+	#withdrawAll(): void {
+		for (const slot of this.#open.values()) {
+			slot.link.send({type: 'withdraw', stream: slot.stream, request: this.#summary.id});
+			this.#close(slot, 'withdrawn');
 		}
 	}
 
-	private dropLink(link: SideLink): void {
-		for (const slot of this.open.values()) {
+	#dropLink(link: SideLink): void {
+		for (const slot of this.#open.values()) {
 			if (slot.link === link) {
-				this.close(slot, 'withdrawn');
+				this.#close(slot, 'withdrawn');
 			}
 		}
 	}
 
-	private close(slot: Slot, how: 'refused' | 'withdrawn'): void {
+	#close(slot: Slot, how: 'refused' | 'withdrawn'): void {
 		slot.link.closeStream(slot.stream);
-		this.open.delete(keyOf(slot.link, slot.stream));
-		this.fleet.observe({type: how, endpoint: slot.endpoint, request: this.summary.id});
+		this.#open.delete(keyOf(slot.link, slot.stream));
+		this.#fleet.observe({type: how, endpoint: slot.endpoint, request: this.#summary.id});
 	}
 }
 
--- a/src/side/credit-window.ts
+++ b/src/side/credit-window.ts
@@ -11,25 +11,25 @@
 		return new CreditWindow(events, input);
 	}
 
-	private available: number;
-	private readonly input: Channel<RunInput>;
+	#available: number;
+	readonly #input: Channel<RunInput>;
 
 	private constructor(events: number, input: Channel<RunInput>) {
-		this.available = events;
-		this.input = input;
+		this.#available = events;
+		this.#input = input;
 	}
 
 	/** Counts events that were sent. One turn's events may overdraw the window by that turn. */
 	spend(events: number): void {
-		this.available -= events;
+		this.#available -= events;
 	}
 
 	/** Takes the credit that has come and waits for some if there is none; false if the entry cancelled. */
 	* hasCredit(): Body<boolean> {
 		for (;;) {
-			const message = this.available > 0 ? tryReceive(this.input) : yield * receive(this.input);
+			const message = this.#available > 0 ? tryReceive(this.#input) : yield * receive(this.#input);
 			if (message === undefined) {
-				return this.available > 0;
+				return this.#available > 0;
 			}
 
 			if (message.type === 'cancel') {
@@ -37,7 +37,7 @@
 			}
 
 			if (message.type === 'credit') {
-				this.available += message.events;
+				this.#available += message.events;
 			}
 		}
 	}
--- a/src/side/entry-link.ts
+++ b/src/side/entry-link.ts
@@ -38,15 +38,15 @@
 			}
 
 			for (const message of messages) {
-				this.accept(message, owner);
+				this.#accept(message, owner);
 			}
 		}
 
 		owner.linkClosed(this);
 	}
 
-	private accept(message: Message, owner: EntryLinkOwner): void {
-		if (this.instance === undefined && !this.greet(message)) {
+	#accept(message: Message, owner: EntryLinkOwner): void {
+		if (this.instance === undefined && !this.#greet(message)) {
 			this.connection.close('no hello from an entry of this protocol version');
 			return;
 		}
@@ -54,7 +54,7 @@
 		owner.handle(this, message);
 	}
 
-	private greet(message: Message): boolean {
+	#greet(message: Message): boolean {
 		if (message.type !== 'hello' || message.role !== 'entry' || message.protocol !== protocolVersion) {
 			return false;
 		}
--- a/src/side/model-run.ts
+++ b/src/side/model-run.ts
@@ -6,18 +6,28 @@
 import {type Reservation, type ReservationPhase, toEntry} from './reservation.js';
 
 /** How the engine's stream ended. */
-export type RunEnd =
-	| {readonly type: 'whole'}
-	| {readonly type: 'stopped'}
-	| {readonly type: 'failed'; readonly failure: Failure};
+export type RunEnd
+	= | {readonly type: 'whole'}
+		| {readonly type: 'stopped'}
+		| {readonly type: 'failed'; readonly failure: Failure};
 
 type RunningPhase = Extract<ReservationPhase, {type: 'running'}>;
 
+/** One model call that is to run here. */
+export type ModelRun = {
+	readonly engine: EngineClient;
+	readonly reservation: Reservation;
+	readonly phase: RunningPhase;
+	readonly start: MessageOf<'start'>;
+	/** Called with the number of tokens that were passed on. */
+	readonly onTokens: (tokens: number) => void;
+};
+
 /**
  * Runs a model call at the engine and passes its events to the entry, in order and within credit.
  * The entry hears `end` only after the engine said that the answer is whole.
  */
-export function * runModel(engine: EngineClient, reservation: Reservation, phase: RunningPhase, start: MessageOf<'start'>, onTokens: (tokens: number) => void): Body<RunEnd> {
+export function * runModel({engine, reservation, phase, start, onTokens}: ModelRun): Body<RunEnd> {
 	const credit = CreditWindow.create(start.credit, phase.input);
 	const answer = AnswerInProgress.create(reservation, start.resumeTokens, onTokens);
 	const events = engine.run({
@@ -58,15 +68,15 @@
 		return new AnswerInProgress(reservation, firstIndex, onTokens);
 	}
 
-	private count: number;
-	private usage: string | undefined;
-	private readonly reservation: Reservation;
-	private readonly onTokens: (tokens: number) => void;
+	#count: number;
+	#usage: string | undefined;
+	readonly #reservation: Reservation;
+	readonly #onTokens: (tokens: number) => void;
 
 	private constructor(reservation: Reservation, firstIndex: number, onTokens: (tokens: number) => void) {
-		this.reservation = reservation;
-		this.count = firstIndex;
-		this.onTokens = onTokens;
+		this.#reservation = reservation;
+		this.#count = firstIndex;
+		this.#onTokens = onTokens;
 	}
 
 	/** Passes one turn's events on as one chunk; gives the end of the stream once it is reached. */
@@ -74,23 +84,23 @@
 		const tokens: string[] = [];
 		let end: RunEnd | undefined;
 		for (const event of events) {
-			end ??= this.sort(event, tokens);
+			end ??= this.#sort(event, tokens);
 		}
 
 		if (tokens.length > 0) {
-			toEntry(this.reservation, {type: 'chunk', index: this.count, events: tokens});
-			this.count += tokens.length;
-			this.onTokens(tokens.length);
+			toEntry(this.#reservation, {type: 'chunk', index: this.#count, events: tokens});
+			this.#count += tokens.length;
+			this.#onTokens(tokens.length);
 		}
 
 		if (end?.type === 'whole') {
-			toEntry(this.reservation, {type: 'end', count: this.count, usage: this.usage});
+			toEntry(this.#reservation, {type: 'end', count: this.#count, usage: this.#usage});
 		}
 
 		return end;
 	}
 
-	private sort(event: EngineEvent, tokens: string[]): RunEnd | undefined {
+	#sort(event: EngineEvent, tokens: string[]): RunEnd | undefined {
 		switch (event.type) {
 			case 'token': {
 				tokens.push(event.data);
@@ -98,7 +108,7 @@
 			}
 
 			case 'usage': {
-				this.usage = event.data;
+				this.#usage = event.data;
 				return undefined;
 			}
 
--- a/src/side/reservation.ts
+++ b/src/side/reservation.ts
@@ -7,10 +7,10 @@
 export type RunInput = MessageOf<'body'> | MessageOf<'credit'> | MessageOf<'cancel'>;
 
 /** Where a reservation stands. It only moves down this list, and leaves the side from any line. */
-export type ReservationPhase =
-	| {readonly type: 'waiting'}
-	| {readonly type: 'offered'}
-	| {readonly type: 'running'; readonly input: Channel<RunInput>; readonly abort: AbortController; stopped?: 'cancelled' | 'preempted'};
+export type ReservationPhase
+	= | {readonly type: 'waiting'}
+		| {readonly type: 'offered'}
+		| {readonly type: 'running'; readonly input: Channel<RunInput>; readonly abort: AbortController; stopped?: 'cancelled' | 'preempted'};
 
 /** One request at this side, from `reserve` until it was refused, withdrawn or finished. */
 export type Reservation = {
@@ -28,5 +28,5 @@
 
 /** Sends a message about a reservation, with the two numbers that both ends check. */
 export function toEntry(reservation: Reservation, message: Unaddressed<Message>): void {
-	reservation.link.send({...message, stream: reservation.stream, request: reservation.summary.id} as Message);
+	reservation.link.send({...message, stream: reservation.stream, request: reservation.summary.id});
 }
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -1,13 +1,15 @@
+import {type CatalogueMessage} from '../platform/index.js';
 import {channel, spawn, tryDeliver} from '../concurrency/index.js';
-import {type EngineClient} from '../endpoint/index.js';
+import {type EngineClient, type EngineLoad} from '../endpoint/index.js';
 import {
 	createFailure, type EndpointId, FailureKind, type InstanceId, type RequestSummary, type TargetName, Verdict, type ZoneName,
 } from '../model/index.js';
 import {type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent} from '../policy/scheduler/index.js';
-import {type Logger} from '../telemetry/index.js';
+import {type PartLogger} from '../telemetry/index.js';
 import {
 	type Connection, Listener, type Message, type MessageOf, protocolVersion, type Security,
 } from '../wire/index.js';
+import {type EndpointObserver} from './endpoint-watch.js';
 import {EntryLink, type EntryLinkOwner} from './entry-link.js';
 import {type RunEnd, runModel} from './model-run.js';
 import {type Reservation, type RunInput, toEntry} from './reservation.js';
@@ -34,8 +36,10 @@
 	readonly security: Security;
 	readonly engine: EngineClient;
 	readonly scheduler: Scheduler<State>;
-	readonly logger: Logger;
+	readonly logger: PartLogger;
 	readonly catalogueOffset: () => number;
+	/** Hears hello, heartbeat, pull and records of each entry, for the spread of the catalogue. */
+	readonly onPeerMessage?: (message: CatalogueMessage, reply: (message: Message) => void) => void;
 };
 
 /**
@@ -43,102 +47,108 @@
  * every event to it in the order of arrival, and carries out the actions at once; so the queue,
  * the slots and what the engine runs never disagree.
  */
-export class Side<State = unknown> implements AsyncDisposable, EntryLinkOwner {
+export class Side<State = unknown> implements AsyncDisposable, EntryLinkOwner, EndpointObserver {
 	static async create<State>(options: SideOptions<State>): Promise<Side<State>> {
 		const side = new Side(options);
-		side.listener = await Listener.create({
+		side.#listener = await Listener.create({
 			host: options.host,
 			port: options.port,
 			security: options.security,
 			onConnection(connection) {
-				side.accept(connection);
+				side.#accept(connection);
 			},
 			onRefused(reason) {
-				options.logger.warn({reason}, 'A peer was refused.');
+				options.logger.warn('A peer was refused.', {reason});
 			},
 		});
-		side.startTimers();
+		side.#startTimers();
 		return side;
 	}
 
 	/** What ran here and what became of it, for metrics and for tests. */
 	readonly counts = {whole: 0, cancelled: 0, failed: 0, preempted: 0, refused: 0, tokens: 0};
-	private readonly options: SideOptions<State>;
-	private state: State;
-	private listener!: Listener;
-	private readonly links = new Set<EntryLink>();
-	private readonly reservations = new Map<string, Reservation>();
-	private readonly timers: NodeJS.Timeout[] = [];
-	private nextLink = 0;
-	private leaving = false;
-	private endpointUp = true;
-	private lastState = '';
-	private onIdle: (() => void) | undefined;
+	readonly #options: SideOptions<State>;
+	#state: State;
+	#listener!: Listener;
+	readonly #links = new Set<EntryLink>();
+	readonly #reservations = new Map<string, Reservation>();
+	readonly #timers: NodeJS.Timeout[] = [];
+	#nextLink = 0;
+	#leaving = false;
+	#endpointUp = true;
+	#lastState = '';
+	#onIdle: (() => void) | undefined;
 
 	private constructor(options: SideOptions<State>) {
-		this.options = options;
-		this.state = options.scheduler.create();
+		this.#options = options;
+		this.#state = options.scheduler.create();
 	}
 
 	get address(): string {
-		return this.listener.address;
+		return this.#listener.address;
 	}
 
 	get phase(): 'serving' | 'leaving' | 'down' {
-		if (this.leaving) {
+		if (this.#leaving) {
 			return 'leaving';
 		}
 
-		return this.endpointUp ? 'serving' : 'down';
+		return this.#endpointUp ? 'serving' : 'down';
 	}
 
 	/** Figures for `status`. */
 	describe(): Record<string, unknown> {
 		return {
-			instance: this.options.instance, endpoint: this.options.endpoint, zone: this.options.zone, phase: this.phase, entries: this.links.size, ...this.options.scheduler.view(this.state), counts: this.counts,
+			instance: this.#options.instance,
+			endpoint: this.#options.endpoint,
+			zone: this.#options.zone,
+			phase: this.phase,
+			entries: this.#links.size,
+			...this.#options.scheduler.view(this.#state),
+			counts: this.counts,
 		};
 	}
 
 	/** Takes no new work from now on, and resolves once what runs has ended. */
 	async drain(): Promise<void> {
-		this.leaving = true;
-		this.apply({type: 'leaving'});
-		this.publishState();
-		if (this.countRunning() > 0) {
+		this.#leaving = true;
+		this.#apply({type: 'leaving'});
+		this.#publishState();
+		if (this.#countRunning() > 0) {
 			await new Promise<void>(resolve => {
-				this.onIdle = resolve;
+				this.#onIdle = resolve;
 			});
 		}
 	}
 
 	/** Closes at once; `drain` first for a stop that cuts nothing. */
 	async [Symbol.asyncDispose](): Promise<void> {
-		this.stopTimers();
-		await this.listener[Symbol.asyncDispose]();
-		await Promise.all([...this.links].map(async link => link.connection[Symbol.asyncDispose]()));
+		this.#stopTimers();
+		await this.#listener[Symbol.asyncDispose]();
+		await Promise.all([...this.#links].map(async link => link.connection[Symbol.asyncDispose]()));
 	}
 
 	handle(link: EntryLink, message: Message): void {
 		switch (message.type) {
 			case 'reserve': {
-				this.reserve(link, message);
+				this.#reserve(link, message);
 				break;
 			}
 
 			case 'withdraw': {
-				this.withdraw(link, message.stream);
+				this.#withdraw(link, message.stream);
 				break;
 			}
 
 			case 'start': {
-				this.start(link, message);
+				this.#start(link, message);
 				break;
 			}
 
 			case 'cancel':
 			case 'credit':
 			case 'body': {
-				this.passToRun(link, message);
+				this.#passToRun(link, message);
 				break;
 			}
 
@@ -146,6 +156,9 @@
 			case 'heartbeat':
 			case 'pull':
 			case 'records': {
+				this.#options.onPeerMessage?.(message, reply => {
+					link.send(reply);
+				});
 				break;
 			}
 
@@ -165,29 +178,46 @@
 
 	/** An entry is gone: what it had waiting leaves the queue, and what ran for it is cancelled if that is harmless. */
 	linkClosed(link: EntryLink): void {
-		this.links.delete(link);
+		this.#links.delete(link);
 		for (const stream of link.reservations.keys()) {
-			this.withdraw(link, stream);
+			this.#withdraw(link, stream);
 		}
 	}
 
-	private accept(connection: Connection): void {
-		this.nextLink += 1;
-		const link = EntryLink.create(connection, this.nextLink);
-		this.links.add(link);
-		link.send(this.hello());
-		link.send(this.stateMessage());
+	/** Tells the scheduler and the entries whether the endpoint answers. */
+	setEndpointUp(up: boolean): void {
+		if (up === this.#endpointUp) {
+			return;
+		}
+
+		this.#endpointUp = up;
+		this.#options.logger.info(up ? 'The endpoint answers again.' : 'The endpoint does not answer.', {endpoint: this.#options.endpoint});
+		this.#apply({type: 'endpoint', up});
+		this.#publishState();
+	}
+
+	/** The engine's own, lagging report: the scheduler uses it for memory pressure alone. */
+	loadReported(load: EngineLoad): void {
+		this.#apply({type: 'reported', memoryUsed: load.memoryUsed, running: load.running});
+	}
+
+	#accept(connection: Connection): void {
+		this.#nextLink += 1;
+		const link = EntryLink.create(connection, this.#nextLink);
+		this.#links.add(link);
+		link.send(this.#hello());
+		link.send(this.#stateMessage());
 		void spawn('entry-link', () => link.read(this));
 	}
 
-	private hello(): Message {
-		const {instance, zone, endpoint, targets} = this.options;
+	#hello(): Message {
+		const {instance, zone, endpoint, targets} = this.#options;
 		return {
-			type: 'hello', protocol: protocolVersion, role: 'side', instance, zone, endpoint, targets: [...targets], catalogueOffset: this.options.catalogueOffset(),
+			type: 'hello', protocol: protocolVersion, role: 'side', instance, zone, endpoint, targets: [...targets], catalogueOffset: this.#options.catalogueOffset(),
 		};
 	}
 
-	private reserve(link: EntryLink, message: MessageOf<'reserve'>): void {
+	#reserve(link: EntryLink, message: MessageOf<'reserve'>): void {
 		if (link.reservations.has(message.stream) || message.request !== message.summary.id) {
 			link.connection.close('a reservation that contradicts an earlier message');
 			return;
@@ -197,30 +227,30 @@
 			id: `${link.number}:${message.stream}`, link, stream: message.stream, summary: message.summary as RequestSummary, phase: {type: 'waiting'}, progressedAt: 0,
 		};
 		link.reservations.set(message.stream, reservation);
-		this.reservations.set(reservation.id, reservation);
-		this.apply({type: 'arrived', id: reservation.id, summary: reservation.summary});
+		this.#reservations.set(reservation.id, reservation);
+		this.#apply({type: 'arrived', id: reservation.id, summary: reservation.summary});
 	}
 
-	private withdraw(link: EntryLink, stream: number): void {
+	#withdraw(link: EntryLink, stream: number): void {
 		const reservation = link.reservations.get(stream);
 		if (reservation === undefined) {
 			return;
 		}
 
 		if (reservation.phase.type === 'running') {
-			this.stopRun(reservation, 'cancelled');
+			this.#stopRun(reservation, 'cancelled');
 			return;
 		}
 
-		this.forget(reservation);
-		this.apply({type: 'withdrawn', id: reservation.id});
+		this.#forget(reservation);
+		this.#apply({type: 'withdrawn', id: reservation.id});
 	}
 
 	/**
 	 * A body in answer to an offer. One that comes after the offer lapsed, or for a stream that is
 	 * not known here, is answered with `not-run`, which is certain: nothing is passed to the engine.
 	 */
-	private start(link: EntryLink, message: MessageOf<'start'>): void {
+	#start(link: EntryLink, message: MessageOf<'start'>): void {
 		const reservation = link.reservations.get(message.stream);
 		if (reservation?.phase.type !== 'offered' || reservation.summary.id !== message.request) {
 			const {kind, verdict, message: text} = createFailure(FailureKind.queueTimeout, 'The offered slot has lapsed.');
@@ -231,36 +261,42 @@
 		const phase = {type: 'running' as const, input: channel<RunInput>(runInputCapacity), abort: new AbortController()};
 		reservation.phase = phase;
 		reservation.progressedAt = performance.now();
-		this.apply({type: 'started', id: reservation.id});
-		void spawn('run', () => runModel(this.options.engine, reservation, phase, message, tokens => {
-			this.progressed(reservation, tokens);
+		this.#apply({type: 'started', id: reservation.id});
+		void spawn('run', () => runModel({
+			engine: this.#options.engine,
+			reservation,
+			phase,
+			start: message,
+			onTokens: tokens => {
+				this.#progressed(reservation, tokens);
+			},
 		})).then(end => {
-			this.finished(reservation, end);
+			this.#finished(reservation, end);
 		});
 	}
 
-	private progressed(reservation: Reservation, tokens: number): void {
+	#progressed(reservation: Reservation, tokens: number): void {
 		const now = performance.now();
 		this.counts.tokens += tokens;
-		this.apply({type: 'progressed', id: reservation.id, tokens, milliseconds: now - reservation.progressedAt});
+		this.#apply({type: 'progressed', id: reservation.id, tokens, milliseconds: now - reservation.progressedAt});
 		reservation.progressedAt = now;
 	}
 
-	private finished(reservation: Reservation, end: RunEnd): void {
-		const outcome = this.outcomeOf(reservation, end);
+	#finished(reservation: Reservation, end: RunEnd): void {
+		const outcome = this.#outcomeOf(reservation, end);
 		this.counts[outcome] += 1;
-		this.forget(reservation);
+		this.#forget(reservation);
 		if (end.type === 'failed') {
 			toEntry(reservation, {type: 'fail', ...end.failure});
 		}
 
-		this.apply({type: 'finished', id: reservation.id, outcome});
-		if (this.leaving && this.countRunning() === 0) {
-			this.onIdle?.();
+		this.#apply({type: 'finished', id: reservation.id, outcome});
+		if (this.#leaving && this.#countRunning() === 0) {
+			this.#onIdle?.();
 		}
 	}
 
-	private outcomeOf(reservation: Reservation, end: RunEnd): Outcome {
+	#outcomeOf(reservation: Reservation, end: RunEnd): Outcome {
 		switch (end.type) {
 			case 'whole': {
 				return 'whole';
@@ -276,14 +312,14 @@
 		}
 	}
 
-	private passToRun(link: EntryLink, message: RunInput): void {
+	#passToRun(link: EntryLink, message: RunInput): void {
 		const reservation = link.reservations.get(message.stream);
 		if (reservation?.phase.type !== 'running' || reservation.summary.id !== message.request) {
 			return;
 		}
 
 		if (message.type === 'cancel') {
-			this.stopRun(reservation, 'cancelled');
+			this.#stopRun(reservation, 'cancelled');
 			return;
 		}
 
@@ -293,7 +329,7 @@
 	}
 
 	/** Stops what the engine does for a request. A non-idempotent one is never stopped: it ends by itself. */
-	private stopRun(reservation: Reservation, why: 'cancelled' | 'preempted'): void {
+	#stopRun(reservation: Reservation, why: 'cancelled' | 'preempted'): void {
 		if (reservation.phase.type !== 'running' || !reservation.summary.idempotent) {
 			return;
 		}
@@ -303,16 +339,16 @@
 		tryDeliver(reservation.phase.input, {type: 'cancel', stream: reservation.stream, request: reservation.summary.id});
 	}
 
-	private apply(event: SchedulerEvent): void {
-		const {state, actions} = this.options.scheduler.step(this.state, event, performance.now());
-		this.state = state;
+	#apply(event: SchedulerEvent): void {
+		const {state, actions} = this.#options.scheduler.step(this.#state, event, performance.now());
+		this.#state = state;
 		for (const action of actions) {
-			this.perform(action);
+			this.#perform(action);
 		}
 	}
 
-	private perform(action: SchedulerAction): void {
-		const reservation = this.reservations.get(action.id);
+	#perform(action: SchedulerAction): void {
+		const reservation = this.#reservations.get(action.id);
 		if (reservation === undefined) {
 			return;
 		}
@@ -326,7 +362,7 @@
 
 			case 'refuse': {
 				this.counts.refused += 1;
-				this.forget(reservation);
+				this.#forget(reservation);
 				toEntry(reservation, {
 					type: 'refuse', kind: action.kind, message: action.message, retryAfterMilliseconds: action.retryAfterMilliseconds,
 				});
@@ -334,81 +370,69 @@
 			}
 
 			case 'preempt': {
-				this.stopRun(reservation, 'preempted');
+				this.#stopRun(reservation, 'preempted');
 				toEntry(reservation, {type: 'fail', ...createFailure(FailureKind.preempted, 'A higher tier needed the slot.', {verdict: Verdict.mayHaveRun})});
 				break;
 			}
 		}
 	}
 
-	private forget(reservation: Reservation): void {
-		this.reservations.delete(reservation.id);
+	#forget(reservation: Reservation): void {
+		this.#reservations.delete(reservation.id);
 		reservation.link.reservations.delete(reservation.stream);
 	}
 
-	private countRunning(): number {
-		return [...this.reservations.values()].filter(reservation => reservation.phase.type !== 'waiting').length;
-	}
-
-	/** Tells the scheduler and the entries whether the endpoint answers. */
-	setEndpointUp(up: boolean): void {
-		if (up === this.endpointUp) {
-			return;
-		}
-
-		this.endpointUp = up;
-		this.options.logger.info({endpoint: this.options.endpoint}, up ? 'The endpoint answers again.' : 'The endpoint does not answer.');
-		this.apply({type: 'endpoint', up});
-		this.publishState();
+	#countRunning(): number {
+		return [...this.#reservations.values()].filter(reservation => reservation.phase.type !== 'waiting').length;
 	}
 
-	private startTimers(): void {
+	#startTimers(): void {
 		const tick = setInterval(() => {
-			this.apply({type: 'tick'});
+			this.#apply({type: 'tick'});
 		}, tickMilliseconds);
 		const state = setInterval(() => {
-			this.publishLoad();
+			this.#publishLoad();
 		}, stateMilliseconds);
 		const heartbeat = setInterval(() => {
-			this.broadcast({type: 'heartbeat', catalogueOffset: this.options.catalogueOffset()});
+			this.#broadcast({type: 'heartbeat', catalogueOffset: this.#options.catalogueOffset()});
 		}, heartbeatMilliseconds);
-		this.timers.push(tick, state, heartbeat);
+		this.#timers.push(tick, state, heartbeat);
 	}
 
-	private stopTimers(): void {
-		for (const timer of this.timers) {
+	#stopTimers(): void {
+		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
 	}
 
-	private broadcast(message: Message): void {
-		for (const link of this.links) {
+	#broadcast(message: Message): void {
+		for (const link of this.#links) {
 			link.send(message);
 		}
 	}
 
-	private stateMessage(): Message {
-		const view = this.options.scheduler.view(this.state);
+	#stateMessage(): Message {
+		const view = this.#options.scheduler.view(this.#state);
 		return {
 			type: 'state', phase: this.phase, slots: view.slots, running: view.running, waiting: [...view.waiting], tokenMilliseconds: Math.round(view.tokenMilliseconds),
 		};
 	}
 
 	/** A change of phase goes to every entry at once. */
-	private publishState(): void {
-		this.broadcast(this.stateMessage());
+	#publishState(): void {
+		this.#broadcast(this.#stateMessage());
 	}
 
 	/** The load goes to the entries that have requests here, and only if it changed. */
-	private publishLoad(): void {
-		const message = this.stateMessage();
+	#publishLoad(): void {
+		const message = this.#stateMessage();
 		const text = JSON.stringify(message);
-		if (text === this.lastState) {
+		if (text === this.#lastState) {
 			return;
 		}
 
-		this.lastState = text;
-		for (const link of this.links) {
+		this.#lastState = text;
+		for (const link of this.#links) {
 			if (link.reservations.size > 0) {
 				link.send(message);
 			}
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -31,96 +31,96 @@
 	closeReason = 'closed';
 	/** Bytes and messages so far, for the metrics. */
 	readonly counts = {sentMessages: 0, sentBytes: 0, receivedMessages: 0, receivedBytes: 0};
-	private readonly socket: Duplex;
-	private readonly decoder = FrameDecoder.create();
-	private unsent: Uint8Array[] = [];
-	private heardAt = performance.now();
-	private readonly silenceCheck: NodeJS.Timeout;
+	readonly #socket: Duplex;
+	readonly #decoder = FrameDecoder.create();
+	#unsent: Uint8Array[] = [];
+	#heardAt = performance.now();
+	readonly #silenceCheck: NodeJS.Timeout;
 
 	private constructor(socket: Duplex, peer: string) {
-		this.socket = socket;
+		this.#socket = socket;
 		this.peer = peer;
 		this.closed = new Promise(resolve => {
 			socket.once('close', () => {
 				this.incoming.close();
-				clearInterval(this.silenceCheck);
+				clearInterval(this.#silenceCheck);
 				resolve();
 			});
 		});
 		socket.on('data', (bytes: Uint8Array) => {
-			this.receive(bytes);
+			this.#receive(bytes);
 		});
 		socket.on('error', error => {
 			this.close(error.message);
 		});
-		this.silenceCheck = setInterval(() => {
-			this.checkSilence();
+		this.#silenceCheck = setInterval(() => {
+			this.#checkSilence();
 		}, silenceMilliseconds / 3).unref();
 	}
 
 	get isOpen(): boolean {
-		return !this.socket.destroyed;
+		return !this.#socket.destroyed;
 	}
 
 	/** Queues a message; it leaves at the end of this turn. A closed connection drops it. */
 	send(message: Message): void {
-		if (this.socket.destroyed) {
+		if (this.#socket.destroyed) {
 			return;
 		}
 
-		if (this.unsent.length === 0) {
+		if (this.#unsent.length === 0) {
 			queueMicrotask(() => {
-				this.flush();
+				this.#flush();
 			});
 		}
 
 		const frame = encodeFrame(message);
 		this.counts.sentMessages += 1;
 		this.counts.sentBytes += frame.byteLength;
-		this.unsent.push(frame);
+		this.#unsent.push(frame);
 	}
 
 	/** Ends the connection at once; the peer sees it break. */
 	close(reason: string): void {
-		if (this.socket.destroyed) {
+		if (this.#socket.destroyed) {
 			return;
 		}
 
 		this.closeReason = reason;
-		this.flush();
-		this.socket.destroy();
+		this.#flush();
+		this.#socket.destroy();
 	}
 
 	/** Sends what waits, then ends the connection. */
 	async [Symbol.asyncDispose](): Promise<void> {
-		this.flush();
-		this.socket.end();
+		this.#flush();
+		this.#socket.end();
 		const patience = setTimeout(() => {
-			this.socket.destroy();
+			this.#socket.destroy();
 		}, 500);
 		await this.closed;
 		clearTimeout(patience);
 	}
 
-	private flush(): void {
-		const frames = this.unsent;
-		this.unsent = [];
-		if (frames.length === 0 || this.socket.destroyed) {
+	#flush(): void {
+		const frames = this.#unsent;
+		this.#unsent = [];
+		if (frames.length === 0 || this.#socket.destroyed) {
 			return;
 		}
 
-		this.socket.write(frames.length === 1 ? frames[0] : Buffer.concat(frames));
-		if (this.socket.writableLength > maximumUnsentBytes) {
+		this.#socket.write(frames.length === 1 ? frames[0] : Buffer.concat(frames));
+		if (this.#socket.writableLength > maximumUnsentBytes) {
 			this.close('the peer does not read');
 		}
 	}
 
-	private receive(bytes: Uint8Array): void {
-		this.heardAt = performance.now();
+	#receive(bytes: Uint8Array): void {
+		this.#heardAt = performance.now();
 		this.counts.receivedBytes += bytes.byteLength;
 		let messages: Message[];
 		try {
-			messages = this.decoder.push(bytes);
+			messages = this.#decoder.push(bytes);
 		} catch (error) {
 			this.close((error as Error).message);
 			return;
@@ -128,16 +128,16 @@
 
 		if (messages.length > 0) {
 			this.counts.receivedMessages += messages.length;
-			this.pass(messages);
+			this.#pass(messages);
 		}
 	}
 
-	private pass(messages: Message[]): void {
+	#pass(messages: Message[]): void {
 		const accepted = deliver(this.incoming, messages, () => {
-			this.socket.resume();
+			this.#socket.resume();
 		});
 		if (!accepted) {
-			this.socket.pause();
+			this.#socket.pause();
 		}
 	}
 
@@ -146,13 +146,13 @@
 	 * a half-open connection. Both ends send heartbeats well within the bound, so silence means loss;
 	 * while we ourselves have paused the socket, silence says nothing and is not counted.
 	 */
-	private checkSilence(): void {
-		if (this.socket.isPaused()) {
-			this.heardAt = performance.now();
+	#checkSilence(): void {
+		if (this.#socket.isPaused()) {
+			this.#heardAt = performance.now();
 			return;
 		}
 
-		if (performance.now() - this.heardAt > silenceMilliseconds) {
+		if (performance.now() - this.#heardAt > silenceMilliseconds) {
 			this.close('the peer is silent');
 		}
 	}
--- a/src/wire/frames.ts
+++ b/src/wire/frames.ts
@@ -48,26 +48,26 @@
 		return new FrameDecoder();
 	}
 
-	private parts: Uint8Array[] = [];
-	private buffered = 0;
-	private wanted = lengthBytes;
+	#parts: Uint8Array[] = [];
+	#buffered = 0;
+	#wanted = lengthBytes;
 
 	/** Takes the next bytes and gives the messages that are complete. Throws `FrameError`. */
 	push(bytes: Uint8Array): Message[] {
-		this.parts.push(bytes);
-		this.buffered += bytes.byteLength;
-		return this.buffered < this.wanted ? [] : this.drain();
+		this.#parts.push(bytes);
+		this.#buffered += bytes.byteLength;
+		return this.#buffered < this.#wanted ? [] : this.#drain();
 	}
 
-	private drain(): Message[] {
-		const buffer = this.parts.length === 1 ? Buffer.from(this.parts[0]!.buffer, this.parts[0]!.byteOffset, this.parts[0]!.byteLength) : Buffer.concat(this.parts);
+	#drain(): Message[] {
+		const buffer = this.#parts.length === 1 ? Buffer.from(this.#parts[0]!.buffer, this.#parts[0]!.byteOffset, this.#parts[0]!.byteLength) : Buffer.concat(this.#parts);
 		const messages: Message[] = [];
 		let position = 0;
-		this.wanted = lengthBytes;
+		this.#wanted = lengthBytes;
 		while (buffer.byteLength - position >= lengthBytes) {
 			const length = payloadLength(buffer, position);
 			if (buffer.byteLength - position < lengthBytes + length) {
-				this.wanted = lengthBytes + length;
+				this.#wanted = lengthBytes + length;
 				break;
 			}
 
@@ -75,13 +75,13 @@
 			position += lengthBytes + length;
 		}
 
-		this.keep(buffer.subarray(position));
+		this.#keep(buffer.subarray(position));
 		return messages;
 	}
 
-	private keep(rest: Uint8Array): void {
-		this.parts = rest.byteLength === 0 ? [] : [rest];
-		this.buffered = rest.byteLength;
+	#keep(rest: Uint8Array): void {
+		this.#parts = rest.byteLength === 0 ? [] : [rest];
+		this.#buffered = rest.byteLength;
 	}
 }
 
--- a/src/wire/transport.ts
+++ b/src/wire/transport.ts
@@ -26,15 +26,15 @@
 
 	/** IP number and port, as others reach us. */
 	readonly address: string;
-	private readonly server: net.Server;
+	readonly #server: net.Server;
 
 	private constructor(server: net.Server, host: string) {
-		this.server = server;
+		this.#server = server;
 		this.address = `${host}:${(server.address() as AddressInfo).port}`;
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		this.server.close();
+		this.#server.close();
 	}
 }
 
