--- /dev/null
+++ b/src/bin/cassiaflow-entry.ts
@@ -0,0 +1,66 @@
+#!/usr/bin/env node
+import {randomBytes} from 'node:crypto';
+import {Entry} from '../entry/index.js';
+import {createInstanceId, type InstanceId, type ZoneName} from '../model/index.js';
+import {
+	CatalogueFollower, exchangeCatalogue, HttpLogClient, HttpMembershipClient,
+} from '../platform/index.js';
+import {subsetPlacement} from '../policy/placement/index.js';
+import {AdminServer, createLogger, forPart, Metrics} from '../telemetry/index.js';
+import {
+	entrySettings, type EntrySettings, readSecurity, runProgram,
+} from './settings/index.js';
+import {stopSignal, withinMilliseconds} from './stop-signal.js';
+
+const platformTimeoutMilliseconds = 2000;
+
+async function main(settings: EntrySettings): Promise<void> {
+	const instance = (settings.instance ?? createInstanceId('entry')) as InstanceId;
+	const logger = createLogger({name: entrySettings.program, level: settings.logLevel, fields: {instance}});
+	const log = forPart(logger, 'Entry');
+	const catalogueLog = forPart(logger, 'Catalogue');
+	const platform = (baseUrl: string) => ({baseUrl, timeoutMilliseconds: platformTimeoutMilliseconds});
+	await using follower = CatalogueFollower.create({
+		log: HttpLogClient.create(platform(settings.logUrl)),
+		instance,
+		onLog(message) {
+			catalogueLog.warn(message);
+		},
+	});
+	await using entry = await Entry.create({
+		instance,
+		zone: settings.zone as ZoneName,
+		host: settings.listenHost,
+		port: settings.listenPort,
+		bodyLimitBytes: settings.bodyLimitBytes,
+		security: readSecurity(entrySettings.program, settings),
+		catalogue: follower,
+		membership: HttpMembershipClient.create(platform(settings.membersUrl)),
+		placement: subsetPlacement,
+		logger: log,
+		random: randomUniform,
+		onPeerMessage(link, message) {
+			exchangeCatalogue(follower, message, reply => {
+				link.send(reply);
+			});
+		},
+	});
+	await using admin = await AdminServer.create({
+		host: settings.adminHost,
+		port: settings.adminPort,
+		metrics: Metrics.create({role: 'entry', ofProcess: true}),
+		isReady: () => entry.isReady,
+		routes: [{method: 'GET', prefix: '/status', handle: () => ({status: 200, value: entry.describe()})}],
+	});
+	log.info('Listening.', {address: entry.address, adminPort: admin.port});
+	log.info('Stopping.', {signal: await stopSignal()});
+	const whole = await withinMilliseconds(entry.drain(), settings.stopMilliseconds);
+	log.info(whole ? 'Stopped with nothing in progress.' : 'Stopped with requests in progress, after the time allowed.');
+}
+
+/** Spreads choices between equals; needs no secrecy, only that two instances differ. */
+function randomUniform(): number {
+	return randomBytes(4).readUInt32BE() / 0x1_00_00_00_00;
+}
+
+await runProgram(entrySettings, main);
--- /dev/null
+++ b/src/bin/cassiaflow-side.ts
@@ -0,0 +1,68 @@
+#!/usr/bin/env node
+import {EngineClient, EngineControl} from '../endpoint/index.js';
+import {
+	createInstanceId, type EndpointId, type InstanceId, type TargetName, type ZoneName,
+} from '../model/index.js';
+import {CatalogueFollower, exchangeCatalogue, HttpLogClient} from '../platform/index.js';
+import {createSettings, tiered, type Violation} from '../policy/scheduler/index.js';
+import {EndpointWatch, Side} from '../side/index.js';
+import {AdminServer, createLogger, forPart, Metrics} from '../telemetry/index.js';
+import {
+	readSecurity, runProgram, sideSettings, type SideSettings,
+} from './settings/index.js';
+import {stopSignal, withinMilliseconds} from './stop-signal.js';
+
+const platformTimeoutMilliseconds = 2000;
+const healthTimeoutMilliseconds = 1000;
+
+async function main(settings: SideSettings): Promise<void> {
+	const instance = (settings.instance ?? createInstanceId('side')) as InstanceId;
+	const logger = createLogger({name: sideSettings.program, level: settings.logLevel, fields: {instance, endpoint: settings.endpoint}});
+	const log = forPart(logger, 'Side');
+	const catalogueLog = forPart(logger, 'Catalogue');
+	const metrics = Metrics.create({role: 'side', ofProcess: true});
+	const violations = metrics.counter('violations_total', 'Broken rules of the queue.', ['rule']);
+	await using follower = CatalogueFollower.create({
+		log: HttpLogClient.create({baseUrl: settings.logUrl, timeoutMilliseconds: platformTimeoutMilliseconds}),
+		instance,
+		onLog(message) {
+			catalogueLog.warn(message);
+		},
+	});
+	await using engine = EngineClient.create({baseUrl: settings.endpointUrl});
+	await using side = await Side.create({
+		instance,
+		endpoint: settings.endpoint as EndpointId,
+		targets: settings.targets as TargetName[],
+		zone: settings.zone as ZoneName,
+		host: settings.listenHost,
+		port: settings.listenPort,
+		security: readSecurity(sideSettings.program, settings),
+		engine,
+		scheduler: tiered(createSettings({
+			onViolation({rule, detail}: Violation) {
+				violations.add(1, {rule});
+				log.error('A rule of the queue is broken.', {rule, detail});
+			},
+		})),
+		logger: log,
+		catalogueOffset: () => follower.current().offset,
+		onPeerMessage(message, reply) {
+			exchangeCatalogue(follower, message, reply);
+		},
+	});
+	await using _watch = EndpointWatch.create(EngineControl.create({baseUrl: settings.endpointUrl, timeoutMilliseconds: healthTimeoutMilliseconds}), side);
+	await using admin = await AdminServer.create({
+		host: settings.adminHost,
+		port: settings.adminPort,
+		metrics,
+		isReady: () => side.phase === 'serving' && follower.isReady,
+		routes: [{method: 'GET', prefix: '/status', handle: () => ({status: 200, value: side.describe()})}],
+	});
+	log.info('Listening.', {address: side.address, adminPort: admin.port});
+	log.info('Stopping.', {signal: await stopSignal()});
+	const whole = await withinMilliseconds(side.drain(), settings.stopMilliseconds);
+	log.info(whole ? 'Stopped with nothing running.' : 'Stopped with requests running, after the time allowed.');
+}
+
+await runProgram(sideSettings, main);
--- a/src/bin/settings/index.ts
+++ b/src/bin/settings/index.ts
@@ -7,5 +7,5 @@
 export {entrySettings, type EntrySettings} from './entry-settings.js';
 export {sideSettings, type SideSettings} from './side-settings.js';
 export {platformSettings, processSettings, transportSettings} from './shared-settings.js';
-export {readTransport, type Transport} from './transport.js';
+export {readSecurity} from './security.js';
 export * from './schemas.js';
--- a/src/bin/settings/transport.ts
+++ b/src/bin/settings/security.ts
@@ -1,11 +1,7 @@
 import {readFileSync} from 'node:fs';
+import {type Security} from '../../wire/index.js';
 import {SettingsError, type SettingsProblem} from './definition.js';
 
-/** How processes of the system talk to each other; the texts are PEM. */
-export type Transport
-	= | {readonly type: 'plaintext'}
-		| {readonly type: 'tls'; readonly key: string; readonly certificate: string; readonly authority: string};
-
 type TransportFiles = {
 	readonly tlsKeyFile?: string | undefined;
 	readonly tlsCertificateFile?: string | undefined;
@@ -14,7 +10,7 @@
 };
 
 /** Reads the PEM files that checked settings name; throws one `SettingsError` for all that can't be read. */
-export function readTransport(program: string, files: TransportFiles): Transport {
+export function readSecurity(program: string, files: TransportFiles): Security {
 	if (files.insecurePlaintext) {
 		return {type: 'plaintext'};
 	}
@@ -29,12 +25,12 @@
 		}
 	};
 
-	const transport: Transport = {type: 'tls', key: read('tlsKeyFile'), certificate: read('tlsCertificateFile'), authority: read('tlsAuthorityFile')};
+	const security: Security = {type: 'mutual-tls', key: read('tlsKeyFile'), certificate: read('tlsCertificateFile'), authority: read('tlsAuthorityFile')};
 	if (problems.length > 0) {
 		throw SettingsError.create(program, problems);
 	}
 
-	return transport;
+	return security;
 }
 
 function readPem(path: string): string {
--- a/src/endpoint/open-call.ts
+++ b/src/endpoint/open-call.ts
@@ -39,9 +39,11 @@
 		let connected = false;
 		sent.once('socket', socket => {
 			connected = !socket.connecting;
-			socket.once('connect', () => {
-				connected = true;
-			});
+			if (!connected) {
+				socket.once('connect', () => {
+					connected = true;
+				});
+			}
 		});
 		// The listener stays: an error after the answer began is reported by the response, and must not be thrown here.
 		sent.on('error', error => {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -85,6 +85,18 @@
 		return this.#active;
 	}
 
+	/** Figures for `status`. */
+	describe(): Record<string, unknown> {
+		return {
+			instance: this.#options.instance,
+			zone: this.#options.zone,
+			ready: this.isReady,
+			active: this.#active,
+			sides: this.fleet.connected.length,
+			catalogueOffset: this.#options.catalogue.current().offset,
+		};
+	}
+
 	/** Fails readiness, lets every request in progress end, and refuses new ones as not run. */
 	async drain(): Promise<void> {
 		this.#stopping = true;
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -106,6 +106,7 @@
 			entries: this.#links.size,
 			...this.#options.scheduler.view(this.#state),
 			counts: this.counts,
+			catalogueOffset: this.#options.catalogueOffset(),
 		};
 	}
 
