Keep headroom for short work and preempt within a tier by share

Cause: in a scenario of 600-token jobs of one workspace among 10-token requests of its rival, 15 in 100 of the short ones had their first token in time: fair order decides only who takes the next free slot, and none came free for seconds. A burst of the top tier preempted only when it was nearly late.

Slots grow in proportion to the room below the target and shrink by what the endpoint keeps in a queue of its own.

--- a/src/policy/scheduler/settings.ts
+++ b/src/policy/scheduler/settings.ts
@@ -33,6 +33,8 @@
 	readonly promptTokenCost: number;
 	/** How often one request may be preempted in its life. */
 	readonly maximumPreemptions: number;
+	/** True if a workspace below its share of slots may take one from a rival of its tier above it. */
+	readonly preemptsForShare: boolean;
 	/** Told of every broken rule; the program counts and logs it, a test throws. */
 	readonly onViolation: (violation: Violation) => void;
 };
@@ -61,6 +63,7 @@
 	floorShares: [0, 0.05, 0.05],
 	promptTokenCost: 0.1,
 	maximumPreemptions: 2,
+	preemptsForShare: true,
 	onViolation(violation) {
 		throw new Error(`Invariant violated: ${violation.rule}: ${violation.detail}`);
 	},
--- a/src/policy/scheduler/slots.ts
+++ b/src/policy/scheduler/slots.ts
@@ -52,21 +52,36 @@
 
 const learningRate = 0.02;
 
-/** Closes the window if it is over, and changes the slots by what it showed. */
-export function adapt(slots: Slots, occupied: number, {now, settings}: Context): Slots {
-	const filled = slots.filled || occupied >= slotCount(slots);
+/**
+ * Closes the window if it is over, and changes the slots by what it showed. `stalled` of the requests
+ * that hold slots have been given to the endpoint and show no token, long after others went on.
+ */
+export function adapt(slots: Slots, held: {readonly occupied: number; readonly stalled: number}, {now, settings}: Context): Slots {
+	const filled = slots.filled || held.occupied >= slotCount(slots);
 	if (now - slots.windowStart < settings.slotWindowMilliseconds) {
 		return filled === slots.filled ? slots : {...slots, filled};
 	}
 
-	const fresh = {...slots, ratioSum: 0, tokens: 0, windowStart: now, filled: occupied >= slotCount(slots)};
-	const limit = Math.min(settings.maximumSlots, Math.max(settings.minimumSlots, nextLimit(slots, filled, occupied, settings)));
-	return {...fresh, limit};
+	const next = nextLimit({...slots, filled}, held, settings);
+	const limit = Math.min(settings.maximumSlots, Math.max(settings.minimumSlots, next));
+	return {
+		...slots, limit, ratioSum: 0, tokens: 0, windowStart: now, filled: held.occupied >= Math.floor(limit),
+	};
 }
 
-function nextLimit({limit, ratioSum, tokens, memoryUsed}: Slots, filled: boolean, occupied: number, settings: SchedulerSettings): number {
+/** How many steps a request that was given to the endpoint may show nothing before it counts as stalled. */
+export const stalledAfterSteps = 30;
+
+function nextLimit({limit, ratioSum, tokens, memoryUsed, filled}: Slots, {occupied, stalled}: {occupied: number; stalled: number}, settings: SchedulerSettings): number {
+	// Shrinks from what is in use, since unused slots did not cause the delay.
+	const used = Math.min(limit, Math.max(occupied, 1));
 	if (memoryUsed >= settings.memoryCritical) {
-		return Math.min(limit, Math.max(occupied, 1)) * settings.shrinkFactor;
+		return used * settings.shrinkFactor;
+	}
+
+	if (stalled > 0) {
+		// The endpoint keeps them in a queue of its own, which knows neither workspaces nor deadlines.
+		return used - stalled;
 	}
 
 	if (tokens === 0) {
@@ -75,9 +90,13 @@
 
 	const ratio = ratioSum / tokens;
 	if (ratio > 1) {
-		// Shrinks from what is in use, since unused slots did not cause the delay.
-		return Math.min(limit, Math.max(occupied, 1)) * settings.shrinkFactor;
+		return used * settings.shrinkFactor;
 	}
 
-	return ratio < settings.growBelow && filled && memoryUsed < settings.memoryHigh ? limit + 1 : limit;
+	return filled && memoryUsed < settings.memoryHigh ? limit + growth(limit, ratio, settings) : limit;
+}
+
+/** One slot near the target; far below it more, so that a burst does not wait out dozens of windows. */
+function growth(limit: number, ratio: number, {growBelow}: SchedulerSettings): number {
+	return ratio >= growBelow ? 0 : Math.max(1, limit * 0.5 * (1 - (ratio / growBelow)));
 }
--- a/src/policy/scheduler/tiered-events.ts
+++ b/src/policy/scheduler/tiered-events.ts
@@ -2,6 +2,7 @@
 import {evictionFor, noLowerTierShares} from './admission.js';
 import {countDeparture, expectedWait, retryAfter} from './drain.js';
 import {join, leaveSlot} from './fairness.js';
+import {countStart, learnHold} from './headroom.js';
 import {assertRule, Rule} from './invariants.js';
 import {enqueue, type Occupied, quiet, remove, update, type Waiting, waitingIn} from './ledger.js';
 import {refuse, RefusalReason} from './refusal.js';
@@ -108,7 +109,11 @@
 		return {state, actions: [refuse(id, RefusalReason.unknown, 0)]};
 	}
 
-	return quiet({...state, ledger: update(state.ledger, {...offered, phase: 'running', startedAt: now})});
+	return quiet({
+		...state,
+		ledger: update(state.ledger, {...offered, phase: 'running', startedAt: now}),
+		headroom: countStart(state.headroom, offered.summary, now),
+	});
 }
 
 function progress(state: TieredState, {id, tokens, milliseconds}: EventOf<'progressed'>, {now, settings}: Context): TieredState {
@@ -145,6 +150,7 @@
 		...state,
 		ledger: remove(state.ledger, occupied.id),
 		fairness: occupied.phase === 'offered' ? state.fairness : leaveSlot(state.fairness, occupied, whole, settings),
+		headroom: whole ? learnHold(state.headroom, occupied, now) : state.headroom,
 		longestMilliseconds: Math.max(state.longestMilliseconds, now - occupied.offeredAt),
 		reserved: state.reserved + (occupied.phase === 'stopping' ? 1 : 0),
 	};
--- a/src/policy/scheduler/tiered-state.ts
+++ b/src/policy/scheduler/tiered-state.ts
@@ -2,9 +2,10 @@
 import {type Drain, freshDrain} from './drain.js';
 import {evenFairness, type Fairness} from './fairness.js';
 import {type Floor, freshFloor} from './floor.js';
+import {type Headroom} from './headroom.js';
 import {emptyLedger, type Ledger, type Occupied, type Waiting} from './ledger.js';
 import {type SchedulerSettings} from './settings.js';
-import {initialSlots, slotCount, type Slots} from './slots.js';
+import {initialSlots, slotCount, type Slots, stalledAfterSteps} from './slots.js';
 
 /** All that the tiered queue of one side knows. */
 export type TieredState = {
@@ -13,6 +14,7 @@
 	readonly floor: Floor;
 	readonly drain: Drain;
 	readonly slots: Slots;
+	readonly headroom: Headroom;
 	/** Usual time from an offer to the first token. */
 	readonly firstTokenMilliseconds: number;
 	/** The longest that a request has held a slot. */
@@ -33,6 +35,7 @@
 		floor: freshFloor,
 		drain: freshDrain,
 		slots: initialSlots(settings),
+		headroom: new Map(),
 		firstTokenMilliseconds: 0,
 		longestMilliseconds: 0,
 		reserved: 0,
@@ -66,3 +69,10 @@
 export function noteTurn(state: TieredState, tier: Tier, at: number | undefined): TieredState {
 	return {...state, turnAt: state.turnAt.with(tier, at)};
 }
+
+/** Running requests that should have shown a token long ago, going by how fast the others go on. */
+export function countStalled({ledger, slots, firstTokenMilliseconds}: TieredState, now: number): number {
+	const patience = Math.max(stalledAfterSteps * slots.tokenMilliseconds, 2 * firstTokenMilliseconds);
+	const running = [...ledger.occupied.values()].filter(({phase}) => phase === 'running');
+	return patience === 0 ? 0 : running.filter(({tokens, startedAt}) => tokens === 0 && now - startedAt > patience).length;
+}
--- a/src/policy/scheduler/tiered.ts
+++ b/src/policy/scheduler/tiered.ts
@@ -6,7 +6,7 @@
 import {adapt, slotCount} from './slots.js';
 import {apply} from './tiered-events.js';
 import {expire, offerSlots, preempt} from './tiered-decisions.js';
-import {createState, type TieredState} from './tiered-state.js';
+import {countStalled, createState, type TieredState} from './tiered-state.js';
 import {type Scheduler, type SchedulerEvent, type SchedulerStep} from './types.js';
 
 /**
@@ -48,7 +48,7 @@
 function passTime(state: TieredState, context: Context): TieredState {
 	const {now} = context;
 	const {ledger} = state;
-	const slots = adapt(state.slots, ledger.occupied.size, context);
+	const slots = adapt(state.slots, {occupied: ledger.occupied.size, stalled: countStalled(state, now)}, context);
 	return {
 		...state, slots, floor: accrue(state.floor, ledger, slotCount(slots), context), drain: elapse(state.drain, ledger, now),
 	};
