Add npm run bench -- decisions

Cause: the decisions under load had no measure but virtual time.

Time that passes is taken note of every 2 ms at most, and preemption is looked for on arrivals and ticks, since the queue took a fifth of the processor at 2x overload. Slots grow only once the requests added last show tokens; a preempted slot that the endpoint lost meanwhile no longer blocks later preemptions.

--- /dev/null
+++ b/bench/decisions/run.ts
@@ -0,0 +1,123 @@
+import {type Violation} from '../../src/policy/scheduler/index.js';
+import {callModel, type CallResult} from '../harness/caller.js';
+import {keyOf, planCatalogue} from '../harness/catalogue.js';
+import {LocalFleet} from '../harness/local-fleet.js';
+import {createRandom} from '../harness/random.js';
+import {type Pattern, type Planned, planRequests, type Trouble} from './patterns.js';
+import {costs, endpointCount, entryCount, model, plans, workspaces} from './plan.js';
+import {type Variant} from './variants.js';
+
+/** What one caller got. */
+export type Sample = {readonly planned: Planned; readonly sentAt: number; readonly result: CallResult};
+
+/** One run of a pattern: what every caller got, and what the engines did for it. */
+export type RunRecord = {
+	readonly pattern: Pattern;
+	readonly samples: readonly Sample[];
+	readonly tokensProduced: number;
+	readonly prefilledTokens: number;
+	readonly violations: readonly Violation[];
+	/** How late this process's own timers were: a run on a busy machine shows here. */
+	readonly worstTimerLagMilliseconds: number;
+};
+
+/** Runs a pattern against the product's entries and sides over TCP on loopback. */
+export async function runPattern(pattern: Pattern, variant: Variant, seed: number): Promise<RunRecord> {
+	const random = createRandom(seed + 1000);
+	const violations: Violation[] = [];
+	await using fleet = await LocalFleet.create({
+		entries: entryCount,
+		endpoints: endpointCount,
+		zones: ['zone-a'],
+		models: [model],
+		costs,
+		scheduler: () => variant.scheduler({
+			betweenTokensMilliseconds: plans.answer.betweenTokensMilliseconds,
+			onViolation(violation) {
+				violations.push(violation);
+			},
+		}),
+		placement: async () => variant.placement,
+		random: () => random.uniform(),
+		logLevel: 'fatal',
+	});
+	const engines = fleet.endpoints.map(({engine}) => engine);
+	await fleet.publish(planCatalogue([model], workspaces, Object.values(plans)));
+	await fleet.connected();
+	const startedAt = performance.now();
+	const lag = watchTimers();
+	const troubles = pattern.troubles.map(async trouble => makeTrouble(fleet, trouble));
+	const calls = planRequests(pattern, seed).map(async planned => send(planned, startedAt, random.pick(fleet.entries).entry.address));
+	const samples = await Promise.all(calls);
+	await Promise.all(troubles);
+	return {
+		pattern,
+		samples,
+		violations,
+		tokensProduced: sum(engines.map(engine => engine.tokensProduced)),
+		prefilledTokens: sum(engines.map(engine => engine.prefilledTokens)),
+		worstTimerLagMilliseconds: lag.stop(),
+	};
+}
+
+async function send(planned: Planned, startedAt: number, address: string): Promise<Sample> {
+	await delay(startedAt + planned.at - performance.now());
+	const sentAt = performance.now() - startedAt;
+	const result = await callModel({
+		address, key: keyOf(planned.workspace), className: planned.plan, model, prompt: planned.prompt,
+	});
+	return {planned, sentAt, result};
+}
+
+async function makeTrouble(fleet: LocalFleet, trouble: Trouble): Promise<void> {
+	await delay(trouble.at);
+	const {engine} = fleet.endpoints[trouble.endpoint]!;
+	switch (trouble.type) {
+		case 'faults': {
+			Object.assign(engine.faults, trouble.faults);
+			return;
+		}
+
+		case 'crash': {
+			await engine.crash();
+			return;
+		}
+
+		case 'start': {
+			await engine.start();
+		}
+	}
+}
+
+const watchEveryMilliseconds = 20;
+
+function watchTimers(): {stop(): number} {
+	let worst = 0;
+	let last = performance.now();
+	const timer = setInterval(() => {
+		const now = performance.now();
+		worst = Math.max(worst, now - last - watchEveryMilliseconds);
+		last = now;
+	}, watchEveryMilliseconds);
+	return {
+		stop() {
+			clearInterval(timer);
+			return worst;
+		},
+	};
+}
+
+async function delay(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, Math.max(0, milliseconds));
+	});
+}
+
+function sum(values: readonly number[]): number {
+	let total = 0;
+	for (const value of values) {
+		total += value;
+	}
+
+	return total;
+}
--- /dev/null
+++ b/bench/decisions/variants.ts
@@ -0,0 +1,27 @@
+import {
+	createSubsetPlacement, leastInFlight, type Placement, powerOfTwo, randomPlacement, roundRobin, subsetFigures, subsetPlacement,
+} from '../../src/policy/placement/index.js';
+import {
+	firstCome, type Scheduler, type SchedulerSettings, tiered,
+} from '../../src/policy/scheduler/index.js';
+import {fullBatch} from './plan.js';
+
+/** A choice of policies to measure. */
+export type Variant = {
+	readonly name: string;
+	readonly scheduler: (settings: Partial<SchedulerSettings>) => Scheduler<any>;
+	readonly placement: Placement<any>;
+};
+
+/** A fixed number of slots that keeps the tightest target: the best that a fixed number can do here. */
+const fixedSlots = (settings: Partial<SchedulerSettings>): Scheduler<any> => firstCome({...settings, initialSlots: fullBatch});
+
+/** What is measured side by side, the product first. */
+export const variants: readonly Variant[] = [
+	{name: 'present', scheduler: tiered, placement: subsetPlacement},
+	{name: 'early-binding', scheduler: tiered, placement: createSubsetPlacement({...subsetFigures, reservations: 1})},
+	{name: 'random', scheduler: fixedSlots, placement: randomPlacement},
+	{name: 'round-robin', scheduler: fixedSlots, placement: roundRobin},
+	{name: 'least-in-flight', scheduler: fixedSlots, placement: leastInFlight},
+	{name: 'power-of-two', scheduler: fixedSlots, placement: powerOfTwo},
+];
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,13 @@
+/** `npm run bench -- NAME`: each bench is a command in a folder of its own. */
+import process from 'node:process';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {decisionsCommand} from './decisions/index.js';
+
+await yargs(hideBin(process.argv))
+	.scriptName('bench')
+	.command(decisionsCommand)
+	.demandCommand(1)
+	.strict()
+	.help()
+	.parseAsync();
--- a/src/policy/scheduler/settings.ts
+++ b/src/policy/scheduler/settings.ts
@@ -22,6 +22,8 @@
 	readonly slotWindowMilliseconds: number;
 	/** Slots are added below this part of the target, so that growth stops before the target is missed. */
 	readonly growBelow: number;
+	/** Part of the slots that must show tokens before more are added. */
+	readonly feltShare: number;
 	/** What remains of the slots after the target was missed. */
 	readonly shrinkFactor: number;
 	/** Memory above which no slot is added, and above which slots are taken. */
@@ -56,7 +58,8 @@
 	holdMilliseconds: 250,
 	betweenTokensMilliseconds: 50,
 	slotWindowMilliseconds: 100,
-	growBelow: 0.85,
+	growBelow: 0.95,
+	feltShare: 0.8,
 	shrinkFactor: 0.85,
 	memoryHigh: 0.9,
 	memoryCritical: 0.97,
--- a/src/policy/scheduler/slots.ts
+++ b/src/policy/scheduler/slots.ts
@@ -52,11 +52,14 @@
 
 const learningRate = 0.02;
 
+/** How many requests hold slots, how many of them show tokens, and how many should and don't. */
+export type Held = {readonly occupied: number; readonly producing: number; readonly stalled: number};
+
 /**
  * Closes the window if it is over, and changes the slots by what it showed. `stalled` of the requests
  * that hold slots have been given to the endpoint and show no token, long after others went on.
  */
-export function adapt(slots: Slots, held: {readonly occupied: number; readonly stalled: number}, {now, settings}: Context): Slots {
+export function adapt(slots: Slots, held: Held, {now, settings}: Context): Slots {
 	const filled = slots.filled || held.occupied >= slotCount(slots);
 	if (now - slots.windowStart < settings.slotWindowMilliseconds) {
 		return filled === slots.filled ? slots : {...slots, filled};
@@ -72,7 +75,7 @@
 /** How many steps a request that was given to the endpoint may show nothing before it counts as stalled. */
 export const stalledAfterSteps = 30;
 
-function nextLimit({limit, ratioSum, tokens, memoryUsed, filled}: Slots, {occupied, stalled}: {occupied: number; stalled: number}, settings: SchedulerSettings): number {
+function nextLimit({limit, ratioSum, tokens, memoryUsed, filled}: Slots, {occupied, producing, stalled}: Held, settings: SchedulerSettings): number {
 	// Shrinks from what is in use, since unused slots did not cause the delay.
 	const used = Math.min(limit, Math.max(occupied, 1));
 	if (memoryUsed >= settings.memoryCritical) {
@@ -93,7 +96,9 @@
 		return used * settings.shrinkFactor;
 	}
 
-	return filled && memoryUsed < settings.memoryHigh ? limit + growth(limit, ratio, settings) : limit;
+	// The endpoint has not felt the slots added last while their requests show no token yet.
+	const isFelt = producing >= settings.feltShare * limit;
+	return filled && isFelt && memoryUsed < settings.memoryHigh ? limit + growth(limit, ratio, settings) : limit;
 }
 
 /** One slot near the target; far below it more, so that a burst does not wait out dozens of windows. */
--- a/src/policy/scheduler/tiered-decisions.ts
+++ b/src/policy/scheduler/tiered-decisions.ts
@@ -36,8 +36,12 @@
 /** Offers free slots one by one, each to the request whose turn it is then. */
 export function offerSlots(state: TieredState, context: Context): Step {
 	const {settings} = context;
+	if (freeSlots(state) <= 0 || !isOpen(state)) {
+		return quiet(state);
+	}
+
 	const highest = highestWaiting(state.ledger.waiting.values());
-	if (highest === undefined || !isOpen(state) || freeSlots(state) <= 0) {
+	if (highest === undefined) {
 		return quiet(state);
 	}
 
@@ -88,7 +92,7 @@
 
 /** Frees slots of lower tiers for requests that would else be late. */
 export function preempt(state: TieredState, {now, settings}: Context): Step {
-	if (!isOpen(state) || freeSlots(state) > 0) {
+	if (!isOpen(state) || freeSlots(state) > 0 || !mayFindVictim(state, settings)) {
 		return quiet(state);
 	}
 
@@ -96,7 +100,7 @@
 	const withoutVictim = new Set<string>();
 	let step = quiet(state);
 	// Slots that are being freed already will serve as many of the first in line.
-	let covered = stopping(state.ledger) + state.reserved;
+	let covered = stopping(state.ledger);
 	for (const [index, waiting] of inTurn(state).entries()) {
 		const startsAt = now + marginMilliseconds + (Math.max(0, index + 1 - covered) / rate);
 		const rivals = `${waiting.summary.tier} ${waiting.summary.workspace}`;
@@ -116,6 +120,29 @@
 	return step;
 }
 
+/** A quick look that spares the long one: whether anything that runs could give way to anything that waits. */
+function mayFindVictim({ledger}: TieredState, settings: SchedulerSettings): boolean {
+	const highest = highestWaiting(ledger.waiting.values());
+	if (highest === undefined) {
+		return false;
+	}
+
+	const workspaces = new Set<string>();
+	for (const {summary} of ledger.waiting.values()) {
+		workspaces.add(`${summary.tier} ${summary.workspace}`);
+	}
+
+	for (const {summary, phase, floor} of ledger.occupied.values()) {
+		const isPreemptible = phase === 'running' && !floor && summary.idempotent && (summary.preemptions ?? 0) < settings.maximumPreemptions;
+		const hasRival = settings.preemptsForShare && workspaces.size > (workspaces.has(`${summary.tier} ${summary.workspace}`) ? 1 : 0);
+		if (isPreemptible && (summary.tier > highest || hasRival)) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 /** What a preemption itself takes: the engine stops within a step, and the offer travels there and back. */
 const marginMilliseconds = 50;
 /** Taken for the time that a request holds its slot while none like it has ended. */
--- a/src/policy/scheduler/tiered-state.ts
+++ b/src/policy/scheduler/tiered-state.ts
@@ -19,10 +19,11 @@
 	readonly firstTokenMilliseconds: number;
 	/** The longest that a request has held a slot. */
 	readonly longestMilliseconds: number;
-	/** Slots that preemptions have freed and that belong to a higher tier than the one that lost them. */
+	/** Slots that preemptions have freed in this step, and that no floor turn may take. */
 	readonly reserved: number;
 	/** By tier: when it last got an offer, or began to wait for one. */
 	readonly turnAt: ReadonlyArray<number | undefined>;
+	readonly passedAt: number;
 	readonly leaving: boolean;
 	readonly up: boolean;
 };
@@ -40,6 +41,7 @@
 		longestMilliseconds: 0,
 		reserved: 0,
 		turnAt: [undefined, undefined, undefined],
+		passedAt: Number.NEGATIVE_INFINITY,
 		leaving: false,
 		up: true,
 	};
@@ -70,6 +72,11 @@
 	return {...state, turnAt: state.turnAt.with(tier, at)};
 }
 
+/** Running requests that have shown a token. */
+export function countProducing({ledger}: TieredState): number {
+	return [...ledger.occupied.values()].filter(({tokens}) => tokens > 0).length;
+}
+
 /** Running requests that should have shown a token long ago, going by how fast the others go on. */
 export function countStalled({ledger, slots, firstTokenMilliseconds}: TieredState, now: number): number {
 	const patience = Math.max(stalledAfterSteps * slots.tokenMilliseconds, 2 * firstTokenMilliseconds);
--- a/src/policy/scheduler/tiered.ts
+++ b/src/policy/scheduler/tiered.ts
@@ -6,7 +6,7 @@
 import {adapt, slotCount} from './slots.js';
 import {apply} from './tiered-events.js';
 import {expire, offerSlots, preempt} from './tiered-decisions.js';
-import {countStalled, createState, type TieredState} from './tiered-state.js';
+import {countProducing, countStalled, createState, type TieredState} from './tiered-state.js';
 import {type Scheduler, type SchedulerEvent, type SchedulerStep} from './types.js';
 
 /**
@@ -35,21 +35,50 @@
 
 function step(state: TieredState, event: SchedulerEvent, context: Context): SchedulerStep<TieredState> {
 	const applied = apply(passTime(state, context), event, context);
-	if (event.type === 'progressed' && slotCount(applied.state.slots) <= slotCount(state.slots)) {
-		// Tokens come by the thousand and free no slot; the next tick does what else is due.
-		return applied;
+	switch (event.type) {
+		case 'progressed':
+		case 'reported':
+		case 'started': {
+			// These free no slot, and tokens come by the thousand; the next tick does what else is due.
+			return applied;
+		}
+
+		case 'withdrawn':
+		case 'finished': {
+			return offerAll(applied, context);
+		}
+
+		case 'arrived':
+		case 'endpoint':
+		case 'leaving': {
+			return andThen(offerAll(applied, context), next => preempt(next, context));
+		}
+
+		case 'tick': {
+			const expired = andThen(applied, next => expire(next, context));
+			return andThen(offerAll(expired, context), next => preempt(next, context));
+		}
 	}
+}
 
-	const expired = andThen(applied, next => expire(next, context));
-	const offered = andThen(expired, next => offerSlots(next, context));
-	return andThen(offered, next => preempt(next, context));
+function offerAll(step: SchedulerStep<TieredState>, context: Context): SchedulerStep<TieredState> {
+	const {state, actions} = andThen(step, next => offerSlots(next, context));
+	return {state: state.reserved === 0 ? state : {...state, reserved: 0}, actions};
 }
 
+/** How finely time is taken note of: finer brings nothing but work. */
+const grainMilliseconds = 2;
+
 function passTime(state: TieredState, context: Context): TieredState {
 	const {now} = context;
+	if (now < state.passedAt + grainMilliseconds) {
+		return state;
+	}
+
 	const {ledger} = state;
-	const slots = adapt(state.slots, {occupied: ledger.occupied.size, stalled: countStalled(state, now)}, context);
+	const held = {occupied: ledger.occupied.size, producing: countProducing(state), stalled: countStalled(state, now)};
+	const slots = adapt(state.slots, held, context);
 	return {
-		...state, slots, floor: accrue(state.floor, ledger, slotCount(slots), context), drain: elapse(state.drain, ledger, now),
+		...state, slots, passedAt: now, floor: accrue(state.floor, ledger, slotCount(slots), context), drain: elapse(state.drain, ledger, now),
 	};
 }
