Add the operator's command: publish, audit, status, explain, quarantine

Cause: operators need to change the catalogue, see it in force and learn why a request was refused. Change: cassiaflow with its commands, tables or JSON, documented exit codes and shell completion; files in YAML or JSON whose faults are told by file, line and field. A publication is appended once and found again by its id. A platform call over a kept connection left a listener on the socket each time, which grew without bound; it no longer does. Conclusion: a change can be published and followed by command line alone.

--- /dev/null
+++ b/src/operator/catalogue-file.ts
@@ -0,0 +1,100 @@
+import {
+	isCollection, isMap, isNode, isPair, isScalar, LineCounter, parseDocument, type Document,
+} from 'yaml';
+import {type z} from 'zod';
+import {catalogueFileSchema, entryKey, type CatalogueFile} from '../catalogue/index.js';
+
+/** Something wrong in a file, and where. Lines count from 1. */
+export type FileProblem = {readonly file: string; readonly line: number; readonly field: string; readonly message: string};
+
+export type ParsedFile
+	= | {readonly type: 'parsed'; readonly content: CatalogueFile; readonly locate: (path: FieldPath) => number}
+		| {readonly type: 'wrong'; readonly problems: readonly FileProblem[]};
+
+type FieldPath = ReadonlyArray<string | number>;
+
+/** Reads a catalogue file in YAML, of which JSON is a part, and names file, line and field of what is wrong. */
+export function parseCatalogueFile(file: string, text: string): ParsedFile {
+	const lines = new LineCounter();
+	const document = parseDocument(text, {lineCounter: lines, prettyErrors: false});
+	if (document.errors.length > 0) {
+		const problems = document.errors.map(error => ({file, line: lines.linePos(error.pos[0]).line, field: '', message: error.message}));
+		return {type: 'wrong', problems};
+	}
+
+	const locate = (path: FieldPath): number => lines.linePos(offsetOf(document, path)).line;
+	const parsed = catalogueFileSchema.safeParse(document.toJS());
+	if (!parsed.success) {
+		return {type: 'wrong', problems: parsed.error.issues.flatMap(issue => problemsOf(issue).map(({path, message}) => problemAt(file, locate, path, message)))};
+	}
+
+	const problems = duplicates(parsed.data).map(({path, message}) => problemAt(file, locate, path, message));
+	return problems.length > 0 ? {type: 'wrong', problems} : {type: 'parsed', content: parsed.data, locate};
+}
+
+/** The place of an entry in a file, and of a field in it. */
+export function pathOfEntry(content: CatalogueFile, key: string, field: string): FieldPath | undefined {
+	const index = content.entries.findIndex(entry => entryKey(entry) === key);
+	if (index !== -1) {
+		return ['entries', index, ...field.split('.').map(part => /^\d+$/v.test(part) ? Number(part) : part)];
+	}
+
+	const removed = content.remove.findIndex(entry => entryKey(entry) === key);
+	return removed === -1 ? undefined : ['remove', removed];
+}
+
+export function problemAt(file: string, locate: (path: FieldPath) => number, path: FieldPath, message: string): FileProblem {
+	return {file, line: locate(path), field: path.join('.'), message};
+}
+
+/** One problem a line, as compilers write them. */
+export function describeProblem(problem: FileProblem): string {
+	return `${problem.file}:${problem.line}: ${problem.field === '' ? '' : `${problem.field}: `}${problem.message}`;
+}
+
+type Finding = {readonly path: FieldPath; readonly message: string};
+
+function problemsOf(issue: z.core.$ZodIssue): readonly Finding[] {
+	const path = issue.path as Array<string | number>;
+	if (issue.code === 'unrecognized_keys') {
+		return issue.keys.map(key => ({path: [...path, key], message: 'there is no such field'}));
+	}
+
+	return [{path, message: issue.message}];
+}
+
+function duplicates(content: CatalogueFile): readonly Finding[] {
+	const seen = new Set<string>();
+	const places = [
+		...content.entries.map((entry, index) => ({key: entryKey(entry), path: ['entries', index, 'name']})),
+		...content.remove.map((entry, index) => ({key: entryKey(entry), path: ['remove', index, 'name']})),
+	];
+	return places.flatMap(({key, path}) => {
+		const isRepeated = seen.has(key);
+		seen.add(key);
+		return isRepeated ? [{path, message: `${key} stands twice in this file`}] : [];
+	});
+}
+
+/** Where a field starts in the text; for one that is missing, where the thing that lacks it starts. */
+function offsetOf(document: Document.Parsed, path: FieldPath): number {
+	let offset = 0;
+	let node: unknown = document.contents;
+	for (const part of path) {
+		if (!isCollection(node)) {
+			return offset;
+		}
+
+		const pair = isMap(node) ? node.items.find(item => isPair(item) && isScalar(item.key) && item.key.value === part) : undefined;
+		const key: unknown = pair?.key;
+		node = node.get(part, true);
+		const place = isNode(key) ? key : node;
+		if (!isNode(place)) {
+			return offset;
+		}
+
+		offset = place.range?.[0] ?? offset;
+	}
+
+	return offset;
+}
--- /dev/null
+++ b/src/operator/index.ts
@@ -0,0 +1,7 @@
+/** The operator's commands; each takes a context and returns what to print and how to exit. */
+export {MissingSettingError, type OperatorContext} from './context.js';
+export {
+	checkFile, publishFile, showAudit, showCatalogue, showHistory, type PublishOptions,
+} from './catalogue-commands.js';
+export {explainRequest, listQuarantine, releaseQuarantine, showStatus} from './fleet-commands.js';
+export {OperatorExit, type CommandResult} from './result.js';
--- a/src/platform/catalogue-follower.ts
+++ b/src/platform/catalogue-follower.ts
@@ -1,10 +1,11 @@
 import {
-	applyRecord, Catalogue, catalogueStream, defaultSnapshotSettings, describeRejection, isSnapshotDue, restoreFrom, snapshotSchema,
+	applyRecord, Catalogue, catalogueStream, defaultSnapshotSettings, describeRejection, isSnapshotDue, snapshotSchema,
 	type RecordVerdict, type SnapshotSettings, type SnapshotState, type StreamRecord,
 } from '../catalogue/index.js';
 import {
 	channel, receiveWithin, spawn, wait, type Body, type Channel,
 } from '../concurrency/index.js';
+import {locateSnapshot} from './catalogue-stream.js';
 import {RecordHistory, type TextRecord} from './record-history.js';
 import {type LogClient, type ReadResult} from './types.js';
 
@@ -200,36 +201,14 @@
 		return this.#catalogue.offset > before;
 	}
 
-	/**
-	 * Failure: retention dropped records that this reader has not seen. Symptom: it could never move
-	 * on. It looks for a snapshot whose following records are all there, and goes on after it.
-	 */
 	* #restart(first: number): Body<boolean> {
-		let from = first;
-		while (!this.#abort.signal.aborted) {
-			const result = yield * this.#read(from);
-			if (result?.type !== 'records') {
-				return false;
-			}
-
-			this.#snapshots = {...this.#snapshots, first: result.first};
-			for (const record of result.records) {
-				const restored = restoreFrom(record, result.first);
-				if (restored && restored.offset > this.#catalogue.offset) {
-					this.#restore(restored, record);
-					return true;
-				}
-			}
-
-			const last = result.records.at(-1);
-			if (!last || last.offset + 1 >= result.next) {
-				return false;
-			}
-
-			from = last.offset + 1;
+		const located = yield * locateSnapshot(from => this.#read(from), first);
+		if (!located || located.catalogue.offset <= this.#catalogue.offset) {
+			return false;
 		}
 
-		return false;
+		this.#restore(located.catalogue, located.record);
+		return true;
 	}
 
 	#restore(catalogue: Catalogue, record: StreamRecord): void {
--- a/src/platform/http-caller.ts
+++ b/src/platform/http-caller.ts
@@ -84,6 +84,10 @@
 		let connected = false;
 		sent.once('socket', socket => {
 			connected = !socket.connecting;
+			if (connected) {
+				return;
+			}
+
 			socket.once('connect', () => {
 				connected = true;
 			});
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -9,3 +9,5 @@
 	CatalogueFollower, defaultFollowerTimes,
 	type AuditEntry, type FollowerOptions, type FollowerTimes, type RecordsAnswer,
 } from './catalogue-follower.js';
+export {readCatalogue, type FoldedStream, type JudgedRecord} from './catalogue-stream.js';
+export {HttpCaller} from './http-caller.js';
--- a/test/catalogue/sample.ts
+++ b/test/catalogue/sample.ts
@@ -1,5 +1,5 @@
 import {
-	applyRecord, Catalogue, type Change, type Entry, type Operation, type StreamRecord,
+	applyRecord, Catalogue, type Change, type Entry, type ModelEntry, type Operation, type StreamRecord,
 } from '../../src/catalogue/index.js';
 
 /** A workspace with one class, which together are valid. */
@@ -17,7 +17,7 @@
 	};
 }
 
-export function sampleModel(name: string): Entry {
+export function sampleModel(name: string): ModelEntry {
 	return {kind: 'model', name, owner: 'operations', version: '1', replicas: 0, adapters: []};
 }
 
