Fence engine orders by log offset, and spread quarantine records by frame and log

Cause: a paused side wakes after its replacement took over; a poison request is sent again through entries that have not seen its first crash. Change: ownership fold and order desk (re-reads before each order, waits out the lease and checks state where an endpoint ignores fences); quarantine ledger; releases name the crashes they cover, so clocks do not matter; placement fades reports of sides that report to others only.

--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -9,3 +9,4 @@
 	CatalogueFollower, defaultFollowerTimes,
 	type AuditEntry, type FollowerOptions, type FollowerTimes, type RecordsAnswer,
 } from './catalogue-follower.js';
+export {QuarantineLedger, quarantineStream, type QuarantineLedgerSettings} from './quarantine-ledger.js';
--- a/src/policy/placement/subset.ts
+++ b/src/policy/placement/subset.ts
@@ -203,7 +203,7 @@
 	const {summary, now} = question;
 	const {endpoint, zone} = side.view;
 	const tokenMilliseconds = measuredTokenMilliseconds(state.stragglers, endpoint, now) ?? (side.view.tokenMilliseconds || defaultTokenMilliseconds);
-	const wait = estimateWait(side, summary, state.answerTokens, tokenMilliseconds);
+	const wait = estimateWait(side, summary, {answerTokens: state.answerTokens, tokenMilliseconds}, now);
 	const distance = zone === state.fleet.zone ? 0 : figures.zoneMilliseconds;
 	const cached = holdsPrefix(state.prefixes, endpoint, summary.prefix, now);
 	const share = cached ? 1 : (endpoint === question.home ? figures.prefixHomeShare : 0);
--- a/src/policy/quarantine/index.ts
+++ b/src/policy/quarantine/index.ts
@@ -11,50 +11,34 @@
  * by frame and by log, late, repeated and in any order, and all readers of the same records agree.
  */
 import {type EndpointId, type InstanceId} from '../../model/index.js';
+import {type ClearedRecord, type CrashRecord, type QuarantineRecord, type ReleasedRecord} from './records.js';
 
 export {fingerprintOf} from './fingerprint.js';
+export {quarantineRecordSchema, type ClearedRecord, type CrashRecord, type QuarantineRecord, type ReleasedRecord} from './records.js';
 
 /** How long crashes count. A caller that sends the request again does so within minutes. */
 export const quarantineMilliseconds = 10 * 60_000;
 /** Crashes within the period that quarantine: the first may have been another's fault, or hardware's. */
 export const quarantiningCrashes = 2;
-/** Records kept. A crash names at most a few hundred running requests; days with dozens of crashes fit. */
-export const largestRecords = 4096;
-
-/** An endpoint died while these ran. `crash` is unique, so that repeats fold into one. Times are the writer's, in milliseconds since 1970. */
-export type CrashRecord = {
-	readonly type: 'crashed';
-	readonly crash: string;
-	readonly endpoint: EndpointId;
-	readonly fingerprints: readonly string[];
-	readonly time: number;
-};
-
-/** A suspect ran to its end after the crashes it was suspected of. */
-export type ClearedRecord = {readonly type: 'cleared'; readonly fingerprint: string; readonly crashes: readonly string[]; readonly time: number};
-
-/** An operator lets a fingerprint go; crashes known to the operator no longer count. */
-export type ReleasedRecord = {readonly type: 'released'; readonly fingerprint: string; readonly operator: string; readonly time: number};
-
-export type QuarantineRecord = CrashRecord | ClearedRecord | ReleasedRecord;
+/** Crashes kept: a hundred a minute for the whole period, far beyond the 18 instances that fail on an ordinary day at size. */
+export const largestCrashes = 1000;
 
 export type Quarantine = {
 	readonly crashes: ReadonlyMap<string, CrashRecord>;
-	/** Crash ids that a fingerprint was cleared of. */
+	/** Crash ids that a fingerprint was cleared of, by a whole run or by an operator. */
 	readonly cleared: ReadonlyMap<string, ReadonlySet<string>>;
-	readonly released: ReadonlyMap<string, ReleasedRecord>;
 };
 
 export const Suspicion = {none: 'none', suspect: 'suspect', quarantined: 'quarantined'} as const;
 export type Suspicion = (typeof Suspicion)[keyof typeof Suspicion];
 
 export function createQuarantine(): Quarantine {
-	return {crashes: new Map(), cleared: new Map(), released: new Map()};
+	return {crashes: new Map(), cleared: new Map()};
 }
 
 /** Makes the record that a side writes when its endpoint dies. */
 export function createCrash(side: InstanceId, endpoint: EndpointId, fingerprints: Iterable<string>, now: number): CrashRecord {
-	return {type: 'crashed', crash: `${side}@${now}`, endpoint, fingerprints: [...new Set(fingerprints)].toSorted(), time: now};
+	return {type: 'crashed', crash: `${side}@${Math.floor(now)}`, endpoint, fingerprints: [...new Set(fingerprints)].toSorted(), time: now};
 }
 
 /** Adds a record. Adding it again changes nothing, and the order of two records doesn't matter. */
@@ -64,15 +48,11 @@
 			return state.crashes.has(record.crash) ? state : {...state, crashes: new Map(state.crashes).set(record.crash, record)};
 		}
 
-		case 'cleared': {
+		case 'cleared':
+		case 'released': {
 			const crashes = new Set([...state.cleared.get(record.fingerprint) ?? [], ...record.crashes]);
 			return {...state, cleared: new Map(state.cleared).set(record.fingerprint, crashes)};
 		}
-
-		case 'released': {
-			const before = state.released.get(record.fingerprint);
-			return before && before.time >= record.time ? state : {...state, released: new Map(state.released).set(record.fingerprint, record)};
-		}
 	}
 }
 
@@ -81,15 +61,14 @@
 	const recent = [...state.crashes.values()]
 		.filter(crash => now - crash.time < quarantineMilliseconds)
 		.toSorted((left, right) => right.time - left.time || (left.crash < right.crash ? -1 : 1))
-		.slice(0, largestRecords);
+		.slice(0, largestCrashes);
 	if (recent.length === state.crashes.size) {
 		return state;
 	}
 
 	const crashes = new Map(recent.map(crash => [crash.crash, crash]));
 	const cleared = new Map([...state.cleared].filter(([, ids]) => [...ids].some(id => crashes.has(id))));
-	const released = new Map([...state.released].filter(([, record]) => now - record.time < quarantineMilliseconds));
-	return {crashes, cleared, released};
+	return {crashes, cleared};
 }
 
 /** What is held against a fingerprint, and the crashes that hold it. */
@@ -107,10 +86,8 @@
 
 function heldCrashes(state: Quarantine, fingerprint: string, now: number): CrashRecord[] {
 	const cleared = state.cleared.get(fingerprint);
-	const releasedAt = state.released.get(fingerprint)?.time ?? -Infinity;
 	return [...state.crashes.values()].filter(crash => crash.fingerprints.includes(fingerprint)
 		&& now - crash.time < quarantineMilliseconds
-		&& crash.time > releasedAt
 		&& !cleared?.has(crash.crash));
 }
 
@@ -136,3 +113,9 @@
 export function createClearing(fingerprint: string, judgedAtStart: Judgement, now: number): ClearedRecord {
 	return {type: 'cleared', fingerprint, crashes: judgedAtStart.crashes.map(({crash}) => crash), time: now};
 }
+
+/** The record by which an operator lets a fingerprint go: of the crashes known now, so that a later one counts again. */
+export function createRelease(state: Quarantine, fingerprint: string, operator: string, now: number): ReleasedRecord {
+	const crashes = [...state.crashes.values()].filter(crash => crash.fingerprints.includes(fingerprint)).map(({crash}) => crash);
+	return {type: 'released', fingerprint, crashes, operator, time: now};
+}
--- /dev/null
+++ b/src/side/orders/index.ts
@@ -0,0 +1,2 @@
+/** Orders to the endpoint's engine, from its owner only. */
+export {OrderDesk, orderStream, takeoverMilliseconds, type OrderContent, type OrderDeskSettings, type OrderOutcome} from './order-desk.js';
--- a/test/policy/folds.test.ts
+++ b/test/policy/folds.test.ts
@@ -3,7 +3,7 @@
 import {createFailure, type EndpointId, FailureKind, type InstanceId, Verdict} from '../../src/model/index.js';
 import {createMembership, standingOf, stepMembership, type Evidence} from '../../src/policy/membership/index.js';
 import {
-	createClearing, createCrash, createQuarantine, fingerprintOf, foldQuarantine, judgeFingerprint, listQuarantined, pruneQuarantine,
+	createClearing, createCrash, createQuarantine, createRelease, fingerprintOf, foldQuarantine, judgeFingerprint, listQuarantined, pruneQuarantine,
 	quarantineMilliseconds, Suspicion, type QuarantineRecord,
 } from '../../src/policy/quarantine/index.js';
 import {budgetAllows, createRetryBudget, decideRetry, floorPerSecond, largestBudget, stepRetryBudget} from '../../src/policy/retries/index.js';
@@ -105,7 +105,7 @@
 		fingerprints: fc.subarray(['f1', 'f2', 'f3']), time: fc.nat(1000),
 	}).map(crash => ({...crash, time: Number(crash.crash[1]) * 100, fingerprints: crash.crash === 'c1' ? ['f1', 'f2'] : ['f2', 'f3']})),
 	fc.record({type: fc.constant('cleared' as const), fingerprint: fc.constantFrom('f1', 'f2'), crashes: fc.subarray(['c1', 'c2', 'c3']), time: fc.nat(1000)}),
-	fc.record({type: fc.constant('released' as const), fingerprint: fc.constantFrom('f1', 'f2'), operator: fc.constant('op'), time: fc.nat(1000)}),
+	fc.record({type: fc.constant('released' as const), fingerprint: fc.constantFrom('f1', 'f2'), operator: fc.constant('op'), crashes: fc.subarray(['c1', 'c2', 'c3']), time: fc.nat(1000)}),
 );
 
 tap.test('quarantine is the same whatever the order of the records and however often they come', async () => {
@@ -139,7 +139,7 @@
 	t.same(listQuarantined(state, 2001).map(({fingerprint}) => fingerprint), ['poison']);
 	t.equal(judgeFingerprint(state, 'poison', 2000 + quarantineMilliseconds).suspicion, Suspicion.none);
 	t.equal(pruneQuarantine(state, 2000 + quarantineMilliseconds).crashes.size, 0);
-	const released = foldQuarantine(state, {type: 'released', fingerprint: 'poison', operator: 'op', time: 2500});
+	const released = foldQuarantine(state, createRelease(state, 'poison', 'op', 2500));
 	t.equal(judgeFingerprint(released, 'poison', 2600).suspicion, Suspicion.none);
 });
 
