--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -10,3 +10,4 @@
 	type AuditEntry, type FollowerOptions, type FollowerTimes, type RecordsAnswer,
 } from './catalogue-follower.js';
 export {QuarantineLedger, quarantineStream, type QuarantineLedgerSettings} from './quarantine-ledger.js';
+export {exchangeCatalogue, type CatalogueMessage} from './catalogue-peer.js';
