--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -11,3 +11,5 @@
 } from './catalogue-follower.js';
 export {readCatalogue, type FoldedStream, type JudgedRecord} from './catalogue-stream.js';
 export {HttpCaller} from './http-caller.js';
+export {QuarantineLedger, quarantineStream, type QuarantineLedgerSettings} from './quarantine-ledger.js';
+export {exchangeCatalogue, type CatalogueMessage} from './catalogue-peer.js';
