Split the side into its connections and its work

Change: Work holds queue, slots and runs; Side holds connections and timers. Conclusion: each file says one thing.

--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -1,23 +1,16 @@
-import {type CatalogueMessage} from '../platform/index.js';
-import {channel, spawn, tryDeliver} from '../concurrency/index.js';
+import {spawn} from '../concurrency/index.js';
 import {type EngineClient, type EngineLoad} from '../endpoint/index.js';
-import {
-	createFailure, type EndpointId, FailureKind, type InstanceId, type RequestSummary, type TargetName, Verdict, type ZoneName,
-} from '../model/index.js';
-import {type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent} from '../policy/scheduler/index.js';
+import {type EndpointId, type InstanceId, type TargetName, type ZoneName} from '../model/index.js';
+import {type CatalogueMessage} from '../platform/index.js';
+import {type Scheduler} from '../policy/scheduler/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {
-	type Connection, Listener, type Message, type MessageOf, protocolVersion, type Security,
+	type Connection, Listener, type Message, protocolVersion, type Security,
 } from '../wire/index.js';
 import {type EndpointObserver} from './endpoint-watch.js';
 import {EntryLink, type EntryLinkOwner} from './entry-link.js';
-import {type RunEnd, runModel} from './model-run.js';
-import {type Reservation, type RunInput, toEntry} from './reservation.js';
+import {Work, type WorkCounts} from './work.js';
 
-/** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
-const runInputCapacity = 1000;
-/** How long an offered slot is kept for an entry that does not answer. */
-export const offerHoldMilliseconds = 1000;
 const tickMilliseconds = 50;
 const heartbeatMilliseconds = 2000;
 /**
@@ -42,11 +35,7 @@
 	readonly onPeerMessage?: (message: CatalogueMessage, reply: (message: Message) => void) => void;
 };
 
-/**
- * The process beside one endpoint and its only sender. It holds the scheduler's state, applies
- * every event to it in the order of arrival, and carries out the actions at once; so the queue,
- * the slots and what the engine runs never disagree.
- */
+/** The process beside one endpoint: takes entries' connections and tells them how the endpoint stands. */
 export class Side<State = unknown> implements AsyncDisposable, EntryLinkOwner, EndpointObserver {
 	static async create<State>(options: SideOptions<State>): Promise<Side<State>> {
 		const side = new Side(options);
@@ -65,29 +54,30 @@
 		return side;
 	}
 
-	/** What ran here and what became of it, for metrics and for tests. */
-	readonly counts = {whole: 0, cancelled: 0, failed: 0, preempted: 0, refused: 0, tokens: 0};
 	readonly #options: SideOptions<State>;
-	#state: State;
-	#listener!: Listener;
+	readonly #work: Work<State>;
 	readonly #links = new Set<EntryLink>();
-	readonly #reservations = new Map<string, Reservation>();
 	readonly #timers: NodeJS.Timeout[] = [];
+	#listener!: Listener;
 	#nextLink = 0;
 	#leaving = false;
 	#endpointUp = true;
 	#lastState = '';
-	#onIdle: (() => void) | undefined;
 
 	private constructor(options: SideOptions<State>) {
 		this.#options = options;
-		this.#state = options.scheduler.create();
+		this.#work = Work.create(options);
 	}
 
 	get address(): string {
 		return this.#listener.address;
 	}
 
+	/** What ran here and what became of it, for metrics and for tests. */
+	get counts(): Readonly<WorkCounts> {
+		return this.#work.counts;
+	}
+
 	get phase(): 'serving' | 'leaving' | 'down' {
 		if (this.#leaving) {
 			return 'leaving';
@@ -98,33 +88,26 @@
 
 	/** Figures for `status`. */
 	describe(): Record<string, unknown> {
+		const {instance, endpoint, zone, catalogueOffset} = this.#options;
 		return {
-			instance: this.#options.instance,
-			endpoint: this.#options.endpoint,
-			zone: this.#options.zone,
-			phase: this.phase,
-			entries: this.#links.size,
-			...this.#options.scheduler.view(this.#state),
-			counts: this.counts,
-			catalogueOffset: this.#options.catalogueOffset(),
+			instance, endpoint, zone, phase: this.phase, entries: this.#links.size, ...this.#work.view, counts: this.counts, catalogueOffset: catalogueOffset(),
 		};
 	}
 
 	/** Takes no new work from now on, and resolves once what runs has ended. */
 	async drain(): Promise<void> {
 		this.#leaving = true;
-		this.#apply({type: 'leaving'});
+		this.#work.apply({type: 'leaving'});
 		this.#publishState();
-		if (this.#countRunning() > 0) {
-			await new Promise<void>(resolve => {
-				this.#onIdle = resolve;
-			});
-		}
+		await this.#work.idle();
 	}
 
 	/** Closes at once; `drain` first for a stop that cuts nothing. */
 	async [Symbol.asyncDispose](): Promise<void> {
-		this.#stopTimers();
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
 		await this.#listener[Symbol.asyncDispose]();
 		await Promise.all([...this.#links].map(async link => link.connection[Symbol.asyncDispose]()));
 	}
@@ -132,24 +115,24 @@
 	handle(link: EntryLink, message: Message): void {
 		switch (message.type) {
 			case 'reserve': {
-				this.#reserve(link, message);
+				this.#work.reserve(link, message);
 				break;
 			}
 
 			case 'withdraw': {
-				this.#withdraw(link, message.stream);
+				this.#work.withdraw(link, message.stream);
 				break;
 			}
 
 			case 'start': {
-				this.#start(link, message);
+				this.#work.start(link, message);
 				break;
 			}
 
 			case 'cancel':
 			case 'credit':
 			case 'body': {
-				this.#passToRun(link, message);
+				this.#work.input(link, message);
 				break;
 			}
 
@@ -181,7 +164,7 @@
 	linkClosed(link: EntryLink): void {
 		this.#links.delete(link);
 		for (const stream of link.reservations.keys()) {
-			this.#withdraw(link, stream);
+			this.#work.withdraw(link, stream);
 		}
 	}
 
@@ -193,13 +176,13 @@
 
 		this.#endpointUp = up;
 		this.#options.logger.info(up ? 'The endpoint answers again.' : 'The endpoint does not answer.', {endpoint: this.#options.endpoint});
-		this.#apply({type: 'endpoint', up});
+		this.#work.apply({type: 'endpoint', up});
 		this.#publishState();
 	}
 
 	/** The engine's own, lagging report: the scheduler uses it for memory pressure alone. */
 	loadReported(load: EngineLoad): void {
-		this.#apply({type: 'reported', memoryUsed: load.memoryUsed, running: load.running});
+		this.#work.apply({type: 'reported', memoryUsed: load.memoryUsed, running: load.running});
 	}
 
 	#accept(connection: Connection): void {
@@ -218,178 +201,9 @@
 		};
 	}
 
-	#reserve(link: EntryLink, message: MessageOf<'reserve'>): void {
-		if (link.reservations.has(message.stream) || message.request !== message.summary.id) {
-			link.connection.close('a reservation that contradicts an earlier message');
-			return;
-		}
-
-		const reservation: Reservation = {
-			id: `${link.number}:${message.stream}`, link, stream: message.stream, summary: message.summary as RequestSummary, phase: {type: 'waiting'}, progressedAt: 0,
-		};
-		link.reservations.set(message.stream, reservation);
-		this.#reservations.set(reservation.id, reservation);
-		this.#apply({type: 'arrived', id: reservation.id, summary: reservation.summary});
-	}
-
-	#withdraw(link: EntryLink, stream: number): void {
-		const reservation = link.reservations.get(stream);
-		if (reservation === undefined) {
-			return;
-		}
-
-		if (reservation.phase.type === 'running') {
-			this.#stopRun(reservation, 'cancelled');
-			return;
-		}
-
-		this.#forget(reservation);
-		this.#apply({type: 'withdrawn', id: reservation.id});
-	}
-
-	/**
-	 * A body in answer to an offer. One that comes after the offer lapsed, or for a stream that is
-	 * not known here, is answered with `not-run`, which is certain: nothing is passed to the engine.
-	 */
-	#start(link: EntryLink, message: MessageOf<'start'>): void {
-		const reservation = link.reservations.get(message.stream);
-		if (reservation?.phase.type !== 'offered' || reservation.summary.id !== message.request) {
-			const {kind, verdict, message: text} = createFailure(FailureKind.queueTimeout, 'The offered slot has lapsed.');
-			link.send({type: 'fail', stream: message.stream, request: message.request, kind, verdict, message: text});
-			return;
-		}
-
-		const phase = {type: 'running' as const, input: channel<RunInput>(runInputCapacity), abort: new AbortController()};
-		reservation.phase = phase;
-		reservation.progressedAt = performance.now();
-		this.#apply({type: 'started', id: reservation.id});
-		void spawn('run', () => runModel({
-			engine: this.#options.engine,
-			reservation,
-			phase,
-			start: message,
-			onTokens: tokens => {
-				this.#progressed(reservation, tokens);
-			},
-		})).then(end => {
-			this.#finished(reservation, end);
-		});
-	}
-
-	#progressed(reservation: Reservation, tokens: number): void {
-		const now = performance.now();
-		this.counts.tokens += tokens;
-		this.#apply({type: 'progressed', id: reservation.id, tokens, milliseconds: now - reservation.progressedAt});
-		reservation.progressedAt = now;
-	}
-
-	#finished(reservation: Reservation, end: RunEnd): void {
-		const outcome = this.#outcomeOf(reservation, end);
-		this.counts[outcome] += 1;
-		this.#forget(reservation);
-		if (end.type === 'failed') {
-			toEntry(reservation, {type: 'fail', ...end.failure});
-		}
-
-		this.#apply({type: 'finished', id: reservation.id, outcome});
-		if (this.#leaving && this.#countRunning() === 0) {
-			this.#onIdle?.();
-		}
-	}
-
-	#outcomeOf(reservation: Reservation, end: RunEnd): Outcome {
-		switch (end.type) {
-			case 'whole': {
-				return 'whole';
-			}
-
-			case 'failed': {
-				return 'failed';
-			}
-
-			case 'stopped': {
-				return reservation.phase.type === 'running' && reservation.phase.stopped === 'preempted' ? 'preempted' : 'cancelled';
-			}
-		}
-	}
-
-	#passToRun(link: EntryLink, message: RunInput): void {
-		const reservation = link.reservations.get(message.stream);
-		if (reservation?.phase.type !== 'running' || reservation.summary.id !== message.request) {
-			return;
-		}
-
-		if (message.type === 'cancel') {
-			this.#stopRun(reservation, 'cancelled');
-			return;
-		}
-
-		if (!tryDeliver(reservation.phase.input, message)) {
-			link.connection.close('more input than its window allows');
-		}
-	}
-
-	/** Stops what the engine does for a request. A non-idempotent one is never stopped: it ends by itself. */
-	#stopRun(reservation: Reservation, why: 'cancelled' | 'preempted'): void {
-		if (reservation.phase.type !== 'running' || !reservation.summary.idempotent) {
-			return;
-		}
-
-		reservation.phase.stopped = why;
-		reservation.phase.abort.abort();
-		tryDeliver(reservation.phase.input, {type: 'cancel', stream: reservation.stream, request: reservation.summary.id});
-	}
-
-	#apply(event: SchedulerEvent): void {
-		const {state, actions} = this.#options.scheduler.step(this.#state, event, performance.now());
-		this.#state = state;
-		for (const action of actions) {
-			this.#perform(action);
-		}
-	}
-
-	#perform(action: SchedulerAction): void {
-		const reservation = this.#reservations.get(action.id);
-		if (reservation === undefined) {
-			return;
-		}
-
-		switch (action.type) {
-			case 'offer': {
-				reservation.phase = {type: 'offered'};
-				toEntry(reservation, {type: 'offer', holdMilliseconds: offerHoldMilliseconds});
-				break;
-			}
-
-			case 'refuse': {
-				this.counts.refused += 1;
-				this.#forget(reservation);
-				toEntry(reservation, {
-					type: 'refuse', kind: action.kind, message: action.message, retryAfterMilliseconds: action.retryAfterMilliseconds,
-				});
-				break;
-			}
-
-			case 'preempt': {
-				this.#stopRun(reservation, 'preempted');
-				toEntry(reservation, {type: 'fail', ...createFailure(FailureKind.preempted, 'A higher tier needed the slot.', {verdict: Verdict.mayHaveRun})});
-				break;
-			}
-		}
-	}
-
-	#forget(reservation: Reservation): void {
-		this.#reservations.delete(reservation.id);
-		reservation.link.reservations.delete(reservation.stream);
-	}
-
-	#countRunning(): number {
-		return [...this.#reservations.values()].filter(reservation => reservation.phase.type !== 'waiting').length;
-	}
-
 	#startTimers(): void {
 		const tick = setInterval(() => {
-			this.#apply({type: 'tick'});
+			this.#work.apply({type: 'tick'});
 		}, tickMilliseconds);
 		const state = setInterval(() => {
 			this.#publishLoad();
@@ -400,12 +214,6 @@
 		this.#timers.push(tick, state, heartbeat);
 	}
 
-	#stopTimers(): void {
-		for (const timer of this.#timers) {
-			clearInterval(timer);
-		}
-	}
-
 	#broadcast(message: Message): void {
 		for (const link of this.#links) {
 			link.send(message);
@@ -413,9 +221,9 @@
 	}
 
 	#stateMessage(): Message {
-		const view = this.#options.scheduler.view(this.#state);
+		const {slots, running, waiting, tokenMilliseconds} = this.#work.view;
 		return {
-			type: 'state', phase: this.phase, slots: view.slots, running: view.running, waiting: [...view.waiting], tokenMilliseconds: Math.round(view.tokenMilliseconds),
+			type: 'state', phase: this.phase, slots, running, waiting: [...waiting], tokenMilliseconds: Math.round(tokenMilliseconds),
 		};
 	}
 
--- /dev/null
+++ b/src/side/work.ts
@@ -0,0 +1,230 @@
+import {channel, spawn, tryDeliver} from '../concurrency/index.js';
+import {type EngineClient} from '../endpoint/index.js';
+import {createFailure, FailureKind, type RequestSummary, Verdict} from '../model/index.js';
+import {
+	type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
+} from '../policy/scheduler/index.js';
+import {type MessageOf} from '../wire/index.js';
+import {type EntryLink} from './entry-link.js';
+import {type RunEnd, runModel} from './model-run.js';
+import {type Reservation, type RunInput, toEntry} from './reservation.js';
+
+/** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
+const runInputCapacity = 1000;
+/** How long an offered slot is kept for an entry that does not answer. */
+export const offerHoldMilliseconds = 1000;
+
+export type WorkOptions<State> = {
+	readonly engine: EngineClient;
+	readonly scheduler: Scheduler<State>;
+};
+
+/** What ran at a side and what became of it. */
+export type WorkCounts = Record<Outcome | 'refused' | 'tokens', number>;
+
+/**
+ * Everything that waits or runs at one endpoint. It holds the scheduler's state, applies every event
+ * to it in the order of arrival and carries out the actions at once, so the queue, the slots and
+ * what the engine runs never disagree.
+ */
+export class Work<State = unknown> {
+	static create<State>(options: WorkOptions<State>): Work<State> {
+		return new Work(options);
+	}
+
+	readonly counts: WorkCounts = {whole: 0, cancelled: 0, failed: 0, preempted: 0, refused: 0, tokens: 0};
+	readonly #options: WorkOptions<State>;
+	readonly #reservations = new Map<string, Reservation>();
+	#state: State;
+	#onIdle: (() => void) | undefined;
+
+	private constructor(options: WorkOptions<State>) {
+		this.#options = options;
+		this.#state = options.scheduler.create();
+	}
+
+	get view(): SchedulerView {
+		return this.#options.scheduler.view(this.#state);
+	}
+
+	/** Puts a request into the queue; a message that contradicts an earlier one closes the connection. */
+	reserve(link: EntryLink, message: MessageOf<'reserve'>): void {
+		if (link.reservations.has(message.stream) || message.request !== message.summary.id) {
+			link.connection.close('a reservation that contradicts an earlier message');
+			return;
+		}
+
+		const reservation: Reservation = {
+			id: `${link.number}:${message.stream}`, link, stream: message.stream, summary: message.summary as RequestSummary, phase: {type: 'waiting'}, progressedAt: 0,
+		};
+		link.reservations.set(message.stream, reservation);
+		this.#reservations.set(reservation.id, reservation);
+		this.apply({type: 'arrived', id: reservation.id, summary: reservation.summary});
+	}
+
+	/** The entry gives a reservation back; one that runs is cancelled if that is harmless. */
+	withdraw(link: EntryLink, stream: number): void {
+		const reservation = link.reservations.get(stream);
+		if (reservation === undefined) {
+			return;
+		}
+
+		if (reservation.phase.type === 'running') {
+			this.#stopRun(reservation, 'cancelled');
+			return;
+		}
+
+		this.#forget(reservation);
+		this.apply({type: 'withdrawn', id: reservation.id});
+	}
+
+	/**
+	 * A body in answer to an offer. One that comes after the offer lapsed, or for a stream that is
+	 * not known here, is answered with `not-run`, which is certain: nothing is passed to the engine.
+	 */
+	start(link: EntryLink, message: MessageOf<'start'>): void {
+		const reservation = link.reservations.get(message.stream);
+		if (reservation?.phase.type !== 'offered' || reservation.summary.id !== message.request) {
+			const lapsed = createFailure(FailureKind.queueTimeout, 'The offered slot has lapsed.');
+			link.send({type: 'fail', stream: message.stream, request: message.request, ...lapsed});
+			return;
+		}
+
+		const phase = {type: 'running' as const, input: channel<RunInput>(runInputCapacity), abort: new AbortController()};
+		reservation.phase = phase;
+		reservation.progressedAt = performance.now();
+		this.apply({type: 'started', id: reservation.id});
+		const run = {
+			engine: this.#options.engine, reservation, phase, start: message, onTokens: (tokens: number) => {
+				this.#progressed(reservation, tokens);
+			},
+		};
+		void spawn('run', () => runModel(run)).then(end => {
+			this.#finished(reservation, end);
+		});
+	}
+
+	/** Credit, a part of the body, or a cancellation, for a request that runs. */
+	input(link: EntryLink, message: RunInput): void {
+		const reservation = link.reservations.get(message.stream);
+		if (reservation?.phase.type !== 'running' || reservation.summary.id !== message.request) {
+			return;
+		}
+
+		if (message.type === 'cancel') {
+			this.#stopRun(reservation, 'cancelled');
+			return;
+		}
+
+		if (!tryDeliver(reservation.phase.input, message)) {
+			link.connection.close('more input than its window allows');
+		}
+	}
+
+	/** Tells the scheduler what happened and carries out what it decides. */
+	apply(event: SchedulerEvent): void {
+		const {state, actions} = this.#options.scheduler.step(this.#state, event, performance.now());
+		this.#state = state;
+		for (const action of actions) {
+			this.#perform(action);
+		}
+	}
+
+	/** Resolves once nothing runs and no slot is on offer. */
+	async idle(): Promise<void> {
+		if (this.#countBusy() === 0) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			this.#onIdle = resolve;
+		});
+	}
+
+	#progressed(reservation: Reservation, tokens: number): void {
+		const now = performance.now();
+		this.counts.tokens += tokens;
+		this.apply({type: 'progressed', id: reservation.id, tokens, milliseconds: now - reservation.progressedAt});
+		reservation.progressedAt = now;
+	}
+
+	#finished(reservation: Reservation, end: RunEnd): void {
+		const outcome = outcomeOf(reservation, end);
+		this.counts[outcome] += 1;
+		this.#forget(reservation);
+		if (end.type === 'failed') {
+			toEntry(reservation, {type: 'fail', ...end.failure});
+		}
+
+		this.apply({type: 'finished', id: reservation.id, outcome});
+	}
+
+	/** Stops what the engine does for a request. A non-idempotent one is never stopped: it ends by itself. */
+	#stopRun(reservation: Reservation, why: 'cancelled' | 'preempted'): void {
+		if (reservation.phase.type !== 'running' || !reservation.summary.idempotent) {
+			return;
+		}
+
+		reservation.phase.stopped = why;
+		reservation.phase.abort.abort();
+		tryDeliver(reservation.phase.input, {type: 'cancel', stream: reservation.stream, request: reservation.summary.id});
+	}
+
+	#perform(action: SchedulerAction): void {
+		const reservation = this.#reservations.get(action.id);
+		if (reservation === undefined) {
+			return;
+		}
+
+		switch (action.type) {
+			case 'offer': {
+				reservation.phase = {type: 'offered'};
+				toEntry(reservation, {type: 'offer', holdMilliseconds: offerHoldMilliseconds});
+				break;
+			}
+
+			case 'refuse': {
+				this.counts.refused += 1;
+				this.#forget(reservation);
+				toEntry(reservation, {
+					type: 'refuse', kind: action.kind, message: action.message, retryAfterMilliseconds: action.retryAfterMilliseconds,
+				});
+				break;
+			}
+
+			case 'preempt': {
+				this.#stopRun(reservation, 'preempted');
+				toEntry(reservation, {type: 'fail', ...createFailure(FailureKind.preempted, 'A higher tier needed the slot.', {verdict: Verdict.mayHaveRun})});
+				break;
+			}
+		}
+	}
+
+	#forget(reservation: Reservation): void {
+		this.#reservations.delete(reservation.id);
+		reservation.link.reservations.delete(reservation.stream);
+		if (this.#countBusy() === 0) {
+			this.#onIdle?.();
+		}
+	}
+
+	#countBusy(): number {
+		return [...this.#reservations.values()].filter(reservation => reservation.phase.type !== 'waiting').length;
+	}
+}
+
+function outcomeOf(reservation: Reservation, end: RunEnd): Outcome {
+	switch (end.type) {
+		case 'whole': {
+			return 'whole';
+		}
+
+		case 'failed': {
+			return 'failed';
+		}
+
+		case 'stopped': {
+			return reservation.phase.type === 'running' && reservation.phase.stopped === 'preempted' ? 'preempted' : 'cancelled';
+		}
+	}
+}
