--- a/bench/decisions/schedule.ts
+++ b/bench/decisions/schedule.ts
@@ -33,7 +33,7 @@
 	return new Promise((resolve, reject) => {
 		execFile(process.execPath, [worker, ...words], {timeout: patienceMilliseconds, maxBuffer: 10_000_000}, (error, stdout) => {
 			if (error) {
-				reject(error);
+				reject(new Error(`The run ${words.join(' ')} failed.`, {cause: error}));
 				return;
 			}
 
