Serve plain services, bodies streamed both ways

Cause: calls under /services/NAME were refused; a request refused in the step in which its body came ran all the same; a slow caller counted as a slow endpoint. Change: service calls through entry and side, each direction within a window of parts; the search for a slot stands once (slot-finder) for models and services; a side logs why a connection ended; a body that will never be complete is cut, so that it holds no slot.

--- a/bench/harness/local-fleet.ts
+++ b/bench/harness/local-fleet.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {EngineClient, EngineControl} from '../../src/endpoint/index.js';
+import {EngineClient, EngineControl, ServiceClient} from '../../src/endpoint/index.js';
 import {type Entry as CatalogueEntry, catalogueStream, type Change} from '../../src/catalogue/index.js';
 import {Entry, type EntryOptions} from '../../src/entry/index.js';
 import {
@@ -10,10 +10,10 @@
 } from '../../src/platform/index.js';
 import {type Placement, subsetPlacement} from '../../src/policy/placement/index.js';
 import {createSettings, type Scheduler, tiered} from '../../src/policy/scheduler/index.js';
-import {EndpointWatch, Side} from '../../src/side/index.js';
+import {type Backend, EndpointWatch, Side} from '../../src/side/index.js';
 import {createLogger, forPart, type Logger} from '../../src/telemetry/index.js';
 import {
-	type EngineCosts, FakeEngine, FakeLog, FakeMembers,
+	type EngineCosts, FakeEngine, FakeLog, FakeMembers, FakeService,
 } from '../../fakes/index.js';
 import {type Security} from '../../src/wire/index.js';
 
@@ -30,6 +30,8 @@
 	readonly parts: readonly AsyncDisposable[];
 };
 
+type SidePlan = {readonly name: string; readonly zone: string; readonly targets: readonly string[]; readonly backend: Backend};
+
 export type LocalEntry = {readonly entry: Entry<any>; readonly follower: CatalogueFollower; readonly instance: InstanceId; readonly zone: string};
 
 export type LocalFleetOptions = {
@@ -69,6 +71,7 @@
 	readonly log: FakeLog;
 	readonly members: FakeMembers;
 	readonly logger: Logger;
+	readonly #services: AsyncDisposable[] = [];
 	readonly #options: LocalFleetOptions;
 	readonly #security: Security;
 
@@ -83,32 +86,23 @@
 	/** Starts an engine and its side, and lists the side. */
 	async addEndpoint(name: string, zone: string): Promise<LocalEndpoint> {
 		const engine = await FakeEngine.create({models: this.#options.models, costs: this.#options.costs});
-		const instance = createInstanceId('side');
-		const follower = this.#follow(instance);
 		const client = EngineClient.create({baseUrl: engine.url});
-		const side = await Side.create({
-			instance,
-			endpoint: name as EndpointId,
-			targets: this.#options.models as TargetName[],
-			zone: zone as ZoneName,
-			host: loopback,
-			port: 0,
-			security: this.#security,
-			engine: client,
-			scheduler: this.#options.scheduler?.() ?? tiered(createSettings()),
-			logger: forPart(this.logger, 'Side'),
-			catalogueOffset: () => follower.current().offset,
-			onPeerMessage(message, reply) {
-				exchangeCatalogue(follower, message, reply);
-			},
-		});
+		const {side, instance, follower} = await this.#addSide({name, zone, targets: this.#options.models, backend: {type: 'engine', client}});
 		const watch = EndpointWatch.create(EngineControl.create({baseUrl: engine.url, timeoutMilliseconds: healthTimeoutMilliseconds}), side);
 		const endpoint = {name, engine, side, instance, parts: [watch, side, client, follower, engine]};
 		this.endpoints.push(endpoint);
-		this.members.set({instance, role: 'side', address: side.address, zone, state: 'live', endpoint: name, targets: this.#options.models});
 		return endpoint;
 	}
 
+	/** Starts a plain service and its side, and lists the side. */
+	async addService(target: string, zone: string): Promise<FakeService> {
+		const service = await FakeService.create();
+		const client = ServiceClient.create({baseUrl: service.url});
+		const {side, follower} = await this.#addSide({name: `service-${target}`, zone, targets: [target], backend: {type: 'service', client}});
+		this.#services.push(side, client, follower, service);
+		return service;
+	}
+
 	async addEntry(zone: string): Promise<LocalEntry> {
 		const instance = createInstanceId('entry');
 		const follower = this.#follow(instance);
@@ -174,7 +168,30 @@
 	async [Symbol.asyncDispose](): Promise<void> {
 		await disposeAll(this.entries.flatMap(({entry, follower}) => [entry, follower]));
 		await disposeAll(this.endpoints.flatMap(({parts}) => parts));
-		await disposeAll([this.members, this.log]);
+		await disposeAll([...this.#services, this.members, this.log]);
+	}
+
+	async #addSide({name, zone, targets, backend}: SidePlan): Promise<{side: Side<any>; instance: InstanceId; follower: CatalogueFollower}> {
+		const instance = createInstanceId('side');
+		const follower = this.#follow(instance);
+		const side = await Side.create({
+			instance,
+			endpoint: name as EndpointId,
+			targets: targets as TargetName[],
+			zone: zone as ZoneName,
+			host: loopback,
+			port: 0,
+			security: this.#security,
+			backend,
+			scheduler: this.#options.scheduler?.() ?? tiered(createSettings()),
+			logger: forPart(this.logger, 'Side'),
+			catalogueOffset: () => follower.current().offset,
+			onPeerMessage(message, reply) {
+				exchangeCatalogue(follower, message, reply);
+			},
+		});
+		this.members.set({instance, role: 'side', address: side.address, zone, state: 'live', endpoint: name, targets});
+		return {side, instance, follower};
 	}
 
 	#follow(instance: string): CatalogueFollower {
--- a/src/bin/cassiaflow-side.ts
+++ b/src/bin/cassiaflow-side.ts
@@ -1,11 +1,11 @@
 #!/usr/bin/env node
-import {EngineClient, EngineControl} from '../endpoint/index.js';
+import {EngineClient, EngineControl, ServiceClient} from '../endpoint/index.js';
 import {
 	createInstanceId, type EndpointId, type InstanceId, type TargetName, type ZoneName,
 } from '../model/index.js';
 import {CatalogueFollower, exchangeCatalogue, HttpLogClient} from '../platform/index.js';
 import {createSettings, tiered, type Violation} from '../policy/scheduler/index.js';
-import {EndpointWatch, Side} from '../side/index.js';
+import {type Backend, EndpointWatch, Side} from '../side/index.js';
 import {AdminServer, createLogger, forPart, Metrics} from '../telemetry/index.js';
 import {
 	readSecurity, runProgram, sideSettings, type SideSettings,
@@ -29,7 +29,8 @@
 			catalogueLog.warn(message);
 		},
 	});
-	await using engine = EngineClient.create({baseUrl: settings.endpointUrl});
+	const backend = createBackend(settings);
+	await using _client = backend.client;
 	await using side = await Side.create({
 		instance,
 		endpoint: settings.endpoint as EndpointId,
@@ -38,7 +39,7 @@
 		host: settings.listenHost,
 		port: settings.listenPort,
 		security: readSecurity(sideSettings.program, settings),
-		engine,
+		backend,
 		scheduler: tiered(createSettings({
 			onViolation({rule, detail}: Violation) {
 				violations.add(1, {rule});
@@ -51,7 +52,7 @@
 			exchangeCatalogue(follower, message, reply);
 		},
 	});
-	await using _watch = EndpointWatch.create(EngineControl.create({baseUrl: settings.endpointUrl, timeoutMilliseconds: healthTimeoutMilliseconds}), side);
+	await using _watch = backend.type === 'engine' ? EndpointWatch.create(EngineControl.create({baseUrl: settings.endpointUrl, timeoutMilliseconds: healthTimeoutMilliseconds}), side) : undefined;
 	await using admin = await AdminServer.create({
 		host: settings.adminHost,
 		port: settings.adminPort,
@@ -65,4 +66,17 @@
 	log.info(whole ? 'Stopped with nothing running.' : 'Stopped with requests running, after the time allowed.');
 }
 
+/** Services have no health call of their own: a refused connection tells, and is certain to be not run. */
+function createBackend({endpointKind, endpointUrl}: SideSettings): Backend {
+	switch (endpointKind) {
+		case 'engine': {
+			return {type: 'engine', client: EngineClient.create({baseUrl: endpointUrl})};
+		}
+
+		case 'service': {
+			return {type: 'service', client: ServiceClient.create({baseUrl: endpointUrl})};
+		}
+	}
+}
+
 await runProgram(sideSettings, main);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -4,7 +4,7 @@
 import {type Catalogue} from '../catalogue/index.js';
 import {type Body, spawn, wait} from '../concurrency/index.js';
 import {
-	createFailure, createRequestId, FailureKind, type InstanceId, RequestError, type RequestId, type ZoneName,
+	createFailure, createRequestId, FailureKind, type InstanceId, RequestError, type RequestId, sha256, type ZoneName,
 } from '../model/index.js';
 import {type CatalogueMessage, type MembershipClient} from '../platform/index.js';
 import {type Placement} from '../policy/placement/index.js';
@@ -16,6 +16,8 @@
 import {
 	parseModelCall, readBody, type Route, routeCall, sendFailure, StreamAnswer, WholeAnswer,
 } from './protocol/index.js';
+import {ServiceBody} from './service-body.js';
+import {ServiceCallInProgress} from './service-call.js';
 import {type SideLink} from './side-link.js';
 
 /** Where an entry reads its catalogue; the follower of the platform's log is the usual one. */
@@ -42,6 +44,7 @@
 };
 
 type ModelRoute = Extract<Route, {type: 'chat' | 'completion'}>;
+type ServiceRoute = Extract<Route, {type: 'service'}>;
 
 /** A thin instance behind the balancer: takes callers' requests and finds each one an endpoint. */
 export class Entry<State = unknown> implements AsyncDisposable {
@@ -165,7 +168,8 @@
 			}
 
 			case 'service': {
-				throw RequestError.create(createFailure(FailureKind.unknownPath, 'Plain services are not served yet.'));
+				yield * this.#serveServiceCall({id, request, response, arrivedAt, route, catalogue, caller});
+				break;
 			}
 		}
 	}
@@ -182,7 +186,32 @@
 		return this.#options.catalogue.current();
 	}
 
-	* #serveModelCall(context: CallContext): Body<void> {
+	* #serveServiceCall(context: CallContext<ServiceRoute>): Body<void> {
+		const {id, request, response, arrivedAt, route, catalogue, caller} = context;
+		const method = request.method ?? 'GET';
+		checkTarget(catalogue, caller, 'service', route.name);
+		const body = ServiceBody.create(request);
+		yield * body.readFirst();
+		const summary = summarize(caller, {
+			id,
+			target: route.name,
+			idempotent: catalogue.service(route.name)?.idempotentMethods.includes(method) ?? false,
+			promptTokens: 0,
+			prefix: route.name,
+			fingerprintSource: `${method} ${route.path}\n${sha256(body.first)}`,
+		});
+		const inProgress = ServiceCallInProgress.create({
+			fleet: this.fleet, summary, method, path: route.path, headers: plainHeaders(request), body, request, response, arrivedAt, spendRetry: () => true,
+		});
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				inProgress.callerLeft();
+			}
+		});
+		yield * inProgress.run();
+	}
+
+	* #serveModelCall(context: CallContext<ModelRoute>): Body<void> {
 		const {id, request, response, arrivedAt, route, catalogue, caller} = context;
 		const body = yield * wait(readBody(request, this.#options.bodyLimitBytes));
 		const call = parseModelCall(route, body);
@@ -205,12 +234,12 @@
 	}
 }
 
-type CallContext = {
+type CallContext<Kind extends Route> = {
 	readonly id: RequestId;
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly arrivedAt: number;
-	readonly route: ModelRoute;
+	readonly route: Kind;
 	readonly catalogue: Catalogue;
 	readonly caller: Caller;
 };
@@ -223,6 +252,17 @@
 	response.end(JSON.stringify({object: 'list', data}));
 }
 
+function isIdempotent(catalogue: Catalogue, service: string, method: string): boolean {
+	const methods: readonly string[] = catalogue.service(service)?.idempotentMethods ?? [];
+	return methods.includes(method);
+}
+
+/** What a service may be told; the side passes on only what concerns the content, and never the key. */
+function plainHeaders(request: IncomingMessage): Record<string, string> {
+	const {authorization: _, cookie: __, ...rest} = request.headers;
+	return Object.fromEntries(Object.entries(rest).filter((header): header is [string, string] => typeof header[1] === 'string'));
+}
+
 function headerText(request: IncomingMessage, name: string): string | undefined {
 	const value = request.headers[name];
 	return typeof value === 'string' ? value : undefined;
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -1,17 +1,16 @@
-import {type Body, channel, type Channel, sleep, tryDeliver} from '../concurrency/index.js';
+import {type Body, channel, type Channel, tryDeliver} from '../concurrency/index.js';
 import {
-	combineVerdicts, createFailure, type EndpointId, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
+	combineVerdicts, createFailure, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
 } from '../model/index.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
-import {noEndpoint, type Slot, SlotSearch} from './slot.js';
+import {type Slot} from './slot.js';
+import {SlotFinder} from './slot-finder.js';
 
 /** Attempts at one request, the first included. The retry budget is what bounds retries over all requests. */
 const maximumAttempts = 4;
-/** Pause before the sides are asked again when none can be used. */
-const noEndpointPauseMilliseconds = 100;
 
 export type ModelCallOptions = {
 	readonly fleet: Fleet;
@@ -43,13 +42,13 @@
 	readonly inbox: Channel<RequestEvent> = channel<RequestEvent>(inboxCapacity);
 	readonly #options: ModelCallOptions;
 	readonly #progress: Progress = {events: [], firstTokenAt: undefined};
-	readonly #excluded = new Set<EndpointId>();
+	readonly #finder: SlotFinder;
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
-	#alarm: NodeJS.Timeout | undefined;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
+		this.#finder = SlotFinder.create({...options, inbox: this.inbox});
 	}
 
 	/** The caller closed its connection. */
@@ -61,14 +60,14 @@
 		try {
 			return yield * this.#attempt();
 		} finally {
-			clearTimeout(this.#alarm);
+			this.#finder.clearAlarm();
 			this.inbox.close();
 		}
 	}
 
 	* #attempt(): Body<CallEnd> {
 		for (;;) {
-			const found = yield * this.#findSlot();
+			const found = yield * this.#finder.find();
 			if (found.type !== 'slot') {
 				return found.type === 'failed' ? this.#fail(found.failure) : this.#left();
 			}
@@ -87,46 +86,10 @@
 				return this.#fail(end.failure);
 			}
 
-			this.#excluded.add(found.slot.endpoint);
+			this.#finder.exclude(found.slot.endpoint);
 		}
 	}
 
-	* #findSlot(): Body<{type: 'slot'; slot: Slot} | {type: 'failed'; failure: Failure} | {type: 'caller-left'}> {
-		const {fleet, summary} = this.#options;
-		let failure = noEndpoint();
-		while (this.#queueTimeLeft() > 0) {
-			const choice = fleet.choose(summary, this.#excluded);
-			if (choice.endpoints.length === 0) {
-				yield * sleep(noEndpointPauseMilliseconds);
-				this.#excluded.clear();
-				continue;
-			}
-
-			this.#setAlarm(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create(fleet, summary, this.inbox).run(choice.endpoints);
-			if (result.type !== 'failed') {
-				return result;
-			}
-
-			failure = result.failure;
-			if (!this.#mayAskElsewhere(result.tried)) {
-				break;
-			}
-		}
-
-		return {type: 'failed', failure};
-	}
-
-	/** After a refusal the remaining sides are asked, each once; a refusal by all is final and told at once. */
-	#mayAskElsewhere(tried: readonly EndpointId[]): boolean {
-		for (const endpoint of tried) {
-			this.#excluded.add(endpoint);
-		}
-
-		const {fleet, summary} = this.#options;
-		return fleet.choose(summary, this.#excluded).endpoints.length > 0;
-	}
-
 	* #runAt(slot: Slot): Body<RelayEnd> {
 		const {summary, path, call, fleet, answer} = this.#options;
 		const {events} = this.#progress;
@@ -152,7 +115,7 @@
 			answer,
 			progress: this.#progress,
 			setAlarm: milliseconds => {
-				this.#setAlarm(milliseconds);
+				this.#finder.setAlarm(milliseconds);
 			},
 		}).run();
 	}
@@ -163,17 +126,6 @@
 		return again && this.#attempts < maximumAttempts && this.#options.spendRetry();
 	}
 
-	#queueTimeLeft(): number {
-		return this.#options.arrivedAt + this.#options.summary.queueMilliseconds - performance.now();
-	}
-
-	#setAlarm(milliseconds: number): void {
-		clearTimeout(this.#alarm);
-		this.#alarm = setTimeout(() => {
-			tryDeliver(this.inbox, {type: 'alarm'});
-		}, Math.max(0, milliseconds));
-	}
-
 	#whole(usage: string | undefined): CallEnd {
 		const {answer, arrivedAt} = this.#options;
 		answer.finish(usage);
--- a/src/entry/protocol/index.ts
+++ b/src/entry/protocol/index.ts
@@ -7,3 +7,4 @@
 export {WholeAnswer} from './whole-answer.js';
 export {failureBody, failureHeaders, sendFailure} from './failure-response.js';
 export {HeaderName} from './headers.js';
+export {drainedOrClosed} from './drain.js';
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -132,6 +132,8 @@
 		progress.events.push(...message.events);
 		if (!answer.write(message.events)) {
 			yield * wait(answer.drained());
+			// The caller's slowness must not count as the endpoint's.
+			this.#progressedAt = performance.now();
 		}
 
 		this.#giveCredit(message.events.length);
--- /dev/null
+++ b/src/entry/service-call.ts
@@ -0,0 +1,227 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Body, channel, type Channel, receive, spawn, tryDeliver, wait} from '../concurrency/index.js';
+import {
+	combineVerdicts, createFailure, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
+} from '../model/index.js';
+import {type MessageOf, type StreamMessage} from '../wire/index.js';
+import {type Fleet} from './fleet.js';
+import {drainedOrClosed} from './protocol/index.js';
+import {inboxCapacity, type RequestEvent} from './request-event.js';
+import {ServiceAnswer} from './service-answer.js';
+import {type ServiceBody} from './service-body.js';
+import {type Slot} from './slot.js';
+import {SlotFinder} from './slot-finder.js';
+
+/** Parts of an answer that a side may send ahead of what the caller has taken. */
+const answerWindow = 16;
+/** Longer than a service may take for the head of its answer; after it the connection counts as hung. */
+const stalledMilliseconds = 70_000;
+const maximumAttempts = 3;
+
+export type ServiceCallOptions = {
+	readonly fleet: Fleet;
+	readonly summary: RequestSummary;
+	readonly method: string;
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body: ServiceBody;
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly arrivedAt: number;
+	/** True if the fleet's retry budget has room for one more. */
+	readonly spendRetry: () => boolean;
+};
+
+type AttemptEnd
+	= | {readonly type: 'whole'}
+		| {readonly type: 'caller-left'}
+		| {readonly type: 'failed'; readonly failure: Failure};
+
+/**
+ * One call of a plain service. A body that came in one part can be sent again if the verdict allows
+ * it; one that is streamed can't, since nothing of it is kept.
+ */
+export class ServiceCallInProgress {
+	static create(options: ServiceCallOptions): ServiceCallInProgress {
+		return new ServiceCallInProgress(options);
+	}
+
+	readonly inbox: Channel<RequestEvent> = channel<RequestEvent>(inboxCapacity);
+	readonly #options: ServiceCallOptions;
+	readonly #finder: SlotFinder;
+	readonly #answer: ServiceAnswer;
+	#parts = 0;
+	#attempts = 0;
+	#verdict: Verdict = Verdict.notRun;
+
+	private constructor(options: ServiceCallOptions) {
+		this.#options = options;
+		this.#finder = SlotFinder.create({...options, inbox: this.inbox});
+		this.#answer = ServiceAnswer.create(options.response, options.summary.id);
+	}
+
+	/** The caller closed its connection, or its body broke off. */
+	callerLeft(): void {
+		tryDeliver(this.inbox, {type: 'caller-left'});
+	}
+
+	* run(): Body<void> {
+		try {
+			yield * this.#attempt();
+		} finally {
+			this.#finder.clearAlarm();
+			this.#options.body.stop();
+			this.inbox.close();
+		}
+	}
+
+	* #attempt(): Body<void> {
+		for (;;) {
+			const found = yield * this.#finder.find();
+			const end = found.type === 'slot' ? yield * this.#runAt(found.slot) : found;
+			if (end.type !== 'failed') {
+				return;
+			}
+
+			this.#verdict = combineVerdicts(this.#verdict, end.failure.verdict);
+			if (found.type !== 'slot' || !this.#mayGoOn(end.failure)) {
+				this.#answer.fail({...end.failure, verdict: this.#verdict});
+				return;
+			}
+
+			this.#finder.exclude(found.slot.endpoint);
+		}
+	}
+
+	#mayGoOn(failure: Failure): boolean {
+		const {body, summary, spendRetry} = this.#options;
+		const repeatable = body.isWhole && !this.#answer.started && mayRetry(failure.verdict, summary.idempotent);
+		return repeatable && this.#attempts < maximumAttempts && spendRetry();
+	}
+
+	* #runAt(slot: Slot): Body<AttemptEnd> {
+		const {fleet, summary, method, path, headers, body} = this.#options;
+		this.#attempts += 1;
+		slot.link.send({
+			type: 'start', stream: slot.stream, request: summary.id, method, path, headers: {...headers}, body: body.first, more: !body.isWhole, resumeTokens: 0, resumeText: '', credit: answerWindow,
+		});
+		fleet.observe({type: 'started', endpoint: slot.endpoint, request: summary.id});
+		if (!body.isWhole) {
+			void spawn('service-body', () => this.#sendBody(slot));
+		}
+
+		const end = yield * this.#relay(slot);
+		if (end.type !== 'whole') {
+			slot.link.send({type: 'cancel', stream: slot.stream, request: summary.id});
+		}
+
+		slot.link.closeStream(slot.stream);
+		fleet.observe({type: 'ended', endpoint: slot.endpoint, request: summary.id, whole: end.type === 'whole'});
+		return end;
+	}
+
+	* #sendBody(slot: Slot): Body<void> {
+		try {
+			yield * this.#options.body.sendRest(slot, this.#options.summary.id);
+		} catch {
+			this.callerLeft();
+		}
+	}
+
+	* #relay(slot: Slot): Body<AttemptEnd> {
+		for (;;) {
+			this.#finder.setAlarm(stalledMilliseconds);
+			const event = (yield * receive(this.inbox)) ?? {type: 'caller-left'};
+			const end = yield * this.#take(slot, event);
+			if (end !== undefined) {
+				return end;
+			}
+		}
+	}
+
+	* #take(slot: Slot, event: RequestEvent): Body<AttemptEnd | undefined> {
+		switch (event.type) {
+			case 'frame': {
+				const ours = event.link === slot.link && event.message.stream === slot.stream;
+				return ours ? yield * this.#takeFrame(slot, event.message) : undefined;
+			}
+
+			case 'link-lost': {
+				return event.link === slot.link ? broken(FailureKind.endpointLost, 'The connection to the endpoint broke.') : undefined;
+			}
+
+			case 'caller-left': {
+				return {type: 'caller-left'};
+			}
+
+			case 'alarm': {
+				return broken(FailureKind.endpointLost, 'The endpoint made no progress.');
+			}
+		}
+	}
+
+	* #takeFrame(slot: Slot, message: StreamMessage): Body<AttemptEnd | undefined> {
+		switch (message.type) {
+			case 'head': {
+				this.#answer.writeHead(message.status, message.headers);
+				return undefined;
+			}
+
+			case 'data': {
+				return yield * this.#takeData(slot, message);
+			}
+
+			case 'credit': {
+				this.#options.body.taken(message.events);
+				return undefined;
+			}
+
+			case 'end': {
+				return this.#end(message);
+			}
+
+			case 'fail': {
+				const {kind, verdict, message: text, retryAfterMilliseconds} = message;
+				return {type: 'failed', failure: {kind, verdict, message: text, retryAfterMilliseconds}};
+			}
+
+			case 'chunk':
+			case 'refuse':
+			case 'offer':
+			case 'reserve':
+			case 'withdraw':
+			case 'start':
+			case 'body':
+			case 'cancel': {
+				return broken(FailureKind.badAnswer, `A side sent ${message.type} while a call ran.`);
+			}
+		}
+	}
+
+	* #takeData(slot: Slot, message: MessageOf<'data'>): Body<AttemptEnd | undefined> {
+		if (!this.#answer.started || message.index !== this.#parts) {
+			return broken(FailureKind.badAnswer, 'Parts of the answer came out of order.');
+		}
+
+		this.#parts += 1;
+		if (!this.#answer.write(message.bytes)) {
+			yield * wait(drainedOrClosed(this.#options.response));
+		}
+
+		slot.link.send({type: 'credit', stream: slot.stream, request: this.#options.summary.id, events: 1});
+		return undefined;
+	}
+
+	#end(message: MessageOf<'end'>): AttemptEnd {
+		if (!this.#answer.started || message.count !== this.#parts) {
+			return broken(FailureKind.badAnswer, 'The answer is shorter than announced.');
+		}
+
+		this.#answer.finish();
+		return {type: 'whole'};
+	}
+}
+
+function broken(kind: FailureKind, message: string): AttemptEnd {
+	return {type: 'failed', failure: createFailure(kind, message, {verdict: Verdict.mayHaveRun})};
+}
--- /dev/null
+++ b/src/entry/slot-finder.ts
@@ -0,0 +1,92 @@
+import {type Body, type Channel, sleep, tryDeliver} from '../concurrency/index.js';
+import {type EndpointId, type Failure, type RequestSummary} from '../model/index.js';
+import {type Fleet} from './fleet.js';
+import {type RequestEvent} from './request-event.js';
+import {noEndpoint, type Slot, SlotSearch} from './slot.js';
+
+/** Pause before the sides are asked again when none can be used. */
+const noEndpointPauseMilliseconds = 100;
+
+export type SlotFinderOptions = {
+	readonly fleet: Fleet;
+	readonly summary: RequestSummary;
+	readonly inbox: Channel<RequestEvent>;
+	readonly arrivedAt: number;
+};
+
+export type SlotFound
+	= | {readonly type: 'slot'; readonly slot: Slot}
+		| {readonly type: 'failed'; readonly failure: Failure}
+		| {readonly type: 'caller-left'};
+
+/** Finds one request a slot, attempt after attempt, within the time it may wait in queues. */
+export class SlotFinder {
+	static create(options: SlotFinderOptions): SlotFinder {
+		return new SlotFinder(options);
+	}
+
+	readonly #options: SlotFinderOptions;
+	readonly #excluded = new Set<EndpointId>();
+	#alarm: NodeJS.Timeout | undefined;
+
+	private constructor(options: SlotFinderOptions) {
+		this.#options = options;
+	}
+
+	/** Leaves an endpoint out of the next search. */
+	exclude(endpoint: EndpointId): void {
+		this.#excluded.add(endpoint);
+	}
+
+	* find(): Body<SlotFound> {
+		const {fleet, summary, inbox} = this.#options;
+		let failure = noEndpoint();
+		while (this.#queueTimeLeft() > 0) {
+			const choice = fleet.choose(summary, this.#excluded);
+			if (choice.endpoints.length === 0) {
+				yield * sleep(noEndpointPauseMilliseconds);
+				this.#excluded.clear();
+				continue;
+			}
+
+			this.setAlarm(this.#queueTimeLeft());
+			const result = yield * SlotSearch.create(fleet, summary, inbox).run(choice.endpoints);
+			if (result.type !== 'failed') {
+				return result;
+			}
+
+			failure = result.failure;
+			if (!this.#mayAskElsewhere(result.tried)) {
+				break;
+			}
+		}
+
+		return {type: 'failed', failure};
+	}
+
+	/** Puts an alarm into the inbox after a time; an earlier one is replaced. */
+	setAlarm(milliseconds: number): void {
+		clearTimeout(this.#alarm);
+		this.#alarm = setTimeout(() => {
+			tryDeliver(this.#options.inbox, {type: 'alarm'});
+		}, Math.max(0, milliseconds));
+	}
+
+	clearAlarm(): void {
+		clearTimeout(this.#alarm);
+	}
+
+	/** After a refusal the remaining sides are asked, each once; a refusal by all is final and told at once. */
+	#mayAskElsewhere(tried: readonly EndpointId[]): boolean {
+		for (const endpoint of tried) {
+			this.#excluded.add(endpoint);
+		}
+
+		const {fleet, summary} = this.#options;
+		return fleet.choose(summary, this.#excluded).endpoints.length > 0;
+	}
+
+	#queueTimeLeft(): number {
+		return this.#options.arrivedAt + this.#options.summary.queueMilliseconds - performance.now();
+	}
+}
--- a/src/side/credit-window.ts
+++ b/src/side/credit-window.ts
@@ -11,6 +11,12 @@
 		return new CreditWindow(events, input);
 	}
 
+	/**
+	 * True if the last `hasCredit` had to wait. Failure: a caller's slowness is counted as time
+	 * between the engine's tokens. Symptom: one slow caller takes slots from everybody. Whoever
+	 * measures the engine starts its clock anew after such a wait.
+	 */
+	hasWaited = false;
 	#available: number;
 	readonly #input: Channel<RunInput>;
 
@@ -26,6 +32,7 @@
 
 	/** Takes the credit that has come and waits for some if there is none; false if the entry cancelled. */
 	* hasCredit(): Body<boolean> {
+		this.hasWaited = this.#available <= 0;
 		for (;;) {
 			const message = this.#available > 0 ? tryReceive(this.#input) : yield * receive(this.#input);
 			if (message === undefined) {
--- a/src/side/model-run.ts
+++ b/src/side/model-run.ts
@@ -1,17 +1,9 @@
 import {type Body, wait} from '../concurrency/index.js';
 import {type EngineClient, type EngineEvent} from '../endpoint/index.js';
-import {createFailure, type Failure, FailureKind, Verdict} from '../model/index.js';
+import {createFailure, FailureKind, Verdict} from '../model/index.js';
 import {type MessageOf} from '../wire/index.js';
 import {CreditWindow} from './credit-window.js';
-import {type Reservation, type ReservationPhase, toEntry} from './reservation.js';
-
-/** How the engine's stream ended. */
-export type RunEnd
-	= | {readonly type: 'whole'}
-		| {readonly type: 'stopped'}
-		| {readonly type: 'failed'; readonly failure: Failure};
-
-type RunningPhase = Extract<ReservationPhase, {type: 'running'}>;
+import {type Reservation, type RunEnd, type RunningPhase, toEntry} from './reservation.js';
 
 /** One model call that is to run here. */
 export type ModelRun = {
@@ -42,6 +34,10 @@
 		signal: phase.abort.signal,
 	});
 	while (yield * credit.hasCredit()) {
+		if (credit.hasWaited) {
+			reservation.progressedAt = performance.now();
+		}
+
 		const next = yield * wait(events.next());
 		if (phase.stopped) {
 			break;
--- a/src/side/reservation.ts
+++ b/src/side/reservation.ts
@@ -1,5 +1,5 @@
 import {type Channel} from '../concurrency/index.js';
-import {type RequestSummary} from '../model/index.js';
+import {type Failure, type RequestSummary} from '../model/index.js';
 import {type Message, type MessageOf} from '../wire/index.js';
 import {type EntryLink} from './entry-link.js';
 
@@ -10,7 +10,21 @@
 export type ReservationPhase
 	= | {readonly type: 'waiting'}
 		| {readonly type: 'offered'}
-		| {readonly type: 'running'; readonly input: Channel<RunInput>; readonly abort: AbortController; stopped?: 'cancelled' | 'preempted'};
+		| {
+			readonly type: 'running';
+			readonly input: Channel<RunInput>;
+			readonly abort: AbortController;
+			/** True while parts of the body are still to come. */
+			isBodyOpen: boolean;
+			stopped?: 'cancelled' | 'preempted';
+		};
+export type RunningPhase = Extract<ReservationPhase, {type: 'running'}>;
+
+/** How a run at the endpoint ended. */
+export type RunEnd
+	= | {readonly type: 'whole'}
+		| {readonly type: 'stopped'}
+		| {readonly type: 'failed'; readonly failure: Failure};
 
 /** One request at this side, from `reserve` until it was refused, withdrawn or finished. */
 export type Reservation = {
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -1,5 +1,5 @@
 import {spawn} from '../concurrency/index.js';
-import {type EngineClient, type EngineLoad} from '../endpoint/index.js';
+import {type EngineLoad} from '../endpoint/index.js';
 import {type EndpointId, type InstanceId, type TargetName, type ZoneName} from '../model/index.js';
 import {type CatalogueMessage} from '../platform/index.js';
 import {type Scheduler} from '../policy/scheduler/index.js';
@@ -9,7 +9,7 @@
 } from '../wire/index.js';
 import {type EndpointObserver} from './endpoint-watch.js';
 import {EntryLink, type EntryLinkOwner} from './entry-link.js';
-import {Work, type WorkCounts} from './work.js';
+import {type Backend, Work, type WorkCounts} from './work.js';
 
 const tickMilliseconds = 50;
 const heartbeatMilliseconds = 2000;
@@ -27,7 +27,7 @@
 	readonly host: string;
 	readonly port: number;
 	readonly security: Security;
-	readonly engine: EngineClient;
+	readonly backend: Backend;
 	readonly scheduler: Scheduler<State>;
 	readonly logger: PartLogger;
 	readonly catalogueOffset: () => number;
@@ -163,6 +163,7 @@
 	/** An entry is gone: what it had waiting leaves the queue, and what ran for it is cancelled if that is harmless. */
 	linkClosed(link: EntryLink): void {
 		this.#links.delete(link);
+		this.#options.logger.info('A connection from an entry ended.', {entry: link.instance, address: link.connection.peer, reason: link.connection.closeReason});
 		for (const stream of link.reservations.keys()) {
 			this.#work.withdraw(link, stream);
 		}
--- a/src/side/work.ts
+++ b/src/side/work.ts
@@ -1,13 +1,16 @@
-import {channel, spawn, tryDeliver} from '../concurrency/index.js';
-import {type EngineClient} from '../endpoint/index.js';
+import {type Body, channel, spawn, tryDeliver} from '../concurrency/index.js';
+import {type EngineClient, type ServiceClient} from '../endpoint/index.js';
 import {createFailure, FailureKind, type RequestSummary, Verdict} from '../model/index.js';
 import {
 	type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
 } from '../policy/scheduler/index.js';
 import {type MessageOf} from '../wire/index.js';
 import {type EntryLink} from './entry-link.js';
-import {type RunEnd, runModel} from './model-run.js';
-import {type Reservation, type RunInput, toEntry} from './reservation.js';
+import {runModel} from './model-run.js';
+import {
+	type Reservation, type RunEnd, type RunInput, type RunningPhase, toEntry,
+} from './reservation.js';
+import {runService} from './service-run.js';
 
 /** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
 const runInputCapacity = 1000;
@@ -15,10 +18,15 @@
 export const offerHoldMilliseconds = 1000;
 
 export type WorkOptions<State> = {
-	readonly engine: EngineClient;
+	readonly backend: Backend;
 	readonly scheduler: Scheduler<State>;
 };
 
+/** The client of the endpoint, by its kind. */
+export type Backend
+	= | {readonly type: 'engine'; readonly client: EngineClient}
+		| {readonly type: 'service'; readonly client: ServiceClient};
+
 /** What ran at a side and what became of it. */
 export type WorkCounts = Record<Outcome | 'refused' | 'tokens', number>;
 
@@ -90,16 +98,19 @@
 			return;
 		}
 
-		const phase = {type: 'running' as const, input: channel<RunInput>(runInputCapacity), abort: new AbortController()};
+		const phase = {
+			type: 'running' as const, input: channel<RunInput>(runInputCapacity), abort: new AbortController(), isBodyOpen: message.more,
+		};
 		reservation.phase = phase;
 		reservation.progressedAt = performance.now();
 		this.apply({type: 'started', id: reservation.id});
-		const run = {
-			engine: this.#options.engine, reservation, phase, start: message, onTokens: (tokens: number) => {
-				this.#progressed(reservation, tokens);
-			},
-		};
-		void spawn('run', () => runModel(run)).then(end => {
+		// Failure: the scheduler has taken the slot back and refuses in this very step. Symptom: the
+		// entry hears not-run and the endpoint runs it all the same. Only what is still held is run.
+		if (!this.#reservations.has(reservation.id)) {
+			return;
+		}
+
+		void spawn('run', () => this.#run(reservation, phase, message)).then(end => {
 			this.#finished(reservation, end);
 		});
 	}
@@ -141,6 +152,27 @@
 		});
 	}
 
+	#run(reservation: Reservation, phase: RunningPhase, start: MessageOf<'start'>): Body<RunEnd> {
+		const {backend} = this.#options;
+		switch (backend.type) {
+			case 'engine': {
+				return runModel({
+					engine: backend.client,
+					reservation,
+					phase,
+					start,
+					onTokens: tokens => {
+						this.#progressed(reservation, tokens);
+					},
+				});
+			}
+
+			case 'service': {
+				return runService({service: backend.client, reservation, phase, start});
+			}
+		}
+	}
+
 	#progressed(reservation: Reservation, tokens: number): void {
 		const now = performance.now();
 		this.counts.tokens += tokens;
@@ -159,9 +191,12 @@
 		this.apply({type: 'finished', id: reservation.id, outcome});
 	}
 
-	/** Stops what the engine does for a request. A non-idempotent one is never stopped: it ends by itself. */
+	/**
+	 * Stops what the endpoint does for a request. A non-idempotent one is never stopped: it ends by
+	 * itself. The exception is one whose body will never be complete, which would wait for ever.
+	 */
 	#stopRun(reservation: Reservation, why: 'cancelled' | 'preempted'): void {
-		if (reservation.phase.type !== 'running' || !reservation.summary.idempotent) {
+		if (reservation.phase.type !== 'running' || !(reservation.summary.idempotent || reservation.phase.isBodyOpen)) {
 			return;
 		}
 
--- a/src/wire/frames.ts
+++ b/src/wire/frames.ts
@@ -4,6 +4,8 @@
 
 /** The largest payload of one frame, in bytes; a longer one closes the connection. */
 export const maximumFrameBytes = 8 * 1024 * 1024;
+/** The largest part of a service's body that travels in one message, in bytes. */
+export const maximumPartBytes = 64 * 1024;
 const lengthBytes = 4;
 
 const codec = new Encoder({useRecords: false, mapsAsObjects: true, tagUint8Array: false});
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,5 +1,5 @@
 /** Frames, messages and connections between our own processes. */
-export {encodeFrame, FrameDecoder, FrameError, maximumFrameBytes, type FrameFault} from './frames.js';
+export {encodeFrame, FrameDecoder, FrameError, maximumFrameBytes, maximumPartBytes, type FrameFault} from './frames.js';
 export {
 	messageSchema, protocolVersion, type Message, type MessageOf, type StreamMessage,
 } from './messages.js';
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -67,7 +67,10 @@
 	credit: z.number().int().positive(),
 });
 const body = z.object({type: z.literal('body'), stream, request, bytes, last: z.boolean()});
-/** Entry to side: the caller took this many more events. */
+/**
+ * Entry to side: the caller took this many more events or data messages. Side to entry: the service
+ * took this many more parts of the body.
+ */
 const credit = z.object({type: z.literal('credit'), stream, request, events: z.number().int().positive()});
 const cancel = z.object({type: z.literal('cancel'), stream, request});
 /** Side to entry: events of a model's answer as the engine wrote them; `index` is the first one's token number. */
--- /dev/null
+++ b/test/side/work.test.ts
@@ -0,0 +1,48 @@
+import tap from 'tap';
+import {type EngineClient} from '../../src/endpoint/index.js';
+import {type RequestSummary} from '../../src/model/index.js';
+import {type Scheduler} from '../../src/policy/scheduler/index.js';
+import {type EntryLink} from '../../src/side/entry-link.js';
+import {Work} from '../../src/side/work.js';
+import {type Message, type MessageOf} from '../../src/wire/index.js';
+
+const refusing: Scheduler<undefined> = {
+	create: () => undefined,
+	step(state, event) {
+		switch (event.type) {
+			case 'arrived': {
+				return {state, actions: [{type: 'offer', id: event.id}]};
+			}
+
+			case 'started': {
+				return {state, actions: [{type: 'refuse', id: event.id, kind: 'queue_timeout', message: 'Lapsed.', retryAfterMilliseconds: 0}]};
+			}
+
+			default: {
+				return {state, actions: []};
+			}
+		}
+	},
+	view: () => ({slots: 1, running: 0, waiting: [0, 0, 0], tokenMilliseconds: 0, leaving: false}),
+};
+
+// The entry's body comes in the very moment in which the scheduler takes the slot back. The entry
+// hears `refuse`, which means not run, so the body must not reach the engine, not even for a step.
+tap.test('a body that is refused as it arrives does not run', async t => {
+	let runs = 0;
+	const client = {
+		run() {
+			runs++;
+		},
+	} as unknown as EngineClient;
+	const work = Work.create({backend: {type: 'engine', client}, scheduler: refusing});
+	const sent: Message[] = [];
+	const link = {number: 1, reservations: new Map(), send: (message: Message) => sent.push(message)} as unknown as EntryLink;
+	work.reserve(link, {type: 'reserve', stream: 1, request: 'r', summary: {id: 'r', idempotent: true} as RequestSummary});
+	work.start(link, {type: 'start', stream: 1, request: 'r', credit: 1, more: false} as MessageOf<'start'>);
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	t.same(sent.map(({type}) => type), ['offer', 'refuse']);
+	t.equal(runs, 0);
+});
