Let a preempted request keep its place, and two sides not preempt for one request

A preempted request used up attempts, its old queue time went on and sides did not know that it resumes, so it failed after its caller had half an answer; and both sides of a late-bound reservation preempted for the same request.

Change: a preempted request waits its class's time once more, excludes no endpoint and names its preemptions; the second side asked preempts only at the last moment; a refusal that crosses the body is not run and not a bad answer; the tightest class's time between tokens sets the slots, and classes state theirs; within a tier only runs four times as long as usual give way.

--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -58,6 +58,7 @@
 		target: details.target as TargetName,
 		idempotent: details.idempotent && classEntry.idempotent,
 		firstTokenMilliseconds: classEntry.firstTokenMilliseconds,
+		betweenTokensMilliseconds: classEntry.betweenTokensMilliseconds,
 		queueMilliseconds: classEntry.queueMilliseconds,
 		promptTokens: details.promptTokens,
 		prefix: details.prefix,
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -46,10 +46,14 @@
 	readonly #excluded = new Set<EndpointId>();
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
+	#preemptions = 0;
+	/** When it began to wait for its present slot search. */
+	#waitsSince: number;
 	#alarm: NodeJS.Timeout | undefined;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
+		this.#waitsSince = options.arrivedAt;
 	}
 
 	/** The caller closed its connection. */
@@ -87,7 +91,7 @@
 				return this.#fail(end.failure);
 			}
 
-			this.#excluded.add(found.slot.endpoint);
+			this.#prepareNext(found.slot, end.failure);
 		}
 	}
 
@@ -103,7 +107,7 @@
 			}
 
 			this.#setAlarm(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create(fleet, summary, this.inbox).run(choice.endpoints);
+			const result = yield * SlotSearch.create(fleet, this.#summaryNow(), this.inbox).run(choice.endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -157,14 +161,45 @@
 		}).run();
 	}
 
+	/**
+	 * A preempted request did nothing wrong and nor did its endpoint: it may wait its class's time
+	 * once more, at any side. Sides preempt one request a bounded number of times.
+	 */
+	#prepareNext(slot: Slot, failure: Failure): void {
+		if (failure.kind === FailureKind.preempted) {
+			this.#preemptions += 1;
+			this.#waitsSince = performance.now();
+			return;
+		}
+
+		this.#excluded.add(slot.endpoint);
+	}
+
+	/** What a side must know now: the time that is left, and what the answer so far adds to the prompt. */
+	#summaryNow(): RequestSummary {
+		const {summary} = this.#options;
+		const waited = performance.now() - this.#waitsSince;
+		return {
+			...summary,
+			firstTokenMilliseconds: Math.max(0, summary.firstTokenMilliseconds - waited),
+			queueMilliseconds: Math.max(0, summary.queueMilliseconds - waited),
+			promptTokens: summary.promptTokens + this.#progress.events.length,
+			preemptions: this.#preemptions,
+		};
+	}
+
 	#mayGoOn(failure: Failure): boolean {
 		this.#verdict = combineVerdicts(this.#verdict, failure.verdict);
+		if (failure.kind === FailureKind.preempted) {
+			return true;
+		}
+
 		const again = mayRetry(failure.verdict, this.#options.summary.idempotent);
 		return again && this.#attempts < maximumAttempts && this.#options.spendRetry();
 	}
 
 	#queueTimeLeft(): number {
-		return this.#options.arrivedAt + this.#options.summary.queueMilliseconds - performance.now();
+		return this.#waitsSince + this.#options.summary.queueMilliseconds - performance.now();
 	}
 
 	#setAlarm(milliseconds: number): void {
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -101,12 +101,17 @@
 				return message.count === this.#options.progress.events.length ? {type: 'whole', usage: message.usage} : badAnswer('The answer is shorter than announced.');
 			}
 
+			case 'refuse': {
+				// The offer lapsed while the body was under way; the side gave the body to nobody.
+				const {kind, message: text, retryAfterMilliseconds} = message;
+				return {type: 'failed', failure: createFailure(kind, text, {retryAfterMilliseconds})};
+			}
+
 			case 'fail': {
 				const {kind, verdict, message: text, retryAfterMilliseconds} = message;
 				return {type: 'failed', failure: {kind, verdict, message: text, retryAfterMilliseconds}};
 			}
 
-			case 'refuse':
 			case 'offer':
 			case 'head':
 			case 'data':
--- a/src/entry/slot.ts
+++ b/src/entry/slot.ts
@@ -40,8 +40,8 @@
 
 	/** Reserves at the endpoints, in order, and waits until one offers a slot or all have refused. */
 	* run(endpoints: readonly EndpointId[]): Body<SlotResult> {
-		for (const endpoint of endpoints) {
-			this.#reserve(endpoint);
+		for (const [index, endpoint] of endpoints.entries()) {
+			this.#reserve(endpoint, index === 0);
 		}
 
 		while (this.#open.size > 0) {
@@ -55,7 +55,7 @@
 		return {type: 'failed', failure: this.#refusal ?? noEndpoint(), tried: this.#tried};
 	}
 
-	#reserve(endpoint: EndpointId): void {
+	#reserve(endpoint: EndpointId, asksFirst: boolean): void {
 		const link = this.#fleet.link(endpoint);
 		this.#tried.push(endpoint);
 		if (link === undefined) {
@@ -65,7 +65,7 @@
 		const stream = link.openStream(this.#summary.id, this.#inbox);
 		const slot = {endpoint, link, stream};
 		this.#open.set(keyOf(link, stream), slot);
-		link.send({type: 'reserve', stream, request: this.#summary.id, summary: {...this.#summary}});
+		link.send({type: 'reserve', stream, request: this.#summary.id, summary: {...this.#summary, asksFirst}});
 		this.#fleet.observe({type: 'reserved', endpoint, request: this.#summary.id});
 	}
 
--- a/src/model/request.ts
+++ b/src/model/request.ts
@@ -28,4 +28,6 @@
 	readonly prefix: string;
 	/** How often it has been preempted; missing: never. It resumes then, and its tokens so far are in `promptTokens`. */
 	readonly preemptions?: number;
+	/** False at a side that is asked besides another: it preempts only at the last moment, so that two don't for one request. */
+	readonly asksFirst?: boolean;
 };
--- a/src/policy/scheduler/headroom.ts
+++ b/src/policy/scheduler/headroom.ts
@@ -66,7 +66,7 @@
 const learningRate = 0.1;
 const memoryMilliseconds = 2000;
 /** Classes within this factor of each other's length do not lock each other out for long. */
-const muchLonger = 4;
+export const muchLonger = 4;
 /** Starts come unevenly: what is needed on average is too little half of the time. */
 const unevenness = 1.5;
 const leastSlots = 0.5;
--- a/src/policy/scheduler/preemption.ts
+++ b/src/policy/scheduler/preemption.ts
@@ -17,9 +17,8 @@
  * each other in turn. A request is preempted a bounded number of times, so that two tiers can't throw one
  * answer to and fro and spend the endpoint on reading prompts again.
  */
-export function victimFor(ledger: Ledger, waiting: Waiting, slots: number, settings: SchedulerSettings): Occupied | undefined {
+export function victimFor(ledger: Ledger, waiting: Waiting, shares: SlotShares, settings: SchedulerSettings): Occupied | undefined {
 	let victim: Occupied | undefined;
-	const shares = slotShares(ledger, waiting.summary, slots);
 	for (const candidate of ledger.occupied.values()) {
 		if (mayBePreempted(candidate, waiting, shares, settings) && (victim === undefined || goesFirst(candidate, victim))) {
 			victim = candidate;
@@ -31,6 +30,7 @@
 
 /** True if `occupied` may lose its slot to `waiting`. */
 export function mayBePreempted(occupied: Occupied, waiting: Waiting, shares: SlotShares, settings: SchedulerSettings): boolean {
+	const isLong = occupied.offeredAt < shares.longSince;
 	const {phase, floor, summary} = occupied;
 	if (phase !== 'running' || floor || !summary.idempotent || (summary.preemptions ?? 0) >= settings.maximumPreemptions) {
 		return false;
@@ -40,7 +40,7 @@
 		return summary.tier > waiting.summary.tier;
 	}
 
-	return settings.preemptsForShare && isBelowShare(shares, waiting.summary) && isAboveShare(shares, summary);
+	return settings.preemptsForShare && isLong && isBelowShare(shares, waiting.summary) && isAboveShare(shares, summary);
 }
 
 /** How many slots come free by preemptions that are under way. */
@@ -48,11 +48,11 @@
 	return [...ledger.occupied.values()].filter(({phase}) => phase === 'stopping').length;
 }
 
-/** What the workspaces of one tier hold, and the slots that one weight is worth among them. */
-export type SlotShares = {readonly held: ReadonlyMap<string, number>; readonly slotsPerWeight: number};
+/** What the workspaces of one tier hold, the slots that one weight is worth among them, and how long ago a long run began. */
+export type SlotShares = {readonly held: ReadonlyMap<string, number>; readonly slotsPerWeight: number; readonly longSince: number};
 
 /** Counts the slots that a tier's workspaces hold; what is being preempted counts no more. */
-export function slotShares(ledger: Ledger, {tier}: RequestSummary, slots: number): SlotShares {
+export function slotShares(ledger: Ledger, {tier}: RequestSummary, slots: number, longSince: number): SlotShares {
 	const held = new Map<string, number>();
 	const weights = new Map<string, number>();
 	for (const {summary} of ledger.waiting.values()) {
@@ -61,7 +61,9 @@
 		}
 	}
 
+	let above = 0;
 	for (const {summary, phase} of ledger.occupied.values()) {
+		above += summary.tier < tier ? 1 : 0;
 		if (summary.tier === tier && phase !== 'stopping') {
 			weights.set(summary.workspace, summary.weight);
 			held.set(summary.workspace, (held.get(summary.workspace) ?? 0) + 1);
@@ -73,7 +75,7 @@
 		weight += one;
 	}
 
-	return {held, slotsPerWeight: slots / Math.max(weight, Number.MIN_VALUE)};
+	return {held, slotsPerWeight: (slots - above) / Math.max(weight, Number.MIN_VALUE), longSince};
 }
 
 function isBelowShare({held, slotsPerWeight}: SlotShares, {workspace, weight}: RequestSummary): boolean {
--- a/src/policy/scheduler/slots.ts
+++ b/src/policy/scheduler/slots.ts
@@ -11,9 +11,12 @@
 export type Slots = {
 	/** With a fraction, so that growth may be slower than one slot a window. */
 	readonly limit: number;
-	/** Sum over the window of each token's time as a part of its class's target, and their number. */
-	readonly ratioSum: number;
+	/** Over the window: time between tokens summed, and the number of tokens. */
+	readonly milliseconds: number;
 	readonly tokens: number;
+	/** The tightest target of a class that ran lately, and when one did last. */
+	readonly targetMilliseconds: number;
+	readonly targetSeenAt: number;
 	readonly windowStart: number;
 	/** True if the slots were all taken at some time in the window: only then does more help. */
 	readonly filled: boolean;
@@ -25,7 +28,7 @@
 /** The state before anything was measured. */
 export function initialSlots(settings: SchedulerSettings): Slots {
 	return {
-		limit: settings.initialSlots, ratioSum: 0, tokens: 0, windowStart: 0, filled: false, memoryUsed: 0, tokenMilliseconds: 0,
+		limit: settings.initialSlots, milliseconds: 0, tokens: 0, targetMilliseconds: settings.betweenTokensMilliseconds, targetSeenAt: 0, windowStart: 0, filled: false, memoryUsed: 0, tokenMilliseconds: 0,
 	};
 }
 
@@ -35,7 +38,7 @@
 }
 
 /** Counts tokens in; `milliseconds` passed since the ones before. */
-export function observeTokens(slots: Slots, tokens: number, milliseconds: number, targetMilliseconds: number): Slots {
+export function observeTokens(slots: Slots, tokens: number, milliseconds: number): Slots {
 	if (tokens === 0) {
 		return slots;
 	}
@@ -44,7 +47,7 @@
 	const weight = Math.min(1, tokens * learningRate);
 	return {
 		...slots,
-		ratioSum: slots.ratioSum + (milliseconds / targetMilliseconds),
+		milliseconds: slots.milliseconds + milliseconds,
 		tokens: slots.tokens + tokens,
 		tokenMilliseconds: slots.tokenMilliseconds === 0 ? each : slots.tokenMilliseconds + ((each - slots.tokenMilliseconds) * weight),
 	};
@@ -52,8 +55,13 @@
 
 const learningRate = 0.02;
 
-/** How many requests hold slots, how many of them show tokens, and how many should and don't. */
-export type Held = {readonly occupied: number; readonly producing: number; readonly stalled: number};
+/** How many requests hold slots, how many of them show tokens, how many should and don't, and the tightest target among them. */
+export type Held = {
+	readonly occupied: number;
+	readonly producing: number;
+	readonly stalled: number;
+	readonly tightestMilliseconds: number;
+};
 
 /**
  * Closes the window if it is over, and changes the slots by what it showed. `stalled` of the requests
@@ -65,17 +73,18 @@
 		return filled === slots.filled ? slots : {...slots, filled};
 	}
 
-	const next = nextLimit({...slots, filled}, held, settings);
+	const aimed = {...slots, ...tightest(slots, held, now), filled};
+	const next = nextLimit(aimed, held, settings);
 	const limit = Math.min(settings.maximumSlots, Math.max(settings.minimumSlots, next));
 	return {
-		...slots, limit, ratioSum: 0, tokens: 0, windowStart: now, filled: held.occupied >= Math.floor(limit),
+		...aimed, limit, milliseconds: 0, tokens: 0, windowStart: now, filled: held.occupied >= Math.floor(limit),
 	};
 }
 
 /** How many steps a request that was given to the endpoint may show nothing before it counts as stalled. */
 export const stalledAfterSteps = 30;
 
-function nextLimit({limit, ratioSum, tokens, memoryUsed, filled}: Slots, {occupied, producing, stalled}: Held, settings: SchedulerSettings): number {
+function nextLimit({limit, milliseconds, tokens, targetMilliseconds, memoryUsed, filled}: Slots, {occupied, producing, stalled}: Held, settings: SchedulerSettings): number {
 	// Shrinks from what is in use, since unused slots did not cause the delay.
 	const used = Math.min(limit, Math.max(occupied, 1));
 	if (memoryUsed >= settings.memoryCritical) {
@@ -91,7 +100,7 @@
 		return limit;
 	}
 
-	const ratio = ratioSum / tokens;
+	const ratio = milliseconds / tokens / targetMilliseconds;
 	if (ratio > 1) {
 		return used * settings.shrinkFactor;
 	}
@@ -101,6 +110,21 @@
 	return filled && isFelt && memoryUsed < settings.memoryHigh ? limit + growth(limit, ratio, settings) : limit;
 }
 
+/**
+ * All that runs shares each step, so the tightest class sets the pace, also for some seconds after its
+ * last request: the next one would else find the endpoint crowded by classes that can bear more.
+ */
+function tightest({targetMilliseconds, targetSeenAt}: Slots, {occupied, tightestMilliseconds}: Held, now: number): Pick<Slots, 'targetMilliseconds' | 'targetSeenAt'> {
+	const isForgotten = now - targetSeenAt > targetMemoryMilliseconds;
+	if (occupied > 0 && (isForgotten || tightestMilliseconds <= targetMilliseconds)) {
+		return {targetMilliseconds: tightestMilliseconds, targetSeenAt: now};
+	}
+
+	return {targetMilliseconds, targetSeenAt};
+}
+
+const targetMemoryMilliseconds = 10_000;
+
 /** One slot near the target; far below it more, so that a burst does not wait out dozens of windows. */
 function growth(limit: number, ratio: number, {growBelow}: SchedulerSettings): number {
 	return ratio >= growBelow ? 0 : Math.max(1, limit * 0.5 * (1 - (ratio / growBelow)));
--- a/src/policy/scheduler/tiered-decisions.ts
+++ b/src/policy/scheduler/tiered-decisions.ts
@@ -2,11 +2,11 @@
 import {countDeparture, retryAfter} from './drain.js';
 import {advance, countersOf, greatestLag, lagBound} from './fairness.js';
 import {floorTurn, floorWaitBound} from './floor.js';
-import {slotsToLeave, usualHold} from './headroom.js';
+import {muchLonger, slotsToLeave, usualHold} from './headroom.js';
 import {assertRule, Rule} from './invariants.js';
 import {andThen, occupy, type Occupied, quiet, remove, update, type Waiting, waitingIn} from './ledger.js';
 import {highestWaiting, nextOf} from './order.js';
-import {stopping, victimFor} from './preemption.js';
+import {slotShares, stopping, victimFor} from './preemption.js';
 import {refuse, RefusalReason} from './refusal.js';
 import {type Context, type SchedulerSettings} from './settings.js';
 import {slotCount} from './slots.js';
@@ -91,7 +91,8 @@
 }
 
 /** Frees slots of lower tiers for requests that would else be late. */
-export function preempt(state: TieredState, {now, settings}: Context): Step {
+export function preempt(state: TieredState, context: Context): Step {
+	const {now, settings} = context;
 	if (!isOpen(state) || freeSlots(state) > 0 || !mayFindVictim(state, settings)) {
 		return quiet(state);
 	}
@@ -102,14 +103,15 @@
 	// Slots that are being freed already will serve as many of the first in line.
 	let covered = stopping(state.ledger);
 	for (const [index, waiting] of inTurn(state).entries()) {
-		const startsAt = now + marginMilliseconds + (Math.max(0, index + 1 - covered) / rate);
+		const wait = waiting.summary.asksFirst === false ? 0 : Math.max(0, index + 1 - covered) / rate;
+		const startsAt = now + marginMilliseconds + wait;
 		const rivals = `${waiting.summary.tier} ${waiting.summary.workspace}`;
 		if (index < covered || startsAt <= latestStart(state, waiting) || withoutVictim.has(rivals)) {
 			continue;
 		}
 
 		const before = step.actions.length;
-		step = andThen(step, next => preemptFor(next, waiting, settings));
+		step = andThen(step, next => preemptFor(next, waiting, context));
 		covered += step.actions.length - before;
 		if (step.actions.length === before) {
 			// Nor is there one for the rest of its workspace and tier; queues are long when that is so.
@@ -163,8 +165,10 @@
 	return tiers.flatMap(tier => waitingIn(state.ledger, tier).toSorted((one, other) => latestStart(state, one) - latestStart(state, other)));
 }
 
-function preemptFor(state: TieredState, waiting: Waiting, settings: SchedulerSettings): Step {
-	const victim = victimFor(state.ledger, waiting, slotCount(state.slots), settings);
+function preemptFor(state: TieredState, waiting: Waiting, {now, settings}: Context): Step {
+	const longSince = now - (muchLonger * (usualHold(state.headroom, waiting.summary) ?? unknownHoldMilliseconds));
+	const shares = slotShares(state.ledger, waiting.summary, slotCount(state.slots), longSince);
+	const victim = victimFor(state.ledger, waiting, shares, settings);
 	if (victim === undefined) {
 		return quiet(state);
 	}
--- a/src/policy/scheduler/tiered-events.ts
+++ b/src/policy/scheduler/tiered-events.ts
@@ -31,7 +31,7 @@
 		}
 
 		case 'progressed': {
-			return quiet(progress(state, event, context));
+			return quiet(progress(state, event, now));
 		}
 
 		case 'finished': {
@@ -116,7 +116,7 @@
 	});
 }
 
-function progress(state: TieredState, {id, tokens, milliseconds}: EventOf<'progressed'>, {now, settings}: Context): TieredState {
+function progress(state: TieredState, {id, tokens, milliseconds}: EventOf<'progressed'>, now: number): TieredState {
 	const occupied = state.ledger.occupied.get(id);
 	if (occupied === undefined) {
 		return state;
@@ -127,7 +127,7 @@
 		return {...state, ledger, firstTokenMilliseconds: learnFirstToken(state.firstTokenMilliseconds, now - occupied.offeredAt)};
 	}
 
-	return {...state, ledger, slots: observeTokens(state.slots, tokens, milliseconds, tokenTarget(occupied.summary, settings))};
+	return {...state, ledger, slots: observeTokens(state.slots, tokens, milliseconds)};
 }
 
 /** Rises at once and falls slowly: an estimate that is too short costs a missed target. */
@@ -136,10 +136,6 @@
 	return usual + ((seen - usual) * rate);
 }
 
-function tokenTarget({betweenTokensMilliseconds}: RequestSummary, settings: SchedulerSettings): number {
-	return betweenTokensMilliseconds ?? settings.betweenTokensMilliseconds;
-}
-
 function finish(state: TieredState, {id, outcome}: EventOf<'finished'>, context: Context): TieredState {
 	const occupied = state.ledger.occupied.get(id);
 	return occupied === undefined ? state : free(state, occupied, outcome === 'whole', context);
--- a/src/policy/scheduler/tiered-state.ts
+++ b/src/policy/scheduler/tiered-state.ts
@@ -72,6 +72,11 @@
 	return {...state, turnAt: state.turnAt.with(tier, at)};
 }
 
+/** The shortest time between tokens that a request in a slot can bear. */
+export function tightestTarget({ledger}: TieredState, settings: SchedulerSettings): number {
+	return Math.min(...[...ledger.occupied.values()].map(({summary}) => summary.betweenTokensMilliseconds ?? settings.betweenTokensMilliseconds));
+}
+
 /** Running requests that have shown a token. */
 export function countProducing({ledger}: TieredState): number {
 	return [...ledger.occupied.values()].filter(({tokens}) => tokens > 0).length;
--- a/src/policy/scheduler/tiered.ts
+++ b/src/policy/scheduler/tiered.ts
@@ -6,7 +6,7 @@
 import {adapt, slotCount} from './slots.js';
 import {apply} from './tiered-events.js';
 import {expire, offerSlots, preempt} from './tiered-decisions.js';
-import {countProducing, countStalled, createState, type TieredState} from './tiered-state.js';
+import {countProducing, countStalled, createState, tightestTarget, type TieredState} from './tiered-state.js';
 import {type Scheduler, type SchedulerEvent, type SchedulerStep} from './types.js';
 
 /**
@@ -76,7 +76,7 @@
 	}
 
 	const {ledger} = state;
-	const held = {occupied: ledger.occupied.size, producing: countProducing(state), stalled: countStalled(state, now)};
+	const held = {occupied: ledger.occupied.size, producing: countProducing(state), stalled: countStalled(state, now), tightestMilliseconds: tightestTarget(state, context.settings)};
 	const slots = adapt(state.slots, held, context);
 	return {
 		...state, slots, passedAt: now, floor: accrue(state.floor, ledger, slotCount(slots), context), drain: elapse(state.drain, ledger, now),
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -30,6 +30,7 @@
 	fingerprint: text,
 	prefix: text,
 	preemptions: z.number().int().nonnegative().optional(),
+	asksFirst: z.boolean().optional(),
 });
 
 const hello = z.object({
