Add the soak: seeded faults on the product's own processes, judged from outside

Change: npm run soak starts entries and sides over loopback behind paths that can be cut or silenced, injects 34 kinds of faults from a seeded plan, and holds what callers got against what the stand-ins ran. The harness can crash and replace entries and sides; its caller can be slow. A client no longer adds a listener to a kept socket for each call (a MaxListenersExceededWarning in the first soak).

--- a/bench/harness/caller.ts
+++ b/bench/harness/caller.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {createParser} from 'eventsource-parser';
 import {expectedAnswer} from '../../fakes/index.js';
 import {type Verdict} from '../../src/model/index.js';
@@ -15,6 +16,8 @@
 	readonly maxTokens?: number;
 	readonly idempotencyKey?: string;
 	readonly signal?: AbortSignal;
+	/** Waits so long after each read: a caller that is slow. */
+	readonly pauseMilliseconds?: number;
 };
 
 /** What the caller got, judged against what any engine must answer to its prompt. */
@@ -43,7 +46,7 @@
 	const reading = CallReading.create(expectedAnswer(body));
 	try {
 		const response = await send(options, body);
-		await reading.read(response);
+		await reading.read(response, options.pauseMilliseconds ?? 0);
 	} catch {
 		reading.broke();
 	}
@@ -100,7 +103,7 @@
 		this.#expected = expected;
 	}
 
-	async read(response: IncomingMessage): Promise<void> {
+	async read(response: IncomingMessage, pauseMilliseconds: number): Promise<void> {
 		this.#status = response.statusCode ?? 0;
 		this.#retryAfter = response.headers['retry-after'];
 		this.#requestId = response.headers['cassiaflow-request-id'] as string | undefined;
@@ -117,6 +120,9 @@
 		});
 		for await (const part of response) {
 			parser.feed(part as string);
+			if (pauseMilliseconds > 0) {
+				await delay(pauseMilliseconds);
+			}
 		}
 	}
 
--- a/bench/harness/local-fleet.ts
+++ b/bench/harness/local-fleet.ts
@@ -22,12 +22,14 @@
 const loopback = '127.0.0.1';
 
 /** One endpoint with its side, as started by the harness. */
-export type LocalEndpoint = {
-	readonly name: string;
-	readonly engine: FakeEngine;
-	readonly side: Side<any>;
-	readonly instance: InstanceId;
-	readonly parts: readonly AsyncDisposable[];
+export type LocalEndpoint = LocalSide & {readonly name: string; readonly zone: string; readonly engine: FakeEngine};
+
+/** The side process of an endpoint; a replacement takes its place after a crash. */
+type LocalSide = {
+	side: Side<any>;
+	instance: InstanceId;
+	/** What ends with the side process, the engine not counted. */
+	sideParts: readonly AsyncDisposable[];
 };
 
 export type LocalEntry = {readonly entry: Entry<any>; readonly follower: CatalogueFollower; readonly instance: InstanceId; readonly zone: string};
@@ -44,6 +46,8 @@
 	readonly security?: Security;
 	readonly logLevel?: 'debug' | 'info' | 'warn' | 'error' | 'fatal';
 	readonly onEnd?: EntryOptions<unknown>['onEnd'];
+	/** The address that the membership list names in place of a side's own: a path that a test can cut. */
+	readonly route?: (endpoint: string, address: string) => Promise<string>;
 };
 
 /**
@@ -83,32 +87,24 @@
 	/** Starts an engine and its side, and lists the side. */
 	async addEndpoint(name: string, zone: string): Promise<LocalEndpoint> {
 		const engine = await FakeEngine.create({models: this.#options.models, costs: this.#options.costs});
-		const instance = createInstanceId('side');
-		const follower = this.#follow(instance);
-		const client = EngineClient.create({baseUrl: engine.url});
-		const side = await Side.create({
-			instance,
-			endpoint: name as EndpointId,
-			targets: this.#options.models as TargetName[],
-			zone: zone as ZoneName,
-			host: loopback,
-			port: 0,
-			security: this.#security,
-			engine: client,
-			scheduler: this.#options.scheduler?.() ?? tiered(createSettings()),
-			logger: forPart(this.logger, 'Side'),
-			catalogueOffset: () => follower.current().offset,
-			onPeerMessage(message, reply) {
-				exchangeCatalogue(follower, message, reply);
-			},
-		});
-		const watch = EndpointWatch.create(EngineControl.create({baseUrl: engine.url, timeoutMilliseconds: healthTimeoutMilliseconds}), side);
-		const endpoint = {name, engine, side, instance, parts: [watch, side, client, follower, engine]};
+		const endpoint = {name, zone, engine, ...await this.#startSide(name, zone, engine)};
 		this.endpoints.push(endpoint);
-		this.members.set({instance, role: 'side', address: side.address, zone, state: 'live', endpoint: name, targets: this.#options.models});
+		await this.#listSide(endpoint);
 		return endpoint;
 	}
 
+	/** Ends a side process without a word to anyone; its engine goes on. */
+	async crashSide(endpoint: LocalEndpoint): Promise<void> {
+		await disposeAll(endpoint.sideParts);
+	}
+
+	/** Starts a replacement of a crashed side beside the same engine. */
+	async restartSide(endpoint: LocalEndpoint): Promise<void> {
+		this.members.remove(endpoint.instance);
+		Object.assign(endpoint, await this.#startSide(endpoint.name, endpoint.zone, endpoint.engine));
+		await this.#listSide(endpoint);
+	}
+
 	async addEntry(zone: string): Promise<LocalEntry> {
 		const instance = createInstanceId('entry');
 		const follower = this.#follow(instance);
@@ -160,10 +156,17 @@
 	async stopEndpoint(endpoint: LocalEndpoint): Promise<void> {
 		await endpoint.side.drain();
 		this.members.remove(endpoint.instance);
-		await disposeAll(endpoint.parts);
+		await disposeAll([...endpoint.sideParts, endpoint.engine]);
 		this.endpoints.splice(this.endpoints.indexOf(endpoint), 1);
 	}
 
+	/** Ends an entry without a word to anyone; the list still names it for a while. */
+	async crashEntry(local: LocalEntry): Promise<void> {
+		this.entries.splice(this.entries.indexOf(local), 1);
+		this.members.remove(local.instance);
+		await disposeAll([local.entry, local.follower]);
+	}
+
 	async stopEntry(local: LocalEntry): Promise<void> {
 		await local.entry.drain();
 		this.members.remove(local.instance);
@@ -173,10 +176,39 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		await disposeAll(this.entries.flatMap(({entry, follower}) => [entry, follower]));
-		await disposeAll(this.endpoints.flatMap(({parts}) => parts));
+		await disposeAll(this.endpoints.flatMap(({sideParts, engine}) => [...sideParts, engine]));
 		await disposeAll([this.members, this.log]);
 	}
 
+	async #startSide(name: string, zone: string, engine: FakeEngine): Promise<LocalSide> {
+		const instance = createInstanceId('side');
+		const follower = this.#follow(instance);
+		const client = EngineClient.create({baseUrl: engine.url});
+		const side = await Side.create({
+			instance,
+			endpoint: name as EndpointId,
+			targets: this.#options.models as TargetName[],
+			zone: zone as ZoneName,
+			host: loopback,
+			port: 0,
+			security: this.#security,
+			engine: client,
+			scheduler: this.#options.scheduler?.() ?? tiered(createSettings()),
+			logger: forPart(this.logger, 'Side'),
+			catalogueOffset: () => follower.current().offset,
+			onPeerMessage(message, reply) {
+				exchangeCatalogue(follower, message, reply);
+			},
+		});
+		const watch = EndpointWatch.create(EngineControl.create({baseUrl: engine.url, timeoutMilliseconds: healthTimeoutMilliseconds}), side);
+		return {side, instance, sideParts: [watch, side, client, follower]};
+	}
+
+	async #listSide({name, zone, side, instance}: LocalEndpoint): Promise<void> {
+		const address = await this.#options.route?.(name, side.address) ?? side.address;
+		this.members.set({instance, role: 'side', address, zone, state: 'live', endpoint: name, targets: this.#options.models});
+	}
+
 	#follow(instance: string): CatalogueFollower {
 		const logger = forPart(this.logger, 'Catalogue');
 		return CatalogueFollower.create({
--- /dev/null
+++ b/bench/soak/load.ts
@@ -0,0 +1,139 @@
+import {callModel, type CallResult} from '../harness/caller.js';
+import {type ClassPlan, keyOf} from '../harness/catalogue.js';
+import {type Random} from '../harness/random.js';
+import {type CallRecord} from './checker.js';
+import {poisonText, soakModel, type World} from './world.js';
+
+export const workspaces = ['stickwerk-auer', 'stickwerk-brandl', 'cuarto-andino-lima', 'cuarto-andino-cusco'];
+
+export const soakClasses: readonly ClassPlan[] = [
+	{name: 'answer', tier: 0, firstTokenMilliseconds: 500, betweenTokensMilliseconds: 100, queueMilliseconds: 3000},
+	{name: 'order', tier: 1, firstTokenMilliseconds: 1500, betweenTokensMilliseconds: 150, queueMilliseconds: 6000},
+	{name: 'chart', tier: 2, firstTokenMilliseconds: 8000, betweenTokensMilliseconds: 300, queueMilliseconds: 15_000},
+];
+
+const meanTokens = 40;
+const leavingCallerChance = 0.05;
+const leavesAfterMilliseconds = 400;
+const slowCallerChance = 0.03;
+const slowCallerPauseMilliseconds = 20;
+const poisonSends = 4;
+const burstCalls = 60;
+
+/** Callers of one run: they send, and keep a record of what each got. */
+export class Callers {
+	static create(world: World, random: Random, seed: number): Callers {
+		return new Callers(world, random, seed);
+	}
+
+	readonly records: CallRecord[] = [];
+	readonly results: CallResult[] = [];
+	/** Requests that crash what runs them, by prompt. */
+	poisonSent = 0;
+	readonly #world: World;
+	readonly #random: Random;
+	readonly #seed: number;
+	readonly #pending = new Set<Promise<void>>();
+	#sent = 0;
+
+	private constructor(world: World, random: Random, seed: number) {
+		this.#world = world;
+		this.#random = random;
+		this.#seed = seed;
+	}
+
+	/** Sends one ordinary call and does not wait for it. */
+	send(): void {
+		const random = this.#random;
+		this.#sent++;
+		const tokens = 1 + Math.floor(random.exponential(meanTokens));
+		this.#start(this.#one({
+			prompt: `seed ${this.#seed} call ${this.#sent} [[tokens=${tokens}]]`,
+			plan: random.pick(soakClasses),
+			workspace: random.pick(workspaces),
+			target: random.below(1000),
+			leavesAfter: random.uniform() < leavingCallerChance ? random.below(leavesAfterMilliseconds) : undefined,
+			pause: random.uniform() < slowCallerChance ? slowCallerPauseMilliseconds : undefined,
+		}));
+	}
+
+	/** Many at once from one workspace, in the lowest tier. */
+	burst(target: number): void {
+		for (let count = 0; count < burstCalls; count++) {
+			this.#sent++;
+			this.#start(this.#one({
+				...steadyCaller, prompt: `seed ${this.#seed} burst ${this.#sent} [[tokens=60]]`, plan: soakClasses[2]!, workspace: workspaces[target % workspaces.length]!, target: target + count,
+			}));
+		}
+	}
+
+	/** One request that crashes each endpoint that runs it; its caller sends it again through other entries. */
+	poison(target: number): void {
+		this.poisonSent++;
+		const prompt = `${poisonText} of seed ${this.#seed}, number ${this.poisonSent}`;
+		this.#start(this.#insist(prompt, target));
+	}
+
+	/** Resolves once every call has its outcome. */
+	async settled(): Promise<void> {
+		while (this.#pending.size > 0) {
+			await Promise.all(this.#pending);
+		}
+	}
+
+	async #insist(prompt: string, target: number): Promise<void> {
+		for (let sending = 0; sending < poisonSends; sending++) {
+			await this.#one({...steadyCaller, prompt, plan: soakClasses[1]!, workspace: workspaces[target % workspaces.length]!, target: target + sending});
+		}
+	}
+
+	#start(call: Promise<void>): void {
+		this.#pending.add(call);
+		void call.finally(() => {
+			this.#pending.delete(call);
+		});
+	}
+
+	async #one({prompt, plan, workspace, target, leavesAfter, pause}: Call): Promise<void> {
+		const {address} = this.#world.entry(target).entry;
+		const leaving = new AbortController();
+		const timer = leavesAfter === undefined
+			? undefined
+			: setTimeout(() => {
+				leaving.abort();
+			}, leavesAfter);
+		const startedAt = performance.now();
+		const result = await callModel({
+			address, key: keyOf(workspace), className: plan.name, model: soakModel, prompt, signal: leaving.signal, pauseMilliseconds: pause,
+		});
+		clearTimeout(timer);
+		this.results.push(result);
+		this.records.push({
+			prompt,
+			key: undefined,
+			className: plan.name,
+			entry: address,
+			startedAt,
+			endedAt: performance.now(),
+			outcome: result.outcome,
+			verdict: result.verdict,
+			code: result.code,
+			callerLeft: leaving.signal.aborted,
+			tokens: result.tokens,
+			firstTokenMilliseconds: result.firstTokenMilliseconds,
+			dueMilliseconds: plan.firstTokenMilliseconds,
+		});
+	}
+}
+
+type Call = {
+	readonly prompt: string;
+	readonly plan: ClassPlan;
+	readonly workspace: string;
+	readonly target: number;
+	readonly leavesAfter: number | undefined;
+	readonly pause: number | undefined;
+};
+
+/** A caller that stays and reads as fast as it can. */
+const steadyCaller = {leavesAfter: undefined, pause: undefined};
--- /dev/null
+++ b/bench/soak/plan.ts
@@ -0,0 +1,84 @@
+import {type Random} from '../harness/random.js';
+
+/** Every fault that the soak can inject. Numbers pick the part that is hit, modulo how many there are. */
+export const faultKinds = [
+	'engine-crash',
+	'engine-crash-mid-stream',
+	'engine-slow',
+	'engine-frozen',
+	'engine-refuses',
+	'engine-wrong-load',
+	'engine-down',
+	'events-crossed',
+	'events-late',
+	'events-duplicated',
+	'events-foreign',
+	'events-dropped',
+	'stream-truncated',
+	'side-crash',
+	'entry-crash',
+	'path-cut',
+	'path-silent',
+	'path-slow',
+	'log-down',
+	'log-slow',
+	'log-loses-answers',
+	'log-appends-twice',
+	'log-rate-limited',
+	'log-retention',
+	'members-down',
+	'members-lag',
+	'members-hide',
+	'members-phantom',
+	'stop-entry',
+	'stop-endpoint',
+	'publish',
+	'publish-race',
+	'poison-request',
+	'caller-burst',
+] as const;
+export type FaultKind = (typeof faultKinds)[number];
+
+export type PlannedFault = {
+	readonly atMilliseconds: number;
+	readonly kind: FaultKind;
+	readonly target: number;
+	readonly durationMilliseconds: number;
+};
+
+const shortestMilliseconds = 100;
+const longestMilliseconds = 2500;
+/** Some faults come with a second one at the same moment, since the rules hold under pairs too. */
+const pairChance = 0.35;
+const repeatChance = 0.15;
+const repeatWithinMilliseconds = 200;
+/** Larger than any number of parts, so that each is picked about as often. */
+const targets = 1000;
+
+/** Faults over a time, about `perSecond`, singly, in pairs and repeated. */
+export function planFaults(random: Random, totalMilliseconds: number, perSecond: number): PlannedFault[] {
+	const planned: PlannedFault[] = [];
+	let at = 0;
+	for (;;) {
+		at += Math.round((1000 / perSecond) * (0.2 + (1.6 * random.uniform())));
+		if (at >= totalMilliseconds) {
+			return planned;
+		}
+
+		const fault = planOne(random, at);
+		planned.push(fault);
+		if (random.uniform() < pairChance) {
+			planned.push(planOne(random, at));
+		}
+
+		if (random.uniform() < repeatChance) {
+			planned.push({...fault, atMilliseconds: at + 1 + random.below(repeatWithinMilliseconds)});
+		}
+	}
+}
+
+function planOne(random: Random, atMilliseconds: number): PlannedFault {
+	return {
+		atMilliseconds, kind: random.pick(faultKinds), target: random.below(targets), durationMilliseconds: shortestMilliseconds + random.below(longestMilliseconds - shortestMilliseconds),
+	};
+}
--- a/fakes/index.ts
+++ b/fakes/index.ts
@@ -2,5 +2,6 @@
 export * from './engine/index.js';
 export {FakeLog, type LogFaults} from './log.js';
 export {FakeMembers, type MembersFaults} from './members.js';
+export {FakePath, type PathFaults} from './network-path.js';
 export {FakeService, type ServiceFaults} from './service.js';
 export {FakeWeights, type WeightsFaults} from './weights.js';
--- a/src/platform/http-caller.ts
+++ b/src/platform/http-caller.ts
@@ -84,9 +84,11 @@
 		let connected = false;
 		sent.once('socket', socket => {
 			connected = !socket.connecting;
-			socket.once('connect', () => {
-				connected = true;
-			});
+			if (!connected) {
+				socket.once('connect', () => {
+					connected = true;
+				});
+			}
 		});
 		sent.on('error', (error: NodeJS.ErrnoException) => {
 			const reason = sent.reusedSocket && error.code === 'ECONNRESET' ? staleConnection : error.message;
--- /dev/null
+++ b/test/soak/checker.test.ts
@@ -0,0 +1,44 @@
+import tap from 'tap';
+import {checkCalls, checkKeys, OffsetWatch, type CallRecord, type Truth} from '../../bench/soak/checker.js';
+import {planFaults} from '../../bench/soak/plan.js';
+import {createRandom} from '../../bench/harness/random.js';
+
+const call: CallRecord = {
+	prompt: 'soup', key: undefined, className: 'order', entry: 'e1', startedAt: 0, endedAt: 10, outcome: 'whole', verdict: undefined, code: undefined, callerLeft: false, tokens: 3, firstTokenMilliseconds: 1, dueMilliseconds: 5,
+};
+
+function truth(more: Partial<Truth> = {}): Truth {
+	return {runsOfPrompt: () => 1, runsOfKey: () => 1, crashedEntries: new Map(), ...more};
+}
+
+function rules(calls: CallRecord[], known = truth()): string[] {
+	return [...checkCalls(calls, known), ...checkKeys(calls, known)].map(violation => violation.rule);
+}
+
+tap.test('the checker finds each broken rule, and nothing in what is right', async t => {
+	t.same(rules([call]), []);
+	t.same(rules([{...call, outcome: 'wrong'}]), ['own whole answer']);
+	t.same(rules([{...call, outcome: 'failed'}]), ['verdict']);
+	t.same(rules([{...call, outcome: 'failed', verdict: 'not-run'}]), ['not run']);
+	t.same(rules([{...call, outcome: 'failed', verdict: 'not-run'}], truth({runsOfPrompt: () => 0})), []);
+	t.same(rules([{...call, outcome: 'failed', verdict: 'may-have-run'}]), []);
+	t.same(rules([{...call, outcome: 'broken'}]), ['whole answer or verdict']);
+	t.same(rules([{...call, outcome: 'broken'}], truth({crashedEntries: new Map([['e1', 5]])})), []);
+	t.same(rules([{...call, key: 'k'}], truth({runsOfKey: () => 2})), ['at most once']);
+	t.same(rules([{...call, key: 'k', outcome: 'failed', verdict: 'not-run'}]), ['not run']);
+	t.same(rules([{...call, endedAt: 100_000}]), ['ends']);
+});
+
+tap.test('an offset that goes back is found', async t => {
+	const watch = OffsetWatch.create();
+	for (const offset of [1, 2, 2, 1]) {
+		watch.see('e1', offset, 0);
+	}
+
+	t.equal(watch.violations.length, 1);
+});
+
+tap.test('the same seed plans the same faults', async t => {
+	t.same(planFaults(createRandom(7), 20_000, 2), planFaults(createRandom(7), 20_000, 2));
+	t.notSame(planFaults(createRandom(7), 20_000, 2), planFaults(createRandom(8), 20_000, 2));
+});
