--- a/bench/harness/caller.ts
+++ b/bench/harness/caller.ts
@@ -34,6 +34,8 @@
 	/** Times between tokens, in milliseconds. */
 	readonly gaps: readonly number[];
 	readonly requestId: string | undefined;
+	/** How the connection broke, if it did. */
+	readonly breakReason: string | undefined;
 };
 
 const agent = new http.Agent({keepAlive: true, maxSockets: Number.POSITIVE_INFINITY});
@@ -47,8 +49,8 @@
 	try {
 		const response = await send(options, body);
 		await reading.read(response, options.pauseMilliseconds ?? 0);
-	} catch {
-		reading.broke();
+	} catch (error) {
+		reading.broke(error);
 	}
 
 	return reading.result();
@@ -94,6 +96,7 @@
 	readonly #parts: string[] = [];
 	#done = false;
 	#broken = false;
+	#breakReason: string | undefined;
 	#error: ErrorBody['error'];
 	#status = 0;
 	#retryAfter: string | undefined;
@@ -126,8 +129,9 @@
 		}
 	}
 
-	broke(): void {
+	broke(error: unknown): void {
 		this.#broken = true;
+		this.#breakReason = String(error);
 	}
 
 	result(): CallResult {
@@ -144,6 +148,7 @@
 			firstTokenMilliseconds: this.#firstTokenAt === undefined ? undefined : this.#firstTokenAt - this.#startedAt,
 			gaps: this.#gaps,
 			requestId: this.#requestId,
+			breakReason: this.#breakReason,
 		};
 	}
 
--- a/bench/soak/checker.ts
+++ b/bench/soak/checker.ts
@@ -11,6 +11,8 @@
 	readonly outcome: 'whole' | 'wrong' | 'failed' | 'broken';
 	readonly verdict: Verdict | undefined;
 	readonly code: string | undefined;
+	/** How the answer ended, in words. */
+	readonly ending: string;
 	readonly callerLeft: boolean;
 	readonly tokens: number;
 	readonly firstTokenMilliseconds: number | undefined;
@@ -39,7 +41,7 @@
 }
 
 function * checkCall(call: CallRecord, truth: Truth): Generator<Violation> {
-	const violation = (rule: string, detail: string): Violation => ({rule, detail: `${detail} (${call.prompt.slice(0, 40)}, ${call.className}, code ${call.code ?? 'none'})`, at: call.endedAt});
+	const violation = (rule: string, detail: string): Violation => ({rule, detail: `${detail} (${call.prompt.slice(0, 40)}, ${call.className}, code ${call.code ?? 'none'}, ${call.ending})`, at: call.endedAt});
 	if (call.outcome === 'wrong') {
 		yield violation('own whole answer', 'the text is not the one that every engine gives to this prompt');
 	}
--- a/bench/soak/load.ts
+++ b/bench/soak/load.ts
@@ -118,6 +118,7 @@
 			outcome: result.outcome,
 			verdict: result.verdict,
 			code: result.code,
+			ending: `status ${result.status}, ${result.tokens} tokens, ${result.breakReason ?? 'ended cleanly'}`,
 			callerLeft: leaving.signal.aborted,
 			tokens: result.tokens,
 			firstTokenMilliseconds: result.firstTokenMilliseconds,
--- a/src/endpoint/answer-checker.ts
+++ b/src/endpoint/answer-checker.ts
@@ -19,6 +19,7 @@
 
 	readonly #requestId: string;
 	#next: number;
+	#announced: unknown;
 
 	private constructor(requestId: string, next: number) {
 		this.#requestId = requestId;
@@ -28,7 +29,7 @@
 	/** The checked event; `undefined` for one that carries neither a token nor the usage. */
 	check(data: string): EngineEvent | undefined {
 		if (data === doneMark) {
-			return {type: 'done'};
+			return this.#end();
 		}
 
 		const event = parse(data);
@@ -45,7 +46,7 @@
 		}
 
 		if (event.token_index === undefined) {
-			return isPresent(event.usage) ? {type: 'usage', data} : undefined;
+			return this.#takeUsage(event, data);
 		}
 
 		if (event.token_index !== this.#next) {
@@ -55,6 +56,25 @@
 		this.#next++;
 		return {type: 'token', index: this.#next - 1, data};
 	}
+
+	#takeUsage(event: SentEvent, data: string): EngineEvent | undefined {
+		const usage = event.usage as {completion_tokens?: unknown} | undefined;
+		if (!isPresent(usage)) {
+			return undefined;
+		}
+
+		this.#announced = usage?.completion_tokens;
+		return {type: 'usage', data};
+	}
+
+	/**
+	 * Failure: the very last token went to another stream, or was skipped. Symptom: no later number
+	 * shows the gap, and the caller takes an answer without its last word for whole. The usage event
+	 * says how many tokens there are, and an end that does not agree with it is a fault.
+	 */
+	#end(): EngineEvent {
+		return this.#announced === this.#next ? {type: 'done'} : fault(`The engine ended its answer with ${this.#next} tokens and announced ${JSON.stringify(this.#announced) ?? 'none'}.`);
+	}
 }
 
 /** The failure of an answer that breaks the protocol: the engine has run the request, in whole or in part. */
--- a/test/endpoint/engine-client.test.ts
+++ b/test/endpoint/engine-client.test.ts
@@ -83,6 +83,15 @@
 	}
 });
 
+tap.test('an answer that lost its last token is not whole', async t => {
+	// Found by the soak, seed 5: the engine wrote the last token of one answer into another stream, and
+	// then ended the first with usage and [DONE]. No later number showed the gap, so the caller took
+	// 59 of 60 tokens for the whole answer. The count in the usage event tells.
+	await using engine = await FakeEngine.create({costs, faults: {dropEvents: 1}});
+	await using client = EngineClient.create({baseUrl: engine.url});
+	t.match(await collect(client.run(runOf('one token [[tokens=1]]'))), [{type: 'usage'}, {type: 'failed', failure: {kind: 'bad_answer', verdict: 'may-have-run'}}]);
+});
+
 tap.test('a late event of an earlier request is not passed on', async t => {
 	await using engine = await FakeEngine.create({costs});
 	await using client = EngineClient.create({baseUrl: engine.url});
--- a/test/soak/checker.test.ts
+++ b/test/soak/checker.test.ts
@@ -4,7 +4,7 @@
 import {createRandom} from '../../bench/harness/random.js';
 
 const call: CallRecord = {
-	prompt: 'soup', key: undefined, className: 'order', entry: 'e1', startedAt: 0, endedAt: 10, outcome: 'whole', verdict: undefined, code: undefined, callerLeft: false, tokens: 3, firstTokenMilliseconds: 1, dueMilliseconds: 5,
+	prompt: 'soup', key: undefined, className: 'order', entry: 'e1', startedAt: 0, endedAt: 10, outcome: 'whole', verdict: undefined, code: undefined, ending: '', callerLeft: false, tokens: 3, firstTokenMilliseconds: 1, dueMilliseconds: 5,
 };
 
 function truth(more: Partial<Truth> = {}): Truth {
