Watch a call's connection in one place

Cause: the platform's and the endpoints' callers each had the same lines, and both once added a 'connect' listener per call to a kept connection. Change: watchConnection serves both.

--- a/src/endpoint/open-call.ts
+++ b/src/endpoint/open-call.ts
@@ -1,4 +1,5 @@
 import {request as httpRequest, type Agent, type ClientRequest, type IncomingMessage} from 'node:http';
+import {watchConnection} from '../platform/index.js';
 import {createFailure, FailureKind, Verdict, type Failure} from '../model/index.js';
 
 export type CallSettings = {
@@ -36,19 +37,11 @@
 		const timer = setTimeout(() => {
 			sent.destroy(Object.assign(new Error('no answer in time'), {code: 'ETIMEDOUT'}));
 		}, settings.headMilliseconds);
-		let connected = false;
-		sent.once('socket', socket => {
-			connected = !socket.connecting;
-			if (!connected) {
-				socket.once('connect', () => {
-					connected = true;
-				});
-			}
-		});
+		const connection = watchConnection(sent);
 		// The listener stays: an error after the answer began is reported by the response, and must not be thrown here.
 		sent.on('error', error => {
 			clearTimeout(timer);
-			resolve({type: 'failed', failure: lostCall(error, connected, settings.signal)});
+			resolve({type: 'failed', failure: lostCall(error, connection.stood, settings.signal)});
 		});
 		sent.once('response', response => {
 			clearTimeout(timer);
--- a/src/platform/http-caller.ts
+++ b/src/platform/http-caller.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request as httpRequest, type ClientRequest, type IncomingMessage} from 'node:http';
+import {watchConnection} from './connection-watch.js';
 import {PlatformError} from './error.js';
 
 export type HttpClientSettings = {
@@ -81,21 +82,10 @@
 
 function exchange(sent: ClientRequest, payload: string | undefined): Promise<Answer> {
 	return new Promise<Answer>((resolve, reject) => {
-		let connected = false;
-		sent.once('socket', socket => {
-			connected = !socket.connecting;
-			if (connected) {
-				return;
-			}
-
-			socket.once('connect', () => {
-				connected = true;
-			});
-		});
+		const connection = watchConnection(sent);
 		sent.on('error', (error: NodeJS.ErrnoException) => {
 			const reason = sent.reusedSocket && error.code === 'ECONNRESET' ? staleConnection : error.message;
-			// Node writes nothing before the connection stands, so the call can't have taken effect.
-			reject(PlatformError.create(connected ? {type: 'lost', reason} : {type: 'unreachable', reason}));
+			reject(PlatformError.create(connection.stood ? {type: 'lost', reason} : {type: 'unreachable', reason}));
 		});
 		sent.once('response', response => {
 			readText(response).then(text => {
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -13,3 +13,4 @@
 export {HttpCaller} from './http-caller.js';
 export {QuarantineLedger, quarantineStream, type QuarantineLedgerSettings} from './quarantine-ledger.js';
 export {exchangeCatalogue, type CatalogueMessage} from './catalogue-peer.js';
+export {watchConnection} from './connection-watch.js';
