--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -195,7 +195,7 @@
 		const summary = summarize(caller, {
 			id,
 			target: route.name,
-			idempotent: catalogue.service(route.name)?.idempotentMethods.includes(method) ?? false,
+			idempotent: isIdempotent(catalogue, route.name, method),
 			promptTokens: 0,
 			prefix: route.name,
 			fingerprintSource: `${method} ${route.path}\n${sha256(body.first)}`,
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -45,6 +45,7 @@
 	readonly #finder: SlotFinder;
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
+	#preemptions = 0;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
@@ -67,7 +68,9 @@
 
 	* #attempt(): Body<CallEnd> {
 		for (;;) {
-			const found = yield * this.#finder.find();
+			const found = yield * this.#finder.find({
+				promptTokens: this.#options.summary.promptTokens + this.#progress.events.length, preemptions: this.#preemptions,
+			});
 			if (found.type !== 'slot') {
 				return found.type === 'failed' ? this.#fail(found.failure) : this.#left();
 			}
@@ -86,7 +89,7 @@
 				return this.#fail(end.failure);
 			}
 
-			this.#finder.exclude(found.slot.endpoint);
+			this.#prepareNext(found.slot, end.failure);
 		}
 	}
 
@@ -120,8 +123,26 @@
 		}).run();
 	}
 
+	/**
+	 * A preempted request did nothing wrong and nor did its endpoint: it may wait its class's time
+	 * once more, at any side. Sides preempt one request a bounded number of times.
+	 */
+	#prepareNext(slot: Slot, failure: Failure): void {
+		if (failure.kind === FailureKind.preempted) {
+			this.#preemptions += 1;
+			this.#finder.restartWait();
+			return;
+		}
+
+		this.#finder.exclude(slot.endpoint);
+	}
+
 	#mayGoOn(failure: Failure): boolean {
 		this.#verdict = combineVerdicts(this.#verdict, failure.verdict);
+		if (failure.kind === FailureKind.preempted) {
+			return true;
+		}
+
 		const again = mayRetry(failure.verdict, this.#options.summary.idempotent);
 		return again && this.#attempts < maximumAttempts && this.#options.spendRetry();
 	}
--- a/src/entry/service-call.ts
+++ b/src/entry/service-call.ts
@@ -185,8 +185,13 @@
 				return {type: 'failed', failure: {kind, verdict, message: text, retryAfterMilliseconds}};
 			}
 
+			case 'refuse': {
+				// The offer lapsed while the body was under way; the side gave the body to nobody.
+				const {kind, message: text, retryAfterMilliseconds} = message;
+				return {type: 'failed', failure: createFailure(kind, text, {retryAfterMilliseconds})};
+			}
+
 			case 'chunk':
-			case 'refuse':
 			case 'offer':
 			case 'reserve':
 			case 'withdraw':
--- a/src/entry/slot-finder.ts
+++ b/src/entry/slot-finder.ts
@@ -27,10 +27,12 @@
 
 	readonly #options: SlotFinderOptions;
 	readonly #excluded = new Set<EndpointId>();
+	#waitsSince: number;
 	#alarm: NodeJS.Timeout | undefined;
 
 	private constructor(options: SlotFinderOptions) {
 		this.#options = options;
+		this.#waitsSince = options.arrivedAt;
 	}
 
 	/** Leaves an endpoint out of the next search. */
@@ -38,7 +40,13 @@
 		this.#excluded.add(endpoint);
 	}
 
-	* find(): Body<SlotFound> {
+	/** Gives the request its class's time once more, after it lost a slot without fault. */
+	restartWait(): void {
+		this.#waitsSince = performance.now();
+	}
+
+	/** Searches until a side offers a slot, all have refused or time is up; `changes` go into the summary that sides see. */
+	* find(changes: Partial<RequestSummary> = {}): Body<SlotFound> {
 		const {fleet, summary, inbox} = this.#options;
 		let failure = noEndpoint();
 		while (this.#queueTimeLeft() > 0) {
@@ -50,7 +58,7 @@
 			}
 
 			this.setAlarm(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create(fleet, summary, inbox).run(choice.endpoints);
+			const result = yield * SlotSearch.create(fleet, {...this.#summaryNow(), ...changes}, inbox).run(choice.endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -87,6 +95,17 @@
 	}
 
 	#queueTimeLeft(): number {
-		return this.#options.arrivedAt + this.#options.summary.queueMilliseconds - performance.now();
+		return this.#waitsSince + this.#options.summary.queueMilliseconds - performance.now();
+	}
+
+	/** What a side must know now: the time that is left. */
+	#summaryNow(): RequestSummary {
+		const {summary} = this.#options;
+		const waited = performance.now() - this.#waitsSince;
+		return {
+			...summary,
+			firstTokenMilliseconds: Math.max(0, summary.firstTokenMilliseconds - waited),
+			queueMilliseconds: Math.max(0, summary.queueMilliseconds - waited),
+		};
 	}
 }
--- a/test/side/work.test.ts
+++ b/test/side/work.test.ts
@@ -1,6 +1,5 @@
 import tap from 'tap';
 import {type EngineClient} from '../../src/endpoint/index.js';
-import {type RequestSummary} from '../../src/model/index.js';
 import {type Scheduler} from '../../src/policy/scheduler/index.js';
 import {type EntryLink} from '../../src/side/entry-link.js';
 import {Work} from '../../src/side/work.js';
@@ -9,19 +8,12 @@
 const refusing: Scheduler<undefined> = {
 	create: () => undefined,
 	step(state, event) {
-		switch (event.type) {
-			case 'arrived': {
-				return {state, actions: [{type: 'offer', id: event.id}]};
-			}
-
-			case 'started': {
-				return {state, actions: [{type: 'refuse', id: event.id, kind: 'queue_timeout', message: 'Lapsed.', retryAfterMilliseconds: 0}]};
-			}
-
-			default: {
-				return {state, actions: []};
-			}
+		if (event.type === 'arrived') {
+			return {state, actions: [{type: 'offer', id: event.id}]};
 		}
+
+		const refuses = event.type === 'started';
+		return {state, actions: refuses ? [{type: 'refuse', id: event.id, kind: 'queue_timeout', message: 'Lapsed.', retryAfterMilliseconds: 0}] : []};
 	},
 	view: () => ({slots: 1, running: 0, waiting: [0, 0, 0], tokenMilliseconds: 0, leaving: false}),
 };
@@ -38,8 +30,10 @@
 	const work = Work.create({backend: {type: 'engine', client}, scheduler: refusing});
 	const sent: Message[] = [];
 	const link = {number: 1, reservations: new Map(), send: (message: Message) => sent.push(message)} as unknown as EntryLink;
-	work.reserve(link, {type: 'reserve', stream: 1, request: 'r', summary: {id: 'r', idempotent: true} as RequestSummary});
-	work.start(link, {type: 'start', stream: 1, request: 'r', credit: 1, more: false} as MessageOf<'start'>);
+	const summary = {id: 'r', idempotent: true} as unknown as MessageOf<'reserve'>['summary'];
+	work.reserve(link, {type: 'reserve', stream: 1, request: 'r', summary});
+	const start = {type: 'start', stream: 1, request: 'r', credit: 1, more: false} as unknown as MessageOf<'start'>;
+	work.start(link, start);
 	await new Promise(resolve => {
 		setImmediate(resolve);
 	});
