Tell stale alarms, and count a request as active until its bytes are out

Cause: reading the request flow showed two races: an alarm already in the inbox could end an attempt that makes progress, and a planned stop could close a socket before the last bytes had left. Change: Alarm knows whether it has been set anew; a request is active until its response is closed. Ruled out: one timer per wait, which costs a timer a chunk.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -114,15 +114,25 @@
 		this.#server.closeAllConnections();
 	}
 
+	/**
+	 * Failure: a stop closes the sockets while the last bytes of an answer are still in ours.
+	 * Symptom: the caller gets a truncated answer. A request therefore counts as active until its
+	 * response is closed, which Node tells after the bytes have gone to the operating system.
+	 */
 	#accept(request: IncomingMessage, response: ServerResponse): void {
 		const id = createRequestId();
 		this.#active += 1;
-		void spawn('request', () => this.#serve(id, request, response)).finally(() => {
+		if (this.#stopping) {
+			response.setHeader('connection', 'close');
+		}
+
+		response.once('close', () => {
 			this.#active -= 1;
 			if (this.#active === 0) {
 				this.#onIdle?.();
 			}
 		});
+		void spawn('request', () => this.#serve(id, request, response));
 	}
 
 	* #serve(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -2,6 +2,7 @@
 import {
 	combineVerdicts, createFailure, type EndpointId, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
 } from '../model/index.js';
+import {Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
@@ -46,10 +47,11 @@
 	readonly #excluded = new Set<EndpointId>();
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
-	#alarm: NodeJS.Timeout | undefined;
+	readonly #alarm: Alarm;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
+		this.#alarm = Alarm.create(this.inbox);
 	}
 
 	/** The caller closed its connection. */
@@ -61,7 +63,7 @@
 		try {
 			return yield * this.#attempt();
 		} finally {
-			clearTimeout(this.#alarm);
+			this.#alarm[Symbol.dispose]();
 			this.inbox.close();
 		}
 	}
@@ -102,8 +104,8 @@
 				continue;
 			}
 
-			this.#setAlarm(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create(fleet, summary, this.inbox).run(choice.endpoints);
+			this.#alarm.set(this.#queueTimeLeft());
+			const result = yield * SlotSearch.create({fleet, summary, inbox: this.inbox, alarm: this.#alarm}).run(choice.endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -151,9 +153,7 @@
 			slot,
 			answer,
 			progress: this.#progress,
-			setAlarm: milliseconds => {
-				this.#setAlarm(milliseconds);
-			},
+			alarm: this.#alarm,
 		}).run();
 	}
 
@@ -167,13 +167,6 @@
 		return this.#options.arrivedAt + this.#options.summary.queueMilliseconds - performance.now();
 	}
 
-	#setAlarm(milliseconds: number): void {
-		clearTimeout(this.#alarm);
-		this.#alarm = setTimeout(() => {
-			tryDeliver(this.inbox, {type: 'alarm'});
-		}, Math.max(0, milliseconds));
-	}
-
 	#whole(usage: string | undefined): CallEnd {
 		const {answer, arrivedAt} = this.#options;
 		answer.finish(usage);
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -1,6 +1,7 @@
 import {type Body, type Channel, receive, wait} from '../concurrency/index.js';
 import {createFailure, type Failure, FailureKind, type RequestSummary, Verdict} from '../model/index.js';
 import {type MessageOf, type StreamMessage} from '../wire/index.js';
+import {type Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {type Answer} from './protocol/index.js';
 import {type RequestEvent} from './request-event.js';
@@ -33,8 +34,8 @@
 	readonly slot: Slot;
 	readonly answer: Answer;
 	readonly progress: Progress;
-	/** Restarts the alarm that ends a request which makes no progress. */
-	readonly setAlarm: (milliseconds: number) => void;
+	/** Ends an attempt that makes no progress. */
+	readonly alarm: Alarm;
 };
 
 /**
@@ -57,7 +58,7 @@
 
 	* run(): Body<RelayEnd> {
 		for (;;) {
-			this.#options.setAlarm(stalledMilliseconds);
+			this.#options.alarm.set(stalledMilliseconds);
 			const event = yield * receive(this.#options.inbox);
 			const end = yield * this.#take(event ?? {type: 'caller-left'});
 			if (end !== undefined) {
@@ -85,6 +86,10 @@
 			}
 
 			case 'alarm': {
+				if (!this.#options.alarm.hasFired) {
+					return undefined;
+				}
+
 				this.#send({type: 'cancel'});
 				return lost('The endpoint made no progress.');
 			}
--- a/src/entry/slot.ts
+++ b/src/entry/slot.ts
@@ -3,6 +3,7 @@
 	createFailure, type EndpointId, type Failure, FailureKind, type RequestSummary,
 } from '../model/index.js';
 import {type StreamMessage} from '../wire/index.js';
+import {type Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {type RequestEvent} from './request-event.js';
 import {type SideLink} from './side-link.js';
@@ -15,27 +16,31 @@
 		| {readonly type: 'failed'; readonly failure: Failure; readonly tried: readonly EndpointId[]}
 		| {readonly type: 'caller-left'};
 
+export type SlotSearchOptions = {
+	readonly fleet: Fleet;
+	readonly summary: RequestSummary;
+	readonly inbox: Channel<RequestEvent>;
+	/** Set to the end of the request's time in queues. */
+	readonly alarm: Alarm;
+};
+
 /**
  * Late binding: the request waits at several sides at once and runs at the first that has a free
  * slot; the others get their reservation back. No body leaves before that, so giving up here is
  * certain to be `not-run`.
  */
 export class SlotSearch {
-	static create(fleet: Fleet, summary: RequestSummary, inbox: Channel<RequestEvent>): SlotSearch {
-		return new SlotSearch(fleet, summary, inbox);
+	static create(options: SlotSearchOptions): SlotSearch {
+		return new SlotSearch(options);
 	}
 
 	readonly #open = new Map<string, Slot>();
 	readonly #tried: EndpointId[] = [];
 	#refusal: Failure | undefined;
-	readonly #fleet: Fleet;
-	readonly #summary: RequestSummary;
-	readonly #inbox: Channel<RequestEvent>;
-
-	private constructor(fleet: Fleet, summary: RequestSummary, inbox: Channel<RequestEvent>) {
-		this.#fleet = fleet;
-		this.#summary = summary;
-		this.#inbox = inbox;
+	readonly #options: SlotSearchOptions;
+
+	private constructor(options: SlotSearchOptions) {
+		this.#options = options;
 	}
 
 	/** Reserves at the endpoints, in order, and waits until one offers a slot or all have refused. */
@@ -45,7 +50,7 @@
 		}
 
 		while (this.#open.size > 0) {
-			const event = yield * receive(this.#inbox);
+			const event = yield * receive(this.#options.inbox);
 			const result = this.#take(event ?? {type: 'caller-left'});
 			if (result !== undefined) {
 				return result;
@@ -56,17 +61,17 @@
 	}
 
 	#reserve(endpoint: EndpointId): void {
-		const link = this.#fleet.link(endpoint);
+		const link = this.#options.fleet.link(endpoint);
 		this.#tried.push(endpoint);
 		if (link === undefined) {
 			return;
 		}
 
-		const stream = link.openStream(this.#summary.id, this.#inbox);
+		const stream = link.openStream(this.#options.summary.id, this.#options.inbox);
 		const slot = {endpoint, link, stream};
 		this.#open.set(keyOf(link, stream), slot);
-		link.send({type: 'reserve', stream, request: this.#summary.id, summary: {...this.#summary}});
-		this.#fleet.observe({type: 'reserved', endpoint, request: this.#summary.id});
+		link.send({type: 'reserve', stream, request: this.#options.summary.id, summary: {...this.#options.summary}});
+		this.#options.fleet.observe({type: 'reserved', endpoint, request: this.#options.summary.id});
 	}
 
 	#take(event: RequestEvent): SlotResult | undefined {
@@ -86,6 +91,10 @@
 			}
 
 			case 'alarm': {
+				if (!this.#options.alarm.hasFired) {
+					return undefined;
+				}
+
 				this.#withdrawAll();
 				return {type: 'failed', failure: createFailure(FailureKind.queueTimeout, 'No slot became free in time.', {retryAfterMilliseconds: 1000}), tried: this.#tried};
 			}
@@ -99,7 +108,7 @@
 		}
 
 		if (message.type === 'offer') {
-			this.#fleet.observe({type: 'offered', endpoint: slot.endpoint, request: this.#summary.id});
+			this.#options.fleet.observe({type: 'offered', endpoint: slot.endpoint, request: this.#options.summary.id});
 			this.#open.delete(keyOf(link, message.stream));
 			this.#withdrawAll();
 			return {type: 'slot', slot};
@@ -117,7 +126,7 @@
 
 	#withdrawAll(): void {
 		for (const slot of this.#open.values()) {
-			slot.link.send({type: 'withdraw', stream: slot.stream, request: this.#summary.id});
+			slot.link.send({type: 'withdraw', stream: slot.stream, request: this.#options.summary.id});
 			this.#close(slot, 'withdrawn');
 		}
 	}
@@ -133,7 +142,7 @@
 	#close(slot: Slot, how: 'refused' | 'withdrawn'): void {
 		slot.link.closeStream(slot.stream);
 		this.#open.delete(keyOf(slot.link, slot.stream));
-		this.#fleet.observe({type: how, endpoint: slot.endpoint, request: this.#summary.id});
+		this.#options.fleet.observe({type: how, endpoint: slot.endpoint, request: this.#options.summary.id});
 	}
 }
 
