--- a/bench/harness/caller.ts
+++ b/bench/harness/caller.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {createParser} from 'eventsource-parser';
 import {expectedAnswer} from '../../fakes/index.js';
 import {type Verdict} from '../../src/model/index.js';
@@ -15,6 +16,8 @@
 	readonly maxTokens?: number;
 	readonly idempotencyKey?: string;
 	readonly signal?: AbortSignal;
+	/** Waits so long after each read: a caller that is slow. */
+	readonly pauseMilliseconds?: number;
 };
 
 /** What the caller got, judged against what any engine must answer to its prompt. */
@@ -31,6 +34,8 @@
 	/** Times between tokens, in milliseconds. */
 	readonly gaps: readonly number[];
 	readonly requestId: string | undefined;
+	/** How the connection broke, if it did. */
+	readonly breakReason: string | undefined;
 };
 
 const agent = new http.Agent({keepAlive: true, maxSockets: Number.POSITIVE_INFINITY});
@@ -43,9 +48,9 @@
 	const reading = CallReading.create(expectedAnswer(body));
 	try {
 		const response = await send(options, body);
-		await reading.read(response);
-	} catch {
-		reading.broke();
+		await reading.read(response, options.pauseMilliseconds ?? 0);
+	} catch (error) {
+		reading.broke(error);
 	}
 
 	return reading.result();
@@ -91,6 +96,7 @@
 	readonly #parts: string[] = [];
 	#done = false;
 	#broken = false;
+	#breakReason: string | undefined;
 	#error: ErrorBody['error'];
 	#status = 0;
 	#retryAfter: string | undefined;
@@ -100,7 +106,7 @@
 		this.#expected = expected;
 	}
 
-	async read(response: IncomingMessage): Promise<void> {
+	async read(response: IncomingMessage, pauseMilliseconds: number): Promise<void> {
 		this.#status = response.statusCode ?? 0;
 		this.#retryAfter = response.headers['retry-after'];
 		this.#requestId = response.headers['cassiaflow-request-id'] as string | undefined;
@@ -117,11 +123,15 @@
 		});
 		for await (const part of response) {
 			parser.feed(part as string);
+			if (pauseMilliseconds > 0) {
+				await delay(pauseMilliseconds);
+			}
 		}
 	}
 
-	broke(): void {
+	broke(error: unknown): void {
 		this.#broken = true;
+		this.#breakReason = String(error);
 	}
 
 	result(): CallResult {
@@ -138,6 +148,7 @@
 			firstTokenMilliseconds: this.#firstTokenAt === undefined ? undefined : this.#firstTokenAt - this.#startedAt,
 			gaps: this.#gaps,
 			requestId: this.#requestId,
+			breakReason: this.#breakReason,
 		};
 	}
 
--- a/src/entry/slot.ts
+++ b/src/entry/slot.ts
@@ -45,8 +45,8 @@
 
 	/** Reserves at the endpoints, in order, and waits until one offers a slot or all have refused. */
 	* run(endpoints: readonly EndpointId[]): Body<SlotResult> {
-		for (const endpoint of endpoints) {
-			this.#reserve(endpoint);
+		for (const [index, endpoint] of endpoints.entries()) {
+			this.#reserve(endpoint, index === 0);
 		}
 
 		while (this.#open.size > 0) {
@@ -60,7 +60,7 @@
 		return {type: 'failed', failure: this.#refusal ?? noEndpoint(), tried: this.#tried};
 	}
 
-	#reserve(endpoint: EndpointId): void {
+	#reserve(endpoint: EndpointId, asksFirst: boolean): void {
 		const link = this.#options.fleet.link(endpoint);
 		this.#tried.push(endpoint);
 		if (link === undefined) {
@@ -70,7 +70,7 @@
 		const stream = link.openStream(this.#options.summary.id, this.#options.inbox);
 		const slot = {endpoint, link, stream};
 		this.#open.set(keyOf(link, stream), slot);
-		link.send({type: 'reserve', stream, request: this.#options.summary.id, summary: {...this.#options.summary}});
+		link.send({type: 'reserve', stream, request: this.#options.summary.id, summary: {...this.#options.summary, asksFirst}});
 		this.#options.fleet.observe({type: 'reserved', endpoint, request: this.#options.summary.id});
 	}
 
