--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -2,6 +2,7 @@
 import {
 	combineVerdicts, createFailure, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
 } from '../model/index.js';
+import {Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
@@ -46,10 +47,12 @@
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
 	#preemptions = 0;
+	readonly #alarm: Alarm;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
-		this.#finder = SlotFinder.create({...options, inbox: this.inbox});
+		this.#alarm = Alarm.create(this.inbox);
+		this.#finder = SlotFinder.create({...options, inbox: this.inbox, alarm: this.#alarm});
 	}
 
 	/** The caller closed its connection. */
@@ -61,7 +64,7 @@
 		try {
 			return yield * this.#attempt();
 		} finally {
-			this.#finder.clearAlarm();
+			this.#alarm[Symbol.dispose]();
 			this.inbox.close();
 		}
 	}
@@ -117,9 +120,7 @@
 			slot,
 			answer,
 			progress: this.#progress,
-			setAlarm: milliseconds => {
-				this.#finder.setAlarm(milliseconds);
-			},
+			alarm: this.#alarm,
 		}).run();
 	}
 
--- a/src/entry/service-call.ts
+++ b/src/entry/service-call.ts
@@ -4,6 +4,7 @@
 	combineVerdicts, createFailure, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
 } from '../model/index.js';
 import {type MessageOf, type StreamMessage} from '../wire/index.js';
+import {Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {drainedOrClosed} from './protocol/index.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
@@ -48,6 +49,7 @@
 
 	readonly inbox: Channel<RequestEvent> = channel<RequestEvent>(inboxCapacity);
 	readonly #options: ServiceCallOptions;
+	readonly #alarm: Alarm;
 	readonly #finder: SlotFinder;
 	readonly #answer: ServiceAnswer;
 	#parts = 0;
@@ -56,7 +58,8 @@
 
 	private constructor(options: ServiceCallOptions) {
 		this.#options = options;
-		this.#finder = SlotFinder.create({...options, inbox: this.inbox});
+		this.#alarm = Alarm.create(this.inbox);
+		this.#finder = SlotFinder.create({...options, inbox: this.inbox, alarm: this.#alarm});
 		this.#answer = ServiceAnswer.create(options.response, options.summary.id);
 	}
 
@@ -69,7 +72,7 @@
 		try {
 			yield * this.#attempt();
 		} finally {
-			this.#finder.clearAlarm();
+			this.#alarm[Symbol.dispose]();
 			this.#options.body.stop();
 			this.inbox.close();
 		}
@@ -130,7 +133,7 @@
 
 	* #relay(slot: Slot): Body<AttemptEnd> {
 		for (;;) {
-			this.#finder.setAlarm(stalledMilliseconds);
+			this.#alarm.set(stalledMilliseconds);
 			const event = (yield * receive(this.inbox)) ?? {type: 'caller-left'};
 			const end = yield * this.#take(slot, event);
 			if (end !== undefined) {
@@ -155,7 +158,7 @@
 			}
 
 			case 'alarm': {
-				return broken(FailureKind.endpointLost, 'The endpoint made no progress.');
+				return this.#alarm.hasFired ? broken(FailureKind.endpointLost, 'The endpoint made no progress.') : undefined;
 			}
 		}
 	}
--- a/src/entry/slot-finder.ts
+++ b/src/entry/slot-finder.ts
@@ -1,5 +1,6 @@
-import {type Body, type Channel, sleep, tryDeliver} from '../concurrency/index.js';
+import {type Body, type Channel, sleep} from '../concurrency/index.js';
 import {type EndpointId, type Failure, type RequestSummary} from '../model/index.js';
+import {type Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {type RequestEvent} from './request-event.js';
 import {noEndpoint, type Slot, SlotSearch} from './slot.js';
@@ -12,6 +13,8 @@
 	readonly summary: RequestSummary;
 	readonly inbox: Channel<RequestEvent>;
 	readonly arrivedAt: number;
+	/** The request's one timer; set here to the end of its time in queues. */
+	readonly alarm: Alarm;
 };
 
 export type SlotFound
@@ -28,7 +31,6 @@
 	readonly #options: SlotFinderOptions;
 	readonly #excluded = new Set<EndpointId>();
 	#waitsSince: number;
-	#alarm: NodeJS.Timeout | undefined;
 
 	private constructor(options: SlotFinderOptions) {
 		this.#options = options;
@@ -47,7 +49,7 @@
 
 	/** Searches until a side offers a slot, all have refused or time is up; `changes` go into the summary that sides see. */
 	* find(changes: Partial<RequestSummary> = {}): Body<SlotFound> {
-		const {fleet, summary, inbox} = this.#options;
+		const {fleet, summary, inbox, alarm} = this.#options;
 		let failure = noEndpoint();
 		while (this.#queueTimeLeft() > 0) {
 			const choice = fleet.choose(summary, this.#excluded);
@@ -57,8 +59,8 @@
 				continue;
 			}
 
-			this.setAlarm(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create(fleet, {...this.#summaryNow(), ...changes}, inbox).run(choice.endpoints);
+			alarm.set(this.#queueTimeLeft());
+			const result = yield * SlotSearch.create({fleet, summary: {...this.#summaryNow(), ...changes}, inbox, alarm}).run(choice.endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -72,18 +74,6 @@
 		return {type: 'failed', failure};
 	}
 
-	/** Puts an alarm into the inbox after a time; an earlier one is replaced. */
-	setAlarm(milliseconds: number): void {
-		clearTimeout(this.#alarm);
-		this.#alarm = setTimeout(() => {
-			tryDeliver(this.#options.inbox, {type: 'alarm'});
-		}, Math.max(0, milliseconds));
-	}
-
-	clearAlarm(): void {
-		clearTimeout(this.#alarm);
-	}
-
 	/** After a refusal the remaining sides are asked, each once; a refusal by all is final and told at once. */
 	#mayAskElsewhere(tried: readonly EndpointId[]): boolean {
 		for (const endpoint of tried) {
