Quarantine requests that crash endpoints, and bound retries in the entry

Cause: entries retried without a budget, and a request that kills its endpoint went from one to the next. Change: a side tells a dead endpoint from a broken connection before its entries hear of the failure, records what ran, and lets one suspect at a time into its queue; entries send a suspect to the one side that rendezvous names, refuse a quarantined request at once, and pass records on. Retries follow the policy's budget; a stream that was cut may wait for a slot as long as a new request; a preempted one costs no budget. A slow caller no longer makes its endpoint look slow. Conclusion: the rule of two endpoints holds for what is sent after the first crash is known; copies that left before can't be called back.

--- a/bench/harness/local-fleet.ts
+++ b/bench/harness/local-fleet.ts
@@ -6,7 +6,7 @@
 	createInstanceId, type EndpointId, type InstanceId, type TargetName, type ZoneName,
 } from '../../src/model/index.js';
 import {
-	CatalogueFollower, exchangeCatalogue, HttpLogClient, HttpMembershipClient,
+	CatalogueFollower, exchangeCatalogue, HttpLogClient, HttpMembershipClient, QuarantineLedger,
 } from '../../src/platform/index.js';
 import {type Placement, subsetPlacement} from '../../src/policy/placement/index.js';
 import {createSettings, type Scheduler, tiered} from '../../src/policy/scheduler/index.js';
@@ -30,7 +30,7 @@
 	readonly parts: readonly AsyncDisposable[];
 };
 
-export type LocalEntry = {readonly entry: Entry<any>; readonly follower: CatalogueFollower; readonly instance: InstanceId; readonly zone: string};
+export type LocalEntry = {readonly entry: Entry<any>; readonly follower: CatalogueFollower; readonly quarantine: QuarantineLedger; readonly instance: InstanceId; readonly zone: string};
 
 export type LocalFleetOptions = {
 	readonly entries: number;
@@ -86,6 +86,8 @@
 		const instance = createInstanceId('side');
 		const follower = this.#follow(instance);
 		const client = EngineClient.create({baseUrl: engine.url});
+		const control = EngineControl.create({baseUrl: engine.url, timeoutMilliseconds: healthTimeoutMilliseconds});
+		const ledger = QuarantineLedger.create({log: this.#logClient()});
 		const side = await Side.create({
 			instance,
 			endpoint: name as EndpointId,
@@ -97,13 +99,14 @@
 			engine: client,
 			scheduler: this.#options.scheduler?.() ?? tiered(createSettings()),
 			logger: forPart(this.logger, 'Side'),
+			quarantine: {ledger, isHealthy: async () => control.isHealthy()},
 			catalogueOffset: () => follower.current().offset,
 			onPeerMessage(message, reply) {
 				exchangeCatalogue(follower, message, reply);
 			},
 		});
-		const watch = EndpointWatch.create(EngineControl.create({baseUrl: engine.url, timeoutMilliseconds: healthTimeoutMilliseconds}), side);
-		const endpoint = {name, engine, side, instance, parts: [watch, side, client, follower, engine]};
+		const watch = EndpointWatch.create(control, side);
+		const endpoint = {name, engine, side, instance, parts: [watch, side, ledger, client, follower, engine]};
 		this.endpoints.push(endpoint);
 		this.members.set({instance, role: 'side', address: side.address, zone, state: 'live', endpoint: name, targets: this.#options.models});
 		return endpoint;
@@ -112,6 +115,7 @@
 	async addEntry(zone: string): Promise<LocalEntry> {
 		const instance = createInstanceId('entry');
 		const follower = this.#follow(instance);
+		const quarantine = QuarantineLedger.create({log: this.#logClient()});
 		const entry = await Entry.create({
 			instance,
 			zone: zone as ZoneName,
@@ -123,6 +127,7 @@
 			membership: HttpMembershipClient.create({baseUrl: this.members.url, timeoutMilliseconds: platformTimeoutMilliseconds}),
 			placement: await (this.#options.placement?.() ?? subsetPlacement),
 			logger: forPart(this.logger, 'Entry'),
+			quarantine,
 			random: this.#options.random,
 			onPeerMessage(link, message) {
 				exchangeCatalogue(follower, message, reply => {
@@ -131,7 +136,7 @@
 			},
 			onEnd: this.#options.onEnd,
 		});
-		const local = {entry, follower, instance, zone};
+		const local = {entry, follower, quarantine, instance, zone};
 		this.entries.push(local);
 		this.members.set({instance, role: 'entry', address: entry.address, zone, state: 'live'});
 		return local;
@@ -139,7 +144,7 @@
 
 	/** Publishes entries that are not in the catalogue yet, and waits until every process has them. */
 	async publish(entries: readonly CatalogueEntry[], author = 'operator'): Promise<void> {
-		const log = HttpLogClient.create({baseUrl: this.log.url, timeoutMilliseconds: platformTimeoutMilliseconds});
+		const log = this.#logClient();
 		const change: Change = {
 			type: 'change', id: randomUUID(), author, time: Date.now(), operations: entries.map(entry => ({type: 'put', entry})),
 		};
@@ -167,20 +172,24 @@
 	async stopEntry(local: LocalEntry): Promise<void> {
 		await local.entry.drain();
 		this.members.remove(local.instance);
-		await disposeAll([local.entry, local.follower]);
+		await disposeAll([local.entry, local.quarantine, local.follower]);
 		this.entries.splice(this.entries.indexOf(local), 1);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		await disposeAll(this.entries.flatMap(({entry, follower}) => [entry, follower]));
+		await disposeAll(this.entries.flatMap(({entry, quarantine, follower}) => [entry, quarantine, follower]));
 		await disposeAll(this.endpoints.flatMap(({parts}) => parts));
 		await disposeAll([this.members, this.log]);
 	}
 
+	#logClient(): HttpLogClient {
+		return HttpLogClient.create({baseUrl: this.log.url, timeoutMilliseconds: platformTimeoutMilliseconds});
+	}
+
 	#follow(instance: string): CatalogueFollower {
 		const logger = forPart(this.logger, 'Catalogue');
 		return CatalogueFollower.create({
-			log: HttpLogClient.create({baseUrl: this.log.url, timeoutMilliseconds: platformTimeoutMilliseconds}),
+			log: this.#logClient(),
 			instance,
 			onLog(message) {
 				logger.debug(message);
--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -3,7 +3,7 @@
 import {Entry} from '../entry/index.js';
 import {createInstanceId, type InstanceId, type ZoneName} from '../model/index.js';
 import {
-	CatalogueFollower, exchangeCatalogue, HttpLogClient, HttpMembershipClient,
+	CatalogueFollower, exchangeCatalogue, HttpLogClient, HttpMembershipClient, QuarantineLedger,
 } from '../platform/index.js';
 import {subsetPlacement} from '../policy/placement/index.js';
 import {AdminServer, createLogger, forPart, Metrics} from '../telemetry/index.js';
@@ -27,6 +27,7 @@
 			catalogueLog.warn(message);
 		},
 	});
+	await using quarantine = QuarantineLedger.create({log: HttpLogClient.create(platform(settings.logUrl))});
 	await using entry = await Entry.create({
 		instance,
 		zone: settings.zone as ZoneName,
@@ -39,6 +40,7 @@
 		placement: subsetPlacement,
 		logger: log,
 		random: randomUniform,
+		quarantine,
 		onPeerMessage(link, message) {
 			exchangeCatalogue(follower, message, reply => {
 				link.send(reply);
--- a/src/bin/cassiaflow-side.ts
+++ b/src/bin/cassiaflow-side.ts
@@ -3,7 +3,7 @@
 import {
 	createInstanceId, type EndpointId, type InstanceId, type TargetName, type ZoneName,
 } from '../model/index.js';
-import {CatalogueFollower, exchangeCatalogue, HttpLogClient} from '../platform/index.js';
+import {CatalogueFollower, exchangeCatalogue, HttpLogClient, QuarantineLedger} from '../platform/index.js';
 import {createSettings, tiered, type Violation} from '../policy/scheduler/index.js';
 import {EndpointWatch, Side} from '../side/index.js';
 import {AdminServer, createLogger, forPart, Metrics} from '../telemetry/index.js';
@@ -29,6 +29,8 @@
 			catalogueLog.warn(message);
 		},
 	});
+	const control = EngineControl.create({baseUrl: settings.endpointUrl, timeoutMilliseconds: healthTimeoutMilliseconds});
+	await using ledger = QuarantineLedger.create({log: HttpLogClient.create({baseUrl: settings.logUrl, timeoutMilliseconds: platformTimeoutMilliseconds})});
 	await using engine = EngineClient.create({baseUrl: settings.endpointUrl});
 	await using side = await Side.create({
 		instance,
@@ -46,12 +48,13 @@
 			},
 		})),
 		logger: log,
+		quarantine: {ledger, isHealthy: async () => control.isHealthy()},
 		catalogueOffset: () => follower.current().offset,
 		onPeerMessage(message, reply) {
 			exchangeCatalogue(follower, message, reply);
 		},
 	});
-	await using _watch = EndpointWatch.create(EngineControl.create({baseUrl: settings.endpointUrl, timeoutMilliseconds: healthTimeoutMilliseconds}), side);
+	await using _watch = EndpointWatch.create(control, side);
 	await using admin = await AdminServer.create({
 		host: settings.adminHost,
 		port: settings.adminPort,
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -47,7 +47,7 @@
 }
 
 /** What queue, placement and limits will know of the request. */
-export function summarize(caller: Caller, details: {id: RequestId; target: string; idempotent: boolean; promptTokens: number; prefix: string; fingerprintSource: string}): RequestSummary {
+export function summarize(caller: Caller, details: {id: RequestId; target: string; idempotent: boolean; promptTokens: number; prefix: string; fingerprint: string}): RequestSummary {
 	const {workspace, classEntry} = caller;
 	return {
 		id: details.id,
@@ -61,7 +61,7 @@
 		queueMilliseconds: classEntry.queueMilliseconds,
 		promptTokens: details.promptTokens,
 		prefix: details.prefix,
-		fingerprint: sha256(`${workspace.name}\n${details.fingerprintSource}`),
+		fingerprint: details.fingerprint,
 	};
 }
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -4,10 +4,11 @@
 import {type Catalogue} from '../catalogue/index.js';
 import {type Body, spawn, wait} from '../concurrency/index.js';
 import {
-	createFailure, createRequestId, FailureKind, type InstanceId, RequestError, type RequestId, type ZoneName,
+	createFailure, createRequestId, FailureKind, type InstanceId, RequestError, type RequestId, type WorkspaceName, type ZoneName,
 } from '../model/index.js';
-import {type CatalogueMessage, type MembershipClient} from '../platform/index.js';
+import {type CatalogueMessage, type MembershipClient, type QuarantineLedger} from '../platform/index.js';
 import {type Placement} from '../policy/placement/index.js';
+import {fingerprintOf} from '../policy/quarantine/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Security} from '../wire/index.js';
 import {type Caller, checkTarget, identifyCaller, summarize} from './admission.js';
@@ -16,6 +17,7 @@
 import {
 	parseModelCall, readBody, type Route, routeCall, sendFailure, StreamAnswer, WholeAnswer,
 } from './protocol/index.js';
+import {RetryKeeper} from './retry-keeper.js';
 import {type SideLink} from './side-link.js';
 
 /** Where an entry reads its catalogue; the follower of the platform's log is the usual one. */
@@ -36,6 +38,8 @@
 	readonly placement: Placement<State>;
 	readonly logger: PartLogger;
 	readonly random: () => number;
+	/** What is known of requests that crash endpoints; without it none is refused. */
+	readonly quarantine?: QuarantineLedger;
 	readonly onPeerMessage?: (link: SideLink, message: CatalogueMessage) => void;
 	/** Called once per model call, with how it ended. */
 	readonly onEnd?: (caller: Caller, end: CallEnd) => void;
@@ -53,6 +57,7 @@
 	}
 
 	readonly fleet: Fleet<State>;
+	readonly retries: RetryKeeper;
 	readonly #options: EntryOptions<State>;
 	readonly #server: http.Server;
 	#active = 0;
@@ -61,6 +66,7 @@
 
 	private constructor(options: EntryOptions<State>) {
 		this.#options = options;
+		this.retries = RetryKeeper.create(options.random);
 		this.fleet = Fleet.create({
 			...options,
 			catalogueOffset: () => options.catalogue.current().offset,
@@ -188,11 +194,12 @@
 		const call = parseModelCall(route, body);
 		checkTarget(catalogue, caller, 'model', call.model);
 		const summary = summarize(caller, {
-			id, target: call.model, idempotent: true, promptTokens: call.promptTokens, prefix: call.prefix, fingerprintSource: call.fingerprintSource,
+			id, target: call.model, idempotent: true, promptTokens: call.promptTokens, prefix: call.prefix, fingerprint: fingerprintOf(caller.workspace.name as WorkspaceName, route.path, call.body),
 		});
 		const answer = call.stream ? StreamAnswer.create(response, {requestId: id, includeUsage: call.includeUsage}) : WholeAnswer.create(response, {requestId: id, kind: route.type});
+		this.retries.requestArrived();
 		const inProgress = ModelCallInProgress.create({
-			fleet: this.fleet, summary, path: route.path, call, answer, arrivedAt, spendRetry: () => true,
+			fleet: this.fleet, summary, path: route.path, call, answer, arrivedAt, retries: this.retries, quarantine: this.#options.quarantine,
 		});
 		response.once('close', () => {
 			if (!response.writableFinished) {
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -1,9 +1,11 @@
 import {type Body, sleep, spawn, wait} from '../concurrency/index.js';
 import {type EndpointId, type InstanceId, type RequestSummary, type ZoneName} from '../model/index.js';
-import {type CatalogueMessage, type Member, type MembershipClient} from '../platform/index.js';
+import {type CatalogueMessage, type Member, type MembershipClient, type QuarantineLedger} from '../platform/index.js';
 import {type Choice, type Placement, type PlacementEvent} from '../policy/placement/index.js';
 import {type PartLogger} from '../telemetry/index.js';
-import {dial, protocolVersion, type Security} from '../wire/index.js';
+import {rankByRendezvous} from '../policy/hashing/index.js';
+import {type QuarantineRecord} from '../policy/quarantine/index.js';
+import {dial, type Message, protocolVersion, type Security} from '../wire/index.js';
 import {SideLink, type SideLinkOwner} from './side-link.js';
 
 const membershipMilliseconds = 1000;
@@ -21,6 +23,8 @@
 	readonly random: () => number;
 	readonly catalogueOffset: () => number;
 	readonly onPeerMessage: (link: SideLink, message: CatalogueMessage) => void;
+	/** What is known of requests that crash endpoints. */
+	readonly quarantine?: QuarantineLedger;
 };
 
 /**
@@ -53,6 +57,11 @@
 			this.observe({type: 'tick'});
 		}, tickMilliseconds);
 		this.#timers = [heartbeat, tick];
+		options.quarantine?.listen((records, from) => {
+			if (from === 'process') {
+				this.#broadcast({type: 'quarantine', records: [...records]});
+			}
+		});
 	}
 
 	/** Where to reserve a slot, best first. */
@@ -60,6 +69,15 @@
 		return this.#options.placement.choose(this.#placementState, summary, excluded, this.#options.random(), performance.now());
 	}
 
+	/**
+	 * The one side that may run a suspect: the same at every entry that sees the same sides, so that
+	 * one endpoint at a time is risked for it.
+	 */
+	chooseForSuspect(summary: RequestSummary): EndpointId | undefined {
+		const serving = this.connected.filter(({identity, state}) => identity?.targets.includes(summary.target) && state?.phase === 'serving');
+		return rankByRendezvous(summary.fingerprint, serving.map(({identity}) => identity!.endpoint))[0];
+	}
+
 	/** The open connection to an endpoint's side, if there is one. */
 	link(endpoint: EndpointId): SideLink | undefined {
 		return this.#links.get(endpoint);
@@ -113,6 +131,10 @@
 		this.observe({type: 'side-lost', endpoint});
 	}
 
+	quarantineHeard(records: readonly QuarantineRecord[]): void {
+		this.#options.quarantine?.hear(records);
+	}
+
 	peerMessage(link: SideLink, message: CatalogueMessage): void {
 		this.#options.onPeerMessage(link, message);
 	}
@@ -171,6 +193,11 @@
 			link.send({
 				type: 'hello', protocol: protocolVersion, role: 'entry', instance: this.#options.instance, zone: this.#options.zone, catalogueOffset: this.#options.catalogueOffset(),
 			});
+			const known = this.#options.quarantine?.records() ?? [];
+			if (known.length > 0) {
+				link.send({type: 'quarantine', records: [...known]});
+			}
+
 			if (this.#closed) {
 				link.close('the entry stops');
 			}
@@ -183,8 +210,12 @@
 	}
 
 	#beat(): void {
+		this.#broadcast({type: 'heartbeat', catalogueOffset: this.#options.catalogueOffset()});
+	}
+
+	#broadcast(message: Message): void {
 		for (const link of this.#links.values()) {
-			link.send({type: 'heartbeat', catalogueOffset: this.#options.catalogueOffset()});
+			link.send(message);
 		}
 	}
 }
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -1,15 +1,16 @@
 import {type Body, channel, type Channel, sleep, tryDeliver} from '../concurrency/index.js';
 import {
-	combineVerdicts, createFailure, type EndpointId, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
+	combineVerdicts, createFailure, type EndpointId, type Failure, FailureKind, type RequestSummary, Verdict,
 } from '../model/index.js';
+import {type QuarantineLedger} from '../platform/index.js';
+import {Suspicion} from '../policy/quarantine/index.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
+import {type RetryKeeper} from './retry-keeper.js';
 import {noEndpoint, type Slot, SlotSearch} from './slot.js';
 
-/** Attempts at one request, the first included. The retry budget is what bounds retries over all requests. */
-const maximumAttempts = 4;
 /** Pause before the sides are asked again when none can be used. */
 const noEndpointPauseMilliseconds = 100;
 
@@ -20,8 +21,9 @@
 	readonly call: ModelCall;
 	readonly answer: Answer;
 	readonly arrivedAt: number;
-	/** True if the fleet's retry budget has room for one more. */
-	readonly spendRetry: () => boolean;
+	readonly retries: RetryKeeper;
+	/** What is known of requests that crash endpoints. */
+	readonly quarantine?: QuarantineLedger;
 };
 
 export type CallEnd
@@ -46,10 +48,14 @@
 	readonly #excluded = new Set<EndpointId>();
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
+	#failures = 0;
 	#alarm: NodeJS.Timeout | undefined;
+	/** Since when the request has been without a slot: its arrival, or the end of its last attempt. */
+	#waitingSince: number;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
+		this.#waitingSince = options.arrivedAt;
 	}
 
 	/** The caller closed its connection. */
@@ -83,7 +89,7 @@
 				return this.#left();
 			}
 
-			if (!this.#mayGoOn(end.failure)) {
+			if (!(yield * this.#mayGoOn(end.failure))) {
 				return this.#fail(end.failure);
 			}
 
@@ -95,15 +101,20 @@
 		const {fleet, summary} = this.#options;
 		let failure = noEndpoint();
 		while (this.#queueTimeLeft() > 0) {
-			const choice = fleet.choose(summary, this.#excluded);
-			if (choice.endpoints.length === 0) {
+			const suspicion = this.#suspicion();
+			if (suspicion === Suspicion.quarantined) {
+				return {type: 'failed', failure: quarantined()};
+			}
+
+			const endpoints = suspicion === Suspicion.suspect ? this.#sideForSuspect() : fleet.choose(summary, this.#excluded).endpoints;
+			if (endpoints.length === 0) {
 				yield * sleep(noEndpointPauseMilliseconds);
 				this.#excluded.clear();
 				continue;
 			}
 
 			this.#setAlarm(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create(fleet, summary, this.inbox).run(choice.endpoints);
+			const result = yield * SlotSearch.create(fleet, summary, this.inbox).run(endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -117,6 +128,15 @@
 		return {type: 'failed', failure};
 	}
 
+	#suspicion(): Suspicion {
+		return this.#options.quarantine?.judge(this.#options.summary.fingerprint).suspicion ?? Suspicion.none;
+	}
+
+	#sideForSuspect(): readonly EndpointId[] {
+		const endpoint = this.#options.fleet.chooseForSuspect(this.#options.summary);
+		return endpoint === undefined ? [] : [endpoint];
+	}
+
 	/** After a refusal the remaining sides are asked, each once; a refusal by all is final and told at once. */
 	#mayAskElsewhere(tried: readonly EndpointId[]): boolean {
 		for (const endpoint of tried) {
@@ -143,7 +163,7 @@
 			resumeText: textOf(events),
 			credit: creditWindow,
 		});
-		fleet.observe({type: 'started', endpoint: slot.endpoint, request: summary.id});
+		fleet.observe({type: 'started', endpoint: slot.endpoint, request: summary.id, prefix: summary.prefix});
 		return yield * Relay.create({
 			fleet,
 			summary,
@@ -157,14 +177,30 @@
 		}).run();
 	}
 
-	#mayGoOn(failure: Failure): boolean {
+	/** Waits as long as the retry policy asks; a stream that was cut may wait for a slot as long as a new request. */
+	* #mayGoOn(failure: Failure): Body<boolean> {
 		this.#verdict = combineVerdicts(this.#verdict, failure.verdict);
-		const again = mayRetry(failure.verdict, this.#options.summary.idempotent);
-		return again && this.#attempts < maximumAttempts && this.#options.spendRetry();
+		if (this.#progress.events.length > 0) {
+			this.#waitingSince = performance.now();
+		}
+
+		if (failure.kind !== FailureKind.preempted) {
+			this.#failures += 1;
+		}
+
+		const {summary, retries} = this.#options;
+		const deadline = this.#waitingSince + summary.queueMilliseconds;
+		const decision = retries.decide({failure, attempts: this.#failures, idempotent: summary.idempotent, bodyLeft: true, deadline});
+		if (decision.type === 'give-up') {
+			return false;
+		}
+
+		yield * sleep(decision.afterMilliseconds);
+		return true;
 	}
 
 	#queueTimeLeft(): number {
-		return this.#options.arrivedAt + this.#options.summary.queueMilliseconds - performance.now();
+		return this.#waitingSince + this.#options.summary.queueMilliseconds - performance.now();
 	}
 
 	#setAlarm(milliseconds: number): void {
@@ -205,6 +241,10 @@
 	}).join('');
 }
 
+function quarantined(): Failure {
+	return createFailure(FailureKind.quarantined, 'Endpoints that ran this request crashed; it is not run again for some minutes.');
+}
+
 /** The failure of a request that came while its entry was stopping. */
 export function stoppingFailure(): Failure {
 	return createFailure(FailureKind.stopping, 'This instance is stopping.', {retryAfterMilliseconds: 0});
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -132,6 +132,8 @@
 		progress.events.push(...message.events);
 		if (!answer.write(message.events)) {
 			yield * wait(answer.drained());
+			// The time that a slow caller takes says nothing about the endpoint.
+			this.#progressedAt = performance.now();
 		}
 
 		this.#giveCredit(message.events.length);
--- a/src/entry/side-link.ts
+++ b/src/entry/side-link.ts
@@ -11,6 +11,8 @@
 	sideLost(link: SideLink): void;
 	/** A message about no request: catalogue records and heartbeats. */
 	peerMessage(link: SideLink, message: CatalogueMessage): void;
+	/** Records of crashes by requests. */
+	quarantineHeard(records: MessageOf<'quarantine'>['records']): void;
 };
 
 type OpenStream = {readonly request: RequestId; readonly inbox: Channel<RequestEvent>};
@@ -98,6 +100,11 @@
 			return;
 		}
 
+		if (message.type === 'quarantine') {
+			owner.quarantineHeard(message.records);
+			return;
+		}
+
 		if (message.type === 'hello') {
 			this.#greet(message);
 			owner.sideSeen(this);
--- a/src/platform/quarantine-ledger.ts
+++ b/src/platform/quarantine-ledger.ts
@@ -15,10 +15,11 @@
 /** Records that wait for a log that is down; they have been spread by frames already. */
 const outboxCapacity = 500;
 
+/** Called with records that this process did not know. Those from the log need no passing on, as all processes read it. */
+export type NewsListener = (records: readonly QuarantineRecord[], from: 'process' | 'log') => void;
+
 export type QuarantineLedgerSettings = {
 	readonly log: LogClient;
-	/** Called with records that this process did not know, to be passed on to its peers. Never with records of the log, which all read. */
-	readonly onNews?: (records: readonly QuarantineRecord[]) => void;
 	/** Milliseconds since 1970. */
 	readonly now?: () => number;
 };
@@ -35,6 +36,7 @@
 	}
 
 	readonly #settings: QuarantineLedgerSettings;
+	readonly #listeners = new Set<NewsListener>();
 	readonly #abort = new AbortController();
 	readonly #stop: Channel<never> = channel<never>(1);
 	readonly #outbox: Channel<QuarantineRecord> = channel<QuarantineRecord>(outboxCapacity);
@@ -63,18 +65,19 @@
 
 	/** Adds a record of this process, passes it on, and writes it to the log. */
 	note(record: QuarantineRecord): void {
-		if (this.#fold([record]).length > 0) {
-			this.#settings.onNews?.([record]);
+		if (this.#fold([record], 'process') > 0) {
 			tryDeliver(this.#outbox, record);
 		}
 	}
 
 	/** Takes records from a peer; those that were not known are passed on once. */
 	hear(records: readonly unknown[]): void {
-		const news = this.#fold(records);
-		if (news.length > 0) {
-			this.#settings.onNews?.(news);
-		}
+		this.#fold(records, 'process');
+	}
+
+	/** Tells the listener of every record from now on. */
+	listen(listener: NewsListener): void {
+		this.#listeners.add(listener);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -88,7 +91,7 @@
 		return (this.#settings.now ?? Date.now)();
 	}
 
-	#fold(values: readonly unknown[]): QuarantineRecord[] {
+	#fold(values: readonly unknown[], from: 'process' | 'log'): number {
 		const news: QuarantineRecord[] = [];
 		for (const value of values) {
 			const parsed = quarantineRecordSchema.safeParse(value);
@@ -101,9 +104,12 @@
 		if (news.length > 0) {
 			this.#records = [...this.#records, ...news];
 			this.#prune();
+			for (const listener of this.#listeners) {
+				listener(news, from);
+			}
 		}
 
-		return news;
+		return news.length;
 	}
 
 	#knows(record: QuarantineRecord): boolean {
@@ -137,7 +143,7 @@
 				return {next: page.first, milliseconds: 0};
 			}
 
-			this.#fold(page.records.map(({value}) => value));
+			this.#fold(page.records.map(({value}) => value), 'log');
 			return {next: (page.records.at(-1)?.offset ?? (from - 1)) + 1, milliseconds: idleMilliseconds};
 		} catch {
 			return {next: from, milliseconds: retryMilliseconds};
--- a/src/policy/quarantine/fingerprint.ts
+++ b/src/policy/quarantine/fingerprint.ts
@@ -9,8 +9,9 @@
 const longIdentifier = /[\da-f]{8}(?:-[\da-f]{4}){3}-[\da-f]{12}|\b(?=[\da-z_\-]*\d)[\da-z_\-]{16,}\b|\d{9,}/giv;
 
 /** The fingerprint of a request of a model: workspace and what the engine would compute. */
-export function fingerprintOf(workspace: WorkspaceName, path: string, body: string): string {
-	return sha256(`${workspace}\n${path}\n${canonicalBody(body)}`).slice(0, 32);
+export function fingerprintOf(workspace: WorkspaceName, path: string, body: string | Uint8Array): string {
+	const text = typeof body === 'string' ? body : new TextDecoder().decode(body);
+	return sha256(`${workspace}\n${path}\n${canonicalBody(text)}`).slice(0, 32);
 }
 
 function canonicalBody(body: string): string {
--- a/src/policy/retries/index.ts
+++ b/src/policy/retries/index.ts
@@ -50,7 +50,7 @@
 /** One failed attempt. */
 export type Attempt = {
 	readonly failure: Failure;
-	/** Attempts made so far, this one included. */
+	/** Attempts that failed so far, this one included; preempted ones don't count. */
 	readonly attempts: number;
 	readonly idempotent: boolean;
 	/** Whether any part of the body was sent to a side in this or an earlier attempt. */
@@ -60,7 +60,8 @@
 };
 
 export type RetryDecision
-	= | {readonly type: 'retry'; readonly afterMilliseconds: number}
+	/** A free retry costs no budget. */
+	= | {readonly type: 'retry'; readonly afterMilliseconds: number; readonly free: boolean}
 		| {readonly type: 'give-up'; readonly reason: 'final' | 'verdict' | 'attempts' | 'deadline' | 'budget'};
 
 /** Whether, and when, to try elsewhere. `random` is uniform in [0, 1) and spreads the retries of one fault. */
@@ -76,7 +77,9 @@
 		return {type: 'give-up', reason: 'verdict'};
 	}
 
-	if (attempt.attempts >= largestAttempts) {
+	// A preempted stream did not fail: how often that happens is bounded by the queue, not by this budget.
+	const free = attempt.failure.kind === FailureKind.preempted;
+	if (!free && attempt.attempts >= largestAttempts) {
 		return {type: 'give-up', reason: 'attempts'};
 	}
 
@@ -85,7 +88,7 @@
 		return {type: 'give-up', reason: 'deadline'};
 	}
 
-	return budgetAllows(budget, now) ? {type: 'retry', afterMilliseconds} : {type: 'give-up', reason: 'budget'};
+	return free || budgetAllows(budget, now) ? {type: 'retry', afterMilliseconds, free} : {type: 'give-up', reason: 'budget'};
 }
 
 /** A side that goes away leaves others that can be asked at once. */
@@ -100,6 +103,8 @@
 	[FailureKind.stopping]: elsewhereMilliseconds,
 	[FailureKind.endpointLost]: elsewhereMilliseconds,
 	[FailureKind.preempted]: elsewhereMilliseconds,
+	// The offer lapsed before the body came; the request's own time in queues is checked by its deadline.
+	[FailureKind.queueTimeout]: elsewhereMilliseconds,
 	[FailureKind.endpointFailed]: failureMilliseconds,
 	[FailureKind.badAnswer]: failureMilliseconds,
 	[FailureKind.queueFull]: queueMilliseconds,
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -1,4 +1,4 @@
-import {type CatalogueMessage} from '../platform/index.js';
+import {type CatalogueMessage, type QuarantineLedger} from '../platform/index.js';
 import {channel, spawn, tryDeliver} from '../concurrency/index.js';
 import {type EngineClient, type EngineLoad} from '../endpoint/index.js';
 import {
@@ -9,10 +9,12 @@
 import {
 	type Connection, Listener, type Message, type MessageOf, protocolVersion, type Security,
 } from '../wire/index.js';
+import {CrashWatch} from './crash-watch.js';
 import {type EndpointObserver} from './endpoint-watch.js';
 import {EntryLink, type EntryLinkOwner} from './entry-link.js';
 import {type RunEnd, runModel} from './model-run.js';
 import {type Reservation, type RunInput, toEntry} from './reservation.js';
+import {SuspectGate, type SuspectGateOwner} from './suspect-gate.js';
 
 /** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
 const runInputCapacity = 1000;
@@ -40,6 +42,8 @@
 	readonly catalogueOffset: () => number;
 	/** Hears hello, heartbeat, pull and records of each entry, for the spread of the catalogue. */
 	readonly onPeerMessage?: (message: CatalogueMessage, reply: (message: Message) => void) => void;
+	/** What is known of requests that crash endpoints, and how to ask whether this one is alive. */
+	readonly quarantine?: {readonly ledger: QuarantineLedger; readonly isHealthy: () => Promise<boolean>};
 };
 
 /**
@@ -47,7 +51,7 @@
  * every event to it in the order of arrival, and carries out the actions at once; so the queue,
  * the slots and what the engine runs never disagree.
  */
-export class Side<State = unknown> implements AsyncDisposable, EntryLinkOwner, EndpointObserver {
+export class Side<State = unknown> implements AsyncDisposable, EntryLinkOwner, EndpointObserver, SuspectGateOwner {
 	static async create<State>(options: SideOptions<State>): Promise<Side<State>> {
 		const side = new Side(options);
 		side.#listener = await Listener.create({
@@ -78,10 +82,31 @@
 	#endpointUp = true;
 	#lastState = '';
 	#onIdle: (() => void) | undefined;
+	readonly #gate: SuspectGate | undefined;
+	readonly #crashes: CrashWatch | undefined;
 
 	private constructor(options: SideOptions<State>) {
 		this.#options = options;
 		this.#state = options.scheduler.create();
+		const {quarantine} = options;
+		if (quarantine) {
+			this.#gate = SuspectGate.create(quarantine.ledger, this);
+			this.#crashes = CrashWatch.create({
+				...options,
+				...quarantine,
+				running: () => this.#runningFingerprints(),
+				endpointDied: () => {
+					this.setEndpointUp(false);
+				},
+			});
+			quarantine.ledger.listen((records, from) => {
+				if (from === 'process') {
+					this.#broadcast({type: 'quarantine', records: [...records]});
+				}
+
+				this.#gate!.review([...this.#reservations.values()].filter(reservation => reservation.phase.type !== 'running' && !this.#gate!.holds(reservation)));
+			});
+		}
 	}
 
 	get address(): string {
@@ -114,6 +139,7 @@
 	async drain(): Promise<void> {
 		this.#leaving = true;
 		this.#apply({type: 'leaving'});
+		this.#gate?.open();
 		this.#publishState();
 		if (this.#countRunning() > 0) {
 			await new Promise<void>(resolve => {
@@ -163,6 +189,11 @@
 				break;
 			}
 
+			case 'quarantine': {
+				this.#options.quarantine?.ledger.hear(message.records);
+				break;
+			}
+
 			case 'offer':
 			case 'refuse':
 			case 'chunk':
@@ -194,6 +225,10 @@
 		this.#endpointUp = up;
 		this.#options.logger.info(up ? 'The endpoint answers again.' : 'The endpoint does not answer.', {endpoint: this.#options.endpoint});
 		this.#apply({type: 'endpoint', up});
+		if (!up) {
+			this.#gate?.open();
+		}
+
 		this.#publishState();
 	}
 
@@ -202,12 +237,28 @@
 		this.#apply({type: 'reported', memoryUsed: load.memoryUsed, running: load.running});
 	}
 
+	admit(reservation: Reservation): void {
+		this.#apply({type: 'arrived', id: reservation.id, summary: reservation.summary});
+	}
+
+	refuseQuarantined(reservation: Reservation): void {
+		const {kind, message} = createFailure(FailureKind.quarantined, 'Endpoints that ran this request crashed; it is not run again for some minutes.');
+		this.counts.refused += 1;
+		this.#leave(reservation);
+		toEntry(reservation, {type: 'refuse', kind, message});
+	}
+
 	#accept(connection: Connection): void {
 		this.#nextLink += 1;
 		const link = EntryLink.create(connection, this.#nextLink);
 		this.#links.add(link);
 		link.send(this.#hello());
 		link.send(this.#stateMessage());
+		const known = this.#options.quarantine?.ledger.records() ?? [];
+		if (known.length > 0) {
+			link.send({type: 'quarantine', records: [...known]});
+		}
+
 		void spawn('entry-link', () => link.read(this));
 	}
 
@@ -229,7 +280,24 @@
 		};
 		link.reservations.set(message.stream, reservation);
 		this.#reservations.set(reservation.id, reservation);
-		this.#apply({type: 'arrived', id: reservation.id, summary: reservation.summary});
+		if (this.#gate) {
+			this.#gate.arrived(reservation);
+		} else {
+			this.admit(reservation);
+		}
+	}
+
+	/** Takes a reservation that has not begun out of the queue. */
+	#leave(reservation: Reservation): void {
+		const queued = !this.#gate?.holds(reservation);
+		this.#forget(reservation);
+		if (queued) {
+			this.#apply({type: 'withdrawn', id: reservation.id});
+		}
+	}
+
+	#runningFingerprints(): string[] {
+		return [...this.#reservations.values()].filter(({phase}) => phase.type === 'running').map(({summary}) => summary.fingerprint);
 	}
 
 	#withdraw(link: EntryLink, stream: number): void {
@@ -243,8 +311,7 @@
 			return;
 		}
 
-		this.#forget(reservation);
-		this.#apply({type: 'withdrawn', id: reservation.id});
+		this.#leave(reservation);
 	}
 
 	/**
@@ -271,11 +338,25 @@
 			onTokens: tokens => {
 				this.#progressed(reservation, tokens);
 			},
-		})).then(end => {
+		})).then(async end => {
+			await this.#lookAtEndpoint(end);
 			this.#finished(reservation, end);
 		});
 	}
 
+	/** A run that ended by a lost endpoint says more than the next check of its health, and sooner. */
+	async #lookAtEndpoint(end: RunEnd): Promise<void> {
+		if (end.type !== 'failed') {
+			return;
+		}
+
+		if (end.failure.kind === FailureKind.endpointLost) {
+			await this.#crashes?.connectionBroke();
+		} else if (end.failure.kind === FailureKind.noEndpoint) {
+			this.setEndpointUp(false);
+		}
+	}
+
 	#progressed(reservation: Reservation, tokens: number): void {
 		const now = performance.now();
 		this.counts.tokens += tokens;
@@ -286,7 +367,7 @@
 	#finished(reservation: Reservation, end: RunEnd): void {
 		const outcome = this.#outcomeOf(reservation, end);
 		this.counts[outcome] += 1;
-		this.#forget(reservation);
+		this.#forget(reservation, outcome === 'whole');
 		if (end.type === 'failed') {
 			toEntry(reservation, {type: 'fail', ...end.failure});
 		}
@@ -378,9 +459,10 @@
 		}
 	}
 
-	#forget(reservation: Reservation): void {
+	#forget(reservation: Reservation, ranWhole = false): void {
 		this.#reservations.delete(reservation.id);
 		reservation.link.reservations.delete(reservation.stream);
+		this.#gate?.left(reservation, ranWhole);
 	}
 
 	#countRunning(): number {
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {FailureKind, Verdict} from '../model/index.js';
+import {quarantineRecordSchema} from '../policy/quarantine/index.js';
 
 /**
  * The messages between our processes. Every frame about a request names the stream, a number that
@@ -94,10 +95,12 @@
 const records = z.object({
 	type: z.literal('records'), snapshot: z.boolean(), records: z.array(z.object({offset: z.number().int(), time: z.number(), value: z.string()})),
 });
+/** Either way: records of crashes by requests that the peer may not know. */
+const quarantine = z.object({type: z.literal('quarantine'), records: z.array(quarantineRecordSchema)});
 
 /** Every message, by `type`. */
 export const messageSchema = z.discriminatedUnion('type', [
-	hello, heartbeat, reserve, offer, refuse, withdraw, start, body, credit, cancel, chunk, head, data, end, fail, state, pull, records,
+	hello, heartbeat, reserve, offer, refuse, withdraw, start, body, credit, cancel, chunk, head, data, end, fail, state, pull, records, quarantine,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
--- a/test/platform/quarantine-ledger.test.ts
+++ b/test/platform/quarantine-ledger.test.ts
@@ -22,18 +22,20 @@
 	await log.stop();
 	const passedOn: string[] = [];
 	await using far = QuarantineLedger.create({log: client});
-	await using near = QuarantineLedger.create({log: client, onNews() {
-		passedOn.push('near');
-	}});
-	await using first = QuarantineLedger.create({log: client, onNews(records) {
+	await using near = QuarantineLedger.create({log: client});
+	near.listen((_records, from) => {
+		passedOn.push(`near ${from}`);
+	});
+	await using first = QuarantineLedger.create({log: client});
+	first.listen(records => {
 		passedOn.push('first');
 		near.hear(records);
 		near.hear(records);
-	}});
+	});
 	first.note(crash('side-1'));
 	first.note(crash('side-2'));
 	t.equal(near.judge('poison').suspicion, Suspicion.quarantined);
-	t.same(passedOn, ['first', 'near', 'first', 'near']);
+	t.same(passedOn, ['first', 'near process', 'first', 'near process']);
 	t.equal(far.judge('poison').suspicion, Suspicion.none);
 	await log.start();
 	await until(() => far.judge('poison').suspicion === Suspicion.quarantined);
--- a/test/policy/folds.test.ts
+++ b/test/policy/folds.test.ts
@@ -35,13 +35,15 @@
 tap.test('a retry is refused by verdict, body, attempts, deadline and kind', async t => {
 	const budget = createRetryBudget(0);
 	const attempt = {failure: createFailure(FailureKind.endpointLost, 'lost', {verdict: Verdict.mayHaveRun}), attempts: 1, idempotent: true, bodyLeft: true, deadline: 1000};
-	t.same(decideRetry(budget, attempt, 0.5, 0), {type: 'retry', afterMilliseconds: 0});
+	t.same(decideRetry(budget, attempt, 0.5, 0), {type: 'retry', afterMilliseconds: 0, free: false});
 	t.same(decideRetry(budget, {...attempt, idempotent: false}, 0.5, 0), {type: 'give-up', reason: 'verdict'});
 	t.same(decideRetry(budget, {...attempt, idempotent: false, failure: createFailure(FailureKind.preempted, 'stopped')}, 0.5, 0), {type: 'give-up', reason: 'verdict'});
 	t.same(decideRetry(budget, {...attempt, attempts: 4}, 0.5, 0), {type: 'give-up', reason: 'attempts'});
 	t.same(decideRetry(budget, attempt, 0.5, 1000), {type: 'give-up', reason: 'deadline'});
 	t.same(decideRetry(budget, {...attempt, failure: createFailure(FailureKind.quarantined, 'crashes')}, 0.5, 0), {type: 'give-up', reason: 'final'});
 	t.same(decideRetry({tokens: 0, at: 0}, attempt, 0.5, 0), {type: 'give-up', reason: 'budget'});
+	const preempted = {...attempt, attempts: 9, failure: createFailure(FailureKind.preempted, 'stopped', {verdict: Verdict.mayHaveRun})};
+	t.same(decideRetry({tokens: 0, at: 0}, preempted, 0.5, 0), {type: 'retry', afterMilliseconds: 0, free: true});
 });
 
 tap.test('however slow they look, at most a third of the peers is set aside', async () => {
