--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -49,13 +49,14 @@
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
 	#failures = 0;
+	#preemptions = 0;
+	/** When it began to wait for its present slot search. */
+	#waitsSince: number;
 	#alarm: NodeJS.Timeout | undefined;
-	/** Since when the request has been without a slot: its arrival, or the end of its last attempt. */
-	#waitingSince: number;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
-		this.#waitingSince = options.arrivedAt;
+		this.#waitsSince = options.arrivedAt;
 	}
 
 	/** The caller closed its connection. */
@@ -93,7 +94,7 @@
 				return this.#fail(end.failure);
 			}
 
-			this.#excluded.add(found.slot.endpoint);
+			this.#prepareNext(found.slot, end.failure);
 		}
 	}
 
@@ -114,7 +115,7 @@
 			}
 
 			this.#setAlarm(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create(fleet, summary, this.inbox).run(endpoints);
+			const result = yield * SlotSearch.create(fleet, this.#summaryNow(), this.inbox).run(endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -177,11 +178,37 @@
 		}).run();
 	}
 
+	/**
+	 * A preempted request did nothing wrong and nor did its endpoint: it may wait its class's time
+	 * once more, at any side. Sides preempt one request a bounded number of times.
+	 */
+	#prepareNext(slot: Slot, failure: Failure): void {
+		if (failure.kind === FailureKind.preempted) {
+			this.#preemptions += 1;
+			return;
+		}
+
+		this.#excluded.add(slot.endpoint);
+	}
+
+	/** What a side must know now: the time that is left, and what the answer so far adds to the prompt. */
+	#summaryNow(): RequestSummary {
+		const {summary} = this.#options;
+		const waited = performance.now() - this.#waitsSince;
+		return {
+			...summary,
+			firstTokenMilliseconds: Math.max(0, summary.firstTokenMilliseconds - waited),
+			queueMilliseconds: Math.max(0, summary.queueMilliseconds - waited),
+			promptTokens: summary.promptTokens + this.#progress.events.length,
+			preemptions: this.#preemptions,
+		};
+	}
+
 	/** Waits as long as the retry policy asks; a stream that was cut may wait for a slot as long as a new request. */
 	* #mayGoOn(failure: Failure): Body<boolean> {
 		this.#verdict = combineVerdicts(this.#verdict, failure.verdict);
-		if (this.#progress.events.length > 0) {
-			this.#waitingSince = performance.now();
+		if (this.#progress.events.length > 0 || failure.kind === FailureKind.preempted) {
+			this.#waitsSince = performance.now();
 		}
 
 		if (failure.kind !== FailureKind.preempted) {
@@ -189,7 +216,7 @@
 		}
 
 		const {summary, retries} = this.#options;
-		const deadline = this.#waitingSince + summary.queueMilliseconds;
+		const deadline = this.#waitsSince + summary.queueMilliseconds;
 		const decision = retries.decide({failure, attempts: this.#failures, idempotent: summary.idempotent, bodyLeft: true, deadline});
 		if (decision.type === 'give-up') {
 			return false;
@@ -200,7 +227,7 @@
 	}
 
 	#queueTimeLeft(): number {
-		return this.#waitingSince + this.#options.summary.queueMilliseconds - performance.now();
+		return this.#waitsSince + this.#options.summary.queueMilliseconds - performance.now();
 	}
 
 	#setAlarm(milliseconds: number): void {
--- a/src/policy/scheduler/tiered-decisions.ts
+++ b/src/policy/scheduler/tiered-decisions.ts
@@ -2,11 +2,11 @@
 import {countDeparture, retryAfter} from './drain.js';
 import {advance, countersOf, greatestLag, lagBound} from './fairness.js';
 import {floorTurn, floorWaitBound} from './floor.js';
-import {slotsToLeave, usualHold} from './headroom.js';
+import {muchLonger, slotsToLeave, usualHold} from './headroom.js';
 import {assertRule, Rule} from './invariants.js';
 import {andThen, occupy, type Occupied, quiet, remove, update, type Waiting, waitingIn} from './ledger.js';
 import {highestWaiting, nextOf} from './order.js';
-import {stopping, victimFor} from './preemption.js';
+import {slotShares, stopping, victimFor} from './preemption.js';
 import {refuse, RefusalReason} from './refusal.js';
 import {type Context, type SchedulerSettings} from './settings.js';
 import {slotCount} from './slots.js';
@@ -36,8 +36,12 @@
 /** Offers free slots one by one, each to the request whose turn it is then. */
 export function offerSlots(state: TieredState, context: Context): Step {
 	const {settings} = context;
+	if (freeSlots(state) <= 0 || !isOpen(state)) {
+		return quiet(state);
+	}
+
 	const highest = highestWaiting(state.ledger.waiting.values());
-	if (highest === undefined || !isOpen(state) || freeSlots(state) <= 0) {
+	if (highest === undefined) {
 		return quiet(state);
 	}
 
@@ -87,8 +91,9 @@
 }
 
 /** Frees slots of lower tiers for requests that would else be late. */
-export function preempt(state: TieredState, {now, settings}: Context): Step {
-	if (!isOpen(state) || freeSlots(state) > 0) {
+export function preempt(state: TieredState, context: Context): Step {
+	const {now, settings} = context;
+	if (!isOpen(state) || freeSlots(state) > 0 || !mayFindVictim(state, settings)) {
 		return quiet(state);
 	}
 
@@ -96,16 +101,17 @@
 	const withoutVictim = new Set<string>();
 	let step = quiet(state);
 	// Slots that are being freed already will serve as many of the first in line.
-	let covered = stopping(state.ledger) + state.reserved;
+	let covered = stopping(state.ledger);
 	for (const [index, waiting] of inTurn(state).entries()) {
-		const startsAt = now + marginMilliseconds + (Math.max(0, index + 1 - covered) / rate);
+		const wait = waiting.summary.asksFirst === false ? 0 : Math.max(0, index + 1 - covered) / rate;
+		const startsAt = now + marginMilliseconds + wait;
 		const rivals = `${waiting.summary.tier} ${waiting.summary.workspace}`;
 		if (index < covered || startsAt <= latestStart(state, waiting) || withoutVictim.has(rivals)) {
 			continue;
 		}
 
 		const before = step.actions.length;
-		step = andThen(step, next => preemptFor(next, waiting, settings));
+		step = andThen(step, next => preemptFor(next, waiting, context));
 		covered += step.actions.length - before;
 		if (step.actions.length === before) {
 			// Nor is there one for the rest of its workspace and tier; queues are long when that is so.
@@ -116,6 +122,29 @@
 	return step;
 }
 
+/** A quick look that spares the long one: whether anything that runs could give way to anything that waits. */
+function mayFindVictim({ledger}: TieredState, settings: SchedulerSettings): boolean {
+	const highest = highestWaiting(ledger.waiting.values());
+	if (highest === undefined) {
+		return false;
+	}
+
+	const workspaces = new Set<string>();
+	for (const {summary} of ledger.waiting.values()) {
+		workspaces.add(`${summary.tier} ${summary.workspace}`);
+	}
+
+	for (const {summary, phase, floor} of ledger.occupied.values()) {
+		const isPreemptible = phase === 'running' && !floor && summary.idempotent && (summary.preemptions ?? 0) < settings.maximumPreemptions;
+		const hasRival = settings.preemptsForShare && workspaces.size > (workspaces.has(`${summary.tier} ${summary.workspace}`) ? 1 : 0);
+		if (isPreemptible && (summary.tier > highest || hasRival)) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 /** What a preemption itself takes: the engine stops within a step, and the offer travels there and back. */
 const marginMilliseconds = 50;
 /** Taken for the time that a request holds its slot while none like it has ended. */
@@ -136,8 +165,10 @@
 	return tiers.flatMap(tier => waitingIn(state.ledger, tier).toSorted((one, other) => latestStart(state, one) - latestStart(state, other)));
 }
 
-function preemptFor(state: TieredState, waiting: Waiting, settings: SchedulerSettings): Step {
-	const victim = victimFor(state.ledger, waiting, slotCount(state.slots), settings);
+function preemptFor(state: TieredState, waiting: Waiting, {now, settings}: Context): Step {
+	const longSince = now - (muchLonger * (usualHold(state.headroom, waiting.summary) ?? unknownHoldMilliseconds));
+	const shares = slotShares(state.ledger, waiting.summary, slotCount(state.slots), longSince);
+	const victim = victimFor(state.ledger, waiting, shares, settings);
 	if (victim === undefined) {
 		return quiet(state);
 	}
