--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -4,6 +4,7 @@
 } from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {Suspicion} from '../policy/quarantine/index.js';
+import {Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
@@ -52,11 +53,12 @@
 	#preemptions = 0;
 	/** When it began to wait for its present slot search. */
 	#waitsSince: number;
-	#alarm: NodeJS.Timeout | undefined;
+	readonly #alarm: Alarm;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
 		this.#waitsSince = options.arrivedAt;
+		this.#alarm = Alarm.create(this.inbox);
 	}
 
 	/** The caller closed its connection. */
@@ -68,7 +70,7 @@
 		try {
 			return yield * this.#attempt();
 		} finally {
-			clearTimeout(this.#alarm);
+			this.#alarm[Symbol.dispose]();
 			this.inbox.close();
 		}
 	}
@@ -114,8 +116,8 @@
 				continue;
 			}
 
-			this.#setAlarm(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create(fleet, this.#summaryNow(), this.inbox).run(endpoints);
+			this.#alarm.set(this.#queueTimeLeft());
+			const result = yield * SlotSearch.create({fleet, summary: this.#summaryNow(), inbox: this.inbox, alarm: this.#alarm}).run(endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -172,9 +174,7 @@
 			slot,
 			answer,
 			progress: this.#progress,
-			setAlarm: milliseconds => {
-				this.#setAlarm(milliseconds);
-			},
+			alarm: this.#alarm,
 		}).run();
 	}
 
@@ -230,13 +230,6 @@
 		return this.#waitsSince + this.#options.summary.queueMilliseconds - performance.now();
 	}
 
-	#setAlarm(milliseconds: number): void {
-		clearTimeout(this.#alarm);
-		this.#alarm = setTimeout(() => {
-			tryDeliver(this.inbox, {type: 'alarm'});
-		}, Math.max(0, milliseconds));
-	}
-
 	#whole(usage: string | undefined): CallEnd {
 		const {answer, arrivedAt} = this.#options;
 		answer.finish(usage);
