--- a/bench/harness/local-fleet.ts
+++ b/bench/harness/local-fleet.ts
@@ -6,11 +6,11 @@
 	createInstanceId, type EndpointId, type InstanceId, type TargetName, type ZoneName,
 } from '../../src/model/index.js';
 import {
-	CatalogueFollower, exchangeCatalogue, HttpLogClient, HttpMembershipClient,
+	CatalogueFollower, exchangeCatalogue, HttpLogClient, HttpMembershipClient, QuarantineLedger,
 } from '../../src/platform/index.js';
 import {type Placement, subsetPlacement} from '../../src/policy/placement/index.js';
 import {createSettings, type Scheduler, tiered} from '../../src/policy/scheduler/index.js';
-import {type Backend, EndpointWatch, Side} from '../../src/side/index.js';
+import {type Backend, EndpointWatch, Side, type SideOptions} from '../../src/side/index.js';
 import {createLogger, forPart, type Logger} from '../../src/telemetry/index.js';
 import {
 	type EngineCosts, FakeEngine, FakeLog, FakeMembers, FakeService,
@@ -32,9 +32,15 @@
 	sideParts: readonly AsyncDisposable[];
 };
 
-type SidePlan = {readonly name: string; readonly zone: string; readonly targets: readonly string[]; readonly backend: Backend};
+type SidePlan = {
+	readonly name: string;
+	readonly zone: string;
+	readonly targets: readonly string[];
+	readonly backend: Backend;
+	readonly quarantine?: SideOptions<unknown>['quarantine'];
+};
 
-export type LocalEntry = {readonly entry: Entry<any>; readonly follower: CatalogueFollower; readonly instance: InstanceId; readonly zone: string};
+export type LocalEntry = {readonly entry: Entry<any>; readonly follower: CatalogueFollower; readonly quarantine: QuarantineLedger; readonly instance: InstanceId; readonly zone: string};
 
 export type LocalFleetOptions = {
 	readonly entries: number;
@@ -122,6 +128,7 @@
 	async addEntry(zone: string): Promise<LocalEntry> {
 		const instance = createInstanceId('entry');
 		const follower = this.#follow(instance);
+		const quarantine = QuarantineLedger.create({log: this.#logClient()});
 		const entry = await Entry.create({
 			instance,
 			zone: zone as ZoneName,
@@ -133,6 +140,7 @@
 			membership: HttpMembershipClient.create({baseUrl: this.members.url, timeoutMilliseconds: platformTimeoutMilliseconds}),
 			placement: await (this.#options.placement?.() ?? subsetPlacement),
 			logger: forPart(this.logger, 'Entry'),
+			quarantine,
 			random: this.#options.random,
 			onPeerMessage(link, message) {
 				exchangeCatalogue(follower, message, reply => {
@@ -141,7 +149,7 @@
 			},
 			onEnd: this.#options.onEnd,
 		});
-		const local = {entry, follower, instance, zone};
+		const local = {entry, follower, quarantine, instance, zone};
 		this.entries.push(local);
 		this.members.set({instance, role: 'entry', address: entry.address, zone, state: 'live'});
 		return local;
@@ -149,7 +157,7 @@
 
 	/** Publishes entries that are not in the catalogue yet, and waits until every process has them. */
 	async publish(entries: readonly CatalogueEntry[], author = 'operator'): Promise<void> {
-		const log = HttpLogClient.create({baseUrl: this.log.url, timeoutMilliseconds: platformTimeoutMilliseconds});
+		const log = this.#logClient();
 		const change: Change = {
 			type: 'change', id: randomUUID(), author, time: Date.now(), operations: entries.map(entry => ({type: 'put', entry})),
 		};
@@ -178,30 +186,34 @@
 	async crashEntry(local: LocalEntry): Promise<void> {
 		this.entries.splice(this.entries.indexOf(local), 1);
 		this.members.remove(local.instance);
-		await disposeAll([local.entry, local.follower]);
+		await disposeAll([local.entry, local.quarantine, local.follower]);
 	}
 
 	async stopEntry(local: LocalEntry): Promise<void> {
 		await local.entry.drain();
 		this.members.remove(local.instance);
-		await disposeAll([local.entry, local.follower]);
+		await disposeAll([local.entry, local.quarantine, local.follower]);
 		this.entries.splice(this.entries.indexOf(local), 1);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		await disposeAll(this.entries.flatMap(({entry, follower}) => [entry, follower]));
+		await disposeAll(this.entries.flatMap(({entry, quarantine, follower}) => [entry, quarantine, follower]));
 		await disposeAll(this.endpoints.flatMap(({sideParts, engine}) => [...sideParts, engine]));
 		await disposeAll([...this.#services, this.members, this.log]);
 	}
 
 	async #startSide(name: string, zone: string, engine: FakeEngine): Promise<LocalSide> {
 		const client = EngineClient.create({baseUrl: engine.url});
-		const {side, instance, follower} = await this.#createSide({name, zone, targets: this.#options.models, backend: {type: 'engine', client}});
-		const watch = EndpointWatch.create(EngineControl.create({baseUrl: engine.url, timeoutMilliseconds: healthTimeoutMilliseconds}), side);
-		return {side, instance, sideParts: [watch, side, client, follower]};
+		const control = EngineControl.create({baseUrl: engine.url, timeoutMilliseconds: healthTimeoutMilliseconds});
+		const ledger = QuarantineLedger.create({log: this.#logClient()});
+		const {side, instance, follower} = await this.#createSide({
+			name, zone, targets: this.#options.models, backend: {type: 'engine', client}, quarantine: {ledger, isHealthy: async () => control.isHealthy()},
+		});
+		const watch = EndpointWatch.create(control, side);
+		return {side, instance, sideParts: [watch, side, ledger, client, follower]};
 	}
 
-	async #createSide({name, zone, targets, backend}: SidePlan): Promise<{side: Side<any>; instance: InstanceId; follower: CatalogueFollower}> {
+	async #createSide({name, zone, targets, backend, quarantine}: SidePlan): Promise<{side: Side<any>; instance: InstanceId; follower: CatalogueFollower}> {
 		const instance = createInstanceId('side');
 		const follower = this.#follow(instance);
 		const side = await Side.create({
@@ -215,6 +227,7 @@
 			backend,
 			scheduler: this.#options.scheduler?.() ?? tiered(createSettings()),
 			logger: forPart(this.logger, 'Side'),
+			quarantine,
 			catalogueOffset: () => follower.current().offset,
 			onPeerMessage(message, reply) {
 				exchangeCatalogue(follower, message, reply);
@@ -228,10 +241,14 @@
 		this.members.set({instance, role: 'side', address, zone, state: 'live', endpoint: name, targets: this.#options.models});
 	}
 
+	#logClient(): HttpLogClient {
+		return HttpLogClient.create({baseUrl: this.log.url, timeoutMilliseconds: platformTimeoutMilliseconds});
+	}
+
 	#follow(instance: string): CatalogueFollower {
 		const logger = forPart(this.logger, 'Catalogue');
 		return CatalogueFollower.create({
-			log: HttpLogClient.create({baseUrl: this.log.url, timeoutMilliseconds: platformTimeoutMilliseconds}),
+			log: this.#logClient(),
 			instance,
 			onLog(message) {
 				logger.debug(message);
--- a/src/bin/cassiaflow-side.ts
+++ b/src/bin/cassiaflow-side.ts
@@ -3,7 +3,7 @@
 import {
 	createInstanceId, type EndpointId, type InstanceId, type TargetName, type ZoneName,
 } from '../model/index.js';
-import {CatalogueFollower, exchangeCatalogue, HttpLogClient} from '../platform/index.js';
+import {CatalogueFollower, exchangeCatalogue, HttpLogClient, QuarantineLedger} from '../platform/index.js';
 import {createSettings, tiered, type Violation} from '../policy/scheduler/index.js';
 import {type Backend, EndpointWatch, Side} from '../side/index.js';
 import {AdminServer, createLogger, forPart, Metrics} from '../telemetry/index.js';
@@ -29,6 +29,8 @@
 			catalogueLog.warn(message);
 		},
 	});
+	const control = EngineControl.create({baseUrl: settings.endpointUrl, timeoutMilliseconds: healthTimeoutMilliseconds});
+	await using ledger = QuarantineLedger.create({log: HttpLogClient.create({baseUrl: settings.logUrl, timeoutMilliseconds: platformTimeoutMilliseconds})});
 	const backend = createBackend(settings);
 	await using _client = backend.client;
 	await using side = await Side.create({
@@ -47,12 +49,13 @@
 			},
 		})),
 		logger: log,
+		quarantine: backend.type === 'engine' ? {ledger, isHealthy: async () => control.isHealthy()} : undefined,
 		catalogueOffset: () => follower.current().offset,
 		onPeerMessage(message, reply) {
 			exchangeCatalogue(follower, message, reply);
 		},
 	});
-	await using _watch = backend.type === 'engine' ? EndpointWatch.create(EngineControl.create({baseUrl: settings.endpointUrl, timeoutMilliseconds: healthTimeoutMilliseconds}), side) : undefined;
+	await using _watch = backend.type === 'engine' ? EndpointWatch.create(control, side) : undefined;
 	await using admin = await AdminServer.create({
 		host: settings.adminHost,
 		port: settings.adminPort,
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -1,18 +1,17 @@
-import {type Body, channel, type Channel, tryDeliver} from '../concurrency/index.js';
+import {type Body, channel, type Channel, sleep, tryDeliver} from '../concurrency/index.js';
 import {
-	combineVerdicts, createFailure, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
+	combineVerdicts, createFailure, type Failure, FailureKind, type RequestSummary, Verdict,
 } from '../model/index.js';
+import {type QuarantineLedger} from '../platform/index.js';
 import {Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
+import {type RetryKeeper} from './retry-keeper.js';
 import {type Slot} from './slot.js';
 import {SlotFinder} from './slot-finder.js';
 
-/** Attempts at one request, the first included. The retry budget is what bounds retries over all requests. */
-const maximumAttempts = 4;
-
 export type ModelCallOptions = {
 	readonly fleet: Fleet;
 	readonly summary: RequestSummary;
@@ -20,8 +19,9 @@
 	readonly call: ModelCall;
 	readonly answer: Answer;
 	readonly arrivedAt: number;
-	/** True if the fleet's retry budget has room for one more. */
-	readonly spendRetry: () => boolean;
+	readonly retries: RetryKeeper;
+	/** What is known of requests that crash endpoints. */
+	readonly quarantine?: QuarantineLedger;
 };
 
 export type CallEnd
@@ -46,6 +46,7 @@
 	readonly #finder: SlotFinder;
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
+	#failures = 0;
 	#preemptions = 0;
 	readonly #alarm: Alarm;
 
@@ -88,7 +89,7 @@
 				return this.#left();
 			}
 
-			if (!this.#mayGoOn(end.failure)) {
+			if (!(yield * this.#mayGoOn(end.failure))) {
 				return this.#fail(end.failure);
 			}
 
@@ -112,7 +113,7 @@
 			resumeText: textOf(events),
 			credit: creditWindow,
 		});
-		fleet.observe({type: 'started', endpoint: slot.endpoint, request: summary.id});
+		fleet.observe({type: 'started', endpoint: slot.endpoint, request: summary.id, prefix: summary.prefix});
 		return yield * Relay.create({
 			fleet,
 			summary,
@@ -131,21 +132,33 @@
 	#prepareNext(slot: Slot, failure: Failure): void {
 		if (failure.kind === FailureKind.preempted) {
 			this.#preemptions += 1;
-			this.#finder.restartWait();
 			return;
 		}
 
 		this.#finder.exclude(slot.endpoint);
 	}
 
-	#mayGoOn(failure: Failure): boolean {
+	/** Waits as long as the retry policy asks; a stream that was cut may wait for a slot as long as a new request. */
+	* #mayGoOn(failure: Failure): Body<boolean> {
 		this.#verdict = combineVerdicts(this.#verdict, failure.verdict);
-		if (failure.kind === FailureKind.preempted) {
-			return true;
+		if (this.#progress.events.length > 0 || failure.kind === FailureKind.preempted) {
+			this.#finder.restartWait();
+		}
+
+		if (failure.kind !== FailureKind.preempted) {
+			this.#failures += 1;
+		}
+
+		const {summary, retries} = this.#options;
+		const decision = retries.decide({
+			failure, attempts: this.#failures, idempotent: summary.idempotent, bodyLeft: true, deadline: this.#finder.deadline,
+		});
+		if (decision.type === 'give-up') {
+			return false;
 		}
 
-		const again = mayRetry(failure.verdict, this.#options.summary.idempotent);
-		return again && this.#attempts < maximumAttempts && this.#options.spendRetry();
+		yield * sleep(decision.afterMilliseconds);
+		return true;
 	}
 
 	#whole(usage: string | undefined): CallEnd {
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -142,7 +142,7 @@
 		progress.events.push(...message.events);
 		if (!answer.write(message.events)) {
 			yield * wait(answer.drained());
-			// The caller's slowness must not count as the endpoint's.
+			// The time that a slow caller takes says nothing about the endpoint.
 			this.#progressedAt = performance.now();
 		}
 
--- a/src/entry/service-call.ts
+++ b/src/entry/service-call.ts
@@ -1,13 +1,15 @@
-import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {type Body, channel, type Channel, receive, spawn, tryDeliver, wait} from '../concurrency/index.js';
+import {type ServerResponse} from 'node:http';
+import {type Body, channel, type Channel, receive, sleep, spawn, tryDeliver, wait} from '../concurrency/index.js';
 import {
-	combineVerdicts, createFailure, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
+	combineVerdicts, createFailure, type Failure, FailureKind, type RequestSummary, Verdict,
 } from '../model/index.js';
+import {type QuarantineLedger} from '../platform/index.js';
 import {type MessageOf, type StreamMessage} from '../wire/index.js';
 import {Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {drainedOrClosed} from './protocol/index.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
+import {type RetryKeeper} from './retry-keeper.js';
 import {ServiceAnswer} from './service-answer.js';
 import {type ServiceBody} from './service-body.js';
 import {type Slot} from './slot.js';
@@ -17,7 +19,6 @@
 const answerWindow = 16;
 /** Longer than a service may take for the head of its answer; after it the connection counts as hung. */
 const stalledMilliseconds = 70_000;
-const maximumAttempts = 3;
 
 export type ServiceCallOptions = {
 	readonly fleet: Fleet;
@@ -26,11 +27,11 @@
 	readonly path: string;
 	readonly headers: Readonly<Record<string, string>>;
 	readonly body: ServiceBody;
-	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly arrivedAt: number;
-	/** True if the fleet's retry budget has room for one more. */
-	readonly spendRetry: () => boolean;
+	readonly retries: RetryKeeper;
+	/** What is known of requests that crash endpoints. */
+	readonly quarantine?: QuarantineLedger;
 };
 
 type AttemptEnd
@@ -87,7 +88,7 @@
 			}
 
 			this.#verdict = combineVerdicts(this.#verdict, end.failure.verdict);
-			if (found.type !== 'slot' || !this.#mayGoOn(end.failure)) {
+			if (found.type !== 'slot' || !(yield * this.#mayGoOn(end.failure))) {
 				this.#answer.fail({...end.failure, verdict: this.#verdict});
 				return;
 			}
@@ -96,10 +97,21 @@
 		}
 	}
 
-	#mayGoOn(failure: Failure): boolean {
-		const {body, summary, spendRetry} = this.#options;
-		const repeatable = body.isWhole && !this.#answer.started && mayRetry(failure.verdict, summary.idempotent);
-		return repeatable && this.#attempts < maximumAttempts && spendRetry();
+	* #mayGoOn(failure: Failure): Body<boolean> {
+		const {body, summary, retries} = this.#options;
+		if (!body.isWhole || this.#answer.started) {
+			return false;
+		}
+
+		const decision = retries.decide({
+			failure, attempts: this.#attempts, idempotent: summary.idempotent, bodyLeft: true, deadline: this.#finder.deadline,
+		});
+		if (decision.type === 'give-up') {
+			return false;
+		}
+
+		yield * sleep(decision.afterMilliseconds);
+		return true;
 	}
 
 	* #runAt(slot: Slot): Body<AttemptEnd> {
--- a/src/entry/slot-finder.ts
+++ b/src/entry/slot-finder.ts
@@ -1,5 +1,9 @@
 import {type Body, type Channel, sleep} from '../concurrency/index.js';
-import {type EndpointId, type Failure, type RequestSummary} from '../model/index.js';
+import {
+	createFailure, type EndpointId, type Failure, FailureKind, type RequestSummary,
+} from '../model/index.js';
+import {type QuarantineLedger} from '../platform/index.js';
+import {Suspicion} from '../policy/quarantine/index.js';
 import {type Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {type RequestEvent} from './request-event.js';
@@ -13,6 +17,8 @@
 	readonly summary: RequestSummary;
 	readonly inbox: Channel<RequestEvent>;
 	readonly arrivedAt: number;
+	/** What is known of requests that crash endpoints. */
+	readonly quarantine?: QuarantineLedger;
 	/** The request's one timer; set here to the end of its time in queues. */
 	readonly alarm: Alarm;
 };
@@ -37,12 +43,17 @@
 		this.#waitsSince = options.arrivedAt;
 	}
 
+	/** When the request's time in queues is over. */
+	get deadline(): number {
+		return this.#waitsSince + this.#options.summary.queueMilliseconds;
+	}
+
 	/** Leaves an endpoint out of the next search. */
 	exclude(endpoint: EndpointId): void {
 		this.#excluded.add(endpoint);
 	}
 
-	/** Gives the request its class's time once more, after it lost a slot without fault. */
+	/** Gives the request its class's time in queues once more. */
 	restartWait(): void {
 		this.#waitsSince = performance.now();
 	}
@@ -52,15 +63,20 @@
 		const {fleet, summary, inbox, alarm} = this.#options;
 		let failure = noEndpoint();
 		while (this.#queueTimeLeft() > 0) {
-			const choice = fleet.choose(summary, this.#excluded);
-			if (choice.endpoints.length === 0) {
+			const suspicion = this.#suspicion();
+			if (suspicion === Suspicion.quarantined) {
+				return {type: 'failed', failure: quarantined()};
+			}
+
+			const endpoints = suspicion === Suspicion.suspect ? this.#sideForSuspect() : fleet.choose(summary, this.#excluded).endpoints;
+			if (endpoints.length === 0) {
 				yield * sleep(noEndpointPauseMilliseconds);
 				this.#excluded.clear();
 				continue;
 			}
 
 			alarm.set(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create({fleet, summary: {...this.#summaryNow(), ...changes}, inbox, alarm}).run(choice.endpoints);
+			const result = yield * SlotSearch.create({fleet, summary: {...this.#summaryNow(), ...changes}, inbox, alarm}).run(endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -74,6 +90,15 @@
 		return {type: 'failed', failure};
 	}
 
+	#suspicion(): Suspicion {
+		return this.#options.quarantine?.judge(this.#options.summary.fingerprint).suspicion ?? Suspicion.none;
+	}
+
+	#sideForSuspect(): readonly EndpointId[] {
+		const endpoint = this.#options.fleet.chooseForSuspect(this.#options.summary);
+		return endpoint === undefined ? [] : [endpoint];
+	}
+
 	/** After a refusal the remaining sides are asked, each once; a refusal by all is final and told at once. */
 	#mayAskElsewhere(tried: readonly EndpointId[]): boolean {
 		for (const endpoint of tried) {
@@ -85,7 +110,7 @@
 	}
 
 	#queueTimeLeft(): number {
-		return this.#waitsSince + this.#options.summary.queueMilliseconds - performance.now();
+		return this.deadline - performance.now();
 	}
 
 	/** What a side must know now: the time that is left. */
@@ -99,3 +124,7 @@
 		};
 	}
 }
+
+function quarantined(): Failure {
+	return createFailure(FailureKind.quarantined, 'Endpoints that ran this request crashed; it is not run again for some minutes.');
+}
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -1,7 +1,7 @@
 import {spawn} from '../concurrency/index.js';
 import {type EngineLoad} from '../endpoint/index.js';
 import {type EndpointId, type InstanceId, type TargetName, type ZoneName} from '../model/index.js';
-import {type CatalogueMessage} from '../platform/index.js';
+import {type CatalogueMessage, type QuarantineLedger} from '../platform/index.js';
 import {type Scheduler} from '../policy/scheduler/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {
@@ -33,6 +33,8 @@
 	readonly catalogueOffset: () => number;
 	/** Hears hello, heartbeat, pull and records of each entry, for the spread of the catalogue. */
 	readonly onPeerMessage?: (message: CatalogueMessage, reply: (message: Message) => void) => void;
+	/** What is known of requests that crash endpoints, and how to ask whether this one is alive. */
+	readonly quarantine?: {readonly ledger: QuarantineLedger; readonly isHealthy: () => Promise<boolean>};
 };
 
 /** The process beside one endpoint: takes entries' connections and tells them how the endpoint stands. */
@@ -66,7 +68,17 @@
 
 	private constructor(options: SideOptions<State>) {
 		this.#options = options;
-		this.#work = Work.create(options);
+		this.#work = Work.create({
+			...options,
+			endpointDown: () => {
+				this.setEndpointUp(false);
+			},
+		});
+		options.quarantine?.ledger.listen((records, from) => {
+			if (from === 'process') {
+				this.#broadcast({type: 'quarantine', records: [...records]});
+			}
+		});
 	}
 
 	get address(): string {
@@ -146,6 +158,11 @@
 				break;
 			}
 
+			case 'quarantine': {
+				this.#options.quarantine?.ledger.hear(message.records);
+				break;
+			}
+
 			case 'offer':
 			case 'refuse':
 			case 'chunk':
@@ -192,6 +209,11 @@
 		this.#links.add(link);
 		link.send(this.#hello());
 		link.send(this.#stateMessage());
+		const known = this.#options.quarantine?.ledger.records() ?? [];
+		if (known.length > 0) {
+			link.send({type: 'quarantine', records: [...known]});
+		}
+
 		void spawn('entry-link', () => link.read(this));
 	}
 
--- a/test/side/work.test.ts
+++ b/test/side/work.test.ts
@@ -1,5 +1,6 @@
 import tap from 'tap';
 import {type EngineClient} from '../../src/endpoint/index.js';
+import {type EndpointId, type InstanceId} from '../../src/model/index.js';
 import {type Scheduler} from '../../src/policy/scheduler/index.js';
 import {type EntryLink} from '../../src/side/entry-link.js';
 import {Work} from '../../src/side/work.js';
@@ -27,7 +28,9 @@
 			runs++;
 		},
 	} as unknown as EngineClient;
-	const work = Work.create({backend: {type: 'engine', client}, scheduler: refusing});
+	const work = Work.create({
+		backend: {type: 'engine', client}, scheduler: refusing, instance: 'side' as InstanceId, endpoint: 'engine' as EndpointId, endpointDown: () => undefined,
+	});
 	const sent: Message[] = [];
 	const link = {number: 1, reservations: new Map(), send: (message: Message) => sent.push(message)} as unknown as EntryLink;
 	const summary = {id: 'r', idempotent: true} as unknown as MessageOf<'reserve'>['summary'];
