Give a caller a moment to read the error event before its connection is cut

Change: the event goes out at once as before; the connection is cut a second later, or when the caller closes it.

--- a/src/entry/protocol/stream-answer.ts
+++ b/src/entry/protocol/stream-answer.ts
@@ -13,6 +13,12 @@
 
 /** How long a caller may take to read the error event before its connection is closed anyway. */
 const errorFlushMilliseconds = 5000;
+/**
+ * Failure: a caller that is a moment behind meets the cut while the error event is still in its
+ * buffer, and its HTTP library drops the buffer. Symptom: an answer that breaks off without a
+ * verdict. A caller that reads the event closes at once; one that does not has this long.
+ */
+const errorReadMilliseconds = 1000;
 
 /** Writes an answer as server-sent events. The status line goes out with the first event, not before. */
 export class StreamAnswer implements Answer {
@@ -59,8 +65,8 @@
 
 	/**
 	 * Failure: a stream that ends cleanly after an error looks whole to a client that skips unknown
-	 * events. Symptom: half an answer is taken for all of it. The connection is therefore cut, once
-	 * the error event is out, without the end of the chunked body: no client can read that as success.
+	 * events. Symptom: half an answer is taken for all of it. The connection is therefore cut, soon
+	 * after the error event is out, without the end of the chunked body: no client can read that as success.
 	 */
 	fail(failure: Failure): void {
 		if (this.#ended) {
@@ -78,11 +84,14 @@
 			response.destroy();
 		};
 
-		const timer = setTimeout(destroy, errorFlushMilliseconds).unref();
+		let timer = setTimeout(destroy, errorFlushMilliseconds).unref();
 		response.once('close', () => {
 			clearTimeout(timer);
 		});
-		response.write(`event: error\ndata: ${failureBody(failure, this.#options.requestId)}\n\n`, destroy);
+		response.write(`event: error\ndata: ${failureBody(failure, this.#options.requestId)}\n\n`, () => {
+			clearTimeout(timer);
+			timer = setTimeout(destroy, errorReadMilliseconds).unref();
+		});
 	}
 
 	#start(): void {
--- a/test/entry/answers.test.ts
+++ b/test/entry/answers.test.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {createServer, get, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {connect, type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import OpenAI, {APIError} from 'openai';
 import tap from 'tap';
 import {createFailure, FailureKind, type RequestError, Verdict} from '../../src/model/index.js';
@@ -127,6 +128,32 @@
 	await t.rejects(plain.text(), 'the body has no clean end');
 });
 
+tap.test('a caller that is a moment behind still gets the verdict', async t => {
+	// Found by the soak, seeds 12 and 108: the caller reads a token and is busy for a moment. Meanwhile
+	// the endpoint is lost, the error event goes out and the connection is cut at once; the caller's
+	// HTTP library then drops what it had not handed over, and the answer breaks off without a word.
+	await using serving = await serve((_, response) => {
+		const answer = StreamAnswer.create(response, {requestId: 'r1', includeUsage: false});
+		answer.write([chunk({content: 'one'})]);
+		setTimeout(() => {
+			answer.fail(lost);
+		}, 20);
+	});
+	const response = await new Promise<IncomingMessage>(resolve => {
+		get(serving.url, resolve);
+	});
+	let text = '';
+	response.setEncoding('utf8');
+	const reading = (async () => {
+		for await (const part of response) {
+			text += part as string;
+			await delay(100);
+		}
+	})();
+	await t.rejects(reading, 'the body has no clean end');
+	t.match(text, '"verdict":"may-have-run"');
+});
+
 tap.test('a slow caller is reported, and waiting for it ends when it leaves', async t => {
 	// The caller sends a request and reads nothing: once the kernel's buffers are full, the answer says
 	// that it is slow. Then it leaves, and whoever waits for it goes on instead of waiting for ever.
