Serve what can be in time first, and place the top tier by what it can't preempt

Cause: at 2x overload orders that were late already took the slots of orders that could be in time, and a mean time between tokens held at its target was missed by half of the requests. At 5x overload the misses of the top tier came from sides where all slots held its own tier, while others held lower ones.

Change: late requests stand 100 weighted tokens behind those in time, a bounded part of fair share; slots shrink above 95% of the target and grow below 85%; a side reports how many running requests each tier could not preempt, the placement counts those, and the top tier reserves at three sides. A run within a tier is long if its rival's class is unknown and it lasted as long as that class may wait. Time is taken note of every 10 ms and preemption looks at no more requests than there are slots.

--- a/bench/decisions/run.ts
+++ b/bench/decisions/run.ts
@@ -1,3 +1,4 @@
+import {type FakeEngine} from '../../fakes/index.js';
 import {type Violation} from '../../src/policy/scheduler/index.js';
 import {callModel, type CallResult} from '../harness/caller.js';
 import {keyOf, planCatalogue} from '../harness/catalogue.js';
@@ -44,6 +45,8 @@
 	const engines = fleet.endpoints.map(({engine}) => engine);
 	await fleet.publish(planCatalogue([model], workspaces, Object.values(plans)));
 	await fleet.connected();
+	await warmUp(fleet);
+	const before = work(engines);
 	const startedAt = performance.now();
 	const lag = watchTimers();
 	const troubles = pattern.troubles.map(async trouble => makeTrouble(fleet, trouble));
@@ -54,12 +57,28 @@
 		pattern,
 		samples,
 		violations,
-		tokensProduced: sum(engines.map(engine => engine.tokensProduced)),
-		prefilledTokens: sum(engines.map(engine => engine.prefilledTokens)),
+		tokensProduced: work(engines).tokens - before.tokens,
+		prefilledTokens: work(engines).prefilled - before.prefilled,
 		worstTimerLagMilliseconds: lag.stop(),
 	};
 }
 
+/** A part of a process's first calls is slow while its code is compiled; that says nothing of decisions. */
+async function warmUp(fleet: LocalFleet): Promise<void> {
+	for (let round = 0; round < warmUpRounds; round++) {
+		await Promise.all(Array.from({length: warmUpCalls}, async (_, index) => callModel({
+			address: fleet.entries[index % fleet.entries.length]!.entry.address, key: keyOf(workspaces[0]), className: 'order', model, prompt: `Warm up ${round} ${index} [[tokens=8]]`,
+		})));
+	}
+}
+
+const warmUpRounds = 3;
+const warmUpCalls = 32;
+
+function work(engines: readonly FakeEngine[]): {tokens: number; prefilled: number} {
+	return {tokens: sum(engines.map(engine => engine.tokensProduced)), prefilled: sum(engines.map(engine => engine.prefilledTokens))};
+}
+
 async function send(planned: Planned, startedAt: number, address: string): Promise<Sample> {
 	await delay(startedAt + planned.at - performance.now());
 	const sentAt = performance.now() - startedAt;
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -115,6 +115,7 @@
 				leaving: state !== undefined && state.phase !== 'serving',
 				slots: state?.slots ?? 1,
 				running: state?.running ?? 0,
+				firm: state?.firm,
 				waiting: state?.waiting ?? [],
 				tokenMilliseconds: state?.tokenMilliseconds ?? 0,
 			},
--- a/src/policy/placement/estimate.ts
+++ b/src/policy/placement/estimate.ts
@@ -20,11 +20,16 @@
  * what this entry itself has begun and ended there since.
  */
 export function requestsAhead(side: SideRecord, tier: number, now: number): number {
-	let reported = side.view.running;
+	let reported = side.view.firm?.[tier] ?? side.view.running;
 	for (const waiting of side.view.waiting.slice(0, tier + 1)) {
 		reported += waiting;
 	}
 
+	if (side.view.firm !== undefined) {
+		// Which of ours would give way is in the report already; only what came since is not.
+		return Math.max(0, side.own.size - side.ownReported) + (reported * trust(side, now));
+	}
+
 	const others = Math.max(0, reported - side.ownReported);
 	return side.own.size + (others * trust(side, now));
 }
--- a/src/policy/placement/subset.ts
+++ b/src/policy/placement/subset.ts
@@ -25,6 +25,8 @@
 	readonly otherZones: number;
 	/** Sides that hold a reservation while none is certainly free; 1 is early binding. */
 	readonly reservations: number;
+	/** The same for the highest tier, whose target leaves no time to wait behind others of it. */
+	readonly topReservations: number;
 	/** What leaving the availability zone costs: a round trip before the first token, and another for the offer. */
 	readonly zoneMilliseconds: number;
 	/** Prefill of one prompt token; a cached prefix saves it. */
@@ -45,6 +47,7 @@
 	subsetSize: 16,
 	otherZones: 6,
 	reservations: 2,
+	topReservations: 3,
 	zoneMilliseconds: 4,
 	prefillMillisecondsPerToken: 0.1,
 	largestPrefixMilliseconds: 100,
@@ -185,13 +188,17 @@
 	const ranked = candidates
 		.map(side => weigh(figures, state, side, {...question, home}))
 		.toSorted((left, right) => left.cost - right.cost);
-	const count = ranked[0] && certainlyFree(ranked[0].side, question.summary.tier, question.now) ? 1 : figures.reservations;
+	const count = ranked[0] && certainlyFree(ranked[0].side, question.summary.tier, question.now) ? 1 : reservationsFor(figures, question.summary);
 	return {
 		endpoints: ranked.slice(0, count).map(({side}) => side.view.endpoint),
 		reasons: [...reasons, ...aside, ...ranked.map(({side, reason}) => ({endpoint: side.view.endpoint, reason}))],
 	};
 }
 
+function reservationsFor({reservations, topReservations}: SubsetFigures, {tier}: RequestSummary): number {
+	return tier === Tier.highest && reservations > 1 ? topReservations : reservations;
+}
+
 /** A highest-tier request is never the one that tries a slow endpoint while a lower one could. */
 function findTrickle(state: SubsetState, subset: readonly SideRecord[], {summary, now}: Question): SideRecord | undefined {
 	const patience = summary.tier === Tier.highest ? 3 * trickleMilliseconds : 0;
--- a/src/policy/placement/types.ts
+++ b/src/policy/placement/types.ts
@@ -9,6 +9,8 @@
 	readonly leaving: boolean;
 	readonly slots: number;
 	readonly running: number;
+	/** By tier: running requests that a new one of that tier could not preempt; missing: all of them. */
+	readonly firm?: readonly number[];
 	readonly waiting: readonly number[];
 	readonly tokenMilliseconds: number;
 };
--- a/src/policy/scheduler/drain.ts
+++ b/src/policy/scheduler/drain.ts
@@ -30,10 +30,14 @@
 	}
 
 	const factor = Math.exp(-elapsed / memoryMilliseconds);
-	const waits = new Set([...ledger.waiting.values()].map(({summary}) => summary.tier));
+	const waits = tiers.map(() => false);
+	for (const {summary} of ledger.waiting.values()) {
+		waits[summary.tier] = true;
+	}
+
 	return {
 		departures: drain.departures.map(count => count * factor),
-		busy: drain.busy.map((busy, tier) => (busy * factor) + (waits.has(tier as Tier) ? elapsed : 0)),
+		busy: drain.busy.map((busy, tier) => (busy * factor) + (waits[tier] ? elapsed : 0)),
 		updatedAt: now,
 	};
 }
--- a/src/policy/scheduler/fairness.ts
+++ b/src/policy/scheduler/fairness.ts
@@ -22,10 +22,12 @@
 	readonly usualTokens: readonly number[];
 	/** The greatest weighted cost of one request so far. */
 	readonly greatestCost: number;
+	/** The least weight of a workspace so far. */
+	readonly leastWeight: number;
 };
 
 export const evenFairness: Fairness = {
-	settled: tiers.map(() => new Map<WorkspaceName, number>()), virtualTimes: tiers.map(() => 0), usualTokens: tiers.map(() => 0), greatestCost: 0,
+	settled: tiers.map(() => new Map<WorkspaceName, number>()), virtualTimes: tiers.map(() => 0), usualTokens: tiers.map(() => 0), greatestCost: 0, leastWeight: 1,
 };
 
 /** Counters of a tier's workspaces, with what runs now counted in. */
@@ -65,16 +67,18 @@
 	return {
 		...fairness,
 		greatestCost: Math.max(fairness.greatestCost, ...costs),
+		leastWeight: Math.min(fairness.leastWeight, ...[...ledger.waiting.values()].map(({summary}) => summary.weight)),
 		virtualTimes: fairness.virtualTimes.with(tier, Math.max(counter, fairness.virtualTimes[tier]!)),
 	};
 }
 
 /**
  * Weighted tokens that the counter of a waiting workspace may be from its tier's virtual time: all that
- * it held at once when it was last served, at the greatest cost that a request has had so far.
+ * it held at once when it was last served, at the greatest cost that a request has had so far, and what
+ * being late costs.
  */
 export function lagBound(fairness: Fairness, settings: SchedulerSettings): number {
-	return settings.maximumSlots * fairness.greatestCost;
+	return (settings.maximumSlots * fairness.greatestCost) + (settings.latePenaltyTokens / fairness.leastWeight);
 }
 
 /** How far any waiting workspace of the tier is from the virtual time. */
--- a/src/policy/scheduler/order.ts
+++ b/src/policy/scheduler/order.ts
@@ -1,5 +1,6 @@
 import {type Tier, type WorkspaceName} from '../../model/index.js';
 import {type Waiting} from './ledger.js';
+import {type Context} from './settings.js';
 
 /**
  * Whom a tier serves next: the workspace that is furthest behind, and of its requests the one whose
@@ -8,17 +9,18 @@
  * Load pattern: more work than slots, with unlike deadlines. Serving by deadline alone fails when
  * there is too much work: the request that is about to be late always goes first, is late all the
  * same, and so makes the next one late. Requests that can't be in time any more therefore come after
- * those that can. A request that was preempted goes before both, since its caller holds half an answer.
+ * those that can, also of other workspaces; but only by a bounded number of tokens, so that a workspace
+ * whose targets can't be met keeps its share. A request that was preempted is not late, since its caller
+ * has had the first token, and goes first, since its caller holds half an answer.
  */
-export function nextOf(waiting: readonly Waiting[], counters: ReadonlyMap<WorkspaceName, number>, latestStart: LatestStart, now: number): Waiting | undefined {
+export function nextOf(waiting: readonly Waiting[], counters: ReadonlyMap<WorkspaceName, number>, latestStart: LatestStart, {now, settings}: Context): Waiting | undefined {
 	let best: Waiting | undefined;
 	let bestRank: readonly number[] = [];
 	for (const candidate of waiting) {
-		const inTime = latestStart(candidate) >= now;
+		const inTime = resumes(candidate) || latestStart(candidate) >= now;
 		const rank = [
-			counters.get(candidate.summary.workspace) ?? 0,
+			(counters.get(candidate.summary.workspace) ?? 0) + (inTime ? 0 : settings.latePenaltyTokens / candidate.summary.weight),
 			resumes(candidate) ? 0 : 1,
-			inTime ? 0 : 1,
 			inTime ? candidate.dueAt : candidate.sequence,
 			candidate.sequence,
 		];
--- a/src/policy/scheduler/preemption.ts
+++ b/src/policy/scheduler/preemption.ts
@@ -1,4 +1,4 @@
-import {type RequestSummary} from '../../model/index.js';
+import {type RequestSummary, type Tier} from '../../model/index.js';
 import {type Ledger, type Occupied, type Waiting} from './ledger.js';
 import {type SchedulerSettings} from './settings.js';
 
@@ -30,9 +30,8 @@
 
 /** True if `occupied` may lose its slot to `waiting`. */
 export function mayBePreempted(occupied: Occupied, waiting: Waiting, shares: SlotShares, settings: SchedulerSettings): boolean {
-	const isLong = occupied.offeredAt < shares.longSince;
-	const {phase, floor, summary} = occupied;
-	if (phase !== 'running' || floor || !summary.idempotent || (summary.preemptions ?? 0) >= settings.maximumPreemptions) {
+	const {summary} = occupied;
+	if (!isPreemptible(occupied, settings)) {
 		return false;
 	}
 
@@ -40,9 +39,20 @@
 		return summary.tier > waiting.summary.tier;
 	}
 
+	const isLong = occupied.offeredAt < shares.longSince;
 	return settings.preemptsForShare && isLong && isBelowShare(shares, waiting.summary) && isAboveShare(shares, summary);
 }
 
+/** True if a higher tier may preempt it at all. */
+export function isPreemptible({phase, floor, summary}: Occupied, settings: SchedulerSettings): boolean {
+	return phase === 'running' && !floor && summary.idempotent && (summary.preemptions ?? 0) < settings.maximumPreemptions;
+}
+
+/** True if a new request of this tier finds its slot as good as free. */
+export function givesWayTo(occupied: Occupied, tier: Tier, settings: SchedulerSettings): boolean {
+	return occupied.summary.tier > tier && isPreemptible(occupied, settings);
+}
+
 /** How many slots come free by preemptions that are under way. */
 export function stopping(ledger: Ledger): number {
 	return [...ledger.occupied.values()].filter(({phase}) => phase === 'stopping').length;
--- a/src/policy/scheduler/settings.ts
+++ b/src/policy/scheduler/settings.ts
@@ -22,6 +22,8 @@
 	readonly slotWindowMilliseconds: number;
 	/** Slots are added below this part of the target, so that growth stops before the target is missed. */
 	readonly growBelow: number;
+	/** Slots are taken above this part of the target: a mean that is just met is missed by half of the requests. */
+	readonly shrinkAbove: number;
 	/** Part of the slots that must show tokens before more are added. */
 	readonly feltShare: number;
 	/** What remains of the slots after the target was missed. */
@@ -33,6 +35,8 @@
 	readonly floorShares: readonly number[];
 	/** What a token of the prompt counts against one of the answer. */
 	readonly promptTokenCost: number;
+	/** How many weighted tokens of fair share a request that is late already stands behind those that can be in time. */
+	readonly latePenaltyTokens: number;
 	/** How often one request may be preempted in its life. */
 	readonly maximumPreemptions: number;
 	/** True if a workspace below its share of slots may take one from a rival of its tier above it. */
@@ -58,13 +62,15 @@
 	holdMilliseconds: 250,
 	betweenTokensMilliseconds: 50,
 	slotWindowMilliseconds: 100,
-	growBelow: 0.95,
+	growBelow: 0.85,
+	shrinkAbove: 0.95,
 	feltShare: 0.8,
 	shrinkFactor: 0.85,
 	memoryHigh: 0.9,
 	memoryCritical: 0.97,
 	floorShares: [0, 0.05, 0.05],
 	promptTokenCost: 0.1,
+	latePenaltyTokens: 100,
 	maximumPreemptions: 2,
 	preemptsForShare: true,
 	onViolation(violation) {
--- a/src/policy/scheduler/slots.ts
+++ b/src/policy/scheduler/slots.ts
@@ -101,7 +101,7 @@
 	}
 
 	const ratio = milliseconds / tokens / targetMilliseconds;
-	if (ratio > 1) {
+	if (ratio > settings.shrinkAbove) {
 		return used * settings.shrinkFactor;
 	}
 
--- a/src/policy/scheduler/tiered-decisions.ts
+++ b/src/policy/scheduler/tiered-decisions.ts
@@ -6,7 +6,7 @@
 import {assertRule, Rule} from './invariants.js';
 import {andThen, occupy, type Occupied, quiet, remove, update, type Waiting, waitingIn} from './ledger.js';
 import {highestWaiting, nextOf} from './order.js';
-import {slotShares, stopping, victimFor} from './preemption.js';
+import {isPreemptible, slotShares, stopping, victimFor} from './preemption.js';
 import {refuse, RefusalReason} from './refusal.js';
 import {type Context, type SchedulerSettings} from './settings.js';
 import {slotCount} from './slots.js';
@@ -57,12 +57,13 @@
 	return andThen(offered, rest => offerSlots(rest, context));
 }
 
-function chooseIn(state: TieredState, tier: Tier, {now, settings}: Context): Waiting | undefined {
+function chooseIn(state: TieredState, tier: Tier, context: Context): Waiting | undefined {
+	const {now, settings} = context;
 	const counters = countersOf(state.fairness, state.ledger, tier, settings);
 	const free = freeSlots(state);
 	const slots = slotCount(state.slots);
 	const allowed = waitingIn(state.ledger, tier).filter(({summary}) => free > slotsToLeave(state.headroom, state.ledger, summary, now)(slots));
-	return nextOf(allowed, counters, waiting => latestStart(state, waiting), now);
+	return nextOf(allowed, counters, waiting => latestStart(state, waiting), context);
 }
 
 function offer(state: TieredState, next: Waiting, floor: boolean, {now, settings}: Context): TieredState {
@@ -134,10 +135,10 @@
 		workspaces.add(`${summary.tier} ${summary.workspace}`);
 	}
 
-	for (const {summary, phase, floor} of ledger.occupied.values()) {
-		const isPreemptible = phase === 'running' && !floor && summary.idempotent && (summary.preemptions ?? 0) < settings.maximumPreemptions;
+	for (const occupied of ledger.occupied.values()) {
+		const {summary} = occupied;
 		const hasRival = settings.preemptsForShare && workspaces.size > (workspaces.has(`${summary.tier} ${summary.workspace}`) ? 1 : 0);
-		if (isPreemptible && (summary.tier > highest || hasRival)) {
+		if ((summary.tier > highest || hasRival) && isPreemptible(occupied, settings)) {
 			return true;
 		}
 	}
@@ -160,13 +161,21 @@
 	return rate;
 }
 
-/** All that waits, roughly in the order in which it will be served. */
-function inTurn(state: TieredState): readonly Waiting[] {
-	return tiers.flatMap(tier => waitingIn(state.ledger, tier).toSorted((one, other) => latestStart(state, one) - latestStart(state, other)));
+/** As many as could get a slot by preemption, roughly in the order in which they will be served. */
+function inTurn({ledger}: TieredState): readonly Waiting[] {
+	const first: Waiting[] = [];
+	for (const tier of tiers) {
+		if (first.length < ledger.occupied.size) {
+			first.push(...waitingIn(ledger, tier).toSorted((one, other) => one.dueAt - other.dueAt));
+		}
+	}
+
+	return first.slice(0, ledger.occupied.size);
 }
 
 function preemptFor(state: TieredState, waiting: Waiting, {now, settings}: Context): Step {
-	const longSince = now - (muchLonger * (usualHold(state.headroom, waiting.summary) ?? unknownHoldMilliseconds));
+	const usual = usualHold(state.headroom, waiting.summary);
+	const longSince = now - (usual === undefined ? waiting.summary.firstTokenMilliseconds : muchLonger * usual);
 	const shares = slotShares(state.ledger, waiting.summary, slotCount(state.slots), longSince);
 	const victim = victimFor(state.ledger, waiting, shares, settings);
 	if (victim === undefined) {
--- a/src/policy/scheduler/tiered.ts
+++ b/src/policy/scheduler/tiered.ts
@@ -2,6 +2,7 @@
 import {elapse} from './drain.js';
 import {accrue} from './floor.js';
 import {andThen, waitingIn} from './ledger.js';
+import {givesWayTo} from './preemption.js';
 import {type Context, createSettings, type SchedulerSettings} from './settings.js';
 import {adapt, slotCount} from './slots.js';
 import {apply} from './tiered-events.js';
@@ -26,6 +27,7 @@
 		view: ({slots, ledger, leaving}) => ({
 			slots: slotCount(slots),
 			running: ledger.occupied.size,
+			firm: tiers.map(tier => [...ledger.occupied.values()].filter(occupied => !givesWayTo(occupied, tier, settings)).length),
 			waiting: tiers.map(tier => waitingIn(ledger, tier).length),
 			tokenMilliseconds: slots.tokenMilliseconds,
 			leaving,
@@ -67,7 +69,7 @@
 }
 
 /** How finely time is taken note of: finer brings nothing but work. */
-const grainMilliseconds = 2;
+const grainMilliseconds = 10;
 
 function passTime(state: TieredState, context: Context): TieredState {
 	const {now} = context;
--- a/src/policy/scheduler/types.ts
+++ b/src/policy/scheduler/types.ts
@@ -38,6 +38,8 @@
 export type SchedulerView = {
 	readonly slots: number;
 	readonly running: number;
+	/** By tier, highest first: requests in slots that a new one of that tier could not preempt. */
+	readonly firm?: readonly number[];
 	/** Waiting requests by tier, highest first. */
 	readonly waiting: readonly number[];
 	/** Median time between tokens, lately. */
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -244,9 +244,9 @@
 	}
 
 	#stateMessage(): Message {
-		const {slots, running, waiting, tokenMilliseconds} = this.#work.view;
+		const {slots, running, firm, waiting, tokenMilliseconds} = this.#work.view;
 		return {
-			type: 'state', phase: this.phase, slots, running, waiting: [...waiting], tokenMilliseconds: Math.round(tokenMilliseconds),
+			type: 'state', phase: this.phase, slots, running, firm: firm === undefined ? undefined : [...firm], waiting: [...waiting], tokenMilliseconds: Math.round(tokenMilliseconds),
 		};
 	}
 
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -91,7 +91,7 @@
 });
 /** Side to entry: what placement may go by; sent on change, and rate-limited. */
 const state = z.object({
-	type: z.literal('state'), phase: z.enum(['serving', 'leaving', 'down']), slots: z.number(), running: z.number(), waiting: z.array(z.number()), tokenMilliseconds: milliseconds,
+	type: z.literal('state'), phase: z.enum(['serving', 'leaving', 'down']), slots: z.number(), running: z.number(), firm: z.array(z.number()).optional(), waiting: z.array(z.number()), tokenMilliseconds: milliseconds,
 });
 /** Either way: asks the peer for catalogue records from this offset on. */
 const pull = z.object({type: z.literal('pull'), from: z.number().int().nonnegative()});
