--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -53,6 +53,7 @@
 		const entry = new Entry(options);
 		entry.#server.listen(options.port, options.host);
 		await once(entry.#server, 'listening');
+		entry.#address = `${options.host}:${(entry.#server.address() as AddressInfo).port}`;
 		return entry;
 	}
 
@@ -60,6 +61,7 @@
 	readonly retries: RetryKeeper;
 	readonly #options: EntryOptions<State>;
 	readonly #server: http.Server;
+	#address = '';
 	#active = 0;
 	#stopping = false;
 	#onIdle: (() => void) | undefined;
@@ -77,9 +79,10 @@
 		});
 	}
 
-	/** IP number and port that callers use. */
+
+	/** IP number and port that callers use; still known after the entry has closed. */
 	get address(): string {
-		return `${this.#options.host}:${(this.#server.address() as AddressInfo).port}`;
+		return this.#address;
 	}
 
 	/** True while the balancer should send work here. */
