--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -18,6 +18,8 @@
 	parseModelCall, readBody, type Route, routeCall, sendFailure, StreamAnswer, WholeAnswer,
 } from './protocol/index.js';
 import {RetryKeeper} from './retry-keeper.js';
+import {ServiceBody} from './service-body.js';
+import {ServiceCallInProgress} from './service-call.js';
 import {type SideLink} from './side-link.js';
 
 /** Where an entry reads its catalogue; the follower of the platform's log is the usual one. */
@@ -46,6 +48,7 @@
 };
 
 type ModelRoute = Extract<Route, {type: 'chat' | 'completion'}>;
+type ServiceRoute = Extract<Route, {type: 'service'}>;
 
 /** A thin instance behind the balancer: takes callers' requests and finds each one an endpoint. */
 export class Entry<State = unknown> implements AsyncDisposable {
@@ -184,7 +187,8 @@
 			}
 
 			case 'service': {
-				throw RequestError.create(createFailure(FailureKind.unknownPath, 'Plain services are not served yet.'));
+				yield * this.#serveServiceCall({id, request, response, arrivedAt, route, catalogue, caller});
+				break;
 			}
 		}
 	}
@@ -201,7 +205,42 @@
 		return this.#options.catalogue.current();
 	}
 
-	* #serveModelCall(context: CallContext): Body<void> {
+	* #serveServiceCall(context: CallContext<ServiceRoute>): Body<void> {
+		const {id, request, response, arrivedAt, route, catalogue, caller} = context;
+		const method = request.method ?? 'GET';
+		checkTarget(catalogue, caller, 'service', route.name);
+		const body = ServiceBody.create(request);
+		yield * body.readFirst();
+		const summary = summarize(caller, {
+			id,
+			target: route.name,
+			idempotent: isIdempotent(catalogue, route.name, method),
+			promptTokens: 0,
+			prefix: route.name,
+			fingerprint: fingerprintOf(caller.workspace.name as WorkspaceName, `${method} ${route.path}`, body.first),
+		});
+		this.retries.requestArrived();
+		const inProgress = ServiceCallInProgress.create({
+			fleet: this.fleet,
+			summary,
+			method,
+			path: route.path,
+			headers: plainHeaders(request),
+			body,
+			response,
+			arrivedAt,
+			retries: this.retries,
+			quarantine: this.#options.quarantine,
+		});
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				inProgress.callerLeft();
+			}
+		});
+		yield * inProgress.run();
+	}
+
+	* #serveModelCall(context: CallContext<ModelRoute>): Body<void> {
 		const {id, request, response, arrivedAt, route, catalogue, caller} = context;
 		const body = yield * wait(readBody(request, this.#options.bodyLimitBytes));
 		const call = parseModelCall(route, body);
@@ -225,12 +264,12 @@
 	}
 }
 
-type CallContext = {
+type CallContext<Kind extends Route> = {
 	readonly id: RequestId;
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly arrivedAt: number;
-	readonly route: ModelRoute;
+	readonly route: Kind;
 	readonly catalogue: Catalogue;
 	readonly caller: Caller;
 };
@@ -243,6 +282,17 @@
 	response.end(JSON.stringify({object: 'list', data}));
 }
 
+function isIdempotent(catalogue: Catalogue, service: string, method: string): boolean {
+	const methods: readonly string[] = catalogue.service(service)?.idempotentMethods ?? [];
+	return methods.includes(method);
+}
+
+/** What a service may be told; the side passes on only what concerns the content, and never the key. */
+function plainHeaders(request: IncomingMessage): Record<string, string> {
+	const {authorization: _, cookie: __, ...rest} = request.headers;
+	return Object.fromEntries(Object.entries(rest).filter((header): header is [string, string] => typeof header[1] === 'string'));
+}
+
 function headerText(request: IncomingMessage, name: string): string | undefined {
 	const value = request.headers[name];
 	return typeof value === 'string' ? value : undefined;
