Tell every decision and figure, and let a stopping entry serve until the balancer has noticed

Cause: explain had nothing to show, /metrics had no figures of requests, and an entry refused new requests from the moment of SIGTERM although the balancer still sent them. Change: EntryTelemetry and SideTelemetry record reasons, counters and HDR histograms; the admin ports serve status, explain and quarantine; drain serves on for noticeMilliseconds. Conclusion: cassiaflow status, explain and quarantine have what they ask for.

--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -1,12 +1,13 @@
 #!/usr/bin/env node
 import {randomBytes} from 'node:crypto';
-import {Entry} from '../entry/index.js';
+import {Entry, EntryTelemetry} from '../entry/index.js';
 import {createInstanceId, type InstanceId, type ZoneName} from '../model/index.js';
 import {
 	CatalogueFollower, exchangeCatalogue, HttpLogClient, HttpMembershipClient, QuarantineLedger,
 } from '../platform/index.js';
 import {subsetPlacement} from '../policy/placement/index.js';
-import {AdminServer, createLogger, forPart, Metrics} from '../telemetry/index.js';
+import {AdminServer, createLogger, createOperatorRoutes, DecisionJournal, forPart, Metrics,
+} from '../telemetry/index.js';
 import {
 	entrySettings, type EntrySettings, readSecurity, runProgram,
 } from './settings/index.js';
@@ -28,7 +29,10 @@
 		},
 	});
 	await using quarantine = QuarantineLedger.create({log: HttpLogClient.create(platform(settings.logUrl))});
+	const metrics = Metrics.create({role: 'entry', ofProcess: true});
+	const journal = DecisionJournal.create();
 	await using entry = await Entry.create({
+		telemetry: EntryTelemetry.create(metrics, journal),
 		instance,
 		zone: settings.zone as ZoneName,
 		host: settings.listenHost,
@@ -50,13 +54,24 @@
 	await using admin = await AdminServer.create({
 		host: settings.adminHost,
 		port: settings.adminPort,
-		metrics: Metrics.create({role: 'entry', ofProcess: true}),
+		metrics,
 		isReady: () => entry.isReady,
-		routes: [{method: 'GET', prefix: '/status', handle: () => ({status: 200, value: entry.describe()})}],
+		routes: createOperatorRoutes({
+			instance,
+			role: 'entry',
+			journal,
+			status: () => entry.status(),
+			quarantine: {
+				list: () => quarantine.quarantined().map(({fingerprint, crashes}) => ({
+					fingerprint, since: Math.min(...crashes.map(({time}) => time)), endpoints: crashes.map(({endpoint}) => endpoint),
+				})),
+				release: async ({release, author}) => quarantine.release(release, author),
+			},
+		}),
 	});
 	log.info('Listening.', {address: entry.address, adminPort: admin.port});
 	log.info('Stopping.', {signal: await stopSignal()});
-	const whole = await withinMilliseconds(entry.drain(), settings.stopMilliseconds);
+	const whole = await withinMilliseconds(entry.drain(settings.noticeMilliseconds), settings.stopMilliseconds);
 	log.info(whole ? 'Stopped with nothing in progress.' : 'Stopped with requests in progress, after the time allowed.');
 }
 
--- a/src/bin/cassiaflow-side.ts
+++ b/src/bin/cassiaflow-side.ts
@@ -5,8 +5,9 @@
 } from '../model/index.js';
 import {CatalogueFollower, exchangeCatalogue, HttpLogClient, QuarantineLedger} from '../platform/index.js';
 import {createSettings, tiered, type Violation} from '../policy/scheduler/index.js';
-import {type Backend, EndpointWatch, Side} from '../side/index.js';
-import {AdminServer, createLogger, forPart, Metrics} from '../telemetry/index.js';
+import {type Backend, EndpointWatch, Side, SideTelemetry} from '../side/index.js';
+import {AdminServer, createLogger, createOperatorRoutes, DecisionJournal, forPart, Metrics,
+} from '../telemetry/index.js';
 import {
 	readSecurity, runProgram, sideSettings, type SideSettings,
 } from './settings/index.js';
@@ -33,7 +34,9 @@
 	await using ledger = QuarantineLedger.create({log: HttpLogClient.create({baseUrl: settings.logUrl, timeoutMilliseconds: platformTimeoutMilliseconds})});
 	const backend = createBackend(settings);
 	await using _client = backend.client;
+	const journal = DecisionJournal.create();
 	await using side = await Side.create({
+		telemetry: SideTelemetry.create(metrics, journal),
 		instance,
 		endpoint: settings.endpoint as EndpointId,
 		targets: settings.targets as TargetName[],
@@ -61,7 +64,12 @@
 		port: settings.adminPort,
 		metrics,
 		isReady: () => side.phase === 'serving' && follower.isReady,
-		routes: [{method: 'GET', prefix: '/status', handle: () => ({status: 200, value: side.describe()})}],
+		routes: createOperatorRoutes({
+			instance,
+			role: 'side',
+			journal,
+			status: () => side.status(),
+		}),
 	});
 	log.info('Listening.', {address: side.address, adminPort: admin.port});
 	log.info('Stopping.', {signal: await stopSignal()});
--- a/src/bin/settings/entry-settings.ts
+++ b/src/bin/settings/entry-settings.ts
@@ -16,6 +16,7 @@
 		...processSettings,
 		...platformSettings,
 		...transportSettings,
+		noticeMilliseconds: {schema: wholeNumber(0, 600_000).default(2000), description: 'How long a stopping instance still serves new requests, until the balancer has noticed, in milliseconds.'},
 		bodyLimitBytes: {schema: wholeNumber(1, 1024 * mebibyte).default(16 * mebibyte), description: 'Longest request body of a model call, in bytes.'},
 	},
 	check: checkTransport,
--- a/src/entry/entry-telemetry.ts
+++ b/src/entry/entry-telemetry.ts
@@ -1,4 +1,4 @@
-import {type RequestId, type RequestSummary} from '../model/index.js';
+import {type Failure, type RequestId, type RequestSummary} from '../model/index.js';
 import {type Choice} from '../policy/placement/index.js';
 import {
 	type Counter, type DecisionDetail, type DecisionJournal, type Gauge, type Latency, type Metrics, ReasonCode,
@@ -48,9 +48,16 @@
 		this.record(summary.id, ReasonCode.ranked, {chosen: choice.endpoints.join(', '), looked});
 	}
 
-	retried(summary: RequestSummary, reason: string): void {
-		this.#retries.add(1, {reason});
-		this.record(summary.id, ReasonCode.retried, {reason});
+	/** An attempt failed and another follows. */
+	retried(summary: RequestSummary, {kind, message, verdict}: Failure): void {
+		this.#retries.add(1, {reason: kind});
+		this.record(summary.id, ReasonCode.retried, {reason: kind, message, verdict});
+	}
+
+	/** A request that failed before, or without, a model call. */
+	refused(request: RequestId, {kind, message, verdict}: Failure): void {
+		this.#ended.add(1, {tier: 'none', outcome: 'failed', reason: kind});
+		this.record(request, ReasonCode.failed, {reason: kind, message, verdict});
 	}
 
 	ended(summary: RequestSummary, end: CallEnd): void {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -9,9 +9,12 @@
 import {type CatalogueMessage, type MembershipClient, type QuarantineLedger} from '../platform/index.js';
 import {type Placement} from '../policy/placement/index.js';
 import {fingerprintOf} from '../policy/quarantine/index.js';
-import {type PartLogger} from '../telemetry/index.js';
+import {
+	DecisionJournal, Metrics, type PartLogger, type StatusAnswer,
+} from '../telemetry/index.js';
 import {type Security} from '../wire/index.js';
 import {type Caller, checkTarget, identifyCaller, summarize} from './admission.js';
+import {EntryTelemetry} from './entry-telemetry.js';
 import {Fleet} from './fleet.js';
 import {type CallEnd, ModelCallInProgress, stoppingFailure} from './model-call.js';
 import {
@@ -42,6 +45,8 @@
 	readonly random: () => number;
 	/** What is known of requests that crash endpoints; without it none is refused. */
 	readonly quarantine?: QuarantineLedger;
+	/** Metrics and decisions; a private one if left out. */
+	readonly telemetry?: EntryTelemetry;
 	readonly onPeerMessage?: (link: SideLink, message: CatalogueMessage) => void;
 	/** Called once per model call, with how it ended. */
 	readonly onEnd?: (caller: Caller, end: CallEnd) => void;
@@ -62,16 +67,20 @@
 
 	readonly fleet: Fleet<State>;
 	readonly retries: RetryKeeper;
+	readonly telemetry: EntryTelemetry;
 	readonly #options: EntryOptions<State>;
 	readonly #server: http.Server;
 	#address = '';
 	#active = 0;
+	/** Not ready any more, but still serving: the balancer has yet to notice. */
+	#retiring = false;
 	#stopping = false;
 	#onIdle: (() => void) | undefined;
 
 	private constructor(options: EntryOptions<State>) {
 		this.#options = options;
 		this.retries = RetryKeeper.create(options.random);
+		this.telemetry = options.telemetry ?? EntryTelemetry.create(Metrics.create({role: 'entry'}), DecisionJournal.create());
 		this.fleet = Fleet.create({
 			...options,
 			catalogueOffset: () => options.catalogue.current().offset,
@@ -82,7 +91,6 @@
 		});
 	}
 
-
 	/** IP number and port that callers use; still known after the entry has closed. */
 	get address(): string {
 		return this.#address;
@@ -90,7 +98,7 @@
 
 	/** True while the balancer should send work here. */
 	get isReady(): boolean {
-		return !this.#stopping && this.#options.catalogue.isReady;
+		return !this.#retiring && this.#options.catalogue.isReady;
 	}
 
 	get activeRequests(): number {
@@ -98,19 +106,29 @@
 	}
 
 	/** Figures for `status`. */
-	describe(): Record<string, unknown> {
+	status(): Omit<StatusAnswer, 'instance' | 'role'> {
+		const {zone, catalogue, quarantine} = this.#options;
 		return {
-			instance: this.#options.instance,
-			zone: this.#options.zone,
-			ready: this.isReady,
-			active: this.#active,
-			sides: this.fleet.connected.length,
-			catalogueOffset: this.#options.catalogue.current().offset,
+			zone,
+			phase: this.#phase(),
+			catalogueOffset: catalogue.current().offset,
+			running: this.#active,
+			waiting: [],
+			quarantined: quarantine?.quarantined().length ?? 0,
+			peers: this.fleet.connected.length,
 		};
 	}
 
-	/** Fails readiness, lets every request in progress end, and refuses new ones as not run. */
-	async drain(): Promise<void> {
+	/**
+	 * Fails readiness at once. Failure: the balancer learns of it late and goes on sending here.
+	 * Symptom: callers are refused by a planned stop. So new requests are still served for
+	 * `noticeMilliseconds`; after that they are refused as not run, and what is in progress ends.
+	 */
+	async drain(noticeMilliseconds = 0): Promise<void> {
+		this.#retiring = true;
+		await new Promise(resolve => {
+			setTimeout(resolve, noticeMilliseconds);
+		});
 		this.#stopping = true;
 		if (this.#active > 0) {
 			await new Promise<void>(resolve => {
@@ -126,6 +144,14 @@
 		this.#server.closeAllConnections();
 	}
 
+	#phase(): StatusAnswer['phase'] {
+		if (this.#retiring) {
+			return 'leaving';
+		}
+
+		return this.isReady ? 'serving' : 'starting';
+	}
+
 	/**
 	 * Failure: a stop closes the sockets while the last bytes of an answer are still in ours.
 	 * Symptom: the caller gets a truncated answer. A request therefore counts as active until its
@@ -134,12 +160,14 @@
 	#accept(request: IncomingMessage, response: ServerResponse): void {
 		const id = createRequestId();
 		this.#active += 1;
-		if (this.#stopping) {
+		this.telemetry.active(this.#active);
+		if (this.#retiring) {
 			response.setHeader('connection', 'close');
 		}
 
 		response.once('close', () => {
 			this.#active -= 1;
+			this.telemetry.active(this.#active);
 			if (this.#active === 0) {
 				this.#onIdle?.();
 			}
@@ -161,6 +189,7 @@
 	 */
 	#refuse(id: RequestId, response: ServerResponse, error: unknown): void {
 		if (error instanceof RequestError) {
+			this.telemetry.refused(id, error.failure);
 			sendFailure(response, error.failure, id);
 			return;
 		}
@@ -220,7 +249,9 @@
 			fingerprint: fingerprintOf(caller.workspace.name as WorkspaceName, `${method} ${route.path}`, body.first),
 		});
 		this.retries.requestArrived();
+		this.telemetry.classified(summary);
 		const inProgress = ServiceCallInProgress.create({
+			telemetry: this.telemetry,
 			fleet: this.fleet,
 			summary,
 			method,
@@ -250,8 +281,9 @@
 		});
 		const answer = call.stream ? StreamAnswer.create(response, {requestId: id, includeUsage: call.includeUsage}) : WholeAnswer.create(response, {requestId: id, kind: route.type});
 		this.retries.requestArrived();
+		this.telemetry.classified(summary);
 		const inProgress = ModelCallInProgress.create({
-			fleet: this.fleet, summary, path: route.path, call, answer, arrivedAt, retries: this.retries, quarantine: this.#options.quarantine,
+			telemetry: this.telemetry, fleet: this.fleet, summary, path: route.path, call, answer, arrivedAt, retries: this.retries, quarantine: this.#options.quarantine,
 		});
 		response.once('close', () => {
 			if (!response.writableFinished) {
@@ -259,6 +291,7 @@
 			}
 		});
 		const end = yield * inProgress.run();
+		this.telemetry.ended(summary, end);
 		this.#options.logger.debug('A model call ended.', {request: id, end: end.type, tokens: end.tokens, attempts: end.attempts});
 		this.#options.onEnd?.(caller, end);
 	}
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -2,3 +2,4 @@
 export {Entry, type CatalogueSource, type EntryOptions} from './entry.js';
 export type {Caller} from './admission.js';
 export type {CallEnd} from './model-call.js';
+export {EntryTelemetry} from './entry-telemetry.js';
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -3,7 +3,9 @@
 	combineVerdicts, createFailure, type Failure, FailureKind, type RequestSummary, Verdict,
 } from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
+import {ReasonCode} from '../telemetry/index.js';
 import {Alarm} from './alarm.js';
+import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
@@ -13,6 +15,7 @@
 import {SlotFinder} from './slot-finder.js';
 
 export type ModelCallOptions = {
+	readonly telemetry: EntryTelemetry;
 	readonly fleet: Fleet;
 	readonly summary: RequestSummary;
 	readonly path: string;
@@ -114,6 +117,7 @@
 			credit: creditWindow,
 		});
 		fleet.observe({type: 'started', endpoint: slot.endpoint, request: summary.id, prefix: summary.prefix});
+		this.#options.telemetry.record(summary.id, events.length > 0 ? ReasonCode.resumed : ReasonCode.started, {endpoint: slot.endpoint, tokens: events.length});
 		return yield * Relay.create({
 			fleet,
 			summary,
@@ -157,6 +161,7 @@
 			return false;
 		}
 
+		this.#options.telemetry.retried(summary, failure);
 		yield * sleep(decision.afterMilliseconds);
 		return true;
 	}
--- a/src/entry/service-call.ts
+++ b/src/entry/service-call.ts
@@ -5,7 +5,9 @@
 } from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {type MessageOf, type StreamMessage} from '../wire/index.js';
+import {ReasonCode} from '../telemetry/index.js';
 import {Alarm} from './alarm.js';
+import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {drainedOrClosed} from './protocol/index.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
@@ -21,6 +23,7 @@
 const stalledMilliseconds = 70_000;
 
 export type ServiceCallOptions = {
+	readonly telemetry: EntryTelemetry;
 	readonly fleet: Fleet;
 	readonly summary: RequestSummary;
 	readonly method: string;
@@ -80,16 +83,20 @@
 	}
 
 	* #attempt(): Body<void> {
+		const {telemetry, summary} = this.#options;
 		for (;;) {
 			const found = yield * this.#finder.find();
 			const end = found.type === 'slot' ? yield * this.#runAt(found.slot) : found;
 			if (end.type !== 'failed') {
+				telemetry.record(summary.id, end.type === 'whole' ? ReasonCode.finished : ReasonCode.cancelled);
 				return;
 			}
 
 			this.#verdict = combineVerdicts(this.#verdict, end.failure.verdict);
 			if (found.type !== 'slot' || !(yield * this.#mayGoOn(end.failure))) {
-				this.#answer.fail({...end.failure, verdict: this.#verdict});
+				const failure = {...end.failure, verdict: this.#verdict};
+				telemetry.refused(summary.id, failure);
+				this.#answer.fail(failure);
 				return;
 			}
 
--- a/src/entry/slot-finder.ts
+++ b/src/entry/slot-finder.ts
@@ -5,6 +5,7 @@
 import {type QuarantineLedger} from '../platform/index.js';
 import {Suspicion} from '../policy/quarantine/index.js';
 import {type Alarm} from './alarm.js';
+import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {type RequestEvent} from './request-event.js';
 import {noEndpoint, type Slot, SlotSearch} from './slot.js';
@@ -17,6 +18,7 @@
 	readonly summary: RequestSummary;
 	readonly inbox: Channel<RequestEvent>;
 	readonly arrivedAt: number;
+	readonly telemetry: EntryTelemetry;
 	/** What is known of requests that crash endpoints. */
 	readonly quarantine?: QuarantineLedger;
 	/** The request's one timer; set here to the end of its time in queues. */
@@ -60,7 +62,7 @@
 
 	/** Searches until a side offers a slot, all have refused or time is up; `changes` go into the summary that sides see. */
 	* find(changes: Partial<RequestSummary> = {}): Body<SlotFound> {
-		const {fleet, summary, inbox, alarm} = this.#options;
+		const {fleet, summary, inbox, alarm, telemetry} = this.#options;
 		let failure = noEndpoint();
 		while (this.#queueTimeLeft() > 0) {
 			const suspicion = this.#suspicion();
@@ -68,7 +70,7 @@
 				return {type: 'failed', failure: quarantined()};
 			}
 
-			const endpoints = suspicion === Suspicion.suspect ? this.#sideForSuspect() : fleet.choose(summary, this.#excluded).endpoints;
+			const endpoints = suspicion === Suspicion.suspect ? this.#sideForSuspect() : this.#rank();
 			if (endpoints.length === 0) {
 				yield * sleep(noEndpointPauseMilliseconds);
 				this.#excluded.clear();
@@ -76,7 +78,7 @@
 			}
 
 			alarm.set(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create({fleet, summary: {...this.#summaryNow(), ...changes}, inbox, alarm}).run(endpoints);
+			const result = yield * SlotSearch.create({fleet, summary: {...this.#summaryNow(), ...changes}, inbox, alarm, telemetry}).run(endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -90,6 +92,16 @@
 		return {type: 'failed', failure};
 	}
 
+	#rank(): readonly EndpointId[] {
+		const {fleet, summary, telemetry} = this.#options;
+		const choice = fleet.choose(summary, this.#excluded);
+		if (choice.endpoints.length > 0) {
+			telemetry.ranked(summary, choice);
+		}
+
+		return choice.endpoints;
+	}
+
 	#suspicion(): Suspicion {
 		return this.#options.quarantine?.judge(this.#options.summary.fingerprint).suspicion ?? Suspicion.none;
 	}
--- a/src/entry/slot.ts
+++ b/src/entry/slot.ts
@@ -3,7 +3,9 @@
 	createFailure, type EndpointId, type Failure, FailureKind, type RequestSummary,
 } from '../model/index.js';
 import {type StreamMessage} from '../wire/index.js';
+import {type DecisionDetail, ReasonCode} from '../telemetry/index.js';
 import {type Alarm} from './alarm.js';
+import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {type RequestEvent} from './request-event.js';
 import {type SideLink} from './side-link.js';
@@ -22,6 +24,7 @@
 	readonly inbox: Channel<RequestEvent>;
 	/** Set to the end of the request's time in queues. */
 	readonly alarm: Alarm;
+	readonly telemetry: EntryTelemetry;
 };
 
 /**
@@ -72,6 +75,11 @@
 		this.#open.set(keyOf(link, stream), slot);
 		link.send({type: 'reserve', stream, request: this.#options.summary.id, summary: {...this.#options.summary, asksFirst}});
 		this.#options.fleet.observe({type: 'reserved', endpoint, request: this.#options.summary.id});
+		this.#record(ReasonCode.reserved, {endpoint});
+	}
+
+	#record(code: ReasonCode, detail: DecisionDetail): void {
+		this.#options.telemetry.record(this.#options.summary.id, code, detail);
 	}
 
 	#take(event: RequestEvent): SlotResult | undefined {
@@ -109,6 +117,7 @@
 
 		if (message.type === 'offer') {
 			this.#options.fleet.observe({type: 'offered', endpoint: slot.endpoint, request: this.#options.summary.id});
+			this.#record(ReasonCode.offered, {endpoint: slot.endpoint});
 			this.#open.delete(keyOf(link, message.stream));
 			this.#withdrawAll();
 			return {type: 'slot', slot};
@@ -118,6 +127,7 @@
 			this.#refusal = {
 				kind: message.kind, message: message.message, verdict: 'not-run', retryAfterMilliseconds: message.retryAfterMilliseconds,
 			};
+			this.#record(ReasonCode.refused, {endpoint: slot.endpoint, reason: message.kind, message: message.message});
 			this.#close(slot, 'refused');
 		}
 
--- a/src/platform/quarantine-ledger.ts
+++ b/src/platform/quarantine-ledger.ts
@@ -1,6 +1,6 @@
 import {channel, receive, receiveWithin, spawn, tryDeliver, wait, type Body, type Channel} from '../concurrency/index.js';
 import {
-	createQuarantine, foldQuarantine, judgeFingerprint, pruneQuarantine, quarantineRecordSchema,
+	createQuarantine, createRelease, foldQuarantine, judgeFingerprint, listQuarantined, pruneQuarantine, quarantineRecordSchema, Suspicion,
 	type Judgement, type Quarantine, type QuarantineRecord,
 } from '../policy/quarantine/index.js';
 import {type LogClient} from './types.js';
@@ -53,11 +53,26 @@
 		return judgeFingerprint(this.#state, fingerprint, this.#now());
 	}
 
-	/** For listings and releases by operators. */
+	/** Everything that is known. */
 	get state(): Quarantine {
 		return this.#state;
 	}
 
+	/** Every quarantined fingerprint, for operators. */
+	quarantined(): ReturnType<typeof listQuarantined> {
+		return listQuarantined(this.#state, this.#now());
+	}
+
+	/** Lets a quarantined fingerprint run again; false if nothing is held against it. */
+	release(fingerprint: string, operator: string): boolean {
+		if (this.judge(fingerprint).suspicion !== Suspicion.quarantined) {
+			return false;
+		}
+
+		this.note(createRelease(this.#state, fingerprint, operator, this.#now()));
+		return true;
+	}
+
 	/** Every record that still counts: what a peer needs that has just connected. */
 	records(): readonly QuarantineRecord[] {
 		return this.#records;
--- a/src/side/index.ts
+++ b/src/side/index.ts
@@ -2,3 +2,4 @@
 export {Side, type SideOptions} from './side.js';
 export {EndpointWatch, type EndpointObserver} from './endpoint-watch.js';
 export {type Backend} from './work.js';
+export {SideTelemetry} from './side-telemetry.js';
--- a/src/side/reservation.ts
+++ b/src/side/reservation.ts
@@ -33,6 +33,7 @@
 	readonly stream: number;
 	readonly summary: RequestSummary;
 	phase: ReservationPhase;
+	readonly arrivedAt: number;
 	/** When the last tokens came, for the time between tokens. */
 	progressedAt: number;
 };
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -3,12 +3,13 @@
 import {type EndpointId, type InstanceId, type TargetName, type ZoneName} from '../model/index.js';
 import {type CatalogueMessage, type QuarantineLedger} from '../platform/index.js';
 import {type Scheduler} from '../policy/scheduler/index.js';
-import {type PartLogger} from '../telemetry/index.js';
+import {type PartLogger, type StatusAnswer} from '../telemetry/index.js';
 import {
 	type Connection, Listener, type Message, protocolVersion, type Security,
 } from '../wire/index.js';
 import {type EndpointObserver} from './endpoint-watch.js';
 import {EntryLink, type EntryLinkOwner} from './entry-link.js';
+import {type SideTelemetry} from './side-telemetry.js';
 import {type Backend, Work, type WorkCounts} from './work.js';
 
 const tickMilliseconds = 50;
@@ -30,6 +31,8 @@
 	readonly backend: Backend;
 	readonly scheduler: Scheduler<State>;
 	readonly logger: PartLogger;
+	/** Metrics and decisions; a private one if left out. */
+	readonly telemetry?: SideTelemetry;
 	readonly catalogueOffset: () => number;
 	/** Hears hello, heartbeat, pull and records of each entry, for the spread of the catalogue. */
 	readonly onPeerMessage?: (message: CatalogueMessage, reply: (message: Message) => void) => void;
@@ -99,10 +102,20 @@
 	}
 
 	/** Figures for `status`. */
-	describe(): Record<string, unknown> {
-		const {instance, endpoint, zone, catalogueOffset} = this.#options;
+	status(): Omit<StatusAnswer, 'instance' | 'role'> {
+		const {endpoint, zone, targets, catalogueOffset, quarantine} = this.#options;
+		const {slots, running, waiting} = this.#work.view;
 		return {
-			instance, endpoint, zone, phase: this.phase, entries: this.#links.size, ...this.#work.view, counts: this.counts, catalogueOffset: catalogueOffset(),
+			zone,
+			phase: this.phase,
+			catalogueOffset: catalogueOffset(),
+			running,
+			waiting: [...waiting],
+			quarantined: quarantine?.ledger.quarantined().length ?? 0,
+			peers: this.#links.size,
+			endpoint,
+			targets: [...targets],
+			slots,
 		};
 	}
 
--- a/src/side/work.ts
+++ b/src/side/work.ts
@@ -5,6 +5,7 @@
 import {
 	type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
 } from '../policy/scheduler/index.js';
+import {DecisionJournal, Metrics, ReasonCode} from '../telemetry/index.js';
 import {type MessageOf} from '../wire/index.js';
 import {CrashWatch} from './crash-watch.js';
 import {type EntryLink} from './entry-link.js';
@@ -13,6 +14,7 @@
 	type Reservation, type RunEnd, type RunInput, type RunningPhase, toEntry,
 } from './reservation.js';
 import {runService} from './service-run.js';
+import {SideTelemetry} from './side-telemetry.js';
 import {SuspectGate, type SuspectGateOwner} from './suspect-gate.js';
 
 /** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
@@ -23,6 +25,8 @@
 export type WorkOptions<State> = {
 	readonly backend: Backend;
 	readonly scheduler: Scheduler<State>;
+	/** Metrics and decisions; a private one if left out. */
+	readonly telemetry?: SideTelemetry;
 	readonly instance: InstanceId;
 	readonly endpoint: EndpointId;
 	readonly quarantine?: {readonly ledger: QuarantineLedger; readonly isHealthy: () => Promise<boolean>};
@@ -51,6 +55,7 @@
 	readonly counts: WorkCounts = {whole: 0, cancelled: 0, failed: 0, preempted: 0, refused: 0, tokens: 0};
 	readonly #options: WorkOptions<State>;
 	readonly #reservations = new Map<string, Reservation>();
+	readonly #telemetry: SideTelemetry;
 	#state: State;
 	#onIdle: (() => void) | undefined;
 	readonly #gate: SuspectGate | undefined;
@@ -59,6 +64,7 @@
 	private constructor(options: WorkOptions<State>) {
 		this.#options = options;
 		this.#state = options.scheduler.create();
+		this.#telemetry = options.telemetry ?? SideTelemetry.create(Metrics.create({role: 'side'}), DecisionJournal.create());
 		const {quarantine, endpointDown} = options;
 		if (quarantine) {
 			this.#gate = SuspectGate.create(quarantine.ledger, this);
@@ -81,10 +87,11 @@
 		}
 
 		const reservation: Reservation = {
-			id: `${link.number}:${message.stream}`, link, stream: message.stream, summary: message.summary as RequestSummary, phase: {type: 'waiting'}, progressedAt: 0,
+			id: `${link.number}:${message.stream}`, link, stream: message.stream, summary: message.summary as RequestSummary, phase: {type: 'waiting'}, progressedAt: 0, arrivedAt: performance.now(),
 		};
 		link.reservations.set(message.stream, reservation);
 		this.#reservations.set(reservation.id, reservation);
+		this.#telemetry.record(reservation, ReasonCode.queued, {tier: reservation.summary.tier});
 		if (this.#gate) {
 			this.#gate.arrived(reservation);
 		} else {
@@ -99,6 +106,7 @@
 	refuseQuarantined(reservation: Reservation): void {
 		const {kind, message} = createFailure(FailureKind.quarantined, 'Endpoints that ran this request crashed; it is not run again for some minutes.');
 		this.counts.refused += 1;
+		this.#telemetry.refused(reservation, kind, message);
 		this.#leave(reservation);
 		toEntry(reservation, {type: 'refuse', kind, message});
 	}
@@ -240,6 +248,7 @@
 	#progressed(reservation: Reservation, tokens: number): void {
 		const now = performance.now();
 		this.counts.tokens += tokens;
+		this.#telemetry.progressed(reservation, tokens);
 		this.apply({type: 'progressed', id: reservation.id, tokens, milliseconds: now - reservation.progressedAt});
 		reservation.progressedAt = now;
 	}
@@ -247,6 +256,7 @@
 	#finished(reservation: Reservation, end: RunEnd): void {
 		const outcome = outcomeOf(reservation, end);
 		this.counts[outcome] += 1;
+		this.#telemetry.ended(reservation, outcome, end.type === 'failed' ? end.failure.kind : outcome);
 		this.#forget(reservation, outcome === 'whole');
 		if (end.type === 'failed') {
 			toEntry(reservation, {type: 'fail', ...end.failure});
@@ -278,12 +288,14 @@
 		switch (action.type) {
 			case 'offer': {
 				reservation.phase = {type: 'offered'};
+				this.#telemetry.offered(reservation, performance.now() - reservation.arrivedAt);
 				toEntry(reservation, {type: 'offer', holdMilliseconds: offerHoldMilliseconds});
 				break;
 			}
 
 			case 'refuse': {
 				this.counts.refused += 1;
+				this.#telemetry.refused(reservation, action.kind, action.message);
 				this.#forget(reservation);
 				toEntry(reservation, {
 					type: 'refuse', kind: action.kind, message: action.message, retryAfterMilliseconds: action.retryAfterMilliseconds,
@@ -292,6 +304,7 @@
 			}
 
 			case 'preempt': {
+				this.#telemetry.preempted(reservation, action.forRequest);
 				this.#stopRun(reservation, 'preempted');
 				toEntry(reservation, {type: 'fail', ...createFailure(FailureKind.preempted, 'A higher tier needed the slot.', {verdict: Verdict.mayHaveRun})});
 				break;
