--- a/src/entry/side-link.ts
+++ b/src/entry/side-link.ts
@@ -98,6 +98,11 @@
 			return;
 		}
 
+		if (message.type === 'limit-report' || message.type === 'limit-lease') {
+			this.close(`a side sent ${message.type}`);
+			return;
+		}
+
 		if (message.type === 'hello') {
 			this.#greet(message);
 			owner.sideSeen(this);
--- /dev/null
+++ b/src/policy/limits/local.ts
@@ -0,0 +1,135 @@
+/**
+ * An entry's side of one class's fleet-wide limits: admits while its share lasts.
+ *
+ * Load pattern: a class that sends more than its limits, in bursts. Its share is the lease while one
+ * is valid. With no keeper in reach, a share of limit/N keeps the sum within the limit: an uneven
+ * balancer then costs a part of what the class is owed, never more than it may use.
+ */
+import {createBucket, millisecondsUntil, refill, spend, type Bucket} from './bucket.js';
+import {type Demand, type Lease, type LimitKind, type Limits} from './types.js';
+
+/** This entry among the live ones, ranked alike by all: `position` is from 0 up to `entries` - 1. */
+export type Standing = {readonly entries: number; readonly position: number};
+
+/** What an entry keeps for one class. */
+export type LocalState = {
+	readonly requests: Bucket;
+	readonly tokens: Bucket;
+	readonly running: number;
+	/** Smoothed rates, for the next report. */
+	readonly demand: Demand;
+	/** Since the last report: requests that came, tokens that ran, and requests refused for concurrency. */
+	readonly seen: {readonly requests: number; readonly tokens: number; readonly refused: number; readonly since: number};
+	readonly lease?: Lease & {readonly until: number};
+	readonly lastUsedAt: number;
+};
+
+export type LocalDecision
+	= | {readonly type: 'admitted'}
+		| {readonly type: 'limited'; readonly limit: LimitKind; readonly retryAfterMilliseconds: number};
+
+/** How much of a quieter interval enters the demand; a busier one counts at once, so that a burst is served soon. */
+const demandWeight = 0.5;
+/** When a concurrency limit will have room is unknown; a second is long against most answers' tokens. */
+const concurrencyRetryMilliseconds = 1000;
+const millisecondsPerSecond = 1000;
+
+type Question = {readonly limits: Limits; readonly standing: Standing};
+
+/** An entry that has not seen the class before. */
+export function createLocal({limits, standing}: Question, now: number): LocalState {
+	const share = evenShare(limits, standing);
+	return {
+		requests: {...createBucket(share.requestsPerSecond, now), level: Math.min(1, share.requestsPerSecond)},
+		tokens: {...createBucket(share.tokensPerSecond, now), level: Math.min(1, share.tokensPerSecond)},
+		running: 0,
+		demand: {requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0, running: 0},
+		seen: {requests: 0, tokens: 0, refused: 0, since: now},
+		lastUsedAt: now,
+	};
+}
+
+/** Decides one request; `promptTokens` are paid at once, those of the answer as they come. */
+export function admit(state: LocalState, question: Question & {promptTokens: number}, now: number): {state: LocalState; decision: LocalDecision} {
+	const share = shareOf(state, question, now);
+	const requests = refill(state.requests, share.requestsPerSecond, now);
+	const tokens = refill(state.tokens, share.tokensPerSecond, now);
+	const seen = {...state.seen, requests: state.seen.requests + 1};
+	const counted = {...state, requests, tokens, seen, lastUsedAt: now};
+	if (question.limits.concurrency !== undefined && state.running >= share.concurrency) {
+		return {state: {...counted, seen: {...seen, refused: seen.refused + 1}}, decision: limited('concurrency', concurrencyRetryMilliseconds)};
+	}
+
+	if (question.limits.requestsPerSecond !== undefined && requests.level < 1) {
+		return {state: counted, decision: limited('requests', millisecondsUntil(requests, 1, share.requestsPerSecond))};
+	}
+
+	if (question.limits.tokensPerSecond !== undefined && tokens.level <= 0) {
+		const wanted = {...counted, seen: {...seen, tokens: seen.tokens + question.promptTokens}};
+		return {state: wanted, decision: limited('tokens', millisecondsUntil(tokens, 1, share.tokensPerSecond))};
+	}
+
+	const admitted = {...counted, requests: spend(requests, 1), running: state.running + 1};
+	return {state: spendTokens(admitted, question.promptTokens), decision: {type: 'admitted'}};
+}
+
+/** Tokens that an admitted request used; the bucket may go into debt, which later requests wait out. */
+export function spendTokens(state: LocalState, count: number): LocalState {
+	return {...state, tokens: spend(state.tokens, count), seen: {...state.seen, tokens: state.seen.tokens + count}};
+}
+
+/** An admitted request has ended. */
+export function finish(state: LocalState, now: number): LocalState {
+	return {...state, running: state.running - 1, lastUsedAt: now};
+}
+
+/** The demand to report now, and the state from which the next interval counts. */
+export function takeReport(state: LocalState, now: number): {state: LocalState; demand: Demand} {
+	const seconds = Math.max(now - state.seen.since, 1) / millisecondsPerSecond;
+	const smooth = (old: number, count: number): number => Math.max(count / seconds, old + (demandWeight * ((count / seconds) - old)));
+	const wanted = state.running + state.seen.refused;
+	const demand = {
+		requestsPerSecond: smooth(state.demand.requestsPerSecond, state.seen.requests),
+		tokensPerSecond: smooth(state.demand.tokensPerSecond, state.seen.tokens),
+		concurrency: Math.max(wanted, state.demand.concurrency + (demandWeight * (wanted - state.demand.concurrency))),
+		running: state.running,
+	};
+	return {state: {...state, demand, seen: {requests: 0, tokens: 0, refused: 0, since: now}}, demand};
+}
+
+/** Takes a keeper's answer. */
+export function takeLease(state: LocalState, question: Question, lease: Lease, now: number): LocalState {
+	const old = shareOf(state, question, now);
+	return {
+		...state,
+		requests: refill(state.requests, old.requestsPerSecond, now),
+		tokens: refill(state.tokens, old.tokensPerSecond, now),
+		lease: {...lease, until: now + lease.milliseconds},
+	};
+}
+
+/** True if the entry has to go by its even share. */
+export function lacksLease(state: LocalState, now: number): boolean {
+	return state.lease === undefined || state.lease.until <= now;
+}
+
+type Share = Omit<Lease, 'milliseconds'>;
+
+function shareOf(state: LocalState, question: Question, now: number): Share {
+	return state.lease && state.lease.until > now ? state.lease : evenShare(question.limits, question.standing);
+}
+
+/** Limit/N; what is left of a concurrency limit goes to the entries that are ranked first. */
+export function evenShare(limits: Limits, {entries, position}: Standing): Share {
+	const count = Math.max(entries, 1);
+	const concurrency = limits.concurrency ?? Number.MAX_SAFE_INTEGER;
+	return {
+		requestsPerSecond: (limits.requestsPerSecond ?? Number.MAX_SAFE_INTEGER) / count,
+		tokensPerSecond: (limits.tokensPerSecond ?? Number.MAX_SAFE_INTEGER) / count,
+		concurrency: Math.floor(concurrency / count) + (position < concurrency % count ? 1 : 0),
+	};
+}
+
+function limited(limit: LimitKind, retryAfterMilliseconds: number): LocalDecision {
+	return {type: 'limited', limit, retryAfterMilliseconds: Math.ceil(Math.min(retryAfterMilliseconds, 60_000))};
+}
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -153,7 +153,9 @@
 			case 'data':
 			case 'end':
 			case 'fail':
-			case 'state': {
+			case 'state':
+			case 'limit-report':
+			case 'limit-lease': {
 				link.connection.close(`an entry sent ${message.type}`);
 				break;
 			}
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -95,9 +95,22 @@
 	type: z.literal('records'), snapshot: z.boolean(), records: z.array(z.object({offset: z.number().int(), time: z.number(), value: z.string()})),
 });
 
+const rate = z.number().nonnegative();
+/** Entry to the keeper of some classes' fleet-wide limits: what it would use of each if nothing held it back. */
+const limitReport = z.object({
+	type: z.literal('limit-report'),
+	holder: text,
+	classes: z.array(z.object({name: text, requestsPerSecond: rate, tokensPerSecond: rate, concurrency: rate, running: z.number().int().nonnegative()})),
+});
+/** The keeper's answer: the entry's share of each, for a time from receipt. */
+const limitLease = z.object({
+	type: z.literal('limit-lease'),
+	classes: z.array(z.object({name: text, requestsPerSecond: rate, tokensPerSecond: rate, concurrency: rate, milliseconds})),
+});
+
 /** Every message, by `type`. */
 export const messageSchema = z.discriminatedUnion('type', [
-	hello, heartbeat, reserve, offer, refuse, withdraw, start, body, credit, cancel, chunk, head, data, end, fail, state, pull, records,
+	hello, heartbeat, reserve, offer, refuse, withdraw, start, body, credit, cancel, chunk, head, data, end, fail, state, pull, records, limitReport, limitLease,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
--- /dev/null
+++ b/test/policy/limits.test.ts
@@ -0,0 +1,91 @@
+import fc from 'fast-check';
+import tap from 'tap';
+import {
+	admit, createKeeper, createLocal, evenShare, finish, leaseShare, spendTokens, takeLease, takeReport, type KeeperState, type Lease,
+} from '../../src/policy/limits/index.js';
+
+const limits = {requestsPerSecond: 100, tokensPerSecond: 5000, concurrency: 20};
+const settings = {seed: 8, numRuns: 300};
+const demandArbitrary = fc.record({
+	requestsPerSecond: fc.double({min: 0, max: 500, noNaN: true}), tokensPerSecond: fc.double({min: 0, max: 20_000, noNaN: true}), concurrency: fc.nat({max: 60}), running: fc.nat({max: 3}),
+});
+
+tap.test('the shares that one keeper has out never exceed the limit, whatever is reported and when', async () => {
+	const reports = fc.array(fc.record({holder: fc.constantFrom('a', 'b', 'c', 'd'), demand: demandArbitrary, pause: fc.nat({max: 2000})}), {maxLength: 40});
+	fc.assert(fc.property(reports, list => {
+		let state: KeeperState = createKeeper();
+		let now = 0;
+		const held = new Map<string, Lease & {until: number}>();
+		for (const {holder, demand, pause} of list) {
+			now += pause;
+			const {lease, state: next} = leaseShare(state, {holder, demand: {...demand, running: 0}, limits}, now);
+			state = next;
+			held.set(holder, {...lease, until: now + lease.milliseconds});
+			if (exceedsLimits([...held.values()], now)) {
+				return false;
+			}
+		}
+
+		return true;
+	}), settings);
+});
+
+tap.test('even shares add up to the limit for any number of entries', async () => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 400}), entries => {
+		const shares = Array.from({length: entries}, (_, position) => evenShare(limits, {entries, position}));
+		const rate = shares.reduce((sum, share) => sum + share.requestsPerSecond, 0);
+		return shares.reduce((sum, share) => sum + share.concurrency, 0) === 20 && Math.abs(rate - 100) < 0.001;
+	}), settings);
+});
+
+tap.test('within any span an entry admits no more than its burst and its rate', async () => {
+	fc.assert(fc.property(fc.array(fc.nat({max: 60}), {maxLength: 300}), pauses => {
+		const question = {limits: {requestsPerSecond: 100}, standing: {entries: 4, position: 0}, promptTokens: 1};
+		let state = createLocal(question, 0);
+		let now = 0;
+		let admitted = 0;
+		for (const pause of pauses) {
+			now += pause;
+			const result = admit(state, question, now);
+			state = result.state;
+			admitted += result.decision.type === 'admitted' ? 1 : 0;
+		}
+
+		return admitted <= 1 + (25 * now / 1000) + (25 * 0.5);
+	}), settings);
+});
+
+tap.test('a hot class at one entry gets the whole limit within two reports', async t => {
+	// The caller's class may send 100 a second, and the balancer turns all of it to one of four
+	// entries. At first that entry has its even share of 25; the keeper sees demand nowhere else.
+	let state = createKeeper();
+	const idle = {requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0, running: 0};
+	for (const holder of ['b', 'c', 'd']) {
+		state = leaseShare(state, {holder, demand: idle, limits}, 0).state;
+	}
+
+	const hot = {...idle, requestsPerSecond: 200};
+	const first = leaseShare(state, {holder: 'a', demand: hot, limits}, 10);
+	t.ok(first.lease.requestsPerSecond > 40, 'what nobody asked for is there at once');
+	const later = leaseShare(first.state, {holder: 'a', demand: hot, limits}, 6000);
+	t.ok(later.lease.requestsPerSecond > 99);
+});
+
+tap.test('concurrency counts what runs, and tokens may run into debt', async t => {
+	const question = {limits: {concurrency: 1, tokensPerSecond: 1000}, standing: {entries: 1, position: 0}, promptTokens: 10};
+	const first = admit(createLocal(question, 0), question, 0);
+	t.equal(first.decision.type, 'admitted');
+	t.match(admit(first.state, question, 0).decision, {type: 'limited', limit: 'concurrency'});
+	const ended = finish(spendTokens(first.state, 2000), 100);
+	t.match(admit(ended, question, 100).decision, {type: 'limited', limit: 'tokens'});
+	t.equal(admit(ended, question, 3000).decision.type, 'admitted');
+	const lease = {requestsPerSecond: 1, tokensPerSecond: 1, concurrency: 0, milliseconds: 500};
+	t.match(admit(takeLease(ended, question, lease, 3000), question, 3100).decision, {limit: 'concurrency'});
+	t.match(takeReport(first.state, 1000).demand, {running: 1, requestsPerSecond: 1});
+});
+
+function exceedsLimits(leases: ReadonlyArray<Lease & {until: number}>, now: number): boolean {
+	const valid = leases.filter(each => each.until > now);
+	return (['requestsPerSecond', 'tokensPerSecond', 'concurrency'] as const)
+		.some(name => valid.reduce((sum, each) => sum + each[name], 0) > limits[name] * 1.000_001);
+}
