--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -1,15 +1,17 @@
 import {type Body, channel, type Channel, sleep, tryDeliver} from '../concurrency/index.js';
 import {
-	combineVerdicts, createFailure, type EndpointId, type Failure, FailureKind, mayRetry, type RequestSummary, Verdict,
+	combineVerdicts, createFailure, type EndpointId, type Failure, FailureKind, type RequestSummary, Verdict,
 } from '../model/index.js';
+import {type QuarantineLedger} from '../platform/index.js';
+import {Suspicion} from '../policy/quarantine/index.js';
+import {Alarm} from './alarm.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
+import {type RetryKeeper} from './retry-keeper.js';
 import {noEndpoint, type Slot, SlotSearch} from './slot.js';
 
-/** Attempts at one request, the first included. The retry budget is what bounds retries over all requests. */
-const maximumAttempts = 4;
 /** Pause before the sides are asked again when none can be used. */
 const noEndpointPauseMilliseconds = 100;
 
@@ -20,8 +22,9 @@
 	readonly call: ModelCall;
 	readonly answer: Answer;
 	readonly arrivedAt: number;
-	/** True if the fleet's retry budget has room for one more. */
-	readonly spendRetry: () => boolean;
+	readonly retries: RetryKeeper;
+	/** What is known of requests that crash endpoints. */
+	readonly quarantine?: QuarantineLedger;
 };
 
 export type CallEnd
@@ -46,10 +49,16 @@
 	readonly #excluded = new Set<EndpointId>();
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
-	#alarm: NodeJS.Timeout | undefined;
+	#failures = 0;
+	#preemptions = 0;
+	/** When it began to wait for its present slot search. */
+	#waitsSince: number;
+	readonly #alarm: Alarm;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
+		this.#waitsSince = options.arrivedAt;
+		this.#alarm = Alarm.create(this.inbox);
 	}
 
 	/** The caller closed its connection. */
@@ -61,7 +70,7 @@
 		try {
 			return yield * this.#attempt();
 		} finally {
-			clearTimeout(this.#alarm);
+			this.#alarm[Symbol.dispose]();
 			this.inbox.close();
 		}
 	}
@@ -83,11 +92,11 @@
 				return this.#left();
 			}
 
-			if (!this.#mayGoOn(end.failure)) {
+			if (!(yield * this.#mayGoOn(end.failure))) {
 				return this.#fail(end.failure);
 			}
 
-			this.#excluded.add(found.slot.endpoint);
+			this.#prepareNext(found.slot, end.failure);
 		}
 	}
 
@@ -95,15 +104,20 @@
 		const {fleet, summary} = this.#options;
 		let failure = noEndpoint();
 		while (this.#queueTimeLeft() > 0) {
-			const choice = fleet.choose(summary, this.#excluded);
-			if (choice.endpoints.length === 0) {
+			const suspicion = this.#suspicion();
+			if (suspicion === Suspicion.quarantined) {
+				return {type: 'failed', failure: quarantined()};
+			}
+
+			const endpoints = suspicion === Suspicion.suspect ? this.#sideForSuspect() : fleet.choose(summary, this.#excluded).endpoints;
+			if (endpoints.length === 0) {
 				yield * sleep(noEndpointPauseMilliseconds);
 				this.#excluded.clear();
 				continue;
 			}
 
-			this.#setAlarm(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create(fleet, summary, this.inbox).run(choice.endpoints);
+			this.#alarm.set(this.#queueTimeLeft());
+			const result = yield * SlotSearch.create({fleet, summary: this.#summaryNow(), inbox: this.inbox, alarm: this.#alarm}).run(endpoints);
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -117,6 +131,15 @@
 		return {type: 'failed', failure};
 	}
 
+	#suspicion(): Suspicion {
+		return this.#options.quarantine?.judge(this.#options.summary.fingerprint).suspicion ?? Suspicion.none;
+	}
+
+	#sideForSuspect(): readonly EndpointId[] {
+		const endpoint = this.#options.fleet.chooseForSuspect(this.#options.summary);
+		return endpoint === undefined ? [] : [endpoint];
+	}
+
 	/** After a refusal the remaining sides are asked, each once; a refusal by all is final and told at once. */
 	#mayAskElsewhere(tried: readonly EndpointId[]): boolean {
 		for (const endpoint of tried) {
@@ -143,7 +166,7 @@
 			resumeText: textOf(events),
 			credit: creditWindow,
 		});
-		fleet.observe({type: 'started', endpoint: slot.endpoint, request: summary.id});
+		fleet.observe({type: 'started', endpoint: slot.endpoint, request: summary.id, prefix: summary.prefix});
 		return yield * Relay.create({
 			fleet,
 			summary,
@@ -151,27 +174,60 @@
 			slot,
 			answer,
 			progress: this.#progress,
-			setAlarm: milliseconds => {
-				this.#setAlarm(milliseconds);
-			},
+			alarm: this.#alarm,
 		}).run();
 	}
 
-	#mayGoOn(failure: Failure): boolean {
-		this.#verdict = combineVerdicts(this.#verdict, failure.verdict);
-		const again = mayRetry(failure.verdict, this.#options.summary.idempotent);
-		return again && this.#attempts < maximumAttempts && this.#options.spendRetry();
+	/**
+	 * A preempted request did nothing wrong and nor did its endpoint: it may wait its class's time
+	 * once more, at any side. Sides preempt one request a bounded number of times.
+	 */
+	#prepareNext(slot: Slot, failure: Failure): void {
+		if (failure.kind === FailureKind.preempted) {
+			this.#preemptions += 1;
+			return;
+		}
+
+		this.#excluded.add(slot.endpoint);
 	}
 
-	#queueTimeLeft(): number {
-		return this.#options.arrivedAt + this.#options.summary.queueMilliseconds - performance.now();
+	/** What a side must know now: the time that is left, and what the answer so far adds to the prompt. */
+	#summaryNow(): RequestSummary {
+		const {summary} = this.#options;
+		const waited = performance.now() - this.#waitsSince;
+		return {
+			...summary,
+			firstTokenMilliseconds: Math.max(0, summary.firstTokenMilliseconds - waited),
+			queueMilliseconds: Math.max(0, summary.queueMilliseconds - waited),
+			promptTokens: summary.promptTokens + this.#progress.events.length,
+			preemptions: this.#preemptions,
+		};
 	}
 
-	#setAlarm(milliseconds: number): void {
-		clearTimeout(this.#alarm);
-		this.#alarm = setTimeout(() => {
-			tryDeliver(this.inbox, {type: 'alarm'});
-		}, Math.max(0, milliseconds));
+	/** Waits as long as the retry policy asks; a stream that was cut may wait for a slot as long as a new request. */
+	* #mayGoOn(failure: Failure): Body<boolean> {
+		this.#verdict = combineVerdicts(this.#verdict, failure.verdict);
+		if (this.#progress.events.length > 0 || failure.kind === FailureKind.preempted) {
+			this.#waitsSince = performance.now();
+		}
+
+		if (failure.kind !== FailureKind.preempted) {
+			this.#failures += 1;
+		}
+
+		const {summary, retries} = this.#options;
+		const deadline = this.#waitsSince + summary.queueMilliseconds;
+		const decision = retries.decide({failure, attempts: this.#failures, idempotent: summary.idempotent, bodyLeft: true, deadline});
+		if (decision.type === 'give-up') {
+			return false;
+		}
+
+		yield * sleep(decision.afterMilliseconds);
+		return true;
+	}
+
+	#queueTimeLeft(): number {
+		return this.#waitsSince + this.#options.summary.queueMilliseconds - performance.now();
 	}
 
 	#whole(usage: string | undefined): CallEnd {
@@ -205,6 +261,10 @@
 	}).join('');
 }
 
+function quarantined(): Failure {
+	return createFailure(FailureKind.quarantined, 'Endpoints that ran this request crashed; it is not run again for some minutes.');
+}
+
 /** The failure of a request that came while its entry was stopping. */
 export function stoppingFailure(): Failure {
 	return createFailure(FailureKind.stopping, 'This instance is stopping.', {retryAfterMilliseconds: 0});
--- a/src/side/work.ts
+++ b/src/side/work.ts
@@ -1,13 +1,16 @@
 import {channel, spawn, tryDeliver} from '../concurrency/index.js';
 import {type EngineClient} from '../endpoint/index.js';
-import {createFailure, FailureKind, type RequestSummary, Verdict} from '../model/index.js';
+import {createFailure, type EndpointId, FailureKind, type InstanceId, type RequestSummary, Verdict} from '../model/index.js';
+import {type QuarantineLedger} from '../platform/index.js';
 import {
 	type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
 } from '../policy/scheduler/index.js';
 import {type MessageOf} from '../wire/index.js';
+import {CrashWatch} from './crash-watch.js';
 import {type EntryLink} from './entry-link.js';
 import {type RunEnd, runModel} from './model-run.js';
 import {type Reservation, type RunInput, toEntry} from './reservation.js';
+import {SuspectGate, type SuspectGateOwner} from './suspect-gate.js';
 
 /** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
 const runInputCapacity = 1000;
@@ -17,6 +20,11 @@
 export type WorkOptions<State> = {
 	readonly engine: EngineClient;
 	readonly scheduler: Scheduler<State>;
+	readonly instance: InstanceId;
+	readonly endpoint: EndpointId;
+	readonly quarantine?: {readonly ledger: QuarantineLedger; readonly isHealthy: () => Promise<boolean>};
+	/** Called when a run shows that the endpoint is gone, before its entry hears of it. */
+	readonly endpointDown: () => void;
 };
 
 /** What ran at a side and what became of it. */
@@ -27,7 +35,7 @@
  * to it in the order of arrival and carries out the actions at once, so the queue, the slots and
  * what the engine runs never disagree.
  */
-export class Work<State = unknown> {
+export class Work<State = unknown> implements SuspectGateOwner {
 	static create<State>(options: WorkOptions<State>): Work<State> {
 		return new Work(options);
 	}
@@ -37,10 +45,20 @@
 	readonly #reservations = new Map<string, Reservation>();
 	#state: State;
 	#onIdle: (() => void) | undefined;
+	readonly #gate: SuspectGate | undefined;
+	readonly #crashes: CrashWatch | undefined;
 
 	private constructor(options: WorkOptions<State>) {
 		this.#options = options;
 		this.#state = options.scheduler.create();
+		const {quarantine, endpointDown} = options;
+		if (quarantine) {
+			this.#gate = SuspectGate.create(quarantine.ledger, this);
+			this.#crashes = CrashWatch.create({...options, ...quarantine, running: () => this.#runningFingerprints(), endpointDied: endpointDown});
+			quarantine.ledger.listen(() => {
+				this.#gate?.review(this.#notBegun());
+			});
+		}
 	}
 
 	get view(): SchedulerView {
@@ -59,9 +77,24 @@
 		};
 		link.reservations.set(message.stream, reservation);
 		this.#reservations.set(reservation.id, reservation);
+		if (this.#gate) {
+			this.#gate.arrived(reservation);
+		} else {
+			this.admit(reservation);
+		}
+	}
+
+	admit(reservation: Reservation): void {
 		this.apply({type: 'arrived', id: reservation.id, summary: reservation.summary});
 	}
 
+	refuseQuarantined(reservation: Reservation): void {
+		const {kind, message} = createFailure(FailureKind.quarantined, 'Endpoints that ran this request crashed; it is not run again for some minutes.');
+		this.counts.refused += 1;
+		this.#leave(reservation);
+		toEntry(reservation, {type: 'refuse', kind, message});
+	}
+
 	/** The entry gives a reservation back; one that runs is cancelled if that is harmless. */
 	withdraw(link: EntryLink, stream: number): void {
 		const reservation = link.reservations.get(stream);
@@ -74,8 +107,7 @@
 			return;
 		}
 
-		this.#forget(reservation);
-		this.apply({type: 'withdrawn', id: reservation.id});
+		this.#leave(reservation);
 	}
 
 	/**
@@ -99,7 +131,8 @@
 				this.#progressed(reservation, tokens);
 			},
 		};
-		void spawn('run', () => runModel(run)).then(end => {
+		void spawn('run', () => runModel(run)).then(async end => {
+			await this.#lookAtEndpoint(end);
 			this.#finished(reservation, end);
 		});
 	}
@@ -128,6 +161,10 @@
 		for (const action of actions) {
 			this.#perform(action);
 		}
+
+		if (event.type === 'leaving' || (event.type === 'endpoint' && !event.up)) {
+			this.#gate?.open();
+		}
 	}
 
 	/** Resolves once nothing runs and no slot is on offer. */
@@ -141,6 +178,37 @@
 		});
 	}
 
+	/** Takes a reservation that has not begun out of the queue. */
+	#leave(reservation: Reservation): void {
+		const queued = !this.#gate?.holds(reservation);
+		this.#forget(reservation);
+		if (queued) {
+			this.apply({type: 'withdrawn', id: reservation.id});
+		}
+	}
+
+	#runningFingerprints(): string[] {
+		return [...this.#reservations.values()].filter(({phase}) => phase.type === 'running').map(({summary}) => summary.fingerprint);
+	}
+
+	/** What is in the queue or on offer; a suspect that waits at the gate is not. */
+	#notBegun(): Reservation[] {
+		return [...this.#reservations.values()].filter(reservation => reservation.phase.type !== 'running' && !this.#gate?.holds(reservation));
+	}
+
+	/** A run that ended by a lost endpoint says more than the next check of its health, and sooner. */
+	async #lookAtEndpoint(end: RunEnd): Promise<void> {
+		if (end.type !== 'failed') {
+			return;
+		}
+
+		if (end.failure.kind === FailureKind.endpointLost) {
+			await this.#crashes?.connectionBroke();
+		} else if (end.failure.kind === FailureKind.noEndpoint) {
+			this.#options.endpointDown();
+		}
+	}
+
 	#progressed(reservation: Reservation, tokens: number): void {
 		const now = performance.now();
 		this.counts.tokens += tokens;
@@ -151,7 +219,7 @@
 	#finished(reservation: Reservation, end: RunEnd): void {
 		const outcome = outcomeOf(reservation, end);
 		this.counts[outcome] += 1;
-		this.#forget(reservation);
+		this.#forget(reservation, outcome === 'whole');
 		if (end.type === 'failed') {
 			toEntry(reservation, {type: 'fail', ...end.failure});
 		}
@@ -200,9 +268,10 @@
 		}
 	}
 
-	#forget(reservation: Reservation): void {
+	#forget(reservation: Reservation, ranWhole = false): void {
 		this.#reservations.delete(reservation.id);
 		reservation.link.reservations.delete(reservation.stream);
+		this.#gate?.left(reservation, ranWhole);
 		if (this.#countBusy() === 0) {
 			this.#onIdle?.();
 		}
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {FailureKind, Verdict} from '../model/index.js';
+import {quarantineRecordSchema} from '../policy/quarantine/index.js';
 
 /**
  * The messages between our processes. Every frame about a request names the stream, a number that
@@ -30,6 +31,7 @@
 	fingerprint: text,
 	prefix: text,
 	preemptions: z.number().int().nonnegative().optional(),
+	asksFirst: z.boolean().optional(),
 });
 
 const hello = z.object({
@@ -94,6 +96,8 @@
 const records = z.object({
 	type: z.literal('records'), snapshot: z.boolean(), records: z.array(z.object({offset: z.number().int(), time: z.number(), value: z.string()})),
 });
+/** Either way: records of crashes by requests that the peer may not know. */
+const quarantine = z.object({type: z.literal('quarantine'), records: z.array(quarantineRecordSchema)});
 
 const rate = z.number().nonnegative();
 /** Entry to the keeper of some classes' fleet-wide limits: what it would use of each if nothing held it back. */
@@ -110,7 +114,27 @@
 
 /** Every message, by `type`. */
 export const messageSchema = z.discriminatedUnion('type', [
-	hello, heartbeat, reserve, offer, refuse, withdraw, start, body, credit, cancel, chunk, head, data, end, fail, state, pull, records, limitReport, limitLease,
+	hello,
+	heartbeat,
+	reserve,
+	offer,
+	refuse,
+	withdraw,
+	start,
+	body,
+	credit,
+	cancel,
+	chunk,
+	head,
+	data,
+	end,
+	fail,
+	state,
+	pull,
+	records,
+	quarantine,
+	limitReport,
+	limitLease,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
