Measure what an idle entry and side spend on control

Cause: the budget for control at 350 entries and 600 sides needs measured slopes. Conclusion: the slopes come with one command.

--- /dev/null
+++ b/bench/control/surroundings.ts
@@ -0,0 +1,162 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {catalogueStream, type Entry, type Operation} from '../../src/catalogue/index.js';
+import {receive, spawn, type Body} from '../../src/concurrency/index.js';
+import {HttpLogClient} from '../../src/platform/index.js';
+import {dial, Listener, protocolVersion, type Connection, type Message} from '../../src/wire/index.js';
+import {FakeEngine, FakeLog, FakeMembers} from '../../fakes/index.js';
+
+/** What the measured process is surrounded by. */
+export type Setting = {
+	readonly entries: number;
+	readonly sides: number;
+	readonly catalogueEntries: number;
+	readonly changesPerSecond: number;
+};
+
+const models = 19;
+const zones = ['lima-a', 'lima-b', 'lima-c', 'franken-a', 'franken-b', 'franken-c'];
+const heartbeatMilliseconds = 2000;
+const loopback = '127.0.0.1';
+const entriesPerChange = 200;
+
+/** Stand-ins of the platform and of all other processes; they speak the product's frames and do nothing else. */
+export class Surroundings implements AsyncDisposable {
+	static async create(setting: Setting): Promise<Surroundings> {
+		const surroundings = new Surroundings(setting, await FakeLog.create(), await FakeMembers.create(), await FakeEngine.create({models: ['model-0']}));
+		await surroundings.#publishCatalogue();
+		return surroundings;
+	}
+
+	readonly log: FakeLog;
+	readonly members: FakeMembers;
+	readonly engine: FakeEngine;
+	readonly #setting: Setting;
+	readonly #client: HttpLogClient;
+	readonly #listeners: Listener[] = [];
+	readonly #connections = new Set<Connection>();
+	readonly #timer: NodeJS.Timeout;
+	#revision = 0;
+	#isClosed = false;
+
+	private constructor(setting: Setting, log: FakeLog, members: FakeMembers, engine: FakeEngine) {
+		this.#setting = setting;
+		this.log = log;
+		this.members = members;
+		this.engine = engine;
+		this.#client = HttpLogClient.create({baseUrl: log.url, timeoutMilliseconds: 5000});
+		this.#timer = setInterval(() => {
+			for (const connection of this.#connections) {
+				connection.send({type: 'heartbeat', catalogueOffset: this.#revision});
+			}
+		}, heartbeatMilliseconds);
+	}
+
+	/** How many processes are connected to the measured one. */
+	get connections(): number {
+		return this.#connections.size;
+	}
+
+	/** Sides for a measured entry to find: each listens, greets and sends heartbeats. */
+	async addSides(): Promise<void> {
+		for (let index = 0; index < this.#setting.sides; index++) {
+			const zone = zones[index % zones.length]!;
+			const target = `model-${index % models}`;
+			const endpoint = `engine-${index}`;
+			const listener = await Listener.create({
+				host: loopback, port: 0, security: {type: 'plaintext'}, onConnection: connection => {
+					this.#greet(connection, {type: 'hello', protocol: protocolVersion, role: 'side', instance: `side-${index}`, zone, endpoint, targets: [target], catalogueOffset: this.#revision});
+					connection.send({type: 'state', phase: 'serving', slots: 8, running: 0, waiting: [0, 0, 0], tokenMilliseconds: 20});
+				},
+			});
+			this.#listeners.push(listener);
+			this.members.set({instance: `side-${index}`, role: 'side', address: listener.address, zone, state: 'live', endpoint, targets: [target]});
+		}
+	}
+
+	/** Lines of other processes in the membership list, which nobody answers for. */
+	listEntries(): void {
+		for (let index = 0; index < this.#setting.entries; index++) {
+			this.members.set({instance: `entry-${index}`, role: 'entry', address: `${loopback}:1`, zone: zones[index % zones.length]!, state: 'live'});
+		}
+	}
+
+	/** Entries that connect to a measured side. */
+	async connectEntries(address: string): Promise<void> {
+		for (let index = 0; index < this.#setting.entries; index++) {
+			const connection = await dial(address, {type: 'plaintext'});
+			this.#greet(connection, {type: 'hello', protocol: protocolVersion, role: 'entry', instance: `entry-${index}`, zone: zones[index % zones.length]!, catalogueOffset: this.#revision});
+		}
+	}
+
+	/** Publishes changes at the setting's rate until the span ends. */
+	async changeFor(milliseconds: number): Promise<void> {
+		const {changesPerSecond} = this.#setting;
+		const until = performance.now() + milliseconds;
+		while (performance.now() < until) {
+			await delay(changesPerSecond === 0 ? milliseconds : 1000 / changesPerSecond);
+			if (changesPerSecond > 0) {
+				await this.#append([{type: 'put', entry: modelEntry(models + this.#revision)}]);
+			}
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isClosed = true;
+		clearInterval(this.#timer);
+		for (const connection of this.#connections) {
+			connection.close('the bench ends');
+		}
+
+		await Promise.all([...this.#listeners, this.#client, this.log, this.members, this.engine].map(async part => part[Symbol.asyncDispose]()));
+	}
+
+	#greet(connection: Connection, hello: Message): void {
+		if (this.#isClosed) {
+			connection.close('the bench ends');
+			return;
+		}
+
+		this.#connections.add(connection);
+		connection.send(hello);
+		void spawn('stand-in', () => this.#read(connection));
+	}
+
+	* #read(connection: Connection): Body<void> {
+		while ((yield * receive(connection.incoming)) !== undefined) {
+			// A stand-in takes what it is sent, and answers nothing.
+		}
+
+		this.#connections.delete(connection);
+	}
+
+	async #publishCatalogue(): Promise<void> {
+		const entries: Entry[] = Array.from({length: models}, (_, index) => modelEntry(index));
+		for (let index = 0; entries.length < this.#setting.catalogueEntries; index++) {
+			entries.push(...workspaceEntries(`workspace-${index}`));
+		}
+
+		for (let start = 0; start < entries.length; start += entriesPerChange) {
+			await this.#append(entries.slice(start, start + entriesPerChange).map(entry => ({type: 'put', entry})));
+		}
+	}
+
+	async #append(operations: Operation[]): Promise<void> {
+		const result = await this.#client.append(catalogueStream, {
+			type: 'change', id: `change-${this.#revision}`, author: 'bench', time: Date.now(), operations,
+		});
+		this.#revision = result.type === 'appended' ? result.offset : this.#revision;
+	}
+}
+
+function modelEntry(index: number): Entry {
+	return {kind: 'model', name: `model-${index}`, owner: 'bench', version: '1', replicas: 0, adapters: []};
+}
+
+/** A workspace with three classes: four entries, kept together so that each change is valid. */
+function workspaceEntries(name: string): Entry[] {
+	const classes = ['answer', 'order', 'chart'].map((className, tier): Entry => ({
+		kind: 'class', name: `${name}/${className}`, owner: 'bench', tier: tier as 0 | 1 | 2, firstTokenMilliseconds: 430, betweenTokensMilliseconds: 58,
+		queueMilliseconds: 2000, idempotent: true, targets: [], limits: {requestsPerSecond: 50},
+	}));
+	return [{kind: 'workspace', name, owner: 'bench', weight: 1, keySha256: [], defaultClass: 'answer'}, ...classes];
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,12 +3,14 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {decisionsCommand} from './decisions/index.js';
+import {controlCommand} from './control/index.js';
 import {limitsCommand} from './limits/index.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
 	.command(decisionsCommand)
 	.command(limitsCommand)
+	.command(controlCommand)
 	.demandCommand(1)
 	.strict()
 	.help()
