Add a load tool for processes started by hand

Cause: an operator who has started the binaries had no checked load for them. Change: npm run bench -- load sends requests whose answers are checked token by token.

--- a/bench/harness/load.ts
+++ b/bench/harness/load.ts
@@ -5,6 +5,8 @@
 /** One kind of traffic: which workspace sends what, how often, and how long the answers are. */
 export type Flow = {
 	readonly workspace: string;
+	/** The bearer key; the harness's own for this workspace if left out. */
+	readonly key?: string;
 	readonly plan: ClassPlan;
 	readonly model: string;
 	readonly requestsPerSecond: number;
@@ -41,7 +43,7 @@
 	const tokens = 1 + Math.floor(random.exponential(flow.meanTokens));
 	const result = await callModel({
 		address: address(),
-		key: keyOf(flow.workspace),
+		key: flow.key ?? keyOf(flow.workspace),
 		className: flow.plan.name,
 		model: flow.model,
 		prompt: `Request ${random.below(1e9)} of ${flow.workspace}: [[tokens=${tokens}]]`,
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import {hideBin} from 'yargs/helpers';
 import {decisionsCommand} from './decisions/index.js';
 import {controlCommand} from './control/index.js';
+import {loadCommand} from './load/index.js';
 import {limitsCommand} from './limits/index.js';
 
 await yargs(hideBin(process.argv))
@@ -11,6 +12,7 @@
 	.command(decisionsCommand)
 	.command(limitsCommand)
 	.command(controlCommand)
+	.command(loadCommand)
 	.demandCommand(1)
 	.strict()
 	.help()
