Run a keyed request once at most, from the caller to the engine

Cause: a non-idempotent request that its caller sent again ran again. Change: the entry claims the key while the request waits in queues; the body leaves with both claim and slot; a refused request is told not run once its release is in the log; the answer of a key is kept, also if its caller left, and given again at the same entry.

--- a/bench/harness/local-fleet.ts
+++ b/bench/harness/local-fleet.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {EngineClient, EngineControl} from '../../src/endpoint/index.js';
 import {type Entry as CatalogueEntry, catalogueStream, type Change} from '../../src/catalogue/index.js';
+import {ClaimKeeper} from '../../src/entry/claims/index.js';
 import {Entry, type EntryOptions} from '../../src/entry/index.js';
 import {
 	createInstanceId, type EndpointId, type InstanceId, type TargetName, type ZoneName,
@@ -32,7 +33,7 @@
 	sideParts: readonly AsyncDisposable[];
 };
 
-export type LocalEntry = {readonly entry: Entry<any>; readonly follower: CatalogueFollower; readonly quarantine: QuarantineLedger; readonly instance: InstanceId; readonly zone: string};
+export type LocalEntry = {readonly entry: Entry<any>; readonly follower: CatalogueFollower; readonly quarantine: QuarantineLedger; readonly claims: ClaimKeeper; readonly instance: InstanceId; readonly zone: string};
 
 export type LocalFleetOptions = {
 	readonly entries: number;
@@ -109,6 +110,7 @@
 		const instance = createInstanceId('entry');
 		const follower = this.#follow(instance);
 		const quarantine = QuarantineLedger.create({log: this.#logClient()});
+		const claims = ClaimKeeper.create({log: this.#logClient(), instance});
 		const entry = await Entry.create({
 			instance,
 			zone: zone as ZoneName,
@@ -121,6 +123,7 @@
 			placement: await (this.#options.placement?.() ?? subsetPlacement),
 			logger: forPart(this.logger, 'Entry'),
 			quarantine,
+			claims,
 			random: this.#options.random,
 			onPeerMessage(link, message) {
 				exchangeCatalogue(follower, message, reply => {
@@ -129,7 +132,7 @@
 			},
 			onEnd: this.#options.onEnd,
 		});
-		const local = {entry, follower, quarantine, instance, zone};
+		const local = {entry, follower, quarantine, claims, instance, zone};
 		this.entries.push(local);
 		this.members.set({instance, role: 'entry', address: entry.address, zone, state: 'live'});
 		return local;
@@ -166,18 +169,18 @@
 	async crashEntry(local: LocalEntry): Promise<void> {
 		this.entries.splice(this.entries.indexOf(local), 1);
 		this.members.remove(local.instance);
-		await disposeAll([local.entry, local.quarantine, local.follower]);
+		await disposeAll([local.entry, local.claims, local.quarantine, local.follower]);
 	}
 
 	async stopEntry(local: LocalEntry): Promise<void> {
 		await local.entry.drain();
 		this.members.remove(local.instance);
-		await disposeAll([local.entry, local.quarantine, local.follower]);
+		await disposeAll([local.entry, local.claims, local.quarantine, local.follower]);
 		this.entries.splice(this.entries.indexOf(local), 1);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		await disposeAll(this.entries.flatMap(({entry, quarantine, follower}) => [entry, quarantine, follower]));
+		await disposeAll(this.entries.flatMap(({entry, claims, quarantine, follower}) => [entry, claims, quarantine, follower]));
 		await disposeAll(this.endpoints.flatMap(({sideParts, engine}) => [...sideParts, engine]));
 		await disposeAll([this.members, this.log]);
 	}
--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import {randomBytes} from 'node:crypto';
+import {ClaimKeeper} from '../entry/claims/index.js';
 import {Entry} from '../entry/index.js';
 import {createInstanceId, type InstanceId, type ZoneName} from '../model/index.js';
 import {
@@ -28,6 +29,7 @@
 		},
 	});
 	await using quarantine = QuarantineLedger.create({log: HttpLogClient.create(platform(settings.logUrl))});
+	await using claims = ClaimKeeper.create({log: HttpLogClient.create(platform(settings.logUrl)), instance});
 	await using entry = await Entry.create({
 		instance,
 		zone: settings.zone as ZoneName,
@@ -41,6 +43,7 @@
 		logger: log,
 		random: randomUniform,
 		quarantine,
+		claims,
 		onPeerMessage(link, message) {
 			exchangeCatalogue(follower, message, reply => {
 				link.send(reply);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -4,13 +4,14 @@
 import {type Catalogue} from '../catalogue/index.js';
 import {type Body, spawn, wait} from '../concurrency/index.js';
 import {
-	createFailure, createRequestId, FailureKind, type InstanceId, RequestError, type RequestId, type WorkspaceName, type ZoneName,
+	createFailure, createRequestId, FailureKind, type InstanceId, RequestError, type RequestId, type RequestSummary, type WorkspaceName, type ZoneName,
 } from '../model/index.js';
 import {type CatalogueMessage, type MembershipClient, type QuarantineLedger} from '../platform/index.js';
 import {type Placement} from '../policy/placement/index.js';
 import {fingerprintOf} from '../policy/quarantine/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Security} from '../wire/index.js';
+import {type ClaimKeeper, type ClaimRequest} from './claims/index.js';
 import {type Caller, checkTarget, identifyCaller, summarize} from './admission.js';
 import {Fleet} from './fleet.js';
 import {type CallEnd, ModelCallInProgress, stoppingFailure} from './model-call.js';
@@ -40,6 +41,8 @@
 	readonly random: () => number;
 	/** What is known of requests that crash endpoints; without it none is refused. */
 	readonly quarantine?: QuarantineLedger;
+	/** Claims idempotency keys; without it a keyed request that may not be repeated is refused. */
+	readonly claims?: ClaimKeeper;
 	readonly onPeerMessage?: (link: SideLink, message: CatalogueMessage) => void;
 	/** Called once per model call, with how it ended. */
 	readonly onEnd?: (caller: Caller, end: CallEnd) => void;
@@ -198,6 +201,21 @@
 		return this.#options.catalogue.current();
 	}
 
+	/** What must be claimed before the request may run: nothing, if it may be repeated or has no key. */
+	#claimOf(request: IncomingMessage, summary: RequestSummary, fingerprint: string): {keeper: ClaimKeeper; request: ClaimRequest} | undefined {
+		const key = headerText(request, 'idempotency-key');
+		if (summary.idempotent || key === undefined) {
+			return undefined;
+		}
+
+		const {claims} = this.#options;
+		if (!claims) {
+			throw RequestError.create(createFailure(FailureKind.claimUnavailable, 'Idempotency keys can not be claimed here.'));
+		}
+
+		return {keeper: claims, request: {workspace: summary.workspace, key, fingerprint, requestId: summary.id}};
+	}
+
 	* #serveModelCall(context: CallContext): Body<void> {
 		const {id, request, response, arrivedAt, route, catalogue, caller} = context;
 		const body = yield * wait(readBody(request, this.#options.bodyLimitBytes));
@@ -210,6 +228,7 @@
 		this.retries.requestArrived();
 		const inProgress = ModelCallInProgress.create({
 			fleet: this.fleet, summary, path: route.path, call, answer, arrivedAt, retries: this.retries, quarantine: this.#options.quarantine,
+			claim: this.#claimOf(request, summary, call.fingerprintSource),
 		});
 		response.once('close', () => {
 			if (!response.writableFinished) {
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -5,6 +5,7 @@
 import {type QuarantineLedger} from '../platform/index.js';
 import {Suspicion} from '../policy/quarantine/index.js';
 import {Alarm} from './alarm.js';
+import {ClaimGuard, eventsOf, keepEvents, type ClaimKeeper, type ClaimRequest, type ClaimStop} from './claims/index.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
@@ -25,6 +26,8 @@
 	readonly retries: RetryKeeper;
 	/** What is known of requests that crash endpoints. */
 	readonly quarantine?: QuarantineLedger;
+	/** For a request that may run once at most under its key. */
+	readonly claim?: {readonly keeper: ClaimKeeper; readonly request: ClaimRequest};
 };
 
 export type CallEnd
@@ -54,11 +57,16 @@
 	/** When it began to wait for its present slot search. */
 	#waitsSince: number;
 	readonly #alarm: Alarm;
+	readonly #claim: ClaimGuard | undefined;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
 		this.#waitsSince = options.arrivedAt;
 		this.#alarm = Alarm.create(this.inbox);
+		const {claim} = options;
+		this.#claim = claim && ClaimGuard.create(claim.keeper, claim.request, () => {
+			tryDeliver(this.inbox, {type: 'claim-stopped'});
+		});
 	}
 
 	/** The caller closed its connection. */
@@ -79,13 +87,19 @@
 		for (;;) {
 			const found = yield * this.#findSlot();
 			if (found.type !== 'slot') {
-				return found.type === 'failed' ? this.#fail(found.failure) : this.#left();
+				return yield * this.#endWithoutSlot(found);
+			}
+
+			const stop = this.#claim && (yield * this.#claim.mayStart());
+			if (stop) {
+				this.#giveBack(found.slot);
+				return yield * this.#stopped(stop);
 			}
 
 			this.#attempts += 1;
 			const end = yield * this.#runAt(found.slot);
 			if (end.type === 'whole') {
-				return this.#whole(end.usage);
+				return yield * this.#whole(end.usage, found.slot.endpoint);
 			}
 
 			if (end.type === 'caller-left') {
@@ -93,17 +107,58 @@
 			}
 
 			if (!(yield * this.#mayGoOn(end.failure))) {
-				return this.#fail(end.failure);
+				return yield * this.#fail(end.failure);
 			}
 
 			this.#prepareNext(found.slot, end.failure);
 		}
 	}
 
-	* #findSlot(): Body<{type: 'slot'; slot: Slot} | {type: 'failed'; failure: Failure} | {type: 'caller-left'}> {
+	* #endWithoutSlot(found: NoSlot): Body<CallEnd> {
+		switch (found.type) {
+			case 'failed': {
+				return yield * this.#fail(found.failure);
+			}
+
+			case 'caller-left': {
+				return this.#left();
+			}
+
+			case 'claim-stopped': {
+				return yield * this.#stopped(this.#claim!.stop!);
+			}
+		}
+	}
+
+	/** The key is another request's: its answer if that is known, or a failure. */
+	* #stopped(stop: ClaimStop): Body<CallEnd> {
+		if (stop.type === 'failed') {
+			return yield * this.#fail(stop.failure);
+		}
+
+		const {answer} = this.#options;
+		const {events, usage} = eventsOf(stop.answer);
+		answer.write(events);
+		answer.finish(usage);
+		return {type: 'whole', tokens: events.length, firstTokenMilliseconds: undefined, attempts: this.#attempts};
+	}
+
+	/** A slot was offered and the body will not come. */
+	#giveBack({link, stream, endpoint}: Slot): void {
+		const {fleet, summary} = this.#options;
+		link.send({type: 'withdraw', stream, request: summary.id});
+		link.closeStream(stream);
+		fleet.observe({type: 'withdrawn', endpoint, request: summary.id});
+	}
+
+	* #findSlot(): Body<{type: 'slot'; slot: Slot} | NoSlot> {
 		const {fleet, summary} = this.#options;
 		let failure = noEndpoint();
 		while (this.#queueTimeLeft() > 0) {
+			if (this.#claim?.stop) {
+				return {type: 'claim-stopped'};
+			}
+
 			const suspicion = this.#suspicion();
 			if (suspicion === Suspicion.quarantined) {
 				return {type: 'failed', failure: quarantined()};
@@ -123,7 +178,7 @@
 			}
 
 			failure = result.failure;
-			if (!this.#mayAskElsewhere(result.tried)) {
+			if (suspicion === Suspicion.suspect || !this.#mayAskElsewhere(result.tried)) {
 				break;
 			}
 		}
@@ -230,27 +285,36 @@
 		return this.#waitsSince + this.#options.summary.queueMilliseconds - performance.now();
 	}
 
-	#whole(usage: string | undefined): CallEnd {
+	* #whole(usage: string | undefined, endpoint: EndpointId): Body<CallEnd> {
 		const {answer, arrivedAt} = this.#options;
 		answer.finish(usage);
 		const {firstTokenAt, events} = this.#progress;
+		if (this.#claim) {
+			yield * this.#claim.finished(keepEvents({events, usage}), endpoint);
+		}
+
 		return {
 			type: 'whole', tokens: events.length, firstTokenMilliseconds: firstTokenAt === undefined ? undefined : firstTokenAt - arrivedAt, attempts: this.#attempts,
 		};
 	}
 
-	#fail(failure: Failure): CallEnd {
-		const verdict = combineVerdicts(this.#verdict, failure.verdict);
+	* #fail(failure: Failure): Body<CallEnd> {
+		const certain = combineVerdicts(this.#verdict, failure.verdict);
+		const verdict = this.#claim ? yield * this.#claim.failed(certain) : certain;
 		const told = {...failure, verdict};
 		this.#options.answer.fail(told);
 		return {type: 'failed', failure: told, tokens: this.#progress.events.length, attempts: this.#attempts};
 	}
 
 	#left(): CallEnd {
+		this.#claim?.abandoned();
 		return {type: 'caller-left', tokens: this.#progress.events.length, attempts: this.#attempts};
 	}
 }
 
+/** Why a request has no slot and won't get one. */
+type NoSlot = {readonly type: 'failed'; readonly failure: Failure} | {readonly type: 'caller-left'} | {readonly type: 'claim-stopped'};
+
 type TokenEvent = {choices?: Array<{delta?: {content?: string | undefined}; text?: string}>};
 
 /** The text of an answer so far, as an engine needs it to resume. */
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -81,8 +81,11 @@
 			}
 
 			case 'caller-left': {
-				this.#send({type: 'cancel'});
-				return {type: 'caller-left'};
+				return this.#callerLeft();
+			}
+
+			case 'claim-stopped': {
+				return undefined;
 			}
 
 			case 'alarm': {
@@ -96,6 +99,20 @@
 		}
 	}
 
+	/**
+	 * Failure: the caller of a request that may not be repeated leaves while it runs. Symptom: it runs
+	 * to its end all the same, and nobody has its answer when the caller asks again. It is read to its
+	 * end, though nothing is written any more.
+	 */
+	#callerLeft(): RelayEnd | undefined {
+		if (!this.#options.summary.idempotent) {
+			return undefined;
+		}
+
+		this.#send({type: 'cancel'});
+		return {type: 'caller-left'};
+	}
+
 	* #takeFrame(message: StreamMessage): Body<RelayEnd | undefined> {
 		switch (message.type) {
 			case 'chunk': {
--- a/src/entry/request-event.ts
+++ b/src/entry/request-event.ts
@@ -6,7 +6,9 @@
 	= | {readonly type: 'frame'; readonly link: SideLink; readonly message: StreamMessage}
 		| {readonly type: 'link-lost'; readonly link: SideLink}
 		| {readonly type: 'caller-left'}
-		| {readonly type: 'alarm'};
+		| {readonly type: 'alarm'}
+	/** The request's key is another's, or could not be claimed: it must not run. */
+		| {readonly type: 'claim-stopped'};
 
 /** Events that may wait in an inbox: more than one credit window and the few control frames of an attempt. */
 export const inboxCapacity = 1000;
--- a/src/entry/slot.ts
+++ b/src/entry/slot.ts
@@ -14,7 +14,8 @@
 export type SlotResult
 	= | {readonly type: 'slot'; readonly slot: Slot}
 		| {readonly type: 'failed'; readonly failure: Failure; readonly tried: readonly EndpointId[]}
-		| {readonly type: 'caller-left'};
+		| {readonly type: 'caller-left'}
+		| {readonly type: 'claim-stopped'};
 
 export type SlotSearchOptions = {
 	readonly fleet: Fleet;
@@ -90,6 +91,11 @@
 				return {type: 'caller-left'};
 			}
 
+			case 'claim-stopped': {
+				this.#withdrawAll();
+				return {type: 'claim-stopped'};
+			}
+
 			case 'alarm': {
 				if (!this.#options.alarm.hasFired) {
 					return undefined;
