--- a/bench/harness/local-fleet.ts
+++ b/bench/harness/local-fleet.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {EngineClient, EngineControl} from '../../src/endpoint/index.js';
+import {EngineClient, EngineControl, ServiceClient} from '../../src/endpoint/index.js';
 import {type Entry as CatalogueEntry, catalogueStream, type Change} from '../../src/catalogue/index.js';
 import {ClaimKeeper} from '../../src/entry/claims/index.js';
 import {Entry, type EntryOptions} from '../../src/entry/index.js';
@@ -11,10 +11,10 @@
 } from '../../src/platform/index.js';
 import {type Placement, subsetPlacement} from '../../src/policy/placement/index.js';
 import {createSettings, type Scheduler, tiered} from '../../src/policy/scheduler/index.js';
-import {EndpointWatch, Side} from '../../src/side/index.js';
+import {type Backend, EndpointWatch, Side, type SideOptions} from '../../src/side/index.js';
 import {createLogger, forPart, type Logger} from '../../src/telemetry/index.js';
 import {
-	type EngineCosts, FakeEngine, FakeLog, FakeMembers,
+	type EngineCosts, FakeEngine, FakeLog, FakeMembers, FakeService,
 } from '../../fakes/index.js';
 import {type Security} from '../../src/wire/index.js';
 
@@ -33,6 +33,14 @@
 	sideParts: readonly AsyncDisposable[];
 };
 
+type SidePlan = {
+	readonly name: string;
+	readonly zone: string;
+	readonly targets: readonly string[];
+	readonly backend: Backend;
+	readonly quarantine?: SideOptions<unknown>['quarantine'];
+};
+
 export type LocalEntry = {readonly entry: Entry<any>; readonly follower: CatalogueFollower; readonly quarantine: QuarantineLedger; readonly claims: ClaimKeeper; readonly instance: InstanceId; readonly zone: string};
 
 export type LocalFleetOptions = {
@@ -74,6 +82,7 @@
 	readonly log: FakeLog;
 	readonly members: FakeMembers;
 	readonly logger: Logger;
+	readonly #services: AsyncDisposable[] = [];
 	readonly #options: LocalFleetOptions;
 	readonly #security: Security;
 
@@ -94,6 +103,17 @@
 		return endpoint;
 	}
 
+	/** Starts a plain service and its side, and lists the side. */
+	async addService(target: string, zone: string): Promise<FakeService> {
+		const service = await FakeService.create();
+		const client = ServiceClient.create({baseUrl: service.url});
+		const name = `service-${target}`;
+		const {side, instance, follower} = await this.#createSide({name, zone, targets: [target], backend: {type: 'service', client}});
+		this.members.set({instance, role: 'side', address: side.address, zone, state: 'live', endpoint: name, targets: [target]});
+		this.#services.push(side, client, follower, service);
+		return service;
+	}
+
 	/** Ends a side process without a word to anyone; its engine goes on. */
 	async crashSide(endpoint: LocalEndpoint): Promise<void> {
 		await disposeAll(endpoint.sideParts);
@@ -182,34 +202,41 @@
 	async [Symbol.asyncDispose](): Promise<void> {
 		await disposeAll(this.entries.flatMap(({entry, claims, quarantine, follower}) => [entry, claims, quarantine, follower]));
 		await disposeAll(this.endpoints.flatMap(({sideParts, engine}) => [...sideParts, engine]));
-		await disposeAll([this.members, this.log]);
+		await disposeAll([...this.#services, this.members, this.log]);
 	}
 
 	async #startSide(name: string, zone: string, engine: FakeEngine): Promise<LocalSide> {
-		const instance = createInstanceId('side');
-		const follower = this.#follow(instance);
 		const client = EngineClient.create({baseUrl: engine.url});
 		const control = EngineControl.create({baseUrl: engine.url, timeoutMilliseconds: healthTimeoutMilliseconds});
 		const ledger = QuarantineLedger.create({log: this.#logClient()});
+		const {side, instance, follower} = await this.#createSide({
+			name, zone, targets: this.#options.models, backend: {type: 'engine', client}, quarantine: {ledger, isHealthy: async () => control.isHealthy()},
+		});
+		const watch = EndpointWatch.create(control, side);
+		return {side, instance, sideParts: [watch, side, ledger, client, follower]};
+	}
+
+	async #createSide({name, zone, targets, backend, quarantine}: SidePlan): Promise<{side: Side<any>; instance: InstanceId; follower: CatalogueFollower}> {
+		const instance = createInstanceId('side');
+		const follower = this.#follow(instance);
 		const side = await Side.create({
 			instance,
 			endpoint: name as EndpointId,
-			targets: this.#options.models as TargetName[],
+			targets: targets as TargetName[],
 			zone: zone as ZoneName,
 			host: loopback,
 			port: 0,
 			security: this.#security,
-			engine: client,
+			backend,
 			scheduler: this.#options.scheduler?.() ?? tiered(createSettings()),
 			logger: forPart(this.logger, 'Side'),
-			quarantine: {ledger, isHealthy: async () => control.isHealthy()},
+			quarantine,
 			catalogueOffset: () => follower.current().offset,
 			onPeerMessage(message, reply) {
 				exchangeCatalogue(follower, message, reply);
 			},
 		});
-		const watch = EndpointWatch.create(control, side);
-		return {side, instance, sideParts: [watch, side, ledger, client, follower]};
+		return {side, instance, follower};
 	}
 
 	async #listSide({name, zone, side, instance}: LocalEndpoint): Promise<void> {
--- a/src/entry/claims/claim-guard.ts
+++ b/src/entry/claims/claim-guard.ts
@@ -61,10 +61,10 @@
 	}
 
 	/** The request ran to its end at an endpoint. */
-	* finished(answer: KeptAnswer, endpoint: string): Body<void> {
+	* finished(endpoint: string, answer?: KeptAnswer): Body<void> {
 		const outcome = yield * wait(this.#outcome);
 		if (outcome.type === 'won') {
-			this.#keeper.finish(outcome.claimId, {answer, endpoint});
+			this.#keeper.finish(outcome.claimId, {endpoint, ...(answer && {answer})});
 		}
 	}
 
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -3,7 +3,6 @@
 	combineVerdicts, createFailure, type EndpointId, type Failure, FailureKind, type RequestSummary, Verdict,
 } from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
-import {Suspicion} from '../policy/quarantine/index.js';
 import {Alarm} from './alarm.js';
 import {ClaimGuard, eventsOf, keepEvents, type ClaimKeeper, type ClaimRequest, type ClaimStop} from './claims/index.js';
 import {type Fleet} from './fleet.js';
@@ -11,10 +10,8 @@
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
 import {type RetryKeeper} from './retry-keeper.js';
-import {noEndpoint, type Slot, SlotSearch} from './slot.js';
-
-/** Pause before the sides are asked again when none can be used. */
-const noEndpointPauseMilliseconds = 100;
+import {type Slot} from './slot.js';
+import {SlotFinder, type SlotFound} from './slot-finder.js';
 
 export type ModelCallOptions = {
 	readonly fleet: Fleet;
@@ -49,24 +46,22 @@
 	readonly inbox: Channel<RequestEvent> = channel<RequestEvent>(inboxCapacity);
 	readonly #options: ModelCallOptions;
 	readonly #progress: Progress = {events: [], firstTokenAt: undefined};
-	readonly #excluded = new Set<EndpointId>();
+	readonly #finder: SlotFinder;
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
 	#failures = 0;
 	#preemptions = 0;
-	/** When it began to wait for its present slot search. */
-	#waitsSince: number;
 	readonly #alarm: Alarm;
 	readonly #claim: ClaimGuard | undefined;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
-		this.#waitsSince = options.arrivedAt;
 		this.#alarm = Alarm.create(this.inbox);
 		const {claim} = options;
 		this.#claim = claim && ClaimGuard.create(claim.keeper, claim.request, () => {
 			tryDeliver(this.inbox, {type: 'claim-stopped'});
 		});
+		this.#finder = SlotFinder.create({...options, inbox: this.inbox, alarm: this.#alarm, claim: this.#claim});
 	}
 
 	/** The caller closed its connection. */
@@ -85,17 +80,13 @@
 
 	* #attempt(): Body<CallEnd> {
 		for (;;) {
-			const found = yield * this.#findSlot();
+			const found = yield * this.#finder.find({
+				promptTokens: this.#options.summary.promptTokens + this.#progress.events.length, preemptions: this.#preemptions,
+			});
 			if (found.type !== 'slot') {
 				return yield * this.#endWithoutSlot(found);
 			}
 
-			const stop = this.#claim && (yield * this.#claim.mayStart());
-			if (stop) {
-				this.#giveBack(found.slot);
-				return yield * this.#stopped(stop);
-			}
-
 			this.#attempts += 1;
 			const end = yield * this.#runAt(found.slot);
 			if (end.type === 'whole') {
@@ -114,7 +105,7 @@
 		}
 	}
 
-	* #endWithoutSlot(found: NoSlot): Body<CallEnd> {
+	* #endWithoutSlot(found: Exclude<SlotFound, {type: 'slot'}>): Body<CallEnd> {
 		switch (found.type) {
 			case 'failed': {
 				return yield * this.#fail(found.failure);
@@ -125,7 +116,7 @@
 			}
 
 			case 'claim-stopped': {
-				return yield * this.#stopped(this.#claim!.stop!);
+				return yield * this.#stopped(found.stop);
 			}
 		}
 	}
@@ -143,68 +134,6 @@
 		return {type: 'whole', tokens: events.length, firstTokenMilliseconds: undefined, attempts: this.#attempts};
 	}
 
-	/** A slot was offered and the body will not come. */
-	#giveBack({link, stream, endpoint}: Slot): void {
-		const {fleet, summary} = this.#options;
-		link.send({type: 'withdraw', stream, request: summary.id});
-		link.closeStream(stream);
-		fleet.observe({type: 'withdrawn', endpoint, request: summary.id});
-	}
-
-	* #findSlot(): Body<{type: 'slot'; slot: Slot} | NoSlot> {
-		const {fleet, summary} = this.#options;
-		let failure = noEndpoint();
-		while (this.#queueTimeLeft() > 0) {
-			if (this.#claim?.stop) {
-				return {type: 'claim-stopped'};
-			}
-
-			const suspicion = this.#suspicion();
-			if (suspicion === Suspicion.quarantined) {
-				return {type: 'failed', failure: quarantined()};
-			}
-
-			const endpoints = suspicion === Suspicion.suspect ? this.#sideForSuspect() : fleet.choose(summary, this.#excluded).endpoints;
-			if (endpoints.length === 0) {
-				yield * sleep(noEndpointPauseMilliseconds);
-				this.#excluded.clear();
-				continue;
-			}
-
-			this.#alarm.set(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create({fleet, summary: this.#summaryNow(), inbox: this.inbox, alarm: this.#alarm}).run(endpoints);
-			if (result.type !== 'failed') {
-				return result;
-			}
-
-			failure = result.failure;
-			if (suspicion === Suspicion.suspect || !this.#mayAskElsewhere(result.tried)) {
-				break;
-			}
-		}
-
-		return {type: 'failed', failure};
-	}
-
-	#suspicion(): Suspicion {
-		return this.#options.quarantine?.judge(this.#options.summary.fingerprint).suspicion ?? Suspicion.none;
-	}
-
-	#sideForSuspect(): readonly EndpointId[] {
-		const endpoint = this.#options.fleet.chooseForSuspect(this.#options.summary);
-		return endpoint === undefined ? [] : [endpoint];
-	}
-
-	/** After a refusal the remaining sides are asked, each once; a refusal by all is final and told at once. */
-	#mayAskElsewhere(tried: readonly EndpointId[]): boolean {
-		for (const endpoint of tried) {
-			this.#excluded.add(endpoint);
-		}
-
-		const {fleet, summary} = this.#options;
-		return fleet.choose(summary, this.#excluded).endpoints.length > 0;
-	}
-
 	* #runAt(slot: Slot): Body<RelayEnd> {
 		const {summary, path, call, fleet, answer} = this.#options;
 		const {events} = this.#progress;
@@ -243,27 +172,14 @@
 			return;
 		}
 
-		this.#excluded.add(slot.endpoint);
-	}
-
-	/** What a side must know now: the time that is left, and what the answer so far adds to the prompt. */
-	#summaryNow(): RequestSummary {
-		const {summary} = this.#options;
-		const waited = performance.now() - this.#waitsSince;
-		return {
-			...summary,
-			firstTokenMilliseconds: Math.max(0, summary.firstTokenMilliseconds - waited),
-			queueMilliseconds: Math.max(0, summary.queueMilliseconds - waited),
-			promptTokens: summary.promptTokens + this.#progress.events.length,
-			preemptions: this.#preemptions,
-		};
+		this.#finder.exclude(slot.endpoint);
 	}
 
 	/** Waits as long as the retry policy asks; a stream that was cut may wait for a slot as long as a new request. */
 	* #mayGoOn(failure: Failure): Body<boolean> {
 		this.#verdict = combineVerdicts(this.#verdict, failure.verdict);
 		if (this.#progress.events.length > 0 || failure.kind === FailureKind.preempted) {
-			this.#waitsSince = performance.now();
+			this.#finder.restartWait();
 		}
 
 		if (failure.kind !== FailureKind.preempted) {
@@ -271,8 +187,9 @@
 		}
 
 		const {summary, retries} = this.#options;
-		const deadline = this.#waitsSince + summary.queueMilliseconds;
-		const decision = retries.decide({failure, attempts: this.#failures, idempotent: summary.idempotent, bodyLeft: true, deadline});
+		const decision = retries.decide({
+			failure, attempts: this.#failures, idempotent: summary.idempotent, bodyLeft: true, deadline: this.#finder.deadline,
+		});
 		if (decision.type === 'give-up') {
 			return false;
 		}
@@ -281,16 +198,12 @@
 		return true;
 	}
 
-	#queueTimeLeft(): number {
-		return this.#waitsSince + this.#options.summary.queueMilliseconds - performance.now();
-	}
-
 	* #whole(usage: string | undefined, endpoint: EndpointId): Body<CallEnd> {
 		const {answer, arrivedAt} = this.#options;
 		answer.finish(usage);
 		const {firstTokenAt, events} = this.#progress;
 		if (this.#claim) {
-			yield * this.#claim.finished(keepEvents({events, usage}), endpoint);
+			yield * this.#claim.finished(endpoint, keepEvents({events, usage}));
 		}
 
 		return {
@@ -312,9 +225,6 @@
 	}
 }
 
-/** Why a request has no slot and won't get one. */
-type NoSlot = {readonly type: 'failed'; readonly failure: Failure} | {readonly type: 'caller-left'} | {readonly type: 'claim-stopped'};
-
 type TokenEvent = {choices?: Array<{delta?: {content?: string | undefined}; text?: string}>};
 
 /** The text of an answer so far, as an engine needs it to resume. */
@@ -325,10 +235,6 @@
 	}).join('');
 }
 
-function quarantined(): Failure {
-	return createFailure(FailureKind.quarantined, 'Endpoints that ran this request crashed; it is not run again for some minutes.');
-}
-
 /** The failure of a request that came while its entry was stopping. */
 export function stoppingFailure(): Failure {
 	return createFailure(FailureKind.stopping, 'This instance is stopping.', {retryAfterMilliseconds: 0});
--- a/src/side/work.ts
+++ b/src/side/work.ts
@@ -1,5 +1,5 @@
-import {channel, spawn, tryDeliver} from '../concurrency/index.js';
-import {type EngineClient} from '../endpoint/index.js';
+import {type Body, channel, spawn, tryDeliver} from '../concurrency/index.js';
+import {type EngineClient, type ServiceClient} from '../endpoint/index.js';
 import {createFailure, type EndpointId, FailureKind, type InstanceId, type RequestSummary, Verdict} from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {
@@ -8,8 +8,11 @@
 import {type MessageOf} from '../wire/index.js';
 import {CrashWatch} from './crash-watch.js';
 import {type EntryLink} from './entry-link.js';
-import {type RunEnd, runModel} from './model-run.js';
-import {type Reservation, type RunInput, toEntry} from './reservation.js';
+import {runModel} from './model-run.js';
+import {
+	type Reservation, type RunEnd, type RunInput, type RunningPhase, toEntry,
+} from './reservation.js';
+import {runService} from './service-run.js';
 import {SuspectGate, type SuspectGateOwner} from './suspect-gate.js';
 
 /** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
@@ -18,7 +21,7 @@
 export const offerHoldMilliseconds = 1000;
 
 export type WorkOptions<State> = {
-	readonly engine: EngineClient;
+	readonly backend: Backend;
 	readonly scheduler: Scheduler<State>;
 	readonly instance: InstanceId;
 	readonly endpoint: EndpointId;
@@ -27,6 +30,11 @@
 	readonly endpointDown: () => void;
 };
 
+/** The client of the endpoint, by its kind. */
+export type Backend
+	= | {readonly type: 'engine'; readonly client: EngineClient}
+		| {readonly type: 'service'; readonly client: ServiceClient};
+
 /** What ran at a side and what became of it. */
 export type WorkCounts = Record<Outcome | 'refused' | 'tokens', number>;
 
@@ -122,16 +130,19 @@
 			return;
 		}
 
-		const phase = {type: 'running' as const, input: channel<RunInput>(runInputCapacity), abort: new AbortController()};
+		const phase = {
+			type: 'running' as const, input: channel<RunInput>(runInputCapacity), abort: new AbortController(), isBodyOpen: message.more,
+		};
 		reservation.phase = phase;
 		reservation.progressedAt = performance.now();
 		this.apply({type: 'started', id: reservation.id});
-		const run = {
-			engine: this.#options.engine, reservation, phase, start: message, onTokens: (tokens: number) => {
-				this.#progressed(reservation, tokens);
-			},
-		};
-		void spawn('run', () => runModel(run)).then(async end => {
+		// Failure: the scheduler has taken the slot back and refuses in this very step. Symptom: the
+		// entry hears not-run and the endpoint runs it all the same. Only what is still held is run.
+		if (!this.#reservations.has(reservation.id)) {
+			return;
+		}
+
+		void spawn('run', () => this.#run(reservation, phase, message)).then(async end => {
 			await this.#lookAtEndpoint(end);
 			this.#finished(reservation, end);
 		});
@@ -178,6 +189,23 @@
 		});
 	}
 
+	#run(reservation: Reservation, phase: RunningPhase, start: MessageOf<'start'>): Body<RunEnd> {
+		const {backend} = this.#options;
+		switch (backend.type) {
+			case 'engine': {
+				const onTokens = (tokens: number) => {
+					this.#progressed(reservation, tokens);
+				};
+
+				return runModel({engine: backend.client, reservation, phase, start, onTokens});
+			}
+
+			case 'service': {
+				return runService({service: backend.client, reservation, phase, start});
+			}
+		}
+	}
+
 	/** Takes a reservation that has not begun out of the queue. */
 	#leave(reservation: Reservation): void {
 		const queued = !this.#gate?.holds(reservation);
@@ -227,9 +255,12 @@
 		this.apply({type: 'finished', id: reservation.id, outcome});
 	}
 
-	/** Stops what the engine does for a request. A non-idempotent one is never stopped: it ends by itself. */
+	/**
+	 * Stops what the endpoint does for a request. A non-idempotent one is never stopped: it ends by
+	 * itself. The exception is one whose body will never be complete, which would wait for ever.
+	 */
 	#stopRun(reservation: Reservation, why: 'cancelled' | 'preempted'): void {
-		if (reservation.phase.type !== 'running' || !reservation.summary.idempotent) {
+		if (reservation.phase.type !== 'running' || !(reservation.summary.idempotent || reservation.phase.isBodyOpen)) {
 			return;
 		}
 
