Give an offered slot back when the claim of a key takes longer than the side holds it

Change: the side tells the queue's own figure; the entry gives a slot back after half of it and searches again with the claim won.

--- a/src/entry/slot-finder.ts
+++ b/src/entry/slot-finder.ts
@@ -68,19 +68,26 @@
 	 * that sides see. A slot for a keyed request is returned only once its claim is certain.
 	 */
 	* find(changes: Partial<RequestSummary> = {}): Body<SlotFound> {
-		const found = yield * this.#search(changes);
 		const {claim} = this.#options;
-		if (found.type !== 'slot' || !claim) {
-			return found;
-		}
+		for (;;) {
+			const found = yield * this.#search(changes);
+			if (found.type !== 'slot' || !claim) {
+				return found;
+			}
 
-		const stop = yield * claim.mayStart();
-		if (!stop) {
-			return found;
-		}
+			const stop = yield * claim.mayStart();
+			if (!stop && performance.now() < (found.slot.startBefore ?? Infinity)) {
+				return found;
+			}
 
-		this.#giveBack(found.slot);
-		return {type: 'claim-stopped', stop};
+			this.#giveBack(found.slot);
+			if (stop) {
+				return {type: 'claim-stopped', stop};
+			}
+
+			// Failure: the claim took longer than the side holds the slot. Symptom: the body meets a lapsed
+			// offer, and a request that may not be repeated is refused. With the claim won, a slot is sought anew.
+		}
 	}
 
 	/** A slot was offered and the body will not come. */
--- a/src/entry/slot.ts
+++ b/src/entry/slot.ts
@@ -9,7 +9,13 @@
 import {type SideLink} from './side-link.js';
 
 /** A slot that a side holds for this request; the body may leave for it. */
-export type Slot = {readonly endpoint: EndpointId; readonly link: SideLink; readonly stream: number};
+export type Slot = {
+	readonly endpoint: EndpointId;
+	readonly link: SideLink;
+	readonly stream: number;
+	/** Until when the body may leave: half of the time that the side holds the slot. */
+	readonly startBefore?: number;
+};
 
 export type SlotResult
 	= | {readonly type: 'slot'; readonly slot: Slot}
@@ -117,7 +123,7 @@
 			this.#options.fleet.observe({type: 'offered', endpoint: slot.endpoint, request: this.#options.summary.id});
 			this.#open.delete(keyOf(link, message.stream));
 			this.#withdrawAll();
-			return {type: 'slot', slot};
+			return {type: 'slot', slot: {...slot, startBefore: performance.now() + (message.holdMilliseconds / 2)}};
 		}
 
 		if (message.type === 'refuse' || message.type === 'fail') {
--- a/src/side/work.ts
+++ b/src/side/work.ts
@@ -3,7 +3,7 @@
 import {createFailure, type EndpointId, FailureKind, type InstanceId, type RequestSummary, Verdict} from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {
-	type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
+	createSettings, type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
 } from '../policy/scheduler/index.js';
 import {type MessageOf} from '../wire/index.js';
 import {CrashWatch} from './crash-watch.js';
@@ -18,7 +18,7 @@
 /** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
 const runInputCapacity = 1000;
 /** How long an offered slot is kept for an entry that does not answer. */
-export const offerHoldMilliseconds = 1000;
+export const offerHoldMilliseconds = createSettings().holdMilliseconds;
 
 export type WorkOptions<State> = {
 	readonly backend: Backend;
