--- a/src/entry/service-call.ts
+++ b/src/entry/service-call.ts
@@ -5,8 +5,10 @@
 } from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {type MessageOf, type StreamMessage} from '../wire/index.js';
+import {ReasonCode} from '../telemetry/index.js';
 import {Alarm} from './alarm.js';
 import {ClaimGuard, type ClaimKeeper, type ClaimRequest, type ClaimStop} from './claims/index.js';
+import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {drainedOrClosed} from './protocol/index.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
@@ -22,6 +24,7 @@
 const stalledMilliseconds = 70_000;
 
 export type ServiceCallOptions = {
+	readonly telemetry: EntryTelemetry;
 	readonly fleet: Fleet;
 	readonly summary: RequestSummary;
 	readonly method: string;
@@ -88,18 +91,22 @@
 	}
 
 	* #attempt(): Body<void> {
+		const {telemetry, summary} = this.#options;
 		for (;;) {
 			const found = yield * this.#finder.find();
 			const end = found.type === 'slot' ? yield * this.#runAt(found.slot) : endOf(found);
 			if (end.type !== 'failed') {
 				yield * this.#settleClaim(end, found);
+				telemetry.record(summary.id, end.type === 'whole' ? ReasonCode.finished : ReasonCode.cancelled);
 				return;
 			}
 
 			this.#verdict = combineVerdicts(this.#verdict, end.failure.verdict);
 			if (found.type !== 'slot' || !(yield * this.#mayGoOn(end.failure))) {
 				const verdict = this.#claim ? yield * this.#claim.failed(this.#verdict) : this.#verdict;
-				this.#answer.fail({...end.failure, verdict});
+				const failure = {...end.failure, verdict};
+				telemetry.refused(summary.id, failure);
+				this.#answer.fail(failure);
 				return;
 			}
 
