--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,10 +3,12 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {decisionsCommand} from './decisions/index.js';
+import {pathCommand} from './path/index.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
 	.command(decisionsCommand)
+	.command(pathCommand)
 	.demandCommand(1)
 	.strict()
 	.help()
--- /dev/null
+++ b/bench/path/engine-process.ts
@@ -0,0 +1,11 @@
+/** A stand-in engine in a process of its own: its costs are the first argument, as JSON. */
+import process from 'node:process';
+import {type EngineCosts, FakeEngine} from '../../fakes/index.js';
+
+const costs = JSON.parse(process.argv[2] ?? '{}') as Partial<EngineCosts>;
+const engine = await FakeEngine.create({models: ['model'], costs});
+console.error(JSON.stringify({msg: 'Listening.', address: engine.url}));
+await new Promise(resolve => {
+	process.once('SIGTERM', resolve);
+});
+await engine[Symbol.asyncDispose]();
