--- a/bench/path/processes.ts
+++ b/bench/path/processes.ts
@@ -41,7 +41,7 @@
 	async usage(): Promise<Usage> {
 		const response = await fetch(`http://127.0.0.1:${this.#adminPort}/metrics`);
 		const text = await response.text();
-		const read = (name: string) => Number(new RegExp(String.raw`^${name}\{[^}]*\} (?<value>\S+)$`, 'mv').exec(text)?.groups?.value);
+		const read = (name: string) => Number(new RegExp(String.raw`^${name}\{[^\}]*\} (?<value>\S+)$`, 'mv').exec(text)?.groups?.value);
 		return {
 			processorSeconds: read('process_cpu_seconds_total'), residentBytes: read('process_resident_memory_bytes'), heapBytes: read('nodejs_heap_size_used_bytes'),
 		};
--- a/test/bin/binaries.test.ts
+++ b/test/bin/binaries.test.ts
@@ -9,7 +9,8 @@
 const bin = 'dist/src/bin';
 const variables = {PATH: process.env.PATH, HOME: process.env.HOME};
 
-type Ended = {code: number | undefined; output: string; errors: string};
+type ExitCode = ChildProcess['exitCode'];
+type Ended = {code: ExitCode; output: string; errors: string};
 
 function start(file: string, parameters: readonly string[], environment: Record<string, string> = {}): ChildProcess {
 	return spawn(process.execPath, [file, ...parameters], {env: {...variables, ...environment}, stdio: ['ignore', 'pipe', 'pipe']});
@@ -24,7 +25,7 @@
 	child.stderr!.setEncoding('utf8').on('data', (text: string) => {
 		ended.errors += text;
 	});
-	const [code] = await once(child, 'close') as [number | undefined];
+	const [code] = await once(child, 'close') as [ExitCode];
 	return {...ended, code};
 }
 
@@ -43,7 +44,7 @@
 async function stop(child: ChildProcess): Promise<number | undefined> {
 	const exit = once(child, 'exit');
 	child.kill('SIGTERM');
-	const [code] = await exit as [number | undefined];
+	const [code] = await exit as [ExitCode];
 	return code;
 }
 
