Report progress in portions and write once a turn

Cause: at 64 streams an entry spent 13% and a side 15% of its time on copying policy state for every token, and a side wrote to its entry once a stream and step. Change: placement hears of a stream's progress every 100 ms and the scheduler every 20 ms, first tokens at once; a connection flushes after every ready socket has been read. A caller's slowness is taken off both clocks.

--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -27,6 +27,9 @@
 /** How long a side may send nothing while a request runs there, before it counts as hung. */
 export const stalledMilliseconds = 20_000;
 
+/** How often placement hears of one stream's progress; stragglers are judged over seconds. */
+const reportMilliseconds = 100;
+
 export type RelayOptions = {
 	readonly fleet: Fleet;
 	readonly summary: RequestSummary;
@@ -51,6 +54,8 @@
 	readonly #options: RelayOptions;
 	#owed = 0;
 	#progressedAt = performance.now();
+	/** Tokens since `#progressedAt` that placement has not heard of. */
+	#unreportedTokens = 0;
 
 	private constructor(options: RelayOptions) {
 		this.#options = options;
@@ -141,27 +146,34 @@
 		this.#observe(message.events.length);
 		progress.events.push(...message.events);
 		if (!answer.write(message.events)) {
+			const waitsSince = performance.now();
 			yield * wait(answer.drained());
 			// The time that a slow caller takes says nothing about the endpoint.
-			this.#progressedAt = performance.now();
+			this.#progressedAt += performance.now() - waitsSince;
 		}
 
 		this.#giveCredit(message.events.length);
 		return undefined;
 	}
 
+	/** Tells placement of progress, a few times a second at most: it copies its state on each event. */
 	#observe(tokens: number): void {
 		const {fleet, slot, summary, progress} = this.#options;
 		const now = performance.now();
 		const milliseconds = now - this.#progressedAt;
-		this.#progressedAt = now;
 		if (progress.firstTokenAt === undefined) {
 			progress.firstTokenAt = now;
+			this.#progressedAt = now;
 			fleet.observe({type: 'first-token', endpoint: slot.endpoint, request: summary.id, milliseconds});
 			return;
 		}
 
-		fleet.observe({type: 'progressed', endpoint: slot.endpoint, request: summary.id, tokens, milliseconds});
+		this.#unreportedTokens += tokens;
+		if (milliseconds >= reportMilliseconds) {
+			fleet.observe({type: 'progressed', endpoint: slot.endpoint, request: summary.id, tokens: this.#unreportedTokens, milliseconds});
+			this.#progressedAt = now;
+			this.#unreportedTokens = 0;
+		}
 	}
 
 	#giveCredit(events: number): void {
--- a/src/side/credit-window.ts
+++ b/src/side/credit-window.ts
@@ -12,11 +12,11 @@
 	}
 
 	/**
-	 * True if the last `hasCredit` had to wait. Failure: a caller's slowness is counted as time
-	 * between the engine's tokens. Symptom: one slow caller takes slots from everybody. Whoever
-	 * measures the engine starts its clock anew after such a wait.
+	 * How long the last `hasCredit` waited. Failure: a caller's slowness is counted as time between
+	 * the engine's tokens. Symptom: one slow caller takes slots from everybody. Whoever measures the
+	 * engine takes this time off.
 	 */
-	hasWaited = false;
+	waitedMilliseconds = 0;
 	#available: number;
 	readonly #input: Channel<RunInput>;
 
@@ -32,20 +32,35 @@
 
 	/** Takes the credit that has come and waits for some if there is none; false if the entry cancelled. */
 	* hasCredit(): Body<boolean> {
-		this.hasWaited = this.#available <= 0;
-		for (;;) {
-			const message = this.#available > 0 ? tryReceive(this.#input) : yield * receive(this.#input);
-			if (message === undefined) {
-				return this.#available > 0;
+		this.waitedMilliseconds = 0;
+		while (this.#available <= 0) {
+			const waitsSince = performance.now();
+			const message = yield * receive(this.#input);
+			this.waitedMilliseconds += performance.now() - waitsSince;
+			if (!this.#take(message)) {
+				return false;
 			}
+		}
 
-			if (message.type === 'cancel') {
+		for (let message = tryReceive(this.#input); message !== undefined; message = tryReceive(this.#input)) {
+			if (!this.#take(message)) {
 				return false;
 			}
+		}
 
-			if (message.type === 'credit') {
-				this.#available += message.events;
-			}
+		return true;
+	}
+
+	/** False if the run is over: cancelled, or its input closed. */
+	#take(message: RunInput | undefined): boolean {
+		if (message === undefined || message.type === 'cancel') {
+			return false;
+		}
+
+		if (message.type === 'credit') {
+			this.#available += message.events;
 		}
+
+		return true;
 	}
 }
--- a/src/side/model-run.ts
+++ b/src/side/model-run.ts
@@ -34,9 +34,7 @@
 		signal: phase.abort.signal,
 	});
 	while (yield * credit.hasCredit()) {
-		if (credit.hasWaited) {
-			reservation.progressedAt = performance.now();
-		}
+		reservation.progressedAt += credit.waitedMilliseconds;
 
 		const next = yield * wait(events.next());
 		if (phase.stopped) {
--- a/src/side/reservation.ts
+++ b/src/side/reservation.ts
@@ -33,8 +33,12 @@
 	readonly stream: number;
 	readonly summary: RequestSummary;
 	phase: ReservationPhase;
-	/** When the last tokens came, for the time between tokens. */
+	/** When the scheduler last heard of tokens, for the time between tokens. */
 	progressedAt: number;
+	/** Tokens since then. */
+	unreportedTokens: number;
+	/** True once the first token has been reported. */
+	hasProgressed: boolean;
 };
 
 /** A message to the entry, without the stream and request that `toEntry` adds. */
--- a/src/side/work.ts
+++ b/src/side/work.ts
@@ -17,6 +17,8 @@
 
 /** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
 const runInputCapacity = 1000;
+/** How often the scheduler hears of one stream's progress; slots are adapted over longer windows. */
+const reportMilliseconds = 20;
 /** How long an offered slot is kept for an entry that does not answer. */
 export const offerHoldMilliseconds = 1000;
 
@@ -81,7 +83,7 @@
 		}
 
 		const reservation: Reservation = {
-			id: `${link.number}:${message.stream}`, link, stream: message.stream, summary: message.summary as RequestSummary, phase: {type: 'waiting'}, progressedAt: 0,
+			id: `${link.number}:${message.stream}`, link, stream: message.stream, summary: message.summary as RequestSummary, phase: {type: 'waiting'}, progressedAt: 0, unreportedTokens: 0, hasProgressed: false,
 		};
 		link.reservations.set(message.stream, reservation);
 		this.#reservations.set(reservation.id, reservation);
@@ -237,14 +239,28 @@
 		}
 	}
 
+	/** The scheduler hears of the first tokens at once, then in portions: it copies its state on each event. */
 	#progressed(reservation: Reservation, tokens: number): void {
 		const now = performance.now();
 		this.counts.tokens += tokens;
-		this.apply({type: 'progressed', id: reservation.id, tokens, milliseconds: now - reservation.progressedAt});
+		reservation.unreportedTokens += tokens;
+		if (!reservation.hasProgressed || now - reservation.progressedAt >= reportMilliseconds) {
+			this.#reportProgress(reservation, now);
+		}
+	}
+
+	#reportProgress(reservation: Reservation, now: number): void {
+		const {id, unreportedTokens, progressedAt} = reservation;
+		reservation.unreportedTokens = 0;
+		reservation.hasProgressed = true;
 		reservation.progressedAt = now;
+		if (unreportedTokens > 0) {
+			this.apply({type: 'progressed', id, tokens: unreportedTokens, milliseconds: now - progressedAt});
+		}
 	}
 
 	#finished(reservation: Reservation, end: RunEnd): void {
+		this.#reportProgress(reservation, performance.now());
 		const outcome = outcomeOf(reservation, end);
 		this.counts[outcome] += 1;
 		this.#forget(reservation, outcome === 'whole');
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -62,14 +62,17 @@
 		return !this.#socket.destroyed;
 	}
 
-	/** Queues a message; it leaves at the end of this turn. A closed connection drops it. */
+	/**
+	 * Queues a message; it leaves at the end of this turn of the event loop, after every socket that
+	 * was ready has been read, in one write with the others. A closed connection drops it.
+	 */
 	send(message: Message): void {
 		if (this.#socket.destroyed) {
 			return;
 		}
 
 		if (this.#unsent.length === 0) {
-			queueMicrotask(() => {
+			setImmediate(() => {
 				this.#flush();
 			});
 		}
--- a/test/bin/binaries.test.ts
+++ b/test/bin/binaries.test.ts
@@ -41,7 +41,7 @@
 	throw new Error('The program ended before it listened.');
 }
 
-async function stop(child: ChildProcess): Promise<number | undefined> {
+async function stop(child: ChildProcess): Promise<ExitCode> {
 	const exit = once(child, 'exit');
 	child.kill('SIGTERM');
 	const [code] = await exit as [ExitCode];
