--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,11 +3,15 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {decisionsCommand} from './decisions/index.js';
+import {controlCommand} from './control/index.js';
+import {limitsCommand} from './limits/index.js';
 import {pathCommand} from './path/index.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
 	.command(decisionsCommand)
+	.command(limitsCommand)
+	.command(controlCommand)
 	.command(pathCommand)
 	.demandCommand(1)
 	.strict()
--- a/src/entry/side-link.ts
+++ b/src/entry/side-link.ts
@@ -100,6 +100,11 @@
 			return;
 		}
 
+		if (message.type === 'limit-report' || message.type === 'limit-lease') {
+			this.close(`a side sent ${message.type}`);
+			return;
+		}
+
 		if (message.type === 'quarantine') {
 			owner.quarantineHeard(message.records);
 			return;
--- a/src/side/reservation.ts
+++ b/src/side/reservation.ts
@@ -33,6 +33,7 @@
 	readonly stream: number;
 	readonly summary: RequestSummary;
 	phase: ReservationPhase;
+	readonly arrivedAt: number;
 	/** When the scheduler last heard of tokens, for the time between tokens. */
 	progressedAt: number;
 	/** Tokens since then. */
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -91,7 +91,7 @@
 });
 /** Side to entry: what placement may go by; sent on change, and rate-limited. */
 const state = z.object({
-	type: z.literal('state'), phase: z.enum(['serving', 'leaving', 'down']), slots: z.number(), running: z.number(), waiting: z.array(z.number()), tokenMilliseconds: milliseconds,
+	type: z.literal('state'), phase: z.enum(['serving', 'leaving', 'down']), slots: z.number(), running: z.number(), firm: z.array(z.number()).optional(), waiting: z.array(z.number()), tokenMilliseconds: milliseconds,
 });
 /** Either way: asks the peer for catalogue records from this offset on. */
 const pull = z.object({type: z.literal('pull'), from: z.number().int().nonnegative()});
@@ -102,9 +102,42 @@
 /** Either way: records of crashes by requests that the peer may not know. */
 const quarantine = z.object({type: z.literal('quarantine'), records: z.array(quarantineRecordSchema)});
 
+const rate = z.number().nonnegative();
+/** Entry to the keeper of some classes' fleet-wide limits: what it would use of each if nothing held it back. */
+const limitReport = z.object({
+	type: z.literal('limit-report'),
+	holder: text,
+	classes: z.array(z.object({name: text, requestsPerSecond: rate, tokensPerSecond: rate, concurrency: rate, running: z.number().int().nonnegative()})),
+});
+/** The keeper's answer: the entry's share of each, for a time from receipt. */
+const limitLease = z.object({
+	type: z.literal('limit-lease'),
+	classes: z.array(z.object({name: text, requestsPerSecond: rate, tokensPerSecond: rate, concurrency: rate, milliseconds})),
+});
+
 /** Every message, by `type`. */
 export const messageSchema = z.discriminatedUnion('type', [
-	hello, heartbeat, reserve, offer, refuse, withdraw, start, body, credit, cancel, chunk, head, data, end, fail, state, pull, records, quarantine,
+	hello,
+	heartbeat,
+	reserve,
+	offer,
+	refuse,
+	withdraw,
+	start,
+	body,
+	credit,
+	cancel,
+	chunk,
+	head,
+	data,
+	end,
+	fail,
+	state,
+	pull,
+	records,
+	quarantine,
+	limitReport,
+	limitLease,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
