--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import {controlCommand} from './control/index.js';
 import {loadCommand} from './load/index.js';
 import {limitsCommand} from './limits/index.js';
+import {pathCommand} from './path/index.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
@@ -13,6 +14,7 @@
 	.command(limitsCommand)
 	.command(controlCommand)
 	.command(loadCommand)
+	.command(pathCommand)
 	.demandCommand(1)
 	.strict()
 	.help()
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -4,7 +4,7 @@
 import {type Catalogue} from '../catalogue/index.js';
 import {type Body, spawn, wait} from '../concurrency/index.js';
 import {
-	createFailure, createRequestId, FailureKind, type InstanceId, RequestError, type RequestId, type WorkspaceName, type ZoneName,
+	createFailure, createRequestId, FailureKind, type InstanceId, RequestError, type RequestId, type RequestSummary, type WorkspaceName, type ZoneName,
 } from '../model/index.js';
 import {type CatalogueMessage, type MembershipClient, type QuarantineLedger} from '../platform/index.js';
 import {type Placement} from '../policy/placement/index.js';
@@ -13,6 +13,7 @@
 	DecisionJournal, Metrics, type PartLogger, type StatusAnswer,
 } from '../telemetry/index.js';
 import {type Security} from '../wire/index.js';
+import {type ClaimKeeper, type ClaimRequest} from './claims/index.js';
 import {type Caller, checkTarget, identifyCaller, summarize} from './admission.js';
 import {EntryTelemetry} from './entry-telemetry.js';
 import {Fleet} from './fleet.js';
@@ -45,6 +46,8 @@
 	readonly random: () => number;
 	/** What is known of requests that crash endpoints; without it none is refused. */
 	readonly quarantine?: QuarantineLedger;
+	/** Claims idempotency keys; without it a keyed request that may not be repeated is refused. */
+	readonly claims?: ClaimKeeper;
 	/** Metrics and decisions; a private one if left out. */
 	readonly telemetry?: EntryTelemetry;
 	readonly onPeerMessage?: (link: SideLink, message: CatalogueMessage) => void;
@@ -234,6 +237,21 @@
 		return this.#options.catalogue.current();
 	}
 
+	/** What must be claimed before the request may run: nothing, if it may be repeated or has no key. */
+	#claimOf(request: IncomingMessage, summary: RequestSummary, fingerprint: string): {keeper: ClaimKeeper; request: ClaimRequest} | undefined {
+		const key = headerText(request, 'idempotency-key');
+		if (summary.idempotent || key === undefined) {
+			return undefined;
+		}
+
+		const {claims} = this.#options;
+		if (!claims) {
+			throw RequestError.create(createFailure(FailureKind.claimUnavailable, 'Idempotency keys can not be claimed here.'));
+		}
+
+		return {keeper: claims, request: {workspace: summary.workspace, key, fingerprint, requestId: summary.id}};
+	}
+
 	* #serveServiceCall(context: CallContext<ServiceRoute>): Body<void> {
 		const {id, request, response, arrivedAt, route, catalogue, caller} = context;
 		const method = request.method ?? 'GET';
@@ -262,6 +280,7 @@
 			arrivedAt,
 			retries: this.retries,
 			quarantine: this.#options.quarantine,
+			claim: this.#claimOf(request, summary, summary.fingerprint),
 		});
 		response.once('close', () => {
 			if (!response.writableFinished) {
@@ -284,6 +303,7 @@
 		this.telemetry.classified(summary);
 		const inProgress = ModelCallInProgress.create({
 			telemetry: this.telemetry, fleet: this.fleet, summary, path: route.path, call, answer, arrivedAt, retries: this.retries, quarantine: this.#options.quarantine,
+			claim: this.#claimOf(request, summary, call.fingerprintSource),
 		});
 		response.once('close', () => {
 			if (!response.writableFinished) {
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -73,8 +73,8 @@
 	 * The one side that may run a suspect: the same at every entry that sees the same sides, so that
 	 * one endpoint at a time is risked for it.
 	 */
-	chooseForSuspect(summary: RequestSummary): EndpointId | undefined {
-		const serving = this.connected.filter(({identity, state}) => identity?.targets.includes(summary.target) && state?.phase === 'serving');
+	chooseForSuspect(summary: RequestSummary, excluded: ReadonlySet<EndpointId>): EndpointId | undefined {
+		const serving = this.connected.filter(({identity, state}) => identity?.targets.includes(summary.target) && state?.phase === 'serving' && !excluded.has(identity.endpoint));
 		return rankByRendezvous(summary.fingerprint, serving.map(({identity}) => identity!.endpoint))[0];
 	}
 
