--- a/bench/harness/local-fleet.ts
+++ b/bench/harness/local-fleet.ts
@@ -19,6 +19,8 @@
 
 const platformTimeoutMilliseconds = 2000;
 const healthTimeoutMilliseconds = 1000;
+/** The harness's callers ask each entry whether it is ready before each call, so they need little. */
+const balancerMilliseconds = 100;
 const loopback = '127.0.0.1';
 
 /** One endpoint with its side, as started by the harness. */
@@ -170,10 +172,10 @@
 	}
 
 	async stopEntry(local: LocalEntry): Promise<void> {
-		await local.entry.drain();
+		await local.entry.drain(balancerMilliseconds);
 		this.members.remove(local.instance);
-		await disposeAll([local.entry, local.quarantine, local.follower]);
 		this.entries.splice(this.entries.indexOf(local), 1);
+		await disposeAll([local.entry, local.quarantine, local.follower]);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
--- a/bench/soak/checker.ts
+++ b/bench/soak/checker.ts
@@ -23,6 +23,8 @@
 export type Truth = {
 	readonly runsOfPrompt: (prompt: string) => number;
 	readonly runsOfKey: (key: string) => number;
+	/** How many engines each prompt took down. */
+	readonly crashesByPrompt: ReadonlyMap<string, number>;
 	/** When each entry that did not stop as planned went away. */
 	readonly crashedEntries: ReadonlyMap<string, number>;
 };
@@ -89,6 +91,15 @@
 	});
 }
 
+/** What one request that crashes endpoints may take down within the quarantine's time, which outlasts a run. */
+const mostCrashes = 2;
+
+export function checkCrashes(truth: Truth, at: number): Violation[] {
+	return [...truth.crashesByPrompt].filter(([, crashes]) => crashes > mostCrashes).map(([prompt, crashes]) => ({
+		rule: 'requests that crash endpoints', detail: `${prompt} took down ${crashes} endpoints`, at,
+	}));
+}
+
 /** Watches one follower's offset, which may only rise. */
 export class OffsetWatch {
 	static create(): OffsetWatch {
--- a/bench/soak/load.ts
+++ b/bench/soak/load.ts
@@ -95,7 +95,7 @@
 	}
 
 	async #one({prompt, plan, workspace, target, leavesAfter, pause}: Call): Promise<void> {
-		const {address} = this.#world.entry(target).entry;
+		const {address} = this.#world.balance(target).entry;
 		const leaving = new AbortController();
 		const timer = leavesAfter === undefined
 			? undefined
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -69,6 +69,7 @@
 		return {
 			runsOfPrompt: prompt => sum(engine => engine.runsByPrompt.get(prompt) ?? 0),
 			runsOfKey: key => sum(engine => engine.runsByKey.get(key) ?? 0),
+			crashesByPrompt: this.#crashesByPrompt(),
 			crashedEntries: this.crashedEntries,
 		};
 	}
@@ -91,6 +92,12 @@
 		return this.fleet.entries[target % this.fleet.entries.length]!;
 	}
 
+	/** Where the platform's balancer sends a call: to an entry that says it is ready, if there is one. */
+	balance(target: number): LocalEntry {
+		const ready = this.fleet.entries.filter(({entry}) => entry.isReady);
+		return ready.length === 0 ? this.entry(target) : ready[target % ready.length]!;
+	}
+
 	endpoint(target: number): LocalEndpoint {
 		return this.fleet.endpoints[target % this.fleet.endpoints.length]!;
 	}
@@ -122,6 +129,17 @@
 		}
 	}
 
+	#crashesByPrompt(): Map<string, number> {
+		const total = new Map<string, number>();
+		for (const engine of this.engines) {
+			for (const [prompt, crashes] of engine.crashesByPrompt) {
+				total.set(prompt, (total.get(prompt) ?? 0) + crashes);
+			}
+		}
+
+		return total;
+	}
+
 	#seeOffsets(): void {
 		for (const {instance, follower} of this.fleet.entries) {
 			this.offsets.see(instance, follower.current().offset, performance.now());
--- a/fakes/engine/engine.ts
+++ b/fakes/engine/engine.ts
@@ -47,6 +47,8 @@
 	readonly runsByKey = new Map<string, number>();
 	/** How often each prompt was taken in from its first token: covers callers that learn no request id. */
 	readonly runsByPrompt = new Map<string, number>();
+	/** How often each poison prompt took this engine down. */
+	readonly crashesByPrompt = new Map<string, number>();
 	readonly loaded: LoadedState;
 	tokensProduced = 0;
 	/** Tokens of answers that were cut before their end. */
@@ -196,6 +198,7 @@
 		const {id, key, priority, first} = readHeaders(request.headers);
 		this.#count(id, key, first === 0 ? task.prompt : undefined);
 		if (this.faults.poison !== '' && task.prompt.includes(this.faults.poison)) {
+			increment(this.crashesByPrompt, task.prompt);
 			await this.crash();
 			return;
 		}
--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -56,7 +56,7 @@
 	});
 	log.info('Listening.', {address: entry.address, adminPort: admin.port});
 	log.info('Stopping.', {signal: await stopSignal()});
-	const whole = await withinMilliseconds(entry.drain(), settings.stopMilliseconds);
+	const whole = await withinMilliseconds(entry.drain(settings.balancerMilliseconds), settings.stopMilliseconds);
 	log.info(whole ? 'Stopped with nothing in progress.' : 'Stopped with requests in progress, after the time allowed.');
 }
 
--- a/src/bin/settings/entry-settings.ts
+++ b/src/bin/settings/entry-settings.ts
@@ -17,6 +17,7 @@
 		...platformSettings,
 		...transportSettings,
 		bodyLimitBytes: {schema: wholeNumber(1, 1024 * mebibyte).default(16 * mebibyte), description: 'Longest request body of a model call, in bytes.'},
+		balancerMilliseconds: {schema: wholeNumber(0, 600_000).default(5000), description: 'How long a stopping entry goes on serving new requests, until the balancer has noticed that it is not ready, in milliseconds.'},
 	},
 	check: checkTransport,
 });
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type Catalogue} from '../catalogue/index.js';
 import {type Body, spawn, wait} from '../concurrency/index.js';
 import {
@@ -61,6 +62,9 @@
 	readonly #options: EntryOptions<State>;
 	readonly #server: http.Server;
 	#active = 0;
+	/** Told the balancer to send nothing more. */
+	#leaving = false;
+	/** Refuses what still comes. */
 	#stopping = false;
 	#onIdle: (() => void) | undefined;
 
@@ -84,7 +88,7 @@
 
 	/** True while the balancer should send work here. */
 	get isReady(): boolean {
-		return !this.#stopping && this.#options.catalogue.isReady;
+		return !this.#leaving && this.#options.catalogue.isReady;
 	}
 
 	get activeRequests(): number {
@@ -103,8 +107,16 @@
 		};
 	}
 
-	/** Fails readiness, lets every request in progress end, and refuses new ones as not run. */
-	async drain(): Promise<void> {
+	/**
+	 * Fails readiness, lets every request in progress end, and refuses new ones as not run.
+	 *
+	 * Failure: the balancer hears of the failed readiness a moment later and sends here until then.
+	 * Symptom: a planned stop refuses callers that any other entry would have served. New requests are
+	 * therefore served as before for `balancerMilliseconds`, and refused only after it.
+	 */
+	async drain(balancerMilliseconds = 0): Promise<void> {
+		this.#leaving = true;
+		await delay(balancerMilliseconds);
 		this.#stopping = true;
 		if (this.#active > 0) {
 			await new Promise<void>(resolve => {
--- a/test/soak/checker.test.ts
+++ b/test/soak/checker.test.ts
@@ -1,5 +1,5 @@
 import tap from 'tap';
-import {checkCalls, checkKeys, OffsetWatch, type CallRecord, type Truth} from '../../bench/soak/checker.js';
+import {checkCalls, checkCrashes, checkKeys, OffsetWatch, type CallRecord, type Truth} from '../../bench/soak/checker.js';
 import {planFaults} from '../../bench/soak/plan.js';
 import {createRandom} from '../../bench/harness/random.js';
 
@@ -8,7 +8,7 @@
 };
 
 function truth(more: Partial<Truth> = {}): Truth {
-	return {runsOfPrompt: () => 1, runsOfKey: () => 1, crashedEntries: new Map(), ...more};
+	return {runsOfPrompt: () => 1, runsOfKey: () => 1, crashesByPrompt: new Map(), crashedEntries: new Map(), ...more};
 }
 
 function rules(calls: CallRecord[], known = truth()): string[] {
@@ -27,6 +27,7 @@
 	t.same(rules([{...call, key: 'k'}], truth({runsOfKey: () => 2})), ['at most once']);
 	t.same(rules([{...call, key: 'k', outcome: 'failed', verdict: 'not-run'}]), ['not run']);
 	t.same(rules([{...call, endedAt: 100_000}]), ['ends']);
+	t.same(checkCrashes(truth({crashesByPrompt: new Map([['poison', 3], ['other', 2]])}), 0).length, 1);
 });
 
 tap.test('an offset that goes back is found', async t => {
