--- a/src/bin/cassiaflow-side.ts
+++ b/src/bin/cassiaflow-side.ts
@@ -1,12 +1,13 @@
 #!/usr/bin/env node
-import {EngineClient, EngineControl} from '../endpoint/index.js';
+import {EngineClient, EngineControl, ServiceClient} from '../endpoint/index.js';
 import {
 	createInstanceId, type EndpointId, type InstanceId, type TargetName, type ZoneName,
 } from '../model/index.js';
 import {CatalogueFollower, exchangeCatalogue, HttpLogClient, QuarantineLedger} from '../platform/index.js';
 import {createSettings, tiered, type Violation} from '../policy/scheduler/index.js';
-import {EndpointWatch, Side} from '../side/index.js';
-import {AdminServer, createLogger, forPart, Metrics} from '../telemetry/index.js';
+import {type Backend, EndpointWatch, Side, SideTelemetry} from '../side/index.js';
+import {AdminServer, createLogger, createOperatorRoutes, DecisionJournal, forPart, Metrics,
+} from '../telemetry/index.js';
 import {
 	readSecurity, runProgram, sideSettings, type SideSettings,
 } from './settings/index.js';
@@ -31,8 +32,11 @@
 	});
 	const control = EngineControl.create({baseUrl: settings.endpointUrl, timeoutMilliseconds: healthTimeoutMilliseconds});
 	await using ledger = QuarantineLedger.create({log: HttpLogClient.create({baseUrl: settings.logUrl, timeoutMilliseconds: platformTimeoutMilliseconds})});
-	await using engine = EngineClient.create({baseUrl: settings.endpointUrl});
+	const backend = createBackend(settings);
+	await using _client = backend.client;
+	const journal = DecisionJournal.create();
 	await using side = await Side.create({
+		telemetry: SideTelemetry.create(metrics, journal),
 		instance,
 		endpoint: settings.endpoint as EndpointId,
 		targets: settings.targets as TargetName[],
@@ -40,7 +44,7 @@
 		host: settings.listenHost,
 		port: settings.listenPort,
 		security: readSecurity(sideSettings.program, settings),
-		engine,
+		backend,
 		scheduler: tiered(createSettings({
 			onViolation({rule, detail}: Violation) {
 				violations.add(1, {rule});
@@ -48,19 +52,24 @@
 			},
 		})),
 		logger: log,
-		quarantine: {ledger, isHealthy: async () => control.isHealthy()},
+		quarantine: backend.type === 'engine' ? {ledger, isHealthy: async () => control.isHealthy()} : undefined,
 		catalogueOffset: () => follower.current().offset,
 		onPeerMessage(message, reply) {
 			exchangeCatalogue(follower, message, reply);
 		},
 	});
-	await using _watch = EndpointWatch.create(control, side);
+	await using _watch = backend.type === 'engine' ? EndpointWatch.create(control, side) : undefined;
 	await using admin = await AdminServer.create({
 		host: settings.adminHost,
 		port: settings.adminPort,
 		metrics,
 		isReady: () => side.phase === 'serving' && follower.isReady,
-		routes: [{method: 'GET', prefix: '/status', handle: () => ({status: 200, value: side.describe()})}],
+		routes: createOperatorRoutes({
+			instance,
+			role: 'side',
+			journal,
+			status: () => side.status(),
+		}),
 	});
 	log.info('Listening.', {address: side.address, adminPort: admin.port});
 	log.info('Stopping.', {signal: await stopSignal()});
@@ -68,4 +77,17 @@
 	log.info(whole ? 'Stopped with nothing running.' : 'Stopped with requests running, after the time allowed.');
 }
 
+/** Services have no health call of their own: a refused connection tells, and is certain to be not run. */
+function createBackend({endpointKind, endpointUrl}: SideSettings): Backend {
+	switch (endpointKind) {
+		case 'engine': {
+			return {type: 'engine', client: EngineClient.create({baseUrl: endpointUrl})};
+		}
+
+		case 'service': {
+			return {type: 'service', client: ServiceClient.create({baseUrl: endpointUrl})};
+		}
+	}
+}
+
 await runProgram(sideSettings, main);
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -1,21 +1,21 @@
 import {type Body, channel, type Channel, sleep, tryDeliver} from '../concurrency/index.js';
 import {
-	combineVerdicts, createFailure, type EndpointId, type Failure, FailureKind, type RequestSummary, Verdict,
+	combineVerdicts, createFailure, type Failure, FailureKind, type RequestSummary, Verdict,
 } from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
-import {Suspicion} from '../policy/quarantine/index.js';
+import {ReasonCode} from '../telemetry/index.js';
 import {Alarm} from './alarm.js';
+import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
 import {creditWindow, type Progress, Relay, type RelayEnd} from './relay.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
 import {type RetryKeeper} from './retry-keeper.js';
-import {noEndpoint, type Slot, SlotSearch} from './slot.js';
-
-/** Pause before the sides are asked again when none can be used. */
-const noEndpointPauseMilliseconds = 100;
+import {type Slot} from './slot.js';
+import {SlotFinder} from './slot-finder.js';
 
 export type ModelCallOptions = {
+	readonly telemetry: EntryTelemetry;
 	readonly fleet: Fleet;
 	readonly summary: RequestSummary;
 	readonly path: string;
@@ -46,19 +46,17 @@
 	readonly inbox: Channel<RequestEvent> = channel<RequestEvent>(inboxCapacity);
 	readonly #options: ModelCallOptions;
 	readonly #progress: Progress = {events: [], firstTokenAt: undefined};
-	readonly #excluded = new Set<EndpointId>();
+	readonly #finder: SlotFinder;
 	#verdict: Verdict = Verdict.notRun;
 	#attempts = 0;
 	#failures = 0;
 	#preemptions = 0;
-	/** When it began to wait for its present slot search. */
-	#waitsSince: number;
 	readonly #alarm: Alarm;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
-		this.#waitsSince = options.arrivedAt;
 		this.#alarm = Alarm.create(this.inbox);
+		this.#finder = SlotFinder.create({...options, inbox: this.inbox, alarm: this.#alarm});
 	}
 
 	/** The caller closed its connection. */
@@ -77,7 +75,9 @@
 
 	* #attempt(): Body<CallEnd> {
 		for (;;) {
-			const found = yield * this.#findSlot();
+			const found = yield * this.#finder.find({
+				promptTokens: this.#options.summary.promptTokens + this.#progress.events.length, preemptions: this.#preemptions,
+			});
 			if (found.type !== 'slot') {
 				return found.type === 'failed' ? this.#fail(found.failure) : this.#left();
 			}
@@ -100,56 +100,6 @@
 		}
 	}
 
-	* #findSlot(): Body<{type: 'slot'; slot: Slot} | {type: 'failed'; failure: Failure} | {type: 'caller-left'}> {
-		const {fleet, summary} = this.#options;
-		let failure = noEndpoint();
-		while (this.#queueTimeLeft() > 0) {
-			const suspicion = this.#suspicion();
-			if (suspicion === Suspicion.quarantined) {
-				return {type: 'failed', failure: quarantined()};
-			}
-
-			const endpoints = suspicion === Suspicion.suspect ? this.#sideForSuspect() : fleet.choose(summary, this.#excluded).endpoints;
-			if (endpoints.length === 0) {
-				yield * sleep(noEndpointPauseMilliseconds);
-				this.#excluded.clear();
-				continue;
-			}
-
-			this.#alarm.set(this.#queueTimeLeft());
-			const result = yield * SlotSearch.create({fleet, summary: this.#summaryNow(), inbox: this.inbox, alarm: this.#alarm}).run(endpoints);
-			if (result.type !== 'failed') {
-				return result;
-			}
-
-			failure = result.failure;
-			if (!this.#mayAskElsewhere(result.tried)) {
-				break;
-			}
-		}
-
-		return {type: 'failed', failure};
-	}
-
-	#suspicion(): Suspicion {
-		return this.#options.quarantine?.judge(this.#options.summary.fingerprint).suspicion ?? Suspicion.none;
-	}
-
-	#sideForSuspect(): readonly EndpointId[] {
-		const endpoint = this.#options.fleet.chooseForSuspect(this.#options.summary);
-		return endpoint === undefined ? [] : [endpoint];
-	}
-
-	/** After a refusal the remaining sides are asked, each once; a refusal by all is final and told at once. */
-	#mayAskElsewhere(tried: readonly EndpointId[]): boolean {
-		for (const endpoint of tried) {
-			this.#excluded.add(endpoint);
-		}
-
-		const {fleet, summary} = this.#options;
-		return fleet.choose(summary, this.#excluded).endpoints.length > 0;
-	}
-
 	* #runAt(slot: Slot): Body<RelayEnd> {
 		const {summary, path, call, fleet, answer} = this.#options;
 		const {events} = this.#progress;
@@ -167,6 +117,7 @@
 			credit: creditWindow,
 		});
 		fleet.observe({type: 'started', endpoint: slot.endpoint, request: summary.id, prefix: summary.prefix});
+		this.#options.telemetry.record(summary.id, events.length > 0 ? ReasonCode.resumed : ReasonCode.started, {endpoint: slot.endpoint, tokens: events.length});
 		return yield * Relay.create({
 			fleet,
 			summary,
@@ -188,27 +139,14 @@
 			return;
 		}
 
-		this.#excluded.add(slot.endpoint);
-	}
-
-	/** What a side must know now: the time that is left, and what the answer so far adds to the prompt. */
-	#summaryNow(): RequestSummary {
-		const {summary} = this.#options;
-		const waited = performance.now() - this.#waitsSince;
-		return {
-			...summary,
-			firstTokenMilliseconds: Math.max(0, summary.firstTokenMilliseconds - waited),
-			queueMilliseconds: Math.max(0, summary.queueMilliseconds - waited),
-			promptTokens: summary.promptTokens + this.#progress.events.length,
-			preemptions: this.#preemptions,
-		};
+		this.#finder.exclude(slot.endpoint);
 	}
 
 	/** Waits as long as the retry policy asks; a stream that was cut may wait for a slot as long as a new request. */
 	* #mayGoOn(failure: Failure): Body<boolean> {
 		this.#verdict = combineVerdicts(this.#verdict, failure.verdict);
 		if (this.#progress.events.length > 0 || failure.kind === FailureKind.preempted) {
-			this.#waitsSince = performance.now();
+			this.#finder.restartWait();
 		}
 
 		if (failure.kind !== FailureKind.preempted) {
@@ -216,20 +154,18 @@
 		}
 
 		const {summary, retries} = this.#options;
-		const deadline = this.#waitsSince + summary.queueMilliseconds;
-		const decision = retries.decide({failure, attempts: this.#failures, idempotent: summary.idempotent, bodyLeft: true, deadline});
+		const decision = retries.decide({
+			failure, attempts: this.#failures, idempotent: summary.idempotent, bodyLeft: true, deadline: this.#finder.deadline,
+		});
 		if (decision.type === 'give-up') {
 			return false;
 		}
 
+		this.#options.telemetry.retried(summary, failure);
 		yield * sleep(decision.afterMilliseconds);
 		return true;
 	}
 
-	#queueTimeLeft(): number {
-		return this.#waitsSince + this.#options.summary.queueMilliseconds - performance.now();
-	}
-
 	#whole(usage: string | undefined): CallEnd {
 		const {answer, arrivedAt} = this.#options;
 		answer.finish(usage);
@@ -261,10 +197,6 @@
 	}).join('');
 }
 
-function quarantined(): Failure {
-	return createFailure(FailureKind.quarantined, 'Endpoints that ran this request crashed; it is not run again for some minutes.');
-}
-
 /** The failure of a request that came while its entry was stopping. */
 export function stoppingFailure(): Failure {
 	return createFailure(FailureKind.stopping, 'This instance is stopping.', {retryAfterMilliseconds: 0});
--- a/src/side/work.ts
+++ b/src/side/work.ts
@@ -1,15 +1,20 @@
-import {channel, spawn, tryDeliver} from '../concurrency/index.js';
-import {type EngineClient} from '../endpoint/index.js';
+import {type Body, channel, spawn, tryDeliver} from '../concurrency/index.js';
+import {type EngineClient, type ServiceClient} from '../endpoint/index.js';
 import {createFailure, type EndpointId, FailureKind, type InstanceId, type RequestSummary, Verdict} from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {
 	type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
 } from '../policy/scheduler/index.js';
+import {DecisionJournal, Metrics, ReasonCode} from '../telemetry/index.js';
 import {type MessageOf} from '../wire/index.js';
 import {CrashWatch} from './crash-watch.js';
 import {type EntryLink} from './entry-link.js';
-import {type RunEnd, runModel} from './model-run.js';
-import {type Reservation, type RunInput, toEntry} from './reservation.js';
+import {runModel} from './model-run.js';
+import {
+	type Reservation, type RunEnd, type RunInput, type RunningPhase, toEntry,
+} from './reservation.js';
+import {runService} from './service-run.js';
+import {SideTelemetry} from './side-telemetry.js';
 import {SuspectGate, type SuspectGateOwner} from './suspect-gate.js';
 
 /** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
@@ -18,8 +23,10 @@
 export const offerHoldMilliseconds = 1000;
 
 export type WorkOptions<State> = {
-	readonly engine: EngineClient;
+	readonly backend: Backend;
 	readonly scheduler: Scheduler<State>;
+	/** Metrics and decisions; a private one if left out. */
+	readonly telemetry?: SideTelemetry;
 	readonly instance: InstanceId;
 	readonly endpoint: EndpointId;
 	readonly quarantine?: {readonly ledger: QuarantineLedger; readonly isHealthy: () => Promise<boolean>};
@@ -27,6 +34,11 @@
 	readonly endpointDown: () => void;
 };
 
+/** The client of the endpoint, by its kind. */
+export type Backend
+	= | {readonly type: 'engine'; readonly client: EngineClient}
+		| {readonly type: 'service'; readonly client: ServiceClient};
+
 /** What ran at a side and what became of it. */
 export type WorkCounts = Record<Outcome | 'refused' | 'tokens', number>;
 
@@ -43,6 +55,7 @@
 	readonly counts: WorkCounts = {whole: 0, cancelled: 0, failed: 0, preempted: 0, refused: 0, tokens: 0};
 	readonly #options: WorkOptions<State>;
 	readonly #reservations = new Map<string, Reservation>();
+	readonly #telemetry: SideTelemetry;
 	#state: State;
 	#onIdle: (() => void) | undefined;
 	readonly #gate: SuspectGate | undefined;
@@ -51,6 +64,7 @@
 	private constructor(options: WorkOptions<State>) {
 		this.#options = options;
 		this.#state = options.scheduler.create();
+		this.#telemetry = options.telemetry ?? SideTelemetry.create(Metrics.create({role: 'side'}), DecisionJournal.create());
 		const {quarantine, endpointDown} = options;
 		if (quarantine) {
 			this.#gate = SuspectGate.create(quarantine.ledger, this);
@@ -73,10 +87,11 @@
 		}
 
 		const reservation: Reservation = {
-			id: `${link.number}:${message.stream}`, link, stream: message.stream, summary: message.summary as RequestSummary, phase: {type: 'waiting'}, progressedAt: 0,
+			id: `${link.number}:${message.stream}`, link, stream: message.stream, summary: message.summary as RequestSummary, phase: {type: 'waiting'}, progressedAt: 0, arrivedAt: performance.now(),
 		};
 		link.reservations.set(message.stream, reservation);
 		this.#reservations.set(reservation.id, reservation);
+		this.#telemetry.record(reservation, ReasonCode.queued, {tier: reservation.summary.tier});
 		if (this.#gate) {
 			this.#gate.arrived(reservation);
 		} else {
@@ -91,6 +106,7 @@
 	refuseQuarantined(reservation: Reservation): void {
 		const {kind, message} = createFailure(FailureKind.quarantined, 'Endpoints that ran this request crashed; it is not run again for some minutes.');
 		this.counts.refused += 1;
+		this.#telemetry.refused(reservation, kind, message);
 		this.#leave(reservation);
 		toEntry(reservation, {type: 'refuse', kind, message});
 	}
@@ -122,16 +138,19 @@
 			return;
 		}
 
-		const phase = {type: 'running' as const, input: channel<RunInput>(runInputCapacity), abort: new AbortController()};
+		const phase = {
+			type: 'running' as const, input: channel<RunInput>(runInputCapacity), abort: new AbortController(), isBodyOpen: message.more,
+		};
 		reservation.phase = phase;
 		reservation.progressedAt = performance.now();
 		this.apply({type: 'started', id: reservation.id});
-		const run = {
-			engine: this.#options.engine, reservation, phase, start: message, onTokens: (tokens: number) => {
-				this.#progressed(reservation, tokens);
-			},
-		};
-		void spawn('run', () => runModel(run)).then(async end => {
+		// Failure: the scheduler has taken the slot back and refuses in this very step. Symptom: the
+		// entry hears not-run and the endpoint runs it all the same. Only what is still held is run.
+		if (!this.#reservations.has(reservation.id)) {
+			return;
+		}
+
+		void spawn('run', () => this.#run(reservation, phase, message)).then(async end => {
 			await this.#lookAtEndpoint(end);
 			this.#finished(reservation, end);
 		});
@@ -178,6 +197,23 @@
 		});
 	}
 
+	#run(reservation: Reservation, phase: RunningPhase, start: MessageOf<'start'>): Body<RunEnd> {
+		const {backend} = this.#options;
+		switch (backend.type) {
+			case 'engine': {
+				const onTokens = (tokens: number) => {
+					this.#progressed(reservation, tokens);
+				};
+
+				return runModel({engine: backend.client, reservation, phase, start, onTokens});
+			}
+
+			case 'service': {
+				return runService({service: backend.client, reservation, phase, start});
+			}
+		}
+	}
+
 	/** Takes a reservation that has not begun out of the queue. */
 	#leave(reservation: Reservation): void {
 		const queued = !this.#gate?.holds(reservation);
@@ -212,6 +248,7 @@
 	#progressed(reservation: Reservation, tokens: number): void {
 		const now = performance.now();
 		this.counts.tokens += tokens;
+		this.#telemetry.progressed(reservation, tokens);
 		this.apply({type: 'progressed', id: reservation.id, tokens, milliseconds: now - reservation.progressedAt});
 		reservation.progressedAt = now;
 	}
@@ -219,6 +256,7 @@
 	#finished(reservation: Reservation, end: RunEnd): void {
 		const outcome = outcomeOf(reservation, end);
 		this.counts[outcome] += 1;
+		this.#telemetry.ended(reservation, outcome, end.type === 'failed' ? end.failure.kind : outcome);
 		this.#forget(reservation, outcome === 'whole');
 		if (end.type === 'failed') {
 			toEntry(reservation, {type: 'fail', ...end.failure});
@@ -227,9 +265,12 @@
 		this.apply({type: 'finished', id: reservation.id, outcome});
 	}
 
-	/** Stops what the engine does for a request. A non-idempotent one is never stopped: it ends by itself. */
+	/**
+	 * Stops what the endpoint does for a request. A non-idempotent one is never stopped: it ends by
+	 * itself. The exception is one whose body will never be complete, which would wait for ever.
+	 */
 	#stopRun(reservation: Reservation, why: 'cancelled' | 'preempted'): void {
-		if (reservation.phase.type !== 'running' || !reservation.summary.idempotent) {
+		if (reservation.phase.type !== 'running' || !(reservation.summary.idempotent || reservation.phase.isBodyOpen)) {
 			return;
 		}
 
@@ -247,12 +288,14 @@
 		switch (action.type) {
 			case 'offer': {
 				reservation.phase = {type: 'offered'};
+				this.#telemetry.offered(reservation, performance.now() - reservation.arrivedAt);
 				toEntry(reservation, {type: 'offer', holdMilliseconds: offerHoldMilliseconds});
 				break;
 			}
 
 			case 'refuse': {
 				this.counts.refused += 1;
+				this.#telemetry.refused(reservation, action.kind, action.message);
 				this.#forget(reservation);
 				toEntry(reservation, {
 					type: 'refuse', kind: action.kind, message: action.message, retryAfterMilliseconds: action.retryAfterMilliseconds,
@@ -261,6 +304,7 @@
 			}
 
 			case 'preempt': {
+				this.#telemetry.preempted(reservation, action.forRequest);
 				this.#stopRun(reservation, 'preempted');
 				toEntry(reservation, {type: 'fail', ...createFailure(FailureKind.preempted, 'A higher tier needed the slot.', {verdict: Verdict.mayHaveRun})});
 				break;
