--- a/test/path/stream-failures.test.ts
+++ b/test/path/stream-failures.test.ts
@@ -19,6 +19,7 @@
 		random: () => 0.5,
 		logLevel: 'fatal',
 		async route(endpoint, address) {
+			await paths.get(endpoint)?.[Symbol.asyncDispose]();
 			const path = await FakePath.create(address);
 			paths.set(endpoint, path);
 			return path.address;
