--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,12 +5,14 @@
 import {decisionsCommand} from './decisions/index.js';
 import {controlCommand} from './control/index.js';
 import {limitsCommand} from './limits/index.js';
+import {pathCommand} from './path/index.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
 	.command(decisionsCommand)
 	.command(limitsCommand)
 	.command(controlCommand)
+	.command(pathCommand)
 	.demandCommand(1)
 	.strict()
 	.help()
--- a/src/entry/slot-finder.ts
+++ b/src/entry/slot-finder.ts
@@ -5,6 +5,7 @@
 import {type QuarantineLedger} from '../platform/index.js';
 import {Suspicion} from '../policy/quarantine/index.js';
 import {type Alarm} from './alarm.js';
+import {type ClaimGuard, type ClaimStop} from './claims/index.js';
 import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {type RequestEvent} from './request-event.js';
@@ -23,12 +24,16 @@
 	readonly quarantine?: QuarantineLedger;
 	/** The request's one timer; set here to the end of its time in queues. */
 	readonly alarm: Alarm;
+	/** The claim of a key, which must be won before the slot counts. */
+	readonly claim?: ClaimGuard | undefined;
 };
 
 export type SlotFound
 	= | {readonly type: 'slot'; readonly slot: Slot}
 		| {readonly type: 'failed'; readonly failure: Failure}
-		| {readonly type: 'caller-left'};
+		| {readonly type: 'caller-left'}
+	/** The request may not run under its key; no slot is held. */
+		| {readonly type: 'claim-stopped'; readonly stop: ClaimStop};
 
 /** Finds one request a slot, attempt after attempt, within the time it may wait in queues. */
 export class SlotFinder {
@@ -60,11 +65,49 @@
 		this.#waitsSince = performance.now();
 	}
 
-	/** Searches until a side offers a slot, all have refused or time is up; `changes` go into the summary that sides see. */
+	/**
+	 * Searches until a side offers a slot, all have refused or time is up; `changes` go into the summary
+	 * that sides see. A slot for a keyed request is returned only once its claim is certain.
+	 */
 	* find(changes: Partial<RequestSummary> = {}): Body<SlotFound> {
-		const {fleet, summary, inbox, alarm, telemetry} = this.#options;
+		const {claim} = this.#options;
+		for (;;) {
+			const found = yield * this.#search(changes);
+			if (found.type !== 'slot' || !claim) {
+				return found;
+			}
+
+			const stop = yield * claim.mayStart();
+			if (!stop && performance.now() < (found.slot.startBefore ?? Infinity)) {
+				return found;
+			}
+
+			this.#giveBack(found.slot);
+			if (stop) {
+				return {type: 'claim-stopped', stop};
+			}
+
+			// Failure: the claim took longer than the side holds the slot. Symptom: the body meets a lapsed
+			// offer, and a request that may not be repeated is refused. With the claim won, a slot is sought anew.
+		}
+	}
+
+	/** A slot was offered and the body will not come. */
+	#giveBack({link, stream, endpoint}: Slot): void {
+		const {fleet, summary} = this.#options;
+		link.send({type: 'withdraw', stream, request: summary.id});
+		link.closeStream(stream);
+		fleet.observe({type: 'withdrawn', endpoint, request: summary.id});
+	}
+
+	* #search(changes: Partial<RequestSummary>): Body<SlotFound> {
+		const {fleet, summary, inbox, alarm, claim, telemetry} = this.#options;
 		let failure = noEndpoint();
 		while (this.#queueTimeLeft() > 0) {
+			if (claim?.stop) {
+				return {type: 'claim-stopped', stop: claim.stop};
+			}
+
 			const suspicion = this.#suspicion();
 			if (suspicion === Suspicion.quarantined) {
 				return {type: 'failed', failure: quarantined()};
@@ -79,6 +122,10 @@
 
 			alarm.set(this.#queueTimeLeft());
 			const result = yield * SlotSearch.create({fleet, summary: {...this.#summaryNow(), ...changes}, inbox, alarm, telemetry}).run(endpoints);
+			if (result.type === 'claim-stopped') {
+				continue;
+			}
+
 			if (result.type !== 'failed') {
 				return result;
 			}
@@ -107,7 +154,7 @@
 	}
 
 	#sideForSuspect(): readonly EndpointId[] {
-		const endpoint = this.#options.fleet.chooseForSuspect(this.#options.summary);
+		const endpoint = this.#options.fleet.chooseForSuspect(this.#options.summary, this.#excluded);
 		return endpoint === undefined ? [] : [endpoint];
 	}
 
--- a/src/side/work.ts
+++ b/src/side/work.ts
@@ -3,7 +3,7 @@
 import {createFailure, type EndpointId, FailureKind, type InstanceId, type RequestSummary, Verdict} from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {
-	type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
+	createSettings, type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
 } from '../policy/scheduler/index.js';
 import {DecisionJournal, Metrics, ReasonCode} from '../telemetry/index.js';
 import {type MessageOf} from '../wire/index.js';
@@ -19,8 +19,10 @@
 
 /** Inputs of a running request that may wait: credit, cancel and body parts, all bounded by the entry. */
 const runInputCapacity = 1000;
+/** How often the scheduler hears of one stream's progress; slots are adapted over longer windows. */
+const reportMilliseconds = 20;
 /** How long an offered slot is kept for an entry that does not answer. */
-export const offerHoldMilliseconds = 1000;
+export const offerHoldMilliseconds = createSettings().holdMilliseconds;
 
 export type WorkOptions<State> = {
 	readonly backend: Backend;
@@ -87,7 +89,15 @@
 		}
 
 		const reservation: Reservation = {
-			id: `${link.number}:${message.stream}`, link, stream: message.stream, summary: message.summary as RequestSummary, phase: {type: 'waiting'}, progressedAt: 0, arrivedAt: performance.now(),
+			id: `${link.number}:${message.stream}`,
+			link,
+			stream: message.stream,
+			summary: message.summary as RequestSummary,
+			phase: {type: 'waiting'},
+			arrivedAt: performance.now(),
+			progressedAt: 0,
+			unreportedTokens: 0,
+			hasProgressed: false,
 		};
 		link.reservations.set(message.stream, reservation);
 		this.#reservations.set(reservation.id, reservation);
@@ -245,15 +255,31 @@
 		}
 	}
 
+	/** The scheduler hears of the first tokens at once, then in portions: it copies its state on each event. */
 	#progressed(reservation: Reservation, tokens: number): void {
 		const now = performance.now();
 		this.counts.tokens += tokens;
-		this.#telemetry.progressed(reservation, tokens);
-		this.apply({type: 'progressed', id: reservation.id, tokens, milliseconds: now - reservation.progressedAt});
+		reservation.unreportedTokens += tokens;
+		if (!reservation.hasProgressed || now - reservation.progressedAt >= reportMilliseconds) {
+			this.#reportProgress(reservation, now);
+		}
+	}
+
+	#reportProgress(reservation: Reservation, now: number): void {
+		const {id, unreportedTokens, progressedAt} = reservation;
+		if (unreportedTokens === 0) {
+			return;
+		}
+
+		this.#telemetry.progressed(reservation, unreportedTokens);
+		reservation.unreportedTokens = 0;
+		reservation.hasProgressed = true;
 		reservation.progressedAt = now;
+		this.apply({type: 'progressed', id, tokens: unreportedTokens, milliseconds: now - progressedAt});
 	}
 
 	#finished(reservation: Reservation, end: RunEnd): void {
+		this.#reportProgress(reservation, performance.now());
 		const outcome = outcomeOf(reservation, end);
 		this.counts[outcome] += 1;
 		this.#telemetry.ended(reservation, outcome, end.type === 'failed' ? end.failure.kind : outcome);
