--- a/src/bin/settings/entry-settings.ts
+++ b/src/bin/settings/entry-settings.ts
@@ -3,6 +3,11 @@
 import {checkTransport, platformSettings, processSettings, transportSettings} from './shared-settings.js';
 
 const mebibyte = 1_048_576;
+/**
+ * Failure: a body is admitted that no frame can carry. Symptom: the caller gets an internal error in
+ * place of 413. A call's body travels in one frame of 8 MiB at most, so the limit stays below that.
+ */
+const largestBodyBytes = 7 * mebibyte;
 
 /** Settings of `cassiaflow-entry`. */
 export const entrySettings = defineSettings({
@@ -17,7 +22,7 @@
 		...platformSettings,
 		...transportSettings,
 		noticeMilliseconds: {schema: wholeNumber(0, 600_000).default(2000), description: 'How long a stopping instance still serves new requests, until the balancer has noticed, in milliseconds.'},
-		bodyLimitBytes: {schema: wholeNumber(1, 1024 * mebibyte).default(16 * mebibyte), description: 'Longest request body of a model call, in bytes.'},
+		bodyLimitBytes: {schema: wholeNumber(1, largestBodyBytes).default(4 * mebibyte), description: 'Longest request body of a model call, in bytes.'},
 	},
 	check: checkTransport,
 });
