--- a/src/entry/service-call.ts
+++ b/src/entry/service-call.ts
@@ -7,6 +7,7 @@
 import {type MessageOf, type StreamMessage} from '../wire/index.js';
 import {ReasonCode} from '../telemetry/index.js';
 import {Alarm} from './alarm.js';
+import {ClaimGuard, type ClaimKeeper, type ClaimRequest, type ClaimStop} from './claims/index.js';
 import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {drainedOrClosed} from './protocol/index.js';
@@ -15,7 +16,7 @@
 import {ServiceAnswer} from './service-answer.js';
 import {type ServiceBody} from './service-body.js';
 import {type Slot} from './slot.js';
-import {SlotFinder} from './slot-finder.js';
+import {SlotFinder, type SlotFound} from './slot-finder.js';
 
 /** Parts of an answer that a side may send ahead of what the caller has taken. */
 const answerWindow = 16;
@@ -35,6 +36,8 @@
 	readonly retries: RetryKeeper;
 	/** What is known of requests that crash endpoints. */
 	readonly quarantine?: QuarantineLedger;
+	/** For a call that may run once at most under its key. */
+	readonly claim?: {readonly keeper: ClaimKeeper; readonly request: ClaimRequest};
 };
 
 type AttemptEnd
@@ -55,6 +58,7 @@
 	readonly #options: ServiceCallOptions;
 	readonly #alarm: Alarm;
 	readonly #finder: SlotFinder;
+	readonly #claim: ClaimGuard | undefined;
 	readonly #answer: ServiceAnswer;
 	#parts = 0;
 	#attempts = 0;
@@ -63,7 +67,11 @@
 	private constructor(options: ServiceCallOptions) {
 		this.#options = options;
 		this.#alarm = Alarm.create(this.inbox);
-		this.#finder = SlotFinder.create({...options, inbox: this.inbox, alarm: this.#alarm});
+		const {claim} = options;
+		this.#claim = claim && ClaimGuard.create(claim.keeper, claim.request, () => {
+			tryDeliver(this.inbox, {type: 'claim-stopped'});
+		});
+		this.#finder = SlotFinder.create({...options, inbox: this.inbox, alarm: this.#alarm, claim: this.#claim});
 		this.#answer = ServiceAnswer.create(options.response, options.summary.id);
 	}
 
@@ -86,15 +94,17 @@
 		const {telemetry, summary} = this.#options;
 		for (;;) {
 			const found = yield * this.#finder.find();
-			const end = found.type === 'slot' ? yield * this.#runAt(found.slot) : found;
+			const end = found.type === 'slot' ? yield * this.#runAt(found.slot) : endOf(found);
 			if (end.type !== 'failed') {
+				yield * this.#settleClaim(end, found);
 				telemetry.record(summary.id, end.type === 'whole' ? ReasonCode.finished : ReasonCode.cancelled);
 				return;
 			}
 
 			this.#verdict = combineVerdicts(this.#verdict, end.failure.verdict);
 			if (found.type !== 'slot' || !(yield * this.#mayGoOn(end.failure))) {
-				const failure = {...end.failure, verdict: this.#verdict};
+				const verdict = this.#claim ? yield * this.#claim.failed(this.#verdict) : this.#verdict;
+				const failure = {...end.failure, verdict};
 				telemetry.refused(summary.id, failure);
 				this.#answer.fail(failure);
 				return;
@@ -104,6 +114,18 @@
 		}
 	}
 
+	* #settleClaim(end: AttemptEnd, found: SlotFound): Body<void> {
+		if (end.type === 'whole' && found.type === 'slot') {
+			if (this.#claim) {
+				yield * this.#claim.finished(found.slot.endpoint);
+			}
+
+			return;
+		}
+
+		this.#claim?.abandoned();
+	}
+
 	* #mayGoOn(failure: Failure): Body<boolean> {
 		const {body, summary, retries} = this.#options;
 		if (!body.isWhole || this.#answer.started) {
@@ -176,6 +198,10 @@
 				return {type: 'caller-left'};
 			}
 
+			case 'claim-stopped': {
+				return undefined;
+			}
+
 			case 'alarm': {
 				return this.#alarm.hasFired ? broken(FailureKind.endpointLost, 'The endpoint made no progress.') : undefined;
 			}
@@ -249,6 +275,16 @@
 	}
 }
 
+/** A service's answers are streamed and not kept, so a key that ran can only be told to have run. */
+function endOf(found: Exclude<SlotFound, {type: 'slot'}>): AttemptEnd {
+	if (found.type !== 'claim-stopped') {
+		return found;
+	}
+
+	const {stop} = found;
+	return stop.type === 'failed' ? stop : broken(FailureKind.keyInUse, 'Another request has this Idempotency-Key.');
+}
+
 function broken(kind: FailureKind, message: string): AttemptEnd {
 	return {type: 'failed', failure: createFailure(kind, message, {verdict: Verdict.mayHaveRun})};
 }
--- a/src/side/work.ts
+++ b/src/side/work.ts
@@ -3,7 +3,7 @@
 import {createFailure, type EndpointId, FailureKind, type InstanceId, type RequestSummary, Verdict} from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {
-	type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
+	createSettings, type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
 } from '../policy/scheduler/index.js';
 import {DecisionJournal, Metrics, ReasonCode} from '../telemetry/index.js';
 import {type MessageOf} from '../wire/index.js';
@@ -22,7 +22,7 @@
 /** How often the scheduler hears of one stream's progress; slots are adapted over longer windows. */
 const reportMilliseconds = 20;
 /** How long an offered slot is kept for an entry that does not answer. */
-export const offerHoldMilliseconds = 1000;
+export const offerHoldMilliseconds = createSettings().holdMilliseconds;
 
 export type WorkOptions<State> = {
 	readonly backend: Backend;
