Make the soak's check of not-run able to fail, send keys in it, and pass keys to engines

Cause: the soak asked the engines for prompts by a name they did not know, so a false not-run could not be seen, and no call had a key. Change: the right name, keyed calls at two entries at once, and an answer that no engine ran is a violation. That check at once found that a keyed model call reached its engine without its key; it is now passed on.

--- a/bench/soak/load.ts
+++ b/bench/soak/load.ts
@@ -1,3 +1,4 @@
+import {v7 as createKey} from 'uuid';
 import {callModel, type CallResult} from '../harness/caller.js';
 import {type ClassPlan, keyOf} from '../harness/catalogue.js';
 import {type Random} from '../harness/random.js';
@@ -10,8 +11,16 @@
 	{name: 'answer', tier: 0, firstTokenMilliseconds: 500, betweenTokensMilliseconds: 100, queueMilliseconds: 3000},
 	{name: 'order', tier: 1, firstTokenMilliseconds: 1500, betweenTokensMilliseconds: 150, queueMilliseconds: 6000},
 	{name: 'chart', tier: 2, firstTokenMilliseconds: 8000, betweenTokensMilliseconds: 300, queueMilliseconds: 15_000},
+	{
+		name: 'ticket', tier: 1, firstTokenMilliseconds: 1500, betweenTokensMilliseconds: 150, queueMilliseconds: 6000, idempotent: false,
+	},
 ];
 
+/** Sent with a key, since it must not run twice. */
+const ticketClass = soakClasses[3]!;
+const keyedChance = 0.1;
+/** How often a caller that got no whole answer sends its key again. */
+const keyedSends = 3;
 const meanTokens = 40;
 const leavingCallerChance = 0.05;
 const leavesAfterMilliseconds = 400;
@@ -46,10 +55,15 @@
 	send(): void {
 		const random = this.#random;
 		this.#sent++;
+		if (random.uniform() < keyedChance) {
+			this.#start(this.#ticket(random.below(1000)));
+			return;
+		}
+
 		const tokens = 1 + Math.floor(random.exponential(meanTokens));
 		this.#start(this.#one({
 			prompt: `seed ${this.#seed} call ${this.#sent} [[tokens=${tokens}]]`,
-			plan: random.pick(soakClasses),
+			plan: random.pick(soakClasses.slice(0, 3)),
 			workspace: random.pick(workspaces),
 			target: random.below(1000),
 			leavesAfter: random.uniform() < leavingCallerChance ? random.below(leavesAfterMilliseconds) : undefined,
@@ -87,6 +101,18 @@
 		}
 	}
 
+	/** The same key goes to two entries at once, and again after a failure, as an anxious caller does. */
+	async #ticket(target: number): Promise<void> {
+		const key = createKey();
+		const call = {
+			...steadyCaller, key, prompt: `seed ${this.#seed} ticket ${this.#sent} [[tokens=30]]`, plan: ticketClass, workspace: workspaces[target % workspaces.length]!,
+		};
+		await Promise.all([this.#one({...call, target}), this.#one({...call, target: target + 1})]);
+		for (let sending = 1; sending < keyedSends; sending++) {
+			await this.#one({...call, target: target + sending});
+		}
+	}
+
 	#start(call: Promise<void>): void {
 		this.#pending.add(call);
 		void call.finally(() => {
@@ -94,7 +120,7 @@
 		});
 	}
 
-	async #one({prompt, plan, workspace, target, leavesAfter, pause}: Call): Promise<void> {
+	async #one({prompt, key, plan, workspace, target, leavesAfter, pause}: Call): Promise<void> {
 		const {address} = this.#world.balance(target).entry;
 		const leaving = new AbortController();
 		const timer = leavesAfter === undefined
@@ -104,13 +130,13 @@
 			}, leavesAfter);
 		const startedAt = performance.now();
 		const result = await callModel({
-			address, key: keyOf(workspace), className: plan.name, model: soakModel, prompt, signal: leaving.signal, pauseMilliseconds: pause,
+			address, key: keyOf(workspace), className: plan.name, model: soakModel, prompt, signal: leaving.signal, pauseMilliseconds: pause, idempotencyKey: key,
 		});
 		clearTimeout(timer);
 		this.results.push(result);
 		this.records.push({
 			prompt,
-			key: undefined,
+			key,
 			className: plan.name,
 			entry: address,
 			startedAt,
@@ -129,6 +155,7 @@
 
 type Call = {
 	readonly prompt: string;
+	readonly key?: string;
 	readonly plan: ClassPlan;
 	readonly workspace: string;
 	readonly target: number;
--- a/bench/soak/run-seed.ts
+++ b/bench/soak/run-seed.ts
@@ -1,7 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {planCatalogue} from '../harness/catalogue.js';
 import {createRandom, type Random} from '../harness/random.js';
-import {checkCalls, checkCrashes, checkKeys, type CallRecord, type Violation} from './checker.js';
+import {checkCalls, checkCrashes, checkKeys, checkNotRun, type CallRecord, type Violation} from './checker.js';
 import {injectFault} from './faults.js';
 import {Callers, soakClasses, workspaces} from './load.js';
 import {planFaults, type FaultKind, type PlannedFault} from './plan.js';
@@ -35,6 +35,7 @@
 	const violations = [
 		...checkCalls(callers.records, world.truth),
 		...checkKeys(callers.records, world.truth),
+		...checkNotRun(callers.records, world.truth),
 		...checkCrashes(world.truth, performance.now()),
 		...world.violations,
 		...world.offsets.violations,
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -67,7 +67,7 @@
 	get truth(): Truth {
 		const sum = (count: (engine: FakeEngine) => number): number => [...this.engines].reduce((total, engine) => total + count(engine), 0);
 		return {
-			runsOfPrompt: prompt => sum(engine => engine.runsByPrompt.get(prompt) ?? 0),
+			runsOfPrompt: prompt => sum(engine => engine.runsByPrompt.get(`user: ${prompt}`) ?? 0),
 			runsOfKey: key => sum(engine => engine.runsByKey.get(key) ?? 0),
 			crashesByPrompt: this.#crashesByPrompt(),
 			crashedEntries: this.crashedEntries,
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -138,7 +138,7 @@
 	}
 
 	* #runAt(slot: Slot): Body<RelayEnd> {
-		const {summary, path, call, fleet, answer} = this.#options;
+		const {summary, path, call, fleet, answer, claim} = this.#options;
 		const {events} = this.#progress;
 		slot.link.send({
 			type: 'start',
@@ -146,7 +146,7 @@
 			request: summary.id,
 			method: 'POST',
 			path,
-			headers: {'content-type': 'application/json'},
+			headers: {'content-type': 'application/json', ...(claim && {'idempotency-key': claim.request.key})},
 			body: call.body as Uint8Array<ArrayBuffer>,
 			more: false,
 			resumeTokens: events.length,
--- a/src/side/model-run.ts
+++ b/src/side/model-run.ts
@@ -31,6 +31,7 @@
 		resumeTokens: start.resumeTokens,
 		resumeText: start.resumeText,
 		priority: reservation.summary.tier,
+		idempotencyKey: start.headers['idempotency-key'],
 		signal: phase.abort.signal,
 	});
 	while (yield * credit.hasCredit()) {
--- a/test/path/at-most-once.test.ts
+++ b/test/path/at-most-once.test.ts
@@ -53,6 +53,8 @@
 	const keys = Array.from({length: 20}, () => uuidv7());
 	const results = await Promise.all(keys.map(async key => Promise.all([callUntilRun(fleet, 0, key), callUntilRun(fleet, 1, key)])));
 	t.same(keys.map(key => runs(fleet, key)), keys.map(() => 1));
+	const seen = keys.map(key => fleet.endpoints.filter(({engine}) => engine.runsByKey.get(key) === 1).length);
+	t.same(seen, keys.map(() => 1), 'the engine is told the key, so that it can refuse a second run itself');
 	t.ok(results.every(pair => pair.filter(({outcome}) => outcome === 'whole').length === 1));
 	const refused = results.flat().filter(({outcome}) => outcome !== 'whole').map(({code, verdict}) => `${code} ${verdict}`);
 	t.same(new Set(refused), new Set(['idempotency_key_in_use may-have-run']));
