Let heartbeats over idle connections be rare, and bound them for each process

Change: connections that carry requests beat every 2 s and fall silent after 6 s, counted from when they became busy; idle ones beat at most 25 times a second over all of a process's connections and fall silent after 45 s. Conclusion: the mesh's cost no longer grows with the product of connections and rate.

--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -10,7 +10,8 @@
 
 const membershipMilliseconds = 1000;
 const redialMilliseconds = 500;
-const heartbeatMilliseconds = 2000;
+/** How often it looks which heartbeats are due. */
+const heartbeatTickMilliseconds = 500;
 const tickMilliseconds = 250;
 
 export type FleetOptions<State> = {
@@ -52,7 +53,7 @@
 		this.#placementState = options.placement.create({instance: options.instance, zone: options.zone});
 		const heartbeat = setInterval(() => {
 			this.#beat();
-		}, heartbeatMilliseconds);
+		}, heartbeatTickMilliseconds);
 		const tick = setInterval(() => {
 			this.observe({type: 'tick'});
 		}, tickMilliseconds);
@@ -211,7 +212,10 @@
 	}
 
 	#beat(): void {
-		this.#broadcast({type: 'heartbeat', catalogueOffset: this.#options.catalogueOffset()});
+		const offset = this.#options.catalogueOffset();
+		for (const link of this.#links.values()) {
+			link.beat(offset, this.#links.size);
+		}
 	}
 
 	#broadcast(message: Message): void {
--- a/src/entry/side-link.ts
+++ b/src/entry/side-link.ts
@@ -51,12 +51,21 @@
 	openStream(request: RequestId, inbox: Channel<RequestEvent>): number {
 		this.#nextStream += 1;
 		this.#streams.set(this.#nextStream, {request, inbox});
+		this.#connection.setBusy(true);
 		return this.#nextStream;
 	}
 
 	/** Nothing that comes for this stream from now on reaches anyone. */
 	closeStream(stream: number): void {
 		this.#streams.delete(stream);
+		this.#connection.setBusy(this.#streams.size > 0);
+	}
+
+	/** Sends a heartbeat if one is due on one of so many connections. */
+	beat(catalogueOffset: number, connections: number): void {
+		if (this.#connection.takeHeartbeat(connections)) {
+			this.send({type: 'heartbeat', catalogueOffset});
+		}
 	}
 
 	send(message: Message): void {
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -13,7 +13,8 @@
 import {type Backend, Work, type WorkCounts} from './work.js';
 
 const tickMilliseconds = 50;
-const heartbeatMilliseconds = 2000;
+/** How often it looks which heartbeats are due. */
+const heartbeatTickMilliseconds = 500;
 /**
  * How often an entry with requests here hears the load. Late binding decides by offers, so the
  * report may lag; at 90 entries a side a shorter interval would break the control budget.
@@ -247,11 +248,21 @@
 			this.#publishLoad();
 		}, stateMilliseconds);
 		const heartbeat = setInterval(() => {
-			this.#broadcast({type: 'heartbeat', catalogueOffset: this.#options.catalogueOffset()});
-		}, heartbeatMilliseconds);
+			this.#beat();
+		}, heartbeatTickMilliseconds);
 		this.#timers.push(tick, state, heartbeat);
 	}
 
+	#beat(): void {
+		const catalogueOffset = this.#options.catalogueOffset();
+		for (const link of this.#links) {
+			link.connection.setBusy(link.reservations.size > 0);
+			if (link.connection.takeHeartbeat(this.#links.size)) {
+				link.send({type: 'heartbeat', catalogueOffset});
+			}
+		}
+	}
+
 	#broadcast(message: Message): void {
 		for (const link of this.#links) {
 			link.send(message);
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -14,6 +14,18 @@
 const maximumUnsentBytes = 64 * 1024 * 1024;
 /** A peer is taken for lost when nothing has come from it for so long. */
 export const silenceMilliseconds = 6000;
+/** The same for a connection that carries no request: nobody waits on it, and heartbeats are rare there. */
+export const idleSilenceMilliseconds = 45_000;
+/** How often a heartbeat goes over a connection that carries requests. */
+export const busyHeartbeatMilliseconds = 2000;
+const idleHeartbeatMilliseconds = 15_000;
+/** A process with many connections sends no more than 25 idle heartbeats a second over all of them. */
+const heartbeatSpacingMilliseconds = 40;
+
+/** How often a heartbeat goes over one of so many connections that carry no request. */
+export function idleHeartbeatInterval(connections: number): number {
+	return Math.min(Math.max(connections * heartbeatSpacingMilliseconds, busyHeartbeatMilliseconds), idleHeartbeatMilliseconds);
+}
 
 /**
  * One connection between two of our processes. `incoming` carries the messages of each turn of the
@@ -35,6 +47,9 @@
 	readonly #decoder = FrameDecoder.create();
 	#unsent: Uint8Array[] = [];
 	#heardAt = performance.now();
+	/** Spread, so that connections made in one moment don't all beat in one moment. */
+	#heartbeatAt = performance.now() - (Math.random() * idleHeartbeatMilliseconds);
+	#isBusy = false;
 	readonly #silenceCheck: NodeJS.Timeout;
 
 	private constructor(socket: Duplex, peer: string) {
@@ -62,6 +77,29 @@
 		return !this.#socket.destroyed;
 	}
 
+	/**
+	 * Tells whether requests depend on this connection. Both ends then send heartbeats often and take
+	 * silence for loss soon, counted from now: until now none were due.
+	 */
+	setBusy(isBusy: boolean): void {
+		if (isBusy && !this.#isBusy) {
+			this.#heardAt = performance.now();
+		}
+
+		this.#isBusy = isBusy;
+	}
+
+	/** True if a heartbeat is due, which then counts as sent; `connections` is how many the process has. */
+	takeHeartbeat(connections: number): boolean {
+		const now = performance.now();
+		if (now - this.#heartbeatAt < (this.#isBusy ? busyHeartbeatMilliseconds : idleHeartbeatInterval(connections))) {
+			return false;
+		}
+
+		this.#heartbeatAt = now;
+		return true;
+	}
+
 	/** Queues a message; it leaves at the end of this turn. A closed connection drops it. */
 	send(message: Message): void {
 		if (this.#socket.destroyed) {
@@ -152,7 +190,7 @@
 			return;
 		}
 
-		if (performance.now() - this.#heardAt > silenceMilliseconds) {
+		if (performance.now() - this.#heardAt > (this.#isBusy ? silenceMilliseconds : idleSilenceMilliseconds)) {
 			this.close('the peer is silent');
 		}
 	}
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -3,5 +3,5 @@
 export {
 	messageSchema, protocolVersion, type Message, type MessageOf, type StreamMessage,
 } from './messages.js';
-export {Connection, silenceMilliseconds} from './connection.js';
+export {Connection, idleHeartbeatInterval, idleSilenceMilliseconds, silenceMilliseconds} from './connection.js';
 export {dial, Listener, type Security} from './transport.js';
