--- a/bench/control/index.ts
+++ b/bench/control/index.ts
@@ -9,7 +9,7 @@
 type Factor = 'sides' | 'entries' | 'catalogueEntries' | 'changesPerSecond';
 type Sweep = {readonly role: Role; readonly factor: Factor; readonly values: readonly number[]};
 type Reading = Rates & {readonly messagesPerSecond: number};
-type Options = {seconds: number; role: string};
+type Options = {seconds: number; role: string; onlyLetter: boolean};
 
 const quiet: Setting = {entries: 0, sides: 0, catalogueEntries: 19, changesPerSecond: 0};
 const letterSize: Setting = {entries: 350, sides: 600, catalogueEntries: 899, changesPerSecond: 1700 / 86_400};
@@ -33,9 +33,10 @@
 	builder: {
 		seconds: {type: 'number', default: 10, describe: 'length of each reading'},
 		role: {type: 'string', default: 'both', choices: ['entry', 'side', 'both'], describe: 'which process to measure'},
+		'only-letter': {type: 'boolean', default: false, describe: 'only the point at the size of letter 1'},
 	},
-	async handler({seconds, role}) {
-		for (const sweep of sweeps.filter(candidate => role === 'both' || candidate.role === role)) {
+	async handler({seconds, role, onlyLetter}) {
+		for (const sweep of sweeps.filter(candidate => !onlyLetter && (role === 'both' || candidate.role === role))) {
 			await runSweep(sweep, seconds);
 		}
 
