--- a/src/entry/slot.ts
+++ b/src/entry/slot.ts
@@ -11,12 +11,19 @@
 import {type SideLink} from './side-link.js';
 
 /** A slot that a side holds for this request; the body may leave for it. */
-export type Slot = {readonly endpoint: EndpointId; readonly link: SideLink; readonly stream: number};
+export type Slot = {
+	readonly endpoint: EndpointId;
+	readonly link: SideLink;
+	readonly stream: number;
+	/** Until when the body may leave: half of the time that the side holds the slot. */
+	readonly startBefore?: number;
+};
 
 export type SlotResult
 	= | {readonly type: 'slot'; readonly slot: Slot}
 		| {readonly type: 'failed'; readonly failure: Failure; readonly tried: readonly EndpointId[]}
-		| {readonly type: 'caller-left'};
+		| {readonly type: 'caller-left'}
+		| {readonly type: 'claim-stopped'};
 
 export type SlotSearchOptions = {
 	readonly fleet: Fleet;
@@ -98,6 +105,11 @@
 				return {type: 'caller-left'};
 			}
 
+			case 'claim-stopped': {
+				this.#withdrawAll();
+				return {type: 'claim-stopped'};
+			}
+
 			case 'alarm': {
 				if (!this.#options.alarm.hasFired) {
 					return undefined;
@@ -120,7 +132,7 @@
 			this.#record(ReasonCode.offered, {endpoint: slot.endpoint});
 			this.#open.delete(keyOf(link, message.stream));
 			this.#withdrawAll();
-			return {type: 'slot', slot};
+			return {type: 'slot', slot: {...slot, startBefore: performance.now() + (message.holdMilliseconds / 2)}};
 		}
 
 		if (message.type === 'refuse' || message.type === 'fail') {
