--- a/bench/control/surroundings.ts
+++ b/bench/control/surroundings.ts
@@ -94,11 +94,11 @@
 
 	/** Publishes changes at the setting's rate until the span ends. */
 	async changeFor(milliseconds: number): Promise<void> {
-		const {changesPerSecond} = this.#setting;
+		const interval = 1000 / this.#setting.changesPerSecond;
 		const until = performance.now() + milliseconds;
-		while (performance.now() < until) {
-			await delay(changesPerSecond === 0 ? milliseconds : 1000 / changesPerSecond);
-			if (changesPerSecond > 0) {
+		for (let left = milliseconds; left > 0; left = until - performance.now()) {
+			await delay(Math.min(interval, left));
+			if (interval < left) {
 				await this.#append([{type: 'put', entry: modelEntry(models + this.#revision)}]);
 			}
 		}
