--- a/bench/control/surroundings.ts
+++ b/bench/control/surroundings.ts
@@ -15,7 +15,9 @@
 
 const models = 19;
 const zones = ['lima-a', 'lima-b', 'lima-c', 'franken-a', 'franken-b', 'franken-c'];
-const heartbeatMilliseconds = 2000;
+/** The stand-ins beat as processes with this many connections do, whatever their own number. */
+const letterConnections = 350;
+const heartbeatTickMilliseconds = 500;
 const loopback = '127.0.0.1';
 const entriesPerChange = 200;
 
@@ -46,14 +48,16 @@
 		this.#client = HttpLogClient.create({baseUrl: log.url, timeoutMilliseconds: 5000});
 		this.#timer = setInterval(() => {
 			for (const connection of this.#connections) {
-				connection.send({type: 'heartbeat', catalogueOffset: this.#revision});
+				if (connection.takeHeartbeat(letterConnections)) {
+					connection.send({type: 'heartbeat', catalogueOffset: this.#revision});
+				}
 			}
-		}, heartbeatMilliseconds);
+		}, heartbeatTickMilliseconds);
 	}
 
-	/** How many processes are connected to the measured one. */
-	get connections(): number {
-		return this.#connections.size;
+	/** Frames that the measured process and the stand-ins have sent each other. */
+	get messages(): number {
+		return [...this.#connections].reduce((total, {counts}) => total + counts.sentMessages + counts.receivedMessages, 0);
 	}
 
 	/** Sides for a measured entry to find: each listens, greets and sends heartbeats. */
@@ -90,11 +94,11 @@
 
 	/** Publishes changes at the setting's rate until the span ends. */
 	async changeFor(milliseconds: number): Promise<void> {
-		const {changesPerSecond} = this.#setting;
+		const interval = 1000 / this.#setting.changesPerSecond;
 		const until = performance.now() + milliseconds;
-		while (performance.now() < until) {
-			await delay(changesPerSecond === 0 ? milliseconds : 1000 / changesPerSecond);
-			if (changesPerSecond > 0) {
+		for (let left = milliseconds; left > 0; left = until - performance.now()) {
+			await delay(Math.min(interval, left));
+			if (interval < left) {
 				await this.#append([{type: 'put', entry: modelEntry(models + this.#revision)}]);
 			}
 		}
