Hold every class to its fleet-wide limits at the entry

Cause: the limiter was built and measured, but no entry asked it: catalogue limits were not enforced. Change: each entry runs a limiter on its internal address; a request is admitted before its key is claimed, so a refusal leaves no claim behind, and is refused at once as not run with Retry-After. The limiter names entries by their addresses in the membership list, which all of them share. Ruled out: admitting inside the call in progress, whose claim starts with it.

--- a/bench/harness/local-fleet.ts
+++ b/bench/harness/local-fleet.ts
@@ -156,7 +156,7 @@
 		});
 		const local = {entry, follower, quarantine, claims, instance, zone};
 		this.entries.push(local);
-		this.members.set({instance, role: 'entry', address: entry.address, zone, state: 'live'});
+		this.members.set({instance, role: 'entry', address: entry.internalAddress, zone, state: 'live'});
 		return local;
 	}
 
--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -40,6 +40,8 @@
 		host: settings.listenHost,
 		port: settings.listenPort,
 		bodyLimitBytes: settings.bodyLimitBytes,
+		internalHost: settings.internalHost,
+		internalPort: settings.internalPort,
 		security: readSecurity(entrySettings.program, settings),
 		catalogue: follower,
 		membership: HttpMembershipClient.create(platform(settings.membersUrl)),
@@ -72,7 +74,7 @@
 			},
 		}),
 	});
-	log.info('Listening.', {address: entry.address, adminPort: admin.port});
+	log.info('Listening.', {address: entry.address, internalAddress: entry.internalAddress, adminPort: admin.port});
 	log.info('Stopping.', {signal: await stopSignal()});
 	const whole = await withinMilliseconds(entry.drain(settings.noticeMilliseconds), settings.stopMilliseconds);
 	log.info(whole ? 'Stopped with nothing in progress.' : 'Stopped with requests in progress, after the time allowed.');
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -17,9 +17,10 @@
 import {type Caller, checkTarget, identifyCaller, summarize} from './admission.js';
 import {EntryTelemetry} from './entry-telemetry.js';
 import {Fleet} from './fleet.js';
+import {Limiter} from './limits/index.js';
 import {type CallEnd, ModelCallInProgress, stoppingFailure} from './model-call.js';
 import {
-	parseModelCall, readBody, type Route, routeCall, sendFailure, StreamAnswer, WholeAnswer,
+	type ModelCall, parseModelCall, readBody, type Route, routeCall, sendFailure, StreamAnswer, WholeAnswer,
 } from './protocol/index.js';
 import {RetryKeeper} from './retry-keeper.js';
 import {ServiceBody} from './service-body.js';
@@ -38,6 +39,9 @@
 	readonly host: string;
 	readonly port: number;
 	readonly bodyLimitBytes: number;
+	/** Where other entries reach this one, to share limits; the membership list names it. */
+	readonly internalHost?: string;
+	readonly internalPort?: number;
 	readonly security: Security;
 	readonly catalogue: CatalogueSource;
 	readonly membership: MembershipClient;
@@ -64,6 +68,13 @@
 		const entry = new Entry(options);
 		entry.#server.listen(options.port, options.host);
 		await once(entry.#server, 'listening');
+		entry.#limiter = await Limiter.create({
+			host: options.internalHost ?? options.host,
+			port: options.internalPort ?? 0,
+			security: options.security,
+			entries: () => entry.fleet.entries,
+			catalogue: () => options.catalogue.current(),
+		});
 		entry.#address = `${options.host}:${(entry.#server.address() as AddressInfo).port}`;
 		return entry;
 	}
@@ -74,6 +85,7 @@
 	readonly #options: EntryOptions<State>;
 	readonly #server: http.Server;
 	#address = '';
+	#limiter!: Limiter;
 	#active = 0;
 	/** Not ready any more, but still serving: the balancer has yet to notice. */
 	#retiring = false;
@@ -99,6 +111,11 @@
 		return this.#address;
 	}
 
+	/** IP number and port for other entries: the entry's address in the membership list. */
+	get internalAddress(): string {
+		return this.#limiter.address;
+	}
+
 	/** True while the balancer should send work here. */
 	get isReady(): boolean {
 		return !this.#retiring && this.#options.catalogue.isReady;
@@ -143,6 +160,7 @@
 	/** Closes at once; `drain` first for a stop that cuts nothing. */
 	async [Symbol.asyncDispose](): Promise<void> {
 		await this.fleet[Symbol.asyncDispose]();
+		await this.#limiter[Symbol.asyncDispose]();
 		this.#server.close();
 		this.#server.closeAllConnections();
 	}
@@ -252,8 +270,27 @@
 		return {keeper: claims, request: {workspace: summary.workspace, key, fingerprint, requestId: summary.id}};
 	}
 
+	/**
+	 * Runs an admitted request and ends its admission, however it ends. The key of a request is claimed
+	 * only after that, so that a refusal leaves no claim behind. One beyond its class's limits
+	 * is refused at once, as not run, and told when to come back.
+	 */
+	* #withinLimits<Result>(caller: Caller, summary: RequestSummary, run: () => Body<Result>): Body<Result> {
+		const {name, limits} = caller.classEntry;
+		const decision = yield * this.#limiter.admit(name, limits, summary.promptTokens);
+		if (decision.type !== 'admitted') {
+			throw RequestError.create(createFailure(FailureKind.limited, `The class ${name} is over its limit of ${decision.limit}.`, {retryAfterMilliseconds: decision.retryAfterMilliseconds}));
+		}
+
+		try {
+			return yield * run();
+		} finally {
+			this.#limiter.finish(name);
+		}
+	}
+
 	* #serveServiceCall(context: CallContext<ServiceRoute>): Body<void> {
-		const {id, request, response, arrivedAt, route, catalogue, caller} = context;
+		const {id, request, route, catalogue, caller} = context;
 		const method = request.method ?? 'GET';
 		checkTarget(catalogue, caller, 'service', route.name);
 		const body = ServiceBody.create(request);
@@ -268,11 +305,15 @@
 		});
 		this.retries.requestArrived();
 		this.telemetry.classified(summary);
+		yield * this.#withinLimits(caller, summary, () => this.#runServiceCall(context, body, summary));
+	}
+
+	* #runServiceCall({request, response, arrivedAt, route}: CallContext<ServiceRoute>, body: ServiceBody, summary: RequestSummary): Body<void> {
 		const inProgress = ServiceCallInProgress.create({
 			telemetry: this.telemetry,
 			fleet: this.fleet,
 			summary,
-			method,
+			method: request.method ?? 'GET',
 			path: route.path,
 			headers: plainHeaders(request),
 			body,
@@ -291,16 +332,24 @@
 	}
 
 	* #serveModelCall(context: CallContext<ModelRoute>): Body<void> {
-		const {id, request, response, arrivedAt, route, catalogue, caller} = context;
+		const {id, request, route, catalogue, caller} = context;
 		const body = yield * wait(readBody(request, this.#options.bodyLimitBytes));
 		const call = parseModelCall(route, body);
 		checkTarget(catalogue, caller, 'model', call.model);
 		const summary = summarize(caller, {
 			id, target: call.model, idempotent: true, promptTokens: call.promptTokens, prefix: call.prefix, fingerprint: fingerprintOf(caller.workspace.name as WorkspaceName, route.path, call.body),
 		});
-		const answer = call.stream ? StreamAnswer.create(response, {requestId: id, includeUsage: call.includeUsage}) : WholeAnswer.create(response, {requestId: id, kind: route.type});
 		this.retries.requestArrived();
 		this.telemetry.classified(summary);
+		const end = yield * this.#withinLimits(caller, summary, () => this.#runModelCall(context, call, summary));
+		this.#limiter.spend(caller.classEntry.name, end.tokens);
+		this.telemetry.ended(summary, end);
+		this.#options.logger.debug('A model call ended.', {request: id, end: end.type, tokens: end.tokens, attempts: end.attempts});
+		this.#options.onEnd?.(caller, end);
+	}
+
+	* #runModelCall({id, request, response, arrivedAt, route}: CallContext<ModelRoute>, call: ModelCall, summary: RequestSummary): Body<CallEnd> {
+		const answer = call.stream ? StreamAnswer.create(response, {requestId: id, includeUsage: call.includeUsage}) : WholeAnswer.create(response, {requestId: id, kind: route.type});
 		const inProgress = ModelCallInProgress.create({
 			telemetry: this.telemetry, fleet: this.fleet, summary, path: route.path, call, answer, arrivedAt, retries: this.retries, quarantine: this.#options.quarantine,
 			claim: this.#claimOf(request, summary, call.fingerprintSource),
@@ -310,10 +359,7 @@
 				inProgress.callerLeft();
 			}
 		});
-		const end = yield * inProgress.run();
-		this.telemetry.ended(summary, end);
-		this.#options.logger.debug('A model call ended.', {request: id, end: end.type, tokens: end.tokens, attempts: end.attempts});
-		this.#options.onEnd?.(caller, end);
+		return yield * inProgress.run();
 	}
 }
 
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -42,6 +42,7 @@
 
 	readonly #options: FleetOptions<State>;
 	#placementState: State;
+	#entries: ReadonlyMap<string, string> = new Map();
 	#members = new Map<string, Member>();
 	readonly #dialing = new Set<string>();
 	readonly #links = new Map<EndpointId, SideLink>();
@@ -84,6 +85,11 @@
 		return this.#links.get(endpoint);
 	}
 
+	/** Addresses of the live entries, as the membership list has them, by themselves: a name that all entries share. */
+	get entries(): ReadonlyMap<string, string> {
+		return this.#entries;
+	}
+
 	/** Every connected side. */
 	get connected(): readonly SideLink[] {
 		return [...this.#links.values()];
@@ -169,6 +175,7 @@
 			return;
 		}
 
+		this.#entries = new Map(list.filter(member => member.role === 'entry' && member.state === 'live').map(({address}) => [address, address]));
 		this.#members = new Map(list.filter(member => member.role === 'side').map(member => [member.address, member]));
 		for (const member of this.#members.values()) {
 			if (!this.#dialing.has(member.address) && member.state === 'live') {
--- a/src/entry/limits/limiter.ts
+++ b/src/entry/limits/limiter.ts
@@ -11,7 +11,8 @@
 import {KeeperPeer, type LimitLease, type LimitReport} from './peer.js';
 
 export type LimiterOptions = {
-	readonly instance: string;
+	/** Its name in `entries()`; its own address if left out. */
+	readonly instance?: string;
 	readonly host: string;
 	readonly port: number;
 	readonly security: Security;
@@ -74,6 +75,10 @@
 		}, tickMilliseconds);
 	}
 
+	get #self(): string {
+		return this.#options.instance ?? this.address;
+	}
+
 	/** IP number and port for other entries: the entry's address in the membership list. */
 	get address(): string {
 		return this.#listener.address;
@@ -181,7 +186,7 @@
 
 	#standing(): Standing {
 		const names = [...this.#options.entries().keys()].toSorted();
-		return {entries: Math.max(names.length, 1), position: Math.max(names.indexOf(this.#options.instance), 0)};
+		return {entries: Math.max(names.length, 1), position: Math.max(names.indexOf(this.#self), 0)};
 	}
 
 	#report(): void {
@@ -210,18 +215,18 @@
 			const {state, demand} = takeReport(held.state, now);
 			held.state = state;
 			held.reportedAt = now;
-			const keeper = rankByRendezvous(name, entries.keys())[0] ?? this.#options.instance;
+			const keeper = rankByRendezvous(name, entries.keys())[0] ?? this.#self;
 			byKeeper.set(keeper, [...byKeeper.get(keeper) ?? [], {name, ...demand}]);
 		}
 
 		for (const [keeper, classes] of byKeeper) {
 			this.counts.reported += classes.length;
-			this.#send(keeper, entries.get(keeper), {type: 'limit-report', holder: this.#options.instance, classes});
+			this.#send(keeper, entries.get(keeper), {type: 'limit-report', holder: this.#self, classes});
 		}
 	}
 
 	#send(keeper: string, address: string | undefined, report: LimitReport): void {
-		if (keeper === this.#options.instance || address === undefined) {
+		if (keeper === this.#self || address === undefined) {
 			this.#takeLeases(this.#lease(report));
 			return;
 		}
