Refuse at once what would wait past its time under lasting overload

Cause: at 5x overload orders were held until their queue time was over although their place in the queue told long before that no slot would come; and an arrival counted late requests as before it, which it overtakes.

Change: a late request whose place in the queue is out of reach by half is refused with a time to come back, once the overload has lasted for half of the class's queue time; arrivals are measured against what is in time.

--- a/src/policy/scheduler/tiered-decisions.ts
+++ b/src/policy/scheduler/tiered-decisions.ts
@@ -1,5 +1,5 @@
 import {type Tier, tiers} from '../../model/index.js';
-import {countDeparture, retryAfter} from './drain.js';
+import {countDeparture, hopelessIn, retryAfter} from './drain.js';
 import {advance, countersOf, greatestLag, lagBound} from './fairness.js';
 import {floorTurn, floorWaitBound} from './floor.js';
 import {muchLonger, slotsToLeave, usualHold} from './headroom.js';
@@ -15,18 +15,20 @@
 
 type Step = SchedulerStep<TieredState>;
 
-/** Refuses whatever has waited as long as it may, and takes back offers that nobody answered. */
+/** Refuses whatever has waited as long as it may or will have to, and takes back offers that nobody answered. */
 export function expire(state: TieredState, {now, settings}: Context): Step {
 	const {ledger} = state;
 	const expired = [...ledger.waiting.values()].filter(({expiresAt}) => expiresAt <= now);
+	const hopeless = tiers.flatMap(tier => hopelessIn(state.drain, ledger, tier, now)).filter(({expiresAt, summary}) => expiresAt > now && (summary.preemptions ?? 0) === 0);
 	const lapsed = [...ledger.occupied.values()].filter(({phase, offeredAt}) => phase === 'offered' && offeredAt + settings.holdMilliseconds <= now);
 	let rest = ledger;
-	for (const {id} of [...expired, ...lapsed]) {
+	for (const {id} of [...expired, ...hopeless, ...lapsed]) {
 		rest = remove(rest, id);
 	}
 
 	const actions = [
 		...expired.map(({id, summary}) => refuse(id, RefusalReason.expired, retryAfter(state.drain, ledger, summary.tier))),
+		...hopeless.map(({id, summary}) => refuse(id, RefusalReason.hopeless, retryAfter(state.drain, ledger, summary.tier))),
 		...lapsed.map(({id}) => refuse(id, RefusalReason.lapsed, 0)),
 	];
 	const longestMilliseconds = Math.max(state.longestMilliseconds, ...lapsed.map(({offeredAt}) => now - offeredAt));
--- a/src/policy/scheduler/tiered-events.ts
+++ b/src/policy/scheduler/tiered-events.ts
@@ -62,7 +62,7 @@
 	}
 
 	const {ledger} = state;
-	const wait = expectedWait(state.drain, ledger, summary);
+	const wait = expectedWait(state.drain, ledger, summary, now);
 	if (wait > summary.queueMilliseconds) {
 		return {state, actions: [refuse(id, RefusalReason.hopeless, wait - summary.queueMilliseconds)]};
 	}
--- a/test/policy/scheduler/scenarios.test.ts
+++ b/test/policy/scheduler/scenarios.test.ts
@@ -83,3 +83,14 @@
 		t.ok(received.every(item => waitOf(item) <= item.sent.summary.queueMilliseconds + 51), 'nobody is held past the time');
 	});
 }
+
+// Hopeless: ten times what the endpoint can do comes in one tier for four seconds. Callers that can't be
+// served in their time are told so early, with a time to come back, and not when their time is over.
+tap.test('what can no longer be served is refused before its time is over', async t => {
+	const sent = stream(0, 4000, 5, () => ({summary: createSummary({firstTokenMilliseconds: 300, queueMilliseconds: 3000}), tokens: 20}));
+	const received = Simulation.run(tiered(settings), sent, costs, 30_000);
+	const refused = received.filter(({refusedAt}) => refusedAt !== undefined).map(item => waitOf(item)).toSorted((one, other) => one - other);
+	t.ok(refused.length > 100);
+	t.ok(refused[Math.floor(refused.length / 2)]! < 1500, `half of the refusals within ${refused[Math.floor(refused.length / 2)]} ms`);
+	t.ok(received.every(({endedAt, refusedAt}) => endedAt !== undefined || refusedAt !== undefined));
+});
