--- a/bench/decisions/index.ts
+++ b/bench/decisions/index.ts
@@ -3,11 +3,12 @@
 import {type Argv, type CommandModule} from 'yargs';
 import {measureFull} from './full.js';
 import {patterns} from './patterns.js';
+import {plotAttainment} from './plot.js';
 import {renderDetail, renderSummary, toMarkdown} from './report.js';
 import {type Done, runAll, type Wanted} from './schedule.js';
 import {variants} from './variants.js';
 
-type Options = {pattern: string[]; variant: string[]; seed: number; seeds: number; all: boolean; jobs: number; output: string};
+type Options = {pattern: string[]; variant: string[]; seed: number; seeds: number; all: boolean; jobs: number; output: string; plot: string};
 
 const fullMilliseconds = 3000;
 
@@ -22,6 +23,7 @@
 		.option('seeds', {type: 'number', default: 1, describe: 'How many seeds'})
 		.option('all', {type: 'boolean', default: false, describe: 'Every pattern, with a summary'})
 		.option('jobs', {type: 'number', default: 3, describe: 'Runs at a time, each in a process of its own'})
+		.option('plot', {type: 'string', default: '', describe: 'A file for the top tier\'s attainment as SVG'})
 		.option('output', {type: 'string', default: '', describe: 'A file for the tables as Markdown'}),
 	handler: runDecisions,
 };
@@ -40,6 +42,10 @@
 	});
 	const ordered = wanted.map(one => done.find(other => other.pattern === one.pattern && other.variant === one.variant && other.seed === one.seed)!);
 	print(ordered, full, options);
+	if (options.plot !== '') {
+		writeFileSync(options.plot, await plotAttainment(ordered, 'answer'));
+	}
+
 	process.exitCode = ordered.some(({figures}) => figures.wrong > 0 || figures.violations > 0) ? 1 : 0;
 }
 
