--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import {randomBytes} from 'node:crypto';
+import {ClaimKeeper} from '../entry/claims/index.js';
 import {Entry, EntryTelemetry} from '../entry/index.js';
 import {createInstanceId, type InstanceId, type ZoneName} from '../model/index.js';
 import {
@@ -29,6 +30,7 @@
 		},
 	});
 	await using quarantine = QuarantineLedger.create({log: HttpLogClient.create(platform(settings.logUrl))});
+	await using claims = ClaimKeeper.create({log: HttpLogClient.create(platform(settings.logUrl)), instance});
 	const metrics = Metrics.create({role: 'entry', ofProcess: true});
 	const journal = DecisionJournal.create();
 	await using entry = await Entry.create({
@@ -45,6 +47,7 @@
 		logger: log,
 		random: randomUniform,
 		quarantine,
+		claims,
 		onPeerMessage(link, message) {
 			exchangeCatalogue(follower, message, reply => {
 				link.send(reply);
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -1,10 +1,11 @@
 import {type Body, channel, type Channel, sleep, tryDeliver} from '../concurrency/index.js';
 import {
-	combineVerdicts, createFailure, type Failure, FailureKind, type RequestSummary, Verdict,
+	combineVerdicts, createFailure, type EndpointId, type Failure, FailureKind, type RequestSummary, Verdict,
 } from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {ReasonCode} from '../telemetry/index.js';
 import {Alarm} from './alarm.js';
+import {ClaimGuard, eventsOf, keepEvents, type ClaimKeeper, type ClaimRequest, type ClaimStop} from './claims/index.js';
 import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {type Answer, type ModelCall} from './protocol/index.js';
@@ -12,7 +13,7 @@
 import {inboxCapacity, type RequestEvent} from './request-event.js';
 import {type RetryKeeper} from './retry-keeper.js';
 import {type Slot} from './slot.js';
-import {SlotFinder} from './slot-finder.js';
+import {SlotFinder, type SlotFound} from './slot-finder.js';
 
 export type ModelCallOptions = {
 	readonly telemetry: EntryTelemetry;
@@ -25,6 +26,8 @@
 	readonly retries: RetryKeeper;
 	/** What is known of requests that crash endpoints. */
 	readonly quarantine?: QuarantineLedger;
+	/** For a request that may run once at most under its key. */
+	readonly claim?: {readonly keeper: ClaimKeeper; readonly request: ClaimRequest};
 };
 
 export type CallEnd
@@ -52,11 +55,16 @@
 	#failures = 0;
 	#preemptions = 0;
 	readonly #alarm: Alarm;
+	readonly #claim: ClaimGuard | undefined;
 
 	private constructor(options: ModelCallOptions) {
 		this.#options = options;
 		this.#alarm = Alarm.create(this.inbox);
-		this.#finder = SlotFinder.create({...options, inbox: this.inbox, alarm: this.#alarm});
+		const {claim} = options;
+		this.#claim = claim && ClaimGuard.create(claim.keeper, claim.request, () => {
+			tryDeliver(this.inbox, {type: 'claim-stopped'});
+		});
+		this.#finder = SlotFinder.create({...options, inbox: this.inbox, alarm: this.#alarm, claim: this.#claim});
 	}
 
 	/** The caller closed its connection. */
@@ -79,13 +87,13 @@
 				promptTokens: this.#options.summary.promptTokens + this.#progress.events.length, preemptions: this.#preemptions,
 			});
 			if (found.type !== 'slot') {
-				return found.type === 'failed' ? this.#fail(found.failure) : this.#left();
+				return yield * this.#endWithoutSlot(found);
 			}
 
 			this.#attempts += 1;
 			const end = yield * this.#runAt(found.slot);
 			if (end.type === 'whole') {
-				return this.#whole(end.usage);
+				return yield * this.#whole(end.usage, found.slot.endpoint);
 			}
 
 			if (end.type === 'caller-left') {
@@ -93,13 +101,42 @@
 			}
 
 			if (!(yield * this.#mayGoOn(end.failure))) {
-				return this.#fail(end.failure);
+				return yield * this.#fail(end.failure);
 			}
 
 			this.#prepareNext(found.slot, end.failure);
 		}
 	}
 
+	* #endWithoutSlot(found: Exclude<SlotFound, {type: 'slot'}>): Body<CallEnd> {
+		switch (found.type) {
+			case 'failed': {
+				return yield * this.#fail(found.failure);
+			}
+
+			case 'caller-left': {
+				return this.#left();
+			}
+
+			case 'claim-stopped': {
+				return yield * this.#stopped(found.stop);
+			}
+		}
+	}
+
+	/** The key is another request's: its answer if that is known, or a failure. */
+	* #stopped(stop: ClaimStop): Body<CallEnd> {
+		if (stop.type === 'failed') {
+			return yield * this.#fail(stop.failure);
+		}
+
+		const {answer} = this.#options;
+		const {events, usage} = eventsOf(stop.answer);
+		answer.write(events);
+		answer.finish(usage);
+		return {type: 'whole', tokens: events.length, firstTokenMilliseconds: undefined, attempts: this.#attempts};
+	}
+
 	* #runAt(slot: Slot): Body<RelayEnd> {
 		const {summary, path, call, fleet, answer} = this.#options;
 		const {events} = this.#progress;
@@ -166,23 +203,29 @@
 		return true;
 	}
 
-	#whole(usage: string | undefined): CallEnd {
+	* #whole(usage: string | undefined, endpoint: EndpointId): Body<CallEnd> {
 		const {answer, arrivedAt} = this.#options;
 		answer.finish(usage);
 		const {firstTokenAt, events} = this.#progress;
+		if (this.#claim) {
+			yield * this.#claim.finished(endpoint, keepEvents({events, usage}));
+		}
+
 		return {
 			type: 'whole', tokens: events.length, firstTokenMilliseconds: firstTokenAt === undefined ? undefined : firstTokenAt - arrivedAt, attempts: this.#attempts,
 		};
 	}
 
-	#fail(failure: Failure): CallEnd {
-		const verdict = combineVerdicts(this.#verdict, failure.verdict);
+	* #fail(failure: Failure): Body<CallEnd> {
+		const certain = combineVerdicts(this.#verdict, failure.verdict);
+		const verdict = this.#claim ? yield * this.#claim.failed(certain) : certain;
 		const told = {...failure, verdict};
 		this.#options.answer.fail(told);
 		return {type: 'failed', failure: told, tokens: this.#progress.events.length, attempts: this.#attempts};
 	}
 
 	#left(): CallEnd {
+		this.#claim?.abandoned();
 		return {type: 'caller-left', tokens: this.#progress.events.length, attempts: this.#attempts};
 	}
 }
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -102,9 +102,42 @@
 /** Either way: records of crashes by requests that the peer may not know. */
 const quarantine = z.object({type: z.literal('quarantine'), records: z.array(quarantineRecordSchema)});
 
+const rate = z.number().nonnegative();
+/** Entry to the keeper of some classes' fleet-wide limits: what it would use of each if nothing held it back. */
+const limitReport = z.object({
+	type: z.literal('limit-report'),
+	holder: text,
+	classes: z.array(z.object({name: text, requestsPerSecond: rate, tokensPerSecond: rate, concurrency: rate, running: z.number().int().nonnegative()})),
+});
+/** The keeper's answer: the entry's share of each, for a time from receipt. */
+const limitLease = z.object({
+	type: z.literal('limit-lease'),
+	classes: z.array(z.object({name: text, requestsPerSecond: rate, tokensPerSecond: rate, concurrency: rate, milliseconds})),
+});
+
 /** Every message, by `type`. */
 export const messageSchema = z.discriminatedUnion('type', [
-	hello, heartbeat, reserve, offer, refuse, withdraw, start, body, credit, cancel, chunk, head, data, end, fail, state, pull, records, quarantine,
+	hello,
+	heartbeat,
+	reserve,
+	offer,
+	refuse,
+	withdraw,
+	start,
+	body,
+	credit,
+	cancel,
+	chunk,
+	head,
+	data,
+	end,
+	fail,
+	state,
+	pull,
+	records,
+	quarantine,
+	limitReport,
+	limitLease,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
