Split the entry's requests from its life, and let an idle side rest

Change: RequestServer serves requests, Entry listens and stops; a side ticks only while something waits or runs. Ruled out: a slower tick, which would delay offers that lapse.

--- /dev/null
+++ b/src/entry/request-server.ts
@@ -0,0 +1,256 @@
+import {once} from 'node:events';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Catalogue} from '../catalogue/index.js';
+import {type Body, wait} from '../concurrency/index.js';
+import {createFailure, FailureKind, RequestError, type RequestId, type RequestSummary, type WorkspaceName} from '../model/index.js';
+import {type QuarantineLedger} from '../platform/index.js';
+import {fingerprintOf} from '../policy/quarantine/index.js';
+import {type PartLogger} from '../telemetry/index.js';
+import {type ClaimKeeper, type ClaimRequest} from './claims/index.js';
+import {type Caller, checkTarget, identifyCaller, summarize} from './admission.js';
+import {type EntryTelemetry} from './entry-telemetry.js';
+import {type Fleet} from './fleet.js';
+import {type Limiter} from './limits/index.js';
+import {type CallEnd, ModelCallInProgress, stoppingFailure} from './model-call.js';
+import {
+	type ModelCall, parseModelCall, readBody, type Route, routeCall, sendFailure, StreamAnswer, WholeAnswer,
+} from './protocol/index.js';
+import {type RetryKeeper} from './retry-keeper.js';
+import {ServiceBody} from './service-body.js';
+import {ServiceCallInProgress} from './service-call.js';
+import {type CatalogueSource} from './entry.js';
+
+/** What serving a request needs of its entry. */
+export type RequestServerOptions = {
+	readonly bodyLimitBytes: number;
+	readonly catalogue: CatalogueSource;
+	readonly logger: PartLogger;
+	readonly quarantine?: QuarantineLedger;
+	readonly claims?: ClaimKeeper;
+	readonly onEnd?: (caller: Caller, end: CallEnd) => void;
+	readonly fleet: Fleet;
+	readonly retries: RetryKeeper;
+	readonly telemetry: EntryTelemetry;
+	readonly limiter: Limiter;
+	/** True once new requests are refused. */
+	readonly isStopping: () => boolean;
+};
+
+type ModelRoute = Extract<Route, {type: 'chat' | 'completion'}>;
+type ServiceRoute = Extract<Route, {type: 'service'}>;
+
+/**
+ * Serves callers' requests: route, caller and class, limits, and then the call in progress, which
+ * tells the caller the rest.
+ */
+export class RequestServer {
+	static create(options: RequestServerOptions): RequestServer {
+		return new RequestServer(options);
+	}
+
+	readonly #options: RequestServerOptions;
+
+	private constructor(options: RequestServerOptions) {
+		this.#options = options;
+	}
+
+	* serve(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
+		try {
+			yield * this.#route(id, request, response);
+		} catch (error) {
+			this.#refuse(id, response, error);
+		}
+	}
+
+	/**
+	 * Whatever is thrown before a body left for a side is a refusal, and certain to be not run.
+	 * Later failures never get here: the call in progress tells them itself.
+	 */
+	#refuse(id: RequestId, response: ServerResponse, error: unknown): void {
+		if (error instanceof RequestError) {
+			this.#options.telemetry.refused(id, error.failure);
+			sendFailure(response, error.failure, id);
+			return;
+		}
+
+		this.#options.logger.error('A request failed inside the entry.', {request: id, err: error});
+		sendFailure(response, createFailure(FailureKind.internal, 'The request failed inside the router.', {verdict: 'may-have-run'}), id);
+	}
+
+	* #route(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
+		const arrivedAt = performance.now();
+		const route = routeCall(request.method ?? 'GET', request.url ?? '/');
+		const catalogue = this.#catalogueForWork();
+		const caller = identifyCaller(catalogue, request.headers.authorization, headerText(request, 'cassiaflow-class'));
+		switch (route.type) {
+			case 'models': {
+				sendModels(response, catalogue, caller);
+				break;
+			}
+
+			case 'chat':
+			case 'completion': {
+				yield * this.#serveModelCall({id, request, response, arrivedAt, route, catalogue, caller});
+				break;
+			}
+
+			case 'service': {
+				yield * this.#serveServiceCall({id, request, response, arrivedAt, route, catalogue, caller});
+				break;
+			}
+		}
+	}
+
+	#catalogueForWork(): Catalogue {
+		if (this.#options.isStopping()) {
+			throw RequestError.create(stoppingFailure());
+		}
+
+		if (!this.#options.catalogue.isReady) {
+			throw RequestError.create(createFailure(FailureKind.notReady, 'This instance has no catalogue yet.', {retryAfterMilliseconds: 1000}));
+		}
+
+		return this.#options.catalogue.current();
+	}
+
+	/** What must be claimed before the request may run: nothing, if it may be repeated or has no key. */
+	#claimOf(request: IncomingMessage, summary: RequestSummary, fingerprint: string): {keeper: ClaimKeeper; request: ClaimRequest} | undefined {
+		const key = headerText(request, 'idempotency-key');
+		if (summary.idempotent || key === undefined) {
+			return undefined;
+		}
+
+		const {claims} = this.#options;
+		if (!claims) {
+			throw RequestError.create(createFailure(FailureKind.claimUnavailable, 'Idempotency keys can not be claimed here.'));
+		}
+
+		return {keeper: claims, request: {workspace: summary.workspace, key, fingerprint, requestId: summary.id}};
+	}
+
+	/**
+	 * Runs an admitted request and ends its admission, however it ends. The key of a request is claimed
+	 * only after that, so that a refusal leaves no claim behind. One beyond its class's limits
+	 * is refused at once, as not run, and told when to come back.
+	 */
+	* #withinLimits<Result>(caller: Caller, summary: RequestSummary, run: () => Body<Result>): Body<Result> {
+		const {name, limits} = caller.classEntry;
+		const decision = yield * this.#options.limiter.admit(name, limits, summary.promptTokens);
+		if (decision.type !== 'admitted') {
+			throw RequestError.create(createFailure(FailureKind.limited, `The class ${name} is over its limit of ${decision.limit}.`, {retryAfterMilliseconds: decision.retryAfterMilliseconds}));
+		}
+
+		try {
+			return yield * run();
+		} finally {
+			this.#options.limiter.finish(name);
+		}
+	}
+
+	* #serveServiceCall(context: CallContext<ServiceRoute>): Body<void> {
+		const {id, request, route, catalogue, caller} = context;
+		const method = request.method ?? 'GET';
+		checkTarget(catalogue, caller, 'service', route.name);
+		const body = ServiceBody.create(request);
+		yield * body.readFirst();
+		const summary = summarize(caller, {
+			id,
+			target: route.name,
+			idempotent: isIdempotent(catalogue, route.name, method),
+			promptTokens: 0,
+			prefix: route.name,
+			fingerprint: fingerprintOf(caller.workspace.name as WorkspaceName, `${method} ${route.path}`, body.first),
+		});
+		this.#options.retries.requestArrived();
+		this.#options.telemetry.classified(summary);
+		yield * this.#withinLimits(caller, summary, () => this.#runServiceCall(context, body, summary));
+	}
+
+	* #runServiceCall({request, response, arrivedAt, route}: CallContext<ServiceRoute>, body: ServiceBody, summary: RequestSummary): Body<void> {
+		const inProgress = ServiceCallInProgress.create({
+			telemetry: this.#options.telemetry,
+			fleet: this.#options.fleet,
+			summary,
+			method: request.method ?? 'GET',
+			path: route.path,
+			headers: plainHeaders(request),
+			body,
+			response,
+			arrivedAt,
+			retries: this.#options.retries,
+			quarantine: this.#options.quarantine,
+			claim: this.#claimOf(request, summary, summary.fingerprint),
+		});
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				inProgress.callerLeft();
+			}
+		});
+		yield * inProgress.run();
+	}
+
+	* #serveModelCall(context: CallContext<ModelRoute>): Body<void> {
+		const {id, request, route, catalogue, caller} = context;
+		const body = yield * wait(readBody(request, this.#options.bodyLimitBytes));
+		const call = parseModelCall(route, body);
+		checkTarget(catalogue, caller, 'model', call.model);
+		const summary = summarize(caller, {
+			id, target: call.model, idempotent: true, promptTokens: call.promptTokens, prefix: call.prefix, fingerprint: fingerprintOf(caller.workspace.name as WorkspaceName, route.path, call.body),
+		});
+		this.#options.retries.requestArrived();
+		this.#options.telemetry.classified(summary);
+		const end = yield * this.#withinLimits(caller, summary, () => this.#runModelCall(context, call, summary));
+		this.#options.limiter.spend(caller.classEntry.name, end.tokens);
+		this.#options.telemetry.ended(summary, end);
+		this.#options.logger.debug('A model call ended.', {request: id, end: end.type, tokens: end.tokens, attempts: end.attempts});
+		this.#options.onEnd?.(caller, end);
+	}
+
+	* #runModelCall({id, request, response, arrivedAt, route}: CallContext<ModelRoute>, call: ModelCall, summary: RequestSummary): Body<CallEnd> {
+		const answer = call.stream ? StreamAnswer.create(response, {requestId: id, includeUsage: call.includeUsage}) : WholeAnswer.create(response, {requestId: id, kind: route.type});
+		const inProgress = ModelCallInProgress.create({
+			telemetry: this.#options.telemetry, fleet: this.#options.fleet, summary, path: route.path, call, answer, arrivedAt, retries: this.#options.retries, quarantine: this.#options.quarantine,
+			claim: this.#claimOf(request, summary, call.fingerprintSource),
+		});
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				inProgress.callerLeft();
+			}
+		});
+		return yield * inProgress.run();
+	}
+}
+
+type CallContext<Kind extends Route> = {
+	readonly id: RequestId;
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly arrivedAt: number;
+	readonly route: Kind;
+	readonly catalogue: Catalogue;
+	readonly caller: Caller;
+};
+
+function sendModels(response: ServerResponse, catalogue: Catalogue, caller: Caller): void {
+	const {targets} = caller.classEntry;
+	const open = catalogue.models().filter(model => targets.length === 0 || targets.includes(model.name));
+	const data = open.map(model => ({id: model.name, object: 'model', created: 0, owned_by: model.owner}));
+	response.writeHead(200, {'content-type': 'application/json'});
+	response.end(JSON.stringify({object: 'list', data}));
+}
+
+function isIdempotent(catalogue: Catalogue, service: string, method: string): boolean {
+	const methods: readonly string[] = catalogue.service(service)?.idempotentMethods ?? [];
+	return methods.includes(method);
+}
+
+/** What a service may be told; the side passes on only what concerns the content, and never the key. */
+function plainHeaders(request: IncomingMessage): Record<string, string> {
+	const {authorization: _, cookie: __, ...rest} = request.headers;
+	return Object.fromEntries(Object.entries(rest).filter((header): header is [string, string] => typeof header[1] === 'string'));
+}
+
+function headerText(request: IncomingMessage, name: string): string | undefined {
+	const value = request.headers[name];
+	return typeof value === 'string' ? value : undefined;
+}
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -250,7 +250,9 @@
 
 	#startTimers(): void {
 		const tick = setInterval(() => {
-			this.#work.apply({type: 'tick'});
+			if (!this.#work.isEmpty) {
+				this.#work.apply({type: 'tick'});
+			}
 		}, tickMilliseconds);
 		const state = setInterval(() => {
 			this.#publishLoad();
--- a/src/side/work.ts
+++ b/src/side/work.ts
@@ -77,6 +77,11 @@
 		}
 	}
 
+	/** True while nothing waits, is on offer or runs: time then changes nothing. */
+	get isEmpty(): boolean {
+		return this.#reservations.size === 0;
+	}
+
 	get view(): SchedulerView {
 		return this.#options.scheduler.view(this.#state);
 	}
