Tell a reset from an end under an answer without a length

Ruled out: an error event on the request (none comes), 'aborted' (never set). Change: when the socket ends, a connection without a peer name counts as reset. Also a fatal error is now logged before the process ends.

--- a/src/bin/gateway-program.ts
+++ b/src/bin/gateway-program.ts
@@ -94,6 +94,10 @@
 	await using _metrics = metricsPort === undefined ? undefined : await AdminServer.create({host, port: metricsPort, metrics, isReady: () => gateway.isReady});
 	const announcing = new AbortController();
 	void announce(store, {instance: settings.instance, address: settings.peerAddress}, {logger: log, signal: announcing.signal});
+	process.on('uncaughtExceptionMonitor', error => {
+		log.error('Ending after an error that nothing caught.', {err: error});
+		sink[Symbol.dispose]();
+	});
 	log.info('Started.', {incarnation, version: process.version, milliseconds: Math.round(performance.now()), ...describe(settings)});
 
 	const prune = setInterval(() => {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,4 +1,5 @@
 import {request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
+import {type Socket} from 'node:net';
 import {type Verdict as VerdictType, Verdict} from '../model/index.js';
 import {watchConnection} from '../platform/index.js';
 import {type Channels} from './channels.js';
@@ -39,6 +40,8 @@
 	readonly #connection: {readonly stood: boolean};
 	#answer: IncomingMessage | undefined;
 	#isOver = false;
+	#isReset = false;
+	#socket: Socket | undefined;
 	#connectTimer: NodeJS.Timeout | undefined;
 
 	private constructor(options: AttemptOptions) {
@@ -55,6 +58,11 @@
 		});
 		this.#connection = watchConnection(this.#sent);
 		this.#watchConnecting();
+		this.#sent.once('socket', socket => {
+			this.#socket = socket;
+			// Before the parser hears of it, while the connection can still be asked.
+			socket.prependListener('end', this.#onSocketEnd);
+		});
 		this.#sent.on('error', (error: Error) => {
 			this.#break(error.message);
 		});
@@ -107,14 +115,24 @@
 			this.#break('the connection closed before the end');
 		});
 		answer.once('end', () => {
+			this.#socket?.removeListener('end', this.#onSocketEnd);
 			// Node ends an answer that was cut off too, and tells so here.
-			if (answer.complete) {
+			if (answer.complete && !this.#isReset) {
 				this.#tell({type: 'end'});
 				this.#isOver = true;
 			}
 		});
 	}
 
+	/**
+	 * Failure: bytes and a reset are read in one turn, and libuv reports the reset as a plain end.
+	 * Symptom: an answer without a length that was cut off passes for whole. A connection that was
+	 * reset has no peer any more, one that was ended has.
+	 */
+	readonly #onSocketEnd = (): void => {
+		this.#isReset = this.#socket !== undefined && this.#socket.remoteAddress === undefined;
+	};
+
 	#break(reason: string): void {
 		clearTimeout(this.#connectTimer);
 		this.#tell({type: 'broken', verdict: this.#connection.stood ? Verdict.mayHaveRun : Verdict.notRun, reason});
