--- a/src/gateway/channels.ts
+++ b/src/gateway/channels.ts
@@ -35,17 +35,17 @@
 		const hint = /timeout=(?<seconds>\d+)/v.exec(socket._httpMessage?.res?.headers['keep-alive'] ?? '')?.groups?.seconds;
 		const hinted = hint === undefined ? idleMilliseconds : (Number(hint) * 1000) - marginMilliseconds;
 		const milliseconds = Math.min(idleMilliseconds, hinted);
-		if (milliseconds <= 0 || socket.readableLength > 0) {
+		if (milliseconds <= 0 || socket.readableLength > 0 || !super.keepSocketAlive(socket)) {
 			return false;
 		}
 
-		socket.setKeepAlive(true, keepAliveProbeMilliseconds);
 		socket.setTimeout(milliseconds, dropIdle);
 		socket.on('data', dropStray);
 		return true;
 	}
 
-	override reuseSocket(socket: Socket): void {
+	override reuseSocket(socket: Socket, request: ClientRequest): void {
+		super.reuseSocket(socket, request);
 		socket.setTimeout(0);
 		socket.removeListener('timeout', dropIdle);
 		socket.removeListener('data', dropStray);
--- a/src/gateway/decision-log.ts
+++ b/src/gateway/decision-log.ts
@@ -8,6 +8,17 @@
 	readonly reason: string | undefined;
 	readonly sendings: number;
 	readonly verdict: string;
+	readonly firstEventAt: number | undefined;
+};
+
+/** One sending to one endpoint. */
+export type Sending = {
+	readonly waitedMilliseconds: number;
+	readonly startedAt: number;
+	readonly firstEventAt: number | undefined;
+	readonly outcome: Finish['outcome'];
+	readonly reason: string | undefined;
+	readonly status: number;
 };
 
 /** Lines a second, on average and at once: at 300 bytes each, 120 kB a second at most leave the process. */
@@ -49,33 +60,39 @@
 		this.#summarise();
 	}
 
-	decided({facts, route, table, dispatcher}: ExchangeOptions, decision: Decision, waitedMilliseconds: number): void {
-		const waited = Math.round(waitedMilliseconds);
-		if (decision.type === 'placed') {
-			this.#decisions.add(1, {decision: 'placed'});
-			this.#write('Placed.', {
-				request: facts.id, route: route.name, version: table.version, endpoint: decision.record.id, unread: decision.unreadTokens,
-				expected: Math.round(decision.expectedMilliseconds), candidates: decision.candidates, waited, line: dispatcher.waiting,
-			});
-			return;
-		}
-
+	/** The request was turned down where places are given. */
+	refused({facts, route, table}: ExchangeOptions, decision: Extract<Decision, {type: 'refused'}>, waitedMilliseconds: number): void {
 		this.#decisions.add(1, {decision: decision.reason});
 		this.#write('Refused.', {
 			request: facts.id, route: route.name, version: table.version, reason: decision.reason, candidates: decision.candidates, ahead: decision.ahead,
-			retryAfter: Math.round(decision.retryAfterMilliseconds), waited,
+			retryAfter: Math.round(decision.retryAfterMilliseconds), waited: Math.round(waitedMilliseconds),
 		});
 	}
 
-	firstEvent({route}: ExchangeOptions, _decision: Decision, milliseconds: number): void {
-		this.#firstEvents.record(milliseconds, {route: route.name});
+	/** One sending, from the choice of its endpoint to its outcome. */
+	sent({facts, route, table, dispatcher}: ExchangeOptions, decision: Extract<Decision, {type: 'placed'}>, {waitedMilliseconds, startedAt, firstEventAt, ...outcome}: Sending): void {
+		const now = performance.now();
+		this.#decisions.add(1, {decision: 'placed'});
+		this.#write('Sent.', {
+			request: facts.id, route: route.name, version: table.version, endpoint: decision.record.id, unread: decision.unreadTokens,
+			expected: Math.round(decision.expectedMilliseconds), speed: Math.round(dispatcher.book.speed(decision.record.service).tokensPerMillisecond),
+			candidates: decision.candidates, waited: Math.round(waitedMilliseconds), line: dispatcher.waiting, ...outcome,
+			firstEvent: firstEventAt === undefined ? undefined : Math.round(firstEventAt - startedAt), milliseconds: Math.round(now - startedAt),
+		});
 	}
 
-	finished({facts, route, arrivedAt}: ExchangeOptions, finish: Finish): void {
+	/** The final answer; a request that was served by its first sending has its line already. */
+	finished({facts, route, arrivedAt}: ExchangeOptions, {firstEventAt, ...finish}: Finish): void {
 		const milliseconds = performance.now() - arrivedAt;
 		this.#finished.add(1, {route: route.name, outcome: finish.outcome});
 		this.#durations.record(milliseconds, {route: route.name});
-		this.#write('Finished.', {request: facts.id, route: route.name, ...finish, milliseconds: Math.round(milliseconds)});
+		if (firstEventAt !== undefined) {
+			this.#firstEvents.record(firstEventAt - arrivedAt, {route: route.name});
+		}
+
+		if (finish.outcome !== 'done' || finish.sendings > 1) {
+			this.#write('Finished.', {request: facts.id, route: route.name, ...finish, milliseconds: Math.round(milliseconds)});
+		}
 	}
 
 	/** Ended before it had a route or a place. */
@@ -84,10 +101,6 @@
 		this.#write('Turned away.', {request, status, ...why});
 	}
 
-	overflow({facts}: ExchangeOptions): void {
-		this.#write('Answer broken off, more events in one turn than fit.', {request: facts.id});
-	}
-
 	#write(message: string, fields: Readonly<Record<string, unknown>>): void {
 		this.#lines += 1;
 		if (this.#lines > linesPerSecond) {
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -3,6 +3,7 @@
 	availability, type Candidate, choosePlace, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, LoadBook,
 	type LoadEvent, type RetryAllowance, RetryShare, stepEndpointHealth, type Waiting, WaitingLine,
 } from '../policy/dispatch/index.js';
+import {hash32} from '../policy/hashing/index.js';
 import {type EndpointRecord, Standing, standingOf} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Beliefs} from './beliefs.js';
@@ -10,6 +11,7 @@
 /** One request that wants a place. */
 export type Ticket = Waiting & {
 	readonly demand: Demand;
+	readonly submittedAt: number;
 	/** Endpoints that it has been at. */
 	readonly excluded: ReadonlySet<string>;
 	/** True if it may run again, so that it may try an endpoint that failed before. */
@@ -66,6 +68,8 @@
 	readonly #health = new Map<string, EndpointHealth>();
 	readonly #usualFailures = new Map<string, number>();
 	readonly #reading = new Map<string, number>();
+	readonly #hashes = new Map<string, number>();
+	#isPumpDue = false;
 	#timer: NodeJS.Timeout | undefined;
 	#runCount = 0;
 
@@ -99,14 +103,14 @@
 
 	ended(runId: string): void {
 		this.#tell({type: 'ended', id: runId});
-		this.#pump();
+		this.#pumpSoon();
 	}
 
 	/** Load that another instance tells of. */
 	takeLoad(event: LoadEvent): void {
 		const own = event.type === 'first-event' ? {...event, isMeasured: false} : event;
 		this.book.step(own, performance.now());
-		this.#pump();
+		this.#pumpSoon();
 	}
 
 	/** What an answer, or its lack, says of an endpoint. */
@@ -154,7 +158,7 @@
 
 		const engine = this.#options.beliefs.table?.service(ticket.demand.service)?.engine;
 		const candidates = usable.map(record => this.#candidate(record, engine?.memoryTokens));
-		const choice = choosePlace(this.book, ticket.demand, candidates, {zone: this.#options.zone, now});
+		const choice = choosePlace(this.book, {...ticket.demand, waitedMilliseconds: now - ticket.submittedAt}, candidates, {zone: this.#options.zone, now});
 		if (choice.type === 'wait' || mustWait) {
 			return this.#enqueue(ticket, choice.type === 'wait' ? choice.milliseconds : tickMilliseconds, candidates);
 		}
@@ -166,7 +170,9 @@
 
 	#candidate(record: EndpointRecord, memoryTokens: number | undefined): Candidate {
 		this.book.setMemory(record.id, memoryTokens ?? 0);
-		return {id: record.id, zone: record.zone, slots: record.slots, isEngine: memoryTokens !== undefined};
+		const hash = this.#hashes.get(record.id) ?? hash32(record.id);
+		this.#hashes.set(record.id, hash);
+		return {id: record.id, zone: record.zone, slots: record.slots, isEngine: memoryTokens !== undefined, hash};
 	}
 
 	#place(ticket: Ticket, record: EndpointRecord, {unreadTokens, expectedMilliseconds, candidates}: {unreadTokens: number; expectedMilliseconds: number; candidates: number}): void {
@@ -249,6 +255,19 @@
 		ticket.onDecision({type: 'refused', reason, retryAfterMilliseconds, candidates, ahead: this.#line.ahead(ticket.service, ticket.urgency)});
 	}
 
+	/** Once for all that happens in one turn. */
+	#pumpSoon(): void {
+		if (this.#isPumpDue || this.#line.size === 0) {
+			return;
+		}
+
+		this.#isPumpDue = true;
+		setImmediate(() => {
+			this.#isPumpDue = false;
+			this.#pump();
+		});
+	}
+
 	#pump(): void {
 		if (this.#line.size === 0) {
 			clearInterval(this.#timer);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -17,7 +17,8 @@
 		| {readonly type: 'left'}
 		| {readonly type: 'drained'}
 		| {readonly type: 'decided'; readonly decision: Decision}
-		| {readonly type: 'attempt'; readonly number: number; readonly event: AttemptEvent};
+	/** What bytes have led to; those that go on are passed in the turn in which they came. */
+		| {readonly type: 'outcome'; readonly number: number; readonly outcome: Outcome};
 
 export type ExchangeOptions = {
 	readonly facts: RequestFacts;
@@ -38,8 +39,8 @@
 	readonly arrivedAt: number;
 };
 
-/** Events of one exchange that may wait; a paused answer holds the rest back. */
-const inboxCapacity = 256;
+/** Events of one exchange that may wait: no more than one of each kind is ever under way. */
+const inboxCapacity = 16;
 /** An answer up to this size is held until it is whole, so that one cut short can still be asked for again. */
 const heldBytes = 512 * 1024;
 /**
@@ -82,6 +83,8 @@
 	#runs = 0;
 	#attemptNumber = 0;
 	#lastEventId: string | undefined;
+	#firstEventAt: number | undefined;
+	#waitedMilliseconds = 0;
 	#isPaused = false;
 
 	private constructor(options: ExchangeOptions) {
@@ -95,7 +98,8 @@
 			parts: facts.parts,
 			isTight: table.isTightest(route, service),
 			pauseMilliseconds: route.longestPauseMilliseconds,
-			isStream: route.kind === RouteKind.stream,
+			tightestPauseMilliseconds: table.tightestPause(service),
+			waitedMilliseconds: 0,
 		};
 	}
 
@@ -141,6 +145,7 @@
 			arrivedAt: this.#options.arrivedAt,
 			lastStartAt: Math.min(this.#limitAt - leastMilliseconds, patienceAt),
 			demand: this.#demand,
+			submittedAt: now,
 			excluded: this.#excluded,
 			isIdempotent: this.#isIdempotent,
 			onDecision: decision => {
@@ -150,11 +155,13 @@
 		for (;;) {
 			const event = (yield * receive(this.#inbox))!;
 			if (event.type === 'decided') {
-				log.decided(this.#options, event.decision, performance.now() - now);
+				this.#waitedMilliseconds = performance.now() - now;
 				if (event.decision.type === 'placed') {
 					return event.decision;
 				}
 
+				log.refused(this.#options, event.decision, this.#waitedMilliseconds);
+
 				this.#finish({type: 'failed', verdict: this.#verdict, reason: event.decision.reason}, event.decision.retryAfterMilliseconds);
 				return undefined;
 			}
@@ -201,31 +208,31 @@
 			body,
 			channels: channels.of(record, this.#options.table.service(record.service)?.largestConnections),
 			onEvent: event => {
-				if (!tryDeliver(this.#inbox, {type: 'attempt', number, event})) {
-					this.#overflow(attempt);
+				const outcome = this.#take(follower, event);
+				if (outcome !== undefined) {
+					attempt.cancel();
+					tryDeliver(this.#inbox, {type: 'outcome', number, outcome});
 				}
 			},
 		});
-		const follower = AttemptFollower.create({attempt, number, decision, isStream: route.kind === RouteKind.stream, requestId: facts.id, codec});
+		const follower: AttemptFollower = AttemptFollower.create({attempt, number, decision, isStream: route.kind === RouteKind.stream, requestId: facts.id, codec});
 		const outcome = yield * this.#follow(follower, alarm);
 		attempt.cancel();
 		this.#isPaused = false;
 		dispatcher.ended(runId);
 		this.#excluded.add(record.id);
 		this.#judge(record, outcome, follower);
+		this.#options.log.sent(this.#options, decision, {
+			waitedMilliseconds: this.#waitedMilliseconds, startedAt: follower.startedAt, firstEventAt: follower.firstEventAt,
+			outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, status: follower.status,
+		});
 		return outcome;
 	}
 
-	/** The inbox holds far more than one turn brings; were it ever full, the answer can't be whole. */
-	#overflow(attempt: Attempt): void {
-		this.#options.log.overflow(this.#options);
-		attempt.cancel();
-		this.#options.caller.breakOff();
-	}
-
 	* #follow(follower: AttemptFollower, alarm: Alarm): Body<Outcome> {
 		const sentAt = performance.now();
 		for (;;) {
+			// What moves the alarm further away is seen when it fires.
 			alarm.set(this.#nextAlarm(follower, sentAt));
 			const event = (yield * receive(this.#inbox))!;
 			switch (event.type) {
@@ -252,10 +259,9 @@
 					break;
 				}
 
-				case 'attempt': {
-					const outcome = event.number === follower.number ? this.#take(follower, event.event) : undefined;
-					if (outcome !== undefined) {
-						return outcome;
+				case 'outcome': {
+					if (event.number === follower.number) {
+						return event.outcome;
 					}
 				}
 			}
@@ -353,8 +359,9 @@
 		for (const event of events) {
 			if (follower.lastEventAt === undefined) {
 				follower.suspectAt = undefined;
+				follower.firstEventAt = performance.now();
 				dispatcher.firstEvent(follower.decision.runId);
-				this.#options.log.firstEvent(this.#options, follower.decision, performance.now() - this.#options.arrivedAt);
+				this.#firstEventAt ??= performance.now();
 			}
 
 			follower.lastEventAt = performance.now();
@@ -454,7 +461,7 @@
 
 	#finish(outcome: Outcome, retryAfterMilliseconds = defaultRetryMilliseconds): void {
 		const {caller, codec, facts, log} = this.#options;
-		log.finished(this.#options, {outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, sendings: this.#sendings, verdict: this.#verdict});
+		log.finished(this.#options, {outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, sendings: this.#sendings, verdict: this.#verdict, firstEventAt: this.#firstEventAt});
 		if (outcome.type === 'done' || outcome.type === 'left') {
 			return;
 		}
@@ -502,6 +509,7 @@
 	isFailure = false;
 	status = 0;
 	rawHeaders: RawHeaders = [];
+	firstEventAt: number | undefined;
 	lastEventAt: number | undefined;
 	/** When silence starts to count against the endpoint. */
 	suspectAt: number | undefined;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -181,6 +181,12 @@
 			return;
 		}
 
+		await nextTurn();
+		if (caller.hasLeft) {
+			log.turnedAway(facts?.id, 0, {message: 'The caller left before its request was placed.'});
+			return;
+		}
+
 		const held = outcome.body?.length ?? 0;
 		this.#heldBytes += held;
 		const exchange = Exchange.create({
@@ -195,6 +201,20 @@
 	}
 }
 
+/**
+ * Failure: the process was starved, a request is read late, and its caller has long closed. Symptom:
+ * endpoints work for nobody. The close is read in the next turn of the event loop at the latest, since
+ * it arrived before; a turn is under a tenth of a millisecond for a process with time.
+ */
+async function nextTurn(): Promise<void> {
+	// The first callback still belongs to this turn, and no socket is read between.
+	for (let turn = 0; turn < 2; turn++) {
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
 /** The path with its query; a request in absolute form is passed on in origin form. */
 function pathOf({url = '/'}: IncomingMessage): string {
 	return url.startsWith('/') ? url : url.replace(/^\w+:\/\/[^\/]*/v, '');
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -1,5 +1,5 @@
 import {type PromptPart, PartMemory} from './part-memory.js';
-import {createReadingSpeed, learnReadingSpeed, type ReadingSpeed, readMilliseconds} from './speed.js';
+import {createReadingSpeed, learnPace, learnReadingSpeed, type ReadingSpeed, readMilliseconds} from './speed.js';
 
 /** A request that an endpoint runs or is about to, whichever instance sent it. */
 export type Run = {
@@ -22,7 +22,12 @@
 		| {readonly type: 'owner-lost'; readonly owner: string}
 		| {readonly type: 'endpoint-restarted'; readonly endpoint: string};
 
-type Held = Run & {readonly placedAt: number; readonly expectedAt: number; readonly foundIdle: boolean; isRead: boolean};
+type Held = Run & {
+	readonly placedAt: number;
+	isRead: boolean;
+	/** True while nothing else was read there since it was placed. */
+	isAlone: boolean;
+};
 
 /** The load of one endpoint as placement sees it. */
 export type EndpointLoad = {
@@ -44,8 +49,13 @@
 
 type Desk = {
 	readonly runs: Map<string, Held>;
+	/** Those without a first event, oldest first: what the engine still has to read. */
+	readonly unread: Map<string, Held>;
+	unreadTokens: number;
+	/** When the oldest of them came to its turn, as far as is known. */
+	turnAt: number;
 	readonly parts: PartMemory;
-	busyUntil: number;
+	service: string;
 	share: number;
 	shareAt: number;
 	tightRuns: number;
@@ -104,7 +114,7 @@
 		return {
 			running: desk.runs.size,
 			tightRuns: desk.tightRuns,
-			backlogMilliseconds: Math.max(0, desk.busyUntil - now),
+			backlogMilliseconds: this.#backlog(desk, now),
 			readingShare: decayed(desk, now),
 		};
 	}
@@ -145,14 +155,24 @@
 		this.#desks.set(run.endpoint, desk);
 		const speed = this.speed(run.service);
 		const reading = readMilliseconds(speed, run.unreadTokens);
-		const foundIdle = desk.busyUntil <= now;
-		desk.busyUntil = Math.max(now, desk.busyUntil) + reading;
+		const isAlone = desk.unread.size === 0;
+		if (isAlone) {
+			desk.turnAt = now;
+		}
+
+		for (const other of desk.unread.values()) {
+			other.isAlone = false;
+		}
+
+		desk.service = run.service;
 		desk.share = decayed(desk, now) + (reading / shareMilliseconds);
 		desk.shareAt = now;
 		desk.tightRuns += run.isTight ? 1 : 0;
 		desk.parts.use(run.parts);
-		const held = {...run, placedAt: now, expectedAt: desk.busyUntil + speed.baseMilliseconds, foundIdle, isRead: false};
+		const held = {...run, placedAt: now, isAlone, isRead: false};
 		desk.runs.set(run.id, held);
+		desk.unread.set(run.id, held);
+		desk.unreadTokens += run.unreadTokens;
 		this.#runs.set(run.id, held);
 	}
 
@@ -163,12 +183,14 @@
 			return;
 		}
 
-		run.isRead = true;
-		// The prediction was off by so much for all that is read after it too.
-		const error = now - run.expectedAt;
-		desk.busyUntil = Math.max(now, desk.busyUntil + error);
-		if (isMeasured && run.foundIdle) {
+		const [oldest] = desk.unread.values();
+		const wasNext = oldest === run && run.placedAt < desk.turnAt;
+		const turnMilliseconds = now - desk.turnAt;
+		noteRead(desk, run, now);
+		if (isMeasured && run.isAlone) {
 			this.#speeds.set(run.service, learnReadingSpeed(this.speed(run.service), run.unreadTokens, now - run.placedAt));
+		} else if (isMeasured && wasNext) {
+			this.#speeds.set(run.service, learnPace(this.speed(run.service), run.unreadTokens, turnMilliseconds));
 		}
 	}
 
@@ -182,11 +204,23 @@
 		this.#runs.delete(id);
 		desk.runs.delete(id);
 		desk.tightRuns -= run.isTight ? 1 : 0;
-		if (desk.runs.size === 0) {
-			desk.busyUntil = now;
+		if (!run.isRead) {
+			noteRead(desk, run, now);
 		}
 	}
 
+	/** What waits to be read, less what the oldest has had of its turn. */
+	#backlog(desk: Desk, now: number): number {
+		const [oldest] = desk.unread.values();
+		if (oldest === undefined) {
+			return 0;
+		}
+
+		const speed = this.speed(desk.service);
+		const progress = Math.min(oldest.unreadTokens, (now - desk.turnAt) * speed.tokensPerMillisecond);
+		return readMilliseconds(speed, desk.unreadTokens - progress);
+	}
+
 	#drop(isDropped: (run: Held) => boolean, now: number): void {
 		for (const run of [...this.#runs.values()].filter(candidate => isDropped(candidate))) {
 			this.#end(run.id, now);
@@ -195,7 +229,15 @@
 }
 
 function createDesk(memoryTokens: number): Desk {
-	return {runs: new Map(), parts: PartMemory.create(memoryTokens), busyUntil: 0, share: 0, shareAt: 0, tightRuns: 0};
+	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, parts: PartMemory.create(memoryTokens), service: '', share: 0, shareAt: 0, tightRuns: 0};
+}
+
+/** A run's prompt is read, or the run is over: the next one's turn begins. */
+function noteRead(desk: Desk, run: Held, now: number): void {
+	run.isRead = true;
+	desk.unread.delete(run.id);
+	desk.unreadTokens -= run.unreadTokens;
+	desk.turnAt = now;
 }
 
 function decayed({share, shareAt}: Desk, now: number): number {
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -9,7 +9,7 @@
  * endpoints, and others keep away from those for as long as they run there.
  */
 import {type ZoneName} from '../../model/index.js';
-import {hash32} from '../hashing/index.js';
+import {hash32, mixHashes} from '../hashing/index.js';
 import {type LoadBook} from './load.js';
 import {type PromptPart} from './part-memory.js';
 import {readMilliseconds} from './speed.js';
@@ -23,7 +23,10 @@
 	readonly isTight: boolean;
 	/** The pause that must not be exceeded, where there is one. */
 	readonly pauseMilliseconds: number | undefined;
-	readonly isStream: boolean;
+	/** The shortest pause that any stream of the service must keep. */
+	readonly tightestPauseMilliseconds: number;
+	/** How long it has waited here. */
+	readonly waitedMilliseconds: number;
 };
 
 /** An endpoint that may be used now. */
@@ -32,6 +35,8 @@
 	readonly zone: ZoneName;
 	readonly slots: number;
 	readonly isEngine: boolean;
+	/** The hash of its id. */
+	readonly hash: number;
 };
 
 export type Choice
@@ -39,14 +44,26 @@
 	/** Every endpoint is full or too far behind: the best is good enough in so long. */
 		| {readonly type: 'wait'; readonly milliseconds: number};
 
-/** A request that would wait at an endpoint for more than this part of its target waits here, where order can change. */
-const backlogShare = 0.5;
-/** But never for less than one short prompt's reading, or engines would fall idle between two decisions. */
-const leastBacklogMilliseconds = 30;
+/**
+ * What may wait to be read at an endpoint before one more is sent there; the rest waits here, where its
+ * order can change. A stream with the tightest pauses goes as long as it can be in time. For all others
+ * the bound falls with their target, so that those who can wait leave room for those who can't: 30 ms
+ * at a target of one second, 75 ms at 400. Under the lower bound engines would fall idle between two
+ * decisions; above the upper one an urgent request finds a prompt or two before it.
+ */
+const tightBacklogShare = 0.6;
+const backlogProduct = 30_000;
+const backlogBounds = {low: 30, high: 120};
+/** Beside streams with tight pauses, what waits to be read stays under this part of their pause. */
+const besideTightShare = 0.35;
 /** Milliseconds of a round trip to another availability zone, and what its bytes cost. */
 const otherZoneMilliseconds = 3;
-/** Reading a token is paid once by the caller's wait and once by all that wait behind it. */
-const readingWeight = 2;
+/**
+ * Reading a token is paid once by the caller's wait and then by all that wait behind it: the more of
+ * its time the service spends reading, the more of them there are.
+ */
+const readingWeight = 5;
+const busyReadingWeight = 10;
 /** A later endpoint in the order costs a tight stream so much more for each place: under the gain of an idle one. */
 const orderMilliseconds = 6;
 /** Above this part of its slots an endpoint takes no more tight streams while others have room. */
@@ -65,49 +82,73 @@
 /** The first choice of a prompt's beginning by rendezvous hashing is better by so much, so that instances agree. */
 const homeMilliseconds = 8;
 
-/** Chooses among candidates; at least one is needed. */
+type Option = {readonly id: string; readonly cost: number; readonly judged: Judged};
+
+/**
+ * Chooses among candidates; at least one is needed. An endpoint that is behind is waited for only as
+ * long as it is better than the best that is free by more than the wait so far.
+ */
 export function choosePlace(book: LoadBook, demand: Demand, candidates: readonly Candidate[], {zone, now}: {zone: ZoneName; now: number}): Choice {
-	const order = demand.isTight ? tightOrder(demand.service, candidates) : undefined;
-	const home = homeOf(demand.parts, candidates);
-	let best: {cost: number; choice: Choice} | undefined;
-	let shortestWait = Infinity;
+	const order = tightOrder(candidates);
+	const home = demand.isTight ? undefined : homeOf(demand.parts, looseEndpoints(book, candidates, order, now));
+	const weight = readingWeight + (busyReadingWeight * Math.min(1, meanReadingShare(book, candidates, now)));
+	let free: Option | undefined;
+	let behind: Option | undefined;
 	for (const candidate of candidates) {
 		const judged = candidate.isEngine
-			? judgeEngine(book, demand, candidate, {now, place: order?.get(candidate.id) ?? 0})
+			? judgeEngine(book, demand, candidate, {now, place: order.get(candidate.id) ?? 0, weight})
 			: judgeService(book, demand, candidate, now);
+		const cost = judged.cost + (candidate.zone === zone ? 0 : otherZoneMilliseconds) - (candidate.id === home ? homeMilliseconds : 0);
 		if (judged.wait > 0) {
-			shortestWait = Math.min(shortestWait, judged.wait);
-			continue;
+			behind = behind === undefined || cost < behind.cost ? {id: candidate.id, cost, judged} : behind;
+		} else {
+			free = free === undefined || cost < free.cost ? {id: candidate.id, cost, judged} : free;
 		}
+	}
 
-		const cost = judged.cost + (candidate.zone === zone ? 0 : otherZoneMilliseconds) - (candidate.id === home ? homeMilliseconds : 0);
-		if (best === undefined || cost < best.cost) {
-			best = {cost, choice: {type: 'place', endpoint: candidate.id, unreadTokens: judged.unreadTokens, expectedMilliseconds: judged.expected}};
-		}
+	if (free === undefined || (behind !== undefined && behind.cost + behind.judged.wait + demand.waitedMilliseconds < free.cost)) {
+		return {type: 'wait', milliseconds: behind?.judged.wait ?? 0};
+	}
+
+	return {type: 'place', endpoint: free.id, unreadTokens: free.judged.unreadTokens, expectedMilliseconds: free.judged.expected};
+}
+
+function meanReadingShare(book: LoadBook, candidates: readonly Candidate[], now: number): number {
+	let sum = 0;
+	for (const {id} of candidates) {
+		sum += book.load(id, now).readingShare;
 	}
 
-	return best?.choice ?? {type: 'wait', milliseconds: shortestWait};
+	return sum / candidates.length;
 }
 
 type Judged = {readonly cost: number; readonly wait: number; readonly unreadTokens: number; readonly expected: number};
 
-function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {now, place}: {now: number; place: number}): Judged {
+function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {now, place, weight}: {now: number; place: number; weight: number}): Judged {
 	const load = book.load(candidate.id, now);
 	const speed = book.speed(demand.service);
 	const unreadTokens = book.unread(candidate.id, demand.parts);
 	const reading = readMilliseconds(speed, unreadTokens);
 	const expected = load.backlogMilliseconds + reading + speed.baseMilliseconds;
-	const bearable = Math.max(leastBacklogMilliseconds, demand.targetMilliseconds * backlogShare);
-	const wait = load.running >= candidate.slots ? speed.baseMilliseconds : Math.max(0, load.backlogMilliseconds - bearable);
+	const wait = load.running >= candidate.slots ? speed.baseMilliseconds : Math.max(0, load.backlogMilliseconds - bearableBacklog(demand, load.tightRuns));
 	const span = load.backlogMilliseconds + reading;
 	const harm = demand.isTight
 		? tightCost(demand, candidate, {load, place, span})
 		: Math.min(load.tightRuns, tightCounted) * reading * tightWeight;
-	const cost = load.backlogMilliseconds + (reading * readingWeight) + lateness(expected, demand) + harm
+	const cost = load.backlogMilliseconds + (reading * weight) + lateness(expected, demand) + harm
 		+ (load.running / candidate.slots * speed.baseMilliseconds);
 	return {cost, wait, unreadTokens, expected};
 }
 
+function bearableBacklog({targetMilliseconds, tightestPauseMilliseconds, isTight}: Demand, tightRuns: number): number {
+	if (isTight) {
+		return targetMilliseconds * tightBacklogShare;
+	}
+
+	const own = Math.min(backlogBounds.high, Math.max(backlogBounds.low, backlogProduct / targetMilliseconds));
+	return tightRuns === 0 ? own : Math.min(own, Math.max(backlogBounds.low, tightestPauseMilliseconds * besideTightShare));
+}
+
 function tightCost(demand: Demand, candidate: Candidate, {load, place, span}: {load: {running: number; readingShare: number}; place: number; span: number}): number {
 	const pause = (demand.pauseMilliseconds ?? Infinity) * pauseShare;
 	const crowded = load.running >= candidate.slots * tightFill ? demand.targetMilliseconds : 0;
@@ -126,11 +167,25 @@
 	return Math.max(0, expected - (targetMilliseconds * latenessShare)) * latenessWeight;
 }
 
-function tightOrder(service: string, candidates: readonly Candidate[]): Map<string, number> {
-	const ranked = candidates.map(({id}) => ({id, score: hash32(`tight\n${service}\n${id}`)})).toSorted((left, right) => left.score - right.score);
+/** Each candidate's place in the order in which tight streams fill them; the ids decide, so all instances agree. */
+function tightOrder(candidates: readonly Candidate[]): ReadonlyMap<string, number> {
+	const ranked = candidates.toSorted((left, right) => left.hash - right.hash);
 	return new Map(ranked.map(({id}, index) => [id, index]));
 }
 
+/** Those that the tight streams of now leave to others: all but the first of their order. */
+function looseEndpoints(book: LoadBook, candidates: readonly Candidate[], order: ReadonlyMap<string, number>, now: number): readonly Candidate[] {
+	let tightRuns = 0;
+	let slots = 0;
+	for (const candidate of candidates) {
+		tightRuns += book.load(candidate.id, now).tightRuns;
+		slots += candidate.slots;
+	}
+
+	const taken = Math.ceil(tightRuns / (slots / candidates.length * tightFill));
+	return taken >= candidates.length ? candidates : candidates.filter(({id}) => order.get(id)! >= taken);
+}
+
 /** Where the shared beginning of a prompt belongs, if nothing else speaks against it. */
 function homeOf(parts: readonly PromptPart[], candidates: readonly Candidate[]): string | undefined {
 	const shared = parts.at(-2);
@@ -138,9 +193,10 @@
 		return undefined;
 	}
 
+	const key = hash32(shared.id);
 	let best: {id: string; score: number} | undefined;
-	for (const {id} of candidates) {
-		const score = hash32(`${shared.id}\n${id}`);
+	for (const {id, hash} of candidates) {
+		const score = mixHashes(key, hash);
 		if (best === undefined || score > best.score) {
 			best = {id, score};
 		}
--- a/src/policy/hashing/index.ts
+++ b/src/policy/hashing/index.ts
@@ -36,6 +36,15 @@
 	return scored.map(({candidate}) => candidate);
 }
 
+/* eslint-disable no-bitwise -- mixing integers has no other form */
+/** Mixes two hashes into one: for scores of many pairs, whose parts are hashed once each. */
+export function mixHashes(left: number, right: number): number {
+	let mixed = Math.imul(left ^ right, 0x85_EB_CA_6B);
+	mixed = Math.imul(mixed ^ (mixed >>> 13), 0xC2_B2_AE_35);
+	return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+/* eslint-enable no-bitwise */
+
 /** The partition of a key, from 0 to `partitions` - 1. */
 export function partitionOf(key: string, partitions: number): number {
 	return hash32(key) % partitions;
--- a/src/routing/routing-table.ts
+++ b/src/routing/routing-table.ts
@@ -143,6 +143,11 @@
 		return pauses !== undefined && route.longestPauseMilliseconds === pauses.shortest && pauses.longest >= pauses.shortest * clearlyLonger;
 	}
 
+	/** The shortest pause that any of a service's streams must keep; infinite without any. */
+	tightestPause(service: string): number {
+		return this.#pauses.get(service)?.shortest ?? Infinity;
+	}
+
 	get workspaceCount(): number {
 		return new Set(this.#workspaceByKey.values()).size;
 	}
--- a/src/telemetry/redaction.ts
+++ b/src/telemetry/redaction.ts
@@ -22,6 +22,8 @@
 ]);
 const bearerPattern = /\bbearer\s+[^\s"',;]+/giv;
 const replacement = '[redacted]';
+/** Texts without any of these words hold nothing to redact; most lines are such, and pass unread. */
+const suspicion = new RegExp([...secretFields, String.raw`(?:api|tls|resume)[\-_](?:key|text)`].join('|'), 'iv');
 
 /**
  * Writes a value as JSON without keys and prompts. Failure: a part logs a whole request or an error
@@ -29,6 +31,11 @@
  * The rule is kept here, on the way out, because every line passes this place.
  */
 export function redactedJson(value: unknown): string {
+	const plain = JSON.stringify(value);
+	return suspicion.test(plain) ? redact(value) : plain;
+}
+
+function redact(value: unknown): string {
 	return JSON.stringify(value, (field, held: unknown) => {
 		if (isSecretField(field) && holdsText(held)) {
 			return replacement;
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -12,7 +12,11 @@
 	platform: 'node',
 	format: 'esm',
 	target: 'node20',
-	sourcemap: false,
+	// Less to read and compile at each start; names stay, so that stack traces can be read.
+	minifySyntax: true,
+	minifyWhitespace: true,
+	lineLimit: 200,
+	legalComments: 'none',
 	logLevel: 'warning',
 	// Optional native parts that these libraries do without.
 	external: ['dtrace-provider', 'mv', 'safe-json-stringify', 'source-map-support', 'cbor-extract'],
