Let tight streams go first in the line, and let prompts wait for who holds their beginning

Ruled out: slots (running stays under them), unknown placements (known within 15 ms). Change: tight streams first in the line and without a bound at the endpoint; bounds of the others 30 to 60 ms; first and second home of a beginning; waiting for a better place does not hold up others.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,6 +1,6 @@
 import {type InstanceId, type ZoneName} from '../model/index.js';
 import {
-	availability, type Candidate, choosePlace, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, LoadBook,
+	availability, type Candidate, type Choice, choosePlace, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, LoadBook,
 	type LoadEvent, type RetryAllowance, RetryShare, stepEndpointHealth, type Waiting, WaitingLine,
 } from '../policy/dispatch/index.js';
 import {hash32} from '../policy/hashing/index.js';
@@ -11,7 +11,8 @@
 /** One request that wants a place. */
 export type Ticket = Waiting & {
 	readonly demand: Demand;
-	readonly submittedAt: number;
+	/** When it first passed over a free endpoint for a better one. */
+	passedOverAt?: number;
 	/** Endpoints that it has been at. */
 	readonly excluded: ReadonlySet<string>;
 	/** True if it may run again, so that it may try an endpoint that failed before. */
@@ -22,7 +23,7 @@
 export type Decision
 	= | {
 		readonly type: 'placed'; readonly runId: string; readonly record: EndpointRecord; readonly unreadTokens: number;
-		readonly expectedMilliseconds: number; readonly candidates: number;
+		readonly expectedMilliseconds: number; readonly leastUnreadTokens: number; readonly candidates: number;
 	}
 	/** It can't be started in time, or nothing runs its service. */
 	| {readonly type: 'refused'; readonly reason: RefusalReason; readonly retryAfterMilliseconds: number; readonly candidates: number; readonly ahead: number};
@@ -43,6 +44,8 @@
 
 /** How often the line is tried again while something waits in it. */
 const tickMilliseconds = 8;
+/** Requests that may wait for a better place while others are tried, at one time: each costs about 30 microseconds. */
+const largestPasses = 8;
 /** Requests that may wait here: at the largest body of usual prompts this is a tenth of a small instance's memory. */
 const largestLine = 1500;
 /** A refused caller comes back no sooner, and no later: callers honour a third of the time they have. */
@@ -158,7 +161,11 @@
 
 		const engine = this.#options.beliefs.table?.service(ticket.demand.service)?.engine;
 		const candidates = usable.map(record => this.#candidate(record, engine?.memoryTokens));
-		const choice = choosePlace(this.book, {...ticket.demand, waitedMilliseconds: now - ticket.submittedAt}, candidates, {zone: this.#options.zone, now});
+		const choice = choosePlace(this.book, {...ticket.demand, waitedMilliseconds: now - (ticket.passedOverAt ?? now)}, candidates, {zone: this.#options.zone, now});
+		if (choice.type === 'wait' && choice.isForBetter) {
+			ticket.passedOverAt ??= now;
+		}
+
 		if (choice.type === 'wait' || mustWait) {
 			return this.#enqueue(ticket, choice.type === 'wait' ? choice.milliseconds : tickMilliseconds, candidates);
 		}
@@ -175,7 +182,7 @@
 		return {id: record.id, zone: record.zone, slots: record.slots, isEngine: memoryTokens !== undefined, hash};
 	}
 
-	#place(ticket: Ticket, record: EndpointRecord, {unreadTokens, expectedMilliseconds, candidates}: {unreadTokens: number; expectedMilliseconds: number; candidates: number}): void {
+	#place(ticket: Ticket, record: EndpointRecord, {candidates, unreadTokens, expectedMilliseconds, leastUnreadTokens}: Extract<Choice, {type: 'place'}> & {candidates: number}): void {
 		const now = performance.now();
 		this.withdraw(ticket.id);
 		this.#line.charge(ticket.workspace, ticket.work, now);
@@ -190,7 +197,7 @@
 			this.#judge(record, {type: 'trial'});
 		}
 
-		ticket.onDecision({type: 'placed', runId, record, unreadTokens, expectedMilliseconds, candidates});
+		ticket.onDecision({type: 'placed', runId, record, unreadTokens, expectedMilliseconds, leastUnreadTokens, candidates});
 	}
 
 	/** Ready and healthy ones; what is suspended or on its way out only where nothing else is left. */
@@ -281,6 +288,7 @@
 		}
 
 		const blocked = new Set<string>();
+		let passes = 0;
 		for (const {id} of this.#line.ordered(now)) {
 			const ticket = this.#tickets.get(id);
 			// Who is less urgent must not take the place that the one before it waits for.
@@ -288,7 +296,12 @@
 				continue;
 			}
 
-			if (!this.#try(ticket)) {
+			if (this.#try(ticket)) {
+				continue;
+			}
+
+			passes += 1;
+			if (ticket.passedOverAt === undefined || passes >= largestPasses) {
 				blocked.add(ticket.demand.service);
 			}
 		}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -54,6 +54,11 @@
 const silenceMilliseconds = 400;
 /** Less than this left is no time to run anything in. */
 const leastMilliseconds = 15;
+/**
+ * A stream with tight pauses has a short prompt: it goes before others in the line whatever its rank,
+ * since reading it holds them up for a few milliseconds. At the endpoint its own rank counts.
+ */
+const tightUrgency = -1;
 /** Refused callers without a better figure come back after so long. */
 const defaultRetryMilliseconds = 300;
 
@@ -140,12 +145,11 @@
 			id: ticketId,
 			workspace: workspace?.name ?? '',
 			service: this.#demand.service,
-			urgency: this.#demand.urgency,
+			urgency: this.#demand.isTight ? tightUrgency : this.#demand.urgency,
 			work: facts.outputTokens + facts.parts.reduce((sum, {tokens}) => sum + tokens, 0) + 1,
 			arrivedAt: this.#options.arrivedAt,
 			lastStartAt: Math.min(this.#limitAt - leastMilliseconds, patienceAt),
 			demand: this.#demand,
-			submittedAt: now,
 			excluded: this.#excluded,
 			isIdempotent: this.#isIdempotent,
 			onDecision: decision => {
--- a/src/policy/dispatch/part-memory.ts
+++ b/src/policy/dispatch/part-memory.ts
@@ -5,7 +5,7 @@
  * The share of an engine's memory that kept parts are taken to fill: the rest is running requests and
  * what other callers keep there. Taking too much for kept costs a wrong guess, not a wrong answer.
  */
-const keptShare = 0.6;
+const keptShare = 0.75;
 
 /**
  * Load pattern: many requests share long prompt beginnings, and an engine reads again what it has
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -25,7 +25,7 @@
 	readonly pauseMilliseconds: number | undefined;
 	/** The shortest pause that any stream of the service must keep. */
 	readonly tightestPauseMilliseconds: number;
-	/** How long it has waited here. */
+	/** How long it has passed over free endpoints for a better one. */
 	readonly waitedMilliseconds: number;
 };
 
@@ -40,20 +40,29 @@
 };
 
 export type Choice
-	= | {readonly type: 'place'; readonly endpoint: string; readonly unreadTokens: number; readonly expectedMilliseconds: number}
+	= | {
+		readonly type: 'place'; readonly endpoint: string; readonly unreadTokens: number; readonly expectedMilliseconds: number;
+		/** What the endpoint that holds most of the prompt would have had to read. */
+		readonly leastUnreadTokens: number;
+	}
 	/** Every endpoint is full or too far behind: the best is good enough in so long. */
-		| {readonly type: 'wait'; readonly milliseconds: number};
+		| {
+		readonly type: 'wait'; readonly milliseconds: number;
+		/** True if one is free, but a better one is worth waiting for: others may take the free one. */
+		readonly isForBetter: boolean;
+	};
 
 /**
  * What may wait to be read at an endpoint before one more is sent there; the rest waits here, where its
- * order can change. A stream with the tightest pauses goes as long as it can be in time. For all others
- * the bound falls with their target, so that those who can wait leave room for those who can't: 30 ms
- * at a target of one second, 75 ms at 400. Under the lower bound engines would fall idle between two
+ * order can change. A stream with the tightest pauses goes at once: nobody should come before it. For all
+ * others the bound falls with their target, so that those who can wait leave room for those who can't:
+ * 30 ms at a target of 500 ms and more, 60 ms at 250. Under the lower bound engines would fall idle between two
  * decisions; above the upper one an urgent request finds a prompt or two before it.
  */
-const tightBacklogShare = 0.6;
-const backlogProduct = 30_000;
-const backlogBounds = {low: 30, high: 120};
+const backlogProduct = 15_000;
+const backlogBounds = {low: 30, high: 60};
+/** Tight streams may be so many above an endpoint's slots: it admits the urgent first, and preempts for them. */
+const slotsAbove = 4;
 /** Beside streams with tight pauses, what waits to be read stays under this part of their pause. */
 const besideTightShare = 0.35;
 /** Milliseconds of a round trip to another availability zone, and what its bytes cost. */
@@ -79,8 +88,12 @@
 /** Lateness against the target weighs more than being early. */
 const latenessShare = 0.7;
 const latenessWeight = 3;
-/** The first choice of a prompt's beginning by rendezvous hashing is better by so much, so that instances agree. */
-const homeMilliseconds = 8;
+/**
+ * The first and second choice of a prompt's beginning by rendezvous hashing are better by so much: about
+ * the reading that a kept beginning saves, so that instances agree also on where it goes first, and
+ * what the first can't take meets on the second.
+ */
+const homeMilliseconds = [40, 20] as const;
 
 type Option = {readonly id: string; readonly cost: number; readonly judged: Judged};
 
@@ -90,15 +103,17 @@
  */
 export function choosePlace(book: LoadBook, demand: Demand, candidates: readonly Candidate[], {zone, now}: {zone: ZoneName; now: number}): Choice {
 	const order = tightOrder(candidates);
-	const home = demand.isTight ? undefined : homeOf(demand.parts, looseEndpoints(book, candidates, order, now));
+	const homes = demand.isTight ? [] : homesOf(demand.parts, looseEndpoints(book, candidates, order, now));
 	const weight = readingWeight + (busyReadingWeight * Math.min(1, meanReadingShare(book, candidates, now)));
 	let free: Option | undefined;
 	let behind: Option | undefined;
+	let leastUnreadTokens = Infinity;
 	for (const candidate of candidates) {
 		const judged = candidate.isEngine
 			? judgeEngine(book, demand, candidate, {now, place: order.get(candidate.id) ?? 0, weight})
 			: judgeService(book, demand, candidate, now);
-		const cost = judged.cost + (candidate.zone === zone ? 0 : otherZoneMilliseconds) - (candidate.id === home ? homeMilliseconds : 0);
+		const cost = judged.cost + (candidate.zone === zone ? 0 : otherZoneMilliseconds) - homeBonus(homes, candidate.id);
+		leastUnreadTokens = Math.min(leastUnreadTokens, judged.unreadTokens);
 		if (judged.wait > 0) {
 			behind = behind === undefined || cost < behind.cost ? {id: candidate.id, cost, judged} : behind;
 		} else {
@@ -106,11 +121,12 @@
 		}
 	}
 
-	if (free === undefined || (behind !== undefined && behind.cost + behind.judged.wait + demand.waitedMilliseconds < free.cost)) {
-		return {type: 'wait', milliseconds: behind?.judged.wait ?? 0};
+	const isWorthWaiting = !demand.isTight && behind !== undefined && free !== undefined && behind.cost + behind.judged.wait + demand.waitedMilliseconds < free.cost;
+	if (free === undefined || isWorthWaiting) {
+		return {type: 'wait', milliseconds: behind?.judged.wait ?? 0, isForBetter: free !== undefined};
 	}
 
-	return {type: 'place', endpoint: free.id, unreadTokens: free.judged.unreadTokens, expectedMilliseconds: free.judged.expected};
+	return {type: 'place', endpoint: free.id, unreadTokens: free.judged.unreadTokens, expectedMilliseconds: free.judged.expected, leastUnreadTokens};
 }
 
 function meanReadingShare(book: LoadBook, candidates: readonly Candidate[], now: number): number {
@@ -130,7 +146,8 @@
 	const unreadTokens = book.unread(candidate.id, demand.parts);
 	const reading = readMilliseconds(speed, unreadTokens);
 	const expected = load.backlogMilliseconds + reading + speed.baseMilliseconds;
-	const wait = load.running >= candidate.slots ? speed.baseMilliseconds : Math.max(0, load.backlogMilliseconds - bearableBacklog(demand, load.tightRuns));
+	const slots = candidate.slots + (demand.isTight ? slotsAbove : 0);
+	const wait = load.running >= slots ? speed.baseMilliseconds : Math.max(0, load.backlogMilliseconds - bearableBacklog(demand, load.tightRuns));
 	const span = load.backlogMilliseconds + reading;
 	const harm = demand.isTight
 		? tightCost(demand, candidate, {load, place, span})
@@ -142,7 +159,7 @@
 
 function bearableBacklog({targetMilliseconds, tightestPauseMilliseconds, isTight}: Demand, tightRuns: number): number {
 	if (isTight) {
-		return targetMilliseconds * tightBacklogShare;
+		return Infinity;
 	}
 
 	const own = Math.min(backlogBounds.high, Math.max(backlogBounds.low, backlogProduct / targetMilliseconds));
@@ -186,21 +203,20 @@
 	return taken >= candidates.length ? candidates : candidates.filter(({id}) => order.get(id)! >= taken);
 }
 
-/** Where the shared beginning of a prompt belongs, if nothing else speaks against it. */
-function homeOf(parts: readonly PromptPart[], candidates: readonly Candidate[]): string | undefined {
+function homeBonus(homes: readonly string[], id: string): number {
+	const rank = homes.indexOf(id);
+	return rank === -1 ? 0 : homeMilliseconds[rank] ?? 0;
+}
+
+/** Where the shared beginning of a prompt belongs, best first. */
+function homesOf(parts: readonly PromptPart[], candidates: readonly Candidate[]): readonly string[] {
 	const shared = parts.at(-2);
 	if (shared === undefined) {
-		return undefined;
+		return [];
 	}
 
 	const key = hash32(shared.id);
-	let best: {id: string; score: number} | undefined;
-	for (const {id, hash} of candidates) {
-		const score = mixHashes(key, hash);
-		if (best === undefined || score > best.score) {
-			best = {id, score};
-		}
-	}
-
-	return best?.id;
+	const scored = candidates.map(({id, hash}) => ({id, score: mixHashes(key, hash)}));
+	scored.sort((left, right) => right.score - left.score);
+	return scored.slice(0, homeMilliseconds.length).map(({id}) => id);
 }
