--- /dev/null
+++ b/src/bin/gateway-process.ts
@@ -0,0 +1,243 @@
+import {Beliefs, ChannelBook, DecisionLog, Dispatcher, type Feed, FeedFollower, Gateway, type PeerRecord, Peers, type RequestCodec} from '../gateway/index.js';
+import {createInstanceId, type InstanceId, type ZoneName} from '../model/index.js';
+import {type RetryAllowance} from '../policy/dispatch/index.js';
+import {type EndpointChange, type RoutingTableInput} from '../routing/index.js';
+import {AdminServer, forPart, type Logger, Metrics, type PartLogger} from '../telemetry/index.js';
+import {type GatewaySettings} from './settings/gateway-settings.js';
+import {withinMilliseconds} from './stop-signal.js';
+
+/** What a platform's adapter brings: translation, and the store's feeds. */
+export type GatewayAdapter = {
+	readonly codec: RequestCodec;
+	readonly readyPath: string;
+	openStore(address: string, logger: PartLogger): GatewayStore;
+};
+
+export type GatewayStore = AsyncDisposable & {
+	readonly routing: Feed<RoutingTableInput>;
+	readonly endpoints: Feed<EndpointChange>;
+	readonly instances: Feed<InstanceAnnouncement>;
+	announce(record: PeerRecord): Promise<void>;
+	retract(instance: string): Promise<void>;
+};
+
+export type InstanceAnnouncement = {readonly instance: string; readonly record: PeerRecord | undefined};
+
+/** A routing table is in force within a second of its writing; the wait only bounds how long a dead connection is believed. */
+const routingWaitMilliseconds = 2500;
+/** An endpoint's leaving is known well within two seconds, the shortest time it still serves. */
+const endpointPauseMilliseconds = 900;
+/** Instances come and go rarely; those that start together announce themselves within the first readings. */
+const instancePauseMilliseconds = 10_000;
+const firstInstancePauseMilliseconds = 600;
+const firstInstanceReadings = 6;
+const announceRetryMilliseconds = 1000;
+const pruneMilliseconds = 10_000;
+/** Bodies may take this part of the memory; the rest is the program, answers and connections. */
+const bodiesShare = 0.2;
+/** A planned stop ends this long before the platform would end it. */
+const stopMarginMilliseconds = 600;
+
+type Parts = {
+	readonly settings: GatewaySettings;
+	readonly log: PartLogger;
+	readonly store: GatewayStore;
+	readonly beliefs: Beliefs;
+	readonly peers: Peers;
+	readonly dispatcher: Dispatcher;
+	readonly gateway: Gateway;
+	readonly admin: AdminServer;
+	/** Everything that must be released, in this order. */
+	readonly releases: ReadonlyArray<AsyncDisposable | Disposable>;
+};
+
+/** One gateway with all its parts. */
+export class GatewayProcess implements AsyncDisposable {
+	static async create({settings, adapter, logger}: {settings: GatewaySettings; adapter: GatewayAdapter; logger: Logger}): Promise<GatewayProcess> {
+		const incarnation = createInstanceId('gateway');
+		const metrics = Metrics.create({role: 'gateway'});
+		const beliefs = Beliefs.create(forPart(logger, 'Beliefs'));
+		const store = adapter.openStore(settings.storeAddress, forPart(logger, 'Store'));
+		const channels = ChannelBook.create();
+		const decisions = DecisionLog.create(forPart(logger, 'Request'), metrics);
+		const dispatcher = Dispatcher.create({
+			instance: incarnation,
+			zone: settings.availabilityZone as ZoneName,
+			beliefs,
+			logger: forPart(logger, 'Dispatch'),
+			allowance: allowanceOf(settings),
+			random: Math.random,
+			onLoad(event) {
+				peers.tellLoad(event);
+			},
+		});
+		const peers = await openPeers(settings, {incarnation, beliefs, dispatcher, logger});
+		const feeds = followFeeds(store, {beliefs, peers, logger: forPart(logger, 'Store')});
+		const gateway = await Gateway.create({
+			...splitAddress(settings.callerAddress),
+			heldBodiesBytes: settings.memoryMegabytes * 1024 * 1024 * bodiesShare,
+			beliefs, dispatcher, channels, codec: adapter.codec, log: decisions, logger: forPart(logger, 'Gateway'),
+		});
+		metrics.observe('gateway_waiting', 'Requests that wait for a place.', () => dispatcher.waiting);
+		metrics.observe('gateway_open', 'Requests without their whole answer.', () => gateway.openRequests);
+		metrics.observe('gateway_peers', 'Other gateways connected.', () => peers.count);
+		metrics.observe('gateway_table_version', 'The routing table in force.', () => beliefs.table?.version ?? 0);
+		const admin = await AdminServer.create({...splitAddress(settings.adminAddress), metrics, readyPath: adapter.readyPath, isReady: () => gateway.isReady});
+		const prune = setInterval(() => {
+			beliefs.prune(performance.now());
+			dispatcher.book.prune(performance.now());
+			channels.retain(new Set(beliefs.directory.entries.keys()));
+		}, pruneMilliseconds);
+		const timers = {
+			[Symbol.dispose]() {
+				clearInterval(prune);
+			},
+		};
+		return new GatewayProcess({
+			settings, log: forPart(logger, 'Gateway'), store, beliefs, peers, dispatcher, gateway, admin,
+			releases: [timers, admin, gateway, feeds, peers, dispatcher, decisions, channels, store],
+		});
+	}
+
+	readonly #parts: Parts;
+	readonly #announcing = new AbortController();
+
+	private constructor(parts: Parts) {
+		this.#parts = parts;
+		void this.#announce();
+	}
+
+	get gateway(): Gateway {
+		return this.#parts.gateway;
+	}
+
+	get beliefs(): Beliefs {
+		return this.#parts.beliefs;
+	}
+
+	get peers(): Peers {
+		return this.#parts.peers;
+	}
+
+	get adminPort(): number {
+		return this.#parts.admin.port;
+	}
+
+	/** Takes what may change while it runs. */
+	apply(settings: GatewaySettings): void {
+		this.#parts.dispatcher.retries.setAllowance(allowanceOf(settings));
+	}
+
+	/** A planned stop; true if nothing was cut off. */
+	async drain(): Promise<boolean> {
+		const {gateway, store, settings, log} = this.#parts;
+		this.#announcing.abort();
+		const retracted = store.retract(settings.instance).catch((error: unknown) => {
+			log.warn('Could not retract the announcement.', {reason: String(error)});
+		});
+		return withinMilliseconds(Promise.all([gateway.drain(), retracted]), (settings.stopSeconds * 1000) - stopMarginMilliseconds);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#announcing.abort();
+		for (const part of this.#parts.releases) {
+			if (Symbol.asyncDispose in part) {
+				await part[Symbol.asyncDispose]();
+			} else {
+				part[Symbol.dispose]();
+			}
+		}
+	}
+
+	/** Announces this instance, as often as it takes. */
+	async #announce(): Promise<void> {
+		const {store, settings, log} = this.#parts;
+		const {signal} = this.#announcing;
+		for (let tries = 1; !signal.aborted; tries++) {
+			try {
+				await store.announce({instance: settings.instance, address: settings.peerAddress});
+				log.info('Announced to the other instances.', {address: settings.peerAddress, tries});
+				return;
+			} catch (error) {
+				if (tries === 1) {
+					log.warn('Could not announce this instance, trying again.', {reason: String(error)});
+				}
+
+				await new Promise(resolve => {
+					setTimeout(resolve, announceRetryMilliseconds * Math.min(tries, 8)).unref();
+				});
+			}
+		}
+	}
+}
+
+type PeerParts = {readonly incarnation: string; readonly beliefs: Beliefs; readonly dispatcher: Dispatcher; readonly logger: Logger};
+
+async function openPeers(settings: GatewaySettings, {incarnation, beliefs, dispatcher, logger}: PeerParts): Promise<Peers> {
+	const {host, port} = splitAddress(settings.peerAddress);
+	return Peers.create({
+		instance: settings.instance,
+		incarnation,
+		host,
+		port,
+		security: {type: 'plaintext'},
+		seeds: settings.seedHosts.map(seed => `${seed.split(':', 1)[0]}:${port}`),
+		beliefs,
+		logger: forPart(logger, 'Peers'),
+		onLoad(event) {
+			dispatcher.takeLoad(event);
+		},
+		onCount(instances) {
+			dispatcher.instances = instances;
+		},
+	});
+}
+
+function followFeeds(store: GatewayStore, {beliefs, peers, logger}: {beliefs: Beliefs; peers: Peers; logger: PartLogger}): AsyncDisposable {
+	const followers = [
+		FeedFollower.start({
+			feed: store.routing, logger, waitMilliseconds: routingWaitMilliseconds, pauseMilliseconds: () => 0,
+			onItems(tables) {
+				for (const table of tables) {
+					beliefs.offerTable(table, 'store');
+				}
+			},
+		}),
+		FeedFollower.start({
+			feed: store.endpoints, logger, waitMilliseconds: 0, pauseMilliseconds: () => endpointPauseMilliseconds,
+			onItems(changes, isWhole) {
+				if (isWhole) {
+					beliefs.offerAllEndpoints(changes, 'store', performance.now());
+				} else {
+					beliefs.offerEndpoints(changes, 'store', performance.now());
+				}
+			},
+		}),
+		FeedFollower.start({
+			feed: store.instances, logger, waitMilliseconds: 0, pauseMilliseconds: readings => readings < firstInstanceReadings ? firstInstancePauseMilliseconds : instancePauseMilliseconds,
+			onItems(announcements) {
+				for (const {instance, record} of announcements) {
+					if (record === undefined) {
+						peers.forget(instance);
+					} else {
+						peers.know([record]);
+					}
+				}
+			},
+		}),
+	];
+	return {
+		async [Symbol.asyncDispose]() {
+			await Promise.all(followers.map(async follower => follower[Symbol.asyncDispose]()));
+		},
+	};
+}
+
+function allowanceOf({retryRatio, retrySlack, retryWindowSeconds}: GatewaySettings): RetryAllowance {
+	return {ratio: retryRatio, slack: retrySlack, windowMilliseconds: retryWindowSeconds * 1000};
+}
+
+function splitAddress(address: string): {host: string; port: number} {
+	const separator = address.lastIndexOf(':');
+	return {host: address.slice(0, separator), port: Number(address.slice(separator + 1))};
+}
--- a/src/bin/settings/gateway-settings.ts
+++ b/src/bin/settings/gateway-settings.ts
@@ -4,7 +4,6 @@
 import {SettingsError, type SettingsProblem} from './definition.js';
 
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v, 'must be an IP number and a port');
-const port = z.number().int().min(0).max(65_535);
 
 /** The gateway's settings file, as JSON. Fields that are not named here are ignored. */
 const gatewaySettingsSchema = z.object({
@@ -13,15 +12,13 @@
 	availabilityZone: z.string().min(1),
 	/** Where callers connect. */
 	callerAddress: address,
-	/** Where the balancer asks whether this instance is ready, and operators for metrics. */
+	/** Where the balancer asks whether this instance is ready, and operators read `/metrics`. */
 	adminAddress: address,
 	/** Where other gateways connect. */
 	peerAddress: address,
 	/** IP numbers of instances to try before any has announced itself. */
 	seedHosts: z.array(z.string()).default([]),
 	storeAddress: address,
-	/** A second port for metrics alone, on the caller address's host; absent for none. */
-	metricsPort: port.optional(),
 	memoryMegabytes: z.number().positive(),
 	/** Repeated sendings to a service, for each request to it, all instances together. */
 	retryRatio: z.number().nonnegative().default(0.1),
--- a/src/gateway/feed-follower.ts
+++ b/src/gateway/feed-follower.ts
@@ -7,8 +7,8 @@
 	readonly logger: PartLogger;
 	/** How long one reading may wait for the first change; 0 reads what is there. */
 	readonly waitMilliseconds: number;
-	/** From the end of one reading to the start of the next. */
-	readonly pauseMilliseconds: number;
+	/** From the end of one reading to the start of the next, after so many readings. */
+	readonly pauseMilliseconds: (readings: number) => number;
 	/** Everything, when `isWhole`; else changes in their order. */
 	readonly onItems: (items: readonly Item[], isWhole: boolean) => void;
 };
@@ -32,6 +32,7 @@
 	readonly #options: FeedFollowerOptions<Item>;
 	#next: number | undefined;
 	#failures = 0;
+	#readings = 0;
 	#isStopped = false;
 	#lastReadAt = -Infinity;
 
@@ -78,7 +79,8 @@
 			this.#take(page, false);
 		}
 
-		yield * sleep(pauseMilliseconds);
+		this.#readings += 1;
+		yield * sleep(pauseMilliseconds(this.#readings));
 	}
 
 	#take({items, next}: FeedPage<Item>, isWhole: boolean): void {
