Test decisions, routing and the adapter; count a run that is told twice once

Change: a known run is not placed again; tests of placement, pace, health, retries, line, routing table, directory, codec, decoders and the store client, properties with fixed seeds.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,6 +1,6 @@
 import {type InstanceId, type ZoneName} from '../model/index.js';
 import {
-	availability, type Candidate, type Choice, choosePlace, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, LoadBook,
+	availability, type Candidate, choosePlace, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, LoadBook,
 	type LoadEvent, type RetryAllowance, RetryShare, stepEndpointHealth, type Waiting, WaitingLine,
 } from '../policy/dispatch/index.js';
 import {hash32} from '../policy/hashing/index.js';
@@ -182,7 +182,7 @@
 		return {id: record.id, zone: record.zone, slots: record.slots, isEngine: memoryTokens !== undefined, hash};
 	}
 
-	#place(ticket: Ticket, record: EndpointRecord, {candidates, unreadTokens, expectedMilliseconds, leastUnreadTokens}: Extract<Choice, {type: 'place'}> & {candidates: number}): void {
+	#place(ticket: Ticket, record: EndpointRecord, {candidates, unreadTokens, expectedMilliseconds, leastUnreadTokens}: Place & {candidates: number}): void {
 		const now = performance.now();
 		this.withdraw(ticket.id);
 		this.#line.charge(ticket.workspace, ticket.work, now);
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -151,6 +151,11 @@
 	}
 
 	#place(run: Run, now: number): void {
+		if (this.#runs.has(run.id)) {
+			// Told twice, over two connections of one pair.
+			return;
+		}
+
 		const desk = this.#desks.get(run.endpoint) ?? createDesk(0);
 		this.#desks.set(run.endpoint, desk);
 		const speed = this.speed(run.service);
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -39,18 +39,26 @@
 	readonly hash: number;
 };
 
-export type Choice
-	= | {
-		readonly type: 'place'; readonly endpoint: string; readonly unreadTokens: number; readonly expectedMilliseconds: number;
-		/** What the endpoint that holds most of the prompt would have had to read. */
-		readonly leastUnreadTokens: number;
-	}
-	/** Every endpoint is full or too far behind: the best is good enough in so long. */
-		| {
-		readonly type: 'wait'; readonly milliseconds: number;
-		/** True if one is free, but a better one is worth waiting for: others may take the free one. */
-		readonly isForBetter: boolean;
-	};
+/** Send it there now. */
+export type Place = {
+	readonly type: 'place';
+	readonly endpoint: string;
+	readonly unreadTokens: number;
+	/** From sending to the first event, or to the answer. */
+	readonly expectedMilliseconds: number;
+	/** What the endpoint that holds most of the prompt would have had to read. */
+	readonly leastUnreadTokens: number;
+};
+
+/** None is good enough yet; the best is in about so long. */
+export type Wait = {
+	readonly type: 'wait';
+	readonly milliseconds: number;
+	/** True if one is free, but a better one is worth waiting for: others may take the free one. */
+	readonly isForBetter: boolean;
+};
+
+export type Choice = Place | Wait;
 
 /**
  * What may wait to be read at an endpoint before one more is sent there; the rest waits here, where its
--- /dev/null
+++ b/test/adapter/adapter.test.ts
@@ -0,0 +1,182 @@
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
+import tap from 'tap';
+import {requestCodec} from '../../platform/request-codec.js';
+import {decodeDesiredState} from '../../platform/desired-state.js';
+import {decodeInstance, decodeServer, encodeInstance} from '../../platform/servers.js';
+import {decodeRecords, encodeRecord, StoreClient} from '../../platform/store-client.js';
+import {endpointFeed, routingFeed} from '../../platform/feeds.js';
+import {FakePlatformStore} from '../../fakes/platform-store.js';
+import {type Route, RouteKind, RoutingTable, routingTableSchema} from '../../src/routing/index.js';
+import {PlatformError} from '../../src/platform/index.js';
+import {desiredState} from '../gateway/world.js';
+
+const route: Route = {
+	name: 'r', host: 'a.example', pathPrefix: '/x/', kind: RouteKind.stream, resumable: false, shares: [{service: 's', weight: 1}], timeoutMilliseconds: 1000,
+	targetMilliseconds: 100, urgency: 1, largestAttempts: 2, isPublic: false, longestPauseMilliseconds: 200,
+};
+
+function forward(rawHeaders: readonly string[], resumeAfter?: string): Map<string, string> {
+	const sent = requestCodec.forward({rawHeaders, bodyBytes: 3, endpoint: 'e', workspace: undefined, urgency: 12, milliseconds: 70, resumeAfter, route});
+	const headers = new Map<string, string>();
+	for (let index = 0; index < sent.length; index += 2) {
+		const name = sent[index]!.toLowerCase();
+		tap.notOk(headers.has(name), `${name} stands once`);
+		headers.set(name, sent[index + 1]!);
+	}
+
+	return headers;
+}
+
+tap.test('what a caller says is read once, and what is malformed is named', async t => {
+	const read = requestCodec.readRequest({'request-id': 'a', 'deadline-ms': '250.5', authorization: 'Bearer k', 'prefix-hash': '5c:800,91:410', 'token-usage': '1210,80', 'length-hint': '40'});
+	t.same(read, {type: 'facts', facts: {id: 'a', deadlineMilliseconds: 250.5, key: 'k', parts: [{id: '5c', tokens: 800}, {id: '91', tokens: 410}], outputTokens: 40}});
+	t.match(requestCodec.readRequest({}), {type: 'wrong', message: /Request-Id/v});
+	t.match(requestCodec.readRequest({'request-id': 'a', 'deadline-ms': '-1'}), {type: 'wrong', message: /Deadline-Ms/v});
+	t.match(requestCodec.readRequest({'request-id': 'a', 'prefix-hash': 'zz,:,1:x'}), {type: 'facts', facts: {parts: []}});
+});
+
+tap.test('no text makes reading a request throw', async t => {
+	const name = fc.constantFrom('request-id', 'deadline-ms', 'authorization', 'prefix-hash', 'token-usage', 'length-hint');
+	fc.assert(fc.property(fc.dictionary(name, fc.string()), headers => {
+		const read = requestCodec.readRequest(headers);
+		return read.type === 'wrong' || read.facts.id === headers['request-id'];
+	}), {seed: 2, numRuns: 500});
+	t.pass();
+});
+
+tap.test('a caller can set nothing that is ours, nor pass what concerns its connection', async t => {
+	const mine = ['Tenant', 'Target-Instance', 'Kv-From', 'Kv-Hold', 'Kv-Backup', 'Pin-Ms', 'Authorization', 'Connection', 'Keep-Alive', 'Transfer-Encoding', 'X-Hop', 'Content-Length'];
+	const sent = forward([...mine.flatMap(name => [name, name === 'Connection' ? 'close, X-Hop' : 'forged']), 'Deadline-Ms', '9999', 'Request-Priority', '0', 'X-Kept', 'yes', 'Model', 'm']);
+	t.equal(sent.get('x-kept'), 'yes');
+	t.equal(sent.get('model'), 'm');
+	t.equal(sent.get('deadline-ms'), '70');
+	t.equal(sent.get('target-instance'), 'e');
+	t.equal(sent.get('request-priority'), '9', 'the least urgent rank a worker knows');
+	t.equal(sent.get('content-length'), '3');
+	for (const name of ['tenant', 'kv-from', 'kv-hold', 'kv-backup', 'pin-ms', 'authorization', 'connection', 'keep-alive', 'transfer-encoding', 'x-hop']) {
+		t.notOk(sent.has(name), name);
+	}
+});
+
+tap.test('a resumed stream names the last event once', async t => {
+	t.equal(forward(['Last-Event-Id', '2'], '5').get('last-event-id'), '5');
+	t.equal(forward(['Last-Event-Id', '2']).get('last-event-id'), '2');
+});
+
+tap.test('a success without signature, id or with an encoding is not the worker\'s', async t => {
+	const whole = {'request-id': 'a', 'upstream-signature': 's'};
+	t.ok(requestCodec.readAnswer(200, whole).isGenuine);
+	t.notOk(requestCodec.readAnswer(200, {'request-id': 'a'}).isGenuine);
+	t.notOk(requestCodec.readAnswer(200, {'upstream-signature': 's'}).isGenuine);
+	t.notOk(requestCodec.readAnswer(200, {...whole, 'content-encoding': 'gzip'}).isGenuine);
+	t.match(requestCodec.readAnswer(503, {'not-executed': '1'}), {isNotRun: true, promisesNotRun: false});
+	t.match(requestCodec.readAnswer(503, whole), {isNotRun: false, promisesNotRun: true});
+	t.match(requestCodec.readAnswer(421, {}), {isNotRun: true, isOtherEndpoint: true});
+	t.match(requestCodec.readAnswer(500, whole), {isNotRun: false, promisesNotRun: false});
+});
+
+tap.test('a desired state becomes a routing table that survives the way between instances', async t => {
+	const table = decodeDesiredState(JSON.stringify({...desiredState(7), unknown: {new: 'field'}}));
+	t.equal(table.version, 7);
+	t.match(table.routes.find(({name}) => name === 'chart'), {kind: 'stream', resumable: true, longestPauseMilliseconds: 200, shares: [{service: 'models', weight: 1}]});
+	t.match(table.services[1], {engine: {slots: 16, memoryTokens: 400_000, tokensPerEvent: 7}});
+	const arrived = RoutingTable.create(routingTableSchema.parse(table));
+	t.match(arrived.findRoute('studio.example', '/chart/1'), table.routes.find(({name}) => name === 'chart')!);
+	t.throws(() => decodeDesiredState('{"version": 1}'), /routes/v);
+	t.throws(() => decodeDesiredState('not json'));
+	const [odd] = decodeDesiredState(JSON.stringify(desiredState(1, {routes: [{...(desiredState(1).routes as Array<Record<string, unknown>>)[0], kind: 'novel'}]}))).routes;
+	t.equal(odd?.kind, 'unsafe', 'a kind that is unknown may run only once');
+});
+
+tap.test('records of workers and instances are decoded, or refused with what is wrong', async t => {
+	const value = JSON.stringify({service: 's', address: '1.2.3.4:5', zone: 'z', slots: 6, state: 'draining', seq: 4, more: 1});
+	t.match(decodeServer({key: 'i', value, offset: 9}), {type: 'registered', offset: 9, record: {id: 'i', isLeaving: true, revision: 4, slots: 6}});
+	t.same(decodeServer({key: 'i', value: undefined, offset: 9}), {type: 'removed', offset: 9, id: 'i'});
+	t.throws(() => decodeServer({key: 'i', value: '{}', offset: 9}), /service/v);
+	const record = {instance: 'a', address: '1.2.3.4:5'};
+	t.same(decodeInstance({key: 'a', value: encodeInstance(record), offset: 1}), {instance: 'a', record});
+	t.same(decodeInstance({key: 'a', value: undefined, offset: 1}), {instance: 'a', record: undefined});
+});
+
+tap.test('records pass the store\'s framing unchanged, and cut ones are refused', async t => {
+	const text = fc.string({maxLength: 40}).filter(part => Buffer.byteLength(part) < 200);
+	fc.assert(fc.property(fc.array(fc.tuple(text, fc.option(text.filter(part => part !== ''), {nil: undefined}))), fc.nat(1000), (records, from) => {
+		const head = Buffer.alloc(16);
+		head.writeBigUInt64BE(BigInt(from + records.length));
+		const body = Buffer.concat([head, ...records.map(([key, value]) => encodeRecord(key, value))]);
+		const decoded = decodeRecords(body, from);
+		return decoded.end === from + records.length
+			&& decoded.records.every((record, index) => record.key === records[index]![0] && record.value === records[index]![1] && record.offset === from + index);
+	}), {seed: 4, numRuns: 200});
+	const whole = Buffer.concat([Buffer.alloc(16), encodeRecord('k', 'value')]);
+	t.throws(() => decodeRecords(whole.subarray(0, -1), 0), /cut off/v);
+});
+
+tap.test('the store\'s failures are told apart', async t => {
+	await using store = await FakePlatformStore.create();
+	await using client = StoreClient.create(store.address);
+	const failure = async (asked = client): Promise<string> => {
+		try {
+			await asked.readNewest('keyed.op');
+			return 'none';
+		} catch (error) {
+			return error instanceof PlatformError ? error.failure.type : String(error);
+		}
+	};
+
+	t.equal(await failure(), 'none');
+	store.fault = () => 'refuse';
+	t.equal(await failure(), 'status');
+	store.fault = () => 'reset';
+	t.equal(await failure(), 'lost');
+	store.fault = () => 'silent';
+	t.equal(await failure(), 'lost', 'a silent connection shows by our own time limit');
+	await using nobody = StoreClient.create('127.0.0.1:1');
+	t.equal(await failure(nobody), 'unreachable');
+});
+
+tap.test('a lost answer may have written, and writing again changes nothing', async t => {
+	await using store = await FakePlatformStore.create();
+	await using client = StoreClient.create(store.address);
+	store.fault = () => 'lose-answer';
+	await t.rejects(client.put('keyed.mine', 'a', '{"address": "1"}'));
+	store.fault = () => undefined;
+	await client.put('keyed.mine', 'a', '{"address": "1"}');
+	t.same(store.keys('keyed.mine'), ['a']);
+	await client.put('keyed.mine', 'a', undefined);
+	t.same(store.keys('keyed.mine'), []);
+});
+
+tap.test('changes follow the newest values; history that is gone shows as such', async t => {
+	await using store = await FakePlatformStore.create();
+	await using client = StoreClient.create(store.address);
+	store.put('keyed.servers', 'a', {service: 's', address: '1.2.3.4:5', zone: 'z', state: 'ready'});
+	const newest = await client.readNewest('keyed.servers');
+	t.equal(newest.records.length, 1);
+	const waiting = client.readChanges('keyed.servers', newest.next, 5000);
+	store.put('keyed.servers', 'b', {service: 's', address: '1.2.3.4:6', zone: 'z', state: 'ready'});
+	t.match(await waiting, {records: [{key: 'b', offset: 1}], next: 2});
+	store.forget('keyed.servers');
+	t.equal(await client.readChanges('keyed.servers', 0, 0), undefined);
+	t.equal(await client.readChanges('keyed.servers', 50, 0), undefined, 'an end before what we have read: the history is another one');
+});
+
+tap.test('a malformed record is logged and passed over, and the rest is taken', async t => {
+	await using store = await FakePlatformStore.create();
+	await using client = StoreClient.create(store.address);
+	const lines: string[] = [];
+	const log = (message: string): void => {
+		lines.push(message);
+	};
+
+	const logger = {debug: log, info: log, warn: log, error: log};
+	store.put('keyed.servers', 'bad', {service: 5});
+	store.put('keyed.servers', 'good', {service: 's', address: '1.2.3.4:5', zone: 'z', state: 'ready'});
+	store.put('keyed.op', 'config', {version: 'x'});
+	const endpoints = await endpointFeed(client, logger).readNewest();
+	t.match(endpoints.items, [{type: 'registered', record: {id: 'good'}}]);
+	const tables = await routingFeed(client, logger).readNewest();
+	t.same(tables.items, []);
+	t.equal(lines.length, 2);
+});
--- /dev/null
+++ b/test/policy/dispatch.test.ts
@@ -0,0 +1,244 @@
+import fc from 'fast-check';
+import tap from 'tap';
+import {type ZoneName} from '../../src/model/index.js';
+import {
+	availability, type Candidate, choosePlace, createEndpointHealth, createReadingSpeed, type Demand, learnPace, learnReadingSpeed, LoadBook, PartMemory, RetryShare,
+	stepEndpointHealth, type Waiting, WaitingLine,
+} from '../../src/policy/dispatch/index.js';
+import {hash32} from '../../src/policy/hashing/index.js';
+
+const zone = 'zone-a' as ZoneName;
+
+function candidates(count: number, slots = 16): Candidate[] {
+	return Array.from({length: count}, (_, index) => ({id: `endpoint-${index}`, zone, slots, isEngine: true, hash: hash32(`endpoint-${index}`)}));
+}
+
+function demand(more: Partial<Demand> = {}): Demand {
+	return {
+		service: 'models', urgency: 2, targetMilliseconds: 600, parts: [], isTight: false, pauseMilliseconds: 500, tightestPauseMilliseconds: 120, waitedMilliseconds: 0, ...more,
+	};
+}
+
+function bookFor(all: readonly Candidate[]): LoadBook {
+	const book = LoadBook.create();
+	for (const {id} of all) {
+		book.setMemory(id, 400_000);
+	}
+
+	return book;
+}
+
+let runs = 0;
+function place(book: LoadBook, wanted: Demand, all: readonly Candidate[], now: number): string | undefined {
+	const choice = choosePlace(book, wanted, all, {zone, now});
+	if (choice.type !== 'place') {
+		return undefined;
+	}
+
+	runs += 1;
+	book.step({type: 'placed', run: {
+		id: `run-${runs}`, owner: 'a', endpoint: choice.endpoint, service: wanted.service, unreadTokens: choice.unreadTokens, isTight: wanted.isTight, parts: wanted.parts,
+	}}, now);
+	return choice.endpoint;
+}
+
+function prompt(subject: number, own: number): Demand['parts'] {
+	return [{id: 'manual', tokens: 2500}, {id: `subject-${subject}`, tokens: 3800}, {id: `own-${own}`, tokens: 2900}];
+}
+
+// A burst of long prompts over many subjects. Placed without regard to what engines hold, each subject
+// is read on nearly every engine; kept together it is read on one or two.
+tap.test('prompts with a common beginning meet where it is held', async t => {
+	const all = candidates(10);
+	const book = bookFor(all);
+	const seen = new Map<number, Set<string>>();
+	for (let number = 0; number < 300; number++) {
+		const subject = number * 7 % 30;
+		// One at a time, each read before the next comes.
+		const endpoint = place(book, demand({parts: prompt(subject, number)}), all, number * 60)!;
+		book.step({type: 'first-event', id: `run-${runs}`, isMeasured: false}, (number * 60) + 30);
+		book.step({type: 'ended', id: `run-${runs}`}, (number * 60) + 50);
+		seen.set(subject, (seen.get(subject) ?? new Set()).add(endpoint));
+	}
+
+	const mean = [...seen.values()].reduce((sum, endpoints) => sum + endpoints.size, 0) / seen.size;
+	t.ok(mean <= 1.5, `${mean} endpoints a subject`);
+});
+
+// Long prompts come while streams with tight pauses run on some engines. A reader of long prompts
+// beside them would stretch every pause; while other engines have room, none comes there.
+tap.test('long prompts keep away from streams with tight pauses', async t => {
+	const all = candidates(8);
+	const book = bookFor(all);
+	const tight = new Set<string>();
+	for (let number = 0; number < 8; number++) {
+		tight.add(place(book, demand({isTight: true, urgency: 0, targetMilliseconds: 150, pauseMilliseconds: 120, parts: [{id: `q-${number}`, tokens: 400}]}), all, 0)!);
+		book.step({type: 'first-event', id: `run-${runs}`, isMeasured: false}, 0);
+	}
+
+	t.ok(tight.size <= 2, 'they share few endpoints');
+	for (let number = 0; number < 6; number++) {
+		const endpoint = place(book, demand({parts: prompt(number, number)}), all, 10)!;
+		t.notOk(tight.has(endpoint));
+	}
+});
+
+// A burst: more long prompts than the engines can read at once. What waits at an engine can't be
+// overtaken, so little is sent ahead; the urgent stream that comes then is placed at once.
+tap.test('in a burst the rest waits here, and an urgent stream does not', async t => {
+	const all = candidates(4);
+	const book = bookFor(all);
+	let placed = 0;
+	for (let number = 0; number < 40; number++) {
+		placed += place(book, demand({parts: prompt(number, number)}), all, 0) === undefined ? 0 : 1;
+	}
+
+	t.ok(placed <= 12, `${placed} placed`);
+	for (const {id} of all) {
+		t.ok(book.load(id, 0).backlogMilliseconds < 300);
+	}
+
+	t.ok(place(book, demand({isTight: true, urgency: 0, targetMilliseconds: 150, pauseMilliseconds: 120, parts: [{id: 'q', tokens: 400}]}), all, 0));
+});
+
+tap.test('an endpoint without a free slot takes no more, and one with fewer runs comes first', async t => {
+	const all = candidates(2, 2);
+	const book = bookFor(all);
+	const small = demand({parts: [{id: 'x', tokens: 10}], targetMilliseconds: 100});
+	const endpoints = [0, 1, 2, 3].map(() => place(book, small, all, 0));
+	t.equal(new Set(endpoints).size, 2);
+	t.equal(choosePlace(book, small, all, {zone, now: 0}).type, 'wait');
+});
+
+tap.test('what another instance placed counts until it ends, or until that instance is lost', async t => {
+	const [only] = candidates(1);
+	const book = bookFor([only!]);
+	const run = {id: 'b/1', owner: 'b', endpoint: only!.id, service: 'models', unreadTokens: 5000, isTight: true, parts: []};
+	book.step({type: 'placed', run}, 0);
+	book.step({type: 'placed', run}, 0);
+	t.match(book.load(only!.id, 0), {running: 1, tightRuns: 1});
+	t.ok(book.load(only!.id, 0).backlogMilliseconds > 20);
+	book.step({type: 'owner-lost', owner: 'b'}, 5);
+	t.match(book.load(only!.id, 5), {running: 0, tightRuns: 0, backlogMilliseconds: 0});
+});
+
+tap.test('the pace is learned under load: what disturbs a sample does not drag it down', async t => {
+	fc.assert(fc.property(fc.integer({min: 40, max: 300}), fc.array(fc.tuple(fc.integer({min: 2000, max: 12_000}), fc.integer({min: 0, max: 9})), {minLength: 150, maxLength: 200}), (pace, samples) => {
+		let speed = createReadingSpeed();
+		for (const [tokens, luck] of samples) {
+			// Three in ten samples met work that nobody told of.
+			const disturbed = luck < 3 ? 3 : 1;
+			speed = learnPace(speed, tokens, tokens / pace * disturbed);
+		}
+
+		return speed.tokensPerMillisecond > pace * 0.7 && speed.tokensPerMillisecond < pace * 1.35;
+	}), {seed: 11, numRuns: 30});
+	const short = learnReadingSpeed(createReadingSpeed(), 100, 60);
+	t.equal(short.tokensPerMillisecond, createReadingSpeed().tokensPerMillisecond);
+});
+
+tap.test('a part helps only if all before it are held, and the least recently used goes first', async t => {
+	const memory = PartMemory.create(4000);
+	const [first, second, third] = [{id: 'a', tokens: 1000}, {id: 'b', tokens: 1000}, {id: 'c', tokens: 1000}];
+	memory.use([first, second]);
+	t.equal(memory.unread([first, second, third]), 1000);
+	t.equal(memory.unread([third, first]), 2000);
+	memory.use([third]);
+	memory.use([{id: 'd', tokens: 1000}]);
+	t.equal(memory.unread([first]), 1000, 'the oldest went');
+});
+
+// An endpoint fails four in ten while one in seven is usual for its service: it is set aside. One that
+// fails as often as all others is not.
+tap.test('an endpoint is suspended for what is unusual for its service', async t => {
+	const run = (failures: number, usualShare: number): string => {
+		let health = createEndpointHealth();
+		for (let number = 0; number < 60; number++) {
+			health = stepEndpointHealth(health, number % 10 < failures ? {type: 'failed', usualShare} : {type: 'answered'}, number);
+			if (availability(health, number) !== 'open') {
+				return 'suspended';
+			}
+		}
+
+		return 'open';
+	};
+
+	t.equal(run(6, 0.1), 'suspended');
+	t.equal(run(1, 0.14), 'open');
+});
+
+// Two lost connections in a row set an endpoint aside; one trial at a time asks whether it is back.
+tap.test('a crashed endpoint is left alone, tried once, and used again when it answers', async t => {
+	let health = createEndpointHealth();
+	health = stepEndpointHealth(health, {type: 'unreachable'}, 0);
+	t.equal(availability(health, 0), 'open', 'one lost answer is common');
+	health = stepEndpointHealth(health, {type: 'unreachable'}, 10);
+	t.equal(availability(health, 11), 'suspended');
+	t.equal(availability(health, 700), 'trial');
+	health = stepEndpointHealth(health, {type: 'trial'}, 700);
+	t.equal(availability(health, 701), 'suspended', 'one trial at a time');
+	health = stepEndpointHealth(health, {type: 'unreachable'}, 800);
+	t.equal(availability(health, 1900), 'suspended', 'longer each time');
+	health = stepEndpointHealth(health, {type: 'answered'}, 3000);
+	t.equal(availability(health, 3000), 'open');
+});
+
+function within(times: readonly number[], now: number): number {
+	return times.filter(time => now - time < 10_000).length;
+}
+
+tap.test('retries of all instances stay within the allowance, whatever the order of events', async t => {
+	const allowance = {ratio: 0.2, slack: 54, windowMilliseconds: 10_000};
+	fc.assert(fc.property(fc.integer({min: 1, max: 6}), fc.array(fc.tuple(fc.nat(5), fc.nat(200), fc.boolean()), {maxLength: 600}), (count, events) => {
+		const instances = Array.from({length: count}, () => RetryShare.create(allowance));
+		let now = 0;
+		const requests: number[] = [];
+		const retries: number[] = [];
+		for (const [index, pause, isRequest] of events) {
+			now += pause;
+			const share = instances[index % count]!;
+			if (isRequest) {
+				share.countRequest('orders', now);
+				requests.push(now);
+			} else if (share.takeRetry('orders', count, now)) {
+				retries.push(now);
+			}
+
+			if (within(retries, now) > (allowance.ratio * within(requests, now)) + allowance.slack) {
+				return false;
+			}
+		}
+
+		return true;
+	}), {seed: 5, numRuns: 60});
+});
+
+function waiting(id: string, more: Partial<Waiting> = {}): Waiting {
+	return {id, workspace: 'w', service: 's', urgency: 1, work: 1, arrivedAt: 0, lastStartAt: 1000, ...more};
+}
+
+tap.test('the line goes by urgency, then by what a workspace had, then by arrival', async t => {
+	const line = WaitingLine.create();
+	line.charge('greedy', 1000, 0);
+	line.add(waiting('late', {arrivedAt: 2}));
+	line.add(waiting('greedy', {workspace: 'greedy', arrivedAt: 0}));
+	line.add(waiting('urgent', {urgency: 0, arrivedAt: 3}));
+	line.add(waiting('early', {arrivedAt: 1}));
+	t.same(line.ordered(4).map(({id}) => id), ['urgent', 'early', 'late', 'greedy']);
+	t.same(line.expired(2000).length, 4);
+});
+
+// An endless burst of urgent requests: the least urgent one still has its turn.
+tap.test('nobody starves in the line', async t => {
+	const line = WaitingLine.create();
+	line.add(waiting('patient', {urgency: 9, arrivedAt: 0}));
+	let served = -1;
+	for (let turn = 0; turn < 20 && served === -1; turn++) {
+		line.add(waiting(`urgent-${turn}`, {urgency: 0, arrivedAt: turn + 1}));
+		const [first] = line.ordered(turn);
+		line.remove(first!.id);
+		served = first!.id === 'patient' ? turn : -1;
+	}
+
+	t.ok(served >= 0 && served <= 8);
+});
--- /dev/null
+++ b/test/routing/routing.test.ts
@@ -0,0 +1,85 @@
+import fc from 'fast-check';
+import tap from 'tap';
+import {type WorkspaceName, type ZoneName} from '../../src/model/index.js';
+import {
+	chooseService, type EndpointChange, EndpointDirectory, lastResortMilliseconds, type Route, RouteKind, RoutingTable, Standing, standingOf,
+} from '../../src/routing/index.js';
+
+function route(more: Partial<Route> = {}): Route {
+	return {
+		name: 'r', host: 'a.example', pathPrefix: '/x/', kind: RouteKind.safe, resumable: false, shares: [{service: 's', weight: 1}], timeoutMilliseconds: 1000,
+		targetMilliseconds: 100, urgency: 1, largestAttempts: 2, isPublic: false, ...more,
+	};
+}
+
+const limits = {headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1};
+
+tap.test('the longest prefix of the host decides, whatever the order', async t => {
+	const routes = [route({name: 'short'}), route({name: 'long', pathPrefix: '/x/y/'}), route({name: 'other', host: 'b.example'})];
+	for (const order of [routes, routes.toReversed()]) {
+		const table = RoutingTable.create({version: 1, routes: order, services: [], limits});
+		t.equal(table.findRoute('A.example:80', '/x/y/z')?.name, 'long');
+		t.equal(table.findRoute('a.example', '/x/z')?.name, 'short');
+		t.equal(table.findRoute('a.example', '/x'), undefined);
+		t.equal(table.findRoute('b.example', '/x/y/z')?.name, 'other');
+	}
+});
+
+tap.test('a key opens routes for its workspace; without workspaces none is needed', async t => {
+	const workspace = {name: 'w' as WorkspaceName, keys: ['k']};
+	const table = RoutingTable.create({version: 1, routes: [], services: [], workspaces: [workspace], limits});
+	t.same(table.access(route(), 'k'), {type: 'allowed', workspace});
+	t.same(table.access(route(), 'x'), {type: 'unknown-key'});
+	t.same(table.access(route(), undefined), {type: 'unknown-key'});
+	t.same(table.access(route({isPublic: true}), undefined), {type: 'allowed', workspace: undefined});
+	t.same(RoutingTable.create({version: 1, routes: [], services: [], limits}).access(route(), undefined), {type: 'allowed', workspace: undefined});
+});
+
+tap.test('shares get their weight of the draws', async t => {
+	const split = route({shares: [{service: 'a', weight: 90}, {service: 'b', weight: 10}]});
+	const draws = Array.from({length: 1000}, (_, index) => chooseService(split, index / 1000));
+	t.equal(draws.filter(service => service === 'b').length, 100);
+	t.equal(chooseService(route({shares: []}), 0.5), undefined);
+});
+
+tap.test('only streams whose pauses are clearly shorter than others\' count as tight', async t => {
+	const stream = (name: string, pause: number): Route => route({name, kind: RouteKind.stream, longestPauseMilliseconds: pause});
+	const [tight, loose] = [stream('t', 120), stream('l', 500)];
+	t.ok(RoutingTable.create({version: 1, routes: [tight, loose], services: [], limits}).isTightest(tight, 's'));
+	t.notOk(RoutingTable.create({version: 1, routes: [tight, loose], services: [], limits}).isTightest(loose, 's'));
+	t.notOk(RoutingTable.create({version: 1, routes: [tight], services: [], limits}).isTightest(tight, 's'));
+});
+
+function registered(id: string, offset: number, more: {isLeaving?: boolean; revision?: number} = {}): EndpointChange {
+	return {type: 'registered', offset, record: {id, service: 's', address: '1.2.3.4:5', zone: 'z' as ZoneName, slots: 1, isLeaving: false, revision: 1, ...more}};
+}
+
+// Records of the store come late, twice and out of order, from the store and from other instances.
+// Whatever the order, an endpoint that said it leaves is never used again, and all orders that end
+// with the newest record agree.
+tap.test('no order of records brings a leaving endpoint back', async t => {
+	const changes = [registered('e', 1), registered('e', 2, {revision: 2}), registered('e', 3, {isLeaving: true, revision: 3}), registered('e', 4, {revision: 3}), {type: 'removed', offset: 5, id: 'e'} as const];
+	fc.assert(fc.property(fc.shuffledSubarray(changes, {minLength: 1}), fc.array(fc.nat(4)), (order, repeats) => {
+		let directory = EndpointDirectory.create();
+		let hasLeft = false;
+		for (const change of [...order, ...repeats.map(index => changes[index]!)]) {
+			directory = directory.apply([change], 0);
+			const entry = directory.entries.get('e');
+			hasLeft ||= entry?.record.isLeaving === true;
+			if (hasLeft && entry?.endedAt === undefined) {
+				return false;
+			}
+		}
+
+		return true;
+	}), {seed: 3, numRuns: 300});
+});
+
+tap.test('an ended endpoint is a last resort for a moment, then gone', async t => {
+	const directory = EndpointDirectory.create().apply([registered('e', 1)], 0).retain(new Set(), 100);
+	const entry = directory.entries.get('e')!;
+	t.equal(standingOf(entry, 100), Standing.lastResort);
+	t.equal(standingOf(entry, 100 + lastResortMilliseconds), Standing.gone);
+	const back = directory.apply([registered('e', 7)], 200);
+	t.equal(standingOf(back.entries.get('e')!, 200), Standing.ready, 'the store forgot it, and it registered again');
+});
