Soak real gateways as processes, and spend less on words between many of them

On the grown site each of 23 instances encoded each batch 22 times and checked each event by an object schema.

--- /dev/null
+++ b/bench/gateway-soak/caller.ts
@@ -0,0 +1,48 @@
+import {Buffer} from 'node:buffer';
+import {request as httpRequest} from 'node:http';
+
+export type Kind = 'lookup' | 'release' | 'chart' | 'question';
+
+/** One request and what its caller saw. */
+export type Exchanged = {
+	readonly id: string;
+	readonly kind: Kind;
+	status: number;
+	body: string;
+	isWhole: boolean;
+};
+
+export const kinds: readonly Kind[] = ['lookup', 'release', 'chart', 'question'];
+/** Events of each stream. */
+export const eventCount = 6;
+const deadlineMilliseconds = 1500;
+
+/** Sends one request; resolves when its answer has ended, however. */
+export function ask({id, kind, port, key}: {id: string; kind: Kind; port: number; key: string}): Promise<Exchanged> {
+	return new Promise(resolve => {
+		const record: Exchanged = {id, kind, status: 0, body: '', isWhole: false};
+		const method = kind === 'lookup' ? 'GET' : 'POST';
+		const sent = httpRequest({
+			host: '127.0.0.1', port, method, path: `/${kind}/1`, agent: false, timeout: deadlineMilliseconds + 500,
+			headers: {host: 'studio.example', 'request-id': id, authorization: `Bearer ${key}`, 'deadline-ms': String(deadlineMilliseconds)},
+		});
+		sent.once('response', response => {
+			record.status = response.statusCode ?? 0;
+			response.on('data', (part: Uint8Array) => {
+				record.body += Buffer.from(part).toString();
+			});
+			response.on('error', () => undefined);
+			response.once('close', () => {
+				record.isWhole = response.complete;
+				resolve(record);
+			});
+		});
+		sent.on('timeout', () => {
+			sent.destroy();
+		});
+		sent.on('error', () => {
+			resolve(record);
+		});
+		sent.end(method === 'POST' ? 'artwork' : undefined);
+	});
+}
--- /dev/null
+++ b/bench/gateway-soak/child.ts
@@ -0,0 +1,151 @@
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {writeFileSync} from 'node:fs';
+import {request} from 'node:http';
+import process from 'node:process';
+import {FakePath} from '../../fakes/network-path.js';
+
+const program = new URL('../../platform/cassiaflow-gateway.js', import.meta.url).pathname;
+const clockShift = new URL('shift-clock.js', import.meta.url).href;
+const readyMilliseconds = 15_000;
+
+export type ChildOptions = {
+	readonly instance: string;
+	readonly folder: string;
+	readonly storeAddress: string;
+	/** Caller, admin and peer port. */
+	readonly ports: readonly [number, number, number];
+	readonly seedHosts: readonly string[];
+	/** How far the time of day is off, in milliseconds. */
+	readonly clockMilliseconds: number;
+};
+
+/** One gateway as a real process, whose way to the store passes a path that can be cut. */
+export class GatewayChild implements AsyncDisposable {
+	static async create(options: ChildOptions): Promise<GatewayChild> {
+		const child = new GatewayChild(options, await FakePath.create(options.storeAddress));
+		await child.start();
+		return child;
+	}
+
+	readonly storePath: FakePath;
+	readonly options: ChildOptions;
+	/** Ends that nobody asked for. */
+	ownExits = 0;
+	lines = '';
+	#process: ChildProcess | undefined;
+	#isEndWanted = false;
+	#replacing: Promise<void> = Promise.resolve();
+
+	private constructor(options: ChildOptions, storePath: FakePath) {
+		this.options = options;
+		this.storePath = storePath;
+	}
+
+	get callerPort(): number {
+		return this.options.ports[0];
+	}
+
+	async start(): Promise<void> {
+		const [callers, admin, peers] = this.options.ports;
+		const file = `${this.options.folder}/${this.options.instance}.json`;
+		writeFileSync(file, JSON.stringify({
+			instance: this.options.instance, availabilityZone: 'zone-a', callerAddress: `127.0.0.1:${callers}`, adminAddress: `127.0.0.1:${admin}`,
+			peerAddress: `127.0.0.1:${peers}`, storeAddress: this.storePath.address, seedHosts: this.options.seedHosts, memoryMegabytes: 200, stopSeconds: 6,
+		}));
+		this.#isEndWanted = false;
+		const started = spawn(process.execPath, ['--import', clockShift, program], {
+			env: {...process.env, CASSIAFLOW_CONFIG: file, CLOCK_SHIFT_MILLISECONDS: String(this.options.clockMilliseconds)}, stdio: ['ignore', 'pipe', 'pipe'],
+		});
+		this.#process = started;
+		for (const stream of [started.stdout, started.stderr]) {
+			stream.on('data', (text: Uint8Array) => {
+				this.lines += String(text);
+			});
+		}
+
+		started.once('exit', () => {
+			this.ownExits += this.#isEndWanted ? 0 : 1;
+		});
+	}
+
+	async kill(): Promise<void> {
+		await this.#replace('SIGKILL');
+	}
+
+	/** A planned stop, and a start after it. */
+	async restart(): Promise<void> {
+		await this.#replace('SIGTERM');
+	}
+
+	freeze(): void {
+		this.#process?.kill('SIGSTOP');
+	}
+
+	wake(): void {
+		this.#process?.kill('SIGCONT');
+	}
+
+	reload(): void {
+		this.#process?.kill('SIGHUP');
+	}
+
+	async ready(): Promise<boolean> {
+		const until = performance.now() + readyMilliseconds;
+		while (performance.now() < until) {
+			if (await this.#isReady()) {
+				return true;
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, 50);
+			});
+		}
+
+		return false;
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.wake();
+		await this.#end('SIGKILL');
+		await this.storePath[Symbol.asyncDispose]();
+	}
+
+	/** One end and start after the other, whatever faults meet. */
+	async #replace(signal: NodeJS.Signals): Promise<void> {
+		const before = this.#replacing;
+		this.#replacing = (async () => {
+			await before;
+			await this.#end(signal);
+			await this.start();
+		})();
+		await this.#replacing;
+	}
+
+	async #end(signal: NodeJS.Signals): Promise<void> {
+		this.#isEndWanted = true;
+		const ending = this.#process;
+		if (ending?.exitCode !== null || ending.signalCode !== null) {
+			return;
+		}
+
+		ending.kill(signal);
+		await once(ending, 'exit');
+	}
+
+	#isReady(): Promise<boolean> {
+		return new Promise(resolve => {
+			const asked = request({host: '127.0.0.1', port: this.options.ports[1], path: '/v1/ready', timeout: 500}, answer => {
+				answer.resume();
+				resolve(answer.statusCode === 200);
+			});
+			asked.on('error', () => {
+				resolve(false);
+			});
+			asked.on('timeout', () => {
+				asked.destroy();
+			});
+			asked.end();
+		});
+	}
+}
--- /dev/null
+++ b/bench/gateway-soak/index.ts
@@ -0,0 +1,38 @@
+import process from 'node:process';
+import {type CommandModule} from 'yargs';
+import {runSeed} from './run-seed.js';
+
+type Settings = {seed: number; count: number; jobs: number};
+
+const firstPort = 21_000;
+const portsEach = 16;
+
+/** Real gateways as processes, with faults; exits with 1 and the seeds if a rule was broken. */
+export const gatewaySoakCommand: CommandModule<unknown, Settings> = {
+	command: 'gateway-soak',
+	describe: 'gateways as processes under kills, freezes, cuts, refusals and changes, judged by callers and workers',
+	builder: {
+		seed: {type: 'number', default: 1, describe: 'the first seed'},
+		count: {type: 'number', default: 50, describe: 'how many seeds'},
+		jobs: {type: 'number', default: 4, describe: 'seeds at a time'},
+	},
+	async handler({seed, count, jobs}) {
+		const seeds = Array.from({length: count}, (_, index) => seed + index);
+		const totals = {requests: 0, served: 0, violations: 0};
+		const work = async (lane: number): Promise<void> => {
+			for (let next = seeds.shift(); next !== undefined; next = seeds.shift()) {
+				const result = await runSeed(next, firstPort + (lane * portsEach));
+				totals.requests += result.requests;
+				totals.served += result.served;
+				totals.violations += result.violations.length;
+				for (const violation of result.violations) {
+					console.log(`seed ${next}: ${violation} [${result.faults.join(', ')}]`);
+				}
+			}
+		};
+
+		await Promise.all(Array.from({length: jobs}, async (_, lane) => work(lane)));
+		console.log(`${count} seeds from ${seed}: ${totals.requests} requests, ${totals.served} served whole, ${totals.violations} violations`);
+		process.exitCode = totals.violations === 0 ? 0 : 1;
+	},
+};
--- /dev/null
+++ b/bench/gateway-soak/run-seed.ts
@@ -0,0 +1,298 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {FakePath} from '../../fakes/network-path.js';
+import {FakePlatformStore} from '../../fakes/platform-store.js';
+import {FakePlatformWorker, type WorkerAnswer, type WorkerRequest} from '../../fakes/platform-worker.js';
+import {createRandom, type Random} from '../harness/random.js';
+import {ask, eventCount, type Exchanged, kinds} from './caller.js';
+import {violations} from './checker.js';
+import {GatewayChild} from './child.js';
+
+export type SeedResult = {readonly seed: number; readonly requests: number; readonly served: number; readonly faults: readonly string[]; readonly violations: readonly string[]; readonly lines: string};
+
+const faultKinds = [
+	'gateway-kill',
+	'gateway-freeze',
+	'gateway-term',
+	'gateway-reload',
+	'store-silent',
+	'store-refuses',
+	'store-cut',
+	'store-forgets',
+	'store-loses-answers',
+	'worker-cut',
+	'worker-silent',
+	'worker-resets',
+	'worker-full',
+	'worker-cuts-streams',
+	'worker-leaves',
+	'key-revoked',
+	'table-published',
+] as const;
+type FaultKind = (typeof faultKinds)[number];
+
+const trafficMilliseconds = 4500;
+const requestPauseMilliseconds = 14;
+const gatewayCount = 2;
+const faultCount = {low: 2, high: 5};
+/** After the last fault: a routing table is known within its waits, and a planned stop is over. */
+const settleMilliseconds = 10_000;
+const keyKept = 'key-a';
+const keyRevoked = 'key-b';
+
+/** One world of real gateways with faults drawn from a seed. */
+export async function runSeed(seed: number, basePort: number): Promise<SeedResult> {
+	await using world = await SoakWorld.create(seed, basePort);
+	const result = await world.run();
+	return result;
+}
+
+type Worker = {readonly worker: FakePlatformWorker; readonly path: FakePath};
+
+class SoakWorld implements AsyncDisposable {
+	static async create(seed: number, basePort: number): Promise<SoakWorld> {
+		const store = await FakePlatformStore.create();
+		const world = new SoakWorld(seed, store);
+		for (const service of ['orders', 'models']) {
+			for (let number = 0; number < 3; number++) {
+				await world.#addWorker(`${service}-${number}`, service);
+			}
+		}
+
+		world.#publish();
+		for (let number = 0; number < gatewayCount; number++) {
+			const port = basePort + (number * 4);
+			world.#gateways.push(await GatewayChild.create({
+				instance: `gateway-${number}`, folder: world.#folder, storeAddress: store.address, ports: [port, port + 1, port + 2], seedHosts: [],
+				clockMilliseconds: Math.round((world.#random.uniform() - 0.5) * 7_200_000),
+			}));
+		}
+
+		return world;
+	}
+
+	readonly #seed: number;
+	readonly #store: FakePlatformStore;
+	readonly #random: Random;
+	readonly #folder = mkdtempSync(`${tmpdir()}/cassiaflow-soak-`);
+	readonly #workers: Worker[] = [];
+	readonly #gateways: GatewayChild[] = [];
+	readonly #records: Array<Promise<Exchanged>> = [];
+	readonly #injected: string[] = [];
+	readonly #healing: Array<Promise<void>> = [];
+	#answerMode: WorkerAnswer['type'] | 'cut' = 'whole';
+	#version = 0;
+	#isRevoked = false;
+
+	private constructor(seed: number, store: FakePlatformStore) {
+		this.#seed = seed;
+		this.#store = store;
+		this.#random = createRandom(seed);
+	}
+
+	async run(): Promise<SeedResult> {
+		const found: string[] = [];
+		for (const gateway of this.#gateways) {
+			if (!await gateway.ready()) {
+				found.push(`${gateway.options.instance} was not ready at the start`);
+			}
+		}
+
+		const count = faultCount.low + Math.floor(this.#random.uniform() * (faultCount.high - faultCount.low + 1));
+		const faultsAt = Array.from({length: count}, () => this.#random.uniform() * trafficMilliseconds * 0.8);
+		for (const at of faultsAt) {
+			this.#healing.push(sleep(at).then(async () => this.#inject()));
+		}
+
+		await this.#traffic();
+		await Promise.all(this.#healing);
+		found.push(...await this.#recovery());
+		const records = await Promise.all(this.#records);
+		found.push(...violations(records, this.#workers.map(({worker}) => worker)));
+		for (const gateway of this.#gateways.filter(({ownExits}) => ownExits > 0)) {
+			found.push(`${gateway.options.instance} ended by itself`);
+		}
+
+		return {
+			seed: this.#seed, requests: records.length, served: records.filter(({status, isWhole}) => status === 200 && isWhole).length,
+			faults: this.#injected, violations: found, lines: this.#gateways.map(({lines}) => lines).join(''),
+		};
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await Promise.all(this.#gateways.map(async gateway => gateway[Symbol.asyncDispose]()));
+		await Promise.all(this.#workers.flatMap(({worker, path}) => [worker[Symbol.asyncDispose](), path[Symbol.asyncDispose]()]));
+		await this.#store[Symbol.asyncDispose]();
+		rmSync(this.#folder, {recursive: true});
+	}
+
+	async #traffic(): Promise<void> {
+		const until = performance.now() + trafficMilliseconds;
+		for (let number = 0; performance.now() < until; number++) {
+			const gateway = this.#gateways[number % this.#gateways.length]!;
+			const key = number % 5 === 0 && !this.#isRevoked ? keyRevoked : keyKept;
+			this.#records.push(ask({id: `s${this.#seed}-${number}`, kind: kinds[Math.floor(this.#random.uniform() * kinds.length)]!, port: gateway.callerPort, key}));
+			await sleep(requestPauseMilliseconds);
+		}
+	}
+
+	/** With all faults over, every gateway serves again, has the newest table, and turns the revoked key away. */
+	async #recovery(): Promise<string[]> {
+		const found: string[] = [];
+		for (const gateway of this.#gateways) {
+			const until = performance.now() + settleMilliseconds;
+			let good = 0;
+			let last = 0;
+			for (let number = 0; good < 10 && performance.now() < until; number++) {
+				const {status} = await ask({id: `s${this.#seed}-after-${gateway.options.instance}-${number}`, kind: 'lookup', port: gateway.callerPort, key: keyKept});
+				const revoked = await ask({id: `s${this.#seed}-revoked-${gateway.options.instance}-${number}`, kind: 'lookup', port: gateway.callerPort, key: keyRevoked});
+				good = status === 200 && (revoked.status === 401) === this.#isRevoked ? good + 1 : 0;
+				last = status;
+				await sleep(good > 0 ? 0 : 100);
+			}
+
+			if (good < 10) {
+				found.push(`${gateway.options.instance} did not recover, last status ${last}`);
+			}
+		}
+
+		return found;
+	}
+
+	async #inject(): Promise<void> {
+		const kind = faultKinds[Math.floor(this.#random.uniform() * faultKinds.length)]!;
+		const milliseconds = 200 + (this.#random.uniform() * 1500);
+		const gateway = this.#gateways[Math.floor(this.#random.uniform() * this.#gateways.length)]!;
+		const {worker, path} = this.#workers[Math.floor(this.#random.uniform() * this.#workers.length)]!;
+		this.#injected.push(`${kind} ${Math.round(milliseconds)} ms`);
+		await this.#apply(kind, {milliseconds, gateway, worker, path});
+	}
+
+	async #apply(kind: FaultKind, {milliseconds, gateway, worker, path}: {milliseconds: number; gateway: GatewayChild; worker: FakePlatformWorker; path: FakePath}): Promise<void> {
+		switch (kind) {
+			case 'gateway-kill': {
+				return gateway.kill();
+			}
+
+			case 'gateway-term': {
+				return gateway.restart();
+			}
+
+			case 'gateway-reload': {
+				gateway.reload();
+				return;
+			}
+
+			case 'gateway-freeze': {
+				gateway.freeze();
+				await sleep(milliseconds);
+				gateway.wake();
+				return;
+			}
+
+			case 'store-silent':
+			case 'store-refuses': {
+				const {faults} = gateway.storePath;
+				faults[kind === 'store-silent' ? 'silent' : 'refusing'] = true;
+				gateway.storePath.cut();
+				await sleep(milliseconds);
+				gateway.storePath.heal();
+				return;
+			}
+
+			case 'store-cut': {
+				gateway.storePath.cut();
+				return;
+			}
+
+			case 'store-forgets': {
+				this.#store.forget('keyed.op');
+				this.#store.forget('keyed.servers');
+				return;
+			}
+
+			case 'store-loses-answers': {
+				this.#store.fault = () => this.#random.uniform() < 0.3 ? 'lose-answer' : undefined;
+				await sleep(milliseconds);
+				this.#store.fault = () => undefined;
+				return;
+			}
+
+			case 'worker-cut': {
+				path.cut();
+				return;
+			}
+
+			case 'worker-silent': {
+				path.faults.silent = true;
+				await sleep(milliseconds);
+				path.heal();
+				return;
+			}
+
+			case 'worker-resets':
+			case 'worker-full':
+			case 'worker-cuts-streams': {
+				this.#answerMode = kind === 'worker-resets' ? 'reset' : (kind === 'worker-full' ? 'not-run' : 'cut');
+				await sleep(milliseconds);
+				this.#answerMode = 'whole';
+				return;
+			}
+
+			case 'worker-leaves': {
+				this.#store.put('keyed.servers', worker.id, {...worker.beat({state: 'draining', seq: 9}), address: path.address});
+				await this.#addWorker(`${worker.id}-next`, worker.service);
+				return;
+			}
+
+			case 'key-revoked':
+			case 'table-published': {
+				this.#isRevoked ||= kind === 'key-revoked';
+				this.#publish();
+			}
+		}
+	}
+
+	async #addWorker(id: string, service: string): Promise<void> {
+		const worker = await FakePlatformWorker.create(id, service);
+		worker.answer = request => this.#answer(request);
+		const path = await FakePath.create(worker.address);
+		this.#workers.push({worker, path});
+		this.#store.put('keyed.servers', id, {...worker.beat(), address: path.address});
+	}
+
+	/** One answer in three shows the fault of the moment. */
+	#answer(request: WorkerRequest): WorkerAnswer {
+		const mode = this.#random.uniform() < 0.34 ? this.#answerMode : 'whole';
+		if (mode === 'reset' || mode === 'not-run') {
+			return {type: mode};
+		}
+
+		return request.path.startsWith('/chart') || request.path.startsWith('/question')
+			? {type: 'events', count: eventCount, gapMilliseconds: 10, ...(mode === 'cut' && {cutAfter: 3})}
+			: {type: 'whole', body: `answer to ${request.id}`, afterMilliseconds: 5};
+	}
+
+	#publish(): void {
+		this.#version += 1;
+		const route = {host: 'studio.example', timeoutMs: 1500, targetLatencyMs: 100, priority: 1, maxAttempts: 2, resumable: false};
+		this.#store.put('keyed.op', 'config', {
+			version: this.#version,
+			routes: [
+				{...route, name: 'lookup', pathPrefix: '/lookup/', kind: 'safe', service: 'orders'},
+				{...route, name: 'release', pathPrefix: '/release/', kind: 'unsafe', service: 'orders', maxAttempts: 1},
+				{...route, name: 'chart', pathPrefix: '/chart/', kind: 'streaming', service: 'models', resumable: true, gapAimMs: 200},
+				{...route, name: 'question', pathPrefix: '/question/', kind: 'streaming', service: 'models', maxAttempts: 1, gapAimMs: 100},
+			],
+			services: [{name: 'orders', maxConnections: 100}, {name: 'models', maxConnections: 100, engine: {slots: 16, kvCapacity: 400_000, stride: 7}}],
+			limits: {maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000},
+			tenants: [{name: 'studio-a', apiKeys: [keyKept]}, {name: 'studio-b', apiKeys: this.#isRevoked ? [] : [keyRevoked]}],
+		});
+	}
+}
+
+async function sleep(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import {decisionsCommand} from './decisions/index.js';
 import {controlCommand} from './control/index.js';
 import {loadCommand} from './load/index.js';
+import {gatewaySoakCommand} from './gateway-soak/index.js';
 import {limitsCommand} from './limits/index.js';
 import {pathCommand} from './path/index.js';
 
@@ -12,6 +13,7 @@
 	.scriptName('bench')
 	.command(decisionsCommand)
 	.command(limitsCommand)
+	.command(gatewaySoakCommand)
 	.command(controlCommand)
 	.command(loadCommand)
 	.command(pathCommand)
--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -12,7 +12,7 @@
 		| {readonly type: 'reset'};
 
 /** A request as it came to a worker. */
-export type WorkerRequest = {readonly id: string; readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string};
+export type WorkerRequest = {readonly id: string; readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string; wasRun: boolean};
 
 /** Chooses how a request is answered. */
 export type ChooseAnswer = (request: WorkerRequest) => WorkerAnswer;
@@ -69,7 +69,7 @@
 			return;
 		}
 
-		const taken = {id, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body};
+		const taken = {id, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, wasRun: false};
 		this.requests.push(taken);
 		response.once('close', () => {
 			if (!response.writableFinished) {
@@ -81,6 +81,7 @@
 
 	async #answer(request: WorkerRequest, response: ServerResponse): Promise<void> {
 		const answer = this.answer(request);
+		request.wasRun = answer.type !== 'not-run';
 		const signed = {'Request-Id': request.id, 'Upstream-Signature': `${this.id}.1`};
 		switch (answer.type) {
 			case 'whole': {
@@ -91,7 +92,7 @@
 
 			case 'events': {
 				response.writeHead(200, {...signed, 'Content-Type': 'text/event-stream'});
-				await sendEvents(response, answer, Number(request.headers['last-event-id'] ?? 0));
+				await sendEvents(response, answer, {requestId: request.id, after: Number(request.headers['last-event-id'] ?? 0)});
 				return;
 			}
 
@@ -111,7 +112,7 @@
 	}
 }
 
-async function sendEvents(response: ServerResponse, {count, gapMilliseconds = 0, cutAfter}: Extract<WorkerAnswer, {type: 'events'}>, after: number): Promise<void> {
+async function sendEvents(response: ServerResponse, {count, gapMilliseconds = 0, cutAfter}: Extract<WorkerAnswer, {type: 'events'}>, {requestId, after}: {requestId: string; after: number}): Promise<void> {
 	for (let number = after + 1; number <= count; number++) {
 		await sleep(gapMilliseconds);
 		if (cutAfter !== undefined && number > cutAfter) {
@@ -121,7 +122,7 @@
 			return;
 		}
 
-		response.write(`id: ${number}\ndata: event ${number}\n\n`);
+		response.write(`id: ${number}\ndata: ${requestId} ${number}\n\n`);
 	}
 
 	response.end();
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -2,7 +2,7 @@
 import {type LoadEvent} from '../policy/dispatch/index.js';
 import {type EndpointChange} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
-import {type Connection, dial, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion, type Security} from '../wire/index.js';
+import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion, type Security} from '../wire/index.js';
 import {type Beliefs} from './beliefs.js';
 
 /** Another instance, as it announced itself. */
@@ -24,8 +24,12 @@
 	readonly onCount: (instances: number) => void;
 };
 
-/** Load that came within this time leaves in one message: short beside a step of an engine and a few prompts. */
-const batchMilliseconds = 15;
+/**
+ * Load that came within this time leaves in one message: the shorter, the fewer instances send a prompt
+ * to the same endpoint; the longer, the fewer messages. Each peer costs two milliseconds of it, so that an
+ * instance sends and reads no more than about 500 messages a second, some 2% of a core.
+ */
+const batchMilliseconds = {least: 15, eachPeer: 2, most: 60};
 /** How often missing peers are dialled. */
 const redialMilliseconds = 1000;
 /** A peer that does not answer is dialled ever more rarely, up to this. */
@@ -104,7 +108,7 @@
 				const events = this.#unsent;
 				this.#unsent = [];
 				this.#broadcast({type: 'load', events});
-			}, batchMilliseconds);
+			}, Math.min(batchMilliseconds.most, Math.max(batchMilliseconds.least, this.#links.size * batchMilliseconds.eachPeer)));
 		}
 
 		this.#unsent.push(event);
@@ -117,8 +121,13 @@
 	}
 
 	#broadcast(message: Message): void {
+		if (this.#links.size === 0) {
+			return;
+		}
+
+		const frame = encodeFrame(message);
 		for (const {connection} of this.#links.values()) {
-			connection.send(message);
+			connection.sendFrame(frame);
 		}
 	}
 
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -105,6 +105,13 @@
 	 * was ready has been read, in one write with the others. A closed connection drops it.
 	 */
 	send(message: Message): void {
+		if (!this.#socket.destroyed) {
+			this.sendFrame(encodeFrame(message));
+		}
+	}
+
+	/** The same for a message that is encoded already: one that goes to many peers is encoded once. */
+	sendFrame(frame: Uint8Array): void {
 		if (this.#socket.destroyed) {
 			return;
 		}
@@ -115,7 +122,6 @@
 			});
 		}
 
-		const frame = encodeFrame(message);
 		this.counts.sentMessages += 1;
 		this.counts.sentBytes += frame.byteLength;
 		this.#unsent.push(frame);
