Bound the time that trying the line takes

Ruled out: memory (67 MB at its peak), descriptors (1034). Change: endpoints of a service are ordered once for each change of beliefs, loads are read once a choice, the line is tried by a timer and rests four times as long as a try took.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,10 +1,9 @@
 import {type InstanceId, type ZoneName} from '../model/index.js';
 import {
-	availability, type Candidate, choosePlace, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, LoadBook,
+	availability, type Candidate, choosePlace, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, inOrder, LoadBook,
 	type LoadEvent, type RetryAllowance, RetryShare, stepEndpointHealth, type Waiting, WaitingLine,
 } from '../policy/dispatch/index.js';
-import {hash32} from '../policy/hashing/index.js';
-import {type EndpointRecord, Standing, standingOf} from '../routing/index.js';
+import {type EndpointEntry, type EndpointRecord, Standing, standingOf} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Beliefs} from './beliefs.js';
 
@@ -44,8 +43,10 @@
 
 /** How often the line is tried again while something waits in it. */
 const tickMilliseconds = 8;
+/** After a try of the line it rests for so many times as long: under a fifth of the process's time goes there. */
+const pumpRest = 4;
 /** Requests that may wait for a better place while others are tried, at one time: each costs about 30 microseconds. */
-const largestPasses = 8;
+const largestPasses = 5;
 /** Requests that may wait here: at the largest body of usual prompts this is a tenth of a small instance's memory. */
 const largestLine = 1500;
 /** A refused caller comes back no sooner, and no later: callers honour a third of the time they have. */
@@ -55,6 +56,9 @@
 /** A service's usual share of errors, from about its last hundred answers. */
 const usualWeight = 0.01;
 
+/** An endpoint of a service with what placement needs of it. */
+type Known = {readonly candidate: Candidate; readonly entry: EndpointEntry; readonly record: EndpointRecord};
+
 /** Places, queues and refuses. It owns the load book, the endpoints' health and the retry share. */
 export class Dispatcher implements Disposable {
 	static create(options: DispatcherOptions): Dispatcher {
@@ -71,14 +75,18 @@
 	readonly #health = new Map<string, EndpointHealth>();
 	readonly #usualFailures = new Map<string, number>();
 	readonly #reading = new Map<string, number>();
-	readonly #hashes = new Map<string, number>();
-	#isPumpDue = false;
+	readonly #known = new Map<string, readonly Known[]>();
+	/** When the line may be tried again: it takes a bounded part of the process's time. */
+	#pumpAt = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#runCount = 0;
 
 	private constructor(options: DispatcherOptions) {
 		this.#options = options;
 		this.retries = RetryShare.create(options.allowance);
+		options.beliefs.onChange(() => {
+			this.#known.clear();
+		});
 	}
 
 	get waiting(): number {
@@ -106,14 +114,13 @@
 
 	ended(runId: string): void {
 		this.#tell({type: 'ended', id: runId});
-		this.#pumpSoon();
+		this.#pump();
 	}
 
 	/** Load that another instance tells of. */
 	takeLoad(event: LoadEvent): void {
 		const own = event.type === 'first-event' ? {...event, isMeasured: false} : event;
 		this.book.step(own, performance.now());
-		this.#pumpSoon();
 	}
 
 	/** What an answer, or its lack, says of an endpoint. */
@@ -159,8 +166,7 @@
 			return true;
 		}
 
-		const engine = this.#options.beliefs.table?.service(ticket.demand.service)?.engine;
-		const candidates = usable.map(record => this.#candidate(record, engine?.memoryTokens));
+		const candidates = usable.map(({candidate}) => candidate);
 		const choice = choosePlace(this.book, {...ticket.demand, waitedMilliseconds: now - (ticket.passedOverAt ?? now)}, candidates, {zone: this.#options.zone, now});
 		if (choice.type === 'wait' && choice.isForBetter) {
 			ticket.passedOverAt ??= now;
@@ -170,18 +176,11 @@
 			return this.#enqueue(ticket, choice.type === 'wait' ? choice.milliseconds : tickMilliseconds, candidates);
 		}
 
-		const record = usable.find(({id}) => id === choice.endpoint)!;
+		const {record} = usable.find(known => known.record.id === choice.endpoint)!;
 		this.#place(ticket, record, {...choice, candidates: candidates.length});
 		return true;
 	}
 
-	#candidate(record: EndpointRecord, memoryTokens: number | undefined): Candidate {
-		this.book.setMemory(record.id, memoryTokens ?? 0);
-		const hash = this.#hashes.get(record.id) ?? hash32(record.id);
-		this.#hashes.set(record.id, hash);
-		return {id: record.id, zone: record.zone, slots: record.slots, isEngine: memoryTokens !== undefined, hash};
-	}
-
 	#place(ticket: Ticket, record: EndpointRecord, {candidates, unreadTokens, expectedMilliseconds, leastUnreadTokens}: Place & {candidates: number}): void {
 		const now = performance.now();
 		this.withdraw(ticket.id);
@@ -201,16 +200,16 @@
 	}
 
 	/** Ready and healthy ones; what is suspended or on its way out only where nothing else is left. */
-	#usable(ticket: Ticket, now: number): EndpointRecord[] {
-		const lists = {open: [] as EndpointRecord[], trial: [] as EndpointRecord[], suspended: [] as EndpointRecord[], ending: [] as EndpointRecord[]};
-		for (const entry of this.#options.beliefs.directory.entries.values()) {
-			const standing = standingOf(entry, now);
-			if (entry.record.service !== ticket.demand.service || ticket.excluded.has(entry.record.id) || standing === Standing.gone) {
+	#usable(ticket: Ticket, now: number): readonly Known[] {
+		const lists = {open: [] as Known[], trial: [] as Known[], suspended: [] as Known[], ending: [] as Known[]};
+		for (const known of this.#knownOf(ticket.demand.service)) {
+			const standing = standingOf(known.entry, now);
+			if (standing === Standing.gone || ticket.excluded.has(known.record.id)) {
 				continue;
 			}
 
-			const health = availability(this.#health.get(entry.record.id) ?? createEndpointHealth(), now);
-			lists[standing === Standing.ready ? health : 'ending'].push(entry.record);
+			const health = this.#health.get(known.record.id);
+			lists[standing === Standing.ready ? (health === undefined ? 'open' : availability(health, now)) : 'ending'].push(known);
 		}
 
 		if (ticket.isIdempotent && lists.trial.length > 0) {
@@ -220,6 +219,26 @@
 		return [lists.open, lists.trial, lists.suspended, lists.ending].find(list => list.length > 0) ?? [];
 	}
 
+	/** A service's endpoints, worked out once for each change of what is believed. */
+	#knownOf(service: string): readonly Known[] {
+		const held = this.#known.get(service);
+		if (held !== undefined) {
+			return held;
+		}
+
+		const memoryTokens = this.#options.beliefs.table?.service(service)?.engine?.memoryTokens;
+		const entries = [...this.#options.beliefs.directory.entries.values()].filter(({record}) => record.service === service);
+		const candidates = inOrder(entries.map(({record}) => ({id: record.id, zone: record.zone, slots: record.slots, isEngine: memoryTokens !== undefined})));
+		const byId = new Map(entries.map(entry => [entry.record.id, entry]));
+		const known = candidates.map(candidate => {
+			const entry = byId.get(candidate.id)!;
+			this.book.setMemory(candidate.id, memoryTokens ?? 0);
+			return {candidate, entry, record: entry.record};
+		});
+		this.#known.set(service, known);
+		return known;
+	}
+
 	/** True if it left the line; a ticket that can't be started in time is refused at once. */
 	#enqueue(ticket: Ticket, milliseconds: number, candidates: readonly Candidate[]): boolean {
 		const now = performance.now();
@@ -262,27 +281,22 @@
 		ticket.onDecision({type: 'refused', reason, retryAfterMilliseconds, candidates, ahead: this.#line.ahead(ticket.service, ticket.urgency)});
 	}
 
-	/** Once for all that happens in one turn. */
-	#pumpSoon(): void {
-		if (this.#isPumpDue || this.#line.size === 0) {
-			return;
-		}
-
-		this.#isPumpDue = true;
-		setImmediate(() => {
-			this.#isPumpDue = false;
-			this.#pump();
-		});
-	}
-
 	#pump(): void {
+		const startedAt = performance.now();
 		if (this.#line.size === 0) {
 			clearInterval(this.#timer);
 			this.#timer = undefined;
 			return;
 		}
 
-		const now = performance.now();
+		if (startedAt >= this.#pumpAt) {
+			this.#tryLine(startedAt);
+			const now = performance.now();
+			this.#pumpAt = now + ((now - startedAt) * pumpRest);
+		}
+	}
+
+	#tryLine(now: number): void {
 		for (const {id} of this.#line.expired(now)) {
 			this.#refuse(this.#tickets.get(id)!, RefusalReason.tooLate, {retryAfter: unknownRetryMilliseconds, candidates: 0});
 		}
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -10,7 +10,7 @@
  */
 import {type ZoneName} from '../../model/index.js';
 import {hash32, mixHashes} from '../hashing/index.js';
-import {type LoadBook} from './load.js';
+import {type EndpointLoad, type LoadBook} from './load.js';
 import {type PromptPart} from './part-memory.js';
 import {readMilliseconds} from './speed.js';
 
@@ -35,8 +35,9 @@
 	readonly zone: ZoneName;
 	readonly slots: number;
 	readonly isEngine: boolean;
-	/** The hash of its id. */
+	/** The hash of its id, and its place in the order that tight streams fill. */
 	readonly hash: number;
+	readonly order: number;
 };
 
 /** Send it there now. */
@@ -105,21 +106,27 @@
 
 type Option = {readonly id: string; readonly cost: number; readonly judged: Judged};
 
+/** What all candidates together show; counted once for a choice. */
+type Overview = {
+	readonly loads: readonly EndpointLoad[];
+	readonly readingWeight: number;
+	/** The first so many of the order are left to tight streams. */
+	readonly takenByTight: number;
+};
+
 /**
  * Chooses among candidates; at least one is needed. An endpoint that is behind is waited for only as
  * long as it is better than the best that is free by more than the wait so far.
  */
 export function choosePlace(book: LoadBook, demand: Demand, candidates: readonly Candidate[], {zone, now}: {zone: ZoneName; now: number}): Choice {
-	const order = tightOrder(candidates);
-	const homes = demand.isTight ? [] : homesOf(demand.parts, looseEndpoints(book, candidates, order, now));
-	const weight = readingWeight + (busyReadingWeight * Math.min(1, meanReadingShare(book, candidates, now)));
+	const overview = overviewOf(book, candidates, now);
+	const homes = demand.isTight ? [] : homesOf(demand.parts, candidates, overview.takenByTight);
 	let free: Option | undefined;
 	let behind: Option | undefined;
 	let leastUnreadTokens = Infinity;
-	for (const candidate of candidates) {
-		const judged = candidate.isEngine
-			? judgeEngine(book, demand, candidate, {now, place: order.get(candidate.id) ?? 0, weight})
-			: judgeService(book, demand, candidate, now);
+	for (const [index, candidate] of candidates.entries()) {
+		const load = overview.loads[index]!;
+		const judged = candidate.isEngine ? judgeEngine(book, demand, candidate, {load, readingWeight: overview.readingWeight}) : judgeService(book, demand, candidate, load);
 		const cost = judged.cost + (candidate.zone === zone ? 0 : otherZoneMilliseconds) - homeBonus(homes, candidate.id);
 		leastUnreadTokens = Math.min(leastUnreadTokens, judged.unreadTokens);
 		if (judged.wait > 0) {
@@ -137,28 +144,35 @@
 	return {type: 'place', endpoint: free.id, unreadTokens: free.judged.unreadTokens, expectedMilliseconds: free.judged.expected, leastUnreadTokens};
 }
 
-function meanReadingShare(book: LoadBook, candidates: readonly Candidate[], now: number): number {
-	let sum = 0;
-	for (const {id} of candidates) {
-		sum += book.load(id, now).readingShare;
+function overviewOf(book: LoadBook, candidates: readonly Candidate[], now: number): Overview {
+	const loads: EndpointLoad[] = [];
+	let reading = 0;
+	let tightRuns = 0;
+	let slots = 0;
+	for (const candidate of candidates) {
+		const load = book.load(candidate.id, now);
+		loads.push(load);
+		reading += load.readingShare;
+		tightRuns += load.tightRuns;
+		slots += candidate.slots;
 	}
 
-	return sum / candidates.length;
+	const count = candidates.length;
+	const takenByTight = Math.ceil(tightRuns / (slots / count * tightFill));
+	return {loads, readingWeight: readingWeight + (busyReadingWeight * Math.min(1, reading / count)), takenByTight: takenByTight >= count ? 0 : takenByTight};
 }
 
 type Judged = {readonly cost: number; readonly wait: number; readonly unreadTokens: number; readonly expected: number};
 
-function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {now, place, weight}: {now: number; place: number; weight: number}): Judged {
-	const load = book.load(candidate.id, now);
+function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {load, readingWeight: weight}: {load: EndpointLoad; readingWeight: number}): Judged {
 	const speed = book.speed(demand.service);
 	const unreadTokens = book.unread(candidate.id, demand.parts);
 	const reading = readMilliseconds(speed, unreadTokens);
 	const expected = load.backlogMilliseconds + reading + speed.baseMilliseconds;
 	const slots = candidate.slots + (demand.isTight ? slotsAbove : 0);
 	const wait = load.running >= slots ? speed.baseMilliseconds : Math.max(0, load.backlogMilliseconds - bearableBacklog(demand, load.tightRuns));
-	const span = load.backlogMilliseconds + reading;
 	const harm = demand.isTight
-		? tightCost(demand, candidate, {load, place, span})
+		? tightCost(demand, candidate, {load, span: load.backlogMilliseconds + reading})
 		: Math.min(load.tightRuns, tightCounted) * reading * tightWeight;
 	const cost = load.backlogMilliseconds + (reading * weight) + lateness(expected, demand) + harm
 		+ (load.running / candidate.slots * speed.baseMilliseconds);
@@ -174,14 +188,13 @@
 	return tightRuns === 0 ? own : Math.min(own, Math.max(backlogBounds.low, tightestPauseMilliseconds * besideTightShare));
 }
 
-function tightCost(demand: Demand, candidate: Candidate, {load, place, span}: {load: {running: number; readingShare: number}; place: number; span: number}): number {
+function tightCost(demand: Demand, candidate: Candidate, {load, span}: {load: EndpointLoad; span: number}): number {
 	const pause = (demand.pauseMilliseconds ?? Infinity) * pauseShare;
 	const crowded = load.running >= candidate.slots * tightFill ? demand.targetMilliseconds : 0;
-	return (place * orderMilliseconds) + (load.readingShare * readingShareMilliseconds) + crowded + (Math.max(0, span - pause) * brokenPauseWeight);
+	return (candidate.order * orderMilliseconds) + (load.readingShare * readingShareMilliseconds) + crowded + (Math.max(0, span - pause) * brokenPauseWeight);
 }
 
-function judgeService(book: LoadBook, demand: Demand, candidate: Candidate, now: number): Judged {
-	const {running} = book.load(candidate.id, now);
+function judgeService(book: LoadBook, demand: Demand, candidate: Candidate, {running}: EndpointLoad): Judged {
 	const work = book.workMilliseconds(demand.service);
 	const expected = work * Math.max(1, (running + 1) / candidate.slots);
 	const wait = running >= candidate.slots ? work / candidate.slots : 0;
@@ -192,39 +205,37 @@
 	return Math.max(0, expected - (targetMilliseconds * latenessShare)) * latenessWeight;
 }
 
-/** Each candidate's place in the order in which tight streams fill them; the ids decide, so all instances agree. */
-function tightOrder(candidates: readonly Candidate[]): ReadonlyMap<string, number> {
-	const ranked = candidates.toSorted((left, right) => left.hash - right.hash);
-	return new Map(ranked.map(({id}, index) => [id, index]));
-}
-
-/** Those that the tight streams of now leave to others: all but the first of their order. */
-function looseEndpoints(book: LoadBook, candidates: readonly Candidate[], order: ReadonlyMap<string, number>, now: number): readonly Candidate[] {
-	let tightRuns = 0;
-	let slots = 0;
-	for (const candidate of candidates) {
-		tightRuns += book.load(candidate.id, now).tightRuns;
-		slots += candidate.slots;
-	}
-
-	const taken = Math.ceil(tightRuns / (slots / candidates.length * tightFill));
-	return taken >= candidates.length ? candidates : candidates.filter(({id}) => order.get(id)! >= taken);
-}
-
 function homeBonus(homes: readonly string[], id: string): number {
 	const rank = homes.indexOf(id);
 	return rank === -1 ? 0 : homeMilliseconds[rank] ?? 0;
 }
 
-/** Where the shared beginning of a prompt belongs, best first. */
-function homesOf(parts: readonly PromptPart[], candidates: readonly Candidate[]): readonly string[] {
+/** Where the shared beginning of a prompt belongs, best first: not where tight streams of now run. */
+function homesOf(parts: readonly PromptPart[], candidates: readonly Candidate[], takenByTight: number): readonly string[] {
 	const shared = parts.at(-2);
 	if (shared === undefined) {
 		return [];
 	}
 
 	const key = hash32(shared.id);
-	const scored = candidates.map(({id, hash}) => ({id, score: mixHashes(key, hash)}));
-	scored.sort((left, right) => right.score - left.score);
-	return scored.slice(0, homeMilliseconds.length).map(({id}) => id);
+	let first = {id: '', score: -1};
+	let second = first;
+	for (const {id, hash, order} of candidates) {
+		const score = order < takenByTight ? -1 : mixHashes(key, hash);
+		if (score > first.score) {
+			second = first;
+			first = {id, score};
+		} else if (score > second.score) {
+			second = {id, score};
+		}
+	}
+
+	return [first.id, second.id];
+}
+
+/** Gives candidates their place in the order in which tight streams fill them; ids decide, so all instances agree. */
+export function inOrder(candidates: ReadonlyArray<Omit<Candidate, 'hash' | 'order'>>): Candidate[] {
+	const hashed = candidates.map(candidate => ({...candidate, hash: hash32(candidate.id)}));
+	hashed.sort((left, right) => left.hash - right.hash);
+	return hashed.map((candidate, order) => ({...candidate, order}));
 }
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -2,15 +2,14 @@
 import tap from 'tap';
 import {type ZoneName} from '../../src/model/index.js';
 import {
-	availability, type Candidate, choosePlace, createEndpointHealth, createReadingSpeed, type Demand, learnPace, learnReadingSpeed, LoadBook, PartMemory, RetryShare,
+	availability, type Candidate, choosePlace, createEndpointHealth, createReadingSpeed, type Demand, inOrder, learnPace, learnReadingSpeed, LoadBook, PartMemory, RetryShare,
 	stepEndpointHealth, type Waiting, WaitingLine,
 } from '../../src/policy/dispatch/index.js';
-import {hash32} from '../../src/policy/hashing/index.js';
 
 const zone = 'zone-a' as ZoneName;
 
 function candidates(count: number, slots = 16): Candidate[] {
-	return Array.from({length: count}, (_, index) => ({id: `endpoint-${index}`, zone, slots, isEngine: true, hash: hash32(`endpoint-${index}`)}));
+	return inOrder(Array.from({length: count}, (_, index) => ({id: `endpoint-${index}`, zone, slots, isEngine: true})));
 }
 
 function demand(more: Partial<Demand> = {}): Demand {
--- a/test/soak/gateway-checker.test.ts
+++ b/test/soak/gateway-checker.test.ts
@@ -5,7 +5,7 @@
 
 async function judge(record: Partial<Exchanged>, runs: number): Promise<string[]> {
 	const worker = await FakePlatformWorker.create('w', 's');
-	const whole = {id: 'a', kind: 'release', status: 200, body: 'answer to a', isWhole: true, ...record};
+	const whole: Exchanged = {id: 'a', kind: 'release', status: 200, body: 'answer to a', isWhole: true, ...record};
 	for (let number = 0; number < runs; number++) {
 		worker.requests.push({id: 'a', method: 'POST', path: '/', headers: {}, body: '', wasRun: true});
 	}
@@ -31,7 +31,7 @@
 });
 
 tap.test('the soak\'s checker sees gaps, repeats and foreign events', async t => {
-	const stream = {kind: 'question'} as const;
+	const stream: Partial<Exchanged> = {kind: 'question'};
 	t.same(await judge({...stream, body: events('a', [1, 2, 3, 4, 5, 6])}, 1), []);
 	t.same(await judge({...stream, body: events('a', [1, 2]), isWhole: false}, 1), []);
 	t.match(await judge({...stream, body: events('a', [1, 2])}, 1), [/a stream/v]);
