Give the urgent their place by longer backlogs, and prompts four homes

Cause: instances have no common line. Ruled out: the pace (learned well), slots. Change: the backlog at which one more is sent falls from 120 to 30 ms with urgency; an endpoint that is neither one of four homes nor holds the beginning costs 80 ms more until the request has passed over for as long.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -99,6 +99,7 @@
 		this.#demand = {
 			service,
 			urgency: workspace?.urgency ?? route.urgency,
+			urgencies: table.urgencies(service),
 			targetMilliseconds: route.targetMilliseconds,
 			parts: facts.parts,
 			isTight: table.isTightest(route, service),
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -17,7 +17,10 @@
 /** What one request wants of an endpoint. */
 export type Demand = {
 	readonly service: string;
+	/** 0 is the most urgent. */
 	readonly urgency: number;
+	/** The range of urgency among the service's requests that are not tight. */
+	readonly urgencies: {readonly most: number; readonly least: number};
 	readonly targetMilliseconds: number;
 	readonly parts: readonly PromptPart[];
 	readonly isTight: boolean;
@@ -62,14 +65,13 @@
 export type Choice = Place | Wait;
 
 /**
- * What may wait to be read at an endpoint before one more is sent there; the rest waits here, where its
- * order can change. A stream with the tightest pauses goes at once: nobody should come before it. For all
- * others the bound falls with their target, so that those who can wait leave room for those who can't:
- * 30 ms at a target of 500 ms and more, 60 ms at 250. Under the lower bound engines would fall idle between two
- * decisions; above the upper one an urgent request finds a prompt or two before it.
+ * What may wait to be read at an endpoint before one more is sent there, for the most and the least
+ * urgent; the rest waits here, where its order can change. A stream with the tightest pauses goes at
+ * once. Instances have no common line: whoever may send at a longer backlog comes first everywhere,
+ * since the least urgent come in only where next to nothing waits. Under the lower bound engines would
+ * fall idle between two decisions; above the upper one an urgent stream finds a prompt or two before it.
  */
-const backlogProduct = 15_000;
-const backlogBounds = {low: 30, high: 60};
+const backlogBounds = {leastUrgent: 30, mostUrgent: 120};
 /** Tight streams may be so many above an endpoint's slots: it admits the urgent first, and preempts for them. */
 const slotsAbove = 4;
 /** Beside streams with tight pauses, what waits to be read stays under this part of their pause. */
@@ -98,11 +100,14 @@
 const latenessShare = 0.7;
 const latenessWeight = 3;
 /**
- * The first and second choice of a prompt's beginning by rendezvous hashing are better by so much: about
- * the reading that a kept beginning saves, so that instances agree also on where it goes first, and
- * what the first can't take meets on the second.
+ * The first choices of a prompt's beginning by rendezvous hashing are better by so much: about the reading
+ * that a kept beginning saves, so that instances agree also on where it goes first, and what the first
+ * can't take meets on the next. Without that, many instances send what they spill to the same idle
+ * endpoint before they hear of each other.
  */
-const homeMilliseconds = [40, 20] as const;
+const homeMilliseconds = [40, 30, 20, 10] as const;
+/** An endpoint that neither is a home nor holds the beginning is worse by so much, unless the request has passed over for as long. */
+const strangerMilliseconds = 80;
 
 type Option = {readonly id: string; readonly cost: number; readonly judged: Judged};
 
@@ -127,7 +132,7 @@
 	for (const [index, candidate] of candidates.entries()) {
 		const load = overview.loads[index]!;
 		const judged = candidate.isEngine ? judgeEngine(book, demand, candidate, {load, readingWeight: overview.readingWeight}) : judgeService(book, demand, candidate, load);
-		const cost = judged.cost + (candidate.zone === zone ? 0 : otherZoneMilliseconds) - homeBonus(homes, candidate.id);
+		const cost = judged.cost + (candidate.zone === zone ? 0 : otherZoneMilliseconds) - homeBonus(homes, candidate.id) + strangerCost(demand, homes, {id: candidate.id, unreadTokens: judged.unreadTokens});
 		leastUnreadTokens = Math.min(leastUnreadTokens, judged.unreadTokens);
 		if (judged.wait > 0) {
 			behind = behind === undefined || cost < behind.cost ? {id: candidate.id, cost, judged} : behind;
@@ -179,13 +184,14 @@
 	return {cost, wait, unreadTokens, expected};
 }
 
-function bearableBacklog({targetMilliseconds, tightestPauseMilliseconds, isTight}: Demand, tightRuns: number): number {
+function bearableBacklog({urgency, urgencies, tightestPauseMilliseconds, isTight}: Demand, tightRuns: number): number {
 	if (isTight) {
 		return Infinity;
 	}
 
-	const own = Math.min(backlogBounds.high, Math.max(backlogBounds.low, backlogProduct / targetMilliseconds));
-	return tightRuns === 0 ? own : Math.min(own, Math.max(backlogBounds.low, tightestPauseMilliseconds * besideTightShare));
+	const rank = urgencies.least === urgencies.most ? 1 : Math.min(1, Math.max(0, (urgency - urgencies.most) / (urgencies.least - urgencies.most)));
+	const own = backlogBounds.mostUrgent * ((backlogBounds.leastUrgent / backlogBounds.mostUrgent) ** rank);
+	return tightRuns === 0 ? own : Math.min(own, Math.max(backlogBounds.leastUrgent, tightestPauseMilliseconds * besideTightShare));
 }
 
 function tightCost(demand: Demand, candidate: Candidate, {load, span}: {load: EndpointLoad; span: number}): number {
@@ -210,6 +216,12 @@
 	return rank === -1 ? 0 : homeMilliseconds[rank] ?? 0;
 }
 
+function strangerCost({parts, waitedMilliseconds}: Demand, homes: readonly string[], {id, unreadTokens}: {id: string; unreadTokens: number}): number {
+	const own = parts.at(-1)?.tokens ?? 0;
+	const holdsBeginning = unreadTokens <= own;
+	return homes.length === 0 || holdsBeginning || homes.includes(id) ? 0 : Math.max(0, strangerMilliseconds - waitedMilliseconds);
+}
+
 /** Where the shared beginning of a prompt belongs, best first: not where tight streams of now run. */
 function homesOf(parts: readonly PromptPart[], candidates: readonly Candidate[], takenByTight: number): readonly string[] {
 	const shared = parts.at(-2);
@@ -218,19 +230,20 @@
 	}
 
 	const key = hash32(shared.id);
-	let first = {id: '', score: -1};
-	let second = first;
+	const homes: Array<{id: string; score: number}> = [];
 	for (const {id, hash, order} of candidates) {
-		const score = order < takenByTight ? -1 : mixHashes(key, hash);
-		if (score > first.score) {
-			second = first;
-			first = {id, score};
-		} else if (score > second.score) {
-			second = {id, score};
+		const score = mixHashes(key, hash);
+		const last = homes.at(homeMilliseconds.length - 1);
+		if (order < takenByTight || (last !== undefined && score <= last.score)) {
+			continue;
 		}
+
+		homes.push({id, score});
+		homes.sort((left, right) => right.score - left.score);
+		homes.length = Math.min(homes.length, homeMilliseconds.length);
 	}
 
-	return [first.id, second.id];
+	return homes.map(({id}) => id);
 }
 
 /** Gives candidates their place in the order in which tight streams fill them; ids decide, so all instances agree. */
--- a/src/routing/routing-table.ts
+++ b/src/routing/routing-table.ts
@@ -93,6 +93,7 @@
 	readonly #workspaceByKey = new Map<string, Workspace>();
 	/** The shortest and longest of the pauses that a service's streams must keep. */
 	readonly #pauses = new Map<string, {shortest: number; longest: number}>();
+	readonly #urgencies = new Map<string, {readonly most: number; readonly least: number}>();
 	readonly #needsKeys: boolean;
 
 	private constructor({version, routes, services, workspaces, limits}: RoutingTableInput) {
@@ -115,6 +116,10 @@
 			this.#notePause(route);
 		}
 
+		for (const route of routes) {
+			this.#noteUrgency(route);
+		}
+
 		for (const workspace of workspaces ?? []) {
 			for (const key of workspace.keys) {
 				this.#workspaceByKey.set(key, workspace);
@@ -143,6 +148,11 @@
 		return pauses !== undefined && route.longestPauseMilliseconds === pauses.shortest && pauses.longest >= pauses.shortest * clearlyLonger;
 	}
 
+	/** The range of urgency among a service's routes whose pauses are not the tightest. */
+	urgencies(service: string): {readonly most: number; readonly least: number} {
+		return this.#urgencies.get(service) ?? {most: 0, least: 0};
+	}
+
 	/** The shortest pause that any of a service's streams must keep; infinite without any. */
 	tightestPause(service: string): number {
 		return this.#pauses.get(service)?.shortest ?? Infinity;
@@ -152,6 +162,13 @@
 		return new Set(this.#workspaceByKey.values()).size;
 	}
 
+	#noteUrgency(route: Route): void {
+		for (const {service} of route.shares.filter(share => !this.isTightest(route, share.service))) {
+			const {most, least} = this.#urgencies.get(service) ?? {most: route.urgency, least: route.urgency};
+			this.#urgencies.set(service, {most: Math.min(most, route.urgency), least: Math.max(least, route.urgency)});
+		}
+	}
+
 	#notePause({shares, longestPauseMilliseconds: pause}: Route): void {
 		if (pause === undefined) {
 			return;
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -14,7 +14,7 @@
 
 function demand(more: Partial<Demand> = {}): Demand {
 	return {
-		service: 'models', urgency: 2, targetMilliseconds: 600, parts: [], isTight: false, pauseMilliseconds: 500, tightestPauseMilliseconds: 120, waitedMilliseconds: 0, ...more,
+		service: 'models', urgency: 2, urgencies: {most: 1, least: 2}, targetMilliseconds: 600, parts: [], isTight: false, pauseMilliseconds: 500, tightestPauseMilliseconds: 120, waitedMilliseconds: 0, ...more,
 	};
 }
 
