Explain from log files, check settings files, name the verdict of a failure that ran

Cause: an on-call engineer has log files, and explain asked running instances only; a worker's own 500 was logged as may-have-run though it had said that it ran.

--- a/src/bin/cassiaflow.ts
+++ b/src/bin/cassiaflow.ts
@@ -3,7 +3,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {
-	checkFile, explainRequest, listQuarantine, MissingSettingError, OperatorExit, publishFile, releaseQuarantine, showAudit, showCatalogue, showHistory, showStatus,
+	checkFile, checkSettings, explainFromLogs, explainRequest, listQuarantine, MissingSettingError, OperatorExit, publishFile, releaseQuarantine, showAudit, showCatalogue, showHistory, showStatus,
 	type CommandResult, type OperatorContext,
 } from '../operator/index.js';
 import {HttpLogClient, HttpMembershipClient, PlatformError} from '../platform/index.js';
@@ -41,6 +41,9 @@
 const {env} = process;
 const limitOption = {type: 'number', default: 50, describe: 'the newest so many'} as const;
 const fileArgument = {type: 'string', demandOption: true, describe: 'a catalogue file in YAML or JSON'} as const;
+const explainOptions = {
+	'log-file': {type: 'string', array: true, requiresArg: true, describe: 'log files of gateways to read, in place of asking instances'},
+} as const;
 const publishOptions = {
 	'dry-run': {type: 'boolean', default: false, describe: 'only tell what would change'},
 	wait: {type: 'boolean', default: false, describe: 'wait until every instance has it in force'},
@@ -77,9 +80,14 @@
 	.command('status', 'the instances, their queues and the catalogue they have in force', {}, async settings => {
 		await run(settings as unknown as Settings, showStatus);
 	})
-	.command('explain <request>', 'what was decided about a request, in the order of time', command => command.positional('request', {type: 'string', demandOption: true}), async settings => {
-		await run(settings, async context => explainRequest(context, settings.request));
+	.command('explain <request>', 'what was decided about a request, in the order of time', command => command.positional('request', {type: 'string', demandOption: true}).options(explainOptions), async settings => {
+		await run(settings, async context => settings.logFile === undefined ? explainRequest(context, settings.request) : explainFromLogs(settings.logFile, settings.request));
 	})
+	.command('settings', 'settings files of gateways', group => group
+		.command('check <file>', 'check one as a start does', command => command.positional('file', {type: 'string', demandOption: true}), async settings => {
+			await run(settings, async () => checkSettings(settings.file));
+		})
+		.demandCommand(1, 'Say what: check.'))
 	.command('quarantine', 'requests that are refused because they crashed endpoints', quarantine => quarantine
 		.command('list', 'show them', {}, async settings => {
 			await run(settings as unknown as Settings, listQuarantine);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Alarm, type AlarmEvent, type Body, channel, receive, tryDeliver, tryReceive} from '../concurrency/index.js';
-import {Verdict} from '../model/index.js';
+import {combineVerdicts, Verdict} from '../model/index.js';
 import {type Demand} from '../policy/dispatch/index.js';
 import {type EndpointRecord, type Route, RouteKind, type RoutingTable, type Workspace} from '../routing/index.js';
 import {Attempt, type AttemptEvent} from './attempt.js';
@@ -451,7 +451,7 @@
 
 		const {route, dispatcher, service, caller} = this.#options;
 		this.#runs += outcome.verdict === Verdict.notRun ? 0 : 1;
-		this.#verdict = outcome.verdict === Verdict.notRun ? this.#verdict : Verdict.mayHaveRun;
+		this.#verdict = combineVerdicts(this.#verdict, outcome.verdict);
 		const mayRepeat = outcome.verdict === Verdict.notRun || (this.#isIdempotent && this.#runs < route.largestAttempts);
 		const canContinue = !caller.hasAnswer || (route.kind === RouteKind.stream && route.resumable && this.#lastEventId !== undefined);
 		const now = performance.now();
--- a/src/operator/result.ts
+++ b/src/operator/result.ts
@@ -1,6 +1,6 @@
 import Table from 'cli-table3';
 
-/** The exit codes of the operator's command; docs/OPERATING.md lists them. */
+/** The exit codes of the operator's command; docs/OPERATIONS.md lists them. */
 export const OperatorExit = {
 	/** Done as asked. */
 	ok: 0,
--- /dev/null
+++ b/test/operator/log-files.test.ts
@@ -0,0 +1,35 @@
+import {writeFileSync} from 'node:fs';
+import tap from 'tap';
+import {checkSettings, explainFromLogs, OperatorExit} from '../../src/operator/index.js';
+
+tap.test('a request is followed through log files, whatever stands around its lines', async t => {
+	const folder = t.testdir({
+		'a.log': [
+			'  12.1 front-a {"instance":"a","request":"r1","msg":"Request: Sent.","endpoint":"e1","outcome":"failed","reason":"socket hang up","time":"2026-01-01T00:00:02Z"}',
+			'{"instance":"a","request":"r10","msg":"Request: Sent.","time":"2026-01-01T00:00:02Z"}',
+			'{"instance":"a","request":"r1","msg":"cut off',
+		].join('\n'),
+		'b.log': '{"instance":"b","request":"r1","msg":"Request: Refused.","reason":"too-late","time":"2026-01-01T00:00:01Z"}\n',
+	});
+	const found = explainFromLogs([`${folder}/a.log`, `${folder}/b.log`], 'r1');
+	t.equal(found.exit, OperatorExit.ok);
+	t.match(found.value, {lines: [{instance: 'b', fields: {reason: 'too-late'}}, {instance: 'a', fields: {endpoint: 'e1', reason: 'socket hang up'}}]});
+	t.match(found.text, /too-late[\s\S]*socket hang up/v);
+	t.equal(explainFromLogs([`${folder}/b.log`], 'r9').exit, OperatorExit.notFound);
+});
+
+tap.test('a settings file is checked with every wrong field named at once', async t => {
+	const folder = t.testdir({});
+	const right = {
+		instance: 'a', availabilityZone: 'z', callerAddress: '10.0.0.1:1', adminAddress: '10.0.0.1:2', peerAddress: '10.0.0.1:3', storeAddress: '10.0.0.2:4', memoryMegabytes: 200, novel: 1,
+	};
+	writeFileSync(`${folder}/right.json`, JSON.stringify(right));
+	writeFileSync(`${folder}/wrong.json`, JSON.stringify({...right, callerAddress: 'here', memoryMegabytes: -1}));
+	writeFileSync(`${folder}/text.json`, 'not json');
+	t.equal(checkSettings(`${folder}/right.json`).exit, OperatorExit.ok, 'unknown fields are ignored');
+	const wrong = checkSettings(`${folder}/wrong.json`);
+	t.equal(wrong.exit, OperatorExit.rejected);
+	t.match(wrong.text, /callerAddress[\s\S]*memoryMegabytes/v);
+	t.match(checkSettings(`${folder}/text.json`).text, /not JSON/v);
+	t.throws(() => checkSettings(`${folder}/missing.json`), /ENOENT/v);
+});
