--- a/bench/gateway-soak/child.ts
+++ b/bench/gateway-soak/child.ts
@@ -5,7 +5,8 @@
 import process from 'node:process';
 import {FakePath} from '../../fakes/network-path.js';
 
-const program = new URL('../../platform/cassiaflow-gateway.js', import.meta.url).pathname;
+/** The program as it is deployed. */
+const program = new URL('../../../target/cassiaflow-gateway.mjs', import.meta.url).pathname;
 const clockShift = new URL('shift-clock.js', import.meta.url).href;
 const readyMilliseconds = 15_000;
 
--- a/bench/gateway-soak/index.ts
+++ b/bench/gateway-soak/index.ts
@@ -1,3 +1,4 @@
+import {execFileSync} from 'node:child_process';
 import process from 'node:process';
 import {type CommandModule} from 'yargs';
 import {runSeed} from './run-seed.js';
@@ -17,6 +18,7 @@
 		jobs: {type: 'number', default: 4, describe: 'seeds at a time'},
 	},
 	async handler({seed, count, jobs}) {
+		execFileSync(process.execPath, ['tools/bundle.mjs'], {stdio: 'inherit'});
 		const seeds = Array.from({length: count}, (_, index) => seed + index);
 		const totals = {requests: 0, served: 0, violations: 0};
 		const work = async (lane: number): Promise<void> => {
--- /dev/null
+++ b/test/adapter/wire-names.test.ts
@@ -0,0 +1,59 @@
+import {readdirSync, readFileSync} from 'node:fs';
+import tap from 'tap';
+
+/** Names of the users' wire, in any case: headers, fields and paths. Common words that we use too are left out. */
+const wireNames = [
+	'Target-Instance',
+	'Upstream-Signature',
+	'Not-Executed',
+	'Deadline-Ms',
+	'Token-Usage',
+	'Prefix-Hash',
+	'Length-Hint',
+	'Request-Priority',
+	'Kv-From',
+	'Kv-Hold',
+	'Kv-Backup',
+	'Kv-Fetch',
+	'Pin-Ms',
+	'Expect-Version',
+	'Weight-Versions',
+	'pathPrefixes',
+	'targetLatencyMs',
+	'gapAimMs',
+	'maxAttempts',
+	'timeoutMs',
+	'apiKeys',
+	'kvCapacity',
+	'coldRemainingMs',
+	'heartbeatMs',
+	'log-append',
+	'log-read',
+	'log-newest',
+	'keyed.op',
+	'keyed.servers',
+	'op/config',
+	'drainMs',
+	'graceS',
+];
+
+// A wire name outside the adapter would bind the product to one platform's spelling.
+tap.test('the users\' wire names stand only in the adapter', async t => {
+	const files = readdirSync('src', {recursive: true}).map(String).filter(file => file.endsWith('.ts'));
+	t.ok(files.length > 100);
+	for (const file of files) {
+		const text = readFileSync(`src/${file}`, 'utf8').toLowerCase();
+		t.same(wireNames.filter(name => text.includes(name.toLowerCase())), [], file);
+	}
+});
+
+tap.test('the check finds a name where there is one', async t => {
+	const text = readFileSync('platform/request-codec.ts', 'utf8').toLowerCase();
+	t.ok(wireNames.some(name => text.includes(name.toLowerCase())));
+});
+
+tap.test('no folder of the product imports the adapter', async t => {
+	for (const file of readdirSync('src', {recursive: true}).map(String).filter(name => name.endsWith('.ts'))) {
+		t.notMatch(readFileSync(`src/${file}`, 'utf8'), /from '(?:\.\.\/)+platform\/(?:adapter|feeds|request-codec|store-client|servers|desired-state)/v, file);
+	}
+});
--- /dev/null
+++ b/test/bin/gateway-signals.test.ts
@@ -0,0 +1,20 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {writeFileSync} from 'node:fs';
+import process from 'node:process';
+import tap from 'tap';
+
+const early = new URL('../../src/bin/early-hangup.js', import.meta.url).href;
+
+// The platform says that settings changed while a gateway is still loading. Without a listener the
+// signal ends the process, and the instance is gone for the time of another start.
+tap.test('a hangup during the start does not end the program', async t => {
+	const folder = t.testdir({});
+	const file = `${folder}/slow.mjs`;
+	writeFileSync(file, `import '${early}';\nprocess.send('loading');\nconst until = Date.now() + 300;\nwhile (Date.now() < until);\nsetTimeout(() => process.exit(7), 50);\n`);
+	const child = spawn(process.execPath, [file], {stdio: ['ignore', 'ignore', 'inherit', 'ipc']});
+	await once(child, 'message');
+	child.kill('SIGHUP');
+	const [code] = await once(child, 'exit') as [number | undefined];
+	t.equal(code, 7);
+});
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -32,8 +32,11 @@
 });
 writeFileSync('target/cassiaflow-gateway.mjs', `import {readFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
+import process from 'node:process';
 import vm from 'node:vm';
 
+// A hangup that comes while the program still loads must not end it.
+process.on('SIGHUP', () => undefined);
 const file = new URL('cassiaflow-gateway.cjs', import.meta.url);
 const read = name => {
 	try {
