Try a recovering endpoint beside the others, not in place of them

Cause: while any endpoint of a service awaited its trial, each request that may be repeated looked at that endpoint alone; full of what had been sent there before, it made them all too late. Found from Refused lines (candidates: 1). Ruled out: the estimate of the line, priorities of tenants (none refused more). Change: the trial goes first only if it can be placed at once. Before: the new test refuses; after: it places at the other endpoint, 2 of 2 pass.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -159,7 +159,11 @@
 	/** True if the ticket has its decision; `mustWait` says that others come first. */
 	#try(ticket: Ticket, mustWait = false): boolean {
 		const now = performance.now();
-		const usable = this.#usable(ticket, now);
+		const {trial, usable} = this.#usable(ticket, now);
+		if (trial !== undefined && !mustWait && this.#tryTrial(ticket, trial, now)) {
+			return true;
+		}
+
 		if (usable.length === 0) {
 			this.#refuse(ticket, RefusalReason.noEndpoint, {retryAfter: unknownRetryMilliseconds, candidates: 0});
 			return true;
@@ -195,8 +199,23 @@
 		ticket.onDecision({type: 'placed', runId, record, unreadTokens, expectedMilliseconds, leastUnreadTokens, candidates});
 	}
 
+	/**
+	 * Sends a request that may be repeated to an endpoint whose recovery is to be seen, if that has room.
+	 * Failure: it is full of what others sent before it was set aside. Symptom: all such requests look at
+	 * it alone and are refused. It is tried beside the others, never in place of them.
+	 */
+	#tryTrial(ticket: Ticket, trial: Known, now: number): boolean {
+		const choice = choosePlace(this.book, ticket.demand, [trial.candidate], {zone: this.#options.zone, now});
+		if (choice.type === 'wait') {
+			return false;
+		}
+
+		this.#place(ticket, trial.record, {...choice, candidates: 1});
+		return true;
+	}
+
 	/** Ready and healthy ones; what is suspended or on its way out only where nothing else is left. */
-	#usable(ticket: Ticket, now: number): readonly Known[] {
+	#usable(ticket: Ticket, now: number): {readonly trial: Known | undefined; readonly usable: readonly Known[]} {
 		const lists = {open: [] as Known[], trial: [] as Known[], suspended: [] as Known[], ending: [] as Known[]};
 		for (const known of this.#knownOf(ticket.demand.service)) {
 			const standing = standingOf(known.entry, now);
@@ -208,11 +227,8 @@
 			lists[standing === Standing.ready ? (health === undefined ? 'open' : availability(health, now)) : 'ending'].push(known);
 		}
 
-		if (ticket.isIdempotent && lists.trial.length > 0) {
-			return lists.trial.slice(0, 1);
-		}
-
-		return [lists.open, lists.trial, lists.suspended, lists.ending].find(list => list.length > 0) ?? [];
+		const usable = [lists.open, lists.trial, lists.suspended, lists.ending].find(list => list.length > 0) ?? [];
+		return {trial: ticket.isIdempotent ? lists.trial[0] : undefined, usable};
 	}
 
 	/** A service's endpoints, worked out once for each change of what is believed. */
--- /dev/null
+++ b/test/gateway/dispatcher.test.ts
@@ -0,0 +1,73 @@
+import tap from 'tap';
+import {Beliefs, type Decision, Dispatcher, type Ticket} from '../../src/gateway/index.js';
+import {type InstanceId, type ZoneName} from '../../src/model/index.js';
+import {type EndpointRecord} from '../../src/routing/index.js';
+
+const quiet = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
+const zone = 'z' as ZoneName;
+
+function record(id: string): EndpointRecord {
+	return {id, service: 'models', address: '127.0.0.1:1', zone, isLeaving: false, slots: 4, revision: 1};
+}
+
+function createDispatcher(endpoints: readonly EndpointRecord[]): Dispatcher {
+	const beliefs = Beliefs.create(quiet);
+	beliefs.offerTable({
+		version: 1, routes: [], services: [{name: 'models', largestConnections: 10, engine: {slots: 4, memoryTokens: 100_000, tokensPerEvent: 1}}],
+		limits: {headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1},
+	}, 'store');
+	beliefs.offerEndpoints(endpoints.map((one, offset) => ({type: 'registered', offset, record: one})), 'store', performance.now());
+	return Dispatcher.create({
+		instance: 'a' as InstanceId, zone, beliefs, logger: quiet, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, random: () => 0.5, onLoad: () => undefined,
+	});
+}
+
+function submit(dispatcher: Dispatcher, id: string): Decision[] {
+	const decisions: Decision[] = [];
+	const now = performance.now();
+	const ticket: Ticket = {
+		id, workspace: 'w', service: 'models', urgency: 1, work: 2000, arrivedAt: now, lastStartAt: now + 2000, excluded: new Set(), isIdempotent: true,
+		demand: {
+			service: 'models', urgency: 1, urgencies: {most: 1, least: 2}, targetMilliseconds: 400, parts: [{id: 'p', tokens: 2000}], isTight: false,
+			pauseMilliseconds: 300, tightestPauseMilliseconds: 200, waitedMilliseconds: 0,
+		},
+		onDecision(decision) {
+			decisions.push(decision);
+		},
+	};
+	dispatcher.submit(ticket);
+	return decisions;
+}
+
+// An endpoint was set aside, and may be tried again; what other instances sent there before is still
+// counted. Callers of requests that may be repeated were refused as too late, since all of them looked
+// at that one endpoint, while the others had room.
+tap.test('an endpoint on trial that is full does not hold up what others can take', async t => {
+	const [sick, well] = [record('sick'), record('well')];
+	using dispatcher = createDispatcher([sick, well]);
+	for (let number = 0; number < 4; number++) {
+		dispatcher.takeLoad({type: 'placed', run: {id: `b/${number}`, owner: 'b', endpoint: 'sick', service: 'models', unreadTokens: 9000, isTight: false, parts: []}});
+	}
+
+	dispatcher.report(sick, 'unreachable');
+	dispatcher.report(sick, 'unreachable');
+	await new Promise(resolve => {
+		setTimeout(resolve, 800);
+	});
+	const [decision] = submit(dispatcher, 'r');
+	t.match(decision, {type: 'placed', record: {id: 'well'}});
+});
+
+tap.test('an endpoint on trial gets one request that may be repeated, and no second before its outcome', async t => {
+	const [sick, well] = [record('sick'), record('well')];
+	using dispatcher = createDispatcher([sick, well]);
+	dispatcher.report(sick, 'unreachable');
+	dispatcher.report(sick, 'unreachable');
+	const before = submit(dispatcher, 'early');
+	t.match(before, [{type: 'placed', record: {id: 'well'}}], 'suspended');
+	await new Promise(resolve => {
+		setTimeout(resolve, 800);
+	});
+	t.match(submit(dispatcher, 'trial'), [{type: 'placed', record: {id: 'sick'}}]);
+	t.match(submit(dispatcher, 'next'), [{type: 'placed', record: {id: 'well'}}]);
+});
