--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -61,7 +61,7 @@
 		const channels = ChannelBook.create();
 		const decisions = DecisionLog.create(forPart(logger, 'Request'), metrics);
 		const dispatcher = Dispatcher.create({
-			instance: incarnation,
+			incarnation,
 			zone: settings.availabilityZone as ZoneName,
 			beliefs,
 			logger: forPart(logger, 'Dispatch'),
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,7 +1,7 @@
 import {type InstanceId, type ZoneName} from '../model/index.js';
 import {
-	availability, type Candidate, choosePlace, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, inOrder, LoadBook,
-	type LoadEvent, type RetryAllowance, RetryShare, stepEndpointHealth, type Waiting, WaitingLine,
+	availability, type Candidate, chanceOfPlace, choosePlace, type Circumstances, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, inOrder, LoadBook,
+	type LoadEvent, reactionMilliseconds, readMilliseconds, type RetryAllowance, RetryShare, runId, stepEndpointHealth, type Wait, type Waiting, WaitingLine,
 } from '../policy/dispatch/index.js';
 import {type EndpointEntry, type EndpointRecord, Standing, standingOf} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
@@ -12,6 +12,8 @@
 	readonly demand: Demand;
 	/** When it first passed over a free endpoint for a better one. */
 	passedOverAt?: number;
+	/** What it waits for, and when a look at it is worth while again. */
+	waitsFor?: {readonly endpoint: string; readonly until: number};
 	/** Endpoints that it has been at. */
 	readonly excluded: ReadonlySet<string>;
 	/** True if it may run again, so that it may try an endpoint that failed before. */
@@ -31,7 +33,8 @@
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
 
 export type DispatcherOptions = {
-	readonly instance: InstanceId;
+	/** This start of the instance: its runs bear the name. */
+	readonly incarnation: InstanceId;
 	readonly zone: ZoneName;
 	readonly beliefs: Beliefs;
 	readonly logger: PartLogger;
@@ -43,10 +46,16 @@
 
 /** How often the line is tried again while something waits in it. */
 const tickMilliseconds = 8;
-/** After a try of the line it rests for so many times as long: under a fifth of the process's time goes there. */
-const pumpRest = 4;
-/** Requests that may wait for a better place while others are tried, at one time: each costs about 30 microseconds. */
-const largestPasses = 5;
+/** A request that waits is looked at once in about so long: a tick may come just before it is due. */
+const lookMilliseconds = 2 * tickMilliseconds;
+/** After a try of the line it rests for so many times as long: a tenth of the process's time goes there at most. */
+const pumpRest = 9;
+/** A waiting request is looked at again after this part of the wait that was foreseen, within these bounds. */
+const lookAgain = {share: 0.5, leastMilliseconds: 8, mostMilliseconds: 60};
+/** Until anything was placed: the part of their prompts that engines still have to read. */
+const firstUnreadShare = 0.6;
+/** Weight of one more placing in that part: the last fifty count. */
+const unreadShareWeight = 0.02;
 /** Requests that may wait here: at the largest body of usual prompts this is a tenth of a small instance's memory. */
 const largestLine = 1500;
 /** A refused caller comes back no sooner, and no later: callers honour a third of the time they have. */
@@ -75,6 +84,7 @@
 	readonly #health = new Map<string, EndpointHealth>();
 	readonly #usualFailures = new Map<string, number>();
 	readonly #known = new Map<string, readonly Known[]>();
+	readonly #unreadShares = new Map<string, number>();
 	/** When the line may be tried again: it takes a bounded part of the process's time. */
 	#pumpAt = 0;
 	#timer: NodeJS.Timeout | undefined;
@@ -98,7 +108,7 @@
 
 	/** Decides at once where it can; else the ticket waits, and its decision comes later. */
 	submit(ticket: Ticket): void {
-		this.#try(ticket, this.#line.ahead(ticket.service, ticket.urgency).count > 0);
+		this.#try(ticket, this.#awaitedBefore(ticket));
 	}
 
 	/** The caller left, or the time is over. */
@@ -108,7 +118,7 @@
 	}
 
 	firstEvent(runId: string): void {
-		this.#tell({type: 'first-event', id: runId, isMeasured: true});
+		this.#tell({type: 'first-event', id: runId});
 	}
 
 	ended(runId: string): void {
@@ -118,8 +128,7 @@
 
 	/** Load that another instance tells of. */
 	takeLoad(event: LoadEvent): void {
-		const own = event.type === 'first-event' ? {...event, isMeasured: false} : event;
-		this.book.step(own, performance.now());
+		this.book.step(event, performance.now());
 	}
 
 	/** What an answer, or its lack, says of an endpoint. */
@@ -156,11 +165,11 @@
 		}
 	}
 
-	/** True if the ticket has its decision; `mustWait` says that others come first. */
-	#try(ticket: Ticket, mustWait = false): boolean {
+	/** True if the ticket has its decision; at the endpoints named in `awaited` others come first. */
+	#try(ticket: Ticket, awaited: ReadonlySet<string>): boolean {
 		const now = performance.now();
 		const {trial, usable} = this.#usable(ticket, now);
-		if (trial !== undefined && !mustWait && this.#tryTrial(ticket, trial, now)) {
+		if (trial !== undefined && !awaited.has(trial.record.id) && this.#tryTrial(ticket, trial, now)) {
 			return true;
 		}
 
@@ -170,13 +179,18 @@
 		}
 
 		const candidates = usable.map(({candidate}) => candidate);
-		const choice = choosePlace(this.book, {...ticket.demand, waitedMilliseconds: now - (ticket.passedOverAt ?? now)}, candidates, {zone: this.#options.zone, now});
-		if (choice.type === 'wait' && choice.isForBetter) {
-			ticket.passedOverAt ??= now;
+		const demand = {...ticket.demand, waitedMilliseconds: now - (ticket.passedOverAt ?? now), elapsedMilliseconds: now - ticket.arrivedAt};
+		const choice = choosePlace(this.book, demand, candidates, this.#circumstances(now));
+		if (choice.type === 'wait') {
+			if (choice.isForBetter) {
+				ticket.passedOverAt ??= now;
+			}
+
+			return this.#enqueue(ticket, choice, candidates);
 		}
 
-		if (choice.type === 'wait' || mustWait) {
-			return this.#enqueue(ticket, choice.type === 'wait' ? choice.milliseconds : tickMilliseconds, candidates);
+		if (awaited.has(choice.endpoint) || !this.#mayTake(ticket, choice.unreadTokens, candidates.length)) {
+			return this.#enqueue(ticket, {type: 'wait', endpoint: choice.endpoint, milliseconds: tickMilliseconds, isForBetter: false}, candidates);
 		}
 
 		const {record} = usable.find(known => known.record.id === choice.endpoint)!;
@@ -184,19 +198,45 @@
 		return true;
 	}
 
+	/** Where other instances are likely to want the same place, chance decides who takes it first. */
+	#mayTake({service, urgency, demand}: Ticket, unreadTokens: number, candidates: number): boolean {
+		const contenders = (this.instances - 1) * Math.min(1, this.#line.ahead(service, urgency).count / candidates);
+		const readingMilliseconds = readMilliseconds(this.book.speed(service), unreadTokens);
+		const chance = chanceOfPlace({contenders, lookMilliseconds, readingMilliseconds, reactionMilliseconds: reactionMilliseconds(this.instances - 1)});
+		return demand.isTight || this.#options.random() < chance;
+	}
+
+	#circumstances(now: number): Circumstances {
+		return {zone: this.#options.zone, now, reactionMilliseconds: reactionMilliseconds(this.instances - 1)};
+	}
+
+	/** Endpoints that others wait for who are at least as urgent: who comes later must not take the place that comes free there. */
+	#awaitedBefore({urgency}: Ticket): ReadonlySet<string> {
+		const awaited = new Set<string>();
+		for (const waiting of this.#tickets.values()) {
+			if (waiting.urgency <= urgency && waiting.waitsFor !== undefined) {
+				awaited.add(waiting.waitsFor.endpoint);
+			}
+		}
+
+		return awaited;
+	}
+
 	#place(ticket: Ticket, record: EndpointRecord, {candidates, unreadTokens, expectedMilliseconds, leastUnreadTokens}: Place & {candidates: number}): void {
 		const now = performance.now();
 		this.withdraw(ticket.id);
-		this.#line.charge(ticket.workspace, ticket.work, now);
+		this.#line.charge(ticket, now);
 		this.#runCount += 1;
-		const runId = `${this.#options.instance}/${this.#runCount}`;
+		const id = runId(this.#options.incarnation, this.#runCount);
 		const {service, isTight, parts} = ticket.demand;
-		this.#tell({type: 'placed', run: {id: runId, owner: this.#options.instance, endpoint: record.id, service, unreadTokens, isTight, parts}});
+		const share = this.#unreadShare(service);
+		this.#unreadShares.set(service, share + (((unreadTokens / ticket.work) - share) * unreadShareWeight));
+		this.#tell({type: 'placed', run: {id, owner: this.#options.incarnation, endpoint: record.id, service, unreadTokens, isTight, parts}});
 		if (availability(this.#health.get(record.id) ?? createEndpointHealth(), now) === 'trial') {
 			this.#judge(record, {type: 'trial'});
 		}
 
-		ticket.onDecision({type: 'placed', runId, record, unreadTokens, expectedMilliseconds, leastUnreadTokens, candidates});
+		ticket.onDecision({type: 'placed', runId: id, record, unreadTokens, expectedMilliseconds, leastUnreadTokens, candidates});
 	}
 
 	/**
@@ -205,7 +245,7 @@
 	 * it alone and are refused. It is tried beside the others, never in place of them.
 	 */
 	#tryTrial(ticket: Ticket, trial: Known, now: number): boolean {
-		const choice = choosePlace(this.book, ticket.demand, [trial.candidate], {zone: this.#options.zone, now});
+		const choice = choosePlace(this.book, {...ticket.demand, elapsedMilliseconds: now - ticket.arrivedAt}, [trial.candidate], this.#circumstances(now));
 		if (choice.type === 'wait') {
 			return false;
 		}
@@ -252,9 +292,9 @@
 	}
 
 	/** True if it left the line; a ticket that can't be started in time is refused at once. */
-	#enqueue(ticket: Ticket, milliseconds: number, candidates: readonly Candidate[]): boolean {
+	#enqueue(ticket: Ticket, {endpoint, milliseconds}: Wait, candidates: readonly Candidate[]): boolean {
 		const now = performance.now();
-		const expected = milliseconds + this.#lineMilliseconds(ticket, candidates);
+		const expected = milliseconds + this.#lineMilliseconds(ticket, candidates, now);
 		if (now + expected > ticket.lastStartAt) {
 			this.#refuse(ticket, RefusalReason.tooLate, {retryAfter: expected, candidates: candidates.length});
 			return true;
@@ -265,6 +305,7 @@
 			return true;
 		}
 
+		ticket.waitsFor = {endpoint, until: now + Math.min(lookAgain.mostMilliseconds, Math.max(lookAgain.leastMilliseconds, milliseconds * lookAgain.share))};
 		if (!this.#tickets.has(ticket.id)) {
 			this.#tickets.set(ticket.id, ticket);
 			this.#line.add(ticket);
@@ -276,17 +317,25 @@
 		return false;
 	}
 
-	/** How long those ahead will take, by their own prompts; other instances are taken to have lines like this one. */
-	#lineMilliseconds({service, urgency}: Ticket, candidates: readonly Candidate[]): number {
+	/**
+	 * How long those ahead will take: at the rate at which this instance has placed work lately, or at its
+	 * equal part of what the endpoints can do, whichever is more. Before anything waited the first says nothing.
+	 */
+	#lineMilliseconds({service, urgency}: Ticket, candidates: readonly Candidate[], now: number): number {
 		const ahead = this.#line.ahead(service, urgency);
 		if (candidates[0]?.isEngine === true) {
-			return ahead.work / this.book.speed(service).tokensPerMillisecond / candidates.length * this.instances;
+			const equalPart = this.book.speed(service).tokensPerMillisecond / this.#unreadShare(service) * candidates.length / this.instances;
+			return ahead.work / Math.max(equalPart, this.#line.startedWorkRate(service, now));
 		}
 
 		const slots = candidates.reduce((sum, candidate) => sum + candidate.slots, 0);
 		return ahead.count * this.book.workMilliseconds(service) / slots * this.instances;
 	}
 
+	#unreadShare(service: string): number {
+		return this.#unreadShares.get(service) ?? firstUnreadShare;
+	}
+
 	#refuse(ticket: Ticket, reason: RefusalReason, {retryAfter, candidates}: {retryAfter: number; candidates: number}): void {
 		this.withdraw(ticket.id);
 		// Spread, so that those refused together don't come back together.
@@ -315,22 +364,13 @@
 			this.#refuse(this.#tickets.get(id)!, RefusalReason.tooLate, {retryAfter: unknownRetryMilliseconds, candidates: 0});
 		}
 
-		const blocked = new Set<string>();
-		let passes = 0;
+		// What an earlier one waits for, a later one does not take; other endpoints are free to it.
+		const awaited = new Set<string>();
 		for (const {id} of this.#line.ordered(now)) {
 			const ticket = this.#tickets.get(id);
-			// Who is less urgent must not take the place that the one before it waits for.
-			if (ticket === undefined || blocked.has(ticket.demand.service)) {
-				continue;
-			}
-
-			if (this.#try(ticket)) {
-				continue;
-			}
-
-			passes += 1;
-			if (ticket.passedOverAt === undefined || passes >= largestPasses) {
-				blocked.add(ticket.demand.service);
+			const isDue = ticket?.waitsFor === undefined || ticket.waitsFor.until <= now;
+			if (ticket !== undefined && (!isDue || !this.#try(ticket, awaited)) && ticket.waitsFor !== undefined) {
+				awaited.add(ticket.waitsFor.endpoint);
 			}
 		}
 	}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -49,6 +49,8 @@
 const patienceTargets = 2.5;
 /** A stream that went quiet for so many of its longest pauses goes on elsewhere, if it may. */
 const patiencePauses = 4;
+/** A start after this part of the target is late: the rest goes to the endpoint's own work. */
+const startShare = 0.75;
 /** Less than this left is no time to run anything in. */
 const leastMilliseconds = 15;
 /**
@@ -94,6 +96,7 @@
 			pauseMilliseconds: route.longestPauseMilliseconds,
 			tightestPauseMilliseconds: table.tightestPause(service),
 			waitedMilliseconds: 0,
+			elapsedMilliseconds: 0,
 		};
 	}
 
@@ -137,6 +140,7 @@
 			urgency: this.#demand.isTight ? tightUrgency : this.#demand.urgency,
 			work: facts.outputTokens + facts.parts.reduce((sum, {tokens}) => sum + tokens, 0) + 1,
 			arrivedAt: this.#options.arrivedAt,
+			inTimeUntil: this.#options.arrivedAt + (route.targetMilliseconds * startShare),
 			lastStartAt: Math.min(this.#limitAt - leastMilliseconds, patienceAt),
 			demand: this.#demand,
 			excluded: this.#excluded,
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,5 +1,5 @@
 import {type Body, receive, sleep, spawn, wait} from '../concurrency/index.js';
-import {type LoadEvent} from '../policy/dispatch/index.js';
+import {decodeLoad, encodeLoad, type LoadEvent, tellingInterval} from '../policy/dispatch/index.js';
 import {type EndpointChange} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion, type Security} from '../wire/index.js';
@@ -24,12 +24,6 @@
 	readonly onCount: (instances: number) => void;
 };
 
-/**
- * Load that came within this time leaves in one message: the shorter, the fewer instances send a prompt
- * to the same endpoint; the longer, the fewer messages. Each peer costs two milliseconds of it, so that an
- * instance sends and reads no more than about 500 messages a second, some 2% of a core.
- */
-const batchMilliseconds = {least: 15, eachPeer: 2, most: 60};
 /** How often missing peers are dialled. */
 const redialMilliseconds = 1000;
 /** A peer that does not answer is dialled ever more rarely, up to this. */
@@ -107,8 +101,8 @@
 			setTimeout(() => {
 				const events = this.#unsent;
 				this.#unsent = [];
-				this.#broadcast({type: 'load', events});
-			}, Math.min(batchMilliseconds.most, Math.max(batchMilliseconds.least, this.#links.size * batchMilliseconds.eachPeer)));
+				this.#broadcast({type: 'load', rows: encodeLoad(events)});
+			}, tellingInterval(this.#links.size));
 		}
 
 		this.#unsent.push(event);
@@ -241,7 +235,7 @@
 		connection.send({type: 'endpoints', changes});
 	}
 
-	#hear(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {instance}: Link): void {
+	#hear(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {connection, instance, incarnation}: Link): void {
 		switch (message.type) {
 			case 'routing': {
 				this.#options.beliefs.offerTable(message.table, `instance ${instance}`);
@@ -254,7 +248,12 @@
 			}
 
 			case 'load': {
-				for (const event of message.events) {
+				const events = decodeLoad(message.rows, incarnation);
+				if (events === undefined) {
+					connection.close('a peer sent load that can\'t be read');
+				}
+
+				for (const event of events ?? []) {
 					this.#options.onLoad(event);
 				}
 			}
@@ -268,7 +267,7 @@
 
 		this.#links.delete(link.instance);
 		this.#options.onCount(this.#links.size + 1);
-		this.#options.onLoad({type: 'owner-lost', owner: link.instance});
+		this.#options.onLoad({type: 'owner-lost', owner: link.incarnation});
 		this.#options.logger.warn('Peer lost.', {peer: link.instance, reason: link.connection.closeReason, peers: this.#links.size});
 	}
 }
--- a/src/policy/dispatch/index.ts
+++ b/src/policy/dispatch/index.ts
@@ -6,4 +6,4 @@
 export * from './retry-share.js';
 export * from './waiting-line.js';
 export * from './speed.js';
-export * from './load-schema.js';
+export * from './load-rows.js';
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -1,5 +1,5 @@
 import {type PromptPart, PartMemory} from './part-memory.js';
-import {createReadingSpeed, learnPace, learnReadingSpeed, type ReadingSpeed, readMilliseconds} from './speed.js';
+import {createReadingSpeed, learnReadingSpeed, type ReadingSpeed, readMilliseconds} from './speed.js';
 
 /** A request that an endpoint runs or is about to, whichever instance sent it. */
 export type Run = {
@@ -17,7 +17,7 @@
 /** What became of runs. */
 export type LoadEvent
 	= | {readonly type: 'placed'; readonly run: Run}
-		| {readonly type: 'first-event'; readonly id: string; readonly isMeasured: boolean}
+		| {readonly type: 'first-event'; readonly id: string}
 		| {readonly type: 'ended'; readonly id: string}
 		| {readonly type: 'owner-lost'; readonly owner: string}
 		| {readonly type: 'endpoint-restarted'; readonly endpoint: string};
@@ -25,8 +25,6 @@
 type Held = Run & {
 	readonly placedAt: number;
 	isRead: boolean;
-	/** True while nothing else was read there since it was placed. */
-	isAlone: boolean;
 };
 
 /** The load of one endpoint as placement sees it. */
@@ -47,6 +45,12 @@
 const firstWorkMilliseconds = 20;
 const workWeight = 0.05;
 
+/** A span that is not over yet; one in which a run ended unread tells nothing. */
+type Span = {readonly at: number; readonly isFromRest: boolean; readTokens: number; readRuns: number; isSpoilt: boolean};
+
+/** A span under load has no end of its own: it is taken as a sample after so many prompts, and goes on as the next. */
+const longestSpanRuns = 8;
+
 type Desk = {
 	readonly runs: Map<string, Held>;
 	/** Those without a first event, oldest first: what the engine still has to read. */
@@ -54,6 +58,8 @@
 	unreadTokens: number;
 	/** When the oldest of them came to its turn, as far as is known. */
 	turnAt: number;
+	/** Since when it has always had something to read, and what it has read since. */
+	span: Span;
 	readonly parts: PartMemory;
 	service: string;
 	share: number;
@@ -84,7 +90,7 @@
 			}
 
 			case 'first-event': {
-				this.#firstEvent(event, now);
+				this.#firstEvent(event.id, now);
 				return;
 			}
 
@@ -160,13 +166,9 @@
 		this.#desks.set(run.endpoint, desk);
 		const speed = this.speed(run.service);
 		const reading = readMilliseconds(speed, run.unreadTokens);
-		const isAlone = desk.unread.size === 0;
-		if (isAlone) {
+		if (desk.unread.size === 0) {
 			desk.turnAt = now;
-		}
-
-		for (const other of desk.unread.values()) {
-			other.isAlone = false;
+			desk.span = createSpan(now, true);
 		}
 
 		desk.service = run.service;
@@ -174,29 +176,33 @@
 		desk.shareAt = now;
 		desk.tightRuns += run.isTight ? 1 : 0;
 		desk.parts.use(run.parts);
-		const held = {...run, placedAt: now, isAlone, isRead: false};
+		const held = {...run, placedAt: now, isRead: false};
 		desk.runs.set(run.id, held);
 		desk.unread.set(run.id, held);
 		desk.unreadTokens += run.unreadTokens;
 		this.#runs.set(run.id, held);
 	}
 
-	#firstEvent({id, isMeasured}: Extract<LoadEvent, {type: 'first-event'}>, now: number): void {
+	#firstEvent(id: string, now: number): void {
 		const run = this.#runs.get(id);
 		const desk = run === undefined ? undefined : this.#desks.get(run.endpoint);
 		if (run === undefined || desk === undefined || run.isRead) {
 			return;
 		}
 
-		const [oldest] = desk.unread.values();
-		const wasNext = oldest === run && run.placedAt < desk.turnAt;
-		const turnMilliseconds = now - desk.turnAt;
 		noteRead(desk, run, now);
-		if (isMeasured && run.isAlone) {
-			this.#speeds.set(run.service, learnReadingSpeed(this.speed(run.service), run.unreadTokens, now - run.placedAt));
-		} else if (isMeasured && wasNext) {
-			this.#speeds.set(run.service, learnPace(this.speed(run.service), run.unreadTokens, turnMilliseconds));
+		desk.span.readTokens += run.unreadTokens;
+		desk.span.readRuns += 1;
+		if (desk.unread.size > 0 && desk.span.readRuns < longestSpanRuns) {
+			return;
 		}
+
+		const {at, isFromRest, readTokens, isSpoilt} = desk.span;
+		if (!isSpoilt) {
+			this.#speeds.set(run.service, learnReadingSpeed(this.speed(run.service), {tokens: readTokens, milliseconds: now - at, isFromRest}));
+		}
+
+		desk.span = createSpan(now, false);
 	}
 
 	#end(id: string, now: number): void {
@@ -211,6 +217,7 @@
 		desk.tightRuns -= run.isTight ? 1 : 0;
 		if (!run.isRead) {
 			noteRead(desk, run, now);
+			desk.span.isSpoilt = true;
 		}
 	}
 
@@ -234,7 +241,11 @@
 }
 
 function createDesk(memoryTokens: number): Desk {
-	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, parts: PartMemory.create(memoryTokens), service: '', share: 0, shareAt: 0, tightRuns: 0};
+	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, span: createSpan(0, true), parts: PartMemory.create(memoryTokens), service: '', share: 0, shareAt: 0, tightRuns: 0};
+}
+
+function createSpan(at: number, isFromRest: boolean): Span {
+	return {at, isFromRest, readTokens: 0, readRuns: 0, isSpoilt: false};
 }
 
 /** A run's prompt is read, or the run is over: the next one's turn begins. */
--- a/src/policy/dispatch/part-memory.ts
+++ b/src/policy/dispatch/part-memory.ts
@@ -1,5 +1,8 @@
-/** A part of a prompt, in its order; equal ids hold equal tokens. */
-export type PromptPart = {readonly id: string; readonly tokens: number};
+/**
+ * A part of a prompt, in its order; equal ids hold equal tokens. The id is a hash of 32 bits, which keeps
+ * messages between instances short; two parts that share one cost a wrong guess, not a wrong answer.
+ */
+export type PromptPart = {readonly id: number; readonly tokens: number};
 
 /**
  * The share of an engine's memory that kept parts are taken to fill: the rest is running requests and
@@ -18,7 +21,7 @@
 	}
 
 	readonly #limitTokens: number;
-	readonly #tokens = new Map<string, number>();
+	readonly #tokens = new Map<number, number>();
 	#total = 0;
 
 	private constructor(limitTokens: number) {
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -30,6 +30,8 @@
 	readonly tightestPauseMilliseconds: number;
 	/** How long it has passed over free endpoints for a better one. */
 	readonly waitedMilliseconds: number;
+	/** Since the request arrived. */
+	readonly elapsedMilliseconds: number;
 };
 
 /** An endpoint that may be used now. */
@@ -57,6 +59,7 @@
 /** None is good enough yet; the best is in about so long. */
 export type Wait = {
 	readonly type: 'wait';
+	readonly endpoint: string;
 	readonly milliseconds: number;
 	/** True if one is free, but a better one is worth waiting for: others may take the free one. */
 	readonly isForBetter: boolean;
@@ -64,14 +67,24 @@
 
 export type Choice = Place | Wait;
 
+/** When and from where a choice is made. */
+export type Circumstances = {
+	readonly zone: ZoneName;
+	readonly now: number;
+	/** Until this instance hears what another one has sent somewhere. */
+	readonly reactionMilliseconds: number;
+};
+
 /**
  * What may wait to be read at an endpoint before one more is sent there, for the most and the least
  * urgent; the rest waits here, where its order can change. A stream with the tightest pauses goes at
  * once. Instances have no common line: whoever may send at a longer backlog comes first everywhere,
- * since the least urgent come in only where next to nothing waits. Under the lower bound engines would
- * fall idle between two decisions; above the upper one an urgent stream finds a prompt or two before it.
+ * since the least urgent come in only where next to nothing waits. Under the lower bound, one and a half
+ * of the time in which instances hear of each other, engines would fall idle between two decisions;
+ * above the upper one an urgent stream finds a prompt or two before it.
  */
-const backlogBounds = {leastUrgent: 30, mostUrgent: 120};
+const reactionsInBacklog = 1.5;
+const urgentBacklogMilliseconds = 120;
 /** Tight streams may be so many above an endpoint's slots: it admits the urgent first, and preempts for them. */
 const slotsAbove = 4;
 /** Beside streams with tight pauses, what waits to be read stays under this part of their pause. */
@@ -80,10 +93,13 @@
 const otherZoneMilliseconds = 3;
 /**
  * Reading a token is paid once by the caller's wait and then by all that wait behind it: the more of
- * its time the service spends reading, the more of them there are.
+ * its time the service spends reading, the more of them there are. Failure: at the edge of overload
+ * requests tire of waiting for who holds their beginning, others read it again, and with that the
+ * service has twice the work and never comes back. At full load a saved token is therefore waited for
+ * fifty times its reading, which is longer than callers have.
  */
 const readingWeight = 5;
-const busyReadingWeight = 10;
+const busyReadingWeight = 45;
 /** A later endpoint in the order costs a tight stream so much more for each place: under the gain of an idle one. */
 const orderMilliseconds = 6;
 /** Above this part of its slots an endpoint takes no more tight streams while others have room. */
@@ -123,7 +139,7 @@
  * Chooses among candidates; at least one is needed. An endpoint that is behind is waited for only as
  * long as it is better than the best that is free by more than the wait so far.
  */
-export function choosePlace(book: LoadBook, demand: Demand, candidates: readonly Candidate[], {zone, now}: {zone: ZoneName; now: number}): Choice {
+export function choosePlace(book: LoadBook, demand: Demand, candidates: readonly Candidate[], {zone, now, reactionMilliseconds}: Circumstances): Choice {
 	const overview = overviewOf(book, candidates, now);
 	const homes = demand.isTight ? [] : homesOf(demand.parts, candidates, overview.takenByTight);
 	let free: Option | undefined;
@@ -131,7 +147,7 @@
 	let leastUnreadTokens = Infinity;
 	for (const [index, candidate] of candidates.entries()) {
 		const load = overview.loads[index]!;
-		const judged = candidate.isEngine ? judgeEngine(book, demand, candidate, {load, readingWeight: overview.readingWeight}) : judgeService(book, demand, candidate, load);
+		const judged = candidate.isEngine ? judgeEngine(book, demand, candidate, {load, readingWeight: overview.readingWeight, reactionMilliseconds}) : judgeService(book, demand, candidate, load);
 		const cost = judged.cost + (candidate.zone === zone ? 0 : otherZoneMilliseconds) - homeBonus(homes, candidate.id) + strangerCost(demand, homes, {id: candidate.id, unreadTokens: judged.unreadTokens});
 		leastUnreadTokens = Math.min(leastUnreadTokens, judged.unreadTokens);
 		if (judged.wait > 0) {
@@ -143,7 +159,7 @@
 
 	const isWorthWaiting = !demand.isTight && behind !== undefined && free !== undefined && behind.cost + behind.judged.wait + demand.waitedMilliseconds < free.cost;
 	if (free === undefined || isWorthWaiting) {
-		return {type: 'wait', milliseconds: behind?.judged.wait ?? 0, isForBetter: free !== undefined};
+		return {type: 'wait', endpoint: behind!.id, milliseconds: behind!.judged.wait, isForBetter: free !== undefined};
 	}
 
 	return {type: 'place', endpoint: free.id, unreadTokens: free.judged.unreadTokens, expectedMilliseconds: free.judged.expected, leastUnreadTokens};
@@ -164,34 +180,35 @@
 
 	const count = candidates.length;
 	const takenByTight = Math.ceil(tightRuns / (slots / count * tightFill));
-	return {loads, readingWeight: readingWeight + (busyReadingWeight * Math.min(1, reading / count)), takenByTight: takenByTight >= count ? 0 : takenByTight};
+	return {loads, readingWeight: readingWeight + (busyReadingWeight * (Math.min(1, reading / count) ** 2)), takenByTight: takenByTight >= count ? 0 : takenByTight};
 }
 
 type Judged = {readonly cost: number; readonly wait: number; readonly unreadTokens: number; readonly expected: number};
 
-function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {load, readingWeight: weight}: {load: EndpointLoad; readingWeight: number}): Judged {
+function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {load, readingWeight: weight, reactionMilliseconds}: {load: EndpointLoad; readingWeight: number; reactionMilliseconds: number}): Judged {
 	const speed = book.speed(demand.service);
 	const unreadTokens = book.unread(candidate.id, demand.parts);
 	const reading = readMilliseconds(speed, unreadTokens);
 	const expected = load.backlogMilliseconds + reading + speed.baseMilliseconds;
 	const slots = candidate.slots + (demand.isTight ? slotsAbove : 0);
-	const wait = load.running >= slots ? speed.baseMilliseconds : Math.max(0, load.backlogMilliseconds - bearableBacklog(demand, load.tightRuns));
+	const wait = load.running >= slots ? speed.baseMilliseconds : Math.max(0, load.backlogMilliseconds - bearableBacklog(demand, load.tightRuns, reactionMilliseconds * reactionsInBacklog));
 	const harm = demand.isTight
 		? tightCost(demand, candidate, {load, span: load.backlogMilliseconds + reading})
 		: Math.min(load.tightRuns, tightCounted) * reading * tightWeight;
-	const cost = load.backlogMilliseconds + (reading * weight) + lateness(expected, demand) + harm
+	const cost = load.backlogMilliseconds + (reading * weight) + lateness(wait + expected, demand) + harm
 		+ (load.running / candidate.slots * speed.baseMilliseconds);
 	return {cost, wait, unreadTokens, expected};
 }
 
-function bearableBacklog({urgency, urgencies, tightestPauseMilliseconds, isTight}: Demand, tightRuns: number): number {
+function bearableBacklog({urgency, urgencies, tightestPauseMilliseconds, isTight}: Demand, tightRuns: number, leastUrgent: number): number {
 	if (isTight) {
 		return Infinity;
 	}
 
 	const rank = urgencies.least === urgencies.most ? 1 : Math.min(1, Math.max(0, (urgency - urgencies.most) / (urgencies.least - urgencies.most)));
-	const own = backlogBounds.mostUrgent * ((backlogBounds.leastUrgent / backlogBounds.mostUrgent) ** rank);
-	return tightRuns === 0 ? own : Math.min(own, Math.max(backlogBounds.leastUrgent, tightestPauseMilliseconds * besideTightShare));
+	const mostUrgent = Math.max(leastUrgent, urgentBacklogMilliseconds);
+	const own = mostUrgent * ((leastUrgent / mostUrgent) ** rank);
+	return tightRuns === 0 ? own : Math.min(own, Math.max(leastUrgent, tightestPauseMilliseconds * besideTightShare));
 }
 
 function tightCost(demand: Demand, candidate: Candidate, {load, span}: {load: EndpointLoad; span: number}): number {
@@ -207,8 +224,8 @@
 	return {cost: running / candidate.slots * work, wait, unreadTokens: 0, expected};
 }
 
-function lateness(expected: number, {targetMilliseconds}: Demand): number {
-	return Math.max(0, expected - (targetMilliseconds * latenessShare)) * latenessWeight;
+function lateness(expected: number, {targetMilliseconds, elapsedMilliseconds}: Demand): number {
+	return Math.max(0, elapsedMilliseconds + expected - (targetMilliseconds * latenessShare)) * latenessWeight;
 }
 
 function homeBonus(homes: readonly string[], id: string): number {
@@ -229,10 +246,9 @@
 		return [];
 	}
 
-	const key = hash32(shared.id);
 	const homes: Array<{id: string; score: number}> = [];
 	for (const {id, hash, order} of candidates) {
-		const score = mixHashes(key, hash);
+		const score = mixHashes(shared.id, hash);
 		const last = homes.at(homeMilliseconds.length - 1);
 		if (order < takenByTight || (last !== undefined && score <= last.score)) {
 			continue;
@@ -246,6 +262,30 @@
 	return homes.map(({id}) => id);
 }
 
+/**
+ * Failure: an endpoint falls below the bound, and each of many instances that have requests for it sends
+ * one before it hears of the others. Symptom: first events come after five times the predicted time,
+ * and the urgent wait behind them. Chance lets in so many times what is read in that time.
+ */
+const chanceFactor = 2.5;
+
+/** What decides how many requests of all instances should take one place in one reaction. */
+export type Contention = {
+	/** Requests of other instances that are taken to want the same place. */
+	readonly contenders: number;
+	/** How often each of them is looked at. */
+	readonly lookMilliseconds: number;
+	/** How long the endpoint will read this one. */
+	readonly readingMilliseconds: number;
+	readonly reactionMilliseconds: number;
+};
+
+/** The chance with which a request that found a place takes it now. */
+export function chanceOfPlace({contenders, lookMilliseconds, readingMilliseconds, reactionMilliseconds}: Contention): number {
+	const readInReaction = reactionMilliseconds * (1 + reactionsInBacklog) / Math.max(readingMilliseconds, 1);
+	return Math.min(1, chanceFactor * readInReaction * lookMilliseconds / reactionMilliseconds / Math.max(contenders, Number.EPSILON));
+}
+
 /** Gives candidates their place in the order in which tight streams fill them; ids decide, so all instances agree. */
 export function inOrder(candidates: ReadonlyArray<Omit<Candidate, 'hash' | 'order'>>): Candidate[] {
 	const hashed = candidates.map(candidate => ({...candidate, hash: hash32(candidate.id)}));
--- a/src/policy/dispatch/waiting-line.ts
+++ b/src/policy/dispatch/waiting-line.ts
@@ -1,8 +1,9 @@
 /**
  * Load pattern: demand above what the endpoints can do. Served in order of arrival, urgent requests
- * wait behind drafts and one workspace's burst holds up its rivals. The line is ordered by urgency,
- * then by how much of the service each workspace had lately, then by arrival; every eighth place goes
- * to whoever waited longest, so that nobody starves.
+ * wait behind drafts, one workspace's burst holds up its rivals, and once the wait is longer than the
+ * target, everyone is served late. The line is ordered by urgency, then those that can still be in time
+ * before the others, then by how much of the service each workspace had lately, then by arrival; every
+ * eighth place goes to whoever waited longest, so that nobody starves.
  */
 export type Waiting = {
 	readonly id: string;
@@ -12,6 +13,8 @@
 	/** Tokens or other work that it asks for. */
 	readonly work: number;
 	readonly arrivedAt: number;
+	/** Started later than this it misses its target. */
+	readonly inTimeUntil: number;
 	/** After this it can't be answered any more. */
 	readonly lastStartAt: number;
 };
@@ -20,6 +23,8 @@
 const longestWaitingTurn = 8;
 /** What a workspace had is forgotten by half in about this time. */
 const memoryMilliseconds = 4000;
+/** The work that left the line is averaged over about a second: longer than the gaps between long prompts. */
+const rateMilliseconds = 1000;
 
 /** A pure value: who waits, and what each workspace had lately. */
 export class WaitingLine {
@@ -29,6 +34,7 @@
 
 	readonly #waiting = new Map<string, Waiting>();
 	readonly #had = new Map<string, {work: number; at: number}>();
+	readonly #started = new Map<string, {work: number; at: number}>();
 	#turn = 0;
 
 	get size(): number {
@@ -44,8 +50,14 @@
 	}
 
 	/** A workspace's request was placed. */
-	charge(workspace: string, work: number, now: number): void {
+	charge({workspace, service, work}: Pick<Waiting, 'workspace' | 'service' | 'work'>, now: number): void {
 		this.#had.set(workspace, {work: this.#recentWork(workspace, now) + work, at: now});
+		this.#started.set(service, {work: this.#recentlyStarted(service, now) + work, at: now});
+	}
+
+	/** Work that a service's requests were placed with lately, for each millisecond. */
+	startedWorkRate(service: string, now: number): number {
+		return this.#recentlyStarted(service, now) / rateMilliseconds;
 	}
 
 	/** Those that can't be started in time any more. */
@@ -58,6 +70,7 @@
 		const all = [...this.#waiting.values()];
 		const recent = new Map(all.map(({workspace}) => [workspace, this.#recentWork(workspace, now)]));
 		all.sort((left, right) => left.urgency - right.urgency
+			|| Number(now > left.inTimeUntil) - Number(now > right.inTimeUntil)
 			|| (recent.get(left.workspace) ?? 0) - (recent.get(right.workspace) ?? 0)
 			|| left.arrivedAt - right.arrivedAt);
 		this.#turn += 1;
@@ -83,6 +96,11 @@
 		return {count, work};
 	}
 
+	#recentlyStarted(service: string, now: number): number {
+		const held = this.#started.get(service);
+		return held === undefined ? 0 : held.work * Math.exp((held.at - now) / rateMilliseconds);
+	}
+
 	#recentWork(workspace: string, now: number): number {
 		const held = this.#had.get(workspace);
 		return held === undefined ? 0 : held.work * (0.5 ** ((now - held.at) / memoryMilliseconds));
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -1,7 +1,6 @@
 import {z} from 'zod';
 import {FailureKind, Verdict} from '../model/index.js';
 import {quarantineRecordSchema} from '../policy/quarantine/index.js';
-import {loadEventSchema} from '../policy/dispatch/index.js';
 import {endpointChangeSchema, routingTableSchema} from '../routing/index.js';
 
 /**
@@ -124,7 +123,7 @@
 /** Gateway to gateway: endpoints that registered or ended. */
 const endpoints = z.object({type: z.literal('endpoints'), changes: z.array(endpointChangeSchema)});
 /** Gateway to gateway: what it placed and what ended, in order. */
-const load = z.object({type: z.literal('load'), events: z.array(loadEventSchema)});
+const load = z.object({type: z.literal('load'), rows: z.array(z.custom<readonly unknown[]>(row => Array.isArray(row), 'not a row'))});
 
 /** Every message, by `type`. */
 export const messageSchema = z.discriminatedUnion('type', [
@@ -167,4 +166,4 @@
 export type StreamMessage = Extract<Message, {stream: number}>;
 
 /** The version that both ends must name in `hello`. */
-export const protocolVersion = 1;
+export const protocolVersion = 2;
--- a/test/adapter/adapter.test.ts
+++ b/test/adapter/adapter.test.ts
@@ -10,6 +10,7 @@
 import {type Route, RouteKind, RoutingTable, routingTableSchema} from '../../src/routing/index.js';
 import {PlatformError} from '../../src/platform/index.js';
 import {desiredState} from '../../fakes/platform-state.js';
+import {hash32} from '../../src/policy/hashing/index.js';
 
 const route: Route = {
 	name: 'r', host: 'a.example', pathPrefix: '/x/', kind: RouteKind.stream, resumable: false, shares: [{service: 's', weight: 1}], timeoutMilliseconds: 1000,
@@ -30,7 +31,7 @@
 
 tap.test('what a caller says is read once, and what is malformed is named', async t => {
 	const read = requestCodec.readRequest({'request-id': 'a', 'deadline-ms': '250.5', authorization: 'Bearer k', 'prefix-hash': '5c:800,91:410', 'token-usage': '1210,80', 'length-hint': '40'});
-	t.same(read, {type: 'facts', facts: {id: 'a', deadlineMilliseconds: 250.5, key: 'k', parts: [{id: '5c', tokens: 800}, {id: '91', tokens: 410}], outputTokens: 40}});
+	t.same(read, {type: 'facts', facts: {id: 'a', deadlineMilliseconds: 250.5, key: 'k', parts: [{id: hash32('5c'), tokens: 800}, {id: hash32('91'), tokens: 410}], outputTokens: 40}});
 	t.match(requestCodec.readRequest({}), {type: 'wrong', message: /Request-Id/v});
 	t.match(requestCodec.readRequest({'request-id': 'a', 'deadline-ms': '-1'}), {type: 'wrong', message: /Deadline-Ms/v});
 	t.match(requestCodec.readRequest({'request-id': 'a', 'prefix-hash': 'zz,:,1:x'}), {type: 'facts', facts: {parts: []}});
--- a/test/gateway/dispatcher.test.ts
+++ b/test/gateway/dispatcher.test.ts
@@ -18,7 +18,7 @@
 	}, 'store');
 	beliefs.offerEndpoints(endpoints.map((one, offset) => ({type: 'registered', offset, record: one})), 'store', performance.now());
 	return Dispatcher.create({
-		instance: 'a' as InstanceId, zone, beliefs, logger: quiet, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, random: () => 0.5, onLoad: () => undefined,
+		incarnation: 'a' as InstanceId, zone, beliefs, logger: quiet, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, random: () => 0.5, onLoad: () => undefined,
 	});
 }
 
@@ -26,10 +26,10 @@
 	const decisions: Decision[] = [];
 	const now = performance.now();
 	const ticket: Ticket = {
-		id, workspace: 'w', service: 'models', urgency: 1, work: 2000, arrivedAt: now, lastStartAt: now + 2000, excluded: new Set(), isIdempotent: true,
+		id, workspace: 'w', service: 'models', urgency: 1, work: 2000, arrivedAt: now, inTimeUntil: now + 300, lastStartAt: now + 2000, excluded: new Set(), isIdempotent: true,
 		demand: {
-			service: 'models', urgency: 1, urgencies: {most: 1, least: 2}, targetMilliseconds: 400, parts: [{id: 'p', tokens: 2000}], isTight: false,
-			pauseMilliseconds: 300, tightestPauseMilliseconds: 200, waitedMilliseconds: 0,
+			service: 'models', urgency: 1, urgencies: {most: 1, least: 2}, targetMilliseconds: 400, parts: [{id: 1, tokens: 2000}], isTight: false,
+			pauseMilliseconds: 300, tightestPauseMilliseconds: 200, waitedMilliseconds: 0, elapsedMilliseconds: 0,
 		},
 		onDecision(decision) {
 			decisions.push(decision);
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -2,11 +2,12 @@
 import tap from 'tap';
 import {type ZoneName} from '../../src/model/index.js';
 import {
-	availability, type Candidate, choosePlace, createEndpointHealth, createReadingSpeed, type Demand, inOrder, learnPace, learnReadingSpeed, LoadBook, PartMemory, RetryShare,
-	stepEndpointHealth, type Waiting, WaitingLine,
+	availability, type Candidate, chanceOfPlace, choosePlace, createEndpointHealth, createReadingSpeed, decodeLoad, type Demand, encodeLoad, inOrder, learnReadingSpeed, LoadBook,
+	type LoadEvent, PartMemory, RetryShare, runId, stepEndpointHealth, type Waiting, WaitingLine,
 } from '../../src/policy/dispatch/index.js';
 
 const zone = 'zone-a' as ZoneName;
+const reactionMilliseconds = 20;
 
 function candidates(count: number, slots = 16): Candidate[] {
 	return inOrder(Array.from({length: count}, (_, index) => ({id: `endpoint-${index}`, zone, slots, isEngine: true})));
@@ -14,7 +15,7 @@
 
 function demand(more: Partial<Demand> = {}): Demand {
 	return {
-		service: 'models', urgency: 2, urgencies: {most: 1, least: 2}, targetMilliseconds: 600, parts: [], isTight: false, pauseMilliseconds: 500, tightestPauseMilliseconds: 120, waitedMilliseconds: 0, ...more,
+		service: 'models', urgency: 2, urgencies: {most: 1, least: 2}, targetMilliseconds: 600, parts: [], isTight: false, pauseMilliseconds: 500, tightestPauseMilliseconds: 120, waitedMilliseconds: 0, elapsedMilliseconds: 0, ...more,
 	};
 }
 
@@ -29,7 +30,7 @@
 
 let runs = 0;
 function place(book: LoadBook, wanted: Demand, all: readonly Candidate[], now: number): string | undefined {
-	const choice = choosePlace(book, wanted, all, {zone, now});
+	const choice = choosePlace(book, wanted, all, {zone, now, reactionMilliseconds});
 	if (choice.type !== 'place') {
 		return undefined;
 	}
@@ -42,7 +43,7 @@
 }
 
 function prompt(subject: number, own: number): Demand['parts'] {
-	return [{id: 'manual', tokens: 2500}, {id: `subject-${subject}`, tokens: 3800}, {id: `own-${own}`, tokens: 2900}];
+	return [{id: 1, tokens: 2500}, {id: 1000 + subject, tokens: 3800}, {id: 1_000_000 + own, tokens: 2900}];
 }
 
 // A burst of long prompts over many subjects. Placed without regard to what engines hold, each subject
@@ -55,7 +56,7 @@
 		const subject = number * 7 % 30;
 		// One at a time, each read before the next comes.
 		const endpoint = place(book, demand({parts: prompt(subject, number)}), all, number * 60)!;
-		book.step({type: 'first-event', id: `run-${runs}`, isMeasured: false}, (number * 60) + 30);
+		book.step({type: 'first-event', id: `run-${runs}`}, (number * 60) + 30);
 		book.step({type: 'ended', id: `run-${runs}`}, (number * 60) + 50);
 		seen.set(subject, (seen.get(subject) ?? new Set()).add(endpoint));
 	}
@@ -71,8 +72,8 @@
 	const book = bookFor(all);
 	const tight = new Set<string>();
 	for (let number = 0; number < 8; number++) {
-		tight.add(place(book, demand({isTight: true, urgency: 0, targetMilliseconds: 150, pauseMilliseconds: 120, parts: [{id: `q-${number}`, tokens: 400}]}), all, 0)!);
-		book.step({type: 'first-event', id: `run-${runs}`, isMeasured: false}, 0);
+		tight.add(place(book, demand({isTight: true, urgency: 0, targetMilliseconds: 150, pauseMilliseconds: 120, parts: [{id: 500 + number, tokens: 400}]}), all, 0)!);
+		book.step({type: 'first-event', id: `run-${runs}`}, 0);
 	}
 
 	t.ok(tight.size <= 2, 'they share few endpoints');
@@ -97,16 +98,16 @@
 		t.ok(book.load(id, 0).backlogMilliseconds < 300);
 	}
 
-	t.ok(place(book, demand({isTight: true, urgency: 0, targetMilliseconds: 150, pauseMilliseconds: 120, parts: [{id: 'q', tokens: 400}]}), all, 0));
+	t.ok(place(book, demand({isTight: true, urgency: 0, targetMilliseconds: 150, pauseMilliseconds: 120, parts: [{id: 500, tokens: 400}]}), all, 0));
 });
 
 tap.test('an endpoint without a free slot takes no more, and one with fewer runs comes first', async t => {
 	const all = candidates(2, 2);
 	const book = bookFor(all);
-	const small = demand({parts: [{id: 'x', tokens: 10}], targetMilliseconds: 100});
+	const small = demand({parts: [{id: 7, tokens: 10}], targetMilliseconds: 100});
 	const endpoints = [0, 1, 2, 3].map(() => place(book, small, all, 0));
 	t.equal(new Set(endpoints).size, 2);
-	t.equal(choosePlace(book, small, all, {zone, now: 0}).type, 'wait');
+	t.equal(choosePlace(book, small, all, {zone, now: 0, reactionMilliseconds}).type, 'wait');
 });
 
 tap.test('what another instance placed counts until it ends, or until that instance is lost', async t => {
@@ -127,23 +128,103 @@
 		for (const [tokens, luck] of samples) {
 			// Three in ten samples met work that nobody told of.
 			const disturbed = luck < 3 ? 3 : 1;
-			speed = learnPace(speed, tokens, tokens / pace * disturbed);
+			speed = learnReadingSpeed(speed, {tokens, milliseconds: tokens / pace * disturbed, isFromRest: false});
 		}
 
 		return speed.tokensPerMillisecond > pace * 0.7 && speed.tokensPerMillisecond < pace * 1.35;
 	}), {seed: 11, numRuns: 30});
-	const short = learnReadingSpeed(createReadingSpeed(), 100, 60);
+	const short = learnReadingSpeed(createReadingSpeed(), {tokens: 100, milliseconds: 60, isFromRest: true});
 	t.equal(short.tokensPerMillisecond, createReadingSpeed().tokensPerMillisecond);
 });
 
+// An engine reads two prompts side by side, so that the second one's first event follows the first one's
+// at once. Taken one by one, the second looks read at thousands of tokens a millisecond, and backlogs
+// half as long as they are; callers then wait behind prompts that were sent where they had no room.
+tap.test('prompts that are read side by side do not make the engine look faster', async t => {
+	const book = LoadBook.create();
+	const pace = 70;
+	const base = 45;
+	for (let round = 0; round < 120; round++) {
+		const at = round * 1000;
+		const tokens = [3000 + (round % 7 * 500), 2500 + (round % 5 * 700)];
+		const whole = base + ((tokens[0]! + tokens[1]!) / pace);
+		for (const [index, unreadTokens] of tokens.entries()) {
+			book.step({type: 'placed', run: {id: `a/${round}-${index}`, owner: 'a', endpoint: 'e', service: 'models', unreadTokens, isTight: false, parts: []}}, at + index);
+		}
+
+		book.step({type: 'first-event', id: `a/${round}-0`}, at + whole - 3);
+		book.step({type: 'first-event', id: `a/${round}-1`}, at + whole);
+		book.step({type: 'ended', id: `a/${round}-0`}, at + whole + 100);
+		book.step({type: 'ended', id: `a/${round}-1`}, at + whole + 100);
+	}
+
+	const {tokensPerMillisecond} = book.speed('models');
+	t.ok(tokensPerMillisecond > pace * 0.85 && tokensPerMillisecond < pace * 1.15, `${tokensPerMillisecond} tokens a millisecond`);
+});
+
+// At the edge of overload the engine that holds a beginning is behind. Requests that tire of waiting have
+// it read again elsewhere, which doubles the work of all and makes the overload last; their callers, and
+// those behind them, are then all late. At full load they wait; with idle engines they do not.
+tap.test('a long beginning is not read again while all engines are busy reading', async t => {
+	const all = candidates(6);
+	const book = bookFor(all);
+	const holder = place(book, demand({parts: prompt(1, 0)}), all, 0)!;
+	book.step({type: 'first-event', id: `run-${runs}`}, 80);
+	// Reading has taken all of the engines' last seconds; the holder alone has a backlog now.
+	const held = (id: string, now: number): string => `${id}-${now}`;
+	for (let now = 100; now <= 4000; now += 100) {
+		for (const {id} of all) {
+			book.step({type: 'placed', run: {id: held(id, now), owner: 'b', endpoint: id, service: 'models', unreadTokens: 9000, isTight: false, parts: []}}, now);
+			book.step({type: 'first-event', id: held(id, now - 100)}, now + 1);
+			book.step({type: 'ended', id: held(id, now - 100)}, now + 1);
+		}
+	}
+
+	for (const {id} of all) {
+		book.step({type: 'ended', id: held(id, 4000)}, 4000);
+	}
+
+	book.step({type: 'placed', run: {id: 'behind', owner: 'b', endpoint: holder, service: 'models', unreadTokens: 20_000, isTight: false, parts: []}}, 4000);
+	const wanted = demand({parts: prompt(1, 1), waitedMilliseconds: 400, elapsedMilliseconds: 400, targetMilliseconds: 1200});
+	t.match(choosePlace(book, wanted, all, {zone, now: 4000, reactionMilliseconds}), {type: 'wait', endpoint: holder});
+	t.match(choosePlace(book, {...wanted, waitedMilliseconds: 900, elapsedMilliseconds: 900}, all, {zone, now: 20_000, reactionMilliseconds}), {type: 'place'}, 'after a rest nobody waits so long');
+});
+
+tap.test('so many of several instances take one place together as it can read until they hear of each other', async t => {
+	const contention = {contenders: 20, lookMilliseconds: 16, readingMilliseconds: 60, reactionMilliseconds: 50};
+	const chance = chanceOfPlace(contention);
+	const expected = chance * contention.contenders * contention.reactionMilliseconds / contention.lookMilliseconds;
+	t.ok(expected > 2 && expected < 12, `${expected} sent in one reaction`);
+	t.equal(chanceOfPlace({...contention, contenders: 0}), 1);
+	t.ok(chanceOfPlace({...contention, readingMilliseconds: 10}) > chance, 'short prompts fill no engine');
+});
+
+tap.test('load travels in rows that name no owner, and what is no row is refused', async t => {
+	const parts = fc.array(fc.record({id: fc.nat(0xFF_FF_FF_FF), tokens: fc.nat(50_000)}), {maxLength: 6});
+	const number = fc.nat(1_000_000);
+	const event: fc.Arbitrary<LoadEvent> = fc.oneof(
+		fc.record({type: fc.constant('placed' as const), run: fc.record({
+			id: number.map(value => runId('a', value)), owner: fc.constant('a'), endpoint: fc.constant('e-1'), service: fc.constant('models'), unreadTokens: fc.nat(50_000), isTight: fc.boolean(), parts,
+		})}),
+		fc.record({type: fc.constant('first-event' as const), id: number.map(value => runId('a', value))}),
+		fc.record({type: fc.constant('ended' as const), id: number.map(value => runId('a', value))}),
+	);
+	fc.assert(fc.property(fc.array(event, {maxLength: 20}), events => {
+		t.same(decodeLoad(encodeLoad(events), 'a'), events);
+	}), {seed: 3, numRuns: 50});
+	for (const wrong of [[['x', 1]], [[0, 1, '', 'models', 1, 0]], [[0, 1, 'e', 'models', 1, 0, 5]], [[1]], [[1, -1]], ['text'], [[0, 1, 'e', 'models', 1, 0, 5, 'x']]]) {
+		t.equal(decodeLoad(wrong, 'a'), undefined, JSON.stringify(wrong));
+	}
+});
+
 tap.test('a part helps only if all before it are held, and the least recently used goes first', async t => {
 	const memory = PartMemory.create(4000);
-	const [first, second, third] = [{id: 'a', tokens: 1000}, {id: 'b', tokens: 1000}, {id: 'c', tokens: 1000}];
+	const [first, second, third] = [{id: 1, tokens: 1000}, {id: 2, tokens: 1000}, {id: 3, tokens: 1000}];
 	memory.use([first, second]);
 	t.equal(memory.unread([first, second, third]), 1000);
 	t.equal(memory.unread([third, first]), 2000);
 	memory.use([third]);
-	memory.use([{id: 'd', tokens: 1000}]);
+	memory.use([{id: 4, tokens: 1000}]);
 	t.equal(memory.unread([first]), 1000, 'the oldest went');
 });
 
@@ -213,12 +294,12 @@
 });
 
 function waiting(id: string, more: Partial<Waiting> = {}): Waiting {
-	return {id, workspace: 'w', service: 's', urgency: 1, work: 1, arrivedAt: 0, lastStartAt: 1000, ...more};
+	return {id, workspace: 'w', service: 's', urgency: 1, work: 1, arrivedAt: 0, inTimeUntil: 500, lastStartAt: 1000, ...more};
 }
 
 tap.test('the line goes by urgency, then by what a workspace had, then by arrival', async t => {
 	const line = WaitingLine.create();
-	line.charge('greedy', 1000, 0);
+	line.charge(waiting('before', {workspace: 'greedy', work: 1000}), 0);
 	line.add(waiting('late', {arrivedAt: 2}));
 	line.add(waiting('greedy', {workspace: 'greedy', arrivedAt: 0}));
 	line.add(waiting('urgent', {urgency: 0, arrivedAt: 3}));
@@ -227,6 +308,28 @@
 	t.same(line.expired(2000).length, 4);
 });
 
+// A burst left a long line. Served by arrival alone, each of them is late when its turn comes, and so is
+// everyone after; those that can still be in time go first, and the late ones follow.
+tap.test('who can still be in time goes before who is late, within one urgency', async t => {
+	const line = WaitingLine.create();
+	line.add(waiting('late', {arrivedAt: 0, inTimeUntil: 400}));
+	line.add(waiting('in-time', {arrivedAt: 300, inTimeUntil: 700}));
+	line.add(waiting('late-urgent', {urgency: 0, arrivedAt: 0, inTimeUntil: 100}));
+	t.same(line.ordered(500).map(({id}) => id), ['late-urgent', 'in-time', 'late']);
+});
+
+tap.test('the rate at which work was started falls with time', async t => {
+	const line = WaitingLine.create();
+	t.equal(line.startedWorkRate('s', 0), 0);
+	for (let now = 0; now < 5000; now += 10) {
+		line.charge(waiting('x', {work: 500}), now);
+	}
+
+	const rate = line.startedWorkRate('s', 5000);
+	t.ok(rate > 40 && rate < 60, `${rate} a millisecond of 50`);
+	t.ok(line.startedWorkRate('s', 9000) < 2);
+});
+
 // An endless burst of urgent requests: the least urgent one still has its turn.
 tap.test('nobody starves in the line', async t => {
 	const line = WaitingLine.create();
