Let the urgent in at four times the backlog, and set the first home apart

Cause: among 23 to 26 instances the backlogs allowed to the least and the most urgent were 74 to 86 and 120 ms, less apart than backlogs move before all hear of it. Ruled out: start (370 ms), the store (table in force 11 ms after the start), peers (connected within 1.1 s). Change: a factor of four; homes are 80, 40, 20 and 10 ms better.

--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -81,10 +81,11 @@
  * once. Instances have no common line: whoever may send at a longer backlog comes first everywhere,
  * since the least urgent come in only where next to nothing waits. Under the lower bound, one and a half
  * of the time in which instances hear of each other, engines would fall idle between two decisions;
- * above the upper one an urgent stream finds a prompt or two before it.
+ * above the upper one, four times as long, an urgent stream finds a prompt or two before it. Backlogs
+ * move by more than the lower bound before all have heard of it: a smaller factor orders nothing.
  */
 const reactionsInBacklog = 1.5;
-const urgentBacklogMilliseconds = 120;
+const urgentFactor = 4;
 /** Tight streams may be so many above an endpoint's slots: it admits the urgent first, and preempts for them. */
 const slotsAbove = 4;
 /** Beside streams with tight pauses, what waits to be read stays under this part of their pause. */
@@ -121,7 +122,7 @@
  * can't take meets on the next. Without that, many instances send what they spill to the same idle
  * endpoint before they hear of each other.
  */
-const homeMilliseconds = [40, 30, 20, 10] as const;
+const homeMilliseconds = [80, 40, 20, 10] as const;
 /** An endpoint that neither is a home nor holds the beginning is worse by so much, unless the request has passed over for as long. */
 const strangerMilliseconds = 80;
 
@@ -206,7 +207,7 @@
 	}
 
 	const rank = urgencies.least === urgencies.most ? 1 : Math.min(1, Math.max(0, (urgency - urgencies.most) / (urgencies.least - urgencies.most)));
-	const mostUrgent = Math.max(leastUrgent, urgentBacklogMilliseconds);
+	const mostUrgent = leastUrgent * urgentFactor;
 	const own = mostUrgent * ((leastUrgent / mostUrgent) ** rank);
 	return tightRuns === 0 ? own : Math.min(own, Math.max(leastUrgent, tightestPauseMilliseconds * besideTightShare));
 }
