Tell peers the version of a routing table, and send the table to those that ask

Each instance sent each table to each of 25 others as soon as it had it. Ruled out: the endpoints (instances on large links had none), the store, the load. Change: versions are told; who still lacks one after 0.4 s (0.1 s without any table) asks one of those that have it. A start no longer receives the table from every peer either.

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -39,7 +39,15 @@
  */
 const largestPeers = 32;
 
-type Link = {readonly connection: Connection; readonly instance: string; readonly incarnation: string};
+/**
+ * Failure: each instance sends each new table to each other one. Symptom: ten changes in four seconds are
+ * 25 x 15 kB each, both ways, which fills the link of a small instance; connections to endpoints then
+ * take over 350 ms, and all of them look unreachable. Only the version is told. Who lacks it for longer
+ * than the store needs asks one of those that have it: at once where it has no table at all.
+ */
+const pullMilliseconds = {withoutTable: 100, behind: 400, spread: 200};
+
+type Link = {readonly connection: Connection; readonly instance: string; readonly incarnation: string; routingVersion: number};
 
 /**
  * The other gateways. Failures: the store refuses this instance or is down while the operator
@@ -67,13 +75,14 @@
 	readonly #tries = new Map<string, {at: number; pause: number}>();
 	#listener: Listener | undefined;
 	#unsent: LoadEvent[] = [];
+	#pull: NodeJS.Timeout | undefined;
 	#isClosed = false;
 
 	private constructor(options: PeersOptions) {
 		this.#options = options;
 		options.beliefs.onChange(change => {
 			const message: GatewayMessage = change.type === 'table'
-				? {type: 'routing', table: change.input}
+				? {type: 'routing-version', version: change.input.version}
 				: {type: 'endpoints', changes: [...change.changes]};
 			this.#broadcast(message);
 		});
@@ -115,6 +124,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#isClosed = true;
+		clearTimeout(this.#pull);
 		await this.#listener?.[Symbol.asyncDispose]();
 		await Promise.all([...this.#links.values()].map(async ({connection}) => connection[Symbol.asyncDispose]()));
 	}
@@ -220,7 +230,7 @@
 		}
 
 		held?.connection.close('the peer has started anew');
-		const link = {connection, instance: hello.instance, incarnation: hello.incarnation};
+		const link = {connection, instance: hello.instance, incarnation: hello.incarnation, routingVersion: -Infinity};
 		this.#links.set(hello.instance, link);
 		this.#options.onCount(this.#links.size + 1);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
@@ -231,7 +241,7 @@
 	#sendBeliefs(connection: Connection): void {
 		const {tableInput, directory} = this.#options.beliefs;
 		if (tableInput !== undefined) {
-			connection.send({type: 'routing', table: tableInput});
+			connection.send({type: 'routing-version', version: tableInput.version});
 		}
 
 		const changes = [...directory.entries.values()].map(({record, offset, endedAt}): EndpointChange => endedAt === undefined || record.isLeaving
@@ -240,8 +250,24 @@
 		connection.send({type: 'endpoints', changes});
 	}
 
-	#hear(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {connection, instance, incarnation}: Link): void {
+	#hear(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, link: Link): void {
+		const {connection, instance, incarnation} = link;
 		switch (message.type) {
+			case 'routing-version': {
+				link.routingVersion = message.version;
+				this.#pullLater();
+				return;
+			}
+
+			case 'routing-wanted': {
+				const {tableInput} = this.#options.beliefs;
+				if (tableInput !== undefined) {
+					connection.send({type: 'routing', table: tableInput});
+				}
+
+				return;
+			}
+
 			case 'routing': {
 				this.#options.beliefs.offerTable(message.table, `instance ${instance}`);
 				return;
@@ -265,6 +291,30 @@
 		}
 	}
 
+	/** Asks for a newer table if the store has not brought it by then, and again as long as it is not here. */
+	#pullLater(): void {
+		if (this.#pull !== undefined || this.#newer().length === 0) {
+			return;
+		}
+
+		const least = this.#options.beliefs.table === undefined ? pullMilliseconds.withoutTable : pullMilliseconds.behind;
+		this.#pull = setTimeout(() => {
+			this.#pull = undefined;
+			const newer = this.#newer();
+			const asked = newer[Math.floor(Math.random() * newer.length)];
+			if (asked !== undefined) {
+				this.#options.logger.info('Asking a peer for its routing table.', {peer: asked.instance, version: asked.routingVersion, before: this.#options.beliefs.table?.version});
+				asked.connection.send({type: 'routing-wanted'});
+				this.#pullLater();
+			}
+		}, least + (Math.random() * pullMilliseconds.spread));
+	}
+
+	#newer(): Link[] {
+		const version = this.#options.beliefs.table?.version ?? -Infinity;
+		return [...this.#links.values()].filter(({routingVersion}) => routingVersion > version);
+	}
+
 	#drop(link: Link | undefined): void {
 		if (link === undefined || this.#links.get(link.instance) !== link) {
 			return;
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -118,7 +118,11 @@
 
 /** Between gateways, first on each connection. */
 const gatewayHello = z.object({type: z.literal('gateway-hello'), protocol: z.number().int(), instance: text, incarnation: text});
-/** Gateway to gateway: the whole routing table that it has in force. */
+/** Gateway to gateway: the version of the routing table that it has in force. */
+const routingVersion = z.object({type: z.literal('routing-version'), version: z.number()});
+/** Gateway to gateway: the sender wants that table. */
+const routingWanted = z.object({type: z.literal('routing-wanted')});
+/** Gateway to gateway: the whole routing table that it has in force, to one that wants it. */
 const routing = z.object({type: z.literal('routing'), table: routingTableSchema});
 /** Gateway to gateway: endpoints that registered or ended. */
 const endpoints = z.object({type: z.literal('endpoints'), changes: z.array(endpointChangeSchema)});
@@ -149,6 +153,8 @@
 	limitReport,
 	limitLease,
 	gatewayHello,
+	routingVersion,
+	routingWanted,
 	routing,
 	endpoints,
 	load,
@@ -156,10 +162,12 @@
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
 /** What only gateways send each other. */
-export type GatewayMessage = MessageOf<'gateway-hello' | 'routing' | 'endpoints' | 'load'>;
+export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load'>;
+
+const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load']);
 
 export function isGatewayMessage(message: Message): message is GatewayMessage {
-	return message.type === 'gateway-hello' || message.type === 'routing' || message.type === 'endpoints' || message.type === 'load';
+	return gatewayTypes.has(message.type);
 }
 
 /** The messages that belong to one request. */
