Leave a leaving endpoint alone while its service has others

A request had failed at one of three endpoints of a plain service, the second was set aside, and the third, known to leave for under 1.2 s, was its last resort; word of leaving was up to 1.4 s old by then. The two times were each inside two seconds, not together. Change: an ended endpoint is a resort only where the service has no other one, be it one that this request has been at; one that said itself that it leaves for 0.3 s.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -254,11 +254,17 @@
 		return true;
 	}
 
-	/** Ready and healthy ones; what is suspended or on its way out only where nothing else is left. */
+	/**
+	 * Ready and healthy ones; what is suspended only where nothing else is left. What is on its way out is a
+	 * resort only where the service has no other endpoint at all, be it one that this request has been at:
+	 * word of a leaving is up to 1.4 s old.
+	 */
 	#usable(ticket: Ticket, now: number): {readonly trial: Known | undefined; readonly usable: readonly Known[]} {
 		const lists = {open: [] as Known[], trial: [] as Known[], suspended: [] as Known[], ending: [] as Known[]};
+		let hasReady = false;
 		for (const known of this.#knownOf(ticket.demand.service)) {
 			const standing = standingOf(known.entry, now);
+			hasReady ||= standing === Standing.ready;
 			if (standing === Standing.gone || ticket.excluded.has(known.record.id)) {
 				continue;
 			}
@@ -267,7 +273,7 @@
 			lists[standing === Standing.ready ? (health === undefined ? 'open' : availability(health, now)) : 'ending'].push(known);
 		}
 
-		const usable = [lists.open, lists.trial, lists.suspended, lists.ending].find(list => list.length > 0) ?? [];
+		const usable = [lists.open, lists.trial, lists.suspended, hasReady ? [] : lists.ending].find(list => list.length > 0) ?? [];
 		return {trial: ticket.isIdempotent ? lists.trial[0] : undefined, usable};
 	}
 
--- a/src/routing/endpoint-directory.ts
+++ b/src/routing/endpoint-directory.ts
@@ -20,9 +20,14 @@
 /**
  * Failure: the store forgets endpoints that could not reach it, and with them a whole service.
  * Symptom: each request is refused although the endpoints serve. An ended endpoint therefore stays
- * a last resort for a while; the time is well inside the shortest drain, which is two seconds.
+ * a last resort for a while: shorter than the two seconds in which those that are well are back.
  */
 export const lastResortMilliseconds = 1200;
+/**
+ * One that said itself that it leaves: with the 1.4 s between two readings of the store that is inside the
+ * shortest drain, two seconds.
+ */
+export const leavingLastResortMilliseconds = 300;
 /** An ended endpoint is remembered so long, so that an old record can't bring it back. */
 export const memoryMilliseconds = 120_000;
 
@@ -72,12 +77,13 @@
 }
 
 /** Whether an endpoint may be used now. */
-export function standingOf({endedAt}: EndpointEntry, now: number): Standing {
+export function standingOf({record, endedAt}: EndpointEntry, now: number): Standing {
 	if (endedAt === undefined) {
 		return Standing.ready;
 	}
 
-	return now - endedAt < lastResortMilliseconds ? Standing.lastResort : Standing.gone;
+	const resortMilliseconds = record.isLeaving ? leavingLastResortMilliseconds : lastResortMilliseconds;
+	return now - endedAt < resortMilliseconds ? Standing.lastResort : Standing.gone;
 }
 
 function nextEntry(held: EndpointEntry | undefined, change: EndpointChange, now: number): EndpointEntry | undefined {
--- a/test/gateway/dispatcher.test.ts
+++ b/test/gateway/dispatcher.test.ts
@@ -10,8 +10,7 @@
 	return {id, service: 'models', address: '127.0.0.1:1', zone, isLeaving: false, slots: 4, revision: 1};
 }
 
-function createDispatcher(endpoints: readonly EndpointRecord[]): Dispatcher {
-	const beliefs = Beliefs.create(quiet);
+function createDispatcher(endpoints: readonly EndpointRecord[], beliefs = Beliefs.create(quiet)): Dispatcher {
 	beliefs.offerTable({
 		version: 1, routes: [], services: [{name: 'models', largestConnections: 10, engine: {slots: 4, memoryTokens: 100_000, tokensPerEvent: 1}}],
 		limits: {headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1},
@@ -22,11 +21,11 @@
 	});
 }
 
-function submit(dispatcher: Dispatcher, id: string): Decision[] {
+function submit(dispatcher: Dispatcher, id: string, excluded: ReadonlySet<string> = new Set()): Decision[] {
 	const decisions: Decision[] = [];
 	const now = performance.now();
 	const ticket: Ticket = {
-		id, workspace: 'w', service: 'models', urgency: 1, work: 2000, arrivedAt: now, inTimeUntil: now + 300, lastStartAt: now + 2000, excluded: new Set(), isIdempotent: true,
+		id, workspace: 'w', service: 'models', urgency: 1, work: 2000, arrivedAt: now, inTimeUntil: now + 300, lastStartAt: now + 2000, excluded, isIdempotent: true,
 		demand: {
 			service: 'models', urgency: 1, urgencies: {most: 1, least: 2}, targetMilliseconds: 400, parts: [{id: 1, tokens: 2000}], isTight: false,
 			pauseMilliseconds: 300, tightestPauseMilliseconds: 200, waitedMilliseconds: 0, elapsedMilliseconds: 0,
@@ -71,3 +70,23 @@
 	t.match(submit(dispatcher, 'trial'), [{type: 'placed', record: {id: 'sick'}}]);
 	t.match(submit(dispatcher, 'next'), [{type: 'placed', record: {id: 'well'}}]);
 });
+
+// An endpoint says that it leaves; this instance hears of it up to one and a half seconds later. A request
+// that had failed at the only other one was sent there as a last resort, over two seconds after the
+// endpoint had said so. A last resort is for a service of which no endpoint is known any more.
+tap.test('a leaving endpoint is no resort while the service has others', async t => {
+	const beliefs = Beliefs.create(quiet);
+	using dispatcher = createDispatcher([record('stays'), record('leaves')], beliefs);
+	beliefs.offerEndpoints([{type: 'registered', offset: 5, record: {...record('leaves'), isLeaving: true, revision: 2}}], 'store', performance.now());
+	t.match(submit(dispatcher, 'again', new Set(['stays'])), [{type: 'refused', reason: 'no-endpoint'}]);
+	t.match(submit(dispatcher, 'first'), [{type: 'placed', record: {id: 'stays'}}]);
+});
+
+// The store drops all endpoints of a service that could not reach it, though they serve: callers are served
+// for a while longer. One that said itself that it leaves is used for a short moment only.
+tap.test('endpoints that were removed all at once are a last resort', async t => {
+	const beliefs = Beliefs.create(quiet);
+	using dispatcher = createDispatcher([record('one'), record('two')], beliefs);
+	beliefs.offerEndpoints([{type: 'removed', offset: 5, id: 'one'}, {type: 'removed', offset: 6, id: 'two'}], 'store', performance.now());
+	t.match(submit(dispatcher, 'r'), [{type: 'placed'}]);
+});
