Close a stopping instance's port before what it takes can no longer end

The port stayed open for 3.2 s; a request may be taken up to 3 s after it. Ruled out: the balancer (new connections had stopped), the engine (still at work). Change: 2.7 s, still over the two questions that the balancer has to miss and an answer's time.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,10 +31,12 @@
 /** Where memory for bodies is short: the time in which a few requests end. */
 const fullRetryMilliseconds = 300;
 /**
- * A planned stop. New connections come until the balancer has missed two of its questions, so the port
- * stays open for this long; after it, connections that carry nothing are closed.
+ * A planned stop. New connections come until the balancer has missed two of its questions, two seconds and
+ * what an answer takes; the port stays open for this long, then connections that carry nothing are closed.
+ * Failure: a long stream that is taken after three seconds of the stop has no time to end. Symptom: it is
+ * cut in the middle. What comes later goes to another instance.
  */
-const openMilliseconds = 3200;
+export const openMilliseconds = 2700;
 /** A whole request takes no longer to arrive than this, whatever its headers promise. */
 const requestMilliseconds = 30_000;
 const defaultIdleMilliseconds = 15_000;
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -6,5 +6,5 @@
 export {Dispatcher, RefusalReason, type Decision, type Ticket} from './dispatcher.js';
 export {EventSplitter} from './event-splitter.js';
 export {FeedFollower} from './feed-follower.js';
-export {Gateway} from './gateway.js';
+export {Gateway, openMilliseconds} from './gateway.js';
 export {Peers, type PeerRecord} from './peers.js';
