--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -190,6 +190,8 @@
 			case 'limit-report':
 			case 'limit-lease':
 			case 'gateway-hello':
+			case 'routing-version':
+			case 'routing-wanted':
 			case 'routing':
 			case 'endpoints':
 			case 'load': {
