Close a kept connection with the answer that was under way when a stop began

Ruled out: the port (closed after 2.7 s), the balancer (it had stopped sending), connections that were idle. Change: answers whose head has not left say that the connection closes; where it has left, the connection ends with the answer's last byte, and what crosses that is not passed on. Tests that failed first: two in stop.test.ts (the second request was served; the head said keep-alive).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -40,7 +40,7 @@
 /** A whole request takes no longer to arrive than this, whatever its headers promise. */
 const requestMilliseconds = 30_000;
 const defaultIdleMilliseconds = 15_000;
-/** Bounds on how many connections callers may hold, in descriptors of the process. */
+/** A caller's headers together: prompts' parts take a few hundred bytes, so this is ample. */
 const largestHeaderBytes = 16_384;
 
 /** The port of callers. */
@@ -55,8 +55,9 @@
 	readonly #options: GatewayOptions;
 	readonly #server: Server;
 	readonly #idle = new Set<() => void>();
+	/** Those that have not been answered whole. */
+	readonly #open = new Set<ServerResponse>();
 	#heldBytes = 0;
-	#open = 0;
 	#isStopping = false;
 
 	private constructor(options: GatewayOptions) {
@@ -85,7 +86,7 @@
 	}
 
 	get openRequests(): number {
-		return this.#open;
+		return this.#open.size;
 	}
 
 	get isReady(): boolean {
@@ -95,12 +96,16 @@
 	/** Serves what is open and what still comes, and resolves once nothing is left. */
 	async drain(): Promise<void> {
 		this.#isStopping = true;
+		for (const response of this.#open) {
+			sayLast(response);
+		}
+
 		await new Promise(resolve => {
 			setTimeout(resolve, openMilliseconds);
 		});
 		this.#server.close();
 		this.#server.closeIdleConnections();
-		if (this.#open > 0) {
+		if (this.#open.size > 0) {
 			await new Promise<void>(resolve => {
 				this.#idle.add(resolve);
 			});
@@ -114,17 +119,28 @@
 
 	async #accept(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const arrivedAt = performance.now();
-		this.#open += 1;
+		const {socket} = request;
+		if (socket.writableEnded) {
+			// It crossed the close of its connection; nothing could be answered, so nothing is passed on.
+			return;
+		}
+
+		this.#open.add(response);
+		response.once('finish', () => {
+			if (this.#isStopping) {
+				socket.destroySoon();
+			}
+		});
 		response.once('close', () => {
-			this.#open -= 1;
-			if (this.#open === 0 && this.#isStopping) {
+			this.#open.delete(response);
+			if (this.#open.size === 0 && this.#isStopping) {
 				for (const resolve of this.#idle) {
 					resolve();
 				}
 			}
 		});
 		if (this.#isStopping) {
-			response.setHeader('Connection', 'close');
+			sayLast(response);
 		}
 
 		await this.#serve(request, response, arrivedAt);
@@ -203,6 +219,17 @@
 	}
 }
 
+/**
+ * Failure: a stream's head left before the stop, and its caller keeps the connection. Symptom: what it sends there
+ * seconds later is taken, and cut by the stop's end. A head that has not left says that the connection
+ * closes; where it has, the connection ends with the answer's last byte.
+ */
+function sayLast(response: ServerResponse): void {
+	if (!response.headersSent) {
+		response.setHeader('Connection', 'close');
+	}
+}
+
 /**
  * Failure: the process was starved, a request is read late, and its caller has long closed. Symptom:
  * endpoints work for nobody. The close is read in the next turn of the event loop at the latest, since
