--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,6 +1,7 @@
-import {Beliefs, ChannelBook, DecisionLog, Dispatcher, type Feed, FeedFollower, Gateway, type PeerRecord, Peers, type RequestCodec} from '../gateway/index.js';
-import {createInstanceId, type InstanceId, type ZoneName} from '../model/index.js';
-import {type RetryAllowance} from '../policy/dispatch/index.js';
+import process from 'node:process';
+import {Beliefs, ChannelBook, DecisionLog, Dispatcher, type Feed, FeedFollower, Gateway, KeptReader, type PeerRecord, Peers, type RequestCodec} from '../gateway/index.js';
+import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
+import {defaultTuning, type PromptPart, type RetryAllowance, type Tuning} from '../policy/dispatch/index.js';
 import {type EndpointChange, type RoutingTableInput} from '../routing/index.js';
 import {AdminServer, forPart, type Logger, Metrics, type PartLogger} from '../telemetry/index.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
@@ -11,6 +12,8 @@
 	readonly codec: RequestCodec;
 	readonly readyPath: string;
 	openStore(address: string, logger: PartLogger): GatewayStore;
+	/** Asks a model engine which prompt parts it keeps. */
+	readKeptParts(address: string): Promise<readonly PromptPart[]>;
 };
 
 export type GatewayStore = AsyncDisposable & {
@@ -73,11 +76,21 @@
 			logger: forPart(logger, 'Dispatch'),
 			allowance: allowanceOf(settings),
 			random: Math.random,
+			tuning: {...defaultTuning, ...JSON.parse(process.env.CASSIAFLOW_TUNING ?? '{}') as Partial<Tuning>},
 			onLoad(event) {
 				peers.tellLoad(event);
 			},
 		});
-		const peers = await openPeers(settings, {incarnation, beliefs, dispatcher, logger});
+		const kept = KeptReader.create({
+			instance: settings.instance, beliefs, logger: forPart(logger, 'Kept'),
+			instances: () => peers.names,
+			read: async address => adapter.readKeptParts(address),
+			onRead(list) {
+				dispatcher.takeLoad({type: 'kept', ...list});
+				peers.tellKept(list);
+			},
+		});
+		const peers = await openPeers(settings, {incarnation, beliefs, dispatcher, kept, logger});
 		const feeds = followFeeds(store, {beliefs, peers, logger: forPart(logger, 'Store')});
 		const gateway = await Gateway.create({
 			...splitAddress(settings.callerAddress),
@@ -101,7 +114,7 @@
 		};
 		return new GatewayProcess({
 			settings, log: forPart(logger, 'Gateway'), store, beliefs, peers, dispatcher, gateway, admin,
-			releases: [timers, admin, gateway, feeds, peers, dispatcher, decisions, channels, store],
+			releases: [timers, admin, gateway, feeds, kept, peers, dispatcher, decisions, channels, store],
 		});
 	}
 
@@ -177,9 +190,9 @@
 	}
 }
 
-type PeerParts = {readonly incarnation: string; readonly beliefs: Beliefs; readonly dispatcher: Dispatcher; readonly logger: Logger};
+type PeerParts = {readonly incarnation: string; readonly beliefs: Beliefs; readonly dispatcher: Dispatcher; readonly kept: KeptReader; readonly logger: Logger};
 
-async function openPeers(settings: GatewaySettings, {incarnation, beliefs, dispatcher, logger}: PeerParts): Promise<Peers> {
+async function openPeers(settings: GatewaySettings, {incarnation, beliefs, dispatcher, kept, logger}: PeerParts): Promise<Peers> {
 	const {host, port} = splitAddress(settings.peerAddress);
 	return Peers.create({
 		instance: settings.instance,
@@ -193,6 +206,10 @@
 		onLoad(event) {
 			dispatcher.takeLoad(event);
 		},
+		onKept(list) {
+			kept.told(list.endpoint);
+			dispatcher.takeLoad({type: 'kept', ...list});
+		},
 		onCount(instances) {
 			dispatcher.instances = instances;
 		},
@@ -242,8 +259,3 @@
 function allowanceOf({retryRatio, retrySlack, retryWindowSeconds}: GatewaySettings): RetryAllowance {
 	return {ratio: retryRatio, slack: retrySlack, windowMilliseconds: retryWindowSeconds * 1000};
 }
-
-function splitAddress(address: string): {host: string; port: number} {
-	const separator = address.lastIndexOf(':');
-	return {host: address.slice(0, separator), port: Number(address.slice(separator + 1))};
-}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,6 @@
 import {request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
-import {type Verdict as VerdictType, Verdict} from '../model/index.js';
+import {splitAddress, type Verdict as VerdictType, Verdict} from '../model/index.js';
 import {watchConnection} from '../platform/index.js';
 import {type Channels} from './channels.js';
 
@@ -46,10 +46,8 @@
 
 	private constructor(options: AttemptOptions) {
 		this.#options = options;
-		const separator = options.address.lastIndexOf(':');
 		this.#sent = httpRequest({
-			host: options.address.slice(0, separator),
-			port: Number(options.address.slice(separator + 1)),
+			...splitAddress(options.address),
 			method: options.method,
 			path: options.path,
 			headers: options.headers,
--- a/src/gateway/decision-log.ts
+++ b/src/gateway/decision-log.ts
@@ -75,7 +75,7 @@
 		this.#decisions.add(1, {decision: 'placed'});
 		this.#write('Sent.', {
 			request: facts.id, route: route.name, version: table.version, endpoint: decision.record.id, unread: decision.unreadTokens,
-			least: decision.leastUnreadTokens, expected: Math.round(decision.expectedMilliseconds), speed: Math.round(dispatcher.book.speed(decision.record.service).tokensPerMillisecond),
+			fetched: decision.fetch?.tokens, from: decision.fetch?.from, least: decision.leastUnreadTokens, expected: Math.round(decision.expectedMilliseconds), speed: Math.round(dispatcher.book.speed(decision.record.service).tokensPerMillisecond),
 			candidates: decision.candidates, waited: Math.round(waitedMilliseconds), line: dispatcher.waiting, ...outcome,
 			firstEvent: firstEventAt === undefined ? undefined : Math.round(firstEventAt - startedAt), milliseconds: Math.round(now - startedAt),
 		});
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,7 +1,7 @@
 import {type InstanceId, type ZoneName} from '../model/index.js';
 import {
-	availability, type Candidate, chanceOfPlace, choosePlace, type Circumstances, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, inOrder, LoadBook,
-	type LoadEvent, reactionMilliseconds, readMilliseconds, type RetryAllowance, RetryShare, runId, stepEndpointHealth, type Wait, type Waiting, WaitingLine,
+	availability, type Candidate, chanceOfPlace, choosePlace, type Circumstances, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, type Fetch, inOrder, LoadBook,
+	type LoadEvent, reactionMilliseconds, readMilliseconds, type RetryAllowance, RetryShare, runId, stepEndpointHealth, type Tuning, type Wait, type Waiting, WaitingLine,
 } from '../policy/dispatch/index.js';
 import {type EndpointEntry, type EndpointRecord, Standing, standingOf} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
@@ -24,6 +24,7 @@
 export type Decision
 	= | {
 		readonly type: 'placed'; readonly runId: string; readonly record: EndpointRecord; readonly unreadTokens: number;
+		readonly fetch: (Fetch & {readonly address: string}) | undefined;
 		readonly expectedMilliseconds: number; readonly leastUnreadTokens: number; readonly candidates: number;
 	}
 	/** It can't be started in time, or nothing runs its service. */
@@ -40,6 +41,7 @@
 	readonly logger: PartLogger;
 	readonly allowance: RetryAllowance;
 	readonly random: () => number;
+	readonly tuning: Tuning;
 	/** Load of this instance that others should know. */
 	readonly onLoad: (event: LoadEvent) => void;
 };
@@ -65,6 +67,10 @@
 /** A service's usual share of errors, from about its last hundred answers. */
 const usualWeight = 0.01;
 
+/** A megabit a second, in bits a millisecond. */
+const bitsEachMillisecond = 1000;
+const bitsPerByte = 8;
+
 /** An endpoint of a service with what placement needs of it. */
 type Known = {readonly candidate: Candidate; readonly entry: EndpointEntry; readonly record: EndpointRecord};
 
@@ -180,7 +186,7 @@
 
 		const candidates = usable.map(({candidate}) => candidate);
 		const demand = {...ticket.demand, waitedMilliseconds: now - (ticket.passedOverAt ?? now), elapsedMilliseconds: now - ticket.arrivedAt};
-		const choice = choosePlace(this.book, demand, candidates, this.#circumstances(now));
+		const choice = choosePlace(this.book, demand, candidates, this.#circumstances(ticket.demand.service, now));
 		if (choice.type === 'wait') {
 			if (choice.isForBetter) {
 				ticket.passedOverAt ??= now;
@@ -206,8 +212,14 @@
 		return demand.isTight || this.#options.random() < chance;
 	}
 
-	#circumstances(now: number): Circumstances {
-		return {zone: this.#options.zone, now, reactionMilliseconds: reactionMilliseconds(this.instances - 1)};
+	#circumstances(service: string, now: number): Circumstances {
+		const {zone, tuning, beliefs} = this.#options;
+		const transfer = beliefs.table?.service(service)?.engine?.transfer;
+		return {
+			zone, now, tuning,
+			reactionMilliseconds: reactionMilliseconds(this.instances - 1),
+			fetchTokensPerMillisecond: transfer === undefined ? undefined : transfer.megabitsPerSecond * bitsEachMillisecond / bitsPerByte / transfer.bytesPerToken,
+		};
 	}
 
 	/** Endpoints that others wait for who are at least as urgent: who comes later must not take the place that comes free there. */
@@ -222,21 +234,22 @@
 		return awaited;
 	}
 
-	#place(ticket: Ticket, record: EndpointRecord, {candidates, unreadTokens, expectedMilliseconds, leastUnreadTokens}: Place & {candidates: number}): void {
+	#place(ticket: Ticket, record: EndpointRecord, {candidates, unreadTokens, fetch, expectedMilliseconds, leastUnreadTokens}: Place & {candidates: number}): void {
 		const now = performance.now();
 		this.withdraw(ticket.id);
 		this.#line.charge(ticket, now);
 		this.#runCount += 1;
 		const id = runId(this.#options.incarnation, this.#runCount);
-		const {service, isTight, parts} = ticket.demand;
+		const {service, isTight, pauseMilliseconds = 0, parts} = ticket.demand;
 		const share = this.#unreadShare(service);
 		this.#unreadShares.set(service, share + (((unreadTokens / ticket.work) - share) * unreadShareWeight));
-		this.#tell({type: 'placed', run: {id, owner: this.#options.incarnation, endpoint: record.id, service, unreadTokens, isTight, parts}});
+		this.#tell({type: 'placed', run: {id, owner: this.#options.incarnation, endpoint: record.id, service, unreadTokens, isTight, pauseMilliseconds, parts}});
 		if (availability(this.#health.get(record.id) ?? createEndpointHealth(), now) === 'trial') {
 			this.#judge(record, {type: 'trial'});
 		}
 
-		ticket.onDecision({type: 'placed', runId: id, record, unreadTokens, expectedMilliseconds, leastUnreadTokens, candidates});
+		const source = fetch === undefined ? undefined : this.#options.beliefs.directory.entries.get(fetch.from)?.record.address;
+		ticket.onDecision({type: 'placed', runId: id, record, unreadTokens, fetch: fetch === undefined || source === undefined ? undefined : {...fetch, address: source}, expectedMilliseconds, leastUnreadTokens, candidates});
 	}
 
 	/**
@@ -245,7 +258,7 @@
 	 * it alone and are refused. It is tried beside the others, never in place of them.
 	 */
 	#tryTrial(ticket: Ticket, trial: Known, now: number): boolean {
-		const choice = choosePlace(this.book, {...ticket.demand, elapsedMilliseconds: now - ticket.arrivedAt}, [trial.candidate], this.#circumstances(now));
+		const choice = choosePlace(this.book, {...ticket.demand, elapsedMilliseconds: now - ticket.arrivedAt}, [trial.candidate], this.#circumstances(ticket.demand.service, now));
 		if (choice.type === 'wait') {
 			return false;
 		}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -88,7 +88,7 @@
 		this.#limitAt = options.arrivedAt + Math.min(route.timeoutMilliseconds, facts.deadlineMilliseconds ?? Infinity);
 		this.#demand = {
 			service,
-			urgency: workspace?.urgency ?? route.urgency,
+			urgency: table.rank(route, service, workspace),
 			urgencies: table.urgencies(service),
 			targetMilliseconds: route.targetMilliseconds,
 			parts: facts.parts,
@@ -200,7 +200,7 @@
 			path,
 			headers: codec.forward({
 				rawHeaders, bodyBytes: body?.length, endpoint: record.id, workspace, urgency: this.#demand.urgency,
-				milliseconds: Math.floor(left), resumeAfter: this.#lastEventId, route,
+				milliseconds: Math.floor(left), resumeAfter: this.#lastEventId, fetchFrom: decision.fetch?.address, route,
 			}),
 			body,
 			channels: channels.of(record, this.#options.table.service(record.service)?.largestConnections),
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -8,3 +8,4 @@
 export {FeedFollower} from './feed-follower.js';
 export {Gateway, openMilliseconds} from './gateway.js';
 export {Peers, type PeerRecord} from './peers.js';
+export * from './kept-reader.js';
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,9 +1,10 @@
 import {type Body, receive, sleep, spawn, wait} from '../concurrency/index.js';
-import {decodeLoad, encodeLoad, type LoadEvent, tellingInterval} from '../policy/dispatch/index.js';
+import {decodeLoad, encodeLoad, type LoadEvent, type PromptPart, tellingInterval} from '../policy/dispatch/index.js';
 import {type EndpointChange} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion, type Security} from '../wire/index.js';
 import {type Beliefs} from './beliefs.js';
+import {type KeptParts} from './kept-reader.js';
 
 /** Another instance, as it announced itself. */
 export type PeerRecord = {readonly instance: string; readonly address: string};
@@ -20,6 +21,8 @@
 	readonly beliefs: Beliefs;
 	readonly logger: PartLogger;
 	readonly onLoad: (event: LoadEvent) => void;
+	/** A peer read what an endpoint holds of prompts. */
+	readonly onKept: (kept: KeptParts) => void;
 	/** Live instances, this one included. */
 	readonly onCount: (instances: number) => void;
 };
@@ -92,6 +95,16 @@
 		return this.#links.size;
 	}
 
+	/** The other instances that announced themselves. */
+	get names(): readonly string[] {
+		return [...this.#known.keys()];
+	}
+
+	/** Tells all what an endpoint holds of prompts. */
+	tellKept({endpoint, parts}: KeptParts): void {
+		this.#broadcast({type: 'kept', endpoint, parts: parts.flatMap(({id, tokens}) => [id, tokens])});
+	}
+
 	/** Takes announcements; the newest of an instance counts. */
 	know(records: readonly PeerRecord[]): void {
 		for (const record of records) {
@@ -278,6 +291,11 @@
 				return;
 			}
 
+			case 'kept': {
+				this.#options.onKept({endpoint: message.endpoint, parts: pairsOf(message.parts)});
+				return;
+			}
+
 			case 'load': {
 				const events = decodeLoad(message.rows, incarnation);
 				if (events === undefined) {
@@ -326,3 +344,7 @@
 		this.#options.logger.warn('Peer lost.', {peer: link.instance, reason: link.connection.closeReason, peers: this.#links.size});
 	}
 }
+
+function pairsOf(values: readonly number[]): PromptPart[] {
+	return Array.from({length: Math.floor(values.length / 2)}, (_, index) => ({id: values[index * 2]!, tokens: values[(index * 2) + 1]!}));
+}
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -29,6 +29,8 @@
 	readonly milliseconds: number;
 	/** The last event that the caller has, when a stream goes on elsewhere. */
 	readonly resumeAfter: string | undefined;
+	/** The address of an engine that keeps more of the prompt, from which the endpoint is to take it. */
+	readonly fetchFrom: string | undefined;
 	readonly route: Route;
 };
 
--- /dev/null
+++ b/src/model/address.ts
@@ -0,0 +1,5 @@
+/** Splits `HOST:PORT`. */
+export function splitAddress(address: string): {host: string; port: number} {
+	const separator = address.lastIndexOf(':');
+	return {host: address.slice(0, separator), port: Number(address.slice(separator + 1))};
+}
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -3,3 +3,4 @@
 export * from './verdict.js';
 export * from './failure.js';
 export type * from './request.js';
+export * from './address.js';
--- /dev/null
+++ b/src/policy/dispatch/demand.ts
@@ -0,0 +1,72 @@
+import {type ZoneName} from '../../model/index.js';
+import {type PromptPart} from './part-memory.js';
+import {type Tuning} from './tuning.js';
+
+/** What one request wants of an endpoint. */
+export type Demand = {
+	readonly service: string;
+	/** 0 is the most urgent. */
+	readonly urgency: number;
+	/** The range of urgency among the service's requests that are not tight. */
+	readonly urgencies: {readonly most: number; readonly least: number};
+	readonly targetMilliseconds: number;
+	readonly parts: readonly PromptPart[];
+	readonly isTight: boolean;
+	/** The pause that must not be exceeded, where there is one. */
+	readonly pauseMilliseconds: number | undefined;
+	/** The shortest pause that any stream of the service must keep. */
+	readonly tightestPauseMilliseconds: number;
+	/** How long it has passed over free endpoints for a better one. */
+	readonly waitedMilliseconds: number;
+	/** Since the request arrived. */
+	readonly elapsedMilliseconds: number;
+};
+
+/** An endpoint that may be used now. */
+export type Candidate = {
+	readonly id: string;
+	readonly zone: ZoneName;
+	readonly slots: number;
+	readonly isEngine: boolean;
+	/** The hash of its id, and its place in the order that tight streams fill. */
+	readonly hash: number;
+	readonly order: number;
+};
+
+/** Another engine from which the chosen one takes a part of the prompt. */
+export type Fetch = {readonly from: string; readonly tokens: number; readonly milliseconds: number};
+
+/** Send it there now. */
+export type Place = {
+	readonly type: 'place';
+	readonly endpoint: string;
+	/** What it has to read, beside what it fetches. */
+	readonly unreadTokens: number;
+	readonly fetch: Fetch | undefined;
+	/** From sending to the first event, or to the answer. */
+	readonly expectedMilliseconds: number;
+	/** What the endpoint that holds most of the prompt would have had to read. */
+	readonly leastUnreadTokens: number;
+};
+
+/** None is good enough yet; the best is in about so long. */
+export type Wait = {
+	readonly type: 'wait';
+	readonly endpoint: string;
+	readonly milliseconds: number;
+	/** True if one is free, but a better one is worth waiting for: others may take the free one. */
+	readonly isForBetter: boolean;
+};
+
+export type Choice = Place | Wait;
+
+/** When and from where a choice is made. */
+export type Circumstances = {
+	readonly zone: ZoneName;
+	readonly now: number;
+	/** Until this instance hears what another one has sent somewhere. */
+	readonly reactionMilliseconds: number;
+	/** At which pace engines pass kept prompts to each other; absent where they don't. */
+	readonly fetchTokensPerMillisecond?: number | undefined;
+	readonly tuning: Tuning;
+};
--- /dev/null
+++ b/src/policy/dispatch/engine-cost.ts
@@ -0,0 +1,122 @@
+/**
+ * What one engine costs one request, in milliseconds: what the caller waits for its first event, what the
+ * reading costs the service, and what it does to streams with tight pauses.
+ */
+import {type Candidate, type Circumstances, type Demand, type Fetch} from './demand.js';
+import {type EndpointLoad, type LoadBook} from './load.js';
+import {readMilliseconds} from './speed.js';
+import {chooseFetch, type Holder} from './transfer.js';
+
+/**
+ * What may wait to be read at an endpoint before one more is sent there, for the most and the least
+ * urgent; the rest waits here, where its order can change. A stream with the tightest pauses goes at
+ * once. Instances have no common line: whoever may send at a longer backlog comes first everywhere,
+ * since the least urgent come in only where next to nothing waits. Under the lower bound, one and a half
+ * of the time in which instances hear of each other, engines would fall idle between two decisions;
+ * above the upper one, four times as long, an urgent stream finds a prompt or two before it. Backlogs
+ * move by more than the lower bound before all have heard of it: a smaller factor orders nothing.
+ */
+export const reactionsInBacklog = 1.5;
+const urgentFactor = 4;
+/** Tight streams may be so many above an endpoint's slots: it admits the urgent first, and preempts for them. */
+const slotsAbove = 4;
+/** Beside streams with tight pauses, what waits to be read stays under this part of their pause. */
+const besideTightShare = 0.35;
+/** Milliseconds of a round trip to another availability zone, and what its bytes cost. */
+const otherZoneMilliseconds = 3;
+/** A later endpoint in the order costs a tight stream so much more for each place: under the gain of an idle one. */
+const orderMilliseconds = 6;
+/** Above this part of its slots an endpoint takes no more tight streams while others have room. */
+const crowdedFill = 0.75;
+/** What a millisecond of reading costs beside tight streams, for each of so many of them at most. */
+const tightWeight = 1.5;
+const tightCounted = 4;
+/** What a share of time spent reading costs a tight stream: it meets that for its whole length. */
+const readingShareMilliseconds = 150;
+/** A contiguous reading above this part of the pause is taken to break it. */
+const pauseShare = 0.5;
+const brokenPauseWeight = 4;
+/** Streams counted at most of those that a reading breaks: it then goes elsewhere whatever that costs. */
+const brokenCounted = 8;
+/** Lateness against the target weighs more than being early. */
+const latenessShare = 0.7;
+const latenessWeight = 3;
+/** What a token costs that is fetched, in weights of an idle service: it takes no engine's time. */
+const fetchWeight = 5;
+
+/** What a candidate costs, and how long until it may get the request. */
+export type Judged = {readonly cost: number; readonly wait: number; readonly unreadTokens: number; readonly fetch: Fetch | undefined; readonly expected: number};
+
+/** What all candidates together show; counted once for a choice. */
+export type Overview = {
+	readonly loads: readonly EndpointLoad[];
+	readonly readingWeight: number;
+	/** The first so many of the order are left to tight streams. */
+	readonly takenByTight: number;
+	readonly holders: readonly Holder[];
+};
+
+export function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {load, overview, circumstances}: {load: EndpointLoad; overview: Overview; circumstances: Circumstances}): Judged {
+	const {fetchTokensPerMillisecond, tuning} = circumstances;
+	const speed = book.speed(demand.service);
+	const lackedTokens = book.unread(candidate.id, demand.parts);
+	const fetch = chooseFetch(overview.holders, candidate, {unreadTokens: lackedTokens, speed, tokensPerMillisecond: fetchTokensPerMillisecond});
+	const unreadTokens = lackedTokens - (fetch?.tokens ?? 0);
+	const reading = readMilliseconds(speed, unreadTokens);
+	const expected = load.backlogMilliseconds + (fetch?.milliseconds ?? 0) + reading + speed.baseMilliseconds;
+	const slots = candidate.slots + (demand.isTight ? slotsAbove : 0);
+	const wait = load.running >= slots ? speed.baseMilliseconds : Math.max(0, load.backlogMilliseconds - bearableBacklog(demand, load.tightRuns, circumstances));
+	const span = load.backlogMilliseconds + reading;
+	const harm = demand.isTight ? tightCost(demand, candidate, {load, span, overview, tuning}) : harmToOthers(demand, candidate, {load, span, reading, overview, tuning});
+	const fetching = fetch === undefined ? 0 : fetch.milliseconds + (readMilliseconds(speed, fetch.tokens) * tuning.fetchShare * (tuning.fetchIsWeighted ? overview.readingWeight : fetchWeight));
+	const cost = load.backlogMilliseconds + (reading * overview.readingWeight) + fetching + lateness(wait + expected, demand) + harm
+		+ (load.running / candidate.slots * speed.baseMilliseconds);
+	return {cost, wait, unreadTokens, fetch, expected};
+}
+
+function bearableBacklog({urgency, urgencies, tightestPauseMilliseconds, isTight}: Demand, tightRuns: number, {reactionMilliseconds, tuning}: Circumstances): number {
+	if (isTight) {
+		return Infinity;
+	}
+
+	const leastUrgent = reactionMilliseconds * reactionsInBacklog;
+	const rank = tuning.ordersBacklogs ? rankAmong(urgency, urgencies) : 0;
+	const mostUrgent = leastUrgent * urgentFactor;
+	const own = mostUrgent * ((leastUrgent / mostUrgent) ** rank);
+	return tightRuns === 0 ? own : Math.min(own, Math.max(leastUrgent, tightestPauseMilliseconds * besideTightShare));
+}
+
+/** 0 for the most urgent, 1 for the least. */
+function rankAmong(urgency: number, {most, least}: Demand['urgencies']): number {
+	return least === most ? 1 : Math.min(1, Math.max(0, (urgency - most) / (least - most)));
+}
+
+type Harm = {readonly load: EndpointLoad; readonly span: number; readonly overview: Overview; readonly tuning: Circumstances['tuning']};
+
+function tightCost(demand: Demand, candidate: Candidate, {load, span, overview, tuning}: Harm): number {
+	const pause = (demand.pauseMilliseconds ?? Infinity) * pauseShare;
+	const crowded = load.running >= candidate.slots * crowdedFill ? demand.targetMilliseconds : 0;
+	const outside = candidate.order >= Math.max(1, overview.takenByTight) ? tuning.outsideMilliseconds : 0;
+	return (candidate.order * orderMilliseconds) + (load.readingShare * readingShareMilliseconds) + crowded + outside + (Math.max(0, span - pause) * brokenPauseWeight);
+}
+
+/** What a reading does to the streams that run there: all of it delays them a little, a long one breaks their pauses. */
+function harmToOthers({tightestPauseMilliseconds}: Demand, {order}: Candidate, {load, span, reading, overview, tuning}: Harm & {reading: number}): number {
+	const delays = Math.min(load.tightRuns, tightCounted) * reading * tightWeight;
+	const takesRoom = order < overview.takenByTight && span > tightestPauseMilliseconds * besideTightShare;
+	return delays + (Math.min(brokenCounted, brokenBy(load, span / tuning.brokenPauseShare)) * tuning.brokenStreamMilliseconds) + (takesRoom ? tuning.roomMilliseconds : 0);
+}
+
+/** How many streams there have promised shorter pauses than this. */
+function brokenBy({pauses}: EndpointLoad, milliseconds: number): number {
+	let count = 0;
+	for (const [pause, runs] of pauses) {
+		count += pause < milliseconds ? runs : 0;
+	}
+
+	return count;
+}
+
+function lateness(expected: number, {targetMilliseconds, elapsedMilliseconds}: Demand): number {
+	return Math.max(0, elapsedMilliseconds + expected - (targetMilliseconds * latenessShare)) * latenessWeight;
+}
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -11,6 +11,8 @@
 	readonly unreadTokens: number;
 	/** True if its pauses are the tightest of its service. */
 	readonly isTight: boolean;
+	/** The longest pause between its events that is on time; 0 where none is promised. */
+	readonly pauseMilliseconds: number;
 	readonly parts: readonly PromptPart[];
 };
 
@@ -20,7 +22,9 @@
 		| {readonly type: 'first-event'; readonly id: string}
 		| {readonly type: 'ended'; readonly id: string}
 		| {readonly type: 'owner-lost'; readonly owner: string}
-		| {readonly type: 'endpoint-restarted'; readonly endpoint: string};
+		| {readonly type: 'endpoint-restarted'; readonly endpoint: string}
+	/** What an endpoint itself says it holds of prompts. */
+		| {readonly type: 'kept'; readonly endpoint: string; readonly parts: readonly PromptPart[]};
 
 type Held = Run & {
 	readonly placedAt: number;
@@ -35,6 +39,8 @@
 	readonly backlogMilliseconds: number;
 	/** The part of recent time that it spent reading, 0 to 1. */
 	readonly readingShare: number;
+	/** How many streams run there with each promised pause, in milliseconds. */
+	readonly pauses: ReadonlyMap<number, number>;
 };
 
 /** A run whose end was never told is dropped after so long: no answer lasts longer than its time limit. */
@@ -65,6 +71,7 @@
 	share: number;
 	shareAt: number;
 	tightRuns: number;
+	readonly pauses: Map<number, number>;
 };
 
 /**
@@ -107,6 +114,11 @@
 			case 'endpoint-restarted': {
 				this.#drop(run => run.endpoint === event.endpoint, now);
 				this.#desks.delete(event.endpoint);
+				return;
+			}
+
+			case 'kept': {
+				this.#desks.get(event.endpoint)?.parts.replace(event.parts);
 			}
 		}
 	}
@@ -114,7 +126,7 @@
 	load(endpoint: string, now: number): EndpointLoad {
 		const desk = this.#desks.get(endpoint);
 		if (desk === undefined) {
-			return {running: 0, tightRuns: 0, backlogMilliseconds: 0, readingShare: 0};
+			return {running: 0, tightRuns: 0, backlogMilliseconds: 0, readingShare: 0, pauses: new Map()};
 		}
 
 		return {
@@ -122,6 +134,7 @@
 			tightRuns: desk.tightRuns,
 			backlogMilliseconds: this.#backlog(desk, now),
 			readingShare: decayed(desk, now),
+			pauses: desk.pauses,
 		};
 	}
 
@@ -129,6 +142,11 @@
 		return this.#desks.get(endpoint)?.parts.unread(parts) ?? parts.reduce((sum, {tokens}) => sum + tokens, 0);
 	}
 
+	/** What one engine could not give another of a prompt, since it has not read it yet. */
+	missing(endpoint: string, parts: readonly PromptPart[]): number {
+		return this.#desks.get(endpoint)?.parts.missing(parts) ?? parts.reduce((sum, {tokens}) => sum + tokens, 0);
+	}
+
 	speed(service: string): ReadingSpeed {
 		const held = this.#speeds.get(service) ?? createReadingSpeed();
 		this.#speeds.set(service, held);
@@ -149,10 +167,16 @@
 		this.#drop(run => now - run.placedAt > forgottenMilliseconds, now);
 	}
 
-	/** Says how much memory the endpoints' engines have; must precede their first run. */
+	/**
+	 * Says how much memory an endpoint's engine has. Failure: another instance tells of a run there before this
+	 * one knew. Symptom: the engine is taken to keep nothing for good, and its prompts are read elsewhere.
+	 */
 	setMemory(endpoint: string, memoryTokens: number): void {
-		if (!this.#desks.has(endpoint)) {
+		const desk = this.#desks.get(endpoint);
+		if (desk === undefined) {
 			this.#desks.set(endpoint, createDesk(memoryTokens));
+		} else {
+			desk.parts.setMemory(memoryTokens);
 		}
 	}
 
@@ -175,6 +199,7 @@
 		desk.share = decayed(desk, now) + (reading / shareMilliseconds);
 		desk.shareAt = now;
 		desk.tightRuns += run.isTight ? 1 : 0;
+		countPause(desk, run, 1);
 		desk.parts.use(run.parts);
 		const held = {...run, placedAt: now, isRead: false};
 		desk.runs.set(run.id, held);
@@ -191,6 +216,7 @@
 		}
 
 		noteRead(desk, run, now);
+		desk.parts.noteRead(run.parts);
 		desk.span.readTokens += run.unreadTokens;
 		desk.span.readRuns += 1;
 		if (desk.unread.size > 0 && desk.span.readRuns < longestSpanRuns) {
@@ -215,6 +241,7 @@
 		this.#runs.delete(id);
 		desk.runs.delete(id);
 		desk.tightRuns -= run.isTight ? 1 : 0;
+		countPause(desk, run, -1);
 		if (!run.isRead) {
 			noteRead(desk, run, now);
 			desk.span.isSpoilt = true;
@@ -241,7 +268,7 @@
 }
 
 function createDesk(memoryTokens: number): Desk {
-	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, span: createSpan(0, true), parts: PartMemory.create(memoryTokens), service: '', share: 0, shareAt: 0, tightRuns: 0};
+	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, span: createSpan(0, true), parts: PartMemory.create(memoryTokens), service: '', share: 0, shareAt: 0, tightRuns: 0, pauses: new Map()};
 }
 
 function createSpan(at: number, isFromRest: boolean): Span {
@@ -256,6 +283,19 @@
 	desk.turnAt = now;
 }
 
+function countPause({pauses}: Desk, {pauseMilliseconds}: Run, difference: 1 | -1): void {
+	if (pauseMilliseconds === 0) {
+		return;
+	}
+
+	const count = (pauses.get(pauseMilliseconds) ?? 0) + difference;
+	if (count === 0) {
+		pauses.delete(pauseMilliseconds);
+	} else {
+		pauses.set(pauseMilliseconds, count);
+	}
+}
+
 function decayed({share, shareAt}: Desk, now: number): number {
 	return share * Math.exp(-(now - shareAt) / shareMilliseconds);
 }
--- a/src/policy/dispatch/part-memory.ts
+++ b/src/policy/dispatch/part-memory.ts
@@ -20,46 +20,80 @@
 		return new PartMemory(memoryTokens * keptShare);
 	}
 
-	readonly #limitTokens: number;
-	readonly #tokens = new Map<number, number>();
+	#limitTokens: number;
+	readonly #parts = new Map<number, {tokens: number; isRead: boolean}>();
 	#total = 0;
 
 	private constructor(limitTokens: number) {
 		this.#limitTokens = limitTokens;
 	}
 
-	/** Tokens that the endpoint still has to read. */
+	/** Says how much the endpoint's memory holds, where that was not known before. */
+	setMemory(memoryTokens: number): void {
+		this.#limitTokens = memoryTokens * keptShare;
+		this.#shrink();
+	}
+
+	/** What the endpoint itself says it holds, least recently used first; what is on its way there stays. */
+	replace(parts: readonly PromptPart[]): void {
+		const coming = [...this.#parts].filter(([, {isRead}]) => !isRead).map(([id, {tokens}]) => ({id, tokens}));
+		this.clear();
+		this.use(parts);
+		this.noteRead(parts);
+		this.use(coming);
+	}
+
+	/** Tokens that the endpoint still has to read when it comes to this prompt. */
 	unread(parts: readonly PromptPart[]): number {
-		const held = parts.findIndex(({id}) => !this.#tokens.has(id));
-		return held === -1 ? 0 : parts.slice(held).reduce((sum, {tokens}) => sum + tokens, 0);
+		return tokensFrom(parts, parts.findIndex(({id}) => !this.#parts.has(id)));
+	}
+
+	/** Tokens that are not here yet: what is sent here counts only once it was read. */
+	missing(parts: readonly PromptPart[]): number {
+		return tokensFrom(parts, parts.findIndex(({id}) => this.#parts.get(id)?.isRead !== true));
 	}
 
-	/** The parts were read or used now. */
+	/** The parts are on their way here, or used now. */
 	use(parts: readonly PromptPart[]): void {
 		for (const {id, tokens} of parts) {
-			this.#total -= this.#tokens.get(id) ?? 0;
-			this.#tokens.delete(id);
-			this.#tokens.set(id, tokens);
-			this.#total += tokens;
+			const held = this.#parts.get(id);
+			this.#total += tokens - (held?.tokens ?? 0);
+			this.#parts.delete(id);
+			this.#parts.set(id, {tokens, isRead: held?.isRead === true});
 		}
 
 		this.#shrink();
 	}
 
+	/** The endpoint has read them: others may take them from here. */
+	noteRead(parts: readonly PromptPart[]): void {
+		for (const {id} of parts) {
+			const held = this.#parts.get(id);
+			if (held !== undefined) {
+				held.isRead = true;
+			}
+		}
+	}
+
 	/** The endpoint started anew and holds nothing. */
 	clear(): void {
-		this.#tokens.clear();
+		this.#parts.clear();
 		this.#total = 0;
 	}
 
 	#shrink(): void {
-		for (const [id, tokens] of this.#tokens) {
+		for (const [id, {tokens}] of this.#parts) {
 			if (this.#total <= this.#limitTokens) {
 				return;
 			}
 
-			this.#tokens.delete(id);
+			this.#parts.delete(id);
 			this.#total -= tokens;
 		}
 	}
 }
+
+/** The tokens of the parts from one on; none for -1. */
+function tokensFrom(parts: readonly PromptPart[], start: number): number {
+	return start === -1 ? 0 : parts.slice(start).reduce((sum, {tokens}) => sum + tokens, 0);
+}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -2,3 +2,4 @@
 export * from './routing-table.js';
 export * from './endpoint-directory.js';
 export * from './schemas.js';
+export * from './urgency-ranks.js';
--- a/src/routing/routing-table.ts
+++ b/src/routing/routing-table.ts
@@ -1,4 +1,5 @@
 import {type WorkspaceName, type ZoneName} from '../model/index.js';
+import {type UrgencyPair, UrgencyRanks} from './urgency-ranks.js';
 
 /** What may be repeated: `safe` may run more than once; a stream only if its route says `resumable`. */
 export const RouteKind = {safe: 'safe', unsafe: 'unsafe', stream: 'stream'} as const;
@@ -38,8 +39,15 @@
 	readonly memoryTokens: number;
 	/** Tokens in one event of a stream. */
 	readonly tokensPerEvent: number;
+	/** Absent where engines do not pass kept prompts to each other. */
+	readonly transfer?: TransferFigures | undefined;
+	/** True if an engine tells which prompt parts it keeps. */
+	readonly listsKept?: boolean | undefined;
 };
 
+/** How engines of a service pass memory to each other. */
+export type TransferFigures = {readonly bytesPerToken: number; readonly megabitsPerSecond: number};
+
 export type Service = {
 	readonly name: string;
 	/** Connections that one endpoint takes from all callers together. */
@@ -93,6 +101,7 @@
 	readonly #workspaceByKey = new Map<string, Workspace>();
 	/** The shortest and longest of the pauses that a service's streams must keep. */
 	readonly #pauses = new Map<string, {shortest: number; longest: number}>();
+	readonly #ranks = new Map<string, UrgencyRanks>();
 	readonly #urgencies = new Map<string, {readonly most: number; readonly least: number}>();
 	readonly #needsKeys: boolean;
 
@@ -116,8 +125,9 @@
 			this.#notePause(route);
 		}
 
-		for (const route of routes) {
-			this.#noteUrgency(route);
+		const ofWorkspaces = [...new Set(workspaces?.map(({urgency}) => urgency))];
+		for (const {name} of services) {
+			this.#noteRanks(name, ofWorkspaces);
 		}
 
 		for (const workspace of workspaces ?? []) {
@@ -148,7 +158,12 @@
 		return pauses !== undefined && route.longestPauseMilliseconds === pauses.shortest && pauses.longest >= pauses.shortest * clearlyLonger;
 	}
 
-	/** The range of urgency among a service's routes whose pauses are not the tightest. */
+	/** The rank of a request among all that its service may get, 0 for the most urgent. */
+	rank(route: Route, service: string, workspace: Workspace | undefined): number {
+		return this.#ranks.get(service)?.rank({route: route.urgency, workspace: workspace?.urgency}) ?? 0;
+	}
+
+	/** The range of ranks among a service's requests whose pauses are not the tightest. */
 	urgencies(service: string): {readonly most: number; readonly least: number} {
 		return this.#urgencies.get(service) ?? {most: 0, least: 0};
 	}
@@ -162,10 +177,15 @@
 		return new Set(this.#workspaceByKey.values()).size;
 	}
 
-	#noteUrgency(route: Route): void {
-		for (const {service} of route.shares.filter(share => !this.isTightest(route, share.service))) {
-			const {most, least} = this.#urgencies.get(service) ?? {most: route.urgency, least: route.urgency};
-			this.#urgencies.set(service, {most: Math.min(most, route.urgency), least: Math.max(least, route.urgency)});
+	#noteRanks(service: string, ofWorkspaces: ReadonlyArray<number | undefined>): void {
+		const own = this.routes.filter(({shares}) => shares.some(share => share.service === service));
+		const pairsOf = (route: Route): UrgencyPair[] => (route.isPublic || !this.#needsKeys ? [undefined, ...ofWorkspaces] : ofWorkspaces)
+			.map(workspace => ({route: route.urgency, workspace}));
+		const ranks = UrgencyRanks.create(own.flatMap(route => pairsOf(route)));
+		const ofOthers = own.filter(route => !this.isTightest(route, service)).flatMap(route => pairsOf(route)).map(pair => ranks.rank(pair));
+		this.#ranks.set(service, ranks);
+		if (ofOthers.length > 0) {
+			this.#urgencies.set(service, {most: Math.min(...ofOthers), least: Math.max(...ofOthers)});
 		}
 	}
 
--- a/src/routing/schemas.ts
+++ b/src/routing/schemas.ts
@@ -26,7 +26,13 @@
 const serviceSchema = z.object({
 	name,
 	largestConnections: count,
-	engine: z.object({slots: count, memoryTokens: count, tokensPerEvent: z.number().positive()}).optional(),
+	engine: z.object({
+		slots: count,
+		memoryTokens: count,
+		tokensPerEvent: z.number().positive(),
+		transfer: z.object({bytesPerToken: z.number().positive(), megabitsPerSecond: z.number().positive()}).optional(),
+		listsKept: z.boolean().optional(),
+	}).optional(),
 });
 
 const workspaceSchema = z.object({name: name.transform(text => text as WorkspaceName), keys: z.array(z.string()), urgency: z.number().optional()});
--- /dev/null
+++ b/src/routing/urgency-ranks.ts
@@ -0,0 +1,35 @@
+/** The urgency of a route and, where it has one, of the workspace that asks. */
+export type UrgencyPair = {readonly route: number; readonly workspace: number | undefined};
+
+/**
+ * Ranks of the requests that one service may get, 0 for the most urgent. A workspace's urgency goes before
+ * the route's; between requests of equal workspaces the route's decides. Failure: where most workspaces have
+ * the same urgency, that of routes is lost. Symptom: an urgent stream is read last and put back first, as if
+ * it were a draft.
+ */
+export class UrgencyRanks {
+	static create(pairs: readonly UrgencyPair[]): UrgencyRanks {
+		return new UrgencyRanks(pairs);
+	}
+
+	readonly #ranks: ReadonlyMap<string, number>;
+
+	private constructor(pairs: readonly UrgencyPair[]) {
+		const distinct = new Map(pairs.map(pair => [keyOf(pair), pair]));
+		const ordered = [...distinct].toSorted(([, left], [, right]) => leading(left) - leading(right) || left.route - right.route);
+		this.#ranks = new Map(ordered.map(([key], rank) => [key, rank]));
+	}
+
+	/** The rank of a pair; one that is not among the service's own comes last. */
+	rank(pair: UrgencyPair): number {
+		return this.#ranks.get(keyOf(pair)) ?? this.#ranks.size;
+	}
+}
+
+function leading({route, workspace}: UrgencyPair): number {
+	return workspace ?? route;
+}
+
+function keyOf(pair: UrgencyPair): string {
+	return `${leading(pair)}/${pair.route}`;
+}
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -192,6 +192,7 @@
 			case 'gateway-hello':
 			case 'routing-version':
 			case 'routing-wanted':
+			case 'kept':
 			case 'routing':
 			case 'endpoints':
 			case 'load': {
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -129,6 +129,9 @@
 /** Gateway to gateway: what it placed and what ended, in order. */
 const load = z.object({type: z.literal('load'), rows: z.array(z.custom<readonly unknown[]>(row => Array.isArray(row), 'not a row'))});
 
+/** Gateway to gateway: what an endpoint itself says it holds of prompts, as ids and tokens in turn. */
+const kept = z.object({type: z.literal('kept'), endpoint: text, parts: z.array(z.number().int().nonnegative())});
+
 /** Every message, by `type`. */
 export const messageSchema = z.discriminatedUnion('type', [
 	hello,
@@ -158,13 +161,14 @@
 	routing,
 	endpoints,
 	load,
+	kept,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
 /** What only gateways send each other. */
-export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load'>;
+export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept'>;
 
-const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load']);
+const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept']);
 
 export function isGatewayMessage(message: Message): message is GatewayMessage {
 	return gatewayTypes.has(message.type);
--- a/src/wire/transport.ts
+++ b/src/wire/transport.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import net, {type AddressInfo} from 'node:net';
 import tls from 'node:tls';
+import {splitAddress} from '../model/index.js';
 import {Connection} from './connection.js';
 
 /** Who may talk to whom. Plain text must be asked for by name. */
@@ -50,9 +51,7 @@
 
 /** Connects to a peer. Rejects if it does not answer or its certificate is not our authority's. */
 export async function dial(address: string, security: Security): Promise<Connection> {
-	const separator = address.lastIndexOf(':');
-	const host = address.slice(0, separator);
-	const port = Number(address.slice(separator + 1));
+	const {host, port} = splitAddress(address);
 	const socket = security.type === 'plaintext'
 		? net.connect({host, port})
 		: tls.connect({
--- a/test/gateway/dispatcher.test.ts
+++ b/test/gateway/dispatcher.test.ts
@@ -1,6 +1,7 @@
 import tap from 'tap';
 import {Beliefs, type Decision, Dispatcher, type Ticket} from '../../src/gateway/index.js';
 import {type InstanceId, type ZoneName} from '../../src/model/index.js';
+import {defaultTuning} from '../../src/policy/dispatch/index.js';
 import {type EndpointRecord} from '../../src/routing/index.js';
 
 const quiet = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
@@ -17,7 +18,7 @@
 	}, 'store');
 	beliefs.offerEndpoints(endpoints.map((one, offset) => ({type: 'registered', offset, record: one})), 'store', performance.now());
 	return Dispatcher.create({
-		incarnation: 'a' as InstanceId, zone, beliefs, logger: quiet, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, random: () => 0.5, onLoad: () => undefined,
+		incarnation: 'a' as InstanceId, zone, beliefs, logger: quiet, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, random: () => 0.5, tuning: defaultTuning, onLoad: () => undefined,
 	});
 }
 
@@ -45,7 +46,7 @@
 	const [sick, well] = [record('sick'), record('well')];
 	using dispatcher = createDispatcher([sick, well]);
 	for (let number = 0; number < 4; number++) {
-		dispatcher.takeLoad({type: 'placed', run: {id: `b/${number}`, owner: 'b', endpoint: 'sick', service: 'models', unreadTokens: 9000, isTight: false, parts: []}});
+		dispatcher.takeLoad({type: 'placed', run: {id: `b/${number}`, owner: 'b', endpoint: 'sick', service: 'models', unreadTokens: 9000, isTight: false, pauseMilliseconds: 0, parts: []}});
 	}
 
 	dispatcher.report(sick, 'unreachable');
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -2,7 +2,7 @@
 import tap from 'tap';
 import {type ZoneName} from '../../src/model/index.js';
 import {
-	availability, type Candidate, chanceOfPlace, choosePlace, createEndpointHealth, createReadingSpeed, decodeLoad, type Demand, encodeLoad, inOrder, learnReadingSpeed, LoadBook,
+	availability, type Candidate, chanceOfPlace, choosePlace, createEndpointHealth, createReadingSpeed, decodeLoad, defaultTuning, type Demand, encodeLoad, inOrder, learnReadingSpeed, LoadBook,
 	type LoadEvent, PartMemory, RetryShare, runId, stepEndpointHealth, type Waiting, WaitingLine,
 } from '../../src/policy/dispatch/index.js';
 
@@ -30,14 +30,14 @@
 
 let runs = 0;
 function place(book: LoadBook, wanted: Demand, all: readonly Candidate[], now: number): string | undefined {
-	const choice = choosePlace(book, wanted, all, {zone, now, reactionMilliseconds});
+	const choice = choosePlace(book, wanted, all, {zone, now, reactionMilliseconds, tuning: defaultTuning});
 	if (choice.type !== 'place') {
 		return undefined;
 	}
 
 	runs += 1;
 	book.step({type: 'placed', run: {
-		id: `run-${runs}`, owner: 'a', endpoint: choice.endpoint, service: wanted.service, unreadTokens: choice.unreadTokens, isTight: wanted.isTight, parts: wanted.parts,
+		id: `run-${runs}`, owner: 'a', endpoint: choice.endpoint, service: wanted.service, unreadTokens: choice.unreadTokens, isTight: wanted.isTight, pauseMilliseconds: 0, parts: wanted.parts,
 	}}, now);
 	return choice.endpoint;
 }
@@ -107,13 +107,13 @@
 	const small = demand({parts: [{id: 7, tokens: 10}], targetMilliseconds: 100});
 	const endpoints = [0, 1, 2, 3].map(() => place(book, small, all, 0));
 	t.equal(new Set(endpoints).size, 2);
-	t.equal(choosePlace(book, small, all, {zone, now: 0, reactionMilliseconds}).type, 'wait');
+	t.equal(choosePlace(book, small, all, {zone, now: 0, reactionMilliseconds, tuning: defaultTuning}).type, 'wait');
 });
 
 tap.test('what another instance placed counts until it ends, or until that instance is lost', async t => {
 	const [only] = candidates(1);
 	const book = bookFor([only!]);
-	const run = {id: 'b/1', owner: 'b', endpoint: only!.id, service: 'models', unreadTokens: 5000, isTight: true, parts: []};
+	const run = {id: 'b/1', owner: 'b', endpoint: only!.id, service: 'models', unreadTokens: 5000, isTight: true, pauseMilliseconds: 0, parts: []};
 	book.step({type: 'placed', run}, 0);
 	book.step({type: 'placed', run}, 0);
 	t.match(book.load(only!.id, 0), {running: 1, tightRuns: 1});
@@ -149,7 +149,7 @@
 		const tokens = [3000 + (round % 7 * 500), 2500 + (round % 5 * 700)];
 		const whole = base + ((tokens[0]! + tokens[1]!) / pace);
 		for (const [index, unreadTokens] of tokens.entries()) {
-			book.step({type: 'placed', run: {id: `a/${round}-${index}`, owner: 'a', endpoint: 'e', service: 'models', unreadTokens, isTight: false, parts: []}}, at + index);
+			book.step({type: 'placed', run: {id: `a/${round}-${index}`, owner: 'a', endpoint: 'e', service: 'models', unreadTokens, isTight: false, pauseMilliseconds: 0, parts: []}}, at + index);
 		}
 
 		book.step({type: 'first-event', id: `a/${round}-0`}, at + whole - 3);
@@ -174,7 +174,7 @@
 	const held = (id: string, now: number): string => `${id}-${now}`;
 	for (let now = 100; now <= 4000; now += 100) {
 		for (const {id} of all) {
-			book.step({type: 'placed', run: {id: held(id, now), owner: 'b', endpoint: id, service: 'models', unreadTokens: 9000, isTight: false, parts: []}}, now);
+			book.step({type: 'placed', run: {id: held(id, now), owner: 'b', endpoint: id, service: 'models', unreadTokens: 9000, isTight: false, pauseMilliseconds: 0, parts: []}}, now);
 			book.step({type: 'first-event', id: held(id, now - 100)}, now + 1);
 			book.step({type: 'ended', id: held(id, now - 100)}, now + 1);
 		}
@@ -184,10 +184,10 @@
 		book.step({type: 'ended', id: held(id, 4000)}, 4000);
 	}
 
-	book.step({type: 'placed', run: {id: 'behind', owner: 'b', endpoint: holder, service: 'models', unreadTokens: 20_000, isTight: false, parts: []}}, 4000);
+	book.step({type: 'placed', run: {id: 'behind', owner: 'b', endpoint: holder, service: 'models', unreadTokens: 20_000, isTight: false, pauseMilliseconds: 0, parts: []}}, 4000);
 	const wanted = demand({parts: prompt(1, 1), waitedMilliseconds: 400, elapsedMilliseconds: 400, targetMilliseconds: 1200});
-	t.match(choosePlace(book, wanted, all, {zone, now: 4000, reactionMilliseconds}), {type: 'wait', endpoint: holder});
-	t.match(choosePlace(book, {...wanted, waitedMilliseconds: 900, elapsedMilliseconds: 900}, all, {zone, now: 20_000, reactionMilliseconds}), {type: 'place'}, 'after a rest nobody waits so long');
+	t.match(choosePlace(book, wanted, all, {zone, now: 4000, reactionMilliseconds, tuning: defaultTuning}), {type: 'wait', endpoint: holder});
+	t.match(choosePlace(book, {...wanted, waitedMilliseconds: 900, elapsedMilliseconds: 900}, all, {zone, now: 20_000, reactionMilliseconds, tuning: defaultTuning}), {type: 'place'}, 'after a rest nobody waits so long');
 });
 
 tap.test('so many of several instances take one place together as it can read until they hear of each other', async t => {
@@ -204,7 +204,7 @@
 	const number = fc.nat(1_000_000);
 	const event: fc.Arbitrary<LoadEvent> = fc.oneof(
 		fc.record({type: fc.constant('placed' as const), run: fc.record({
-			id: number.map(value => runId('a', value)), owner: fc.constant('a'), endpoint: fc.constant('e-1'), service: fc.constant('models'), unreadTokens: fc.nat(50_000), isTight: fc.boolean(), parts,
+			id: number.map(value => runId('a', value)), owner: fc.constant('a'), endpoint: fc.constant('e-1'), service: fc.constant('models'), unreadTokens: fc.nat(50_000), isTight: fc.boolean(), pauseMilliseconds: fc.nat(5000), parts,
 		})}),
 		fc.record({type: fc.constant('first-event' as const), id: number.map(value => runId('a', value))}),
 		fc.record({type: fc.constant('ended' as const), id: number.map(value => runId('a', value))}),
@@ -212,7 +212,7 @@
 	fc.assert(fc.property(fc.array(event, {maxLength: 20}), events => {
 		t.same(decodeLoad(encodeLoad(events), 'a'), events);
 	}), {seed: 3, numRuns: 50});
-	for (const wrong of [[['x', 1]], [[0, 1, '', 'models', 1, 0]], [[0, 1, 'e', 'models', 1, 0, 5]], [[1]], [[1, -1]], ['text'], [[0, 1, 'e', 'models', 1, 0, 5, 'x']]]) {
+	for (const wrong of [[['x', 1]], [[0, 1, '', 'models', 1, 0]], [[0, 1, 'e', 'models', 1, 0, 100, 5]], [[1]], [[1, -1]], ['text'], [[0, 1, 'e', 'models', 1, 0, 100, 5, 'x']]]) {
 		t.equal(decodeLoad(wrong, 'a'), undefined, JSON.stringify(wrong));
 	}
 });
@@ -344,3 +344,14 @@
 
 	t.ok(served >= 0 && served <= 8);
 });
+
+// An instance that has just started hears of another's run before its own first request. It took the engine
+// to have no memory, for good, so that all that it placed read beginnings again that were kept there.
+tap.test('an engine whose runs were told before its memory was known keeps what it reads', async t => {
+	const book = LoadBook.create();
+	const parts = prompt(1, 1);
+	book.step({type: 'placed', run: {id: 'b/1', owner: 'b', endpoint: 'e', service: 'models', unreadTokens: 9200, isTight: false, pauseMilliseconds: 0, parts}}, 0);
+	book.setMemory('e', 400_000);
+	book.step({type: 'placed', run: {id: 'b/2', owner: 'b', endpoint: 'e', service: 'models', unreadTokens: 9200, isTight: false, pauseMilliseconds: 0, parts}}, 10);
+	t.equal(book.unread('e', prompt(1, 2)), 2900, 'only its own part');
+});
