--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,10 +1,11 @@
 import process from 'node:process';
 import {Beliefs, ChannelBook, DecisionLog, Dispatcher, type Feed, FeedFollower, Gateway, KeptReader, type PeerRecord, Peers, type RequestCodec} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
-import {defaultTuning, type PromptPart, type RetryAllowance, type Tuning} from '../policy/dispatch/index.js';
+import {type PromptPart, type RetryAllowance} from '../policy/dispatch/index.js';
 import {type EndpointChange, type RoutingTableInput} from '../routing/index.js';
 import {AdminServer, forPart, type Logger, Metrics, type PartLogger} from '../telemetry/index.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
+import {parseTuning} from './settings/tuning.js';
 import {withinMilliseconds} from './stop-signal.js';
 
 /** What a platform's adapter brings: translation, and the store's feeds. */
@@ -26,14 +27,17 @@
 
 export type InstanceAnnouncement = {readonly instance: string; readonly record: PeerRecord | undefined};
 
-/** A routing table is in force within a second of its writing; the wait only bounds how long a dead connection is believed. */
-const routingWaitMilliseconds = 2500;
+/**
+ * A routing table is in force within a second of its writing: the wait only bounds how long a dead connection is
+ * believed. Peers tell of a newer version, so that among them it may last longer.
+ */
+const routingWaits = {alone: 2500, amongPeers: 10_000};
 /**
  * An endpoint's leaving is known well within two seconds, the shortest time it still serves. Instances that
- * are in touch read at different moments and tell each other: each of them reads less often, and still
- * often enough by itself.
+ * are in touch read at different moments and tell each other: the more of them, the less often each reads, so
+ * that one of all reads every 0.4 s, or each one every 6 s where they are many.
  */
-const endpointPauses = {alone: 900, amongPeers: 1400};
+const endpointPauses = {alone: 900, amongPeers: 1400, eachPeer: 350, longest: 6000};
 /** From so many peers on. */
 const peersThatTell = 2;
 /** Instances come and go rarely; those that start together announce themselves within the first readings. */
@@ -68,6 +72,11 @@
 		const beliefs = Beliefs.create(forPart(logger, 'Beliefs'));
 		const store = adapter.openStore(settings.storeAddress, forPart(logger, 'Store'));
 		const channels = ChannelBook.create();
+		beliefs.onChange(change => {
+			for (const id of change.type === 'reborn' ? change.ids : []) {
+				channels.endOlder(id);
+			}
+		});
 		const decisions = DecisionLog.create(forPart(logger, 'Request'), metrics);
 		const dispatcher = Dispatcher.create({
 			incarnation,
@@ -76,7 +85,7 @@
 			logger: forPart(logger, 'Dispatch'),
 			allowance: allowanceOf(settings),
 			random: Math.random,
-			tuning: {...defaultTuning, ...JSON.parse(process.env.CASSIAFLOW_TUNING ?? '{}') as Partial<Tuning>},
+			tuning: parseTuning(process.env.CASSIAFLOW_TUNING),
 			onLoad(event) {
 				peers.tellLoad(event);
 			},
@@ -219,7 +228,7 @@
 function followFeeds(store: GatewayStore, {beliefs, peers, logger}: {beliefs: Beliefs; peers: Peers; logger: PartLogger}): AsyncDisposable {
 	const followers = [
 		FeedFollower.start({
-			feed: store.routing, logger, waitMilliseconds: routingWaitMilliseconds, pauseMilliseconds: () => 0,
+			feed: store.routing, logger, waitMilliseconds: () => peers.count < peersThatTell ? routingWaits.alone : routingWaits.amongPeers, pauseMilliseconds: () => 0,
 			onItems(tables) {
 				for (const table of tables) {
 					beliefs.offerTable(table, 'store');
@@ -227,7 +236,7 @@
 			},
 		}),
 		FeedFollower.start({
-			feed: store.endpoints, logger, waitMilliseconds: 0, pauseMilliseconds: () => peers.count < peersThatTell ? endpointPauses.alone : endpointPauses.amongPeers,
+			feed: store.endpoints, logger, waitMilliseconds: () => 0, pauseMilliseconds: () => endpointPause(peers.count),
 			onItems(changes, isWhole) {
 				if (isWhole) {
 					beliefs.offerAllEndpoints(changes, 'store', performance.now());
@@ -237,7 +246,7 @@
 			},
 		}),
 		FeedFollower.start({
-			feed: store.instances, logger, waitMilliseconds: 0, pauseMilliseconds: readings => readings < firstInstanceReadings ? firstInstancePauseMilliseconds : instancePauseMilliseconds,
+			feed: store.instances, logger, waitMilliseconds: () => 0, pauseMilliseconds: readings => readings < firstInstanceReadings ? firstInstancePauseMilliseconds : instancePauseMilliseconds,
 			onItems(announcements) {
 				for (const {instance, record} of announcements) {
 					if (record === undefined) {
@@ -256,6 +265,10 @@
 	};
 }
 
+function endpointPause(peers: number): number {
+	return peers < peersThatTell ? endpointPauses.alone : Math.min(endpointPauses.longest, Math.max(endpointPauses.amongPeers, peers * endpointPauses.eachPeer));
+}
+
 function allowanceOf({retryRatio, retrySlack, retryWindowSeconds}: GatewaySettings): RetryAllowance {
 	return {ratio: retryRatio, slack: retrySlack, windowMilliseconds: retryWindowSeconds * 1000};
 }
--- /dev/null
+++ b/src/bin/settings/tuning.ts
@@ -0,0 +1,20 @@
+import {z} from 'zod';
+import {defaultTuning, type Tuning} from '../../policy/dispatch/index.js';
+
+const cost = z.number().nonnegative();
+const tuningSchema = z.strictObject({
+	fetches: z.boolean(), fetchShare: cost, ordersBacklogs: z.boolean(), roomMilliseconds: cost, tightFill: z.number().positive().max(1), outsideMilliseconds: cost,
+}).partial();
+
+/** The weights of placement, with what a JSON text changes of them; for measurements only. Throws with what is wrong. */
+export function parseTuning(text: string | undefined): Tuning {
+	if (text === undefined) {
+		return defaultTuning;
+	}
+
+	try {
+		return {...defaultTuning, ...tuningSchema.parse(JSON.parse(text))};
+	} catch (error) {
+		throw new Error(`CASSIAFLOW_TUNING is not a JSON object of weights: ${error instanceof z.ZodError ? z.prettifyError(error) : String(error)}`, {cause: error});
+	}
+}
--- a/src/gateway/attempt-follower.ts
+++ b/src/gateway/attempt-follower.ts
@@ -45,6 +45,8 @@
 	rawHeaders: RawHeaders = [];
 	firstEventAt: number | undefined;
 	lastEventAt: number | undefined;
+	longestPauseMilliseconds = 0;
+	events = 0;
 	/** When silence starts to count against the endpoint. */
 	suspectAt: number | undefined;
 	heldBytes = 0;
@@ -82,6 +84,15 @@
 		return undefined;
 	}
 
+	/** An event of the stream came whole. */
+	event(now: number): void {
+		this.suspectAt = undefined;
+		this.firstEventAt ??= now;
+		this.longestPauseMilliseconds = Math.max(this.longestPauseMilliseconds, now - (this.lastEventAt ?? now));
+		this.lastEventAt = now;
+		this.events += 1;
+	}
+
 	hold(bytes: Uint8Array): void {
 		this.#held.push(bytes);
 		this.heldBytes += bytes.length;
--- a/src/gateway/beliefs.ts
+++ b/src/gateway/beliefs.ts
@@ -1,10 +1,12 @@
-import {EndpointDirectory, type EndpointChange, RoutingTable, type RoutingTableInput} from '../routing/index.js';
+import {EndpointDirectory, type EndpointChange, isYounger, RoutingTable, type RoutingTableInput} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 
 /** What the process newly believes; only news, never a repetition. */
 export type BeliefChange
 	= | {readonly type: 'table'; readonly input: RoutingTableInput}
-		| {readonly type: 'endpoints'; readonly changes: readonly EndpointChange[]};
+		| {readonly type: 'endpoints'; readonly changes: readonly EndpointChange[]}
+	/** Endpoints that have started again under their ids. */
+		| {readonly type: 'reborn'; readonly ids: readonly string[]};
 
 /** Who told: the store or another instance. */
 export type BeliefSource = 'store' | `instance ${string}`;
@@ -89,12 +91,24 @@
 		if (news.length > 0) {
 			this.#tell({type: 'endpoints', changes: news}, source);
 		}
+
+		const reborn = [...new Set(news.map(change => idOf(change)))].filter(id => this.#isReborn(before, id));
+		if (reborn.length > 0) {
+			this.#logger.info('Endpoints started again under their ids.', {endpoints: reborn, source});
+			this.#tell({type: 'reborn', ids: reborn}, source);
+		}
+	}
+
+	#isReborn(before: EndpointDirectory, id: string): boolean {
+		const held = before.entries.get(id);
+		const next = this.#directory.entries.get(id);
+		return held !== undefined && next !== undefined && isYounger(next.record, held.record);
 	}
 
 	#isNews(before: EndpointDirectory, change: EndpointChange): boolean {
 		const held = before.entries.get(idOf(change));
 		const next = this.#directory.entries.get(idOf(change));
-		return next !== undefined && (held === undefined || (held.endedAt === undefined) !== (next.endedAt === undefined));
+		return next !== undefined && (held === undefined || (held.endedAt === undefined) !== (next.endedAt === undefined) || isYounger(next.record, held.record));
 	}
 
 	#tell(change: BeliefChange, source: BeliefSource): void {
--- a/src/gateway/channel-book.ts
+++ b/src/gateway/channel-book.ts
@@ -6,7 +6,7 @@
 /** This instance's part of what an endpoint takes from all callers: four instances may then meet there. */
 const connectionShare = 0.3;
 
-/** The kept connections of each endpoint. An id names one incarnation, so none outlives it. */
+/** The kept connections of each endpoint. */
 export class ChannelBook implements Disposable {
 	static create(): ChannelBook {
 		return new ChannelBook();
@@ -30,6 +30,11 @@
 		}
 	}
 
+	/** The endpoint has started again: what was sent to its incarnation before has ended with it. */
+	endOlder(id: string): void {
+		this.#channels.get(id)?.endOlder();
+	}
+
 	[Symbol.dispose](): void {
 		for (const channels of this.#channels.values()) {
 			channels.destroy();
--- a/src/gateway/decision-log.ts
+++ b/src/gateway/decision-log.ts
@@ -16,6 +16,9 @@
 	readonly waitedMilliseconds: number;
 	readonly startedAt: number;
 	readonly firstEventAt: number | undefined;
+	readonly events: number;
+	/** The longest time between two of its events. */
+	readonly pauseMilliseconds: number;
 	readonly outcome: Finish['outcome'];
 	readonly reason: string | undefined;
 	readonly status: number;
@@ -70,14 +73,14 @@
 	}
 
 	/** One sending, from the choice of its endpoint to its outcome. */
-	sent({facts, route, table, dispatcher}: ExchangeOptions, decision: Extract<Decision, {type: 'placed'}>, {waitedMilliseconds, startedAt, firstEventAt, ...outcome}: Sending): void {
+	sent({facts, route, table, dispatcher}: ExchangeOptions, decision: Extract<Decision, {type: 'placed'}>, {waitedMilliseconds, startedAt, firstEventAt, pauseMilliseconds, ...outcome}: Sending): void {
 		const now = performance.now();
 		this.#decisions.add(1, {decision: 'placed'});
 		this.#write('Sent.', {
 			request: facts.id, route: route.name, version: table.version, endpoint: decision.record.id, unread: decision.unreadTokens,
 			fetched: decision.fetch?.tokens, from: decision.fetch?.from, least: decision.leastUnreadTokens, expected: Math.round(decision.expectedMilliseconds), speed: Math.round(dispatcher.book.speed(decision.record.service).tokensPerMillisecond),
 			candidates: decision.candidates, waited: Math.round(waitedMilliseconds), line: dispatcher.waiting, ...outcome,
-			firstEvent: firstEventAt === undefined ? undefined : Math.round(firstEventAt - startedAt), milliseconds: Math.round(now - startedAt),
+			firstEvent: firstEventAt === undefined ? undefined : Math.round(firstEventAt - startedAt), pause: Math.round(pauseMilliseconds), milliseconds: Math.round(now - startedAt),
 		});
 	}
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -99,8 +99,12 @@
 	private constructor(options: DispatcherOptions) {
 		this.#options = options;
 		this.retries = RetryShare.create(options.allowance);
-		options.beliefs.onChange(() => {
+		options.beliefs.onChange(change => {
 			this.#known.clear();
+			for (const endpoint of change.type === 'reborn' ? change.ids : []) {
+				this.#health.delete(endpoint);
+				this.takeLoad({type: 'endpoint-restarted', endpoint});
+			}
 		});
 	}
 
@@ -240,10 +244,10 @@
 		this.#line.charge(ticket, now);
 		this.#runCount += 1;
 		const id = runId(this.#options.incarnation, this.#runCount);
-		const {service, isTight, pauseMilliseconds = 0, parts} = ticket.demand;
+		const {service, isTight, parts} = ticket.demand;
 		const share = this.#unreadShare(service);
 		this.#unreadShares.set(service, share + (((unreadTokens / ticket.work) - share) * unreadShareWeight));
-		this.#tell({type: 'placed', run: {id, owner: this.#options.incarnation, endpoint: record.id, service, unreadTokens, isTight, pauseMilliseconds, parts}});
+		this.#tell({type: 'placed', run: {id, owner: this.#options.incarnation, endpoint: record.id, service, unreadTokens, isTight, parts}});
 		if (availability(this.#health.get(record.id) ?? createEndpointHealth(), now) === 'trial') {
 			this.#judge(record, {type: 'trial'});
 		}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -220,7 +220,7 @@
 		this.#excluded.add(record.id);
 		this.#judge(record, outcome, follower);
 		this.#options.log.sent(this.#options, decision, {
-			waitedMilliseconds: this.#waitedMilliseconds, startedAt: follower.startedAt, firstEventAt: follower.firstEventAt,
+			waitedMilliseconds: this.#waitedMilliseconds, startedAt: follower.startedAt, firstEventAt: follower.firstEventAt, events: follower.events, pauseMilliseconds: follower.longestPauseMilliseconds,
 			outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, status: follower.status,
 		});
 		return outcome;
@@ -354,14 +354,13 @@
 		}
 
 		for (const event of events) {
-			if (follower.lastEventAt === undefined) {
-				follower.suspectAt = undefined;
-				follower.firstEventAt = performance.now();
+			const now = performance.now();
+			if (follower.firstEventAt === undefined) {
 				dispatcher.firstEvent(follower.decision.runId);
-				this.#firstEventAt ??= performance.now();
+				this.#firstEventAt ??= now;
 			}
 
-			follower.lastEventAt = performance.now();
+			follower.event(now);
 			if (!isAfter(event.id, this.#lastEventId)) {
 				return {type: 'failed', verdict: Verdict.mayHaveRun, reason: `event ${event.id} after ${this.#lastEventId}`};
 			}
--- a/src/gateway/feed-follower.ts
+++ b/src/gateway/feed-follower.ts
@@ -6,7 +6,7 @@
 	readonly feed: Feed<Item>;
 	readonly logger: PartLogger;
 	/** How long one reading may wait for the first change; 0 reads what is there. */
-	readonly waitMilliseconds: number;
+	readonly waitMilliseconds: () => number;
 	/** From the end of one reading to the start of the next, after so many readings. */
 	readonly pauseMilliseconds: (readings: number) => number;
 	/** Everything, when `isWhole`; else changes in their order. */
@@ -17,6 +17,9 @@
 const firstRetryMilliseconds = 100;
 const longestRetryMilliseconds = 1500;
 
+/** A pause is looked at again so often. */
+const lookMilliseconds = 400;
+
 /**
  * Keeps up with one feed for as long as the process lives. Failures: history dropped under us, a store
  * that is down, slow, refuses this instance or answers from an older state. Each of them ends in a
@@ -65,11 +68,11 @@
 	}
 
 	* #readOnce(): Body<void> {
-		const {feed, waitMilliseconds, pauseMilliseconds} = this.#options;
+		const {feed, waitMilliseconds} = this.#options;
 		if (this.#next === undefined) {
 			this.#take(yield * wait(feed.readNewest()), true);
 		} else {
-			const page = yield * wait(feed.readChanges(this.#next, waitMilliseconds));
+			const page = yield * wait(feed.readChanges(this.#next, waitMilliseconds()));
 			if (page === undefined) {
 				this.#options.logger.warn('History is gone, reading the newest values.', {feed: feed.name, from: this.#next});
 				this.#next = undefined;
@@ -80,7 +83,21 @@
 		}
 
 		this.#readings += 1;
-		yield * sleep(pauseMilliseconds(this.#readings));
+		yield * this.#pause();
+	}
+
+	/** What the pause depends on may change while it lasts. */
+	* #pause(): Body<void> {
+		const {pauseMilliseconds} = this.#options;
+		const from = performance.now();
+		for (;;) {
+			const left = pauseMilliseconds(this.#readings) - (performance.now() - from);
+			if (left <= 0 || this.#isStopped) {
+				return;
+			}
+
+			yield * sleep(Math.min(left, lookMilliseconds));
+		}
 	}
 
 	#take({items, next}: FeedPage<Item>, isWhole: boolean): void {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -3,7 +3,7 @@
 import {type EndpointChange} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion, type Security} from '../wire/index.js';
-import {type Beliefs} from './beliefs.js';
+import {type BeliefChange, type Beliefs} from './beliefs.js';
 import {type KeptParts} from './kept-reader.js';
 
 /** Another instance, as it announced itself. */
@@ -84,10 +84,10 @@
 	private constructor(options: PeersOptions) {
 		this.#options = options;
 		options.beliefs.onChange(change => {
-			const message: GatewayMessage = change.type === 'table'
-				? {type: 'routing-version', version: change.input.version}
-				: {type: 'endpoints', changes: [...change.changes]};
-			this.#broadcast(message);
+			const message = messageOf(change);
+			if (message !== undefined) {
+				this.#broadcast(message);
+			}
 		});
 	}
 
@@ -345,6 +345,23 @@
 	}
 }
 
+function messageOf(change: BeliefChange): GatewayMessage | undefined {
+	switch (change.type) {
+		case 'table': {
+			return {type: 'routing-version', version: change.input.version};
+		}
+
+		case 'endpoints': {
+			return {type: 'endpoints', changes: [...change.changes]};
+		}
+
+		case 'reborn': {
+			// Each instance sees it in the endpoints' records.
+			return undefined;
+		}
+	}
+}
+
 function pairsOf(values: readonly number[]): PromptPart[] {
 	return Array.from({length: Math.floor(values.length / 2)}, (_, index) => ({id: values[index * 2]!, tokens: values[(index * 2) + 1]!}));
 }
--- a/src/policy/dispatch/demand.ts
+++ b/src/policy/dispatch/demand.ts
@@ -28,9 +28,8 @@
 	readonly zone: ZoneName;
 	readonly slots: number;
 	readonly isEngine: boolean;
-	/** The hash of its id, and its place in the order that tight streams fill. */
+	/** The hash of its id: candidates come in the order of hashes, in which tight streams fill them. */
 	readonly hash: number;
-	readonly order: number;
 };
 
 /** Another engine from which the chosen one takes a part of the prompt. */
--- a/src/policy/dispatch/engine-cost.ts
+++ b/src/policy/dispatch/engine-cost.ts
@@ -36,8 +36,6 @@
 /** A contiguous reading above this part of the pause is taken to break it. */
 const pauseShare = 0.5;
 const brokenPauseWeight = 4;
-/** Streams counted at most of those that a reading breaks: it then goes elsewhere whatever that costs. */
-const brokenCounted = 8;
 /** Lateness against the target weighs more than being early. */
 const latenessShare = 0.7;
 const latenessWeight = 3;
@@ -51,12 +49,12 @@
 export type Overview = {
 	readonly loads: readonly EndpointLoad[];
 	readonly readingWeight: number;
-	/** The first so many of the order are left to tight streams. */
+	/** The first so many candidates are left to tight streams. */
 	readonly takenByTight: number;
 	readonly holders: readonly Holder[];
 };
 
-export function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {load, overview, circumstances}: {load: EndpointLoad; overview: Overview; circumstances: Circumstances}): Judged {
+export function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {load, place, overview, circumstances}: {load: EndpointLoad; place: number; overview: Overview; circumstances: Circumstances}): Judged {
 	const {fetchTokensPerMillisecond, tuning} = circumstances;
 	const speed = book.speed(demand.service);
 	const lackedTokens = book.unread(candidate.id, demand.parts);
@@ -67,8 +65,8 @@
 	const slots = candidate.slots + (demand.isTight ? slotsAbove : 0);
 	const wait = load.running >= slots ? speed.baseMilliseconds : Math.max(0, load.backlogMilliseconds - bearableBacklog(demand, load.tightRuns, circumstances));
 	const span = load.backlogMilliseconds + reading;
-	const harm = demand.isTight ? tightCost(demand, candidate, {load, span, overview, tuning}) : harmToOthers(demand, candidate, {load, span, reading, overview, tuning});
-	const fetching = fetch === undefined ? 0 : fetch.milliseconds + (readMilliseconds(speed, fetch.tokens) * tuning.fetchShare * (tuning.fetchIsWeighted ? overview.readingWeight : fetchWeight));
+	const harm = demand.isTight ? tightCost(demand, candidate, {load, place, span, overview, tuning}) : harmToOthers(demand, {load, place, span, reading, overview, tuning});
+	const fetching = fetch === undefined ? 0 : fetch.milliseconds + (readMilliseconds(speed, fetch.tokens) * tuning.fetchShare * fetchWeight);
 	const cost = load.backlogMilliseconds + (reading * overview.readingWeight) + fetching + lateness(wait + expected, demand) + harm
 		+ (load.running / candidate.slots * speed.baseMilliseconds);
 	return {cost, wait, unreadTokens, fetch, expected};
@@ -91,30 +89,20 @@
 	return least === most ? 1 : Math.min(1, Math.max(0, (urgency - most) / (least - most)));
 }
 
-type Harm = {readonly load: EndpointLoad; readonly span: number; readonly overview: Overview; readonly tuning: Circumstances['tuning']};
+type Harm = {readonly load: EndpointLoad; readonly place: number; readonly span: number; readonly overview: Overview; readonly tuning: Circumstances['tuning']};
 
-function tightCost(demand: Demand, candidate: Candidate, {load, span, overview, tuning}: Harm): number {
+function tightCost(demand: Demand, candidate: Candidate, {load, place, span, overview, tuning}: Harm): number {
 	const pause = (demand.pauseMilliseconds ?? Infinity) * pauseShare;
 	const crowded = load.running >= candidate.slots * crowdedFill ? demand.targetMilliseconds : 0;
-	const outside = candidate.order >= Math.max(1, overview.takenByTight) ? tuning.outsideMilliseconds : 0;
-	return (candidate.order * orderMilliseconds) + (load.readingShare * readingShareMilliseconds) + crowded + outside + (Math.max(0, span - pause) * brokenPauseWeight);
+	const outside = place >= Math.max(1, overview.takenByTight) ? tuning.outsideMilliseconds : 0;
+	return (place * orderMilliseconds) + (load.readingShare * readingShareMilliseconds) + crowded + outside + (Math.max(0, span - pause) * brokenPauseWeight);
 }
 
 /** What a reading does to the streams that run there: all of it delays them a little, a long one breaks their pauses. */
-function harmToOthers({tightestPauseMilliseconds}: Demand, {order}: Candidate, {load, span, reading, overview, tuning}: Harm & {reading: number}): number {
+function harmToOthers({tightestPauseMilliseconds}: Demand, {load, place, span, reading, overview, tuning}: Harm & {reading: number}): number {
 	const delays = Math.min(load.tightRuns, tightCounted) * reading * tightWeight;
-	const takesRoom = order < overview.takenByTight && span > tightestPauseMilliseconds * besideTightShare;
-	return delays + (Math.min(brokenCounted, brokenBy(load, span / tuning.brokenPauseShare)) * tuning.brokenStreamMilliseconds) + (takesRoom ? tuning.roomMilliseconds : 0);
-}
-
-/** How many streams there have promised shorter pauses than this. */
-function brokenBy({pauses}: EndpointLoad, milliseconds: number): number {
-	let count = 0;
-	for (const [pause, runs] of pauses) {
-		count += pause < milliseconds ? runs : 0;
-	}
-
-	return count;
+	const takesRoom = place < overview.takenByTight && span > tightestPauseMilliseconds * besideTightShare;
+	return delays + (takesRoom ? tuning.roomMilliseconds : 0);
 }
 
 function lateness(expected: number, {targetMilliseconds, elapsedMilliseconds}: Demand): number {
--- a/src/policy/dispatch/homes.ts
+++ b/src/policy/dispatch/homes.ts
@@ -20,10 +20,10 @@
 	}
 
 	const homes: Array<{id: string; score: number}> = [];
-	for (const {id, hash, order} of candidates) {
+	for (const [index, {id, hash}] of candidates.entries()) {
 		const score = mixHashes(shared.id, hash);
 		const last = homes.at(homeMilliseconds.length - 1);
-		if (order < takenByTight || (last !== undefined && score <= last.score)) {
+		if (index < takenByTight || (last !== undefined && score <= last.score)) {
 			continue;
 		}
 
--- a/src/policy/dispatch/load-rows.ts
+++ b/src/policy/dispatch/load-rows.ts
@@ -28,7 +28,7 @@
 /**
  * Load as it travels between instances: rows without names, since it is by far the most frequent message
  * and goes to each of them. A row names a run by its number at the sender; its owner is whoever sent it.
- * `[0, number, endpoint, service, unread tokens, 1 if tight, pause, part, tokens, ...]`, `[1, number]`, `[2, number]`.
+ * `[0, number, endpoint, service, unread tokens, 1 if tight, part, tokens, ...]`, `[1, number]`, `[2, number]`.
  */
 export type LoadRow = readonly unknown[];
 
@@ -40,8 +40,8 @@
 function encodeEvent(event: LoadEvent): LoadRow | undefined {
 	switch (event.type) {
 		case 'placed': {
-			const {id, endpoint, service, unreadTokens, isTight, pauseMilliseconds, parts} = event.run;
-			return [RowKind.placed, numberOf(id), endpoint, service, unreadTokens, isTight ? 1 : 0, pauseMilliseconds, ...parts.flatMap(part => [part.id, part.tokens])];
+			const {id, endpoint, service, unreadTokens, isTight, parts} = event.run;
+			return [RowKind.placed, numberOf(id), endpoint, service, unreadTokens, isTight ? 1 : 0, ...parts.flatMap(part => [part.id, part.tokens])];
 		}
 
 		case 'first-event': {
@@ -102,13 +102,13 @@
 }
 
 function decodePlaced(row: readonly unknown[], {id, owner}: {id: string; owner: string}): LoadEvent | undefined {
-	const [endpoint, service, unreadTokens, tight, pauseMilliseconds, ...partValues] = row.slice(2);
-	if (!isName(endpoint) || !isName(service) || !isCount(unreadTokens) || !isCount(pauseMilliseconds) || partValues.length % 2 !== 0 || partValues.length > mostParts * 2 || !partValues.every(value => isCount(value))) {
+	const [endpoint, service, unreadTokens, tight, ...partValues] = row.slice(2);
+	if (!isName(endpoint) || !isName(service) || !isCount(unreadTokens) || partValues.length % 2 !== 0 || partValues.length > mostParts * 2 || !partValues.every(value => isCount(value))) {
 		return undefined;
 	}
 
 	const parts = Array.from({length: partValues.length / 2}, (_, index) => ({id: partValues[index * 2]!, tokens: partValues[(index * 2) + 1]!}));
-	return {type: 'placed', run: {id, owner, endpoint, service, unreadTokens, isTight: tight === 1, pauseMilliseconds, parts}};
+	return {type: 'placed', run: {id, owner, endpoint, service, unreadTokens, isTight: tight === 1, parts}};
 }
 
 /** The name of a run, unique over all instances. */
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -11,8 +11,6 @@
 	readonly unreadTokens: number;
 	/** True if its pauses are the tightest of its service. */
 	readonly isTight: boolean;
-	/** The longest pause between its events that is on time; 0 where none is promised. */
-	readonly pauseMilliseconds: number;
 	readonly parts: readonly PromptPart[];
 };
 
@@ -39,8 +37,6 @@
 	readonly backlogMilliseconds: number;
 	/** The part of recent time that it spent reading, 0 to 1. */
 	readonly readingShare: number;
-	/** How many streams run there with each promised pause, in milliseconds. */
-	readonly pauses: ReadonlyMap<number, number>;
 };
 
 /** A run whose end was never told is dropped after so long: no answer lasts longer than its time limit. */
@@ -71,7 +67,6 @@
 	share: number;
 	shareAt: number;
 	tightRuns: number;
-	readonly pauses: Map<number, number>;
 };
 
 /**
@@ -126,7 +121,7 @@
 	load(endpoint: string, now: number): EndpointLoad {
 		const desk = this.#desks.get(endpoint);
 		if (desk === undefined) {
-			return {running: 0, tightRuns: 0, backlogMilliseconds: 0, readingShare: 0, pauses: new Map()};
+			return {running: 0, tightRuns: 0, backlogMilliseconds: 0, readingShare: 0};
 		}
 
 		return {
@@ -134,7 +129,6 @@
 			tightRuns: desk.tightRuns,
 			backlogMilliseconds: this.#backlog(desk, now),
 			readingShare: decayed(desk, now),
-			pauses: desk.pauses,
 		};
 	}
 
@@ -199,7 +193,6 @@
 		desk.share = decayed(desk, now) + (reading / shareMilliseconds);
 		desk.shareAt = now;
 		desk.tightRuns += run.isTight ? 1 : 0;
-		countPause(desk, run, 1);
 		desk.parts.use(run.parts);
 		const held = {...run, placedAt: now, isRead: false};
 		desk.runs.set(run.id, held);
@@ -241,7 +234,6 @@
 		this.#runs.delete(id);
 		desk.runs.delete(id);
 		desk.tightRuns -= run.isTight ? 1 : 0;
-		countPause(desk, run, -1);
 		if (!run.isRead) {
 			noteRead(desk, run, now);
 			desk.span.isSpoilt = true;
@@ -268,7 +260,7 @@
 }
 
 function createDesk(memoryTokens: number): Desk {
-	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, span: createSpan(0, true), parts: PartMemory.create(memoryTokens), service: '', share: 0, shareAt: 0, tightRuns: 0, pauses: new Map()};
+	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, span: createSpan(0, true), parts: PartMemory.create(memoryTokens), service: '', share: 0, shareAt: 0, tightRuns: 0};
 }
 
 function createSpan(at: number, isFromRest: boolean): Span {
@@ -283,19 +275,6 @@
 	desk.turnAt = now;
 }
 
-function countPause({pauses}: Desk, {pauseMilliseconds}: Run, difference: 1 | -1): void {
-	if (pauseMilliseconds === 0) {
-		return;
-	}
-
-	const count = (pauses.get(pauseMilliseconds) ?? 0) + difference;
-	if (count === 0) {
-		pauses.delete(pauseMilliseconds);
-	} else {
-		pauses.set(pauseMilliseconds, count);
-	}
-}
-
 function decayed({share, shareAt}: Desk, now: number): number {
 	return share * Math.exp(-(now - shareAt) / shareMilliseconds);
 }
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -41,7 +41,7 @@
 	let leastUnreadTokens = Infinity;
 	for (const [index, candidate] of candidates.entries()) {
 		const load = overview.loads[index]!;
-		const judged = candidate.isEngine ? judgeEngine(book, demand, candidate, {load, overview, circumstances}) : judgeService(book, demand, candidate, load);
+		const judged = candidate.isEngine ? judgeEngine(book, demand, candidate, {load, place: index, overview, circumstances}) : judgeService(book, demand, candidate, load);
 		const cost = judged.cost + (candidate.zone === circumstances.zone ? 0 : otherZoneMilliseconds) + homeCost(demand, homes, {id: candidate.id, unreadTokens: judged.unreadTokens});
 		leastUnreadTokens = Math.min(leastUnreadTokens, judged.unreadTokens);
 		if (judged.wait > 0) {
@@ -90,9 +90,7 @@
 	return {cost: running / candidate.slots * work, wait, unreadTokens: 0, fetch: undefined, expected};
 }
 
-/** Gives candidates their place in the order in which tight streams fill them; ids decide, so all instances agree. */
-export function inOrder(candidates: ReadonlyArray<Omit<Candidate, 'hash' | 'order'>>): Candidate[] {
-	const hashed = candidates.map(candidate => ({...candidate, hash: hash32(candidate.id)}));
-	hashed.sort((left, right) => left.hash - right.hash);
-	return hashed.map((candidate, order) => ({...candidate, order}));
+/** Puts candidates in the order in which tight streams fill them; ids decide, so all instances agree. */
+export function inOrder(candidates: ReadonlyArray<Omit<Candidate, 'hash'>>): Candidate[] {
+	return candidates.map(candidate => ({...candidate, hash: hash32(candidate.id)})).toSorted((left, right) => left.hash - right.hash);
 }
--- a/src/routing/routing-table.ts
+++ b/src/routing/routing-table.ts
@@ -231,6 +231,8 @@
 	readonly zone: ZoneName;
 	readonly isLeaving: boolean;
 	readonly slots: number;
-	/** Rises with each of the endpoint's own changes. */
+	/** Rises with each of the endpoint's own changes within one incarnation. */
 	readonly revision: number;
+	/** When this incarnation started, in Unix milliseconds of its own clock; absent where it doesn't say. */
+	readonly bornAt?: number | undefined;
 };
--- a/src/routing/schemas.ts
+++ b/src/routing/schemas.ts
@@ -53,6 +53,7 @@
 	isLeaving: z.boolean(),
 	slots: count,
 	revision: z.number(),
+	bornAt: z.number().optional(),
 });
 
 export const endpointChangeSchema: z.ZodType<EndpointChange> = z.discriminatedUnion('type', [
--- a/test/adapter/adapter.test.ts
+++ b/test/adapter/adapter.test.ts
@@ -1,11 +1,15 @@
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {type AddressInfo} from 'node:net';
 import fc from 'fast-check';
 import tap from 'tap';
+import {readKeptParts} from '../../platform/engine-client.js';
 import {requestCodec} from '../../platform/request-codec.js';
 import {decodeDesiredState} from '../../platform/desired-state.js';
 import {decodeInstance, decodeServer, encodeInstance} from '../../platform/servers.js';
 import {decodeRecords, encodeRecord, StoreClient} from '../../platform/store-client.js';
-import {endpointFeed, routingFeed} from '../../platform/feeds.js';
+import {endpointFeed, instanceFeed, routingFeed} from '../../platform/feeds.js';
 import {FakePlatformStore} from '../../fakes/platform-store.js';
 import {type Route, RouteKind, RoutingTable, routingTableSchema} from '../../src/routing/index.js';
 import {PlatformError} from '../../src/platform/index.js';
@@ -152,11 +156,11 @@
 tap.test('changes follow the newest values; history that is gone shows as such', async t => {
 	await using store = await FakePlatformStore.create();
 	await using client = StoreClient.create(store.address);
-	store.put('keyed.servers', 'a', {service: 's', address: '1.2.3.4:5', zone: 'z', state: 'ready'});
+	store.put('keyed.servers', 'a', {service: 's', address: '1.2.3.4:5', zone: 'z', slots: 1, state: 'ready', seq: 1});
 	const newest = await client.readNewest('keyed.servers');
 	t.equal(newest.records.length, 1);
 	const waiting = client.readChanges('keyed.servers', newest.next, 5000);
-	store.put('keyed.servers', 'b', {service: 's', address: '1.2.3.4:6', zone: 'z', state: 'ready'});
+	store.put('keyed.servers', 'b', {service: 's', address: '1.2.3.4:6', zone: 'z', slots: 1, state: 'ready', seq: 1});
 	t.match(await waiting, {records: [{key: 'b', offset: 1}], next: 2});
 	store.forget('keyed.servers');
 	t.equal(await client.readChanges('keyed.servers', 0, 0), undefined);
@@ -173,7 +177,7 @@
 
 	const logger = {debug: log, info: log, warn: log, error: log};
 	store.put('keyed.servers', 'bad', {service: 5});
-	store.put('keyed.servers', 'good', {service: 's', address: '1.2.3.4:5', zone: 'z', state: 'ready'});
+	store.put('keyed.servers', 'good', {service: 's', address: '1.2.3.4:5', zone: 'z', slots: 1, state: 'ready', seq: 1});
 	store.put('keyed.op', 'config', {version: 'x'});
 	const endpoints = await endpointFeed(client, logger).readNewest();
 	t.match(endpoints.items, [{type: 'registered', record: {id: 'good'}}]);
@@ -181,3 +185,78 @@
 	t.same(tables.items, []);
 	t.equal(lines.length, 2);
 });
+
+const wellFormed = {service: 's', address: '1.2.3.4:5', zone: 'z', slots: 4, state: 'ready', seq: 3, born: 1000};
+
+// Another program writes to the same topics: fields are missing, of another type, or the bytes are no text. Taken with
+// defaults, such a record became an endpoint that nobody runs, and requests were sent to it; thrown out of the feed,
+// it kept all its neighbours from being read. It names no endpoint, its neighbours hold, and one line tells.
+tap.test('records by other writers name no endpoint and lose no neighbour', async t => {
+	for (const field of Object.keys(wellFormed).filter(name => name !== 'born')) {
+		const {[field as keyof typeof wellFormed]: _, ...rest} = wellFormed;
+		t.throws(() => decodeServer({key: 'e', value: JSON.stringify(rest), offset: 1}), `without ${field}`);
+	}
+
+	t.throws(() => decodeServer({key: 'e', value: JSON.stringify({...wellFormed, state: 'retired'}), offset: 1}));
+	t.throws(() => decodeServer({key: 'e', value: JSON.stringify({...wellFormed, born: 'yesterday'}), offset: 1}));
+	t.match(decodeServer({key: 'e', value: JSON.stringify(wellFormed), offset: 1}), {type: 'registered', record: {bornAt: 1000}});
+	await using store = await FakePlatformStore.create();
+	await using client = StoreClient.create(store.address);
+	const lines: string[] = [];
+	const log = (message: string): void => {
+		lines.push(message);
+	};
+
+	const logger = {debug: log, info: log, warn: log, error: log};
+	const value = fc.oneof(fc.jsonValue(), fc.record({service: fc.anything(), address: fc.anything(), state: fc.anything()}).map(record => JSON.stringify(record)));
+	for (const [index, strange] of fc.sample(value, {seed: 8, numRuns: 150}).entries()) {
+		store.put('keyed.servers', `strange-${index}`, strange);
+		store.put('keyed.op', `strange-${index}`, strange);
+		store.put('keyed.cassiaflow-instances', `strange-${index}`, strange);
+	}
+
+	store.put('keyed.servers', 'good', wellFormed);
+	const feeds = [endpointFeed(client, logger), routingFeed(client, logger), instanceFeed(client, logger)] as const;
+	for (const feed of feeds) {
+		const whole = await feed.readNewest();
+		const changes = await feed.readChanges(0, 0);
+		t.ok(whole.next > 100 && changes?.next === whole.next, `${feed.name} was read to its end`);
+	}
+
+	const {items} = await feeds[0].readNewest();
+	t.match(items, [{type: 'registered', record: {id: 'good'}}]);
+	t.ok(lines.length <= 2 * 151, `${lines.length} lines: one for each key of a feed`);
+	const config = {version: 1, routes: [], services: [], limits: {}, tenants: []};
+	fc.assert(fc.property(fc.constantFrom(...Object.keys(config)), fc.jsonValue(), (field, strange) => {
+		const text = JSON.stringify({...config, [field]: strange});
+		try {
+			decodeDesiredState(text);
+		} catch (error) {
+			return error instanceof Error;
+		}
+
+		return true;
+	}), {seed: 5, numRuns: 200});
+});
+
+// All instances have lost power, and engines keep prompts of which no instance knows. The list is the engine's own word.
+tap.test('an engine\'s list of kept prompt parts is read, and what is no list is refused', async t => {
+	let body = JSON.stringify({epoch: 1, next: 5, held: [['', '5c1e07a2', 800, 'm'], ['', '91bd3f06', 410, 'm']]});
+	const server = createServer((request, response) => {
+		response.writeHead(request.url === '/v1/kv-list' ? 200 : 404).end(body);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const parts = await readKeptParts(address);
+	const read = requestCodec.readRequest({'request-id': 'r', 'prefix-hash': '5c1e07a2:800,91bd3f06:410'});
+	t.same(read.type === 'facts' && read.facts.parts, parts, 'the same ids as a request names');
+	for (const wrong of ['{', '{"held": 5}', '{"held": [["", 5]]}', '[]']) {
+		body = wrong;
+		await t.rejects(readKeptParts(address));
+	}
+
+	server.close();
+	server.closeAllConnections();
+	await t.rejects(readKeptParts(address));
+});
--- a/test/gateway/dispatcher.test.ts
+++ b/test/gateway/dispatcher.test.ts
@@ -46,7 +46,7 @@
 	const [sick, well] = [record('sick'), record('well')];
 	using dispatcher = createDispatcher([sick, well]);
 	for (let number = 0; number < 4; number++) {
-		dispatcher.takeLoad({type: 'placed', run: {id: `b/${number}`, owner: 'b', endpoint: 'sick', service: 'models', unreadTokens: 9000, isTight: false, pauseMilliseconds: 0, parts: []}});
+		dispatcher.takeLoad({type: 'placed', run: {id: `b/${number}`, owner: 'b', endpoint: 'sick', service: 'models', unreadTokens: 9000, isTight: false, parts: []}});
 	}
 
 	dispatcher.report(sick, 'unreachable');
--- a/test/gateway/path.test.ts
+++ b/test/gateway/path.test.ts
@@ -282,3 +282,38 @@
 	await eventually(() => line() !== undefined);
 	t.match(line(), {msg: 'Request: Sent.', route: 'lookup', version: 1, candidates: 2, outcome: 'done', status: 200});
 });
+
+// A worker dies behind a cut while a stream runs there, and starts again under its id and address; no packet ends the
+// old connection. The caller waited for its whole time. Word of the new incarnation ends what the old one had.
+tap.test('a stream on a worker that is born again goes on elsewhere, and the worker is used anew', async t => {
+	await using world = await World.create({services: ['models'], workersEach: 2});
+	await world.startGateway();
+	const state = desiredState(2);
+	const routes = (state.routes as Array<Record<string, unknown>>).map(route => ({...route, timeoutMs: 20_000, gapAimMs: 5000}));
+	world.store.put('keyed.op', 'config', {...state, routes});
+	await eventually(() => world.gateways[0]!.beliefs.table?.version === 2);
+	const [first, second] = world.ofService('models');
+	world.store.put('keyed.servers', first!.id, first!.beat({born: 1000, seq: 40}));
+	world.store.put('keyed.servers', second!.id, second!.beat({born: 1000, seq: 40}));
+	await eventually(() => [...world.gateways[0]!.beliefs.directory.entries.values()].every(({record}) => record.bornAt === 1000));
+	world.answerWith('models', ({id, headers}) => id === 'cut' && headers['last-event-id'] === undefined
+		? {type: 'events', count: 60, gapMilliseconds: 100}
+		: {type: 'events', count: 60});
+	const asked = world.ask({path: '/chart/1', method: 'POST', id: 'cut', body: 'draw', headers: {'deadline-ms': '15000'}});
+	await eventually(() => world.arrivals('cut') === 1);
+	const dying = world.ofService('models').find(worker => worker.requests.some(({id}) => id === 'cut'))!;
+	await new Promise(resolve => {
+		// Longer than word of a new incarnation takes: what is younger may be its own.
+		setTimeout(resolve, 2300);
+	});
+	world.store.put('keyed.servers', dying.id, dying.beat({born: 2000, seq: 1}));
+	await eventually(() => world.lines.some(({msg}) => String(msg).includes('started again under their ids')));
+	const seen = await asked;
+	t.equal(world.arrivals('cut'), 2, 'it went on, once');
+	t.ok(seen.isWhole);
+	t.equal(seen.body.match(/^id: /gmv)?.length, 60);
+	const entry = world.gateways[0]!.beliefs.directory.entries.get(dying.id)!;
+	t.equal(entry.record.bornAt, 2000);
+	t.equal(entry.endedAt, undefined, 'revision 1 of the younger goes before revision 40 of the older');
+	t.same(dying.abandoned, ['cut']);
+});
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -40,7 +40,7 @@
 	const dies = await createPeers('dies', {port: port + 1000, seeds: [`127.0.0.1:${port}`]});
 	const book = LoadBook.create();
 	await until(() => dies.peers.count === 1);
-	dies.peers.tellLoad({type: 'placed', run: {id: 'dies-first/1', owner: 'dies-first', endpoint: 'e', service: 'models', unreadTokens: 9000, isTight: true, pauseMilliseconds: 0, parts: [{id: 1, tokens: 9000}]}});
+	dies.peers.tellLoad({type: 'placed', run: {id: 'dies-first/1', owner: 'dies-first', endpoint: 'e', service: 'models', unreadTokens: 9000, isTight: true, parts: [{id: 1, tokens: 9000}]}});
 	await until(() => stays.events.length === 1);
 	book.step(stays.events[0]!, 0);
 	t.match(book.load('e', 0), {running: 1, tightRuns: 1});
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import tap from 'tap';
+import {parseTuning} from '../../src/bin/settings/tuning.js';
 import {type ZoneName} from '../../src/model/index.js';
 import {
 	availability, type Candidate, chanceOfPlace, choosePlace, createEndpointHealth, createReadingSpeed, decodeLoad, defaultTuning, type Demand, encodeLoad, inOrder, learnReadingSpeed, LoadBook,
@@ -37,7 +38,7 @@
 
 	runs += 1;
 	book.step({type: 'placed', run: {
-		id: `run-${runs}`, owner: 'a', endpoint: choice.endpoint, service: wanted.service, unreadTokens: choice.unreadTokens, isTight: wanted.isTight, pauseMilliseconds: 0, parts: wanted.parts,
+		id: `run-${runs}`, owner: 'a', endpoint: choice.endpoint, service: wanted.service, unreadTokens: choice.unreadTokens, isTight: wanted.isTight, parts: wanted.parts,
 	}}, now);
 	return choice.endpoint;
 }
@@ -113,7 +114,7 @@
 tap.test('what another instance placed counts until it ends, or until that instance is lost', async t => {
 	const [only] = candidates(1);
 	const book = bookFor([only!]);
-	const run = {id: 'b/1', owner: 'b', endpoint: only!.id, service: 'models', unreadTokens: 5000, isTight: true, pauseMilliseconds: 0, parts: []};
+	const run = {id: 'b/1', owner: 'b', endpoint: only!.id, service: 'models', unreadTokens: 5000, isTight: true, parts: []};
 	book.step({type: 'placed', run}, 0);
 	book.step({type: 'placed', run}, 0);
 	t.match(book.load(only!.id, 0), {running: 1, tightRuns: 1});
@@ -149,7 +150,7 @@
 		const tokens = [3000 + (round % 7 * 500), 2500 + (round % 5 * 700)];
 		const whole = base + ((tokens[0]! + tokens[1]!) / pace);
 		for (const [index, unreadTokens] of tokens.entries()) {
-			book.step({type: 'placed', run: {id: `a/${round}-${index}`, owner: 'a', endpoint: 'e', service: 'models', unreadTokens, isTight: false, pauseMilliseconds: 0, parts: []}}, at + index);
+			book.step({type: 'placed', run: {id: `a/${round}-${index}`, owner: 'a', endpoint: 'e', service: 'models', unreadTokens, isTight: false, parts: []}}, at + index);
 		}
 
 		book.step({type: 'first-event', id: `a/${round}-0`}, at + whole - 3);
@@ -174,7 +175,7 @@
 	const held = (id: string, now: number): string => `${id}-${now}`;
 	for (let now = 100; now <= 4000; now += 100) {
 		for (const {id} of all) {
-			book.step({type: 'placed', run: {id: held(id, now), owner: 'b', endpoint: id, service: 'models', unreadTokens: 9000, isTight: false, pauseMilliseconds: 0, parts: []}}, now);
+			book.step({type: 'placed', run: {id: held(id, now), owner: 'b', endpoint: id, service: 'models', unreadTokens: 9000, isTight: false, parts: []}}, now);
 			book.step({type: 'first-event', id: held(id, now - 100)}, now + 1);
 			book.step({type: 'ended', id: held(id, now - 100)}, now + 1);
 		}
@@ -184,7 +185,7 @@
 		book.step({type: 'ended', id: held(id, 4000)}, 4000);
 	}
 
-	book.step({type: 'placed', run: {id: 'behind', owner: 'b', endpoint: holder, service: 'models', unreadTokens: 20_000, isTight: false, pauseMilliseconds: 0, parts: []}}, 4000);
+	book.step({type: 'placed', run: {id: 'behind', owner: 'b', endpoint: holder, service: 'models', unreadTokens: 20_000, isTight: false, parts: []}}, 4000);
 	const wanted = demand({parts: prompt(1, 1), waitedMilliseconds: 400, elapsedMilliseconds: 400, targetMilliseconds: 1200});
 	t.match(choosePlace(book, wanted, all, {zone, now: 4000, reactionMilliseconds, tuning: defaultTuning}), {type: 'wait', endpoint: holder});
 	t.match(choosePlace(book, {...wanted, waitedMilliseconds: 900, elapsedMilliseconds: 900}, all, {zone, now: 20_000, reactionMilliseconds, tuning: defaultTuning}), {type: 'place'}, 'after a rest nobody waits so long');
@@ -204,7 +205,7 @@
 	const number = fc.nat(1_000_000);
 	const event: fc.Arbitrary<LoadEvent> = fc.oneof(
 		fc.record({type: fc.constant('placed' as const), run: fc.record({
-			id: number.map(value => runId('a', value)), owner: fc.constant('a'), endpoint: fc.constant('e-1'), service: fc.constant('models'), unreadTokens: fc.nat(50_000), isTight: fc.boolean(), pauseMilliseconds: fc.nat(5000), parts,
+			id: number.map(value => runId('a', value)), owner: fc.constant('a'), endpoint: fc.constant('e-1'), service: fc.constant('models'), unreadTokens: fc.nat(50_000), isTight: fc.boolean(), parts,
 		})}),
 		fc.record({type: fc.constant('first-event' as const), id: number.map(value => runId('a', value))}),
 		fc.record({type: fc.constant('ended' as const), id: number.map(value => runId('a', value))}),
@@ -212,7 +213,7 @@
 	fc.assert(fc.property(fc.array(event, {maxLength: 20}), events => {
 		t.same(decodeLoad(encodeLoad(events), 'a'), events);
 	}), {seed: 3, numRuns: 50});
-	for (const wrong of [[['x', 1]], [[0, 1, '', 'models', 1, 0]], [[0, 1, 'e', 'models', 1, 0, 100, 5]], [[1]], [[1, -1]], ['text'], [[0, 1, 'e', 'models', 1, 0, 100, 5, 'x']]]) {
+	for (const wrong of [[['x', 1]], [[0, 1, '', 'models', 1, 0]], [[0, 1, 'e', 'models', 1, 0, 5]], [[1]], [[1, -1]], ['text'], [[0, 1, 'e', 'models', 1, 0, 5, 'x']]]) {
 		t.equal(decodeLoad(wrong, 'a'), undefined, JSON.stringify(wrong));
 	}
 });
@@ -350,8 +351,89 @@
 tap.test('an engine whose runs were told before its memory was known keeps what it reads', async t => {
 	const book = LoadBook.create();
 	const parts = prompt(1, 1);
-	book.step({type: 'placed', run: {id: 'b/1', owner: 'b', endpoint: 'e', service: 'models', unreadTokens: 9200, isTight: false, pauseMilliseconds: 0, parts}}, 0);
+	book.step({type: 'placed', run: {id: 'b/1', owner: 'b', endpoint: 'e', service: 'models', unreadTokens: 9200, isTight: false, parts}}, 0);
 	book.setMemory('e', 400_000);
-	book.step({type: 'placed', run: {id: 'b/2', owner: 'b', endpoint: 'e', service: 'models', unreadTokens: 9200, isTight: false, pauseMilliseconds: 0, parts}}, 10);
+	book.step({type: 'placed', run: {id: 'b/2', owner: 'b', endpoint: 'e', service: 'models', unreadTokens: 9200, isTight: false, parts}}, 10);
 	t.equal(book.unread('e', prompt(1, 2)), 2900, 'only its own part');
 });
+
+function readOnce(book: LoadBook, endpoint: string, parts: Demand['parts'], now: number): void {
+	runs += 1;
+	book.step({type: 'placed', run: {id: `run-${runs}`, owner: 'a', endpoint, service: 'models', unreadTokens: 100, isTight: false, parts}}, now);
+	book.step({type: 'first-event', id: `run-${runs}`}, now + 20);
+	book.step({type: 'ended', id: `run-${runs}`}, now + 30);
+}
+
+const linkTokensPerMillisecond = 400;
+const withLinks = {zone, now: 1000, reactionMilliseconds, fetchTokensPerMillisecond: linkTokensPerMillisecond, tuning: defaultTuning};
+
+// The engine that holds a beginning is full. Its fellows read 6,300 tokens again, 70 ms in which all their streams
+// pause, though the engines' own links carry them in 20 ms.
+tap.test('a beginning that a full engine holds is fetched from it', async t => {
+	const all = candidates(4, 2);
+	const book = bookFor(all);
+	readOnce(book, all[0]!.id, prompt(1, 1), 0);
+	for (const index of [0, 1]) {
+		book.step({type: 'placed', run: {id: `b/${index}`, owner: 'b', endpoint: all[0]!.id, service: 'models', unreadTokens: 0, isTight: false, parts: []}}, 100);
+	}
+
+	const wanted = demand({parts: prompt(1, 2), targetMilliseconds: 100, waitedMilliseconds: 500});
+	const choice = choosePlace(book, wanted, all, withLinks);
+	t.match(choice, {type: 'place', unreadTokens: 2900, fetch: {from: all[0]!.id, tokens: 6300}});
+	const without = choosePlace(book, wanted, all, {...withLinks, fetchTokensPerMillisecond: undefined});
+	t.not(without.type === 'place' && without.fetch !== undefined, true, 'engines that pass nothing to each other are not asked to');
+	const off = choosePlace(book, wanted, all, {...withLinks, tuning: {...defaultTuning, fetches: false}});
+	t.not(off.type === 'place' && off.fetch !== undefined, true);
+});
+
+// A beginning was sent to an engine a moment ago and is not read yet. Another engine that asked for it would get nothing
+// and read it all, unforeseen.
+tap.test('nothing is fetched from an engine that has not read it yet', async t => {
+	const all = candidates(3, 1);
+	const book = bookFor(all);
+	book.step({type: 'placed', run: {id: 'b/1', owner: 'b', endpoint: all[0]!.id, service: 'models', unreadTokens: 9200, isTight: false, parts: prompt(1, 1)}}, 990);
+	const early = choosePlace(book, demand({parts: prompt(1, 2), waitedMilliseconds: 5000, targetMilliseconds: 50}), all, withLinks);
+	t.notMatch(early, {fetch: {from: all[0]!.id}});
+	book.step({type: 'first-event', id: 'b/1'}, 1100);
+	const later = choosePlace(book, demand({parts: prompt(1, 2), waitedMilliseconds: 5000, targetMilliseconds: 50}), all, {...withLinks, now: 1100});
+	t.match(later, {type: 'place', fetch: {from: all[0]!.id, tokens: 6300}});
+});
+
+// Twelve urgent streams with pauses of 250 ms run on one engine, and all engines have read a little. A prompt of 26,000
+// tokens there stops each of them for longer; it goes elsewhere even where that engine holds its beginning.
+tap.test('a long reading stays out of the room that tight streams need, a short one may enter', async t => {
+	const all = candidates(6);
+	const book = bookFor(all);
+	for (let number = 0; number < 12; number++) {
+		const endpoint = place(book, demand({isTight: true, urgency: 0, targetMilliseconds: 1200, pauseMilliseconds: 250, tightestPauseMilliseconds: 250, parts: [{id: 500 + number, tokens: 400}]}), all, number * 20);
+		t.equal(endpoint, all[0]!.id, 'they share the first of the order');
+		book.step({type: 'first-event', id: `run-${runs}`}, (number * 20) + 10);
+	}
+
+	book.step({type: 'kept', endpoint: all[0]!.id, parts: prompt(1, 1)}, 900);
+	const long = [...prompt(1, 1).slice(0, 2), {id: 77, tokens: 26_000}];
+	const choice = choosePlace(book, demand({parts: long, targetMilliseconds: 2000, tightestPauseMilliseconds: 250}), all, withLinks);
+	t.ok(choice.type === 'place' && choice.endpoint !== all[0]!.id);
+	const short = choosePlace(book, demand({parts: [...prompt(1, 1).slice(0, 2), {id: 78, tokens: 300}], targetMilliseconds: 2000, tightestPauseMilliseconds: 250}), all, withLinks);
+	t.match(short, {type: 'place', endpoint: all[0]!.id});
+});
+
+// All instances start anew, and one has read an engine's list of what it keeps.
+tap.test('what an engine says it keeps is believed, and what is on its way there stays', async t => {
+	const memory = PartMemory.create(100_000);
+	memory.use([{id: 1, tokens: 10}, {id: 2, tokens: 20}]);
+	memory.noteRead([{id: 1, tokens: 10}]);
+	memory.replace([{id: 5, tokens: 50}]);
+	t.equal(memory.missing([{id: 5, tokens: 50}]), 0);
+	t.equal(memory.unread([{id: 1, tokens: 10}]), 10, 'the engine has dropped it');
+	t.equal(memory.unread([{id: 2, tokens: 20}]), 0, 'it is on its way');
+	t.equal(memory.missing([{id: 2, tokens: 20}]), 20);
+});
+
+tap.test('weights for a measurement are checked', async t => {
+	t.same(parseTuning(undefined), defaultTuning);
+	t.equal(parseTuning('{"fetches": false}').fetches, false);
+	for (const wrong of ['{', '5', '{"fetch": true}', '{"tightFill": 0}', '{"roomMilliseconds": "1"}']) {
+		t.throws(() => parseTuning(wrong), /CASSIAFLOW_TUNING/v);
+	}
+});
--- a/test/routing/routing.test.ts
+++ b/test/routing/routing.test.ts
@@ -50,7 +50,7 @@
 	t.notOk(RoutingTable.create({version: 1, routes: [tight], services: [], limits}).isTightest(tight, 's'));
 });
 
-function registered(id: string, offset: number, more: {isLeaving?: boolean; revision?: number} = {}): EndpointChange {
+function registered(id: string, offset: number, more: {isLeaving?: boolean; revision?: number; bornAt?: number} = {}): EndpointChange {
 	return {type: 'registered', offset, record: {id, service: 's', address: '1.2.3.4:5', zone: 'z' as ZoneName, slots: 1, isLeaving: false, revision: 1, ...more}};
 }
 
@@ -83,3 +83,63 @@
 	const back = directory.apply([registered('e', 7)], 200);
 	t.equal(standingOf(back.entries.get('e')!, 200), Standing.ready, 'the store forgot it, and it registered again');
 });
+
+// An endpoint dies and starts again under its id, two times. Its records, removals and late writes of the dead
+// come in any order, from the store and from peers. All who heard the same agree, and only the youngest one counts.
+tap.test('of an id\'s incarnations the youngest decides, in every order of records', async t => {
+	const changes = [
+		registered('e', 1, {bornAt: 100, revision: 8}),
+		registered('e', 2, {bornAt: 100, revision: 9}),
+		{type: 'removed', offset: 3, id: 'e'} as const,
+		registered('e', 4, {bornAt: 200, revision: 1}),
+		registered('e', 5, {bornAt: 100, revision: 10, isLeaving: true}),
+		registered('e', 6, {bornAt: 200, revision: 2}),
+		{type: 'removed', offset: 7, id: 'e'} as const,
+		registered('e', 8, {bornAt: 300, revision: 1}),
+		registered('e', 9, {bornAt: 200, revision: 3}),
+	];
+	const outcome = (order: readonly EndpointChange[]): unknown => {
+		let directory = EndpointDirectory.create();
+		for (const change of order) {
+			directory = directory.apply([change], 0);
+		}
+
+		const {record, offset, endedAt} = directory.entries.get('e')!;
+		return {bornAt: record.bornAt, revision: record.revision, offset, hasEnded: endedAt !== undefined};
+	};
+
+	t.same(outcome(changes), {bornAt: 300, revision: 1, offset: 8, hasEnded: false});
+	fc.assert(fc.property(fc.shuffledSubarray(changes, {minLength: changes.length}), fc.array(fc.nat(changes.length - 1)), (order, repeats) => {
+		t.same(outcome([...order, ...repeats.map(index => changes[index]!)]), outcome(changes));
+	}), {seed: 7, numRuns: 300});
+	fc.assert(fc.property(fc.subarray(changes, {minLength: 1}), fc.nat(1000), (subset, seed) => {
+		const [order] = fc.sample(fc.shuffledSubarray(subset, {minLength: subset.length}), {seed, numRuns: 1});
+		if (subset.some(({type}) => type === 'registered')) {
+			t.same(outcome(order!), outcome(subset));
+		}
+	}), {seed: 9, numRuns: 300});
+});
+
+tap.test('an endpoint that left can start again under its id; one that tells no start is never younger', async t => {
+	const left = EndpointDirectory.create().apply([registered('e', 1, {bornAt: 100}), registered('e', 2, {bornAt: 100, revision: 2, isLeaving: true})], 0);
+	t.ok(left.entries.get('e')?.endedAt !== undefined);
+	t.equal(left.apply([registered('e', 3, {bornAt: 200})], 0).entries.get('e')?.endedAt, undefined);
+	t.ok(left.apply([registered('e', 3)], 0).entries.get('e')?.endedAt !== undefined);
+	const whole = left.apply([registered('e', 3, {bornAt: 200})], 0).retain(new Set(['other']), 5);
+	t.ok(whole.entries.get('e')?.endedAt !== undefined, 'a whole reading that lacks it ends it');
+});
+
+// Nine of ten workspaces have the same urgency. Taken alone it made an urgent question and a draft equal: engines read
+// the question last, and put it back first when memory ran out.
+tap.test('a workspace\'s urgency goes first, and the route\'s decides among equals', async t => {
+	const stream = (name: string, urgency: number, pause: number): Route => route({name, urgency, kind: RouteKind.stream, longestPauseMilliseconds: pause});
+	const [question, draft] = [stream('question', 0, 100), stream('draft', 2, 1000)];
+	const workspace = (name: string, urgency?: number) => ({name: name as WorkspaceName, keys: [name], urgency});
+	const [usual, first, none] = [workspace('usual', 1), workspace('first', 0), workspace('none')];
+	const table = RoutingTable.create({version: 1, routes: [question, draft], services: [{name: 's', largestConnections: 1}], workspaces: [usual, first, none], limits});
+	const rank = (asked: Route, by: typeof usual): number => table.rank(asked, 's', by);
+	t.ok(rank(draft, first) < rank(question, usual), 'workspaces go first');
+	t.ok(rank(question, usual) < rank(draft, usual));
+	t.ok(rank(question, none) < rank(draft, none), 'without an urgency of its own the route\'s counts alone');
+	t.equal(rank(question, first), 0);
+});
