--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import {controlCommand} from './control/index.js';
 import {loadCommand} from './load/index.js';
 import {gatewaySoakCommand} from './gateway-soak/index.js';
+import {lossesCommand} from './losses/index.js';
 import {limitsCommand} from './limits/index.js';
 import {pathCommand} from './path/index.js';
 
@@ -13,6 +14,7 @@
 	.scriptName('bench')
 	.command(decisionsCommand)
 	.command(limitsCommand)
+	.command(lossesCommand)
 	.command(gatewaySoakCommand)
 	.command(controlCommand)
 	.command(loadCommand)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import {type AddressInfo} from 'node:net';
 import {spawn} from '../concurrency/index.js';
 import {chooseService} from '../routing/index.js';
+import {retryWithoutTable} from '../policy/dispatch/index.js';
 import {hash32} from '../policy/hashing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Beliefs} from './beliefs.js';
@@ -26,8 +27,6 @@
 	readonly logger: PartLogger;
 };
 
-/** Before a routing table is known: it is there within a reading of the store. */
-const notReadyRetryMilliseconds = 400;
 /** Where memory for bodies is short: the time in which a few requests end. */
 const fullRetryMilliseconds = 300;
 /**
@@ -57,6 +56,7 @@
 	readonly #idle = new Set<() => void>();
 	/** Those that have not been answered whole. */
 	readonly #open = new Set<ServerResponse>();
+	readonly #startedAt = performance.now();
 	#heldBytes = 0;
 	#isStopping = false;
 
@@ -159,7 +159,7 @@
 
 		const {table} = beliefs;
 		if (table === undefined) {
-			turnAway(503, 'No routing table yet; the request has not run.', {retryAfterMilliseconds: notReadyRetryMilliseconds});
+			turnAway(503, 'No routing table yet; the request has not run.', {retryAfterMilliseconds: retryWithoutTable(arrivedAt - this.#startedAt)});
 			return;
 		}
 
--- a/src/policy/dispatch/index.ts
+++ b/src/policy/dispatch/index.ts
@@ -10,3 +10,4 @@
 export * from './waiting-line.js';
 export * from './speed.js';
 export * from './load-rows.js';
+export * from './not-ready.js';
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -4,7 +4,7 @@
 import {type ZoneName} from '../../src/model/index.js';
 import {
 	availability, type Candidate, chanceOfPlace, choosePlace, createEndpointHealth, createReadingSpeed, decodeLoad, defaultTuning, type Demand, encodeLoad, inOrder, learnReadingSpeed, LoadBook,
-	type LoadEvent, PartMemory, RetryShare, runId, stepEndpointHealth, type Waiting, WaitingLine,
+	type LoadEvent, PartMemory, RetryShare, retryWithoutTable, runId, stepEndpointHealth, type Waiting, WaitingLine,
 } from '../../src/policy/dispatch/index.js';
 
 const zone = 'zone-a' as ZoneName;
@@ -437,3 +437,15 @@
 		t.throws(() => parseTuning(wrong), /CASSIAFLOW_TUNING/v);
 	}
 });
+
+// All instances start while the store is down for some seconds. Callers were told to come back in 0.4 s, came back once into
+// the same outage, and were lost. Told to wait as long as it has lasted, most come back after its end.
+tap.test('callers come back after an outage of the store, not into it', async t => {
+	const outage = 3500;
+	const arrivals = Array.from({length: 35}, (_, index) => index * 100);
+	const served = arrivals.filter(at => at + retryWithoutTable(at) >= outage).length;
+	t.ok(served >= arrivals.length / 2, `${served} of ${arrivals.length}`);
+	t.ok(arrivals.filter(at => at + 400 >= outage).length < arrivals.length / 5, 'a fixed time brings few');
+	t.equal(retryWithoutTable(0), 400, 'a usual start is over by then');
+	t.ok(retryWithoutTable(60_000) <= 5000);
+});
