Believe an engine's list of kept prompts before the first request there

Cause: the path test of lists (two gateways, an engine that keeps a beginning) showed 6,390 tokens unread after a list that names all but 90: a list, or a peer's run, that came before the instance's own first request met no book for that engine. Change: an engine is taken to keep everything until its memory is known, and its book begins with whatever is told first.

--- a/bench/losses/report.ts
+++ b/bench/losses/report.ts
@@ -39,7 +39,8 @@
 		'worst class': classes.filter(({n}) => n > 0).toSorted((left, right) => left.worth - right.worth).slice(0, 1).map(({name, worth}) => `${name}: ${worth.toFixed(2)}`).join(''),
 	};
 	const ofParts = parts.map(([name, weight, earned]): Loss => ({cause: name, worth: weight * (1 - earned), detail: details[name] ?? ''}));
-	const dear = prices.filter(([, , price]) => price >= leastPrice).map(([name, amount, price]): Loss => ({cause: `price: ${name}`, worth: price, detail: String(amount)}));
-	const rest = prices.filter(([, , price]) => price < leastPrice).reduce((sum, [, , price]) => sum + price, 0);
+	const ofPrices = prices.map(([name, amount, price]): Loss => ({cause: `price: ${name}`, worth: price, detail: String(amount)}));
+	const dear = ofPrices.filter(({worth}) => worth >= leastPrice);
+	const rest = ofPrices.filter(({worth}) => worth < leastPrice).reduce((sum, {worth}) => sum + worth, 0);
 	return [...ofParts, ...dear, {cause: 'other prices', worth: rest, detail: ''}].toSorted((left, right) => right.worth - left.worth);
 }
--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -29,6 +29,10 @@
 	}
 
 	answer: ChooseAnswer = plainAnswer;
+	/** Prompt parts that it says it keeps, as ids and tokens; without them it has no such list. */
+	kept: ReadonlyArray<readonly [string, number]> | undefined;
+	/** How often it was asked for them. */
+	listings = 0;
 	readonly id: string;
 	readonly service: string;
 	readonly requests: WorkerRequest[] = [];
@@ -63,6 +67,12 @@
 			body += String(part);
 		}
 
+		if (request.url === '/v1/kv-list') {
+			this.listings += 1;
+			response.writeHead(this.kept === undefined ? 404 : 200).end(JSON.stringify({epoch: 1, next: 1, held: this.kept?.map(([part, tokens]) => ['', part, tokens, 'm'])}));
+			return;
+		}
+
 		const id = String(request.headers['request-id']);
 		if (request.headers['target-instance'] !== this.id) {
 			response.writeHead(421, {'Instance-Id': this.id}).end();
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -113,7 +113,7 @@
 			}
 
 			case 'kept': {
-				this.#desks.get(event.endpoint)?.parts.replace(event.parts);
+				this.#desk(event.endpoint).parts.replace(event.parts);
 			}
 		}
 	}
@@ -161,17 +161,19 @@
 		this.#drop(run => now - run.placedAt > forgottenMilliseconds, now);
 	}
 
+	/** Says how much memory an endpoint's engine has. */
+	setMemory(endpoint: string, memoryTokens: number): void {
+		this.#desk(endpoint).parts.setMemory(memoryTokens);
+	}
+
 	/**
-	 * Says how much memory an endpoint's engine has. Failure: another instance tells of a run there before this
-	 * one knew. Symptom: the engine is taken to keep nothing for good, and its prompts are read elsewhere.
+	 * Failure: another instance tells of a run, or of what an engine keeps, before this one knew of its memory. Symptom:
+	 * the engine is taken to keep nothing for good. It is taken to keep all of it until its memory is known.
 	 */
-	setMemory(endpoint: string, memoryTokens: number): void {
-		const desk = this.#desks.get(endpoint);
-		if (desk === undefined) {
-			this.#desks.set(endpoint, createDesk(memoryTokens));
-		} else {
-			desk.parts.setMemory(memoryTokens);
-		}
+	#desk(endpoint: string): Desk {
+		const desk = this.#desks.get(endpoint) ?? createDesk();
+		this.#desks.set(endpoint, desk);
+		return desk;
 	}
 
 	#place(run: Run, now: number): void {
@@ -180,8 +182,7 @@
 			return;
 		}
 
-		const desk = this.#desks.get(run.endpoint) ?? createDesk(0);
-		this.#desks.set(run.endpoint, desk);
+		const desk = this.#desk(run.endpoint);
 		const speed = this.speed(run.service);
 		const reading = readMilliseconds(speed, run.unreadTokens);
 		if (desk.unread.size === 0) {
@@ -259,8 +260,8 @@
 	}
 }
 
-function createDesk(memoryTokens: number): Desk {
-	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, span: createSpan(0, true), parts: PartMemory.create(memoryTokens), service: '', share: 0, shareAt: 0, tightRuns: 0};
+function createDesk(): Desk {
+	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, span: createSpan(0, true), parts: PartMemory.create(Infinity), service: '', share: 0, shareAt: 0, tightRuns: 0};
 }
 
 function createSpan(at: number, isFromRest: boolean): Span {
