Look for holders of a prompt only where a transfer can save time

Change: holders are looked for once a choice, at the first engine that would read 10 ms of shared parts or more; lists of kept parts and their messages are checked by hand; a pause of a feed is looked at each 1.4 s in place of 0.4 s.

--- a/src/gateway/feed-follower.ts
+++ b/src/gateway/feed-follower.ts
@@ -17,8 +17,8 @@
 const firstRetryMilliseconds = 100;
 const longestRetryMilliseconds = 1500;
 
-/** A pause is looked at again so often. */
-const lookMilliseconds = 400;
+/** A longer pause is looked at again so often: the shortest pause among several instances. */
+const lookMilliseconds = 1400;
 
 /**
  * Keeps up with one feed for as long as the process lives. Failures: history dropped under us, a store
--- a/src/policy/dispatch/engine-cost.ts
+++ b/src/policy/dispatch/engine-cost.ts
@@ -5,7 +5,7 @@
 import {type Candidate, type Circumstances, type Demand, type Fetch} from './demand.js';
 import {type EndpointLoad, type LoadBook} from './load.js';
 import {readMilliseconds} from './speed.js';
-import {chooseFetch, type Holder} from './transfer.js';
+import {chooseFetch, type Holder, isWorthFetching} from './transfer.js';
 
 /**
  * What may wait to be read at an endpoint before one more is sent there, for the most and the least
@@ -51,14 +51,17 @@
 	readonly readingWeight: number;
 	/** The first so many candidates are left to tight streams. */
 	readonly takenByTight: number;
-	readonly holders: readonly Holder[];
+	/** Who holds most of the prompt; looked for at the first engine that would have to read much. */
+	readonly holders: () => readonly Holder[];
 };
 
 export function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {load, place, overview, circumstances}: {load: EndpointLoad; place: number; overview: Overview; circumstances: Circumstances}): Judged {
 	const {fetchTokensPerMillisecond, tuning} = circumstances;
 	const speed = book.speed(demand.service);
 	const lackedTokens = book.unread(candidate.id, demand.parts);
-	const fetch = chooseFetch(overview.holders, candidate, {unreadTokens: lackedTokens, speed, tokensPerMillisecond: fetchTokensPerMillisecond});
+	const fetch = fetchTokensPerMillisecond === undefined || !isWorthFetching(demand.parts, lackedTokens, speed)
+		? undefined
+		: chooseFetch(overview.holders(), candidate, {unreadTokens: lackedTokens, speed, tokensPerMillisecond: fetchTokensPerMillisecond});
 	const unreadTokens = lackedTokens - (fetch?.tokens ?? 0);
 	const reading = readMilliseconds(speed, unreadTokens);
 	const expected = load.backlogMilliseconds + (fetch?.milliseconds ?? 0) + reading + speed.baseMilliseconds;
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -13,7 +13,7 @@
 import {type Judged, judgeEngine, type Overview} from './engine-cost.js';
 import {homeCost, homesOf} from './homes.js';
 import {type EndpointLoad, type LoadBook} from './load.js';
-import {holdersOf} from './transfer.js';
+import {type Holder, holdersOf} from './transfer.js';
 
 /** Milliseconds of a round trip to another availability zone, and what its bytes cost. */
 const otherZoneMilliseconds = 3;
@@ -75,11 +75,15 @@
 
 	const count = candidates.length;
 	const takenByTight = Math.ceil(tightRuns / (slots / count * circumstances.tuning.tightFill));
+	let holders: readonly Holder[] | undefined;
 	return {
 		loads,
 		readingWeight: readingWeight + (busyReadingWeight * (Math.min(1, reading / count) ** 2)),
 		takenByTight: takenByTight >= count ? 0 : takenByTight,
-		holders: holdersOf(book, parts, candidates, {...circumstances, loads}),
+		holders() {
+			holders ??= holdersOf(book, parts, candidates, {tuning: circumstances.tuning, loads});
+			return holders;
+		},
 	};
 }
 
--- a/src/policy/dispatch/transfer.ts
+++ b/src/policy/dispatch/transfer.ts
@@ -18,9 +18,9 @@
 /** An engine that holds most of a prompt, in each zone. */
 export type Holder = {readonly id: string; readonly zone: string; readonly missingTokens: number; readonly running: number};
 
-/** The best holders of a prompt, one for each availability zone; none where engines pass nothing to each other. */
-export function holdersOf(book: LoadBook, parts: readonly PromptPart[], candidates: readonly Candidate[], {loads, fetchTokensPerMillisecond, tuning}: Pick<Circumstances, 'fetchTokensPerMillisecond' | 'tuning'> & {loads: readonly EndpointLoad[]}): readonly Holder[] {
-	if (fetchTokensPerMillisecond === undefined || !tuning.fetches || parts.length < 2) {
+/** The best holders of a prompt, one for each availability zone. */
+export function holdersOf(book: LoadBook, parts: readonly PromptPart[], candidates: readonly Candidate[], {loads, tuning}: Pick<Circumstances, 'tuning'> & {loads: readonly EndpointLoad[]}): readonly Holder[] {
+	if (!tuning.fetches) {
 		return [];
 	}
 
@@ -36,13 +36,18 @@
 	return [...holders.values()];
 }
 
+/** False where a transfer can't save enough, since what is shared of the prompt, or lacks, is short. */
+export function isWorthFetching(parts: readonly PromptPart[], unreadTokens: number, speed: ReadingSpeed): boolean {
+	return readMilliseconds(speed, unreadTokens - (parts.at(-1)?.tokens ?? 0)) > leastSavedMilliseconds;
+}
+
 /** The transfer that spares an engine most time for a prompt of which it lacks so many tokens; undefined if none is worth it. */
-export function chooseFetch(holders: readonly Holder[], {id, zone}: Candidate, {unreadTokens, speed, tokensPerMillisecond}: {unreadTokens: number; speed: ReadingSpeed; tokensPerMillisecond: number | undefined}): Fetch | undefined {
+export function chooseFetch(holders: readonly Holder[], {id, zone}: Candidate, {unreadTokens, speed, tokensPerMillisecond}: {unreadTokens: number; speed: ReadingSpeed; tokensPerMillisecond: number}): Fetch | undefined {
 	let best: Fetch | undefined;
 	let most = leastSavedMilliseconds;
-	for (const holder of tokensPerMillisecond === undefined ? [] : holders) {
+	for (const holder of holders) {
 		const tokens = unreadTokens - holder.missingTokens;
-		const milliseconds = startMilliseconds + (tokens / tokensPerMillisecond! * (holder.zone === zone ? 1 : otherZoneFactor));
+		const milliseconds = startMilliseconds + (tokens / tokensPerMillisecond * (holder.zone === zone ? 1 : otherZoneFactor));
 		const saved = readMilliseconds(speed, tokens) - milliseconds;
 		if (holder.id !== id && saved > most) {
 			best = {from: holder.id, tokens, milliseconds};
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -130,7 +130,7 @@
 const load = z.object({type: z.literal('load'), rows: z.array(z.custom<readonly unknown[]>(row => Array.isArray(row), 'not a row'))});
 
 /** Gateway to gateway: what an endpoint itself says it holds of prompts, as ids and tokens in turn. */
-const kept = z.object({type: z.literal('kept'), endpoint: text, parts: z.array(z.number().int().nonnegative())});
+const kept = z.object({type: z.literal('kept'), endpoint: text, parts: z.custom<readonly number[]>(parts => Array.isArray(parts) && parts.every(value => typeof value === 'number' && value >= 0), 'not numbers')});
 
 /** Every message, by `type`. */
 export const messageSchema = z.discriminatedUnion('type', [
