--- a/bench/gateway-soak/child.ts
+++ b/bench/gateway-soak/child.ts
@@ -32,7 +32,8 @@
 	readonly storePath: FakePath;
 	readonly options: ChildOptions;
 	/** Ends that nobody asked for. */
-	ownExits = 0;
+	/** How it ended where nobody asked it to: a signal or a code. */
+	readonly ownEnds: string[] = [];
 	lines = '';
 	#process: ChildProcess | undefined;
 	#isEndWanted = false;
@@ -65,8 +66,10 @@
 			});
 		}
 
-		started.once('exit', () => {
-			this.ownExits += this.#isEndWanted ? 0 : 1;
+		started.once('exit', (code, signal) => {
+			if (!this.#isEndWanted) {
+				this.ownEnds.push(signal ?? `code ${code}`);
+			}
 		});
 	}
 
--- a/bench/gateway-soak/run-seed.ts
+++ b/bench/gateway-soak/run-seed.ts
@@ -110,8 +110,8 @@
 		found.push(...await this.#recovery());
 		const records = await Promise.all(this.#records);
 		found.push(...violations(records, this.#workers.map(({worker}) => worker)));
-		for (const gateway of this.#gateways.filter(({ownExits}) => ownExits > 0)) {
-			found.push(`${gateway.options.instance} ended by itself`);
+		for (const gateway of this.#gateways.filter(({ownEnds}) => ownEnds.length > 0)) {
+			found.push(`${gateway.options.instance} ended by itself (${gateway.ownEnds.join(', ')})`);
 		}
 
 		return {
