--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -229,7 +229,7 @@
 function followFeeds(store: GatewayStore, {beliefs, peers, logger}: {beliefs: Beliefs; peers: Peers; logger: PartLogger}): AsyncDisposable {
 	const followers = [
 		FeedFollower.start({
-			feed: store.routing, logger, waitMilliseconds: () => routingWaitMilliseconds, pauseMilliseconds: () => 0,
+			feed: store.routing, logger, waitMilliseconds: routingWaitMilliseconds, pauseMilliseconds: () => 0,
 			onItems(tables) {
 				for (const table of tables) {
 					beliefs.offerTable(table, 'store');
@@ -237,7 +237,7 @@
 			},
 		}),
 		FeedFollower.start({
-			feed: store.endpoints, logger, waitMilliseconds: () => 0, pauseMilliseconds: () => endpointPause(peers.count),
+			feed: store.endpoints, logger, waitMilliseconds: 0, pauseMilliseconds: () => endpointPause(peers.count),
 			onItems(changes, isWhole) {
 				if (isWhole) {
 					beliefs.offerAllEndpoints(changes, 'store', performance.now());
@@ -247,7 +247,7 @@
 			},
 		}),
 		FeedFollower.start({
-			feed: store.instances, logger, waitMilliseconds: () => 0, pauseMilliseconds: readings => readings < firstInstanceReadings ? firstInstancePauseMilliseconds : instancePauseMilliseconds,
+			feed: store.instances, logger, waitMilliseconds: 0, pauseMilliseconds: readings => readings < firstInstanceReadings ? firstInstancePauseMilliseconds : instancePauseMilliseconds,
 			onItems(announcements) {
 				for (const {instance, record} of announcements) {
 					if (record === undefined) {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,6 @@
 import {Alarm, type AlarmEvent, type Body, channel, receive, tryDeliver, tryReceive} from '../concurrency/index.js';
 import {combineVerdicts, Verdict} from '../model/index.js';
-import {type Demand} from '../policy/dispatch/index.js';
+import {type Demand, tokensOf} from '../policy/dispatch/index.js';
 import {type EndpointRecord, type Route, RouteKind, type RoutingTable, type Workspace} from '../routing/index.js';
 import {Attempt, type AttemptEvent} from './attempt.js';
 import {AttemptFollower, type Outcome} from './attempt-follower.js';
@@ -138,7 +138,7 @@
 			workspace: workspace?.name ?? '',
 			service: this.#demand.service,
 			urgency: this.#demand.isTight ? tightUrgency : this.#demand.urgency,
-			work: facts.outputTokens + facts.parts.reduce((sum, {tokens}) => sum + tokens, 0) + 1,
+			work: facts.outputTokens + tokensOf(facts.parts) + 1,
 			arrivedAt: this.#options.arrivedAt,
 			inTimeUntil: this.#options.arrivedAt + (route.targetMilliseconds * startShare),
 			lastStartAt: Math.min(this.#limitAt - leastMilliseconds, patienceAt),
--- a/src/gateway/feed-follower.ts
+++ b/src/gateway/feed-follower.ts
@@ -6,7 +6,7 @@
 	readonly feed: Feed<Item>;
 	readonly logger: PartLogger;
 	/** How long one reading may wait for the first change; 0 reads what is there. */
-	readonly waitMilliseconds: () => number;
+	readonly waitMilliseconds: number;
 	/** From the end of one reading to the start of the next, after so many readings. */
 	readonly pauseMilliseconds: (readings: number) => number;
 	/** Everything, when `isWhole`; else changes in their order. */
@@ -72,7 +72,7 @@
 		if (this.#next === undefined) {
 			this.#take(yield * wait(feed.readNewest()), true);
 		} else {
-			const page = yield * wait(feed.readChanges(this.#next, waitMilliseconds()));
+			const page = yield * wait(feed.readChanges(this.#next, waitMilliseconds));
 			if (page === undefined) {
 				this.#options.logger.warn('History is gone, reading the newest values.', {feed: feed.name, from: this.#next});
 				this.#next = undefined;
--- a/src/gateway/kept-reader.ts
+++ b/src/gateway/kept-reader.ts
@@ -1,4 +1,4 @@
-import {type PromptPart} from '../policy/dispatch/index.js';
+import {type PromptPart, tokensOf} from '../policy/dispatch/index.js';
 import {rankByRendezvous} from '../policy/hashing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Beliefs} from './beliefs.js';
@@ -94,7 +94,7 @@
 			const parts = await read(address);
 			this.#known.add(endpoint);
 			logger.info('Kept prompts read.', {
-				endpoint, parts: parts.length, tokens: parts.reduce((sum, {tokens}) => sum + tokens, 0), milliseconds: Math.round(performance.now() - askedAt),
+				endpoint, parts: parts.length, tokens: tokensOf(parts), milliseconds: Math.round(performance.now() - askedAt),
 			});
 			onRead({endpoint, parts});
 		} catch (error) {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,5 +1,5 @@
 import {type Body, receive, sleep, spawn, wait} from '../concurrency/index.js';
-import {decodeLoad, encodeLoad, type LoadEvent, type PromptPart, tellingInterval} from '../policy/dispatch/index.js';
+import {decodeLoad, encodeLoad, flattenParts, type LoadEvent, tellingInterval, unflattenParts} from '../policy/dispatch/index.js';
 import {type EndpointChange} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion, type Security} from '../wire/index.js';
@@ -102,7 +102,7 @@
 
 	/** Tells all what an endpoint holds of prompts. */
 	tellKept({endpoint, parts}: KeptParts): void {
-		this.#broadcast({type: 'kept', endpoint, parts: parts.flatMap(({id, tokens}) => [id, tokens])});
+		this.#broadcast({type: 'kept', endpoint, parts: flattenParts(parts)});
 	}
 
 	/** Takes announcements; the newest of an instance counts. */
@@ -292,7 +292,7 @@
 			}
 
 			case 'kept': {
-				this.#options.onKept({endpoint: message.endpoint, parts: pairsOf(message.parts)});
+				this.#options.onKept({endpoint: message.endpoint, parts: unflattenParts(message.parts)});
 				return;
 			}
 
@@ -361,7 +361,3 @@
 		}
 	}
 }
-
-function pairsOf(values: readonly number[]): PromptPart[] {
-	return Array.from({length: Math.floor(values.length / 2)}, (_, index) => ({id: values[index * 2]!, tokens: values[(index * 2) + 1]!}));
-}
--- a/src/policy/dispatch/contention.ts
+++ b/src/policy/dispatch/contention.ts
@@ -23,4 +23,3 @@
 	const readInReaction = reactionMilliseconds * (1 + reactionsInBacklog) / Math.max(readingMilliseconds, 1);
 	return Math.min(1, chanceFactor * readInReaction * lookMilliseconds / reactionMilliseconds / Math.max(contenders, Number.EPSILON));
 }
-
--- a/src/policy/dispatch/load-rows.ts
+++ b/src/policy/dispatch/load-rows.ts
@@ -1,4 +1,5 @@
 import {type LoadEvent} from './load.js';
+import {flattenParts, unflattenParts} from './part-memory.js';
 
 /** Longer names than this come from nobody that keeps the protocol. */
 const longestName = 256;
@@ -41,7 +42,7 @@
 	switch (event.type) {
 		case 'placed': {
 			const {id, endpoint, service, unreadTokens, isTight, parts} = event.run;
-			return [RowKind.placed, numberOf(id), endpoint, service, unreadTokens, isTight ? 1 : 0, ...parts.flatMap(part => [part.id, part.tokens])];
+			return [RowKind.placed, numberOf(id), endpoint, service, unreadTokens, isTight ? 1 : 0, ...flattenParts(parts)];
 		}
 
 		case 'first-event': {
@@ -107,8 +108,7 @@
 		return undefined;
 	}
 
-	const parts = Array.from({length: partValues.length / 2}, (_, index) => ({id: partValues[index * 2]!, tokens: partValues[(index * 2) + 1]!}));
-	return {type: 'placed', run: {id, owner, endpoint, service, unreadTokens, isTight: tight === 1, parts}};
+	return {type: 'placed', run: {id, owner, endpoint, service, unreadTokens, isTight: tight === 1, parts: unflattenParts(partValues)}};
 }
 
 /** The name of a run, unique over all instances. */
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -1,4 +1,4 @@
-import {type PromptPart, PartMemory} from './part-memory.js';
+import {type PromptPart, PartMemory, tokensOf} from './part-memory.js';
 import {createReadingSpeed, learnReadingSpeed, type ReadingSpeed, readMilliseconds} from './speed.js';
 
 /** A request that an endpoint runs or is about to, whichever instance sent it. */
@@ -133,12 +133,12 @@
 	}
 
 	unread(endpoint: string, parts: readonly PromptPart[]): number {
-		return this.#desks.get(endpoint)?.parts.unread(parts) ?? parts.reduce((sum, {tokens}) => sum + tokens, 0);
+		return this.#desks.get(endpoint)?.parts.unread(parts) ?? tokensOf(parts);
 	}
 
 	/** What one engine could not give another of a prompt, since it has not read it yet. */
 	missing(endpoint: string, parts: readonly PromptPart[]): number {
-		return this.#desks.get(endpoint)?.parts.missing(parts) ?? parts.reduce((sum, {tokens}) => sum + tokens, 0);
+		return this.#desks.get(endpoint)?.parts.missing(parts) ?? tokensOf(parts);
 	}
 
 	speed(service: string): ReadingSpeed {
--- a/src/policy/dispatch/part-memory.ts
+++ b/src/policy/dispatch/part-memory.ts
@@ -4,6 +4,21 @@
  */
 export type PromptPart = {readonly id: number; readonly tokens: number};
 
+/** The tokens of parts together. */
+export function tokensOf(parts: readonly PromptPart[]): number {
+	return parts.reduce((sum, {tokens}) => sum + tokens, 0);
+}
+
+/** Parts as they travel between instances: ids and tokens in turn. */
+export function flattenParts(parts: readonly PromptPart[]): number[] {
+	return parts.flatMap(({id, tokens}) => [id, tokens]);
+}
+
+/** The parts of such numbers; a last one without its pair is dropped. */
+export function unflattenParts(values: readonly number[]): PromptPart[] {
+	return Array.from({length: Math.floor(values.length / 2)}, (_, index) => ({id: values[index * 2]!, tokens: values[(index * 2) + 1]!}));
+}
+
 /**
  * The share of an engine's memory that kept parts are taken to fill: the rest is running requests and
  * what other callers keep there. Taking too much for kept costs a wrong guess, not a wrong answer.
@@ -95,5 +110,5 @@
 
 /** The tokens of the parts from one on; none for -1. */
 function tokensFrom(parts: readonly PromptPart[], start: number): number {
-	return start === -1 ? 0 : parts.slice(start).reduce((sum, {tokens}) => sum + tokens, 0);
+	return start === -1 ? 0 : tokensOf(parts.slice(start));
 }
--- a/test/adapter/adapter.test.ts
+++ b/test/adapter/adapter.test.ts
@@ -167,15 +167,20 @@
 	t.equal(await client.readChanges('keyed.servers', 50, 0), undefined, 'an end before what we have read: the history is another one');
 });
 
-tap.test('a malformed record is logged and passed over, and the rest is taken', async t => {
-	await using store = await FakePlatformStore.create();
-	await using client = StoreClient.create(store.address);
+/** A logger that keeps its messages. */
+function recordLines() {
 	const lines: string[] = [];
 	const log = (message: string): void => {
 		lines.push(message);
 	};
 
-	const logger = {debug: log, info: log, warn: log, error: log};
+	return {lines, logger: {debug: log, info: log, warn: log, error: log}};
+}
+
+tap.test('a malformed record is logged and passed over, and the rest is taken', async t => {
+	await using store = await FakePlatformStore.create();
+	await using client = StoreClient.create(store.address);
+	const {lines, logger} = recordLines();
 	store.put('keyed.servers', 'bad', {service: 5});
 	store.put('keyed.servers', 'good', {service: 's', address: '1.2.3.4:5', zone: 'z', slots: 1, state: 'ready', seq: 1});
 	store.put('keyed.op', 'config', {version: 'x'});
@@ -202,12 +207,7 @@
 	t.match(decodeServer({key: 'e', value: JSON.stringify(wellFormed), offset: 1}), {type: 'registered', record: {bornAt: 1000}});
 	await using store = await FakePlatformStore.create();
 	await using client = StoreClient.create(store.address);
-	const lines: string[] = [];
-	const log = (message: string): void => {
-		lines.push(message);
-	};
-
-	const logger = {debug: log, info: log, warn: log, error: log};
+	const {lines, logger} = recordLines();
 	const value = fc.oneof(fc.jsonValue(), fc.record({service: fc.anything(), address: fc.anything(), state: fc.anything()}).map(record => JSON.stringify(record)));
 	for (const [index, strange] of fc.sample(value, {seed: 8, numRuns: 150}).entries()) {
 		store.put('keyed.servers', `strange-${index}`, strange);
