Say in a refusal what it was judged by, and give the making of a ticket a file of its own

The three hypotheses differ in the rank, the foreseen wait for the endpoint and for the line, and what was left; the line now has all of them, and Sent has the rank. Ruled out as enough: the lines as they were (too-late with many ahead fits the first and the second hypothesis alike). Demand and ticket of an exchange are made by functions of their own, so that tests make them as the program does; behaviour as before.

--- a/src/gateway/decision-log.ts
+++ b/src/gateway/decision-log.ts
@@ -64,20 +64,22 @@
 	}
 
 	/** The request was turned down where places are given. */
-	refused({facts, route, table}: ExchangeOptions, decision: Extract<Decision, {type: 'refused'}>, waitedMilliseconds: number): void {
-		this.#decisions.add(1, {decision: decision.reason});
+	refused({facts, route, table, service, workspace}: ExchangeOptions, decision: Extract<Decision, {type: 'refused'}>, waitedMilliseconds: number): void {
+		const {reason, candidates, ahead, waiting, foreseen} = decision;
+		this.#decisions.add(1, {decision: reason});
 		this.#write('Refused.', {
-			request: facts.id, route: route.name, version: table.version, reason: decision.reason, candidates: decision.candidates, ahead: decision.ahead,
+			request: facts.id, route: route.name, version: table.version, rank: table.rank(route, service, workspace), reason, candidates, ahead, waiting,
+			endpointWait: rounded(foreseen?.endpoint), lineWait: rounded(foreseen?.line), left: rounded(foreseen?.left),
 			retryAfter: Math.round(decision.retryAfterMilliseconds), waited: Math.round(waitedMilliseconds),
 		});
 	}
 
 	/** One sending, from the choice of its endpoint to its outcome. */
-	sent({facts, route, table, dispatcher}: ExchangeOptions, decision: Extract<Decision, {type: 'placed'}>, {waitedMilliseconds, startedAt, firstEventAt, pauseMilliseconds, ...outcome}: Sending): void {
+	sent({facts, route, table, service, workspace, dispatcher}: ExchangeOptions, decision: Extract<Decision, {type: 'placed'}>, {waitedMilliseconds, startedAt, firstEventAt, pauseMilliseconds, ...outcome}: Sending): void {
 		const now = performance.now();
 		this.#decisions.add(1, {decision: 'placed'});
 		this.#write('Sent.', {
-			request: facts.id, route: route.name, version: table.version, endpoint: decision.record.id, unread: decision.unreadTokens,
+			request: facts.id, route: route.name, version: table.version, rank: table.rank(route, service, workspace), endpoint: decision.record.id, unread: decision.unreadTokens,
 			fetched: decision.fetch?.tokens, from: decision.fetch?.from, least: decision.leastUnreadTokens, expected: Math.round(decision.expectedMilliseconds), speed: Math.round(dispatcher.book.speed(decision.record.service).tokensPerMillisecond),
 			candidates: decision.candidates, waited: Math.round(waitedMilliseconds), line: dispatcher.waiting, ...outcome,
 			firstEvent: firstEventAt === undefined ? undefined : Math.round(firstEventAt - startedAt), pause: Math.round(pauseMilliseconds), milliseconds: Math.round(now - startedAt),
@@ -123,3 +125,7 @@
 		this.#lines = 0;
 	}
 }
+
+function rounded(milliseconds: number | undefined): number | undefined {
+	return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -28,7 +28,22 @@
 		readonly expectedMilliseconds: number; readonly leastUnreadTokens: number; readonly candidates: number;
 	}
 	/** It can't be started in time, or nothing runs its service. */
-	| {readonly type: 'refused'; readonly reason: RefusalReason; readonly retryAfterMilliseconds: number; readonly candidates: number; readonly ahead: number};
+	| {
+		readonly type: 'refused'; readonly reason: RefusalReason; readonly retryAfterMilliseconds: number; readonly candidates: number;
+		/** How many of its service come before it, and how many wait in all. */
+		readonly ahead: number; readonly waiting: number;
+		readonly foreseen: Foreseen | undefined;
+	};
+
+/** What a wait was judged by, in milliseconds from then. */
+export type Foreseen = {
+	/** Until the endpoint that suits best may get it. */
+	readonly endpoint: number;
+	/** Until those ahead of it have their places. */
+	readonly line: number;
+	/** Until it can't be started in time any more. */
+	readonly left: number;
+};
 
 export const RefusalReason = {noEndpoint: 'no-endpoint', tooLate: 'too-late', lineFull: 'line-full', retriesSpent: 'retries-spent'} as const;
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
@@ -317,14 +332,15 @@
 	/** True if it left the line; a ticket that can't be started in time is refused at once. */
 	#enqueue(ticket: Ticket, {endpoint, milliseconds}: Wait, candidates: readonly Candidate[]): boolean {
 		const now = performance.now();
-		const expected = milliseconds + this.#lineMilliseconds(ticket, candidates, now);
-		if (now + expected > ticket.lastStartAt) {
-			this.#refuse(ticket, RefusalReason.tooLate, {retryAfter: expected, candidates: candidates.length});
+		const foreseen = {endpoint: milliseconds, line: this.#lineMilliseconds(ticket, candidates, now), left: ticket.lastStartAt - now};
+		const expected = foreseen.endpoint + foreseen.line;
+		if (expected > foreseen.left) {
+			this.#refuse(ticket, RefusalReason.tooLate, {retryAfter: expected, candidates: candidates.length, foreseen});
 			return true;
 		}
 
 		if (this.#line.size >= largestLine) {
-			this.#refuse(ticket, RefusalReason.lineFull, {retryAfter: expected, candidates: candidates.length});
+			this.#refuse(ticket, RefusalReason.lineFull, {retryAfter: expected, candidates: candidates.length, foreseen});
 			return true;
 		}
 
@@ -359,12 +375,12 @@
 		return this.#unreadShares.get(service) ?? firstUnreadShare;
 	}
 
-	#refuse(ticket: Ticket, reason: RefusalReason, {retryAfter, candidates}: {retryAfter: number; candidates: number}): void {
+	#refuse(ticket: Ticket, reason: RefusalReason, {retryAfter, candidates, foreseen}: {retryAfter: number; candidates: number; foreseen?: Foreseen}): void {
 		this.withdraw(ticket.id);
 		// Spread, so that those refused together don't come back together.
 		const spread = retryAfter * (0.75 + (this.#options.random() / 2));
 		const retryAfterMilliseconds = Math.min(retryAfterBounds.high, Math.max(retryAfterBounds.low, spread));
-		ticket.onDecision({type: 'refused', reason, retryAfterMilliseconds, candidates, ahead: this.#line.ahead(ticket.service, ticket.urgency).count});
+		ticket.onDecision({type: 'refused', reason, retryAfterMilliseconds, candidates, ahead: this.#line.ahead(ticket.service, ticket.urgency).count, waiting: this.#line.size, foreseen});
 	}
 
 	#pump(): void {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,6 @@
 import {Alarm, type AlarmEvent, type Body, channel, receive, tryDeliver, tryReceive} from '../concurrency/index.js';
 import {combineVerdicts, Verdict} from '../model/index.js';
-import {type Demand, tokensOf} from '../policy/dispatch/index.js';
+import {type Demand} from '../policy/dispatch/index.js';
 import {type EndpointRecord, type Route, RouteKind, type RoutingTable, type Workspace} from '../routing/index.js';
 import {Attempt, type AttemptEvent} from './attempt.js';
 import {AttemptFollower, type Outcome} from './attempt-follower.js';
@@ -8,6 +8,7 @@
 import {type Decision, type Dispatcher} from './dispatcher.js';
 import {type DecisionLog} from './decision-log.js';
 import {type ChannelBook} from './channel-book.js';
+import {demandOf, ticketOf} from './ticket.js';
 import {type RawHeaders, type RequestCodec, type RequestFacts} from './types.js';
 
 /** What an exchange waits for. Events of an attempt carry its number, so that a stale one shows. */
@@ -49,15 +50,8 @@
 const patienceTargets = 2.5;
 /** A stream that went quiet for so many of its longest pauses goes on elsewhere, if it may. */
 const patiencePauses = 4;
-/** A start after this part of the target is late: the rest goes to the endpoint's own work. */
-const startShare = 0.75;
 /** Less than this left is no time to run anything in. */
 const leastMilliseconds = 15;
-/**
- * A stream with tight pauses has a short prompt: it goes before others in the line whatever its rank,
- * since reading it holds them up for a few milliseconds. At the endpoint its own rank counts.
- */
-const tightUrgency = -1;
 /** Refused callers without a better figure come back after so long. */
 const defaultRetryMilliseconds = 300;
 
@@ -84,20 +78,8 @@
 
 	private constructor(options: ExchangeOptions) {
 		this.#options = options;
-		const {route, facts, service, workspace, table} = options;
-		this.#limitAt = options.arrivedAt + Math.min(route.timeoutMilliseconds, facts.deadlineMilliseconds ?? Infinity);
-		this.#demand = {
-			service,
-			urgency: table.rank(route, service, workspace),
-			urgencies: table.urgencies(service),
-			targetMilliseconds: route.targetMilliseconds,
-			parts: facts.parts,
-			isTight: table.isTightest(route, service),
-			pauseMilliseconds: route.longestPauseMilliseconds,
-			tightestPauseMilliseconds: table.tightestPause(service),
-			waitedMilliseconds: 0,
-			elapsedMilliseconds: 0,
-		};
+		this.#limitAt = options.arrivedAt + Math.min(options.route.timeoutMilliseconds, options.facts.deadlineMilliseconds ?? Infinity);
+		this.#demand = demandOf(options);
 	}
 
 	get #isIdempotent(): boolean {
@@ -128,21 +110,15 @@
 
 	/** Waits for a place; undefined once the exchange is over without one. */
 	* #place(): Body<Extract<Decision, {type: 'placed'}> | undefined> {
-		const {facts, dispatcher, workspace, caller, log, route} = this.#options;
+		const {facts, dispatcher, caller, log, route, arrivedAt, codec} = this.#options;
 		const now = performance.now();
-		const patienceAt = caller.hasAnswer ? Infinity : this.#options.arrivedAt + this.#options.codec.patienceMilliseconds(route);
+		const patienceAt = caller.hasAnswer ? Infinity : arrivedAt + codec.patienceMilliseconds(route);
 		const ticketId = `${facts.id}#${this.#sendings}`;
 		this.#alarm.set(this.#limitAt - now);
 		dispatcher.submit({
+			...ticketOf(this.#options, this.#demand),
 			id: ticketId,
-			workspace: workspace?.name ?? '',
-			service: this.#demand.service,
-			urgency: this.#demand.isTight ? tightUrgency : this.#demand.urgency,
-			work: facts.outputTokens + tokensOf(facts.parts) + 1,
-			arrivedAt: this.#options.arrivedAt,
-			inTimeUntil: this.#options.arrivedAt + (route.targetMilliseconds * startShare),
 			lastStartAt: Math.min(this.#limitAt - leastMilliseconds, patienceAt),
-			demand: this.#demand,
 			excluded: this.#excluded,
 			isIdempotent: this.#isIdempotent,
 			onDecision: decision => {
--- a/test/gateway/dispatcher.test.ts
+++ b/test/gateway/dispatcher.test.ts
@@ -91,3 +91,16 @@
 	beliefs.offerEndpoints([{type: 'removed', offset: 5, id: 'one'}, {type: 'removed', offset: 6, id: 'two'}], 'store', performance.now());
 	t.match(submit(dispatcher, 'r'), [{type: 'placed'}]);
 });
+
+// A refused caller asks why. The line has to tell a wait for the line from one for the endpoint, and both from an
+// endpoint that is not there: each has another cause.
+tap.test('a refusal says what it was judged by', async t => {
+	using dispatcher = createDispatcher([record('only')]);
+	for (let number = 0; number < 3; number++) {
+		dispatcher.takeLoad({type: 'placed', run: {id: `b/${number}`, owner: 'b', endpoint: 'only', service: 'models', unreadTokens: 90_000, isTight: false, parts: []}});
+	}
+
+	const [decision] = submit(dispatcher, 'r');
+	t.match(decision, {type: 'refused', reason: 'too-late', ahead: 0, waiting: 0, foreseen: {line: 0}});
+	t.ok(decision?.type === 'refused' && decision.foreseen !== undefined && decision.foreseen.endpoint > decision.foreseen.left && decision.foreseen.left > 1900);
+});
