Show, in tests that fail, how confirmations are refused while drafts are served

The tests run several dispatchers before model engines in virtual time: no wait, the same result each time.

--- /dev/null
+++ b/test/gateway/virtual-fleet.ts
@@ -0,0 +1,238 @@
+import {createRandom, type Random} from '../../bench/harness/random.js';
+import {Beliefs, type Decision, demandOf, Dispatcher, ticketOf} from '../../src/gateway/index.js';
+import {type InstanceId, type WorkspaceName, type ZoneName} from '../../src/model/index.js';
+import {defaultTuning, type LoadEvent, type PromptPart, reactionMilliseconds} from '../../src/policy/dispatch/index.js';
+import {type EndpointRecord, type Route, RouteKind, type RoutingTableInput, type Workspace} from '../../src/routing/index.js';
+import {requestCodec} from '../../platform/request-codec.js';
+import {type VirtualTime} from './virtual-time.js';
+
+/** One kind of stream: its route, and what it asks of an engine. */
+export type Kind = {
+	readonly name: string;
+	readonly urgency: number;
+	readonly targetMilliseconds: number;
+	readonly pauseMilliseconds: number;
+	readonly timeoutMilliseconds: number;
+	/** Tokens of the beginning that many requests share, how many such beginnings there are, and tokens of its own. */
+	readonly sharedTokens: number;
+	readonly beginnings: number;
+	readonly ownTokens: number;
+	readonly answerMilliseconds: number;
+};
+
+export type FleetOptions = {
+	readonly time: VirtualTime;
+	readonly kinds: readonly Kind[];
+	readonly instances: number;
+	readonly engines: number;
+	readonly slots: number;
+	readonly tokensPerMillisecond: number;
+	/** Urgencies of the workspaces; each request is of one of them, in turn. */
+	readonly workspaces: ReadonlyArray<number | undefined>;
+	readonly seed: number;
+};
+
+/** What became of one request. */
+export type Asked = {
+	readonly kind: string;
+	readonly instance: number;
+	readonly at: number;
+	readonly workspaceUrgency: number | undefined;
+	decision: Decision | undefined;
+	placedAt: number | undefined;
+	firstEventAt: number | undefined;
+};
+
+const zone = 'z' as ZoneName;
+const quiet = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
+const service = 'models';
+const memoryTokens = 600_000;
+const leastMilliseconds = 15;
+/** What a prompt costs an engine beside its reading. */
+const overheadMilliseconds = 1;
+
+type Run = {readonly runId: string; readonly dispatcher: Dispatcher; readonly asked: Asked; readonly unreadTokens: number; readonly urgency: number; readonly answerMilliseconds: number};
+
+/** Admits so many at once, the most urgent first, and reads the prompts of those admitted one after the other. */
+class Engine {
+	readonly #waiting: Run[] = [];
+	readonly #unread: Run[] = [];
+	#running = 0;
+	#isReading = false;
+
+	constructor(private readonly options: FleetOptions) {}
+
+	take(run: Run): void {
+		this.#waiting.push(run);
+		this.#waiting.sort((left, right) => left.urgency - right.urgency);
+		this.#admit();
+	}
+
+	#admit(): void {
+		while (this.#running < this.options.slots && this.#waiting.length > 0) {
+			this.#running += 1;
+			this.#unread.push(this.#waiting.shift()!);
+		}
+
+		this.#read();
+	}
+
+	#read(): void {
+		const run = this.#isReading ? undefined : this.#unread.shift();
+		if (run === undefined) {
+			return;
+		}
+
+		const {time, tokensPerMillisecond} = this.options;
+		this.#isReading = true;
+		time.after((run.unreadTokens / tokensPerMillisecond) + overheadMilliseconds, () => {
+			this.#isReading = false;
+			run.asked.firstEventAt = time.now;
+			run.dispatcher.firstEvent(run.runId);
+			time.after(run.answerMilliseconds, () => {
+				this.#running -= 1;
+				run.dispatcher.ended(run.runId);
+				this.#admit();
+			});
+			this.#read();
+		});
+	}
+}
+
+/** Several dispatchers before the same engines, in virtual time; each hears of the others' load as late as real ones do. */
+export class VirtualFleet implements Disposable {
+	static create(options: FleetOptions): VirtualFleet {
+		return new VirtualFleet(options);
+	}
+
+	readonly asked: Asked[] = [];
+	readonly dispatchers: readonly Dispatcher[];
+	readonly #options: FleetOptions;
+	readonly #random: Random;
+	readonly #beliefs: readonly Beliefs[];
+	readonly #engines = new Map<string, Engine>();
+
+	private constructor(options: FleetOptions) {
+		this.#options = options;
+		this.#random = createRandom(options.seed);
+		const records = Array.from({length: options.engines}, (_, number): EndpointRecord => ({
+			id: `engine-${number}`, service, address: '127.0.0.1:1', zone, isLeaving: false, slots: options.slots, revision: 1,
+		}));
+		for (const {id} of records) {
+			this.#engines.set(id, new Engine(options));
+		}
+
+		this.#beliefs = Array.from({length: options.instances}, () => Beliefs.create(quiet));
+		this.dispatchers = this.#beliefs.map((beliefs, number) => {
+			beliefs.offerEndpoints(records.map((record, offset) => ({type: 'registered', offset, record})), 'store', performance.now());
+			const dispatcher = Dispatcher.create({
+				incarnation: `i${number}` as InstanceId, zone, beliefs, logger: quiet, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000},
+				random: () => this.#random.uniform(), tuning: defaultTuning,
+				onLoad: event => {
+					this.#tell(number, event);
+				},
+			});
+			dispatcher.instances = options.instances;
+			return dispatcher;
+		});
+		this.publish(1, options.workspaces);
+	}
+
+	[Symbol.dispose](): void {
+		for (const dispatcher of this.dispatchers) {
+			dispatcher[Symbol.dispose]();
+		}
+	}
+
+	/** A new routing table with workspaces of these urgencies, known to all at once. */
+	publish(version: number, workspaces: ReadonlyArray<number | undefined>): void {
+		const table: RoutingTableInput = {
+			version,
+			routes: this.#options.kinds.map(kind => toRoute(kind)),
+			services: [{name: service, largestConnections: 100, engine: {slots: this.#options.slots, memoryTokens, tokensPerEvent: 4}}],
+			workspaces: workspaces.map((urgency, number) => ({name: `w${number}` as WorkspaceName, keys: [`k${number}`], urgency})),
+			limits: {headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1},
+		};
+		for (const beliefs of this.#beliefs) {
+			beliefs.offerTable(table, 'store');
+		}
+	}
+
+	/** Requests of a kind arrive at an instance for a while, at random but so many a second on average. */
+	arrive(kindName: string, instance: number, {perSecond, forMilliseconds}: {perSecond: number; forMilliseconds: number}): void {
+		const {time} = this.#options;
+		for (let at = this.#random.exponential(1000 / perSecond); at < forMilliseconds; at += this.#random.exponential(1000 / perSecond)) {
+			time.after(at, () => {
+				this.ask(kindName, instance);
+			});
+		}
+	}
+
+	ask(kindName: string, instance: number): Asked {
+		const {time, kinds} = this.#options;
+		const beliefs = this.#beliefs[instance]!;
+		const dispatcher = this.dispatchers[instance]!;
+		const table = beliefs.table!;
+		const kind = kinds.find(({name}) => name === kindName)!;
+		const route = table.routes.find(({name}) => name === kindName)!;
+		const workspace = this.#workspace(beliefs, this.asked.length);
+		const asked: Asked = {kind: kindName, instance, at: time.now, workspaceUrgency: workspace?.urgency, decision: undefined, placedAt: undefined, firstEventAt: undefined};
+		this.asked.push(asked);
+		const facts = {id: String(this.asked.length), deadlineMilliseconds: route.timeoutMilliseconds, key: undefined, parts: this.#parts(kind), outputTokens: 20};
+		const request = {facts, table, route, service, workspace, arrivedAt: time.now};
+		const demand = demandOf(request);
+		dispatcher.submit({
+			...ticketOf(request, demand),
+			id: facts.id,
+			lastStartAt: time.now + Math.min(route.timeoutMilliseconds - leastMilliseconds, requestCodec.patienceMilliseconds(route)),
+			excluded: new Set(),
+			isIdempotent: true,
+			onDecision: decision => {
+				asked.decision = decision;
+				if (decision.type === 'placed') {
+					asked.placedAt = time.now;
+					const {runId, unreadTokens} = decision;
+					this.#engines.get(decision.record.id)!.take({runId, dispatcher, asked, unreadTokens, urgency: demand.urgency, answerMilliseconds: kind.answerMilliseconds});
+				}
+			},
+		});
+		return asked;
+	}
+
+	/** Those of a kind that arrived in a span and were refused, and all of them. */
+	count(kind: string, {from, to, instance}: {from: number; to: number; instance?: number}): {refused: number; placed: number; asked: number} {
+		const own = this.asked.filter(one => one.kind === kind && one.at >= from && one.at < to && (instance === undefined || one.instance === instance));
+		return {
+			refused: own.filter(({decision}) => decision?.type === 'refused').length,
+			placed: own.filter(({decision}) => decision?.type === 'placed').length,
+			asked: own.length,
+		};
+	}
+
+	#workspace(beliefs: Beliefs, number: number): Workspace | undefined {
+		const workspaces = beliefs.tableInput?.workspaces ?? [];
+		return workspaces[number % Math.max(1, workspaces.length)];
+	}
+
+	#parts({sharedTokens, beginnings, ownTokens, name}: Kind): PromptPart[] {
+		const base = this.#options.kinds.findIndex(kind => kind.name === name) * 1000;
+		return [{id: base + this.#random.below(beginnings), tokens: sharedTokens}, {id: 1_000_000 + this.asked.length, tokens: ownTokens}];
+	}
+
+	#tell(sender: number, event: LoadEvent): void {
+		this.#options.time.after(reactionMilliseconds(this.#options.instances - 1), () => {
+			for (const [number, dispatcher] of this.dispatchers.entries()) {
+				if (number !== sender) {
+					dispatcher.takeLoad(event);
+				}
+			}
+		});
+	}
+}
+
+function toRoute({name, urgency, targetMilliseconds, pauseMilliseconds, timeoutMilliseconds}: Kind): Route {
+	return {
+		name, host: 'h', pathPrefix: `/${name}/`, kind: RouteKind.stream, resumable: false, shares: [{service, weight: 1}], timeoutMilliseconds, targetMilliseconds,
+		urgency, largestAttempts: 1, isPublic: false, longestPauseMilliseconds: pauseMilliseconds,
+	};
+}
