Compare the urgency of requests by what it means in every routing table, not by rank

What callers saw: after a change that added a workspace of another urgency, confirmations got 503 at once while drafts from before the change were served. Cause: a rank is a place among the pairs of urgencies of one table; with one more urgency a confirmation's rank rose from 1 to 3, above the 2 of the drafts that had waited since before. Ruled out: the wait for the endpoint (endpointWait was under the bound; all of the foreseen wait was the line). Why it holds: the line, what is awaited and what is ahead compare the pair of workspace and route urgency, which no table changes. The rank stays for backlogs and engines, where a run's older rank lives for a backlog's length only.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -3,7 +3,7 @@
 	availability, type Candidate, chanceOfPlace, choosePlace, type Circumstances, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, type Fetch, inOrder, LoadBook,
 	type LoadEvent, reactionMilliseconds, readMilliseconds, type RetryAllowance, RetryShare, runId, stepEndpointHealth, type Tuning, type Wait, type Waiting, WaitingLine,
 } from '../policy/dispatch/index.js';
-import {type EndpointEntry, type EndpointRecord, Standing, standingOf} from '../routing/index.js';
+import {compareUrgency, type EndpointEntry, type EndpointRecord, Standing, standingOf} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Beliefs} from './beliefs.js';
 
@@ -245,7 +245,7 @@
 	#awaitedBefore({urgency}: Ticket): ReadonlySet<string> {
 		const awaited = new Set<string>();
 		for (const waiting of this.#tickets.values()) {
-			if (waiting.urgency <= urgency && waiting.waitsFor !== undefined) {
+			if (compareUrgency(waiting.urgency, urgency) <= 0 && waiting.waitsFor !== undefined) {
 				awaited.add(waiting.waitsFor.endpoint);
 			}
 		}
--- a/src/gateway/ticket.ts
+++ b/src/gateway/ticket.ts
@@ -1,5 +1,5 @@
 import {type Demand, tokensOf} from '../policy/dispatch/index.js';
-import {type Route, type RoutingTable, type Workspace} from '../routing/index.js';
+import {type Route, type RoutingTable, type UrgencyPair, type Workspace} from '../routing/index.js';
 import {type Ticket} from './dispatcher.js';
 import {type RequestFacts} from './types.js';
 
@@ -20,7 +20,7 @@
  * A stream with tight pauses has a short prompt: it goes before others in the line whatever its rank,
  * since reading it holds them up for a few milliseconds. At the endpoint its own rank counts.
  */
-const tightUrgency = -1;
+const tightUrgency: UrgencyPair = {route: -Infinity, workspace: undefined};
 
 /** What a request wants of an endpoint. */
 export function demandOf({facts, table, route, service, workspace}: Asked): Demand {
@@ -43,7 +43,7 @@
 	return {
 		workspace: workspace?.name ?? '',
 		service: demand.service,
-		urgency: demand.isTight ? tightUrgency : demand.urgency,
+		urgency: demand.isTight ? tightUrgency : {route: route.urgency, workspace: workspace?.urgency},
 		work: facts.outputTokens + tokensOf(facts.parts) + 1,
 		arrivedAt,
 		inTimeUntil: arrivedAt + (route.targetMilliseconds * startShare),
--- a/src/policy/dispatch/waiting-line.ts
+++ b/src/policy/dispatch/waiting-line.ts
@@ -1,3 +1,5 @@
+import {compareUrgency, type UrgencyPair} from '../../routing/index.js';
+
 /**
  * Load pattern: demand above what the endpoints can do. Served in order of arrival, urgent requests
  * wait behind drafts, one workspace's burst holds up its rivals, and once the wait is longer than the
@@ -9,7 +11,7 @@
 	readonly id: string;
 	readonly workspace: string;
 	readonly service: string;
-	readonly urgency: number;
+	readonly urgency: UrgencyPair;
 	/** Tokens or other work that it asks for. */
 	readonly work: number;
 	readonly arrivedAt: number;
@@ -69,7 +71,7 @@
 	ordered(now: number): Waiting[] {
 		const all = [...this.#waiting.values()];
 		const recent = new Map(all.map(({workspace}) => [workspace, this.#recentWork(workspace, now)]));
-		all.sort((left, right) => left.urgency - right.urgency
+		all.sort((left, right) => compareUrgency(left.urgency, right.urgency)
 			|| Number(now > left.inTimeUntil) - Number(now > right.inTimeUntil)
 			|| (recent.get(left.workspace) ?? 0) - (recent.get(right.workspace) ?? 0)
 			|| left.arrivedAt - right.arrivedAt);
@@ -83,11 +85,11 @@
 	}
 
 	/** What of a service would be tried before one of this urgency: how many, and their work together. */
-	ahead(service: string, urgency: number): {readonly count: number; readonly work: number} {
+	ahead(service: string, urgency: UrgencyPair): {readonly count: number; readonly work: number} {
 		let count = 0;
 		let work = 0;
 		for (const waiting of this.#waiting.values()) {
-			if (waiting.service === service && waiting.urgency <= urgency) {
+			if (waiting.service === service && compareUrgency(waiting.urgency, urgency) <= 0) {
 				count += 1;
 				work += waiting.work;
 			}
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -295,7 +295,7 @@
 });
 
 function waiting(id: string, more: Partial<Waiting> = {}): Waiting {
-	return {id, workspace: 'w', service: 's', urgency: 1, work: 1, arrivedAt: 0, inTimeUntil: 500, lastStartAt: 1000, ...more};
+	return {id, workspace: 'w', service: 's', urgency: {route: 1, workspace: undefined}, work: 1, arrivedAt: 0, inTimeUntil: 500, lastStartAt: 1000, ...more};
 }
 
 tap.test('the line goes by urgency, then by what a workspace had, then by arrival', async t => {
@@ -303,7 +303,7 @@
 	line.charge(waiting('before', {workspace: 'greedy', work: 1000}), 0);
 	line.add(waiting('late', {arrivedAt: 2}));
 	line.add(waiting('greedy', {workspace: 'greedy', arrivedAt: 0}));
-	line.add(waiting('urgent', {urgency: 0, arrivedAt: 3}));
+	line.add(waiting('urgent', {urgency: {route: 0, workspace: undefined}, arrivedAt: 3}));
 	line.add(waiting('early', {arrivedAt: 1}));
 	t.same(line.ordered(4).map(({id}) => id), ['urgent', 'early', 'late', 'greedy']);
 	t.same(line.expired(2000).length, 4);
@@ -315,7 +315,7 @@
 	const line = WaitingLine.create();
 	line.add(waiting('late', {arrivedAt: 0, inTimeUntil: 400}));
 	line.add(waiting('in-time', {arrivedAt: 300, inTimeUntil: 700}));
-	line.add(waiting('late-urgent', {urgency: 0, arrivedAt: 0, inTimeUntil: 100}));
+	line.add(waiting('late-urgent', {urgency: {route: 0, workspace: undefined}, arrivedAt: 0, inTimeUntil: 100}));
 	t.same(line.ordered(500).map(({id}) => id), ['late-urgent', 'in-time', 'late']);
 });
 
@@ -334,10 +334,10 @@
 // An endless burst of urgent requests: the least urgent one still has its turn.
 tap.test('nobody starves in the line', async t => {
 	const line = WaitingLine.create();
-	line.add(waiting('patient', {urgency: 9, arrivedAt: 0}));
+	line.add(waiting('patient', {urgency: {route: 9, workspace: undefined}, arrivedAt: 0}));
 	let served = -1;
 	for (let turn = 0; turn < 20 && served === -1; turn++) {
-		line.add(waiting(`urgent-${turn}`, {urgency: 0, arrivedAt: turn + 1}));
+		line.add(waiting(`urgent-${turn}`, {urgency: {route: 0, workspace: undefined}, arrivedAt: turn + 1}));
 		const [first] = line.ordered(turn);
 		line.remove(first!.id);
 		served = first!.id === 'patient' ? turn : -1;
