Let a full line make room for who is more urgent

What callers saw: with as many drafts waiting as the line holds, a confirmation got 503 at once, reason line-full. Cause: the newest to come was turned away, whatever its rank. Why the mend holds: of the least urgent the one that came last leaves, with its own foreseen wait as the time to come back; a newcomer that is no more urgent is still the one turned away, so that the line keeps its bound. Requests already in the line are not judged by its size again. Six confirmations now keep the engine busy; so set up it fails before this change with line-full, as told.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -339,7 +339,7 @@
 			return true;
 		}
 
-		if (this.#line.size >= largestLine) {
+		if (!this.#tickets.has(ticket.id) && this.#line.size >= largestLine && !this.#makeRoom(ticket, now)) {
 			this.#refuse(ticket, RefusalReason.lineFull, {retryAfter: expected, candidates: candidates.length, foreseen});
 			return true;
 		}
@@ -356,6 +356,22 @@
 		return false;
 	}
 
+	/**
+	 * Failure: a line full of drafts turns away whoever comes. Symptom: a confirmation that would be next is refused. Of the
+	 * least urgent the last to come leaves for it; among equals those who came first stay.
+	 */
+	#makeRoom({urgency}: Ticket, now: number): boolean {
+		const last = this.#line.last();
+		const leaving = last === undefined || compareUrgency(last.urgency, urgency) <= 0 ? undefined : this.#tickets.get(last.id);
+		if (leaving === undefined) {
+			return false;
+		}
+
+		const candidates = this.#knownOf(leaving.service).map(({candidate}) => candidate);
+		this.#refuse(leaving, RefusalReason.lineFull, {retryAfter: this.#lineMilliseconds(leaving, candidates, now), candidates: candidates.length});
+		return true;
+	}
+
 	/**
 	 * How long those ahead will take: at the rate at which this instance has placed work lately, or at its
 	 * equal part of what the endpoints can do, whichever is more. Before anything waited the first says nothing.
--- a/src/policy/dispatch/waiting-line.ts
+++ b/src/policy/dispatch/waiting-line.ts
@@ -67,6 +67,17 @@
 		return [...this.#waiting.values()].filter(({lastStartAt}) => now > lastStartAt);
 	}
 
+	/** Of the least urgent the one that came last. */
+	last(): Waiting | undefined {
+		let last: Waiting | undefined;
+		for (const waiting of this.#waiting.values()) {
+			const order = last === undefined ? 1 : (compareUrgency(waiting.urgency, last.urgency) || waiting.arrivedAt - last.arrivedAt);
+			last = order >= 0 ? waiting : last;
+		}
+
+		return last;
+	}
+
 	/** Everyone, in the order in which they should be tried now. */
 	ordered(now: number): Waiting[] {
 		const all = [...this.#waiting.values()];
--- a/test/gateway/full-line.test.ts
+++ b/test/gateway/full-line.test.ts
@@ -9,6 +9,10 @@
 	using time = VirtualTime.install();
 	const patient = {...draft, timeoutMilliseconds: 600_000, targetMilliseconds: 150_000};
 	using fleet = VirtualFleet.create({time, kinds: [ticket, confirmation, patient], instances: 1, engines: 1, slots: 64, tokensPerMillisecond: 57, workspaces: [1], seed: 1});
+	for (let number = 0; number < 6; number++) {
+		fleet.ask('confirmation', 0);
+	}
+
 	const drafts = Array.from({length: 1600}, () => fleet.ask('draft', 0));
 	t.match(drafts.at(-1)!.decision, {type: 'refused', reason: 'line-full'}, 'the line is full');
 	const waiting = drafts.filter(({decision}) => decision === undefined);
@@ -16,6 +20,6 @@
 	t.equal(urgent.decision, undefined, 'it waits');
 	t.same(waiting.filter(({decision}) => decision !== undefined), [waiting.at(-1)], 'the draft that came last has left for it');
 	t.match(waiting.at(-1)!.decision, {type: 'refused', reason: 'line-full'});
-	time.runFor(200);
+	time.runFor(400);
 	t.match(urgent.decision, {type: 'placed'});
 });
--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -55,12 +55,15 @@
 
 /** Admits so many at once, the most urgent first, and reads the prompts of those admitted one after the other. */
 class Engine {
+	readonly options: FleetOptions;
 	readonly #waiting: Run[] = [];
 	readonly #unread: Run[] = [];
 	#running = 0;
 	#isReading = false;
 
-	constructor(private readonly options: FleetOptions) {}
+	constructor(options: FleetOptions) {
+		this.options = options;
+	}
 
 	take(run: Run): void {
 		this.#waiting.push(run);
