Let the less urgent hold back for what waits at other instances

What callers saw: where two of four instances have most callers, these refused up to 83 of 800 confirmations in five seconds while the others sent drafts of the same workspaces. Cause: each instance knows its own line alone; between them only the backlog at which a request is let in gives an order, 1.4 times as long for a confirmation as for a draft where workspaces have two urgencies. Change: instances tell, with the load, for how long the oldest of each urgency has waited. Whoever is less urgent than what waits elsewhere takes only endpoints with nothing to read and leaves an eighth of the slots. Word counts for 300 ms, ends with the line and with the instance; tight streams are outside. Why it holds: the more urgent are let in at a backlog above that, so they are served first wherever they wait; what they can't use falls idle and is open to all.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,6 +1,6 @@
 import {type InstanceId, type ZoneName} from '../model/index.js';
 import {
-	availability, type Candidate, chanceOfPlace, choosePlace, type Circumstances, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, type Fetch, inOrder, LoadBook,
+	availability, type Candidate, chanceOfPlace, choosePlace, type Circumstances, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, type Fetch, inOrder, LineTeller, LoadBook,
 	type LoadEvent, reactionMilliseconds, readMilliseconds, type RetryAllowance, RetryShare, runId, stepEndpointHealth, type Tuning, type Wait, type Waiting, WaitingLine,
 } from '../policy/dispatch/index.js';
 import {compareUrgency, type EndpointEntry, type EndpointRecord, Standing, standingOf} from '../routing/index.js';
@@ -109,11 +109,13 @@
 	/** When the line may be tried again: it takes a bounded part of the process's time. */
 	#pumpAt = 0;
 	#timer: NodeJS.Timeout | undefined;
+	readonly #teller: LineTeller;
 	#runCount = 0;
 
 	private constructor(options: DispatcherOptions) {
 		this.#options = options;
 		this.retries = RetryShare.create(options.allowance);
+		this.#teller = LineTeller.create(options.incarnation);
 		options.beliefs.onChange(change => {
 			this.#known.clear();
 			for (const endpoint of change.type === 'reborn' ? change.ids : []) {
@@ -204,7 +206,7 @@
 		}
 
 		const candidates = usable.map(({candidate}) => candidate);
-		const demand = {...ticket.demand, waitedMilliseconds: now - (ticket.passedOverAt ?? now), elapsedMilliseconds: now - ticket.arrivedAt};
+		const demand = {...ticket.demand, waitedMilliseconds: now - (ticket.passedOverAt ?? now), elapsedMilliseconds: now - ticket.arrivedAt, isOutranked: this.#isOutranked(ticket, now)};
 		const choice = choosePlace(this.book, demand, candidates, this.#circumstances(ticket.demand.service, now));
 		if (choice.type === 'wait') {
 			if (choice.isForBetter) {
@@ -223,6 +225,10 @@
 		return true;
 	}
 
+	#isOutranked({service, urgency, demand}: Ticket, now: number): boolean {
+		return this.#options.tuning.heedsLines && !demand.isTight && this.book.lines.outranks(service, urgency, now);
+	}
+
 	/** Where other instances are likely to want the same place, chance decides who takes it first. */
 	#mayTake({service, urgency, demand}: Ticket, unreadTokens: number, candidates: number): boolean {
 		const contenders = (this.instances - 1) * Math.min(1, this.#line.ahead(service, urgency).count / candidates);
@@ -401,6 +407,7 @@
 
 	#pump(): void {
 		const startedAt = performance.now();
+		this.#tellLines(startedAt);
 		if (this.#line.size === 0) {
 			clearInterval(this.#timer);
 			this.#timer = undefined;
@@ -430,6 +437,14 @@
 		}
 	}
 
+	/** Tight streams go first by themselves, and who waits for a better place holds nobody up. */
+	#tellLines(now: number): void {
+		const waiting = [...this.#tickets.values()].filter(({demand, passedOverAt}) => !demand.isTight && passedOverAt === undefined);
+		for (const event of this.#teller.events(waiting, now)) {
+			this.#options.onLoad(event);
+		}
+	}
+
 	#tell(event: LoadEvent): void {
 		this.book.step(event, performance.now());
 		this.#options.onLoad(event);
--- a/src/gateway/ticket.ts
+++ b/src/gateway/ticket.ts
@@ -35,6 +35,7 @@
 		tightestPauseMilliseconds: table.tightestPause(service),
 		waitedMilliseconds: 0,
 		elapsedMilliseconds: 0,
+		isOutranked: false,
 	};
 }
 
--- a/src/policy/dispatch/demand.ts
+++ b/src/policy/dispatch/demand.ts
@@ -20,6 +20,8 @@
 	readonly waitedMilliseconds: number;
 	/** Since the request arrived. */
 	readonly elapsedMilliseconds: number;
+	/** True while someone more urgent waits for the service at another instance. */
+	readonly isOutranked: boolean;
 };
 
 /** An endpoint that may be used now. */
--- a/src/policy/dispatch/engine-cost.ts
+++ b/src/policy/dispatch/engine-cost.ts
@@ -18,6 +18,8 @@
  */
 export const reactionsInBacklog = 1.5;
 const urgentFactor = 4;
+/** The part of an endpoint's slots that is left to who is more urgent elsewhere, rounded up. */
+const slotsLeft = 1 / 8;
 /** Tight streams may be so many above an endpoint's slots: it admits the urgent first, and preempts for them. */
 const slotsAbove = 4;
 /** Beside streams with tight pauses, what waits to be read stays under this part of their pause. */
@@ -63,7 +65,7 @@
 	const unreadTokens = lackedTokens - (fetch?.tokens ?? 0);
 	const reading = readMilliseconds(speed, unreadTokens);
 	const expected = load.backlogMilliseconds + (fetch?.milliseconds ?? 0) + reading + speed.baseMilliseconds;
-	const slots = candidate.slots + (demand.isTight ? slotsAbove : 0);
+	const slots = usableSlots(candidate, demand) + (demand.isTight ? slotsAbove : 0);
 	const wait = load.running >= slots ? speed.baseMilliseconds : Math.max(0, load.backlogMilliseconds - bearableBacklog(demand, load.tightRuns, circumstances));
 	const span = load.backlogMilliseconds + reading;
 	const harm = demand.isTight ? tightCost(demand, candidate, {load, place, span, overview, tuning}) : harmToOthers(demand, {load, place, span, reading, overview, tuning});
@@ -73,11 +75,21 @@
 	return {cost, wait, unreadTokens, fetch, expected};
 }
 
-function bearableBacklog({urgency, urgencies, tightestPauseMilliseconds, isTight}: Demand, tightRuns: number, {reactionMilliseconds, tuning}: Circumstances): number {
+/** The slots that a request may fill. */
+export function usableSlots({slots}: Candidate, {isOutranked}: Demand): number {
+	return isOutranked ? Math.max(1, Math.floor(slots * (1 - slotsLeft))) : slots;
+}
+
+function bearableBacklog({urgency, urgencies, tightestPauseMilliseconds, isTight, isOutranked}: Demand, tightRuns: number, {reactionMilliseconds, tuning}: Circumstances): number {
 	if (isTight) {
 		return Infinity;
 	}
 
+	if (isOutranked) {
+		// Only what has nothing to read: the more urgent elsewhere keep the others above that for as long as they wait.
+		return 0;
+	}
+
 	const leastUrgent = reactionMilliseconds * reactionsInBacklog;
 	const rank = tuning.ordersBacklogs ? rankAmong(urgency, urgencies) : 0;
 	const mostUrgent = leastUrgent * urgentFactor;
--- a/src/policy/dispatch/index.ts
+++ b/src/policy/dispatch/index.ts
@@ -10,4 +10,5 @@
 export * from './waiting-line.js';
 export * from './speed.js';
 export * from './load-rows.js';
+export * from './peer-lines.js';
 export * from './not-ready.js';
--- a/src/policy/dispatch/load-rows.ts
+++ b/src/policy/dispatch/load-rows.ts
@@ -1,4 +1,5 @@
 import {type LoadEvent} from './load.js';
+import {type LineHead} from './peer-lines.js';
 import {flattenParts, unflattenParts} from './part-memory.js';
 
 /** Longer names than this come from nobody that keeps the protocol. */
@@ -24,12 +25,16 @@
 	return tellingInterval(peers) + wayMilliseconds;
 }
 
-const RowKind = {placed: 0, firstEvent: 1, ended: 2} as const;
+const RowKind = {placed: 0, firstEvent: 1, ended: 2, waiting: 3} as const;
+/** Values of one head in a row. */
+const headLength = 3;
+const mostHeadValues = 16 * headLength;
 
 /**
  * Load as it travels between instances: rows without names, since it is by far the most frequent message
  * and goes to each of them. A row names a run by its number at the sender; its owner is whoever sent it.
- * `[0, number, endpoint, service, unread tokens, 1 if tight, part, tokens, ...]`, `[1, number]`, `[2, number]`.
+ * `[0, number, endpoint, service, unread tokens, 1 if tight, part, tokens, ...]`, `[1, number]`, `[2, number]`, and `[3, service, workspace's urgency or null, route's urgency,
+ * milliseconds waited, ...]`.
  */
 export type LoadRow = readonly unknown[];
 
@@ -53,6 +58,10 @@
 			return [RowKind.ended, numberOf(event.id)];
 		}
 
+		case 'waiting': {
+			return [RowKind.waiting, event.service, ...event.heads.flatMap(({urgency, waitedMilliseconds}) => [urgency.workspace ?? null, urgency.route, waitedMilliseconds])];
+		}
+
 		case 'owner-lost':
 		case 'endpoint-restarted':
 		case 'kept': {
@@ -78,6 +87,10 @@
 
 function decodeRow(row: readonly unknown[], owner: string): LoadEvent | undefined {
 	const [kind, number] = row;
+	if (kind === RowKind.waiting) {
+		return decodeWaiting(row, owner);
+	}
+
 	if (!isCount(number)) {
 		return undefined;
 	}
@@ -111,6 +124,25 @@
 	return {type: 'placed', run: {id, owner, endpoint, service, unreadTokens, isTight: tight === 1, parts: unflattenParts(partValues)}};
 }
 
+function decodeWaiting(row: readonly unknown[], owner: string): LoadEvent | undefined {
+	const [service, ...values] = row.slice(1);
+	if (!isName(service) || values.length % headLength !== 0 || values.length > mostHeadValues) {
+		return undefined;
+	}
+
+	const heads: LineHead[] = [];
+	for (let index = 0; index < values.length; index += headLength) {
+		const [workspace, route, waitedMilliseconds] = values.slice(index, index + headLength);
+		if ((workspace !== null && !isNumber(workspace)) || !isNumber(route) || !isCount(waitedMilliseconds)) {
+			return undefined;
+		}
+
+		heads.push({urgency: {route, workspace: workspace ?? undefined}, waitedMilliseconds});
+	}
+
+	return {type: 'waiting', owner, service, heads};
+}
+
 /** The name of a run, unique over all instances. */
 export function runId(owner: string, number: number): string {
 	return `${owner}/${number}`;
@@ -127,3 +159,7 @@
 function isCount(value: unknown): value is number {
 	return typeof value === 'number' && value >= 0;
 }
+
+function isNumber(value: unknown): value is number {
+	return typeof value === 'number' && Number.isFinite(value);
+}
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -1,4 +1,5 @@
 import {type PromptPart, PartMemory, tokensOf} from './part-memory.js';
+import {type LineEvent, PeerLines} from './peer-lines.js';
 import {createReadingSpeed, learnReadingSpeed, type ReadingSpeed, readMilliseconds} from './speed.js';
 
 /** A request that an endpoint runs or is about to, whichever instance sent it. */
@@ -21,6 +22,8 @@
 		| {readonly type: 'ended'; readonly id: string}
 		| {readonly type: 'owner-lost'; readonly owner: string}
 		| {readonly type: 'endpoint-restarted'; readonly endpoint: string}
+	/** What waits at another instance. */
+		| LineEvent
 	/** What an endpoint itself says it holds of prompts. */
 		| {readonly type: 'kept'; readonly endpoint: string; readonly parts: readonly PromptPart[]};
 
@@ -79,6 +82,8 @@
 		return new LoadBook();
 	}
 
+	/** What waits at the other instances. */
+	readonly lines = PeerLines.create();
 	readonly #desks = new Map<string, Desk>();
 	readonly #runs = new Map<string, Held>();
 	readonly #speeds = new Map<string, ReadingSpeed>();
@@ -103,6 +108,12 @@
 
 			case 'owner-lost': {
 				this.#drop(run => run.owner === event.owner, now);
+				this.lines.forget(event.owner);
+				return;
+			}
+
+			case 'waiting': {
+				this.lines.hear(event, now);
 				return;
 			}
 
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -10,7 +10,7 @@
  */
 import {hash32} from '../hashing/index.js';
 import {type Candidate, type Choice, type Circumstances, type Demand} from './demand.js';
-import {type Judged, judgeEngine, type Overview} from './engine-cost.js';
+import {type Judged, judgeEngine, type Overview, usableSlots} from './engine-cost.js';
 import {homeCost, homesOf} from './homes.js';
 import {type EndpointLoad, type LoadBook} from './load.js';
 import {type Holder, holdersOf} from './transfer.js';
@@ -90,7 +90,7 @@
 function judgeService(book: LoadBook, demand: Demand, candidate: Candidate, {running}: EndpointLoad): Judged {
 	const work = book.workMilliseconds(demand.service);
 	const expected = work * Math.max(1, (running + 1) / candidate.slots);
-	const wait = running >= candidate.slots ? work / candidate.slots : 0;
+	const wait = running >= usableSlots(candidate, demand) ? work / candidate.slots : 0;
 	return {cost: running / candidate.slots * work, wait, unreadTokens: 0, fetch: undefined, expected};
 }
 
--- a/src/policy/dispatch/tuning.ts
+++ b/src/policy/dispatch/tuning.ts
@@ -9,6 +9,8 @@
 	readonly fetchShare: number;
 	/** Whether longer backlogs are allowed the more urgent a request is; else all may send at the longest. */
 	readonly ordersBacklogs: boolean;
+	/** Whether the less urgent hold back for what waits at other instances. */
+	readonly heedsLines: boolean;
 	/** What an engine that is left to tight streams costs others, where the reading is long. */
 	readonly roomMilliseconds: number;
 	/** The part of an engine's slots that tight streams fill before room for them takes another. */
@@ -26,6 +28,7 @@
 	fetches: true,
 	fetchShare: 0.5,
 	ordersBacklogs: true,
+	heedsLines: true,
 	roomMilliseconds: 1000,
 	tightFill: 0.75,
 	outsideMilliseconds: 60,
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -4,7 +4,7 @@
 import {type ZoneName} from '../../src/model/index.js';
 import {
 	availability, type Candidate, chanceOfPlace, choosePlace, createEndpointHealth, createReadingSpeed, decodeLoad, defaultTuning, type Demand, encodeLoad, inOrder, learnReadingSpeed, LoadBook,
-	type LoadEvent, PartMemory, RetryShare, retryWithoutTable, runId, stepEndpointHealth, type Waiting, WaitingLine,
+	LineTeller, type LoadEvent, PartMemory, PeerLines, RetryShare, retryWithoutTable, runId, stepEndpointHealth, type Waiting, WaitingLine,
 } from '../../src/policy/dispatch/index.js';
 
 const zone = 'zone-a' as ZoneName;
@@ -16,7 +16,7 @@
 
 function demand(more: Partial<Demand> = {}): Demand {
 	return {
-		service: 'models', urgency: 2, urgencies: {most: 1, least: 2}, targetMilliseconds: 600, parts: [], isTight: false, pauseMilliseconds: 500, tightestPauseMilliseconds: 120, waitedMilliseconds: 0, elapsedMilliseconds: 0, ...more,
+		service: 'models', urgency: 2, urgencies: {most: 1, least: 2}, targetMilliseconds: 600, parts: [], isTight: false, pauseMilliseconds: 500, tightestPauseMilliseconds: 120, waitedMilliseconds: 0, elapsedMilliseconds: 0, isOutranked: false, ...more,
 	};
 }
 
@@ -209,11 +209,14 @@
 		})}),
 		fc.record({type: fc.constant('first-event' as const), id: number.map(value => runId('a', value))}),
 		fc.record({type: fc.constant('ended' as const), id: number.map(value => runId('a', value))}),
+		fc.record({type: fc.constant('waiting' as const), owner: fc.constant('a'), service: fc.constant('models'), heads: fc.array(fc.record({
+			urgency: fc.record({route: fc.integer(), workspace: fc.option(fc.integer(), {nil: undefined})}), waitedMilliseconds: fc.nat(20_000),
+		}), {maxLength: 4})}),
 	);
 	fc.assert(fc.property(fc.array(event, {maxLength: 20}), events => {
 		t.same(decodeLoad(encodeLoad(events), 'a'), events);
 	}), {seed: 3, numRuns: 50});
-	for (const wrong of [[['x', 1]], [[0, 1, '', 'models', 1, 0]], [[0, 1, 'e', 'models', 1, 0, 5]], [[1]], [[1, -1]], ['text'], [[0, 1, 'e', 'models', 1, 0, 5, 'x']]]) {
+	for (const wrong of [[['x', 1]], [[0, 1, '', 'models', 1, 0]], [[0, 1, 'e', 'models', 1, 0, 5]], [[1]], [[1, -1]], ['text'], [[0, 1, 'e', 'models', 1, 0, 5, 'x']], [[3, '']], [[3, 'models', 1]], [[3, 'models', 1, Number.NaN, 5]], [[3, 'models', 'x', 1, 5]], [[3, 'models', 1, 1, -5]]]) {
 		t.equal(decodeLoad(wrong, 'a'), undefined, JSON.stringify(wrong));
 	}
 });
@@ -449,3 +452,54 @@
 	t.equal(retryWithoutTable(0), 400, 'a usual start is over by then');
 	t.ok(retryWithoutTable(60_000) <= 5000);
 });
+
+// A confirmation waits at one instance and a draft at another: the draft takes only what has nothing to read. Once the other
+// instance says that nothing waits, is lost, or has said nothing for a while, the draft's usual bound is back.
+tap.test('the less urgent leave places to what waits at another instance, as long as it is known to wait', async t => {
+	const [first, second] = [{route: 1, workspace: 1}, {route: 2, workspace: 1}];
+	const lines = PeerLines.create();
+	const tell = (now: number, heads = [{urgency: first, waitedMilliseconds: 60}]): void => {
+		lines.hear({type: 'waiting', owner: 'b', service: 'models', heads}, now);
+	};
+	tell(0);
+	t.ok(lines.outranks('models', second, 200));
+	t.notOk(lines.outranks('models', first, 200), 'not among equals');
+	t.notOk(lines.outranks('orders', second, 200), 'not at another service');
+	t.notOk(lines.outranks('models', second, 400), 'word that is old');
+	tell(500);
+	tell(600, []);
+	t.notOk(lines.outranks('models', second, 610), 'nothing waits any more');
+	tell(700);
+	lines.forget('b');
+	t.notOk(lines.outranks('models', second, 710), 'the instance is lost');
+});
+
+tap.test('an outranked request goes to an engine with nothing to read, and leaves slots', async t => {
+	const book = LoadBook.create();
+	const [engine] = candidates(1);
+	const draft = demand({isOutranked: true, parts: [{id: 1, tokens: 2000}]});
+	const wants = (asked: typeof draft, now: number): string => choosePlace(book, asked, [engine!], {zone, now, reactionMilliseconds, tuning: defaultTuning}).type;
+	t.equal(wants(draft, 0), 'place');
+	book.step({type: 'placed', run: {id: 'b/1', owner: 'b', endpoint: engine!.id, service: 'models', unreadTokens: 1000, isTight: false, parts: []}}, 0);
+	t.equal(wants(draft, 0), 'wait');
+	t.equal(wants({...draft, isOutranked: false}, 0), 'place', 'a short backlog is no hindrance otherwise');
+	book.step({type: 'first-event', id: 'b/1'}, 20);
+	for (let number = 2; number < engine!.slots; number++) {
+		book.step({type: 'placed', run: {id: `b/${number}`, owner: 'b', endpoint: engine!.id, service: 'models', unreadTokens: 0, isTight: false, parts: []}}, 30);
+		book.step({type: 'first-event', id: `b/${number}`}, 30);
+	}
+
+	t.equal(wants(draft, 40), 'wait', 'one slot of eight is left');
+	t.equal(wants({...draft, isOutranked: false}, 40), 'place');
+});
+
+// Each message costs every other instance time: a line is told of a few times a second, and its end once.
+tap.test('an instance tells of its line now and then, and once of its end', async t => {
+	const teller = LineTeller.create('a');
+	const waiting = [{service: 'models', urgency: {route: 1, workspace: undefined}, arrivedAt: 0}, {service: 'models', urgency: {route: 1, workspace: undefined}, arrivedAt: 20}];
+	t.same(teller.events(waiting, 30), [], 'a short wait is usual');
+	t.same(teller.events(waiting, 50), [{type: 'waiting', owner: 'a', service: 'models', heads: [{urgency: {route: 1, workspace: undefined}, waitedMilliseconds: 50}]}]);
+	t.same(teller.events(waiting, 100), []);
+	t.same(teller.events([], 110), [{type: 'waiting', owner: 'a', service: 'models', heads: []}]);
+	t.same(teller.events([], 120), []);
+});
