--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -461,6 +461,7 @@
 	const tell = (now: number, heads = [{urgency: first, waitedMilliseconds: 60}]): void => {
 		lines.hear({type: 'waiting', owner: 'b', service: 'models', heads}, now);
 	};
+
 	tell(0);
 	t.ok(lines.outranks('models', second, 200));
 	t.notOk(lines.outranks('models', first, 200), 'not among equals');
