--- a/src/bin/settings/tuning.ts
+++ b/src/bin/settings/tuning.ts
@@ -3,7 +3,7 @@
 
 const cost = z.number().nonnegative();
 const tuningSchema = z.strictObject({
-	fetches: z.boolean(), fetchShare: cost, ordersBacklogs: z.boolean(), roomMilliseconds: cost, tightFill: z.number().positive().max(1), outsideMilliseconds: cost,
+	fetches: z.boolean(), fetchShare: cost, ordersBacklogs: z.boolean(), heedsLines: z.boolean(), roomMilliseconds: cost, tightFill: z.number().positive().max(1), outsideMilliseconds: cost,
 }).partial();
 
 /** The weights of placement, with what a JSON text changes of them; for measurements only. Throws with what is wrong. */
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -435,6 +435,7 @@
 tap.test('weights for a measurement are checked', async t => {
 	t.same(parseTuning(undefined), defaultTuning);
 	t.equal(parseTuning('{"fetches": false}').fetches, false);
+	t.same(parseTuning(JSON.stringify(defaultTuning)), defaultTuning, 'every weight can be set');
 	for (const wrong of ['{', '5', '{"fetch": true}', '{"tightFill": 0}', '{"roomMilliseconds": "1"}']) {
 		t.throws(() => parseTuning(wrong), /CASSIAFLOW_TUNING/v);
 	}
