--- a/test/gateway/urgent-kinds.ts
+++ b/test/gateway/urgent-kinds.ts
@@ -1,4 +1,5 @@
-import {type Asked, type Kind} from './virtual-fleet.js';
+import {type Asked, type Kind, VirtualFleet} from './virtual-fleet.js';
+import {type VirtualTime} from './virtual-time.js';
 
 /** A ticket's pauses are the tightest; a confirmation is given up after 2 s, a draft, four times as long, after 4.8 s. */
 export const ticket: Kind = {
@@ -13,6 +14,35 @@
 /** Most workspaces have one urgency, a few another. */
 export const workspaces = [...Array.from({length: 19}, () => 1), 0];
 
+/** Four instances before six engines that read 342 tokens a millisecond together. */
+export function createFleet(time: VirtualTime, seed: number): VirtualFleet {
+	return VirtualFleet.create({time, kinds: [ticket, confirmation, draft], instances: 4, engines: 6, slots: 64, tokensPerMillisecond: 57, workspaces, seed});
+}
+
+export type Burst = {
+	readonly drafts: number;
+	readonly confirmations: number;
+	readonly forMilliseconds: number;
+	/** How many times these come to each of the four instances. */
+	readonly shares: readonly number[];
+};
+
+/** So many requests a second for each instance with a share of one, and a few tickets; runs until the last of them has ended. */
+export function runBurst(time: VirtualTime, fleet: VirtualFleet, {drafts, confirmations, forMilliseconds, shares}: Burst): {from: number; to: number} {
+	const from = time.now;
+	for (const [instance, share] of shares.entries()) {
+		fleet.arrive('draft', instance, {perSecond: drafts * share, forMilliseconds});
+		fleet.arrive('confirmation', instance, {perSecond: confirmations * share, forMilliseconds});
+		fleet.arrive('ticket', instance, {perSecond: ticketsPerSecond * share, forMilliseconds});
+	}
+
+	time.runFor(forMilliseconds + longestMilliseconds);
+	return {from, to: from + forMilliseconds};
+}
+
+const ticketsPerSecond = 5;
+/** After this, whatever came last has been served or refused. */
+const longestMilliseconds = 6000;
 const windowMilliseconds = 5000;
 const stepMilliseconds = 500;
 /** What the users allow in any five seconds: fewer than ten, or at most a twelfth. */
