--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {Beliefs, ChannelBook, DecisionLog, Dispatcher, type Feed, FeedFollower, Gateway, KeptReader, type PeerRecord, Peers, type RequestCodec} from '../gateway/index.js';
+import {Beliefs, ChannelBook, DecisionLog, Dispatcher, endpointPause, type Feed, FeedFollower, Gateway, KeptReader, type PeerRecord, Peers, type RequestCodec} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type PromptPart, type RetryAllowance} from '../policy/dispatch/index.js';
 import {type EndpointChange, type RoutingTableInput} from '../routing/index.js';
@@ -33,14 +33,6 @@
  * callers get 404 for its routes until the last wait is over, since no peer knows better.
  */
 const routingWaitMilliseconds = 2500;
-/**
- * An endpoint's leaving is known well within two seconds, the shortest time it still serves. Instances that
- * are in touch read at different moments and tell each other: the more of them, the less often each reads, so
- * that one of all reads every 0.4 s, or each one every 6 s where they are many.
- */
-const endpointPauses = {alone: 900, amongPeers: 1400, eachPeer: 350, longest: 6000};
-/** From so many peers on. */
-const peersThatTell = 2;
 /** Instances come and go rarely; those that start together announce themselves within the first readings. */
 const instancePauseMilliseconds = 10_000;
 const firstInstancePauseMilliseconds = 600;
@@ -237,7 +229,7 @@
 			},
 		}),
 		FeedFollower.start({
-			feed: store.endpoints, logger, waitMilliseconds: 0, pauseMilliseconds: () => endpointPause(peers.count),
+			feed: store.endpoints, logger, waitMilliseconds: 0, pauseMilliseconds: pause => endpointPause(peers.count, pause),
 			onItems(changes, isWhole) {
 				if (isWhole) {
 					beliefs.offerAllEndpoints(changes, 'store', performance.now());
@@ -247,7 +239,7 @@
 			},
 		}),
 		FeedFollower.start({
-			feed: store.instances, logger, waitMilliseconds: 0, pauseMilliseconds: readings => readings < firstInstanceReadings ? firstInstancePauseMilliseconds : instancePauseMilliseconds,
+			feed: store.instances, logger, waitMilliseconds: 0, pauseMilliseconds: ({readings}) => readings < firstInstanceReadings ? firstInstancePauseMilliseconds : instancePauseMilliseconds,
 			onItems(announcements) {
 				for (const {instance, record} of announcements) {
 					if (record === undefined) {
@@ -266,10 +258,6 @@
 	};
 }
 
-function endpointPause(peers: number): number {
-	return peers < peersThatTell ? endpointPauses.alone : Math.min(endpointPauses.longest, Math.max(endpointPauses.amongPeers, peers * endpointPauses.eachPeer));
-}
-
 function allowanceOf({retryRatio, retrySlack, retryWindowSeconds}: GatewaySettings): RetryAllowance {
 	return {ratio: retryRatio, slack: retrySlack, windowMilliseconds: retryWindowSeconds * 1000};
 }
--- a/src/gateway/feed-follower.ts
+++ b/src/gateway/feed-follower.ts
@@ -1,5 +1,6 @@
 import {type Body, sleep, spawn, wait} from '../concurrency/index.js';
 import {type PartLogger} from '../telemetry/index.js';
+import {type ReadingPause} from './reading-pause.js';
 import {type Feed, type FeedPage} from './types.js';
 
 export type FeedFollowerOptions<Item> = {
@@ -8,7 +9,7 @@
 	/** How long one reading may wait for the first change; 0 reads what is there. */
 	readonly waitMilliseconds: number;
 	/** From the end of one reading to the start of the next, after so many readings. */
-	readonly pauseMilliseconds: (readings: number) => number;
+	readonly pauseMilliseconds: (pause: ReadingPause) => number;
 	/** Everything, when `isWhole`; else changes in their order. */
 	readonly onItems: (items: readonly Item[], isWhole: boolean) => void;
 };
@@ -90,8 +91,9 @@
 	* #pause(): Body<void> {
 		const {pauseMilliseconds} = this.#options;
 		const from = performance.now();
+		const pause = {readings: this.#readings, draw: Math.random()};
 		for (;;) {
-			const left = pauseMilliseconds(this.#readings) - (performance.now() - from);
+			const left = pauseMilliseconds(pause) - (performance.now() - from);
 			if (left <= 0 || this.#isStopped) {
 				return;
 			}
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -10,3 +10,4 @@
 export {demandOf, ticketOf, type Asked} from './ticket.js';
 export {Peers, type PeerRecord} from './peers.js';
 export * from './kept-reader.js';
+export * from './reading-pause.js';
