--- a/bench/gateway-soak/child.ts
+++ b/bench/gateway-soak/child.ts
@@ -19,6 +19,8 @@
 	readonly seedHosts: readonly string[];
 	/** How far the time of day is off, in milliseconds. */
 	readonly clockMilliseconds: number;
+	/** Flags for Node besides. */
+	readonly nodeFlags?: readonly string[];
 };
 
 /** One gateway as a real process, whose way to the store passes a path that can be cut. */
@@ -44,6 +46,10 @@
 		this.storePath = storePath;
 	}
 
+	get pid(): number {
+		return this.#process!.pid!;
+	}
+
 	get callerPort(): number {
 		return this.options.ports[0];
 	}
@@ -56,7 +62,7 @@
 			peerAddress: `127.0.0.1:${peers}`, storeAddress: this.storePath.address, seedHosts: this.options.seedHosts, memoryMegabytes: 200, stopSeconds: 6,
 		}));
 		this.#isEndWanted = false;
-		const started = spawn(process.execPath, ['--import', clockShift, program], {
+		const started = spawn(process.execPath, [...(this.options.nodeFlags ?? []), '--import', clockShift, program], {
 			env: {...process.env, CASSIAFLOW_CONFIG: file, CLOCK_SHIFT_MILLISECONDS: String(this.options.clockMilliseconds)}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		this.#process = started;
@@ -109,9 +115,21 @@
 		return false;
 	}
 
+	/** Ends it by a signal, and resolves once it is gone. */
+	async end(signal: NodeJS.Signals): Promise<void> {
+		this.#isEndWanted = true;
+		const ending = this.#process;
+		if (ending?.exitCode !== null || ending.signalCode !== null) {
+			return;
+		}
+
+		ending.kill(signal);
+		await once(ending, 'exit');
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.wake();
-		await this.#end('SIGKILL');
+		await this.end('SIGKILL');
 		await this.storePath[Symbol.asyncDispose]();
 	}
 
@@ -120,23 +138,12 @@
 		const before = this.#replacing;
 		this.#replacing = (async () => {
 			await before;
-			await this.#end(signal);
+			await this.end(signal);
 			await this.start();
 		})();
 		await this.#replacing;
 	}
 
-	async #end(signal: NodeJS.Signals): Promise<void> {
-		this.#isEndWanted = true;
-		const ending = this.#process;
-		if (ending?.exitCode !== null || ending.signalCode !== null) {
-			return;
-		}
-
-		ending.kill(signal);
-		await once(ending, 'exit');
-	}
-
 	#isReady(): Promise<boolean> {
 		return new Promise(resolve => {
 			const asked = request({host: '127.0.0.1', port: this.options.ports[1], path: '/v1/ready', timeout: 500}, answer => {
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import {decisionsCommand} from './decisions/index.js';
 import {controlCommand} from './control/index.js';
 import {loadCommand} from './load/index.js';
+import {gatewayLoadCommand} from './gateway-load/index.js';
 import {gatewaySoakCommand} from './gateway-soak/index.js';
 import {lossesCommand} from './losses/index.js';
 import {limitsCommand} from './limits/index.js';
@@ -16,6 +17,7 @@
 	.command(limitsCommand)
 	.command(lossesCommand)
 	.command(gatewaySoakCommand)
+	.command(gatewayLoadCommand)
 	.command(controlCommand)
 	.command(loadCommand)
 	.command(pathCommand)
--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -6,7 +6,7 @@
 export type WorkerAnswer
 	= | {readonly type: 'whole'; readonly status?: number; readonly body: string; readonly headers?: Readonly<Record<string, string>>; readonly afterMilliseconds?: number}
 	/** Events numbered from `first`; cut after `cutAfter` of them, in the middle of the next one. */
-		| {readonly type: 'events'; readonly count: number; readonly gapMilliseconds?: number; readonly cutAfter?: number}
+		| {readonly type: 'events'; readonly count: number; readonly gapMilliseconds?: number; readonly cutAfter?: number; readonly firstAfterMilliseconds?: number}
 		| {readonly type: 'not-run'}
 		| {readonly type: 'silent'}
 		| {readonly type: 'reset'};
@@ -122,7 +122,8 @@
 	}
 }
 
-async function sendEvents(response: ServerResponse, {count, gapMilliseconds = 0, cutAfter}: Extract<WorkerAnswer, {type: 'events'}>, {requestId, after}: {requestId: string; after: number}): Promise<void> {
+async function sendEvents(response: ServerResponse, {count, gapMilliseconds = 0, cutAfter, firstAfterMilliseconds = 0}: Extract<WorkerAnswer, {type: 'events'}>, {requestId, after}: {requestId: string; after: number}): Promise<void> {
+	await sleep(firstAfterMilliseconds);
 	for (let number = after + 1; number <= count; number++) {
 		await sleep(gapMilliseconds);
 		if (cutAfter !== undefined && number > cutAfter) {
