--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -2,9 +2,9 @@
 import {Beliefs, type Decision, demandOf, Dispatcher, ticketOf} from '../../src/gateway/index.js';
 import {type InstanceId, type WorkspaceName, type ZoneName} from '../../src/model/index.js';
 import {defaultTuning, type LoadEvent, type PromptPart, reactionMilliseconds} from '../../src/policy/dispatch/index.js';
-import {type EndpointRecord, type Route, RouteKind, type RoutingTableInput, type Workspace} from '../../src/routing/index.js';
+import {type EndpointRecord, type Route, RouteKind, type RoutingTable, type RoutingTableInput, type Workspace} from '../../src/routing/index.js';
 import {requestCodec} from '../../platform/request-codec.js';
-import {type VirtualTime} from './virtual-time.js';
+import {type Processor, type VirtualTime} from './virtual-time.js';
 
 /** One kind of stream: its route, and what it asks of an engine. */
 export type Kind = {
@@ -18,6 +18,8 @@
 	readonly beginnings: number;
 	readonly ownTokens: number;
 	readonly answerMilliseconds: number;
+	/** Events of the answer; they cost the instance that passes them on. */
+	readonly events?: number;
 };
 
 export type FleetOptions = {
@@ -30,8 +32,26 @@
 	/** Urgencies of the workspaces; each request is of one of them, in turn. */
 	readonly workspaces: ReadonlyArray<number | undefined>;
 	readonly seed: number;
+	/** What an instance's processor spends, in milliseconds; without it nothing takes any time there. */
+	readonly costs?: Costs;
 };
 
+/** Milliseconds of an instance's processor. */
+export type Costs = {
+	/** From the first byte of a request to its whole body. */
+	readonly arrival: number;
+	/** Sending it to an endpoint, and its end. */
+	readonly sending: number;
+	/** Passing one event on. */
+	readonly event: number;
+	/** A look at one endpoint for one request. */
+	readonly look: number;
+	/** One word of load from another instance. */
+	readonly load: number;
+};
+
+const noCosts: Costs = {arrival: 0, sending: 0, event: 0, look: 0, load: 0};
+
 /** What became of one request. */
 export type Asked = {
 	readonly kind: string;
@@ -51,7 +71,7 @@
 /** What a prompt costs an engine beside its reading. */
 const overheadMilliseconds = 1;
 
-type Run = {readonly runId: string; readonly dispatcher: Dispatcher; readonly asked: Asked; readonly unreadTokens: number; readonly urgency: number; readonly answerMilliseconds: number};
+type Run = {readonly unreadTokens: number; readonly urgency: number; readonly answerMilliseconds: number; readonly onFirstEvent: () => void; readonly onEnd: () => void};
 
 /** Admits so many at once, the most urgent first, and reads the prompts of those admitted one after the other. */
 class Engine {
@@ -90,11 +110,10 @@
 		this.#isReading = true;
 		time.after((run.unreadTokens / tokensPerMillisecond) + overheadMilliseconds, () => {
 			this.#isReading = false;
-			run.asked.firstEventAt = time.now;
-			run.dispatcher.firstEvent(run.runId);
+			run.onFirstEvent();
 			time.after(run.answerMilliseconds, () => {
 				this.#running -= 1;
-				run.dispatcher.ended(run.runId);
+				run.onEnd();
 				this.#admit();
 			});
 			this.#read();
@@ -114,10 +133,14 @@
 	readonly #random: Random;
 	readonly #beliefs: readonly Beliefs[];
 	readonly #engines = new Map<string, Engine>();
+	readonly #processors: readonly Processor[];
+	readonly #costs: Costs;
 
 	private constructor(options: FleetOptions) {
 		this.#options = options;
 		this.#random = createRandom(options.seed);
+		this.#costs = options.costs ?? noCosts;
+		this.#processors = Array.from({length: options.instances}, () => ({freeAt: 0}));
 		const records = Array.from({length: options.engines}, (_, number): EndpointRecord => ({
 			id: `engine-${number}`, service, address: '127.0.0.1:1', zone, isLeaving: false, slots: options.slots, revision: 1,
 		}));
@@ -136,6 +159,7 @@
 				},
 			});
 			dispatcher.instances = options.instances;
+			this.#chargeLooks(dispatcher);
 			return dispatcher;
 		});
 		this.publish(1, options.workspaces);
@@ -171,6 +195,16 @@
 		}
 	}
 
+	/** Requests of other services: all they do here is to take processor time. */
+	burden(instance: number, {perSecond, forMilliseconds}: {perSecond: number; forMilliseconds: number}): void {
+		const {time} = this.#options;
+		for (let at = this.#random.exponential(1000 / perSecond); at < forMilliseconds; at += this.#random.exponential(1000 / perSecond)) {
+			time.after(at, () => {
+				this.#onProcessor(instance, this.#costs.arrival + this.#costs.sending, () => undefined);
+			});
+		}
+	}
+
 	ask(kindName: string, instance: number): Asked {
 		const {time, kinds} = this.#options;
 		const beliefs = this.#beliefs[instance]!;
@@ -180,26 +214,93 @@
 		const route = table.routes.find(({name}) => name === kindName)!;
 		const workspace = this.#workspace(beliefs, this.asked.length);
 		const asked: Asked = {kind: kindName, instance, at: time.now, workspaceUrgency: workspace?.urgency, decision: undefined, placedAt: undefined, firstEventAt: undefined};
-		this.asked.push(asked);
-		const facts = {id: String(this.asked.length), deadlineMilliseconds: route.timeoutMilliseconds, key: undefined, parts: this.#parts(kind), outputTokens: 20};
-		const request = {facts, table, route, service, workspace, arrivedAt: time.now};
-		const demand = demandOf(request);
+		const number = this.asked.push(asked);
+		this.#onProcessor(instance, this.#costs.arrival, () => {
+			this.#submit(asked, {number, kind, dispatcher, table, route, workspace});
+		});
+		return asked;
+	}
+
+	#submit(asked: Asked, {number, kind, dispatcher, table, route, workspace}: {number: number; kind: Kind; dispatcher: Dispatcher; table: RoutingTable; route: Route; workspace: Workspace | undefined}): void {
+		const {time} = this.#options;
+		const facts = {id: String(number), deadlineMilliseconds: route.timeoutMilliseconds, key: undefined, parts: this.#parts(kind, number), outputTokens: 20};
+		const demand = demandOf({facts, table, route, service, workspace, arrivedAt: asked.at});
 		dispatcher.submit({
-			...ticketOf(request, demand),
+			...ticketOf({facts, table, route, service, workspace, arrivedAt: asked.at}, demand),
 			id: facts.id,
-			lastStartAt: time.now + Math.min(route.timeoutMilliseconds - leastMilliseconds, requestCodec.patienceMilliseconds(route)),
+			lastStartAt: asked.at + Math.min(route.timeoutMilliseconds - leastMilliseconds, requestCodec.patienceMilliseconds(route)),
 			excluded: new Set(),
 			isIdempotent: true,
 			onDecision: decision => {
 				asked.decision = decision;
 				if (decision.type === 'placed') {
 					asked.placedAt = time.now;
-					const {runId, unreadTokens} = decision;
-					this.#engines.get(decision.record.id)!.take({runId, dispatcher, asked, unreadTokens, urgency: demand.urgency, answerMilliseconds: kind.answerMilliseconds});
+					this.#send(asked, kind, {dispatcher, decision, urgency: demand.urgency});
 				}
 			},
 		});
-		return asked;
+	}
+
+	#send(asked: Asked, {events = 1, answerMilliseconds}: Kind, {dispatcher, decision, urgency}: {dispatcher: Dispatcher; decision: Extract<Decision, {type: 'placed'}>; urgency: number}): void {
+		const {time} = this.#options;
+		const {runId, unreadTokens, record} = decision;
+		time.spend(this.#costs.sending);
+		const run: Run = {
+			unreadTokens, urgency, answerMilliseconds,
+			onFirstEvent: () => {
+				asked.firstEventAt = time.now;
+				this.#onProcessor(asked.instance, this.#costs.event, () => {
+					dispatcher.firstEvent(runId);
+				});
+				this.#passOn(asked.instance, events - 1, answerMilliseconds / events);
+			},
+			onEnd: () => {
+				this.#onProcessor(asked.instance, 0, () => {
+					dispatcher.ended(runId);
+				});
+			},
+		};
+		if (this.#options.costs === undefined) {
+			this.#engines.get(record.id)!.take(run);
+		} else {
+			time.outside(() => {
+				this.#engines.get(record.id)!.take(run);
+			});
+		}
+	}
+
+	#passOn(instance: number, events: number, gapMilliseconds: number): void {
+		if (events <= 0 || this.#costs.event === 0) {
+			return;
+		}
+
+		this.#options.time.after(gapMilliseconds, () => {
+			this.#onProcessor(instance, this.#costs.event, () => undefined);
+			this.#passOn(instance, events - 1, gapMilliseconds);
+		});
+	}
+
+	/** Acts on an instance's processor, after it has spent so much there. */
+	#onProcessor(instance: number, milliseconds: number, act: () => void): void {
+		const {time} = this.#options;
+		if (this.#options.costs === undefined) {
+			act();
+			return;
+		}
+
+		time.on(this.#processors[instance]!, () => {
+			time.spend(milliseconds);
+			act();
+		});
+	}
+
+	#chargeLooks({book}: Dispatcher): void {
+		const {time} = this.#options;
+		const load = book.load.bind(book);
+		book.load = (endpoint, now) => {
+			time.spend(this.#costs.look);
+			return load(endpoint, now);
+		};
 	}
 
 	/** Those of a kind that arrived in a span and were refused, and all of them. */
@@ -217,16 +318,18 @@
 		return workspaces[number % Math.max(1, workspaces.length)];
 	}
 
-	#parts({sharedTokens, beginnings, ownTokens, name}: Kind): PromptPart[] {
+	#parts({sharedTokens, beginnings, ownTokens, name}: Kind, number: number): PromptPart[] {
 		const base = this.#options.kinds.findIndex(kind => kind.name === name) * 1000;
-		return [{id: base + this.#random.below(beginnings), tokens: sharedTokens}, {id: 1_000_000 + this.asked.length, tokens: ownTokens}];
+		return [{id: base + this.#random.below(beginnings), tokens: sharedTokens}, {id: 1_000_000 + number, tokens: ownTokens}];
 	}
 
 	#tell(sender: number, event: LoadEvent): void {
 		this.#options.time.after(reactionMilliseconds(this.#options.instances - 1), () => {
 			for (const [number, dispatcher] of this.dispatchers.entries()) {
 				if (number !== sender) {
-					dispatcher.takeLoad(event);
+					this.#onProcessor(number, this.#costs.load, () => {
+						dispatcher.takeLoad(event);
+					});
 				}
 			}
 		});
--- a/test/gateway/virtual-time.ts
+++ b/test/gateway/virtual-time.ts
@@ -1,6 +1,12 @@
-type Timer = {at: number; readonly every: number | undefined; readonly order: number; readonly act: () => void};
+/** A processor of its own: what it runs takes time, in which nothing else of it runs. */
+export type Processor = {freeAt: number};
 
-/** Timers and the monotonic clock of this process, moved by hand. Real time comes back when it is disposed. */
+type Timer = {at: number; readonly every: number | undefined; readonly order: number; readonly processor: Processor | undefined; readonly act: () => void};
+
+/**
+ * Timers and the monotonic clock of this process, moved by hand. Real time comes back when it is disposed. Whatever is timed
+ * by code of a processor belongs to it, and comes late while that is busy.
+ */
 export class VirtualTime implements Disposable {
 	static install(): VirtualTime {
 		return new VirtualTime();
@@ -8,7 +14,10 @@
 
 	#now = 1000;
 	#order = 0;
+	#processor: Processor | undefined;
 	readonly #timers = new Map<number, Timer>();
+	/** All timers, the first due at the root. */
+	readonly #heap: Timer[] = [];
 	readonly #real = {
 		setTimeout: globalThis.setTimeout, clearTimeout: globalThis.clearTimeout, setInterval: globalThis.setInterval, clearInterval: globalThis.clearInterval,
 	};
@@ -20,8 +29,8 @@
 		};
 
 		Object.assign(globalThis, {
-			setTimeout: (act: () => void, milliseconds = 0) => this.#add(act, milliseconds, undefined),
-			setInterval: (act: () => void, milliseconds = 1) => this.#add(act, milliseconds, Math.max(1, milliseconds)),
+			setTimeout: (act: () => void, milliseconds = 0) => this.#add(act, {milliseconds, processor: this.#processor}),
+			setInterval: (act: () => void, milliseconds = 1) => this.#add(act, {milliseconds, every: Math.max(1, milliseconds), processor: this.#processor}),
 			clearTimeout: clear,
 			clearInterval: clear,
 		});
@@ -39,40 +48,116 @@
 	/** Runs all timers that are due until then, in their order. */
 	runFor(milliseconds: number): void {
 		const end = this.#now + milliseconds;
-		for (let next = this.#next(); next !== undefined && next[1].at <= end; next = this.#next()) {
-			const [id, timer] = next;
-			this.#now = Math.max(this.#now, timer.at);
-			if (timer.every === undefined) {
-				this.#timers.delete(id);
-			} else {
-				timer.at = this.#now + timer.every;
+		for (let next = this.#next(); next !== undefined && next.at <= end; next = this.#next()) {
+			this.#pop();
+			const {processor, every} = next;
+			if (processor !== undefined && processor.freeAt > next.at) {
+				next.at = processor.freeAt;
+				this.#push(next);
+				continue;
+			}
+
+			this.#now = next.at;
+			if (every === undefined) {
+				this.#timers.delete(next.order);
 			}
 
-			timer.act();
+			this.#run(next);
+			if (every !== undefined) {
+				next.at = Math.max(next.at, processor?.freeAt ?? 0) + every;
+				this.#push(next);
+			}
 		}
 
 		this.#now = end;
 	}
 
+	/** Acts on a processor, as soon as that is free. */
+	on(processor: Processor, act: () => void): void {
+		this.#add(act, {milliseconds: 0, processor});
+	}
+
+	/** Acts now on no processor, whoever asks. */
+	outside(act: () => void): void {
+		this.#add(act, {milliseconds: 0, processor: undefined});
+	}
+
+	/** What runs now takes so long. */
+	spend(milliseconds: number): void {
+		this.#now += milliseconds;
+	}
+
 	/** Acts after so long. */
 	after(milliseconds: number, act: () => void): void {
-		this.#add(act, milliseconds, undefined);
+		this.#add(act, {milliseconds, processor: this.#processor});
 	}
 
-	#add(act: () => void, milliseconds: number, every: number | undefined): number {
+	/** Runs a timer; the clock goes back to where it was for the other processors. */
+	#run({processor, act}: Timer): void {
+		const before = this.#now;
+		this.#processor = processor;
+		act();
+		this.#processor = undefined;
+		if (processor !== undefined) {
+			processor.freeAt = this.#now;
+			this.#now = before;
+		}
+	}
+
+	#add(act: () => void, {milliseconds, every, processor}: {milliseconds: number; every?: number; processor: Processor | undefined}): number {
 		this.#order += 1;
-		this.#timers.set(this.#order, {at: this.#now + Math.max(0, milliseconds), every, order: this.#order, act});
+		const timer = {at: this.#now + Math.max(0, milliseconds), every, order: this.#order, processor, act};
+		this.#timers.set(this.#order, timer);
+		this.#push(timer);
 		return this.#order;
 	}
 
-	#next(): [number, Timer] | undefined {
-		let first: [number, Timer] | undefined;
-		for (const [id, timer] of this.#timers) {
-			if (first === undefined || timer.at < first[1].at || (timer.at === first[1].at && timer.order < first[1].order)) {
-				first = [id, timer];
+	/** The first timer that is due; those that were cleared are passed over. */
+	#next(): Timer | undefined {
+		for (let first = this.#heap[0]; first !== undefined; first = this.#heap[0]) {
+			if (this.#timers.get(first.order) === first) {
+				return first;
+			}
+
+			this.#pop();
+		}
+
+		return undefined;
+	}
+
+	#push(timer: Timer): void {
+		const heap = this.#heap;
+		let index = heap.push(timer) - 1;
+		for (let parent = (index - 1) >> 1; index > 0 && isBefore(timer, heap[parent]!); parent = (index - 1) >> 1) { // eslint-disable-line no-bitwise
+			heap[index] = heap[parent]!;
+			index = parent;
+		}
+
+		heap[index] = timer;
+	}
+
+	#pop(): void {
+		const heap = this.#heap;
+		const last = heap.pop();
+		if (last === undefined || heap.length === 0) {
+			return;
+		}
+
+		let index = 0;
+		for (let child = 1; child < heap.length; child = (2 * index) + 1) {
+			child += child + 1 < heap.length && isBefore(heap[child + 1]!, heap[child]!) ? 1 : 0;
+			if (!isBefore(heap[child]!, last)) {
+				break;
 			}
+
+			heap[index] = heap[child]!;
+			index = child;
 		}
 
-		return first;
+		heap[index] = last;
 	}
 }
+
+function isBefore(left: Timer, right: Timer): boolean {
+	return left.at === right.at ? left.order < right.order : left.at < right.at;
+}
