Look once for all who wait at one urgency, so that a long line is tried as often as a short one

What callers saw: confirmations got 503 at the instances that most callers come to, while others sent drafts.

Cause: a try of the line looked at all endpoints for each request that waits, and rests for nine times as long as it took. A place that comes free is therefore taken elsewhere, by whoever is less urgent.

Change: what an endpoint may take depends on service and urgency, so that one look that finds none free closes its group for the rest of that try; those behind are only asked whether they can still be in time. What waits ahead is kept as counts by group, in place of a walk over the line for each refusal.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,6 +1,6 @@
 import {type InstanceId, type ZoneName} from '../model/index.js';
 import {
-	availability, type Candidate, chanceOfPlace, choosePlace, type Circumstances, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, type Fetch, inOrder, LineTeller, LoadBook,
+	availability, type Candidate, chanceOfPlace, choosePlace, type Circumstances, type Place, createEndpointHealth, type Demand, type EndpointHealth, type HealthEvent, type Fetch, groupOf, inOrder, LineLooks, LineTeller, LoadBook,
 	type LoadEvent, reactionMilliseconds, readMilliseconds, type RetryAllowance, RetryShare, runId, stepEndpointHealth, type Tuning, type Wait, type Waiting, WaitingLine,
 } from '../policy/dispatch/index.js';
 import {compareUrgency, type EndpointEntry, type EndpointRecord, Standing, standingOf} from '../routing/index.js';
@@ -192,8 +192,8 @@
 		}
 	}
 
-	/** True if the ticket has its decision; at the endpoints named in `awaited` others come first. */
-	#try(ticket: Ticket, awaited: ReadonlySet<string>): boolean {
+	/** True if the ticket has its decision; at the endpoints named in `awaited` others come first. What it finds is noted for those behind it. */
+	#try(ticket: Ticket, awaited: ReadonlySet<string>, looks?: LineLooks): boolean {
 		const now = performance.now();
 		const {trial, usable} = this.#usable(ticket, now);
 		if (trial !== undefined && !awaited.has(trial.record.id) && this.#tryTrial(ticket, trial, now)) {
@@ -213,10 +213,12 @@
 				ticket.passedOverAt ??= now;
 			}
 
+			this.#noteWait(ticket, choice, {looks, endpoints: candidates.length});
 			return this.#enqueue(ticket, choice, candidates);
 		}
 
 		if (awaited.has(choice.endpoint) || !this.#mayTake(ticket, choice.unreadTokens, candidates.length)) {
+			looks?.noteMiss(groupOf(ticket), {endpoints: candidates.length, milliseconds: tickMilliseconds});
 			return this.#enqueue(ticket, {type: 'wait', endpoint: choice.endpoint, milliseconds: tickMilliseconds, isForBetter: false}, candidates);
 		}
 
@@ -225,6 +227,15 @@
 		return true;
 	}
 
+	/** One that was at some endpoints already has fewer to choose from, which says nothing of the others of its group. */
+	#noteWait(ticket: Ticket, {isForBetter, milliseconds}: Wait, {looks, endpoints}: {looks: LineLooks | undefined; endpoints: number}): void {
+		if (isForBetter) {
+			looks?.noteMiss(groupOf(ticket), {endpoints, milliseconds});
+		} else if (ticket.excluded.size === 0) {
+			looks?.noteFull(groupOf(ticket), milliseconds);
+		}
+	}
+
 	#isOutranked({service, urgency, demand}: Ticket, now: number): boolean {
 		return this.#options.tuning.heedsLines && !demand.isTight && this.book.lines.outranks(service, urgency, now);
 	}
@@ -338,7 +349,7 @@
 	/** True if it left the line; a ticket that can't be started in time is refused at once. */
 	#enqueue(ticket: Ticket, {endpoint, milliseconds}: Wait, candidates: readonly Candidate[]): boolean {
 		const now = performance.now();
-		const foreseen = {endpoint: milliseconds, line: this.#lineMilliseconds(ticket, candidates, now), left: ticket.lastStartAt - now};
+		const foreseen = this.#foresee(ticket, {endpointMilliseconds: milliseconds, candidates, now});
 		const expected = foreseen.endpoint + foreseen.line;
 		if (expected > foreseen.left) {
 			this.#refuse(ticket, RefusalReason.tooLate, {retryAfter: expected, candidates: candidates.length, foreseen});
@@ -428,15 +439,41 @@
 
 		// What an earlier one waits for, a later one does not take; other endpoints are free to it.
 		const awaited = new Set<string>();
+		const looks = LineLooks.create();
 		for (const {id} of this.#line.ordered(now)) {
 			const ticket = this.#tickets.get(id);
-			const isDue = ticket?.waitsFor === undefined || ticket.waitsFor.until <= now;
-			if (ticket !== undefined && (!isDue || !this.#try(ticket, awaited)) && ticket.waitsFor !== undefined) {
+			if (ticket !== undefined && !this.#decide(ticket, {awaited, looks, now}) && ticket.waitsFor !== undefined) {
 				awaited.add(ticket.waitsFor.endpoint);
 			}
 		}
 	}
 
+	/** True if it has left the line. */
+	#decide(ticket: Ticket, {awaited, looks, now}: {awaited: ReadonlySet<string>; looks: LineLooks; now: number}): boolean {
+		if (ticket.waitsFor !== undefined && ticket.waitsFor.until > now) {
+			return false;
+		}
+
+		const wait = ticket.demand.isTight ? undefined : looks.waitOf(groupOf(ticket));
+		return wait === undefined ? this.#try(ticket, awaited, looks) : this.#refuseLate(ticket, wait, now);
+	}
+
+	/** What another of its group has found is enough to tell whether it can still be started in time. */
+	#refuseLate(ticket: Ticket, endpointMilliseconds: number, now: number): boolean {
+		const candidates = this.#knownOf(ticket.service).map(({candidate}) => candidate);
+		const foreseen = this.#foresee(ticket, {endpointMilliseconds, candidates, now});
+		const isLate = foreseen.endpoint + foreseen.line > foreseen.left;
+		if (isLate) {
+			this.#refuse(ticket, RefusalReason.tooLate, {retryAfter: foreseen.endpoint + foreseen.line, candidates: candidates.length, foreseen});
+		}
+
+		return isLate;
+	}
+
+	#foresee(ticket: Ticket, {endpointMilliseconds, candidates, now}: {endpointMilliseconds: number; candidates: readonly Candidate[]; now: number}): Foreseen {
+		return {endpoint: endpointMilliseconds, line: this.#lineMilliseconds(ticket, candidates, now), left: ticket.lastStartAt - now};
+	}
+
 	/** Tight streams go first by themselves, and who waits for a better place holds nobody up. */
 	#tellLines(now: number): void {
 		const waiting = [...this.#tickets.values()].filter(({demand, passedOverAt}) => !demand.isTight && passedOverAt === undefined);
--- a/src/policy/dispatch/index.ts
+++ b/src/policy/dispatch/index.ts
@@ -11,4 +11,5 @@
 export * from './speed.js';
 export * from './load-rows.js';
 export * from './peer-lines.js';
+export * from './line-looks.js';
 export * from './not-ready.js';
--- a/src/policy/dispatch/waiting-line.ts
+++ b/src/policy/dispatch/waiting-line.ts
@@ -1,4 +1,5 @@
 import {compareUrgency, type UrgencyPair} from '../../routing/index.js';
+import {groupOf} from './line-looks.js';
 
 /**
  * Load pattern: demand above what the endpoints can do. Served in order of arrival, urgent requests
@@ -28,6 +29,9 @@
 /** The work that left the line is averaged over about a second: longer than the gaps between long prompts. */
 const rateMilliseconds = 1000;
 
+/** Those of one service and urgency together. */
+type Group = {readonly service: string; readonly urgency: UrgencyPair; readonly count: number; readonly work: number};
+
 /** A pure value: who waits, and what each workspace had lately. */
 export class WaitingLine {
 	static create(): WaitingLine {
@@ -35,6 +39,8 @@
 	}
 
 	readonly #waiting = new Map<string, Waiting>();
+	/** How many wait of each group and what they ask for, kept as they come and go: a refusal asks for it again and again. */
+	readonly #groups = new Map<string, Group>();
 	readonly #had = new Map<string, {work: number; at: number}>();
 	readonly #started = new Map<string, {work: number; at: number}>();
 	#turn = 0;
@@ -44,11 +50,28 @@
 	}
 
 	add(waiting: Waiting): void {
+		this.remove(waiting.id);
 		this.#waiting.set(waiting.id, waiting);
+		const {service, urgency, work} = waiting;
+		const group = this.#groups.get(groupOf(waiting)) ?? {service, urgency, count: 0, work: 0};
+		this.#groups.set(groupOf(waiting), {...group, count: group.count + 1, work: group.work + work});
 	}
 
 	remove(id: string): boolean {
-		return this.#waiting.delete(id);
+		const waiting = this.#waiting.get(id);
+		if (waiting === undefined) {
+			return false;
+		}
+
+		this.#waiting.delete(id);
+		const group = this.#groups.get(groupOf(waiting))!;
+		if (group.count === 1) {
+			this.#groups.delete(groupOf(waiting));
+		} else {
+			this.#groups.set(groupOf(waiting), {...group, count: group.count - 1, work: group.work - waiting.work});
+		}
+
+		return true;
 	}
 
 	/** A workspace's request was placed. */
@@ -99,10 +122,10 @@
 	ahead(service: string, urgency: UrgencyPair): {readonly count: number; readonly work: number} {
 		let count = 0;
 		let work = 0;
-		for (const waiting of this.#waiting.values()) {
-			if (waiting.service === service && compareUrgency(waiting.urgency, urgency) <= 0) {
-				count += 1;
-				work += waiting.work;
+		for (const group of this.#groups.values()) {
+			if (group.service === service && compareUrgency(group.urgency, urgency) <= 0) {
+				count += group.count;
+				work += group.work;
 			}
 		}
 
--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -221,6 +221,16 @@
 		return asked;
 	}
 
+	/** Those of a kind that arrived in a span and were refused, and all of them. */
+	count(kind: string, {from, to, instance}: {from: number; to: number; instance?: number}): {refused: number; placed: number; asked: number} {
+		const own = this.asked.filter(one => one.kind === kind && one.at >= from && one.at < to && (instance === undefined || one.instance === instance));
+		return {
+			refused: own.filter(({decision}) => decision?.type === 'refused').length,
+			placed: own.filter(({decision}) => decision?.type === 'placed').length,
+			asked: own.length,
+		};
+	}
+
 	#submit(asked: Asked, {number, kind, dispatcher, table, route, workspace}: {number: number; kind: Kind; dispatcher: Dispatcher; table: RoutingTable; route: Route; workspace: Workspace | undefined}): void {
 		const {time} = this.#options;
 		const facts = {id: String(number), deadlineMilliseconds: route.timeoutMilliseconds, key: undefined, parts: this.#parts(kind, number), outputTokens: 20};
@@ -303,16 +313,6 @@
 		};
 	}
 
-	/** Those of a kind that arrived in a span and were refused, and all of them. */
-	count(kind: string, {from, to, instance}: {from: number; to: number; instance?: number}): {refused: number; placed: number; asked: number} {
-		const own = this.asked.filter(one => one.kind === kind && one.at >= from && one.at < to && (instance === undefined || one.instance === instance));
-		return {
-			refused: own.filter(({decision}) => decision?.type === 'refused').length,
-			placed: own.filter(({decision}) => decision?.type === 'placed').length,
-			asked: own.length,
-		};
-	}
-
 	#workspace(beliefs: Beliefs, number: number): Workspace | undefined {
 		const workspaces = beliefs.tableInput?.workspaces ?? [];
 		return workspaces[number % Math.max(1, workspaces.length)];
