--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {Beliefs, ChannelBook, DecisionLog, Dispatcher, endpointPause, type Feed, FeedFollower, Gateway, KeptReader, type PeerRecord, Peers, type RequestCodec} from '../gateway/index.js';
+import {Beliefs, ChannelBook, DecisionLog, Dispatcher, endpointPause, type Feed, FeedFollower, Gateway, KeptReader, type PeerRecord, Peers, ProcessorWatch, type RequestCodec} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type PromptPart, type RetryAllowance} from '../policy/dispatch/index.js';
 import {type EndpointChange, type RoutingTableInput} from '../routing/index.js';
@@ -94,10 +94,11 @@
 		});
 		const peers = await openPeers(settings, {incarnation, beliefs, dispatcher, kept, logger});
 		const feeds = followFeeds(store, {beliefs, peers, logger: forPart(logger, 'Store')});
+		const watch = ProcessorWatch.create(forPart(logger, 'Processor'), metrics, () => dispatcher.waiting);
 		const gateway = await Gateway.create({
 			...splitAddress(settings.callerAddress),
 			heldBodiesBytes: settings.memoryMegabytes * 1024 * 1024 * bodiesShare,
-			beliefs, dispatcher, channels, codec: adapter.codec, log: decisions, logger: forPart(logger, 'Gateway'),
+			beliefs, dispatcher, channels, codec: adapter.codec, log: decisions, watch, logger: forPart(logger, 'Gateway'),
 		});
 		metrics.observe('gateway_waiting', 'Requests that wait for a place.', () => dispatcher.waiting);
 		metrics.observe('gateway_open', 'Requests without their whole answer.', () => gateway.openRequests);
@@ -116,7 +117,7 @@
 		};
 		return new GatewayProcess({
 			settings, log: forPart(logger, 'Gateway'), store, beliefs, peers, dispatcher, gateway, admin,
-			releases: [timers, admin, gateway, feeds, kept, peers, dispatcher, decisions, channels, store],
+			releases: [timers, admin, gateway, feeds, kept, peers, dispatcher, decisions, watch, channels, store],
 		});
 	}
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import {type DecisionLog} from './decision-log.js';
 import {type Dispatcher} from './dispatcher.js';
 import {Exchange} from './exchange.js';
+import {type ProcessorWatch} from './processor-watch.js';
 import {type RequestCodec, type RequestFacts} from './types.js';
 
 export type GatewayOptions = {
@@ -24,6 +25,7 @@
 	readonly channels: ChannelBook;
 	readonly codec: RequestCodec;
 	readonly log: DecisionLog;
+	readonly watch: ProcessorWatch;
 	readonly logger: PartLogger;
 };
 
@@ -199,7 +201,9 @@
 			return;
 		}
 
+		const readAt = performance.now();
 		await nextTurn();
+		this.#options.watch.noteTurn(performance.now() - readAt);
 		if (caller.hasLeft) {
 			log.turnedAway(facts?.id, 0, {message: 'The caller left before its request was placed.'});
 			return;
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -10,4 +10,5 @@
 export {demandOf, ticketOf, type Asked} from './ticket.js';
 export {Peers, type PeerRecord} from './peers.js';
 export * from './kept-reader.js';
+export * from './processor-watch.js';
 export * from './reading-pause.js';
