Rank requests at engines by their route alone

What callers saw: streams of the most urgent kind put back in the middle for drafts at the same engine.

Cause: the rank told to an engine was the place of workspace and route among all pairs of one routing table, workspace first: a draft of a workspace that goes first has rank 2, a ticket of the others rank 3, so the engine rightly put back the ticket. The rule of the users counts by the route. After a change of workspaces ranks of two tables meet at the engine besides.

Size is ruled out: it is the same on four instances as on 26.

Why it holds: a route's urgency is one number for all workspaces and in every table. The order of workspaces stays in the line, where it decides who goes first; at an engine it would stop what already runs.

--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -24,6 +24,11 @@
 	readonly bodyBytes: number | undefined;
 	readonly endpoint: string;
 	readonly workspace: Workspace | undefined;
+	/**
+	 * The route's own, 0 for the most urgent. An engine puts back the least urgent first. Failure: it is told a place among the pairs of
+	 * workspace and route of one routing table. Symptom: tickets of most workspaces are put back for drafts of one that goes first,
+	 * and after a change of workspaces for drafts that began before it. A route's number means the same for all and in every table.
+	 */
 	readonly urgency: number;
 	/** What is left of the caller's time and the route's. */
 	readonly milliseconds: number;
--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -245,7 +245,7 @@
 				asked.decision = decision;
 				if (decision.type === 'placed') {
 					asked.placedAt = time.now;
-					this.#send(asked, kind, {dispatcher, decision, urgency: demand.urgency});
+					this.#send(asked, kind, {dispatcher, decision, urgency: route.urgency});
 				}
 			},
 		});
