Share a place by what waits elsewhere, not by the own line taken for everyone's

What callers saw: of confirmations of equal workspaces some instances refused many and others none.

Cause: chance lets in as many of all instances' requests as an engine reads before they hear of each other, and the number of contenders was the own line times the other instances. The longer an instance's line, the more contenders it believed in, so that it stood back for instances where nobody waited.

Change: the word of what waits tells how many of each urgency, and contenders are those told of that come before or beside. The gateways' protocol version is 4.

Tests of the rows and the teller name the count; none is looser.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -246,7 +246,7 @@
 
 	/** Where other instances are likely to want the same place, chance decides who takes it first. */
 	#mayTake({service, urgency, demand}: Ticket, unreadTokens: number, candidates: number): boolean {
-		const contenders = (this.instances - 1) * Math.min(1, this.#line.ahead(service, urgency).count / candidates);
+		const contenders = this.book.lines.ahead(service, urgency, performance.now()) / candidates;
 		const readingMilliseconds = readMilliseconds(this.book.speed(service), unreadTokens);
 		const chance = chanceOfPlace({contenders, lookMilliseconds, readingMilliseconds, reactionMilliseconds: reactionMilliseconds(this.instances - 1)});
 		return demand.isTight || this.#options.random() < chance;
--- a/src/policy/dispatch/load-rows.ts
+++ b/src/policy/dispatch/load-rows.ts
@@ -1,6 +1,6 @@
-import {type UrgencyPair} from '../../routing/index.js';
 import {type LoadEvent} from './load.js';
 import {flattenParts, unflattenParts} from './part-memory.js';
+import {type UrgencyCount} from './peer-lines.js';
 
 /** Longer names than this come from nobody that keeps the protocol. */
 const longestName = 256;
@@ -27,14 +27,14 @@
 
 const RowKind = {placed: 0, firstEvent: 1, ended: 2, waiting: 3} as const;
 /** Values of one urgency in a row, and of all. */
-const urgencyLength = 2;
+const urgencyLength = 3;
 const mostUrgencyValues = 16 * urgencyLength;
 
 /**
  * Load as it travels between instances: rows without names, since it is by far the most frequent message
  * and goes to each of them. A row names a run by its number at the sender; its owner is whoever sent it.
  * `[0, number, endpoint, service, unread tokens, 1 if tight, part, tokens, ...]`, `[1, number]`, `[2, number]`, and `[3, service, workspace's urgency or null, route's urgency,
- * ...]`.
+ * how many, ...]`.
  */
 export type LoadRow = readonly unknown[];
 
@@ -59,7 +59,7 @@
 		}
 
 		case 'waiting': {
-			return [RowKind.waiting, event.service, ...event.urgencies.flatMap(({workspace, route}) => [workspace ?? null, route])];
+			return [RowKind.waiting, event.service, ...event.urgencies.flatMap(({workspace, route, count}) => [workspace ?? null, route, count])];
 		}
 
 		case 'owner-lost':
@@ -130,14 +130,14 @@
 		return undefined;
 	}
 
-	const urgencies: UrgencyPair[] = [];
+	const urgencies: UrgencyCount[] = [];
 	for (let index = 0; index < values.length; index += urgencyLength) {
-		const [workspace, route] = values.slice(index, index + urgencyLength);
-		if ((workspace !== null && !isNumber(workspace)) || !isNumber(route)) {
+		const [workspace, route, count] = values.slice(index, index + urgencyLength);
+		if ((workspace !== null && !isNumber(workspace)) || !isNumber(route) || !isCount(count)) {
 			return undefined;
 		}
 
-		urgencies.push({route, workspace: workspace ?? undefined});
+		urgencies.push({route, workspace: workspace ?? undefined, count});
 	}
 
 	return {type: 'waiting', owner, service, urgencies};
--- a/src/policy/dispatch/peer-lines.ts
+++ b/src/policy/dispatch/peer-lines.ts
@@ -9,8 +9,11 @@
  */
 import {compareUrgency, type UrgencyPair} from '../../routing/index.js';
 
+/** How many of one urgency wait. */
+export type UrgencyCount = UrgencyPair & {readonly count: number};
+
 /** Which urgencies wait at one instance for one service; none once nothing waits. */
-export type LineEvent = {readonly type: 'waiting'; readonly owner: string; readonly service: string; readonly urgencies: readonly UrgencyPair[]};
+export type LineEvent = {readonly type: 'waiting'; readonly owner: string; readonly service: string; readonly urgencies: readonly UrgencyCount[]};
 
 /** Urgencies that one instance tells for a service, the most urgent first: the others come after these anyway. */
 const mostUrgencies = 4;
@@ -21,7 +24,7 @@
 /** Believed for so long: two tellings may be late. */
 const believedMilliseconds = 300;
 
-type Told = {readonly urgencies: readonly UrgencyPair[]; readonly at: number};
+type Told = {readonly urgencies: readonly UrgencyCount[]; readonly at: number};
 
 /** What the other instances' lines are, as far as they told. */
 export class PeerLines {
@@ -61,25 +64,45 @@
 
 		return false;
 	}
+
+	/** How many wait at the other instances who would be tried before one of this urgency, or beside it. */
+	ahead(service: string, urgency: UrgencyPair, now: number): number {
+		let ahead = 0;
+		for (const {urgencies, at} of this.#told.get(service)?.values() ?? []) {
+			for (const {count, ...other} of now - at < believedMilliseconds ? urgencies : []) {
+				ahead += compareUrgency(other, urgency) <= 0 ? count : 0;
+			}
+		}
+
+		return ahead;
+	}
 }
 
 /** One that waits here. */
 export type OwnWaiting = {readonly service: string; readonly urgency: UrgencyPair; readonly arrivedAt: number};
 
 /** The urgencies that have waited long enough to be told, by service, the most urgent first. */
-function waitingUrgencies(waiting: Iterable<OwnWaiting>, now: number): Map<string, readonly UrgencyPair[]> {
-	const services = new Map<string, UrgencyPair[]>();
+function waitingUrgencies(waiting: Iterable<OwnWaiting>, now: number): Map<string, readonly UrgencyCount[]> {
+	const services = new Map<string, UrgencyCount[]>();
 	for (const {service, urgency, arrivedAt} of waiting) {
-		const urgencies = services.get(service) ?? [];
-		if (now - arrivedAt >= leastWaitMilliseconds && !urgencies.some(other => compareUrgency(other, urgency) === 0)) {
-			urgencies.push(urgency);
-			services.set(service, urgencies);
+		if (now - arrivedAt >= leastWaitMilliseconds) {
+			services.set(service, countOne(services.get(service) ?? [], urgency));
 		}
 	}
 
 	return new Map([...services].map(([service, urgencies]) => [service, urgencies.toSorted(compareUrgency).slice(0, mostUrgencies)]));
 }
 
+function countOne(urgencies: UrgencyCount[], urgency: UrgencyPair): UrgencyCount[] {
+	const index = urgencies.findIndex(other => compareUrgency(other, urgency) === 0);
+	if (index === -1) {
+		return [...urgencies, {...urgency, count: 1}];
+	}
+
+	urgencies[index] = {...urgencies[index]!, count: urgencies[index]!.count + 1};
+	return urgencies;
+}
+
 /** Decides when this instance tells of its lines: while something waits now and then, and once when nothing waits any more. */
 export class LineTeller {
 	static create(owner: string): LineTeller {
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -178,4 +178,4 @@
 export type StreamMessage = Extract<Message, {stream: number}>;
 
 /** The version that both ends must name in `hello`. */
-export const protocolVersion = 3;
+export const protocolVersion = 4;
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -210,7 +210,7 @@
 		})}),
 		fc.record({type: fc.constant('first-event' as const), id: number.map(value => runId('a', value))}),
 		fc.record({type: fc.constant('ended' as const), id: number.map(value => runId('a', value))}),
-		fc.record({type: fc.constant('waiting' as const), owner: fc.constant('a'), service: fc.constant('models'), urgencies: fc.array(fc.record({route: fc.integer(), workspace: fc.option(fc.integer(), {nil: undefined})}), {maxLength: 4})}),
+		fc.record({type: fc.constant('waiting' as const), owner: fc.constant('a'), service: fc.constant('models'), urgencies: fc.array(fc.record({route: fc.integer(), workspace: fc.option(fc.integer(), {nil: undefined}), count: fc.nat()}), {maxLength: 4})}),
 	);
 	fc.assert(fc.property(fc.array(event, {maxLength: 20}), events => {
 		t.same(decodeLoad(encodeLoad(events), 'a'), events);
@@ -459,18 +459,20 @@
 	const [first, second] = [{route: 1, workspace: 1}, {route: 2, workspace: 1}];
 	const lines = PeerLines.create();
 	const tell = (now: number, urgencies: UrgencyPair[] = [first]): void => {
-		lines.hear({type: 'waiting', owner: 'b', service: 'models', urgencies}, now);
+		lines.hear({type: 'waiting', owner: 'b', service: 'models', urgencies: urgencies.map(urgency => ({...urgency, count: 3}))}, now);
 	};
 
 	tell(0);
 	t.ok(lines.outranks('models', second, 200));
 	t.notOk(lines.outranks('models', first, 200), 'not among equals');
 	t.notOk(lines.outranks('orders', second, 200), 'not at another service');
+	t.same([lines.ahead('models', first, 200), lines.ahead('models', second, 200), lines.ahead('models', {route: 0, workspace: 1}, 200)], [3, 3, 0], 'equals count, the less urgent don\'t');
 	tell(200, [{route: 2, workspace: 0}]);
 	t.notOk(lines.outranks('models', first, 210), 'not for a less urgent route');
 	t.ok(lines.outranks('models', second, 210));
 	tell(220);
 	t.notOk(lines.outranks('models', second, 600), 'word that is old');
+	t.equal(lines.ahead('models', second, 600), 0);
 	tell(700);
 	tell(800, []);
 	t.notOk(lines.outranks('models', second, 810), 'nothing waits any more');
@@ -505,7 +507,7 @@
 	const teller = LineTeller.create('a');
 	const waiting = [{service: 'models', urgency: {route: 1, workspace: undefined}, arrivedAt: 0}, {service: 'models', urgency: {route: 1, workspace: undefined}, arrivedAt: 20}];
 	t.same(teller.events(waiting, 30), [], 'a short wait is usual');
-	t.same(teller.events(waiting, 50), [{type: 'waiting', owner: 'a', service: 'models', urgencies: [{route: 1, workspace: undefined}]}]);
+	t.same(teller.events(waiting, 50), [{type: 'waiting', owner: 'a', service: 'models', urgencies: [{route: 1, workspace: undefined, count: 1}]}]);
 	t.same(teller.events(waiting, 100), []);
 	t.same(teller.events([], 110), [{type: 'waiting', owner: 'a', service: 'models', urgencies: []}]);
 	t.same(teller.events([], 120), []);
