Count what an engine has read by now, not what it has told of

What callers saw: confirmations waiting and refused while engines stood idle between two prompts; long prompts late.

Cause: the backlog of an engine was its unread prompts less the progress of the oldest, and a prompt is unread until its first event has come. That event comes 40 ms after the reading and later by what the event loops take, while the engine reads on.

Change: progress goes on over all that is unread, and the next prompt's turn begins when the one before was read, a learned latency before its first event. Idle for those who hold back still counts from the word.

--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -65,6 +65,8 @@
 	unreadTokens: number;
 	/** When the oldest of them came to its turn, as far as is known. */
 	turnAt: number;
+	/** When word came that nothing is unread any more. */
+	idleAt: number;
 	/** Since when it has always had something to read, and what it has read since. */
 	span: Span;
 	readonly parts: PartMemory;
@@ -141,7 +143,7 @@
 			running: desk.runs.size,
 			tightRuns: desk.tightRuns,
 			backlogMilliseconds: this.#backlog(desk, now),
-			idleMilliseconds: desk.unread.size > 0 ? 0 : now - desk.turnAt,
+			idleMilliseconds: desk.unread.size > 0 ? 0 : now - desk.idleAt,
 			readingShare: decayed(desk, now),
 		};
 	}
@@ -223,7 +225,7 @@
 			return;
 		}
 
-		noteRead(desk, run, now);
+		noteRead(desk, run, {now, readAt: now - this.speed(run.service).baseMilliseconds});
 		desk.parts.noteRead(run.parts);
 		desk.span.readTokens += run.unreadTokens;
 		desk.span.readRuns += 1;
@@ -250,21 +252,18 @@
 		desk.runs.delete(id);
 		desk.tightRuns -= run.isTight ? 1 : 0;
 		if (!run.isRead) {
-			noteRead(desk, run, now);
+			noteRead(desk, run, {now, readAt: now});
 			desk.span.isSpoilt = true;
 		}
 	}
 
-	/** What waits to be read, less what the oldest has had of its turn. */
+	/**
+	 * What waits to be read, less what the engine has read of it by now. Failure: a prompt counts as unread until its first event is here,
+	 * though the engine has gone on to the next. Symptom: it is taken for busy for as long as a first event is on its way, and stands
+	 * idle between two prompts while requests wait.
+	 */
 	#backlog(desk: Desk, now: number): number {
-		const [oldest] = desk.unread.values();
-		if (oldest === undefined) {
-			return 0;
-		}
-
-		const speed = this.speed(desk.service);
-		const progress = Math.min(oldest.unreadTokens, (now - desk.turnAt) * speed.tokensPerMillisecond);
-		return readMilliseconds(speed, desk.unreadTokens - progress);
+		return desk.unread.size === 0 ? 0 : Math.max(0, readMilliseconds(this.speed(desk.service), desk.unreadTokens) - (now - desk.turnAt));
 	}
 
 	#drop(isDropped: (run: Held) => boolean, now: number): void {
@@ -275,19 +274,20 @@
 }
 
 function createDesk(): Desk {
-	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, span: createSpan(0, true), parts: PartMemory.create(Infinity), service: '', share: 0, shareAt: 0, tightRuns: 0};
+	return {runs: new Map(), unread: new Map(), unreadTokens: 0, turnAt: 0, idleAt: 0, span: createSpan(0, true), parts: PartMemory.create(Infinity), service: '', share: 0, shareAt: 0, tightRuns: 0};
 }
 
 function createSpan(at: number, isFromRest: boolean): Span {
 	return {at, isFromRest, readTokens: 0, readRuns: 0, isSpoilt: false};
 }
 
-/** A run's prompt is read, or the run is over: the next one's turn begins. */
-function noteRead(desk: Desk, run: Held, now: number): void {
+/** A run's prompt is read, or the run is over: the next one's turn began as soon as it was. */
+function noteRead(desk: Desk, run: Held, {now, readAt}: {now: number; readAt: number}): void {
 	run.isRead = true;
 	desk.unread.delete(run.id);
 	desk.unreadTokens -= run.unreadTokens;
-	desk.turnAt = now;
+	desk.turnAt = Math.max(desk.turnAt, readAt);
+	desk.idleAt = now;
 }
 
 function decayed({share, shareAt}: Desk, now: number): number {
