--- a/src/policy/dispatch/peer-lines.ts
+++ b/src/policy/dispatch/peer-lines.ts
@@ -4,8 +4,7 @@
  *
  * Instances tell each other which urgencies wait. Whoever is less urgent than what waits at another instance holds back, and
  * leaves endpoints and slots that the more urgent then fill. An endpoint that stays idle all the same is taken by anyone: nobody
- * stands still for a line that can't use it. With one workspace at twelve times its usual, 538 confirmations were refused in
- * four runs that way and 930 without it; 800 when the others held back in proportion to how many wait.
+ * stands still for a line that can't use it.
  */
 import {compareUrgency, type UrgencyPair} from '../../routing/index.js';
 
--- a/src/policy/dispatch/tuning.ts
+++ b/src/policy/dispatch/tuning.ts
@@ -19,11 +19,7 @@
 	readonly outsideMilliseconds: number;
 };
 
-/**
- * Under bursts of long prompts that doubled demand, a fetched token at half of a read one moved half as much memory as at a
- * fifth, at the same worth; room for the tight was worth 0.02 to 0.04. A second of cost outweighs all but a service at
- * full load; sixty milliseconds outweigh a usual backlog.
- */
+/** A second of cost outweighs all but a service at full load; sixty milliseconds outweigh a usual backlog. */
 export const defaultTuning: Tuning = {
 	fetches: true,
 	fetchShare: 0.5,
--- a/src/policy/limits/bucket.ts
+++ b/src/policy/limits/bucket.ts
@@ -3,9 +3,8 @@
 
 /**
  * A bucket holds half a second's rate, and at least three requests: with many entries each one's
- * rate is a fraction of a request a second; in a trial with room for one, chance alone had 43 in 100
- * requests refused at 0.8 of the limit and 64 entries (`npm run bench -- limits --entries 64` shows
- * what is left). The whole of a second would let an idle class run twice its rate in the first one.
+ * rate is a fraction of a request a second, and with room for one request chance alone refuses many
+ * under the limit. The whole of a second would let an idle class run twice its rate in the first one.
  */
 const burstSeconds = 0.5;
 const leastCapacity = 3;
