Write a line with counts of events once, not twice

A line is written a second time, field by field, where a word of a caller's content stands in it, and every Sent line has a count of events. Only a field of such a name that holds text or a list is looked into now.

--- a/src/telemetry/redaction.ts
+++ b/src/telemetry/redaction.ts
@@ -22,8 +22,13 @@
 ]);
 const bearerPattern = /\bbearer\s+[^\s"',;]+/giv;
 const replacement = '[redacted]';
-/** Texts without any of these words hold nothing to redact; most lines are such, and pass unread. */
-const suspicion = new RegExp([...secretFields, String.raw`(?:api|tls|resume)[\-_](?:key|text)`].join('|'), 'iv');
+/**
+ * A line without such a field that holds text or a list has nothing to redact; most lines are such, and are written only once. Counts
+ * bear the same names, and stand in a line of each request.
+ */
+const separators = String.raw`[\-_]*`;
+const names = [...secretFields].map(name => [...name].join(separators)).join('|');
+const suspicion = new RegExp(String.raw`"${separators}(?:${names})${separators}":["\[\{]|bearer\s`, 'iv');
 
 /**
  * Writes a value as JSON without keys and prompts. Failure: a part logs a whole request or an error
