Let who comes behind a full line join it without a look

Change: what the last try of the line has found full stays so until the next try, for newcomers of the group too. They are only asked whether they can still be in time.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -108,6 +108,8 @@
 	readonly #usualFailures = new Map<string, number>();
 	readonly #known = new Map<string, readonly Known[]>();
 	readonly #unreadShares = new Map<string, number>();
+	/** What the last try of the line has found. */
+	#looks = LineLooks.create();
 	/** When the line may be tried again: it takes a bounded part of the process's time. */
 	#pumpAt = 0;
 	#timer: NodeJS.Timeout | undefined;
@@ -135,9 +137,18 @@
 		clearInterval(this.#timer);
 	}
 
-	/** Decides at once where it can; else the ticket waits, and its decision comes later. */
+	/**
+	 * Decides at once where it can; else the ticket waits, and its decision comes later. Who comes behind others that found everything
+	 * full joins them: a look of its own would cost more than the rest of its arrival, and might take what they wait for.
+	 */
 	submit(ticket: Ticket): void {
-		this.#try(ticket, this.#awaitedBefore(ticket));
+		const wait = ticket.demand.isTight || ticket.excluded.size > 0 ? undefined : this.#looks.waitOf(groupOf(ticket));
+		if (wait === undefined) {
+			this.#try(ticket, this.#awaitedBefore(ticket));
+			return;
+		}
+
+		this.#joinBehind(ticket, wait, performance.now());
 	}
 
 	/** The caller left, or the time is over. */
@@ -353,27 +364,36 @@
 	/** True if it left the line; a ticket that can't be started in time is refused at once. */
 	#enqueue(ticket: Ticket, {endpoint, milliseconds}: Wait, candidates: readonly Candidate[]): boolean {
 		const now = performance.now();
-		const foreseen = this.#foresee(ticket, {endpointMilliseconds: milliseconds, candidates, now});
+		const hasLeft = this.#join(ticket, {now, candidates, foreseen: this.#foresee(ticket, {endpointMilliseconds: milliseconds, candidates, now})});
+		if (!hasLeft) {
+			ticket.waitsFor = {endpoint, until: now + Math.min(lookAgain.mostMilliseconds, Math.max(lookAgain.leastMilliseconds, milliseconds * lookAgain.share))};
+		}
+
+		return hasLeft;
+	}
+
+	/** Lets it wait, unless it can't be started in time or the line is full; true if it is refused. */
+	#join(ticket: Ticket, {now, candidates, foreseen}: {now: number; candidates: readonly Candidate[]; foreseen: Foreseen}): boolean {
 		const expected = foreseen.endpoint + foreseen.line;
 		if (expected > foreseen.left) {
 			this.#refuse(ticket, RefusalReason.tooLate, {retryAfter: expected, candidates: candidates.length, foreseen});
 			return true;
 		}
 
-		if (!this.#tickets.has(ticket.id) && this.#line.size >= largestLine && !this.#makeRoom(ticket, now)) {
-			this.#refuse(ticket, RefusalReason.lineFull, {retryAfter: expected, candidates: candidates.length, foreseen});
-			return true;
+		if (this.#tickets.has(ticket.id)) {
+			return false;
 		}
 
-		ticket.waitsFor = {endpoint, until: now + Math.min(lookAgain.mostMilliseconds, Math.max(lookAgain.leastMilliseconds, milliseconds * lookAgain.share))};
-		if (!this.#tickets.has(ticket.id)) {
-			this.#tickets.set(ticket.id, ticket);
-			this.#line.add(ticket);
-			this.#timer ??= setInterval(() => {
-				this.#pump();
-			}, tickMilliseconds);
+		if (this.#line.size >= largestLine && !this.#makeRoom(ticket, now)) {
+			this.#refuse(ticket, RefusalReason.lineFull, {retryAfter: expected, candidates: candidates.length, foreseen});
+			return true;
 		}
 
+		this.#tickets.set(ticket.id, ticket);
+		this.#line.add(ticket);
+		this.#timer ??= setInterval(() => {
+			this.#pump();
+		}, tickMilliseconds);
 		return false;
 	}
 
@@ -426,6 +446,7 @@
 		if (this.#line.size === 0) {
 			clearInterval(this.#timer);
 			this.#timer = undefined;
+			this.#looks = LineLooks.create();
 			return;
 		}
 
@@ -444,6 +465,7 @@
 		// What an earlier one waits for, a later one does not take; other endpoints are free to it.
 		const awaited = new Set<string>();
 		const looks = LineLooks.create();
+		this.#looks = looks;
 		for (const {id} of this.#line.ordered(now)) {
 			const ticket = this.#tickets.get(id);
 			if (ticket !== undefined && !this.#decide(ticket, {awaited, looks, now}) && ticket.waitsFor !== undefined) {
@@ -459,19 +481,13 @@
 		}
 
 		const wait = ticket.demand.isTight ? undefined : looks.waitOf(groupOf(ticket));
-		return wait === undefined ? this.#try(ticket, awaited, looks) : this.#refuseLate(ticket, wait, now);
+		return wait === undefined ? this.#try(ticket, awaited, looks) : this.#joinBehind(ticket, wait, now);
 	}
 
-	/** What another of its group has found is enough to tell whether it can still be started in time. */
-	#refuseLate(ticket: Ticket, endpointMilliseconds: number, now: number): boolean {
+	/** What another of its group has found is enough to tell whether it can still be started in time; true if it can't, and is refused. */
+	#joinBehind(ticket: Ticket, endpointMilliseconds: number, now: number): boolean {
 		const candidates = this.#knownOf(ticket.service).map(({candidate}) => candidate);
-		const foreseen = this.#foresee(ticket, {endpointMilliseconds, candidates, now});
-		const isLate = foreseen.endpoint + foreseen.line > foreseen.left;
-		if (isLate) {
-			this.#refuse(ticket, RefusalReason.tooLate, {retryAfter: foreseen.endpoint + foreseen.line, candidates: candidates.length, foreseen});
-		}
-
-		return isLate;
+		return this.#join(ticket, {now, candidates, foreseen: this.#foresee(ticket, {endpointMilliseconds, candidates, now})});
 	}
 
 	#foresee(ticket: Ticket, {endpointMilliseconds, candidates, now}: {endpointMilliseconds: number; candidates: readonly Candidate[]; now: number}): Foreseen {
--- a/test/gateway/dispatcher.test.ts
+++ b/test/gateway/dispatcher.test.ts
@@ -3,6 +3,7 @@
 import {type InstanceId, type ZoneName} from '../../src/model/index.js';
 import {defaultTuning} from '../../src/policy/dispatch/index.js';
 import {type EndpointRecord} from '../../src/routing/index.js';
+import {VirtualTime} from './virtual-time.js';
 
 const quiet = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
 const zone = 'z' as ZoneName;
@@ -104,3 +105,30 @@
 	t.match(decision, {type: 'refused', reason: 'too-late', ahead: 0, waiting: 0, foreseen: {line: 0}});
 	t.ok(decision?.type === 'refused' && decision.foreseen !== undefined && decision.foreseen.endpoint > decision.foreseen.left && decision.foreseen.left > 1900);
 });
+
+// At twice the load that engines can take, half of an instance's arrivals looked at all endpoints in vain, at 0.13 ms each beside the
+// looks of the line, and a few met what had come free between two tries of it, before others who waited for that.
+tap.test('who comes behind others that found everything full joins them without a look', async t => {
+	using time = VirtualTime.install();
+	using dispatcher = createDispatcher([record('one')]);
+	for (let number = 0; number < 4; number++) {
+		dispatcher.takeLoad({type: 'placed', run: {id: `b/${number}`, owner: 'b', endpoint: 'one', service: 'models', unreadTokens: 10, isTight: false, parts: []}});
+	}
+
+	const first = submit(dispatcher, 'first');
+	time.runFor(30);
+	let looks = 0;
+	const load = dispatcher.book.load.bind(dispatcher.book);
+	dispatcher.book.load = (endpoint, now) => {
+		looks += 1;
+		return load(endpoint, now);
+	};
+
+	dispatcher.takeLoad({type: 'ended', id: 'b/0'});
+	const second = submit(dispatcher, 'second');
+	t.equal(looks, 0, 'the second has looked at nothing');
+	t.same([first, second], [[], []]);
+	time.runFor(100);
+	t.match(first, [{type: 'placed'}], 'what came free is the first one\'s');
+	t.same(second, []);
+});
