--- a/test/gateway/told-waiting.test.ts
+++ b/test/gateway/told-waiting.test.ts
@@ -43,7 +43,7 @@
 	beliefs.offerEndpoints(records.map((record, offset) => ({type: 'registered', offset, record})), 'store', performance.now());
 	const dispatcher = Dispatcher.create({
 		incarnation: 'a' as InstanceId, zone, beliefs, logger: quiet, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, random: () => 0, tuning: defaultTuning,
-		onLoad: event => {
+		onLoad(event) {
 			told.push(event);
 		},
 	});
