--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -139,7 +139,7 @@
 
 	/**
 	 * Decides at once where it can; else the ticket waits, and its decision comes later. Who comes behind others that found everything
-	 * full joins them: a look of its own would cost more than the rest of its arrival, and might take what they wait for.
+	 * full joins them: a look of its own would find nothing, or take what they wait for.
 	 */
 	submit(ticket: Ticket): void {
 		const wait = ticket.demand.isTight || ticket.excluded.size > 0 ? undefined : this.#looks.waitOf(groupOf(ticket));
