Give the codec the route alone for a request's rank at an engine

Since ranks went by the route, Forwarding.urgency always was route.urgency, which stood beside it: state that can be derived, and a way to tell an engine something else. The codec reads it from the route, where the reason stands now. The adapter's test gives the route the urgency of 12 that it gave beside it, with the same expectation. Two comments still told of the rank at engines, one of plays. Behaviour is the same.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -175,7 +175,7 @@
 			method,
 			path,
 			headers: codec.forward({
-				rawHeaders, bodyBytes: body?.length, endpoint: record.id, workspace, urgency: route.urgency,
+				rawHeaders, bodyBytes: body?.length, endpoint: record.id, workspace,
 				milliseconds: Math.floor(left), resumeAfter: this.#lastEventId, fetchFrom: decision.fetch?.address, route,
 			}),
 			body,
--- a/src/gateway/ticket.ts
+++ b/src/gateway/ticket.ts
@@ -18,7 +18,7 @@
 const startShare = 0.75;
 /**
  * A stream with tight pauses has a short prompt: it goes before others in the line whatever its rank,
- * since reading it holds them up for a few milliseconds. At the endpoint its own rank counts.
+ * since reading it holds them up for a few milliseconds. At the endpoint its route's urgency counts.
  */
 const tightUrgency: UrgencyPair = {route: -Infinity, workspace: undefined};
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -24,18 +24,17 @@
 	readonly bodyBytes: number | undefined;
 	readonly endpoint: string;
 	readonly workspace: Workspace | undefined;
-	/**
-	 * The route's own, 0 for the most urgent. An engine puts back the least urgent first. Failure: it is told a place among the pairs of
-	 * workspace and route of one routing table. Symptom: tickets of most workspaces are put back for drafts of one that goes first,
-	 * and after a change of workspaces for drafts that began before it. A route's number means the same for all and in every table.
-	 */
-	readonly urgency: number;
 	/** What is left of the caller's time and the route's. */
 	readonly milliseconds: number;
 	/** The last event that the caller has, when a stream goes on elsewhere. */
 	readonly resumeAfter: string | undefined;
 	/** The address of an engine that keeps more of the prompt, from which the endpoint is to take it. */
 	readonly fetchFrom: string | undefined;
+	/**
+	 * Its urgency is the request's rank at an engine, which puts back the least urgent first. Failure: an engine is told a place among the
+	 * pairs of workspace and route of one routing table. Symptom: tickets of most workspaces are put back for drafts of one that goes
+	 * first, and after a change of workspaces for drafts that began before it. A route's number means the same for all and in every table.
+	 */
 	readonly route: Route;
 };
 
--- a/src/policy/dispatch/tuning.ts
+++ b/src/policy/dispatch/tuning.ts
@@ -1,7 +1,4 @@
-/**
- * Weights of placement that differ between plays of an ablation; costs are milliseconds of a caller's waiting.
- * Each mechanism can be left out by one of them.
- */
+/** Weights of placement; costs are milliseconds of a caller's waiting. Each mechanism can be left out by one of them. */
 export type Tuning = {
 	/** Whether engines take kept beginnings from each other. */
 	readonly fetches: boolean;
--- a/src/routing/urgency-ranks.ts
+++ b/src/routing/urgency-ranks.ts
@@ -12,7 +12,7 @@
 /**
  * Ranks of the requests that one service may get, 0 for the most urgent. A workspace's urgency goes before
  * the route's; between requests of equal workspaces the route's decides. Failure: where most workspaces have
- * the same urgency, that of routes is lost. Symptom: an urgent stream is read last and put back first, as if
+ * the same urgency, that of routes is lost. Symptom: an urgent stream is let in last, as if
  * it were a draft.
  */
 export class UrgencyRanks {
--- a/test/adapter/adapter.test.ts
+++ b/test/adapter/adapter.test.ts
@@ -22,7 +22,7 @@
 };
 
 function forward(rawHeaders: readonly string[], resumeAfter?: string): Map<string, string> {
-	const sent = requestCodec.forward({rawHeaders, bodyBytes: 3, endpoint: 'e', workspace: undefined, urgency: 12, milliseconds: 70, resumeAfter, fetchFrom: undefined, route});
+	const sent = requestCodec.forward({rawHeaders, bodyBytes: 3, endpoint: 'e', workspace: undefined, milliseconds: 70, resumeAfter, fetchFrom: undefined, route: {...route, urgency: 12}});
 	const headers = new Map<string, string>();
 	for (let index = 0; index < sent.length; index += 2) {
 		const name = sent[index]!.toLowerCase();
