Gather a service's candidates and a group's key once, not for each that waits

The counts of groups had their key built two and three times for each that comes or goes, in two copies of one step.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -107,6 +107,7 @@
 	readonly #health = new Map<string, EndpointHealth>();
 	readonly #usualFailures = new Map<string, number>();
 	readonly #known = new Map<string, readonly Known[]>();
+	readonly #candidates = new Map<string, readonly Candidate[]>();
 	readonly #unreadShares = new Map<string, number>();
 	/** What the last try of the line has found. */
 	#looks = LineLooks.create();
@@ -122,6 +123,7 @@
 		this.#teller = LineTeller.create(options.incarnation);
 		options.beliefs.onChange(change => {
 			this.#known.clear();
+			this.#candidates.clear();
 			for (const endpoint of change.type === 'reborn' ? change.ids : []) {
 				this.#health.delete(endpoint);
 				this.takeLoad({type: 'endpoint-restarted', endpoint});
@@ -361,6 +363,13 @@
 		return known;
 	}
 
+	/** All of a service's endpoints: what a foreseen wait goes by, asked for each that waits in each try of the line. */
+	#candidatesOf(service: string): readonly Candidate[] {
+		const held = this.#candidates.get(service) ?? this.#knownOf(service).map(({candidate}) => candidate);
+		this.#candidates.set(service, held);
+		return held;
+	}
+
 	/** True if it left the line; a ticket that can't be started in time is refused at once. */
 	#enqueue(ticket: Ticket, {endpoint, milliseconds}: Wait, candidates: readonly Candidate[]): boolean {
 		const now = performance.now();
@@ -408,7 +417,7 @@
 			return false;
 		}
 
-		const candidates = this.#knownOf(leaving.service).map(({candidate}) => candidate);
+		const candidates = this.#candidatesOf(leaving.service);
 		this.#refuse(leaving, RefusalReason.lineFull, {retryAfter: this.#lineMilliseconds(leaving, candidates, now), candidates: candidates.length});
 		return true;
 	}
@@ -486,7 +495,7 @@
 
 	/** What another of its group has found is enough to tell whether it can still be started in time; true if it can't, and is refused. */
 	#joinBehind(ticket: Ticket, endpointMilliseconds: number, now: number): boolean {
-		const candidates = this.#knownOf(ticket.service).map(({candidate}) => candidate);
+		const candidates = this.#candidatesOf(ticket.service);
 		return this.#join(ticket, {now, candidates, foreseen: this.#foresee(ticket, {endpointMilliseconds, candidates, now})});
 	}
 
--- a/src/policy/dispatch/waiting-line.ts
+++ b/src/policy/dispatch/waiting-line.ts
@@ -52,9 +52,7 @@
 	add(waiting: Waiting): void {
 		this.remove(waiting.id);
 		this.#waiting.set(waiting.id, waiting);
-		const {service, urgency, work} = waiting;
-		const group = this.#groups.get(groupOf(waiting)) ?? {service, urgency, count: 0, work: 0};
-		this.#groups.set(groupOf(waiting), {...group, count: group.count + 1, work: group.work + work});
+		this.#count(waiting, 1);
 	}
 
 	remove(id: string): boolean {
@@ -64,13 +62,7 @@
 		}
 
 		this.#waiting.delete(id);
-		const group = this.#groups.get(groupOf(waiting))!;
-		if (group.count === 1) {
-			this.#groups.delete(groupOf(waiting));
-		} else {
-			this.#groups.set(groupOf(waiting), {...group, count: group.count - 1, work: group.work - waiting.work});
-		}
-
+		this.#count(waiting, -1);
 		return true;
 	}
 
@@ -132,6 +124,18 @@
 		return {count, work};
 	}
 
+	/** One more or one less of its group; a group of none is gone, so that sums of its work don't drift. */
+	#count(waiting: Waiting, change: 1 | -1): void {
+		const key = groupOf(waiting);
+		const {service, urgency, work} = waiting;
+		const group = this.#groups.get(key) ?? {service, urgency, count: 0, work: 0};
+		if (group.count + change === 0) {
+			this.#groups.delete(key);
+		} else {
+			this.#groups.set(key, {...group, count: group.count + change, work: group.work + (change * work)});
+		}
+	}
+
 	#recentlyStarted(service: string, now: number): number {
 		const held = this.#started.get(service);
 		return held === undefined ? 0 : held.work * Math.exp((held.at - now) / rateMilliseconds);
