--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -187,22 +187,16 @@
 
 	/** Requests of a kind arrive at an instance for a while, at random but so many a second on average. */
 	arrive(kindName: string, instance: number, {perSecond, forMilliseconds}: {perSecond: number; forMilliseconds: number}): void {
-		const {time} = this.#options;
-		for (let at = this.#random.exponential(1000 / perSecond); at < forMilliseconds; at += this.#random.exponential(1000 / perSecond)) {
-			time.after(at, () => {
-				this.ask(kindName, instance);
-			});
-		}
+		this.#atRandom({perSecond, forMilliseconds}, () => {
+			this.ask(kindName, instance);
+		});
 	}
 
 	/** Requests of other services: all they do here is to take processor time. */
 	burden(instance: number, {perSecond, forMilliseconds}: {perSecond: number; forMilliseconds: number}): void {
-		const {time} = this.#options;
-		for (let at = this.#random.exponential(1000 / perSecond); at < forMilliseconds; at += this.#random.exponential(1000 / perSecond)) {
-			time.after(at, () => {
-				this.#onProcessor(instance, this.#costs.arrival + this.#costs.sending, () => undefined);
-			});
-		}
+		this.#atRandom({perSecond, forMilliseconds}, () => {
+			this.#onProcessor(instance, this.#costs.arrival + this.#costs.sending, () => undefined);
+		});
 	}
 
 	ask(kindName: string, instance: number): Asked {
@@ -231,6 +225,12 @@
 		};
 	}
 
+	#atRandom({perSecond, forMilliseconds}: {perSecond: number; forMilliseconds: number}, act: () => void): void {
+		for (let at = this.#random.exponential(1000 / perSecond); at < forMilliseconds; at += this.#random.exponential(1000 / perSecond)) {
+			this.#options.time.after(at, act);
+		}
+	}
+
 	#submit(asked: Asked, {number, kind, dispatcher, table, route, workspace}: {number: number; kind: Kind; dispatcher: Dispatcher; table: RoutingTable; route: Route; workspace: Workspace | undefined}): void {
 		const {time} = this.#options;
 		const facts = {id: String(number), deadlineMilliseconds: route.timeoutMilliseconds, key: undefined, parts: this.#parts(kind, number), outputTokens: 20};
