--- a/fakes/platform-store.ts
+++ b/fakes/platform-store.ts
@@ -13,12 +13,16 @@
 
 type Stored = {readonly key: string; readonly value: Uint8Array};
 type Topic = {records: Stored[]; first: number; waiting: Set<() => void>};
+type Newest = Map<string, {value: Uint8Array; offset: number}>;
+
+/** What the store held at one moment. */
+export type StoreCopy = {readonly topics: ReadonlyMap<string, {readonly records: readonly Stored[]; readonly first: number}>; readonly newestBefore: ReadonlyMap<string, Newest>};
 
 const lateMilliseconds = 1500;
 
 /**
  * A stand-in for the platform's log store, as far as gateways use it: topics of keys with one
- * partition, long reads, the newest record of each key, lost history, and faults to be told to show.
+ * partition, long reads, the newest record of each key, lost history, coming back from a copy, and faults to be told to show.
  */
 export class FakePlatformStore implements AsyncDisposable {
 	static async create(): Promise<FakePlatformStore> {
@@ -30,12 +34,15 @@
 
 	fault: ChooseFault = noFault;
 	calls = 0;
+	/** How often it has come back from a copy, and one; what each answer says of it, where that isn't the truth. */
+	era = 1;
+	saysEra: (era: number) => string | undefined = String;
 	readonly #topics = new Map<string, Topic>();
 	readonly #server: Server = createServer((request, response) => {
 		void this.#answer(request, response);
 	});
 
-	readonly #newestBefore = new Map<string, Map<string, {value: Uint8Array; offset: number}>>();
+	readonly #newestBefore = new Map<string, Newest>();
 
 	get address(): string {
 		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
@@ -60,6 +67,26 @@
 		held.records = [];
 	}
 
+	copy(): StoreCopy {
+		return {
+			topics: new Map([...this.#topics].map(([name, {records, first}]) => [name, {records: [...records], first}])),
+			newestBefore: new Map([...this.#newestBefore].map(([name, newest]) => [name, new Map(newest)])),
+		};
+	}
+
+	/** Goes back to a copy: what was written since is gone, its offsets are given out again, and every connection ends. */
+	comeBackFrom({topics, newestBefore}: StoreCopy): void {
+		this.era += 1;
+		for (const [name, held] of this.#topics) {
+			const copied = topics.get(name);
+			held.records = [...copied?.records ?? []];
+			held.first = copied?.first ?? 0;
+			this.#newestBefore.set(name, new Map(newestBefore.get(name)));
+		}
+
+		this.#server.closeAllConnections();
+	}
+
 	keys(topic: string): string[] {
 		return [...this.#newest(topic).keys()];
 	}
@@ -75,7 +102,7 @@
 		return held;
 	}
 
-	#newest(name: string): Map<string, {value: Uint8Array; offset: number}> {
+	#newest(name: string): Newest {
 		const {records, first} = this.#topic(name);
 		const newest = new Map(this.#newestBefore.get(name));
 		for (const [index, {key, value}] of records.entries()) {
@@ -99,7 +126,7 @@
 			}
 
 			case 'refuse': {
-				response.writeHead(503).end();
+				response.writeHead(503, {'Store-Era': String(this.era)}).end();
 				return;
 			}
 
@@ -130,6 +157,11 @@
 	}
 
 	async #handle(url: URL, body: Uint8Array, response: ServerResponse | undefined): Promise<void> {
+		const said = this.saysEra(this.era);
+		if (said !== undefined) {
+			response?.setHeader('Store-Era', said);
+		}
+
 		const topic = url.searchParams.get('topic') ?? '';
 		switch (url.pathname) {
 			case '/v1/log-newest': {
@@ -162,7 +194,7 @@
 	async #read(url: URL, response: ServerResponse | undefined): Promise<void> {
 		const held = this.#topic(url.searchParams.get('topic') ?? '');
 		const from = Number(url.searchParams.get('from'));
-		if (from < held.first) {
+		if (from < held.first || from > held.first + held.records.length) {
 			response?.writeHead(410).end(JSON.stringify({first: held.first}));
 			return;
 		}
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,7 +1,8 @@
 import process from 'node:process';
-import {Beliefs, ChannelBook, DecisionLog, Dispatcher, endpointPause, type Feed, FeedFollower, Gateway, KeptReader, type PeerRecord, Peers, ProcessorWatch, type RequestCodec} from '../gateway/index.js';
+import {Beliefs, ChannelBook, DecisionLog, Dispatcher, type EraChange, type Feed, FeedFollower, Gateway, KeptReader, type PeerRecord, Peers, ProcessorWatch, type RequestCodec} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type PromptPart, type RetryAllowance} from '../policy/dispatch/index.js';
+import {endpointPause, instancePause, routingWait} from '../policy/sharing/index.js';
 import {type EndpointChange, type RoutingTableInput} from '../routing/index.js';
 import {AdminServer, forPart, type Logger, Metrics, type PartLogger} from '../telemetry/index.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
@@ -21,23 +22,17 @@
 	readonly routing: Feed<RoutingTableInput>;
 	readonly endpoints: Feed<EndpointChange>;
 	readonly instances: Feed<InstanceAnnouncement>;
+	/** Calls at the first answer that comes from a newer era of the store. */
+	onEra(listener: (era: number) => void): void;
 	announce(record: PeerRecord): Promise<void>;
 	retract(instance: string): Promise<void>;
 };
 
 export type InstanceAnnouncement = {readonly instance: string; readonly record: PeerRecord | undefined};
 
-/**
- * A routing table is in force within a second of its writing; the wait bounds how long a dead connection is believed.
- * Failure: the store goes silent under the readings of all instances while a change is accepted. Symptom: with longer waits
- * callers get 404 for its routes until the last wait is over, since no peer knows better.
- */
-const routingWaitMilliseconds = 2500;
-/** Instances come and go rarely; those that start together announce themselves within the first readings. */
-const instancePauseMilliseconds = 10_000;
-const firstInstancePauseMilliseconds = 600;
-const firstInstanceReadings = 6;
 const announceRetryMilliseconds = 1000;
+/** All instances announce themselves anew once the store has come back from a copy: spread over so long. */
+const announceSpreadMilliseconds = 2000;
 const pruneMilliseconds = 10_000;
 /** Bodies may take this part of the memory; the rest is the program, answers and connections. */
 const bodiesShare = 0.2;
@@ -93,7 +88,7 @@
 			},
 		});
 		const peers = await openPeers(settings, {incarnation, beliefs, dispatcher, kept, logger});
-		const feeds = followFeeds(store, {beliefs, peers, logger: forPart(logger, 'Store')});
+		const feeds = followFeeds(store, {beliefs, peers, metrics, drainMilliseconds: settings.drainMilliseconds, logger: forPart(logger, 'Store')});
 		const watch = ProcessorWatch.create(forPart(logger, 'Processor'), metrics, () => dispatcher.waiting);
 		const gateway = await Gateway.create({
 			...splitAddress(settings.callerAddress),
@@ -127,6 +122,11 @@
 	private constructor(parts: Parts) {
 		this.#parts = parts;
 		void this.#announce();
+		parts.store.onEra(() => {
+			setTimeout(() => {
+				void this.#announce();
+			}, Math.random() * announceSpreadMilliseconds).unref();
+		});
 	}
 
 	get gateway(): Gateway {
@@ -177,7 +177,7 @@
 		const {signal} = this.#announcing;
 		for (let tries = 1; !signal.aborted; tries++) {
 			try {
-				await store.announce({instance: settings.instance, address: settings.peerAddress});
+				await store.announce({instance: settings.instance, address: settings.peerAddress, zone: settings.availabilityZone as ZoneName});
 				log.info('Announced to the other instances.', {address: settings.peerAddress, tries});
 				return;
 			} catch (error) {
@@ -199,6 +199,7 @@
 	const {host, port} = splitAddress(settings.peerAddress);
 	return Peers.create({
 		instance: settings.instance,
+		zone: settings.availabilityZone as ZoneName,
 		incarnation,
 		host,
 		port,
@@ -213,48 +214,71 @@
 			kept.told(list.endpoint);
 			dispatcher.takeLoad({type: 'kept', ...list});
 		},
-		onCount(instances) {
-			dispatcher.instances = instances;
+		onView(view) {
+			dispatcher.view = view;
 		},
 	});
 }
 
-function followFeeds(store: GatewayStore, {beliefs, peers, logger}: {beliefs: Beliefs; peers: Peers; logger: PartLogger}): AsyncDisposable {
-	const followers = [
-		FeedFollower.start({
-			feed: store.routing, logger, waitMilliseconds: routingWaitMilliseconds, pauseMilliseconds: () => 0,
-			onItems(tables) {
-				for (const table of tables) {
-					beliefs.offerTable(table, 'store');
-				}
-			},
-		}),
-		FeedFollower.start({
-			feed: store.endpoints, logger, waitMilliseconds: 0, pauseMilliseconds: pause => endpointPause(peers.count, pause),
-			onItems(changes, isWhole) {
-				if (isWhole) {
-					beliefs.offerAllEndpoints(changes, 'store', performance.now());
-				} else {
-					beliefs.offerEndpoints(changes, 'store', performance.now());
-				}
-			},
-		}),
-		FeedFollower.start({
-			feed: store.instances, logger, waitMilliseconds: 0, pauseMilliseconds: ({readings}) => readings < firstInstanceReadings ? firstInstancePauseMilliseconds : instancePauseMilliseconds,
-			onItems(announcements) {
-				for (const {instance, record} of announcements) {
-					if (record === undefined) {
-						peers.forget(instance);
-					} else {
-						peers.know([record]);
-					}
-				}
-			},
-		}),
-	];
+type FeedParts = {readonly beliefs: Beliefs; readonly peers: Peers; readonly metrics: Metrics; readonly drainMilliseconds: number; readonly logger: PartLogger};
+
+function followFeeds(store: GatewayStore, {beliefs, peers, metrics, drainMilliseconds, logger}: FeedParts): AsyncDisposable {
+	const others = (): number => peers.view.instances - 1;
+	const eras = metrics.counter('gateway_store_eras_total', 'How often a feed was read anew since the store came back from a copy.', ['feed']);
+	const onEra = ({feed}: EraChange): void => {
+		eras.add(1, {feed});
+	};
+
+	const offerTables = (tables: readonly RoutingTableInput[]): void => {
+		for (const table of tables) {
+			beliefs.offerTable(table, 'store');
+		}
+	};
+
+	const takeInstances = (announcements: readonly InstanceAnnouncement[], isWhole: boolean): void => {
+		for (const {instance, record} of announcements) {
+			if (record === undefined) {
+				peers.forget(instance);
+			} else {
+				peers.know([record], isWhole);
+			}
+		}
+	};
+
+	const routing = FeedFollower.start({
+		feed: store.routing, logger, others, waitMilliseconds: () => routingWait(others()), pauseMilliseconds: () => 0, onEra,
+		onChanges: offerTables,
+		onWhole(tables) {
+			offerTables(tables);
+			return 0;
+		},
+	});
+	const endpoints = FeedFollower.start({
+		feed: store.endpoints, logger, others, waitMilliseconds: () => 0, pauseMilliseconds: pause => endpointPause({others: others(), drainMilliseconds}, pause), onEra,
+		onChanges(changes) {
+			beliefs.offerEndpoints(changes, 'store', performance.now());
+		},
+		onWhole: (changes, era) => beliefs.offerAllEndpoints(changes, era, performance.now()),
+	});
+	const instances = FeedFollower.start({
+		feed: store.instances, logger, others, waitMilliseconds: () => 0, pauseMilliseconds: instancePause, onEra,
+		onChanges(announcements) {
+			takeInstances(announcements, false);
+		},
+		// Nobody is forgotten because the store doesn't name it: it may have come back from a copy, and who is gone answers no dial.
+		onWhole(announcements) {
+			takeInstances(announcements, true);
+			return 0;
+		},
+	});
+	beliefs.onChange(change => {
+		if (change.type === 'era') {
+			endpoints.look();
+		}
+	});
 	return {
 		async [Symbol.asyncDispose]() {
-			await Promise.all(followers.map(async follower => follower[Symbol.asyncDispose]()));
+			await Promise.all([routing, endpoints, instances].map(async follower => follower[Symbol.asyncDispose]()));
 		},
 	};
 }
--- a/src/bin/settings/gateway-settings.ts
+++ b/src/bin/settings/gateway-settings.ts
@@ -24,6 +24,8 @@
 	retryRatio: z.number().nonnegative().default(0.1),
 	retrySlack: z.number().nonnegative().default(10),
 	retryWindowSeconds: z.number().positive().default(10),
+	/** An endpoint that says it leaves goes on serving for so long. */
+	drainMilliseconds: z.number().positive().default(2000),
 	/** From the signal to the end of a planned stop, in seconds. */
 	stopSeconds: z.number().positive().default(8),
 	logLevel: z.enum(logLevels).default('info'),
--- a/src/gateway/attempt-follower.ts
+++ b/src/gateway/attempt-follower.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Verdict} from '../model/index.js';
 import {type Attempt, type AttemptEvent} from './attempt.js';
-import {type Decision} from './dispatcher.js';
+import {type Decision} from './decision.js';
 import {EventSplitter} from './event-splitter.js';
 import {type AnswerFacts, type RawHeaders, type RequestCodec} from './types.js';
 
--- a/src/gateway/beliefs.ts
+++ b/src/gateway/beliefs.ts
@@ -1,4 +1,4 @@
-import {EndpointDirectory, type EndpointChange, isYounger, RoutingTable, type RoutingTableInput} from '../routing/index.js';
+import {EndpointDirectory, type EndpointChange, type EndpointEntry, isYounger, placeOf, RoutingTable, type RoutingTableInput} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 
 /** What the process newly believes; only news, never a repetition. */
@@ -6,17 +6,22 @@
 	= | {readonly type: 'table'; readonly input: RoutingTableInput}
 		| {readonly type: 'endpoints'; readonly changes: readonly EndpointChange[]}
 	/** Endpoints that have started again under their ids. */
-		| {readonly type: 'reborn'; readonly ids: readonly string[]};
+		| {readonly type: 'reborn'; readonly ids: readonly string[]}
+	/** The store has come back from a copy, and what it lacks is on trust. */
+		| {readonly type: 'era'; readonly era: number};
 
 /** Who told: the store or another instance. */
 export type BeliefSource = 'store' | `instance ${string}`;
 
+/** Endpoints that one line names at most. */
+const mostNamed = 20;
+
 type Listener = (change: BeliefChange, source: BeliefSource) => void;
 
 /**
  * The newest routing table and endpoints that anyone has told this process of. Failure: a slow reader
  * or a peer brings an older version after a newer one was used. Symptom: a key that was taken away
- * works again. Versions, offsets and revisions only move forward here, whoever tells.
+ * works again. Versions, eras, places in the store's log and revisions only move forward here, whoever tells.
  */
 export class Beliefs {
 	static create(logger: PartLogger): Beliefs {
@@ -50,11 +55,16 @@
 	}
 
 	offerTable(input: RoutingTableInput, source: BeliefSource): void {
-		if (this.#table !== undefined && input.version <= this.#table.version) {
+		const before = this.#table?.version;
+		if (before !== undefined && input.version < before) {
+			this.#logger.info('Older routing table passed over.', {version: input.version, inForce: before, source});
+			return;
+		}
+
+		if (before === input.version) {
 			return;
 		}
 
-		const before = this.#table?.version;
 		this.#table = RoutingTable.create(input);
 		this.#input = input;
 		this.#logger.info('Routing table in force.', {version: input.version, before, source, routes: input.routes.length, workspaces: this.#table.workspaceCount});
@@ -65,14 +75,20 @@
 		const before = this.#directory;
 		this.#directory = before.apply(changes, now);
 		this.#announce(before, changes, source);
+		this.#tellEra(before, source, now);
 	}
 
-	/** A whole reading of the store: what it no longer names has ended. */
-	offerAllEndpoints(changes: readonly EndpointChange[], source: BeliefSource, now: number): void {
+	/**
+	 * A whole reading of the store, made in an era: what it no longer names has ended, or is kept on trust where the store has come back from
+	 * a copy. Returns how many are.
+	 */
+	offerAllEndpoints(changes: readonly EndpointChange[], era: number, now: number): number {
 		const before = this.#directory;
 		const ids = new Set(changes.flatMap(change => change.type === 'registered' ? [change.record.id] : []));
-		this.#directory = before.apply(changes, now).retain(ids, now);
-		this.#announce(before, [...changes, ...missing(before, ids)], source);
+		this.#directory = before.apply(changes, now).retain(ids, era, now);
+		this.#announce(before, [...changes, ...ended(before, this.#directory)], 'store');
+		this.#tellEra(before, 'store', now);
+		return this.#directory.onTrust(now).length;
 	}
 
 	prune(now: number): void {
@@ -99,6 +115,17 @@
 		}
 	}
 
+	#tellEra(before: EndpointDirectory, source: BeliefSource, now: number): void {
+		const {era} = this.#directory;
+		if (era <= before.era) {
+			return;
+		}
+
+		const onTrust = this.#directory.onTrust(now).map(({record}) => record.id);
+		this.#logger.info('Endpoints of a newer era.', {era, before: before.era, source, onTrust: onTrust.length, endpoints: onTrust.slice(0, mostNamed)});
+		this.#tell({type: 'era', era}, source);
+	}
+
 	#isReborn(before: EndpointDirectory, id: string): boolean {
 		const held = before.entries.get(id);
 		const next = this.#directory.entries.get(id);
@@ -108,7 +135,7 @@
 	#isNews(before: EndpointDirectory, change: EndpointChange): boolean {
 		const held = before.entries.get(idOf(change));
 		const next = this.#directory.entries.get(idOf(change));
-		return next !== undefined && (held === undefined || (held.endedAt === undefined) !== (next.endedAt === undefined) || isYounger(next.record, held.record));
+		return next !== undefined && (held === undefined || (held.endedAt === undefined) !== (next.endedAt === undefined) || isYounger(next.record, held.record) || isNamedAgain(held, next));
 	}
 
 	#tell(change: BeliefChange, source: BeliefSource): void {
@@ -122,8 +149,14 @@
 	return change.type === 'registered' ? change.record.id : change.id;
 }
 
-function missing(directory: EndpointDirectory, ids: ReadonlySet<string>): EndpointChange[] {
-	return [...directory.entries.values()]
-		.filter(({record, endedAt}) => endedAt === undefined && !ids.has(record.id))
-		.map(({record, offset}) => ({type: 'removed', offset, id: record.id}));
+/** Those that a whole reading has ended. */
+function ended(before: EndpointDirectory, after: EndpointDirectory): EndpointChange[] {
+	return [...after.entries.values()]
+		.filter(({record, endedAt}) => endedAt !== undefined && before.entries.get(record.id)?.endedAt === undefined)
+		.map(({record, registrations}) => ({type: 'removed', ...placeOf(registrations), id: record.id}));
+}
+
+/** True if it is registered in a newer era than before. */
+function isNamedAgain(held: EndpointEntry, next: EndpointEntry): boolean {
+	return placeOf(next.registrations).era > placeOf(held.registrations).era;
 }
--- a/src/gateway/decision-log.ts
+++ b/src/gateway/decision-log.ts
@@ -1,6 +1,6 @@
 import {type Counter, type Latency, type Metrics, type PartLogger} from '../telemetry/index.js';
 import {type ExchangeOptions} from './exchange.js';
-import {type Decision} from './dispatcher.js';
+import {type Decision} from './decision.js';
 
 /** How an exchange ended. */
 export type Finish = {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -5,7 +5,8 @@
 import {Attempt, type AttemptEvent} from './attempt.js';
 import {AttemptFollower, type Outcome} from './attempt-follower.js';
 import {type Caller} from './caller.js';
-import {type Decision, type Dispatcher} from './dispatcher.js';
+import {type Decision} from './decision.js';
+import {type Dispatcher} from './dispatcher.js';
 import {type DecisionLog} from './decision-log.js';
 import {type ChannelBook} from './channel-book.js';
 import {demandOf, ticketOf} from './ticket.js';
@@ -268,10 +269,10 @@
 
 		if (follower.suspectAt !== undefined && now >= follower.suspectAt) {
 			follower.suspectAt = undefined;
-			this.#options.dispatcher.report(follower.decision.record, 'unreachable');
+			this.#options.dispatcher.endpoints.report(follower.decision.record, 'unreachable');
 		}
 
-		if (now >= this.#moveAt(follower, sentAt) && this.#options.dispatcher.hasAnother(this.#demand.service, this.#excluded, follower.decision.record)) {
+		if (now >= this.#moveAt(follower, sentAt) && this.#options.dispatcher.endpoints.hasAnother(this.#demand.service, this.#excluded, follower.decision.record)) {
 			return {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'silent'};
 		}
 
@@ -400,12 +401,12 @@
 	#judge(record: EndpointRecord, outcome: Outcome, follower: AttemptFollower): void {
 		const {dispatcher} = this.#options;
 		if (outcome.type === 'done') {
-			dispatcher.report(record, 'answered');
+			dispatcher.endpoints.report(record, 'answered');
 			if (!follower.isStream && follower.decision.candidates > 0) {
 				dispatcher.book.learnWork(record.service, performance.now() - follower.startedAt);
 			}
 		} else if (outcome.type === 'failed') {
-			dispatcher.report(record, follower.status > 0 && outcome.verdict !== Verdict.mayHaveRun ? 'failed' : 'unreachable');
+			dispatcher.endpoints.report(record, follower.status > 0 && outcome.verdict !== Verdict.mayHaveRun ? 'failed' : 'unreachable');
 		}
 	}
 
@@ -423,7 +424,7 @@
 		const canContinue = !caller.hasAnswer || (route.kind === RouteKind.stream && route.resumable && this.#lastEventId !== undefined);
 		const now = performance.now();
 		const goesOn = mayRepeat && canContinue && !caller.hasLeft && this.#limitAt - now > leastMilliseconds
-			&& (outcome.isUnsent === true || dispatcher.retries.takeRetry(service, dispatcher.instances, now));
+			&& (outcome.isUnsent === true || dispatcher.retries.takeRetry(service, dispatcher.view.instances, now));
 		if (!goesOn) {
 			this.#finish(outcome);
 		}
--- a/src/gateway/feed-follower.ts
+++ b/src/gateway/feed-follower.ts
@@ -1,29 +1,38 @@
-import {type Body, sleep, spawn, wait} from '../concurrency/index.js';
+import {type Body, channel, receiveWithin, sleep, spawn, tryDeliver, tryReceive, wait} from '../concurrency/index.js';
+import {type LogPosition} from '../model/index.js';
+import {type ReadingPause, retryPause} from '../policy/sharing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
-import {type ReadingPause} from './reading-pause.js';
 import {type Feed, type FeedPage} from './types.js';
 
+/** Two eras of the store, as one feed has met them. */
+export type EraChange = {readonly feed: string; readonly before: LogPosition; readonly after: LogPosition};
+
 export type FeedFollowerOptions<Item> = {
 	readonly feed: Feed<Item>;
 	readonly logger: PartLogger;
+	/** Instances that read too and tell this one. */
+	readonly others: () => number;
 	/** How long one reading may wait for the first change; 0 reads what is there. */
-	readonly waitMilliseconds: number;
+	readonly waitMilliseconds: () => number;
 	/** From the end of one reading to the start of the next, after so many readings. */
 	readonly pauseMilliseconds: (pause: ReadingPause) => number;
-	/** Everything, when `isWhole`; else changes in their order. */
-	readonly onItems: (items: readonly Item[], isWhole: boolean) => void;
+	/** Changes in their order. */
+	readonly onChanges: (items: readonly Item[]) => void;
+	/** Everything that the store names, read in an era; returns how much of what it lacks is kept on trust. */
+	readonly onWhole: (items: readonly Item[], era: number) => number;
+	/** The store has come back from a copy, and everything was read anew. */
+	readonly onEra: (change: EraChange) => void;
 };
 
-/** After a failure: soon, since a lost reading costs little, then at a pace that a busy store bears. */
-const firstRetryMilliseconds = 100;
-const longestRetryMilliseconds = 1500;
-
-/** A longer pause is looked at again so often: the shortest pause among several instances. */
+/** A longer pause is looked at again so often, since others may come and go meanwhile. */
 const lookMilliseconds = 1400;
 
+/** All instances notice a new era within moments, and each reads everything anew: spread over so long. */
+const eraSpreadMilliseconds = 500;
+
 /**
  * Keeps up with one feed for as long as the process lives. Failures: history dropped under us, a store
- * that is down, slow, refuses this instance or answers from an older state. Each of them ends in a
+ * that is down, slow, refuses this instance, answers from an older state or comes back from a copy. Each of them ends in a
  * reading of the newest values, and what was believed before stands until then.
  */
 export class FeedFollower<Item> implements AsyncDisposable {
@@ -34,7 +43,11 @@
 	}
 
 	readonly #options: FeedFollowerOptions<Item>;
-	#next: number | undefined;
+	/** Where changes go on; undefined before everything was read. */
+	#next: LogPosition | undefined;
+	/** Where they went on before the store came back from a copy. */
+	#lost: LogPosition | undefined;
+	readonly #wake = channel<'look'>(1);
 	#failures = 0;
 	#readings = 0;
 	#isStopped = false;
@@ -42,6 +55,9 @@
 
 	private constructor(options: FeedFollowerOptions<Item>) {
 		this.#options = options;
+		options.feed.onEra(() => {
+			this.look();
+		});
 	}
 
 	/** Milliseconds since the store last answered. */
@@ -53,8 +69,14 @@
 		return this.#failures === 0 && this.#next !== undefined;
 	}
 
+	/** Ends the pause: there may be something to read. */
+	look(): void {
+		tryDeliver(this.#wake, 'look');
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#isStopped = true;
+		this.look();
 	}
 
 	* #run(): Body<void> {
@@ -69,26 +91,39 @@
 	}
 
 	* #readOnce(): Body<void> {
-		const {feed, waitMilliseconds} = this.#options;
+		const {feed, waitMilliseconds, logger} = this.#options;
 		if (this.#next === undefined) {
-			this.#take(yield * wait(feed.readNewest()), true);
-		} else {
-			const page = yield * wait(feed.readChanges(this.#next, waitMilliseconds));
-			if (page === undefined) {
-				this.#options.logger.warn('History is gone, reading the newest values.', {feed: feed.name, from: this.#next});
+			this.#takeWhole(yield * wait(feed.readNewest()));
+			yield * this.#pause();
+			return;
+		}
+
+		const reading = yield * wait(feed.readChanges(this.#next, waitMilliseconds()));
+		switch (reading.type) {
+			case 'page': {
+				this.#takeChanges(reading.page);
+				yield * this.#pause();
+				return;
+			}
+
+			case 'gone': {
+				logger.warn('History is gone, reading the newest values.', {feed: feed.name, era: this.#next.era, from: this.#next.offset});
 				this.#next = undefined;
 				return;
 			}
 
-			this.#take(page, false);
+			case 'new-era': {
+				this.#lost = this.#next;
+				this.#next = undefined;
+				this.#readings = 0;
+				yield * sleep(Math.random() * eraSpreadMilliseconds);
+			}
 		}
-
-		this.#readings += 1;
-		yield * this.#pause();
 	}
 
 	/** What the pause depends on may change while it lasts. */
 	* #pause(): Body<void> {
+		this.#readings += 1;
 		const {pauseMilliseconds} = this.#options;
 		const from = performance.now();
 		const pause = {readings: this.#readings, draw: Math.random()};
@@ -98,21 +133,46 @@
 				return;
 			}
 
-			yield * sleep(Math.min(left, lookMilliseconds));
+			const woken = yield * receiveWithin(this.#wake, Math.min(left, lookMilliseconds));
+			if (woken.type === 'value') {
+				return;
+			}
 		}
 	}
 
-	#take({items, next}: FeedPage<Item>, isWhole: boolean): void {
-		this.#lastReadAt = performance.now();
+	#takeChanges({items, next}: FeedPage<Item>): void {
+		this.#noteRead();
+		if (items.length > 0 && !this.#isStopped) {
+			this.#options.onChanges(items);
+		}
+
+		this.#next = next;
+	}
+
+	#takeWhole({items, next}: FeedPage<Item>): void {
+		this.#noteRead();
 		if (this.#isStopped) {
 			return;
 		}
 
-		if (items.length > 0 || isWhole) {
-			this.#options.onItems(items, isWhole);
+		const onTrust = this.#options.onWhole(items, next.era);
+		this.#next = next;
+		if (this.#lost !== undefined) {
+			this.#tellEra({feed: this.#options.feed.name, before: this.#lost, after: next}, onTrust);
+			this.#lost = undefined;
 		}
+	}
 
-		this.#next = next;
+	#tellEra(change: EraChange, onTrust: number): void {
+		const {feed, before, after} = change;
+		this.#options.logger.warn('The store came back from a copy.', {feed, eraBefore: before.era, era: after.era, offsetBefore: before.offset, offset: after.offset, onTrust});
+		this.#options.onEra(change);
+	}
+
+	/** What the reading brings answers whatever asked for a look before it. */
+	#noteRead(): void {
+		this.#lastReadAt = performance.now();
+		tryReceive(this.#wake);
 	}
 
 	#regained(): void {
@@ -126,9 +186,9 @@
 	* #failed(error: unknown): Body<void> {
 		this.#failures += 1;
 		if (this.#failures === 1) {
-			this.#options.logger.warn('Store lost.', {feed: this.#options.feed.name, reason: String(error), offset: this.#next});
+			this.#options.logger.warn('Store lost.', {feed: this.#options.feed.name, reason: String(error), era: this.#next?.era, offset: this.#next?.offset});
 		}
 
-		yield * sleep(Math.min(longestRetryMilliseconds, firstRetryMilliseconds * (2 ** (this.#failures - 1))));
+		yield * sleep(retryPause({failures: this.#failures, others: this.#options.others(), hasRead: this.#next !== undefined}, Math.random()));
 	}
 }
--- a/src/gateway/kept-reader.ts
+++ b/src/gateway/kept-reader.ts
@@ -23,7 +23,7 @@
 const firstDelayMilliseconds = 40;
 /** Whoever is next reads if it was not told by then: a reading and a message between zones take a third of that. */
 const turnMilliseconds = 150;
-/** The turns that are given; with more instances the last ones share one. */
+/** So many instances are given a turn: where all of them fail, the engine answers nobody. */
 const mostTurns = 8;
 
 /**
@@ -78,9 +78,13 @@
 	#takeTurn(endpoint: string, address: string): void {
 		const {instance, instances} = this.#options;
 		const turn = rankByRendezvous(endpoint, new Set([instance, ...instances()])).indexOf(instance);
+		if (turn >= mostTurns) {
+			return;
+		}
+
 		this.#timers.set(endpoint, setTimeout(() => {
 			void this.#read(endpoint, address);
-		}, Math.min(turn, mostTurns) * turnMilliseconds));
+		}, turn * turnMilliseconds));
 	}
 
 	async #read(endpoint: string, address: string): Promise<void> {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,16 +1,18 @@
 import {type Body, receive, sleep, spawn, wait} from '../concurrency/index.js';
+import {type ZoneName} from '../model/index.js';
 import {decodeLoad, encodeLoad, flattenParts, type LoadEvent, tellingInterval, unflattenParts} from '../policy/dispatch/index.js';
-import {type EndpointChange} from '../routing/index.js';
+import {type FleetView} from '../policy/sharing/index.js';
+import {type EndpointChange, placeOf} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion, type Security} from '../wire/index.js';
 import {type BeliefChange, type Beliefs} from './beliefs.js';
 import {type KeptParts} from './kept-reader.js';
-
-/** Another instance, as it announced itself. */
-export type PeerRecord = {readonly instance: string; readonly address: string};
+import {type PeerRecord, PeerRoster} from './peer-roster.js';
+import {TablePull} from './table-pull.js';
 
 export type PeersOptions = {
 	readonly instance: string;
+	readonly zone: ZoneName;
 	/** New at each start of the process. */
 	readonly incarnation: string;
 	readonly host: string;
@@ -23,34 +25,21 @@
 	readonly onLoad: (event: LoadEvent) => void;
 	/** A peer read what an endpoint holds of prompts. */
 	readonly onKept: (kept: KeptParts) => void;
-	/** Live instances, this one included. */
-	readonly onCount: (instances: number) => void;
+	/** How much of the fleet this instance hears of has changed. */
+	readonly onView: (view: FleetView) => void;
 };
 
-/** How often missing peers are dialled, and heartbeats are looked at. */
-const redialMilliseconds = 1000;
+/** How often missing neighbours are dialled, and heartbeats are looked at. */
+const lookMilliseconds = 1000;
 /**
  * Failure: an instance loses power, and no packet says so. Symptom: what it had placed counts on, so that
  * endpoints look full. Three heartbeats without a word are a loss; what it placed is then forgotten.
  */
 const peerTimes = {heartbeatMilliseconds: 900, silenceMilliseconds: 2800};
-/** A peer that does not answer is dialled ever more rarely, up to this. */
-const longestRedialMilliseconds = 30_000;
-/**
- * Peers that one instance keeps in touch with. Load is told to each, so cost grows with their number;
- * 32 covers the deployments known, and above it each one talks to its successors in the ring of names.
- */
-const largestPeers = 32;
-
-/**
- * Failure: each instance sends each new table to each other one. Symptom: ten changes in four seconds are
- * 25 x 15 kB each, both ways, which fills the link of a small instance; connections to endpoints then
- * take over 350 ms, and all of them look unreachable. Only the version is told. Who lacks it for longer
- * than the store needs asks one of those that have it: at once where it has no table at all.
- */
-const pullMilliseconds = {withoutTable: 100, behind: 400, spread: 200};
+/** A link that was made while few names were known is kept for so long, in which the others become known. */
+const leastLinkMilliseconds = 10_000;
 
-type Link = {readonly connection: Connection; readonly instance: string; readonly incarnation: string; routingVersion: number};
+type Link = {readonly connection: Connection; readonly instance: string; readonly incarnation: string; readonly isDialled: boolean; readonly since: number; routingVersion: number};
 
 /**
  * The other gateways. Failures: the store refuses this instance or is down while the operator
@@ -68,21 +57,34 @@
 				void spawn('peer', () => peers.#serve(connection));
 			},
 		});
-		void spawn('dial peers', () => peers.#dialMissing());
+		void spawn('dial peers', () => peers.#keepLinks());
 		return peers;
 	}
 
 	readonly #options: PeersOptions;
-	readonly #known = new Map<string, PeerRecord>();
+	readonly #roster: PeerRoster;
 	readonly #links = new Map<string, Link>();
-	readonly #tries = new Map<string, {at: number; pause: number}>();
+	readonly #pull: TablePull;
+	readonly #seeds: readonly string[];
 	#listener: Listener | undefined;
 	#unsent: LoadEvent[] = [];
-	#pull: NodeJS.Timeout | undefined;
 	#isClosed = false;
 
 	private constructor(options: PeersOptions) {
 		this.#options = options;
+		this.#roster = PeerRoster.create({name: options.instance, zone: options.zone});
+		this.#seeds = options.seeds.filter(seed => seed !== `${options.host}:${options.port}`);
+		this.#pull = TablePull.create({
+			ownVersion: () => options.beliefs.table?.version,
+			holders: () => [...this.#links.values()].map(({instance, routingVersion, connection}) => ({
+				instance,
+				version: routingVersion,
+				ask() {
+					connection.send({type: 'routing-wanted'});
+				},
+			})),
+			logger: options.logger,
+		});
 		options.beliefs.onChange(change => {
 			const message = messageOf(change);
 			if (message !== undefined) {
@@ -97,28 +99,32 @@
 
 	/** The other instances that announced themselves. */
 	get names(): readonly string[] {
-		return [...this.#known.keys()];
+		return this.#roster.names;
 	}
 
-	/** Tells all what an endpoint holds of prompts. */
+	/** In a mesh the links tell how many are live; an instance without links knows of nobody who would tell it anything. */
+	get view(): FleetView {
+		const links = this.#links.size;
+		return {links, instances: (links === 0 || this.#roster.isMesh ? links : Math.max(links, this.#roster.reachable)) + 1};
+	}
+
+	/** Tells all neighbours what an endpoint holds of prompts. */
 	tellKept({endpoint, parts}: KeptParts): void {
 		this.#broadcast({type: 'kept', endpoint, parts: flattenParts(parts)});
 	}
 
-	/** Takes announcements; the newest of an instance counts. */
-	know(records: readonly PeerRecord[]): void {
-		for (const record of records) {
-			if (record.instance !== this.#options.instance) {
-				this.#known.set(record.instance, record);
-			}
-		}
+	/** Takes announcements; the newest of an instance counts. A whole reading names those that stood before it. */
+	know(records: readonly PeerRecord[], isWhole: boolean): void {
+		this.#roster.know(records, isWhole);
+		this.#options.onView(this.view);
 	}
 
 	forget(instance: string): void {
-		this.#known.delete(instance);
+		this.#roster.forget(instance);
+		this.#options.onView(this.view);
 	}
 
-	/** Tells the others, together with what else happens within a few milliseconds. */
+	/** Tells the neighbours, together with what else happens within a few milliseconds. */
 	tellLoad(event: LoadEvent): void {
 		if (this.#links.size === 0) {
 			return;
@@ -137,7 +143,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#isClosed = true;
-		clearTimeout(this.#pull);
+		this.#pull[Symbol.dispose]();
 		await this.#listener?.[Symbol.asyncDispose]();
 		await Promise.all([...this.#links.values()].map(async ({connection}) => connection[Symbol.asyncDispose]()));
 	}
@@ -153,40 +159,31 @@
 		}
 	}
 
-	* #dialMissing(): Body<void> {
+	* #keepLinks(): Body<void> {
 		while (!this.#isClosed) {
-			for (const address of this.#missing()) {
+			for (const address of this.#roster.due(new Set(this.#links.keys()), this.#seeds, performance.now())) {
 				void spawn('dial peer', () => this.#dial(address));
 			}
 
-			for (const {connection} of this.#links.values()) {
-				if (connection.takeHeartbeat(this.#links.size)) {
-					connection.send({type: 'heartbeat', catalogueOffset: 0});
-				}
+			for (const link of this.#links.values()) {
+				this.#keepLink(link);
 			}
 
-			yield * sleep(redialMilliseconds);
+			yield * sleep(lookMilliseconds);
 		}
 	}
 
-	/** Of each pair the one with the smaller name dials; seeds only while nobody else is known. */
-	#missing(): string[] {
-		const now = performance.now();
-		const names = [...this.#known.keys(), this.#options.instance].toSorted();
-		const own = names.indexOf(this.#options.instance);
-		const successors = [...names.slice(own + 1), ...names.slice(0, own)].slice(0, largestPeers);
-		const isSmall = names.length <= largestPeers;
-		const wanted = successors.filter(name => !this.#links.has(name) && (!isSmall || name > this.#options.instance)).map(name => this.#known.get(name)!.address);
-		const addresses = this.#links.size === 0 ? [...wanted, ...this.#options.seeds.filter(seed => seed !== `${this.#options.host}:${this.#options.port}`)] : wanted;
-		return [...new Set(addresses)].filter(address => {
-			const tried = this.#tries.get(address);
-			return tried === undefined || now - tried.at >= tried.pause;
-		});
+	/** Whoever dialled a link that is no neighbour's any more ends it; else it says that it is there. */
+	#keepLink({connection, instance, isDialled, since}: Link): void {
+		if (isDialled && performance.now() - since > leastLinkMilliseconds && !this.#roster.neighbours.linked.has(instance)) {
+			connection.close('no neighbour any more');
+		} else if (connection.takeHeartbeat(this.#links.size)) {
+			connection.send({type: 'heartbeat', catalogueOffset: 0});
+		}
 	}
 
 	* #dial(address: string): Body<void> {
-		const pause = Math.min(longestRedialMilliseconds, (this.#tries.get(address)?.pause ?? redialMilliseconds / 2) * 2);
-		this.#tries.set(address, {at: performance.now(), pause});
+		const pause = this.#roster.tried(address, performance.now());
 		try {
 			const connection = yield * wait(dial(address, this.#options.security));
 			yield * this.#serve(connection, address);
@@ -201,18 +198,14 @@
 		let link: Link | undefined;
 		for (let turn = yield * receive(connection.incoming); turn !== undefined; turn = yield * receive(connection.incoming)) {
 			for (const message of turn) {
-				link = this.#take(message, connection, link);
+				link = this.#take(message, {connection, link, address});
 			}
 		}
 
-		if (address !== undefined && link !== undefined) {
-			this.#tries.delete(address);
-		}
-
 		this.#drop(link);
 	}
 
-	#take(message: Message, connection: Connection, link: Link | undefined): Link | undefined {
+	#take(message: Message, {connection, link, address}: {connection: Connection; link: Link | undefined; address: string | undefined}): Link | undefined {
 		if (message.type === 'heartbeat') {
 			return link;
 		}
@@ -223,7 +216,7 @@
 		}
 
 		if (message.type === 'gateway-hello') {
-			return this.#greet(message, connection);
+			return this.#greet(message, connection, address);
 		}
 
 		if (link === undefined) {
@@ -235,31 +228,68 @@
 		return link;
 	}
 
-	#greet(hello: Extract<GatewayMessage, {type: 'gateway-hello'}>, connection: Connection): Link | undefined {
+	#greet(hello: Extract<GatewayMessage, {type: 'gateway-hello'}>, connection: Connection, address: string | undefined): Link | undefined {
 		const held = this.#links.get(hello.instance);
-		if (hello.protocol !== protocolVersion || hello.instance === this.#options.instance || held?.incarnation === hello.incarnation) {
-			connection.close('not a peer of this protocol version, or one that is connected already');
+		const isDialled = address !== undefined;
+		if (isDialled) {
+			this.#roster.reached(address);
+		}
+
+		if (hello.protocol !== protocolVersion || hello.instance === this.#options.instance) {
+			connection.close('not a peer of this protocol version');
+			return undefined;
+		}
+
+		if (held?.incarnation === hello.incarnation && !this.#isBetter(held, isDialled)) {
+			connection.close('connected already');
 			return undefined;
 		}
 
-		held?.connection.close('the peer has started anew');
-		const link = {connection, instance: hello.instance, incarnation: hello.incarnation, routingVersion: -Infinity};
+		if (held !== undefined) {
+			this.#replace(held, hello.incarnation);
+		}
+
+		const link = {connection, instance: hello.instance, incarnation: hello.incarnation, isDialled, since: performance.now(), routingVersion: held?.incarnation === hello.incarnation ? held.routingVersion : -Infinity};
 		this.#links.set(hello.instance, link);
-		this.#options.onCount(this.#links.size + 1);
+		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
 		this.#sendBeliefs(connection);
 		return link;
 	}
 
+	/**
+	 * Failure: a peer is killed and back before its silence shows. Symptom: what its earlier incarnation had placed counts on, and endpoints
+	 * look full.
+	 */
+	#replace(held: Link, incarnation: string): void {
+		if (held.incarnation === incarnation) {
+			held.connection.close('another connection took its place');
+			return;
+		}
+
+		held.connection.close('the peer has started anew');
+		this.#options.onLoad({type: 'owner-lost', owner: held.incarnation});
+	}
+
+	/**
+	 * Failure: two instances dial each other at one moment, and each ends the other's connection. Symptom: they stay unlinked. Both keep the
+	 * one that the smaller name dialled; of two by the same the newer one, since nobody dials who has a link.
+	 */
+	#isBetter(held: Link, isDialled: boolean): boolean {
+		return held.isDialled === isDialled || isDialled === (this.#options.instance < held.instance);
+	}
+
 	#sendBeliefs(connection: Connection): void {
 		const {tableInput, directory} = this.#options.beliefs;
 		if (tableInput !== undefined) {
 			connection.send({type: 'routing-version', version: tableInput.version});
 		}
 
-		const changes = [...directory.entries.values()].map(({record, offset, endedAt}): EndpointChange => endedAt === undefined || record.isLeaving
-			? {type: 'registered', offset, record}
-			: {type: 'removed', offset, id: record.id});
+		// Who is used on trust alone is not passed on: word of it would be trusted anew, from one instance to the next.
+		const told = [...directory.entries.values()].filter(({trustedUntil}) => trustedUntil === undefined);
+		const changes = told.map(({record, registrations, endedAt}): EndpointChange => endedAt === undefined || record.isLeaving
+			? {type: 'registered', ...placeOf(registrations), record}
+			: {type: 'removed', ...placeOf(registrations), id: record.id});
 		connection.send({type: 'endpoints', changes});
 	}
 
@@ -268,7 +298,7 @@
 		switch (message.type) {
 			case 'routing-version': {
 				link.routingVersion = message.version;
-				this.#pullLater();
+				this.#pull.heard();
 				return;
 			}
 
@@ -297,40 +327,20 @@
 			}
 
 			case 'load': {
-				const events = decodeLoad(message.rows, incarnation);
-				if (events === undefined) {
-					connection.close('a peer sent load that can\'t be read');
-				}
-
-				for (const event of events ?? []) {
-					this.#options.onLoad(event);
-				}
+				this.#hearLoad(message.rows, connection, incarnation);
 			}
 		}
 	}
 
-	/** Asks for a newer table if the store has not brought it by then, and again as long as it is not here. */
-	#pullLater(): void {
-		if (this.#pull !== undefined || this.#newer().length === 0) {
-			return;
+	#hearLoad(rows: ReadonlyArray<readonly unknown[]>, connection: Connection, incarnation: string): void {
+		const events = decodeLoad(rows, incarnation);
+		if (events === undefined) {
+			connection.close('a peer sent load that can\'t be read');
 		}
 
-		const least = this.#options.beliefs.table === undefined ? pullMilliseconds.withoutTable : pullMilliseconds.behind;
-		this.#pull = setTimeout(() => {
-			this.#pull = undefined;
-			const newer = this.#newer();
-			const asked = newer[Math.floor(Math.random() * newer.length)];
-			if (asked !== undefined) {
-				this.#options.logger.info('Asking a peer for its routing table.', {peer: asked.instance, version: asked.routingVersion, before: this.#options.beliefs.table?.version});
-				asked.connection.send({type: 'routing-wanted'});
-				this.#pullLater();
-			}
-		}, least + (Math.random() * pullMilliseconds.spread));
-	}
-
-	#newer(): Link[] {
-		const version = this.#options.beliefs.table?.version ?? -Infinity;
-		return [...this.#links.values()].filter(({routingVersion}) => routingVersion > version);
+		for (const event of events ?? []) {
+			this.#options.onLoad(event);
+		}
 	}
 
 	#drop(link: Link | undefined): void {
@@ -339,7 +349,7 @@
 		}
 
 		this.#links.delete(link.instance);
-		this.#options.onCount(this.#links.size + 1);
+		this.#options.onView(this.view);
 		this.#options.onLoad({type: 'owner-lost', owner: link.incarnation});
 		this.#options.logger.warn('Peer lost.', {peer: link.instance, reason: link.connection.closeReason, peers: this.#links.size});
 	}
@@ -355,7 +365,8 @@
 			return {type: 'endpoints', changes: [...change.changes]};
 		}
 
-		case 'reborn': {
+		case 'reborn':
+		case 'era': {
 			// Each instance sees it in the endpoints' records.
 			return undefined;
 		}
--- a/src/gateway/ticket.ts
+++ b/src/gateway/ticket.ts
@@ -1,6 +1,6 @@
 import {type Demand, tokensOf} from '../policy/dispatch/index.js';
 import {type Route, type RoutingTable, type UrgencyPair, type Workspace} from '../routing/index.js';
-import {type Ticket} from './dispatcher.js';
+import {type Ticket} from './decision.js';
 import {type RequestFacts} from './types.js';
 
 /** What decides a request's place among others. */
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,4 +1,5 @@
 import {type IncomingHttpHeaders} from 'node:http';
+import {type LogPosition} from '../model/index.js';
 import {type PromptPart} from '../policy/dispatch/index.js';
 import {type Route, type Workspace} from '../routing/index.js';
 
@@ -67,13 +68,23 @@
 };
 
 /** A page of a feed: what is new, and where to go on. */
-export type FeedPage<Item> = {readonly items: readonly Item[]; readonly next: number};
+export type FeedPage<Item> = {readonly items: readonly Item[]; readonly next: LogPosition};
+
+/** What a reading of changes has found. */
+export type FeedReading<Item>
+	= | {readonly type: 'page'; readonly page: FeedPage<Item>}
+	/** That part of the history is not kept any more. */
+		| {readonly type: 'gone'}
+	/** The store has come back from a copy since the place that was asked for. */
+		| {readonly type: 'new-era'; readonly era: number};
 
 /** Part of the store that is read as newest values and then as changes. */
 export type Feed<Item> = {
 	readonly name: string;
-	/** Every key's newest value, and the offset from which changes go on. */
+	/** Every key's newest value, and the place from which changes go on. */
 	readNewest(): Promise<FeedPage<Item>>;
-	/** Changes from an offset on; waits for the first one. `undefined`: that part of the history is gone. */
-	readChanges(from: number, waitMilliseconds: number): Promise<FeedPage<Item> | undefined>;
+	/** Changes from a place on; waits for the first one. */
+	readChanges(from: LogPosition, waitMilliseconds: number): Promise<FeedReading<Item>>;
+	/** Calls at the first answer of any call that comes from a newer era. */
+	onEra(listener: (era: number) => void): void;
 };
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -4,3 +4,4 @@
 export * from './failure.js';
 export type * from './request.js';
 export * from './address.js';
+export * from './log-position.js';
--- a/src/policy/dispatch/demand.ts
+++ b/src/policy/dispatch/demand.ts
@@ -1,4 +1,5 @@
 import {type ZoneName} from '../../model/index.js';
+import {type FleetView} from '../sharing/index.js';
 import {type PromptPart} from './part-memory.js';
 import {type Tuning} from './tuning.js';
 
@@ -65,7 +66,9 @@
 export type Circumstances = {
 	readonly zone: ZoneName;
 	readonly now: number;
-	/** Until this instance hears what another one has sent somewhere. */
+	/** How much of the fleet this instance hears of. */
+	readonly view: FleetView;
+	/** Until this instance hears what a neighbour has sent somewhere. */
 	readonly reactionMilliseconds: number;
 	/** At which pace engines pass kept prompts to each other; absent where they don't. */
 	readonly fetchTokensPerMillisecond?: number | undefined;
--- a/src/policy/dispatch/index.ts
+++ b/src/policy/dispatch/index.ts
@@ -9,6 +9,7 @@
 export * from './retry-share.js';
 export * from './waiting-line.js';
 export * from './speed.js';
+export * from './forecast.js';
 export * from './load-rows.js';
 export * from './peer-lines.js';
 export * from './line-looks.js';
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -8,7 +8,8 @@
  * pauses fill endpoints in one order that every instance computes alike, so that they share few
  * endpoints, and others keep away from those for as long as they run there.
  */
-import {hash32} from '../hashing/index.js';
+import {hash32, mixHashes} from '../hashing/index.js';
+import {seenShare} from '../sharing/index.js';
 import {type Candidate, type Choice, type Circumstances, type Demand} from './demand.js';
 import {type Judged, judgeEngine, type Overview, usableSlots} from './engine-cost.js';
 import {homeCost, homesOf} from './homes.js';
@@ -27,6 +28,9 @@
 const readingWeight = 5;
 const busyReadingWeight = 45;
 
+/** Makes the draw of a request's place among engines of tight streams differ from other draws from the same hash. */
+const shiftSalt = 0x5E_ED_51;
+
 type Option = {readonly id: string; readonly cost: number; readonly judged: Judged};
 
 /**
@@ -74,10 +78,13 @@
 	}
 
 	const count = candidates.length;
-	const takenByTight = Math.ceil(tightRuns / (slots / count * circumstances.tuning.tightFill));
+	const seen = seenShare(circumstances.view);
+	const takenByTight = Math.ceil(tightRuns / seen / (slots / count * circumstances.tuning.tightFill));
 	let holders: readonly Holder[] | undefined;
 	return {
-		loads,
+		loads: seen === 1 ? loads : withUnseen(loads, {takenByTight, tightRuns: tightRuns / seen}),
+		seen,
+		shift: seen === 1 ? 0 : mixHashes(parts.at(-1)?.id ?? 0, shiftSalt),
 		readingWeight: readingWeight + (busyReadingWeight * (Math.min(1, reading / count) ** 2)),
 		takenByTight: takenByTight >= count ? 0 : takenByTight,
 		holders() {
@@ -87,6 +94,14 @@
 	};
 }
 
+/**
+ * Failure: an instance hears of a part of the fleet's tight streams only, and takes an engine that is left to them for empty. Symptom: it
+ * sends long prompts there. Each of those engines is taken to run its equal part of all that there are.
+ */
+function withUnseen(loads: readonly EndpointLoad[], {takenByTight, tightRuns}: {takenByTight: number; tightRuns: number}): EndpointLoad[] {
+	return loads.map((load, place) => place < takenByTight ? {...load, tightRuns: Math.max(load.tightRuns, tightRuns / takenByTight)} : load);
+}
+
 function judgeService(book: LoadBook, demand: Demand, candidate: Candidate, {running}: EndpointLoad): Judged {
 	const work = book.workMilliseconds(demand.service);
 	const expected = work * Math.max(1, (running + 1) / candidate.slots);
--- /dev/null
+++ b/src/policy/sharing/reading-pace.ts
@@ -0,0 +1,78 @@
+/**
+ * Load pattern: each instance that asks the store by itself makes calls in proportion to their number, which are
+ * priced and limited, though any one of them learns what all want to know. Those that are linked read at different
+ * moments and tell each other: the more there are, the less often each one reads, so that someone reads about as often as one
+ * instance alone would, and everyone hears of it within a few messages.
+ */
+
+/** A pause between two readings: how many readings there were before it, and a draw from 0 to 1 that stays the same while it lasts. */
+export type ReadingPause = {readonly readings: number; readonly draw: number};
+
+/** What decides how often the endpoints are read. */
+export type EndpointReading = {
+	/** Instances that read too and tell, this one not included. */
+	readonly others: number;
+	/** An endpoint that leaves goes on serving for so long. */
+	readonly drainMilliseconds: number;
+};
+
+/** Parts of the time that a leaving endpoint goes on serving: its leaving has to be known well within it. */
+const pauseShares = {alone: 0.45, amongOthers: 0.7, eachOther: 0.175, most: 3};
+/** The store keeps its history for twenty seconds: who reads more rarely has to read everything each time. */
+const longestPauseMilliseconds = 12_000;
+/** From so many others on. */
+const othersThatTell = 2;
+/**
+ * Failure: instances that started together read in the same moments. Symptom: an endpoint's leaving is unknown to all of them for up to a
+ * whole pause, and it gets requests after it has stopped serving. The first pauses are any part of a whole one, so that each goes
+ * on at its own moments; later ones differ by a fifth, so that no two keep step for long.
+ */
+const leastPart = {first: 0, later: 0.8};
+/** With so many the first pauses last until the others are known, and one or two whole ones longer. */
+const firstReadings = 6;
+
+/** How long an instance waits until it reads the endpoints again, in milliseconds. */
+export function endpointPause(reading: EndpointReading, {readings, draw}: ReadingPause): number {
+	const least = readings <= firstReadings ? leastPart.first : leastPart.later;
+	return wholePause(reading) * (least + ((1 - least) * draw));
+}
+
+function wholePause({others, drainMilliseconds}: EndpointReading): number {
+	return others < othersThatTell
+		? pauseShares.alone * drainMilliseconds
+		: Math.min(longestPauseMilliseconds, drainMilliseconds * Math.min(pauseShares.most, Math.max(pauseShares.amongOthers, others * pauseShares.eachOther)));
+}
+
+/**
+ * How long a reading of the routing table may wait for a change, which ends it at once. Failure: the store goes silent
+ * under the readings of all instances while a change is accepted. Symptom: callers get 404 for its routes until the
+ * first wait is over, since no peer knows better. Waits that end at different moments find the silence within
+ * `each`, however many instances there are.
+ */
+const routingWaits = {least: 2500, each: 900, most: 20_000};
+
+/** The wait of one among so many instances that tell each other, in milliseconds. */
+export function routingWait(others: number): number {
+	return Math.min(routingWaits.most, Math.max(routingWaits.least, others * routingWaits.each));
+}
+
+/** Instances that start together have announced themselves within the first readings; later they come and go rarely. */
+const instancePauses = {first: 600, factor: 4, longest: 20_000};
+
+/** How long until the announcements of instances are read again, in milliseconds. */
+export function instancePause({readings}: ReadingPause): number {
+	return Math.min(instancePauses.longest, instancePauses.first * (instancePauses.factor ** (readings - 1)));
+}
+
+/**
+ * Failure: the store refuses some instances for seconds, and each of their readings is tried again and again. Symptom: refused calls count and
+ * cost like others. Whoever has others that tell it what they read can wait; whoever has read nothing yet can't.
+ */
+const retryPauses = {first: 100, longestAlone: 1500, longestAmongOthers: 6000};
+
+/** How long until a reading that failed so many times in a row is tried again, in milliseconds, for a draw from 0 to 1. */
+export function retryPause({failures, others, hasRead}: {readonly failures: number; readonly others: number; readonly hasRead: boolean}, draw: number): number {
+	const longest = hasRead && others >= othersThatTell ? retryPauses.longestAmongOthers : retryPauses.longestAlone;
+	const pause = Math.min(longest, retryPauses.first * (2 ** (failures - 1)));
+	return pause <= retryPauses.longestAlone ? pause : pause * ((1 + draw) / 2);
+}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,5 +1,6 @@
 /** What the operator published and which endpoints registered: values without I/O. */
 export * from './routing-table.js';
 export * from './endpoint-directory.js';
+export * from './registrations.js';
 export * from './schemas.js';
 export * from './urgency-ranks.js';
--- a/src/routing/schemas.ts
+++ b/src/routing/schemas.ts
@@ -56,7 +56,13 @@
 	bornAt: z.number().optional(),
 });
 
+/**
+ * An instance that knows of no eras, or a store that tells none, means the first. While a fleet is replaced, old instances read offsets alone,
+ * and their word counts as of the first era: it takes nothing away that a later one has named.
+ */
+const era = z.number().int().nonnegative().default(0);
+
 export const endpointChangeSchema: z.ZodType<EndpointChange> = z.discriminatedUnion('type', [
-	z.object({type: z.literal('registered'), offset: z.number(), record: endpointRecordSchema}),
-	z.object({type: z.literal('removed'), offset: z.number(), id: name}),
+	z.object({type: z.literal('registered'), era, offset: z.number(), record: endpointRecordSchema}),
+	z.object({type: z.literal('removed'), era, offset: z.number(), id: name}),
 ]);
--- a/src/wire/frames.ts
+++ b/src/wire/frames.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Encoder} from 'cbor-x';
-import {messageSchema, type Message} from './messages.js';
+import {messageSchema, type Message, type MessageOf} from './messages.js';
 
 /** The largest payload of one frame, in bytes; a longer one closes the connection. */
 export const maximumFrameBytes = 8 * 1024 * 1024;
@@ -96,6 +96,15 @@
 	return length;
 }
 
+/**
+ * Load is nine of ten messages between gateways, and whoever takes it checks each row by hand. Failure: the schema goes through the same
+ * rows before. Symptom: a small instance among many spends a twentieth of its time there.
+ */
+function isLoad(value: unknown): value is MessageOf<'load'> {
+	const {type, rows} = (value ?? {}) as Partial<MessageOf<'load'>>;
+	return type === 'load' && Array.isArray(rows);
+}
+
 function decodePayload(payload: Uint8Array): Message {
 	let value: unknown;
 	try {
@@ -104,6 +113,10 @@
 		throw FrameError.create('malformed', String(error));
 	}
 
+	if (isLoad(value)) {
+		return value;
+	}
+
 	const parsed = messageSchema.safeParse(value);
 	if (!parsed.success) {
 		throw FrameError.create('unknown-message', parsed.error.issues[0]?.message ?? 'no detail');
--- a/test/adapter/adapter.test.ts
+++ b/test/adapter/adapter.test.ts
@@ -16,6 +16,8 @@
 import {desiredState} from '../../fakes/platform-state.js';
 import {hash32} from '../../src/policy/hashing/index.js';
 
+const quiet = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
+
 const route: Route = {
 	name: 'r', host: 'a.example', pathPrefix: '/x/', kind: RouteKind.stream, resumable: false, shares: [{service: 's', weight: 1}], timeoutMilliseconds: 1000,
 	targetMilliseconds: 100, urgency: 1, largestAttempts: 2, isPublic: false, longestPauseMilliseconds: 200,
@@ -96,12 +98,12 @@
 
 tap.test('records of workers and instances are decoded, or refused with what is wrong', async t => {
 	const value = JSON.stringify({service: 's', address: '1.2.3.4:5', zone: 'z', slots: 6, state: 'draining', seq: 4, more: 1});
-	t.match(decodeServer({key: 'i', value, offset: 9}), {type: 'registered', offset: 9, record: {id: 'i', isLeaving: true, revision: 4, slots: 6}});
-	t.same(decodeServer({key: 'i', value: undefined, offset: 9}), {type: 'removed', offset: 9, id: 'i'});
-	t.throws(() => decodeServer({key: 'i', value: '{}', offset: 9}), /service/v);
+	t.match(decodeServer({key: 'i', value, era: 0, offset: 9}), {type: 'registered', offset: 9, record: {id: 'i', isLeaving: true, revision: 4, slots: 6}});
+	t.same(decodeServer({key: 'i', value: undefined, era: 0, offset: 9}), {type: 'removed', era: 0, offset: 9, id: 'i'});
+	t.throws(() => decodeServer({key: 'i', value: '{}', era: 0, offset: 9}), /service/v);
 	const record = {instance: 'a', address: '1.2.3.4:5'};
-	t.same(decodeInstance({key: 'a', value: encodeInstance(record), offset: 1}), {instance: 'a', record});
-	t.same(decodeInstance({key: 'a', value: undefined, offset: 1}), {instance: 'a', record: undefined});
+	t.same(decodeInstance({key: 'a', value: encodeInstance(record), era: 0, offset: 1}), {instance: 'a', record});
+	t.same(decodeInstance({key: 'a', value: undefined, era: 0, offset: 1}), {instance: 'a', record: undefined});
 });
 
 tap.test('records pass the store\'s framing unchanged, and cut ones are refused', async t => {
@@ -110,17 +112,17 @@
 		const head = Buffer.alloc(16);
 		head.writeBigUInt64BE(BigInt(from + records.length));
 		const body = Buffer.concat([head, ...records.map(([key, value]) => encodeRecord(key, value))]);
-		const decoded = decodeRecords(body, from);
+		const decoded = decodeRecords(body, {era: 2, offset: from});
 		return decoded.end === from + records.length
-			&& decoded.records.every((record, index) => record.key === records[index]![0] && record.value === records[index]![1] && record.offset === from + index);
+			&& decoded.records.every((record, index) => record.key === records[index]![0] && record.value === records[index]![1] && record.offset === from + index && record.era === 2);
 	}), {seed: 4, numRuns: 200});
 	const whole = Buffer.concat([Buffer.alloc(16), encodeRecord('k', 'value')]);
-	t.throws(() => decodeRecords(whole.subarray(0, -1), 0), /cut off/v);
+	t.throws(() => decodeRecords(whole.subarray(0, -1), {era: 0, offset: 0}), /cut off/v);
 });
 
 tap.test('the store\'s failures are told apart', async t => {
 	await using store = await FakePlatformStore.create();
-	await using client = StoreClient.create(store.address);
+	await using client = StoreClient.create(store.address, quiet);
 	const failure = async (asked = client): Promise<string> => {
 		try {
 			await asked.readNewest('keyed.op');
@@ -137,13 +139,13 @@
 	t.equal(await failure(), 'lost');
 	store.fault = () => 'silent';
 	t.equal(await failure(), 'lost', 'a silent connection shows by our own time limit');
-	await using nobody = StoreClient.create('127.0.0.1:1');
+	await using nobody = StoreClient.create('127.0.0.1:1', quiet);
 	t.equal(await failure(nobody), 'unreachable');
 });
 
 tap.test('a lost answer may have written, and writing again changes nothing', async t => {
 	await using store = await FakePlatformStore.create();
-	await using client = StoreClient.create(store.address);
+	await using client = StoreClient.create(store.address, quiet);
 	store.fault = () => 'lose-answer';
 	await t.rejects(client.put('keyed.mine', 'a', '{"address": "1"}'));
 	store.fault = () => undefined;
@@ -155,16 +157,16 @@
 
 tap.test('changes follow the newest values; history that is gone shows as such', async t => {
 	await using store = await FakePlatformStore.create();
-	await using client = StoreClient.create(store.address);
+	await using client = StoreClient.create(store.address, quiet);
 	store.put('keyed.servers', 'a', {service: 's', address: '1.2.3.4:5', zone: 'z', slots: 1, state: 'ready', seq: 1});
 	const newest = await client.readNewest('keyed.servers');
 	t.equal(newest.records.length, 1);
 	const waiting = client.readChanges('keyed.servers', newest.next, 5000);
 	store.put('keyed.servers', 'b', {service: 's', address: '1.2.3.4:6', zone: 'z', slots: 1, state: 'ready', seq: 1});
-	t.match(await waiting, {records: [{key: 'b', offset: 1}], next: 2});
+	t.match(await waiting, {type: 'page', page: {records: [{key: 'b', era: 1, offset: 1}], next: {era: 1, offset: 2}}});
 	store.forget('keyed.servers');
-	t.equal(await client.readChanges('keyed.servers', 0, 0), undefined);
-	t.equal(await client.readChanges('keyed.servers', 50, 0), undefined, 'an end before what we have read: the history is another one');
+	t.same(await client.readChanges('keyed.servers', {era: 1, offset: 0}, 0), {type: 'gone'});
+	t.same(await client.readChanges('keyed.servers', {era: 1, offset: 50}, 0), {type: 'gone'}, 'an end before what we have read: the history is another one');
 });
 
 /** A logger that keeps its messages. */
@@ -179,7 +181,7 @@
 
 tap.test('a malformed record is logged and passed over, and the rest is taken', async t => {
 	await using store = await FakePlatformStore.create();
-	await using client = StoreClient.create(store.address);
+	await using client = StoreClient.create(store.address, quiet);
 	const {lines, logger} = recordLines();
 	store.put('keyed.servers', 'bad', {service: 5});
 	store.put('keyed.servers', 'good', {service: 's', address: '1.2.3.4:5', zone: 'z', slots: 1, state: 'ready', seq: 1});
@@ -199,14 +201,14 @@
 tap.test('records by other writers name no endpoint and lose no neighbour', async t => {
 	for (const field of Object.keys(wellFormed).filter(name => name !== 'born')) {
 		const {[field as keyof typeof wellFormed]: _, ...rest} = wellFormed;
-		t.throws(() => decodeServer({key: 'e', value: JSON.stringify(rest), offset: 1}), `without ${field}`);
+		t.throws(() => decodeServer({key: 'e', value: JSON.stringify(rest), era: 0, offset: 1}), `without ${field}`);
 	}
 
-	t.throws(() => decodeServer({key: 'e', value: JSON.stringify({...wellFormed, state: 'retired'}), offset: 1}));
-	t.throws(() => decodeServer({key: 'e', value: JSON.stringify({...wellFormed, born: 'yesterday'}), offset: 1}));
-	t.match(decodeServer({key: 'e', value: JSON.stringify(wellFormed), offset: 1}), {type: 'registered', record: {bornAt: 1000}});
+	t.throws(() => decodeServer({key: 'e', value: JSON.stringify({...wellFormed, state: 'retired'}), era: 0, offset: 1}));
+	t.throws(() => decodeServer({key: 'e', value: JSON.stringify({...wellFormed, born: 'yesterday'}), era: 0, offset: 1}));
+	t.match(decodeServer({key: 'e', value: JSON.stringify(wellFormed), era: 0, offset: 1}), {type: 'registered', record: {bornAt: 1000}});
 	await using store = await FakePlatformStore.create();
-	await using client = StoreClient.create(store.address);
+	await using client = StoreClient.create(store.address, quiet);
 	const {lines, logger} = recordLines();
 	const value = fc.oneof(fc.jsonValue(), fc.record({service: fc.anything(), address: fc.anything(), state: fc.anything()}).map(record => JSON.stringify(record)));
 	for (const [index, strange] of fc.sample(value, {seed: 8, numRuns: 150}).entries()) {
@@ -219,8 +221,9 @@
 	const feeds = [endpointFeed(client, logger), routingFeed(client, logger), instanceFeed(client, logger)] as const;
 	for (const feed of feeds) {
 		const whole = await feed.readNewest();
-		const changes = await feed.readChanges(0, 0);
-		t.ok(whole.next > 100 && changes?.next === whole.next, `${feed.name} was read to its end`);
+		const changes = await feed.readChanges({era: 1, offset: 0}, 0);
+		t.ok(whole.next.offset > 100, `${feed.name} was read to its end`);
+		t.match(changes, {type: 'page', page: {next: whole.next}});
 	}
 
 	const {items} = await feeds[0].readNewest();
--- a/test/gateway/dispatcher.test.ts
+++ b/test/gateway/dispatcher.test.ts
@@ -17,7 +17,7 @@
 		version: 1, routes: [], services: [{name: 'models', largestConnections: 10, engine: {slots: 4, memoryTokens: 100_000, tokensPerEvent: 1}}],
 		limits: {headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1},
 	}, 'store');
-	beliefs.offerEndpoints(endpoints.map((one, offset) => ({type: 'registered', offset, record: one})), 'store', performance.now());
+	beliefs.offerEndpoints(endpoints.map((one, offset) => ({type: 'registered', era: 0, offset, record: one})), 'store', performance.now());
 	return Dispatcher.create({
 		incarnation: 'a' as InstanceId, zone, beliefs, logger: quiet, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, random: () => 0.5, tuning: defaultTuning, onLoad: () => undefined,
 	});
@@ -50,8 +50,8 @@
 		dispatcher.takeLoad({type: 'placed', run: {id: `b/${number}`, owner: 'b', endpoint: 'sick', service: 'models', unreadTokens: 9000, isTight: false, parts: []}});
 	}
 
-	dispatcher.report(sick, 'unreachable');
-	dispatcher.report(sick, 'unreachable');
+	dispatcher.endpoints.report(sick, 'unreachable');
+	dispatcher.endpoints.report(sick, 'unreachable');
 	await new Promise(resolve => {
 		setTimeout(resolve, 800);
 	});
@@ -62,8 +62,8 @@
 tap.test('an endpoint on trial gets one request that may be repeated, and no second before its outcome', async t => {
 	const [sick, well] = [record('sick'), record('well')];
 	using dispatcher = createDispatcher([sick, well]);
-	dispatcher.report(sick, 'unreachable');
-	dispatcher.report(sick, 'unreachable');
+	dispatcher.endpoints.report(sick, 'unreachable');
+	dispatcher.endpoints.report(sick, 'unreachable');
 	const before = submit(dispatcher, 'early');
 	t.match(before, [{type: 'placed', record: {id: 'well'}}], 'suspended');
 	await new Promise(resolve => {
@@ -79,7 +79,7 @@
 tap.test('a leaving endpoint is no resort while the service has others', async t => {
 	const beliefs = Beliefs.create(quiet);
 	using dispatcher = createDispatcher([record('stays'), record('leaves')], beliefs);
-	beliefs.offerEndpoints([{type: 'registered', offset: 5, record: {...record('leaves'), isLeaving: true, revision: 2}}], 'store', performance.now());
+	beliefs.offerEndpoints([{type: 'registered', era: 0, offset: 5, record: {...record('leaves'), isLeaving: true, revision: 2}}], 'store', performance.now());
 	t.match(submit(dispatcher, 'again', new Set(['stays'])), [{type: 'refused', reason: 'no-endpoint'}]);
 	t.match(submit(dispatcher, 'first'), [{type: 'placed', record: {id: 'stays'}}]);
 });
@@ -89,7 +89,7 @@
 tap.test('endpoints that were removed all at once are a last resort', async t => {
 	const beliefs = Beliefs.create(quiet);
 	using dispatcher = createDispatcher([record('one'), record('two')], beliefs);
-	beliefs.offerEndpoints([{type: 'removed', offset: 5, id: 'one'}, {type: 'removed', offset: 6, id: 'two'}], 'store', performance.now());
+	beliefs.offerEndpoints([{type: 'removed', era: 0, offset: 5, id: 'one'}, {type: 'removed', era: 0, offset: 6, id: 'two'}], 'store', performance.now());
 	t.match(submit(dispatcher, 'r'), [{type: 'placed'}]);
 });
 
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import tap from 'tap';
+import {type ZoneName} from '../../src/model/index.js';
 import {Beliefs, Peers} from '../../src/gateway/index.js';
 import {type RoutingTableInput} from '../../src/routing/index.js';
 import {dial, protocolVersion} from '../../src/wire/index.js';
@@ -13,12 +14,12 @@
 	const events: LoadEvent[] = [];
 	const beliefs = Beliefs.create(quiet);
 	const peers = await Peers.create({
-		instance, incarnation: `${instance}-first`, host: '127.0.0.1', port, security: {type: 'plaintext'}, seeds, beliefs, logger: quiet,
+		instance, zone: 'zone-a' as ZoneName, incarnation: `${instance}-first`, host: '127.0.0.1', port, security: {type: 'plaintext'}, seeds, beliefs, logger: quiet,
 		onKept: () => undefined,
 		onLoad(event) {
 			events.push(event);
 		},
-		onCount: () => undefined,
+		onView: () => undefined,
 	});
 	return {peers, events, beliefs};
 }
--- a/test/gateway/told-waiting.test.ts
+++ b/test/gateway/told-waiting.test.ts
@@ -40,14 +40,14 @@
 		limits: {headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1},
 	}, 'store');
 	const records = ['holder', 'other'].map(id => ({id, service: 'models', address: '127.0.0.1:1', zone, isLeaving: false, slots: 4, revision: 1}));
-	beliefs.offerEndpoints(records.map((record, offset) => ({type: 'registered', offset, record})), 'store', performance.now());
+	beliefs.offerEndpoints(records.map((record, offset) => ({type: 'registered', era: 0, offset, record})), 'store', performance.now());
 	const dispatcher = Dispatcher.create({
 		incarnation: 'a' as InstanceId, zone, beliefs, logger: quiet, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, random: () => 0, tuning: defaultTuning,
 		onLoad(event) {
 			told.push(event);
 		},
 	});
-	dispatcher.instances = 2;
+	dispatcher.view = {links: 1, instances: 2};
 	return dispatcher;
 }
 
--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -150,7 +150,7 @@
 
 		this.#beliefs = Array.from({length: options.instances}, () => Beliefs.create(quiet));
 		this.dispatchers = this.#beliefs.map((beliefs, number) => {
-			beliefs.offerEndpoints(records.map((record, offset) => ({type: 'registered', offset, record})), 'store', performance.now());
+			beliefs.offerEndpoints(records.map((record, offset) => ({type: 'registered', era: 0, offset, record})), 'store', performance.now());
 			const dispatcher = Dispatcher.create({
 				incarnation: `i${number}` as InstanceId, zone, beliefs, logger: quiet, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000},
 				random: () => this.#random.uniform(), tuning: defaultTuning,
@@ -158,7 +158,7 @@
 					this.#tell(number, event);
 				},
 			});
-			dispatcher.instances = options.instances;
+			dispatcher.view = {links: options.instances - 1, instances: options.instances};
 			this.#chargeLooks(dispatcher);
 			return dispatcher;
 		});
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -10,6 +10,7 @@
 
 const zone = 'zone-a' as ZoneName;
 const reactionMilliseconds = 20;
+const view = {links: 3, instances: 4};
 
 function candidates(count: number, slots = 16): Candidate[] {
 	return inOrder(Array.from({length: count}, (_, index) => ({id: `endpoint-${index}`, zone, slots, isEngine: true})));
@@ -32,7 +33,7 @@
 
 let runs = 0;
 function place(book: LoadBook, wanted: Demand, all: readonly Candidate[], now: number): string | undefined {
-	const choice = choosePlace(book, wanted, all, {zone, now, reactionMilliseconds, tuning: defaultTuning});
+	const choice = choosePlace(book, wanted, all, {zone, now, reactionMilliseconds, view, tuning: defaultTuning});
 	if (choice.type !== 'place') {
 		return undefined;
 	}
@@ -109,7 +110,7 @@
 	const small = demand({parts: [{id: 7, tokens: 10}], targetMilliseconds: 100});
 	const endpoints = [0, 1, 2, 3].map(() => place(book, small, all, 0));
 	t.equal(new Set(endpoints).size, 2);
-	t.equal(choosePlace(book, small, all, {zone, now: 0, reactionMilliseconds, tuning: defaultTuning}).type, 'wait');
+	t.equal(choosePlace(book, small, all, {zone, now: 0, reactionMilliseconds, view, tuning: defaultTuning}).type, 'wait');
 });
 
 tap.test('what another instance placed counts until it ends, or until that instance is lost', async t => {
@@ -188,8 +189,8 @@
 
 	book.step({type: 'placed', run: {id: 'behind', owner: 'b', endpoint: holder, service: 'models', unreadTokens: 20_000, isTight: false, parts: []}}, 4000);
 	const wanted = demand({parts: prompt(1, 1), waitedMilliseconds: 400, elapsedMilliseconds: 400, targetMilliseconds: 1200});
-	t.match(choosePlace(book, wanted, all, {zone, now: 4000, reactionMilliseconds, tuning: defaultTuning}), {type: 'wait', endpoint: holder});
-	t.match(choosePlace(book, {...wanted, waitedMilliseconds: 900, elapsedMilliseconds: 900}, all, {zone, now: 20_000, reactionMilliseconds, tuning: defaultTuning}), {type: 'place'}, 'after a rest nobody waits so long');
+	t.match(choosePlace(book, wanted, all, {zone, now: 4000, reactionMilliseconds, view, tuning: defaultTuning}), {type: 'wait', endpoint: holder});
+	t.match(choosePlace(book, {...wanted, waitedMilliseconds: 900, elapsedMilliseconds: 900}, all, {zone, now: 20_000, reactionMilliseconds, view, tuning: defaultTuning}), {type: 'place'}, 'after a rest nobody waits so long');
 });
 
 tap.test('so many of several instances take one place together as it can read until they hear of each other', async t => {
@@ -367,7 +368,7 @@
 }
 
 const linkTokensPerMillisecond = 400;
-const withLinks = {zone, now: 1000, reactionMilliseconds, fetchTokensPerMillisecond: linkTokensPerMillisecond, tuning: defaultTuning};
+const withLinks = {zone, now: 1000, reactionMilliseconds, view, fetchTokensPerMillisecond: linkTokensPerMillisecond, tuning: defaultTuning};
 
 // The engine that holds a beginning is full. Its fellows read 6,300 tokens again, 70 ms in which all their streams
 // pause, though the engines' own links carry them in 20 ms.
@@ -485,7 +486,7 @@
 	const book = LoadBook.create();
 	const [engine] = candidates(1);
 	const draft = demand({isOutranked: true, parts: [{id: 1, tokens: 2000}]});
-	const wants = (asked: typeof draft, now: number): string => choosePlace(book, asked, [engine!], {zone, now, reactionMilliseconds, tuning: defaultTuning}).type;
+	const wants = (asked: typeof draft, now: number): string => choosePlace(book, asked, [engine!], {zone, now, reactionMilliseconds, view, tuning: defaultTuning}).type;
 	t.equal(wants(draft, 0), 'place', 'never used');
 	book.step({type: 'placed', run: {id: 'b/1', owner: 'b', endpoint: engine!.id, service: 'models', unreadTokens: 1000, isTight: false, parts: []}}, 0);
 	t.equal(wants(draft, 0), 'wait');
@@ -517,7 +518,7 @@
 // without rest. What may wait to be read beside a tight stream had one and a half reactions as its floor, 93 ms there, so that the next
 // prompt was always there before the last was read.
 tap.test('little waits to be read beside a tight stream, however late instances hear of each other', async t => {
-	const late = {zone, tuning: defaultTuning, reactionMilliseconds: 62};
+	const late = {zone, view, tuning: defaultTuning, reactionMilliseconds: 62};
 	const unread = (beside: boolean, tokens: number): string => {
 		const book = LoadBook.create();
 		const [engine] = candidates(1);
--- a/test/gateway/reading-pause.test.ts
+++ b/test/policy/reading-pace.test.ts
@@ -1,8 +1,9 @@
 import tap from 'tap';
 import {createRandom} from '../../bench/harness/random.js';
-import {endpointPause} from '../../src/gateway/index.js';
+import {endpointPause} from '../../src/policy/sharing/index.js';
 
 const seconds = 60;
+const drainMilliseconds = 2000;
 /** Instances find each other within about two seconds. */
 const meetMilliseconds = 2000;
 /** How often a pause is looked at again, since the number of peers may change. */
@@ -17,7 +18,7 @@
 		for (let count = 1; now < seconds * 1000; count++) {
 			moments.push(now);
 			const pause = {readings: count, draw: random.uniform()};
-			for (const from = now; now - from < endpointPause(now < meetMilliseconds ? 0 : instances - 1, pause);) {
+			for (const from = now; now - from < endpointPause({others: now < meetMilliseconds ? 0 : instances - 1, drainMilliseconds}, pause);) {
 				now += lookMilliseconds;
 			}
 		}
--- a/test/routing/routing.test.ts
+++ b/test/routing/routing.test.ts
@@ -2,7 +2,7 @@
 import tap from 'tap';
 import {type WorkspaceName, type ZoneName} from '../../src/model/index.js';
 import {
-	chooseService, type EndpointChange, EndpointDirectory, lastResortMilliseconds, type Route, RouteKind, RoutingTable, Standing, standingOf,
+	chooseService, type EndpointChange, EndpointDirectory, lastResortMilliseconds, placeOf, type Route, RouteKind, RoutingTable, Standing, standingOf,
 } from '../../src/routing/index.js';
 
 function route(more: Partial<Route> = {}): Route {
@@ -51,14 +51,14 @@
 });
 
 function registered(id: string, offset: number, more: {isLeaving?: boolean; revision?: number; bornAt?: number} = {}): EndpointChange {
-	return {type: 'registered', offset, record: {id, service: 's', address: '1.2.3.4:5', zone: 'z' as ZoneName, slots: 1, isLeaving: false, revision: 1, ...more}};
+	return {type: 'registered', era: 0, offset, record: {id, service: 's', address: '1.2.3.4:5', zone: 'z' as ZoneName, slots: 1, isLeaving: false, revision: 1, ...more}};
 }
 
 // Records of the store come late, twice and out of order, from the store and from other instances.
 // Whatever the order, an endpoint that said it leaves is never used again, and all orders that end
 // with the newest record agree.
 tap.test('no order of records brings a leaving endpoint back', async t => {
-	const changes = [registered('e', 1), registered('e', 2, {revision: 2}), registered('e', 3, {isLeaving: true, revision: 3}), registered('e', 4, {revision: 3}), {type: 'removed', offset: 5, id: 'e'} as const];
+	const changes = [registered('e', 1), registered('e', 2, {revision: 2}), registered('e', 3, {isLeaving: true, revision: 3}), registered('e', 4, {revision: 3}), {type: 'removed', era: 0, offset: 5, id: 'e'} as const];
 	fc.assert(fc.property(fc.shuffledSubarray(changes, {minLength: 1}), fc.array(fc.nat(4)), (order, repeats) => {
 		let directory = EndpointDirectory.create();
 		let hasLeft = false;
@@ -76,7 +76,7 @@
 });
 
 tap.test('an ended endpoint is a last resort for a moment, then gone', async t => {
-	const directory = EndpointDirectory.create().apply([registered('e', 1)], 0).retain(new Set(), 100);
+	const directory = EndpointDirectory.create().apply([registered('e', 1)], 0).retain(new Set(), 0, 100);
 	const entry = directory.entries.get('e')!;
 	t.equal(standingOf(entry, 100), Standing.lastResort);
 	t.equal(standingOf(entry, 100 + lastResortMilliseconds), Standing.gone);
@@ -90,11 +90,11 @@
 	const changes = [
 		registered('e', 1, {bornAt: 100, revision: 8}),
 		registered('e', 2, {bornAt: 100, revision: 9}),
-		{type: 'removed', offset: 3, id: 'e'} as const,
+		{type: 'removed', era: 0, offset: 3, id: 'e'} as const,
 		registered('e', 4, {bornAt: 200, revision: 1}),
 		registered('e', 5, {bornAt: 100, revision: 10, isLeaving: true}),
 		registered('e', 6, {bornAt: 200, revision: 2}),
-		{type: 'removed', offset: 7, id: 'e'} as const,
+		{type: 'removed', era: 0, offset: 7, id: 'e'} as const,
 		registered('e', 8, {bornAt: 300, revision: 1}),
 		registered('e', 9, {bornAt: 200, revision: 3}),
 	];
@@ -104,8 +104,8 @@
 			directory = directory.apply([change], 0);
 		}
 
-		const {record, offset, endedAt} = directory.entries.get('e')!;
-		return {bornAt: record.bornAt, revision: record.revision, offset, hasEnded: endedAt !== undefined};
+		const {record, registrations, endedAt} = directory.entries.get('e')!;
+		return {bornAt: record.bornAt, revision: record.revision, offset: placeOf(registrations).offset, hasEnded: endedAt !== undefined};
 	};
 
 	t.same(outcome(changes), {bornAt: 300, revision: 1, offset: 8, hasEnded: false});
@@ -125,7 +125,7 @@
 	t.ok(left.entries.get('e')?.endedAt !== undefined);
 	t.equal(left.apply([registered('e', 3, {bornAt: 200})], 0).entries.get('e')?.endedAt, undefined);
 	t.ok(left.apply([registered('e', 3)], 0).entries.get('e')?.endedAt !== undefined);
-	const whole = left.apply([registered('e', 3, {bornAt: 200})], 0).retain(new Set(['other']), 5);
+	const whole = left.apply([registered('e', 3, {bornAt: 200})], 0).retain(new Set(['other']), 0, 5);
 	t.ok(whole.entries.get('e')?.endedAt !== undefined, 'a whole reading that lacks it ends it');
 });
 
