--- a/tools/ensure-installed.mjs
+++ b/tools/ensure-installed.mjs
@@ -1,8 +1,4 @@
-/**
- * Installs the declared libraries if they are missing or older than the lock file. `npm ci` would
- * refuse the lock file, since cbor-extract's optional native builds can't be had from every registry;
- * `npm install --no-save` keeps to the same versions and goes on without them.
- */
+/** Installs the declared libraries, just as the lock file names them, if they are missing or older than it. */
 import {existsSync, statSync} from 'node:fs';
 import {spawnSync} from 'node:child_process';
 import process from 'node:process';
@@ -10,6 +6,6 @@
 const marker = 'node_modules/.package-lock.json';
 const current = existsSync(marker) && statSync(marker).mtimeMs >= statSync('package-lock.json').mtimeMs;
 if (!current) {
-	const result = spawnSync('npm', ['install', '--no-save', '--prefer-offline'], {stdio: 'inherit'});
+	const result = spawnSync('npm', ['ci', '--prefer-offline'], {stdio: 'inherit'});
 	process.exitCode = result.status ?? 1;
 }
