Await the first known crash by an event, not by a poll that it may pass

The listed test of copies of a poison request waited for exactly one known crash at all entries, polling. The number only grows.

Replaced by a promise that resolves in the turn in which the last entry hears of a first crash. As strict: the copies leave at that very moment, no later than any poll could have let them, and every check on them is as it was. The stories of this file's tests: a request kills each endpoint that runs it, is tried once more alone among suspects and then refused, also under changed ids; copies sent while the second attempt goes on wait at one side, one runs, and its crash refuses the others; an endpoint that dies by itself makes suspects of all that ran there, each of which goes on elsewhere and is cleared by its whole run.

--- a/test/path/quarantine.test.ts
+++ b/test/path/quarantine.test.ts
@@ -30,10 +30,16 @@
 	return fleet.endpoints.reduce((sum, {engine}) => sum + engine.crashes, 0);
 }
 
-// A request kills every endpoint that runs it. The entry tries it once more, alone among suspects, and
-// then refuses it. Its caller sends it again through other entries, with a changed id each time: it
-// takes down two endpoints in all, and each later sending is refused at once as quarantined. Requests
-// that ran beside it go on elsewhere, and are answered whole, also when sent again.
+/** Resolves in the turn in which the last entry hears of a first crash; a poll could come after the second one. */
+async function firstCrashKnown(fleet: LocalFleet): Promise<void> {
+	await Promise.all(fleet.entries.map(({quarantine}) => new Promise<void>(resolve => {
+		quarantine.listen(() => {
+			resolve();
+		});
+	})));
+}
+
+// Guards against a request that takes down one endpoint after the other, sent again with changed ids.
 tap.test('a poison request sent again through other entries takes down at most two endpoints', async t => {
 	await using fleet = await createFleet(4);
 	const innocents = Array.from({length: 12}, async (_, index) => call(fleet, index, `Innocent ${index} [[tokens=80]]`));
@@ -55,14 +61,12 @@
 	}
 });
 
-// A poison request has killed one endpoint, and the entries know. Its caller sends five copies through
-// all entries at the same instant, while the first one's second attempt goes on. All suspects wait at one
-// side, one runs, and its crash refuses the others. What had left before the first crash was known could
-// not be called back.
+// Guards against copies of a suspect that run at several endpoints at the same instant.
 tap.test('copies of a poison request that come once its first crash is known are not run side by side', async t => {
 	await using fleet = await createFleet(5);
+	const known = firstCrashKnown(fleet);
 	const first = call(fleet, 0, `${poison} first`);
-	await until(() => fleet.entries.every(({quarantine}) => quarantine.state.crashes.size === 1));
+	await known;
 	const copies = await Promise.all([1, 2, 3, 4, 5].map(async entry => call(fleet, entry, `${poison} first`)));
 	const firstResult = await first;
 	t.equal(firstResult.outcome, 'failed');
@@ -70,8 +74,7 @@
 	t.equal(crashes(fleet), 2);
 });
 
-// An endpoint dies by itself, with requests of many kinds running. All of them are suspects, none is at
-// fault: each goes on elsewhere to its end, which clears it, and the caller sees nothing but a pause.
+// Guards against innocent requests held to account for the end of their endpoint.
 tap.test('an endpoint that dies by itself leaves no request refused', async t => {
 	await using fleet = await createFleet(3);
 	const [crashing] = fleet.endpoints;
