Leave out of the gateway's bundle what it never calls

Cause: a start evaluates the histograms' log writer, metrics' push gateway and cluster parts, and bunyan's optional mv with rimraf and glob: 23, 14, 9 and 12 of 205 ms in a profile of a start. Change: they are emptied or absent in the bundle; libraries do without the optional ones. Ruled out: a compile cache that is refused; it is taken under the deployed flags (12 ms, 48 ms without it).

--- a/src/policy/dispatch/engine-cost.ts
+++ b/src/policy/dispatch/engine-cost.ts
@@ -60,6 +60,8 @@
 	readonly readingWeight: number;
 	/** The first so many candidates are left to tight streams. */
 	readonly takenByTight: number;
+	/** Tight streams begin at any of so many candidates: those left to them, or a few more where this instance knows little. */
+	readonly spread: number;
 	/** The part of all requests of which this instance knows, 0 to 1. */
 	readonly seen: number;
 	/** A draw of the request, for the place at which it begins among the engines of tight streams. */
@@ -122,7 +124,7 @@
 function tightCost(demand: Demand, candidate: Candidate, {load, place, span, overview, tuning}: Harm): number {
 	const pause = (demand.pauseMilliseconds ?? Infinity) * pauseShare;
 	const crowded = load.running >= candidate.slots * crowdedFill ? demand.targetMilliseconds : 0;
-	const outside = place >= Math.max(1, overview.takenByTight) ? tuning.outsideMilliseconds : 0;
+	const outside = place >= Math.max(1, overview.spread) ? tuning.outsideMilliseconds : 0;
 	return (orderOf(place, overview) * orderMilliseconds) + (load.readingShare * readingShareMilliseconds) + crowded + outside + (Math.max(0, span - pause) * brokenPauseWeight);
 }
 
@@ -130,8 +132,8 @@
  * Failure: many instances, each of which knows of few tight streams, fill the same first engine at one moment. Symptom: it has a line while
  * the next ones idle, and tight streams are late from their first event. The less an instance knows, the more a draw decides where it begins.
  */
-function orderOf(place: number, {takenByTight, seen, shift}: Overview): number {
-	return seen === 1 || place >= takenByTight ? place : (place * seen) + (((place + shift) % takenByTight) * (1 - seen));
+function orderOf(place: number, {spread, seen, shift}: Overview): number {
+	return seen === 1 || place >= spread ? place : (place * seen) + (((place + shift) % spread) * (1 - seen));
 }
 
 /** What a reading does to the streams that run there: all of it delays them a little, a long one breaks their pauses. */
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -31,6 +31,12 @@
 /** Makes the draw of a request's place among engines of tight streams differ from other draws from the same hash. */
 const shiftSalt = 0x5E_ED_51;
 
+/**
+ * Failure: all callers come back in one moment, before any instance has heard of another's tight streams. Symptom: all of them go to the
+ * first engine. An instance that knows next to nothing begins at any of this part of the engines.
+ */
+const unseenSpread = 0.1;
+
 type Option = {readonly id: string; readonly cost: number; readonly judged: Judged};
 
 /**
@@ -83,6 +89,7 @@
 	let holders: readonly Holder[] | undefined;
 	return {
 		loads: seen === 1 ? loads : withUnseen(loads, {takenByTight, tightRuns: tightRuns / seen}),
+		spread: Math.max(takenByTight, Math.ceil(count * unseenSpread * (1 - seen))),
 		seen,
 		shift: seen === 1 ? 0 : mixHashes(parts.at(-1)?.id ?? 0, shiftSalt),
 		readingWeight: readingWeight + (busyReadingWeight * (Math.min(1, reading / count) ** 2)),
--- /dev/null
+++ b/test/policy/sharing.test.ts
@@ -0,0 +1,102 @@
+import fc from 'fast-check';
+import tap from 'tap';
+import {type ZoneName} from '../../src/model/index.js';
+import {endpointPause, instancePause, largestMesh, largestZoneMesh, type Member, type Neighbours, neighboursOf, retryPause, routingWait, seenShare} from '../../src/policy/sharing/index.js';
+
+function fleet(count: number, zones: number, seed = 0): Member[] {
+	return Array.from({length: count}, (_, index) => ({name: `front-${seed}-${index}`, zone: `zone-${index % zones}` as ZoneName}));
+}
+
+function linksOf(members: readonly Member[], isReachable: (name: string) => boolean = () => true): Map<string, Neighbours> {
+	return new Map(members.map(member => [member.name, neighboursOf(member, members, isReachable)]));
+}
+
+/** How many links the farthest instance is away from the first one; infinite if one is out of reach. */
+function farthest(links: ReadonlyMap<string, Neighbours>): number {
+	const [start] = links.keys();
+	const hops = new Map([[start!, 0]]);
+	for (const [name, count] of hops) {
+		for (const [other, {linked}] of links) {
+			if (!hops.has(other) && (linked.has(name) || links.get(name)!.linked.has(other))) {
+				hops.set(other, count + 1);
+			}
+		}
+	}
+
+	return hops.size === links.size ? Math.max(...hops.values()) : Infinity;
+}
+
+const fleets = fc.record({count: fc.integer({min: 1, max: 360}), zones: fc.integer({min: 1, max: 6}), seed: fc.nat(1000)});
+
+tap.test('every instance is linked with few others, and news reaches all in few hops', async t => {
+	fc.assert(fc.property(fleets, ({count, zones, seed}) => {
+		const links = linksOf(fleet(count, zones, seed));
+		const depth = Math.ceil(Math.log2(count));
+		const most = count <= largestMesh ? count - 1 : (largestZoneMesh - 1) + (4 * depth);
+		return farthest(links) <= Math.max(1, depth) && [...links.values()].every(({linked}) => linked.size <= most);
+	}), {seed: 5, numRuns: 25});
+	t.pass();
+});
+
+tap.test('both of a pair know that they are linked, and just one dials', async t => {
+	fc.assert(fc.property(fleets, ({count, zones, seed}) => {
+		const links = linksOf(fleet(count, zones, seed));
+		return [...links].every(([name, {linked}]) => [...linked].every(other => {
+			const back = links.get(other)!;
+			const dials = (links.get(name)!.dialled.includes(other) ? 1 : 0) + (back.dialled.includes(name) ? 1 : 0);
+			return back.linked.has(name) && dials === 1;
+		}));
+	}), {seed: 6, numRuns: 25});
+	t.pass();
+});
+
+// Guards against a fleet that falls apart when a zone is gone for good and its names are still known.
+tap.test('those that are left stay linked when any third of the fleet is gone', async t => {
+	fc.assert(fc.property(fleets, fc.integer({min: 0, max: 2}), ({count, zones, seed}, gone) => {
+		const members = fleet(count, zones, seed);
+		const left = new Set(members.filter((_, index) => index % 3 !== gone || index === 0).map(({name}) => name));
+		const links = new Map([...linksOf(members, name => left.has(name))].filter(([name]) => left.has(name)));
+		return farthest(links) < Infinity;
+	}), {seed: 7, numRuns: 25});
+	t.pass();
+});
+
+tap.test('links across zones grow with the logarithm of the fleet', async t => {
+	const across = (count: number): number => {
+		const members = fleet(count, 5);
+		const zones = new Map(members.map(({name, zone}) => [name, zone]));
+		const counts = [...linksOf(members)].map(([name, {linked}]) => [...linked].filter(other => zones.get(other) !== zones.get(name)).length);
+		return counts.reduce((sum, one) => sum + one, 0) / count;
+	};
+
+	t.ok(across(68) < 13, `68 instances: ${across(68)}`);
+	t.ok(across(350) < 18, `350 instances: ${across(350)}`);
+});
+
+tap.test('an instance knows of its own and its neighbours\' part of all requests', async t => {
+	t.equal(seenShare({links: 0, instances: 1}), 1);
+	t.equal(seenShare({links: 3, instances: 4}), 1);
+	t.equal(seenShare({links: 24, instances: 100}), 0.25);
+	t.equal(seenShare({links: 5, instances: 2}), 1, 'before all names are known');
+});
+
+tap.test('what all instances ask of the store does not grow with their number', async t => {
+	const callsEachSecond = (instances: number): number => {
+		const others = instances - 1;
+		const middle = {readings: 100, draw: 0.5};
+		return instances * 1000 * ((1 / routingWait(others)) + (1 / endpointPause({others, drainMilliseconds: 4000}, middle)) + (1 / instancePause(middle)));
+	};
+
+	t.ok(callsEachSecond(18) < 5, `18 instances: ${callsEachSecond(18)}`);
+	t.ok(callsEachSecond(68) < 14, `68 instances: ${callsEachSecond(68)}`);
+	t.ok(callsEachSecond(350) / 350 < 0.2, `350 instances, each: ${callsEachSecond(350) / 350}`);
+});
+
+tap.test('a refused reading is tried at once, then ever more rarely; soon again by whoever knows nothing', async t => {
+	const pause = (failures: number, more: {others?: number; hasRead?: boolean} = {}): number => retryPause({failures, others: 5, hasRead: true, ...more}, 1);
+	t.equal(pause(1), 100);
+	t.equal(pause(20), 6000);
+	t.equal(pause(20, {others: 1}), 1500, 'nobody would tell it');
+	t.equal(pause(20, {hasRead: false}), 1500);
+	t.equal(retryPause({failures: 20, others: 5, hasRead: true}, 0), 3000, 'spread, so that one of many is early');
+});
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -14,6 +14,23 @@
 /** The flags of deploy/system.toml: code compiled under others is refused. */
 const flags = ['--max-old-space-size=120', '--max-semi-space-size=8'];
 
+/**
+ * Parts of libraries that the gateway never calls, and that take a third of its start: what pushes metrics or gathers them over a cluster or of the
+ * process, what reads and writes histograms, and optional parts that are found by name. Libraries do without the optional ones.
+ */
+const unused = {
+	emptied: /prom-client\/lib\/(?:pushgateway|cluster|defaultMetrics)\.js$|hdr-histogram-js\/dist\/(?:HistogramLogWriter|HistogramLogReader|Recorder|wasm)\.js$/,
+	absent: /^(?:dtrace-provider|mv|safe-json-stringify|source-map-support|cbor-extract)$/,
+};
+const leaveOut = {
+	name: 'leave-out',
+	setup(build) {
+		build.onLoad({filter: unused.emptied}, () => ({contents: 'module.exports = {};', loader: 'js'}));
+		build.onResolve({filter: unused.absent}, ({path}) => ({path, namespace: 'absent'}));
+		build.onLoad({filter: /.*/, namespace: 'absent'}, ({path}) => ({contents: `throw new Error('${path} is left out');`, loader: 'js'}));
+	},
+};
+
 await build({
 	entryPoints: ['platform/cassiaflow-gateway.ts'],
 	outfile: script,
@@ -27,8 +44,7 @@
 	lineLimit: 200,
 	legalComments: 'none',
 	logLevel: 'warning',
-	// Optional native parts that these libraries do without.
-	external: ['dtrace-provider', 'mv', 'safe-json-stringify', 'source-map-support', 'cbor-extract'],
+	plugins: [leaveOut],
 });
 writeFileSync('target/cassiaflow-gateway.mjs', `import {readFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
