Count up and spread tight streams where little is heard of them; say what stands between eras

Change: what is heard of at those engines is taken for its part of all, the engines left to tight streams are more where less is heard, and a draw decides where a stream begins.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -2,7 +2,7 @@
 import {Beliefs, ChannelBook, DecisionLog, Dispatcher, type EraChange, type Feed, FeedFollower, Gateway, KeptReader, type PeerRecord, Peers, ProcessorWatch, type RequestCodec} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type PromptPart, type RetryAllowance} from '../policy/dispatch/index.js';
-import {endpointPause, instancePause, routingWait} from '../policy/sharing/index.js';
+import {endpointPause, instancePause, recentReadingMilliseconds, routingWait} from '../policy/sharing/index.js';
 import {type EndpointChange, type RoutingTableInput} from '../routing/index.js';
 import {AdminServer, forPart, type Logger, Metrics, type PartLogger} from '../telemetry/index.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
@@ -87,8 +87,11 @@
 				peers.tellKept(list);
 			},
 		});
-		const peers = await openPeers(settings, {incarnation, beliefs, dispatcher, kept, logger});
+		/** Peers may come before the feeds are followed: nothing was read until then. */
+		const endpoints = {age: (_now: number): number => Infinity};
+		const peers = await openPeers(settings, {incarnation, beliefs, dispatcher, kept, logger, endpointsAge: now => endpoints.age(now)});
 		const feeds = followFeeds(store, {beliefs, peers, metrics, drainMilliseconds: settings.drainMilliseconds, logger: forPart(logger, 'Store')});
+		endpoints.age = now => feeds.endpoints.age(now);
 		const watch = ProcessorWatch.create(forPart(logger, 'Processor'), metrics, () => dispatcher.waiting);
 		const gateway = await Gateway.create({
 			...splitAddress(settings.callerAddress),
@@ -193,9 +196,9 @@
 	}
 }
 
-type PeerParts = {readonly incarnation: string; readonly beliefs: Beliefs; readonly dispatcher: Dispatcher; readonly kept: KeptReader; readonly logger: Logger};
+type PeerParts = {readonly incarnation: string; readonly beliefs: Beliefs; readonly dispatcher: Dispatcher; readonly kept: KeptReader; readonly logger: Logger; readonly endpointsAge: (now: number) => number};
 
-async function openPeers(settings: GatewaySettings, {incarnation, beliefs, dispatcher, kept, logger}: PeerParts): Promise<Peers> {
+async function openPeers(settings: GatewaySettings, {incarnation, beliefs, dispatcher, kept, logger, endpointsAge}: PeerParts): Promise<Peers> {
 	const {host, port} = splitAddress(settings.peerAddress);
 	return Peers.create({
 		instance: settings.instance,
@@ -214,15 +217,19 @@
 			kept.told(list.endpoint);
 			dispatcher.takeLoad({type: 'kept', ...list});
 		},
+		knowsEndpoints: () => endpointsAge(performance.now()) < recentReadingMilliseconds,
 		onView(view) {
 			dispatcher.view = view;
 		},
 	});
 }
 
+/** The followers of the store's feeds. */
+type Feeds = AsyncDisposable & {readonly endpoints: FeedFollower<EndpointChange>};
+
 type FeedParts = {readonly beliefs: Beliefs; readonly peers: Peers; readonly metrics: Metrics; readonly drainMilliseconds: number; readonly logger: PartLogger};
 
-function followFeeds(store: GatewayStore, {beliefs, peers, metrics, drainMilliseconds, logger}: FeedParts): AsyncDisposable {
+function followFeeds(store: GatewayStore, {beliefs, peers, metrics, drainMilliseconds, logger}: FeedParts): Feeds {
 	const others = (): number => peers.view.instances - 1;
 	const eras = metrics.counter('gateway_store_eras_total', 'How often a feed was read anew since the store came back from a copy.', ['feed']);
 	const onEra = ({feed}: EraChange): void => {
@@ -277,6 +284,7 @@
 		}
 	});
 	return {
+		endpoints,
 		async [Symbol.asyncDispose]() {
 			await Promise.all([routing, endpoints, instances].map(async follower => follower[Symbol.asyncDispose]()));
 		},
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -162,12 +162,17 @@
 	}
 
 	/** Where other instances are likely to want the same place, chance decides who takes it first. */
-	#mayTake({service, urgency, demand}: Ticket, unreadTokens: number, candidates: number): boolean {
+	#mayTake(ticket: Ticket, unreadTokens: number, candidates: number): boolean {
+		const {service, urgency, demand} = ticket;
 		const {links, instances} = this.view;
+		const now = performance.now();
 		const unheard = links === 0 ? 1 : (instances - 1) / links;
-		const contenders = this.book.lines.ahead(service, urgency, performance.now()) * unheard / candidates;
-		const readingMilliseconds = readMilliseconds(this.book.speed(service), unreadTokens);
-		const chance = chanceOfPlace({contenders, lookMilliseconds, readingMilliseconds, reactionMilliseconds: reactionMilliseconds(links)});
+		const chance = chanceOfPlace({
+			contenders: this.book.lines.ahead(service, urgency, now) * unheard / candidates,
+			lookMilliseconds,
+			readingMilliseconds: readMilliseconds(this.book.speed(service), unreadTokens),
+			reactionMilliseconds: reactionMilliseconds(links),
+		});
 		return demand.isTight || this.#options.random() < chance;
 	}
 
--- a/src/gateway/kept-reader.ts
+++ b/src/gateway/kept-reader.ts
@@ -24,7 +24,7 @@
 /** Whoever is next reads if it was not told by then: a reading and a message between zones take a third of that. */
 const turnMilliseconds = 150;
 /** So many instances are given a turn: where all of them fail, the engine answers nobody. */
-const mostTurns = 8;
+const mostTurns = 3;
 
 /**
  * Failure: all instances lose power, or one starts anew, and nobody there knows what engines keep. Symptom:
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,12 +1,13 @@
 import {type Body, receive, sleep, spawn, wait} from '../concurrency/index.js';
 import {type ZoneName} from '../model/index.js';
-import {decodeLoad, encodeLoad, flattenParts, type LoadEvent, tellingInterval, unflattenParts} from '../policy/dispatch/index.js';
+import {flattenParts, type LoadEvent, tellingInterval} from '../policy/dispatch/index.js';
 import {type FleetView} from '../policy/sharing/index.js';
-import {type EndpointChange, placeOf} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion, type Security} from '../wire/index.js';
-import {type BeliefChange, type Beliefs} from './beliefs.js';
+import {type Beliefs} from './beliefs.js';
 import {type KeptParts} from './kept-reader.js';
+import {LoadBatch} from './load-batch.js';
+import {greetingOf, hear, messageOf} from './peer-messages.js';
 import {type PeerRecord, PeerRoster} from './peer-roster.js';
 import {TablePull} from './table-pull.js';
 
@@ -25,6 +26,8 @@
 	readonly onLoad: (event: LoadEvent) => void;
 	/** A peer read what an endpoint holds of prompts. */
 	readonly onKept: (kept: KeptParts) => void;
+	/** Whether this instance has read the endpoints from the store lately. */
+	readonly knowsEndpoints: () => boolean;
 	/** How much of the fleet this instance hears of has changed. */
 	readonly onView: (view: FleetView) => void;
 };
@@ -65,9 +68,12 @@
 	readonly #roster: PeerRoster;
 	readonly #links = new Map<string, Link>();
 	readonly #pull: TablePull;
+	readonly #load = LoadBatch.create(() => tellingInterval(this.#links.size), rows => {
+		this.#broadcast({type: 'load', rows});
+	});
+
 	readonly #seeds: readonly string[];
 	#listener: Listener | undefined;
-	#unsent: LoadEvent[] = [];
 	#isClosed = false;
 
 	private constructor(options: PeersOptions) {
@@ -130,15 +136,7 @@
 			return;
 		}
 
-		if (this.#unsent.length === 0) {
-			setTimeout(() => {
-				const events = this.#unsent;
-				this.#unsent = [];
-				this.#broadcast({type: 'load', rows: encodeLoad(events)});
-			}, tellingInterval(this.#links.size));
-		}
-
-		this.#unsent.push(event);
+		this.#load.add(event);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -194,7 +192,7 @@
 
 	* #serve(connection: Connection, address?: string): Body<void> {
 		connection.setBusy(true, peerTimes);
-		connection.send({type: 'gateway-hello', protocol: protocolVersion, instance: this.#options.instance, incarnation: this.#options.incarnation});
+		connection.send({type: 'gateway-hello', protocol: protocolVersion, instance: this.#options.instance, incarnation: this.#options.incarnation, knowsEndpoints: this.#options.knowsEndpoints()});
 		let link: Link | undefined;
 		for (let turn = yield * receive(connection.incoming); turn !== undefined; turn = yield * receive(connection.incoming)) {
 			for (const message of turn) {
@@ -224,7 +222,15 @@
 			return undefined;
 		}
 
-		this.#hear(message, link);
+		const {beliefs, onLoad, onKept} = this.#options;
+		const {instance, incarnation} = link;
+		hear(message, {
+			beliefs, connection, instance, incarnation, onLoad, onKept,
+			onVersion: version => {
+				link.routingVersion = version;
+				this.#pull.heard();
+			},
+		});
 		return link;
 	}
 
@@ -253,7 +259,10 @@
 		this.#links.set(hello.instance, link);
 		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
-		this.#sendBeliefs(connection);
+		for (const message of greetingOf(this.#options.beliefs, {knowsEndpoints: hello.knowsEndpoints, now: performance.now()})) {
+			connection.send(message);
+		}
+
 		return link;
 	}
 
@@ -279,70 +288,6 @@
 		return held.isDialled === isDialled || isDialled === (this.#options.instance < held.instance);
 	}
 
-	#sendBeliefs(connection: Connection): void {
-		const {tableInput, directory} = this.#options.beliefs;
-		if (tableInput !== undefined) {
-			connection.send({type: 'routing-version', version: tableInput.version});
-		}
-
-		// Who is used on trust alone is not passed on: word of it would be trusted anew, from one instance to the next.
-		const told = [...directory.entries.values()].filter(({trustedUntil}) => trustedUntil === undefined);
-		const changes = told.map(({record, registrations, endedAt}): EndpointChange => endedAt === undefined || record.isLeaving
-			? {type: 'registered', ...placeOf(registrations), record}
-			: {type: 'removed', ...placeOf(registrations), id: record.id});
-		connection.send({type: 'endpoints', changes});
-	}
-
-	#hear(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, link: Link): void {
-		const {connection, instance, incarnation} = link;
-		switch (message.type) {
-			case 'routing-version': {
-				link.routingVersion = message.version;
-				this.#pull.heard();
-				return;
-			}
-
-			case 'routing-wanted': {
-				const {tableInput} = this.#options.beliefs;
-				if (tableInput !== undefined) {
-					connection.send({type: 'routing', table: tableInput});
-				}
-
-				return;
-			}
-
-			case 'routing': {
-				this.#options.beliefs.offerTable(message.table, `instance ${instance}`);
-				return;
-			}
-
-			case 'endpoints': {
-				this.#options.beliefs.offerEndpoints(message.changes, `instance ${instance}`, performance.now());
-				return;
-			}
-
-			case 'kept': {
-				this.#options.onKept({endpoint: message.endpoint, parts: unflattenParts(message.parts)});
-				return;
-			}
-
-			case 'load': {
-				this.#hearLoad(message.rows, connection, incarnation);
-			}
-		}
-	}
-
-	#hearLoad(rows: ReadonlyArray<readonly unknown[]>, connection: Connection, incarnation: string): void {
-		const events = decodeLoad(rows, incarnation);
-		if (events === undefined) {
-			connection.close('a peer sent load that can\'t be read');
-		}
-
-		for (const event of events ?? []) {
-			this.#options.onLoad(event);
-		}
-	}
-
 	#drop(link: Link | undefined): void {
 		if (link === undefined || this.#links.get(link.instance) !== link) {
 			return;
@@ -354,21 +299,3 @@
 		this.#options.logger.warn('Peer lost.', {peer: link.instance, reason: link.connection.closeReason, peers: this.#links.size});
 	}
 }
-
-function messageOf(change: BeliefChange): GatewayMessage | undefined {
-	switch (change.type) {
-		case 'table': {
-			return {type: 'routing-version', version: change.input.version};
-		}
-
-		case 'endpoints': {
-			return {type: 'endpoints', changes: [...change.changes]};
-		}
-
-		case 'reborn':
-		case 'era': {
-			// Each instance sees it in the endpoints' records.
-			return undefined;
-		}
-	}
-}
--- a/src/policy/dispatch/engine-cost.ts
+++ b/src/policy/dispatch/engine-cost.ts
@@ -133,7 +133,7 @@
  * the next ones idle, and tight streams are late from their first event. The less an instance knows, the more a draw decides where it begins.
  */
 function orderOf(place: number, {spread, seen, shift}: Overview): number {
-	return seen === 1 || place >= spread ? place : (place * seen) + (((place + shift) % spread) * (1 - seen));
+	return seen === 1 || place >= spread ? place : (place * (seen ** 2)) + (((place + shift) % spread) * (1 - (seen ** 2)));
 }
 
 /** What a reading does to the streams that run there: all of it delays them a little, a long one breaks their pauses. */
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -35,7 +35,7 @@
  * Failure: all callers come back in one moment, before any instance has heard of another's tight streams. Symptom: all of them go to the
  * first engine. An instance that knows next to nothing begins at any of this part of the engines.
  */
-const unseenSpread = 0.1;
+const unseenSpread = 0.15;
 
 type Option = {readonly id: string; readonly cost: number; readonly judged: Judged};
 
@@ -85,10 +85,10 @@
 
 	const count = candidates.length;
 	const seen = seenShare(circumstances.view);
-	const takenByTight = Math.ceil(tightRuns / seen / (slots / count * circumstances.tuning.tightFill));
+	const takenByTight = Math.ceil(tightRuns / seen / (slots / count * circumstances.tuning.tightFill * ((1 + seen) / 2)));
 	let holders: readonly Holder[] | undefined;
 	return {
-		loads: seen === 1 ? loads : withUnseen(loads, {takenByTight, tightRuns: tightRuns / seen}),
+		loads: seen === 1 ? loads : withUnseen(loads, {takenByTight, tightRuns: tightRuns / seen, seen}),
 		spread: Math.max(takenByTight, Math.ceil(count * unseenSpread * (1 - seen))),
 		seen,
 		shift: seen === 1 ? 0 : mixHashes(parts.at(-1)?.id ?? 0, shiftSalt),
@@ -102,11 +102,14 @@
 }
 
 /**
- * Failure: an instance hears of a part of the fleet's tight streams only, and takes an engine that is left to them for empty. Symptom: it
- * sends long prompts there. Each of those engines is taken to run its equal part of all that there are.
+ * Failure: an instance hears of a part of the fleet's tight streams only. Symptom: it takes an engine that is left to them for empty, and
+ * sends long prompts there, or one more tight stream than it has slots for. Each of those engines is taken to run its equal part of all that there
+ * are, or as many times what was heard of there as is heard of in all.
  */
-function withUnseen(loads: readonly EndpointLoad[], {takenByTight, tightRuns}: {takenByTight: number; tightRuns: number}): EndpointLoad[] {
-	return loads.map((load, place) => place < takenByTight ? {...load, tightRuns: Math.max(load.tightRuns, tightRuns / takenByTight)} : load);
+function withUnseen(loads: readonly EndpointLoad[], {takenByTight, tightRuns, seen}: {takenByTight: number; tightRuns: number; seen: number}): EndpointLoad[] {
+	return loads.map((load, place) => place < takenByTight
+		? {...load, running: load.running / seen, tightRuns: Math.max(load.tightRuns / seen, tightRuns / takenByTight)}
+		: load);
 }
 
 function judgeService(book: LoadBook, demand: Demand, candidate: Candidate, {running}: EndpointLoad): Judged {
--- a/src/policy/sharing/reading-pace.ts
+++ b/src/policy/sharing/reading-pace.ts
@@ -20,6 +20,9 @@
 const pauseShares = {alone: 0.45, amongOthers: 0.7, eachOther: 0.175, most: 3};
 /** The store keeps its history for twenty seconds: who reads more rarely has to read everything each time. */
 const longestPauseMilliseconds = 12_000;
+/** A reading of the endpoints that is no older than the longest pause and a slow answer is of now. */
+export const recentReadingMilliseconds = longestPauseMilliseconds + 2000;
+
 /** From so many others on. */
 const othersThatTell = 2;
 /**
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -117,7 +117,11 @@
 });
 
 /** Between gateways, first on each connection. */
-const gatewayHello = z.object({type: z.literal('gateway-hello'), protocol: z.number().int(), instance: text, incarnation: text});
+const gatewayHello = z.object({
+	type: z.literal('gateway-hello'), protocol: z.number().int(), instance: text, incarnation: text,
+	/** True if the sender has read the endpoints lately, so that it lacks none but the newest endings. */
+	knowsEndpoints: z.boolean().default(false),
+});
 /** Gateway to gateway: the version of the routing table that it has in force. */
 const routingVersion = z.object({type: z.literal('routing-version'), version: z.number()});
 /** Gateway to gateway: the sender wants that table. */
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -20,6 +20,7 @@
 			events.push(event);
 		},
 		onView: () => undefined,
+		knowsEndpoints: () => false,
 	});
 	return {peers, events, beliefs};
 }
@@ -70,7 +71,7 @@
 	const port = 24_700 + (process.pid % 1000);
 	const one = await createPeers('one', {port, seeds: []});
 	const connection = await dial(`127.0.0.1:${port}`, {type: 'plaintext'});
-	connection.send({type: 'gateway-hello', protocol: protocolVersion, instance: 'two', incarnation: 'two-first'});
+	connection.send({type: 'gateway-hello', protocol: protocolVersion, instance: 'two', incarnation: 'two-first', knowsEndpoints: true});
 	await until(() => one.peers.count === 1);
 	const before = connection.counts.receivedBytes;
 	for (let version = 1; version <= 10; version++) {
