--- a/src/gateway/decision-log.ts
+++ b/src/gateway/decision-log.ts
@@ -1,5 +1,5 @@
 import {type Counter, type Latency, type Metrics, type PartLogger} from '../telemetry/index.js';
-import {type ExchangeOptions} from './exchange.js';
+import {type ExchangeOptions} from './exchange-options.js';
 import {type Decision} from './decision.js';
 
 /** How an exchange ended. */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,14 +1,15 @@
 import {type InstanceId, type ZoneName} from '../model/index.js';
 import {
-	type Candidate, chanceOfPlace, choosePlace, type Circumstances, groupOf, lineMilliseconds, LineLooks, LineTeller, LoadBook, type LoadEvent, type Place, reactionMilliseconds, readMilliseconds,
-	type RetryAllowance, retryAfter, RetryShare, runId, type Tuning, UnreadShares, type Wait, WaitingLine,
+	chanceOfPlace, choosePlace, type Circumstances, groupOf, LineLooks, LineTeller, LoadBook, type LoadEvent, type Place, reactionMilliseconds, readMilliseconds, type RetryAllowance, RetryShare,
+	runId, type Tuning, type Wait,
 } from '../policy/dispatch/index.js';
 import {aloneView, type FleetView} from '../policy/sharing/index.js';
 import {compareUrgency, type EndpointRecord} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type Beliefs} from './beliefs.js';
-import {type Foreseen, RefusalReason, type Ticket} from './decision.js';
+import {RefusalReason, type Ticket} from './decision.js';
 import {EndpointBook, type Known} from './endpoint-book.js';
+import {unknownRetryMilliseconds, WaitingRoom} from './waiting-room.js';
 
 export type DispatcherOptions = {
 	/** This start of the instance: its runs bear the name. */
@@ -29,12 +30,6 @@
 const lookMilliseconds = 2 * tickMilliseconds;
 /** After a try of the line it rests for so many times as long: a tenth of the process's time goes there at most. */
 const pumpRest = 9;
-/** A waiting request is looked at again after this part of the wait that was foreseen, within these bounds. */
-const lookAgain = {share: 0.5, leastMilliseconds: 8, mostMilliseconds: 60};
-/** Requests that may wait here: at the largest body of usual prompts this is a tenth of a small instance's memory. */
-const largestLine = 1500;
-/** Where nothing tells when a place comes: the time in which a registration spreads. */
-const unknownRetryMilliseconds = 700;
 /** A megabit a second, in bits a millisecond. */
 const bitsEachMillisecond = 1000;
 const bitsPerByte = 8;
@@ -51,9 +46,7 @@
 	/** How much of the fleet this instance hears of. */
 	view: FleetView = aloneView;
 	readonly #options: DispatcherOptions;
-	readonly #line = WaitingLine.create();
-	readonly #tickets = new Map<string, Ticket>();
-	readonly #unreadShares = UnreadShares.create();
+	readonly #room: WaitingRoom;
 	/** What the last try of the line has found. */
 	#looks = LineLooks.create();
 	/** When the line may be tried again: it takes a bounded part of the process's time. */
@@ -67,10 +60,19 @@
 		this.retries = RetryShare.create(options.allowance);
 		this.#teller = LineTeller.create(options.incarnation);
 		this.endpoints = EndpointBook.create({beliefs: options.beliefs, logger: options.logger, load: this.book});
+		this.#room = WaitingRoom.create({
+			book: this.book, endpoints: this.endpoints, random: options.random,
+			view: () => this.view,
+			onWaiting: () => {
+				this.#timer ??= setInterval(() => {
+					this.#pump();
+				}, tickMilliseconds);
+			},
+		});
 	}
 
 	get waiting(): number {
-		return this.#line.size;
+		return this.#room.size;
 	}
 
 	[Symbol.dispose](): void {
@@ -88,13 +90,12 @@
 			return;
 		}
 
-		this.#joinBehind(ticket, wait, performance.now());
+		this.#room.joinBehind(ticket, wait, performance.now());
 	}
 
 	/** The caller left, or the time is over. */
 	withdraw(id: string): void {
-		this.#line.remove(id);
-		this.#tickets.delete(id);
+		this.#room.withdraw(id);
 	}
 
 	firstEvent(runId: string): void {
@@ -120,7 +121,7 @@
 		}
 
 		if (usable.length === 0) {
-			this.#refuse(ticket, RefusalReason.noEndpoint, {milliseconds: unknownRetryMilliseconds, candidates: 0});
+			this.#room.refuse(ticket, RefusalReason.noEndpoint, {milliseconds: unknownRetryMilliseconds, candidates: 0});
 			return true;
 		}
 
@@ -134,13 +135,13 @@
 			}
 
 			this.#noteWait(ticket, choice, {looks, endpoints: candidates.length});
-			return this.#enqueue(ticket, choice, candidates);
+			return this.#room.enqueue(ticket, choice, candidates);
 		}
 
 		ticket.isPassingOver = false;
 		if (awaited.has(choice.endpoint) || !this.#mayTake(ticket, choice.unreadTokens, candidates.length)) {
 			looks?.noteMiss(groupOf(ticket), {endpoints: candidates.length, milliseconds: tickMilliseconds});
-			return this.#enqueue(ticket, {type: 'wait', endpoint: choice.endpoint, milliseconds: tickMilliseconds, isForBetter: false}, candidates);
+			return this.#room.enqueue(ticket, {type: 'wait', endpoint: choice.endpoint, milliseconds: tickMilliseconds, isForBetter: false}, candidates);
 		}
 
 		const {record} = usable.find(known => known.record.id === choice.endpoint)!;
@@ -190,7 +191,7 @@
 	/** Endpoints that others wait for who are at least as urgent: who comes later must not take the place that comes free there. */
 	#awaitedBefore({urgency}: Ticket): ReadonlySet<string> {
 		const awaited = new Set<string>();
-		for (const waiting of this.#tickets.values()) {
+		for (const waiting of this.#room.tickets) {
 			if (compareUrgency(waiting.urgency, urgency) <= 0 && waiting.waitsFor !== undefined) {
 				awaited.add(waiting.waitsFor.endpoint);
 			}
@@ -201,12 +202,10 @@
 
 	#place(ticket: Ticket, record: EndpointRecord, {candidates, unreadTokens, fetch, expectedMilliseconds, leastUnreadTokens}: Place & {candidates: number}): void {
 		const now = performance.now();
-		this.withdraw(ticket.id);
-		this.#line.charge(ticket, now);
+		this.#room.placed(ticket, unreadTokens, now);
 		this.#runCount += 1;
 		const id = runId(this.#options.incarnation, this.#runCount);
 		const {service, isTight, parts} = ticket.demand;
-		this.#unreadShares.note(service, unreadTokens / ticket.work);
 		this.#tell({type: 'placed', run: {id, owner: this.#options.incarnation, endpoint: record.id, service, unreadTokens, isTight, parts}});
 		this.endpoints.noteSent(record, now);
 		const source = fetch === undefined ? undefined : this.#options.beliefs.directory.entries.get(fetch.from)?.record.address;
@@ -228,79 +227,10 @@
 		return true;
 	}
 
-	/** True if it left the line; a ticket that can't be started in time is refused at once. */
-	#enqueue(ticket: Ticket, {endpoint, milliseconds}: Wait, candidates: readonly Candidate[]): boolean {
-		const now = performance.now();
-		const hasLeft = this.#join(ticket, {now, candidates, foreseen: this.#foresee(ticket, {endpointMilliseconds: milliseconds, candidates, now})});
-		if (!hasLeft) {
-			ticket.waitsFor = {endpoint, until: now + Math.min(lookAgain.mostMilliseconds, Math.max(lookAgain.leastMilliseconds, milliseconds * lookAgain.share))};
-		}
-
-		return hasLeft;
-	}
-
-	/** Lets it wait, unless it can't be started in time or the line is full; true if it is refused. */
-	#join(ticket: Ticket, {now, candidates, foreseen}: {now: number; candidates: readonly Candidate[]; foreseen: Foreseen}): boolean {
-		const expected = foreseen.endpoint + foreseen.line;
-		if (expected > foreseen.left) {
-			this.#refuse(ticket, RefusalReason.tooLate, {milliseconds: expected, candidates: candidates.length, foreseen});
-			return true;
-		}
-
-		if (this.#tickets.has(ticket.id)) {
-			return false;
-		}
-
-		if (this.#line.size >= largestLine && !this.#makeRoom(ticket, now)) {
-			this.#refuse(ticket, RefusalReason.lineFull, {milliseconds: expected, candidates: candidates.length, foreseen});
-			return true;
-		}
-
-		this.#tickets.set(ticket.id, ticket);
-		this.#line.add(ticket);
-		this.#timer ??= setInterval(() => {
-			this.#pump();
-		}, tickMilliseconds);
-		return false;
-	}
-
-	/**
-	 * Failure: a line full of drafts turns away whoever comes. Symptom: a confirmation that would be next is refused. Of the
-	 * least urgent the last to come leaves for it; among equals those who came first stay.
-	 */
-	#makeRoom({urgency}: Ticket, now: number): boolean {
-		const last = this.#line.last();
-		const leaving = last === undefined || compareUrgency(last.urgency, urgency) <= 0 ? undefined : this.#tickets.get(last.id);
-		if (leaving === undefined) {
-			return false;
-		}
-
-		const candidates = this.endpoints.candidatesOf(leaving.service);
-		this.#refuse(leaving, RefusalReason.lineFull, {milliseconds: this.#lineMilliseconds(leaving, candidates, now), candidates: candidates.length});
-		return true;
-	}
-
-	#lineMilliseconds({service, urgency}: Ticket, candidates: readonly Candidate[], now: number): number {
-		return lineMilliseconds(this.#line.ahead(service, urgency), {
-			candidates,
-			instances: this.view.instances,
-			tokensPerMillisecond: this.book.speed(service).tokensPerMillisecond,
-			unreadShare: this.#unreadShares.of(service),
-			startedWorkRate: this.#line.startedWorkRate(service, now),
-			workMilliseconds: this.book.workMilliseconds(service),
-		});
-	}
-
-	#refuse(ticket: Ticket, reason: RefusalReason, {milliseconds, candidates, foreseen}: {milliseconds: number; candidates: number; foreseen?: Foreseen}): void {
-		this.withdraw(ticket.id);
-		const retryAfterMilliseconds = retryAfter(milliseconds, this.#options.random());
-		ticket.onDecision({type: 'refused', reason, retryAfterMilliseconds, candidates, ahead: this.#line.ahead(ticket.service, ticket.urgency).count, waiting: this.#line.size, foreseen});
-	}
-
 	#pump(): void {
 		const startedAt = performance.now();
 		this.#tellLines(startedAt);
-		if (this.#line.size === 0) {
+		if (this.#room.size === 0) {
 			clearInterval(this.#timer);
 			this.#timer = undefined;
 			this.#looks = LineLooks.create();
@@ -315,17 +245,13 @@
 	}
 
 	#tryLine(now: number): void {
-		for (const {id} of this.#line.expired(now)) {
-			this.#refuse(this.#tickets.get(id)!, RefusalReason.tooLate, {milliseconds: unknownRetryMilliseconds, candidates: 0});
-		}
-
+		this.#room.expire(now);
 		// What an earlier one waits for, a later one does not take; other endpoints are free to it.
 		const awaited = new Set<string>();
 		const looks = LineLooks.create();
 		this.#looks = looks;
-		for (const {id} of this.#line.ordered(now)) {
-			const ticket = this.#tickets.get(id);
-			if (ticket !== undefined && !this.#decide(ticket, {awaited, looks, now}) && ticket.waitsFor !== undefined) {
+		for (const ticket of this.#room.ordered(now)) {
+			if (this.#room.has(ticket.id) && !this.#decide(ticket, {awaited, looks, now}) && ticket.waitsFor !== undefined) {
 				awaited.add(ticket.waitsFor.endpoint);
 			}
 		}
@@ -338,17 +264,7 @@
 		}
 
 		const wait = ticket.demand.isTight ? undefined : looks.waitOf(groupOf(ticket));
-		return wait === undefined ? this.#try(ticket, awaited, looks) : this.#joinBehind(ticket, wait, now);
-	}
-
-	/** What another of its group has found is enough to tell whether it can still be started in time; true if it can't, and is refused. */
-	#joinBehind(ticket: Ticket, endpointMilliseconds: number, now: number): boolean {
-		const candidates = this.endpoints.candidatesOf(ticket.service);
-		return this.#join(ticket, {now, candidates, foreseen: this.#foresee(ticket, {endpointMilliseconds, candidates, now})});
-	}
-
-	#foresee(ticket: Ticket, {endpointMilliseconds, candidates, now}: {endpointMilliseconds: number; candidates: readonly Candidate[]; now: number}): Foreseen {
-		return {endpoint: endpointMilliseconds, line: this.#lineMilliseconds(ticket, candidates, now), left: ticket.lastStartAt - now};
+		return wait === undefined ? this.#try(ticket, awaited, looks) : this.#room.joinBehind(ticket, wait, now);
 	}
 
 	/**
@@ -357,11 +273,11 @@
 	 * comes free. Only what the last look found counts.
 	 */
 	#tellLines(now: number): void {
-		if (!this.#teller.isDue(this.#tickets.size > 0, now)) {
+		if (!this.#teller.isDue(this.#room.size > 0, now)) {
 			return;
 		}
 
-		const waiting = [...this.#tickets.values()].filter(({demand, isPassingOver}) => !demand.isTight && isPassingOver !== true);
+		const waiting = [...this.#room.tickets].filter(({demand, isPassingOver}) => !demand.isTight && isPassingOver !== true);
 		for (const event of this.#teller.events(waiting, now)) {
 			this.#options.onLoad(event);
 		}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,16 +1,14 @@
 import {Alarm, type AlarmEvent, type Body, channel, receive, tryDeliver, tryReceive} from '../concurrency/index.js';
 import {combineVerdicts, Verdict} from '../model/index.js';
-import {type Demand} from '../policy/dispatch/index.js';
-import {type EndpointRecord, type Route, RouteKind, type RoutingTable, type Workspace} from '../routing/index.js';
-import {Attempt, type AttemptEvent} from './attempt.js';
+import {type Demand, leaveAt} from '../policy/dispatch/index.js';
+import {type EndpointRecord, RouteKind} from '../routing/index.js';
+import {AnswerPasser} from './answer-passer.js';
+import {Attempt} from './attempt.js';
 import {AttemptFollower, type Outcome} from './attempt-follower.js';
-import {type Caller} from './caller.js';
 import {type Decision} from './decision.js';
-import {type Dispatcher} from './dispatcher.js';
-import {type DecisionLog} from './decision-log.js';
-import {type ChannelBook} from './channel-book.js';
+import {type ExchangeOptions} from './exchange-options.js';
+import {answerFinally} from './final-answer.js';
 import {demandOf, ticketOf} from './ticket.js';
-import {type RawHeaders, type RequestCodec, type RequestFacts} from './types.js';
 
 /** What an exchange waits for. Events of an attempt carry its number, so that a stale one shows. */
 type ExchangeEvent
@@ -21,36 +19,8 @@
 	/** What bytes have led to; those that go on are passed in the turn in which they came. */
 		| {readonly type: 'outcome'; readonly number: number; readonly outcome: Outcome};
 
-export type ExchangeOptions = {
-	readonly facts: RequestFacts;
-	readonly method: string;
-	readonly path: string;
-	readonly rawHeaders: RawHeaders;
-	readonly body: Uint8Array | undefined;
-	readonly table: RoutingTable;
-	readonly route: Route;
-	readonly service: string;
-	readonly workspace: Workspace | undefined;
-	readonly caller: Caller;
-	readonly codec: RequestCodec;
-	readonly dispatcher: Dispatcher;
-	readonly channels: ChannelBook;
-	readonly log: DecisionLog;
-	/** When its first byte was here, on the monotonic clock. */
-	readonly arrivedAt: number;
-};
-
 /** Events of one exchange that may wait: no more than one of each kind is ever under way. */
 const inboxCapacity = 16;
-/** An answer up to this size is held until it is whole, so that one cut short can still be asked for again. */
-const heldBytes = 512 * 1024;
-/**
- * Failure: an endpoint hangs with a request that may be repeated. Symptom: the caller waits for its
- * whole time. After this many targets another endpoint has time left to be late but useful.
- */
-const patienceTargets = 2.5;
-/** A stream that went quiet for so many of its longest pauses goes on elsewhere, if it may. */
-const patiencePauses = 4;
 /** Less than this left is no time to run anything in. */
 const leastMilliseconds = 15;
 /** Refused callers without a better figure come back after so long. */
@@ -72,15 +42,23 @@
 	#sendings = 0;
 	#runs = 0;
 	#attemptNumber = 0;
-	#lastEventId: string | undefined;
-	#firstEventAt: number | undefined;
+	readonly #answer: AnswerPasser;
 	#waitedMilliseconds = 0;
-	#isPaused = false;
 
 	private constructor(options: ExchangeOptions) {
 		this.#options = options;
 		this.#limitAt = options.arrivedAt + Math.min(options.route.timeoutMilliseconds, options.facts.deadlineMilliseconds ?? Infinity);
 		this.#demand = demandOf(options);
+		this.#answer = AnswerPasser.create({
+			caller: options.caller,
+			codec: options.codec,
+			onFirstEvent: follower => {
+				options.dispatcher.firstEvent(follower.decision.runId);
+			},
+			onDrained: () => {
+				tryDeliver(this.#inbox, {type: 'drained'});
+			},
+		});
 	}
 
 	get #isIdempotent(): boolean {
@@ -177,12 +155,12 @@
 			path,
 			headers: codec.forward({
 				rawHeaders, bodyBytes: body?.length, endpoint: record.id, workspace,
-				milliseconds: Math.floor(left), resumeAfter: this.#lastEventId, fetchFrom: decision.fetch?.address, route,
+				milliseconds: Math.floor(left), resumeAfter: this.#answer.lastEventId, fetchFrom: decision.fetch?.address, route,
 			}),
 			body,
 			channels: channels.of(record, this.#options.table.service(record.service)?.largestConnections),
 			onEvent: event => {
-				const outcome = this.#take(follower, event);
+				const outcome = this.#answer.take(follower, event);
 				if (outcome !== undefined) {
 					attempt.cancel();
 					tryDeliver(this.#inbox, {type: 'outcome', number, outcome});
@@ -192,7 +170,7 @@
 		const follower: AttemptFollower = AttemptFollower.create({attempt, number, decision, isStream: route.kind === RouteKind.stream, requestId: facts.id, codec});
 		const outcome = yield * this.#follow(follower, alarm);
 		attempt.cancel();
-		this.#isPaused = false;
+		this.#answer.isPaused = false;
 		dispatcher.ended(runId);
 		this.#excluded.add(record.id);
 		this.#judge(record, outcome, follower);
@@ -215,7 +193,7 @@
 				}
 
 				case 'drained': {
-					this.#isPaused = false;
+					this.#answer.isPaused = false;
 					follower.attempt.resume();
 					break;
 				}
@@ -250,15 +228,12 @@
 	/** When the request goes elsewhere, because this endpoint is silent; never, if it may run only once. */
 	#moveAt(follower: AttemptFollower, sentAt: number): number {
 		const {route} = this.#options;
-		if (!this.#isIdempotent || this.#runs + 1 >= route.largestAttempts || this.#isPaused) {
+		if (!this.#isIdempotent || this.#runs + 1 >= route.largestAttempts || this.#answer.isPaused) {
 			return Infinity;
 		}
 
-		if (follower.lastEventAt !== undefined) {
-			return follower.lastEventAt + ((route.longestPauseMilliseconds ?? route.targetMilliseconds) * patiencePauses);
-		}
-
-		return sentAt + Math.max(route.targetMilliseconds * patienceTargets, follower.decision.expectedMilliseconds * 2);
+		const {targetMilliseconds, longestPauseMilliseconds} = route;
+		return leaveAt({sentAt, lastEventAt: follower.lastEventAt, targetMilliseconds, longestPauseMilliseconds, expectedMilliseconds: follower.decision.expectedMilliseconds});
 	}
 
 	#timeOut(follower: AttemptFollower, sentAt: number): Outcome | undefined {
@@ -281,123 +256,6 @@
 		return undefined;
 	}
 
-	#take(follower: AttemptFollower, event: AttemptEvent): Outcome | undefined {
-		switch (event.type) {
-			case 'head': {
-				return follower.head(event);
-			}
-
-			case 'data': {
-				return this.#takeData(follower, event.bytes);
-			}
-
-			case 'end': {
-				return this.#takeEnd(follower);
-			}
-
-			case 'broken': {
-				return {type: 'failed', verdict: event.verdict, reason: event.reason, isUnsent: event.verdict === Verdict.notRun};
-			}
-		}
-	}
-
-	#takeData(follower: AttemptFollower, bytes: Uint8Array): Outcome | undefined {
-		if (follower.isPassing) {
-			this.#write(follower, bytes);
-			return undefined;
-		}
-
-		if (follower.isStream) {
-			return this.#takeEvents(follower, bytes);
-		}
-
-		follower.hold(bytes);
-		if (follower.heldBytes > heldBytes) {
-			this.#options.caller.head(follower.status, this.#options.codec.answer(follower.rawHeaders));
-			this.#write(follower, follower.takeHeld());
-			follower.isPassing = true;
-		}
-
-		return undefined;
-	}
-
-	#takeEvents(follower: AttemptFollower, bytes: Uint8Array): Outcome | undefined {
-		const {caller, codec, dispatcher} = this.#options;
-		let events;
-		try {
-			events = follower.splitter.push(bytes);
-		} catch (error) {
-			return {type: 'failed', verdict: Verdict.mayHaveRun, reason: String(error)};
-		}
-
-		for (const event of events) {
-			const now = performance.now();
-			if (follower.firstEventAt === undefined) {
-				dispatcher.firstEvent(follower.decision.runId);
-				this.#firstEventAt ??= now;
-			}
-
-			follower.event(now);
-			if (!isAfter(event.id, this.#lastEventId)) {
-				return {type: 'failed', verdict: Verdict.mayHaveRun, reason: `event ${event.id} after ${this.#lastEventId}`};
-			}
-
-			if (!caller.hasAnswer) {
-				caller.head(follower.status, codec.answer(follower.rawHeaders));
-			}
-
-			this.#lastEventId = event.id ?? this.#lastEventId;
-			this.#write(follower, event.bytes);
-		}
-
-		return undefined;
-	}
-
-	#write(follower: AttemptFollower, bytes: Uint8Array): void {
-		const hasRoom = this.#options.caller.write(bytes, () => {
-			tryDeliver(this.#inbox, {type: 'drained'});
-		});
-		if (!hasRoom && !this.#isPaused) {
-			this.#isPaused = true;
-			follower.attempt.pause();
-		}
-	}
-
-	#takeEnd(follower: AttemptFollower): Outcome {
-		const {caller, codec} = this.#options;
-		if (follower.isPassing) {
-			caller.end();
-			return {type: 'done'};
-		}
-
-		if (follower.isStream) {
-			return this.#endStream(follower);
-		}
-
-		const answer = {status: follower.status, headers: follower.rawHeaders, body: follower.takeHeld()};
-		if (follower.isFailure) {
-			return {type: 'failed', verdict: Verdict.ran, reason: `status ${follower.status}`, endpointAnswer: answer};
-		}
-
-		caller.head(answer.status, codec.answer(answer.headers));
-		caller.end(answer.body);
-		return {type: 'done'};
-	}
-
-	#endStream(follower: AttemptFollower): Outcome {
-		const {caller, codec} = this.#options;
-		if (follower.splitter.rest.length > 0) {
-			return {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'ended within an event'};
-		}
-
-		if (!caller.hasAnswer) {
-			caller.head(follower.status, codec.answer(follower.rawHeaders));
-		}
-
-		caller.end();
-		return {type: 'done'};
-	}
-
 	#judge(record: EndpointRecord, outcome: Outcome, follower: AttemptFollower): void {
 		const {dispatcher} = this.#options;
 		if (outcome.type === 'done') {
@@ -421,7 +279,7 @@
 		this.#runs += outcome.verdict === Verdict.notRun ? 0 : 1;
 		this.#verdict = combineVerdicts(this.#verdict, outcome.verdict);
 		const mayRepeat = outcome.verdict === Verdict.notRun || (this.#isIdempotent && this.#runs < route.largestAttempts);
-		const canContinue = !caller.hasAnswer || (route.kind === RouteKind.stream && route.resumable && this.#lastEventId !== undefined);
+		const canContinue = !caller.hasAnswer || (route.kind === RouteKind.stream && route.resumable && this.#answer.lastEventId !== undefined);
 		const now = performance.now();
 		const goesOn = mayRepeat && canContinue && !caller.hasLeft && this.#limitAt - now > leastMilliseconds
 			&& (outcome.isUnsent === true || dispatcher.retries.takeRetry(service, dispatcher.view.instances, now));
@@ -434,34 +292,11 @@
 
 	#finish(outcome: Outcome, retryAfterMilliseconds = defaultRetryMilliseconds): void {
 		const {caller, codec, facts, log} = this.#options;
-		log.finished(this.#options, {outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, sendings: this.#sendings, verdict: this.#verdict, firstEventAt: this.#firstEventAt});
+		log.finished(this.#options, {outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, sendings: this.#sendings, verdict: this.#verdict, firstEventAt: this.#answer.firstEventAt});
 		if (outcome.type === 'done' || outcome.type === 'left') {
 			return;
 		}
 
-		if (caller.hasAnswer) {
-			caller.breakOff();
-			return;
-		}
-
-		if (outcome.type === 'failed' && outcome.endpointAnswer !== undefined) {
-			caller.head(outcome.endpointAnswer.status, codec.answer(outcome.endpointAnswer.headers));
-			caller.end(outcome.endpointAnswer.body);
-			return;
-		}
-
-		const hasRun = this.#verdict !== Verdict.notRun || (outcome.type === 'expired' && this.#sendings > 0);
-		caller.answer(hasRun
-			? {status: outcome.type === 'expired' ? 504 : 502, message: 'The endpoint gave no whole answer; the request may have run.', headers: codec.ownAnswer(facts)}
-			: {status: 503, message: 'The request has not run.', headers: codec.ownAnswer(facts), retryAfterMilliseconds});
+		answerFinally({caller, codec, facts}, outcome, {verdict: this.#verdict, hasBeenSent: this.#sendings > 0, retryAfterMilliseconds});
 	}
 }
-
-/** Event ids that are numbers only rise; others say nothing. */
-function isAfter(id: string | undefined, last: string | undefined): boolean {
-	if (id === undefined || last === undefined || !/^\d+$/v.test(id) || !/^\d+$/v.test(last)) {
-		return true;
-	}
-
-	return Number(id) === Number(last) + 1;
-}
--- a/src/policy/dispatch/index.ts
+++ b/src/policy/dispatch/index.ts
@@ -14,3 +14,4 @@
 export * from './peer-lines.js';
 export * from './line-looks.js';
 export * from './not-ready.js';
+export * from './patience.js';
