Take engines for as full as the whole fleet makes them, not only those heard of

Cause: an instance hears of 0.38 of the fleet and took engines for that full. Change: what is not heard of is added, a fifth of it like what is and the rest as anywhere, and three quarters of its usual error, since the engine that looks emptiest is chosen.

--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -37,6 +37,14 @@
  */
 const unseenSpread = 0.15;
 
+/** The part of what is not heard of that is taken to be spread like what is; single engines vary too much to go by them alone. */
+const likeHeard = 0.2;
+/**
+ * Of many engines the one that looks emptiest is fuller than it looks: so many times the usual error of what is not heard of is added, of as many runs
+ * as are taken to be there.
+ */
+const unseenErrors = 0.75;
+
 type Option = {readonly id: string; readonly cost: number; readonly judged: Judged};
 
 /**
@@ -102,14 +110,25 @@
 }
 
 /**
- * Failure: an instance hears of a part of the fleet's tight streams only. Symptom: it takes an engine that is left to them for empty, and
- * sends long prompts there, or one more tight stream than it has slots for. Each of those engines is taken to run its equal part of all that there
- * are, or as many times what was heard of there as is heard of in all.
+ * Failure: an instance hears of a part of what the fleet sends. Symptom: it takes engines for half as full as they are, and under load all of them
+ * get twice as many requests as they have slots; or it sends long prompts where tight streams run of which it hasn't heard. What is not heard of is taken to
+ * be at an engine partly as much as what is, and partly as anywhere. The engines that are left to tight streams run an equal part of these.
  */
 function withUnseen(loads: readonly EndpointLoad[], {takenByTight, tightRuns, seen}: {takenByTight: number; tightRuns: number; seen: number}): EndpointLoad[] {
+	const unseen = (1 - seen) / seen;
+	const add = (heard: number, mean: number): number => heard + (unseen * ((heard * likeHeard) + (mean * (1 - likeHeard))));
+	const mean = {running: meanOf(loads, ({running}) => running), backlog: meanOf(loads, ({backlogMilliseconds}) => backlogMilliseconds)};
 	return loads.map((load, place) => place < takenByTight
 		? {...load, running: load.running / seen, tightRuns: Math.max(load.tightRuns / seen, tightRuns / takenByTight)}
-		: load);
+		: {...load, running: withError(add(load.running, mean.running), load.running), backlogMilliseconds: add(load.backlogMilliseconds, mean.backlog)});
+}
+
+function withError(estimated: number, heard: number): number {
+	return estimated + (unseenErrors * Math.sqrt(estimated - heard));
+}
+
+function meanOf(loads: readonly EndpointLoad[], part: (load: EndpointLoad) => number): number {
+	return loads.reduce((sum, load) => sum + part(load), 0) / loads.length;
 }
 
 function judgeService(book: LoadBook, demand: Demand, candidate: Candidate, {running}: EndpointLoad): Judged {
--- a/test/policy/partial-view.test.ts
+++ b/test/policy/partial-view.test.ts
@@ -58,3 +58,40 @@
 	t.equal(choice({links: 59, instances: 60}), choice({links: 59, instances: 60}));
 	t.notOk([engines[0]!.id, engines[1]!.id].includes(choice({links: 30, instances: 60})), 'twelve are taken to run, on the first two engines');
 });
+
+// Guards against engines with twice as many drafts as slots because each instance hears of a third of them.
+tap.test('drafts through instances that hear a third of each other fill the engines\' slots, and wait then', async t => {
+	const overfull = (view: FleetView): number => {
+		const random = createRandom(5);
+		const instances = 30;
+		const books = Array.from({length: instances}, () => LoadBook.create());
+		const placed = new Map<string, number>();
+		for (let number = 0; number < 640; number++) {
+			const own = random.below(instances);
+			const draft: Demand = {
+				...tightDemand(number), isTight: false, urgency: 2, parts: [{id: random.below(500), tokens: 0}, {id: 1_000_000 + number, tokens: 20}], targetMilliseconds: 800, pauseMilliseconds: 500,
+			};
+			const now = 1000 + (number * 100);
+			const choice = choosePlace(books[own]!, draft, engines, {zone, now, view, reactionMilliseconds: 50, tuning: defaultTuning});
+			if (choice.type === 'wait') {
+				continue;
+			}
+
+			placed.set(choice.endpoint, (placed.get(choice.endpoint) ?? 0) + 1);
+			const run = {id: runId(`i${own}`, number), owner: `i${own}`, endpoint: choice.endpoint, service: 'models', unreadTokens: choice.unreadTokens, isTight: false, parts: []};
+			for (const [instance, book] of books.entries()) {
+				if (instance === own || (instance + own) % 3 === 0) {
+					book.step({type: 'placed', run}, now);
+					book.step({type: 'first-event', id: run.id}, now + 1);
+				}
+			}
+		}
+
+		return [...placed.values()].reduce((sum, count) => sum + Math.max(0, count - slots), 0);
+	};
+
+	const all = engines.length * slots;
+	const [known, taken] = [overfull({links: 10, instances: 30}), overfull({links: 29, instances: 30})];
+	t.ok(known < all / 4, `${known} above the slots of all, ${all}`);
+	t.ok(taken > all / 2, `${taken} where each takes itself for knowing all`);
+});
