Wait as long after a refused reading as after any, where others read and tell

Change: whoever has two others or more that read and tell waits its usual pause; who has read nothing, or has nobody, tries as before. Kept by test/policy/sharing.test.ts.

--- a/src/gateway/feed-follower.ts
+++ b/src/gateway/feed-follower.ts
@@ -189,6 +189,8 @@
 			this.#options.logger.warn('Store lost.', {feed: this.#options.feed.name, reason: String(error), era: this.#next?.era, offset: this.#next?.offset});
 		}
 
-		yield * sleep(retryPause({failures: this.#failures, others: this.#options.others(), hasRead: this.#next !== undefined}, Math.random()));
+		const {others, pauseMilliseconds} = this.#options;
+		const usual = pauseMilliseconds({readings: this.#readings, draw: Math.random()});
+		yield * sleep(retryPause({failures: this.#failures, others: others(), hasRead: this.#next !== undefined, usualMilliseconds: usual}, Math.random()));
 	}
 }
--- a/src/policy/sharing/reading-pace.ts
+++ b/src/policy/sharing/reading-pace.ts
@@ -69,13 +69,25 @@
 
 /**
  * Failure: the store refuses some instances for seconds, and each of their readings is tried again and again. Symptom: refused calls count and
- * cost like others. Whoever has others that tell it what they read can wait; whoever has read nothing yet can't.
+ * cost like others. Whoever has others that tell it what they read waits as long as after any reading; whoever has read nothing yet can't.
  */
 const retryPauses = {first: 100, longestAlone: 1500, longestAmongOthers: 6000};
 
-/** How long until a reading that failed so many times in a row is tried again, in milliseconds, for a draw from 0 to 1. */
-export function retryPause({failures, others, hasRead}: {readonly failures: number; readonly others: number; readonly hasRead: boolean}, draw: number): number {
-	const longest = hasRead && others >= othersThatTell ? retryPauses.longestAmongOthers : retryPauses.longestAlone;
+export type FailedReading = {
+	/** In a row. */
+	readonly failures: number;
+	/** Instances that read too and tell. */
+	readonly others: number;
+	readonly hasRead: boolean;
+	/** The pause after a reading that succeeds. */
+	readonly usualMilliseconds: number;
+};
+
+/** How long until a failed reading is tried again, in milliseconds, for a draw from 0 to 1. */
+export function retryPause({failures, others, hasRead, usualMilliseconds}: FailedReading, draw: number): number {
+	const isTold = hasRead && others >= othersThatTell;
+	const longest = isTold ? retryPauses.longestAmongOthers : retryPauses.longestAlone;
 	const pause = Math.min(longest, retryPauses.first * (2 ** (failures - 1)));
-	return pause <= retryPauses.longestAlone ? pause : pause * ((1 + draw) / 2);
+	const spread = pause <= retryPauses.longestAlone ? pause : pause * ((1 + draw) / 2);
+	return isTold ? Math.max(spread, usualMilliseconds) : spread;
 }
--- a/test/policy/sharing.test.ts
+++ b/test/policy/sharing.test.ts
@@ -93,10 +93,12 @@
 });
 
 tap.test('a refused reading is tried at once, then ever more rarely; soon again by whoever knows nothing', async t => {
-	const pause = (failures: number, more: {others?: number; hasRead?: boolean} = {}): number => retryPause({failures, others: 5, hasRead: true, ...more}, 1);
+	const pause = (failures: number, more: {others?: number; hasRead?: boolean; usualMilliseconds?: number} = {}): number => retryPause({failures, others: 5, hasRead: true, usualMilliseconds: 0, ...more}, 1);
 	t.equal(pause(1), 100);
 	t.equal(pause(20), 6000);
 	t.equal(pause(20, {others: 1}), 1500, 'nobody would tell it');
 	t.equal(pause(20, {hasRead: false}), 1500);
-	t.equal(retryPause({failures: 20, others: 5, hasRead: true}, 0), 3000, 'spread, so that one of many is early');
+	t.equal(pause(1, {usualMilliseconds: 9000}), 9000, 'the others read meanwhile');
+	t.equal(pause(1, {usualMilliseconds: 9000, others: 1}), 100);
+	t.equal(retryPause({failures: 20, others: 5, hasRead: true, usualMilliseconds: 0}, 0), 3000, 'spread, so that one of many is early');
 });
