Take the first home of a beginning to keep it, where little is heard of the fleet

Change: there, half of what isn't heard of is taken to have been read. Not measured by itself yet.

Tried and reverted: less urgent prompts that take over half of the tightest pause wait for engines outside the tight streams' room.

--- a/src/policy/dispatch/engine-cost.ts
+++ b/src/policy/dispatch/engine-cost.ts
@@ -33,6 +33,8 @@
  * stream waits for as many prompts' chunks as it has tokens.
  */
 const besideTightShare = 0.25;
+/** How likely it is that the others have had a beginning read at its first home, where nothing was heard of it. */
+const unheardReading = 0.5;
 /** A later endpoint in the order costs a tight stream so much more for each place: under the gain of an idle one. */
 const orderMilliseconds = 6;
 /** Above this part of its slots an endpoint takes no more tight streams while others have room. */
@@ -70,10 +72,22 @@
 	readonly holders: () => readonly Holder[];
 };
 
-export function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {load, place, overview, circumstances}: {load: EndpointLoad; place: number; overview: Overview; circumstances: Circumstances}): Judged {
+/** One engine among the others. */
+export type Engine = {
+	readonly load: EndpointLoad;
+	/** Its place in the order in which tight streams fill engines. */
+	readonly place: number;
+	/** True if it is the first home of the prompt's beginning. */
+	readonly isHome: boolean;
+	readonly overview: Overview;
+	readonly circumstances: Circumstances;
+};
+
+export function judgeEngine(book: LoadBook, demand: Demand, candidate: Candidate, {load, place, isHome, overview, circumstances}: Engine): Judged {
 	const {fetchTokensPerMillisecond, tuning} = circumstances;
 	const speed = book.speed(demand.service);
-	const lackedTokens = book.unread(candidate.id, demand.parts);
+	const heardTokens = book.unread(candidate.id, demand.parts);
+	const lackedTokens = isHome ? keptAtHome(demand, heardTokens, overview.seen) : heardTokens;
 	const fetch = fetchTokensPerMillisecond === undefined || !isWorthFetching(demand.parts, lackedTokens, speed)
 		? undefined
 		: chooseFetch(overview.holders(), candidate, {unreadTokens: lackedTokens, speed, tokensPerMillisecond: fetchTokensPerMillisecond});
@@ -81,8 +95,8 @@
 	const reading = readMilliseconds(speed, unreadTokens);
 	const expected = load.backlogMilliseconds + (fetch?.milliseconds ?? 0) + reading + speed.baseMilliseconds;
 	const slots = usableSlots(candidate, demand) + (demand.isTight ? slotsAbove : 0);
-	const wait = load.running >= slots ? speed.baseMilliseconds : waitFor(demand, load, circumstances);
 	const span = load.backlogMilliseconds + reading;
+	const wait = load.running >= slots ? speed.baseMilliseconds : waitFor(demand, load, circumstances);
 	const harm = demand.isTight ? tightCost(demand, candidate, {load, place, span, overview, tuning}) : harmToOthers(demand, {load, place, span, reading, overview, tuning});
 	const fetching = fetch === undefined ? 0 : fetch.milliseconds + (readMilliseconds(speed, fetch.tokens) * tuning.fetchShare * fetchWeight);
 	const cost = load.backlogMilliseconds + (reading * overview.readingWeight) + fetching + lateness(wait + expected, demand) + harm
@@ -90,6 +104,15 @@
 	return {cost, wait, unreadTokens, fetch, expected};
 }
 
+/**
+ * Failure: an instance hears of a part of the fleet, and takes the first home of a beginning to lack what others have had read there. Symptom:
+ * under load any engine looks as good as that one, and beginnings are read again everywhere.
+ */
+function keptAtHome({parts}: Demand, heardTokens: number, seen: number): number {
+	const own = parts.at(-1)?.tokens ?? 0;
+	return heardTokens - (Math.max(0, heardTokens - own) * (1 - seen) * unheardReading);
+}
+
 /** The slots that a request may fill. */
 export function usableSlots({slots}: Candidate, {isOutranked}: Demand): number {
 	return isOutranked ? Math.max(1, Math.floor(slots * (1 - slotsLeft))) : slots;
--- a/src/policy/dispatch/placement.ts
+++ b/src/policy/dispatch/placement.ts
@@ -59,7 +59,7 @@
 	let leastUnreadTokens = Infinity;
 	for (const [index, candidate] of candidates.entries()) {
 		const load = overview.loads[index]!;
-		const judged = candidate.isEngine ? judgeEngine(book, demand, candidate, {load, place: index, overview, circumstances}) : judgeService(book, demand, candidate, load);
+		const judged = candidate.isEngine ? judgeEngine(book, demand, candidate, {load, place: index, isHome: candidate.id === homes[0], overview, circumstances}) : judgeService(book, demand, candidate, load);
 		const cost = judged.cost + (candidate.zone === circumstances.zone ? 0 : otherZoneMilliseconds) + homeCost(demand, homes, {id: candidate.id, unreadTokens: judged.unreadTokens});
 		leastUnreadTokens = Math.min(leastUnreadTokens, judged.unreadTokens);
 		if (judged.wait > 0) {
