--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -28,7 +28,7 @@
 
 /**
  * What a peer is told at first. Failure: all instances start together, and each tells each neighbour every endpoint. Symptom: small instances
- * spend half a second on lists that say what they have just read themselves, while callers come back. Who has read lately is told what
+ * are busy with lists that say what they have just read themselves, while callers come back. Who has read lately is told what
  * has ended since then. Who is used on trust alone is not passed on: word of it would be trusted anew, from one instance to the next.
  */
 export function greetingOf({tableInput, directory}: Beliefs, {knowsEndpoints, now}: {readonly knowsEndpoints: boolean; readonly now: number}): GatewayMessage[] {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -191,8 +191,9 @@
 	}
 
 	* #serve(connection: Connection, address?: string): Body<void> {
+		const {instance, incarnation, knowsEndpoints} = this.#options;
 		connection.setBusy(true, peerTimes);
-		connection.send({type: 'gateway-hello', protocol: protocolVersion, instance: this.#options.instance, incarnation: this.#options.incarnation, knowsEndpoints: this.#options.knowsEndpoints()});
+		connection.send({type: 'gateway-hello', protocol: protocolVersion, instance, incarnation, knowsEndpoints: knowsEndpoints()});
 		let link: Link | undefined;
 		for (let turn = yield * receive(connection.incoming); turn !== undefined; turn = yield * receive(connection.incoming)) {
 			for (const message of turn) {
--- a/src/wire/frames.ts
+++ b/src/wire/frames.ts
@@ -98,7 +98,7 @@
 
 /**
  * Load is nine of ten messages between gateways, and whoever takes it checks each row by hand. Failure: the schema goes through the same
- * rows before. Symptom: a small instance among many spends a twentieth of its time there.
+ * rows before. Symptom: a small instance among many spends time there that its callers need.
  */
 function isLoad(value: unknown): value is MessageOf<'load'> {
 	const {type, rows} = (value ?? {}) as Partial<MessageOf<'load'>>;
--- a/test/routing/era-model.ts
+++ b/test/routing/era-model.ts
@@ -136,7 +136,7 @@
 	#read(reader: Reader): boolean {
 		const era = this.#rules === 'eras' ? this.#era : 0;
 		const {next} = reader;
-		const isWhole = next === undefined || next.era !== era || next.offset > this.#log.length;
+		const isWhole = next?.era !== era || next.offset > this.#log.length;
 		const before = reader.directory;
 		if (isWhole) {
 			const newest = new Map<string, EndpointChange>();
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -15,7 +15,7 @@
 const flags = ['--max-old-space-size=120', '--max-semi-space-size=8'];
 
 /**
- * Parts of libraries that the gateway never calls, and that take a third of its start: what pushes metrics or gathers them over a cluster or of the
+ * Parts of libraries that the gateway never calls, and whose evaluation would delay each start: what pushes metrics or gathers them over a cluster or of the
  * process, what reads and writes histograms, and optional parts that are found by name. Libraries do without the optional ones.
  */
 const unused = {
