--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -10,6 +10,7 @@
 export {Gateway, openMilliseconds} from './gateway.js';
 export {demandOf, ticketOf, type Asked} from './ticket.js';
 export {type PeerRecord, PeerRoster} from './peer-roster.js';
+export {greetingOf} from './peer-messages.js';
 export {Peers} from './peers.js';
 export * from './kept-reader.js';
 export * from './processor-watch.js';
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import tap from 'tap';
 import {type ZoneName} from '../../src/model/index.js';
-import {Beliefs, Peers} from '../../src/gateway/index.js';
+import {Beliefs, greetingOf, PeerRoster, Peers} from '../../src/gateway/index.js';
 import {type RoutingTableInput} from '../../src/routing/index.js';
 import {dial, protocolVersion} from '../../src/wire/index.js';
 import {LoadBook, type LoadEvent} from '../../src/policy/dispatch/index.js';
@@ -99,3 +99,68 @@
 	await two.peers[Symbol.asyncDispose]();
 	await one.peers[Symbol.asyncDispose]();
 });
+
+// Guards against two instances that dial each other at one moment and end both connections.
+tap.test('two that dial each other stay linked, by one connection', async t => {
+	const port = 30_700 + (process.pid % 1000);
+	const [one, two] = await Promise.all([createPeers('one', {port, seeds: [`127.0.0.1:${port + 1000}`]}), createPeers('two', {port: port + 1000, seeds: [`127.0.0.1:${port}`]})]);
+	await until(() => one.peers.count === 1 && two.peers.count === 1);
+	await new Promise(resolve => {
+		setTimeout(resolve, 1500);
+	});
+	t.equal(one.peers.count, 1);
+	t.equal(two.peers.count, 1);
+	one.peers.tellLoad({type: 'ended', id: 'one-first/1'});
+	two.peers.tellLoad({type: 'ended', id: 'two-first/1'});
+	await until(() => one.events.some(({type}) => type === 'ended') && two.events.some(({type}) => type === 'ended'));
+	t.notOk([...one.events, ...two.events].some(({type}) => type === 'owner-lost'), 'nobody takes the other for lost');
+	await one.peers[Symbol.asyncDispose]();
+	await two.peers[Symbol.asyncDispose]();
+});
+
+// Guards against load of a peer's earlier incarnation that counts on because the peer was back before its silence showed.
+tap.test('what a peer had placed is forgotten when it has started anew', async t => {
+	const port = 33_700 + (process.pid % 1000);
+	const one = await createPeers('one', {port, seeds: []});
+	const before = await dial(`127.0.0.1:${port}`, {type: 'plaintext'});
+	before.send({type: 'gateway-hello', protocol: protocolVersion, instance: 'two', incarnation: 'two-first', knowsEndpoints: true});
+	await until(() => one.peers.count === 1);
+	const after = await dial(`127.0.0.1:${port}`, {type: 'plaintext'});
+	after.send({type: 'gateway-hello', protocol: protocolVersion, instance: 'two', incarnation: 'two-second', knowsEndpoints: true});
+	await until(() => one.events.some(event => event.type === 'owner-lost' && event.owner === 'two-first'));
+	t.equal(one.peers.count, 1);
+	after.close('the test ends');
+	before.close('the test ends');
+	await one.peers[Symbol.asyncDispose]();
+});
+
+// Guards against lists of endpoints that say what the peer has just read itself, while callers come back.
+tap.test('who has read the endpoints lately is told only what has ended since', async t => {
+	const beliefs = Beliefs.create(quiet);
+	const record = (id: string, isLeaving: boolean) => ({id, service: 's', address: '1.2.3.4:5', zone: 'z' as ZoneName, slots: 1, isLeaving, revision: 1});
+	beliefs.offerEndpoints([{type: 'registered', era: 1, offset: 1, record: record('stays', false)}, {type: 'registered', era: 1, offset: 2, record: record('leaves', true)}], 'store', 0);
+	const told = (knowsEndpoints: boolean, now: number): string[] => greetingOf(beliefs, {knowsEndpoints, now}).flatMap(message => message.type === 'endpoints' ? message.changes.map(change => change.type === 'registered' ? change.record.id : change.id) : []);
+	t.same(told(false, 10), ['stays', 'leaves']);
+	t.same(told(true, 10), ['leaves']);
+	t.same(told(true, 60_000), []);
+});
+
+tap.test('an instance dials its neighbours, those that were there before it, and stands in for who is gone', async t => {
+	const own = {name: 'm', zone: 'zone-a' as ZoneName};
+	const roster = PeerRoster.create(own);
+	const peer = (instance: string) => ({instance, address: `${instance}:1`, zone: own.zone});
+	roster.know([peer('a')], true);
+	roster.know([peer('b'), peer('z')], false);
+	t.same(roster.due(new Set(), [], 0).toSorted(), ['a:1', 'z:1'], 'the smaller name dials, but who comes later dials who was there');
+	t.same(roster.due(new Set(['a', 'z']), ['seed:1'], 0), [], 'seeds only while nobody is linked');
+	for (let now = 0, tries = 0; tries < 6; tries++) {
+		now += roster.tried('z:1', now);
+	}
+
+	t.equal(roster.reachable, 2, 'z is taken for gone');
+	t.same(roster.due(new Set(['a']), [], 1e6), ['z:1'], 'and tried again all the same');
+	roster.reached('z:1');
+	t.equal(roster.reachable, 3);
+	roster.forget('z');
+	t.same(roster.names, ['a', 'b']);
+});
--- a/test/routing/eras.test.ts
+++ b/test/routing/eras.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import tap from 'tap';
 import {type ZoneName} from '../../src/model/index.js';
-import {type EndpointChange, EndpointDirectory, memoryMilliseconds, Standing, standingOf, trustMilliseconds} from '../../src/routing/index.js';
+import {type EndpointChange, endpointChangeSchema, EndpointDirectory, memoryMilliseconds, Standing, standingOf, trustMilliseconds} from '../../src/routing/index.js';
 
 type Place = {readonly era: number; readonly offset: number};
 
@@ -86,3 +86,9 @@
 	t.equal(standing(heard, 'old', 2), Standing.ready);
 	t.equal(standing(heard, 'old', 2 + (2 * trustMilliseconds)), Standing.gone, 'its word is on trust here');
 });
+
+tap.test('word of an instance that knows of no eras is of the first one', async t => {
+	t.same(endpointChangeSchema.parse({type: 'removed', offset: 5, id: 'e'}), {type: 'removed', era: 0, offset: 5, id: 'e'});
+	t.throws(() => endpointChangeSchema.parse({type: 'removed', era: -1, offset: 5, id: 'e'}));
+	t.throws(() => endpointChangeSchema.parse({type: 'removed', era: 'two', offset: 5, id: 'e'}));
+});
