Take a whole reading's instances at once, not one by one

Found on a last reading: each announcement of a whole reading was taken by itself, and each threw away the neighbours, which were then worked out anew by hashing and sorting all names known so far: work that grows with the square of the instances, at a start, when processor time is shortest. They are handed over in one call now, as the roster takes them anyway. Behaviour is as before; changes come one by one as they did, since an end and a new announcement of one instance may follow each other. Not measured. Shown by: gateway/path, gateway/peers and store-copy tests, 120 assertions.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -242,16 +242,6 @@
 		}
 	};
 
-	const takeInstances = (announcements: readonly InstanceAnnouncement[], isWhole: boolean): void => {
-		for (const {instance, record} of announcements) {
-			if (record === undefined) {
-				peers.forget(instance);
-			} else {
-				peers.know([record], isWhole);
-			}
-		}
-	};
-
 	const routing = FeedFollower.start({
 		feed: store.routing, logger, others, waitMilliseconds: () => routingWait(others()), pauseMilliseconds: () => 0, onEra,
 		onChanges: offerTables,
@@ -270,11 +260,17 @@
 	const instances = FeedFollower.start({
 		feed: store.instances, logger, others, waitMilliseconds: () => 0, pauseMilliseconds: instancePause, onEra,
 		onChanges(announcements) {
-			takeInstances(announcements, false);
+			for (const {instance, record} of announcements) {
+				if (record === undefined) {
+					peers.forget(instance);
+				} else {
+					peers.know([record], false);
+				}
+			}
 		},
 		// Nobody is forgotten because the store doesn't name it: it may have come back from a copy, and who is gone answers no dial.
 		onWhole(announcements) {
-			takeInstances(announcements, true);
+			peers.know(announcements.flatMap(({record}) => record ?? []), true);
 			return 0;
 		},
 	});
