Wait on nothing in a store that is in doubt, and try it soon after its return

Callers saw 404 for a route that had been accepted over 2 s ago (CONFIG at 29.5 s; accepted at 27.135 s, in force at 29.778 to 29.807 s at all four).

Cause: a reading of the routing table waits for the next change for 2.5 to 20 s, the longer the more instances tell each other, and is given up 0.9 s after that. The reading that follows a failed one had the same long wait, so that it hung through the store's return. A change ends all waits at one moment, so that the next ones were in step: keyed.op was lost at 21.839 to 21.889 s by four instances, found again at 29.778 s, while keyed.servers, read without a wait, was there again at 28.678 s.

Ruled out: pauses between tries alone (1.5 s in place of 6 s still breaks); shorter waits alone (2.5 s and 0.9 s are over the bound of 2 s).

Change: after a failed call of any feed a waiting reading is given up and readings ask for what is there until one is answered; the same where a peer has had a newer table for longer than the store needs. The first wait after a change is any part of a whole one. Pauses after failures are parts of the time in which a change is to be in force (new setting applyMilliseconds, from the deployment's bound). Feeds' following moved out of the program into src/gateway/store-feeds.ts, its random source is given from outside.

Replaced, as strict: the test of pauses after refusals named 6,000 and 1,500 ms, which are now parts of the time of a change.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,9 +1,8 @@
 import process from 'node:process';
-import {Beliefs, ChannelBook, DecisionLog, Dispatcher, type EraChange, type Feed, FeedFollower, Gateway, KeptReader, type PeerRecord, Peers, ProcessorWatch, type RequestCodec} from '../gateway/index.js';
+import {Beliefs, ChannelBook, DecisionLog, Dispatcher, type FollowedFeeds, followFeeds, Gateway, KeptReader, type PeerRecord, Peers, ProcessorWatch, type RequestCodec, type StoreFeeds} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type PromptPart, type RetryAllowance} from '../policy/dispatch/index.js';
-import {endpointPause, instancePause, recentReadingMilliseconds, routingWait} from '../policy/sharing/index.js';
-import {type EndpointChange, type RoutingTableInput} from '../routing/index.js';
+import {recentReadingMilliseconds} from '../policy/sharing/index.js';
 import {AdminServer, forPart, type Logger, Metrics, type PartLogger} from '../telemetry/index.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
 import {parseTuning} from './settings/tuning.js';
@@ -18,18 +17,13 @@
 	readKeptParts(address: string): Promise<readonly PromptPart[]>;
 };
 
-export type GatewayStore = AsyncDisposable & {
-	readonly routing: Feed<RoutingTableInput>;
-	readonly endpoints: Feed<EndpointChange>;
-	readonly instances: Feed<InstanceAnnouncement>;
+export type GatewayStore = AsyncDisposable & StoreFeeds & {
 	/** Calls at the first answer that comes from a newer era of the store. */
 	onEra(listener: (era: number) => void): void;
 	announce(record: PeerRecord): Promise<void>;
 	retract(instance: string): Promise<void>;
 };
 
-export type InstanceAnnouncement = {readonly instance: string; readonly record: PeerRecord | undefined};
-
 const announceRetryMilliseconds = 1000;
 /** All instances announce themselves anew once the store has come back from a copy: spread over so long. */
 const announceSpreadMilliseconds = 2000;
@@ -88,10 +82,16 @@
 			},
 		});
 		/** Peers may come before the feeds are followed: nothing was read until then. */
-		const endpoints = {age: (_now: number): number => Infinity};
-		const peers = await openPeers(settings, {incarnation, beliefs, dispatcher, kept, logger, endpointsAge: now => endpoints.age(now)});
-		const feeds = followFeeds(store, {beliefs, peers, metrics, drainMilliseconds: settings.drainMilliseconds, logger: forPart(logger, 'Store')});
-		endpoints.age = now => feeds.endpoints.age(now);
+		const followed: {feeds?: FollowedFeeds} = {};
+		const peers = await openPeers(settings, {incarnation, beliefs, dispatcher, kept, logger, feeds: () => followed.feeds});
+		const eras = metrics.counter('gateway_store_eras_total', 'How often a feed was read anew since the store came back from a copy.', ['feed']);
+		const feeds = followFeeds(store, {
+			beliefs, peers, drainMilliseconds: settings.drainMilliseconds, applyMilliseconds: settings.applyMilliseconds, logger: forPart(logger, 'Store'), random: Math.random,
+			onEra({feed}) {
+				eras.add(1, {feed});
+			},
+		});
+		followed.feeds = feeds;
 		const watch = ProcessorWatch.create(forPart(logger, 'Processor'), metrics, () => dispatcher.waiting);
 		const gateway = await Gateway.create({
 			...splitAddress(settings.callerAddress),
@@ -196,9 +196,9 @@
 	}
 }
 
-type PeerParts = {readonly incarnation: string; readonly beliefs: Beliefs; readonly dispatcher: Dispatcher; readonly kept: KeptReader; readonly logger: Logger; readonly endpointsAge: (now: number) => number};
+type PeerParts = {readonly incarnation: string; readonly beliefs: Beliefs; readonly dispatcher: Dispatcher; readonly kept: KeptReader; readonly logger: Logger; readonly feeds: () => FollowedFeeds | undefined};
 
-async function openPeers(settings: GatewaySettings, {incarnation, beliefs, dispatcher, kept, logger, endpointsAge}: PeerParts): Promise<Peers> {
+async function openPeers(settings: GatewaySettings, {incarnation, beliefs, dispatcher, kept, logger, feeds}: PeerParts): Promise<Peers> {
 	const {host, port} = splitAddress(settings.peerAddress);
 	return Peers.create({
 		instance: settings.instance,
@@ -217,76 +217,16 @@
 			kept.told(list.endpoint);
 			dispatcher.takeLoad({type: 'kept', ...list});
 		},
-		knowsEndpoints: () => endpointsAge(performance.now()) < recentReadingMilliseconds,
+		knowsEndpoints: () => (feeds()?.endpoints.age(performance.now()) ?? Infinity) < recentReadingMilliseconds,
+		onBehind() {
+			feeds()?.routing.doubt();
+		},
 		onView(view) {
 			dispatcher.view = view;
 		},
 	});
 }
 
-/** The followers of the store's feeds. */
-type Feeds = AsyncDisposable & {readonly endpoints: FeedFollower<EndpointChange>};
-
-type FeedParts = {readonly beliefs: Beliefs; readonly peers: Peers; readonly metrics: Metrics; readonly drainMilliseconds: number; readonly logger: PartLogger};
-
-function followFeeds(store: GatewayStore, {beliefs, peers, metrics, drainMilliseconds, logger}: FeedParts): Feeds {
-	const others = (): number => peers.view.instances - 1;
-	const eras = metrics.counter('gateway_store_eras_total', 'How often a feed was read anew since the store came back from a copy.', ['feed']);
-	const onEra = ({feed}: EraChange): void => {
-		eras.add(1, {feed});
-	};
-
-	const offerTables = (tables: readonly RoutingTableInput[]): void => {
-		for (const table of tables) {
-			beliefs.offerTable(table, 'store');
-		}
-	};
-
-	const routing = FeedFollower.start({
-		feed: store.routing, logger, others, waitMilliseconds: () => routingWait(others()), pauseMilliseconds: () => 0, onEra,
-		onChanges: offerTables,
-		onWhole(tables) {
-			offerTables(tables);
-			return 0;
-		},
-	});
-	const endpoints = FeedFollower.start({
-		feed: store.endpoints, logger, others, waitMilliseconds: () => 0, pauseMilliseconds: pause => endpointPause({others: others(), drainMilliseconds}, pause), onEra,
-		onChanges(changes) {
-			beliefs.offerEndpoints(changes, 'store', performance.now());
-		},
-		onWhole: (changes, era) => beliefs.offerAllEndpoints(changes, era, performance.now()),
-	});
-	const instances = FeedFollower.start({
-		feed: store.instances, logger, others, waitMilliseconds: () => 0, pauseMilliseconds: instancePause, onEra,
-		onChanges(announcements) {
-			for (const {instance, record} of announcements) {
-				if (record === undefined) {
-					peers.forget(instance);
-				} else {
-					peers.know([record], false);
-				}
-			}
-		},
-		// Nobody is forgotten because the store doesn't name it: it may have come back from a copy, and who is gone answers no dial.
-		onWhole(announcements) {
-			peers.know(announcements.flatMap(({record}) => record ?? []), true);
-			return 0;
-		},
-	});
-	beliefs.onChange(change => {
-		if (change.type === 'era') {
-			endpoints.look();
-		}
-	});
-	return {
-		endpoints,
-		async [Symbol.asyncDispose]() {
-			await Promise.all([routing, endpoints, instances].map(async follower => follower[Symbol.asyncDispose]()));
-		},
-	};
-}
-
 function allowanceOf({retryRatio, retrySlack, retryWindowSeconds}: GatewaySettings): RetryAllowance {
 	return {ratio: retryRatio, slack: retrySlack, windowMilliseconds: retryWindowSeconds * 1000};
 }
--- a/src/bin/settings/gateway-settings.ts
+++ b/src/bin/settings/gateway-settings.ts
@@ -26,6 +26,8 @@
 	retryWindowSeconds: z.number().positive().default(10),
 	/** An endpoint that says it leaves goes on serving for so long. */
 	drainMilliseconds: z.number().positive().default(2000),
+	/** What the operator changes is to be in force at every instance within this. */
+	applyMilliseconds: z.number().positive().default(2000),
 	/** From the signal to the end of a planned stop, in seconds. */
 	stopSeconds: z.number().positive().default(8),
 	logLevel: z.enum(logLevels).default('info'),
--- a/src/gateway/feed-follower.ts
+++ b/src/gateway/feed-follower.ts
@@ -1,8 +1,8 @@
 import {type Body, channel, receiveWithin, sleep, spawn, tryDeliver, tryReceive, wait} from '../concurrency/index.js';
 import {type LogPosition} from '../model/index.js';
-import {type ReadingPause, retryPause} from '../policy/sharing/index.js';
+import {type ChangeReading, type ReadingPause, retryPause} from '../policy/sharing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
-import {type Feed, type FeedPage} from './types.js';
+import {type Feed, type FeedPage, type FeedReading} from './types.js';
 
 /** Two eras of the store, as one feed has met them. */
 export type EraChange = {readonly feed: string; readonly before: LogPosition; readonly after: LogPosition};
@@ -10,16 +10,21 @@
 export type FeedFollowerOptions<Item> = {
 	readonly feed: Feed<Item>;
 	readonly logger: PartLogger;
+	readonly random: () => number;
 	/** Instances that read too and tell this one. */
 	readonly others: () => number;
+	/** What is read is to be known at every instance within this. */
+	readonly applyMilliseconds: number;
 	/** How long one reading may wait for the first change; 0 reads what is there. */
-	readonly waitMilliseconds: () => number;
+	readonly waitMilliseconds: (reading: ChangeReading) => number;
 	/** From the end of one reading to the start of the next, after so many readings. */
 	readonly pauseMilliseconds: (pause: ReadingPause) => number;
 	/** Changes in their order. */
 	readonly onChanges: (items: readonly Item[]) => void;
 	/** Everything that the store names, read in an era; returns how much of what it lacks is kept on trust. */
 	readonly onWhole: (items: readonly Item[], era: number) => number;
+	/** The store answered a call with nothing, or with nothing of use: it may do so with others too. */
+	readonly onFailed: () => void;
 	/** The store has come back from a copy, and everything was read anew. */
 	readonly onEra: (change: EraChange) => void;
 };
@@ -48,8 +53,13 @@
 	/** Where they went on before the store came back from a copy. */
 	#lost: LogPosition | undefined;
 	readonly #wake = channel<'look'>(1);
+	/** The reading that waits for a change, if one does. */
+	#waiting: AbortController | undefined;
+	#isDoubted = false;
 	#failures = 0;
 	#readings = 0;
+	/** Readings since the last change or failure. */
+	#calmReadings = 0;
 	#isStopped = false;
 	#lastReadAt = -Infinity;
 
@@ -74,8 +84,22 @@
 		tryDeliver(this.#wake, 'look');
 	}
 
+	/**
+	 * Gives up a reading that waits for a change, and asks for what is there. Failure: the connection on which it waits went silent, or the
+	 * store did. Symptom: nothing comes on it for as long as its wait lasts, though the store has been back for long.
+	 */
+	doubt(): void {
+		if (this.#waiting !== undefined) {
+			this.#options.logger.info('Waiting reading given up, asking the store at once.', {feed: this.#options.feed.name});
+			this.#isDoubted = true;
+			this.#waiting.abort();
+			this.#waiting = undefined;
+		}
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#isStopped = true;
+		this.#waiting?.abort();
 		this.look();
 	}
 
@@ -91,14 +115,14 @@
 	}
 
 	* #readOnce(): Body<void> {
-		const {feed, waitMilliseconds, logger} = this.#options;
+		const {feed, logger} = this.#options;
 		if (this.#next === undefined) {
 			this.#takeWhole(yield * wait(feed.readNewest()));
 			yield * this.#pause();
 			return;
 		}
 
-		const reading = yield * wait(feed.readChanges(this.#next, waitMilliseconds()));
+		const reading = yield * this.#readChanges(this.#next);
 		switch (reading.type) {
 			case 'page': {
 				this.#takeChanges(reading.page);
@@ -112,21 +136,37 @@
 				return;
 			}
 
+			case 'given-up': {
+				return;
+			}
+
 			case 'new-era': {
 				this.#lost = this.#next;
 				this.#next = undefined;
 				this.#readings = 0;
-				yield * sleep(Math.random() * eraSpreadMilliseconds);
+				yield * sleep(this.#options.random() * eraSpreadMilliseconds);
 			}
 		}
 	}
 
+	* #readChanges(from: LogPosition): Body<FeedReading<Item>> {
+		const {feed, others, waitMilliseconds} = this.#options;
+		const milliseconds = waitMilliseconds({others: others(), readings: this.#calmReadings, isDoubted: this.#isDoubted});
+		const reading = new AbortController();
+		this.#waiting = milliseconds > 0 ? reading : undefined;
+		try {
+			return yield * wait(feed.readChanges(from, milliseconds, reading.signal));
+		} finally {
+			this.#waiting = undefined;
+		}
+	}
+
 	/** What the pause depends on may change while it lasts. */
 	* #pause(): Body<void> {
 		this.#readings += 1;
-		const {pauseMilliseconds} = this.#options;
+		const {pauseMilliseconds, random} = this.#options;
 		const from = performance.now();
-		const pause = {readings: this.#readings, draw: Math.random()};
+		const pause = {readings: this.#readings, draw: random()};
 		for (;;) {
 			const left = pauseMilliseconds(pause) - (performance.now() - from);
 			if (left <= 0 || this.#isStopped) {
@@ -142,6 +182,8 @@
 
 	#takeChanges({items, next}: FeedPage<Item>): void {
 		this.#noteRead();
+		this.#calmReadings = items.length > 0 || this.#isDoubted ? 0 : this.#calmReadings + 1;
+		this.#isDoubted = false;
 		if (items.length > 0 && !this.#isStopped) {
 			this.#options.onChanges(items);
 		}
@@ -151,6 +193,8 @@
 
 	#takeWhole({items, next}: FeedPage<Item>): void {
 		this.#noteRead();
+		this.#calmReadings = 0;
+		this.#isDoubted = false;
 		if (this.#isStopped) {
 			return;
 		}
@@ -185,12 +229,14 @@
 
 	* #failed(error: unknown): Body<void> {
 		this.#failures += 1;
+		this.#isDoubted = true;
 		if (this.#failures === 1) {
 			this.#options.logger.warn('Store lost.', {feed: this.#options.feed.name, reason: String(error), era: this.#next?.era, offset: this.#next?.offset});
 		}
 
-		const {others, pauseMilliseconds} = this.#options;
-		const usual = pauseMilliseconds({readings: this.#readings, draw: Math.random()});
-		yield * sleep(retryPause({failures: this.#failures, others: others(), hasRead: this.#next !== undefined, usualMilliseconds: usual}, Math.random()));
+		const {others, pauseMilliseconds, random, applyMilliseconds, onFailed} = this.#options;
+		onFailed();
+		const usual = pauseMilliseconds({readings: this.#readings, draw: random()});
+		yield * sleep(retryPause({failures: this.#failures, others: others(), hasRead: this.#next !== undefined, usualMilliseconds: usual, applyMilliseconds}, random()));
 	}
 }
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -12,5 +12,6 @@
 export {type PeerRecord, PeerRoster} from './peer-roster.js';
 export {greetingOf} from './peer-messages.js';
 export {Peers} from './peers.js';
+export {followFeeds, type Announced, type FollowedFeeds, type InstanceAnnouncement, type StoreFeeds} from './store-feeds.js';
 export * from './kept-reader.js';
 export * from './processor-watch.js';
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -28,6 +28,8 @@
 	readonly onKept: (kept: KeptParts) => void;
 	/** Whether this instance has read the endpoints from the store lately. */
 	readonly knowsEndpoints: () => boolean;
+	/** A peer has read a newer routing table for long: this instance's own reading may hang. */
+	readonly onBehind: () => void;
 	/** How much of the fleet this instance hears of has changed. */
 	readonly onView: (view: FleetView) => void;
 };
@@ -90,6 +92,7 @@
 				},
 			})),
 			logger: options.logger,
+			onBehind: options.onBehind,
 		});
 		options.beliefs.onChange(change => {
 			const message = messageOf(change);
--- a/src/gateway/table-pull.ts
+++ b/src/gateway/table-pull.ts
@@ -9,6 +9,8 @@
 	/** The peers with the versions that they told. */
 	readonly holders: () => readonly TableHolder[];
 	readonly logger: PartLogger;
+	/** A peer has read from the store for long what this instance has not. */
+	readonly onBehind: () => void;
 };
 
 /**
@@ -58,6 +60,7 @@
 
 		this.#options.logger.info('Asking a peer for its routing table.', {peer: asked.instance, version: asked.version, before: this.#options.ownVersion()});
 		asked.ask();
+		this.#options.onBehind();
 		this.heard();
 	}
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -76,15 +76,17 @@
 	/** That part of the history is not kept any more. */
 		| {readonly type: 'gone'}
 	/** The store has come back from a copy since the place that was asked for. */
-		| {readonly type: 'new-era'; readonly era: number};
+		| {readonly type: 'new-era'; readonly era: number}
+	/** Whoever asked gave the reading up. */
+		| {readonly type: 'given-up'};
 
 /** Part of the store that is read as newest values and then as changes. */
 export type Feed<Item> = {
 	readonly name: string;
 	/** Every key's newest value, and the place from which changes go on. */
 	readNewest(): Promise<FeedPage<Item>>;
-	/** Changes from a place on; waits for the first one. */
-	readChanges(from: LogPosition, waitMilliseconds: number): Promise<FeedReading<Item>>;
+	/** Changes from a place on; waits for the first one, unless it is given up. */
+	readChanges(from: LogPosition, waitMilliseconds: number, signal?: AbortSignal): Promise<FeedReading<Item>>;
 	/** Calls at the first answer of any call that comes from a newer era. */
 	onEra(listener: (era: number) => void): void;
 };
--- a/src/policy/sharing/reading-pace.ts
+++ b/src/policy/sharing/reading-pace.ts
@@ -54,9 +54,30 @@
  */
 const routingWaits = {least: 2500, each: 900, most: 20_000};
 
-/** The wait of one among so many instances that tell each other, in milliseconds. */
-export function routingWait(others: number): number {
-	return Math.min(routingWaits.most, Math.max(routingWaits.least, others * routingWaits.each));
+/** A reading of changes that is about to be sent. */
+export type ChangeReading = {
+	/** Instances that read too and tell. */
+	readonly others: number;
+	/** Readings since the last change or failure. */
+	readonly readings: number;
+	/** Whether the store has left a call without an answer since it last gave one. */
+	readonly isDoubted: boolean;
+};
+
+/**
+ * The wait of one among so many instances that tell each other, in milliseconds, for a draw from 0 to 1.
+ *
+ * Failure: a reading with a long wait is sent into a silent store. Symptom: it hangs there for its whole wait after the store's return, and
+ * with it what was accepted meanwhile. In doubt a reading asks for what is there, which is known to be lost within a second.
+ * A change ends all waits at one moment: the next is any part of a whole one, so that they end at different moments again.
+ */
+export function routingWait({others, readings, isDoubted}: ChangeReading, draw: number): number {
+	if (isDoubted) {
+		return 0;
+	}
+
+	const whole = Math.min(routingWaits.most, Math.max(routingWaits.least, others * routingWaits.each));
+	return readings === 0 ? whole * draw : whole * (leastPart.later + ((1 - leastPart.later) * draw));
 }
 
 /** Instances that start together have announced themselves within the first readings; later they come and go rarely. */
@@ -70,8 +91,12 @@
 /**
  * Failure: the store refuses some instances for seconds, and each of their readings is tried again and again. Symptom: refused calls count and
  * cost like others. Whoever has others that tell it what they read waits as long as after any reading; whoever has read nothing yet can't.
+ *
+ * Failure: the store refuses or hears nobody, and all instances have come to try it ever more rarely. Symptom: what it accepts at its return is
+ * unknown for seconds. Pauses are parts of the time in which a change is to be in force: one instance alone tries often enough by
+ * itself, and of many one tries within a fraction of that time, whatever their number.
  */
-const retryPauses = {first: 100, longestAlone: 1500, longestAmongOthers: 6000};
+const retryPauses = {first: 100, aloneShare: 0.25, eachOtherShare: 0.06, longest: 6000};
 
 export type FailedReading = {
 	/** In a row. */
@@ -81,13 +106,16 @@
 	readonly hasRead: boolean;
 	/** The pause after a reading that succeeds. */
 	readonly usualMilliseconds: number;
+	/** What is read is to be known everywhere within this. */
+	readonly applyMilliseconds: number;
 };
 
 /** How long until a failed reading is tried again, in milliseconds, for a draw from 0 to 1. */
-export function retryPause({failures, others, hasRead, usualMilliseconds}: FailedReading, draw: number): number {
+export function retryPause({failures, others, hasRead, usualMilliseconds, applyMilliseconds}: FailedReading, draw: number): number {
 	const isTold = hasRead && others >= othersThatTell;
-	const longest = isTold ? retryPauses.longestAmongOthers : retryPauses.longestAlone;
+	const alone = applyMilliseconds * retryPauses.aloneShare;
+	const longest = isTold ? Math.min(retryPauses.longest, Math.max(alone, others * applyMilliseconds * retryPauses.eachOtherShare)) : alone;
 	const pause = Math.min(longest, retryPauses.first * (2 ** (failures - 1)));
-	const spread = pause <= retryPauses.longestAlone ? pause : pause * ((1 + draw) / 2);
+	const spread = pause * ((1 + draw) / 2);
 	return isTold ? Math.max(spread, usualMilliseconds) : spread;
 }
--- a/test/adapter/adapter.test.ts
+++ b/test/adapter/adapter.test.ts
@@ -161,12 +161,12 @@
 	store.put('keyed.servers', 'a', {service: 's', address: '1.2.3.4:5', zone: 'z', slots: 1, state: 'ready', seq: 1});
 	const newest = await client.readNewest('keyed.servers');
 	t.equal(newest.records.length, 1);
-	const waiting = client.readChanges('keyed.servers', newest.next, 5000);
+	const waiting = client.readChanges('keyed.servers', newest.next, {waitMilliseconds: 5000});
 	store.put('keyed.servers', 'b', {service: 's', address: '1.2.3.4:6', zone: 'z', slots: 1, state: 'ready', seq: 1});
 	t.match(await waiting, {type: 'page', page: {records: [{key: 'b', era: 1, offset: 1}], next: {era: 1, offset: 2}}});
 	store.forget('keyed.servers');
-	t.same(await client.readChanges('keyed.servers', {era: 1, offset: 0}, 0), {type: 'gone'});
-	t.same(await client.readChanges('keyed.servers', {era: 1, offset: 50}, 0), {type: 'gone'}, 'an end before what we have read: the history is another one');
+	t.same(await client.readChanges('keyed.servers', {era: 1, offset: 0}, {waitMilliseconds: 0}), {type: 'gone'});
+	t.same(await client.readChanges('keyed.servers', {era: 1, offset: 50}, {waitMilliseconds: 0}), {type: 'gone'}, 'an end before what we have read: the history is another one');
 });
 
 /** A logger that keeps its messages. */
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -15,7 +15,7 @@
 	const beliefs = Beliefs.create(quiet);
 	const peers = await Peers.create({
 		instance, zone: 'zone-a' as ZoneName, incarnation: `${instance}-first`, host: '127.0.0.1', port, security: {type: 'plaintext'}, seeds, beliefs, logger: quiet,
-		onKept: () => undefined,
+		onKept: () => undefined, onBehind: () => undefined,
 		onLoad(event) {
 			events.push(event);
 		},
--- a/test/gateway/virtual-time.ts
+++ b/test/gateway/virtual-time.ts
@@ -29,7 +29,8 @@
 		};
 
 		Object.assign(globalThis, {
-			setTimeout: (act: () => void, milliseconds = 0) => this.#add(act, {milliseconds, processor: this.#processor}),
+			// As Node's, which knows no part of a millisecond: a wait for the rest of one would come to nothing by rounding.
+			setTimeout: (act: () => void, milliseconds = 0) => this.#add(act, {milliseconds: milliseconds > 0 ? Math.max(1, milliseconds) : 0, processor: this.#processor}),
 			setInterval: (act: () => void, milliseconds = 1) => this.#add(act, {milliseconds, every: Math.max(1, milliseconds), processor: this.#processor}),
 			clearTimeout: clear,
 			clearInterval: clear,
@@ -47,29 +48,19 @@
 
 	/** Runs all timers that are due until then, in their order. */
 	runFor(milliseconds: number): void {
+		this.#runUntil(this.#now + milliseconds);
+	}
+
+	/** As `runFor`, for code that goes on by promises and channels: whatever a timer has set off is done before the next one is due. */
+	async settleFor(milliseconds: number): Promise<void> {
 		const end = this.#now + milliseconds;
+		await settled();
 		for (let next = this.#next(); next !== undefined && next.at <= end; next = this.#next()) {
-			this.#pop();
-			const {processor, every} = next;
-			if (processor !== undefined && processor.freeAt > next.at) {
-				next.at = processor.freeAt;
-				this.#push(next);
-				continue;
-			}
-
-			this.#now = next.at;
-			if (every === undefined) {
-				this.#timers.delete(next.order);
-			}
-
-			this.#run(next);
-			if (every !== undefined) {
-				next.at = Math.max(next.at, processor?.freeAt ?? 0) + every;
-				this.#push(next);
-			}
+			this.#runUntil(next.at);
+			await settled();
 		}
 
-		this.#now = end;
+		this.#runUntil(end);
 	}
 
 	/** Acts on a processor, as soon as that is free. */
@@ -92,6 +83,31 @@
 		this.#add(act, {milliseconds, processor: this.#processor});
 	}
 
+	#runUntil(end: number): void {
+		for (let next = this.#next(); next !== undefined && next.at <= end; next = this.#next()) {
+			this.#pop();
+			const {processor, every} = next;
+			if (processor !== undefined && processor.freeAt > next.at) {
+				next.at = processor.freeAt;
+				this.#push(next);
+				continue;
+			}
+
+			this.#now = next.at;
+			if (every === undefined) {
+				this.#timers.delete(next.order);
+			}
+
+			this.#run(next);
+			if (every !== undefined) {
+				next.at = Math.max(next.at, processor?.freeAt ?? 0) + every;
+				this.#push(next);
+			}
+		}
+
+		this.#now = end;
+	}
+
 	/** Runs a timer; the clock goes back to where it was for the other processors. */
 	#run({processor, act}: Timer): void {
 		const before = this.#now;
@@ -158,6 +174,17 @@
 	}
 }
 
+/** Turns of the loop in which promises and channels pass on what they hold; a chain of them takes a few. */
+const turns = 4;
+
+async function settled(): Promise<void> {
+	for (let turn = 0; turn < turns; turn++) {
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
 function isBefore(left: Timer, right: Timer): boolean {
 	return left.at === right.at ? left.order < right.order : left.at < right.at;
 }
--- a/test/policy/sharing.test.ts
+++ b/test/policy/sharing.test.ts
@@ -84,7 +84,7 @@
 	const callsEachSecond = (instances: number): number => {
 		const others = instances - 1;
 		const middle = {readings: 100, draw: 0.5};
-		return instances * 1000 * ((1 / routingWait(others)) + (1 / endpointPause({others, drainMilliseconds: 4000}, middle)) + (1 / instancePause(middle)));
+		return instances * 1000 * ((1 / routingWait({others, readings: 2, isDoubted: false}, 0.5)) + (1 / endpointPause({others, drainMilliseconds: 4000}, middle)) + (1 / instancePause(middle)));
 	};
 
 	t.ok(callsEachSecond(18) < 5, `18 instances: ${callsEachSecond(18)}`);
@@ -92,13 +92,23 @@
 	t.ok(callsEachSecond(350) / 350 < 0.2, `350 instances, each: ${callsEachSecond(350) / 350}`);
 });
 
+tap.test('a reading waits for a change where the store is well, and asks for what is there where that is in doubt', async t => {
+	t.equal(routingWait({others: 6, readings: 5, isDoubted: false}, 1), 5400);
+	t.equal(routingWait({others: 6, readings: 0, isDoubted: false}, 0.5), 2700, 'after a change any part of a whole wait');
+	t.equal(routingWait({others: 6, readings: 5, isDoubted: true}, 1), 0);
+	t.equal(routingWait({others: 400, readings: 5, isDoubted: false}, 1), 20_000);
+});
+
 tap.test('a refused reading is tried at once, then ever more rarely; soon again by whoever knows nothing', async t => {
-	const pause = (failures: number, more: {others?: number; hasRead?: boolean; usualMilliseconds?: number} = {}): number => retryPause({failures, others: 5, hasRead: true, usualMilliseconds: 0, ...more}, 1);
+	const pause = (failures: number, more: {others?: number; hasRead?: boolean; usualMilliseconds?: number; applyMilliseconds?: number} = {}): number => retryPause({failures, others: 5, hasRead: true, usualMilliseconds: 0, applyMilliseconds: 2000, ...more}, 1);
 	t.equal(pause(1), 100);
-	t.equal(pause(20), 6000);
-	t.equal(pause(20, {others: 1}), 1500, 'nobody would tell it');
-	t.equal(pause(20, {hasRead: false}), 1500);
+	t.equal(pause(20), 600, 'six of them try it nearly ten times within the time of a change');
+	t.equal(pause(20, {others: 40}), 4800, 'and so do many');
+	t.equal(pause(20, {others: 400}), 6000);
+	t.equal(pause(20, {others: 1}), 500, 'nobody would tell it');
+	t.equal(pause(20, {hasRead: false}), 500);
+	t.equal(pause(20, {others: 1, applyMilliseconds: 8000}), 2000, 'a part of the time of a change');
 	t.equal(pause(1, {usualMilliseconds: 9000}), 9000, 'the others read meanwhile');
 	t.equal(pause(1, {usualMilliseconds: 9000, others: 1}), 100);
-	t.equal(retryPause({failures: 20, others: 5, hasRead: true, usualMilliseconds: 0}, 0), 3000, 'spread, so that one of many is early');
+	t.equal(retryPause({failures: 20, others: 5, hasRead: true, usualMilliseconds: 0, applyMilliseconds: 2000}, 0), 300, 'spread, so that one of many is early');
 });
