Ask the store for waits of whole milliseconds

The stand-in takes such a wait as none too now, and the wait's test names whole numbers; it failed before.

--- a/fakes/platform-store.ts
+++ b/fakes/platform-store.ts
@@ -200,7 +200,7 @@
 		}
 
 		if (from >= held.first + held.records.length) {
-			await wakeWithin(held.waiting, Number(url.searchParams.get('waitMs') ?? 0));
+			await wakeWithin(held.waiting, wholeNumber(url.searchParams.get('waitMs')));
 		}
 
 		const offsets = Buffer.alloc(16);
@@ -217,6 +217,11 @@
 	return Buffer.concat([length, content]);
 }
 
+/** A wait that is no whole number is none, as at the platform's store. */
+function wholeNumber(text: string | null): number { // eslint-disable-line @typescript-eslint/no-restricted-types -- what a missing query is
+	return text !== null && /^\d+$/v.test(text) ? Number(text) : 0;
+}
+
 async function wakeWithin(waiting: Set<() => void>, milliseconds: number): Promise<void> {
 	if (milliseconds === 0) {
 		return;
--- a/src/policy/sharing/reading-pace.ts
+++ b/src/policy/sharing/reading-pace.ts
@@ -65,7 +65,7 @@
 };
 
 /**
- * The wait of one among so many instances that tell each other, in milliseconds, for a draw from 0 to 1.
+ * The wait of one among so many instances that tell each other, in whole milliseconds, for a draw from 0 to 1.
  *
  * Failure: a reading with a long wait is sent into a silent store. Symptom: it hangs there for its whole wait after the store's return, and
  * with it what was accepted meanwhile. In doubt a reading asks for what is there, which is known to be lost within a second.
@@ -77,7 +77,8 @@
 	}
 
 	const whole = Math.min(routingWaits.most, Math.max(routingWaits.least, others * routingWaits.each));
-	return readings === 0 ? whole * draw : whole * (leastPart.later + ((1 - leastPart.later) * draw));
+	const least = readings === 0 ? leastPart.first : leastPart.later;
+	return Math.round(whole * (least + ((1 - least) * draw)));
 }
 
 /** Instances that start together have announced themselves within the first readings; later they come and go rarely. */
--- a/test/policy/sharing.test.ts
+++ b/test/policy/sharing.test.ts
@@ -96,6 +96,8 @@
 	t.equal(routingWait({others: 6, readings: 5, isDoubted: false}, 1), 5400);
 	t.equal(routingWait({others: 6, readings: 0, isDoubted: false}, 0.5), 2700, 'after a change any part of a whole wait');
 	t.equal(routingWait({others: 6, readings: 5, isDoubted: true}, 1), 0);
+	t.equal(routingWait({others: 6, readings: 5, isDoubted: false}, 0.123_456), 4453, 'a whole number, which the store takes');
+	t.equal(routingWait({others: 6, readings: 0, isDoubted: false}, 0.123_456), 667);
 	t.equal(routingWait({others: 400, readings: 5, isDoubted: false}, 1), 20_000);
 });
 
