Show a course that fails without the era in the comparison of positions

The course: an endpoint's record is removed at 950, the store comes back from an older copy, the endpoint writes again at 890 with a higher revision, and its record is removed at 900. By offsets that removal is older than the first one and passed over: requests go to an endpoint that has ended. The same for two records of one revision.

--- a/test/routing/eras.test.ts
+++ b/test/routing/eras.test.ts
@@ -5,7 +5,7 @@
 
 type Place = {readonly era: number; readonly offset: number};
 
-function registered(id: string, place: Place, more: {isLeaving?: boolean; revision?: number; bornAt?: number} = {}): EndpointChange {
+function registered(id: string, place: Place, more: {isLeaving?: boolean; revision?: number; bornAt?: number; slots?: number} = {}): EndpointChange {
 	return {type: 'registered', ...place, record: {id, service: 's', address: '1.2.3.4:5', zone: 'z' as ZoneName, slots: 1, isLeaving: false, revision: 1, ...more}};
 }
 
@@ -48,6 +48,19 @@
 	t.equal(left.apply([registered('l', {era: 2, offset: 1}, {bornAt: 5})], 10).entries.get('l')?.endedAt, undefined, 'a younger incarnation');
 });
 
+// Guards against a removal that is passed over because its offset is lower than that of a removal before the store came back from a copy.
+tap.test('an endpoint that is removed again in a later era, at a lower offset, has ended', async t => {
+	const again = EndpointDirectory.create().apply([
+		registered('e', {era: 1, offset: 900}, {revision: 9}), removed('e', {era: 1, offset: 950}), registered('e', {era: 2, offset: 890}, {revision: 10}),
+	], 0);
+	t.equal(standing(again, 'e', trustMilliseconds), Standing.ready, 'it wrote after the removal that the copy lacks');
+	const removedAgain = again.apply([removed('e', {era: 2, offset: 900})], 10);
+	t.ok(removedAgain.entries.get('e')?.endedAt !== undefined);
+	t.ok(removedAgain.apply([removed('e', {era: 1, offset: 950})], 20).entries.get('e')?.endedAt !== undefined, 'whatever a peer tells of the earlier era');
+	const rewritten = EndpointDirectory.create().apply([registered('e', {era: 1, offset: 900}, {slots: 16}), registered('e', {era: 2, offset: 850}, {slots: 8})], 0);
+	t.equal(rewritten.entries.get('e')?.record.slots, 8, 'of two records of one revision that of the later era stands');
+});
+
 // Guards against a fleet that argues: one instance has read the new era, one has not, and both tell each other.
 tap.test('the same changes of several eras lead to the same endpoints, in every order', async t => {
 	const changes = [
