Ask a log in doubt for what is there in the product's own interface too

After a failure readings ask for what is there until one is answered. The quarantine's failed readings had no log line; they have one for each outage. The test failed before (waits of 10,000 ms while the log is down) and passes.

--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -22,14 +22,16 @@
 	const log = forPart(logger, 'Entry');
 	const catalogueLog = forPart(logger, 'Catalogue');
 	const platform = (baseUrl: string) => ({baseUrl, timeoutMilliseconds: platformTimeoutMilliseconds});
+	const onLog = (message: string): void => {
+		catalogueLog.warn(message);
+	};
+
 	await using follower = CatalogueFollower.create({
 		log: HttpLogClient.create(platform(settings.logUrl)),
 		instance,
-		onLog(message) {
-			catalogueLog.warn(message);
-		},
+		onLog,
 	});
-	await using quarantine = QuarantineLedger.create({log: HttpLogClient.create(platform(settings.logUrl))});
+	await using quarantine = QuarantineLedger.create({log: HttpLogClient.create(platform(settings.logUrl)), onLog});
 	await using claims = ClaimKeeper.create({log: HttpLogClient.create(platform(settings.logUrl)), instance});
 	const metrics = Metrics.create({role: 'entry', ofProcess: true});
 	const journal = DecisionJournal.create();
--- a/src/bin/cassiaflow-side.ts
+++ b/src/bin/cassiaflow-side.ts
@@ -29,15 +29,17 @@
 	const catalogueLog = forPart(logger, 'Catalogue');
 	const metrics = Metrics.create({role: 'side', ofProcess: true});
 	const violations = metrics.counter('violations_total', 'Broken rules of the queue.', ['rule']);
+	const onLog = (message: string): void => {
+		catalogueLog.warn(message);
+	};
+
 	await using follower = CatalogueFollower.create({
 		log: HttpLogClient.create({baseUrl: settings.logUrl, timeoutMilliseconds: platformTimeoutMilliseconds}),
 		instance,
-		onLog(message) {
-			catalogueLog.warn(message);
-		},
+		onLog,
 	});
 	const control = EngineControl.create({baseUrl: settings.endpointUrl, timeoutMilliseconds: healthTimeoutMilliseconds});
-	await using ledger = QuarantineLedger.create({log: HttpLogClient.create({baseUrl: settings.logUrl, timeoutMilliseconds: platformTimeoutMilliseconds})});
+	await using ledger = QuarantineLedger.create({log: HttpLogClient.create({baseUrl: settings.logUrl, timeoutMilliseconds: platformTimeoutMilliseconds}), onLog});
 	const backend = createBackend(settings);
 	await using _client = backend.client;
 	const journal = DecisionJournal.create();
--- a/src/platform/catalogue-follower.ts
+++ b/src/platform/catalogue-follower.ts
@@ -79,6 +79,11 @@
 	#audit: AuditEntry[] = [];
 	#resolveReady!: () => void;
 	#isReady = false;
+	/**
+	 * Failure: a reading with a long wait is sent into a log that says nothing. Symptom: it hangs for its whole wait after the log's return.
+	 * In doubt a reading asks for what is there.
+	 */
+	#isDoubted = false;
 
 	private constructor(options: FollowerOptions) {
 		this.#options = options;
@@ -170,9 +175,13 @@
 	/** Reads once; undefined if the log can't be reached. */
 	* #read(from: number): Body<ReadResult | undefined> {
 		const {log} = this.#options;
+		const waitMilliseconds = this.#isDoubted ? 0 : this.#times.pollMilliseconds;
 		try {
-			return yield * wait(log.read(catalogueStream, from, {limit: readLimit, waitMilliseconds: this.#times.pollMilliseconds, signal: this.#abort.signal}));
+			const result = yield * wait(log.read(catalogueStream, from, {limit: readLimit, waitMilliseconds, signal: this.#abort.signal}));
+			this.#isDoubted = false;
+			return result;
 		} catch (error) {
+			this.#isDoubted = true;
 			if (!this.#abort.signal.aborted) {
 				this.#log(`catalogue: The log can't be read: ${String(error)}`);
 			}
--- a/src/platform/quarantine-ledger.ts
+++ b/src/platform/quarantine-ledger.ts
@@ -20,6 +20,7 @@
 
 export type QuarantineLedgerSettings = {
 	readonly log: LogClient;
+	readonly onLog?: (message: string) => void;
 	/** Milliseconds since 1970. */
 	readonly now?: () => number;
 };
@@ -43,6 +44,8 @@
 	#state: Quarantine = createQuarantine();
 	#records: QuarantineRecord[] = [];
 	#done: ReadonlyArray<Promise<void>> = [];
+	/** Whether the log has left a reading without an answer since it last gave one: a long wait would hang through its return. */
+	#isDoubted = false;
 
 	private constructor(settings: QuarantineLedgerSettings) {
 		this.#settings = settings;
@@ -153,14 +156,20 @@
 
 	* #readPage(from: number): Body<{next: number; milliseconds: number}> {
 		try {
-			const page = yield * wait(this.#settings.log.read(quarantineStream, from, {waitMilliseconds: pollMilliseconds, signal: this.#abort.signal}));
+			const page = yield * wait(this.#settings.log.read(quarantineStream, from, {waitMilliseconds: this.#isDoubted ? 0 : pollMilliseconds, signal: this.#abort.signal}));
+			this.#isDoubted = false;
 			if (page.type === 'gone') {
 				return {next: page.first, milliseconds: 0};
 			}
 
 			this.#fold(page.records.map(({value}) => value), 'log');
 			return {next: (page.records.at(-1)?.offset ?? (from - 1)) + 1, milliseconds: idleMilliseconds};
-		} catch {
+		} catch (error) {
+			if (!this.#isDoubted && !this.#abort.signal.aborted) {
+				this.#settings.onLog?.(`quarantine: The log can't be read: ${String(error)}`);
+			}
+
+			this.#isDoubted = true;
 			return {next: from, milliseconds: retryMilliseconds};
 		}
 	}
--- a/test/platform/catalogue-follower.test.ts
+++ b/test/platform/catalogue-follower.test.ts
@@ -2,6 +2,7 @@
 import tap from 'tap';
 import {type Catalogue} from '../../src/catalogue/index.js';
 import {CatalogueFollower, type FollowerOptions} from '../../src/platform/catalogue-follower.js';
+import {QuarantineLedger} from '../../src/platform/index.js';
 import {change, put, sampleModel} from '../catalogue/sample.js';
 import {MemoryLog} from './memory-log.js';
 
@@ -59,6 +60,24 @@
 	t.same(modelNames(follower.current()), ['menu', 'order', 'stitch']);
 });
 
+// Guards against readings with a long wait that are sent into a silent log and hang through its return.
+tap.test('after a reading without an answer the next ones ask for what is there, until one is answered', async t => {
+	const log = MemoryLog.create();
+	await using follower = follow(log);
+	await using ledger = QuarantineLedger.create({log});
+	await follower.ready;
+	log.isDown = true;
+	await delay(50);
+	const failing = log.waits.splice(0);
+	t.ok(failing.length > 5);
+	t.same(failing.slice(-3), [0, 0, 0]);
+	log.isDown = false;
+	await publish(log, 'menu');
+	await until(() => follower.current().offset === 0);
+	await until(() => log.waits.at(-1) === 10_000);
+	t.equal(ledger.records().length, 0);
+});
+
 tap.test('a process that starts while the log is down takes the catalogue from a peer', async t => {
 	// The caller is refused as not ready until a peer is met. The log is down; the new process asks a
 	// peer, gets the records, and serves. Later a stale peer sends old records again: nothing reverts.
--- a/test/platform/memory-log.ts
+++ b/test/platform/memory-log.ts
@@ -8,6 +8,8 @@
 	}
 
 	isDown = false;
+	/** The waits that readings asked for. */
+	readonly waits: number[] = [];
 	losesAnswers = false;
 	#records: LogRecord[] = [];
 	#next = 0;
@@ -34,7 +36,8 @@
 		return this.losesAnswers ? {type: 'unknown', reason: 'lost'} : {type: 'appended', offset};
 	}
 
-	async read(_stream: string, from: number, options: {limit?: number; signal?: AbortSignal} = {}): Promise<ReadResult> {
+	async read(_stream: string, from: number, options: {limit?: number; waitMilliseconds?: number; signal?: AbortSignal} = {}): Promise<ReadResult> {
+		this.waits.push(options.waitMilliseconds ?? 0);
 		await delay(1, undefined, {signal: options.signal});
 		if (this.isDown) {
 			throw new Error('The log is down.');
