Tell what a busy instance does for its line

The line of a busy second now has tries, their time, the longest rest between them, looks, and who was placed out of the line and at once.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -92,7 +92,7 @@
 			},
 		});
 		followed.feeds = feeds;
-		const watch = ProcessorWatch.create(forPart(logger, 'Processor'), metrics, () => dispatcher.waiting);
+		const watch = ProcessorWatch.create(forPart(logger, 'Processor'), metrics, () => dispatcher.takeActivity());
 		const gateway = await Gateway.create({
 			...splitAddress(settings.callerAddress),
 			heldBodiesBytes: settings.memoryMegabytes * 1024 * 1024 * bodiesShare,
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -9,6 +9,7 @@
 import {type Beliefs} from './beliefs.js';
 import {RefusalReason, type Ticket} from './decision.js';
 import {EndpointBook, type Known} from './endpoint-book.js';
+import {type LineActivity, LineMeter} from './line-meter.js';
 import {unknownRetryMilliseconds, WaitingRoom} from './waiting-room.js';
 
 export type DispatcherOptions = {
@@ -53,6 +54,7 @@
 	#pumpAt = 0;
 	#timer: NodeJS.Timeout | undefined;
 	readonly #teller: LineTeller;
+	readonly #meter = LineMeter.create();
 	#runCount = 0;
 
 	private constructor(options: DispatcherOptions) {
@@ -75,6 +77,11 @@
 		return this.#room.size;
 	}
 
+	/** What was done for those that wait since it was asked last. */
+	takeActivity(): LineActivity {
+		return this.#meter.take(this.#room.size);
+	}
+
 	[Symbol.dispose](): void {
 		clearInterval(this.#timer);
 	}
@@ -115,6 +122,7 @@
 	/** True if the ticket has its decision; at the endpoints named in `awaited` others come first. What it finds is noted for those behind it. */
 	#try(ticket: Ticket, awaited: ReadonlySet<string>, looks?: LineLooks): boolean {
 		const now = performance.now();
+		this.#meter.looked();
 		const {trial, usable} = this.endpoints.usable(ticket, now);
 		if (trial !== undefined && !awaited.has(trial.record.id) && this.#tryTrial(ticket, trial, now)) {
 			return true;
@@ -202,6 +210,7 @@
 
 	#place(ticket: Ticket, record: EndpointRecord, {candidates, unreadTokens, fetch, expectedMilliseconds, leastUnreadTokens}: Place & {candidates: number}): void {
 		const now = performance.now();
+		this.#meter.placed(this.#room.has(ticket.id));
 		this.#room.placed(ticket, unreadTokens, now);
 		this.#runCount += 1;
 		const id = runId(this.#options.incarnation, this.#runCount);
@@ -240,6 +249,7 @@
 		if (startedAt >= this.#pumpAt) {
 			this.#tryLine(startedAt);
 			const now = performance.now();
+			this.#meter.tried(startedAt, now);
 			this.#pumpAt = now + ((now - startedAt) * pumpRest);
 		}
 	}
--- a/src/gateway/processor-watch.ts
+++ b/src/gateway/processor-watch.ts
@@ -1,5 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {type Metrics, type PartLogger} from '../telemetry/index.js';
+import {type LineActivity} from './line-meter.js';
 
 const summaryMilliseconds = 1000;
 /** From this share of its time on a process is short of it: what arrives waits for several others. */
@@ -11,24 +12,24 @@
  * endpoints explain it. One line a second tells so while it lasts.
  */
 export class ProcessorWatch implements Disposable {
-	/** `waiting` tells how many requests wait for a place. */
-	static create(logger: PartLogger, metrics: Metrics, waiting: () => number): ProcessorWatch {
-		return new ProcessorWatch(logger, metrics, waiting);
+	/** `line` tells what was done for requests that wait for a place since it was asked last. */
+	static create(logger: PartLogger, metrics: Metrics, line: () => LineActivity): ProcessorWatch {
+		return new ProcessorWatch(logger, metrics, line);
 	}
 
 	/** The part of the last second in which it was at work, 0 to 1. */
 	busy = 0;
 	readonly #logger: PartLogger;
 	readonly #timer: NodeJS.Timeout;
-	readonly #waiting: () => number;
+	readonly #line: () => LineActivity;
 	#before = performance.eventLoopUtilization();
 	#longestTurn = 0;
 	#requests = 0;
 	#wasBusy = false;
 
-	private constructor(logger: PartLogger, metrics: Metrics, waiting: () => number) {
+	private constructor(logger: PartLogger, metrics: Metrics, line: () => LineActivity) {
 		this.#logger = logger;
-		this.#waiting = waiting;
+		this.#line = line;
 		metrics.observe('gateway_processor_busy', 'Part of the last second in which the event loop was at work.', () => this.busy);
 		this.#timer = setInterval(() => {
 			this.#summarise();
@@ -50,8 +51,9 @@
 		this.busy = performance.eventLoopUtilization(now, this.#before).utilization;
 		this.#before = now;
 		const isBusy = this.busy >= busyShare;
+		const line = this.#line();
 		if (isBusy || this.#wasBusy) {
-			this.#logger.info(isBusy ? 'Busy.' : 'No longer busy.', {share: rounded(this.busy), longestTurn: rounded(this.#longestTurn), requests: this.#requests, waiting: this.#waiting()});
+			this.#logger.info(isBusy ? 'Busy.' : 'No longer busy.', {share: rounded(this.busy), longestTurn: rounded(this.#longestTurn), requests: this.#requests, ...line});
 		}
 
 		this.#wasBusy = isBusy;
