Let whoever is at risk to get nothing go before less urgent kinds

Cause: a workspace's urgency goes before the route's in the line, and instances did not hold back a draft of a workspace that goes first for a confirmation that waits elsewhere. For as long as more such drafts come than engines read, ordinary confirmations are refused.

Change: who has used half of its time goes before every less urgent kind, whoever sends it, and nobody is moved back; it is told to other instances by its kind alone, for which less urgent kinds hold back; less urgent kinds don't count as ahead of it. Else the order of workspaces stands, by a test.

--- a/src/policy/dispatch/peer-lines.ts
+++ b/src/policy/dispatch/peer-lines.ts
@@ -7,6 +7,7 @@
  * stands still for a line that can't use it.
  */
 import {compareUrgency, type UrgencyPair} from '../../routing/index.js';
+import {isAtRisk} from './waiting-line.js';
 
 /** How many of one urgency wait. */
 export type UrgencyCount = UrgencyPair & {readonly count: number};
@@ -14,7 +15,7 @@
 /** Which urgencies wait at one instance for one service; none once nothing waits. */
 export type LineEvent = {readonly type: 'waiting'; readonly owner: string; readonly service: string; readonly urgencies: readonly UrgencyCount[]};
 
-/** Urgencies that one instance tells for a service, the most urgent first: the others come after these anyway. */
+/** Urgencies that one instance tells for a service, those at risk and then the most urgent first: the others come after these anyway. */
 const mostUrgencies = 4;
 /** A shorter wait is usual where nothing is short: two looks at the line, and a message's way. */
 const leastWaitMilliseconds = 40;
@@ -50,13 +51,13 @@
 	}
 
 	/**
-	 * Whether someone waits at another instance who is more urgent by workspace and by route. Where the two differ, a draft of a workspace
-	 * that goes first does not hold up a confirmation of one that doesn't: the order of backlogs is enough there, and holding back
-	 * would end a kind of request.
+	 * Whether someone waits at another instance who is more urgent by workspace and by route, or who is at risk and of a more urgent kind. Else, where
+	 * the two differ, a draft of a workspace that goes first does not hold up a confirmation of one that doesn't: the order of backlogs is
+	 * enough there, and holding back would end a kind of request.
 	 */
 	outranks(service: string, urgency: UrgencyPair, now: number): boolean {
 		for (const {urgencies, at} of this.#told.get(service)?.values() ?? []) {
-			if (now - at < believedMilliseconds && urgencies.some(other => other.route <= urgency.route && compareUrgency(other, urgency) < 0)) {
+			if (now - at < believedMilliseconds && urgencies.some(other => other.route <= urgency.route && goesBefore(other, urgency))) {
 				return true;
 			}
 		}
@@ -77,23 +78,34 @@
 	}
 }
 
+/** A pair without a workspace counts by its kind alone. */
+function goesBefore(other: UrgencyPair, urgency: UrgencyPair): boolean {
+	return other.workspace === undefined ? other.route < urgency.route : compareUrgency(other, urgency) < 0;
+}
+
 /** One that waits here. */
-export type OwnWaiting = {readonly service: string; readonly urgency: UrgencyPair; readonly arrivedAt: number};
+export type OwnWaiting = {readonly service: string; readonly urgency: UrgencyPair; readonly arrivedAt: number; readonly lastStartAt: number};
 
 /** The urgencies that have waited long enough to be told, by service, the most urgent first. */
 function waitingUrgencies(waiting: Iterable<OwnWaiting>, now: number): Map<string, readonly UrgencyCount[]> {
 	const services = new Map<string, UrgencyCount[]>();
-	for (const {service, urgency, arrivedAt} of waiting) {
-		if (now - arrivedAt >= leastWaitMilliseconds) {
-			services.set(service, countOne(services.get(service) ?? [], urgency));
+	for (const one of waiting) {
+		if (now - one.arrivedAt >= leastWaitMilliseconds) {
+			const told = isAtRisk(one, now) ? {...one.urgency, workspace: undefined} : one.urgency;
+			services.set(one.service, countOne(services.get(one.service) ?? [], told));
 		}
 	}
 
-	return new Map([...services].map(([service, urgencies]) => [service, urgencies.toSorted(compareUrgency).slice(0, mostUrgencies)]));
+	return new Map([...services].map(([service, urgencies]) => [service, urgencies.toSorted(byKind).slice(0, mostUrgencies)]));
+}
+
+/** Those at risk are told first of all. */
+function byKind(left: UrgencyPair, right: UrgencyPair): number {
+	return Number(left.workspace !== undefined) - Number(right.workspace !== undefined) || compareUrgency(left, right);
 }
 
 function countOne(urgencies: UrgencyCount[], urgency: UrgencyPair): UrgencyCount[] {
-	const index = urgencies.findIndex(other => compareUrgency(other, urgency) === 0);
+	const index = urgencies.findIndex(other => other.route === urgency.route && other.workspace === urgency.workspace);
 	if (index === -1) {
 		return [...urgencies, {...urgency, count: 1}];
 	}
--- a/src/policy/dispatch/waiting-line.ts
+++ b/src/policy/dispatch/waiting-line.ts
@@ -7,6 +7,9 @@
  * target, everyone is served late. The line is ordered by urgency, then those that can still be in time
  * before the others, then by how much of the service each workspace had lately, then by arrival; every
  * eighth place goes to whoever waited longest, so that nobody starves.
+ *
+ * A workspace that goes first does so in all its kinds of request. Failure: it sends many drafts, and for as long as these come, others'
+ * confirmations get nothing at all. Whoever has used half of its time is therefore at risk, and goes before every less urgent kind, whoever sends it.
  */
 export type Waiting = {
 	readonly id: string;
@@ -22,6 +25,14 @@
 	readonly lastStartAt: number;
 };
 
+/** The part of a request's time after which it is at risk to get nothing. */
+const riskShare = 0.5;
+
+/** Whether a request is at risk to get nothing: from then on its kind alone decides whom it goes before. */
+export function isAtRisk({arrivedAt, lastStartAt}: Pick<Waiting, 'arrivedAt' | 'lastStartAt'>, now: number): boolean {
+	return now - arrivedAt > (lastStartAt - arrivedAt) * riskShare;
+}
+
 /** An eighth keeps the urgent at nearly their full share and lets the least urgent move. */
 const longestWaitingTurn = 8;
 /** What a workspace had is forgotten by half in about this time. */
@@ -95,27 +106,31 @@
 
 	/** Everyone, in the order in which they should be tried now. */
 	ordered(now: number): Waiting[] {
-		const all = [...this.#waiting.values()];
-		const recent = new Map(all.map(({workspace}) => [workspace, this.#recentWork(workspace, now)]));
-		all.sort((left, right) => compareUrgency(left.urgency, right.urgency)
+		const waiting = [...this.#waiting.values()];
+		const recent = new Map(waiting.map(({workspace}) => [workspace, this.#recentWork(workspace, now)]));
+		waiting.sort((left, right) => compareUrgency(left.urgency, right.urgency)
 			|| Number(now > left.inTimeUntil) - Number(now > right.inTimeUntil)
 			|| (recent.get(left.workspace) ?? 0) - (recent.get(right.workspace) ?? 0)
 			|| left.arrivedAt - right.arrivedAt);
+		const all = putAtRiskFirst(waiting, now);
 		this.#turn += 1;
 		if (this.#turn % longestWaitingTurn === 0 && all.length > 1) {
 			const oldest = longestWaiting(all);
-			return [oldest, ...all.filter(waiting => waiting !== oldest)];
+			return [oldest, ...all.filter(one => one !== oldest)];
 		}
 
-		return all;
+		return [...all];
 	}
 
-	/** What of a service would be tried before one of this urgency: how many, and their work together. */
+	/**
+	 * What of a service would be tried before one of this urgency: how many, and their work together. A less urgent kind is not, whoever
+	 * sends it: it steps back before the request would get nothing.
+	 */
 	ahead(service: string, urgency: UrgencyPair): {readonly count: number; readonly work: number} {
 		let count = 0;
 		let work = 0;
 		for (const group of this.#groups.values()) {
-			if (group.service === service && compareUrgency(group.urgency, urgency) <= 0) {
+			if (group.service === service && group.urgency.route <= urgency.route && compareUrgency(group.urgency, urgency) <= 0) {
 				count += group.count;
 				work += group.work;
 			}
@@ -155,3 +170,32 @@
 
 	return oldest;
 }
+
+/** Moves whoever is at risk before the first of a less urgent kind, and nobody back; those moved keep their order among their kind. */
+function putAtRiskFirst(all: readonly Waiting[], now: number): readonly Waiting[] {
+	let leastUrgent = -Infinity;
+	const moved: Waiting[] = [];
+	const others: Waiting[] = [];
+	for (const waiting of all) {
+		const {route} = waiting.urgency;
+		(route < leastUrgent && isAtRisk(waiting, now) ? moved : others).push(waiting);
+		leastUrgent = Math.max(leastUrgent, route);
+	}
+
+	if (moved.length === 0) {
+		return all;
+	}
+
+	moved.sort((left, right) => left.urgency.route - right.urgency.route);
+	const merged: Waiting[] = [];
+	let next = 0;
+	for (const waiting of others) {
+		for (; next < moved.length && moved[next]!.urgency.route < waiting.urgency.route; next++) {
+			merged.push(moved[next]!);
+		}
+
+		merged.push(waiting);
+	}
+
+	return [...merged, ...moved.slice(next)];
+}
--- a/test/gateway/urgent-kinds.ts
+++ b/test/gateway/urgent-kinds.ts
@@ -51,10 +51,10 @@
 /** A span in which more confirmations of a workspace's urgency got nothing than is allowed while drafts of equal workspaces began. */
 export type Breach = {readonly from: number; readonly refused: number; readonly asked: number; readonly draftsBegun: number};
 
-/** All spans of five seconds in which that happened. */
-export function breaches(all: readonly Asked[], workspaceUrgency: number, {from, to}: {from: number; to: number}): Breach[] {
+/** All spans of five seconds in which that happened; of all workspaces together where none is named. */
+export function breaches(all: readonly Asked[], workspaceUrgency: number | undefined, {from, to}: {from: number; to: number}): Breach[] {
 	const found: Breach[] = [];
-	const own = all.filter(one => one.workspaceUrgency === workspaceUrgency);
+	const own = all.filter(one => workspaceUrgency === undefined || one.workspaceUrgency === workspaceUrgency);
 	const confirmations = own.filter(({kind}) => kind === confirmation.name);
 	const drafts = own.filter(({kind}) => kind === draft.name);
 	for (let start = from; start + windowMilliseconds <= to; start += stepMilliseconds) {
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -503,10 +503,49 @@
 	t.equal(wants({...draft, isOutranked: false}, 200), 'place');
 });
 
+// Guards against drafts of workspaces that go first, sent elsewhere for as long as they come, while a confirmation gets nothing.
+tap.test('a request at risk is told by its kind alone, and less urgent kinds hold back for it, whoever sends them', async t => {
+	const teller = LineTeller.create('a');
+	const lines = PeerLines.create();
+	const waiting = {service: 'models', urgency: {route: 1, workspace: 1}, arrivedAt: 0, lastStartAt: 2000};
+	const draftThatGoesFirst = {route: 2, workspace: 0};
+	const hear = (now: number): void => {
+		for (const event of teller.events([waiting], now)) {
+			lines.hear({...event, owner: 'a'}, now);
+		}
+	};
+
+	hear(500);
+	t.notOk(lines.outranks('models', draftThatGoesFirst, 500), 'it has most of its time left');
+	hear(1100);
+	t.ok(lines.outranks('models', draftThatGoesFirst, 1100));
+	t.notOk(lines.outranks('models', {route: 1, workspace: 1}, 1100), 'not among equals');
+	t.notOk(lines.outranks('models', {route: 0, workspace: 2}, 1100), 'not for a more urgent kind');
+});
+
+// Guards against the order of workspaces that is lost, and against a kind that gets nothing by it.
+tap.test('a workspace that goes first does so in all kinds, until another kind is at risk', async t => {
+	const line = WaitingLine.create();
+	const add = (id: string, urgency: UrgencyPair, arrivedAt: number): void => {
+		line.add({id, workspace: id, service: 'models', urgency, work: 1, arrivedAt, inTimeUntil: arrivedAt + 300, lastStartAt: arrivedAt + 2000});
+	};
+
+	add('their confirmation', {route: 1, workspace: 1}, 0);
+	add('their ticket', {route: 0, workspace: 1}, 5);
+	add('their draft', {route: 2, workspace: 1}, 6);
+	add('first draft', {route: 2, workspace: 0}, 7);
+	add('first confirmation', {route: 1, workspace: 0}, 8);
+	const order = (now: number): string[] => line.ordered(now).map(({id}) => id);
+	t.same(order(100), ['first confirmation', 'first draft', 'their ticket', 'their confirmation', 'their draft']);
+	t.same(order(1003), ['first confirmation', 'their confirmation', 'first draft', 'their ticket', 'their draft'], 'the confirmation alone is at risk');
+	t.same(order(1500), ['their ticket', 'first confirmation', 'their confirmation', 'first draft', 'their draft'], 'the more urgent kind first among those at risk');
+	t.equal(line.ahead('models', {route: 1, workspace: 1}).count, 3, 'a less urgent kind steps back in time');
+});
+
 // Each message costs every other instance time: a line is told of a few times a second, and its end once.
 tap.test('an instance tells of its line now and then, and once of its end', async t => {
 	const teller = LineTeller.create('a');
-	const waiting = [{service: 'models', urgency: {route: 1, workspace: undefined}, arrivedAt: 0}, {service: 'models', urgency: {route: 1, workspace: undefined}, arrivedAt: 20}];
+	const waiting = [{service: 'models', urgency: {route: 1, workspace: undefined}, arrivedAt: 0, lastStartAt: 2000}, {service: 'models', urgency: {route: 1, workspace: undefined}, arrivedAt: 20, lastStartAt: 22_000}];
 	t.same(teller.events(waiting, 30), [], 'a short wait is usual');
 	t.same(teller.events(waiting, 50), [{type: 'waiting', owner: 'a', service: 'models', urgencies: [{route: 1, workspace: undefined, count: 1}]}]);
 	t.same(teller.events(waiting, 100), []);
