--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -28,14 +28,43 @@
 	return lines.filter(line => line.startsWith('test/')).map(line => `dist/${line.split(/[\s:]/v)[0].replace(/\.ts$/v, '.js')}`);
 }
 
+/** Assertions of each file, so that two runs can be compared where their sums differ. */
+function countByFile(lines) {
+	const counts = [];
+	let count = 0;
+	for (const line of lines) {
+		if (isAssertion(line)) {
+			count += 1;
+		} else if (isFile(line)) {
+			counts.push(`${count} ${/dist\/test\/\S+/v.exec(line)?.[0]}`);
+			count = 0;
+		}
+	}
+
+	return counts.toSorted();
+}
+
+function isFile(line) {
+	return /^(?:not )?ok /v.test(line);
+}
+
+function isAssertion(line) {
+	return /^ +(?:not )?ok \d/v.test(line) && !/# time=/v.test(line);
+}
+
 function runTap(files) {
 	if (files.length === 0) {
 		return {passed: 0, failed: 0};
 	}
 
 	const result = spawnSync('npx', ['tap', 'run', '--disable-coverage', '--allow-empty-coverage', '--reporter=tap', '--timeout=240', '--jobs=4', ...files], {encoding: 'utf8', maxBuffer: 1e9});
-	const top = result.stdout.split('\n').filter(line => /^(?:not )?ok /v.test(line));
-	const assertions = result.stdout.split('\n').filter(line => /^ +(?:not )?ok \d/v.test(line) && !/# time=/v.test(line));
+	const lines = result.stdout.split('\n');
+	const top = lines.filter(line => isFile(line));
+	const assertions = lines.filter(line => isAssertion(line));
+	for (const count of countByFile(lines)) {
+		console.log(`counted ${count}`);
+	}
+
 	const failedFiles = top.filter(line => line.startsWith('not ok'));
 	const failed = assertions.filter(line => line.trimStart().startsWith('not ok')).length;
 	if (failedFiles.length > 0 || result.status !== 0) {
