--- a/src/gateway/exchange-options.ts
+++ b/src/gateway/exchange-options.ts
@@ -1,6 +1,9 @@
+import {type AlarmEvent} from '../concurrency/index.js';
 import {type RoutingTable, type Route, type Workspace} from '../routing/index.js';
+import {type Outcome} from './attempt-follower.js';
 import {type Caller} from './caller.js';
 import {type ChannelBook} from './channel-book.js';
+import {type Decision} from './decision.js';
 import {type DecisionLog} from './decision-log.js';
 import {type Dispatcher} from './dispatcher.js';
 import {type RawHeaders, type RequestCodec, type RequestFacts} from './types.js';
@@ -24,3 +27,12 @@
 	/** When its first byte was here, on the monotonic clock. */
 	readonly arrivedAt: number;
 };
+
+/** What an exchange waits for. Events of an attempt carry its number, so that a stale one shows. */
+export type ExchangeEvent
+	= | AlarmEvent
+		| {readonly type: 'left'}
+		| {readonly type: 'drained'}
+		| {readonly type: 'decided'; readonly decision: Decision}
+	/** What bytes have led to; those that go on are passed in the turn in which they came. */
+		| {readonly type: 'outcome'; readonly number: number; readonly outcome: Outcome};
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,4 +1,4 @@
-import {Alarm, type AlarmEvent, type Body, channel, receive, tryDeliver, tryReceive} from '../concurrency/index.js';
+import {Alarm, type Body, channel, receive, tryDeliver, tryReceive} from '../concurrency/index.js';
 import {combineVerdicts, Verdict} from '../model/index.js';
 import {type Demand, leaveAt} from '../policy/dispatch/index.js';
 import {type EndpointRecord, RouteKind} from '../routing/index.js';
@@ -6,19 +6,10 @@
 import {Attempt} from './attempt.js';
 import {AttemptFollower, type Outcome} from './attempt-follower.js';
 import {type Decision} from './decision.js';
-import {type ExchangeOptions} from './exchange-options.js';
+import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {answerFinally} from './final-answer.js';
 import {demandOf, ticketOf} from './ticket.js';
 
-/** What an exchange waits for. Events of an attempt carry its number, so that a stale one shows. */
-type ExchangeEvent
-	= | AlarmEvent
-		| {readonly type: 'left'}
-		| {readonly type: 'drained'}
-		| {readonly type: 'decided'; readonly decision: Decision}
-	/** What bytes have led to; those that go on are passed in the turn in which they came. */
-		| {readonly type: 'outcome'; readonly number: number; readonly outcome: Outcome};
-
 /** Events of one exchange that may wait: no more than one of each kind is ever under way. */
 const inboxCapacity = 16;
 /** Less than this left is no time to run anything in. */
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,39 +1,14 @@
 import {type Body, receive, sleep, spawn, wait} from '../concurrency/index.js';
-import {type ZoneName} from '../model/index.js';
 import {flattenParts, type LoadEvent, tellingInterval} from '../policy/dispatch/index.js';
 import {type FleetView} from '../policy/sharing/index.js';
-import {type PartLogger} from '../telemetry/index.js';
-import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion, type Security} from '../wire/index.js';
-import {type Beliefs} from './beliefs.js';
+import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion} from '../wire/index.js';
 import {type KeptParts} from './kept-reader.js';
 import {LoadBatch} from './load-batch.js';
 import {greetingOf, hear, messageOf} from './peer-messages.js';
 import {type PeerRecord, PeerRoster} from './peer-roster.js';
+import {type PeersOptions} from './peers-options.js';
 import {TablePull} from './table-pull.js';
 
-export type PeersOptions = {
-	readonly instance: string;
-	readonly zone: ZoneName;
-	/** New at each start of the process. */
-	readonly incarnation: string;
-	readonly host: string;
-	readonly port: number;
-	readonly security: Security;
-	/** Addresses to try before anyone has announced itself; they may be stale. */
-	readonly seeds: readonly string[];
-	readonly beliefs: Beliefs;
-	readonly logger: PartLogger;
-	readonly onLoad: (event: LoadEvent) => void;
-	/** A peer read what an endpoint holds of prompts. */
-	readonly onKept: (kept: KeptParts) => void;
-	/** Whether this instance has read the endpoints from the store lately. */
-	readonly knowsEndpoints: () => boolean;
-	/** A peer has read a newer routing table for long: this instance's own reading may hang. */
-	readonly onBehind: () => void;
-	/** How much of the fleet this instance hears of has changed. */
-	readonly onView: (view: FleetView) => void;
-};
-
 /** How often missing neighbours are dialled, and heartbeats are looked at. */
 const lookMilliseconds = 1000;
 /**
--- a/test/gateway/silent-store.test.ts
+++ b/test/gateway/silent-store.test.ts
@@ -1,6 +1,7 @@
 import tap from 'tap';
 import {createRandom} from '../../bench/harness/random.js';
-import {type StoreFailure, VirtualFollowers} from './virtual-followers.js';
+import {VirtualFollowers} from './virtual-followers.js';
+import {type StoreFailure} from './virtual-store.js';
 import {VirtualTime} from './virtual-time.js';
 
 /** Milliseconds in which the operator's change is to be in force everywhere, where so many instances run. */
