--- a/test/endpoint/engine-client.test.ts
+++ b/test/endpoint/engine-client.test.ts
@@ -5,6 +5,8 @@
 import {EngineClient, type EngineEvent, type EngineRun} from '../../src/endpoint/index.js';
 
 const costs = {stepMilliseconds: 0.5, stepMillisecondsPerRequest: 0};
+/** Steps so long that the engine can't produce twenty tokens in one turn, even where it catches up after a pause of the process. */
+const slowCosts = {...costs, stepMilliseconds: 5};
 
 function runOf(prompt: string, more: Partial<EngineRun> = {}): EngineRun {
 	const body = Buffer.from(JSON.stringify({model: 'model', stream: true, messages: [{role: 'user', content: prompt}]}));
@@ -56,7 +58,7 @@
 	// The engine repeats or skips events, sends a foreign one or truncates the stream: the caller would receive wrong text.
 	// The response must end before the first such event, and everything before it must be correct.
 	for (const fault of ['duplicateEvents', 'dropEvents', 'foreignEvents', 'truncateStreams'] as const) {
-		await using engine = await FakeEngine.create({costs});
+		await using engine = await FakeEngine.create({costs: slowCosts});
 		await using client = EngineClient.create({baseUrl: engine.url});
 		const run = runOf('fault [[tokens=40]]');
 		const events: EngineEvent[] = [];
--- a/test/path/at-most-once.test.ts
+++ b/test/path/at-most-once.test.ts
@@ -86,11 +86,14 @@
 	const disconnectedResult = await disconnected;
 	t.not(disconnectedResult.outcome, 'whole');
 	let result = await call(fleet, 0, key);
+	const earlyVerdicts = new Set<string | undefined>();
 	for (let tries = 0; result.outcome !== 'whole' && tries < 100; tries++) {
-		t.equal(result.verdict, 'may-have-run');
+		earlyVerdicts.add(result.verdict);
 		result = await call(fleet, 0, key);
 	}
 
+	earlyVerdicts.delete('may-have-run');
+	t.same(earlyVerdicts, new Set());
 	t.equal(result.outcome, 'whole');
 	t.equal(runs(fleet, key), 1);
 });
