--- a/fakes/platform-store.ts
+++ b/fakes/platform-store.ts
@@ -3,8 +3,11 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 
-/** A fault of one call. `lose-answer` executes the call and closes the connection; `late` delays the response. */
-export type StoreFault = 'refuse' | 'reset' | 'silent' | 'late' | 'lose-answer';
+/**
+ * A fault of one call. `lose-answer` executes the call and closes the connection; `late` delays call and response; `execute-late` does not
+ * respond and executes the call later.
+ */
+export type StoreFault = 'refuse' | 'reset' | 'silent' | 'late' | 'lose-answer' | 'execute-late';
 
 /** Chooses a fault for a call by its path and its Host header. */
 export type ChooseFault = (path: string, caller: string) => StoreFault | undefined;
@@ -142,6 +145,13 @@
 				return;
 			}
 
+			case 'execute-late': {
+				setTimeout(() => {
+					void this.#handle(url, body, undefined);
+				}, lateMilliseconds);
+				return;
+			}
+
 			case 'late': {
 				await new Promise(resolve => {
 					setTimeout(resolve, lateMilliseconds);
@@ -178,11 +188,7 @@
 			}
 
 			case '/v1/log-append': {
-				const length = body[4] ?? 0;
-				const key = Buffer.from(body.subarray(5, 5 + length)).toString();
-				const value = Buffer.from(body.subarray(5 + length)).toString();
-				const offset = this.put(topic, key, value === '' ? undefined : JSON.parse(value));
-				response?.end(JSON.stringify({offset, end: offset + 1}));
+				this.#append(url, body, response);
 				return;
 			}
 
@@ -192,6 +198,25 @@
 		}
 	}
 
+	/** Appends all records of a call, or none if the log does not end where the call names. */
+	#append(url: URL, body: Uint8Array, response: ServerResponse | undefined): void {
+		const topic = url.searchParams.get('topic') ?? '';
+		const topicState = this.#topic(topic);
+		const end = topicState.first + topicState.records.length;
+		const at = url.searchParams.get('at');
+		if (at !== null && Number(at) !== end) {
+			response?.writeHead(412).end(JSON.stringify({end}));
+			return;
+		}
+
+		const records = parseRecords(body);
+		for (const {key, value} of records) {
+			this.put(topic, key, value === '' ? undefined : JSON.parse(value));
+		}
+
+		response?.end(JSON.stringify({offset: end, end: end + records.length}));
+	}
+
 	async #read(url: URL, response: ServerResponse | undefined): Promise<void> {
 		const topicState = this.#topic(url.searchParams.get('topic') ?? '');
 		const from = Number(url.searchParams.get('from'));
@@ -218,6 +243,21 @@
 	return Buffer.concat([length, content]);
 }
 
+/** Parses the records of an append: each is its length, the length of its key, its key and its value. */
+function parseRecords(body: Uint8Array): Array<{readonly key: string; readonly value: string}> {
+	const buffer = Buffer.from(body);
+	const records = [];
+	for (let position = 0; position < buffer.length;) {
+		const start = position + 4;
+		const end = start + buffer.readUInt32BE(position);
+		const valueStart = start + 1 + (buffer[start] ?? 0);
+		records.push({key: buffer.toString('utf8', start + 1, valueStart), value: buffer.toString('utf8', valueStart, end)});
+		position = end;
+	}
+
+	return records;
+}
+
 /** Returns 0 for a wait that is not an integer, as the platform's store does. */
 function parseInteger(text: string | null): number { // eslint-disable-line @typescript-eslint/no-restricted-types -- URLSearchParams.get() returns null
 	return text !== null && /^\d+$/v.test(text) ? Number(text) : 0;
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,9 +1,10 @@
 import process from 'node:process';
-import {RoutingState, ConnectionPools, DecisionLog, Dispatcher, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, type StoreFeeds} from '../gateway/index.js';
+import {RoutingState, ConnectionPools, DecisionLog, Dispatcher, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, type StoreFeeds} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type PromptPart, type RetryAllowance} from '../policy/dispatch/index.js';
 import {recentPollMilliseconds} from '../policy/sharing/index.js';
 import {AdminServer, forPart, type Logger, Metrics, type PartLogger} from '../telemetry/index.js';
+import {openDuties} from './gateway-duties.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
 import {parseTuning} from './settings/tuning.js';
 import {withinMilliseconds} from './stop-signal.js';
@@ -13,11 +14,14 @@
 	readonly codec: RequestCodec;
 	readonly readyPath: string;
 	openStore(address: string, logger: PartLogger): GatewayStore;
+	/** The receiver of what the holder of the duties reports and orders. */
+	openDutyReceiver(address: string): DutyReceiver;
 	/** Asks a model engine which prompt parts it has cached. */
 	readCachedParts(address: string): Promise<readonly PromptPart[]>;
 };
 
 export type GatewayStore = AsyncDisposable & StoreFeeds & {
+	readonly duties: DutyStore;
 	/** Registers a listener for the first response from a newer era of the store; the era is its generation number, which rises when it is restored from a backup. */
 	onEra(listener: (era: number) => void): void;
 	announce(record: PeerRecord): Promise<void>;
@@ -42,6 +46,7 @@
 	readonly dispatcher: Dispatcher;
 	readonly gateway: Gateway;
 	readonly admin: AdminServer;
+	readonly duties: Duties | undefined;
 	/** The parts to dispose of, in this order. */
 	readonly disposables: ReadonlyArray<AsyncDisposable | Disposable>;
 };
@@ -82,8 +87,8 @@
 			},
 		});
 		/** Set after the peers are opened. Until then this instance tells connecting peers that it has not read the endpoints. */
-		const followers: {feeds?: FeedFollowers} = {};
-		const peers = await openPeers(settings, {incarnation, routingState, dispatcher, promptCacheReader, logger, feeds: () => followers.feeds});
+		const followers: {feeds?: FeedFollowers; duties?: Duties | undefined} = {};
+		const peers = await openPeers(settings, {incarnation, routingState, dispatcher, promptCacheReader, logger, feeds: () => followers.feeds, duties: () => followers.duties});
 		const eraCounter = metrics.counter('gateway_store_eras_total', 'How often a feed was read again because the store was restored from a backup.', ['feed']);
 		const feeds = followFeeds(store, {
 			routingState, peers, drainMilliseconds: settings.drainMilliseconds, applyMilliseconds: settings.applyMilliseconds, logger: forPart(logger, 'Store'), random: Math.random,
@@ -92,11 +97,17 @@
 			},
 		});
 		followers.feeds = feeds;
+		const duties = await openDuties({
+			settings, incarnation, store: store.duties, metrics, logger,
+			openReceiver: address => adapter.openDutyReceiver(address),
+			peers: () => peers,
+		});
+		followers.duties = duties;
 		const eventLoopMonitor = EventLoopMonitor.create(forPart(logger, 'Processor'), metrics, () => dispatcher.takeQueueActivity());
 		const gateway = await Gateway.create({
 			...splitAddress(settings.callerAddress),
 			maxBufferedBodyBytes: settings.memoryMegabytes * 1024 * 1024 * bodyMemoryShare,
-			routingState, dispatcher, connectionPools, codec: adapter.codec, log: decisions, eventLoopMonitor, logger: forPart(logger, 'Gateway'),
+			routingState, dispatcher, connectionPools, codec: adapter.codec, log: decisions, eventLoopMonitor, logger: forPart(logger, 'Gateway'), usage: duties?.counter,
 		});
 		metrics.observe('gateway_waiting', 'Requests in the placement queue.', () => dispatcher.queueLength);
 		metrics.observe('gateway_open', 'Requests whose response is not complete.', () => gateway.openRequests);
@@ -114,8 +125,8 @@
 			},
 		};
 		return new GatewayProcess({
-			settings, log: forPart(logger, 'Gateway'), store, routingState, peers, dispatcher, gateway, admin,
-			disposables: [timers, admin, gateway, feeds, promptCacheReader, peers, dispatcher, decisions, eventLoopMonitor, connectionPools, store],
+			settings, log: forPart(logger, 'Gateway'), store, routingState, peers, dispatcher, gateway, admin, duties,
+			disposables: [timers, admin, gateway, feeds, promptCacheReader, ...(duties === undefined ? [] : [duties]), peers, dispatcher, decisions, eventLoopMonitor, connectionPools, store],
 		});
 	}
 
@@ -155,12 +166,15 @@
 
 	/** Shuts down gracefully; resolves to true if all requests ended, and the attempt to retract the announcement too, before the deadline. */
 	async drain(): Promise<boolean> {
-		const {gateway, store, settings, log} = this.#parts;
+		const {gateway, store, settings, log, duties} = this.#parts;
 		this.#announcementAbort.abort();
 		const retracted = store.retract(settings.instance).catch((error: unknown) => {
 			log.warn('Could not retract the announcement.', {reason: String(error)});
 		});
-		return withinMilliseconds(Promise.all([gateway.drain(), retracted]), (settings.stopSeconds * 1000) - stopMarginMilliseconds);
+		const drained = Promise.all([gateway.drain(), retracted, duties?.release()]).then(() => {
+			duties?.tellEnd();
+		});
+		return withinMilliseconds(drained, (settings.stopSeconds * 1000) - stopMarginMilliseconds);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -196,9 +210,9 @@
 	}
 }
 
-type PeerParts = {readonly incarnation: string; readonly routingState: RoutingState; readonly dispatcher: Dispatcher; readonly promptCacheReader: PromptCacheReader; readonly logger: Logger; readonly feeds: () => FeedFollowers | undefined};
+type PeerParts = {readonly incarnation: string; readonly routingState: RoutingState; readonly dispatcher: Dispatcher; readonly promptCacheReader: PromptCacheReader; readonly logger: Logger; readonly feeds: () => FeedFollowers | undefined; readonly duties: () => Duties | undefined};
 
-async function openPeers(settings: GatewaySettings, {incarnation, routingState, dispatcher, promptCacheReader, logger, feeds}: PeerParts): Promise<Peers> {
+async function openPeers(settings: GatewaySettings, {incarnation, routingState, dispatcher, promptCacheReader, logger, feeds, duties}: PeerParts): Promise<Peers> {
 	const {host, port} = splitAddress(settings.peerAddress);
 	return Peers.create({
 		instance: settings.instance,
@@ -218,6 +232,9 @@
 			dispatcher.applyLoad({type: 'kept', ...list});
 		},
 		knowsEndpoints: () => (feeds()?.endpoints.millisecondsSinceRead(performance.now()) ?? Infinity) < recentPollMilliseconds,
+		onDutyWord(word) {
+			duties()?.handleWord(word);
+		},
 		onStaleTable() {
 			feeds()?.routing.abortLongPoll();
 		},
--- a/src/bin/settings/gateway-settings.ts
+++ b/src/bin/settings/gateway-settings.ts
@@ -5,6 +5,25 @@
 
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v, 'must be an IP number and a port');
 
+/** The calls that one instance at a time makes to the platform. */
+const dutySettingsSchema = z.object({
+	/** The platform's address for these calls. */
+	receiverAddress: address,
+	/** The address at which other gateways tell their usage to this one. */
+	address,
+	/** How long the instance that holds the duties may act without a renewal, in milliseconds. */
+	leaseMilliseconds: z.number().min(500),
+	/** Whether the platform refuses a call with an outdated fencing token. */
+	checksFences: z.boolean().default(false),
+	usageWindowSeconds: z.number().positive(),
+	/** A window's usage is due this long after its end. */
+	usageLateSeconds: z.number().positive(),
+	/** The part of each core that the process gets, and the number of cores: a well equipped instance takes the duties first. */
+	processorShare: z.number().positive().default(1),
+	processorCores: z.number().positive().default(1),
+});
+export type DutyProgramSettings = z.output<typeof dutySettingsSchema>;
+
 /** The content of the gateway's JSON settings file. Unknown fields are ignored. */
 const gatewaySettingsSchema = z.object({
 	/** The instance's name, which stays the same across restarts. */
@@ -31,6 +50,8 @@
 	/** The time from the signal to the end of a graceful shutdown, in seconds. */
 	stopSeconds: z.number().positive().default(8),
 	logLevel: z.enum(logLevels).default('info'),
+	/** Absent where no instance has duties. An invalid value is reported, and the gateway serves requests without them. */
+	duties: z.unknown().optional(),
 });
 export type GatewaySettings = z.output<typeof gatewaySettingsSchema>;
 
@@ -51,6 +72,27 @@
 	throw SettingsError.create('cassiaflow-gateway', parsed.error.issues.map((issue): SettingsProblem => ({message: `${issue.path.join('.')}: ${issue.message}`})));
 }
 
+/** The settings of the duties, if there are any. */
+export type DutySettingsResult
+	= | {readonly type: 'absent'}
+		| {readonly type: 'valid'; readonly settings: DutyProgramSettings}
+		| {readonly type: 'invalid'; readonly error: SettingsError};
+
+/** Parses the settings of the duties. They are checked apart from the others: a gateway without duties still serves requests. */
+export function parseDutySettings({duties}: GatewaySettings): DutySettingsResult {
+	if (duties === undefined) {
+		return {type: 'absent'};
+	}
+
+	const parsed = dutySettingsSchema.safeParse(duties);
+	if (parsed.success) {
+		return {type: 'valid', settings: parsed.data};
+	}
+
+	const problems = parsed.error.issues.map((issue): SettingsProblem => ({message: `duties.${issue.path.join('.')}: ${issue.message}`}));
+	return {type: 'invalid', error: SettingsError.create('cassiaflow-gateway', problems)};
+}
+
 export function readGatewaySettings(file: string): GatewaySettings {
 	return parseGatewaySettings(readFileSync(file, 'utf8'));
 }
--- /dev/null
+++ b/src/gateway/duties/duties.ts
@@ -0,0 +1,187 @@
+import {type Body, channel, receiveWithin, spawn, tryDeliver} from '../../concurrency/index.js';
+import {type InstanceId, splitAddress} from '../../model/index.js';
+import {type Candidate, type DutySettings, type DutyState, knownHolder, medianAhead, type UsageRow} from '../../policy/duties/index.js';
+import {forPart, type Logger, type Metrics, type PartLogger} from '../../telemetry/index.js';
+import {type MessageOf} from '../../wire/index.js';
+import {DutyKeeper} from './duty-keeper.js';
+import {DutyMetrics} from './duty-metrics.js';
+import {type DutyReceiver, type DutyStore} from './duty-types.js';
+import {TimeKeeper} from './time-keeper.js';
+import {UsageCounter} from './usage-counter.js';
+import {UsageLink} from './usage-link.js';
+import {UsageServer} from './usage-server.js';
+
+export type DutiesOptions = {
+	readonly instance: string;
+	readonly incarnation: InstanceId;
+	/** Where other instances tell their usage. */
+	readonly address: string;
+	/** The wait before a claim, see `Candidate`. */
+	readonly claimDelayMilliseconds: number;
+	readonly settings: DutySettings;
+	readonly store: DutyStore;
+	readonly receiver: DutyReceiver;
+	readonly metrics: Metrics;
+	readonly logger: Logger;
+	/** Number of live instances. */
+	readonly instances: () => number;
+	/** Tells the neighbours who holds the duties. */
+	readonly broadcast: (word: MessageOf<'duty-word'>) => void;
+};
+
+/** Interval at which an instance tells its usage, for each instance of the fleet and at least. */
+const usageIntervalMilliseconds = {forEachInstance: 10, least: 500};
+/** An instance whose process ends has no more to tell. */
+const endOfTime = Number.MAX_SAFE_INTEGER;
+
+/** The part of a gateway that counts usage, tells it to the holder of the duties, and may be the holder itself. */
+export class Duties implements AsyncDisposable {
+	static async create(options: DutiesOptions): Promise<Duties> {
+		const duties = new Duties(options);
+		duties.#server = await UsageServer.create({
+			...splitAddress(options.address), security: {type: 'plaintext'},
+			onUsage: (message, sentWindow) => duties.#handleUsage(message, sentWindow),
+			onDisconnected(incarnation) {
+				duties.#keeper.apply({type: 'disconnected', incarnation});
+			},
+		});
+		void spawn('usage', () => duties.#tellUsage());
+		return duties;
+	}
+
+	readonly counter: UsageCounter;
+	readonly #options: DutiesOptions;
+	readonly #log: PartLogger;
+	readonly #timeKeeper: TimeKeeper;
+	readonly #keeper: DutyKeeper;
+	readonly #link: UsageLink;
+	readonly #wake = channel<'wake'>(1);
+	#server: UsageServer | undefined;
+	#isStopped = false;
+
+	private constructor(options: DutiesOptions) {
+		this.#options = options;
+		this.#log = forPart(options.logger, 'Duties');
+		this.#timeKeeper = TimeKeeper.create(this.#log);
+		this.counter = UsageCounter.create(options.settings.windowMilliseconds, () => this.#timeKeeper.clock().time);
+		const candidate: Candidate = {instance: options.instance, incarnation: options.incarnation, address: options.address, claimDelayMilliseconds: options.claimDelayMilliseconds};
+		this.#keeper = DutyKeeper.create({
+			settings: options.settings, candidate, store: options.store, receiver: options.receiver, timeKeeper: this.#timeKeeper,
+			metrics: DutyMetrics.create(options.metrics), logger: this.#log,
+			onChange: (state, before) => {
+				this.#handleChange(state, before);
+			},
+		});
+		this.#link = UsageLink.create({
+			security: {type: 'plaintext'}, logger: this.#log,
+			onWord: word => {
+				this.handleWord(word);
+			},
+		});
+	}
+
+	/** Handles a message about the holder, from the holder itself or from a neighbour that passes it on. */
+	handleWord({holder, end, decisions, time}: MessageOf<'duty-word'>): void {
+		const {state} = this.#keeper;
+		if (time !== undefined && state.tenure === undefined) {
+			this.#timeKeeper.correct(time - this.#timeKeeper.clock().time);
+		}
+
+		this.#keeper.apply({type: 'word', holder, end, decisions: new Map(decisions.map(({window, counts}) => [window, counts]))});
+	}
+
+	/** Gives up the duties, if this instance holds them. */
+	async release(): Promise<void> {
+		await this.#keeper.release();
+	}
+
+	/** Tells the holder that this process counts no more requests. */
+	tellEnd(): void {
+		this.#tell(endOfTime);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isStopped = true;
+		tryDeliver(this.#wake, 'wake');
+		await this.#keeper[Symbol.asyncDispose]();
+		await this.#link[Symbol.asyncDispose]();
+		await this.#server?.[Symbol.asyncDispose]();
+		await this.#options.receiver[Symbol.asyncDispose]();
+	}
+
+	* #tellUsage(): Body<void> {
+		while (!this.#isStopped) {
+			this.#tell(this.counter.completeThrough);
+			const {forEachInstance, least} = usageIntervalMilliseconds;
+			yield * receiveWithin(this.#wake, Math.max(least, forEachInstance * this.#options.instances()));
+		}
+	}
+
+	#tell(completeThrough: number): void {
+		const {state} = this.#keeper;
+		if (state.tenure !== undefined) {
+			this.#tellSelf(completeThrough);
+			return;
+		}
+
+		const holder = knownHolder(state);
+		if (holder === undefined || holder.isReleased || holder.incarnation === this.#options.incarnation) {
+			return;
+		}
+
+		this.#link.connect(holder);
+		const rows = this.#rowsSince(this.#link.sentRevision);
+		const {revision} = this.counter;
+		const {instance, incarnation} = this.#options;
+		if (this.#link.send({type: 'usage', instance, incarnation, time: this.#timeKeeper.clock().time, completeThrough, rows: rows.map(({window, counts}) => ({window, counts}))})) {
+			this.#link.sentRevision = revision;
+		}
+	}
+
+	#tellSelf(completeThrough: number): void {
+		const {instance, incarnation} = this.#options;
+		this.#keeper.apply({type: 'usage', from: {instance, incarnation, completeThrough, aheadMilliseconds: 0}, rows: this.#rowsSince(0)});
+		this.#timeKeeper.correct(medianAhead(this.#keeper.state));
+	}
+
+	#rowsSince(revision: number): UsageRow[] {
+		const {incarnation} = this.#options;
+		return this.counter.changedSince(revision).map(({window, counts}) => ({incarnation, window, counts}));
+	}
+
+	#handleUsage({instance, incarnation, time, completeThrough, rows}: MessageOf<'usage'>, sentWindow: number): MessageOf<'duty-word'> | undefined {
+		const aheadMilliseconds = time - this.#timeKeeper.clock().time;
+		this.#keeper.apply({type: 'usage', from: {instance, incarnation, completeThrough, aheadMilliseconds}, rows: rows.map(row => ({...row, incarnation}))});
+		return this.#word(sentWindow);
+	}
+
+	/** What this instance says about the holder. Only the holder itself tells the time. */
+	#word(sentWindow: number): MessageOf<'duty-word'> | undefined {
+		const {state} = this.#keeper;
+		const holder = knownHolder(state);
+		const end = state.known?.log.end;
+		if (holder === undefined || end === undefined) {
+			return undefined;
+		}
+
+		const decisions = [...state.known?.log.decisions ?? []].filter(([window]) => window > sentWindow).map(([window, {counts}]) => ({window, counts}));
+		const time = state.tenure === undefined ? undefined : this.#timeKeeper.clock().time + medianAhead(state);
+		return {type: 'duty-word', holder, end, decisions, ...(time !== undefined && {time})};
+	}
+
+	/** Passes the name of a new holder on, or that it has released the duties, and tells it the usage at once. */
+	#handleChange(state: DutyState, before: DutyState): void {
+		const holder = knownHolder(state);
+		const earlier = knownHolder(before);
+		if (holder === undefined || (holder.token === earlier?.token && holder.isReleased === earlier.isReleased) || holder.token < (earlier?.token ?? 0)) {
+			return;
+		}
+
+		const word = this.#word(Infinity);
+		if (word !== undefined) {
+			this.#options.broadcast(word);
+		}
+
+		tryDeliver(this.#wake, 'wake');
+	}
+}
--- a/src/gateway/exchange-options.ts
+++ b/src/gateway/exchange-options.ts
@@ -6,6 +6,7 @@
 import {type Decision} from './decision.js';
 import {type DecisionLog} from './decision-log.js';
 import {type Dispatcher} from './dispatcher.js';
+import {type UsageCounter} from './duties/index.js';
 import {type RawHeaders, type RequestCodec, type RequestMetadata} from './types.js';
 
 /** One request, its routing context, and the components that serve it. */
@@ -24,6 +25,8 @@
 	readonly dispatcher: Dispatcher;
 	readonly connectionPools: ConnectionPools;
 	readonly log: DecisionLog;
+	/** Counts requests that begin to run; absent where nothing is counted. */
+	readonly usage?: UsageCounter | undefined;
 	/** Arrival of its first byte, on the monotonic clock. */
 	readonly arrivedAt: number;
 };
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -8,6 +8,7 @@
 import {type Decision} from './decision.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {sendErrorResponse} from './error-response.js';
+import {RequestUsage} from './duties/index.js';
 import {demandOf, placementRequestOf} from './placement-request.js';
 
 /** Capacity of the inbox; more than the number of event types, of which at most one each is pending at a time. */
@@ -35,16 +36,19 @@
 	#possibleRuns = 0;
 	#attemptNumber = 0;
 	readonly #forwarder: ResponseForwarder;
+	readonly #usage: RequestUsage;
 	#waitedMilliseconds = 0;
 
 	private constructor(options: ExchangeOptions) {
 		this.#options = options;
 		this.#deadlineAt = options.arrivedAt + Math.min(options.route.timeoutMilliseconds, options.facts.deadlineMilliseconds ?? Infinity);
 		this.#demand = demandOf(options);
+		this.#usage = RequestUsage.create(options.usage, options.workspace?.name);
 		this.#forwarder = ResponseForwarder.create({
 			caller: options.caller,
 			codec: options.codec,
-			onFirstEvent(state) {
+			onFirstEvent: state => {
+				this.#usage.recordFirstEvent();
 				options.dispatcher.recordFirstEvent(state.decision.runId);
 			},
 			onDrained: () => {
@@ -141,6 +145,7 @@
 		this.#attempts += 1;
 		this.#attemptNumber += 1;
 		const number = this.#attemptNumber;
+		this.#usage.recordSent(route.kind === RouteKind.stream);
 		const attempt = Attempt.start({
 			address: record.address,
 			method,
@@ -162,6 +167,7 @@
 		const state: AttemptState = AttemptState.create({attempt, number, decision, isStream: route.kind === RouteKind.stream, requestId: facts.id, codec});
 		const outcome = yield * this.#awaitOutcome(state, alarm);
 		attempt.cancel();
+		this.#usage.recordEnd(attempt.mayHaveReachedEndpoint && !(outcome.type === 'failed' && outcome.verdict === Verdict.notRun));
 		this.#forwarder.isPaused = false;
 		dispatcher.recordEnd(runId);
 		this.#excluded.add(record.id);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import {Exchange} from './exchange.js';
 import {type EventLoopMonitor} from './event-loop-monitor.js';
 import {type RequestCodec, type RequestMetadata} from './types.js';
+import {type UsageCounter} from './duties/index.js';
 
 export type GatewayOptions = {
 	readonly host: string;
@@ -27,6 +28,8 @@
 	readonly log: DecisionLog;
 	readonly eventLoopMonitor: EventLoopMonitor;
 	readonly logger: PartLogger;
+	/** Counts requests that begin to run; absent where nothing is counted. */
+	readonly usage?: UsageCounter | undefined;
 };
 
 /** Retry delay while memory for bodies is short: a few requests end within this time. */
@@ -214,7 +217,7 @@
 		this.#bufferedBytes += bufferedBytes;
 		const exchange = Exchange.create({
 			facts: read.facts, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body: outcome.body, table, route, service,
-			workspace: access.workspace, caller, codec, dispatcher: this.#options.dispatcher, connectionPools: this.#options.connectionPools, log, arrivedAt,
+			workspace: access.workspace, caller, codec, dispatcher: this.#options.dispatcher, connectionPools: this.#options.connectionPools, log, arrivedAt, usage: this.#options.usage,
 		});
 		try {
 			await spawn('exchange', () => exchange.run());
--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -1,6 +1,6 @@
 import {decodeLoad, type LoadEvent, unflattenParts} from '../policy/dispatch/index.js';
 import {type EndpointChange, positionOf} from '../routing/index.js';
-import {type Connection, type GatewayMessage} from '../wire/index.js';
+import {type Connection, type GatewayMessage, type MessageOf} from '../wire/index.js';
 import {type RoutingStateChange, type RoutingState} from './routing-state.js';
 import {type CachedPromptParts} from './prompt-cache-reader.js';
 
@@ -57,10 +57,11 @@
 	readonly onVersion: (version: number) => void;
 	readonly onLoad: (event: LoadEvent) => void;
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
+	readonly onDutyWord: (word: MessageOf<'duty-word'>) => void;
 };
 
 /** Handles a message of a peer that has sent its hello. */
-export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache}: MessageContext): void {
+export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onDutyWord}: MessageContext): void {
 	switch (message.type) {
 		case 'routing-version': {
 			onVersion(message.version);
@@ -90,6 +91,16 @@
 			return;
 		}
 
+		case 'usage': {
+			connection.close('usage has a connection of its own');
+			return;
+		}
+
+		case 'duty-word': {
+			onDutyWord(message);
+			return;
+		}
+
 		case 'load': {
 			const events = decodeLoad(message.rows, incarnation);
 			if (events === undefined) {
--- a/src/gateway/peers-options.ts
+++ b/src/gateway/peers-options.ts
@@ -2,7 +2,7 @@
 import {type LoadEvent} from '../policy/dispatch/index.js';
 import {type FleetView} from '../policy/sharing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
-import {type Security} from '../wire/index.js';
+import {type MessageOf, type Security} from '../wire/index.js';
 import {type RoutingState} from './routing-state.js';
 import {type CachedPromptParts} from './prompt-cache-reader.js';
 
@@ -22,6 +22,8 @@
 	readonly onLoad: (event: LoadEvent) => void;
 	/** Called when a peer has read which prompt parts an endpoint has cached. */
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
+	/** Called when a peer names the holder of the duties. */
+	readonly onDutyWord: (word: MessageOf<'duty-word'>) => void;
 	/** Whether this instance has read the endpoints from the store lately. */
 	readonly knowsEndpoints: () => boolean;
 	/** Called when a peer has had a newer routing table for longer than a read of the store takes: this instance's own read may hang. */
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,7 +1,7 @@
 import {type Body, receive, sleep, spawn, wait} from '../concurrency/index.js';
 import {flattenParts, type LoadEvent, batchIntervalMilliseconds} from '../policy/dispatch/index.js';
 import {type FleetView} from '../policy/sharing/index.js';
-import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, protocolVersion} from '../wire/index.js';
+import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, type MessageOf, protocolVersion} from '../wire/index.js';
 import {type CachedPromptParts} from './prompt-cache-reader.js';
 import {LoadBatch} from './load-batch.js';
 import {initialMessages, handleMessage, messageForChange} from './peer-messages.js';
@@ -103,6 +103,11 @@
 		this.#broadcast({type: 'kept', endpoint, parts: flattenParts(parts)});
 	}
 
+	/** Tells all neighbours who holds the duties. */
+	broadcastDutyWord(word: MessageOf<'duty-word'>): void {
+		this.#broadcast(word);
+	}
+
 	/**
 	 * Adds announced instances; the newest announcement of an instance counts. A snapshot names those that were announced
 	 * before this one started.
@@ -213,10 +218,10 @@
 			return undefined;
 		}
 
-		const {routingState, onLoad, onPromptCache} = this.#options;
+		const {routingState, onLoad, onPromptCache, onDutyWord} = this.#options;
 		const {instance, incarnation} = link;
 		handleMessage(message, {
-			routingState, connection, instance, incarnation, onLoad, onPromptCache,
+			routingState, connection, instance, incarnation, onLoad, onPromptCache, onDutyWord,
 			onVersion: version => {
 				link.routingVersion = version;
 				this.#tablePuller.handlePeerVersion();
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -198,6 +198,8 @@
 			case 'kept':
 			case 'routing':
 			case 'endpoints':
+			case 'usage':
+			case 'duty-word':
 			case 'load': {
 				link.connection.close(`an entry sent ${message.type}`);
 				break;
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -141,6 +141,26 @@
 /** Gateway to gateway: the cached prompt parts that an endpoint reports, as alternating ids and token counts. */
 const kept = z.object({type: z.literal('kept'), endpoint: text, parts: z.custom<readonly number[]>(parts => Array.isArray(parts) && parts.every(value => typeof value === 'number' && value >= 0), 'not numbers')});
 
+const usageCounts = z.record(text, z.number().int().nonnegative());
+/** Gateway to the holder of the duties: the sender's counts of the windows that changed since its last message on this connection. */
+const usage = z.object({
+	type: z.literal('usage'), instance: text, incarnation: text,
+	/** The sender's estimate of Unix time, in milliseconds. */
+	time: z.number(),
+	/** All requests that began before this time are counted. */
+	completeThrough: z.number(),
+	rows: z.array(z.object({window: z.number().int(), counts: usageCounts})),
+});
+/** Gateway to gateway: who holds the duties, where the log of the duties ends, and what has been decided since the last such message. */
+const dutyWord = z.object({
+	type: z.literal('duty-word'),
+	holder: z.object({token: z.number().int().positive(), instance: text, incarnation: text, address: text, isReleased: z.boolean()}),
+	end: z.object({era: z.number().int(), offset: z.number().int()}),
+	decisions: z.array(z.object({window: z.number().int(), counts: usageCounts})),
+	/** The holder's estimate of Unix time, in milliseconds; absent if the sender passes the message on. */
+	time: z.number().optional(),
+});
+
 /** All messages, discriminated by `type`. */
 export const messageSchema = z.discriminatedUnion('type', [
 	hello,
@@ -171,13 +191,15 @@
 	endpoints,
 	load,
 	kept,
+	usage,
+	dutyWord,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
 /** The messages that only gateways send to each other. */
-export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept'>;
+export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'usage' | 'duty-word'>;
 
-const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept']);
+const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'usage', 'duty-word']);
 
 export function isGatewayMessage(message: Message): message is GatewayMessage {
 	return gatewayTypes.has(message.type);
--- a/test/gateway/testbed.ts
+++ b/test/gateway/testbed.ts
@@ -164,7 +164,7 @@
 	}
 }
 
-async function freePort(): Promise<number> {
+export async function freePort(): Promise<number> {
 	const server = net.createServer();
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
