Duties: a release is told to the others at once

Change: the newest of log and message counts, a release before the claim it ends. Test: a successor's claim within the lease after the release.

--- a/src/gateway/duties/duty-keeper.ts
+++ b/src/gateway/duties/duty-keeper.ts
@@ -180,7 +180,7 @@
 		const {logger, settings} = this.#options;
 		for (const [window, counts] of decided) {
 			const contributors = [...this.#state.contributors.values()];
-			const known = contributors.map(({completeThrough}) => completeThrough).filter(value => Number.isFinite(value) && value > 0);
+			const known = contributors.filter(({isConnected, completeThrough}) => isConnected && completeThrough < Number.MAX_SAFE_INTEGER).map(({completeThrough}) => completeThrough);
 			logger.info('Usage decided.', {
 				window, token: this.#state.tenure?.token, total: totalOf(counts), workspaces: Object.keys(counts).length, instances: contributors.length,
 				missing: missingContributors(this.#state.contributors, window, settings).map(({instance, incarnation}) => instance === '' ? incarnation : instance),
--- a/src/policy/duties/state.ts
+++ b/src/policy/duties/state.ts
@@ -71,12 +71,11 @@
 	};
 }
 
-/** The holder by the newest of what the log and its own messages say. */
+/** The holder by the newest of what the log and its own messages say; undefined if that is this instance, and it has lost the duties. */
 export function knownHolder({known, word, own, tenure}: DutyState): Holder | undefined {
 	const logged = known?.log.holder;
-	if (word !== undefined && word.holder.token >= (logged?.token ?? 0)) {
-		return word.holder;
-	}
-
-	return logged?.incarnation === own.incarnation && tenure === undefined ? undefined : logged;
+	const isLogNewer = logged !== undefined && (word === undefined || logged.token > word.holder.token || (logged.token === word.holder.token && logged.isReleased));
+	const newest = isLogNewer ? logged : word?.holder;
+	const hasLapsed = newest?.incarnation === own.incarnation && tenure === undefined && !newest.isReleased;
+	return hasLapsed ? undefined : newest;
 }
--- a/test/gateway/duties.test.ts
+++ b/test/gateway/duties.test.ts
@@ -59,8 +59,12 @@
 		await testbed.statusOf({}, holder);
 	}
 
+	const callsBefore = receiver.calls.length;
 	await holder.drain();
 	await eventually(() => reportedTotal(receiver) >= 10);
+	t.equal(testbed.logLines.filter(({msg}) => msg === 'Duties: Duties held.').length, 2);
+	const taken = testbed.logLines.findLast(({msg}) => msg === 'Duties: Duties held.');
+	t.ok(Number(taken?.unchanged) < leaseMilliseconds, `the successor waited ${String(taken?.unchanged)} ms, ${callsBefore} calls before`);
 	t.equal(reportedTotal(receiver), 10);
 	t.equal(new Set(receiver.calls.map(({token}) => token)).size, 2);
 	t.same(contradictions(receiver.calls), []);
