--- a/bench/gateway-load/index.ts
+++ b/bench/gateway-load/index.ts
@@ -55,7 +55,7 @@
 	for (let number = 0; number < gateways; number++) {
 		const port = firstPort + (number * 4);
 		children.push(await GatewayChild.create({
-			instance: `gateway-${number}`, folder, storeAddress: store.address, ports: [port, port + 1, port + 2], seedHosts: [], clockMilliseconds: 0,
+			instance: `gateway-${number}`, folder, storeAddress: store.address, ports: [port, port + 1, port + 2, port + 3], seedHosts: [], clockMilliseconds: 0,
 			nodeFlags: number === 0 ? ['--cpu-prof', '--cpu-prof-dir', folder] : [],
 		}));
 	}
--- a/bench/gateway-soak/checker.ts
+++ b/bench/gateway-soak/checker.ts
@@ -1,3 +1,4 @@
+import {type ReceivedCall} from '../../fakes/duty-receiver.js';
 import {type FakePlatformWorker} from '../../fakes/platform-worker.js';
 import {eventCount, type ExchangeRecord} from './caller.js';
 
@@ -10,6 +11,46 @@
 	return records.flatMap(record => violatedRules(record, runs.get(record.id) ?? 0).map(rule => `${rule}: ${record.kind} ${record.id}, status ${record.status}, ${runs.get(record.id) ?? 0} runs`));
 }
 
+type UsageBody = {readonly window: number; readonly counts: Readonly<Record<string, number>>};
+
+/**
+ * Returns the violations among the calls that the receiver of usage reports has carried out: two reports of one window, a fencing token
+ * with two holders, more requests reported than endpoints ran, a holder that returns within a lease.
+ */
+export function dutyViolations(calls: readonly ReceivedCall[], workers: readonly FakePlatformWorker[], leaseMilliseconds: number): string[] {
+	const accepted = calls.filter(({status}) => status === 200);
+	const found: string[] = [];
+	const reports = new Map<number, string>();
+	for (const {body} of accepted) {
+		const {window} = body as UsageBody;
+		const text = JSON.stringify(body);
+		if ((reports.get(window) ?? text) !== text) {
+			found.push(`two reports of window ${window}: ${reports.get(window)} and ${text}`);
+		}
+
+		reports.set(window, text);
+	}
+
+	const holders = new Map<number, string>();
+	for (const {token, holder} of calls) {
+		if ((holders.get(token) ?? holder) !== holder) {
+			found.push(`token ${token} was used by ${holders.get(token)} and ${holder}`);
+		}
+
+		holders.set(token, holder);
+	}
+
+	const reported = [...reports.values()].flatMap(text => Object.values((JSON.parse(text) as UsageBody).counts)).reduce((sum, count) => sum + count, 0);
+	const ran = countRuns(workers).size;
+	if (reported > ran) {
+		found.push(`${reported} requests were reported, endpoints ran ${ran}`);
+	}
+
+	const returned = accepted.find((call, index) => accepted.slice(0, index).some((own, ownIndex) => own.holder === call.holder && call.at - own.at < leaseMilliseconds
+		&& accepted.slice(ownIndex, index).some(({holder}) => holder !== call.holder)));
+	return returned === undefined ? found : [...found, `${returned.holder} acted again within a lease of another holder`];
+}
+
 /** Counts the runs of each request; refusals by a worker do not count. */
 function countRuns(workers: readonly FakePlatformWorker[]): Map<string, number> {
 	const runs = new Map<string, number>();
--- a/bench/gateway-soak/child.ts
+++ b/bench/gateway-soak/child.ts
@@ -9,13 +9,17 @@
 const program = new URL('../../../target/cassiaflow-gateway.mjs', import.meta.url).pathname;
 const clockShift = new URL('shift-clock.js', import.meta.url).href;
 const readyMilliseconds = 15_000;
+/** Short windows and leases, so that a few seconds see several windows and holders. */
+export const dutySettings = {leaseMilliseconds: 700, checksFences: true, usageWindowSeconds: 1, usageLateSeconds: 3};
 
 export type ChildOptions = {
 	readonly instance: string;
 	readonly folder: string;
 	readonly storeAddress: string;
-	/** Caller, admin and peer port. */
-	readonly ports: readonly [number, number, number];
+	/** Caller, admin and peer port, and the port for usage. */
+	readonly ports: readonly [number, number, number, number];
+	/** Address of the receiver of usage reports; without it the gateway has no duties. */
+	readonly receiverAddress?: string;
 	readonly seedHosts: readonly string[];
 	/** Offset of the process's wall clock, in milliseconds. */
 	readonly clockMilliseconds: number;
@@ -54,11 +58,12 @@
 	}
 
 	async start(): Promise<void> {
-		const [callers, admin, peers] = this.options.ports;
+		const [callers, admin, peers, usage] = this.options.ports;
 		const file = `${this.options.folder}/${this.options.instance}.json`;
 		writeFileSync(file, JSON.stringify({
 			instance: this.options.instance, availabilityZone: 'zone-a', callerAddress: `127.0.0.1:${callers}`, adminAddress: `127.0.0.1:${admin}`,
 			peerAddress: `127.0.0.1:${peers}`, storeAddress: this.storePath.address, seedHosts: this.options.seedHosts, memoryMegabytes: 200, stopSeconds: 6,
+			...(this.options.receiverAddress !== undefined && {duties: {...dutySettings, receiverAddress: this.options.receiverAddress, address: `127.0.0.1:${usage}`}}),
 		}));
 		this.#isExitExpected = false;
 		const started = spawn(process.execPath, [...(this.options.nodeFlags ?? []), '--import', clockShift, program], {
--- a/bench/gateway-soak/run-seed.ts
+++ b/bench/gateway-soak/run-seed.ts
@@ -1,13 +1,14 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
+import {FakeDutyReceiver} from '../../fakes/duty-receiver.js';
 import {FakePath} from '../../fakes/network-path.js';
 import {desiredState} from '../../fakes/platform-state.js';
 import {FakePlatformStore} from '../../fakes/platform-store.js';
 import {FakePlatformWorker, type WorkerAnswer, type WorkerRequest} from '../../fakes/platform-worker.js';
 import {createRandom, type Random} from '../harness/random.js';
 import {sendRequest, eventCount, type ExchangeRecord, kinds} from './caller.js';
-import {violations} from './checker.js';
-import {GatewayChild} from './child.js';
+import {dutyViolations, violations} from './checker.js';
+import {dutySettings, GatewayChild} from './child.js';
 
 export type SeedResult = {readonly seed: number; readonly requests: number; readonly served: number; readonly faults: readonly string[]; readonly violations: readonly string[]; readonly lines: string};
 
@@ -29,6 +30,10 @@
 	'worker-cuts-streams',
 	'worker-leaves',
 	'key-revoked',
+	'receiver-silent',
+	'receiver-late',
+	'holder-kill',
+	'holder-freeze',
 	'table-published',
 ] as const;
 type FaultKind = (typeof faultKinds)[number];
@@ -56,7 +61,7 @@
 class SoakWorld implements AsyncDisposable {
 	static async create(seed: number, basePort: number): Promise<SoakWorld> {
 		const store = await FakePlatformStore.create();
-		const world = new SoakWorld(seed, store);
+		const world = new SoakWorld(seed, store, await FakeDutyReceiver.create());
 		for (const service of ['orders', 'models']) {
 			for (let number = 0; number < 3; number++) {
 				await world.#addWorker(`${service}-${number}`, service);
@@ -67,7 +72,7 @@
 		for (let number = 0; number < gatewayCount; number++) {
 			const port = basePort + (number * 4);
 			world.#gateways.push(await GatewayChild.create({
-				instance: `gateway-${number}`, folder: world.#folder, storeAddress: store.address, ports: [port, port + 1, port + 2], seedHosts: [],
+				instance: `gateway-${number}`, folder: world.#folder, storeAddress: store.address, ports: [port, port + 1, port + 2, port + 3], receiverAddress: world.#receiver.address, seedHosts: [],
 				clockMilliseconds: Math.round((world.#random.uniform() - 0.5) * 7_200_000),
 			}));
 		}
@@ -77,6 +82,7 @@
 
 	readonly #seed: number;
 	readonly #store: FakePlatformStore;
+	readonly #receiver: FakeDutyReceiver;
 	readonly #random: Random;
 	readonly #folder = mkdtempSync(`${tmpdir()}/cassiaflow-soak-`);
 	readonly #workers: Worker[] = [];
@@ -88,9 +94,10 @@
 	#version = 0;
 	#isRevoked = false;
 
-	private constructor(seed: number, store: FakePlatformStore) {
+	private constructor(seed: number, store: FakePlatformStore, receiver: FakeDutyReceiver) {
 		this.#seed = seed;
 		this.#store = store;
+		this.#receiver = receiver;
 		this.#random = createRandom(seed);
 	}
 
@@ -112,7 +119,8 @@
 		await Promise.all(this.#faultsDone);
 		found.push(...await this.#checkRecovery());
 		const records = await Promise.all(this.#records);
-		found.push(...violations(records, this.#workers.map(({worker}) => worker)));
+		const workers = this.#workers.map(({worker}) => worker);
+		found.push(...violations(records, workers), ...await this.#checkDuties(workers));
 		for (const gateway of this.#gateways.filter(({unexpectedExits}) => unexpectedExits.length > 0)) {
 			found.push(`${gateway.options.instance} ended by itself (${gateway.unexpectedExits.join(', ')})`);
 		}
@@ -127,6 +135,7 @@
 		await Promise.all(this.#gateways.map(async gateway => gateway[Symbol.asyncDispose]()));
 		await Promise.all(this.#workers.flatMap(({worker, path}) => [worker[Symbol.asyncDispose](), path[Symbol.asyncDispose]()]));
 		await this.#store[Symbol.asyncDispose]();
+		await this.#receiver[Symbol.asyncDispose]();
 		rmSync(this.#folder, {recursive: true});
 	}
 
@@ -163,6 +172,24 @@
 		return found;
 	}
 
+	/** Checks the reports of usage, and that there still are some after all faults. */
+	async #checkDuties(workers: readonly FakePlatformWorker[]): Promise<string[]> {
+		const before = this.#receiver.calls.length;
+		const until = performance.now() + settleMilliseconds;
+		while (this.#receiver.calls.length === before && performance.now() < until) {
+			await sleep(100);
+		}
+
+		const found = dutyViolations(this.#receiver.calls, workers, dutySettings.leaseMilliseconds);
+		return this.#receiver.calls.length === before ? [...found, 'usage is not reported any more'] : found;
+	}
+
+	/** The gateway whose report the receiver took last. */
+	#holder(): GatewayChild {
+		const name = this.#receiver.calls.at(-1)?.holder;
+		return this.#gateways.find(({options}) => options.instance === name) ?? this.#gateways[0]!;
+	}
+
 	async #inject(): Promise<void> {
 		const kind = faultKinds[Math.floor(this.#random.uniform() * faultKinds.length)]!;
 		const milliseconds = 200 + (this.#random.uniform() * 1500);
@@ -253,6 +280,26 @@
 				return;
 			}
 
+			case 'receiver-silent':
+			case 'receiver-late': {
+				this.#receiver.fault = () => kind === 'receiver-silent' ? 'silent' : 'execute-late';
+				await sleep(milliseconds);
+				this.#receiver.fault = () => undefined;
+				return;
+			}
+
+			case 'holder-kill': {
+				return this.#holder().kill();
+			}
+
+			case 'holder-freeze': {
+				const holder = this.#holder();
+				holder.freeze();
+				await sleep(milliseconds);
+				holder.wake();
+				return;
+			}
+
 			case 'key-revoked':
 			case 'table-published': {
 				this.#isRevoked ||= kind === 'key-revoked';
--- a/fakes/duty-receiver.ts
+++ b/fakes/duty-receiver.ts
@@ -6,8 +6,8 @@
 /** A fault of one call: it is refused, it gets no response, or it gets none and is carried out later. */
 export type ReceiverFault = 'busy' | 'silent' | 'execute-late';
 
-/** A call that was carried out, in the order in which that happened. */
-export type ReceivedCall = {readonly path: string; readonly holder: string; readonly token: number; readonly body: unknown; readonly status: number};
+/** A call that was carried out at a time of the monotonic clock, in the order in which that happened. */
+export type ReceivedCall = {readonly at: number; readonly path: string; readonly holder: string; readonly token: number; readonly body: unknown; readonly status: number};
 
 export type ChooseReceiverFault = (path: string) => ReceiverFault | undefined;
 
@@ -73,12 +73,12 @@
 		}
 	}
 
-	#execute(call: Omit<ReceivedCall, 'status'>): number {
+	#execute(call: Omit<ReceivedCall, 'status' | 'at'>): number {
 		const subject = call.path === '/usage' ? call.path : JSON.stringify([call.path, (call.body as {service?: string}).service, (call.body as {zone?: string}).zone]);
 		const highest = this.#tokens.get(subject) ?? 0;
 		const status = this.#checksFences && call.token < highest ? 409 : 200;
 		this.#tokens.set(subject, Math.max(highest, call.token));
-		this.calls.push({...call, status});
+		this.calls.push({...call, status, at: performance.now()});
 		return status;
 	}
 }
--- a/src/bin/gateway-duties.ts
+++ b/src/bin/gateway-duties.ts
@@ -1,6 +1,7 @@
 import {Duties, type DutyReceiver, type DutyStore, type Peers} from '../gateway/index.js';
 import {type InstanceId} from '../model/index.js';
 import {hash32} from '../policy/hashing/index.js';
+import {type ServiceSample} from '../policy/scaling/index.js';
 import {forPart, type Logger, type Metrics} from '../telemetry/index.js';
 import {type DutyProgramSettings, type GatewaySettings, parseDutySettings} from './settings/gateway-settings.js';
 
@@ -11,6 +12,7 @@
 	readonly store: DutyStore;
 	readonly openReceiver: (address: string) => DutyReceiver;
 	readonly peers: () => Peers;
+	readonly sampleServices: () => readonly ServiceSample[] | undefined;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 };
@@ -39,9 +41,9 @@
 	}
 }
 
-async function createDuties({settings: {instance}, incarnation, store, openReceiver, peers, metrics, logger}: DutyParts, settings: DutyProgramSettings): Promise<Duties> {
+async function createDuties({settings: {instance}, incarnation, store, openReceiver, peers, sampleServices, metrics, logger}: DutyParts, settings: DutyProgramSettings): Promise<Duties> {
 	return Duties.create({
-		instance, incarnation, store, metrics, logger,
+		instance, incarnation, store, sampleServices, metrics, logger,
 		address: settings.address,
 		claimDelayMilliseconds: claimDelay(instance, settings),
 		settings: {
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,7 +1,8 @@
 import process from 'node:process';
-import {RoutingState, ConnectionPools, DecisionLog, Dispatcher, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, type StoreFeeds} from '../gateway/index.js';
+import {RoutingState, ConnectionPools, DecisionLog, Dispatcher, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type PromptPart, type RetryAllowance} from '../policy/dispatch/index.js';
+import {type ServiceSample} from '../policy/scaling/index.js';
 import {recentPollMilliseconds} from '../policy/sharing/index.js';
 import {AdminServer, forPart, type Logger, Metrics, type PartLogger} from '../telemetry/index.js';
 import {openDuties} from './gateway-duties.js';
@@ -101,6 +102,7 @@
 			settings, incarnation, store: store.duties, metrics, logger,
 			openReceiver: address => adapter.openDutyReceiver(address),
 			peers: () => peers,
+			sampleServices: () => followers.feeds !== undefined && knowsFleet(followers.feeds) ? sampleFleet(dispatcher, routingState) : undefined,
 		});
 		followers.duties = duties;
 		const eventLoopMonitor = EventLoopMonitor.create(forPart(logger, 'Processor'), metrics, () => dispatcher.takeQueueActivity());
@@ -210,6 +212,16 @@
 	}
 }
 
+/** True if the endpoints were read from the store lately. */
+function knowsFleet({endpoints}: FeedFollowers): boolean {
+	return endpoints.millisecondsSinceRead(performance.now()) < recentPollMilliseconds;
+}
+
+function sampleFleet({loadTracker, view, endpoints}: Dispatcher, routingState: RoutingState): readonly ServiceSample[] {
+	const now = performance.now();
+	return sampleServices({routingState, loadTracker, view, now, isHealthy: record => endpoints.isOpen(record, now)});
+}
+
 type PeerParts = {readonly incarnation: string; readonly routingState: RoutingState; readonly dispatcher: Dispatcher; readonly promptCacheReader: PromptCacheReader; readonly logger: Logger; readonly feeds: () => FeedFollowers | undefined; readonly duties: () => Duties | undefined};
 
 async function openPeers(settings: GatewaySettings, {incarnation, routingState, dispatcher, promptCacheReader, logger, feeds, duties}: PeerParts): Promise<Peers> {
--- a/src/gateway/duties/duties.ts
+++ b/src/gateway/duties/duties.ts
@@ -1,11 +1,13 @@
 import {type Body, channel, receiveWithin, spawn, tryDeliver} from '../../concurrency/index.js';
 import {type InstanceId, splitAddress} from '../../model/index.js';
-import {type Candidate, type DutySettings, type DutyState, knownHolder, medianAhead, type UsageRow} from '../../policy/duties/index.js';
+import {type Candidate, type DutySettings, type DutyState, knownHolder, mayAct, medianAhead, type UsageRow} from '../../policy/duties/index.js';
+import {type ServiceSample} from '../../policy/scaling/index.js';
 import {forPart, type Logger, type Metrics, type PartLogger} from '../../telemetry/index.js';
 import {type MessageOf} from '../../wire/index.js';
 import {DutyKeeper} from './duty-keeper.js';
 import {DutyMetrics} from './duty-metrics.js';
-import {type DutyReceiver, type DutyStore} from './duty-types.js';
+import {type DutyCaller, type DutyReceiver, type DutyStore} from './duty-types.js';
+import {ScaleKeeper} from './scale-keeper.js';
 import {TimeKeeper} from './time-keeper.js';
 import {UsageCounter} from './usage-counter.js';
 import {UsageLink} from './usage-link.js';
@@ -23,6 +25,8 @@
 	readonly receiver: DutyReceiver;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
+	/** The services whose endpoints can be ordered; undefined while what is known of the fleet is old. */
+	readonly sampleServices: () => readonly ServiceSample[] | undefined;
 	/** Number of live instances. */
 	readonly instances: () => number;
 	/** Tells the neighbours who holds the duties. */
@@ -55,6 +59,7 @@
 	readonly #timeKeeper: TimeKeeper;
 	readonly #keeper: DutyKeeper;
 	readonly #link: UsageLink;
+	readonly #scaleKeeper: ScaleKeeper;
 	readonly #wake = channel<'wake'>(1);
 	#server: UsageServer | undefined;
 	#isStopped = false;
@@ -72,6 +77,12 @@
 				this.#handleChange(state, before);
 			},
 		});
+		this.#scaleKeeper = ScaleKeeper.create({
+			caller: () => this.#caller, sample: options.sampleServices, receiver: options.receiver, logger: this.#log,
+			onFenced: token => {
+				this.#keeper.apply({type: 'fenced', token});
+			},
+		});
 		this.#link = UsageLink.create({
 			security: {type: 'plaintext'}, logger: this.#log,
 			onWord: word => {
@@ -80,6 +91,13 @@
 		});
 	}
 
+	/** Who makes calls now: this instance while it holds the duties and its lease lasts. */
+	get #caller(): DutyCaller | undefined {
+		const {state} = this.#keeper;
+		const {tenure} = state;
+		return tenure !== undefined && !tenure.isEnding && mayAct(state, tenure, this.#timeKeeper.clock()) ? {instance: this.#options.instance, token: tenure.token} : undefined;
+	}
+
 	/** Handles a message about the holder, from the holder itself or from a neighbour that passes it on. */
 	handleWord({holder, end, decisions, time}: MessageOf<'duty-word'>): void {
 		const {state} = this.#keeper;
@@ -103,6 +121,7 @@
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#isStopped = true;
 		tryDeliver(this.#wake, 'wake');
+		await this.#scaleKeeper[Symbol.asyncDispose]();
 		await this.#keeper[Symbol.asyncDispose]();
 		await this.#link[Symbol.asyncDispose]();
 		await this.#server?.[Symbol.asyncDispose]();
--- a/src/gateway/duties/duty-types.ts
+++ b/src/gateway/duties/duty-types.ts
@@ -1,5 +1,6 @@
 import {type LogPosition} from '../../model/index.js';
 import {type DutyEntry, type DutySnapshot, type ReportOutcome, type UsageCounts} from '../../policy/duties/index.js';
+import {type ScaleOrder} from '../../policy/scaling/index.js';
 
 /** Result of an append that names where the log must end. */
 export type AppendResult
@@ -17,8 +18,12 @@
 /** Who calls, with which fencing token. */
 export type DutyCaller = {readonly instance: string; readonly token: number};
 
-/** The platform's receiver of usage reports. */
+export type DutyCallResult = {readonly outcome: ReportOutcome; readonly status: number; readonly reason?: string};
+
+/** The platform's receiver of usage reports and of orders of endpoints. */
 export type DutyReceiver = AsyncDisposable & {
 	/** Reports a window's counts. Does not throw; `status` is 0 without a response. */
-	reportUsage(caller: DutyCaller, window: number, counts: UsageCounts): Promise<{readonly outcome: ReportOutcome; readonly status: number; readonly reason?: string}>;
+	reportUsage(caller: DutyCaller, window: number, counts: UsageCounts): Promise<DutyCallResult>;
+	/** Orders the number of endpoints of a service in a zone. Does not throw. */
+	orderEndpoints(caller: DutyCaller, order: ScaleOrder): Promise<DutyCallResult>;
 };
--- a/src/gateway/duties/usage-counter.ts
+++ b/src/gateway/duties/usage-counter.ts
@@ -72,6 +72,10 @@
 		entry.counts[workspace] = (entry.counts[workspace] ?? 0) + 1;
 		entry.revision = this.#revision;
 		this.#windows.set(window, entry);
-		this.#windows.delete(window - keptWindows);
+		// The first key is the window that was counted first.
+		const [first] = this.#windows.keys();
+		if (first !== undefined && this.#windows.size > keptWindows) {
+			this.#windows.delete(first);
+		}
 	}
 }
--- a/src/gateway/endpoint-pool.ts
+++ b/src/gateway/endpoint-pool.ts
@@ -99,6 +99,11 @@
 			&& availability(this.#health.get(entry.record.id) ?? createEndpointHealth(), now) === 'open');
 	}
 
+	/** Whether an endpoint is in use: neither suspended nor in recovery. */
+	isOpen({id}: EndpointRecord, now: number): boolean {
+		return availability(this.#health.get(id) ?? createEndpointHealth(), now) === 'open';
+	}
+
 	/** Endpoints of a service, cached until the routing state changes. */
 	#endpointsOf(service: string): readonly PlacementEndpoint[] {
 		const cached = this.#endpoints.get(service);
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -15,4 +15,5 @@
 export {followFeeds, type PeerRegistry, type FeedFollowers, type InstanceAnnouncement, type StoreFeeds} from './store-feeds.js';
 export * from './prompt-cache-reader.js';
 export * from './event-loop-monitor.js';
+export {sampleServices} from './service-samples.js';
 export * from './duties/index.js';
--- a/src/policy/duties/events.ts
+++ b/src/policy/duties/events.ts
@@ -32,6 +32,8 @@
 		| {readonly type: 'usage'; readonly from: Omit<Contributor, 'isConnected'>; readonly rows: readonly UsageRow[]}
 		| {readonly type: 'disconnected'; readonly incarnation: string}
 		| {readonly type: 'reported'; readonly window: number; readonly token: number; readonly outcome: ReportOutcome}
+	/** Another call than a report was refused by its fencing token. */
+		| {readonly type: 'fenced'; readonly token: number}
 		| {readonly type: 'hand-over'}
 		| {readonly type: 'stopping'};
 
@@ -67,7 +69,7 @@
 		}
 
 		case 'usage': {
-			return applyUsage(state, event);
+			return applyUsage(state, event, clock);
 		}
 
 		case 'disconnected': {
@@ -79,6 +81,10 @@
 			return applyReported(state, event, clock);
 		}
 
+		case 'fenced': {
+			return state.tenure?.token === event.token ? endTenure(state, clock) : state;
+		}
+
 		case 'hand-over': {
 			return state.tenure === undefined ? state : {...state, tenure: {...state.tenure, isEnding: true}};
 		}
@@ -191,8 +197,8 @@
 	return {...state, word, decisions: new Map([...state.decisions, ...decisions])};
 }
 
-function applyUsage(state: DutyState, {from, rows}: Extract<DutyEvent, {type: 'usage'}>): DutyState {
-	const {contributors, tenure} = state;
+function applyUsage(state: DutyState, {from, rows}: Extract<DutyEvent, {type: 'usage'}>, clock: DutyClock): DutyState {
+	const {contributors, tenure, settings} = state;
 	const known = contributors.get(from.incarnation);
 	// An earlier incarnation of the instance has ended: nothing more comes from it.
 	const others = [...contributors].map(([key, other]) => {
@@ -200,7 +206,9 @@
 		return [key, hasEnded ? {...other, completeThrough: Infinity, isConnected: false} : other] as const;
 	});
 	const contributor = {...from, completeThrough: Math.max(from.completeThrough, known?.completeThrough ?? 0), isConnected: true};
-	const open = rows.filter(({window}) => window > (tenure?.closedThrough ?? -Infinity) && !state.decisions.has(window));
+	// An instance whose time is not corrected yet may name any window; one that lies ahead would never be decided and dropped.
+	const newest = windowAt(clock.time, settings.windowMilliseconds) + 1;
+	const open = rows.filter(({window}) => window > (tenure?.closedThrough ?? -Infinity) && window <= newest && !state.decisions.has(window));
 	return {...state, contributors: new Map([...others, [from.incarnation, contributor]]), usage: mergeUsage(state.usage, open)};
 }
 
--- a/src/routing/routing-table.ts
+++ b/src/routing/routing-table.ts
@@ -51,12 +51,17 @@
 /** The parameters of cache transfers between the engines of a service. */
 export type TransferParameters = {readonly bytesPerToken: number; readonly megabitsPerSecond: number};
 
+/** Bounds of a service's endpoints in each availability zone, and the time from an order until an endpoint serves. */
+export type ScaleParameters = {readonly leastEndpoints: number; readonly mostEndpoints: number; readonly bootMilliseconds: number};
+
 /** A group of equivalent endpoints to which routes send requests. */
 export type Service = {
 	readonly name: string;
 	/** Maximum number of connections that one endpoint accepts from all callers together. */
 	readonly largestConnections: number;
 	readonly engine?: EngineParameters | undefined;
+	/** Absent if the platform takes no orders for its endpoints. */
+	readonly scale?: ScaleParameters | undefined;
 };
 
 /** Limits on what a caller may send, and on how long it may take or stay idle. */
--- a/src/routing/schemas.ts
+++ b/src/routing/schemas.ts
@@ -33,6 +33,7 @@
 		transfer: z.object({bytesPerToken: z.number().positive(), megabitsPerSecond: z.number().positive()}).optional(),
 		listsKept: z.boolean().optional(),
 	}).optional(),
+	scale: z.object({leastEndpoints: count, mostEndpoints: count, bootMilliseconds: milliseconds}).optional(),
 });
 
 const workspaceSchema = z.object({name: name.transform(text => text as WorkspaceName), keys: z.array(z.string()), urgency: z.number().optional()});
--- a/test/gateway/duties.test.ts
+++ b/test/gateway/duties.test.ts
@@ -1,5 +1,6 @@
 import tap from 'tap';
 import {FakeDutyReceiver, type ReceivedCall} from '../../fakes/duty-receiver.js';
+import {desiredState} from '../../fakes/platform-state.js';
 import {type GatewayProcess} from '../../src/bin/gateway-process.js';
 import {eventually, freePort, Testbed} from './testbed.js';
 
@@ -99,6 +100,29 @@
 	t.ok([...holders.values()].every(names => names.size === 1), 'no token has two holders');
 });
 
+tap.test('the holder orders endpoints of a service that has bounds, within them, by its work', async t => {
+	await using testbed = await Testbed.create();
+	await using receiver = await FakeDutyReceiver.create();
+	testbed.store.put('keyed.op', 'config', desiredState(2, {
+		services: [{name: 'orders', maxConnections: 100, scale: {min: 1, max: 4, bootS: 5}}, {name: 'models', maxConnections: 100, engine: {slots: 16, kvCapacity: 400_000, stride: 7}}],
+	}));
+	testbed.respondWith('orders', () => ({type: 'whole', body: 'ok', afterMilliseconds: 400}));
+	await startGateway(testbed, receiver);
+	await startGateway(testbed, receiver);
+	const orders = (): Array<{service: string; zone: string; desired: number}> => receiver.calls.filter(({path}) => path === '/scale').map(({body}) => body as {service: string; zone: string; desired: number});
+	await eventually(() => orders().length > 0);
+	const [first] = orders();
+	t.match(first, {service: 'orders', desired: 1});
+	const until = performance.now() + 3000;
+	while (performance.now() < until) {
+		await Promise.all(testbed.gateways.flatMap(gateway => Array.from({length: 6}, async () => testbed.statusOf({}, gateway))));
+	}
+
+	await eventually(() => orders().some(({desired}) => desired > first!.desired));
+	t.ok(orders().every(({desired}) => desired >= 1 && desired <= 4));
+	t.equal(new Set(receiver.calls.filter(({path}) => path === '/scale').map(({holder}) => holder)).size, 1);
+});
+
 tap.test('with invalid settings of the duties an instance reports the error and serves requests', async t => {
 	await using testbed = await Testbed.create();
 	await testbed.startGateway({duties: {receiverAddress: 'nowhere', usageWindowSeconds: -1}});
