--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -47,7 +47,7 @@
 /** A run whose end was never reported is dropped after this time: no response lasts longer than its time limit. */
 const runTimeoutMilliseconds = 120_000;
 /** The prefill time share is averaged over about the duration of a latency-critical stream. */
-const timeShareWindowMilliseconds = 1500;
+export const timeShareWindowMilliseconds = 1500;
 /** Service time of a plain service before the first sample, and the weight of one new sample. */
 const initialServiceTimeMilliseconds = 20;
 const serviceTimeWeight = 0.05;
--- a/src/policy/dispatch/tuning.ts
+++ b/src/policy/dispatch/tuning.ts
@@ -16,6 +16,10 @@
 	 * Share of the slots of an engine that latency-critical streams fill before another engine is reserved for them.
 	 */
 	readonly tightFill: number;
+	/**
+	 * Share of its time that an engine with latency-critical streams may spend on the prefill of other requests before it is closed to them.
+	 */
+	readonly besideCriticalPrefillShare: number;
 	/** Cost of an engine that is not reserved for latency-critical streams to one of them. */
 	readonly outsideMilliseconds: number;
 };
@@ -31,5 +35,6 @@
 	heedsLines: true,
 	roomMilliseconds: 1000,
 	tightFill: 0.75,
+	besideCriticalPrefillShare: 10,
 	outsideMilliseconds: 60,
 };
--- a/test/platform/catalogue-follower.test.ts
+++ b/test/platform/catalogue-follower.test.ts
@@ -66,6 +66,7 @@
 	await using ledger = QuarantineLedger.create({log});
 	await follower.ready;
 	log.isDown = true;
+	log.waits.splice(0);
 	await until(() => log.waits.length > 5);
 	const failing = log.waits.splice(0);
 	t.same(failing.slice(-3), [0, 0, 0]);
