--- a/bench/gateway-soak/run-seed.ts
+++ b/bench/gateway-soak/run-seed.ts
@@ -1,14 +1,12 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
-import {FakeDutyReceiver} from '../../fakes/duty-receiver.js';
-import {FakePath} from '../../fakes/network-path.js';
-import {desiredState} from '../../fakes/platform-state.js';
-import {FakePlatformStore} from '../../fakes/platform-store.js';
-import {FakePlatformWorker, type WorkerAnswer, type WorkerRequest} from '../../fakes/platform-worker.js';
+import {type FakePath} from '../../fakes/network-path.js';
+import {type FakePlatformWorker} from '../../fakes/platform-worker.js';
 import {createRandom, type Random} from '../harness/random.js';
-import {sendRequest, eventCount, type ExchangeRecord, kinds} from './caller.js';
+import {sendRequest, type ExchangeRecord, kinds} from './caller.js';
 import {dutyViolations, violations} from './checker.js';
 import {dutySettings, GatewayChild} from './child.js';
+import {revokedKey, SoakPlatform, validKey} from './soak-platform.js';
 
 export type SeedResult = {readonly seed: number; readonly requests: number; readonly served: number; readonly faults: readonly string[]; readonly violations: readonly string[]; readonly lines: string};
 
@@ -42,12 +40,8 @@
 const requestPauseMilliseconds = 14;
 const gatewayCount = 2;
 const faultCount = {low: 2, high: 5};
-/** Upper bound on the time after a restore until the lost records are written again. */
-const rewriteMilliseconds = 2000;
 /** Allowed time after the last fault: enough for the poll intervals of a routing table and for a graceful shutdown. */
 const settleMilliseconds = 10_000;
-const validKey = 'key-a';
-const revokedKey = 'key-b';
 
 /** Runs real gateways with faults drawn from a seed. */
 export async function runSeed(seed: number, basePort: number): Promise<SeedResult> {
@@ -56,23 +50,14 @@
 	return result;
 }
 
-type Worker = {readonly worker: FakePlatformWorker; readonly path: FakePath; revision: number; isDraining: boolean};
-
 class SoakWorld implements AsyncDisposable {
 	static async create(seed: number, basePort: number): Promise<SoakWorld> {
-		const store = await FakePlatformStore.create();
-		const world = new SoakWorld(seed, store, await FakeDutyReceiver.create());
-		for (const service of ['orders', 'models']) {
-			for (let number = 0; number < 3; number++) {
-				await world.#addWorker(`${service}-${number}`, service);
-			}
-		}
-
-		world.#publish();
+		const random = createRandom(seed);
+		const world = new SoakWorld(seed, random, await SoakPlatform.create(random));
 		for (let number = 0; number < gatewayCount; number++) {
 			const port = basePort + (number * 4);
 			world.#gateways.push(await GatewayChild.create({
-				instance: `gateway-${number}`, folder: world.#folder, storeAddress: store.address, ports: [port, port + 1, port + 2, port + 3], receiverAddress: world.#receiver.address, seedHosts: [],
+				instance: `gateway-${number}`, folder: world.#folder, storeAddress: world.#platform.store.address, ports: [port, port + 1, port + 2, port + 3], receiverAddress: world.#platform.receiver.address, seedHosts: [],
 				clockMilliseconds: Math.round((world.#random.uniform() - 0.5) * 7_200_000),
 			}));
 		}
@@ -81,24 +66,18 @@
 	}
 
 	readonly #seed: number;
-	readonly #store: FakePlatformStore;
-	readonly #receiver: FakeDutyReceiver;
+	readonly #platform: SoakPlatform;
 	readonly #random: Random;
 	readonly #folder = mkdtempSync(`${tmpdir()}/cassiaflow-soak-`);
-	readonly #workers: Worker[] = [];
 	readonly #gateways: GatewayChild[] = [];
 	readonly #records: Array<Promise<ExchangeRecord>> = [];
 	readonly #injected: string[] = [];
 	readonly #faultsDone: Array<Promise<void>> = [];
-	#answerMode: WorkerAnswer['type'] | 'cut' = 'whole';
-	#version = 0;
-	#isRevoked = false;
 
-	private constructor(seed: number, store: FakePlatformStore, receiver: FakeDutyReceiver) {
+	private constructor(seed: number, random: Random, platform: SoakPlatform) {
 		this.#seed = seed;
-		this.#store = store;
-		this.#receiver = receiver;
-		this.#random = createRandom(seed);
+		this.#random = random;
+		this.#platform = platform;
 	}
 
 	async run(): Promise<SeedResult> {
@@ -119,7 +98,7 @@
 		await Promise.all(this.#faultsDone);
 		found.push(...await this.#checkRecovery());
 		const records = await Promise.all(this.#records);
-		const workers = this.#workers.map(({worker}) => worker);
+		const workers = this.#platform.workers.map(({worker}) => worker);
 		found.push(...violations(records, workers), ...await this.#checkDuties(workers));
 		for (const gateway of this.#gateways.filter(({unexpectedExits}) => unexpectedExits.length > 0)) {
 			found.push(`${gateway.options.instance} ended by itself (${gateway.unexpectedExits.join(', ')})`);
@@ -133,9 +112,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		await Promise.all(this.#gateways.map(async gateway => gateway[Symbol.asyncDispose]()));
-		await Promise.all(this.#workers.flatMap(({worker, path}) => [worker[Symbol.asyncDispose](), path[Symbol.asyncDispose]()]));
-		await this.#store[Symbol.asyncDispose]();
-		await this.#receiver[Symbol.asyncDispose]();
+		await this.#platform[Symbol.asyncDispose]();
 		rmSync(this.#folder, {recursive: true});
 	}
 
@@ -143,7 +120,7 @@
 		const until = performance.now() + trafficMilliseconds;
 		for (let number = 0; performance.now() < until; number++) {
 			const gateway = this.#gateways[number % this.#gateways.length]!;
-			const key = number % 5 === 0 && !this.#isRevoked ? revokedKey : validKey;
+			const key = number % 5 === 0 && !this.#platform.isRevoked ? revokedKey : validKey;
 			this.#records.push(sendRequest({id: `s${this.#seed}-${number}`, kind: kinds[Math.floor(this.#random.uniform() * kinds.length)]!, port: gateway.callerPort, key}));
 			await sleep(requestPauseMilliseconds);
 		}
@@ -159,7 +136,7 @@
 			for (let number = 0; consecutiveGood < 10 && performance.now() < until; number++) {
 				const {status} = await sendRequest({id: `s${this.#seed}-after-${gateway.options.instance}-${number}`, kind: 'lookup', port: gateway.callerPort, key: validKey});
 				const revoked = await sendRequest({id: `s${this.#seed}-revoked-${gateway.options.instance}-${number}`, kind: 'lookup', port: gateway.callerPort, key: revokedKey});
-				consecutiveGood = status === 200 && (revoked.status === 401) === this.#isRevoked ? consecutiveGood + 1 : 0;
+				consecutiveGood = status === 200 && (revoked.status === 401) === this.#platform.isRevoked ? consecutiveGood + 1 : 0;
 				last = status;
 				await sleep(consecutiveGood > 0 ? 0 : 100);
 			}
@@ -174,19 +151,19 @@
 
 	/** Checks the reports of usage, and that there still are some after all faults. */
 	async #checkDuties(workers: readonly FakePlatformWorker[]): Promise<string[]> {
-		const before = this.#receiver.calls.length;
+		const before = this.#platform.receiver.calls.length;
 		const until = performance.now() + settleMilliseconds;
-		while (this.#receiver.calls.length === before && performance.now() < until) {
+		while (this.#platform.receiver.calls.length === before && performance.now() < until) {
 			await sleep(100);
 		}
 
-		const found = dutyViolations(this.#receiver.calls, workers, dutySettings.leaseMilliseconds);
-		return this.#receiver.calls.length === before ? [...found, 'usage is not reported any more'] : found;
+		const found = dutyViolations(this.#platform.receiver.calls, workers, dutySettings.leaseMilliseconds);
+		return this.#platform.receiver.calls.length === before ? [...found, 'usage is not reported any more'] : found;
 	}
 
 	/** The gateway whose report the receiver took last. */
 	#holder(): GatewayChild {
-		const name = this.#receiver.calls.at(-1)?.holder;
+		const name = this.#platform.receiver.calls.at(-1)?.holder;
 		return this.#gateways.find(({options}) => options.instance === name) ?? this.#gateways[0]!;
 	}
 
@@ -194,7 +171,7 @@
 		const kind = faultKinds[Math.floor(this.#random.uniform() * faultKinds.length)]!;
 		const milliseconds = 200 + (this.#random.uniform() * 1500);
 		const gateway = this.#gateways[Math.floor(this.#random.uniform() * this.#gateways.length)]!;
-		const {worker, path} = this.#workers[Math.floor(this.#random.uniform() * this.#workers.length)]!;
+		const {worker, path} = this.#platform.workers[Math.floor(this.#random.uniform() * this.#platform.workers.length)]!;
 		this.#injected.push(`${kind} ${Math.round(milliseconds)} ms`);
 		await this.#apply(kind, {milliseconds, gateway, worker, path});
 	}
@@ -237,20 +214,20 @@
 			}
 
 			case 'store-forgets': {
-				this.#store.forget('keyed.op');
-				this.#store.forget('keyed.servers');
+				this.#platform.store.forget('keyed.op');
+				this.#platform.store.forget('keyed.servers');
 				return;
 			}
 
 			case 'store-loses-answers': {
-				this.#store.fault = () => this.#random.uniform() < 0.3 ? 'lose-answer' : undefined;
+				this.#platform.store.fault = () => this.#random.uniform() < 0.3 ? 'lose-answer' : undefined;
 				await sleep(milliseconds);
-				this.#store.fault = () => undefined;
+				this.#platform.store.fault = () => undefined;
 				return;
 			}
 
 			case 'store-copy': {
-				return this.#restoreStore(milliseconds);
+				return this.#platform.restoreStore(milliseconds);
 			}
 
 			case 'worker-cut': {
@@ -268,23 +245,23 @@
 			case 'worker-resets':
 			case 'worker-full':
 			case 'worker-cuts-streams': {
-				this.#answerMode = kind === 'worker-resets' ? 'reset' : (kind === 'worker-full' ? 'not-run' : 'cut');
+				this.#platform.answerMode = kind === 'worker-resets' ? 'reset' : (kind === 'worker-full' ? 'not-run' : 'cut');
 				await sleep(milliseconds);
-				this.#answerMode = 'whole';
+				this.#platform.answerMode = 'whole';
 				return;
 			}
 
 			case 'worker-leaves': {
-				this.#drainWorker(worker.id);
-				await this.#addWorker(`${worker.id}-next`, worker.service);
+				this.#platform.drainWorker(worker.id);
+				await this.#platform.addWorker(`${worker.id}-next`, worker.service);
 				return;
 			}
 
 			case 'receiver-silent':
 			case 'receiver-late': {
-				this.#receiver.fault = () => kind === 'receiver-silent' ? 'silent' : 'execute-late';
+				this.#platform.receiver.fault = () => kind === 'receiver-silent' ? 'silent' : 'execute-late';
 				await sleep(milliseconds);
-				this.#receiver.fault = () => undefined;
+				this.#platform.receiver.fault = () => undefined;
 				return;
 			}
 
@@ -302,67 +279,11 @@
 
 			case 'key-revoked':
 			case 'table-published': {
-				this.#isRevoked ||= kind === 'key-revoked';
-				this.#publish();
+				this.#platform.isRevoked ||= kind === 'key-revoked';
+				this.#platform.publish();
 			}
 		}
 	}
-
-	async #addWorker(id: string, service: string): Promise<void> {
-		const worker = await FakePlatformWorker.create(id, service);
-		worker.answer = request => this.#answer(request);
-		const path = await FakePath.create(worker.address);
-		const added = {worker, path, revision: 0, isDraining: false};
-		this.#workers.push(added);
-		this.#register(added);
-	}
-
-	/** Writes a worker's heartbeat with the next revision. */
-	#register(registered: Worker): void {
-		const {worker, path, isDraining} = registered;
-		registered.revision += 1;
-		this.#store.put('keyed.servers', worker.id, {...worker.beat({state: isDraining ? 'draining' : 'ready', seq: registered.revision}), address: path.address});
-	}
-
-	#drainWorker(id: string): void {
-		const drained = this.#workers.find(({worker}) => worker.id === id)!;
-		drained.isDraining = true;
-		this.#register(drained);
-	}
-
-	/** Restores the store from a backup; the operator and the workers then write again what was lost. */
-	async #restoreStore(milliseconds: number): Promise<void> {
-		const backup = this.#store.copy();
-		await sleep(milliseconds);
-		this.#store.comeBackFrom(backup);
-		await sleep(this.#random.uniform() * rewriteMilliseconds);
-		this.#publishAgain();
-		for (const worker of this.#workers) {
-			this.#register(worker);
-		}
-	}
-
-	/** Chooses a worker's response; about one in three gets the current fault. */
-	#answer(request: WorkerRequest): WorkerAnswer {
-		const mode = this.#random.uniform() < 0.34 ? this.#answerMode : 'whole';
-		if (mode === 'reset' || mode === 'not-run') {
-			return {type: mode};
-		}
-
-		return request.path.startsWith('/chart') || request.path.startsWith('/question')
-			? {type: 'events', count: eventCount, gapMilliseconds: 10, ...(mode === 'cut' && {cutAfter: 3})}
-			: {type: 'whole', body: `answer to ${request.id}`, afterMilliseconds: 5};
-	}
-
-	#publish(): void {
-		this.#version += 1;
-		this.#publishAgain();
-	}
-
-	#publishAgain(): void {
-		const tenants = [{name: 'studio-a', apiKeys: [validKey]}, {name: 'studio-b', apiKeys: this.#isRevoked ? [] : [revokedKey]}];
-		this.#store.put('keyed.op', 'config', desiredState(this.#version, {tenants}));
-	}
 }
 
 async function sleep(milliseconds: number): Promise<void> {
--- /dev/null
+++ b/bench/gateway-soak/soak-platform.ts
@@ -0,0 +1,113 @@
+import {FakeDutyReceiver} from '../../fakes/duty-receiver.js';
+import {FakePath} from '../../fakes/network-path.js';
+import {desiredState} from '../../fakes/platform-state.js';
+import {FakePlatformStore} from '../../fakes/platform-store.js';
+import {FakePlatformWorker, type WorkerAnswer, type WorkerRequest} from '../../fakes/platform-worker.js';
+import {type Random} from '../harness/random.js';
+import {eventCount} from './caller.js';
+
+/** Upper bound on the time after a restore until the lost records are written again. */
+const rewriteMilliseconds = 2000;
+const workersEach = 3;
+export const validKey = 'key-a';
+export const revokedKey = 'key-b';
+
+export type SoakWorker = {readonly worker: FakePlatformWorker; readonly path: FakePath; revision: number; isDraining: boolean};
+
+/** What stands around the gateways: the store, the receiver of reports, and workers behind network paths with fault injection. */
+export class SoakPlatform implements AsyncDisposable {
+	static async create(random: Random): Promise<SoakPlatform> {
+		const platform = new SoakPlatform(random, await FakePlatformStore.create(), await FakeDutyReceiver.create());
+		for (const service of ['orders', 'models']) {
+			for (let number = 0; number < workersEach; number++) {
+				await platform.addWorker(`${service}-${number}`, service);
+			}
+		}
+
+		platform.publish();
+		return platform;
+	}
+
+	readonly store: FakePlatformStore;
+	readonly receiver: FakeDutyReceiver;
+	readonly workers: SoakWorker[] = [];
+	/** The fault of about a third of the workers' responses. */
+	answerMode: WorkerAnswer['type'] | 'cut' = 'whole';
+	isRevoked = false;
+	readonly #random: Random;
+	#version = 0;
+
+	private constructor(random: Random, store: FakePlatformStore, receiver: FakeDutyReceiver) {
+		this.#random = random;
+		this.store = store;
+		this.receiver = receiver;
+	}
+
+	async addWorker(id: string, service: string): Promise<void> {
+		const worker = await FakePlatformWorker.create(id, service);
+		worker.answer = request => this.#answer(request);
+		const path = await FakePath.create(worker.address);
+		const added = {worker, path, revision: 0, isDraining: false};
+		this.workers.push(added);
+		this.#register(added);
+	}
+
+	drainWorker(id: string): void {
+		const drained = this.workers.find(({worker}) => worker.id === id)!;
+		drained.isDraining = true;
+		this.#register(drained);
+	}
+
+	/** Restores the store from a backup; the operator and the workers then write again what was lost. */
+	async restoreStore(milliseconds: number): Promise<void> {
+		const backup = this.store.copy();
+		await sleep(milliseconds);
+		this.store.comeBackFrom(backup);
+		await sleep(this.#random.uniform() * rewriteMilliseconds);
+		this.#publishAgain();
+		for (const worker of this.workers) {
+			this.#register(worker);
+		}
+	}
+
+	publish(): void {
+		this.#version += 1;
+		this.#publishAgain();
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await Promise.all(this.workers.flatMap(({worker, path}) => [worker[Symbol.asyncDispose](), path[Symbol.asyncDispose]()]));
+		await this.store[Symbol.asyncDispose]();
+		await this.receiver[Symbol.asyncDispose]();
+	}
+
+	/** Writes a worker's heartbeat with the next revision. */
+	#register(registered: SoakWorker): void {
+		const {worker, path, isDraining} = registered;
+		registered.revision += 1;
+		this.store.put('keyed.servers', worker.id, {...worker.beat({state: isDraining ? 'draining' : 'ready', seq: registered.revision}), address: path.address});
+	}
+
+	/** Chooses a worker's response; about one in three gets the current fault. */
+	#answer(request: WorkerRequest): WorkerAnswer {
+		const mode = this.#random.uniform() < 0.34 ? this.answerMode : 'whole';
+		if (mode === 'reset' || mode === 'not-run') {
+			return {type: mode};
+		}
+
+		return request.path.startsWith('/chart') || request.path.startsWith('/question')
+			? {type: 'events', count: eventCount, gapMilliseconds: 10, ...(mode === 'cut' && {cutAfter: 3})}
+			: {type: 'whole', body: `answer to ${request.id}`, afterMilliseconds: 5};
+	}
+
+	#publishAgain(): void {
+		const tenants = [{name: 'studio-a', apiKeys: [validKey]}, {name: 'studio-b', apiKeys: this.isRevoked ? [] : [revokedKey]}];
+		this.store.put('keyed.op', 'config', desiredState(this.#version, {tenants}));
+	}
+}
+
+async function sleep(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
--- a/src/policy/dispatch/engine-cost.ts
+++ b/src/policy/dispatch/engine-cost.ts
@@ -115,7 +115,7 @@
 
 export function estimateEngineCost(tracker: LoadTracker, demand: Demand, candidate: Candidate, {load, position, isPreferred, summary, context}: EngineContext): CostEstimate {
 	const {fetchTokensPerMillisecond, tuning} = context;
-	const speed = tracker.prefillSpeed(demand.service);
+	const speed = tracker.engineSpeed(candidate.id, demand.service);
 	const reportedUncachedTokens = tracker.uncachedTokens(candidate.id, demand.parts);
 	const uncachedTokens = isPreferred ? uncachedAtPreferred(demand, reportedUncachedTokens, summary.visibleShare) : reportedUncachedTokens;
 	const fetch = fetchTokensPerMillisecond === undefined || !isWorthFetching(demand.parts, uncachedTokens, speed)
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -1,5 +1,6 @@
 import {type PromptPart, PrefixCache, tokensOf} from './prefix-cache.js';
 import {type QueueReport, PeerQueues} from './peer-queues.js';
+import {createEngineSpeed, type EngineSpeed, learnEngineSpeed, speedFactor} from './engine-speed.js';
 import {createPrefillSpeed, learnPrefillSpeed, type PrefillSpeed, prefillMilliseconds} from './speed.js';
 
 /** A request that an endpoint runs or is about to run, whichever instance sent it. */
@@ -75,6 +76,7 @@
 	/** The current span of continuous prefill, and what was prefilled in it. */
 	span: OpenSpan;
 	readonly cache: PrefixCache;
+	speed: EngineSpeed;
 	service: string;
 	timeShare: number;
 	timeShareAt: number;
@@ -96,6 +98,11 @@
 	readonly peerQueues = PeerQueues.create();
 	readonly #endpoints = new Map<string, EndpointState>();
 	readonly #runs = new Map<string, TrackedRun>();
+	/** True if all instances report their load to this one. */
+	isAllReported = false;
+	/** Whether engines of one service may differ in speed. */
+	learnsEngines = false;
+	trustsSlowSpans = false;
 	readonly #speeds = new Map<string, PrefillSpeed>();
 	readonly #serviceTimes = new Map<string, number>();
 
@@ -148,7 +155,7 @@
 		return {
 			running: state.runs.size,
 			latencyCriticalRuns: state.latencyCriticalRuns,
-			backlogMilliseconds: this.#backlogMilliseconds(state, now),
+			backlogMilliseconds: this.#backlogMilliseconds(endpoint, state, now),
 			idleMilliseconds: state.pending.size > 0 ? 0 : now - state.idleSince,
 			prefillTimeShare: decayedTimeShare(state, now),
 		};
@@ -170,6 +177,13 @@
 		return speed;
 	}
 
+	/** The speed of one engine: its service's, corrected by what the engine has shown. */
+	engineSpeed(endpoint: string, service: string): PrefillSpeed {
+		const speed = this.prefillSpeed(service);
+		const engine = this.learnsEngines ? this.#endpoints.get(endpoint)?.speed : undefined;
+		return engine === undefined ? speed : {...speed, tokensPerMillisecond: speed.tokensPerMillisecond * speedFactor(engine)};
+	}
+
 	/** Average service time of a request at a plain service. */
 	serviceTimeMilliseconds(service: string): number {
 		return this.#serviceTimes.get(service) ?? initialServiceTimeMilliseconds;
@@ -207,7 +221,7 @@
 		}
 
 		const state = this.#endpoint(run.endpoint);
-		const speed = this.prefillSpeed(run.service);
+		const speed = this.engineSpeed(run.endpoint, run.service);
 		const ownPrefillMilliseconds = prefillMilliseconds(speed, run.prefillTokens);
 		if (state.pending.size === 0) {
 			state.prefillStartedAt = now;
@@ -243,7 +257,10 @@
 
 		const {startedAt, isFromIdle, prefilledTokens, isInvalid} = state.span;
 		if (!isInvalid) {
-			this.#speeds.set(run.service, learnPrefillSpeed(this.prefillSpeed(run.service), {tokens: prefilledTokens, milliseconds: now - startedAt, isFromIdle}));
+			const span = {tokens: prefilledTokens, milliseconds: now - startedAt, isFromIdle};
+			const service = this.prefillSpeed(run.service);
+			state.speed = learnEngineSpeed(state.speed, service, span);
+			this.#speeds.set(run.service, learnPrefillSpeed(service, span, this.isAllReported && this.trustsSlowSpans));
 		}
 
 		state.span = createSpan(now, false);
@@ -271,8 +288,8 @@
 	 * taken for busy for as long as a first event is in transit, and would idle between two prompts while requests
 	 * wait.
 	 */
-	#backlogMilliseconds(state: EndpointState, now: number): number {
-		return state.pending.size === 0 ? 0 : Math.max(0, prefillMilliseconds(this.prefillSpeed(state.service), state.pendingTokens) - (now - state.prefillStartedAt));
+	#backlogMilliseconds(endpoint: string, state: EndpointState, now: number): number {
+		return state.pending.size === 0 ? 0 : Math.max(0, prefillMilliseconds(this.engineSpeed(endpoint, state.service), state.pendingTokens) - (now - state.prefillStartedAt));
 	}
 
 	#drop(isDropped: (run: TrackedRun) => boolean, now: number): void {
@@ -284,7 +301,7 @@
 
 function createEndpointState(): EndpointState {
 	return {
-		runs: new Map(), pending: new Map(), pendingTokens: 0, prefillStartedAt: 0, idleSince: 0, span: createSpan(0, true), cache: PrefixCache.create(Infinity),
+		runs: new Map(), pending: new Map(), pendingTokens: 0, prefillStartedAt: 0, idleSince: 0, span: createSpan(0, true), cache: PrefixCache.create(Infinity), speed: createEngineSpeed(),
 		service: '', timeShare: 0, timeShareAt: 0, latencyCriticalRuns: 0,
 	};
 }
--- a/src/policy/dispatch/tuning.ts
+++ b/src/policy/dispatch/tuning.ts
@@ -20,6 +20,10 @@
 	 * Share of its time that an engine with latency-critical streams may spend on the prefill of other requests before it is closed to them.
 	 */
 	readonly besideCriticalPrefillShare: number;
+	/** Whether engines of one service may differ in speed. */
+	readonly learnsEngines: boolean;
+	/** Whether slow spans of prefill count in full where all work is reported. */
+	readonly trustsSlowSpans: boolean;
 	/** Cost of an engine that is not reserved for latency-critical streams to one of them. */
 	readonly outsideMilliseconds: number;
 };
@@ -36,5 +40,7 @@
 	roomMilliseconds: 1000,
 	tightFill: 0.75,
 	besideCriticalPrefillShare: 10,
+	learnsEngines: false,
+	trustsSlowSpans: false,
 	outsideMilliseconds: 60,
 };
