--- a/src/policy/dispatch/engine-cost.ts
+++ b/src/policy/dispatch/engine-cost.ts
@@ -211,7 +211,7 @@
 	const delayCost = Math.min(load.latencyCriticalRuns, maxCountedCriticalRuns) * ownPrefillMilliseconds * criticalDelayWeight;
 	const isReserved = position < summary.reservedCount;
 	const usesReservedEngine = isReserved && backlogAfterMilliseconds > strictestPauseMilliseconds * besideCriticalPauseShare;
-	const exceedsPrefillShare = (isReserved || load.latencyCriticalRuns > 0)
+	const exceedsPrefillShare = isReserved
 		&& load.prefillTimeShare + (ownPrefillMilliseconds / timeShareWindowMilliseconds) > tuning.besideCriticalPrefillShare;
 	return delayCost + (usesReservedEngine || exceedsPrefillShare ? tuning.roomMilliseconds : 0);
 }
--- a/src/policy/dispatch/tuning.ts
+++ b/src/policy/dispatch/tuning.ts
@@ -17,7 +17,7 @@
 	 */
 	readonly tightFill: number;
 	/**
-	 * Share of its time that an engine with latency-critical streams may spend on the prefill of other requests before it is closed to them.
+	 * Share of its time that an engine reserved for latency-critical streams may spend on prefill before it is closed to other requests.
 	 */
 	readonly besideCriticalPrefillShare: number;
 	/** Whether engines of one service may differ in speed. */
