--- a/src/policy/duties/store-step.ts
+++ b/src/policy/duties/store-step.ts
@@ -31,7 +31,7 @@
 /** Windows whose decision stays in the log after they were reported, for a call that is carried out late. */
 const keptDecisions = 6;
 /** Largest size of the rows in one record, in characters. */
-const largestRowsCharacters = 100_000;
+const largestRowsCharacters = 16_000;
 
 /** Chooses the next call to the store. */
 export function nextStoreStep(state: DutyState, clock: DutyClock): StoreStep {
