Duties: a new holder waits for the one before it, and a holder that is overtaken learns it from any peer

Its successor knew it from the rows in the log alone and dropped it at once, as one that had told nothing; one that was cut off was dropped with the first window of its absence; and the former holder went on believing in its tenure until it reached the log, 1.8 s after the cut. Change: an instance that is gone counts as known for the lateness and a window; decisions wait for 0.7 of the lateness (0.55); each new peer is told who holds the duties, and a higher token ends a tenure.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -244,6 +244,7 @@
 			dispatcher.applyLoad({type: 'kept', ...list});
 		},
 		knowsEndpoints: () => (feeds()?.endpoints.millisecondsSinceRead(performance.now()) ?? Infinity) < recentPollMilliseconds,
+		dutyWord: () => duties()?.word,
 		onDutyWord(word) {
 			duties()?.handleWord(word);
 		},
--- a/src/gateway/duties/duties.ts
+++ b/src/gateway/duties/duties.ts
@@ -91,6 +91,11 @@
 		});
 	}
 
+	/** What this instance tells a new peer about the holder. */
+	get word(): MessageOf<'duty-word'> | undefined {
+		return this.#word(Infinity);
+	}
+
 	/** Who makes calls now: this instance while it holds the duties and its lease lasts. */
 	get #caller(): DutyCaller | undefined {
 		const {state} = this.#keeper;
--- a/src/gateway/peers-options.ts
+++ b/src/gateway/peers-options.ts
@@ -22,6 +22,8 @@
 	readonly onLoad: (event: LoadEvent) => void;
 	/** Called when a peer has read which prompt parts an endpoint has cached. */
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
+	/** The message that names the holder of the duties to a new peer, if this instance knows one. */
+	readonly dutyWord: () => MessageOf<'duty-word'> | undefined;
 	/** Called when a peer names the holder of the duties. */
 	readonly onDutyWord: (word: MessageOf<'duty-word'>) => void;
 	/** Whether this instance has read the endpoints from the store lately. */
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -258,7 +258,8 @@
 		this.#links.set(hello.instance, link);
 		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
-		for (const message of initialMessages(this.#options.routingState, {knowsEndpoints: hello.knowsEndpoints, now: performance.now()})) {
+		const dutyWord = this.#options.dutyWord();
+		for (const message of [...initialMessages(this.#options.routingState, {knowsEndpoints: hello.knowsEndpoints, now: performance.now()}), ...(dutyWord === undefined ? [] : [dutyWord])]) {
 			connection.send(message);
 		}
 
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -94,15 +94,16 @@
 		return new LoadTracker();
 	}
 
-	/** Queues of the other instances. */
-	readonly peerQueues = PeerQueues.create();
-	readonly #endpoints = new Map<string, EndpointState>();
-	readonly #runs = new Map<string, TrackedRun>();
 	/** True if all instances report their load to this one. */
 	isAllReported = false;
 	/** Whether engines of one service may differ in speed. */
 	learnsEngines = false;
+	/** Whether a slow span of prefill counts in full while all load is reported. */
 	trustsSlowSpans = false;
+	/** Queues of the other instances. */
+	readonly peerQueues = PeerQueues.create();
+	readonly #endpoints = new Map<string, EndpointState>();
+	readonly #runs = new Map<string, TrackedRun>();
 	readonly #speeds = new Map<string, PrefillSpeed>();
 	readonly #serviceTimes = new Map<string, number>();
 
--- a/src/policy/duties/contributors.ts
+++ b/src/policy/duties/contributors.ts
@@ -12,6 +12,8 @@
 	/** All requests that began before this time are in the rows that it has told. */
 	readonly completeThrough: number;
 	readonly isConnected: boolean;
+	/** When it last told its counts, by the holder's steady clock; for one that is known from the log alone, when the log was read. */
+	readonly toldAt: number;
 	/** How far its estimate of the time was ahead of the holder's. */
 	readonly aheadMilliseconds: number;
 };
@@ -23,7 +25,7 @@
 /** A new holder waits this long for the others to connect. */
 const connectMilliseconds = 1500;
 /** The part of the time until a report is late that is spent on waiting for instances; the rest is for calls without an answer. */
-const waitingShare = 0.55;
+const waitingShare = 0.7;
 
 export type DecisionQuery = {readonly window: number; readonly time: number; readonly heldForMilliseconds: number; readonly settings: DutySettings};
 
@@ -47,8 +49,12 @@
 	return heldForMilliseconds >= connectMilliseconds && missingContributors(contributors, window, settings).length === 0;
 }
 
-/** Contributors that have ended leave the list once no open window can hold requests of theirs. */
-export function dropEndedContributors(contributors: Contributors, oldestOpenTime: number): Contributors {
-	const kept = [...contributors].filter(([, {isConnected, completeThrough}]) => isConnected || completeThrough > oldestOpenTime);
+/**
+ * Drops contributors that are gone. One that is cut off goes on counting in the windows that follow, and is back within seconds; one that
+ * was killed is replaced by its next incarnation, or never comes back.
+ */
+export function dropGoneContributors(contributors: Contributors, steady: number, {lateMilliseconds, windowMilliseconds}: DutySettings): Contributors {
+	const kept = [...contributors].filter(([, {isConnected, completeThrough, toldAt}]) => isConnected
+		|| (Number.isFinite(completeThrough) && steady - toldAt <= lateMilliseconds + windowMilliseconds));
 	return kept.length === contributors.size ? contributors : new Map(kept);
 }
--- a/src/policy/duties/events.ts
+++ b/src/policy/duties/events.ts
@@ -1,6 +1,6 @@
 import {type LogPosition} from '../../model/index.js';
 import {medianOf} from './clock.js';
-import {type Contributor, dropEndedContributors} from './contributors.js';
+import {type Contributor, dropGoneContributors} from './contributors.js';
 import {appendToLog, type DutyEntry, type DutyLog, eraOfToken, fencingToken, type Holder} from './records.js';
 import {isTooLate} from './report-step.js';
 import {type DutyClock} from './settings.js';
@@ -29,7 +29,7 @@
 	/** A message of the holder, or of an instance that passes it on. */
 		| {readonly type: 'word'; readonly holder: Holder; readonly end: LogPosition; readonly decisions: ReadonlyMap<number, UsageCounts>}
 	/** What an instance counted, this one included. */
-		| {readonly type: 'usage'; readonly from: Omit<Contributor, 'isConnected'>; readonly rows: readonly UsageRow[]}
+		| {readonly type: 'usage'; readonly from: Omit<Contributor, 'isConnected' | 'toldAt'>; readonly rows: readonly UsageRow[]}
 		| {readonly type: 'disconnected'; readonly incarnation: string}
 		| {readonly type: 'reported'; readonly window: number; readonly token: number; readonly outcome: ReportOutcome}
 	/** Another call than a report was refused by its fencing token. */
@@ -173,14 +173,14 @@
 		token, era, since: clock.steady, renewedAt, nextCallAt: clock.steady, failedCalls: 0, failingSince: undefined,
 		closedThrough, undecidableThrough: isContinued ? -Infinity : current - 1, isEnding: false,
 	};
-	const others = rows.filter(({incarnation}) => incarnation !== own.incarnation).map(({incarnation}) => absentContributor(incarnation));
+	const others = rows.filter(({incarnation}) => incarnation !== own.incarnation).map(({incarnation}) => absentContributor(incarnation, clock.steady));
 	const contributors = new Map([...others.map(contributor => [contributor.incarnation, contributor] as const), ...state.contributors]);
 	return closeLateWindows({...state, tenure, usage: mergeUsage(state.usage, rows), contributors}, clock);
 }
 
 /** An instance of which only its rows are known, from the log. */
-function absentContributor(incarnation: string): Contributor {
-	return {instance: '', incarnation, completeThrough: 0, isConnected: false, aheadMilliseconds: 0};
+function absentContributor(incarnation: string, toldAt: number): Contributor {
+	return {instance: '', incarnation, completeThrough: 0, isConnected: false, toldAt, aheadMilliseconds: 0};
 }
 
 function endTenure(state: DutyState, clock: DutyClock): DutyState {
@@ -194,7 +194,8 @@
 	}
 
 	const word: HolderWord = {holder, end, at: clock.steady};
-	return {...state, word, decisions: new Map([...state.decisions, ...decisions])};
+	const next = {...state, word, decisions: new Map([...state.decisions, ...decisions])};
+	return next.tenure !== undefined && holder.token > next.tenure.token ? endTenure(next, clock) : next;
 }
 
 function applyUsage(state: DutyState, {from, rows}: Extract<DutyEvent, {type: 'usage'}>, clock: DutyClock): DutyState {
@@ -205,7 +206,7 @@
 		const hasEnded = other.instance === from.instance && key !== from.incarnation;
 		return [key, hasEnded ? {...other, completeThrough: Infinity, isConnected: false} : other] as const;
 	});
-	const contributor = {...from, completeThrough: Math.max(from.completeThrough, known?.completeThrough ?? 0), isConnected: true};
+	const contributor = {...from, completeThrough: Math.max(from.completeThrough, known?.completeThrough ?? 0), isConnected: true, toldAt: clock.steady};
 	// An instance whose time is not corrected yet may name any window; one that lies ahead would never be decided and dropped.
 	const newest = windowAt(clock.time, settings.windowMilliseconds) + 1;
 	const open = rows.filter(({window}) => window > (tenure?.closedThrough ?? -Infinity) && window <= newest && !state.decisions.has(window));
@@ -249,7 +250,7 @@
 		closedThrough = Math.max(closedThrough + 1, windowAt(clock.time - settings.lateMilliseconds, settings.windowMilliseconds) - 2);
 	}
 
-	const contributors = dropEndedContributors(state.contributors, (closedThrough + 1) * settings.windowMilliseconds);
+	const contributors = dropGoneContributors(state.contributors, clock.steady, settings);
 	return {...state, tenure: {...tenure, closedThrough}, contributors, usage: dropUsageThrough(state.usage, closedThrough)};
 }
 
--- a/test/policy/duties-properties.test.ts
+++ b/test/policy/duties-properties.test.ts
@@ -138,8 +138,10 @@
 	const window = Math.floor(world.now / windowMilliseconds);
 	for (const [otherIndex, other] of world.instances.entries()) {
 		if (cut[otherIndex]! <= tick && frozen[otherIndex]! <= tick) {
-			own.tellUsage(other, [window - 1, window], (tick * 10) + index);
 			own.tellHolder(other);
+			if (other.state.tenure !== undefined) {
+				own.tellUsage(other, [window - 1, window], (tick * 10) + index);
+			}
 		}
 	}
 }
