--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,14 +1,15 @@
 import {type InstanceId, type ZoneName} from '../model/index.js';
 import {
 	sendProbability, choosePlace, type PlacementContext, groupKeyOf, ScanResults, QueueReporter, LoadTracker, type LoadEvent, type Place, propagationMilliseconds, prefillMilliseconds,
-	type RetryAllowance, RetryShare, runId, type Tuning, type Wait,
+	type RetryAllowance, RetryShare, runId, type Tuning,
 } from '../policy/dispatch/index.js';
 import {singleInstanceView, type FleetView, visibleRequestShare} from '../policy/sharing/index.js';
-import {compareUrgency, type EndpointRecord} from '../routing/index.js';
+import {type EndpointRecord} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type RoutingState} from './routing-state.js';
 import {RefusalReason, type PlacementRequest} from './decision.js';
 import {EndpointPool, type PlacementEndpoint} from './endpoint-pool.js';
+import {createPlacementContext} from './placement-context.js';
 import {type QueueActivity, QueueMeter} from './queue-meter.js';
 import {unknownRetryMilliseconds, PlacementQueue} from './placement-queue.js';
 
@@ -34,9 +35,6 @@
 const searchIntervalMilliseconds = 2 * scanIntervalMilliseconds;
 /** After a scan the queue rests for this many times the scan's duration, so scans take at most a tenth of the process's time. */
 const scanRestFactor = 9;
-/** One megabit per second, in bits per millisecond. */
-const bitsPerMillisecondPerMegabit = 1000;
-const bitsPerByte = 8;
 
 /** Places, queues and refuses requests. Owns the load tracker, the endpoint pool and the retry share. */
 export class Dispatcher implements Disposable {
@@ -108,7 +106,7 @@
 	submit(request: PlacementRequest): void {
 		const wait = request.demand.isLatencyCritical || request.excluded.size > 0 ? undefined : this.#lastScan.waitMilliseconds(groupKeyOf(request));
 		if (wait === undefined) {
-			this.#search(request, this.#endpointsAwaitedBefore(request));
+			this.#search(request, this.#queue.endpointsAwaitedBefore(request));
 			return;
 		}
 
@@ -160,7 +158,7 @@
 				request.deferredAt ??= now;
 			}
 
-			this.#recordWait(request, choice, {results, endpoints: candidates.length});
+			results?.recordWait(groupKeyOf(request), {...choice, endpoints: candidates.length, hasExcluded: request.excluded.size > 0});
 			return this.#queue.enqueue(request, choice, candidates);
 		}
 
@@ -175,18 +173,6 @@
 		return true;
 	}
 
-	/**
-	 * Records why a search found no endpoint. Full endpoints are not recorded for a request with excluded ones: it has fewer
-	 * candidates than the others of its group.
-	 */
-	#recordWait(request: PlacementRequest, {isDeferral, milliseconds}: Wait, {results, endpoints}: {results: ScanResults | undefined; endpoints: number}): void {
-		if (isDeferral) {
-			results?.recordMiss(groupKeyOf(request), {endpoints, milliseconds});
-		} else if (request.excluded.size === 0) {
-			results?.recordFull(groupKeyOf(request), milliseconds);
-		}
-	}
-
 	#isOutranked({service, urgency, demand}: PlacementRequest, now: number): boolean {
 		return this.#options.tuning.heedsLines && !demand.isLatencyCritical && this.loadTracker.peerQueues.hasMoreUrgent(service, urgency, now);
 	}
@@ -211,28 +197,7 @@
 
 	#placementContext(service: string, now: number): PlacementContext {
 		const {zone, tuning, routingState} = this.#options;
-		const transfer = routingState.table?.service(service)?.engine?.transfer;
-		return {
-			zone, now, tuning,
-			view: this.view,
-			propagationMilliseconds: propagationMilliseconds(this.view.links),
-			fetchTokensPerMillisecond: transfer === undefined ? undefined : transfer.megabitsPerSecond * bitsPerMillisecondPerMegabit / bitsPerByte / transfer.bytesPerToken,
-		};
-	}
-
-	/**
-	 * Endpoints that queued requests of at least the same urgency wait for: a later request must not take a slot that becomes
-	 * free there.
-	 */
-	#endpointsAwaitedBefore({urgency}: PlacementRequest): ReadonlySet<string> {
-		const awaited = new Set<string>();
-		for (const waiting of this.#queue.requests) {
-			if (compareUrgency(waiting.urgency, urgency) <= 0 && waiting.waitsFor !== undefined) {
-				awaited.add(waiting.waitsFor.endpoint);
-			}
-		}
-
-		return awaited;
+		return createPlacementContext({zone, now, tuning, view: this.view, transfer: routingState.table?.service(service)?.engine?.transfer});
 	}
 
 	#place(request: PlacementRequest, record: EndpointRecord, {candidates, prefillTokens, fetch, expectedMilliseconds, leastPrefillTokens}: Place & {candidates: number}): void {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,11 +1,12 @@
 import {Alarm, type Body, channel, receive, tryDeliver, tryReceive} from '../concurrency/index.js';
 import {combineVerdicts, Verdict} from '../model/index.js';
 import {type Demand, failoverAt} from '../policy/dispatch/index.js';
-import {type EndpointRecord, RouteKind} from '../routing/index.js';
+import {RouteKind} from '../routing/index.js';
 import {ResponseForwarder} from './response-forwarder.js';
 import {Attempt} from './attempt.js';
 import {AttemptState, type Outcome} from './attempt-state.js';
 import {type Decision} from './decision.js';
+import {reportOutcome} from './outcome-report.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {sendErrorResponse} from './error-response.js';
 import {RequestUsage} from './duties/index.js';
@@ -171,7 +172,7 @@
 		this.#forwarder.isPaused = false;
 		dispatcher.recordEnd(runId);
 		this.#excluded.add(record.id);
-		this.#reportOutcome(record, outcome, state);
+		reportOutcome(dispatcher, outcome, state);
 		this.#options.log.logAttempt(this.#options, decision, {
 			waitedMilliseconds: this.#waitedMilliseconds, startedAt: state.startedAt, firstEventAt: state.firstEventAt, events: state.events, pauseMilliseconds: state.longestPauseMilliseconds,
 			outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, status: state.status,
@@ -257,18 +258,6 @@
 		return undefined;
 	}
 
-	#reportOutcome(record: EndpointRecord, outcome: Outcome, state: AttemptState): void {
-		const {dispatcher} = this.#options;
-		if (outcome.type === 'done') {
-			dispatcher.endpoints.report(record, 'answered');
-			if (!state.isStream && state.decision.candidates > 0) {
-				dispatcher.loadTracker.recordServiceTime(record.service, performance.now() - state.startedAt);
-			}
-		} else if (outcome.type === 'failed') {
-			dispatcher.endpoints.report(record, state.status > 0 && outcome.verdict !== Verdict.mayHaveRun ? 'failed' : 'unreachable');
-		}
-	}
-
 	/** Decides whether the request is retried; if not, its final response is sent at once. */
 	#shouldRetry(outcome: Outcome): boolean {
 		if (outcome.type !== 'failed') {
--- /dev/null
+++ b/src/gateway/peer-link.ts
@@ -0,0 +1,23 @@
+import {type Connection} from '../wire/index.js';
+
+/** The connection to one peer. */
+export type PeerLink = {
+	readonly connection: Connection;
+	readonly instance: string;
+	readonly incarnation: string;
+	/** True if this instance opened the connection. */
+	readonly isDialled: boolean;
+	/** When the peer's hello arrived. */
+	readonly since: number;
+	/** The newest version of the routing table that the peer has named. */
+	routingVersion: number;
+};
+
+/**
+ * Whether a new connection to a peer replaces the existing one, if both instances dial each other at the same time: the one is kept that
+ * the instance with the smaller name dialled, and of two that the same instance dialled the newer one, since an instance with a link does
+ * not dial. Without a common rule each instance could close the other's connection, and they would stay unlinked.
+ */
+export function isPreferredLink(existing: PeerLink, isDialled: boolean, ownInstance: string): boolean {
+	return existing.isDialled === isDialled || isDialled === (ownInstance < existing.instance);
+}
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -5,6 +5,7 @@
 import {type CachedPromptParts} from './prompt-cache-reader.js';
 import {LoadBatch} from './load-batch.js';
 import {initialMessages, handleMessage, messageForChange} from './peer-messages.js';
+import {isPreferredLink, type PeerLink} from './peer-link.js';
 import {type PeerRecord, PeerRoster} from './peer-roster.js';
 import {type PeersOptions} from './peers-options.js';
 import {RoutingTablePuller} from './routing-table-puller.js';
@@ -22,8 +23,6 @@
  */
 const minLinkMilliseconds = 10_000;
 
-type Link = {readonly connection: Connection; readonly instance: string; readonly incarnation: string; readonly isDialled: boolean; readonly since: number; routingVersion: number};
-
 /**
  * Links to the other gateways. If the store refuses this instance or is down while the operator publishes, peers provide the
  * routing table; without them the instance would keep an old table, or start with none. Peers also report their load; otherwise,
@@ -46,7 +45,7 @@
 
 	readonly #options: PeersOptions;
 	readonly #roster: PeerRoster;
-	readonly #links = new Map<string, Link>();
+	readonly #links = new Map<string, PeerLink>();
 	readonly #tablePuller: RoutingTablePuller;
 	readonly #loadBatch = LoadBatch.create(() => batchIntervalMilliseconds(this.#links.size), rows => {
 		this.#broadcast({type: 'load', rows});
@@ -167,7 +166,7 @@
 	 * Closes a link to an instance that is no longer a neighbour if this instance dialled it; otherwise sends a heartbeat when
 	 * one is due.
 	 */
-	#maintainLink({connection, instance, isDialled, since}: Link): void {
+	#maintainLink({connection, instance, isDialled, since}: PeerLink): void {
 		if (isDialled && performance.now() - since > minLinkMilliseconds && !this.#roster.neighbours.linked.has(instance)) {
 			connection.close('no longer a neighbour');
 		} else if (connection.takeHeartbeat(this.#links.size)) {
@@ -189,7 +188,7 @@
 		const {instance, incarnation, knowsEndpoints} = this.#options;
 		connection.setBusy(true, heartbeatTimes);
 		connection.send({type: 'gateway-hello', protocol: protocolVersion, instance, incarnation, knowsEndpoints: knowsEndpoints()});
-		let link: Link | undefined;
+		let link: PeerLink | undefined;
 		for (let messages = yield * receive(connection.incoming); messages !== undefined; messages = yield * receive(connection.incoming)) {
 			for (const message of messages) {
 				link = this.#handleMessage(message, {connection, link, address});
@@ -199,7 +198,7 @@
 		this.#removeLink(link);
 	}
 
-	#handleMessage(message: Message, {connection, link, address}: {connection: Connection; link: Link | undefined; address: string | undefined}): Link | undefined {
+	#handleMessage(message: Message, {connection, link, address}: {connection: Connection; link: PeerLink | undefined; address: string | undefined}): PeerLink | undefined {
 		if (message.type === 'heartbeat') {
 			return link;
 		}
@@ -230,7 +229,7 @@
 		return link;
 	}
 
-	#handleHello(hello: Extract<GatewayMessage, {type: 'gateway-hello'}>, connection: Connection, address: string | undefined): Link | undefined {
+	#handleHello(hello: Extract<GatewayMessage, {type: 'gateway-hello'}>, connection: Connection, address: string | undefined): PeerLink | undefined {
 		const existing = this.#links.get(hello.instance);
 		const isDialled = address !== undefined;
 		if (isDialled) {
@@ -242,7 +241,7 @@
 			return undefined;
 		}
 
-		if (existing?.incarnation === hello.incarnation && !this.#isPreferred(existing, isDialled)) {
+		if (existing?.incarnation === hello.incarnation && !isPreferredLink(existing, isDialled, this.#options.instance)) {
 			connection.close('already connected');
 			return undefined;
 		}
@@ -270,7 +269,7 @@
 	 * Replaces the link of a peer. If the peer restarted before its silence was noticed, the placements of its previous
 	 * incarnation are dropped; they would make endpoints look full.
 	 */
-	#replace(existing: Link, incarnation: string): void {
+	#replace(existing: PeerLink, incarnation: string): void {
 		if (existing.incarnation === incarnation) {
 			existing.connection.close('replaced by another connection');
 			return;
@@ -280,17 +279,7 @@
 		this.#options.onLoad({type: 'owner-lost', owner: existing.incarnation});
 	}
 
-	/**
-	 * Which of two connections to a peer is kept, if both instances dial each other at the same time: the one that the
-	 * instance with the smaller name dialled, and of two that the same instance dialled the newer one, since an instance with
-	 * a link does not dial. Without a common rule each instance could close the other's connection, and they would stay
-	 * unlinked.
-	 */
-	#isPreferred(existing: Link, isDialled: boolean): boolean {
-		return existing.isDialled === isDialled || isDialled === (this.#options.instance < existing.instance);
-	}
-
-	#removeLink(link: Link | undefined): void {
+	#removeLink(link: PeerLink | undefined): void {
 		if (link === undefined || this.#links.get(link.instance) !== link) {
 			return;
 		}
--- a/src/gateway/placement-queue.ts
+++ b/src/gateway/placement-queue.ts
@@ -54,6 +54,21 @@
 		return this.#queue.ordered(now).flatMap(({id}) => this.#requests.get(id) ?? []);
 	}
 
+	/**
+	 * Endpoints that queued requests of at least the same urgency wait for: a later request must not take a slot that becomes
+	 * free there.
+	 */
+	endpointsAwaitedBefore({urgency}: PlacementRequest): ReadonlySet<string> {
+		const awaited = new Set<string>();
+		for (const waiting of this.#requests.values()) {
+			if (compareUrgency(waiting.urgency, urgency) <= 0 && waiting.waitsFor !== undefined) {
+				awaited.add(waiting.waitsFor.endpoint);
+			}
+		}
+
+		return awaited;
+	}
+
 	/** Removes a request, for example because its caller disconnected or its deadline passed. */
 	remove(id: string): void {
 		this.#queue.remove(id);
--- a/src/policy/dispatch/scan-results.ts
+++ b/src/policy/dispatch/scan-results.ts
@@ -42,6 +42,18 @@
 		return this.#waits.get(group);
 	}
 
+	/**
+	 * Records why a search found no endpoint. Full endpoints are not recorded for a request with excluded ones: it has fewer candidates than
+	 * the others of its group.
+	 */
+	recordWait(group: string, {isDeferral, milliseconds, endpoints, hasExcluded}: {readonly isDeferral: boolean; readonly milliseconds: number; readonly endpoints: number; readonly hasExcluded: boolean}): void {
+		if (isDeferral) {
+			this.recordMiss(group, {endpoints, milliseconds});
+		} else if (!hasExcluded) {
+			this.recordFull(group, milliseconds);
+		}
+	}
+
 	/** Records that no endpoint takes a request of the group for this time. */
 	recordFull(group: string, milliseconds: number): void {
 		this.#waits.set(group, milliseconds);
