--- a/src/policy/dispatch/engine-cost.ts
+++ b/src/policy/dispatch/engine-cost.ts
@@ -131,7 +131,9 @@
 		? criticalStreamCost(demand, candidate, {load, position, backlogAfterMilliseconds, summary, tuning})
 		: costToRunningStreams(demand, {load, position, backlogAfterMilliseconds, ownPrefillMilliseconds, summary, tuning});
 	const fetchCost = fetch === undefined ? 0 : fetch.milliseconds + (prefillMilliseconds(speed, fetch.tokens) * tuning.fetchShare * fetchWeight);
-	const cost = load.backlogMilliseconds + (ownPrefillMilliseconds * summary.prefillWeight) + fetchCost + latenessCost(waitMilliseconds + expectedMilliseconds, demand) + streamCost
+	// The weight stands for the work of the service, which is the same at a fast and a slow engine: only the request itself gains by a fast one.
+	const servicePrefillMilliseconds = prefillMilliseconds(tracker.prefillSpeed(demand.service), prefillTokens);
+	const cost = load.backlogMilliseconds + ownPrefillMilliseconds + (servicePrefillMilliseconds * (summary.prefillWeight - 1)) + fetchCost + latenessCost(waitMilliseconds + expectedMilliseconds, demand) + streamCost
 		+ (load.running / candidate.slots * speed.baseMilliseconds);
 	return {cost, waitMilliseconds, prefillTokens, fetch, expectedMilliseconds};
 }
