--- a/src/bin/gateway-duties.ts
+++ b/src/bin/gateway-duties.ts
@@ -52,8 +52,8 @@
 		},
 		receiver: openReceiver(settings.receiverAddress),
 		instances: () => peers().view.instances,
-		broadcast(word) {
-			peers().broadcastDutyWord(word);
+		broadcast(announcement) {
+			peers().broadcastHolder(announcement);
 		},
 	});
 }
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -174,7 +174,7 @@
 			log.warn('Could not retract the announcement.', {reason: String(error)});
 		});
 		const drained = Promise.all([gateway.drain(), retracted, duties?.release()]).then(() => {
-			duties?.tellEnd();
+			duties?.sendEnd();
 		});
 		return withinMilliseconds(drained, (settings.stopSeconds * 1000) - stopMarginMilliseconds);
 	}
@@ -244,9 +244,9 @@
 			dispatcher.applyLoad({type: 'kept', ...list});
 		},
 		knowsEndpoints: () => (feeds()?.endpoints.millisecondsSinceRead(performance.now()) ?? Infinity) < recentPollMilliseconds,
-		dutyWord: () => duties()?.word,
-		onDutyWord(word) {
-			duties()?.handleWord(word);
+		holderAnnouncement: () => duties()?.announcement,
+		onHolderAnnouncement(announcement) {
+			duties()?.handleAnnouncement(announcement);
 		},
 		onStaleTable() {
 			feeds()?.routing.abortLongPoll();
--- a/src/gateway/duties/duties.ts
+++ b/src/gateway/duties/duties.ts
@@ -30,7 +30,7 @@
 	/** Number of live instances. */
 	readonly instances: () => number;
 	/** Tells the neighbours who holds the duties. */
-	readonly broadcast: (word: MessageOf<'duty-word'>) => void;
+	readonly broadcast: (announcement: MessageOf<'duty-holder'>) => void;
 };
 
 /** Interval at which an instance tells its usage, for each instance of the fleet and at least. */
@@ -49,7 +49,7 @@
 				duties.#keeper.apply({type: 'disconnected', incarnation});
 			},
 		});
-		void spawn('usage', () => duties.#tellUsage());
+		void spawn('usage', () => duties.#sendUsage());
 		return duties;
 	}
 
@@ -85,15 +85,15 @@
 		});
 		this.#link = UsageLink.create({
 			security: {type: 'plaintext'}, logger: this.#log,
-			onWord: word => {
-				this.handleWord(word);
+			onAnnouncement: announcement => {
+				this.handleAnnouncement(announcement);
 			},
 		});
 	}
 
 	/** What this instance tells a new peer about the holder. */
-	get word(): MessageOf<'duty-word'> | undefined {
-		return this.#word(Infinity);
+	get announcement(): MessageOf<'duty-holder'> | undefined {
+		return this.#announcement(Infinity);
 	}
 
 	/** Who makes calls now: this instance while it holds the duties and its lease lasts. */
@@ -104,13 +104,13 @@
 	}
 
 	/** Handles a message about the holder, from the holder itself or from a neighbour that passes it on. */
-	handleWord({holder, end, decisions, time}: MessageOf<'duty-word'>): void {
+	handleAnnouncement({holder, end, decisions, time}: MessageOf<'duty-holder'>): void {
 		const {state} = this.#keeper;
 		if (time !== undefined && state.tenure === undefined) {
 			this.#timeKeeper.correct(time - this.#timeKeeper.clock().time);
 		}
 
-		this.#keeper.apply({type: 'word', holder, end, decisions: new Map(decisions.map(({window, counts}) => [window, counts]))});
+		this.#keeper.apply({type: 'holder-announced', holder, end, decisions: new Map(decisions.map(({window, counts}) => [window, counts]))});
 	}
 
 	/** Gives up the duties, if this instance holds them. */
@@ -119,8 +119,8 @@
 	}
 
 	/** Tells the holder that this process counts no more requests. */
-	tellEnd(): void {
-		this.#tell(endOfTime);
+	sendEnd(): void {
+		this.#sendUsageNow(endOfTime);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -133,18 +133,18 @@
 		await this.#options.receiver[Symbol.asyncDispose]();
 	}
 
-	* #tellUsage(): Body<void> {
+	* #sendUsage(): Body<void> {
 		while (!this.#isStopped) {
-			this.#tell(this.counter.completeThrough);
+			this.#sendUsageNow(this.counter.completeThrough);
 			const {forEachInstance, least} = usageIntervalMilliseconds;
 			yield * receiveWithin(this.#wake, Math.max(least, forEachInstance * this.#options.instances()));
 		}
 	}
 
-	#tell(completeThrough: number): void {
+	#sendUsageNow(completeThrough: number): void {
 		const {state} = this.#keeper;
 		if (state.tenure !== undefined) {
-			this.#tellSelf(completeThrough);
+			this.#recordOwnUsage(completeThrough);
 			return;
 		}
 
@@ -162,7 +162,7 @@
 		}
 	}
 
-	#tellSelf(completeThrough: number): void {
+	#recordOwnUsage(completeThrough: number): void {
 		const {instance, incarnation} = this.#options;
 		this.#keeper.apply({type: 'usage', from: {instance, incarnation, completeThrough, aheadMilliseconds: 0}, rows: this.#rowsSince(0)});
 		this.#timeKeeper.correct(medianAhead(this.#keeper.state));
@@ -173,14 +173,14 @@
 		return this.counter.changedSince(revision).map(({window, counts}) => ({incarnation, window, counts}));
 	}
 
-	#handleUsage({instance, incarnation, time, completeThrough, rows}: MessageOf<'usage'>, sentWindow: number): MessageOf<'duty-word'> | undefined {
+	#handleUsage({instance, incarnation, time, completeThrough, rows}: MessageOf<'usage'>, sentWindow: number): MessageOf<'duty-holder'> | undefined {
 		const aheadMilliseconds = time - this.#timeKeeper.clock().time;
 		this.#keeper.apply({type: 'usage', from: {instance, incarnation, completeThrough, aheadMilliseconds}, rows: rows.map(row => ({...row, incarnation}))});
-		return this.#word(sentWindow);
+		return this.#announcement(sentWindow);
 	}
 
 	/** What this instance says about the holder. Only the holder itself tells the time. */
-	#word(sentWindow: number): MessageOf<'duty-word'> | undefined {
+	#announcement(sentWindow: number): MessageOf<'duty-holder'> | undefined {
 		const {state} = this.#keeper;
 		const holder = knownHolder(state);
 		const end = state.known?.log.end;
@@ -190,7 +190,7 @@
 
 		const decisions = [...state.known?.log.decisions ?? []].filter(([window]) => window > sentWindow).map(([window, {counts}]) => ({window, counts}));
 		const time = state.tenure === undefined ? undefined : this.#timeKeeper.clock().time + medianAhead(state);
-		return {type: 'duty-word', holder, end, decisions, ...(time !== undefined && {time})};
+		return {type: 'duty-holder', holder, end, decisions, ...(time !== undefined && {time})};
 	}
 
 	/** Passes the name of a new holder on, or that it has released the duties, and tells it the usage at once. */
@@ -201,9 +201,9 @@
 			return;
 		}
 
-		const word = this.#word(Infinity);
-		if (word !== undefined) {
-			this.#options.broadcast(word);
+		const announcement = this.#announcement(Infinity);
+		if (announcement !== undefined) {
+			this.#options.broadcast(announcement);
 		}
 
 		tryDeliver(this.#wake, 'wake');
--- a/src/gateway/duties/usage-link.ts
+++ b/src/gateway/duties/usage-link.ts
@@ -6,7 +6,7 @@
 export type UsageLinkOptions = {
 	readonly security: Security;
 	readonly logger: PartLogger;
-	readonly onWord: (word: MessageOf<'duty-word'>) => void;
+	readonly onAnnouncement: (announcement: MessageOf<'duty-holder'>) => void;
 };
 
 /** Times of the link's connection: a holder that lost power is noticed within the silence. */
@@ -56,7 +56,7 @@
 	}
 
 	* #run(address: string, instance: string): Body<void> {
-		const {security, logger, onWord} = this.#options;
+		const {security, logger, onAnnouncement} = this.#options;
 		let connection: Connection;
 		try {
 			connection = yield * wait(dial(address, security));
@@ -72,8 +72,8 @@
 		this.sentRevision = 0;
 		for (let messages = yield * receive(connection.incoming); messages !== undefined; messages = yield * receive(connection.incoming)) {
 			for (const message of messages) {
-				if (message.type === 'duty-word') {
-					onWord(message);
+				if (message.type === 'duty-holder') {
+					onAnnouncement(message);
 				}
 			}
 		}
--- a/src/gateway/duties/usage-server.ts
+++ b/src/gateway/duties/usage-server.ts
@@ -6,7 +6,7 @@
 	readonly port: number;
 	readonly security: Security;
 	/** Handles what an instance tells; returns the response. `sentWindow` is the newest window whose decision was sent on the connection. */
-	readonly onUsage: (message: MessageOf<'usage'>, sentWindow: number) => MessageOf<'duty-word'> | undefined;
+	readonly onUsage: (message: MessageOf<'usage'>, sentWindow: number) => MessageOf<'duty-holder'> | undefined;
 	readonly onDisconnected: (incarnation: string) => void;
 };
 
@@ -52,10 +52,10 @@
 				}
 
 				incarnation = message.incarnation;
-				const word = onUsage(message, sentWindow);
-				if (word !== undefined) {
-					sentWindow = Math.max(sentWindow, ...word.decisions.map(({window}) => window));
-					connection.send(word);
+				const announcement = onUsage(message, sentWindow);
+				if (announcement !== undefined) {
+					sentWindow = Math.max(sentWindow, ...announcement.decisions.map(({window}) => window));
+					connection.send(announcement);
 				}
 			}
 		}
--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -57,11 +57,11 @@
 	readonly onVersion: (version: number) => void;
 	readonly onLoad: (event: LoadEvent) => void;
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
-	readonly onDutyWord: (word: MessageOf<'duty-word'>) => void;
+	readonly onHolderAnnouncement: (word: MessageOf<'duty-holder'>) => void;
 };
 
 /** Handles a message of a peer that has sent its hello. */
-export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onDutyWord}: MessageContext): void {
+export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onHolderAnnouncement}: MessageContext): void {
 	switch (message.type) {
 		case 'routing-version': {
 			onVersion(message.version);
@@ -96,8 +96,8 @@
 			return;
 		}
 
-		case 'duty-word': {
-			onDutyWord(message);
+		case 'duty-holder': {
+			onHolderAnnouncement(message);
 			return;
 		}
 
--- a/src/gateway/peers-options.ts
+++ b/src/gateway/peers-options.ts
@@ -23,9 +23,9 @@
 	/** Called when a peer has read which prompt parts an endpoint has cached. */
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
 	/** The message that names the holder of the duties to a new peer, if this instance knows one. */
-	readonly dutyWord: () => MessageOf<'duty-word'> | undefined;
+	readonly holderAnnouncement: () => MessageOf<'duty-holder'> | undefined;
 	/** Called when a peer names the holder of the duties. */
-	readonly onDutyWord: (word: MessageOf<'duty-word'>) => void;
+	readonly onHolderAnnouncement: (word: MessageOf<'duty-holder'>) => void;
 	/** Whether this instance has read the endpoints from the store lately. */
 	readonly knowsEndpoints: () => boolean;
 	/** Called when a peer has had a newer routing table for longer than a read of the store takes: this instance's own read may hang. */
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -103,7 +103,7 @@
 	}
 
 	/** Tells all neighbours who holds the duties. */
-	broadcastDutyWord(word: MessageOf<'duty-word'>): void {
+	broadcastHolder(word: MessageOf<'duty-holder'>): void {
 		this.#broadcast(word);
 	}
 
@@ -217,10 +217,10 @@
 			return undefined;
 		}
 
-		const {routingState, onLoad, onPromptCache, onDutyWord} = this.#options;
+		const {routingState, onLoad, onPromptCache, onHolderAnnouncement} = this.#options;
 		const {instance, incarnation} = link;
 		handleMessage(message, {
-			routingState, connection, instance, incarnation, onLoad, onPromptCache, onDutyWord,
+			routingState, connection, instance, incarnation, onLoad, onPromptCache, onHolderAnnouncement,
 			onVersion: version => {
 				link.routingVersion = version;
 				this.#tablePuller.handlePeerVersion();
@@ -257,8 +257,8 @@
 		this.#links.set(hello.instance, link);
 		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
-		const dutyWord = this.#options.dutyWord();
-		for (const message of [...initialMessages(this.#options.routingState, {knowsEndpoints: hello.knowsEndpoints, now: performance.now()}), ...(dutyWord === undefined ? [] : [dutyWord])]) {
+		const holderAnnouncement = this.#options.holderAnnouncement();
+		for (const message of [...initialMessages(this.#options.routingState, {knowsEndpoints: hello.knowsEndpoints, now: performance.now()}), ...(holderAnnouncement === undefined ? [] : [holderAnnouncement])]) {
 			connection.send(message);
 		}
 
--- a/src/policy/duties/contributors.ts
+++ b/src/policy/duties/contributors.ts
@@ -13,7 +13,7 @@
 	readonly completeThrough: number;
 	readonly isConnected: boolean;
 	/** When it last told its counts, by the holder's steady clock; for one that is known from the log alone, when the log was read. */
-	readonly toldAt: number;
+	readonly receivedAt: number;
 	/** How far its estimate of the time was ahead of the holder's. */
 	readonly aheadMilliseconds: number;
 };
@@ -54,7 +54,7 @@
  * was killed is replaced by its next incarnation, or never comes back.
  */
 export function dropGoneContributors(contributors: Contributors, steady: number, {lateMilliseconds, windowMilliseconds}: DutySettings): Contributors {
-	const kept = [...contributors].filter(([, {isConnected, completeThrough, toldAt}]) => isConnected
-		|| (Number.isFinite(completeThrough) && steady - toldAt <= lateMilliseconds + windowMilliseconds));
+	const kept = [...contributors].filter(([, {isConnected, completeThrough, receivedAt}]) => isConnected
+		|| (Number.isFinite(completeThrough) && steady - receivedAt <= lateMilliseconds + windowMilliseconds));
 	return kept.length === contributors.size ? contributors : new Map(kept);
 }
--- a/src/policy/duties/events.ts
+++ b/src/policy/duties/events.ts
@@ -4,7 +4,7 @@
 import {appendToLog, type DutyEntry, type DutyLog, eraOfToken, fencingToken, type Holder} from './records.js';
 import {isTooLate} from './report-step.js';
 import {type DutyClock} from './settings.js';
-import {type DutyState, type HolderWord, type KnownLog, type Tenure} from './state.js';
+import {type DutyState, type HolderAnnouncement, type KnownLog, type Tenure} from './state.js';
 import {AppendPurpose} from './store-step.js';
 import {dropUsageThrough, mergeUsage, type UsageCounts, type UsageRow, windowAt} from './usage.js';
 
@@ -27,9 +27,9 @@
 	/** A call to the store failed; an append may have been carried out, or may be later. */
 		| {readonly type: 'store-failed'}
 	/** A message of the holder, or of an instance that passes it on. */
-		| {readonly type: 'word'; readonly holder: Holder; readonly end: LogPosition; readonly decisions: ReadonlyMap<number, UsageCounts>}
+		| {readonly type: 'holder-announced'; readonly holder: Holder; readonly end: LogPosition; readonly decisions: ReadonlyMap<number, UsageCounts>}
 	/** What an instance counted, this one included. */
-		| {readonly type: 'usage'; readonly from: Omit<Contributor, 'isConnected' | 'toldAt'>; readonly rows: readonly UsageRow[]}
+		| {readonly type: 'usage'; readonly from: Omit<Contributor, 'isConnected' | 'receivedAt'>; readonly rows: readonly UsageRow[]}
 		| {readonly type: 'disconnected'; readonly incarnation: string}
 		| {readonly type: 'reported'; readonly window: number; readonly token: number; readonly outcome: ReportOutcome}
 	/** Another call than a report was refused by its fencing token. */
@@ -64,8 +64,8 @@
 			return {...withoutCurrentLog(state), failedStoreCalls: failures, nextStoreCallAt: clock.steady + pauseAfter(failures, storeRetryMilliseconds)};
 		}
 
-		case 'word': {
-			return applyWord(state, event, clock);
+		case 'holder-announced': {
+			return applyAnnouncement(state, event, clock);
 		}
 
 		case 'usage': {
@@ -125,12 +125,12 @@
 }
 
 /** When the log was first seen to end where it ends now. */
-function changedAt({known, word}: DutyState, {end}: DutyLog, {steady}: DutyClock): number {
+function changedAt({known, announcement}: DutyState, {end}: DutyLog, {steady}: DutyClock): number {
 	if (known !== undefined && isSamePosition(known.log.end, end)) {
 		return known.changedAt;
 	}
 
-	return word !== undefined && isSamePosition(word.end, end) ? word.at : steady;
+	return announcement !== undefined && isSamePosition(announcement.end, end) ? announcement.at : steady;
 }
 
 function applyAppended(state: DutyState, {purpose, entries, decided, startedAt}: Extract<DutyEvent, {type: 'appended'}>, clock: DutyClock): DutyState {
@@ -179,22 +179,22 @@
 }
 
 /** An instance of which only its rows are known, from the log. */
-function absentContributor(incarnation: string, toldAt: number): Contributor {
-	return {instance: '', incarnation, completeThrough: 0, isConnected: false, toldAt, aheadMilliseconds: 0};
+function absentContributor(incarnation: string, receivedAt: number): Contributor {
+	return {instance: '', incarnation, completeThrough: 0, isConnected: false, receivedAt, aheadMilliseconds: 0};
 }
 
 function endTenure(state: DutyState, clock: DutyClock): DutyState {
 	return {...withoutCurrentLog(state), tenure: undefined, lastHeldAt: clock.steady, abandonedToken: state.tenure?.token ?? state.abandonedToken};
 }
 
-function applyWord(state: DutyState, {holder, end, decisions}: Extract<DutyEvent, {type: 'word'}>, clock: DutyClock): DutyState {
-	const isOutdated = state.word !== undefined && (holder.token < state.word.holder.token || (holder.token === state.word.holder.token && !isLater(end, state.word.end)));
+function applyAnnouncement(state: DutyState, {holder, end, decisions}: Extract<DutyEvent, {type: 'holder-announced'}>, clock: DutyClock): DutyState {
+	const isOutdated = state.announcement !== undefined && (holder.token < state.announcement.holder.token || (holder.token === state.announcement.holder.token && !isLater(end, state.announcement.end)));
 	if (isOutdated) {
 		return state;
 	}
 
-	const word: HolderWord = {holder, end, at: clock.steady};
-	const next = {...state, word, decisions: new Map([...state.decisions, ...decisions])};
+	const announcement: HolderAnnouncement = {holder, end, at: clock.steady};
+	const next = {...state, announcement, decisions: new Map([...state.decisions, ...decisions])};
 	return next.tenure !== undefined && holder.token > next.tenure.token ? endTenure(next, clock) : next;
 }
 
@@ -206,7 +206,7 @@
 		const hasEnded = other.instance === from.instance && key !== from.incarnation;
 		return [key, hasEnded ? {...other, completeThrough: Infinity, isConnected: false} : other] as const;
 	});
-	const contributor = {...from, completeThrough: Math.max(from.completeThrough, known?.completeThrough ?? 0), isConnected: true, toldAt: clock.steady};
+	const contributor = {...from, completeThrough: Math.max(from.completeThrough, known?.completeThrough ?? 0), isConnected: true, receivedAt: clock.steady};
 	// An instance whose time is not corrected yet may name any window; one that lies ahead would never be decided and dropped.
 	const newest = windowAt(clock.time, settings.windowMilliseconds) + 1;
 	const open = rows.filter(({window}) => window > (tenure?.closedThrough ?? -Infinity) && window <= newest && !state.decisions.has(window));
--- a/src/policy/duties/state.ts
+++ b/src/policy/duties/state.ts
@@ -39,7 +39,7 @@
 };
 
 /** The latest message of a holder. */
-export type HolderWord = {readonly holder: Holder; readonly end: LogPosition; readonly at: number};
+export type HolderAnnouncement = {readonly holder: Holder; readonly end: LogPosition; readonly at: number};
 
 /** What one instance knows of the duties and of their holder. */
 export type DutyState = {
@@ -47,7 +47,7 @@
 	readonly own: Candidate;
 	readonly startedAt: number;
 	readonly known: KnownLog | undefined;
-	readonly word: HolderWord | undefined;
+	readonly announcement: HolderAnnouncement | undefined;
 	readonly tenure: Tenure | undefined;
 	/** When this instance last held the duties, by the steady clock. */
 	readonly lastHeldAt: number;
@@ -66,16 +66,16 @@
 
 export function createDutyState(settings: DutySettings, own: Candidate, steady: number): DutyState {
 	return {
-		settings, own, startedAt: steady, known: undefined, word: undefined, tenure: undefined, lastHeldAt: -Infinity, abandonedToken: 0, decisions: new Map(), usage: new Map(),
+		settings, own, startedAt: steady, known: undefined, announcement: undefined, tenure: undefined, lastHeldAt: -Infinity, abandonedToken: 0, decisions: new Map(), usage: new Map(),
 		contributors: new Map(), failedStoreCalls: 0, nextStoreCallAt: steady + own.claimDelayMilliseconds, isStopping: false,
 	};
 }
 
 /** The holder by the newest of what the log and its own messages say; undefined if that is this instance, and it has lost the duties. */
-export function knownHolder({known, word, own, tenure}: DutyState): Holder | undefined {
+export function knownHolder({known, announcement, own, tenure}: DutyState): Holder | undefined {
 	const logged = known?.log.holder;
-	const isLogNewer = logged !== undefined && (word === undefined || logged.token > word.holder.token || (logged.token === word.holder.token && logged.isReleased));
-	const newest = isLogNewer ? logged : word?.holder;
+	const isLogNewer = logged !== undefined && (announcement === undefined || logged.token > announcement.holder.token || (logged.token === announcement.holder.token && logged.isReleased));
+	const newest = isLogNewer ? logged : announcement?.holder;
 	const hasLapsed = newest?.incarnation === own.incarnation && tenure === undefined && !newest.isReleased;
 	return hasLapsed ? undefined : newest;
 }
--- a/src/policy/duties/store-step.ts
+++ b/src/policy/duties/store-step.ts
@@ -69,7 +69,7 @@
 		return {type: 'wait', milliseconds: idleMilliseconds};
 	}
 
-	if (isReleaseUnread(state) && (known === undefined || known.readAt < state.word!.at)) {
+	if (isReleaseUnread(state) && (known === undefined || known.readAt < state.announcement!.at)) {
 		return {type: 'read'};
 	}
 
@@ -92,9 +92,9 @@
  * the holder's message that names this end, was first seen, which is after the start of the append that the holder's lease counts from.
  * A log without a holder is no exception: after a restore from a backup it may lack the claim of one that still acts.
  */
-function earliestClaim({known, word, own, settings, lastHeldAt, startedAt}: DutyState): number {
+function earliestClaim({known, announcement, own, settings, lastHeldAt, startedAt}: DutyState): number {
 	const {leaseMilliseconds} = settings;
-	const seenAt = Math.max(known?.changedAt ?? -Infinity, word?.at ?? -Infinity);
+	const seenAt = Math.max(known?.changedAt ?? -Infinity, announcement?.at ?? -Infinity);
 	if (seenAt === -Infinity) {
 		return startedAt + own.claimDelayMilliseconds;
 	}
@@ -114,8 +114,8 @@
 }
 
 /** True if a holder's message tells of a release that the log as it is known lacks. */
-function isReleaseUnread({known, word}: DutyState): boolean {
-	return word?.holder.isReleased === true && word.holder.token >= (known?.log.holder?.token ?? 0) && !isReleased(known);
+function isReleaseUnread({known, announcement}: DutyState): boolean {
+	return announcement?.holder.isReleased === true && announcement.holder.token >= (known?.log.holder?.token ?? 0) && !isReleased(known);
 }
 
 /** Decisions that are due and not in the log. Counts that were decided before stay as they were. */
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -199,7 +199,7 @@
 			case 'routing':
 			case 'endpoints':
 			case 'usage':
-			case 'duty-word':
+			case 'duty-holder':
 			case 'load': {
 				link.connection.close(`an entry sent ${message.type}`);
 				break;
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -152,8 +152,8 @@
 	rows: z.array(z.object({window: z.number().int(), counts: usageCounts})),
 });
 /** Gateway to gateway: who holds the duties, where the log of the duties ends, and what has been decided since the last such message. */
-const dutyWord = z.object({
-	type: z.literal('duty-word'),
+const holderAnnouncement = z.object({
+	type: z.literal('duty-holder'),
 	holder: z.object({token: z.number().int().positive(), instance: text, incarnation: text, address: text, isReleased: z.boolean()}),
 	end: z.object({era: z.number().int(), offset: z.number().int()}),
 	decisions: z.array(z.object({window: z.number().int(), counts: usageCounts})),
@@ -192,14 +192,14 @@
 	load,
 	kept,
 	usage,
-	dutyWord,
+	holderAnnouncement,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
 /** The messages that only gateways send to each other. */
-export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'usage' | 'duty-word'>;
+export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'usage' | 'duty-holder'>;
 
-const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'usage', 'duty-word']);
+const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'usage', 'duty-holder']);
 
 export function isGatewayMessage(message: Message): message is GatewayMessage {
 	return gatewayTypes.has(message.type);
--- a/test/policy/duties-model.ts
+++ b/test/policy/duties-model.ts
@@ -110,16 +110,16 @@
 	}
 
 	/** Tells what this instance counted; each counts differently, so that two decisions of one window differ. */
-	tellUsage(to: VirtualInstance, windows: readonly number[], count: number): void {
+	sendUsage(to: VirtualInstance, windows: readonly number[], count: number): void {
 		const {incarnation} = this.state.own;
 		to.apply({type: 'usage', from: {instance: this.machine, incarnation, completeThrough: this.#world.now, aheadMilliseconds: 0}, rows: windows.map(window => ({incarnation, window, counts: {workspace: count}}))});
 	}
 
-	tellHolder(to: VirtualInstance): void {
+	announceHolder(to: VirtualInstance): void {
 		const holder = knownHolder(this.state);
 		const end = this.state.known?.log.end;
 		if (holder !== undefined && end !== undefined) {
-			to.apply({type: 'word', holder, end, decisions: new Map([...this.state.known?.log.decisions ?? []].map(([window, {counts}]) => [window, counts]))});
+			to.apply({type: 'holder-announced', holder, end, decisions: new Map([...this.state.known?.log.decisions ?? []].map(([window, {counts}]) => [window, counts]))});
 		}
 	}
 
--- a/test/policy/duties-properties.test.ts
+++ b/test/policy/duties-properties.test.ts
@@ -138,9 +138,9 @@
 	const window = Math.floor(world.now / windowMilliseconds);
 	for (const [otherIndex, other] of world.instances.entries()) {
 		if (cut[otherIndex]! <= tick && frozen[otherIndex]! <= tick) {
-			own.tellHolder(other);
+			own.announceHolder(other);
 			if (other.state.tenure !== undefined) {
-				own.tellUsage(other, [window - 1, window], (tick * 10) + index);
+				own.sendUsage(other, [window - 1, window], (tick * 10) + index);
 			}
 		}
 	}
--- a/test/policy/duties.test.ts
+++ b/test/policy/duties.test.ts
@@ -28,7 +28,7 @@
 			own.stepReport(unreported.includes(own) ? Fate.refused : Fate.answered);
 			const window = Math.floor(world.now / settings.windowMilliseconds);
 			for (const other of tick % 10 === 0 ? world.instances.filter(instance => !frozen.includes(instance) && instance.state.tenure !== undefined) : []) {
-				own.tellUsage(other, [window - 1, window], counts[own.machine] ?? 1);
+				own.sendUsage(other, [window - 1, window], counts[own.machine] ?? 1);
 			}
 		}
 	}
@@ -96,7 +96,7 @@
 	world.log.backUp();
 	const counts = {a: 5, b: 7};
 	runUntil(world, () => (first.state.known?.log.decisions.size ?? 0) === 1, {frozen: [second], unreported: [first], counts});
-	first.tellHolder(second);
+	first.announceHolder(second);
 	const [known] = first.state.known!.log.decisions.keys();
 	runUntil(world, () => world.receiver.executed.length === 2, {frozen: [second], counts});
 	world.log.restore();
@@ -202,7 +202,7 @@
 	runUntil(world, () => isHolder(second), {frozen: [first], counts});
 	runUntil(world, () => world.now > cutAt + 7000, {frozen: [first], counts});
 	const window = Math.floor(cutAt / settings.windowMilliseconds);
-	first.tellUsage(second, [window, window + 1], 5);
+	first.sendUsage(second, [window, window + 1], 5);
 	runUntil(world, () => world.receiver.executed.some(call => call.window === window + 1), {counts});
 	const reported = world.receiver.executed.filter(call => call.window >= window && call.window <= window + 1).map(call => call.counts);
 	t.same(new Set(reported), new Set(['{"workspace":12}']));
