--- a/src/bin/cassiaflow.ts
+++ b/src/bin/cassiaflow.ts
@@ -4,7 +4,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {
-	checkFile, checkSettings, explainFromLogs, explainRequest, listQuarantine, MissingSettingError, OperatorExit, publishFile, releaseQuarantine, showAudit, showCatalogue, showHistory, showStatus,
+	checkFile, checkSettings, explainFromLogs, showDutiesFromLogs, explainRequest, listQuarantine, MissingSettingError, OperatorExit, publishFile, releaseQuarantine, showAudit, showCatalogue, showHistory, showStatus,
 	type CommandResult, type OperatorContext,
 } from '../operator/index.js';
 import {HttpLogClient, HttpMembershipClient, PlatformError} from '../platform/index.js';
@@ -45,6 +45,9 @@
 const explainOptions = {
 	'log-file': {type: 'string', array: true, requiresArg: true, describe: 'log files of gateways to read, in place of asking instances'},
 } as const;
+const dutyOptions = {
+	'log-file': {type: 'string', array: true, requiresArg: true, demandOption: true, describe: 'log files of gateways to read'},
+} as const;
 const publishOptions = {
 	'dry-run': {type: 'boolean', default: false, describe: 'only tell what would change'},
 	wait: {type: 'boolean', default: false, describe: 'wait until every instance has it in force'},
@@ -84,6 +87,9 @@
 	.command('explain <request>', 'what was decided about a request, in the order of time', command => command.positional('request', {type: 'string', demandOption: true}).options(explainOptions), async settings => {
 		await run(settings, async context => settings.logFile === undefined ? explainRequest(context, settings.request) : explainFromLogs(settings.logFile, settings.request));
 	})
+	.command('duties', 'from logs of gateways, who held the duties of one instance, and what was reported', command => command.options(dutyOptions), async settings => {
+		await run(settings, async () => showDutiesFromLogs(settings.logFile));
+	})
 	.command('settings', 'settings files of gateways', group => group
 		.command('check <file>', 'check one as a start does', command => command.positional('file', {type: 'string', demandOption: true}), async settings => {
 			await run(settings, async () => checkSettings(settings.file));
--- a/src/operator/index.ts
+++ b/src/operator/index.ts
@@ -4,5 +4,5 @@
 	checkFile, publishFile, showAudit, showCatalogue, showHistory, type PublishOptions,
 } from './catalogue-commands.js';
 export {explainRequest, listQuarantine, releaseQuarantine, showStatus} from './fleet-commands.js';
-export {checkSettings, explainFromLogs} from './log-files.js';
+export {checkSettings, explainFromLogs, showDutiesFromLogs} from './log-files.js';
 export {OperatorExit, type CommandResult} from './result.js';
--- a/test/operator/log-files.test.ts
+++ b/test/operator/log-files.test.ts
@@ -1,6 +1,6 @@
 import {writeFileSync} from 'node:fs';
 import tap from 'tap';
-import {checkSettings, explainFromLogs, OperatorExit} from '../../src/operator/index.js';
+import {checkSettings, explainFromLogs, OperatorExit, showDutiesFromLogs} from '../../src/operator/index.js';
 
 tap.test('a request is traced through log files with other output around its lines', async t => {
 	const folder = t.testdir({
@@ -26,6 +26,8 @@
 	writeFileSync(`${folder}/right.json`, JSON.stringify(valid));
 	writeFileSync(`${folder}/wrong.json`, JSON.stringify({...valid, callerAddress: 'here', memoryMegabytes: -1}));
 	writeFileSync(`${folder}/text.json`, 'not json');
+	writeFileSync(`${folder}/duties.json`, JSON.stringify({...valid, duties: {receiverAddress: 'there', leaseMilliseconds: 1}}));
+	t.match(checkSettings(`${folder}/duties.json`).text, /duties\.receiverAddress[\s\S]*duties\.leaseMilliseconds/v);
 	t.equal(checkSettings(`${folder}/right.json`).exit, OperatorExit.ok, 'unknown fields are ignored');
 	const invalid = checkSettings(`${folder}/wrong.json`);
 	t.equal(invalid.exit, OperatorExit.rejected);
@@ -33,3 +35,18 @@
 	t.match(checkSettings(`${folder}/text.json`).text, /not JSON/v);
 	t.throws(() => checkSettings(`${folder}/missing.json`), /ENOENT/v);
 });
+
+tap.test('the holder of the duties and the windows are shown from log files', async t => {
+	const line = (instance: string, second: number, message: string, fields: Record<string, unknown>): string => JSON.stringify({instance, msg: `Duties: ${message}`, ...fields, time: `2026-01-01T00:00:0${second}Z`});
+	const folder = t.testdir({
+		'a.log': [line('a', 1, 'Duties held.', {token: 1}), line('a', 4, 'Duties no longer held.', {token: 1, holder: 'b'}), line('a', 5, 'Connection to the holder of the duties ended.', {holder: 'b'})].join('\n'),
+		'b.log': [line('b', 3, 'Duties held.', {token: 9}), line('b', 5, 'Usage decided.', {window: 7, total: 12, missing: ['a']})].join('\n'),
+		'c.log': '{"instance":"c","msg":"Request: Sent.","time":"2026-01-01T00:00:02Z"}\n',
+	});
+	const found = showDutiesFromLogs([`${folder}/a.log`, `${folder}/b.log`, `${folder}/c.log`]);
+	t.match(found, {exit: OperatorExit.ok, value: {holder: {instance: 'b', token: 9, isLost: false}}});
+	t.match(found.text, /Held by b with token 9[\s\S]*missing: a/v);
+	t.notMatch(found.text, /Connection/v);
+	t.match(showDutiesFromLogs([`${folder}/a.log`]).text, /Last held by a/v);
+	t.equal(showDutiesFromLogs([`${folder}/c.log`]).exit, OperatorExit.notFound);
+});
