Duties: a release without a response ends after a lease; an announcement is passed on by instances that never read the log

Found on reading: a stop would have waited for the store until the end of its grace; and a follower without a log of its own passed nothing on, so that beyond the full mesh only the new holder's neighbours would have heard of it.

--- a/src/gateway/duties/duties.ts
+++ b/src/gateway/duties/duties.ts
@@ -183,7 +183,8 @@
 	#announcement(sentWindow: number): MessageOf<'duty-holder'> | undefined {
 		const {state} = this.#keeper;
 		const holder = knownHolder(state);
-		const end = state.known?.log.end;
+		// An instance that has not read the log lately passes on what the holder has said of its end.
+		const end = state.tenure === undefined && state.announcement?.holder.token === holder?.token ? state.announcement?.end : state.known?.log.end;
 		if (holder === undefined || end === undefined) {
 			return undefined;
 		}
--- a/src/gateway/duties/duty-keeper.ts
+++ b/src/gateway/duties/duty-keeper.ts
@@ -52,7 +52,7 @@
 		const clock = this.#options.timeKeeper.clock();
 		const before = this.#state;
 		this.#state = applyDutyEvent(before, event, clock);
-		this.#report(before, clock);
+		this.#logTenureChange(before, clock);
 		if (this.#state.tenure === undefined) {
 			for (const resolve of this.#releaseListeners) {
 				resolve();
@@ -62,13 +62,17 @@
 		this.#options.onChange(this.#state, before);
 	}
 
-	/** Gives up the duties; resolves once that is written, or at once if this instance doesn't hold them. */
+	/**
+	 * Gives up the duties; resolves once that is written, or at once if this instance doesn't hold them. While the store doesn't respond
+	 * it resolves after a lease, when others may claim all the same.
+	 */
 	async release(): Promise<void> {
 		this.apply({type: 'stopping'});
 		tryDeliver(this.#wake, 'wake');
 		if (this.#state.tenure !== undefined) {
 			await new Promise<void>(resolve => {
 				this.#releaseListeners.add(resolve);
+				setTimeout(resolve, this.#options.settings.leaseMilliseconds).unref();
 			});
 		}
 	}
@@ -158,22 +162,29 @@
 		this.apply({type: 'reported', window, token, outcome});
 	}
 
-	/** Logs what changed about the holder, and windows that were closed without a report. */
-	#report(before: DutyState, clock: DutyClock): void {
-		const {logger, metrics, candidate} = this.#options;
+	/** Logs that this instance has taken or lost the duties. */
+	#logTenureChange(before: DutyState, clock: DutyClock): void {
+		const {logger, metrics} = this.#options;
 		const {tenure} = this.#state;
 		const previous = before.tenure;
-		if (tenure?.token !== previous?.token) {
-			if (previous !== undefined) {
-				logger.warn('Duties no longer held.', {token: previous.token, heldMilliseconds: Math.round(clock.steady - previous.since), holder: this.#state.known?.log.holder?.instance, isStopping: this.#state.isStopping});
-			}
+		if (tenure?.token === previous?.token) {
+			return;
+		}
 
-			if (tenure !== undefined) {
-				logger.info('Duties held.', {token: tenure.token, era: tenure.era, closedThrough: tenure.closedThrough, undecidableThrough: tenure.undecidableThrough, candidate: candidate.instance, unchanged: Math.round(clock.steady - (before.known?.changedAt ?? clock.steady))});
-			}
+		if (previous !== undefined) {
+			logger.warn('Duties no longer held.', {
+				token: previous.token, heldMilliseconds: Math.round(clock.steady - previous.since), holder: this.#state.known?.log.holder?.instance, isStopping: this.#state.isStopping,
+			});
+		}
 
-			metrics.setHeld(tenure?.token ?? 0);
+		if (tenure !== undefined) {
+			logger.info('Duties held.', {
+				token: tenure.token, era: tenure.era, closedThrough: tenure.closedThrough, undecidableThrough: tenure.undecidableThrough,
+				unchanged: Math.round(clock.steady - (before.known?.changedAt ?? clock.steady)),
+			});
 		}
+
+		metrics.setHeld(tenure?.token ?? 0);
 	}
 
 	#logDecisions(decided: ReadonlyMap<number, UsageCounts>, {time}: DutyClock): void {
