Duties: an instance that is not the holder looks once a second

Change: once a second, and at once when a holder releases or an append is done. Claims are due at their time as before.

--- a/src/gateway/duties/duty-keeper.ts
+++ b/src/gateway/duties/duty-keeper.ts
@@ -20,8 +20,8 @@
 	readonly onChange: (state: DutyState, before: DutyState) => void;
 };
 
-/** Interval at which the holder looks for a report to make. */
-const reportCheckMilliseconds = 100;
+/** Interval at which the holder looks for a report to make, and others whether they have become the holder. */
+const reportCheckMilliseconds = {holder: 100, other: 1000};
 
 /** Runs the decisions of `policy/duties`: makes the calls that they choose, one to the store and one to the receiver at a time. */
 export class DutyKeeper implements AsyncDisposable {
@@ -53,6 +53,10 @@
 		const before = this.#state;
 		this.#state = applyDutyEvent(before, event, clock);
 		this.#logTenureChange(before, clock);
+		if (event.type === 'holder-announced' && event.holder.isReleased) {
+			tryDeliver(this.#wake, 'wake');
+		}
+
 		if (this.#state.tenure === undefined) {
 			for (const resolve of this.#releaseListeners) {
 				resolve();
@@ -126,7 +130,7 @@
 			const step = nextReportStep(this.#state, this.#options.timeKeeper.clock());
 			switch (step.type) {
 				case 'wait': {
-					yield * receiveWithin(this.#wakeReports, reportCheckMilliseconds);
+					yield * receiveWithin(this.#wakeReports, this.#state.tenure === undefined ? reportCheckMilliseconds.other : reportCheckMilliseconds.holder);
 					break;
 				}
 
--- a/src/policy/duties/store-step.ts
+++ b/src/policy/duties/store-step.ts
@@ -27,7 +27,7 @@
 /** Interval between a holder's renewals. */
 const renewalMilliseconds = 500;
 /** The wait of a candidate that has nothing to do; events end it. */
-const idleMilliseconds = 250;
+const idleMilliseconds = 1000;
 /** Windows whose decision stays in the log after they were reported, for a call that is carried out late. */
 const keptDecisions = 6;
 /** Largest size of the rows in one record, in characters. */
