--- a/src/bin/gateway-duties.ts
+++ b/src/bin/gateway-duties.ts
@@ -1,6 +1,6 @@
 import {Duties, type DutyReceiver, type DutyStore, type Peers} from '../gateway/index.js';
 import {type InstanceId} from '../model/index.js';
-import {hash32} from '../policy/hashing/index.js';
+import {claimDelay} from '../policy/duties/index.js';
 import {type ServiceSample} from '../policy/scaling/index.js';
 import {forPart, type Logger, type Metrics} from '../telemetry/index.js';
 import {type DutyProgramSettings, type GatewaySettings, parseDutySettings} from './settings/gateway-settings.js';
@@ -17,11 +17,6 @@
 	readonly logger: Logger;
 };
 
-/** An instance without a whole core claims up to this much later, since others make the calls sooner. */
-const smallInstanceDelayMilliseconds = 1000;
-/** The claims of equal instances are spread over this time. */
-const claimSpreadMilliseconds = 500;
-
 /** Opens the duties if the settings name them. Settings that are wrong are reported, and the process serves requests without them. */
 export async function openDuties(parts: DutyParts): Promise<Duties | undefined> {
 	const result = parseDutySettings(parts.settings);
@@ -45,7 +40,7 @@
 	return Duties.create({
 		instance, incarnation, store, sampleServices, metrics, logger,
 		address: settings.address,
-		claimDelayMilliseconds: claimDelay(instance, settings),
+		claimDelayMilliseconds: claimDelay(instance, settings.processorShare * settings.processorCores),
 		settings: {
 			leaseMilliseconds: settings.leaseMilliseconds, checksFences: settings.checksFences,
 			windowMilliseconds: settings.usageWindowSeconds * 1000, lateMilliseconds: settings.usageLateSeconds * 1000,
@@ -57,8 +52,3 @@
 		},
 	});
 }
-
-function claimDelay(instance: string, {processorShare, processorCores}: DutyProgramSettings): number {
-	const lacking = Math.max(0, 1 - (processorShare * processorCores));
-	return (smallInstanceDelayMilliseconds * lacking) + (claimSpreadMilliseconds * hash32(instance) / 0x1_00_00_00_00);
-}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -3,7 +3,7 @@
 	sendProbability, choosePlace, type PlacementContext, groupKeyOf, ScanResults, QueueReporter, LoadTracker, type LoadEvent, type Place, propagationMilliseconds, prefillMilliseconds,
 	type RetryAllowance, RetryShare, runId, type Tuning,
 } from '../policy/dispatch/index.js';
-import {singleInstanceView, type FleetView, visibleRequestShare} from '../policy/sharing/index.js';
+import {singleInstanceView, type FleetView} from '../policy/sharing/index.js';
 import {type EndpointRecord} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type RoutingState} from './routing-state.js';
@@ -45,8 +45,9 @@
 	readonly loadTracker = LoadTracker.create();
 	readonly endpoints: EndpointPool;
 	readonly retries: RetryShare;
+	/** Number of live instances, and of those that report their load to this one. */
+	view: FleetView = singleInstanceView;
 	readonly #options: DispatcherOptions;
-	#view = singleInstanceView;
 	readonly #queue: PlacementQueue;
 	/** Results of the last scan of the queue. */
 	#lastScan = ScanResults.create();
@@ -60,7 +61,6 @@
 	private constructor(options: DispatcherOptions) {
 		this.#options = options;
 		this.loadTracker.learnsEngines = options.tuning.learnsEngines;
-		this.loadTracker.trustsSlowSpans = options.tuning.trustsSlowSpans;
 		this.retries = RetryShare.create(options.allowance);
 		this.#queueReporter = QueueReporter.create(options.incarnation);
 		this.endpoints = EndpointPool.create({routingState: options.routingState, logger: options.logger, loadTracker: this.loadTracker});
@@ -75,16 +75,6 @@
 		});
 	}
 
-	/** Number of live instances, and of those that report their load to this one. */
-	get view(): FleetView {
-		return this.#view;
-	}
-
-	set view(view: FleetView) {
-		this.#view = view;
-		this.loadTracker.isAllReported = visibleRequestShare(view) === 1;
-	}
-
 	get queueLength(): number {
 		return this.#queue.size;
 	}
--- a/src/gateway/peers-options.ts
+++ b/src/gateway/peers-options.ts
@@ -25,7 +25,7 @@
 	/** The message that names the holder of the duties to a new peer, if this instance knows one. */
 	readonly holderAnnouncement: () => MessageOf<'duty-holder'> | undefined;
 	/** Called when a peer names the holder of the duties. */
-	readonly onHolderAnnouncement: (word: MessageOf<'duty-holder'>) => void;
+	readonly onHolderAnnouncement: (announcement: MessageOf<'duty-holder'>) => void;
 	/** Whether this instance has read the endpoints from the store lately. */
 	readonly knowsEndpoints: () => boolean;
 	/** Called when a peer has had a newer routing table for longer than a read of the store takes: this instance's own read may hang. */
--- a/src/policy/dispatch/engine-cost.ts
+++ b/src/policy/dispatch/engine-cost.ts
@@ -3,7 +3,7 @@
  * time it takes from the service, and the delay it causes to latency-critical streams.
  */
 import {type Candidate, type PlacementContext, type Demand, type Fetch} from './demand.js';
-import {type EndpointLoad, type LoadTracker, timeShareWindowMilliseconds} from './load.js';
+import {type EndpointLoad, type LoadTracker} from './load.js';
 import {prefillMilliseconds} from './speed.js';
 import {chooseFetch, type CacheHolder, isWorthFetching} from './transfer.js';
 
@@ -211,11 +211,8 @@
 	ownPrefillMilliseconds: number;
 }): number {
 	const delayCost = Math.min(load.latencyCriticalRuns, maxCountedCriticalRuns) * ownPrefillMilliseconds * criticalDelayWeight;
-	const isReserved = position < summary.reservedCount;
-	const usesReservedEngine = isReserved && backlogAfterMilliseconds > strictestPauseMilliseconds * besideCriticalPauseShare;
-	const exceedsPrefillShare = isReserved
-		&& load.prefillTimeShare + (ownPrefillMilliseconds / timeShareWindowMilliseconds) > tuning.besideCriticalPrefillShare;
-	return delayCost + (usesReservedEngine || exceedsPrefillShare ? tuning.roomMilliseconds : 0);
+	const usesReservedEngine = position < summary.reservedCount && backlogAfterMilliseconds > strictestPauseMilliseconds * besideCriticalPauseShare;
+	return delayCost + (usesReservedEngine ? tuning.roomMilliseconds : 0);
 }
 
 function latenessCost(expected: number, {targetMilliseconds, elapsedMilliseconds}: Demand): number {
--- /dev/null
+++ b/src/policy/dispatch/load-event.ts
@@ -0,0 +1,27 @@
+import {type QueueReport} from './peer-queues.js';
+import {type PromptPart} from './prefix-cache.js';
+
+/** A request that an endpoint runs or is about to run, whichever instance sent it. */
+export type Run = {
+	/** Unique across instances. */
+	readonly id: string;
+	readonly owner: string;
+	readonly endpoint: string;
+	readonly service: string;
+	readonly prefillTokens: number;
+	/** True if the pause limit of its route is the strictest of the service. */
+	readonly isLatencyCritical: boolean;
+	readonly parts: readonly PromptPart[];
+};
+
+/** Events that change the tracked load. */
+export type LoadEvent
+	= | {readonly type: 'placed'; readonly run: Run}
+		| {readonly type: 'first-event'; readonly id: string}
+		| {readonly type: 'ended'; readonly id: string}
+		| {readonly type: 'owner-lost'; readonly owner: string}
+		| {readonly type: 'endpoint-restarted'; readonly endpoint: string}
+	/** Requests that wait at another instance. */
+		| QueueReport
+	/** Prompt parts that the endpoint itself reports as cached. */
+		| {readonly type: 'kept'; readonly endpoint: string; readonly parts: readonly PromptPart[]};
--- a/src/policy/dispatch/load-rows.ts
+++ b/src/policy/dispatch/load-rows.ts
@@ -1,4 +1,4 @@
-import {type LoadEvent} from './load.js';
+import {type LoadEvent} from './load-event.js';
 import {flattenParts, unflattenParts} from './prefix-cache.js';
 import {type UrgencyCount} from './peer-queues.js';
 
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -1,33 +1,9 @@
 import {type PromptPart, PrefixCache, tokensOf} from './prefix-cache.js';
-import {type QueueReport, PeerQueues} from './peer-queues.js';
+import {type LoadEvent, type Run} from './load-event.js';
+import {PeerQueues} from './peer-queues.js';
 import {createEngineSpeed, type EngineSpeed, learnEngineSpeed, speedFactor} from './engine-speed.js';
 import {createPrefillSpeed, learnPrefillSpeed, type PrefillSpeed, prefillMilliseconds} from './speed.js';
 
-/** A request that an endpoint runs or is about to run, whichever instance sent it. */
-export type Run = {
-	/** Unique across instances. */
-	readonly id: string;
-	readonly owner: string;
-	readonly endpoint: string;
-	readonly service: string;
-	readonly prefillTokens: number;
-	/** True if the pause limit of its route is the strictest of the service. */
-	readonly isLatencyCritical: boolean;
-	readonly parts: readonly PromptPart[];
-};
-
-/** Events that change the tracked load. */
-export type LoadEvent
-	= | {readonly type: 'placed'; readonly run: Run}
-		| {readonly type: 'first-event'; readonly id: string}
-		| {readonly type: 'ended'; readonly id: string}
-		| {readonly type: 'owner-lost'; readonly owner: string}
-		| {readonly type: 'endpoint-restarted'; readonly endpoint: string}
-	/** Requests that wait at another instance. */
-		| QueueReport
-	/** Prompt parts that the endpoint itself reports as cached. */
-		| {readonly type: 'kept'; readonly endpoint: string; readonly parts: readonly PromptPart[]};
-
 type TrackedRun = Run & {
 	readonly placedAt: number;
 	isPrefilled: boolean;
@@ -48,7 +24,7 @@
 /** A run whose end was never reported is dropped after this time: no response lasts longer than its time limit. */
 const runTimeoutMilliseconds = 120_000;
 /** The prefill time share is averaged over about the duration of a latency-critical stream. */
-export const timeShareWindowMilliseconds = 1500;
+const timeShareWindowMilliseconds = 1500;
 /** Service time of a plain service before the first sample, and the weight of one new sample. */
 const initialServiceTimeMilliseconds = 20;
 const serviceTimeWeight = 0.05;
@@ -94,12 +70,8 @@
 		return new LoadTracker();
 	}
 
-	/** True if all instances report their load to this one. */
-	isAllReported = false;
 	/** Whether engines of one service may differ in speed. */
 	learnsEngines = false;
-	/** Whether a slow span of prefill counts in full while all load is reported. */
-	trustsSlowSpans = false;
 	/** Queues of the other instances. */
 	readonly peerQueues = PeerQueues.create();
 	readonly #endpoints = new Map<string, EndpointState>();
@@ -261,7 +233,7 @@
 			const span = {tokens: prefilledTokens, milliseconds: now - startedAt, isFromIdle};
 			const service = this.prefillSpeed(run.service);
 			state.speed = learnEngineSpeed(state.speed, service, span);
-			this.#speeds.set(run.service, learnPrefillSpeed(service, span, this.isAllReported && this.trustsSlowSpans));
+			this.#speeds.set(run.service, learnPrefillSpeed(service, span));
 		}
 
 		state.span = createSpan(now, false);
--- a/src/policy/dispatch/speed.ts
+++ b/src/policy/dispatch/speed.ts
@@ -66,14 +66,11 @@
 	};
 }
 
-/**
- * Learns from one span, whose distance from the prediction is limited. A slow one counts in full only if all work is reported to this
- * instance; otherwise work of which it does not know may have made it slow.
- */
-export function learnPrefillSpeed(state: PrefillSpeed, span: PrefillSpan, isAllReported = false): PrefillSpeed {
+/** Learns from one span, whose distance from the prediction is limited. */
+export function learnPrefillSpeed(state: PrefillSpeed, span: PrefillSpan): PrefillSpeed {
 	const predicted = predictedSpanMilliseconds(state, span);
-	const weight = span.milliseconds > predicted && !isAllReported ? slowSampleWeight : 1;
-	const milliseconds = limitDeviation(state, span, {predicted, longer: isAllReported ? deviationFactors.shorter : deviationFactors.longer});
+	const weight = span.milliseconds > predicted ? slowSampleWeight : 1;
+	const milliseconds = limitDeviation(state, span, predicted);
 	return span.tokens < longSpanTokens ? learnBase(state, {...span, milliseconds}, weight) : learnRate(state, {...span, milliseconds}, weight);
 }
 
@@ -98,10 +95,10 @@
 	return (isFromIdle ? state.baseMilliseconds : 0) + prefillMilliseconds(state, tokens);
 }
 
-function limitDeviation(state: PrefillSpeed, {milliseconds, isFromIdle}: PrefillSpan, {predicted, longer}: {readonly predicted: number; readonly longer: number}): number {
+function limitDeviation(state: PrefillSpeed, {milliseconds, isFromIdle}: PrefillSpan, predicted: number): number {
 	const deviation = isFromIdle ? deviationMilliseconds.fromIdle : deviationMilliseconds.continuing;
 	const initialAllowance = deviationFactors.initial * deviationFactors.halfSamples / (deviationFactors.halfSamples + state.samples);
-	return clamp(milliseconds, {low: (predicted / (deviationFactors.shorter + initialAllowance)) - deviation, high: (predicted * (longer + initialAllowance)) + deviation});
+	return clamp(milliseconds, {low: (predicted / (deviationFactors.shorter + initialAllowance)) - deviation, high: (predicted * (deviationFactors.longer + initialAllowance)) + deviation});
 }
 
 /** Time an engine needs to prefill this many tokens. */
--- a/src/policy/dispatch/tuning.ts
+++ b/src/policy/dispatch/tuning.ts
@@ -16,14 +16,8 @@
 	 * Share of the slots of an engine that latency-critical streams fill before another engine is reserved for them.
 	 */
 	readonly tightFill: number;
-	/**
-	 * Share of its time that an engine reserved for latency-critical streams may spend on prefill before it is closed to other requests.
-	 */
-	readonly besideCriticalPrefillShare: number;
 	/** Whether engines of one service may differ in speed. */
 	readonly learnsEngines: boolean;
-	/** Whether slow spans of prefill count in full where all work is reported. */
-	readonly trustsSlowSpans: boolean;
 	/** Cost of an engine that is not reserved for latency-critical streams to one of them. */
 	readonly outsideMilliseconds: number;
 };
@@ -39,8 +33,6 @@
 	heedsLines: true,
 	roomMilliseconds: 1000,
 	tightFill: 0.75,
-	besideCriticalPrefillShare: 10,
 	learnsEngines: false,
-	trustsSlowSpans: false,
 	outsideMilliseconds: 60,
 };
--- a/src/policy/duties/index.ts
+++ b/src/policy/duties/index.ts
@@ -1,4 +1,5 @@
 /** Duties of which one instance at a time takes care: who holds them, what is reported, and when. Pure: no clock, network or timer. */
+export {claimDelay} from './claim-delay.js';
 export {createTimeEstimate, advanceTime, correctTime, estimatedTime, type ClockReadings, type TimeEstimate} from './clock.js';
 export {missingContributors, type Contributor} from './contributors.js';
 export {applyDutyEvent, medianAhead, ReportOutcome, type DutyEvent} from './events.js';
--- a/src/policy/duties/settings.ts
+++ b/src/policy/duties/settings.ts
@@ -2,7 +2,7 @@
 export type DutySettings = {
 	/** How long a holder may act after it has last written to the log, and how long others wait for it. */
 	readonly leaseMilliseconds: number;
-	/** True if the receiver of reports and orders refuses a call with an outdated fencing token. */
+	/** True if the receiver refuses a call with an outdated fencing token. A holder keeps to its lease in either case, so no decision depends on it. */
 	readonly checksFences: boolean;
 	/** Length of a usage window; window `n` begins `n` lengths after the start of 1970. */
 	readonly windowMilliseconds: number;
