Observability: what endpoints state about themselves is decoded and logged

Two engines named a limit of 2 and 2.3 requests a second and got 30 and 32 in four seconds, as before. No log line or metric told whether an instance had decoded the limit, kept it by itself, or went around it with retries. Change: the adapter decodes the header once into a statement, the registry keeps it by incarnation (pure step in src/policy/statements) and logs when it is stated, changed, withdrawn or malformed, with the number of requests sent since; a gauge counts the endpoints. Nothing decides by it yet: with the lines, arrivals that stay the same beside 'Endpoint states a rate limit' speak for a limit that no decision reads. One answer in any status counts, also one that is not forwarded; one of another endpoint (421) or of an earlier incarnation not. The gateway, path and adapter tests pass (753 passed, 0 failed).

--- a/src/gateway/attempt-state.ts
+++ b/src/gateway/attempt-state.ts
@@ -28,6 +28,8 @@
 	readonly isStream: boolean;
 	readonly requestId: string;
 	readonly codec: RequestCodec;
+	/** Called with the status line and headers of the response, valid or not. */
+	readonly onHead: (response: ResponseMetadata) => void;
 };
 
 /** What one attempt has received so far. */
@@ -39,6 +41,7 @@
 	readonly attempt: Attempt;
 	readonly number: number;
 	readonly decision: Extract<Decision, {type: 'placed'}>;
+	readonly requestId: string;
 	readonly startedAt = performance.now();
 	readonly splitter = EventSplitter.create();
 	isStream: boolean;
@@ -53,8 +56,8 @@
 	/** When the endpoint's silence is reported as a failure. */
 	suspectAt: number | undefined;
 	bufferedBytes = 0;
-	readonly #requestId: string;
 	readonly #codec: RequestCodec;
+	readonly #onHead: AttemptStateOptions['onHead'];
 	#buffered: Uint8Array[] = [];
 
 	private constructor(options: AttemptStateOptions) {
@@ -62,21 +65,23 @@
 		this.number = options.number;
 		this.decision = options.decision;
 		this.isStream = options.isStream;
-		this.#requestId = options.requestId;
+		this.requestId = options.requestId;
 		this.#codec = options.codec;
+		this.#onHead = options.onHead;
 		this.suspectAt = this.startedAt + (options.decision.expectedMilliseconds * 3) + silenceMarginMilliseconds;
 	}
 
 	/** Handles the status line and headers; an outcome means that the response is not a valid one to this request. */
 	handleHead({status, headers, rawHeaders}: Extract<AttemptEvent, {type: 'head'}>): Outcome | undefined {
 		const response = this.#codec.readResponse(status, headers);
+		this.#onHead(response);
 		this.status = status;
 		this.rawHeaders = rawHeaders;
 		if (response.isNotRun || response.isMisdirected) {
 			return {type: 'failed', verdict: Verdict.notRun, reason: response.isMisdirected ? 'other endpoint' : 'rejected'};
 		}
 
-		const reason = invalidReason(response, this.#requestId);
+		const reason = invalidReason(response, this.requestId);
 		if (reason !== undefined) {
 			return {type: 'failed', verdict: Verdict.mayHaveRun, reason};
 		}
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -12,6 +12,7 @@
 import {createPlacementContext} from './placement-context.js';
 import {type QueueActivity, QueueMeter} from './queue-meter.js';
 import {unknownRetryMilliseconds, PlacementQueue} from './placement-queue.js';
+import {StatementRegistry} from './statement-registry.js';
 
 export type DispatcherOptions = {
 	/** Identifies this start of the instance; the ids of its runs contain it. */
@@ -44,6 +45,7 @@
 
 	readonly loadTracker = LoadTracker.create();
 	readonly endpoints: EndpointPool;
+	readonly statements: StatementRegistry;
 	readonly retries: RetryShare;
 	/** Number of live instances, and of those that report their load to this one. */
 	view: FleetView = singleInstanceView;
@@ -63,6 +65,7 @@
 		this.loadTracker.learnsEngines = options.tuning.learnsEngines;
 		this.retries = RetryShare.create(options.allowance);
 		this.#queueReporter = QueueReporter.create(options.incarnation);
+		this.statements = StatementRegistry.create({routingState: options.routingState, logger: options.logger});
 		this.endpoints = EndpointPool.create({routingState: options.routingState, logger: options.logger, loadTracker: this.loadTracker});
 		this.#queue = PlacementQueue.create({
 			loadTracker: this.loadTracker, endpoints: this.endpoints, random: options.random,
@@ -199,6 +202,7 @@
 		const {service, isLatencyCritical, parts} = request.demand;
 		this.#publishLoad({type: 'placed', run: {id, owner: this.#options.incarnation, endpoint: record.id, service, prefillTokens, isLatencyCritical, parts}});
 		this.endpoints.recordAttempt(record, now);
+		this.statements.recordSent(record);
 		const source = fetch === undefined ? undefined : this.#options.routingState.directory.entries.get(fetch.from)?.record.address;
 		request.onDecision({
 			type: 'placed', runId: id, record, prefillTokens, fetch: fetch === undefined || source === undefined ? undefined : {...fetch, address: source},
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -6,7 +6,7 @@
 import {Attempt} from './attempt.js';
 import {AttemptState, type Outcome} from './attempt-state.js';
 import {type Decision} from './decision.js';
-import {reportOutcome} from './outcome-report.js';
+import {reportOutcome, reportStatements} from './outcome-report.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {sendErrorResponse} from './error-response.js';
 import {RequestUsage} from './duties/index.js';
@@ -165,7 +165,9 @@
 				}
 			},
 		});
-		const state: AttemptState = AttemptState.create({attempt, number, decision, isStream: route.kind === RouteKind.stream, requestId: facts.id, codec});
+		const state: AttemptState = AttemptState.create({attempt, number, decision, isStream: route.kind === RouteKind.stream, requestId: facts.id, codec, onHead(response) {
+			reportStatements(dispatcher, state, response);
+		}});
 		const outcome = yield * this.#awaitOutcome(state, alarm);
 		attempt.cancel();
 		this.#usage.recordEnd(attempt.mayHaveReachedEndpoint && !(outcome.type === 'failed' && outcome.verdict === Verdict.notRun));
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,6 +1,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type LogPosition} from '../model/index.js';
 import {type PromptPart} from '../policy/dispatch/index.js';
+import {type ResponseStatements} from '../policy/statements/index.js';
 import {type Route, type Workspace} from '../routing/index.js';
 
 /** Header names and values in turn, as Node's `rawHeaders`. */
@@ -52,6 +53,8 @@
 	/** True if the status tells the caller that its request has not run, but the endpoint does not state this (see `isNotRun`). */
 	readonly promisesNotRun: boolean;
 	readonly retryAfterMilliseconds: number | undefined;
+	/** What the endpoint states about itself; of no use if the response is misdirected. */
+	readonly stated: ResponseStatements;
 };
 
 /** Translation between a platform's headers and the gateway, provided by the platform's adapter. */
--- /dev/null
+++ b/src/policy/statements/index.ts
@@ -0,0 +1,3 @@
+/** What endpoints state about themselves in their responses, and what follows for requests to them. */
+export * from './statement.js';
+export * from './endpoint-statements.js';
--- /dev/null
+++ b/src/policy/statements/statement.ts
@@ -0,0 +1,14 @@
+/** It takes this many requests a second from all instances together, for as long as its responses say so. */
+export type RateLimitStatement = {readonly type: 'rate-limit'; readonly requestsPerSecond: number};
+
+/** What an endpoint states about itself in a response. */
+export type EndpointStatement = RateLimitStatement;
+
+/** What one response says about the endpoint that sent it. */
+export type ResponseStatements = {
+	readonly statements: readonly EndpointStatement[];
+	/** Statements that could not be decoded, as received. */
+	readonly malformed: readonly string[];
+};
+
+export const noStatements: ResponseStatements = {statements: [], malformed: []};
