A failing test: an endpoint's rate limit is not kept by the instances together

'Endpoint states a rate limit.' is logged at all three, so the statement is decoded and no decision reads it.

--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -12,7 +12,7 @@
 		| {readonly type: 'reset'};
 
 /** A request as a worker received it. */
-export type WorkerRequest = {readonly id: string; readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string; wasRun: boolean};
+export type WorkerRequest = {readonly id: string; readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string; readonly at: number; wasRun: boolean};
 
 /** Chooses the response to a request. */
 export type ChooseAnswer = (request: WorkerRequest) => WorkerAnswer;
@@ -29,6 +29,8 @@
 	}
 
 	answer: ChooseAnswer = defaultAnswer;
+	/** Headers of all its responses, in which it states something about itself. */
+	statements: Readonly<Record<string, string>> = {};
 	/** Cached prompt parts that it reports, as ids and token counts; if undefined, it answers 404 to requests for the list. */
 	kept: ReadonlyArray<readonly [string, number]> | undefined;
 	/** Number of requests for the list of cached prompt parts. */
@@ -69,7 +71,7 @@
 
 		if (request.url === '/v1/kv-list') {
 			this.listings += 1;
-			response.writeHead(this.kept === undefined ? 404 : 200).end(JSON.stringify({epoch: 1, next: 1, held: this.kept?.map(([part, tokens]) => ['', part, tokens, 'm'])}));
+			response.writeHead(this.kept === undefined ? 404 : 200, this.statements).end(JSON.stringify({epoch: 1, next: 1, held: this.kept?.map(([part, tokens]) => ['', part, tokens, 'm'])}));
 			return;
 		}
 
@@ -79,7 +81,7 @@
 			return;
 		}
 
-		const received = {id, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, wasRun: false};
+		const received = {id, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, at: performance.now(), wasRun: false};
 		this.requests.push(received);
 		response.once('close', () => {
 			if (!response.writableFinished) {
@@ -92,7 +94,7 @@
 	async #answer(request: WorkerRequest, response: ServerResponse): Promise<void> {
 		const answer = this.answer(request);
 		request.wasRun = answer.type !== 'not-run';
-		const signatureHeaders = {'Request-Id': request.id, 'Upstream-Signature': `${this.id}.1`};
+		const signatureHeaders = {'Request-Id': request.id, 'Upstream-Signature': `${this.id}.1`, ...this.statements};
 		switch (answer.type) {
 			case 'whole': {
 				await sleep(answer.afterMilliseconds ?? 0);
@@ -107,7 +109,7 @@
 			}
 
 			case 'not-run': {
-				response.writeHead(503, {'Not-Executed': '1'}).end();
+				response.writeHead(503, {'Not-Executed': '1', ...this.statements}).end();
 				return;
 			}
 
