--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,12 +9,14 @@
 import {gatewaySoakCommand} from './gateway-soak/index.js';
 import {lossesCommand} from './losses/index.js';
 import {limitsCommand} from './limits/index.js';
+import {rateLimitCommand} from './rate-limit/index.js';
 import {pathCommand} from './path/index.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
 	.command(decisionsCommand)
 	.command(limitsCommand)
+	.command(rateLimitCommand)
 	.command(lossesCommand)
 	.command(gatewaySoakCommand)
 	.command(gatewayLoadCommand)
--- a/src/bin/gateway-duties.ts
+++ b/src/bin/gateway-duties.ts
@@ -48,7 +48,7 @@
 		receiver: openReceiver(settings.receiverAddress),
 		instances: () => peers().view.instances,
 		broadcast(announcement) {
-			peers().broadcastHolder(announcement);
+			peers().announce(announcement);
 		},
 	});
 }
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {RoutingState, ConnectionPools, DecisionLog, Dispatcher, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
+import {RoutingState, ConnectionPools, DecisionLog, Dispatcher, encodeRateLimitNews, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type PromptPart, type RetryAllowance} from '../policy/dispatch/index.js';
 import {type ServiceSample} from '../policy/scaling/index.js';
@@ -77,6 +77,11 @@
 			onLoad(event) {
 				peers.broadcastLoad(event);
 			},
+			instance: settings.instance,
+			instances: () => peers.presentInstances,
+			onRateLimitNews(news) {
+				peers.announce(encodeRateLimitNews(news, performance.now()));
+			},
 		});
 		const promptCacheReader = PromptCacheReader.create({
 			instance: settings.instance, routingState, logger: forPart(logger, 'Kept'),
@@ -120,7 +125,8 @@
 		const pruneTimer = setInterval(() => {
 			routingState.prune(performance.now());
 			dispatcher.loadTracker.prune(performance.now());
-			dispatcher.statements.prune();
+			dispatcher.statements.prune(performance.now());
+			dispatcher.statements.handleFleetChange(performance.now());
 			connectionPools.retain(new Set(routingState.directory.entries.keys()));
 		}, pruneMilliseconds);
 		const timers = {
@@ -253,8 +259,12 @@
 		onStaleTable() {
 			feeds()?.routing.abortLongPoll();
 		},
+		onRateLimitNews(news) {
+			dispatcher.statements.recordNews(news, performance.now());
+		},
 		onView(view) {
 			dispatcher.view = view;
+			dispatcher.statements.handleFleetChange(performance.now());
 		},
 	});
 }
--- /dev/null
+++ b/src/gateway/dispatcher-options.ts
@@ -0,0 +1,24 @@
+import {type InstanceId, type ZoneName} from '../model/index.js';
+import {type LoadEvent, type RetryAllowance, type Tuning} from '../policy/dispatch/index.js';
+import {type PartLogger} from '../telemetry/index.js';
+import {type RoutingState} from './routing-state.js';
+import {type RateLimitNews} from './statement-registry.js';
+
+/** What the dispatcher decides by, and receivers of what other instances need. */
+export type DispatcherOptions = {
+	/** Identifies this start of the instance; the ids of its runs contain it. */
+	readonly incarnation: InstanceId;
+	readonly zone: ZoneName;
+	readonly routingState: RoutingState;
+	readonly logger: PartLogger;
+	readonly allowance: RetryAllowance;
+	readonly random: () => number;
+	readonly tuning: Tuning;
+	/** Called with load events of this instance that other instances need. */
+	readonly onLoad: (event: LoadEvent) => void;
+	/** Name of this instance, and of the others that may send to the same endpoints. */
+	readonly instance: string;
+	readonly instances: () => readonly string[];
+	/** Called with what the other instances should learn about the rate limit of an endpoint. */
+	readonly onRateLimitNews: (news: RateLimitNews) => void;
+};
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,32 +1,17 @@
-import {type InstanceId, type ZoneName} from '../model/index.js';
 import {
 	sendProbability, choosePlace, type PlacementContext, groupKeyOf, ScanResults, QueueReporter, LoadTracker, type LoadEvent, type Place, propagationMilliseconds, prefillMilliseconds,
-	type RetryAllowance, RetryShare, runId, type Tuning,
+	RetryShare, runId,
 } from '../policy/dispatch/index.js';
 import {singleInstanceView, type FleetView} from '../policy/sharing/index.js';
 import {type EndpointRecord} from '../routing/index.js';
-import {type PartLogger} from '../telemetry/index.js';
-import {type RoutingState} from './routing-state.js';
+import {type DispatcherOptions} from './dispatcher-options.js';
 import {RefusalReason, type PlacementRequest} from './decision.js';
-import {EndpointPool, type PlacementEndpoint} from './endpoint-pool.js';
+import {EndpointPool, type HeldEndpoint, type PlacementEndpoint} from './endpoint-pool.js';
 import {createPlacementContext} from './placement-context.js';
 import {type QueueActivity, QueueMeter} from './queue-meter.js';
 import {unknownRetryMilliseconds, PlacementQueue} from './placement-queue.js';
 import {StatementRegistry} from './statement-registry.js';
 
-export type DispatcherOptions = {
-	/** Identifies this start of the instance; the ids of its runs contain it. */
-	readonly incarnation: InstanceId;
-	readonly zone: ZoneName;
-	readonly routingState: RoutingState;
-	readonly logger: PartLogger;
-	readonly allowance: RetryAllowance;
-	readonly random: () => number;
-	readonly tuning: Tuning;
-	/** Called with load events of this instance that other instances need. */
-	readonly onLoad: (event: LoadEvent) => void;
-};
-
 /** Interval between scans of the queue while requests wait in it. */
 const scanIntervalMilliseconds = 8;
 /**
@@ -65,8 +50,8 @@
 		this.loadTracker.learnsEngines = options.tuning.learnsEngines;
 		this.retries = RetryShare.create(options.allowance);
 		this.#queueReporter = QueueReporter.create(options.incarnation);
-		this.statements = StatementRegistry.create({routingState: options.routingState, logger: options.logger});
-		this.endpoints = EndpointPool.create({routingState: options.routingState, logger: options.logger, loadTracker: this.loadTracker});
+		this.statements = StatementRegistry.create({...options, onNews: options.onRateLimitNews});
+		this.endpoints = EndpointPool.create({routingState: options.routingState, logger: options.logger, loadTracker: this.loadTracker, statements: this.statements});
 		this.#queue = PlacementQueue.create({
 			loadTracker: this.loadTracker, endpoints: this.endpoints, random: options.random,
 			view: () => this.view,
@@ -132,11 +117,15 @@
 	#search(request: PlacementRequest, awaited: ReadonlySet<string>, results?: ScanResults): boolean {
 		const now = performance.now();
 		this.#queueMeter.recordSearch();
-		const {trial, usable} = this.endpoints.available(request, now);
+		const {trial, usable, held} = this.endpoints.available(request, now);
 		if (trial !== undefined && !awaited.has(trial.record.id) && this.#placeTrial(request, trial, now)) {
 			return true;
 		}
 
+		if (usable.length === 0 && held !== undefined) {
+			return this.#awaitHeld(request, held, now);
+		}
+
 		if (usable.length === 0) {
 			this.#queue.refuse(request, RefusalReason.noEndpoint, {milliseconds: unknownRetryMilliseconds, candidates: 0});
 			return true;
@@ -166,6 +155,11 @@
 		return true;
 	}
 
+	/** Queues the request until the first endpoint that is held back by its own statement may be sent to; true if it is refused instead. */
+	#awaitHeld(request: PlacementRequest, {endpoint, until}: HeldEndpoint, now: number): boolean {
+		return this.#queue.enqueue(request, {type: 'wait', endpoint: endpoint.record.id, milliseconds: until - now, isDeferral: false}, [endpoint.candidate]);
+	}
+
 	#isOutranked({service, urgency, demand}: PlacementRequest, now: number): boolean {
 		return this.#options.tuning.heedsLines && !demand.isLatencyCritical && this.loadTracker.peerQueues.hasMoreUrgent(service, urgency, now);
 	}
@@ -202,7 +196,7 @@
 		const {service, isLatencyCritical, parts} = request.demand;
 		this.#publishLoad({type: 'placed', run: {id, owner: this.#options.incarnation, endpoint: record.id, service, prefillTokens, isLatencyCritical, parts}});
 		this.endpoints.recordAttempt(record, now);
-		this.statements.recordSent(record);
+		this.statements.recordSent(record, now);
 		const source = fetch === undefined ? undefined : this.#options.routingState.directory.entries.get(fetch.from)?.record.address;
 		request.onDecision({
 			type: 'placed', runId: id, record, prefillTokens, fetch: fetch === undefined || source === undefined ? undefined : {...fetch, address: source},
--- a/src/gateway/endpoint-pool.ts
+++ b/src/gateway/endpoint-pool.ts
@@ -3,6 +3,7 @@
 import {type PartLogger} from '../telemetry/index.js';
 import {type RoutingState} from './routing-state.js';
 import {type PlacementRequest} from './decision.js';
+import {type StatementRegistry} from './statement-registry.js';
 
 /** Weight of a response in the moving average of a service's failure share, which spans about the last hundred responses. */
 const failureShareWeight = 0.01;
@@ -10,10 +11,13 @@
 /** An endpoint of a service with what placement needs of it. */
 export type PlacementEndpoint = {readonly candidate: Candidate; readonly entry: EndpointEntry; readonly record: EndpointRecord};
 
-/** Endpoints that a request may be sent to now. */
-export type AvailableEndpoints = {readonly trial: PlacementEndpoint | undefined; readonly usable: readonly PlacementEndpoint[]};
+/** A healthy endpoint that may not be sent to before a time, because it has said so. */
+export type HeldEndpoint = {readonly endpoint: PlacementEndpoint; readonly until: number};
 
-export type EndpointPoolOptions = {readonly routingState: RoutingState; readonly logger: PartLogger; readonly loadTracker: LoadTracker};
+/** Endpoints that a request may be sent to now, and of those that are held back the one that is free first. */
+export type AvailableEndpoints = {readonly trial: PlacementEndpoint | undefined; readonly usable: readonly PlacementEndpoint[]; readonly held: HeldEndpoint | undefined};
+
+export type EndpointPoolOptions = {readonly routingState: RoutingState; readonly logger: PartLogger; readonly loadTracker: LoadTracker; readonly statements: StatementRegistry};
 
 /** Endpoints of each service with their health, which is derived from the responses that this instance received or missed. */
 export class EndpointPool {
@@ -42,24 +46,34 @@
 	/**
 	 * Ready and healthy endpoints; if there are none, those due for a trial, then suspended ones. Endpoints that are draining or
 	 * removed are used only if the service has no ready endpoint at all, not even one that this request has already been sent to.
-	 * They are included because an instance receives the announcement that an endpoint is draining late.
+	 * They are included because an instance receives the announcement that an endpoint is draining late. An endpoint that has stated
+	 * that it wants no request now is not among them; suspended ones do not take its place.
 	 */
 	available(request: PlacementRequest, now: number): AvailableEndpoints {
-		const lists = {open: [] as PlacementEndpoint[], trial: [] as PlacementEndpoint[], suspended: [] as PlacementEndpoint[], ending: [] as PlacementEndpoint[]};
+		const lists = {open: [] as PlacementEndpoint[], stating: [] as PlacementEndpoint[], trial: [] as PlacementEndpoint[], suspended: [] as PlacementEndpoint[], ending: [] as PlacementEndpoint[]};
 		let hasReady = false;
+		let held: HeldEndpoint | undefined;
 		for (const endpoint of this.#endpointsOf(request.demand.service)) {
+			const {id} = endpoint.record;
 			const status = endpointStatusOf(endpoint.entry, now);
 			hasReady ||= status === EndpointStatus.ready;
-			if (status === EndpointStatus.gone || request.excluded.has(endpoint.record.id)) {
+			if (status === EndpointStatus.gone || request.excluded.has(id)) {
 				continue;
 			}
 
-			const health = this.#health.get(endpoint.record.id);
-			lists[status === EndpointStatus.ready ? (health === undefined ? 'open' : availability(health, now)) : 'ending'].push(endpoint);
+			const kind = status === EndpointStatus.ready ? this.#availability(id, now) : 'ending';
+			const admission = this.#options.statements.admission(id, now);
+			if (admission.type === 'open') {
+				lists[kind === 'open' && this.#options.statements.hasStatement(id) ? 'stating' : kind].push(endpoint);
+			} else if (kind === 'open' && admission.until < (held?.until ?? Infinity)) {
+				held = {endpoint, until: admission.until};
+			}
 		}
 
-		const usable = [lists.open, lists.trial, lists.suspended, hasReady ? [] : lists.ending].find(list => list.length > 0) ?? [];
-		return {trial: request.isIdempotent ? lists.trial[0] : undefined, usable};
+		// Those with a statement come last: the order decides which engines latency-critical streams share, and must not change with each request.
+		const open = [...lists.open, ...lists.stating];
+		const usable = [open, lists.trial, held === undefined ? lists.suspended : [], hasReady ? [] : lists.ending].find(list => list.length > 0) ?? [];
+		return {trial: request.isIdempotent ? lists.trial[0] : undefined, usable, held};
 	}
 
 	/**
@@ -84,7 +98,7 @@
 
 	/** Records that a request is sent there; for an endpoint in recovery, this request is its trial. */
 	recordAttempt(record: EndpointRecord, now: number): void {
-		if (availability(this.#health.get(record.id) ?? createEndpointHealth(), now) === 'trial') {
+		if (this.#availability(record.id, now) === 'trial') {
 			this.#updateHealth(record, {type: 'trial'});
 		}
 	}
@@ -96,12 +110,18 @@
 			&& entry.record.id !== record.id
 			&& !excluded.has(entry.record.id)
 			&& endpointStatusOf(entry, now) === EndpointStatus.ready
-			&& availability(this.#health.get(entry.record.id) ?? createEndpointHealth(), now) === 'open');
+			&& this.#availability(entry.record.id, now) === 'open'
+			&& this.#options.statements.admission(entry.record.id, now).type === 'open');
 	}
 
 	/** Whether an endpoint is in use: neither suspended nor in recovery. */
 	isOpen({id}: EndpointRecord, now: number): boolean {
-		return availability(this.#health.get(id) ?? createEndpointHealth(), now) === 'open';
+		return this.#availability(id, now) === 'open';
+	}
+
+	#availability(id: string, now: number): ReturnType<typeof availability> {
+		const health = this.#health.get(id);
+		return health === undefined ? 'open' : availability(health, now);
 	}
 
 	/** Endpoints of a service, cached until the routing state changes. */
--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -3,6 +3,7 @@
 import {type Connection, type GatewayMessage, type MessageOf} from '../wire/index.js';
 import {type RoutingStateChange, type RoutingState} from './routing-state.js';
 import {type CachedPromptParts} from './prompt-cache-reader.js';
+import {type RateLimitNews} from './statement-registry.js';
 
 /**
  * Endpoints that ended within this time are announced even to a peer that has read the endpoints lately. Such a read is never older
@@ -48,6 +49,18 @@
 	];
 }
 
+/** The message that tells a peer what this instance has heard. */
+export function encodeRateLimitNews({endpoint, bornAt, rateLimit, heardAt}: RateLimitNews, now: number): MessageOf<'endpoint-rate-limit'> {
+	return {
+		type: 'endpoint-rate-limit', endpoint, ageMilliseconds: now - heardAt,
+		...(bornAt !== undefined && {bornAt}), ...(rateLimit !== undefined && {requestsPerSecond: rateLimit.requestsPerSecond}),
+	};
+}
+
+function decodeRateLimitNews({endpoint, bornAt, requestsPerSecond, ageMilliseconds}: MessageOf<'endpoint-rate-limit'>, now: number): RateLimitNews {
+	return {endpoint, bornAt, rateLimit: requestsPerSecond === undefined ? undefined : {type: 'rate-limit', requestsPerSecond}, heardAt: now - ageMilliseconds};
+}
+
 /** The sender of a message, and the state and callbacks that the message is applied to. */
 export type MessageContext = {
 	readonly routingState: RoutingState;
@@ -56,12 +69,13 @@
 	readonly incarnation: string;
 	readonly onVersion: (version: number) => void;
 	readonly onLoad: (event: LoadEvent) => void;
+	readonly onRateLimitNews: (news: RateLimitNews) => void;
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
 	readonly onHolderAnnouncement: (word: MessageOf<'duty-holder'>) => void;
 };
 
 /** Handles a message of a peer that has sent its hello. */
-export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onHolderAnnouncement}: MessageContext): void {
+export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitNews, onHolderAnnouncement}: MessageContext): void {
 	switch (message.type) {
 		case 'routing-version': {
 			onVersion(message.version);
@@ -91,6 +105,11 @@
 			return;
 		}
 
+		case 'endpoint-rate-limit': {
+			onRateLimitNews(decodeRateLimitNews(message, performance.now()));
+			return;
+		}
+
 		case 'usage': {
 			connection.close('usage has a connection of its own');
 			return;
--- a/src/gateway/peer-roster.ts
+++ b/src/gateway/peer-roster.ts
@@ -9,6 +9,9 @@
 /** After more consecutive failed dials than this, a peer counts as unreachable until one succeeds. */
 const maxFailedDials = 3;
 
+/** An instance without a link counts as present for this time after its loss: it may be partitioned from this one and still serve. */
+const presentMilliseconds = 30_000;
+
 type DialState = {at: number; pause: number; failures: number};
 
 /** The instances that announced themselves, and which of them this one links to. */
@@ -26,6 +29,8 @@
 	 */
 	readonly #startedEarlier = new Set<string>();
 	readonly #dials = new Map<string, DialState>();
+	/** When the links of instances without one were lost. */
+	readonly #lostAt = new Map<string, number>();
 	#neighbours: Neighbours | undefined;
 
 	private constructor(own: Member) {
@@ -37,6 +42,13 @@
 		return [...this.#peers.keys()];
 	}
 
+	/** Names of the other instances that may serve. */
+	presentNames(now: number): readonly string[] {
+		return [...this.#peers.values()]
+			.filter(({instance, address}) => now - (this.#lostAt.get(instance) ?? now) < presentMilliseconds && (this.#lostAt.has(instance) || !this.#isUnreachable(address)))
+			.map(({instance}) => instance);
+	}
+
 	/** Number of other instances that are known and not unreachable. */
 	get reachableCount(): number {
 		return [...this.#peers.values()].filter(({address}) => !this.#isUnreachable(address)).length;
@@ -75,6 +87,7 @@
 
 	removePeer(instance: string): void {
 		this.#peers.delete(instance);
+		this.#lostAt.delete(instance);
 		this.#neighbours = undefined;
 	}
 
@@ -99,6 +112,14 @@
 		return pause;
 	}
 
+	recordLinked(instance: string): void {
+		this.#lostAt.delete(instance);
+	}
+
+	recordLost(instance: string, now: number): void {
+		this.#lostAt.set(instance, now);
+	}
+
 	/** Resets the backoff of an address that a connection was established with. */
 	recordConnected(address: string): void {
 		if (this.#dials.delete(address)) {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -83,6 +83,11 @@
 		return this.#links.size;
 	}
 
+	/** Names of the other instances that may serve. */
+	get presentInstances(): readonly string[] {
+		return this.#roster.presentNames(performance.now());
+	}
+
 	/** Names of the other instances that announced themselves. */
 	get instanceNames(): readonly string[] {
 		return this.#roster.instanceNames;
@@ -102,9 +107,9 @@
 		this.#broadcast({type: 'kept', endpoint, parts: flattenParts(parts)});
 	}
 
-	/** Tells all neighbours who holds the duties. */
-	broadcastHolder(word: MessageOf<'duty-holder'>): void {
-		this.#broadcast(word);
+	/** Tells all neighbours who holds the duties, or what this instance has heard from an endpoint. */
+	announce(message: MessageOf<'duty-holder' | 'endpoint-rate-limit'>): void {
+		this.#broadcast(message);
 	}
 
 	/**
@@ -217,10 +222,10 @@
 			return undefined;
 		}
 
-		const {routingState, onLoad, onPromptCache, onHolderAnnouncement} = this.#options;
+		const {routingState, onLoad, onPromptCache, onRateLimitNews, onHolderAnnouncement} = this.#options;
 		const {instance, incarnation} = link;
 		handleMessage(message, {
-			routingState, connection, instance, incarnation, onLoad, onPromptCache, onHolderAnnouncement,
+			routingState, connection, instance, incarnation, onLoad, onPromptCache, onRateLimitNews, onHolderAnnouncement,
 			onVersion: version => {
 				link.routingVersion = version;
 				this.#tablePuller.handlePeerVersion();
@@ -255,6 +260,7 @@
 			routingVersion: existing?.incarnation === hello.incarnation ? existing.routingVersion : -Infinity,
 		};
 		this.#links.set(hello.instance, link);
+		this.#roster.recordLinked(hello.instance);
 		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
 		const holderAnnouncement = this.#options.holderAnnouncement();
@@ -285,6 +291,7 @@
 		}
 
 		this.#links.delete(link.instance);
+		this.#roster.recordLost(link.instance, performance.now());
 		this.#options.onView(this.view);
 		this.#options.onLoad({type: 'owner-lost', owner: link.incarnation});
 		this.#options.logger.warn('Peer lost.', {peer: link.instance, reason: link.connection.closeReason, peers: this.#links.size});
--- a/src/gateway/statement-registry.ts
+++ b/src/gateway/statement-registry.ts
@@ -1,25 +1,40 @@
-import {initialStatements, type EndpointStatements, type ResponseStatements, stepStatements, type StatementsAction, type StatementsEvent} from '../policy/statements/index.js';
+import {admissionOf, type Admission, initialStatements, isSilent, type EndpointStatements, type RateLimitStatement, type ResponseStatements, stepStatements, type StatementsAction, type StatementsEvent} from '../policy/statements/index.js';
 import {type EndpointRecord} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type RoutingState} from './routing-state.js';
 
-export type StatementRegistryOptions = {readonly routingState: RoutingState; readonly logger: PartLogger};
+/** What an instance has heard about the rate limit of one incarnation of an endpoint. */
+export type RateLimitNews = {readonly endpoint: string; readonly bornAt: number | undefined; readonly rateLimit: RateLimitStatement | undefined; readonly heardAt: number};
+
+export type StatementRegistryOptions = {
+	readonly routingState: RoutingState;
+	readonly logger: PartLogger;
+	readonly random: () => number;
+	/** Name of this instance, and of the others that may send to the same endpoints. */
+	readonly instance: string;
+	readonly instances: () => readonly string[];
+	/** Called with what the other instances should learn. */
+	readonly onNews: (news: RateLimitNews) => void;
+};
 
 /** A response of an endpoint as far as its statements go. */
 export type StatingResponse = ResponseStatements & {readonly sentAt: number; readonly isComplete: boolean};
 
-/** What each endpoint has stated about itself in its responses to this instance. */
+/** An endpoint that has stated nothing is forgotten after this time; until then older news of another instance is recognized as old. */
+const silentMilliseconds = 10_000;
+
+type Entry = {readonly state: EndpointStatements; readonly record: EndpointRecord; readonly sent: number};
+
+/** What each endpoint states about itself, as responses to this instance and other instances say. */
 export class StatementRegistry {
 	static create(options: StatementRegistryOptions): StatementRegistry {
 		return new StatementRegistry(options);
 	}
 
 	readonly #options: StatementRegistryOptions;
-	readonly #states = new Map<string, EndpointStatements>();
+	readonly #entries = new Map<string, Entry>();
 	/** Endpoints with a malformed statement that has been logged. */
 	readonly #loggedMalformed = new Set<string>();
-	/** Requests sent to each endpoint that states a rate limit, since it does. */
-	readonly #sent = new Map<string, number>();
 
 	private constructor(options: StatementRegistryOptions) {
 		this.#options = options;
@@ -34,64 +49,100 @@
 
 	/** Number of endpoints with a rate limit in force. */
 	get rateLimitedCount(): number {
-		return this.#states.size;
+		return [...this.#entries.values()].filter(({state}) => !isSilent(state)).length;
+	}
+
+	/** Whether a request may be sent to the endpoint now. */
+	admission(id: string, now: number): Admission {
+		const entry = this.#entries.get(id);
+		return entry === undefined ? {type: 'open'} : admissionOf(entry.state, now);
+	}
+
+	/** True if the endpoint has stated something that is in force. */
+	hasStatement(id: string): boolean {
+		const entry = this.#entries.get(id);
+		return entry !== undefined && !isSilent(entry.state);
 	}
 
 	/**
 	 * Takes what a response says about the incarnation that the request was sent to. A response of an earlier incarnation that
 	 * arrives after the next one has registered says nothing about the next one.
 	 */
-	recordResponse(record: EndpointRecord, {statements, malformed, ...response}: StatingResponse, now: number): void {
-		const current = this.#options.routingState.directory.entries.get(record.id)?.record;
-		if (current === undefined || current.bornAt !== record.bornAt) {
+	recordResponse(record: EndpointRecord, response: StatingResponse, now: number): void {
+		if (this.#currentRecord(record.id, record.bornAt) === undefined) {
 			return;
 		}
 
-		this.#logMalformed(record, malformed);
-		if (statements.length > 0 || this.#states.has(record.id)) {
-			this.#step(record, {type: 'response', statements, malformed, ...response}, now);
+		this.#logMalformed(record, response.malformed);
+		if (response.statements.length > 0 || this.#entries.has(record.id)) {
+			this.#step(record, {type: 'response', ...response}, now);
+		}
+	}
+
+	/** Takes what another instance has heard. */
+	recordNews({endpoint, bornAt, rateLimit, heardAt}: RateLimitNews, now: number): void {
+		const record = this.#currentRecord(endpoint, bornAt);
+		if (record !== undefined) {
+			this.#step(record, {type: 'told', rateLimit, heardAt}, now);
 		}
 	}
 
 	/** Records that a request is sent to the endpoint. */
-	recordSent({id}: EndpointRecord): void {
-		if (this.#states.has(id)) {
-			this.#sent.set(id, (this.#sent.get(id) ?? 0) + 1);
+	recordSent({id}: EndpointRecord, now: number): void {
+		const entry = this.#entries.get(id);
+		if (entry !== undefined) {
+			this.#step(entry.record, {type: 'sent'}, now);
 		}
 	}
 
-	/** Drops what is known of endpoints that the directory no longer contains. */
-	prune(): void {
-		for (const id of this.#states.keys()) {
-			if (!this.#options.routingState.directory.entries.has(id)) {
+	/** Adapts the shares of rate limits to the instances that there are now. */
+	handleFleetChange(now: number): void {
+		for (const {record} of this.#entries.values()) {
+			this.#step(record, {type: 'fleet-changed'}, now);
+		}
+	}
+
+	/** Drops endpoints that the directory no longer contains, and those that have long stated nothing. */
+	prune(now: number): void {
+		for (const [id, {state}] of this.#entries) {
+			if (!this.#options.routingState.directory.entries.has(id) || (isSilent(state) && now - state.rateLimitHeardAt > silentMilliseconds)) {
 				this.#forget(id);
 			}
 		}
 	}
 
+	/** The record of the endpoint if this incarnation is the newest one. */
+	#currentRecord(id: string, bornAt: number | undefined): EndpointRecord | undefined {
+		const record = this.#options.routingState.directory.entries.get(id)?.record;
+		return record?.bornAt === bornAt ? record : undefined;
+	}
+
 	#step(record: EndpointRecord, event: StatementsEvent, now: number): void {
-		const {state, actions} = stepStatements(this.#states.get(record.id) ?? initialStatements, event, now);
-		this.#states.set(record.id, state);
+		const {instance, instances, random} = this.#options;
+		const {state: before, sent} = this.#entries.get(record.id) ?? {state: initialStatements, sent: 0};
+		const {state, actions} = stepStatements(before, event, {now, fleet: {endpoint: record.id, instance, instances: instances()}, draw: random()});
+		this.#entries.set(record.id, {state, record, sent: sent + (event.type === 'sent' ? 1 : 0)});
 		for (const action of actions) {
-			this.#log(record, action);
-		}
-
-		if (state.rateLimit === undefined) {
-			this.#forget(record.id);
+			this.#perform(record, action, {sent, now, isTold: event.type === 'told'});
 		}
 	}
 
-	#log({id, service}: EndpointRecord, action: StatementsAction): void {
-		const sent = this.#sent.get(id) ?? 0;
+	#perform({id, service, bornAt}: EndpointRecord, action: StatementsAction, {sent, now, isTold}: {sent: number; now: number; isTold: boolean}): void {
+		const {logger, onNews} = this.#options;
 		switch (action.type) {
 			case 'stated': {
-				const {statement: {requestsPerSecond}, before} = action;
-				this.#options.logger.info('Endpoint states a rate limit.', {endpoint: id, service, requestsPerSecond, before: before?.requestsPerSecond, sent});
+				const {statement: {requestsPerSecond}, before, share} = action;
+				logger.info('Endpoint states a rate limit.', {endpoint: id, service, requestsPerSecond, before: before?.requestsPerSecond, share, isTold, sent});
 				return;
 			}
 
 			case 'withdrawn': {
-				this.#options.logger.info('Endpoint states no rate limit any more.', {endpoint: id, service, before: action.statement.requestsPerSecond, sent, milliseconds: Math.round(action.milliseconds)});
+				logger.info('Endpoint states no rate limit any more.', {endpoint: id, service, before: action.statement.requestsPerSecond, isTold, sent, milliseconds: Math.round(action.milliseconds)});
+				return;
+			}
+
+			case 'tell': {
+				onNews({endpoint: id, bornAt, rateLimit: action.rateLimit, heardAt: now});
 			}
 		}
 	}
@@ -104,8 +155,7 @@
 	}
 
 	#forget(id: string): void {
-		this.#states.delete(id);
+		this.#entries.delete(id);
 		this.#loggedMalformed.delete(id);
-		this.#sent.delete(id);
 	}
 }
--- a/src/policy/statements/endpoint-statements.ts
+++ b/src/policy/statements/endpoint-statements.ts
@@ -5,11 +5,16 @@
  *
  * Times are milliseconds of the monotonic clock.
  */
-import {type EndpointStatement, type ResponseStatements} from './statement.js';
+import {changeShare, createShareUse, nextPermitAt, type RateLimitFleet, type RateShare, shareOf, type ShareUse, spendShare} from './rate-limit.js';
+import {type EndpointStatement, type RateLimitStatement, type ResponseStatements} from './statement.js';
 
 /** What an endpoint has stated and not withdrawn. */
 export type EndpointStatements = {
 	readonly rateLimit: RateLimit | undefined;
+	/** The newest time at which the endpoint said whether it has a rate limit, to this instance or to one that told it. */
+	readonly rateLimitHeardAt: number;
+	/** Whether a response to this instance said so; otherwise another instance did. */
+	readonly isFirstHand: boolean;
 };
 
 /** A rate limit that an endpoint has stated. */
@@ -17,55 +22,121 @@
 	readonly requestsPerSecond: number;
 	/** When the endpoint stated it first, with this or another rate. */
 	readonly since: number;
-	/** When the newest response that states it was received. */
-	readonly heardAt: number;
+	readonly use: ShareUse;
 };
 
 /** An event of one incarnation of the endpoint. */
-export type StatementsEvent = ResponseStatements & {
-	readonly type: 'response';
-	/** When the request of this response was sent. */
-	readonly sentAt: number;
-	/** True if a statement that is absent is withdrawn: the response is certain to be that of the request. */
-	readonly isComplete: boolean;
-};
+export type StatementsEvent
+	= | (ResponseStatements & {
+		readonly type: 'response';
+		/** When the request of this response was sent. */
+		readonly sentAt: number;
+		/** True if a statement that is absent is withdrawn: the response is certain to be that of the request. */
+		readonly isComplete: boolean;
+	})
+	/** Another instance has learned this from a response that it received at that time. */
+	| {readonly type: 'told'; readonly rateLimit: RateLimitStatement | undefined; readonly heardAt: number}
+	/** A request is sent to the endpoint. */
+	| {readonly type: 'sent'}
+	/** Instances have come or gone. */
+	| {readonly type: 'fleet-changed'};
 
 /** A change of what is known of the endpoint. */
 export type StatementsAction
-	= | {readonly type: 'stated'; readonly statement: EndpointStatement; readonly before: EndpointStatement | undefined}
-		| {readonly type: 'withdrawn'; readonly statement: EndpointStatement; readonly milliseconds: number};
+	= | {readonly type: 'stated'; readonly statement: EndpointStatement; readonly before: EndpointStatement | undefined; readonly share: RateShare}
+		| {readonly type: 'withdrawn'; readonly statement: EndpointStatement; readonly milliseconds: number}
+	/** The other instances should learn what this one has heard from the endpoint itself. */
+		| {readonly type: 'tell'; readonly rateLimit: RateLimitStatement | undefined};
 
 export type StatementsStep = {readonly state: EndpointStatements; readonly actions: readonly StatementsAction[]};
 
-export const initialStatements: EndpointStatements = {rateLimit: undefined};
+/** What comes with each event: the time, the instances, and a uniform draw from 0 to 1. */
+export type StatementsContext = {readonly now: number; readonly fleet: RateLimitFleet; readonly draw: number};
+
+/** Whether a request may be sent to the endpoint now; `by` is the statement that holds it back. */
+export type Admission = {readonly type: 'open'} | {readonly type: 'held'; readonly by: EndpointStatement['type']; readonly until: number};
+
+export const initialStatements: EndpointStatements = {rateLimit: undefined, rateLimitHeardAt: -Infinity, isFirstHand: false};
+
+export function stepStatements(state: EndpointStatements, event: StatementsEvent, context: StatementsContext): StatementsStep {
+	switch (event.type) {
+		case 'response': {
+			return hearResponse(state, event, context);
+		}
 
-export function stepStatements(state: EndpointStatements, event: StatementsEvent, now: number): StatementsStep {
-	const stated = event.statements.find(({type}) => type === 'rate-limit');
-	return stated === undefined ? withdrawRateLimit(state, event, now) : stateRateLimit(state, stated, now);
+		case 'told': {
+			return hearNews(state, event, context);
+		}
+
+		case 'sent': {
+			return {state: withUse(state, use => spendShare(use, context.now)), actions: []};
+		}
+
+		case 'fleet-changed': {
+			return {state: withUse(state, use => changeShare(use, shareOf(state.rateLimit!.requestsPerSecond, context.fleet), context.draw, context.now)), actions: []};
+		}
+	}
 }
 
-function stateRateLimit(state: EndpointStatements, statement: EndpointStatement, now: number): StatementsStep {
-	const before = state.rateLimit;
-	const rateLimit = {requestsPerSecond: statement.requestsPerSecond, since: before?.since ?? now, heardAt: now};
-	return {
-		state: {...state, rateLimit},
-		actions: before?.requestsPerSecond === statement.requestsPerSecond ? [] : [{type: 'stated', statement, before: before === undefined ? undefined : statementOf(before)}],
-	};
+export function admissionOf({rateLimit}: EndpointStatements, now: number): Admission {
+	const until = rateLimit === undefined ? now : nextPermitAt(rateLimit.use, now);
+	return until <= now ? {type: 'open'} : {type: 'held', by: 'rate-limit', until};
+}
+
+/** True if nothing is known that differs from an endpoint that has stated nothing. */
+export function isSilent({rateLimit}: EndpointStatements): boolean {
+	return rateLimit === undefined;
 }
 
 /**
- * Ends the rate limit if a response lacks it. Responses on different connections overtake each other, so one to a request that
- * was sent before the limit was last heard says nothing.
+ * A response that lacks the rate limit ends it. Responses on different connections overtake each other, so one to a request that
+ * was sent before the limit was last heard says nothing. What this instance hears itself it tells the others if it is new to it, or
+ * if it had only been told.
  */
-function withdrawRateLimit(state: EndpointStatements, {sentAt, isComplete}: StatementsEvent, now: number): StatementsStep {
-	const {rateLimit} = state;
-	if (rateLimit === undefined || !isComplete || sentAt < rateLimit.heardAt) {
+function hearResponse(state: EndpointStatements, {statements, sentAt, isComplete}: Extract<StatementsEvent, {type: 'response'}>, context: StatementsContext): StatementsStep {
+	const rateLimit = statements.find(({type}) => type === 'rate-limit');
+	if (rateLimit === undefined && (!isComplete || sentAt < state.rateLimitHeardAt)) {
 		return {state, actions: []};
 	}
 
-	return {state: {...state, rateLimit: undefined}, actions: [{type: 'withdrawn', statement: statementOf(rateLimit), milliseconds: now - rateLimit.since}]};
+	const step = setRateLimit({...state, rateLimitHeardAt: context.now, isFirstHand: true}, rateLimit, context);
+	return step.actions.length === 0 && state.isFirstHand ? step : {...step, actions: [...step.actions, {type: 'tell', rateLimit}]};
+}
+
+/** News that changes nothing does not end a first-hand knowledge: otherwise two instances would tell each other the same for ever. */
+function hearNews(state: EndpointStatements, {rateLimit, heardAt}: Extract<StatementsEvent, {type: 'told'}>, context: StatementsContext): StatementsStep {
+	if (heardAt <= state.rateLimitHeardAt) {
+		return {state, actions: []};
+	}
+
+	const step = setRateLimit({...state, rateLimitHeardAt: heardAt}, rateLimit, context);
+	return step.actions.length === 0 ? step : {...step, state: {...step.state, isFirstHand: false}};
+}
+
+function setRateLimit(state: EndpointStatements, statement: RateLimitStatement | undefined, context: StatementsContext): StatementsStep {
+	const before = state.rateLimit;
+	if (before?.requestsPerSecond === statement?.requestsPerSecond) {
+		return {state, actions: []};
+	}
+
+	if (statement === undefined) {
+		return {state: {...state, rateLimit: undefined}, actions: [{type: 'withdrawn', statement: statementOf(before!), milliseconds: context.now - before!.since}]};
+	}
+
+	const {now, draw, fleet} = context;
+	const {requestsPerSecond} = statement;
+	const share = shareOf(requestsPerSecond, fleet);
+	const use = before === undefined ? createShareUse(share, draw, now) : changeShare(before.use, share, draw, now);
+	return {
+		state: {...state, rateLimit: {requestsPerSecond, since: before?.since ?? now, use}},
+		actions: [{type: 'stated', statement, before: before === undefined ? undefined : statementOf(before), share}],
+	};
+}
+
+function withUse(state: EndpointStatements, change: (use: ShareUse) => ShareUse): EndpointStatements {
+	return state.rateLimit === undefined ? state : {...state, rateLimit: {...state.rateLimit, use: change(state.rateLimit.use)}};
 }
 
-function statementOf({requestsPerSecond}: RateLimit): EndpointStatement {
+function statementOf({requestsPerSecond}: RateLimit): RateLimitStatement {
 	return {type: 'rate-limit', requestsPerSecond};
 }
--- /dev/null
+++ b/src/policy/statements/rate-limit.ts
@@ -0,0 +1,105 @@
+/**
+ * An instance's share of the rate limit that an endpoint states for all instances together. Load pattern: an endpoint in need
+ * names a few requests a second, and from four to hundreds of instances send to it, each of which knows only its own requests.
+ * If each kept the limit by itself, the endpoint would get a multiple of it.
+ *
+ * A few instances share the limit evenly, each with a bucket of one request. All instances rank each other for an endpoint
+ * alike, so that they agree without messages. An even share of hundreds of instances would not do: each may send its first
+ * request at any time, so that together they exceed the limit by as many requests as there are instances.
+ *
+ * An instance without a share still has to learn when the limit ends. It sends one request in a long period, at a time of its
+ * own, so that no herd forms.
+ */
+import {rankByRendezvous} from '../hashing/index.js';
+
+/** The part of an endpoint's rate limit that one instance may use. */
+export type RateShare
+	= | {readonly type: 'share'; readonly requestsPerSecond: number}
+	/** No share: one request in this period, to learn whether the limit is still stated. */
+		| {readonly type: 'trial'; readonly periodMilliseconds: number};
+
+/** What an instance has used of its share. Times are milliseconds of the monotonic clock. */
+export type ShareUse = {
+	readonly share: RateShare;
+	/** Requests that may be sent at once, at most one. */
+	readonly level: number;
+	readonly updatedAt: number;
+	/** Start of the trial periods of this instance. */
+	readonly trialsFrom: number;
+	readonly lastTrialAt: number;
+};
+
+/** The instances that may send to the endpoint. */
+export type RateLimitFleet = {readonly endpoint: string; readonly instance: string; readonly instances: readonly string[]};
+
+const millisecondsPerSecond = 1000;
+/**
+ * Largest number of instances that share a limit, as a multiple of its requests in a second. In any span each may send one request
+ * more than its share, so that in four seconds they send at most one and a half times the limit.
+ */
+const sharersPerRequest = 2;
+/** The same where further instances send trials. */
+const sharersPerRequestBesideTrials = 1;
+/** Part of the limit that all trials together use. */
+const trialPart = 1 / 8;
+/** A trial that is not sent within this time after its turn is left out: otherwise, those of a quiet time would be sent together after it. */
+const trialTurnMilliseconds = 1000;
+/** A lower limit counts as this one, in requests a second, so that its end is noticed. */
+const lowestRate = 0.05;
+
+/** The share of one instance; the same at each that knows the same names. */
+export function shareOf(requestsPerSecond: number, {endpoint, instance, instances}: RateLimitFleet): RateShare {
+	const rate = Math.max(lowestRate, requestsPerSecond);
+	const names = new Set([instance, ...instances]);
+	if (names.size <= Math.max(1, rate * sharersPerRequest)) {
+		return {type: 'share', requestsPerSecond: rate / names.size};
+	}
+
+	const sharers = Math.max(1, Math.floor(rate * sharersPerRequestBesideTrials));
+	return rankByRendezvous(endpoint, names).indexOf(instance) < sharers
+		? {type: 'share', requestsPerSecond: rate / sharers}
+		: {type: 'trial', periodMilliseconds: names.size / (rate * trialPart) * millisecondsPerSecond};
+}
+
+/** The use of a share that begins now with nothing to spend; `draw` is uniform from 0 to 1. */
+export function createShareUse(share: RateShare, draw: number, now: number): ShareUse {
+	return {share, level: 0, updatedAt: now, trialsFrom: now + (share.type === 'trial' ? draw * share.periodMilliseconds : 0), lastTrialAt: -Infinity};
+}
+
+/** The use after the share has changed; what was saved up stays. */
+export function changeShare(use: ShareUse, share: RateShare, draw: number, now: number): ShareUse {
+	const isSameTrial = use.share.type === 'trial' && share.type === 'trial' && use.share.periodMilliseconds === share.periodMilliseconds;
+	return isSameTrial ? use : {...createShareUse(share, draw, now), level: levelAt(use, now)};
+}
+
+/** The use after one request. */
+export function spendShare(use: ShareUse, now: number): ShareUse {
+	return {...use, level: levelAt(use, now) - 1, updatedAt: now, lastTrialAt: now};
+}
+
+/** When the next request may be sent: now or later. */
+export function nextPermitAt(use: ShareUse, now: number): number {
+	switch (use.share.type) {
+		case 'share': {
+			const missing = 1 - levelAt(use, now);
+			return missing <= 0 ? now : now + (missing / use.share.requestsPerSecond * millisecondsPerSecond);
+		}
+
+		case 'trial': {
+			return nextTrialAt(use, use.share.periodMilliseconds, now);
+		}
+	}
+}
+
+function levelAt({share, level, updatedAt}: ShareUse, now: number): number {
+	return share.type === 'share' ? Math.min(1, level + ((now - updatedAt) / millisecondsPerSecond * share.requestsPerSecond)) : 0;
+}
+
+function nextTrialAt({trialsFrom, lastTrialAt}: ShareUse, periodMilliseconds: number, now: number): number {
+	if (now < trialsFrom) {
+		return trialsFrom;
+	}
+
+	const turnAt = trialsFrom + (Math.floor((now - trialsFrom) / periodMilliseconds) * periodMilliseconds);
+	return lastTrialAt < turnAt && now - turnAt < trialTurnMilliseconds ? now : turnAt + periodMilliseconds;
+}
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -196,6 +196,7 @@
 			case 'routing-version':
 			case 'routing-wanted':
 			case 'kept':
+			case 'endpoint-rate-limit':
 			case 'routing':
 			case 'endpoints':
 			case 'usage':
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -141,6 +141,13 @@
 /** Gateway to gateway: the cached prompt parts that an endpoint reports, as alternating ids and token counts. */
 const kept = z.object({type: z.literal('kept'), endpoint: text, parts: z.custom<readonly number[]>(parts => Array.isArray(parts) && parts.every(value => typeof value === 'number' && value >= 0), 'not numbers')});
 
+/** Gateway to gateway: the sender has heard this rate limit, or none, from this incarnation of an endpoint itself. */
+const endpointRateLimit = z.object({
+	type: z.literal('endpoint-rate-limit'), endpoint: text, bornAt: z.number().optional(), requestsPerSecond: rate.optional(),
+	/** Time since the endpoint said so. */
+	ageMilliseconds: milliseconds,
+});
+
 const usageCounts = z.record(text, z.number().int().nonnegative());
 /** Gateway to the holder of the duties: the sender's counts of the windows that changed since its last message on this connection. */
 const usage = z.object({
@@ -191,15 +198,16 @@
 	endpoints,
 	load,
 	kept,
+	endpointRateLimit,
 	usage,
 	holderAnnouncement,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
 /** The messages that only gateways send to each other. */
-export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'usage' | 'duty-holder'>;
+export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'endpoint-rate-limit' | 'usage' | 'duty-holder'>;
 
-const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'usage', 'duty-holder']);
+const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'endpoint-rate-limit', 'usage', 'duty-holder']);
 
 export function isGatewayMessage(message: Message): message is GatewayMessage {
 	return gatewayTypes.has(message.type);
--- a/test/adapter/adapter.test.ts
+++ b/test/adapter/adapter.test.ts
@@ -258,6 +258,20 @@
 	}), {seed: 5, numRuns: 200});
 });
 
+// Guards against a malformed statement that ends the request, or that holds an endpoint back for ever.
+tap.test('a rate limit that a worker states is decoded whatever its status, and a malformed one is reported', async t => {
+	const stated = (value: string): unknown => requestCodec.readResponse(503, {'server-limit': value}).stated;
+	t.same(stated('2.3'), {statements: [{type: 'rate-limit', requestsPerSecond: 2.3}], malformed: []});
+	t.same(stated('0'), {statements: [{type: 'rate-limit', requestsPerSecond: 0}], malformed: []});
+	t.same(stated('3, 2'), {statements: [{type: 'rate-limit', requestsPerSecond: 2}], malformed: []}, 'the lowest of two');
+	t.same(stated('1e9'), {statements: [{type: 'rate-limit', requestsPerSecond: 1e9}], malformed: []});
+	for (const malformed of ['abc', '-1', '', 'Infinity', 'NaN']) {
+		t.same(stated(malformed), {statements: [], malformed: [`server-limit: ${malformed}`]});
+	}
+
+	t.same(requestCodec.readResponse(200, {}).stated, {statements: [], malformed: []});
+});
+
 // After a restart of all instances only the engines know which prompt parts they have cached.
 tap.test('an engine\'s list of cached prompt parts is read, and a malformed list is rejected', async t => {
 	let body = JSON.stringify({epoch: 1, next: 5, held: [['', '5c1e07a2', 800, 'm'], ['', '91bd3f06', 410, 'm']]});
--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -1,5 +1,5 @@
 import {createRandom, type Random} from '../../bench/harness/random.js';
-import {RoutingState, type Decision, demandOf, Dispatcher, placementRequestOf} from '../../src/gateway/index.js';
+import {type RateLimitNews, RoutingState, type Decision, demandOf, Dispatcher, placementRequestOf} from '../../src/gateway/index.js';
 import {type InstanceId, type WorkspaceName, type ZoneName} from '../../src/model/index.js';
 import {defaultTuning, type LoadEvent, type PromptPart, propagationMilliseconds} from '../../src/policy/dispatch/index.js';
 import {type EndpointRecord, type Route, RouteKind, type RoutingTable, type RoutingTableInput, type Workspace} from '../../src/routing/index.js';
@@ -133,6 +133,7 @@
 	readonly #random: Random;
 	readonly #routingStates: readonly RoutingState[];
 	readonly #engines = new Map<string, Engine>();
+	readonly #instanceNames: readonly string[];
 	readonly #processors: readonly Processor[];
 	readonly #costs: ProcessorCosts;
 
@@ -140,6 +141,7 @@
 		this.#options = options;
 		this.#random = createRandom(options.seed);
 		this.#costs = options.costs ?? noCosts;
+		this.#instanceNames = Array.from({length: options.instances}, (_, number) => `i${number}`);
 		this.#processors = Array.from({length: options.instances}, () => ({freeAt: 0}));
 		const records = Array.from({length: options.engines}, (_, number): EndpointRecord => ({
 			id: `engine-${number}`, service, address: '127.0.0.1:1', zone, isLeaving: false, slots: options.slots, revision: 1,
@@ -154,6 +156,10 @@
 			const dispatcher = Dispatcher.create({
 				incarnation: `i${number}` as InstanceId, zone, routingState, logger: silentLogger, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000},
 				random: () => this.#random.uniform(), tuning: defaultTuning,
+				instance: `i${number}`, instances: () => this.#instanceNames,
+				onRateLimitNews: news => {
+					this.#broadcastNews(number, news);
+				},
 				onLoad: event => {
 					this.#broadcastLoad(number, event);
 				},
@@ -329,6 +335,16 @@
 		return [{id: base + this.#random.below(sharedPrefixes), tokens: sharedTokens}, {id: 1_000_000 + number, tokens: ownTokens}];
 	}
 
+	#broadcastNews(sender: number, news: RateLimitNews): void {
+		this.#options.time.after(propagationMilliseconds(this.#options.instances - 1), () => {
+			for (const [number, dispatcher] of this.dispatchers.entries()) {
+				if (number !== sender) {
+					dispatcher.statements.recordNews(news, this.#options.time.now);
+				}
+			}
+		});
+	}
+
 	#broadcastLoad(sender: number, event: LoadEvent): void {
 		this.#options.time.after(propagationMilliseconds(this.#options.instances - 1), () => {
 			for (const [number, dispatcher] of this.dispatchers.entries()) {
--- /dev/null
+++ b/test/policy/statements.test.ts
@@ -0,0 +1,109 @@
+import tap from 'tap';
+import fc from 'fast-check';
+import {simulate} from '../../bench/rate-limit/simulation.js';
+import {
+	admissionOf, type EndpointStatements, initialStatements, shareOf, type StatementsContext, type StatementsEvent, stepStatements, type StatementsAction,
+} from '../../src/policy/statements/index.js';
+
+const fleet = {endpoint: 'e', instance: 'a', instances: ['a', 'b']};
+
+function contextAt(now: number): StatementsContext {
+	return {now, fleet, draw: 0.5};
+}
+
+/** A response to a request that was sent just before. */
+function response(requestsPerSecond: number | undefined, {sentAt, isComplete = true}: {sentAt: number; isComplete?: boolean}): StatementsEvent {
+	return {type: 'response', statements: requestsPerSecond === undefined ? [] : [{type: 'rate-limit', requestsPerSecond}], malformed: [], sentAt, isComplete};
+}
+
+/** The state and all actions after events at these times. */
+function play(events: ReadonlyArray<readonly [number, StatementsEvent]>): {state: EndpointStatements; actions: StatementsAction[]} {
+	let state = initialStatements;
+	const all: StatementsAction[] = [];
+	for (const [now, event] of events) {
+		const step = stepStatements(state, event, contextAt(now));
+		state = step.state;
+		all.push(...step.actions);
+	}
+
+	return {state, actions: all};
+}
+
+// Guards against a limit that each instance keeps by itself, and against the saved-up requests of many instances at once.
+tap.test('instances together send at most one and a half times the limit in four seconds, and one request', async t => {
+	for (const [instances, requestsPerSecond] of [[2, 0.3], [4, 1.7], [4, 2.3], [20, 1.7], [20, 30], [68, 5], [350, 1.7]] as const) {
+		for (const seed of [1, 2]) {
+			const {mostInSpan} = simulate({sharing: 'sharers', instances, requestsPerSecond, favoured: instances, cutOff: 0, seed});
+			t.ok(mostInSpan * requestsPerSecond * 4 <= Math.ceil(requestsPerSecond * 4 * 1.5) + 1, `${instances} instances, limit ${requestsPerSecond}: ${mostInSpan}`);
+		}
+	}
+});
+
+tap.test('the shares of all instances add up to the limit', async t => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 60}), fc.double({min: 0.1, max: 100, noNaN: true}), (count, rate) => {
+		const names = Array.from({length: count}, (_, number) => `i${number}`);
+		const shares = names.map(instance => shareOf(rate, {endpoint: 'e', instance, instances: names}));
+		const sum = shares.reduce((total, share) => total + (share.type === 'share' ? share.requestsPerSecond : 0), 0);
+		const trials = shares.reduce((total, share) => total + (share.type === 'trial' ? 1000 / share.periodMilliseconds : 0), 0);
+		return Math.abs(sum - rate) < 1e-9 * rate && trials <= rate / 8;
+	}), {seed: 3, numRuns: 300});
+	t.pass();
+});
+
+// Guards against a limit that never ends: with no request there is no response that lacks it.
+tap.test('an instance without a share sends a trial in each period', async t => {
+	const names = Array.from({length: 20}, (_, number) => `i${number}`);
+	const instance = names.find(name => shareOf(1, {endpoint: 'e', instance: name, instances: names}).type === 'trial')!;
+	const context = (now: number): StatementsContext => ({now, fleet: {endpoint: 'e', instance, instances: names}, draw: 0});
+	const {state} = stepStatements(initialStatements, response(1, {sentAt: 0}), context(0));
+	t.equal(admissionOf(state, 0).type, 'open', 'its first turn');
+	const after = stepStatements(state, {type: 'sent'}, context(10)).state;
+	t.same(admissionOf(after, 20), {type: 'held', by: 'rate-limit', until: 160_000});
+	t.equal(admissionOf(after, 160_100).type, 'open');
+	t.equal(admissionOf(after, 162_000).type, 'held', 'a turn that was not used is over');
+});
+
+// Guards against a response of a request that was sent before the statement: on another connection it arrives later.
+tap.test('a limit ends with a response to a request that was sent after it was last heard', async t => {
+	const stated = play([[100, response(2, {sentAt: 50})]]);
+	t.match(stated.actions, [{type: 'stated', statement: {requestsPerSecond: 2}}, {type: 'tell'}]);
+	t.equal(admissionOf(stated.state, 100).type, 'held', 'nothing may be sent at once');
+	t.equal(admissionOf(stated.state, 1100).type, 'open', 'its share is one request a second');
+
+	const overtaken = play([[100, response(2, {sentAt: 50})], [110, response(undefined, {sentAt: 60})]]);
+	t.not(overtaken.state.rateLimit, undefined);
+	const uncertain = play([[100, response(2, {sentAt: 50})], [210, response(undefined, {sentAt: 150, isComplete: false})]]);
+	t.not(uncertain.state.rateLimit, undefined, 'a response that does not name its request ends nothing');
+	const ended = play([[100, response(2, {sentAt: 50})], [210, response(undefined, {sentAt: 150})]]);
+	t.equal(ended.state.rateLimit, undefined);
+	t.match(ended.actions.at(-2), {type: 'withdrawn', milliseconds: 110});
+	t.equal(admissionOf(ended.state, 211).type, 'open');
+});
+
+tap.test('each statement of a limit is followed by its newest value', async t => {
+	const {state, actions} = play([[0, response(2, {sentAt: 0})], [100, response(2, {sentAt: 50})], [200, response(8, {sentAt: 150})]]);
+	t.equal(state.rateLimit!.requestsPerSecond, 8);
+	t.same(actions.filter(({type}) => type === 'stated').length, 2);
+	t.match(actions.at(-2), {type: 'stated', before: {requestsPerSecond: 2}});
+});
+
+// Guards against limits of 0 that nobody finds ended, and against values that hold back for ever.
+tap.test('any rate has a defined share', async t => {
+	for (const rate of [0, 0.3, 1e9]) {
+		const share = shareOf(rate, {endpoint: 'e', instance: 'a', instances: []});
+		t.ok(share.type === 'share' && share.requestsPerSecond > 0 && Number.isFinite(share.requestsPerSecond), `${rate}`);
+	}
+});
+
+// Guards against instances that tell each other the same for ever, and against older news that undoes newer.
+tap.test('news of another instance counts if it is newer, and is passed on only once heard from the endpoint', async t => {
+	const told = (rate: number | undefined, heardAt: number): StatementsEvent => ({type: 'told', rateLimit: rate === undefined ? undefined : {type: 'rate-limit', requestsPerSecond: rate}, heardAt});
+	const news = play([[100, told(2, 80)]]);
+	t.equal(news.state.rateLimit!.requestsPerSecond, 2);
+	t.notOk(news.actions.some(({type}) => type === 'tell'));
+	t.ok(play([[100, told(2, 80)], [200, response(2, {sentAt: 150})]]).actions.some(({type}) => type === 'tell'), 'confirmed by the endpoint');
+	t.equal(play([[100, response(undefined, {sentAt: 60})], [120, told(2, 90)]]).state.rateLimit, undefined, 'older than its own knowledge');
+	t.equal(play([[100, told(2, 80)], [130, told(undefined, 120)]]).state.rateLimit, undefined);
+	const repeated = play([[100, response(2, {sentAt: 50})], [150, told(2, 140)], [200, response(2, {sentAt: 160})]]);
+	t.equal(repeated.actions.filter(({type}) => type === 'tell').length, 1);
+});
