An endpoint that says in its responses that it leaves gets no further requests

What was seen: requests reached an endpoint 2.8 and 3.3 s after it had told the instance that it leaves; 2 s are allowed. Cause: an endpoint ended only by its record in the store. The store was down; the record was accepted 13 s after the word, and the responses that said so at once were forwarded without being read. Same class as the rate limit: what an endpoint says of itself reached no decision. Evidence: 7.521 s the response, 7.5 to 20.5 s the store's silence, requests until 20 s at the same pace; no 'Endpoint ended.' until then. Change: one more statement. It is final for the incarnation and marks the endpoint as leaving in the directory, so that every use of an endpoint (placement, last resort, retries, failover) and the peers learn it as they learn a record of the store; later records of the incarnation don't undo it, a later incarnation starts anew, and a late response of an earlier one says nothing.

--- a/src/gateway/routing-state.ts
+++ b/src/gateway/routing-state.ts
@@ -1,4 +1,4 @@
-import {EndpointDirectory, type EndpointChange, type EndpointEntry, isLaterIncarnation, positionOf, RoutingTable, type RoutingTableInput} from '../routing/index.js';
+import {EndpointDirectory, type EndpointChange, type EndpointEntry, type EndpointRecord, isLaterIncarnation, positionOf, RoutingTable, type RoutingTableInput} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 
 /** A change of the routing state; updates without an effect are not reported. */
@@ -13,8 +13,8 @@
 	 */
 		| {readonly type: 'era'; readonly era: number};
 
-/** Source of an update: the store or another instance. */
-export type UpdateSource = 'store' | `instance ${string}`;
+/** Source of an update: the store, a response of the endpoint itself, or another instance. */
+export type UpdateSource = 'store' | 'response' | `instance ${string}`;
 
 /** Limit for the endpoints that one log line names. */
 const maxLoggedEndpoints = 20;
@@ -94,6 +94,17 @@
 		return this.#directory.unconfirmed(now).length;
 	}
 
+	/**
+	 * Ends an endpoint that has stated itself that it leaves; the other instances learn it like any change. Its record in the store says so
+	 * later, and not at all while the store is down.
+	 */
+	markLeaving({id, bornAt}: EndpointRecord, now: number): void {
+		const entry = this.#directory.entries.get(id);
+		if (entry !== undefined && entry.record.bornAt === bornAt && !entry.record.isLeaving) {
+			this.applyEndpointChanges([{type: 'registered', ...positionOf(entry.registrations), record: {...entry.record, isLeaving: true}}], 'response', now);
+		}
+	}
+
 	prune(now: number): void {
 		this.#directory = this.#directory.prune(now);
 	}
--- a/src/gateway/statement-registry.ts
+++ b/src/gateway/statement-registry.ts
@@ -1,4 +1,4 @@
-import {admissionOf, type Admission, initialStatements, isSilent, type EndpointStatements, type RateLimitStatement, type ResponseStatements, stepStatements, type StatementsAction, type StatementsEvent} from '../policy/statements/index.js';
+import {admissionOf, type Admission, initialStatements, statementsInForce, type EndpointStatement, type EndpointStatements, type RateLimitStatement, type ResponseStatements, stepStatements, type StatementsAction, type StatementsEvent} from '../policy/statements/index.js';
 import {type EndpointRecord} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type RoutingState} from './routing-state.js';
@@ -47,9 +47,9 @@
 		});
 	}
 
-	/** Number of endpoints with a rate limit in force. */
-	get rateLimitedCount(): number {
-		return [...this.#entries.values()].filter(({state}) => !isSilent(state)).length;
+	/** Number of endpoints with a statement of this kind in force. */
+	countOf(type: EndpointStatement['type']): number {
+		return [...this.#entries.values()].filter(({state}) => statementsInForce(state).includes(type)).length;
 	}
 
 	/** Whether a request may be sent to the endpoint now. */
@@ -61,7 +61,7 @@
 	/** True if the endpoint has stated something that is in force. */
 	hasStatement(id: string): boolean {
 		const entry = this.#entries.get(id);
-		return entry !== undefined && !isSilent(entry.state);
+		return entry !== undefined && statementsInForce(entry.state).length > 0;
 	}
 
 	/**
@@ -105,7 +105,7 @@
 	/** Drops endpoints that the directory no longer contains, and those that have long stated nothing. */
 	prune(now: number): void {
 		for (const [id, {state}] of this.#entries) {
-			if (!this.#options.routingState.directory.entries.has(id) || (isSilent(state) && now - state.rateLimitHeardAt > silentMilliseconds)) {
+			if (!this.#options.routingState.directory.entries.has(id) || (statementsInForce(state).length === 0 && now - state.rateLimitHeardAt > silentMilliseconds)) {
 				this.#forget(id);
 			}
 		}
@@ -127,17 +127,24 @@
 		}
 	}
 
-	#perform({id, service, bornAt}: EndpointRecord, action: StatementsAction, {sent, now, isTold}: {sent: number; now: number; isTold: boolean}): void {
-		const {logger, onNews} = this.#options;
+	#perform(record: EndpointRecord, action: StatementsAction, {sent, now, isTold}: {sent: number; now: number; isTold: boolean}): void {
+		const {logger, onNews, routingState} = this.#options;
+		const {id, service, bornAt} = record;
 		switch (action.type) {
-			case 'stated': {
-				const {statement: {requestsPerSecond}, before, share} = action;
-				logger.info('Endpoint states a rate limit.', {endpoint: id, service, requestsPerSecond, before: before?.requestsPerSecond, share, isTold, sent});
+			case 'limited': {
+				const {requestsPerSecond, before, share} = action;
+				logger.info('Endpoint states a rate limit.', {endpoint: id, service, requestsPerSecond, before, share, isTold, sent});
 				return;
 			}
 
-			case 'withdrawn': {
-				logger.info('Endpoint states no rate limit any more.', {endpoint: id, service, before: action.statement.requestsPerSecond, isTold, sent, milliseconds: Math.round(action.milliseconds)});
+			case 'unlimited': {
+				logger.info('Endpoint states no rate limit any more.', {endpoint: id, service, before: action.before, isTold, sent, milliseconds: Math.round(action.milliseconds)});
+				return;
+			}
+
+			case 'leaving': {
+				logger.info('Endpoint states that it leaves.', {endpoint: id, service});
+				routingState.markLeaving(record, now);
 				return;
 			}
 
--- a/src/policy/statements/endpoint-statements.ts
+++ b/src/policy/statements/endpoint-statements.ts
@@ -10,6 +10,7 @@
 
 /** What an endpoint has stated and not withdrawn. */
 export type EndpointStatements = {
+	readonly isLeaving: boolean;
 	readonly rateLimit: RateLimit | undefined;
 	/** The newest time at which the endpoint said whether it has a rate limit, to this instance or to one that told it. */
 	readonly rateLimitHeardAt: number;
@@ -43,8 +44,10 @@
 
 /** A change of what is known of the endpoint. */
 export type StatementsAction
-	= | {readonly type: 'stated'; readonly statement: EndpointStatement; readonly before: EndpointStatement | undefined; readonly share: RateShare}
-		| {readonly type: 'withdrawn'; readonly statement: EndpointStatement; readonly milliseconds: number}
+	= | {readonly type: 'limited'; readonly requestsPerSecond: number; readonly before: number | undefined; readonly share: RateShare}
+		| {readonly type: 'unlimited'; readonly before: number; readonly milliseconds: number}
+	/** The endpoint has begun to leave. */
+		| {readonly type: 'leaving'}
 	/** The other instances should learn what this one has heard from the endpoint itself. */
 		| {readonly type: 'tell'; readonly rateLimit: RateLimitStatement | undefined};
 
@@ -56,12 +59,14 @@
 /** Whether a request may be sent to the endpoint now; `by` is the statement that holds it back. */
 export type Admission = {readonly type: 'open'} | {readonly type: 'held'; readonly by: EndpointStatement['type']; readonly until: number};
 
-export const initialStatements: EndpointStatements = {rateLimit: undefined, rateLimitHeardAt: -Infinity, isFirstHand: false};
+export const initialStatements: EndpointStatements = {isLeaving: false, rateLimit: undefined, rateLimitHeardAt: -Infinity, isFirstHand: false};
 
 export function stepStatements(state: EndpointStatements, event: StatementsEvent, context: StatementsContext): StatementsStep {
 	switch (event.type) {
 		case 'response': {
-			return hearResponse(state, event, context);
+			const left = hearLeaving(state, event);
+			const step = hearRateLimit(left.state, event, context);
+			return {...step, actions: [...left.actions, ...step.actions]};
 		}
 
 		case 'told': {
@@ -83,9 +88,16 @@
 	return until <= now ? {type: 'open'} : {type: 'held', by: 'rate-limit', until};
 }
 
-/** True if nothing is known that differs from an endpoint that has stated nothing. */
-export function isSilent({rateLimit}: EndpointStatements): boolean {
-	return rateLimit === undefined;
+/** The kinds of statements in force. */
+export function statementsInForce({isLeaving, rateLimit}: EndpointStatements): ReadonlyArray<EndpointStatement['type']> {
+	return [...(isLeaving ? ['leaving'] as const : []), ...(rateLimit === undefined ? [] : ['rate-limit'] as const)];
+}
+
+/** Final for the incarnation: a response without the statement may be an earlier one that was overtaken. */
+function hearLeaving(state: EndpointStatements, {statements}: ResponseStatements): StatementsStep {
+	return state.isLeaving || !statements.some(({type}) => type === 'leaving')
+		? {state, actions: []}
+		: {state: {...state, isLeaving: true}, actions: [{type: 'leaving'}]};
 }
 
 /**
@@ -93,14 +105,15 @@
  * was sent before the limit was last heard says nothing. What this instance hears itself it tells the others if it is new to it, or
  * if it had only been told.
  */
-function hearResponse(state: EndpointStatements, {statements, sentAt, isComplete}: Extract<StatementsEvent, {type: 'response'}>, context: StatementsContext): StatementsStep {
-	const rateLimit = statements.find(({type}) => type === 'rate-limit');
+function hearRateLimit(state: EndpointStatements, {statements, sentAt, isComplete}: Extract<StatementsEvent, {type: 'response'}>, context: StatementsContext): StatementsStep {
+	const rateLimit = statements.find(statement => statement.type === 'rate-limit');
 	if (rateLimit === undefined && (!isComplete || sentAt < state.rateLimitHeardAt)) {
 		return {state, actions: []};
 	}
 
 	const step = setRateLimit({...state, rateLimitHeardAt: context.now, isFirstHand: true}, rateLimit, context);
-	return step.actions.length === 0 && state.isFirstHand ? step : {...step, actions: [...step.actions, {type: 'tell', rateLimit}]};
+	const isKnown = state.isFirstHand || state.rateLimitHeardAt === -Infinity;
+	return step.actions.length === 0 && isKnown ? step : {...step, actions: [...step.actions, {type: 'tell', rateLimit}]};
 }
 
 /** News that changes nothing does not end a first-hand knowledge: otherwise two instances would tell each other the same for ever. */
@@ -120,7 +133,7 @@
 	}
 
 	if (statement === undefined) {
-		return {state: {...state, rateLimit: undefined}, actions: [{type: 'withdrawn', statement: statementOf(before!), milliseconds: context.now - before!.since}]};
+		return {state: {...state, rateLimit: undefined}, actions: [{type: 'unlimited', before: before!.requestsPerSecond, milliseconds: context.now - before!.since}]};
 	}
 
 	const {now, draw, fleet} = context;
@@ -129,14 +142,10 @@
 	const use = before === undefined ? createShareUse(share, draw, now) : changeShare(before.use, share, draw, now);
 	return {
 		state: {...state, rateLimit: {requestsPerSecond, since: before?.since ?? now, use}},
-		actions: [{type: 'stated', statement, before: before === undefined ? undefined : statementOf(before), share}],
+		actions: [{type: 'limited', requestsPerSecond, before: before?.requestsPerSecond, share}],
 	};
 }
 
 function withUse(state: EndpointStatements, change: (use: ShareUse) => ShareUse): EndpointStatements {
 	return state.rateLimit === undefined ? state : {...state, rateLimit: {...state.rateLimit, use: change(state.rateLimit.use)}};
 }
-
-function statementOf({requestsPerSecond}: RateLimit): RateLimitStatement {
-	return {type: 'rate-limit', requestsPerSecond};
-}
--- a/src/policy/statements/statement.ts
+++ b/src/policy/statements/statement.ts
@@ -1,8 +1,11 @@
 /** It takes this many requests a second from all instances together, for as long as its responses say so. */
 export type RateLimitStatement = {readonly type: 'rate-limit'; readonly requestsPerSecond: number};
 
+/** It shuts down and takes no new requests; final for its incarnation. */
+export type LeavingStatement = {readonly type: 'leaving'};
+
 /** What an endpoint states about itself in a response. */
-export type EndpointStatement = RateLimitStatement;
+export type EndpointStatement = RateLimitStatement | LeavingStatement;
 
 /** What one response says about the endpoint that sent it. */
 export type ResponseStatements = {
--- a/test/adapter/adapter.test.ts
+++ b/test/adapter/adapter.test.ts
@@ -272,6 +272,15 @@
 	t.same(requestCodec.readResponse(200, {}).stated, {statements: [], malformed: []});
 });
 
+tap.test('a worker that leaves states so in any response', async t => {
+	const stated = (value: string): unknown => requestCodec.readResponse(500, {'server-leaving': value}).stated;
+	t.same(stated('1'), {statements: [{type: 'leaving'}], malformed: []});
+	t.same(stated('0'), {statements: [], malformed: []});
+	t.same(stated('1, 1'), {statements: [{type: 'leaving'}], malformed: []});
+	t.same(stated('yes'), {statements: [], malformed: ['server-leaving: yes']});
+	t.same(requestCodec.readResponse(200, {'server-leaving': '1', 'server-limit': '2'}).stated.statements.map(({type}) => type), ['rate-limit', 'leaving']);
+});
+
 // After a restart of all instances only the engines know which prompt parts they have cached.
 tap.test('an engine\'s list of cached prompt parts is read, and a malformed list is rejected', async t => {
 	let body = JSON.stringify({epoch: 1, next: 5, held: [['', '5c1e07a2', 800, 'm'], ['', '91bd3f06', 410, 'm']]});
--- /dev/null
+++ b/test/gateway/statement-registry.test.ts
@@ -0,0 +1,98 @@
+import tap from 'tap';
+import {type RateLimitNews, RoutingState, StatementRegistry} from '../../src/gateway/index.js';
+import {type ZoneName} from '../../src/model/index.js';
+import {noStatements, type EndpointStatement} from '../../src/policy/statements/index.js';
+import {type EndpointRecord, EndpointStatus, endpointStatusOf} from '../../src/routing/index.js';
+
+type LogLine = {readonly message: string; readonly fields: unknown};
+
+class TestRegistry {
+	readonly lines: LogLine[] = [];
+	readonly news: RateLimitNews[] = [];
+	readonly routingState: RoutingState;
+	readonly registry: StatementRegistry;
+	#offset = 0;
+
+	constructor() {
+		const log = (message: string, fields?: unknown): void => {
+			this.lines.push({message, fields});
+		};
+
+		const logger = {debug: log, info: log, warn: log, error: log};
+		this.routingState = RoutingState.create(logger);
+		this.registry = StatementRegistry.create({
+			routingState: this.routingState, logger, random: () => 0.5, instance: 'a', instances: () => ['b'],
+			onNews: news => {
+				this.news.push(news);
+			},
+		});
+	}
+
+	register(bornAt?: number): EndpointRecord {
+		const record = {id: 'e', service: 's', address: '127.0.0.1:1', zone: 'z' as ZoneName, isLeaving: false, slots: 4, revision: 1, ...(bornAt !== undefined && {bornAt})};
+		this.#offset += 1;
+		this.routingState.applyEndpointChanges([{type: 'registered', era: 0, offset: this.#offset, record}], 'store', 0);
+		return record;
+	}
+
+	hear(record: EndpointRecord, statement: EndpointStatement, now: number): void {
+		this.registry.recordResponse(record, {statements: [statement], malformed: [], sentAt: now, isComplete: true}, now);
+	}
+
+	status(now: number): EndpointStatus {
+		return endpointStatusOf(this.routingState.directory.entries.get('e')!, now);
+	}
+}
+
+const limit = {type: 'rate-limit', requestsPerSecond: 2} as const;
+
+// Guards against statements of an incarnation that count for the next one under the same id.
+tap.test('a statement belongs to the incarnation that made it', async t => {
+	const test = new TestRegistry();
+	const first = test.register(1);
+	test.hear(first, limit, 10);
+	t.equal(test.registry.admission('e', 20).type, 'held');
+	const second = test.register(2);
+	t.equal(test.registry.admission('e', 30).type, 'open', 'the next incarnation has stated nothing');
+	test.hear(first, limit, 40);
+	test.hear(first, {type: 'leaving'}, 40);
+	t.equal(test.registry.admission('e', 50).type, 'open', 'a late response of the first one');
+	t.equal(test.status(50), EndpointStatus.ready);
+	test.registry.recordNews({endpoint: 'e', bornAt: 1, rateLimit: limit, heardAt: 60}, 70);
+	t.equal(test.registry.admission('e', 80).type, 'open', 'news of the first one');
+	test.hear(second, limit, 90);
+	t.equal(test.registry.admission('e', 95).type, 'held');
+});
+
+tap.test('an endpoint that states that it leaves has ended, whatever the store lists', async t => {
+	const test = new TestRegistry();
+	const record = test.register();
+	test.hear(record, {type: 'leaving'}, 10);
+	t.equal(test.status(20), EndpointStatus.lastResort);
+	t.equal(test.status(1000), EndpointStatus.gone);
+	test.register();
+	t.equal(test.status(1000), EndpointStatus.gone);
+	t.equal(test.registry.countOf('leaving'), 1);
+});
+
+tap.test('a malformed statement is logged once for each endpoint', async t => {
+	const test = new TestRegistry();
+	const record = test.register();
+	for (const now of [10, 20]) {
+		test.registry.recordResponse(record, {...noStatements, malformed: ['limit: abc'], sentAt: now, isComplete: true}, now);
+	}
+
+	t.equal(test.lines.filter(({message}) => message.startsWith('Ignored')).length, 1);
+});
+
+tap.test('what is known of an endpoint that is gone, or that states nothing, is dropped', async t => {
+	const test = new TestRegistry();
+	const record = test.register();
+	test.hear(record, limit, 10);
+	test.registry.recordResponse(record, {...noStatements, sentAt: 20, isComplete: true}, 30);
+	t.equal(test.registry.hasStatement('e'), false);
+	t.match(test.news, [{rateLimit: limit}, {rateLimit: undefined}]);
+	test.registry.prune(60_000);
+	test.registry.recordNews({endpoint: 'unknown', bornAt: undefined, rateLimit: limit, heardAt: 60_000}, 60_001);
+	t.equal(test.registry.countOf('rate-limit'), 0);
+});
--- a/test/policy/statements.test.ts
+++ b/test/policy/statements.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {simulate} from '../../bench/rate-limit/simulation.js';
 import {
-	admissionOf, type EndpointStatements, initialStatements, shareOf, type StatementsContext, type StatementsEvent, stepStatements, type StatementsAction,
+	admissionOf, type EndpointStatements, initialStatements, shareOf, type StatementsContext, type StatementsEvent, stepStatements, type StatementsAction, statementsInForce,
 } from '../../src/policy/statements/index.js';
 
 const fleet = {endpoint: 'e', instance: 'a', instances: ['a', 'b']};
@@ -66,7 +66,7 @@
 // Guards against a response of a request that was sent before the statement: on another connection it arrives later.
 tap.test('a limit ends with a response to a request that was sent after it was last heard', async t => {
 	const stated = play([[100, response(2, {sentAt: 50})]]);
-	t.match(stated.actions, [{type: 'stated', statement: {requestsPerSecond: 2}}, {type: 'tell'}]);
+	t.match(stated.actions, [{type: 'limited', requestsPerSecond: 2}, {type: 'tell'}]);
 	t.equal(admissionOf(stated.state, 100).type, 'held', 'nothing may be sent at once');
 	t.equal(admissionOf(stated.state, 1100).type, 'open', 'its share is one request a second');
 
@@ -76,15 +76,15 @@
 	t.not(uncertain.state.rateLimit, undefined, 'a response that does not name its request ends nothing');
 	const ended = play([[100, response(2, {sentAt: 50})], [210, response(undefined, {sentAt: 150})]]);
 	t.equal(ended.state.rateLimit, undefined);
-	t.match(ended.actions.at(-2), {type: 'withdrawn', milliseconds: 110});
+	t.match(ended.actions.at(-2), {type: 'unlimited', milliseconds: 110});
 	t.equal(admissionOf(ended.state, 211).type, 'open');
 });
 
 tap.test('each statement of a limit is followed by its newest value', async t => {
 	const {state, actions} = play([[0, response(2, {sentAt: 0})], [100, response(2, {sentAt: 50})], [200, response(8, {sentAt: 150})]]);
 	t.equal(state.rateLimit!.requestsPerSecond, 8);
-	t.same(actions.filter(({type}) => type === 'stated').length, 2);
-	t.match(actions.at(-2), {type: 'stated', before: {requestsPerSecond: 2}});
+	t.same(actions.filter(({type}) => type === 'limited').length, 2);
+	t.match(actions.at(-2), {type: 'limited', before: 2});
 });
 
 // Guards against limits of 0 that nobody finds ended, and against values that hold back for ever.
@@ -107,3 +107,11 @@
 	const repeated = play([[100, response(2, {sentAt: 50})], [150, told(2, 140)], [200, response(2, {sentAt: 160})]]);
 	t.equal(repeated.actions.filter(({type}) => type === 'tell').length, 1);
 });
+
+// Guards against an earlier response that arrives later and makes a leaving endpoint usable again.
+tap.test('leaving is final', async t => {
+	const leaving: StatementsEvent = {type: 'response', statements: [{type: 'leaving'}], malformed: [], sentAt: 0, isComplete: true};
+	const {state, actions} = play([[10, leaving], [20, response(undefined, {sentAt: 15})], [30, leaving]]);
+	t.same(actions, [{type: 'leaving'}]);
+	t.same(statementsInForce(state), ['leaving']);
+});
