An endpoint that asks for rest gets no requests until it is over

What was seen: engines that refused every request with 503 and a rest of 3 s got 4 to 6 more requests from the same instance in that rest, each refused again and sent once more elsewhere. Cause: the codec decoded the rest of a 503 and nothing read it; only the share of failures suspends an endpoint, after several more, for 0.6 s at first, and a good response of a long stream ends the suspension. Same class as the rate limit and leaving. Evidence: front-surco-1 was told at 6.106 and 6.110 s and sent 4 and 5 requests until 7.24 s, all refused. A good response or a shorter rest does not end it.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -117,8 +117,9 @@
 			routingState, dispatcher, connectionPools, codec: adapter.codec, log: decisions, eventLoopMonitor, logger: forPart(logger, 'Gateway'), usage: duties?.counter,
 		});
 		metrics.observe('gateway_waiting', 'Requests in the placement queue.', () => dispatcher.queueLength);
-		metrics.observe('gateway_rate_limited_endpoints', 'Endpoints that state a rate limit.', () => dispatcher.statements.countOf('rate-limit'));
-		metrics.observe('gateway_leaving_endpoints', 'Endpoints that have stated in a response that they leave.', () => dispatcher.statements.countOf('leaving'));
+		metrics.observe('gateway_rate_limited_endpoints', 'Endpoints that state a rate limit.', () => dispatcher.statements.countOf('rate-limit', performance.now()));
+		metrics.observe('gateway_leaving_endpoints', 'Endpoints that have stated in a response that they leave.', () => dispatcher.statements.countOf('leaving', performance.now()));
+		metrics.observe('gateway_resting_endpoints', 'Endpoints that have asked this instance for rest.', () => dispatcher.statements.countOf('rest', performance.now()));
 		metrics.observe('gateway_open', 'Requests whose response is not complete.', () => gateway.openRequests);
 		metrics.observe('gateway_peers', 'Connected peer gateways.', () => peers.count);
 		metrics.observe('gateway_table_version', 'Version of the routing table in force.', () => routingState.table?.version ?? 0);
--- a/src/gateway/endpoint-pool.ts
+++ b/src/gateway/endpoint-pool.ts
@@ -64,7 +64,7 @@
 			const kind = status === EndpointStatus.ready ? this.#availability(id, now) : 'ending';
 			const admission = this.#options.statements.admission(id, now);
 			if (admission.type === 'open') {
-				lists[kind === 'open' && this.#options.statements.hasStatement(id) ? 'stating' : kind].push(endpoint);
+				lists[kind === 'open' && this.#options.statements.hasStatement(id, now) ? 'stating' : kind].push(endpoint);
 			} else if (kind === 'open' && admission.until < (held?.until ?? Infinity)) {
 				held = {endpoint, until: admission.until};
 			}
--- a/src/gateway/statement-registry.ts
+++ b/src/gateway/statement-registry.ts
@@ -48,8 +48,8 @@
 	}
 
 	/** Number of endpoints with a statement of this kind in force. */
-	countOf(type: EndpointStatement['type']): number {
-		return [...this.#entries.values()].filter(({state}) => statementsInForce(state).includes(type)).length;
+	countOf(type: EndpointStatement['type'], now: number): number {
+		return [...this.#entries.values()].filter(({state}) => statementsInForce(state, now).includes(type)).length;
 	}
 
 	/** Whether a request may be sent to the endpoint now. */
@@ -59,9 +59,9 @@
 	}
 
 	/** True if the endpoint has stated something that is in force. */
-	hasStatement(id: string): boolean {
+	hasStatement(id: string, now: number): boolean {
 		const entry = this.#entries.get(id);
-		return entry !== undefined && statementsInForce(entry.state).length > 0;
+		return entry !== undefined && statementsInForce(entry.state, now).length > 0;
 	}
 
 	/**
@@ -105,7 +105,7 @@
 	/** Drops endpoints that the directory no longer contains, and those that have long stated nothing. */
 	prune(now: number): void {
 		for (const [id, {state}] of this.#entries) {
-			if (!this.#options.routingState.directory.entries.has(id) || (statementsInForce(state).length === 0 && now - state.rateLimitHeardAt > silentMilliseconds)) {
+			if (!this.#options.routingState.directory.entries.has(id) || (statementsInForce(state, now).length === 0 && now - state.rateLimitHeardAt > silentMilliseconds)) {
 				this.#forget(id);
 			}
 		}
@@ -148,6 +148,11 @@
 				return;
 			}
 
+			case 'resting': {
+				logger.info('Endpoint asks for rest.', {endpoint: id, service, milliseconds: Math.round(action.milliseconds), isLonger: action.isLonger});
+				return;
+			}
+
 			case 'tell': {
 				onNews({endpoint: id, bornAt, rateLimit: action.rateLimit, heardAt: now});
 			}
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -52,7 +52,6 @@
 	readonly isGenuine: boolean;
 	/** True if the status tells the caller that its request has not run, but the endpoint does not state this (see `isNotRun`). */
 	readonly promisesNotRun: boolean;
-	readonly retryAfterMilliseconds: number | undefined;
 	/** What the endpoint states about itself; of no use if the response is misdirected. */
 	readonly stated: ResponseStatements;
 };
--- a/src/policy/statements/endpoint-statements.ts
+++ b/src/policy/statements/endpoint-statements.ts
@@ -11,6 +11,8 @@
 /** What an endpoint has stated and not withdrawn. */
 export type EndpointStatements = {
 	readonly isLeaving: boolean;
+	/** End of the rest that the endpoint has asked this instance for. */
+	readonly restsUntil: number;
 	readonly rateLimit: RateLimit | undefined;
 	/** The newest time at which the endpoint said whether it has a rate limit, to this instance or to one that told it. */
 	readonly rateLimitHeardAt: number;
@@ -48,6 +50,8 @@
 		| {readonly type: 'unlimited'; readonly before: number; readonly milliseconds: number}
 	/** The endpoint has begun to leave. */
 		| {readonly type: 'leaving'}
+	/** The endpoint asks for rest, or for a longer one. */
+		| {readonly type: 'resting'; readonly milliseconds: number; readonly isLonger: boolean}
 	/** The other instances should learn what this one has heard from the endpoint itself. */
 		| {readonly type: 'tell'; readonly rateLimit: RateLimitStatement | undefined};
 
@@ -59,14 +63,18 @@
 /** Whether a request may be sent to the endpoint now; `by` is the statement that holds it back. */
 export type Admission = {readonly type: 'open'} | {readonly type: 'held'; readonly by: EndpointStatement['type']; readonly until: number};
 
-export const initialStatements: EndpointStatements = {isLeaving: false, rateLimit: undefined, rateLimitHeardAt: -Infinity, isFirstHand: false};
+/** A longer rest is cut to this: the endpoint can ask again, and a mistaken value would take it out of use until it restarts. */
+export const longestRestMilliseconds = 300_000;
+
+export const initialStatements: EndpointStatements = {isLeaving: false, restsUntil: -Infinity, rateLimit: undefined, rateLimitHeardAt: -Infinity, isFirstHand: false};
 
 export function stepStatements(state: EndpointStatements, event: StatementsEvent, context: StatementsContext): StatementsStep {
 	switch (event.type) {
 		case 'response': {
 			const left = hearLeaving(state, event);
-			const step = hearRateLimit(left.state, event, context);
-			return {...step, actions: [...left.actions, ...step.actions]};
+			const rested = hearRest(left.state, event, context.now);
+			const step = hearRateLimit(rested.state, event, context);
+			return {...step, actions: [...left.actions, ...rested.actions, ...step.actions]};
 		}
 
 		case 'told': {
@@ -83,14 +91,18 @@
 	}
 }
 
-export function admissionOf({rateLimit}: EndpointStatements, now: number): Admission {
-	const until = rateLimit === undefined ? now : nextPermitAt(rateLimit.use, now);
-	return until <= now ? {type: 'open'} : {type: 'held', by: 'rate-limit', until};
+export function admissionOf({rateLimit, restsUntil}: EndpointStatements, now: number): Admission {
+	const permitAt = rateLimit === undefined ? now : nextPermitAt(rateLimit.use, now);
+	if (restsUntil > now && restsUntil >= permitAt) {
+		return {type: 'held', by: 'rest', until: restsUntil};
+	}
+
+	return permitAt <= now ? {type: 'open'} : {type: 'held', by: 'rate-limit', until: permitAt};
 }
 
 /** The kinds of statements in force. */
-export function statementsInForce({isLeaving, rateLimit}: EndpointStatements): ReadonlyArray<EndpointStatement['type']> {
-	return [...(isLeaving ? ['leaving'] as const : []), ...(rateLimit === undefined ? [] : ['rate-limit'] as const)];
+export function statementsInForce({isLeaving, restsUntil, rateLimit}: EndpointStatements, now: number): ReadonlyArray<EndpointStatement['type']> {
+	return [...(isLeaving ? ['leaving'] as const : []), ...(restsUntil > now ? ['rest'] as const : []), ...(rateLimit === undefined ? [] : ['rate-limit'] as const)];
 }
 
 /** Final for the incarnation: a response without the statement may be an earlier one that was overtaken. */
@@ -100,6 +112,15 @@
 		: {state: {...state, isLeaving: true}, actions: [{type: 'leaving'}]};
 }
 
+/** A rest ends by its time alone: a good response may be to a request that was sent before, and a shorter rest does not replace a longer one. */
+function hearRest(state: EndpointStatements, {statements}: ResponseStatements, now: number): StatementsStep {
+	const rest = statements.find(statement => statement.type === 'rest');
+	const restsUntil = now + Math.min(longestRestMilliseconds, rest?.milliseconds ?? 0);
+	return restsUntil <= now || restsUntil <= state.restsUntil
+		? {state, actions: []}
+		: {state: {...state, restsUntil}, actions: [{type: 'resting', milliseconds: restsUntil - now, isLonger: state.restsUntil > now}]};
+}
+
 /**
  * A response that lacks the rate limit ends it. Responses on different connections overtake each other, so one to a request that
  * was sent before the limit was last heard says nothing. What this instance hears itself it tells the others if it is new to it, or
--- a/src/policy/statements/statement.ts
+++ b/src/policy/statements/statement.ts
@@ -4,8 +4,11 @@
 /** It shuts down and takes no new requests; final for its incarnation. */
 export type LeavingStatement = {readonly type: 'leaving'};
 
+/** It refuses a request of this instance and wants no other one from it for this time. */
+export type RestStatement = {readonly type: 'rest'; readonly milliseconds: number};
+
 /** What an endpoint states about itself in a response. */
-export type EndpointStatement = RateLimitStatement | LeavingStatement;
+export type EndpointStatement = RateLimitStatement | LeavingStatement | RestStatement;
 
 /** What one response says about the endpoint that sent it. */
 export type ResponseStatements = {
--- a/test/gateway/statement-registry.test.ts
+++ b/test/gateway/statement-registry.test.ts
@@ -72,7 +72,7 @@
 	t.equal(test.status(1000), EndpointStatus.gone);
 	test.register();
 	t.equal(test.status(1000), EndpointStatus.gone);
-	t.equal(test.registry.countOf('leaving'), 1);
+	t.equal(test.registry.countOf('leaving', 1000), 1);
 });
 
 tap.test('a malformed statement is logged once for each endpoint', async t => {
@@ -90,9 +90,9 @@
 	const record = test.register();
 	test.hear(record, limit, 10);
 	test.registry.recordResponse(record, {...noStatements, sentAt: 20, isComplete: true}, 30);
-	t.equal(test.registry.hasStatement('e'), false);
+	t.equal(test.registry.hasStatement('e', 40), false);
 	t.match(test.news, [{rateLimit: limit}, {rateLimit: undefined}]);
 	test.registry.prune(60_000);
 	test.registry.recordNews({endpoint: 'unknown', bornAt: undefined, rateLimit: limit, heardAt: 60_000}, 60_001);
-	t.equal(test.registry.countOf('rate-limit'), 0);
+	t.equal(test.registry.countOf('rate-limit', 60_001), 0);
 });
--- a/test/policy/statements.test.ts
+++ b/test/policy/statements.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {simulate} from '../../bench/rate-limit/simulation.js';
 import {
-	admissionOf, type EndpointStatements, initialStatements, shareOf, type StatementsContext, type StatementsEvent, stepStatements, type StatementsAction, statementsInForce,
+	admissionOf, type EndpointStatements, initialStatements, longestRestMilliseconds, shareOf, type StatementsContext, type StatementsEvent, stepStatements, type StatementsAction, statementsInForce,
 } from '../../src/policy/statements/index.js';
 
 const fleet = {endpoint: 'e', instance: 'a', instances: ['a', 'b']};
@@ -113,5 +113,17 @@
 	const leaving: StatementsEvent = {type: 'response', statements: [{type: 'leaving'}], malformed: [], sentAt: 0, isComplete: true};
 	const {state, actions} = play([[10, leaving], [20, response(undefined, {sentAt: 15})], [30, leaving]]);
 	t.same(actions, [{type: 'leaving'}]);
-	t.same(statementsInForce(state), ['leaving']);
+	t.same(statementsInForce(state, 40), ['leaving']);
+});
+
+// Guards against a good response, or a shorter rest, that ends a rest before its time.
+tap.test('a rest lasts to its end', async t => {
+	const rest = (milliseconds: number): StatementsEvent => ({type: 'response', statements: [{type: 'rest', milliseconds}], malformed: [], sentAt: 0, isComplete: true});
+	const {state, actions} = play([[10, rest(3000)], [20, response(undefined, {sentAt: 15})], [30, rest(500)], [40, rest(3000)]]);
+	t.same(admissionOf(state, 3039), {type: 'held', by: 'rest', until: 3040});
+	t.equal(admissionOf(state, 3040).type, 'open');
+	t.same(actions.map(action => action.type === 'resting' && [action.milliseconds, action.isLonger]), [[3000, false], [3000, true]]);
+	t.equal(admissionOf(play([[0, rest(1e9)]]).state, longestRestMilliseconds).type, 'open', 'a mistaken value');
+	t.same(admissionOf(play([[5, response(2, {sentAt: 0})], [10, rest(3000)]]).state, 20), {type: 'held', by: 'rest', until: 3010}, 'the later of two');
+	t.match(admissionOf(play([[5, response(0.1, {sentAt: 0})], [10, rest(3000)]]).state, 20), {type: 'held', by: 'rate-limit'});
 });
