What an endpoint states in the answer to a call of the gateway's own counts too

Change: the answer is a listed or a refused one, each with its statements; the reader asks the registry before the call and tells it what the answer states. The answer names no request, so that it withdraws nothing. Test: prompt-cache.test.ts, the new case fails on the code before (timed out waiting for the log line), passes now; 152 assertions of it and the adapter pass. The gateway makes no liveness checks of endpoints.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
-import {RoutingState, ConnectionPools, DecisionLog, Dispatcher, encodeRateLimitNews, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
+import {type CachedPartsResponse, RoutingState, ConnectionPools, DecisionLog, Dispatcher, encodeRateLimitNews, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
-import {type PromptPart, type RetryAllowance} from '../policy/dispatch/index.js';
+import {type RetryAllowance} from '../policy/dispatch/index.js';
 import {type ServiceSample} from '../policy/scaling/index.js';
 import {recentPollMilliseconds} from '../policy/sharing/index.js';
 import {AdminServer, forPart, type Logger, Metrics, type PartLogger} from '../telemetry/index.js';
@@ -18,7 +18,7 @@
 	/** The receiver of what the holder of the duties reports and orders. */
 	openDutyReceiver(address: string): DutyReceiver;
 	/** Asks a model engine which prompt parts it has cached. */
-	readCachedParts(address: string): Promise<readonly PromptPart[]>;
+	readCachedParts(address: string): Promise<CachedPartsResponse>;
 };
 
 export type GatewayStore = AsyncDisposable & StoreFeeds & {
@@ -87,6 +87,7 @@
 			instance: settings.instance, routingState, logger: forPart(logger, 'Kept'),
 			instances: () => peers.instanceNames,
 			read: async address => adapter.readCachedParts(address),
+			statements: dispatcher.statements,
 			onRead(list) {
 				dispatcher.applyLoad({type: 'kept', ...list});
 				peers.broadcastPromptCache(list);
--- a/src/gateway/prompt-cache-reader.ts
+++ b/src/gateway/prompt-cache-reader.ts
@@ -1,17 +1,27 @@
 import {type PromptPart, tokensOf} from '../policy/dispatch/index.js';
 import {rankByRendezvous} from '../policy/hashing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
+import {type EndpointRecord} from '../routing/index.js';
+import {type ResponseStatements} from '../policy/statements/index.js';
 import {type RoutingState} from './routing-state.js';
+import {type StatementRegistry} from './statement-registry.js';
 
 /** The prompt parts that an endpoint reports as cached. */
 export type CachedPromptParts = {readonly endpoint: string; readonly parts: readonly PromptPart[]};
 
+/** An engine's answer to the question for its list; `stated` is what it states about itself. */
+export type CachedPartsResponse
+	= | {readonly type: 'listed'; readonly parts: readonly PromptPart[]; readonly stated: ResponseStatements}
+		| {readonly type: 'refused'; readonly status: number; readonly stated: ResponseStatements};
+
 export type PromptCacheReaderOptions = {
 	readonly instance: string;
 	readonly routingState: RoutingState;
 	/** Names of the known instances, with or without this one. */
 	readonly instances: () => readonly string[];
-	readonly read: (address: string) => Promise<readonly PromptPart[]>;
+	readonly read: (address: string) => Promise<CachedPartsResponse>;
+	/** Asked before a call to an endpoint, and told what the endpoint states in its answer. */
+	readonly statements: StatementRegistry;
 	/** Called with a list that this instance has read itself. */
 	readonly onRead: (cached: CachedPromptParts) => void;
 	readonly logger: PartLogger;
@@ -82,33 +92,48 @@
 			const listsCache = table?.service(record.service)?.engine?.listsKept === true;
 			if (listsCache && endedAt === undefined && !this.#timers.has(record.id)) {
 				this.#timers.set(record.id, setTimeout(() => {
-					this.#scheduleTurn(record.id, record.address);
+					this.#scheduleTurn(record);
 				}, firstDelayMilliseconds));
 			}
 		}
 	}
 
-	#scheduleTurn(endpoint: string, address: string): void {
+	#scheduleTurn(record: EndpointRecord): void {
 		const {instance, instances} = this.#options;
-		const turn = rankByRendezvous(endpoint, new Set([instance, ...instances()])).indexOf(instance);
+		const turn = rankByRendezvous(record.id, new Set([instance, ...instances()])).indexOf(instance);
 		if (turn >= maxTurns) {
 			return;
 		}
 
-		this.#timers.set(endpoint, setTimeout(() => {
-			void this.#read(endpoint, address);
+		this.#timers.set(record.id, setTimeout(() => {
+			void this.#read(record);
 		}, turn * turnMilliseconds));
 	}
 
-	async #read(endpoint: string, address: string): Promise<void> {
-		const {read, onRead, logger} = this.#options;
+	async #read(record: EndpointRecord): Promise<void> {
+		const {read, onRead, statements, logger} = this.#options;
+		const {id: endpoint} = record;
+		const requestedAt = performance.now();
 		if (this.#alreadyRead.has(endpoint)) {
 			return;
 		}
 
-		const requestedAt = performance.now();
+		if (statements.admission(endpoint, requestedAt).type === 'held') {
+			logger.info('Cached prompt parts not read, the endpoint takes no requests now.', {endpoint});
+			return;
+		}
+
 		try {
-			const parts = await read(address);
+			statements.recordSent(record, requestedAt);
+			const response = await read(record.address);
+			// The answer names no request, so that a statement that it lacks is not withdrawn.
+			statements.recordResponse(record, {...response.stated, sentAt: requestedAt, isComplete: false}, performance.now());
+			if (response.type === 'refused') {
+				logger.warn('Could not read cached prompt parts.', {endpoint, reason: `status ${response.status}`});
+				return;
+			}
+
+			const {parts} = response;
 			this.#alreadyRead.add(endpoint);
 			logger.info('Cached prompt parts read.', {
 				endpoint, parts: parts.length, tokens: tokensOf(parts), milliseconds: Math.round(performance.now() - requestedAt),
--- a/test/adapter/adapter.test.ts
+++ b/test/adapter/adapter.test.ts
@@ -307,7 +307,8 @@
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-	const parts = await readCachedParts(address);
+	const listed = await readCachedParts(address);
+	const parts = listed.type === 'listed' ? listed.parts : undefined;
 	const read = requestCodec.readRequest({'request-id': 'r', 'prefix-hash': '5c1e07a2:800,91bd3f06:410'});
 	t.same(read.type === 'facts' && read.facts.parts, parts, 'the same ids as in the headers of a request');
 	for (const wrong of ['{', '{"held": 5}', '{"held": [["", 5]]}', '[]']) {
--- a/test/gateway/prompt-cache.test.ts
+++ b/test/gateway/prompt-cache.test.ts
@@ -75,3 +75,21 @@
 		t.ok([holder!.address, other!.address].includes(String(headers['kv-fetch'])));
 	}
 });
+
+// Guards against statements in the answer to a call of the gateway's own, which reached no decision.
+tap.test('what an engine states when it is asked for its list counts like any other response', async t => {
+	for (const kept of [undefined, [] as const]) {
+		await using testbed = await createTestbed();
+		const [leaving, other] = testbed.ofService('models');
+		leaving!.kept = kept;
+		leaving!.statements = {'Server-Leaving': '1'};
+		other!.kept = [];
+		await testbed.startGateway();
+		await eventually(() => logLinesOf(testbed, 'Endpoint states that it leaves.').length === 1);
+		for (let number = 0; number < 6; number++) {
+			t.equal(await testbed.statusOf({path: '/chart/1', method: 'POST', body: 'draw', headers: promptHeaders}), 200);
+		}
+
+		t.equal(leaving!.requests.length, 0);
+	}
+});
