--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -77,7 +77,7 @@
 
 		const id = String(request.headers['request-id']);
 		if (request.headers['target-instance'] !== this.id) {
-			response.writeHead(421, {'Instance-Id': this.id}).end();
+			response.writeHead(421, {'Instance-Id': this.id, ...this.statements}).end();
 			return;
 		}
 
--- a/src/gateway/decision-log.ts
+++ b/src/gateway/decision-log.ts
@@ -27,6 +27,8 @@
 /** Limit of log lines in each second, also in a burst: at 300 bytes a line, at most 120 kB a second are written. */
 const maxLinesPerSecond = 400;
 const summaryMilliseconds = 1000;
+/** Limit for the endpoints held by their own statements that one line names. */
+const maxLoggedHeld = 8;
 
 /**
  * Logs one line for each decision about a request. Above a rate, lines are counted instead of written, and one line a second
@@ -64,11 +66,14 @@
 	}
 
 	/** Logs that placement refused the request. */
-	logRefusal({facts, route, table, service, workspace}: ExchangeOptions, decision: Extract<Decision, {type: 'refused'}>, waitedMilliseconds: number): void {
+	logRefusal(options: ExchangeOptions, decision: Extract<Decision, {type: 'refused'}>, waitedMilliseconds: number): void {
+		const {facts, route, table, service, workspace, dispatcher} = options;
 		const {reason, candidates, ahead, waiting, foreseen} = decision;
+		const held = dispatcher.statements.held(service, performance.now());
 		this.#decisions.add(1, {decision: reason});
 		this.#write('Refused.', {
 			request: facts.id, route: route.name, version: table.version, rank: table.rank(route, service, workspace), reason, candidates, ahead, waiting,
+			...(held.length > 0 && {heldCount: held.length, held: held.slice(0, maxLoggedHeld)}),
 			endpointWait: rounded(foreseen?.endpoint), lineWait: rounded(foreseen?.line), left: rounded(foreseen?.left),
 			retryAfter: Math.round(decision.retryAfterMilliseconds), waited: Math.round(waitedMilliseconds),
 		});
--- a/src/gateway/statement-registry.ts
+++ b/src/gateway/statement-registry.ts
@@ -20,6 +20,9 @@
 /** A response of an endpoint as far as its statements go. */
 export type StatingResponse = ResponseStatements & {readonly sentAt: number; readonly isComplete: boolean};
 
+/** An endpoint that may not be sent to for this time, and the statement that says so. */
+export type HeldByStatement = {readonly endpoint: string; readonly by: EndpointStatement['type']; readonly milliseconds: number};
+
 /** An endpoint that has stated nothing is forgotten after this time; until then older news of another instance is recognized as old. */
 const silentMilliseconds = 10_000;
 
@@ -58,6 +61,14 @@
 		return entry === undefined ? {type: 'open'} : admissionOf(entry.state, now);
 	}
 
+	/** Endpoints of a service that may not be sent to now, for the log. */
+	held(service: string, now: number): readonly HeldByStatement[] {
+		return [...this.#entries.values()].filter(({record}) => record.service === service).flatMap(({record, state}) => {
+			const admission = admissionOf(state, now);
+			return admission.type === 'open' ? [] : [{endpoint: record.id, by: admission.by, milliseconds: Math.round(admission.until - now)}];
+		});
+	}
+
 	/** True if the endpoint has stated something that is in force. */
 	hasStatement(id: string, now: number): boolean {
 		const entry = this.#entries.get(id);
