--- a/bench/gateway-soak/run-seed.ts
+++ b/bench/gateway-soak/run-seed.ts
@@ -1,41 +1,16 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
-import {type FakePath} from '../../fakes/network-path.js';
 import {type FakePlatformWorker} from '../../fakes/platform-worker.js';
 import {createRandom, type Random} from '../harness/random.js';
 import {sendRequest, type ExchangeRecord, kinds} from './caller.js';
 import {dutyViolations, violations} from './checker.js';
 import {dutySettings, GatewayChild} from './child.js';
 import {revokedKey, SoakPlatform, validKey} from './soak-platform.js';
+import {FaultInjector} from './faults.js';
+import {statementViolations} from './statement-checker.js';
 
 export type SeedResult = {readonly seed: number; readonly requests: number; readonly served: number; readonly faults: readonly string[]; readonly violations: readonly string[]; readonly lines: string};
 
-const faultKinds = [
-	'gateway-kill',
-	'gateway-freeze',
-	'gateway-term',
-	'gateway-reload',
-	'store-silent',
-	'store-refuses',
-	'store-cut',
-	'store-forgets',
-	'store-loses-answers',
-	'store-copy',
-	'worker-cut',
-	'worker-silent',
-	'worker-resets',
-	'worker-full',
-	'worker-cuts-streams',
-	'worker-leaves',
-	'key-revoked',
-	'receiver-silent',
-	'receiver-late',
-	'holder-kill',
-	'holder-freeze',
-	'table-published',
-] as const;
-type FaultKind = (typeof faultKinds)[number];
-
 const trafficMilliseconds = 4500;
 const requestPauseMilliseconds = 14;
 const gatewayCount = 2;
@@ -71,13 +46,14 @@
 	readonly #folder = mkdtempSync(`${tmpdir()}/cassiaflow-soak-`);
 	readonly #gateways: GatewayChild[] = [];
 	readonly #records: Array<Promise<ExchangeRecord>> = [];
-	readonly #injected: string[] = [];
+	readonly #faults: FaultInjector;
 	readonly #faultsDone: Array<Promise<void>> = [];
 
 	private constructor(seed: number, random: Random, platform: SoakPlatform) {
 		this.#seed = seed;
 		this.#random = random;
 		this.#platform = platform;
+		this.#faults = FaultInjector.create({random, platform, gateways: this.#gateways});
 	}
 
 	async run(): Promise<SeedResult> {
@@ -91,7 +67,7 @@
 		const count = faultCount.low + Math.floor(this.#random.uniform() * (faultCount.high - faultCount.low + 1));
 		const faultsAt = Array.from({length: count}, () => this.#random.uniform() * trafficMilliseconds * 0.8);
 		for (const at of faultsAt) {
-			this.#faultsDone.push(sleep(at).then(async () => this.#inject()));
+			this.#faultsDone.push(sleep(at).then(async () => this.#faults.inject()));
 		}
 
 		await this.#sendTraffic();
@@ -99,14 +75,14 @@
 		found.push(...await this.#checkRecovery());
 		const records = await Promise.all(this.#records);
 		const workers = this.#platform.workers.map(({worker}) => worker);
-		found.push(...violations(records, workers), ...await this.#checkDuties(workers));
+		found.push(...violations(records, workers), ...statementViolations({workers, gatewayOf: ({id}) => this.#gatewayOf(id), disturbances: this.#faults.disturbances}), ...await this.#checkDuties(workers));
 		for (const gateway of this.#gateways.filter(({unexpectedExits}) => unexpectedExits.length > 0)) {
 			found.push(`${gateway.options.instance} ended by itself (${gateway.unexpectedExits.join(', ')})`);
 		}
 
 		return {
 			seed: this.#seed, requests: records.length, served: records.filter(({status, isWhole}) => status === 200 && isWhole).length,
-			faults: this.#injected, violations: found, lines: this.#gateways.map(({lines}) => lines).join(''),
+			faults: this.#faults.injected, violations: found, lines: this.#gateways.map(({lines}) => lines).join(''),
 		};
 	}
 
@@ -126,6 +102,12 @@
 		}
 	}
 
+	/** Number of the gateway that a request was sent to, by its id. */
+	#gatewayOf(id: string): number {
+		const afterFaults = this.#gateways.findIndex(({options}) => id.includes(options.instance));
+		return afterFaults === -1 ? Number(id.split('-')[1]) % this.#gateways.length : afterFaults;
+	}
+
 	/** Checks that after all faults every gateway serves again with the newest routing table and rejects the revoked key. */
 	async #checkRecovery(): Promise<string[]> {
 		const found: string[] = [];
@@ -160,130 +142,6 @@
 		const found = dutyViolations(this.#platform.receiver.calls, workers, dutySettings.leaseMilliseconds);
 		return this.#platform.receiver.calls.length === before ? [...found, 'usage is not reported any more'] : found;
 	}
-
-	/** The gateway whose report the receiver took last. */
-	#holder(): GatewayChild {
-		const name = this.#platform.receiver.calls.at(-1)?.holder;
-		return this.#gateways.find(({options}) => options.instance === name) ?? this.#gateways[0]!;
-	}
-
-	async #inject(): Promise<void> {
-		const kind = faultKinds[Math.floor(this.#random.uniform() * faultKinds.length)]!;
-		const milliseconds = 200 + (this.#random.uniform() * 1500);
-		const gateway = this.#gateways[Math.floor(this.#random.uniform() * this.#gateways.length)]!;
-		const {worker, path} = this.#platform.workers[Math.floor(this.#random.uniform() * this.#platform.workers.length)]!;
-		this.#injected.push(`${kind} ${Math.round(milliseconds)} ms`);
-		await this.#apply(kind, {milliseconds, gateway, worker, path});
-	}
-
-	async #apply(kind: FaultKind, {milliseconds, gateway, worker, path}: {milliseconds: number; gateway: GatewayChild; worker: FakePlatformWorker; path: FakePath}): Promise<void> {
-		switch (kind) {
-			case 'gateway-kill': {
-				return gateway.kill();
-			}
-
-			case 'gateway-term': {
-				return gateway.restart();
-			}
-
-			case 'gateway-reload': {
-				gateway.reload();
-				return;
-			}
-
-			case 'gateway-freeze': {
-				gateway.freeze();
-				await sleep(milliseconds);
-				gateway.wake();
-				return;
-			}
-
-			case 'store-silent':
-			case 'store-refuses': {
-				const {faults} = gateway.storePath;
-				faults[kind === 'store-silent' ? 'silent' : 'refusing'] = true;
-				gateway.storePath.cut();
-				await sleep(milliseconds);
-				gateway.storePath.heal();
-				return;
-			}
-
-			case 'store-cut': {
-				gateway.storePath.cut();
-				return;
-			}
-
-			case 'store-forgets': {
-				this.#platform.store.forget('keyed.op');
-				this.#platform.store.forget('keyed.servers');
-				return;
-			}
-
-			case 'store-loses-answers': {
-				this.#platform.store.fault = () => this.#random.uniform() < 0.3 ? 'lose-answer' : undefined;
-				await sleep(milliseconds);
-				this.#platform.store.fault = () => undefined;
-				return;
-			}
-
-			case 'store-copy': {
-				return this.#platform.restoreStore(milliseconds);
-			}
-
-			case 'worker-cut': {
-				path.cut();
-				return;
-			}
-
-			case 'worker-silent': {
-				path.faults.silent = true;
-				await sleep(milliseconds);
-				path.heal();
-				return;
-			}
-
-			case 'worker-resets':
-			case 'worker-full':
-			case 'worker-cuts-streams': {
-				this.#platform.answerMode = kind === 'worker-resets' ? 'reset' : (kind === 'worker-full' ? 'not-run' : 'cut');
-				await sleep(milliseconds);
-				this.#platform.answerMode = 'whole';
-				return;
-			}
-
-			case 'worker-leaves': {
-				this.#platform.drainWorker(worker.id);
-				await this.#platform.addWorker(`${worker.id}-next`, worker.service);
-				return;
-			}
-
-			case 'receiver-silent':
-			case 'receiver-late': {
-				this.#platform.receiver.fault = () => kind === 'receiver-silent' ? 'silent' : 'execute-late';
-				await sleep(milliseconds);
-				this.#platform.receiver.fault = () => undefined;
-				return;
-			}
-
-			case 'holder-kill': {
-				return this.#holder().kill();
-			}
-
-			case 'holder-freeze': {
-				const holder = this.#holder();
-				holder.freeze();
-				await sleep(milliseconds);
-				holder.wake();
-				return;
-			}
-
-			case 'key-revoked':
-			case 'table-published': {
-				this.#platform.isRevoked ||= kind === 'key-revoked';
-				this.#platform.publish();
-			}
-		}
-	}
 }
 
 async function sleep(milliseconds: number): Promise<void> {
--- a/bench/gateway-soak/soak-platform.ts
+++ b/bench/gateway-soak/soak-platform.ts
@@ -45,13 +45,18 @@
 
 	async addWorker(id: string, service: string): Promise<void> {
 		const worker = await FakePlatformWorker.create(id, service);
-		worker.answer = request => this.#answer(request);
+		worker.answer = request => worker.statements['Retry-After'] === undefined ? this.#answer(request) : {type: 'not-run'};
 		const path = await FakePath.create(worker.address);
 		const added = {worker, path, revision: 0, isDraining: false};
 		this.workers.push(added);
 		this.#register(added);
 	}
 
+	/** Lets a worker state something about itself in all its responses; one that asks for rest refuses all requests meanwhile. */
+	state(worker: FakePlatformWorker, statements: Readonly<Record<string, string>>): void {
+		worker.statements = statements;
+	}
+
 	drainWorker(id: string): void {
 		const drained = this.workers.find(({worker}) => worker.id === id)!;
 		drained.isDraining = true;
--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -12,7 +12,7 @@
 		| {readonly type: 'reset'};
 
 /** A request as a worker received it. */
-export type WorkerRequest = {readonly id: string; readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string; readonly at: number; wasRun: boolean};
+export type WorkerRequest = {readonly id: string; readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string; readonly at: number; readonly statements: Readonly<Record<string, string>>; wasRun: boolean};
 
 /** Chooses the response to a request. */
 export type ChooseAnswer = (request: WorkerRequest) => WorkerAnswer;
@@ -81,7 +81,7 @@
 			return;
 		}
 
-		const received = {id, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, at: performance.now(), wasRun: false};
+		const received = {id, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, at: performance.now(), statements: this.statements, wasRun: false};
 		this.requests.push(received);
 		response.once('close', () => {
 			if (!response.writableFinished) {
--- a/test/gateway/statement-answers.test.ts
+++ b/test/gateway/statement-answers.test.ts
@@ -18,12 +18,12 @@
 
 /** Lets the workers answer so; where an answer follows another one, only the second one states that the endpoint leaves. */
 function stateInAnswers(testbed: Testbed, {name, service, choose}: Answer): void {
-	let count = 0;
+	const received = {count: 0};
 	for (const worker of testbed.ofService(service)) {
 		worker.answer = request => {
-			count += 1;
-			worker.statements = count === 1 && /second|resumed/v.test(name) ? {} : {'Server-Leaving': '1'};
-			return choose(request, count);
+			received.count += 1;
+			worker.statements = received.count === 1 && /second|resumed/v.test(name) ? {} : {'Server-Leaving': '1'};
+			return choose(request, received.count);
 		};
 	}
 }
--- a/test/soak/gateway-checker.test.ts
+++ b/test/soak/gateway-checker.test.ts
@@ -7,10 +7,10 @@
 	const worker = await FakePlatformWorker.create('w', 's');
 	const whole: ExchangeRecord = {id: 'a', kind: 'release', status: 200, body: 'answer to a', isWhole: true, ...record};
 	for (let number = 0; number < runs; number++) {
-		worker.requests.push({id: 'a', method: 'POST', path: '/', headers: {}, body: '', at: 0, wasRun: true});
+		worker.requests.push({id: 'a', method: 'POST', path: '/', headers: {}, body: '', at: 0, statements: {}, wasRun: true});
 	}
 
-	worker.requests.push({id: 'a', method: 'POST', path: '/', headers: {}, body: '', at: 0, wasRun: false});
+	worker.requests.push({id: 'a', method: 'POST', path: '/', headers: {}, body: '', at: 0, statements: {}, wasRun: false});
 	const found = violations([whole], [worker]);
 	await worker[Symbol.asyncDispose]();
 	return found;
