--- a/src/policy/statements/rate-limit.ts
+++ b/src/policy/statements/rate-limit.ts
@@ -33,15 +33,13 @@
 export type RateLimitFleet = {readonly endpoint: string; readonly instance: string; readonly instances: readonly string[]};
 
 const millisecondsPerSecond = 1000;
-/**
- * Largest number of instances that share a limit, as a multiple of its requests in a second. In any span each may send one request
- * more than its share, so that in four seconds they send at most one and a half times the limit.
- */
-const sharersPerRequest = 2;
-/** The same where further instances send trials. */
-const sharersPerRequestBesideTrials = 1;
+/** The span in which the requests of all sharers together must stay within `allowedFactor` times the limit, with a margin for delays on the way. */
+const spanSeconds = 4.5;
+const allowedFactor = 1.5 * 4 / spanSeconds;
 /** Part of the limit that all trials together use. */
-const trialPart = 1 / 8;
+const trialPart = 1 / 16;
+/** Part of the limit that is left free for them: they come at random times, now and then several in one span. */
+const reservedForTrials = 1 / 4;
 /** A trial that is not sent within this time after its turn is left out: otherwise, those of a quiet time would be sent together after it. */
 const trialTurnMilliseconds = 1000;
 /** A lower limit counts as this one, in requests a second, so that its end is noticed. */
@@ -51,16 +49,29 @@
 export function shareOf(requestsPerSecond: number, {endpoint, instance, instances}: RateLimitFleet): RateShare {
 	const rate = Math.max(lowestRate, requestsPerSecond);
 	const names = new Set([instance, ...instances]);
-	if (names.size <= Math.max(1, rate * sharersPerRequest)) {
+	const sharers = countSharers(rate, names.size, 0);
+	if (sharers === names.size) {
 		return {type: 'share', requestsPerSecond: rate / names.size};
 	}
 
-	const sharers = Math.max(1, Math.floor(rate * sharersPerRequestBesideTrials));
-	return rankByRendezvous(endpoint, names).indexOf(instance) < sharers
-		? {type: 'share', requestsPerSecond: rate / sharers}
+	const sharersBesideTrials = countSharers(rate, names.size, reservedForTrials);
+	return rankByRendezvous(endpoint, names).indexOf(instance) < sharersBesideTrials
+		? {type: 'share', requestsPerSecond: rate / sharersBesideTrials}
 		: {type: 'trial', periodMilliseconds: names.size / (rate * trialPart) * millisecondsPerSecond};
 }
 
+/** The largest number of instances that may share a limit; a bucket of one request lets each exceed its share by less than one in any span. */
+function countSharers(rate: number, instances: number, reservedPart: number): number {
+	const allowed = rate * spanSeconds * (allowedFactor - reservedPart);
+	for (let sharers = Math.min(instances, Math.floor(allowed)); sharers > 1; sharers--) {
+		if (sharers * (Math.floor(rate * spanSeconds / sharers) + 1) <= allowed) {
+			return sharers;
+		}
+	}
+
+	return 1;
+}
+
 /** The use of a share that begins now with nothing to spend; `draw` is uniform from 0 to 1. */
 export function createShareUse(share: RateShare, draw: number, now: number): ShareUse {
 	return {share, level: 0, updatedAt: now, trialsFrom: now + (share.type === 'trial' ? draw * share.periodMilliseconds : 0), lastTrialAt: -Infinity};
--- a/test/policy/statements.test.ts
+++ b/test/policy/statements.test.ts
@@ -45,7 +45,7 @@
 		const shares = names.map(instance => shareOf(rate, {endpoint: 'e', instance, instances: names}));
 		const sum = shares.reduce((total, share) => total + (share.type === 'share' ? share.requestsPerSecond : 0), 0);
 		const trials = shares.reduce((total, share) => total + (share.type === 'trial' ? 1000 / share.periodMilliseconds : 0), 0);
-		return Math.abs(sum - rate) < 1e-9 * rate && trials <= rate / 8;
+		return Math.abs(sum - rate) < 1e-9 * rate && trials <= rate / 16;
 	}), {seed: 3, numRuns: 300});
 	t.pass();
 });
@@ -58,9 +58,9 @@
 	const {state} = stepStatements(initialStatements, response(1, {sentAt: 0}), context(0));
 	t.equal(admissionOf(state, 0).type, 'open', 'its first turn');
 	const after = stepStatements(state, {type: 'sent'}, context(10)).state;
-	t.same(admissionOf(after, 20), {type: 'held', by: 'rate-limit', until: 160_000});
-	t.equal(admissionOf(after, 160_100).type, 'open');
-	t.equal(admissionOf(after, 162_000).type, 'held', 'a turn that was not used is over');
+	t.same(admissionOf(after, 20), {type: 'held', by: 'rate-limit', until: 320_000});
+	t.equal(admissionOf(after, 320_100).type, 'open');
+	t.equal(admissionOf(after, 322_000).type, 'held', 'a turn that was not used is over');
 });
 
 // Guards against a response of a request that was sent before the statement: on another connection it arrives later.
