--- a/test/gateway/request-kinds.ts
+++ b/test/gateway/request-kinds.ts
@@ -15,8 +15,8 @@
 export const workspaceUrgencies = [...Array.from({length: 19}, () => 1), 0];
 
 /** Four instances and six engines that together prefill 342 tokens per millisecond. */
-export function createFleet(time: VirtualTime, seed: number): VirtualFleet {
-	return VirtualFleet.create({time, kinds: [ticket, confirmation, draft], instances: 4, engines: 6, slots: 64, tokensPerMillisecond: 57, workspaceUrgencies, seed});
+export function createFleet(time: VirtualTime, seed: number, rateLimits?: ReadonlyMap<number, number>): VirtualFleet {
+	return VirtualFleet.create({time, kinds: [ticket, confirmation, draft], instances: 4, engines: 6, slots: 64, tokensPerMillisecond: 57, workspaceUrgencies, seed, ...(rateLimits !== undefined && {rateLimits})});
 }
 
 export type BurstOptions = {
--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -32,6 +32,8 @@
 	/** Urgencies of the workspaces. Requests are assigned to workspaces in turn. */
 	readonly workspaceUrgencies: ReadonlyArray<number | undefined>;
 	readonly seed: number;
+	/** Requests a second that some of the engines state that they take, by the engine's number. */
+	readonly rateLimits?: ReadonlyMap<number, number>;
 	/** Processor time of an instance; if absent, nothing takes processor time. */
 	readonly costs?: ProcessorCosts;
 };
@@ -271,6 +273,7 @@
 			prefillTokens, urgency, responseMilliseconds,
 			onFirstEvent: () => {
 				request.firstEventAt = time.now;
+				this.#hearStatements(dispatcher, record, request.placedAt ?? 0);
 				this.#runOnProcessor(request.instance, this.#costs.event, () => {
 					dispatcher.recordFirstEvent(runId);
 				});
@@ -291,6 +294,14 @@
 		}
 	}
 
+	#hearStatements(dispatcher: Dispatcher, record: EndpointRecord, sentAt: number): void {
+		const {rateLimits, time} = this.#options;
+		const requestsPerSecond = rateLimits?.get(Number(record.id.split('-')[1]));
+		dispatcher.statements.recordResponse(record, {
+			statements: requestsPerSecond === undefined ? [] : [{type: 'rate-limit', requestsPerSecond}], malformed: [], sentAt, isComplete: true,
+		}, time.now);
+	}
+
 	#forwardEvents(instance: number, events: number, gapMilliseconds: number): void {
 		if (events <= 0 || this.#costs.event === 0) {
 			return;
