Callers are told how long endpoints rest, also where these are suspended besides

What callers saw: where every endpoint of a service rests and has been suspended for its refusals, a refusal said 0.75 s with the reason no-endpoint; the endpoints had asked for 3 s. Cause: only healthy endpoints counted as held back. Change: any ready endpoint counts; suspended ones still stand in where no healthy one is held. Test: the third of backoff.test.ts fails before (0.75 s), passes; 22 assertions of it and of the dispatcher pass.

--- a/src/gateway/endpoint-pool.ts
+++ b/src/gateway/endpoint-pool.ts
@@ -11,7 +11,7 @@
 /** An endpoint of a service with what placement needs of it. */
 export type PlacementEndpoint = {readonly candidate: Candidate; readonly entry: EndpointEntry; readonly record: EndpointRecord};
 
-/** A healthy endpoint that may not be sent to before a time, because it has said so. */
+/** An endpoint that may not be sent to before a time, because it has said so. */
 export type HeldEndpoint = {readonly endpoint: PlacementEndpoint; readonly until: number};
 
 /** Endpoints that a request may be sent to now, and of those that are held back the one that is free first. */
@@ -47,11 +47,12 @@
 	 * Ready and healthy endpoints; if there are none, those due for a trial, then suspended ones. Endpoints that are draining or
 	 * removed are used only if the service has no ready endpoint at all, not even one that this request has already been sent to.
 	 * They are included because an instance receives the announcement that an endpoint is draining late. An endpoint that has stated
-	 * that it wants no request now is not among them; suspended ones do not take its place.
+	 * that it wants no request now is not among them; suspended ones do not take the place of a healthy one.
 	 */
 	available(request: PlacementRequest, now: number): AvailableEndpoints {
 		const lists = {open: [] as PlacementEndpoint[], stating: [] as PlacementEndpoint[], trial: [] as PlacementEndpoint[], suspended: [] as PlacementEndpoint[], ending: [] as PlacementEndpoint[]};
 		let hasReady = false;
+		let isOpenHeld = false;
 		let held: HeldEndpoint | undefined;
 		for (const endpoint of this.#endpointsOf(request.demand.service)) {
 			const {id} = endpoint.record;
@@ -65,14 +66,15 @@
 			const admission = this.#options.statements.admission(id, now);
 			if (admission.type === 'open') {
 				lists[kind === 'open' && this.#options.statements.hasStatement(id, now) ? 'stating' : kind].push(endpoint);
-			} else if (kind === 'open' && admission.until < (held?.until ?? Infinity)) {
-				held = {endpoint, until: admission.until};
+			} else if (kind !== 'ending') {
+				isOpenHeld ||= kind === 'open';
+				held = admission.until < (held?.until ?? Infinity) ? {endpoint, until: admission.until} : held;
 			}
 		}
 
 		// Those with a statement come last: the order decides which engines latency-critical streams share, and must not change with each request.
 		const open = [...lists.open, ...lists.stating];
-		const usable = [open, lists.trial, held === undefined ? lists.suspended : [], hasReady ? [] : lists.ending].find(list => list.length > 0) ?? [];
+		const usable = [open, lists.trial, isOpenHeld ? [] : lists.suspended, hasReady ? [] : lists.ending].find(list => list.length > 0) ?? [];
 		return {trial: request.isIdempotent ? lists.trial[0] : undefined, usable, held};
 	}
 
--- a/test/gateway/backoff.test.ts
+++ b/test/gateway/backoff.test.ts
@@ -1,6 +1,6 @@
 import tap from 'tap';
 import {type FakePlatformWorker} from '../../fakes/platform-worker.js';
-import {Testbed} from './testbed.js';
+import {eventually, Testbed} from './testbed.js';
 
 const restSeconds = 3;
 /** A request may be on its way while the response that asks for rest is received. */
@@ -67,3 +67,23 @@
 	t.ok(Number(response.headers['retry-after']) >= 1.5, String(response.headers['retry-after']));
 	t.equal(testbed.ofService('orders').flatMap(({requests}) => requests).length, before, 'nothing is sent');
 });
+
+// The same for endpoints that have refused so many requests that they are suspended besides: callers were told 0.7 s.
+tap.test('endpoints that rest and are suspended are waited for as long as they rest', async t => {
+	await using testbed = await Testbed.create({services: ['orders']});
+	const gateway = await testbed.startGateway();
+	testbed.respondWith('orders', () => ({type: 'not-run'}));
+	await sendFor(testbed, 600, '/lookup/1');
+	await eventually(() => testbed.logLines.filter(({msg}) => String(msg).includes('Endpoint suspended.')).length >= 2);
+	for (const worker of testbed.ofService('orders')) {
+		worker.statements = {'Retry-After': String(restSeconds)};
+	}
+
+	await eventually(() => {
+		void testbed.statusOf({path: '/lookup/1'});
+		return testbed.logLines.filter(({msg}) => String(msg).includes('Endpoint asks for rest.')).length >= 2;
+	});
+	const response = await testbed.send({path: '/lookup/1'}, gateway);
+	t.equal(response.status, 503);
+	t.ok(Number(response.headers['retry-after']) >= 1.2, String(response.headers['retry-after']));
+});
