--- a/src/policy/statements/endpoint-statements.ts
+++ b/src/policy/statements/endpoint-statements.ts
@@ -1,7 +1,8 @@
 /**
  * Statements of one incarnation of an endpoint, from its first response to its end. Load pattern: an endpoint in need
- * tells the instances that send to it how much it can take. If only the membership list counted, which knows nothing of
- * this and may be out of reach, the endpoint would get as much as before until it fails.
+ * tells the instances that send to it how much it can take, that it wants a rest, or that it leaves. If only the membership
+ * list and failures counted, it would get as much as before until it fails: the list may be out of reach, and says nothing of
+ * need; failures suspend an endpoint only after several, and for a time of their own.
  *
  * Times are milliseconds of the monotonic clock.
  */
--- a/test/adapter/wire-names.test.ts
+++ b/test/adapter/wire-names.test.ts
@@ -6,6 +6,8 @@
 	'Target-Instance',
 	'Upstream-Signature',
 	'Not-Executed',
+	'Server-Limit',
+	'Server-Leaving',
 	'Deadline-Ms',
 	'Token-Usage',
 	'Prefix-Hash',
