--- a/test/gateway/backoff.test.ts
+++ b/test/gateway/backoff.test.ts
@@ -87,3 +87,19 @@
 	t.equal(response.status, 503);
 	t.ok(Number(response.headers['retry-after']) >= 1.2, String(response.headers['retry-after']));
 });
+
+// Guards against a request that leaves a slow endpoint for one that may not be sent to: its answer would be lost, and nothing gained.
+tap.test('a slow request stays where it is while the only other endpoint rests', async t => {
+	await using testbed = await Testbed.create({services: ['orders']});
+	await testbed.startGateway();
+	const [resting, slow] = testbed.ofService('orders');
+	resting!.answer = () => ({type: 'not-run'});
+	resting!.statements = {'Retry-After': String(restSeconds)};
+	slow!.answer = () => ({type: 'whole', body: 'ok', afterMilliseconds: 30});
+	await eventually(() => {
+		void testbed.statusOf({path: '/lookup/1'});
+		return testbed.logLines.some(({msg}) => String(msg).includes('Endpoint asks for rest.'));
+	});
+	slow!.answer = () => ({type: 'whole', body: 'ok', afterMilliseconds: 800});
+	t.equal(await testbed.statusOf({path: '/lookup/1'}), 200);
+});
--- a/test/gateway/prompt-cache.test.ts
+++ b/test/gateway/prompt-cache.test.ts
@@ -1,5 +1,8 @@
 import tap from 'tap';
 import {desiredState} from '../../fakes/platform-state.js';
+import {PromptCacheReader, RoutingState, StatementRegistry} from '../../src/gateway/index.js';
+import {type ZoneName} from '../../src/model/index.js';
+import {noStatements} from '../../src/policy/statements/index.js';
 import {eventually, Testbed} from './testbed.js';
 
 const promptHeaders = {'prefix-hash': 'aa:2500,bb:3800,cc:90', 'token-usage': '6390,50'};
@@ -93,3 +96,30 @@
 		t.equal(leaving!.requests.length, 0);
 	}
 });
+
+// Guards against calls of the gateway's own to an endpoint that takes no requests now.
+tap.test('an engine that is held back by its own statement is not asked for its list', async t => {
+	const silentLogger = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
+	const routingState = RoutingState.create(silentLogger);
+	const statements = StatementRegistry.create({routingState, logger: silentLogger, random: () => 0.5, instance: 'a', instances: () => [], onNews: () => undefined});
+	const asked: string[] = [];
+	using _reader = PromptCacheReader.create({
+		instance: 'a', routingState, instances: () => [], statements, logger: silentLogger, onRead: () => undefined,
+		read: async address => {
+			asked.push(address);
+			return {type: 'listed', parts: [], stated: noStatements};
+		},
+	});
+	routingState.applyTable({
+		version: 1, routes: [], services: [{name: 's', largestConnections: 10, engine: {slots: 4, memoryTokens: 1000, tokensPerEvent: 1, listsKept: true}}],
+		limits: {headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1},
+	}, 'store');
+	const record = (id: string) => ({id, service: 's', address: id, zone: 'z' as ZoneName, isLeaving: false, slots: 4, revision: 1});
+	routingState.applyEndpointChanges(['free', 'held'].map((id, offset) => ({type: 'registered', era: 0, offset, record: record(id)})), 'store', performance.now());
+	statements.recordNews({endpoint: 'held', bornAt: undefined, rateLimit: {type: 'rate-limit', requestsPerSecond: 1}, heardAt: performance.now()}, performance.now());
+	await eventually(() => asked.length > 0);
+	await new Promise(resolve => {
+		setTimeout(resolve, 200);
+	});
+	t.same(asked, ['free']);
+});
