--- a/test/gateway/prompt-cache.test.ts
+++ b/test/gateway/prompt-cache.test.ts
@@ -105,7 +105,7 @@
 	const asked: string[] = [];
 	using _reader = PromptCacheReader.create({
 		instance: 'a', routingState, instances: () => [], statements, logger: silentLogger, onRead: () => undefined,
-		read: async address => {
+		async read(address) {
 			asked.push(address);
 			return {type: 'listed', parts: [], stated: noStatements};
 		},
