--- a/bench/gateway-soak/faults.ts
+++ b/bench/gateway-soak/faults.ts
@@ -33,6 +33,7 @@
 	'table-published',
 ] as const;
 type FaultKind = (typeof faultKinds)[number];
+const statementKinds: readonly FaultKind[] = ['worker-states-limit', 'worker-states-leaving', 'worker-states-rest'];
 
 /** A gateway that starts again, or wakes, has read what came meanwhile after this time. */
 const restartedMilliseconds = 500;
@@ -57,10 +58,20 @@
 
 	/** Injects one fault that is drawn at random; resolves once it is over, or once it has begun if it lasts. */
 	async inject(): Promise<void> {
-		const kind = faultKinds[Math.floor(this.#options.random.uniform() * faultKinds.length)]!;
-		const milliseconds = 200 + (this.#options.random.uniform() * 1500);
-		const gateway = this.#options.gateways[Math.floor(this.#options.random.uniform() * this.#options.gateways.length)]!;
-		const {worker, path} = this.#options.platform.workers[Math.floor(this.#options.random.uniform() * this.#options.platform.workers.length)]!;
+		await this.#draw(faultKinds);
+	}
+
+	/** Injects a statement of a worker. */
+	async injectStatement(): Promise<void> {
+		await this.#draw(statementKinds);
+	}
+
+	async #draw(candidates: readonly FaultKind[]): Promise<void> {
+		const {random, gateways, platform} = this.#options;
+		const kind = candidates[Math.floor(random.uniform() * candidates.length)]!;
+		const milliseconds = 200 + (random.uniform() * 1500);
+		const gateway = gateways[Math.floor(random.uniform() * gateways.length)]!;
+		const {worker, path} = platform.workers[Math.floor(random.uniform() * platform.workers.length)]!;
 		this.injected.push(`${kind} ${Math.round(milliseconds)} ms`);
 		await this.#apply(kind, {milliseconds, gateway, worker, path});
 	}
--- a/bench/gateway-soak/run-seed.ts
+++ b/bench/gateway-soak/run-seed.ts
@@ -14,6 +14,7 @@
 const trafficMilliseconds = 4500;
 const requestPauseMilliseconds = 14;
 const gatewayCount = 2;
+const statementMilliseconds = 400;
 const faultCount = {low: 2, high: 5};
 /** Allowed time after the last fault: enough for the poll intervals of a routing table and for a graceful shutdown. */
 const settleMilliseconds = 10_000;
@@ -70,6 +71,8 @@
 			this.#faultsDone.push(sleep(at).then(async () => this.#faults.inject()));
 		}
 
+		// Early, since a statement is judged over seconds.
+		this.#faultsDone.push(sleep(this.#random.uniform() * statementMilliseconds).then(async () => this.#faults.injectStatement()));
 		await this.#sendTraffic();
 		await Promise.all(this.#faultsDone);
 		found.push(...await this.#checkRecovery());
