--- a/bench/gateway-soak/faults.ts
+++ b/bench/gateway-soak/faults.ts
@@ -2,7 +2,7 @@
 import {type FakePlatformWorker} from '../../fakes/platform-worker.js';
 import {type Random} from '../harness/random.js';
 import {type GatewayChild} from './child.js';
-import {type SoakPlatform} from './soak-platform.js';
+import {type SoakPlatform, type SoakWorker} from './soak-platform.js';
 import {type Disturbance} from './statement-checker.js';
 
 const faultKinds = [
@@ -58,20 +58,21 @@
 
 	/** Injects one fault that is drawn at random; resolves once it is over, or once it has begun if it lasts. */
 	async inject(): Promise<void> {
-		await this.#draw(faultKinds);
+		const {random, platform} = this.#options;
+		await this.#draw(faultKinds, platform.workers[Math.floor(random.uniform() * platform.workers.length)]!);
 	}
 
-	/** Injects a statement of a worker. */
+	/** Injects a statement of the worker that has got the most requests, so that many follow. */
 	async injectStatement(): Promise<void> {
-		await this.#draw(statementKinds);
+		const [busiest] = this.#options.platform.workers.toSorted((left, right) => right.worker.requests.length - left.worker.requests.length);
+		await this.#draw(statementKinds, busiest!);
 	}
 
-	async #draw(candidates: readonly FaultKind[]): Promise<void> {
-		const {random, gateways, platform} = this.#options;
+	async #draw(candidates: readonly FaultKind[], {worker, path}: SoakWorker): Promise<void> {
+		const {random, gateways} = this.#options;
 		const kind = candidates[Math.floor(random.uniform() * candidates.length)]!;
 		const milliseconds = 200 + (random.uniform() * 1500);
 		const gateway = gateways[Math.floor(random.uniform() * gateways.length)]!;
-		const {worker, path} = platform.workers[Math.floor(random.uniform() * platform.workers.length)]!;
 		this.injected.push(`${kind} ${Math.round(milliseconds)} ms`);
 		await this.#apply(kind, {milliseconds, gateway, worker, path});
 	}
