An instance that is no longer a neighbour does not count as lost

Found in reading: the shares of rate limits count instances that are present; a link that ended because its instance is no neighbour any more counted as a loss, and after 30 s a fleet of more than 32 instances would have shared a limit among too few. A loss of an instance that had retracted its announcement stayed in memory. Only a lost link to a neighbour counts now.

--- a/src/gateway/peer-roster.ts
+++ b/src/gateway/peer-roster.ts
@@ -42,11 +42,9 @@
 		return [...this.#peers.keys()];
 	}
 
-	/** Names of the other instances that may serve. */
+	/** Names of the other instances that may serve: announced, and neither unreachable nor lost for long. */
 	presentNames(now: number): readonly string[] {
-		return [...this.#peers.values()]
-			.filter(({instance, address}) => now - (this.#lostAt.get(instance) ?? now) < presentMilliseconds && (this.#lostAt.has(instance) || !this.#isUnreachable(address)))
-			.map(({instance}) => instance);
+		return [...this.#peers.values()].filter(peer => this.#isPresent(peer, now)).map(({instance}) => instance);
 	}
 
 	/** Number of other instances that are known and not unreachable. */
@@ -112,12 +110,16 @@
 		return pause;
 	}
 
+	/** Records that there is a link to an instance. */
 	recordLinked(instance: string): void {
 		this.#lostAt.delete(instance);
 	}
 
+	/** Records the end of a link. A link to an instance that is no longer a neighbour ends without a loss. */
 	recordLost(instance: string, now: number): void {
-		this.#lostAt.set(instance, now);
+		if (this.neighbours.linked.has(instance)) {
+			this.#lostAt.set(instance, now);
+		}
 	}
 
 	/** Resets the backoff of an address that a connection was established with. */
@@ -134,6 +136,15 @@
 		}
 	}
 
+	#isPresent({instance, address}: PeerRecord, now: number): boolean {
+		const lostAt = this.#lostAt.get(instance);
+		if (lostAt !== undefined && now - lostAt < presentMilliseconds) {
+			return true;
+		}
+
+		return !this.#isUnreachable(address) && (lostAt === undefined || !this.neighbours.linked.has(instance));
+	}
+
 	#isUnreachable(address: string): boolean {
 		return (this.#dials.get(address)?.failures ?? 0) > maxFailedDials;
 	}
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -171,3 +171,26 @@
 	roster.removePeer('z');
 	t.same(roster.instanceNames, ['a', 'b']);
 });
+
+// Guards against an instance that is cut off from its peers and takes the shares of all of them, and against a share that is left to an
+// instance that is gone, or taken from one that is merely no longer a neighbour.
+tap.test('an instance without a link counts as present for a time, and always if it is no neighbour', async t => {
+	const roster = PeerRoster.create({name: 'a', zone: undefined});
+	roster.addPeers([{instance: 'b', address: 'b:1'}, {instance: 'c', address: 'c:1'}], false);
+	t.same(roster.presentNames(0), ['b', 'c'], 'announced');
+	roster.recordLinked('b');
+	roster.recordLost('b', 1000);
+	t.same(roster.presentNames(20_000), ['b', 'c']);
+	t.same(roster.presentNames(40_000), ['c']);
+	roster.recordLinked('b');
+	t.same(roster.presentNames(40_000), ['b', 'c']);
+	roster.removePeer('b');
+	roster.recordLost('b', 50_000);
+	roster.addPeers([{instance: 'b', address: 'b:2'}], false);
+	t.same(roster.presentNames(90_000), ['c', 'b'], 'a lost link of an instance that had retracted its announcement says nothing');
+	const large = PeerRoster.create({name: 'a', zone: undefined});
+	large.addPeers(Array.from({length: 60}, (_, number) => ({instance: `i${number}`, address: `i${number}:1`})), false);
+	const stranger = Array.from({length: 60}, (_, number) => `i${number}`).find(name => !large.neighbours.linked.has(name))!;
+	large.recordLost(stranger, 0);
+	t.equal(large.presentNames(100_000).length, 60);
+});
