A malformed limit does not end the one in force

Found in reading: a response whose limit can't be decoded was taken for one without a limit, so that the limit in force ended. It says nothing now; the new assertion of policy/statements fails before.

--- a/src/policy/statements/endpoint-statements.ts
+++ b/src/policy/statements/endpoint-statements.ts
@@ -124,12 +124,13 @@
 
 /**
  * A response that lacks the rate limit ends it. Responses on different connections overtake each other, so one to a request that
- * was sent before the limit was last heard says nothing. What this instance hears itself it tells the others if it is new to it, or
+ * was sent before the limit was last heard says nothing, nor does one with a malformed statement. What this instance hears itself it tells the others if it is new to it, or
  * if it had only been told.
  */
-function hearRateLimit(state: EndpointStatements, {statements, sentAt, isComplete}: Extract<StatementsEvent, {type: 'response'}>, context: StatementsContext): StatementsStep {
+function hearRateLimit(state: EndpointStatements, {statements, malformed, sentAt, isComplete}: Extract<StatementsEvent, {type: 'response'}>, context: StatementsContext): StatementsStep {
 	const rateLimit = statements.find(statement => statement.type === 'rate-limit');
-	if (rateLimit === undefined && (!isComplete || sentAt < state.rateLimitHeardAt)) {
+	const mayWithdraw = isComplete && malformed.length === 0 && sentAt >= state.rateLimitHeardAt;
+	if (rateLimit === undefined && !mayWithdraw) {
 		return {state, actions: []};
 	}
 
--- a/test/policy/statements.test.ts
+++ b/test/policy/statements.test.ts
@@ -74,6 +74,8 @@
 	t.not(overtaken.state.rateLimit, undefined);
 	const uncertain = play([[100, response(2, {sentAt: 50})], [210, response(undefined, {sentAt: 150, isComplete: false})]]);
 	t.not(uncertain.state.rateLimit, undefined, 'a response that does not name its request ends nothing');
+	const malformed = play([[100, response(2, {sentAt: 50})], [210, {type: 'response', statements: [], malformed: ['limit: abc'], sentAt: 150, isComplete: true}]]);
+	t.not(malformed.state.rateLimit, undefined, 'a malformed statement is not the absence of one');
 	const ended = play([[100, response(2, {sentAt: 50})], [210, response(undefined, {sentAt: 150})]]);
 	t.equal(ended.state.rateLimit, undefined);
 	t.match(ended.actions.at(-2), {type: 'unlimited', milliseconds: 110});
