--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {type CachedPartsResponse, RoutingState, ConnectionPools, DecisionLog, Dispatcher, encodeRateLimitNews, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
+import {type CachedPartsResponse, RoutingState, ConnectionPools, DecisionLog, Dispatcher, encodeRateLimitReport, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type RetryAllowance} from '../policy/dispatch/index.js';
 import {type ServiceSample} from '../policy/scaling/index.js';
@@ -79,8 +79,8 @@
 			},
 			instance: settings.instance,
 			instances: () => peers.presentInstances,
-			onRateLimitNews(news) {
-				peers.announce(encodeRateLimitNews(news, performance.now()));
+			onRateLimitReport(report) {
+				peers.announce(encodeRateLimitReport(report, performance.now()));
 			},
 		});
 		const promptCacheReader = PromptCacheReader.create({
@@ -120,7 +120,7 @@
 		metrics.observe('gateway_waiting', 'Requests in the placement queue.', () => dispatcher.queueLength);
 		metrics.observe('gateway_rate_limited_endpoints', 'Endpoints that state a rate limit.', () => dispatcher.statements.countOf('rate-limit', performance.now()));
 		metrics.observe('gateway_leaving_endpoints', 'Endpoints that have stated in a response that they leave.', () => dispatcher.statements.countOf('leaving', performance.now()));
-		metrics.observe('gateway_resting_endpoints', 'Endpoints that have asked this instance for rest.', () => dispatcher.statements.countOf('rest', performance.now()));
+		metrics.observe('gateway_backing_off_endpoints', 'Endpoints that have asked this instance for a backoff.', () => dispatcher.statements.countOf('backoff', performance.now()));
 		metrics.observe('gateway_open', 'Requests whose response is not complete.', () => gateway.openRequests);
 		metrics.observe('gateway_peers', 'Connected peer gateways.', () => peers.count);
 		metrics.observe('gateway_table_version', 'Version of the routing table in force.', () => routingState.table?.version ?? 0);
@@ -262,8 +262,8 @@
 		onStaleTable() {
 			feeds()?.routing.abortLongPoll();
 		},
-		onRateLimitNews(news) {
-			dispatcher.statements.recordNews(news, performance.now());
+		onRateLimitReport(report) {
+			dispatcher.statements.recordReport(report, performance.now());
 		},
 		onView(view) {
 			dispatcher.view = view;
--- a/src/gateway/dispatcher-options.ts
+++ b/src/gateway/dispatcher-options.ts
@@ -2,7 +2,7 @@
 import {type LoadEvent, type RetryAllowance, type Tuning} from '../policy/dispatch/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type RoutingState} from './routing-state.js';
-import {type RateLimitNews} from './statement-registry.js';
+import {type RateLimitReport} from './statement-registry.js';
 
 /** What the dispatcher decides by, and receivers of what other instances need. */
 export type DispatcherOptions = {
@@ -19,6 +19,6 @@
 	/** Name of this instance, and of the others that may send to the same endpoints. */
 	readonly instance: string;
 	readonly instances: () => readonly string[];
-	/** Called with what the other instances should learn about the rate limit of an endpoint. */
-	readonly onRateLimitNews: (news: RateLimitNews) => void;
+	/** Called with what is to be sent to the other instances about the rate limit of an endpoint. */
+	readonly onRateLimitReport: (report: RateLimitReport) => void;
 };
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -50,7 +50,7 @@
 		this.loadTracker.learnsEngines = options.tuning.learnsEngines;
 		this.retries = RetryShare.create(options.allowance);
 		this.#queueReporter = QueueReporter.create(options.incarnation);
-		this.statements = StatementRegistry.create({...options, onNews: options.onRateLimitNews});
+		this.statements = StatementRegistry.create({...options, onReport: options.onRateLimitReport});
 		this.endpoints = EndpointPool.create({routingState: options.routingState, logger: options.logger, loadTracker: this.loadTracker, statements: this.statements});
 		this.#queue = PlacementQueue.create({
 			loadTracker: this.loadTracker, endpoints: this.endpoints, random: options.random,
--- a/src/gateway/endpoint-pool.ts
+++ b/src/gateway/endpoint-pool.ts
@@ -17,6 +17,15 @@
 /** Endpoints that a request may be sent to now, and of those that are held back the one that is free first. */
 export type AvailableEndpoints = {readonly trial: PlacementEndpoint | undefined; readonly usable: readonly PlacementEndpoint[]; readonly held: HeldEndpoint | undefined};
 
+type SortedEndpoints = {
+	/** Endpoints that may be sent to, by health; `stating` are healthy ones with a statement in force, `ending` those that leave or are removed. */
+	readonly lists: Readonly<Record<'open' | 'stating' | 'trial' | 'suspended' | 'ending', PlacementEndpoint[]>>;
+	held: HeldEndpoint | undefined;
+	hasReady: boolean;
+	/** True if a healthy endpoint is held back. */
+	isOpenHeld: boolean;
+};
+
 export type EndpointPoolOptions = {readonly routingState: RoutingState; readonly logger: PartLogger; readonly loadTracker: LoadTracker; readonly statements: StatementRegistry};
 
 /** Endpoints of each service with their health, which is derived from the responses that this instance received or missed. */
@@ -50,28 +59,7 @@
 	 * that it wants no request now is not among them; suspended ones do not take the place of a healthy one.
 	 */
 	available(request: PlacementRequest, now: number): AvailableEndpoints {
-		const lists = {open: [] as PlacementEndpoint[], stating: [] as PlacementEndpoint[], trial: [] as PlacementEndpoint[], suspended: [] as PlacementEndpoint[], ending: [] as PlacementEndpoint[]};
-		let hasReady = false;
-		let isOpenHeld = false;
-		let held: HeldEndpoint | undefined;
-		for (const endpoint of this.#endpointsOf(request.demand.service)) {
-			const {id} = endpoint.record;
-			const status = endpointStatusOf(endpoint.entry, now);
-			hasReady ||= status === EndpointStatus.ready;
-			if (status === EndpointStatus.gone || request.excluded.has(id)) {
-				continue;
-			}
-
-			const kind = status === EndpointStatus.ready ? this.#availability(id, now) : 'ending';
-			const admission = this.#options.statements.admission(id, now);
-			if (admission.type === 'open') {
-				lists[kind === 'open' && this.#options.statements.hasStatement(id, now) ? 'stating' : kind].push(endpoint);
-			} else if (kind !== 'ending') {
-				isOpenHeld ||= kind === 'open';
-				held = admission.until < (held?.until ?? Infinity) ? {endpoint, until: admission.until} : held;
-			}
-		}
-
+		const {lists, held, hasReady, isOpenHeld} = this.#sort(request, now);
 		// Those with a statement come last: the order decides which engines latency-critical streams share, and must not change with each request.
 		const open = [...lists.open, ...lists.stating];
 		const usable = [open, lists.trial, isOpenHeld ? [] : lists.suspended, hasReady ? [] : lists.ending].find(list => list.length > 0) ?? [];
@@ -121,6 +109,32 @@
 		return this.#availability(id, now) === 'open';
 	}
 
+	#sort(request: PlacementRequest, now: number): SortedEndpoints {
+		const sorted: SortedEndpoints = {lists: {open: [], stating: [], trial: [], suspended: [], ending: []}, held: undefined, hasReady: false, isOpenHeld: false};
+		for (const endpoint of this.#endpointsOf(request.demand.service)) {
+			const status = endpointStatusOf(endpoint.entry, now);
+			sorted.hasReady ||= status === EndpointStatus.ready;
+			if (status !== EndpointStatus.gone && !request.excluded.has(endpoint.record.id)) {
+				this.#add(sorted, endpoint, {isReady: status === EndpointStatus.ready, now});
+			}
+		}
+
+		return sorted;
+	}
+
+	#add(sorted: SortedEndpoints, endpoint: PlacementEndpoint, {isReady, now}: {isReady: boolean; now: number}): void {
+		const {id} = endpoint.record;
+		const {statements} = this.#options;
+		const kind = isReady ? this.#availability(id, now) : 'ending';
+		const admission = statements.admission(id, now);
+		if (admission.type === 'open') {
+			sorted.lists[kind === 'open' && statements.hasStatement(id, now) ? 'stating' : kind].push(endpoint);
+		} else if (kind !== 'ending') {
+			sorted.isOpenHeld ||= kind === 'open';
+			sorted.held = admission.until < (sorted.held?.until ?? Infinity) ? {endpoint, until: admission.until} : sorted.held;
+		}
+	}
+
 	#availability(id: string, now: number): ReturnType<typeof availability> {
 		const health = this.#health.get(id);
 		return health === undefined ? 'open' : availability(health, now);
--- a/src/gateway/outcome-report.ts
+++ b/src/gateway/outcome-report.ts
@@ -19,6 +19,6 @@
 /** Tells the dispatcher what the endpoint states about itself in a response, valid or not; a misdirected response comes from another endpoint. */
 export function reportStatements({statements}: Dispatcher, {decision, requestId, startedAt}: AttemptState, {isMisdirected, requestId: answered, stated}: ResponseMetadata): void {
 	if (!isMisdirected) {
-		statements.recordResponse(decision.record, {...stated, sentAt: startedAt, isComplete: answered === requestId}, performance.now());
+		statements.recordResponse(decision.record, {...stated, sentAt: startedAt, canWithdraw: answered === requestId}, performance.now());
 	}
 }
--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -3,7 +3,7 @@
 import {type Connection, type GatewayMessage, type MessageOf} from '../wire/index.js';
 import {type RoutingStateChange, type RoutingState} from './routing-state.js';
 import {type CachedPromptParts} from './prompt-cache-reader.js';
-import {type RateLimitNews} from './statement-registry.js';
+import {type RateLimitReport} from './statement-registry.js';
 
 /**
  * Endpoints that ended within this time are announced even to a peer that has read the endpoints lately. Such a read is never older
@@ -49,16 +49,16 @@
 	];
 }
 
-/** The message that tells a peer what this instance has heard. */
-export function encodeRateLimitNews({endpoint, bornAt, rateLimit, heardAt}: RateLimitNews, now: number): MessageOf<'endpoint-rate-limit'> {
+/** The message that reports to a peer what a response to this instance has shown. */
+export function encodeRateLimitReport({endpoint, bornAt, rateLimit, observedAt}: RateLimitReport, now: number): MessageOf<'endpoint-rate-limit'> {
 	return {
-		type: 'endpoint-rate-limit', endpoint, ageMilliseconds: now - heardAt,
+		type: 'endpoint-rate-limit', endpoint, ageMilliseconds: now - observedAt,
 		...(bornAt !== undefined && {bornAt}), ...(rateLimit !== undefined && {requestsPerSecond: rateLimit.requestsPerSecond}),
 	};
 }
 
-function decodeRateLimitNews({endpoint, bornAt, requestsPerSecond, ageMilliseconds}: MessageOf<'endpoint-rate-limit'>, now: number): RateLimitNews {
-	return {endpoint, bornAt, rateLimit: requestsPerSecond === undefined ? undefined : {type: 'rate-limit', requestsPerSecond}, heardAt: now - ageMilliseconds};
+function decodeRateLimitReport({endpoint, bornAt, requestsPerSecond, ageMilliseconds}: MessageOf<'endpoint-rate-limit'>, now: number): RateLimitReport {
+	return {endpoint, bornAt, rateLimit: requestsPerSecond === undefined ? undefined : {type: 'rate-limit', requestsPerSecond}, observedAt: now - ageMilliseconds};
 }
 
 /** The sender of a message, and the state and callbacks that the message is applied to. */
@@ -69,13 +69,13 @@
 	readonly incarnation: string;
 	readonly onVersion: (version: number) => void;
 	readonly onLoad: (event: LoadEvent) => void;
-	readonly onRateLimitNews: (news: RateLimitNews) => void;
+	readonly onRateLimitReport: (report: RateLimitReport) => void;
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
 	readonly onHolderAnnouncement: (word: MessageOf<'duty-holder'>) => void;
 };
 
 /** Handles a message of a peer that has sent its hello. */
-export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitNews, onHolderAnnouncement}: MessageContext): void {
+export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onHolderAnnouncement}: MessageContext): void {
 	switch (message.type) {
 		case 'routing-version': {
 			onVersion(message.version);
@@ -106,7 +106,7 @@
 		}
 
 		case 'endpoint-rate-limit': {
-			onRateLimitNews(decodeRateLimitNews(message, performance.now()));
+			onRateLimitReport(decodeRateLimitReport(message, performance.now()));
 			return;
 		}
 
--- a/src/gateway/peer-roster.ts
+++ b/src/gateway/peer-roster.ts
@@ -9,7 +9,10 @@
 /** After more consecutive failed dials than this, a peer counts as unreachable until one succeeds. */
 const maxFailedDials = 3;
 
-/** An instance without a link counts as present for this time after its loss: it may be partitioned from this one and still serve. */
+/**
+ * An instance whose link is lost counts as present for this time. If it did not, an instance that is partitioned from its peers would take
+ * their shares of an endpoint's rate limit while they still use them; a partition of minutes is noticed at both sides by then.
+ */
 const presentMilliseconds = 30_000;
 
 type DialState = {at: number; pause: number; failures: number};
--- a/src/gateway/peers-options.ts
+++ b/src/gateway/peers-options.ts
@@ -5,7 +5,7 @@
 import {type MessageOf, type Security} from '../wire/index.js';
 import {type RoutingState} from './routing-state.js';
 import {type CachedPromptParts} from './prompt-cache-reader.js';
-import {type RateLimitNews} from './statement-registry.js';
+import {type RateLimitReport} from './statement-registry.js';
 
 /** Identity of this instance among its peers, and receivers of what the peers send. */
 export type PeersOptions = {
@@ -23,8 +23,8 @@
 	readonly onLoad: (event: LoadEvent) => void;
 	/** Called when a peer has read which prompt parts an endpoint has cached. */
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
-	/** Called when a peer has heard from an endpoint whether it has a rate limit. */
-	readonly onRateLimitNews: (news: RateLimitNews) => void;
+	/** Called when a peer reports whether an endpoint has a rate limit. */
+	readonly onRateLimitReport: (report: RateLimitReport) => void;
 	/** The message that names the holder of the duties to a new peer, if this instance knows one. */
 	readonly holderAnnouncement: () => MessageOf<'duty-holder'> | undefined;
 	/** Called when a peer names the holder of the duties. */
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -107,7 +107,7 @@
 		this.#broadcast({type: 'kept', endpoint, parts: flattenParts(parts)});
 	}
 
-	/** Tells all neighbours who holds the duties, or what this instance has heard from an endpoint. */
+	/** Sends to all neighbours who holds the duties, or what a response to this instance has shown of an endpoint. */
 	announce(message: MessageOf<'duty-holder' | 'endpoint-rate-limit'>): void {
 		this.#broadcast(message);
 	}
@@ -222,10 +222,10 @@
 			return undefined;
 		}
 
-		const {routingState, onLoad, onPromptCache, onRateLimitNews, onHolderAnnouncement} = this.#options;
+		const {routingState, onLoad, onPromptCache, onRateLimitReport, onHolderAnnouncement} = this.#options;
 		const {instance, incarnation} = link;
 		handleMessage(message, {
-			routingState, connection, instance, incarnation, onLoad, onPromptCache, onRateLimitNews, onHolderAnnouncement,
+			routingState, connection, instance, incarnation, onLoad, onPromptCache, onRateLimitReport, onHolderAnnouncement,
 			onVersion: version => {
 				link.routingVersion = version;
 				this.#tablePuller.handlePeerVersion();
--- a/src/gateway/prompt-cache-reader.ts
+++ b/src/gateway/prompt-cache-reader.ts
@@ -111,36 +111,45 @@
 	}
 
 	async #read(record: EndpointRecord): Promise<void> {
-		const {read, onRead, statements, logger} = this.#options;
+		const {statements, logger} = this.#options;
 		const {id: endpoint} = record;
-		const requestedAt = performance.now();
 		if (this.#alreadyRead.has(endpoint)) {
 			return;
 		}
 
-		if (statements.admission(endpoint, requestedAt).type === 'held') {
+		if (statements.admission(endpoint, performance.now()).type === 'held') {
 			logger.info('Cached prompt parts not read, the endpoint takes no requests now.', {endpoint});
 			return;
 		}
 
+		const requestedAt = performance.now();
 		try {
-			statements.recordSent(record, requestedAt);
-			const response = await read(record.address);
-			// The answer names no request, so that a statement that it lacks is not withdrawn.
-			statements.recordResponse(record, {...response.stated, sentAt: requestedAt, isComplete: false}, performance.now());
-			if (response.type === 'refused') {
-				logger.warn('Could not read cached prompt parts.', {endpoint, reason: `status ${response.status}`});
-				return;
-			}
-
-			const {parts} = response;
-			this.#alreadyRead.add(endpoint);
-			logger.info('Cached prompt parts read.', {
-				endpoint, parts: parts.length, tokens: tokensOf(parts), milliseconds: Math.round(performance.now() - requestedAt),
-			});
-			onRead({endpoint, parts});
+			this.#handleResponse(record, await this.#ask(record, requestedAt), requestedAt);
 		} catch (error) {
 			logger.warn('Could not read cached prompt parts.', {endpoint, reason: String(error)});
 		}
 	}
+
+	/** Asks an endpoint for its list and records what it states in its answer. */
+	async #ask(record: EndpointRecord, sentAt: number): Promise<CachedPartsResponse> {
+		const {read, statements} = this.#options;
+		statements.recordSent(record, sentAt);
+		const response = await read(record.address);
+		// The answer names no request, so that a statement that it lacks is not withdrawn.
+		statements.recordResponse(record, {...response.stated, sentAt, canWithdraw: false}, performance.now());
+		return response;
+	}
+
+	#handleResponse({id: endpoint}: EndpointRecord, response: CachedPartsResponse, requestedAt: number): void {
+		const {onRead, logger} = this.#options;
+		if (response.type === 'refused') {
+			logger.warn('Could not read cached prompt parts.', {endpoint, reason: `status ${response.status}`});
+			return;
+		}
+
+		const {parts} = response;
+		this.#alreadyRead.add(endpoint);
+		logger.info('Cached prompt parts read.', {endpoint, parts: parts.length, tokens: tokensOf(parts), milliseconds: Math.round(performance.now() - requestedAt)});
+		onRead({endpoint, parts});
+	}
 }
--- a/src/gateway/statement-registry.ts
+++ b/src/gateway/statement-registry.ts
@@ -3,8 +3,8 @@
 import {type PartLogger} from '../telemetry/index.js';
 import {type RoutingState} from './routing-state.js';
 
-/** What an instance has heard about the rate limit of one incarnation of an endpoint. */
-export type RateLimitNews = {readonly endpoint: string; readonly bornAt: number | undefined; readonly rateLimit: RateLimitStatement | undefined; readonly heardAt: number};
+/** What a response to an instance has shown about the rate limit of one incarnation of an endpoint. */
+export type RateLimitReport = {readonly endpoint: string; readonly bornAt: number | undefined; readonly rateLimit: RateLimitStatement | undefined; readonly observedAt: number};
 
 export type StatementRegistryOptions = {
 	readonly routingState: RoutingState;
@@ -13,17 +13,17 @@
 	/** Name of this instance, and of the others that may send to the same endpoints. */
 	readonly instance: string;
 	readonly instances: () => readonly string[];
-	/** Called with what the other instances should learn. */
-	readonly onNews: (news: RateLimitNews) => void;
+	/** Called with what is to be sent to the other instances. */
+	readonly onReport: (report: RateLimitReport) => void;
 };
 
 /** A response of an endpoint as far as its statements go. */
-export type StatingResponse = ResponseStatements & {readonly sentAt: number; readonly isComplete: boolean};
+export type StatingResponse = ResponseStatements & {readonly sentAt: number; readonly canWithdraw: boolean};
 
 /** An endpoint that may not be sent to for this time, and the statement that says so. */
 export type HeldByStatement = {readonly endpoint: string; readonly by: EndpointStatement['type']; readonly milliseconds: number};
 
-/** An endpoint that has stated nothing is forgotten after this time; until then older news of another instance is recognized as old. */
+/** An endpoint that has stated nothing is forgotten after this time; until then an older report of another instance is recognized as old. */
 const silentMilliseconds = 10_000;
 
 type Entry = {readonly state: EndpointStatements; readonly record: EndpointRecord; readonly sent: number};
@@ -81,6 +81,7 @@
 	 */
 	recordResponse(record: EndpointRecord, response: StatingResponse, now: number): void {
 		if (this.#currentRecord(record.id, record.bornAt) === undefined) {
+			this.#logStale(record, response);
 			return;
 		}
 
@@ -90,11 +91,11 @@
 		}
 	}
 
-	/** Takes what another instance has heard. */
-	recordNews({endpoint, bornAt, rateLimit, heardAt}: RateLimitNews, now: number): void {
+	/** Applies what another instance reports. */
+	recordReport({endpoint, bornAt, rateLimit, observedAt}: RateLimitReport, now: number): void {
 		const record = this.#currentRecord(endpoint, bornAt);
 		if (record !== undefined) {
-			this.#step(record, {type: 'told', rateLimit, heardAt}, now);
+			this.#step(record, {type: 'reported', rateLimit, observedAt}, now);
 		}
 	}
 
@@ -116,10 +117,16 @@
 	/** Drops endpoints that the directory no longer contains, and those that have long stated nothing. */
 	prune(now: number): void {
 		for (const [id, {state}] of this.#entries) {
-			if (!this.#options.routingState.directory.entries.has(id) || (statementsInForce(state, now).length === 0 && now - state.rateLimitHeardAt > silentMilliseconds)) {
+			if (!this.#options.routingState.directory.entries.has(id) || (statementsInForce(state, now).length === 0 && now - state.rateLimitObservedAt > silentMilliseconds)) {
 				this.#forget(id);
 			}
 		}
+
+		for (const id of this.#loggedMalformed) {
+			if (!this.#options.routingState.directory.entries.has(id)) {
+				this.#loggedMalformed.delete(id);
+			}
+		}
 	}
 
 	/** The record of the endpoint if this incarnation is the newest one. */
@@ -134,22 +141,22 @@
 		const {state, actions} = stepStatements(before, event, {now, fleet: {endpoint: record.id, instance, instances: instances()}, draw: random()});
 		this.#entries.set(record.id, {state, record, sent: sent + (event.type === 'sent' ? 1 : 0)});
 		for (const action of actions) {
-			this.#perform(record, action, {sent, now, isTold: event.type === 'told'});
+			this.#perform(record, action, {sent, now, isReported: event.type === 'reported'});
 		}
 	}
 
-	#perform(record: EndpointRecord, action: StatementsAction, {sent, now, isTold}: {sent: number; now: number; isTold: boolean}): void {
-		const {logger, onNews, routingState} = this.#options;
+	#perform(record: EndpointRecord, action: StatementsAction, {sent, now, isReported}: {sent: number; now: number; isReported: boolean}): void {
+		const {logger, onReport, routingState} = this.#options;
 		const {id, service, bornAt} = record;
 		switch (action.type) {
 			case 'limited': {
 				const {requestsPerSecond, before, share} = action;
-				logger.info('Endpoint states a rate limit.', {endpoint: id, service, requestsPerSecond, before, share, isTold, sent});
+				logger.info('Endpoint states a rate limit.', {endpoint: id, service, requestsPerSecond, before, share, isReported, sent});
 				return;
 			}
 
 			case 'unlimited': {
-				logger.info('Endpoint states no rate limit any more.', {endpoint: id, service, before: action.before, isTold, sent, milliseconds: Math.round(action.milliseconds)});
+				logger.info('Endpoint states no rate limit any more.', {endpoint: id, service, before: action.before, isReported, sent, milliseconds: Math.round(action.milliseconds)});
 				return;
 			}
 
@@ -159,17 +166,23 @@
 				return;
 			}
 
-			case 'resting': {
-				logger.info('Endpoint asks for rest.', {endpoint: id, service, milliseconds: Math.round(action.milliseconds), isLonger: action.isLonger});
+			case 'backing-off': {
+				logger.info('Endpoint asks for a backoff.', {endpoint: id, service, milliseconds: Math.round(action.milliseconds), isLonger: action.isLonger});
 				return;
 			}
 
-			case 'tell': {
-				onNews({endpoint: id, bornAt, rateLimit: action.rateLimit, heardAt: now});
+			case 'report': {
+				onReport({endpoint: id, bornAt, rateLimit: action.rateLimit, observedAt: now});
 			}
 		}
 	}
 
+	#logStale({id, service, bornAt}: EndpointRecord, {statements}: StatingResponse): void {
+		if (statements.length > 0) {
+			this.#options.logger.info('Ignored statements of an earlier incarnation of an endpoint.', {endpoint: id, service, bornAt, statements});
+		}
+	}
+
 	#logMalformed({id, service}: EndpointRecord, malformed: readonly string[]): void {
 		if (malformed.length > 0 && !this.#loggedMalformed.has(id)) {
 			this.#loggedMalformed.add(id);
@@ -179,6 +192,5 @@
 
 	#forget(id: string): void {
 		this.#entries.delete(id);
-		this.#loggedMalformed.delete(id);
 	}
 }
--- a/src/policy/statements/endpoint-statements.ts
+++ b/src/policy/statements/endpoint-statements.ts
@@ -1,6 +1,6 @@
 /**
  * Statements of one incarnation of an endpoint, from its first response to its end. Load pattern: an endpoint in need
- * tells the instances that send to it how much it can take, that it wants a rest, or that it leaves. If only the membership
+ * states how much it can take, for how long an instance should back off, or that it leaves. If only the membership
  * list and failures counted, it would get as much as before until it fails: the list may be out of reach, and says nothing of
  * need; failures suspend an endpoint only after several, and for a time of their own.
  *
@@ -12,13 +12,13 @@
 /** What an endpoint has stated and not withdrawn. */
 export type EndpointStatements = {
 	readonly isLeaving: boolean;
-	/** End of the rest that the endpoint has asked this instance for. */
-	readonly restsUntil: number;
+	/** End of the backoff that the endpoint has asked this instance for. */
+	readonly backoffUntil: number;
 	readonly rateLimit: RateLimit | undefined;
-	/** The newest time at which the endpoint said whether it has a rate limit, to this instance or to one that told it. */
-	readonly rateLimitHeardAt: number;
-	/** Whether a response to this instance said so; otherwise another instance did. */
-	readonly isFirstHand: boolean;
+	/** When the newest response arrived that shows whether the endpoint has a rate limit, here or at an instance that reported it. */
+	readonly rateLimitObservedAt: number;
+	/** Whether that response arrived here; otherwise another instance reported it. */
+	readonly isOwnObservation: boolean;
 };
 
 /** A rate limit that an endpoint has stated. */
@@ -36,10 +36,10 @@
 		/** When the request of this response was sent. */
 		readonly sentAt: number;
 		/** True if a statement that is absent is withdrawn: the response is certain to be that of the request. */
-		readonly isComplete: boolean;
+		readonly canWithdraw: boolean;
 	})
-	/** Another instance has learned this from a response that it received at that time. */
-	| {readonly type: 'told'; readonly rateLimit: RateLimitStatement | undefined; readonly heardAt: number}
+	/** Another instance reports what a response showed that it received at that time. */
+	| {readonly type: 'reported'; readonly rateLimit: RateLimitStatement | undefined; readonly observedAt: number}
 	/** A request is sent to the endpoint. */
 	| {readonly type: 'sent'}
 	/** Instances have come or gone. */
@@ -51,10 +51,10 @@
 		| {readonly type: 'unlimited'; readonly before: number; readonly milliseconds: number}
 	/** The endpoint has begun to leave. */
 		| {readonly type: 'leaving'}
-	/** The endpoint asks for rest, or for a longer one. */
-		| {readonly type: 'resting'; readonly milliseconds: number; readonly isLonger: boolean}
-	/** The other instances should learn what this one has heard from the endpoint itself. */
-		| {readonly type: 'tell'; readonly rateLimit: RateLimitStatement | undefined};
+	/** The endpoint asks for a backoff, or for a longer one. */
+		| {readonly type: 'backing-off'; readonly milliseconds: number; readonly isLonger: boolean}
+	/** The other instances are to be sent what a response to this one has shown. */
+		| {readonly type: 'report'; readonly rateLimit: RateLimitStatement | undefined};
 
 export type StatementsStep = {readonly state: EndpointStatements; readonly actions: readonly StatementsAction[]};
 
@@ -64,22 +64,22 @@
 /** Whether a request may be sent to the endpoint now; `by` is the statement that holds it back. */
 export type Admission = {readonly type: 'open'} | {readonly type: 'held'; readonly by: EndpointStatement['type']; readonly until: number};
 
-/** A longer rest is cut to this: the endpoint can ask again, and a mistaken value would take it out of use until it restarts. */
-export const longestRestMilliseconds = 300_000;
+/** A longer backoff is cut to this: the endpoint can ask again, and a mistaken value would take it out of use until it restarts. */
+export const maxBackoffMilliseconds = 300_000;
 
-export const initialStatements: EndpointStatements = {isLeaving: false, restsUntil: -Infinity, rateLimit: undefined, rateLimitHeardAt: -Infinity, isFirstHand: false};
+export const initialStatements: EndpointStatements = {isLeaving: false, backoffUntil: -Infinity, rateLimit: undefined, rateLimitObservedAt: -Infinity, isOwnObservation: false};
 
 export function stepStatements(state: EndpointStatements, event: StatementsEvent, context: StatementsContext): StatementsStep {
 	switch (event.type) {
 		case 'response': {
-			const left = hearLeaving(state, event);
-			const rested = hearRest(left.state, event, context.now);
-			const step = hearRateLimit(rested.state, event, context);
-			return {...step, actions: [...left.actions, ...rested.actions, ...step.actions]};
+			const left = applyLeaving(state, event);
+			const backedOff = applyBackoff(left.state, event, context.now);
+			const step = applyRateLimit(backedOff.state, event, context);
+			return {...step, actions: [...left.actions, ...backedOff.actions, ...step.actions]};
 		}
 
-		case 'told': {
-			return hearNews(state, event, context);
+		case 'reported': {
+			return applyReport(state, event, context);
 		}
 
 		case 'sent': {
@@ -92,61 +92,61 @@
 	}
 }
 
-export function admissionOf({rateLimit, restsUntil}: EndpointStatements, now: number): Admission {
+export function admissionOf({rateLimit, backoffUntil}: EndpointStatements, now: number): Admission {
 	const permitAt = rateLimit === undefined ? now : nextPermitAt(rateLimit.use, now);
-	if (restsUntil > now && restsUntil >= permitAt) {
-		return {type: 'held', by: 'rest', until: restsUntil};
+	if (backoffUntil > now && backoffUntil >= permitAt) {
+		return {type: 'held', by: 'backoff', until: backoffUntil};
 	}
 
 	return permitAt <= now ? {type: 'open'} : {type: 'held', by: 'rate-limit', until: permitAt};
 }
 
 /** The kinds of statements in force. */
-export function statementsInForce({isLeaving, restsUntil, rateLimit}: EndpointStatements, now: number): ReadonlyArray<EndpointStatement['type']> {
-	return [...(isLeaving ? ['leaving'] as const : []), ...(restsUntil > now ? ['rest'] as const : []), ...(rateLimit === undefined ? [] : ['rate-limit'] as const)];
+export function statementsInForce({isLeaving, backoffUntil, rateLimit}: EndpointStatements, now: number): ReadonlyArray<EndpointStatement['type']> {
+	return [...(isLeaving ? ['leaving'] as const : []), ...(backoffUntil > now ? ['backoff'] as const : []), ...(rateLimit === undefined ? [] : ['rate-limit'] as const)];
 }
 
 /** Final for the incarnation: a response without the statement may be an earlier one that was overtaken. */
-function hearLeaving(state: EndpointStatements, {statements}: ResponseStatements): StatementsStep {
+function applyLeaving(state: EndpointStatements, {statements}: ResponseStatements): StatementsStep {
 	return state.isLeaving || !statements.some(({type}) => type === 'leaving')
 		? {state, actions: []}
 		: {state: {...state, isLeaving: true}, actions: [{type: 'leaving'}]};
 }
 
-/** A rest ends by its time alone: a good response may be to a request that was sent before, and a shorter rest does not replace a longer one. */
-function hearRest(state: EndpointStatements, {statements}: ResponseStatements, now: number): StatementsStep {
-	const rest = statements.find(statement => statement.type === 'rest');
-	const restsUntil = now + Math.min(longestRestMilliseconds, rest?.milliseconds ?? 0);
-	return restsUntil <= now || restsUntil <= state.restsUntil
+/** A backoff ends by its time alone: a success may be the response to a request that was sent before, and a shorter backoff does not replace a longer one. */
+function applyBackoff(state: EndpointStatements, {statements}: ResponseStatements, now: number): StatementsStep {
+	const backoff = statements.find(statement => statement.type === 'backoff');
+	const backoffUntil = now + Math.min(maxBackoffMilliseconds, backoff?.milliseconds ?? 0);
+	return backoffUntil <= now || backoffUntil <= state.backoffUntil
 		? {state, actions: []}
-		: {state: {...state, restsUntil}, actions: [{type: 'resting', milliseconds: restsUntil - now, isLonger: state.restsUntil > now}]};
+		: {state: {...state, backoffUntil}, actions: [{type: 'backing-off', milliseconds: backoffUntil - now, isLonger: state.backoffUntil > now}]};
 }
 
 /**
  * A response that lacks the rate limit ends it. Responses on different connections overtake each other, so one to a request that
- * was sent before the limit was last heard says nothing, nor does one with a malformed statement. What this instance hears itself it tells the others if it is new to it, or
- * if it had only been told.
+ * was sent before the limit was last stated does not count, nor does one with a malformed statement. An own observation is reported
+ * to the others if it is new here, or if it was known from a report only.
  */
-function hearRateLimit(state: EndpointStatements, {statements, malformed, sentAt, isComplete}: Extract<StatementsEvent, {type: 'response'}>, context: StatementsContext): StatementsStep {
+function applyRateLimit(state: EndpointStatements, {statements, malformed, sentAt, canWithdraw}: Extract<StatementsEvent, {type: 'response'}>, context: StatementsContext): StatementsStep {
 	const rateLimit = statements.find(statement => statement.type === 'rate-limit');
-	const mayWithdraw = isComplete && malformed.length === 0 && sentAt >= state.rateLimitHeardAt;
+	const mayWithdraw = canWithdraw && malformed.length === 0 && sentAt >= state.rateLimitObservedAt;
 	if (rateLimit === undefined && !mayWithdraw) {
 		return {state, actions: []};
 	}
 
-	const step = setRateLimit({...state, rateLimitHeardAt: context.now, isFirstHand: true}, rateLimit, context);
-	const isKnown = state.isFirstHand || state.rateLimitHeardAt === -Infinity;
-	return step.actions.length === 0 && isKnown ? step : {...step, actions: [...step.actions, {type: 'tell', rateLimit}]};
+	const step = setRateLimit({...state, rateLimitObservedAt: context.now, isOwnObservation: true}, rateLimit, context);
+	const isKnown = state.isOwnObservation || state.rateLimitObservedAt === -Infinity;
+	return step.actions.length === 0 && isKnown ? step : {...step, actions: [...step.actions, {type: 'report', rateLimit}]};
 }
 
-/** News that changes nothing does not end a first-hand knowledge: otherwise two instances would tell each other the same for ever. */
-function hearNews(state: EndpointStatements, {rateLimit, heardAt}: Extract<StatementsEvent, {type: 'told'}>, context: StatementsContext): StatementsStep {
-	if (heardAt <= state.rateLimitHeardAt) {
+/** A report that changes nothing leaves an own observation as it is: otherwise two instances would report the same to each other for ever. */
+function applyReport(state: EndpointStatements, {rateLimit, observedAt}: Extract<StatementsEvent, {type: 'reported'}>, context: StatementsContext): StatementsStep {
+	if (observedAt <= state.rateLimitObservedAt) {
 		return {state, actions: []};
 	}
 
-	const step = setRateLimit({...state, rateLimitHeardAt: heardAt}, rateLimit, context);
-	return step.actions.length === 0 ? step : {...step, state: {...step.state, isFirstHand: false}};
+	const step = setRateLimit({...state, rateLimitObservedAt: observedAt}, rateLimit, context);
+	return step.actions.length === 0 ? step : {...step, state: {...step.state, isOwnObservation: false}};
 }
 
 function setRateLimit(state: EndpointStatements, statement: RateLimitStatement | undefined, context: StatementsContext): StatementsStep {
--- a/src/policy/statements/rate-limit.ts
+++ b/src/policy/statements/rate-limit.ts
@@ -33,9 +33,12 @@
 export type RateLimitFleet = {readonly endpoint: string; readonly instance: string; readonly instances: readonly string[]};
 
 const millisecondsPerSecond = 1000;
-/** The span in which the requests of all sharers together must stay within `allowedFactor` times the limit, with a margin for delays on the way. */
-const spanSeconds = 4.5;
-const allowedFactor = 1.5 * 4 / spanSeconds;
+/** An endpoint tolerates this multiple of its limit within this span. */
+const tolerance = {factor: 1.5, spanSeconds: 4};
+/** Requests that were sent in a longer span may arrive within a shorter one, by up to this time. */
+const delayMarginSeconds = 0.5;
+const spanSeconds = tolerance.spanSeconds + delayMarginSeconds;
+const allowedFactor = tolerance.factor * tolerance.spanSeconds / spanSeconds;
 /** Part of the limit that all trials together use. */
 const trialPart = 1 / 16;
 /** Part of the limit that is left free for them: they come at random times, now and then several in one span. */
--- a/src/policy/statements/statement.ts
+++ b/src/policy/statements/statement.ts
@@ -5,10 +5,10 @@
 export type LeavingStatement = {readonly type: 'leaving'};
 
 /** It refuses a request of this instance and wants no other one from it for this time. */
-export type RestStatement = {readonly type: 'rest'; readonly milliseconds: number};
+export type BackoffStatement = {readonly type: 'backoff'; readonly milliseconds: number};
 
 /** What an endpoint states about itself in a response. */
-export type EndpointStatement = RateLimitStatement | LeavingStatement | RestStatement;
+export type EndpointStatement = RateLimitStatement | LeavingStatement | BackoffStatement;
 
 /** What one response says about the endpoint that sent it. */
 export type ResponseStatements = {
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -141,10 +141,10 @@
 /** Gateway to gateway: the cached prompt parts that an endpoint reports, as alternating ids and token counts. */
 const kept = z.object({type: z.literal('kept'), endpoint: text, parts: z.custom<readonly number[]>(parts => Array.isArray(parts) && parts.every(value => typeof value === 'number' && value >= 0), 'not numbers')});
 
-/** Gateway to gateway: the sender has heard this rate limit, or none, from this incarnation of an endpoint itself. */
+/** Gateway to gateway: a response to the sender showed this rate limit, or none, of this incarnation of an endpoint. */
 const endpointRateLimit = z.object({
 	type: z.literal('endpoint-rate-limit'), endpoint: text, bornAt: z.number().optional(), requestsPerSecond: rate.optional(),
-	/** Time since the endpoint said so. */
+	/** Time since that response. */
 	ageMilliseconds: milliseconds,
 });
 
--- a/test/adapter/adapter.test.ts
+++ b/test/adapter/adapter.test.ts
@@ -281,14 +281,15 @@
 	t.same(requestCodec.readResponse(200, {'server-leaving': '1', 'server-limit': '2'}).stated.statements.map(({type}) => type), ['rate-limit', 'leaving']);
 });
 
-tap.test('a rest that a worker asks for is decoded from a 503 only, in each of its forms', async t => {
+tap.test('a backoff that a worker asks for is decoded from a 503 only, in each of its forms', async t => {
 	const stated = (value: string, headers: Readonly<Record<string, string>> = {}): unknown => requestCodec.readResponse(503, {'retry-after': value, ...headers}).stated;
-	t.same(stated('3'), {statements: [{type: 'rest', milliseconds: 3000}], malformed: []});
-	t.same(stated('2.5'), {statements: [{type: 'rest', milliseconds: 2500}], malformed: []});
-	t.same(stated('10000'), {statements: [{type: 'rest', milliseconds: 10_000_000}], malformed: []});
+	t.same(stated('3'), {statements: [{type: 'backoff', milliseconds: 3000}], malformed: []});
+	t.same(stated('2.5'), {statements: [{type: 'backoff', milliseconds: 2500}], malformed: []});
+	t.same(stated('10000'), {statements: [{type: 'backoff', milliseconds: 10_000_000}], malformed: []});
 	t.same(stated('0'), {statements: [], malformed: []});
-	t.same(stated('Thu, 03 Dec 2026 10:00:05 GMT', {date: 'Thu, 03 Dec 2026 10:00:00 GMT'}), {statements: [{type: 'rest', milliseconds: 5000}], malformed: []});
+	t.same(stated('Thu, 03 Dec 2026 10:00:05 GMT', {date: 'Thu, 03 Dec 2026 10:00:00 GMT'}), {statements: [{type: 'backoff', milliseconds: 5000}], malformed: []});
 	t.same(stated('Thu, 03 Dec 2026 09:00:00 GMT', {date: 'Thu, 03 Dec 2026 10:00:00 GMT'}), {statements: [], malformed: []}, 'a date that is past');
+	t.match(stated('Thu, 03 Dec 2026 10:00:05 GMT'), {statements: [], malformed: [/retry-after/v]}, 'a date is not compared with the own clock');
 	for (const malformed of ['-1', 'soon', '', 'Infinity']) {
 		t.same(stated(malformed), {statements: [], malformed: [`retry-after: ${malformed}`]});
 	}
--- a/test/gateway/backoff.test.ts
+++ b/test/gateway/backoff.test.ts
@@ -81,7 +81,7 @@
 
 	await eventually(() => {
 		void testbed.statusOf({path: '/lookup/1'});
-		return testbed.logLines.filter(({msg}) => String(msg).includes('Endpoint asks for rest.')).length >= 2;
+		return testbed.logLines.filter(({msg}) => String(msg).includes('Endpoint asks for a backoff.')).length >= 2;
 	});
 	const response = await testbed.send({path: '/lookup/1'}, gateway);
 	t.equal(response.status, 503);
@@ -98,7 +98,7 @@
 	slow!.answer = () => ({type: 'whole', body: 'ok', afterMilliseconds: 30});
 	await eventually(() => {
 		void testbed.statusOf({path: '/lookup/1'});
-		return testbed.logLines.some(({msg}) => String(msg).includes('Endpoint asks for rest.'));
+		return testbed.logLines.some(({msg}) => String(msg).includes('Endpoint asks for a backoff.'));
 	});
 	slow!.answer = () => ({type: 'whole', body: 'ok', afterMilliseconds: 800});
 	t.equal(await testbed.statusOf({path: '/lookup/1'}), 200);
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -15,7 +15,7 @@
 	const routingState = RoutingState.create(silentLogger);
 	const peers = await Peers.create({
 		instance, zone: 'zone-a' as ZoneName, incarnation: `${instance}-first`, host: '127.0.0.1', port, security: {type: 'plaintext'}, seeds, routingState, logger: silentLogger,
-		onPromptCache: () => undefined, onRateLimitNews: () => undefined, holderAnnouncement: () => undefined, onHolderAnnouncement: () => undefined, onStaleTable: () => undefined,
+		onPromptCache: () => undefined, onRateLimitReport: () => undefined, holderAnnouncement: () => undefined, onHolderAnnouncement: () => undefined, onStaleTable: () => undefined,
 		onLoad(event) {
 			events.push(event);
 		},
--- a/test/gateway/prompt-cache.test.ts
+++ b/test/gateway/prompt-cache.test.ts
@@ -101,7 +101,7 @@
 tap.test('an engine that is held back by its own statement is not asked for its list', async t => {
 	const silentLogger = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
 	const routingState = RoutingState.create(silentLogger);
-	const statements = StatementRegistry.create({routingState, logger: silentLogger, random: () => 0.5, instance: 'a', instances: () => [], onNews: () => undefined});
+	const statements = StatementRegistry.create({routingState, logger: silentLogger, random: () => 0.5, instance: 'a', instances: () => [], onReport: () => undefined});
 	const asked: string[] = [];
 	using _reader = PromptCacheReader.create({
 		instance: 'a', routingState, instances: () => [], statements, logger: silentLogger, onRead: () => undefined,
@@ -116,7 +116,7 @@
 	}, 'store');
 	const record = (id: string) => ({id, service: 's', address: id, zone: 'z' as ZoneName, isLeaving: false, slots: 4, revision: 1});
 	routingState.applyEndpointChanges(['free', 'held'].map((id, offset) => ({type: 'registered', era: 0, offset, record: record(id)})), 'store', performance.now());
-	statements.recordNews({endpoint: 'held', bornAt: undefined, rateLimit: {type: 'rate-limit', requestsPerSecond: 1}, heardAt: performance.now()}, performance.now());
+	statements.recordReport({endpoint: 'held', bornAt: undefined, rateLimit: {type: 'rate-limit', requestsPerSecond: 1}, observedAt: performance.now()}, performance.now());
 	await eventually(() => asked.length > 0);
 	await new Promise(resolve => {
 		setTimeout(resolve, 200);
--- a/test/gateway/statement-registry.test.ts
+++ b/test/gateway/statement-registry.test.ts
@@ -1,5 +1,5 @@
 import tap from 'tap';
-import {type RateLimitNews, RoutingState, StatementRegistry} from '../../src/gateway/index.js';
+import {type RateLimitReport, RoutingState, StatementRegistry} from '../../src/gateway/index.js';
 import {type ZoneName} from '../../src/model/index.js';
 import {noStatements, type EndpointStatement} from '../../src/policy/statements/index.js';
 import {type EndpointRecord, EndpointStatus, endpointStatusOf} from '../../src/routing/index.js';
@@ -8,7 +8,7 @@
 
 class TestRegistry {
 	readonly lines: LogLine[] = [];
-	readonly news: RateLimitNews[] = [];
+	readonly reports: RateLimitReport[] = [];
 	readonly routingState: RoutingState;
 	readonly registry: StatementRegistry;
 	#offset = 0;
@@ -22,8 +22,8 @@
 		this.routingState = RoutingState.create(logger);
 		this.registry = StatementRegistry.create({
 			routingState: this.routingState, logger, random: () => 0.5, instance: 'a', instances: () => ['b'],
-			onNews: news => {
-				this.news.push(news);
+			onReport: report => {
+				this.reports.push(report);
 			},
 		});
 	}
@@ -35,8 +35,8 @@
 		return record;
 	}
 
-	hear(record: EndpointRecord, statement: EndpointStatement, now: number): void {
-		this.registry.recordResponse(record, {statements: [statement], malformed: [], sentAt: now, isComplete: true}, now);
+	receive(record: EndpointRecord, statement: EndpointStatement, now: number): void {
+		this.registry.recordResponse(record, {statements: [statement], malformed: [], sentAt: now, canWithdraw: true}, now);
 	}
 
 	status(now: number): EndpointStatus {
@@ -50,24 +50,25 @@
 tap.test('a statement belongs to the incarnation that made it', async t => {
 	const test = new TestRegistry();
 	const first = test.register(1);
-	test.hear(first, limit, 10);
+	test.receive(first, limit, 10);
 	t.equal(test.registry.admission('e', 20).type, 'held');
 	const second = test.register(2);
 	t.equal(test.registry.admission('e', 30).type, 'open', 'the next incarnation has stated nothing');
-	test.hear(first, limit, 40);
-	test.hear(first, {type: 'leaving'}, 40);
+	test.receive(first, limit, 40);
+	test.receive(first, {type: 'leaving'}, 40);
 	t.equal(test.registry.admission('e', 50).type, 'open', 'a late response of the first one');
 	t.equal(test.status(50), EndpointStatus.ready);
-	test.registry.recordNews({endpoint: 'e', bornAt: 1, rateLimit: limit, heardAt: 60}, 70);
-	t.equal(test.registry.admission('e', 80).type, 'open', 'news of the first one');
-	test.hear(second, limit, 90);
+	t.equal(test.lines.filter(({message}) => message.startsWith('Ignored statements')).length, 2);
+	test.registry.recordReport({endpoint: 'e', bornAt: 1, rateLimit: limit, observedAt: 60}, 70);
+	t.equal(test.registry.admission('e', 80).type, 'open', 'a report of the first one');
+	test.receive(second, limit, 90);
 	t.equal(test.registry.admission('e', 95).type, 'held');
 });
 
 tap.test('an endpoint that states that it leaves has ended, whatever the store lists', async t => {
 	const test = new TestRegistry();
 	const record = test.register();
-	test.hear(record, {type: 'leaving'}, 10);
+	test.receive(record, {type: 'leaving'}, 10);
 	t.equal(test.status(20), EndpointStatus.lastResort);
 	t.equal(test.status(1000), EndpointStatus.gone);
 	test.register();
@@ -79,7 +80,7 @@
 	const test = new TestRegistry();
 	const record = test.register();
 	for (const now of [10, 20]) {
-		test.registry.recordResponse(record, {...noStatements, malformed: ['limit: abc'], sentAt: now, isComplete: true}, now);
+		test.registry.recordResponse(record, {...noStatements, malformed: ['limit: abc'], sentAt: now, canWithdraw: true}, now);
 	}
 
 	t.equal(test.lines.filter(({message}) => message.startsWith('Ignored')).length, 1);
@@ -88,11 +89,11 @@
 tap.test('what is known of an endpoint that is gone, or that states nothing, is dropped', async t => {
 	const test = new TestRegistry();
 	const record = test.register();
-	test.hear(record, limit, 10);
-	test.registry.recordResponse(record, {...noStatements, sentAt: 20, isComplete: true}, 30);
+	test.receive(record, limit, 10);
+	test.registry.recordResponse(record, {...noStatements, sentAt: 20, canWithdraw: true}, 30);
 	t.equal(test.registry.hasStatement('e', 40), false);
-	t.match(test.news, [{rateLimit: limit}, {rateLimit: undefined}]);
+	t.match(test.reports, [{rateLimit: limit}, {rateLimit: undefined}]);
 	test.registry.prune(60_000);
-	test.registry.recordNews({endpoint: 'unknown', bornAt: undefined, rateLimit: limit, heardAt: 60_000}, 60_001);
+	test.registry.recordReport({endpoint: 'unknown', bornAt: undefined, rateLimit: limit, observedAt: 60_000}, 60_001);
 	t.equal(test.registry.countOf('rate-limit', 60_001), 0);
 });
--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -1,5 +1,5 @@
 import {createRandom, type Random} from '../../bench/harness/random.js';
-import {type RateLimitNews, RoutingState, type Decision, demandOf, Dispatcher, placementRequestOf} from '../../src/gateway/index.js';
+import {type RateLimitReport, RoutingState, type Decision, demandOf, Dispatcher, placementRequestOf} from '../../src/gateway/index.js';
 import {type InstanceId, type WorkspaceName, type ZoneName} from '../../src/model/index.js';
 import {defaultTuning, type LoadEvent, type PromptPart, propagationMilliseconds} from '../../src/policy/dispatch/index.js';
 import {type EndpointRecord, type Route, RouteKind, type RoutingTable, type RoutingTableInput, type Workspace} from '../../src/routing/index.js';
@@ -159,8 +159,8 @@
 				incarnation: `i${number}` as InstanceId, zone, routingState, logger: silentLogger, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000},
 				random: () => this.#random.uniform(), tuning: defaultTuning,
 				instance: `i${number}`, instances: () => this.#instanceNames,
-				onRateLimitNews: news => {
-					this.#broadcastNews(number, news);
+				onRateLimitReport: news => {
+					this.#broadcastReport(number, news);
 				},
 				onLoad: event => {
 					this.#broadcastLoad(number, event);
@@ -298,7 +298,7 @@
 		const {rateLimits, time} = this.#options;
 		const requestsPerSecond = rateLimits?.get(Number(record.id.split('-')[1]));
 		dispatcher.statements.recordResponse(record, {
-			statements: requestsPerSecond === undefined ? [] : [{type: 'rate-limit', requestsPerSecond}], malformed: [], sentAt, isComplete: true,
+			statements: requestsPerSecond === undefined ? [] : [{type: 'rate-limit', requestsPerSecond}], malformed: [], sentAt, canWithdraw: true,
 		}, time.now);
 	}
 
@@ -346,11 +346,11 @@
 		return [{id: base + this.#random.below(sharedPrefixes), tokens: sharedTokens}, {id: 1_000_000 + number, tokens: ownTokens}];
 	}
 
-	#broadcastNews(sender: number, news: RateLimitNews): void {
+	#broadcastReport(sender: number, news: RateLimitReport): void {
 		this.#options.time.after(propagationMilliseconds(this.#options.instances - 1), () => {
 			for (const [number, dispatcher] of this.dispatchers.entries()) {
 				if (number !== sender) {
-					dispatcher.statements.recordNews(news, this.#options.time.now);
+					dispatcher.statements.recordReport(news, this.#options.time.now);
 				}
 			}
 		});
--- a/test/policy/statements.test.ts
+++ b/test/policy/statements.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {simulate} from '../../bench/rate-limit/simulation.js';
 import {
-	admissionOf, type EndpointStatements, initialStatements, longestRestMilliseconds, shareOf, type StatementsContext, type StatementsEvent, stepStatements, type StatementsAction, statementsInForce,
+	admissionOf, type EndpointStatements, initialStatements, maxBackoffMilliseconds, shareOf, type StatementsContext, type StatementsEvent, stepStatements, type StatementsAction, statementsInForce,
 } from '../../src/policy/statements/index.js';
 
 const fleet = {endpoint: 'e', instance: 'a', instances: ['a', 'b']};
@@ -12,8 +12,8 @@
 }
 
 /** A response to a request that was sent just before. */
-function response(requestsPerSecond: number | undefined, {sentAt, isComplete = true}: {sentAt: number; isComplete?: boolean}): StatementsEvent {
-	return {type: 'response', statements: requestsPerSecond === undefined ? [] : [{type: 'rate-limit', requestsPerSecond}], malformed: [], sentAt, isComplete};
+function response(requestsPerSecond: number | undefined, {sentAt, canWithdraw = true}: {sentAt: number; canWithdraw?: boolean}): StatementsEvent {
+	return {type: 'response', statements: requestsPerSecond === undefined ? [] : [{type: 'rate-limit', requestsPerSecond}], malformed: [], sentAt, canWithdraw};
 }
 
 /** The state and all actions after events at these times. */
@@ -66,15 +66,15 @@
 // Guards against a response of a request that was sent before the statement: on another connection it arrives later.
 tap.test('a limit ends with a response to a request that was sent after it was last heard', async t => {
 	const stated = play([[100, response(2, {sentAt: 50})]]);
-	t.match(stated.actions, [{type: 'limited', requestsPerSecond: 2}, {type: 'tell'}]);
+	t.match(stated.actions, [{type: 'limited', requestsPerSecond: 2}, {type: 'report'}]);
 	t.equal(admissionOf(stated.state, 100).type, 'held', 'nothing may be sent at once');
 	t.equal(admissionOf(stated.state, 1100).type, 'open', 'its share is one request a second');
 
 	const overtaken = play([[100, response(2, {sentAt: 50})], [110, response(undefined, {sentAt: 60})]]);
 	t.not(overtaken.state.rateLimit, undefined);
-	const uncertain = play([[100, response(2, {sentAt: 50})], [210, response(undefined, {sentAt: 150, isComplete: false})]]);
+	const uncertain = play([[100, response(2, {sentAt: 50})], [210, response(undefined, {sentAt: 150, canWithdraw: false})]]);
 	t.not(uncertain.state.rateLimit, undefined, 'a response that does not name its request ends nothing');
-	const malformed = play([[100, response(2, {sentAt: 50})], [210, {type: 'response', statements: [], malformed: ['limit: abc'], sentAt: 150, isComplete: true}]]);
+	const malformed = play([[100, response(2, {sentAt: 50})], [210, {type: 'response', statements: [], malformed: ['limit: abc'], sentAt: 150, canWithdraw: true}]]);
 	t.not(malformed.state.rateLimit, undefined, 'a malformed statement is not the absence of one');
 	const ended = play([[100, response(2, {sentAt: 50})], [210, response(undefined, {sentAt: 150})]]);
 	t.equal(ended.state.rateLimit, undefined);
@@ -97,22 +97,22 @@
 	}
 });
 
-// Guards against instances that tell each other the same for ever, and against older news that undoes newer.
-tap.test('news of another instance counts if it is newer, and is passed on only once heard from the endpoint', async t => {
-	const told = (rate: number | undefined, heardAt: number): StatementsEvent => ({type: 'told', rateLimit: rate === undefined ? undefined : {type: 'rate-limit', requestsPerSecond: rate}, heardAt});
-	const news = play([[100, told(2, 80)]]);
-	t.equal(news.state.rateLimit!.requestsPerSecond, 2);
-	t.notOk(news.actions.some(({type}) => type === 'tell'));
-	t.ok(play([[100, told(2, 80)], [200, response(2, {sentAt: 150})]]).actions.some(({type}) => type === 'tell'), 'confirmed by the endpoint');
-	t.equal(play([[100, response(undefined, {sentAt: 60})], [120, told(2, 90)]]).state.rateLimit, undefined, 'older than its own knowledge');
-	t.equal(play([[100, told(2, 80)], [130, told(undefined, 120)]]).state.rateLimit, undefined);
-	const repeated = play([[100, response(2, {sentAt: 50})], [150, told(2, 140)], [200, response(2, {sentAt: 160})]]);
-	t.equal(repeated.actions.filter(({type}) => type === 'tell').length, 1);
+// Guards against instances that tell each other the same for ever, and against an older report that undoes a newer one.
+tap.test('a report of another instance counts if it is newer, and is passed on only after an own observation', async t => {
+	const reported = (rate: number | undefined, observedAt: number): StatementsEvent => ({type: 'reported', rateLimit: rate === undefined ? undefined : {type: 'rate-limit', requestsPerSecond: rate}, observedAt});
+	const known = play([[100, reported(2, 80)]]);
+	t.equal(known.state.rateLimit!.requestsPerSecond, 2);
+	t.notOk(known.actions.some(({type}) => type === 'report'));
+	t.ok(play([[100, reported(2, 80)], [200, response(2, {sentAt: 150})]]).actions.some(({type}) => type === 'report'), 'confirmed by the endpoint');
+	t.equal(play([[100, response(undefined, {sentAt: 60})], [120, reported(2, 90)]]).state.rateLimit, undefined, 'older than its own knowledge');
+	t.equal(play([[100, reported(2, 80)], [130, reported(undefined, 120)]]).state.rateLimit, undefined);
+	const repeated = play([[100, response(2, {sentAt: 50})], [150, reported(2, 140)], [200, response(2, {sentAt: 160})]]);
+	t.equal(repeated.actions.filter(({type}) => type === 'report').length, 1);
 });
 
 // Guards against an earlier response that arrives later and makes a leaving endpoint usable again.
 tap.test('leaving is final', async t => {
-	const leaving: StatementsEvent = {type: 'response', statements: [{type: 'leaving'}], malformed: [], sentAt: 0, isComplete: true};
+	const leaving: StatementsEvent = {type: 'response', statements: [{type: 'leaving'}], malformed: [], sentAt: 0, canWithdraw: true};
 	const {state, actions} = play([[10, leaving], [20, response(undefined, {sentAt: 15})], [30, leaving]]);
 	t.same(actions, [{type: 'leaving'}]);
 	t.same(statementsInForce(state, 40), ['leaving']);
@@ -120,12 +120,12 @@
 
 // Guards against a good response, or a shorter rest, that ends a rest before its time.
 tap.test('a rest lasts to its end', async t => {
-	const rest = (milliseconds: number): StatementsEvent => ({type: 'response', statements: [{type: 'rest', milliseconds}], malformed: [], sentAt: 0, isComplete: true});
+	const rest = (milliseconds: number): StatementsEvent => ({type: 'response', statements: [{type: 'backoff', milliseconds}], malformed: [], sentAt: 0, canWithdraw: true});
 	const {state, actions} = play([[10, rest(3000)], [20, response(undefined, {sentAt: 15})], [30, rest(500)], [40, rest(3000)]]);
-	t.same(admissionOf(state, 3039), {type: 'held', by: 'rest', until: 3040});
+	t.same(admissionOf(state, 3039), {type: 'held', by: 'backoff', until: 3040});
 	t.equal(admissionOf(state, 3040).type, 'open');
-	t.same(actions.map(action => action.type === 'resting' && [action.milliseconds, action.isLonger]), [[3000, false], [3000, true]]);
-	t.equal(admissionOf(play([[0, rest(1e9)]]).state, longestRestMilliseconds).type, 'open', 'a mistaken value');
-	t.same(admissionOf(play([[5, response(2, {sentAt: 0})], [10, rest(3000)]]).state, 20), {type: 'held', by: 'rest', until: 3010}, 'the later of two');
+	t.same(actions.map(action => action.type === 'backing-off' && [action.milliseconds, action.isLonger]), [[3000, false], [3000, true]]);
+	t.equal(admissionOf(play([[0, rest(1e9)]]).state, maxBackoffMilliseconds).type, 'open', 'a mistaken value');
+	t.same(admissionOf(play([[5, response(2, {sentAt: 0})], [10, rest(3000)]]).state, 20), {type: 'held', by: 'backoff', until: 3010}, 'the later of two');
 	t.match(admissionOf(play([[5, response(0.1, {sentAt: 0})], [10, rest(3000)]]).state, 20), {type: 'held', by: 'rate-limit'});
 });
