Tests of peers listen where the system chooses

Cause: the file listened on ports of its own choice, 21,700 to 34,699 by process id. Those from 32,768 on belong to the range from which the system takes ports of outgoing connections (32,768 to 60,999), so that any client of another test may hold one: "listen EADDRINUSE 127.0.0.1:33746".

Change: port 0 throughout; Peers tells its address. Two instances that dial each other can't know each other's port before they listen, so each is given the other's announcement at once after the start, and both dial in the same second. No assertion is changed.

Both mutants of the rule which of two connections is kept (always the new one, never the new one) still fail "neither considers the other lost".

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -79,6 +79,11 @@
 		});
 	}
 
+	/** Address at which other instances connect, with the port that the system chose if the options left it open (0). */
+	get address(): string {
+		return this.#listener!.address;
+	}
+
 	get count(): number {
 		return this.#links.size;
 	}
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -1,4 +1,3 @@
-import process from 'node:process';
 import tap from 'tap';
 import {type ZoneName} from '../../src/model/index.js';
 import {RoutingState, initialMessages, PeerRoster, Peers} from '../../src/gateway/index.js';
@@ -10,11 +9,11 @@
 
 type TestInstance = {readonly peers: Peers; readonly events: LoadEvent[]; readonly routingState: RoutingState};
 
-async function createPeers(instance: string, {port, seeds}: {port: number; seeds: readonly string[]}): Promise<TestInstance> {
+async function createPeers(instance: string, seeds: readonly string[] = []): Promise<TestInstance> {
 	const events: LoadEvent[] = [];
 	const routingState = RoutingState.create(silentLogger);
 	const peers = await Peers.create({
-		instance, zone: 'zone-a' as ZoneName, incarnation: `${instance}-first`, host: '127.0.0.1', port, security: {type: 'plaintext'}, seeds, routingState, logger: silentLogger,
+		instance, zone: 'zone-a' as ZoneName, incarnation: `${instance}-first`, host: '127.0.0.1', port: 0, security: {type: 'plaintext'}, seeds, routingState, logger: silentLogger,
 		onPromptCache: () => undefined, onRateLimitReport: () => undefined, holderAnnouncement: () => undefined, onHolderAnnouncement: () => undefined, onStaleTable: () => undefined,
 		onLoad(event) {
 			events.push(event);
@@ -37,9 +36,8 @@
 // minutes, they made idle endpoints look full, and requests at all other instances were refused or waited. They must be removed
 // when the connection ends.
 tap.test('runs that a lost instance had placed no longer count', async t => {
-	const port = 21_700 + (process.pid % 1000);
-	const survivor = await createPeers('stays', {port, seeds: []});
-	const lost = await createPeers('dies', {port: port + 1000, seeds: [`127.0.0.1:${port}`]});
+	const survivor = await createPeers('stays');
+	const lost = await createPeers('dies', [survivor.peers.address]);
 	const loadTracker = LoadTracker.create();
 	await waitUntil(() => lost.peers.count === 1);
 	lost.peers.broadcastLoad({
@@ -74,9 +72,8 @@
 // each table to every other one, small links were saturated for seconds, new connections to endpoints came too late, and callers got
 // errors from a healthy fleet. Instances announce versions, and send a table only to a peer that lacks it.
 tap.test('a table from the store is not sent to peers that have it', async t => {
-	const port = 24_700 + (process.pid % 1000);
-	const one = await createPeers('one', {port, seeds: []});
-	const connection = await dial(`127.0.0.1:${port}`, {type: 'plaintext'});
+	const one = await createPeers('one');
+	const connection = await dial(one.peers.address, {type: 'plaintext'});
 	connection.send({type: 'gateway-hello', protocol: protocolVersion, instance: 'two', incarnation: 'two-first', knowsEndpoints: true});
 	await waitUntil(() => one.peers.count === 1);
 	const before = connection.counts.receivedBytes;
@@ -93,9 +90,8 @@
 // The store refuses an instance while the operator publishes. The instance receives the version from a peer and requests the table;
 // without this it would use the old table until the store is available again.
 tap.test('an instance that the store refuses gets the table from a peer', async t => {
-	const port = 27_700 + (process.pid % 1000);
-	const one = await createPeers('one', {port, seeds: []});
-	const two = await createPeers('two', {port: port + 1000, seeds: [`127.0.0.1:${port}`]});
+	const one = await createPeers('one');
+	const two = await createPeers('two', [one.peers.address]);
 	await waitUntil(() => two.peers.count === 1);
 	one.routingState.applyTable(table(7), 'store');
 	await waitUntil(() => two.routingState.table?.version === 7);
@@ -108,8 +104,9 @@
 
 // Two instances that dial each other at the same moment must not close both connections.
 tap.test('two instances that dial each other stay linked by one connection', async t => {
-	const port = 30_700 + (process.pid % 1000);
-	const [one, two] = await Promise.all([createPeers('one', {port, seeds: [`127.0.0.1:${port + 1000}`]}), createPeers('two', {port: port + 1000, seeds: [`127.0.0.1:${port}`]})]);
+	const [one, two] = await Promise.all([createPeers('one'), createPeers('two')]);
+	one.peers.addPeers([{instance: 'two', address: two.peers.address}], true);
+	two.peers.addPeers([{instance: 'one', address: one.peers.address}], true);
 	await waitUntil(() => one.peers.count === 1 && two.peers.count === 1);
 	await new Promise(resolve => {
 		setTimeout(resolve, 1500);
@@ -126,12 +123,11 @@
 
 // Load of a peer's previous incarnation must not keep counting if the peer is back before its silence was detected.
 tap.test('runs that a peer had placed are removed when it has restarted', async t => {
-	const port = 33_700 + (process.pid % 1000);
-	const one = await createPeers('one', {port, seeds: []});
-	const before = await dial(`127.0.0.1:${port}`, {type: 'plaintext'});
+	const one = await createPeers('one');
+	const before = await dial(one.peers.address, {type: 'plaintext'});
 	before.send({type: 'gateway-hello', protocol: protocolVersion, instance: 'two', incarnation: 'two-first', knowsEndpoints: true});
 	await waitUntil(() => one.peers.count === 1);
-	const after = await dial(`127.0.0.1:${port}`, {type: 'plaintext'});
+	const after = await dial(one.peers.address, {type: 'plaintext'});
 	after.send({type: 'gateway-hello', protocol: protocolVersion, instance: 'two', incarnation: 'two-second', knowsEndpoints: true});
 	await waitUntil(() => one.events.some(event => event.type === 'owner-lost' && event.owner === 'two-first'));
 	t.equal(one.peers.count, 1);
