A side sends nothing to an endpoint that asks for a backoff

What callers saw: an engine or plain service of the product's own path that refuses with 429 or 503 and Retry-After got the next request of the queue at once. Each was refused in turn: its caller got the endpoint's failure, or a second attempt elsewhere, where it could have waited.

A side read an engine's Retry-After for the caller's failure only; that of a service went through unread.

A refusal is an event of the side's queue, src/policy/scheduler/backoff.ts: no offers until the end, 300 s at most; open offers are withdrawn; who can't get a slot before its queue timeout is refused at once with the time until the end; the others keep their places; entries are told that no slot is free. The time of a backoff does not count in the estimate of waits. The side logs it.

The property test draws backoffs, and its model forbids offers within them.

--- a/src/endpoint/engine-client.ts
+++ b/src/endpoint/engine-client.ts
@@ -6,6 +6,7 @@
 import {readEngineStream} from './engine-stream.js';
 import {openCall} from './open-call.js';
 import {discard, readJson} from './read-response.js';
+import {readRetryAfter} from './retry-after.js';
 
 export type EngineClientSettings = {
 	/** For example `http://127.0.0.1:9000`. */
@@ -132,13 +133,13 @@
 		return createBadResponseFailure('The engine sent a response that is not an event stream.');
 	}
 
-	const retryAfterSeconds = Number(response.headers['retry-after']);
+	const retryAfterMilliseconds = readRetryAfter(response.headers);
 	const body = await readJson(response);
 	const reason = errorMessage(body) ?? 'no reason given';
 	// By the published protocol a 4xx means that nothing happened; after a 5xx the request may have run.
 	return createFailure(kindOfStatus(status), `The engine refused with status ${status}: ${reason}.`, {
 		verdict: status >= firstServerError ? Verdict.mayHaveRun : Verdict.notRun,
-		...(Number.isFinite(retryAfterSeconds) && {retryAfterMilliseconds: retryAfterSeconds * 1000}),
+		...(retryAfterMilliseconds !== undefined && {retryAfterMilliseconds}),
 	});
 }
 
--- a/src/endpoint/service-client.ts
+++ b/src/endpoint/service-client.ts
@@ -2,6 +2,7 @@
 import {Readable, pipeline} from 'node:stream';
 import {RequestError, type Failure} from '../model/index.js';
 import {createConnectionFailure, openCall} from './open-call.js';
+import {readRetryAfter} from './retry-after.js';
 import {responseHeadersForCaller, requestHeadersForService} from './service-headers.js';
 
 export type ServiceClientSettings = {
@@ -25,9 +26,18 @@
 
 export type ServiceResponse
 	/** A response with any status. `body` throws `RequestError` if it is incomplete. */
-	= | {readonly type: 'answered'; readonly status: number; readonly headers: Record<string, string>; readonly body: AsyncGenerator<Uint8Array>}
-		| {readonly type: 'failed'; readonly failure: Failure};
+	= | {
+		readonly type: 'answered';
+		readonly status: number;
+		readonly headers: Record<string, string>;
+		readonly body: AsyncGenerator<Uint8Array>;
+		/** The service refuses the call and wants no other one for this time. */
+		readonly backoffMilliseconds: number | undefined;
+	}
+	| {readonly type: 'failed'; readonly failure: Failure};
 
+/** Too many requests, and service unavailable. With other statuses `Retry-After` concerns the one call. */
+const refusalStatuses: ReadonlySet<number> = new Set([429, 503]);
 /** A service call may be a long job. A minute limits the wait for a call whose connection is dead but was not closed. */
 const defaultHeaderTimeoutMilliseconds = 60_000;
 
@@ -64,8 +74,10 @@
 		}
 
 		const {response} = opened;
+		const status = response.statusCode ?? 0;
 		return {
-			type: 'answered', status: response.statusCode ?? 0, headers: responseHeadersForCaller(response.headers), body: readBody(response, call.signal),
+			type: 'answered', status, headers: responseHeadersForCaller(response.headers), body: readBody(response, call.signal),
+			backoffMilliseconds: refusalStatuses.has(status) ? readRetryAfter(response.headers) : undefined,
 		};
 	}
 
--- a/src/policy/scheduler/fifo.ts
+++ b/src/policy/scheduler/fifo.ts
@@ -5,7 +5,7 @@
 import {type Scheduler, type SchedulerEvent, type SchedulerStep} from './types.js';
 
 /** Which reservations wait and hold slots, and whether the side accepts requests. */
-export type FifoState = {readonly reservations: Reservations; readonly leaving: boolean; readonly up: boolean; readonly tokenMilliseconds: number};
+export type FifoState = {readonly reservations: Reservations; readonly leaving: boolean; readonly up: boolean; readonly backoffUntil: number; readonly tokenMilliseconds: number};
 
 type Step = SchedulerStep<FifoState>;
 
@@ -17,7 +17,7 @@
 export function createFifoScheduler(overrides: Partial<SchedulerSettings> = {}): Scheduler<FifoState> {
 	const settings = createSettings(overrides);
 	return {
-		create: () => ({reservations: emptyReservations, leaving: false, up: true, tokenMilliseconds: 0}),
+		create: () => ({reservations: emptyReservations, leaving: false, up: true, backoffUntil: Number.NEGATIVE_INFINITY, tokenMilliseconds: 0}),
 		step: (state, event, now) => step(state, event, {now, settings}),
 		view: ({reservations, leaving, tokenMilliseconds}) => ({
 			slots: settings.initialSlots,
@@ -60,6 +60,10 @@
 			return event.up ? withoutActions({...state, up: true}) : refuseAll({...state, up: false}, RefusalReason.down);
 		}
 
+		case 'backoff': {
+			return withoutActions({...state, backoffUntil: Math.max(state.backoffUntil, context.now + event.milliseconds)});
+		}
+
 		case 'leaving': {
 			return refuseAll({...state, leaving: true}, RefusalReason.leaving);
 		}
@@ -106,7 +110,7 @@
 function dispatch(state: FifoState, context: Context): Step {
 	const {now, settings} = context;
 	const [first] = state.reservations.waiting.values();
-	if (first === undefined || state.leaving || !state.up || state.reservations.holders.size >= settings.initialSlots) {
+	if (first === undefined || state.leaving || !state.up || now < state.backoffUntil || state.reservations.holders.size >= settings.initialSlots) {
 		return withoutActions(state);
 	}
 
--- a/src/policy/scheduler/invariants.ts
+++ b/src/policy/scheduler/invariants.ts
@@ -10,7 +10,7 @@
 	floorWithinBound: 'floor-within-bound',
 	/** The counters of a tier's waiting workspaces differ by a bounded number of tokens. */
 	fairWithinBound: 'fair-within-bound',
-	/** A side that is draining, or whose endpoint is down, makes no offers. */
+	/** A side that is draining, or whose endpoint is down or has asked for a backoff, makes no offers. */
 	closedOffersNothing: 'closed-offers-nothing',
 } as const;
 export type Rule = (typeof Rule)[keyof typeof Rule];
--- a/src/policy/scheduler/refusal.ts
+++ b/src/policy/scheduler/refusal.ts
@@ -3,10 +3,11 @@
 
 /**
  * Why a reservation is refused. Each becomes a response that says "not run" and when to retry. `hopeless`: it
- * is expected to reach its queue timeout before it gets a slot; `lapsed`: its offer was not answered in time.
+ * is expected to reach its queue timeout before it gets a slot; `lapsed`: its offer was not answered in time; `backingOff`: the endpoint
+ * has asked for a backoff that ends after the queue timeout, or that began after the offer.
  */
 export const RefusalReason = {
-	full: 'full', expired: 'expired', hopeless: 'hopeless', lapsed: 'lapsed', leaving: 'leaving', down: 'down', unknown: 'unknown',
+	full: 'full', expired: 'expired', hopeless: 'hopeless', lapsed: 'lapsed', leaving: 'leaving', down: 'down', backingOff: 'backing-off', unknown: 'unknown',
 } as const;
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
 
@@ -25,5 +26,6 @@
 	[RefusalReason.lapsed]: {kind: FailureKind.queueTimeout, message: 'The offered slot was not used in time.'},
 	[RefusalReason.leaving]: {kind: FailureKind.stopping, message: 'The endpoint is draining.'},
 	[RefusalReason.down]: {kind: FailureKind.noEndpoint, message: 'The endpoint does not respond.'},
+	[RefusalReason.backingOff]: {kind: FailureKind.queueTimeout, message: 'The endpoint has asked for a backoff.'},
 	[RefusalReason.unknown]: {kind: FailureKind.queueTimeout, message: 'The request no longer holds a slot.'},
 };
--- a/src/policy/scheduler/tiered-decisions.ts
+++ b/src/policy/scheduler/tiered-decisions.ts
@@ -10,7 +10,7 @@
 import {refuse, RefusalReason} from './refusal.js';
 import {type Context, type SchedulerSettings} from './settings.js';
 import {slotCount} from './slots.js';
-import {freeSlots, isOpen, latestStart, longestSlotTime, setUnservedSince, type TieredState} from './tiered-state.js';
+import {freeSlots, latestStart, longestSlotTime, mayOffer, setUnservedSince, type TieredState} from './tiered-state.js';
 import {type SchedulerStep} from './types.js';
 
 type Step = SchedulerStep<TieredState>;
@@ -37,8 +37,8 @@
 
 /** Offers free slots one by one, choosing the request anew for each. */
 export function offerSlots(state: TieredState, context: Context): Step {
-	const {settings} = context;
-	if (freeSlots(state) <= 0 || !isOpen(state)) {
+	const {now, settings} = context;
+	if (freeSlots(state) <= 0 || !mayOffer(state, now)) {
 		return withoutActions(state);
 	}
 
@@ -71,7 +71,7 @@
 function offer(state: TieredState, next: WaitingReservation, usesFloorShare: boolean, {now, settings}: Context): TieredState {
 	const {summary} = next;
 	const reservations = assignSlot(state.reservations, next, usesFloorShare, now);
-	assertRule(isOpen(state), Rule.closedOffersNothing, () => `offered ${next.id}`, settings.onViolation);
+	assertRule(mayOffer(state, now), Rule.closedOffersNothing, () => `offered ${next.id}`, settings.onViolation);
 	assertRule(reservations.holders.size <= slotCount(state.slots), Rule.slotsBounded, () => `${reservations.holders.size} of ${slotCount(state.slots)} slots`, settings.onViolation);
 	const fairness = advanceVirtualTime(state.fairness, state.reservations, summary, settings);
 	const lag = maximumLag(fairness, state.reservations, summary.tier, settings);
@@ -96,7 +96,7 @@
 /** Preempts requests for waiting ones that would miss their first-token deadline otherwise. */
 export function preempt(state: TieredState, context: Context): Step {
 	const {now, settings} = context;
-	if (!isOpen(state) || freeSlots(state) > 0 || !mayFindVictim(state, settings)) {
+	if (!mayOffer(state, now) || freeSlots(state) > 0 || !mayFindVictim(state, settings)) {
 		return withoutActions(state);
 	}
 
--- a/src/policy/scheduler/tiered-events.ts
+++ b/src/policy/scheduler/tiered-events.ts
@@ -1,5 +1,6 @@
 import {type RequestSummary} from '../../model/index.js';
 import {selectEviction, noLowerTierUsesSharedCapacity} from './admission.js';
+import {backOff} from './backoff.js';
 import {countDeparture, expectedWait, retryAfter} from './departure-rates.js';
 import {raiseToVirtualTime, chargeEnded} from './fairness.js';
 import {countStart, observeSlotTime} from './headroom.js';
@@ -46,6 +47,10 @@
 			return event.up ? withoutActions({...state, up: true}) : refuseAll({...state, up: false}, RefusalReason.down);
 		}
 
+		case 'backoff': {
+			return backOff(state, event.milliseconds, now);
+		}
+
 		case 'leaving': {
 			return refuseAll({...state, leaving: true}, RefusalReason.leaving);
 		}
@@ -61,7 +66,11 @@
 		return {state, actions: [refuse(id, state.leaving ? RefusalReason.leaving : RefusalReason.down, 0)]};
 	}
 
-	const {reservations} = state;
+	const {reservations, backoffUntil} = state;
+	if (backoffUntil > now + summary.queueMilliseconds) {
+		return {state, actions: [refuse(id, RefusalReason.backingOff, backoffUntil - now)]};
+	}
+
 	const wait = expectedWait(state.departureRates, reservations, summary, now);
 	if (wait > summary.queueMilliseconds) {
 		return {state, actions: [refuse(id, RefusalReason.hopeless, wait - summary.queueMilliseconds)]};
--- a/src/policy/scheduler/tiered-state.ts
+++ b/src/policy/scheduler/tiered-state.ts
@@ -26,6 +26,8 @@
 	readonly advancedAt: number;
 	readonly leaving: boolean;
 	readonly up: boolean;
+	/** End of the backoff that the endpoint has asked for. */
+	readonly backoffUntil: number;
 };
 
 /** The initial state. */
@@ -44,14 +46,20 @@
 		advancedAt: Number.NEGATIVE_INFINITY,
 		leaving: false,
 		up: true,
+		backoffUntil: Number.NEGATIVE_INFINITY,
 	};
 }
 
-/** True if the side may offer slots. */
+/** True if the side accepts requests. */
 export function isOpen({leaving, up}: TieredState): boolean {
 	return !leaving && up;
 }
 
+/** True if the side may offer slots. */
+export function mayOffer(state: TieredState, now: number): boolean {
+	return isOpen(state) && now >= state.backoffUntil;
+}
+
 /** How many more requests may start now; negative after slots were removed. */
 export function freeSlots({slots, reservations}: TieredState): number {
 	return slotCount(slots) - reservations.holders.size;
--- a/src/policy/scheduler/tiered.ts
+++ b/src/policy/scheduler/tiered.ts
@@ -1,7 +1,7 @@
 import {tiers} from '../../model/index.js';
 import {advanceDepartureRates} from './departure-rates.js';
 import {accrueCredits} from './floor.js';
-import {andThen, waitingInTier} from './reservations.js';
+import {andThen, emptyReservations, waitingInTier} from './reservations.js';
 import {canBePreemptedBy} from './preemption.js';
 import {type Context, createSettings, type SchedulerSettings} from './settings.js';
 import {adaptSlots, slotCount} from './slots.js';
@@ -24,8 +24,8 @@
 	return {
 		create: () => createState(settings),
 		step: (state, event, now) => step(state, event, {now, settings}),
-		view: ({slots, reservations, leaving}) => ({
-			slots: slotCount(slots),
+		view: ({slots, reservations, leaving, backoffUntil}, now) => ({
+			slots: now < backoffUntil ? reservations.holders.size : slotCount(slots),
 			running: reservations.holders.size,
 			firm: tiers.map(tier => [...reservations.holders.values()].filter(holder => !canBePreemptedBy(holder, tier, settings)).length),
 			waiting: tiers.map(tier => waitingInTier(reservations, tier).length),
@@ -40,6 +40,7 @@
 	switch (event.type) {
 		case 'progressed':
 		case 'reported':
+		case 'backoff':
 		case 'started': {
 			// These free no slot, and token events come by the thousand; the next tick does whatever else is due.
 			return applied;
@@ -78,9 +79,11 @@
 	}
 
 	const {reservations} = state;
+	// A queue that waits for the end of a backoff says nothing about how fast it empties.
+	const departing = state.advancedAt < state.backoffUntil ? emptyReservations : reservations;
 	const usage = {occupied: reservations.holders.size, producing: countProducing(state), stalled: countStalled(state, now), tightestMilliseconds: tightestTarget(state, context.settings)};
 	const slots = adaptSlots(state.slots, usage, context);
 	return {
-		...state, slots, advancedAt: now, floor: accrueCredits(state.floor, reservations, slotCount(slots), context), departureRates: advanceDepartureRates(state.departureRates, reservations, now),
+		...state, slots, advancedAt: now, floor: accrueCredits(state.floor, reservations, slotCount(slots), context), departureRates: advanceDepartureRates(state.departureRates, departing, now),
 	};
 }
--- a/src/policy/scheduler/types.ts
+++ b/src/policy/scheduler/types.ts
@@ -22,6 +22,8 @@
 		| {readonly type: 'reported'; readonly memoryUsed: number; readonly running: number}
 	/** The endpoint became reachable or unreachable. */
 		| {readonly type: 'endpoint'; readonly up: boolean}
+	/** The endpoint has refused a request and wants no other one for this time. */
+		| {readonly type: 'backoff'; readonly milliseconds: number}
 		| {readonly type: 'leaving'}
 		| {readonly type: 'tick'};
 
@@ -51,5 +53,5 @@
 export type Scheduler<State> = {
 	create(): State;
 	step(state: State, event: SchedulerEvent, now: number): SchedulerStep<State>;
-	view(state: State): SchedulerView;
+	view(state: State, now: number): SchedulerView;
 };
--- a/src/side/request-executor.ts
+++ b/src/side/request-executor.ts
@@ -34,6 +34,8 @@
 	readonly quarantine?: {readonly ledger: QuarantineLedger; readonly isHealthy: () => Promise<boolean>};
 	/** Called when a run shows that the endpoint is down, before its entry is notified. */
 	readonly onEndpointDown: () => void;
+	/** Called when the endpoint has refused a run and asked for a backoff, which the scheduler then observes. */
+	readonly onBackoff?: (milliseconds: number) => void;
 };
 
 /** The client for the endpoint, by kind of endpoint. */
@@ -83,7 +85,7 @@
 	}
 
 	get view(): SchedulerView {
-		return this.#options.scheduler.view(this.#state);
+		return this.#options.scheduler.view(this.#state, performance.now());
 	}
 
 	/**
@@ -228,7 +230,11 @@
 			}
 
 			case 'service': {
-				return runService({service: backend.client, reservation, phase, start});
+				const onBackoff = (milliseconds: number) => {
+					this.#backOff(milliseconds);
+				};
+
+				return runService({service: backend.client, reservation, phase, start, onBackoff});
 			}
 		}
 	}
@@ -300,9 +306,19 @@
 			sendToEntry(reservation, {type: 'fail', ...end.failure});
 		}
 
+		// Before `finished`, which offers the slot to the next request.
+		if (end.type === 'failed' && end.failure.retryAfterMilliseconds !== undefined) {
+			this.#backOff(end.failure.retryAfterMilliseconds);
+		}
+
 		this.apply({type: 'finished', id: reservation.id, outcome});
 	}
 
+	#backOff(milliseconds: number): void {
+		this.apply({type: 'backoff', milliseconds});
+		this.#options.onBackoff?.(milliseconds);
+	}
+
 	/**
 	 * Stops the run of a request. A non-idempotent request is never stopped but runs to its end, unless its body is
 	 * incomplete: the run would otherwise wait forever for the rest of the body.
--- a/src/side/service-run.ts
+++ b/src/side/service-run.ts
@@ -17,6 +17,8 @@
 	readonly reservation: Reservation;
 	readonly phase: RunningPhase;
 	readonly start: MessageOf<'start'>;
+	/** Called when the service refuses the call and wants no other one for this time. */
+	readonly onBackoff: (milliseconds: number) => void;
 };
 
 /**
@@ -52,6 +54,10 @@
 			return response;
 		}
 
+		if (response.backoffMilliseconds !== undefined) {
+			run.onBackoff(response.backoffMilliseconds);
+		}
+
 		sendToEntry(reservation, {type: 'head', status: response.status, headers: response.headers});
 		return yield * forwardResponse(run, response.body, CreditWindow.create(start.credit, control));
 	} finally {
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -82,6 +82,10 @@
 			onEndpointDown: () => {
 				this.setEndpointUp(false);
 			},
+			onBackoff: milliseconds => {
+				options.logger.info('The endpoint asks for a backoff.', {endpoint: options.endpoint, milliseconds});
+				this.#publishState();
+			},
 		});
 		options.quarantine?.ledger.addListener((records, from) => {
 			if (from === 'process') {
--- a/test/policy/scheduler/arbitraries.ts
+++ b/test/policy/scheduler/arbitraries.ts
@@ -32,6 +32,7 @@
 	{weight: 8, arbitrary: fc.constant<SchedulerEvent>({type: 'tick'})},
 	{weight: 2, arbitrary: fc.record({type: fc.constant('reported' as const), memoryUsed: fc.double({min: 0, max: 1, noNaN: true}), running: fc.nat(20)})},
 	{weight: 1, arbitrary: fc.record({type: fc.constant('endpoint' as const), up: fc.boolean()})},
+	{weight: 1, arbitrary: fc.record({type: fc.constant('backoff' as const), milliseconds: fc.constantFrom(0, 20, 300, 5000)})},
 );
 
 /** Sequences of operations, each after some milliseconds. Arrivals outnumber ends, so that queues fill. */
--- a/test/policy/scheduler/properties.test.ts
+++ b/test/policy/scheduler/properties.test.ts
@@ -17,6 +17,7 @@
 	readonly tracked = new Map<string, TrackedReservation>();
 	refusals = 0;
 	private isOpen = true;
+	private backoffUntil = 0;
 	private state: State;
 	private count = 0;
 
@@ -36,6 +37,7 @@
 
 			case 'event': {
 				this.isOpen = operation.event.type === 'endpoint' ? operation.event.up : this.isOpen;
+				this.backoffUntil = Math.max(this.backoffUntil, operation.event.type === 'backoff' ? this.now + operation.event.milliseconds : 0);
 				this.step(operation.event);
 				return;
 			}
@@ -56,7 +58,7 @@
 			this.check(action);
 		}
 
-		const view = this.scheduler.view(state);
+		const view = this.scheduler.view(state, this.now);
 		const phases = [...this.tracked.values()].map(({phase}) => phase);
 		const waiting = phases.filter(phase => phase === 'waiting').length;
 		equal(view.waiting[0]! + view.waiting[1]! + view.waiting[2]!, waiting, 'number of waiting reservations');
@@ -100,6 +102,7 @@
 			case 'offer': {
 				equal(tracked?.phase, 'waiting', 'phase of the offered reservation');
 				equal(this.isOpen, true, 'is open when offering');
+				equal(this.now >= this.backoffUntil, true, 'is not in a backoff when offering');
 				tracked!.phase = 'offered';
 				return;
 			}
