cassiaflow statements: what endpoints have stated that is in force, from logs

What was missing: whoever asks why an endpoint is not used had to put the lines of all gateways together by hand, start against end, backoff against the time in question; `cassiaflow status` asks no gateways.

Another time than the end of the logs is what an on-call needs.

--- a/src/bin/cassiaflow.ts
+++ b/src/bin/cassiaflow.ts
@@ -4,7 +4,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {
-	checkFile, checkSettings, explainFromLogs, showDutiesFromLogs, explainRequest, listQuarantine, MissingSettingError, OperatorExit, publishFile, releaseQuarantine, showAudit, showCatalogue, showHistory, showStatus,
+	checkFile, checkSettings, explainFromLogs, showDutiesFromLogs, explainRequest, listQuarantine, MissingSettingError, OperatorExit, publishFile, releaseQuarantine, showAudit, showCatalogue, showHistory, showStatementsFromLogs, showStatus,
 	type CommandResult, type OperatorContext,
 } from '../operator/index.js';
 import {HttpLogClient, HttpMembershipClient, PlatformError} from '../platform/index.js';
@@ -45,9 +45,13 @@
 const explainOptions = {
 	'log-file': {type: 'string', array: true, requiresArg: true, describe: 'log files of gateways to read, in place of asking instances'},
 } as const;
-const dutyOptions = {
+const logFileOptions = {
 	'log-file': {type: 'string', array: true, requiresArg: true, demandOption: true, describe: 'log files of gateways to read'},
 } as const;
+const statementOptions = {
+	...logFileOptions,
+	at: {type: 'string', requiresArg: true, describe: 'a time, in ISO 8601; by default the end of the logs'},
+} as const;
 const publishOptions = {
 	'dry-run': {type: 'boolean', default: false, describe: 'only tell what would change'},
 	wait: {type: 'boolean', default: false, describe: 'wait until every instance has it in force'},
@@ -87,9 +91,12 @@
 	.command('explain <request>', 'what was decided about a request, in the order of time', command => command.positional('request', {type: 'string', demandOption: true}).options(explainOptions), async settings => {
 		await run(settings, async context => settings.logFile === undefined ? explainRequest(context, settings.request) : explainFromLogs(settings.logFile, settings.request));
 	})
-	.command('duties', 'from logs of gateways, who held the duties of one instance, and what was reported', command => command.options(dutyOptions), async settings => {
+	.command('duties', 'from logs of gateways, who held the duties of one instance, and what was reported', command => command.options(logFileOptions), async settings => {
 		await run(settings, async () => showDutiesFromLogs(settings.logFile));
 	})
+	.command('statements [endpoint]', 'from logs of gateways, what endpoints have stated of themselves that is in force: rate limits, leaving, backoffs', command => command.positional('endpoint', {type: 'string', describe: 'only of this endpoint'}).options(statementOptions), async settings => {
+		await run(settings, async () => showStatementsFromLogs({files: settings.logFile, endpoint: settings.endpoint, at: settings.at}));
+	})
 	.command('settings', 'settings files of gateways', group => group
 		.command('check <file>', 'check one as a start does', command => command.positional('file', {type: 'string', demandOption: true}), async settings => {
 			await run(settings, async () => checkSettings(settings.file));
--- a/src/operator/index.ts
+++ b/src/operator/index.ts
@@ -5,4 +5,5 @@
 } from './catalogue-commands.js';
 export {explainRequest, listQuarantine, releaseQuarantine, showStatus} from './fleet-commands.js';
 export {checkSettings, explainFromLogs, showDutiesFromLogs} from './log-files.js';
+export {showStatementsFromLogs, type StatementQuery, type LoggedStatement} from './statements-in-force.js';
 export {OperatorExit, type CommandResult} from './result.js';
--- a/src/operator/log-files.ts
+++ b/src/operator/log-files.ts
@@ -3,8 +3,8 @@
 import {SettingsError} from '../bin/settings/definition.js';
 import {type CommandResult, formatTable, OperatorExit} from './result.js';
 
-/** A log line about the request. */
-type Line = {readonly time: string; readonly instance: string; readonly msg: string; readonly fields: Readonly<Record<string, unknown>>};
+/** A line of a log file. `time` is ISO 8601; `fields` are those that are specific to its message. */
+export type Line = {readonly time: string; readonly instance: string; readonly msg: string; readonly fields: Readonly<Record<string, unknown>>};
 
 /** Fields that occur in each log line and are not specific to a decision. */
 const commonFields = new Set(['name', 'instance', 'hostname', 'pid', 'level', 'msg', 'time', 'v', 'request']);
@@ -61,10 +61,10 @@
 }
 
 /** Which lines are wanted: those that contain a text, and whose record passes a check. */
-type LineFilter = {readonly text: string; readonly isWanted: (record: Readonly<Record<string, unknown>>) => boolean};
+export type LineFilter = {readonly text: string; readonly isWanted: (record: Readonly<Record<string, unknown>>) => boolean};
 
 /** The wanted lines of log files in chronological order. */
-function readLines(files: readonly string[], filter: LineFilter): Line[] {
+export function readLines(files: readonly string[], filter: LineFilter): Line[] {
 	const lines = files.flatMap(file => readFileSync(file, 'utf8').split('\n').flatMap(text => parseLine(text, filter)));
 	return lines.toSorted((left, right) => left.time < right.time ? -1 : (left.time > right.time ? 1 : 0));
 }
