cassiaflow: a wrong command line does nothing

Cause: yargs runs the command after a `fail` handler that returns, when the process is not ended by it (`exitProcess(false)`).

Change: the handler throws; the message and exit code 2 come from where the parser was called.

Test: "a command with an unknown option does nothing and exits with code 2" failed on the code before (exit 0, a record in the log).

--- a/src/bin/cassiaflow.ts
+++ b/src/bin/cassiaflow.ts
@@ -13,6 +13,17 @@
 /** Timeout of one request to the platform's log or membership list. */
 const requestTimeoutMilliseconds = 5000;
 
+/** The command line names no command, or options and arguments that its command does not have. */
+class CommandLineError extends Error {
+	static create(message: string): CommandLineError {
+		return new CommandLineError(message);
+	}
+
+	private constructor(message: string) {
+		super(message);
+	}
+}
+
 type Settings = {logUrl?: string; membersUrl?: string; instance?: string[]; author: string; json: boolean};
 type Command = (context: OperatorContext) => Promise<CommandResult>;
 
@@ -117,13 +128,18 @@
 	.exitProcess(false)
 	.wrap(null)
 	.fail((message, error: Error | undefined) => {
-		if (error) {
-			throw error;
-		}
-
-		process.stderr.write(`${message}\nSee cassiaflow --help.\n`);
-		process.exitCode = OperatorExit.usage;
+		// Thrown, because yargs runs the command all the same after a handler that returns.
+		throw error ?? CommandLineError.create(message);
 	})
 	.epilogue('Exit codes: 0 done, 1 rejected or wrong file, 2 wrong command line, 3 unknown whether it was kept or in force, 4 nothing could be reached, 5 not found.');
 
-await parser.parseAsync();
+try {
+	await parser.parseAsync();
+} catch (error) {
+	if (!(error instanceof CommandLineError)) {
+		throw error;
+	}
+
+	process.stderr.write(`${error.message}\nSee cassiaflow --help.\n`);
+	process.exitCode = OperatorExit.usage;
+}
--- a/test/bin/binaries.test.ts
+++ b/test/bin/binaries.test.ts
@@ -60,6 +60,14 @@
 	t.match(await run(`${bin}/cassiaflow.js`, ['nonsense']), {code: 2});
 });
 
+// Guards against a change that is published although the command line is wrong.
+tap.test('a command with an unknown option does nothing and exits with code 2', async t => {
+	await using log = await FakeLog.create();
+	const {code, output, errors} = await run(`${bin}/cassiaflow.js`, ['catalogue', 'publish', 'docs/examples/catalogue.yaml', '--dryrun', '--log-url', log.url]);
+	t.match({code, output, errors}, {code: 2, output: '', errors: /Unknown argument: dryrun/v});
+	t.same(log.records('catalogue'), []);
+});
+
 // Runs the commands of the README with free ports: starts one side and one entry, publishes the example catalogue
 // and makes a call. Then both processes receive SIGTERM during a stream: the stream completes, readiness fails
 // first, and both exit with 0.
