--- a/src/gateway/peer-link.ts
+++ b/src/gateway/peer-link.ts
@@ -1,4 +1,4 @@
-import {type Connection} from '../wire/index.js';
+import {type Connection, type MessageOf} from '../wire/index.js';
 
 /** The connection to one peer. */
 export type PeerLink = {
@@ -13,6 +13,14 @@
 	routingVersion: number;
 };
 
+/** The link that a peer's hello opens. It keeps the routing version of an existing link to the same incarnation. */
+export function createPeerLink({instance, incarnation}: MessageOf<'gateway-hello'>, {connection, isDialled, existing}: {connection: Connection; isDialled: boolean; existing: PeerLink | undefined}): PeerLink {
+	return {
+		connection, instance, incarnation, isDialled, since: performance.now(),
+		routingVersion: existing?.incarnation === incarnation ? existing.routingVersion : -Infinity,
+	};
+}
+
 /**
  * Whether a new connection to a peer replaces the existing one, if both instances dial each other at the same time: the one is kept that
  * the instance with the smaller name dialled, and of two that the same instance dialled the newer one, since an instance with a link does
--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -30,13 +30,22 @@
 	}
 }
 
+/** What is known at the time of a peer's hello. */
+export type NewPeer = {
+	/** Whether the peer has read the endpoints from the store lately. */
+	readonly knowsEndpoints: boolean;
+	readonly holderAnnouncement: MessageOf<'duty-holder'> | undefined;
+	/** Milliseconds of the monotonic clock. */
+	readonly now: number;
+};
+
 /**
- * Messages for a new peer. A peer that has read the endpoints from the store lately gets only those that have ended since
+ * Messages for a new peer, the last of them the one that names the holder of the duties, if any. A peer that has read the endpoints from the store lately gets only those that have ended since
  * then: if all instances start together and each sends every endpoint to each neighbour, small instances are busy with lists
  * that they have just read themselves, while callers reconnect. Unconfirmed endpoints are not announced, because each receiver
  * would start a new grace period for them.
  */
-export function initialMessages({tableInput, directory}: RoutingState, {knowsEndpoints, now}: {readonly knowsEndpoints: boolean; readonly now: number}): GatewayMessage[] {
+export function initialMessages({tableInput, directory}: RoutingState, {knowsEndpoints, holderAnnouncement, now}: NewPeer): GatewayMessage[] {
 	const listed = [...directory.entries.values()].filter(({unconfirmedUntil, endedAt}) => unconfirmedUntil === undefined && (
 		!knowsEndpoints || (endedAt !== undefined && now - endedAt < recentRemovalMilliseconds)
 	));
@@ -46,6 +55,7 @@
 	return [
 		...(tableInput === undefined ? [] : [{type: 'routing-version', version: tableInput.version} as const]),
 		...(changes.length === 0 ? [] : [{type: 'endpoints', changes} as const]),
+		...(holderAnnouncement === undefined ? [] : [holderAnnouncement]),
 	];
 }
 
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -5,7 +5,7 @@
 import {type CachedPromptParts} from './prompt-cache-reader.js';
 import {LoadBatch} from './load-batch.js';
 import {initialMessages, handleMessage, messageForChange} from './peer-messages.js';
-import {isPreferredLink, type PeerLink} from './peer-link.js';
+import {createPeerLink, isPreferredLink, type PeerLink} from './peer-link.js';
 import {type PeerRecord, PeerRoster} from './peer-roster.js';
 import {type PeersOptions} from './peers-options.js';
 import {RoutingTablePuller} from './routing-table-puller.js';
@@ -17,10 +17,7 @@
  * placements of an instance that lost power, which no packet reports, would make endpoints look full.
  */
 const heartbeatTimes = {heartbeatMilliseconds: 900, silenceMilliseconds: 2800};
-/**
- * A dialled link is kept for at least this long, even if the other instance is no neighbour: few instances may have been known
- * at the dial, and the others become known within this time.
- */
+/** Shortest life of a dialled link. At the dial few instances may have been known, and whether the other one is a neighbour is certain only then. */
 const minLinkMilliseconds = 10_000;
 
 /**
@@ -260,16 +257,13 @@
 			this.#replace(existing, hello.incarnation);
 		}
 
-		const link = {
-			connection, instance: hello.instance, incarnation: hello.incarnation, isDialled, since: performance.now(),
-			routingVersion: existing?.incarnation === hello.incarnation ? existing.routingVersion : -Infinity,
-		};
+		const link = createPeerLink(hello, {connection, isDialled, existing});
 		this.#links.set(hello.instance, link);
 		this.#roster.recordLinked(hello.instance);
 		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
-		const holderAnnouncement = this.#options.holderAnnouncement();
-		for (const message of [...initialMessages(this.#options.routingState, {knowsEndpoints: hello.knowsEndpoints, now: performance.now()}), ...(holderAnnouncement === undefined ? [] : [holderAnnouncement])]) {
+		const newPeer = {knowsEndpoints: hello.knowsEndpoints, holderAnnouncement: this.#options.holderAnnouncement(), now: performance.now()};
+		for (const message of initialMessages(this.#options.routingState, newPeer)) {
 			connection.send(message);
 		}
 
