--- a/src/side/entry-link.ts
+++ b/src/side/entry-link.ts
@@ -30,6 +30,14 @@
 		this.connection.send(message);
 	}
 
+	/** Sends a heartbeat if one is due on one of this many connections; those with reservations have the shorter interval. */
+	sendHeartbeatIfDue(connections: number, catalogueOffset: number): void {
+		this.connection.setBusy(this.reservations.size > 0);
+		if (this.connection.takeHeartbeat(connections)) {
+			this.send({type: 'heartbeat', catalogueOffset});
+		}
+	}
+
 	/** Reads messages until the connection ends. The first one must be `hello`. */
 	* read(handler: EntryLinkHandler): Body<void> {
 		for (;;) {
--- a/src/side/request-executor.ts
+++ b/src/side/request-executor.ts
@@ -1,50 +1,22 @@
 import {type Body, channel, spawn, tryDeliver} from '../concurrency/index.js';
-import {type EngineClient, type ServiceClient} from '../endpoint/index.js';
-import {createFailure, type EndpointId, FailureKind, type InstanceId, type RequestSummary, Verdict} from '../model/index.js';
-import {type QuarantineLedger} from '../platform/index.js';
-import {
-	createSettings, type Outcome, type Scheduler, type SchedulerAction, type SchedulerEvent, type SchedulerView,
-} from '../policy/scheduler/index.js';
+import {createFailure, FailureKind, Verdict} from '../model/index.js';
+import {createSettings, type SchedulerAction, type SchedulerEvent, type SchedulerView} from '../policy/scheduler/index.js';
 import {DecisionJournal, Metrics, ReasonCode} from '../telemetry/index.js';
 import {type MessageOf} from '../wire/index.js';
 import {CrashDetector} from './crash-detector.js';
 import {type EntryLink} from './entry-link.js';
-import {runModel} from './model-run.js';
-import {
-	type Reservation, type RunResult, type RunInput, type RunningPhase, sendToEntry,
-} from './reservation.js';
-import {runService} from './service-run.js';
+import {type RequestExecutorOptions, type RunCounts} from './request-executor-options.js';
+import {ReservationTable} from './reservation-table.js';
+import {createReservation, outcomeOf, type Reservation, type RunResult, type RunInput, type RunningPhase, sendToEntry} from './reservation.js';
+import {runRequest} from './run-request.js';
+import {RunProgress} from './run-progress.js';
 import {SideTelemetry} from './side-telemetry.js';
 import {SuspectGate, type SuspectGateHandler} from './suspect-gate.js';
 
 /** Messages that may be queued for a running request: credit, cancel and body parts, all bounded by the entry. */
 const runInputCapacity = 1000;
-/** How often the progress of one stream is reported to the scheduler; slots are adapted over longer windows. */
-const progressIntervalMilliseconds = 20;
 /** How long an offered slot is kept for an entry that does not respond. */
-export const defaultOfferTimeoutMilliseconds = createSettings().offerTimeoutMilliseconds;
-
-export type RequestExecutorOptions<State> = {
-	readonly backend: Backend;
-	readonly scheduler: Scheduler<State>;
-	/** Metrics and the decision journal; if omitted, the executor creates its own. */
-	readonly telemetry?: SideTelemetry;
-	readonly instance: InstanceId;
-	readonly endpoint: EndpointId;
-	readonly quarantine?: {readonly ledger: QuarantineLedger; readonly isHealthy: () => Promise<boolean>};
-	/** Called when a run shows that the endpoint is down, before its entry is notified. */
-	readonly onEndpointDown: () => void;
-	/** Called when the endpoint has refused a run and asked for a backoff, which the scheduler then observes. */
-	readonly onBackoff?: (milliseconds: number) => void;
-};
-
-/** The client for the endpoint, by kind of endpoint. */
-export type Backend
-	= | {readonly type: 'engine'; readonly client: EngineClient}
-		| {readonly type: 'service'; readonly client: ServiceClient};
-
-/** Runs by outcome, refused reservations and produced tokens of one side. */
-export type RunCounts = Record<Outcome | 'refused' | 'tokens', number>;
+const offerTimeoutMilliseconds = createSettings().offerTimeoutMilliseconds;
 
 /**
  * Executes the requests of one endpoint. It holds the scheduler's state, applies every event to it in
@@ -58,10 +30,13 @@
 
 	readonly counts: RunCounts = {whole: 0, cancelled: 0, failed: 0, preempted: 0, refused: 0, tokens: 0};
 	readonly #options: RequestExecutorOptions<State>;
-	readonly #reservations = new Map<string, Reservation>();
+	readonly #reservations = ReservationTable.create();
 	readonly #telemetry: SideTelemetry;
+	readonly #progress = RunProgress.create((reservation, tokens, milliseconds) => {
+		this.#progressed(reservation, tokens, milliseconds);
+	});
+
 	#state: State;
-	#onIdle: (() => void) | undefined;
 	readonly #gate: SuspectGate | undefined;
 	readonly #crashDetector: CrashDetector | undefined;
 
@@ -72,7 +47,7 @@
 		const {quarantine, onEndpointDown} = options;
 		if (quarantine) {
 			this.#gate = SuspectGate.create(quarantine.ledger, this);
-			this.#crashDetector = CrashDetector.create({...options, ...quarantine, runningFingerprints: () => this.#runningFingerprints(), onEndpointCrashed: onEndpointDown});
+			this.#crashDetector = CrashDetector.create({...options, ...quarantine, runningFingerprints: () => this.#reservations.runningFingerprints, onEndpointCrashed: onEndpointDown});
 			quarantine.ledger.addListener(() => {
 				this.#gate?.reevaluate(this.#pendingReservations());
 			});
@@ -81,7 +56,7 @@
 
 	/** True while no request is queued, offered or running; `tick` events then have no effect and can be skipped. */
 	get isEmpty(): boolean {
-		return this.#reservations.size === 0;
+		return this.#reservations.isEmpty;
 	}
 
 	get view(): SchedulerView {
@@ -98,19 +73,8 @@
 			return;
 		}
 
-		const reservation: Reservation = {
-			id: `${link.number}:${message.stream}`,
-			link,
-			stream: message.stream,
-			summary: message.summary as RequestSummary,
-			phase: {type: 'waiting'},
-			arrivedAt: performance.now(),
-			progressedAt: 0,
-			unreportedTokens: 0,
-			hasProgressed: false,
-		};
-		link.reservations.set(message.stream, reservation);
-		this.#reservations.set(reservation.id, reservation);
+		const reservation = createReservation(link, message, performance.now());
+		this.#reservations.add(reservation);
 		this.#telemetry.record(reservation, ReasonCode.queued, {tier: reservation.summary.tier});
 		if (this.#gate) {
 			this.#gate.arrived(reservation);
@@ -167,7 +131,7 @@
 		// The scheduler may have withdrawn the slot and refused the request while it handled `started`. The request must
 		// then not run, since the entry has received `refuse`, which means `not-run`. Only a request that is still
 		// reserved is run.
-		if (!this.#reservations.has(reservation.id)) {
+		if (!this.#reservations.has(reservation)) {
 			return;
 		}
 
@@ -209,34 +173,20 @@
 
 	/** Resolves once no request is running and no slot is offered. */
 	async idle(): Promise<void> {
-		if (this.#countBusy() === 0) {
-			return;
-		}
-
-		await new Promise<void>(resolve => {
-			this.#onIdle = resolve;
-		});
+		await this.#reservations.idle();
 	}
 
 	#run(reservation: Reservation, phase: RunningPhase, start: MessageOf<'start'>): Body<RunResult> {
-		const {backend} = this.#options;
-		switch (backend.type) {
-			case 'engine': {
-				const onTokens = (tokens: number) => {
-					this.#progressed(reservation, tokens);
-				};
-
-				return runModel({engine: backend.client, reservation, phase, start, onTokens});
-			}
-
-			case 'service': {
-				const onBackoff = (milliseconds: number) => {
-					this.#backOff(milliseconds);
-				};
-
-				return runService({service: backend.client, reservation, phase, start, onBackoff});
-			}
-		}
+		return runRequest(this.#options.backend, {
+			reservation, phase, start,
+			onTokens: tokens => {
+				this.counts.tokens += tokens;
+				this.#progress.record(reservation, tokens, performance.now());
+			},
+			onBackoff: milliseconds => {
+				this.#backOff(milliseconds);
+			},
+		});
 	}
 
 	/** Removes a reservation that is not running from the queue. */
@@ -248,13 +198,9 @@
 		}
 	}
 
-	#runningFingerprints(): string[] {
-		return [...this.#reservations.values()].filter(({phase}) => phase.type === 'running').map(({summary}) => summary.fingerprint);
-	}
-
 	/** Reservations that are queued or offered, without suspects that wait at the gate. */
 	#pendingReservations(): Reservation[] {
-		return [...this.#reservations.values()].filter(reservation => reservation.phase.type !== 'running' && !this.#gate?.isWaiting(reservation));
+		return this.#reservations.pending.filter(reservation => !this.#gate?.isWaiting(reservation));
 	}
 
 	/**
@@ -273,31 +219,13 @@
 		}
 	}
 
-	/** Reports the first tokens to the scheduler at once and later ones in batches, since the scheduler copies its state on each event. */
-	#progressed(reservation: Reservation, tokens: number): void {
-		const now = performance.now();
-		this.counts.tokens += tokens;
-		reservation.unreportedTokens += tokens;
-		if (!reservation.hasProgressed || now - reservation.progressedAt >= progressIntervalMilliseconds) {
-			this.#reportProgress(reservation, now);
-		}
-	}
-
-	#reportProgress(reservation: Reservation, now: number): void {
-		const {id, unreportedTokens, progressedAt} = reservation;
-		if (unreportedTokens === 0) {
-			return;
-		}
-
-		this.#telemetry.progressed(reservation, unreportedTokens);
-		reservation.unreportedTokens = 0;
-		reservation.hasProgressed = true;
-		reservation.progressedAt = now;
-		this.apply({type: 'progressed', id, tokens: unreportedTokens, milliseconds: now - progressedAt});
+	#progressed(reservation: Reservation, tokens: number, milliseconds: number): void {
+		this.#telemetry.progressed(reservation, tokens);
+		this.apply({type: 'progressed', id: reservation.id, tokens, milliseconds});
 	}
 
 	#finished(reservation: Reservation, end: RunResult): void {
-		this.#reportProgress(reservation, performance.now());
+		this.#progress.flush(reservation, performance.now());
 		const outcome = outcomeOf(reservation, end);
 		this.counts[outcome] += 1;
 		this.#telemetry.ended(reservation, outcome, end.type === 'failed' ? end.failure.kind : outcome);
@@ -343,7 +271,7 @@
 			case 'offer': {
 				reservation.phase = {type: 'offered'};
 				this.#telemetry.offered(reservation, performance.now() - reservation.arrivedAt);
-				sendToEntry(reservation, {type: 'offer', holdMilliseconds: defaultOfferTimeoutMilliseconds});
+				sendToEntry(reservation, {type: 'offer', holdMilliseconds: offerTimeoutMilliseconds});
 				break;
 			}
 
@@ -351,9 +279,7 @@
 				this.counts.refused += 1;
 				this.#telemetry.refused(reservation, action.kind, action.message);
 				this.#remove(reservation);
-				sendToEntry(reservation, {
-					type: 'refuse', kind: action.kind, message: action.message, retryAfterMilliseconds: action.retryAfterMilliseconds,
-				});
+				sendToEntry(reservation, {type: 'refuse', kind: action.kind, message: action.message, retryAfterMilliseconds: action.retryAfterMilliseconds});
 				break;
 			}
 
@@ -367,31 +293,8 @@
 	}
 
 	#remove(reservation: Reservation, ranToCompletion = false): void {
-		this.#reservations.delete(reservation.id);
-		reservation.link.reservations.delete(reservation.stream);
+		this.#reservations.remove(reservation);
 		this.#gate?.removed(reservation, ranToCompletion);
-		if (this.#countBusy() === 0) {
-			this.#onIdle?.();
-		}
-	}
-
-	#countBusy(): number {
-		return [...this.#reservations.values()].filter(reservation => reservation.phase.type !== 'waiting').length;
-	}
-}
-
-function outcomeOf(reservation: Reservation, end: RunResult): Outcome {
-	switch (end.type) {
-		case 'whole': {
-			return 'whole';
-		}
-
-		case 'failed': {
-			return 'failed';
-		}
-
-		case 'stopped': {
-			return reservation.phase.type === 'running' && reservation.phase.stopped === 'preempted' ? 'preempted' : 'cancelled';
-		}
+		this.#reservations.notifyIfIdle();
 	}
 }
--- a/src/side/reservation.ts
+++ b/src/side/reservation.ts
@@ -1,5 +1,6 @@
 import {type Channel} from '../concurrency/index.js';
 import {type Failure, type RequestSummary} from '../model/index.js';
+import {type Outcome} from '../policy/scheduler/index.js';
 import {type Message, type MessageOf} from '../wire/index.js';
 import {type EntryLink} from './entry-link.js';
 
@@ -42,6 +43,14 @@
 	hasProgressed: boolean;
 };
 
+/** A reservation that waits since now. */
+export function createReservation(link: EntryLink, {stream, summary}: MessageOf<'reserve'>, now: number): Reservation {
+	return {
+		id: `${link.number}:${stream}`, link, stream, summary: summary as RequestSummary, phase: {type: 'waiting'}, arrivedAt: now,
+		progressedAt: 0, unreportedTokens: 0, hasProgressed: false,
+	};
+}
+
 /** A message to the entry without `stream` and `request`, which `sendToEntry` adds. */
 type MessageContent<Kind extends Message> = Kind extends {stream: number} ? Omit<Kind, 'stream' | 'request'> : never;
 
@@ -49,3 +58,20 @@
 export function sendToEntry(reservation: Reservation, message: MessageContent<Message>): void {
 	reservation.link.send({...message, stream: reservation.stream, request: reservation.summary.id});
 }
+
+/** The outcome of a run, as the scheduler counts it. */
+export function outcomeOf(reservation: Reservation, end: RunResult): Outcome {
+	switch (end.type) {
+		case 'whole': {
+			return 'whole';
+		}
+
+		case 'failed': {
+			return 'failed';
+		}
+
+		case 'stopped': {
+			return reservation.phase.type === 'running' && reservation.phase.stopped === 'preempted' ? 'preempted' : 'cancelled';
+		}
+	}
+}
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -1,16 +1,13 @@
 import {spawn} from '../concurrency/index.js';
 import {type EngineLoad} from '../endpoint/index.js';
-import {type EndpointId, type InstanceId, type TargetName, type ZoneName} from '../model/index.js';
-import {type CatalogueMessage, type QuarantineLedger} from '../platform/index.js';
-import {type Scheduler} from '../policy/scheduler/index.js';
-import {type PartLogger, type StatusAnswer} from '../telemetry/index.js';
-import {
-	type Connection, Listener, type Message, protocolVersion, type Security,
-} from '../wire/index.js';
+import {type TargetName} from '../model/index.js';
+import {type StatusAnswer} from '../telemetry/index.js';
+import {type Connection, Listener, type Message, protocolVersion} from '../wire/index.js';
 import {type EndpointObserver} from './endpoint-watch.js';
 import {EntryLink, type EntryLinkHandler} from './entry-link.js';
-import {type SideTelemetry} from './side-telemetry.js';
-import {type Backend, RequestExecutor, type RunCounts} from './request-executor.js';
+import {RequestExecutor} from './request-executor.js';
+import {type RunCounts} from './request-executor-options.js';
+import {type SideOptions} from './side-options.js';
 
 /** How often the scheduler gets a `tick` event while the side has requests. */
 const tickMilliseconds = 50;
@@ -23,26 +20,6 @@
  */
 const loadIntervalMilliseconds = 500;
 
-export type SideOptions<State> = {
-	readonly instance: InstanceId;
-	readonly endpoint: EndpointId;
-	readonly targets: readonly TargetName[];
-	readonly zone: ZoneName;
-	readonly host: string;
-	readonly port: number;
-	readonly security: Security;
-	readonly backend: Backend;
-	readonly scheduler: Scheduler<State>;
-	readonly logger: PartLogger;
-	/** Metrics and the decision journal; if omitted, the side creates its own. */
-	readonly telemetry?: SideTelemetry;
-	readonly catalogueOffset: () => number;
-	/** Receives `hello`, `heartbeat`, `pull` and `records` of each entry, by which the catalogue is replicated. */
-	readonly onPeerMessage?: (message: CatalogueMessage, reply: (message: Message) => void) => void;
-	/** The records of requests that crash endpoints, and the health check of this endpoint. */
-	readonly quarantine?: {readonly ledger: QuarantineLedger; readonly isHealthy: () => Promise<boolean>};
-};
-
 /** The side (the sidecar process of one endpoint): accepts the connections of entries and reports the endpoint's state to them. */
 export class Side<State = unknown> implements AsyncDisposable, EntryLinkHandler, EndpointObserver {
 	static async create<State>(options: SideOptions<State>): Promise<Side<State>> {
@@ -212,10 +189,7 @@
 		}
 	}
 
-	/**
-	 * An entry has disconnected: its queued requests are withdrawn, and its running ones are cancelled if they are
-	 * idempotent or their body is incomplete.
-	 */
+	/** An entry has disconnected: its queued requests are withdrawn, its running ones cancelled if they are idempotent or their body is incomplete. */
 	linkClosed(link: EntryLink): void {
 		this.#links.delete(link);
 		this.#options.logger.info('A connection from an entry ended.', {entry: link.instance, address: link.connection.peer, reason: link.connection.closeReason});
@@ -286,10 +260,7 @@
 	#sendHeartbeats(): void {
 		const catalogueOffset = this.#options.catalogueOffset();
 		for (const link of this.#links) {
-			link.connection.setBusy(link.reservations.size > 0);
-			if (link.connection.takeHeartbeat(this.#links.size)) {
-				link.send({type: 'heartbeat', catalogueOffset});
-			}
+			link.sendHeartbeatIfDue(this.#links.size, catalogueOffset);
 		}
 	}
 
@@ -302,7 +273,7 @@
 	#stateMessage(): Message {
 		const {slots, running, firm, waiting, tokenMilliseconds} = this.#executor.view;
 		return {
-			type: 'state', phase: this.phase, slots, running, firm: firm === undefined ? undefined : [...firm], waiting: [...waiting], tokenMilliseconds: Math.round(tokenMilliseconds),
+			type: 'state', phase: this.phase, slots, running, firm: firm && [...firm], waiting: [...waiting], tokenMilliseconds: Math.round(tokenMilliseconds),
 		};
 	}
 
@@ -320,10 +291,8 @@
 		}
 
 		this.#lastLoadText = text;
-		for (const link of this.#links) {
-			if (link.reservations.size > 0) {
-				link.send(message);
-			}
+		for (const link of [...this.#links].filter(({reservations}) => reservations.size > 0)) {
+			link.send(message);
 		}
 	}
 }
--- a/test/side/backoff.test.ts
+++ b/test/side/backoff.test.ts
@@ -5,7 +5,8 @@
 import {type EndpointId, type InstanceId} from '../../src/model/index.js';
 import {createTieredScheduler} from '../../src/policy/scheduler/index.js';
 import {type EntryLink} from '../../src/side/entry-link.js';
-import {type Backend, RequestExecutor} from '../../src/side/request-executor.js';
+import {RequestExecutor} from '../../src/side/request-executor.js';
+import {type Backend} from '../../src/side/request-executor-options.js';
 import {type Message, type MessageOf} from '../../src/wire/index.js';
 import {createSummary} from '../policy/scheduler/arbitraries.js';
 
