--- a/src/side/request-executor.ts
+++ b/src/side/request-executor.ts
@@ -16,7 +16,7 @@
 /** Messages that may be queued for a running request: credit, cancel and body parts, all bounded by the entry. */
 const runInputCapacity = 1000;
 /** How long an offered slot is kept for an entry that does not respond. */
-const offerTimeoutMilliseconds = createSettings().offerTimeoutMilliseconds;
+const {offerTimeoutMilliseconds} = createSettings();
 
 /**
  * Executes the requests of one endpoint. It holds the scheduler's state, applies every event to it in
