--- a/bench/gateway-soak/index.ts
+++ b/bench/gateway-soak/index.ts
@@ -1,12 +1,11 @@
 import {execFileSync} from 'node:child_process';
 import process from 'node:process';
 import {type CommandModule} from 'yargs';
-import {runSeed} from './run-seed.js';
+import {portsPerGateway, runSeed} from './run-seed.js';
 
-type Settings = {seed: number; count: number; jobs: number};
+type Settings = {seed: number; count: number; jobs: number; gateways: number};
 
 const firstPort = 21_000;
-const portsEach = 16;
 
 /** Runs real gateways as processes with fault injection; prints the seeds and exits with 1 if a rule was violated. */
 export const gatewaySoakCommand: CommandModule<unknown, Settings> = {
@@ -16,14 +15,15 @@
 		seed: {type: 'number', default: 1, describe: 'the first seed'},
 		count: {type: 'number', default: 50, describe: 'how many seeds'},
 		jobs: {type: 'number', default: 4, describe: 'seeds at a time'},
+		gateways: {type: 'number', default: 2, describe: 'gateways of each seed'},
 	},
-	async handler({seed, count, jobs}) {
+	async handler({seed, count, jobs, gateways}) {
 		execFileSync(process.execPath, ['tools/bundle.mjs'], {stdio: 'inherit'});
 		const seeds = Array.from({length: count}, (_, index) => seed + index);
 		const totals = {requests: 0, served: 0, violations: 0};
 		const runLane = async (lane: number): Promise<void> => {
 			for (let next = seeds.shift(); next !== undefined; next = seeds.shift()) {
-				const result = await runSeed(next, firstPort + (lane * portsEach));
+				const result = await runSeed({seed: next, gateways, firstPort: firstPort + (lane * gateways * portsPerGateway)});
 				totals.requests += result.requests;
 				totals.served += result.served;
 				totals.violations += result.violations.length;
--- a/bench/gateway-soak/run-seed.ts
+++ b/bench/gateway-soak/run-seed.ts
@@ -13,25 +13,30 @@
 
 const trafficMilliseconds = 4500;
 const requestPauseMilliseconds = 14;
-const gatewayCount = 2;
 const statementMilliseconds = 400;
 const faultCount = {low: 2, high: 5};
 /** Allowed time after the last fault: enough for the poll intervals of a routing table and for a graceful shutdown. */
 const settleMilliseconds = 10_000;
 
+/** Ports that one gateway listens on. */
+export const portsPerGateway = 4;
+
+/** Which faults are drawn, and how many gateways run, on ports from the first one on. */
+export type SeedOptions = {readonly seed: number; readonly gateways: number; readonly firstPort: number};
+
 /** Runs real gateways with faults drawn from a seed. */
-export async function runSeed(seed: number, basePort: number): Promise<SeedResult> {
-	await using world = await SoakWorld.create(seed, basePort);
+export async function runSeed(options: SeedOptions): Promise<SeedResult> {
+	await using world = await SoakWorld.create(options);
 	const result = await world.run();
 	return result;
 }
 
 class SoakWorld implements AsyncDisposable {
-	static async create(seed: number, basePort: number): Promise<SoakWorld> {
+	static async create({seed, gateways, firstPort}: SeedOptions): Promise<SoakWorld> {
 		const random = createRandom(seed);
 		const world = new SoakWorld(seed, random, await SoakPlatform.create(random));
-		for (let number = 0; number < gatewayCount; number++) {
-			const port = basePort + (number * 4);
+		for (let number = 0; number < gateways; number++) {
+			const port = firstPort + (number * portsPerGateway);
 			world.#gateways.push(await GatewayChild.create({
 				instance: `gateway-${number}`, folder: world.#folder, storeAddress: world.#platform.store.address, ports: [port, port + 1, port + 2, port + 3], receiverAddress: world.#platform.receiver.address, seedHosts: [],
 				clockMilliseconds: Math.round((world.#random.uniform() - 0.5) * 7_200_000),
--- a/test/policy/duties-model.ts
+++ b/test/policy/duties-model.ts
@@ -112,7 +112,7 @@
 	/** Tells what this instance counted; each counts differently, so that two decisions of one window differ. */
 	sendUsage(to: VirtualInstance, windows: readonly number[], count: number): void {
 		const {incarnation} = this.state.own;
-		to.apply({type: 'usage', from: {instance: this.machine, incarnation, completeThrough: this.#world.now, aheadMilliseconds: 0}, rows: windows.map(window => ({incarnation, window, counts: {workspace: count}}))});
+		to.apply({type: 'usage', from: {instance: this.machine, incarnation, completeThrough: this.#world.now, aheadMilliseconds: this.timeAhead - to.timeAhead}, rows: windows.map(window => ({incarnation, window, counts: {workspace: count}}))});
 	}
 
 	announceHolder(to: VirtualInstance): void {
