--- a/src/endpoint/service-client.ts
+++ b/src/endpoint/service-client.ts
@@ -36,7 +36,7 @@
 	}
 	| {readonly type: 'failed'; readonly failure: Failure};
 
-/** Too many requests, and service unavailable. With other statuses `Retry-After` concerns the one call. */
+/** Too many requests, and service unavailable. With other statuses `Retry-After` concerns the resource of the one call. */
 const refusalStatuses: ReadonlySet<number> = new Set([429, 503]);
 /** A service call may be a long job. A minute limits the wait for a call whose connection is dead but was not closed. */
 const defaultHeaderTimeoutMilliseconds = 60_000;
--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -40,10 +40,10 @@
 };
 
 /**
- * Messages for a new peer, the last of them the one that names the holder of the duties, if any. A peer that has read the endpoints from the store lately gets only those that have ended since
- * then: if all instances start together and each sends every endpoint to each neighbour, small instances are busy with lists
- * that they have just read themselves, while callers reconnect. Unconfirmed endpoints are not announced, because each receiver
- * would start a new grace period for them.
+ * Messages for a new peer, the last of them the one that names the holder of the duties, if any. A peer that has read the
+ * endpoints from the store lately gets only those that have ended since then: if all instances start together and each sends
+ * every endpoint to each neighbour, small instances are busy with lists that they have just read themselves, while callers
+ * reconnect. Unconfirmed endpoints are not announced, because each receiver would start a new grace period for them.
  */
 export function initialMessages({tableInput, directory}: RoutingState, {knowsEndpoints, holderAnnouncement, now}: NewPeer): GatewayMessage[] {
 	const listed = [...directory.entries.values()].filter(({unconfirmedUntil, endedAt}) => unconfirmedUntil === undefined && (
--- a/src/policy/duties/events.ts
+++ b/src/policy/duties/events.ts
@@ -262,9 +262,11 @@
 function reopenWindows(state: DutyState, clock: DutyClock): DutyState {
 	const {tenure, settings, contributors} = state;
 	const current = windowAt(clock.time, settings.windowMilliseconds);
-	return tenure === undefined || tenure.closedThrough <= current || !isTimeCertain(contributors, clock.steady - tenure.since)
-		? state
-		: {...state, tenure: {...tenure, closedThrough: current, undecidableThrough: current}};
+	if (tenure === undefined || tenure.closedThrough <= current || !isTimeCertain(contributors, clock.steady - tenure.since)) {
+		return state;
+	}
+
+	return {...state, tenure: {...tenure, closedThrough: current, undecidableThrough: current}};
 }
 
 function withDecisions(known: ReadonlyMap<number, UsageCounts>, {decisions}: DutyLog): ReadonlyMap<number, UsageCounts> {
