--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -5,10 +5,8 @@
 export {HttpLogClient} from './log-client.js';
 export {HttpMembershipClient, memberSchema} from './membership-client.js';
 export {HttpWeightStoreClient} from './weight-store-client.js';
-export {
-	CatalogueFollower, defaultFollowerTimes,
-	type AuditEntry, type FollowerOptions, type FollowerTimes, type RecordsResponse,
-} from './catalogue-follower.js';
+export {CatalogueFollower} from './catalogue-follower.js';
+export {defaultFollowerTimes, type AuditEntry, type FollowerOptions, type FollowerTimes, type RecordsResponse} from './catalogue-follower-options.js';
 export {readCatalogue, type FoldedStream, type AppliedRecord} from './catalogue-stream.js';
 export {HttpCaller} from './http-caller.js';
 export {QuarantineLedger, quarantineStream, type QuarantineLedgerSettings} from './quarantine-ledger.js';
--- a/test/platform/catalogue-follower.test.ts
+++ b/test/platform/catalogue-follower.test.ts
@@ -1,7 +1,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import tap from 'tap';
 import {type Catalogue} from '../../src/catalogue/index.js';
-import {CatalogueFollower, type FollowerOptions} from '../../src/platform/catalogue-follower.js';
+import {CatalogueFollower} from '../../src/platform/catalogue-follower.js';
+import {type FollowerOptions} from '../../src/platform/catalogue-follower-options.js';
 import {QuarantineLedger} from '../../src/platform/index.js';
 import {change, put, sampleModel} from '../catalogue/sample.js';
 import {MemoryLog} from './memory-log.js';
