Gateway soak: retries of all gateways, counted from outside

Cause: rule BUDGET bounds the retries of a service summed over all gateways in a sliding window. Nothing outside the program counted them; the soak watched backoffs alone. Change: course 'retries' of gateway-soak: endpoints refuse 35% to 90% of the requests for 22 s, while gateways are killed, restarted, frozen, cut off from each other and from the store, overlapping. No logic changed yet.

--- a/bench/gateway-soak/caller.ts
+++ b/bench/gateway-soak/caller.ts
@@ -7,6 +7,7 @@
 export type ExchangeRecord = {
 	readonly id: string;
 	readonly kind: Kind;
+	readonly sentAt: number;
 	status: number;
 	body: string;
 	isWhole: boolean;
@@ -20,7 +21,7 @@
 /** Sends one request; resolves when its response has ended, cleanly or not. */
 export function sendRequest({id, kind, port, key}: {id: string; kind: Kind; port: number; key: string}): Promise<ExchangeRecord> {
 	return new Promise(resolve => {
-		const record: ExchangeRecord = {id, kind, status: 0, body: '', isWhole: false};
+		const record: ExchangeRecord = {id, kind, sentAt: performance.now(), status: 0, body: '', isWhole: false};
 		const method = kind === 'lookup' ? 'GET' : 'POST';
 		const sent = httpRequest({
 			host: '127.0.0.1', port, method, path: `/${kind}/1`, agent: false, timeout: deadlineMilliseconds + 500,
--- a/bench/gateway-soak/child.ts
+++ b/bench/gateway-soak/child.ts
@@ -23,6 +23,8 @@
 	readonly seedHosts: readonly string[];
 	/** Offset of the process's wall clock, in milliseconds. */
 	readonly clockMilliseconds: number;
+	/** Retries that all gateways together may make; without it the default applies. */
+	readonly retryAllowance?: {readonly ratio: number; readonly slack: number; readonly windowSeconds: number};
 	/** Additional flags for Node. */
 	readonly nodeFlags?: readonly string[];
 };
@@ -59,10 +61,12 @@
 
 	async start(): Promise<void> {
 		const [callers, admin, peers, usage] = this.options.ports;
+		const {retryAllowance} = this.options;
 		const file = `${this.options.folder}/${this.options.instance}.json`;
 		writeFileSync(file, JSON.stringify({
 			instance: this.options.instance, availabilityZone: 'zone-a', callerAddress: `127.0.0.1:${callers}`, adminAddress: `127.0.0.1:${admin}`,
 			peerAddress: `127.0.0.1:${peers}`, storeAddress: this.storePath.address, seedHosts: this.options.seedHosts, memoryMegabytes: 200, stopSeconds: 6,
+			...(retryAllowance !== undefined && {retryRatio: retryAllowance.ratio, retrySlack: retryAllowance.slack, retryWindowSeconds: retryAllowance.windowSeconds}),
 			...(this.options.receiverAddress !== undefined && {duties: {...dutySettings, receiverAddress: this.options.receiverAddress, address: `127.0.0.1:${usage}`}}),
 		}));
 		this.#isExitExpected = false;
--- a/bench/gateway-soak/index.ts
+++ b/bench/gateway-soak/index.ts
@@ -1,9 +1,10 @@
 import {execFileSync} from 'node:child_process';
 import process from 'node:process';
 import {type CommandModule} from 'yargs';
+import {courseFaults, runRetrySeed} from './retry-course.js';
 import {portsPerGateway, runSeed} from './run-seed.js';
 
-type Settings = {seed: number; count: number; jobs: number; gateways: number};
+type Settings = {seed: number; count: number; jobs: number; gateways: number; course: 'mixed' | 'retries'; faults: string};
 
 const firstPort = 21_000;
 
@@ -15,18 +16,26 @@
 		seed: {type: 'number', default: 1, describe: 'the first seed'},
 		count: {type: 'number', default: 50, describe: 'how many seeds'},
 		jobs: {type: 'number', default: 4, describe: 'seeds at a time'},
+		course: {choices: ['mixed', 'retries'] as const, default: 'mixed' as const, describe: 'faults of every kind, or retries while gateways come and go'},
+		faults: {type: 'string', default: courseFaults.join(','), describe: 'the kinds of faults of the course "retries", joined by commas'},
 		gateways: {type: 'number', default: 2, describe: 'gateways of each seed'},
 	},
-	async handler({seed, count, jobs, gateways}) {
+	async handler({seed, count, jobs, gateways, course, faults}) {
 		execFileSync(process.execPath, ['tools/bundle.mjs'], {stdio: 'inherit'});
+		const kinds = courseFaults.filter(kind => faults.split(',').includes(kind));
 		const seeds = Array.from({length: count}, (_, index) => seed + index);
 		const totals = {requests: 0, served: 0, violations: 0};
 		const runLane = async (lane: number): Promise<void> => {
 			for (let next = seeds.shift(); next !== undefined; next = seeds.shift()) {
-				const result = await runSeed({seed: next, gateways, firstPort: firstPort + (lane * gateways * portsPerGateway)});
+				const options = {seed: next, gateways, firstPort: firstPort + (lane * gateways * portsPerGateway)};
+				const result = await (course === 'retries' ? runRetrySeed({...options, faults: kinds}) : runSeed(options));
 				totals.requests += result.requests;
 				totals.served += result.served;
 				totals.violations += result.violations.length;
+				for (const {service, retries, allowed} of result.retryWindows ?? []) {
+					console.log(`seed ${next}: ${service}, at most ${retries} of ${Math.floor(allowed)} retries in a window`);
+				}
+
 				for (const violation of result.violations) {
 					console.log(`seed ${next}: ${violation} [${result.faults.join(', ')}]`);
 				}
--- a/bench/gateway-soak/run-seed.ts
+++ b/bench/gateway-soak/run-seed.ts
@@ -5,11 +5,22 @@
 import {sendRequest, type ExchangeRecord, kinds} from './caller.js';
 import {dutyViolations, violations} from './checker.js';
 import {dutySettings, GatewayChild} from './child.js';
+import {type RetryWindow} from './retry-checker.js';
 import {revokedKey, SoakPlatform, validKey} from './soak-platform.js';
 import {FaultInjector} from './faults.js';
 import {statementViolations} from './statement-checker.js';
 
-export type SeedResult = {readonly seed: number; readonly requests: number; readonly served: number; readonly faults: readonly string[]; readonly violations: readonly string[]; readonly lines: string};
+export type SeedResult = {
+	readonly seed: number;
+	readonly requests: number;
+	readonly served: number;
+	readonly faults: readonly string[];
+	readonly violations: readonly string[];
+	/** Log lines of all gateways. */
+	readonly lines: string;
+	/** Of each service, the window that came closest to the allowance of retries, where these are counted. */
+	readonly retryWindows?: readonly RetryWindow[];
+};
 
 const trafficMilliseconds = 4500;
 const requestPauseMilliseconds = 14;
--- a/bench/gateway-soak/soak-platform.ts
+++ b/bench/gateway-soak/soak-platform.ts
@@ -33,6 +33,8 @@
 	readonly workers: SoakWorker[] = [];
 	/** The fault of about a third of the workers' responses. */
 	answerMode: WorkerAnswer['type'] | 'cut' = 'whole';
+	/** Part of the requests that workers refuse while no other fault is set. */
+	refusedShare = 0;
 	isRevoked = false;
 	readonly #random: Random;
 	#version = 0;
@@ -96,6 +98,10 @@
 	/** Chooses a worker's response; about one in three gets the current fault. */
 	#answer(request: WorkerRequest): WorkerAnswer {
 		const mode = this.#random.uniform() < 0.34 ? this.answerMode : 'whole';
+		if (this.refusedShare > 0 && this.#random.uniform() < this.refusedShare) {
+			return {type: 'not-run'};
+		}
+
 		if (mode === 'reset' || mode === 'not-run') {
 			return {type: mode};
 		}
--- a/fakes/platform-store.ts
+++ b/fakes/platform-store.ts
@@ -12,7 +12,11 @@
 /** Chooses a fault for a call by its path and its Host header. */
 export type ChooseFault = (path: string, caller: string) => StoreFault | undefined;
 
+/** Returns what is stored in place of the value of an appended record. */
+export type RewriteRecord = (topic: string, key: string, value: unknown) => unknown;
+
 const noFault: ChooseFault = () => undefined;
+const keepRecord: RewriteRecord = (_topic, _key, value) => value;
 
 type Stored = {readonly key: string; readonly value: Uint8Array};
 type Topic = {records: Stored[]; first: number; waiting: Set<() => void>};
@@ -36,6 +40,8 @@
 	}
 
 	fault: ChooseFault = noFault;
+	/** Changes a record that a call appends, for example an address that is to be reached over a network path. */
+	rewrite: RewriteRecord = keepRecord;
 	calls = 0;
 	/** The store's generation number: 1, and one more after each restore from a backup. */
 	era = 1;
@@ -211,7 +217,7 @@
 
 		const records = parseRecords(body);
 		for (const {key, value} of records) {
-			this.put(topic, key, value === '' ? undefined : JSON.parse(value));
+			this.put(topic, key, value === '' ? undefined : this.rewrite(topic, key, JSON.parse(value)));
 		}
 
 		response?.end(JSON.stringify({offset: end, end: end + records.length}));
