A retry that is not made is logged with its inputs

Cause: nothing told why a failed request was not retried, nor what the share of an instance was based on; the hypotheses on retries beyond the allowance could not be told apart by logs. Change: one line 'Not retried.' with the reason, and for the allowance what was spent, allowed, and by how many instances the slack is divided; a counter of decisions by service. The conditions stand in RetryProgress, each with its reason; no decision changes.

--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -9,7 +9,9 @@
 		| {readonly type: 'events'; readonly count: number; readonly gapMilliseconds?: number; readonly cutAfter?: number; readonly firstAfterMilliseconds?: number}
 		| {readonly type: 'not-run'}
 		| {readonly type: 'silent'}
-		| {readonly type: 'reset'};
+		| {readonly type: 'reset'}
+	/** The worker ends: it resets all its connections and accepts no more. */
+		| {readonly type: 'crash'};
 
 /** A request as a worker received it. */
 export type WorkerRequest = {readonly id: string; readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string; readonly at: number; readonly statements: Readonly<Record<string, string>>; wasRun: boolean};
@@ -19,6 +21,10 @@
 
 const defaultAnswer: ChooseAnswer = () => ({type: 'whole', body: 'ok'});
 
+function noAction(): void {
+	// By default nothing follows a crash.
+}
+
 /** A stand-in for a worker of the platform with configurable responses; it records the requests that it receives. */
 export class FakePlatformWorker implements AsyncDisposable {
 	static async create(id: string, service: string): Promise<FakePlatformWorker> {
@@ -35,6 +41,8 @@
 	kept: ReadonlyArray<readonly [string, number]> | undefined;
 	/** Number of requests for the list of cached prompt parts. */
 	listings = 0;
+	/** Called when it has crashed. */
+	onCrash: () => void = noAction;
 	readonly id: string;
 	readonly service: string;
 	readonly requests: WorkerRequest[] = [];
@@ -119,6 +127,13 @@
 
 			case 'reset': {
 				response.socket?.resetAndDestroy();
+				return;
+			}
+
+			case 'crash': {
+				this.#server.close();
+				this.#server.closeAllConnections();
+				this.onCrash();
 			}
 		}
 	}
--- a/src/gateway/decision-log.ts
+++ b/src/gateway/decision-log.ts
@@ -1,6 +1,7 @@
 import {type Counter, type Latency, type Metrics, type PartLogger} from '../telemetry/index.js';
 import {type ExchangeOptions} from './exchange-options.js';
 import {type Decision} from './decision.js';
+import {type RetryDecision} from './retry-progress.js';
 
 /** How an exchange ended. */
 export type ExchangeResult = {
@@ -43,6 +44,7 @@
 	readonly #logger: PartLogger;
 	readonly #decisions: Counter;
 	readonly #finished: Counter;
+	readonly #retries: Counter;
 	readonly #firstEvents: Latency;
 	readonly #durations: Latency;
 	readonly #dropped = new Map<string, number>();
@@ -53,6 +55,7 @@
 		this.#logger = logger;
 		this.#decisions = metrics.counter('gateway_decisions_total', 'Placements and refusals, by reason.', ['decision']);
 		this.#finished = metrics.counter('gateway_requests_total', 'Requests that ended, by route and outcome.', ['route', 'outcome']);
+		this.#retries = metrics.counter('gateway_retry_decisions_total', 'Failed attempts, by service, and by what was decided about a retry.', ['service', 'decision']);
 		this.#firstEvents = metrics.latency('gateway_first_event', 'From arrival to the first event of a stream.');
 		this.#durations = metrics.latency('gateway_request', 'From arrival to the end of the response.');
 		this.#timer = setInterval(() => {
@@ -96,6 +99,24 @@
 		});
 	}
 
+	/** Counts the decision after a failed attempt, and logs why the request is not retried; the attempt that follows a retry has its own line. */
+	logRetryDecision({facts, route, service}: ExchangeOptions, decision: RetryDecision): void {
+		if (decision.type === 'retry') {
+			this.#retries.add(1, {service, decision: 'retry'});
+			return;
+		}
+
+		const {reason} = decision;
+		this.#retries.add(1, {service, decision: reason});
+		if (reason !== 'allowance') {
+			this.#write('Not retried.', {request: facts.id, route: route.name, service, reason});
+			return;
+		}
+
+		const {spent, requests, allowed, instances} = decision.grant;
+		this.#write('Not retried.', {request: facts.id, route: route.name, service, reason, spent, requests, allowed: Math.floor(allowed), instances});
+	}
+
 	/** Logs the final response; a request served by its first attempt already has its line. */
 	logResult({facts, route, arrivedAt}: ExchangeOptions, {firstEventAt, ...result}: ExchangeResult): void {
 		const milliseconds = performance.now() - arrivedAt;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,5 +1,5 @@
 import {Alarm, type Body, channel, receive, tryDeliver, tryReceive} from '../concurrency/index.js';
-import {combineVerdicts, Verdict} from '../model/index.js';
+import {Verdict} from '../model/index.js';
 import {type Demand, failoverAt} from '../policy/dispatch/index.js';
 import {RouteKind} from '../routing/index.js';
 import {ResponseForwarder} from './response-forwarder.js';
@@ -11,11 +11,10 @@
 import {sendErrorResponse} from './error-response.js';
 import {RequestUsage} from './duties/index.js';
 import {demandOf, placementRequestOf} from './placement-request.js';
+import {type FailedOutcome, minRunMilliseconds, RetryProgress} from './retry-progress.js';
 
 /** Capacity of the inbox; more than the number of event types, of which at most one each is pending at a time. */
 const inboxCapacity = 16;
-/** With less time than this left, an attempt is not started. */
-const minRunMilliseconds = 15;
 /** Retry delay for refused callers where there is no better estimate. */
 const defaultRetryMilliseconds = 300;
 
@@ -31,10 +30,8 @@
 	readonly #deadlineAt: number;
 	readonly #demand: Demand;
 	readonly #excluded = new Set<string>();
-	#verdict: Verdict = Verdict.notRun;
+	readonly #retryProgress: RetryProgress;
 	#attempts = 0;
-	/** Number of attempts that may have run the request. */
-	#possibleRuns = 0;
 	#attemptNumber = 0;
 	readonly #forwarder: ResponseForwarder;
 	readonly #usage: RequestUsage;
@@ -44,6 +41,7 @@
 		this.#options = options;
 		this.#deadlineAt = options.arrivedAt + Math.min(options.route.timeoutMilliseconds, options.facts.deadlineMilliseconds ?? Infinity);
 		this.#demand = demandOf(options);
+		this.#retryProgress = RetryProgress.create(options.route);
 		this.#usage = RequestUsage.create(options.usage, options.workspace?.name);
 		this.#forwarder = ResponseForwarder.create({
 			caller: options.caller,
@@ -58,11 +56,6 @@
 		});
 	}
 
-	get #isIdempotent(): boolean {
-		const {route} = this.#options;
-		return route.kind === RouteKind.safe || (route.kind === RouteKind.stream && route.resumable);
-	}
-
 	/** Runs until the final response is sent or the caller has disconnected. */
 	* run(): Body<void> {
 		using alarm = this.#alarm;
@@ -96,7 +89,7 @@
 			id: placementId,
 			lastStartAt: Math.min(this.#deadlineAt - minRunMilliseconds, expectedDisconnectAt),
 			excluded: this.#excluded,
-			isIdempotent: this.#isIdempotent,
+			isIdempotent: this.#retryProgress.isIdempotent,
 			onDecision: decision => {
 				tryDeliver(this.#inbox, {type: 'decided', decision});
 			},
@@ -111,7 +104,7 @@
 
 				log.logRefusal(this.#options, event.decision, this.#waitedMilliseconds);
 
-				this.#finish({type: 'failed', verdict: this.#verdict, reason: event.decision.reason}, event.decision.retryAfterMilliseconds);
+				this.#finish({type: 'failed', verdict: this.#retryProgress.verdict, reason: event.decision.reason}, event.decision.retryAfterMilliseconds);
 				return undefined;
 			}
 
@@ -232,7 +225,7 @@
 	 */
 	#failoverAt(state: AttemptState, sentAt: number): number {
 		const {route} = this.#options;
-		if (!this.#isIdempotent || this.#possibleRuns + 1 >= route.largestAttempts || this.#forwarder.isPaused) {
+		if (!this.#retryProgress.mayRunElsewhere || this.#forwarder.isPaused) {
 			return Infinity;
 		}
 
@@ -267,31 +260,35 @@
 			return false;
 		}
 
-		const {route, dispatcher, service, caller} = this.#options;
-		this.#possibleRuns += outcome.verdict === Verdict.notRun ? 0 : 1;
-		this.#verdict = combineVerdicts(this.#verdict, outcome.verdict);
-		const mayRepeat = outcome.verdict === Verdict.notRun || (this.#isIdempotent && this.#possibleRuns < route.largestAttempts);
-		const canContinue = !caller.hasResponse || (route.kind === RouteKind.stream && route.resumable && this.#forwarder.lastEventId !== undefined);
-		const now = performance.now();
-		const shouldRetry = mayRepeat && canContinue && !caller.hasDisconnected && this.#deadlineAt - now > minRunMilliseconds
-			&& (outcome.isUnsent === true || dispatcher.retries.takeRetry(service, dispatcher.view.instances, now));
-		if (!shouldRetry) {
+		const isRetried = this.#mayRetry(outcome);
+		if (!isRetried) {
 			this.#finish(outcome);
 		}
 
-		return shouldRetry;
+		return isRetried;
+	}
+
+	#mayRetry(outcome: FailedOutcome): boolean {
+		const {dispatcher, service, caller, log} = this.#options;
+		const now = performance.now();
+		const decision = this.#retryProgress.decide(outcome, {
+			hasLeft: caller.hasDisconnected, remainingMilliseconds: this.#deadlineAt - now, hasResponse: caller.hasResponse, lastEventId: this.#forwarder.lastEventId,
+			takeRetry: () => dispatcher.retries.takeRetry(service, dispatcher.view.instances, now),
+		});
+		log.logRetryDecision(this.#options, decision);
+		return decision.type === 'retry';
 	}
 
 	#finish(outcome: Outcome, retryAfterMilliseconds = defaultRetryMilliseconds): void {
 		const {caller, codec, facts, log} = this.#options;
 		log.logResult(this.#options, {
 			outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, sendings: this.#attempts,
-			verdict: this.#verdict, firstEventAt: this.#forwarder.firstEventAt,
+			verdict: this.#retryProgress.verdict, firstEventAt: this.#forwarder.firstEventAt,
 		});
 		if (outcome.type === 'done' || outcome.type === 'left') {
 			return;
 		}
 
-		sendErrorResponse({caller, codec, facts}, outcome, {verdict: this.#verdict, hasBeenSent: this.#attempts > 0, retryAfterMilliseconds});
+		sendErrorResponse({caller, codec, facts}, outcome, {verdict: this.#retryProgress.verdict, hasBeenSent: this.#attempts > 0, retryAfterMilliseconds});
 	}
 }
--- /dev/null
+++ b/src/gateway/retry-progress.ts
@@ -0,0 +1,99 @@
+import {combineVerdicts, Verdict} from '../model/index.js';
+import {type RetryGrant} from '../policy/dispatch/index.js';
+import {type Route, RouteKind} from '../routing/index.js';
+import {type Outcome} from './attempt-state.js';
+
+export type FailedOutcome = Extract<Outcome, {type: 'failed'}>;
+
+/** State of a request at the time of the decision whether it is retried. */
+export type RetryContext = {
+	readonly hasLeft: boolean;
+	readonly remainingMilliseconds: number;
+	/** True if the response to the caller has begun. */
+	readonly hasResponse: boolean;
+	/** Id of the last event that the caller was sent. */
+	readonly lastEventId: string | undefined;
+	/** Takes one retry from the allowance of all instances. */
+	readonly takeRetry: () => RetryGrant;
+};
+
+/** Whether a failed request is retried, and if not, the reason. */
+export type RetryDecision
+	= | {readonly type: 'retry'}
+		| {readonly type: 'give-up'; readonly reason: 'may-have-run' | 'attempts' | 'response-begun' | 'left' | 'deadline'}
+	/** All instances together have made as many retries as are allowed, or this one its share of them. */
+		| {readonly type: 'give-up'; readonly reason: 'allowance'; readonly grant: RetryGrant};
+
+/** With less time than this left, an attempt is not started. */
+export const minRunMilliseconds = 15;
+
+/** What the attempts of one request have shown so far, and whether another one may follow. */
+export class RetryProgress {
+	static create(route: Route): RetryProgress {
+		return new RetryProgress(route);
+	}
+
+	readonly #route: Route;
+	#verdict: Verdict = Verdict.notRun;
+	/** Number of attempts that may have run the request. */
+	#possibleRuns = 0;
+
+	private constructor(route: Route) {
+		this.#route = route;
+	}
+
+	/** The verdict on all attempts together. */
+	get verdict(): Verdict {
+		return this.#verdict;
+	}
+
+	get isIdempotent(): boolean {
+		return this.#route.kind === RouteKind.safe || this.#isResumable;
+	}
+
+	/** True if the request may run at one more endpoint while the attempt in progress may still run it. */
+	get mayRunElsewhere(): boolean {
+		return this.isIdempotent && this.#possibleRuns + 1 < this.#route.largestAttempts;
+	}
+
+	/** Records a failed attempt and decides whether another one follows; this takes a retry from the allowance. */
+	decide(outcome: FailedOutcome, context: RetryContext): RetryDecision {
+		this.#possibleRuns += outcome.verdict === Verdict.notRun ? 0 : 1;
+		this.#verdict = combineVerdicts(this.#verdict, outcome.verdict);
+		const reason = this.#obstacle(outcome, context);
+		if (reason !== undefined) {
+			return {type: 'give-up', reason};
+		}
+
+		if (outcome.isUnsent === true) {
+			return {type: 'retry'};
+		}
+
+		const grant = context.takeRetry();
+		return grant.isGranted ? {type: 'retry'} : {type: 'give-up', reason: 'allowance', grant};
+	}
+
+	get #isResumable(): boolean {
+		return this.#route.kind === RouteKind.stream && this.#route.resumable;
+	}
+
+	#obstacle({verdict}: FailedOutcome, {hasLeft, remainingMilliseconds, hasResponse, lastEventId}: RetryContext): Exclude<Extract<RetryDecision, {type: 'give-up'}>['reason'], 'allowance'> | undefined {
+		if (verdict !== Verdict.notRun && !this.isIdempotent) {
+			return 'may-have-run';
+		}
+
+		if (verdict !== Verdict.notRun && this.#possibleRuns >= this.#route.largestAttempts) {
+			return 'attempts';
+		}
+
+		if (hasResponse && !(this.#isResumable && lastEventId !== undefined)) {
+			return 'response-begun';
+		}
+
+		if (hasLeft) {
+			return 'left';
+		}
+
+		return remainingMilliseconds > minRunMilliseconds ? undefined : 'deadline';
+	}
+}
--- a/src/policy/dispatch/retry-share.ts
+++ b/src/policy/dispatch/retry-share.ts
@@ -20,6 +20,18 @@
 /** Buckets in a window; the window slides by one bucket. */
 const bucketCount = 10;
 
+/** Whether a retry may be made, with what the decision was based on. */
+export type RetryGrant = {
+	readonly isGranted: boolean;
+	/** Retries and requests of this instance in the window, before this one. */
+	readonly spent: number;
+	readonly requests: number;
+	/** Retries that this instance may make in the window. */
+	readonly allowed: number;
+	/** Number of instances that share the slack. */
+	readonly instances: number;
+};
+
 type Bucket = {readonly index: number; requests: number; retries: number};
 
 export class RetryShare {
@@ -43,19 +55,16 @@
 	}
 
 	/** Takes one retry if the allowance has it, for one of this many live instances. */
-	takeRetry(service: string, instances: number, now: number): boolean {
+	takeRetry(service: string, instances: number, now: number): RetryGrant {
 		const bucket = this.#bucket(service, now);
 		const {ratio, slack} = this.#allowance;
 		const buckets = this.#buckets.get(service) ?? [];
 		const requests = buckets.reduce((sum, one) => sum + one.requests, 0);
-		const retries = buckets.reduce((sum, one) => sum + one.retries, 0);
+		const spent = buckets.reduce((sum, one) => sum + one.retries, 0);
 		const allowed = usableShare * ((requests * ratio) + (slack / Math.max(1, instances)));
-		if (retries + 1 > allowed) {
-			return false;
-		}
-
-		bucket.retries += 1;
-		return true;
+		const isGranted = spent + 1 <= allowed;
+		bucket.retries += isGranted ? 1 : 0;
+		return {isGranted, spent, requests, allowed, instances};
 	}
 
 	#bucket(service: string, now: number): Bucket {
