An instance that starts has no share of the slack of retries for a window

Cause: each instance spent its share of the slack from its first moment. What the one before it under its name had spent in the same window was known to nobody, so each kill or restart brought a new share; a fleet killed every two seconds had ten. Class: a promise of all instances that each keeps alone, and forgets when it starts. Change: no slack until an instance has run for one window; the ratio, earned by requests since the start, stays. A wait is enough because the predecessor ended before the start, so no window holds the slack of both. Another way, not taken: peers tell a starting instance what its predecessor spent. A peer that was cut off from it in its last seconds does not know, and cannot know that it doesn't.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -48,7 +48,7 @@
 	private constructor(options: DispatcherOptions) {
 		this.#options = options;
 		this.loadTracker.learnsEngines = options.tuning.learnsEngines;
-		this.retries = RetryShare.create(options.allowance);
+		this.retries = RetryShare.create({allowance: options.allowance, startedAt: performance.now()});
 		this.#queueReporter = QueueReporter.create(options.incarnation);
 		this.statements = StatementRegistry.create({...options, onReport: options.onRateLimitReport});
 		this.endpoints = EndpointPool.create({routingState: options.routingState, logger: options.logger, loadTracker: this.loadTracker, statements: this.statements});
--- a/src/policy/dispatch/retry-share.ts
+++ b/src/policy/dispatch/retry-share.ts
@@ -3,6 +3,10 @@
  * must stay within one allowance for each service: a ratio of its requests in a window, and a fixed slack. Each
  * instance spends the ratio on its own requests and an equal share of the slack, so that the sum holds without
  * communication.
+ *
+ * An instance that starts has no share of the slack until it has run for a window. The one before it under its name may have spent the
+ * share, nobody else has counted it, and instances that start again and again would have a new share each time. The
+ * ratio needs no such wait: it is earned by the requests since the start.
  */
 export type RetryAllowance = {
 	/** Retries for each request. */
@@ -28,22 +32,31 @@
 	readonly requests: number;
 	/** Retries that this instance may make in the window. */
 	readonly allowed: number;
-	/** Number of instances that share the slack. */
+	/** Number of instances that share the slack, and this one's share of it. */
 	readonly instances: number;
+	readonly ownSlack: number;
 };
 
 type Bucket = {readonly index: number; requests: number; retries: number};
 
+export type RetryShareOptions = {
+	readonly allowance: RetryAllowance;
+	/** Start of this instance, on the clock of the other times. */
+	readonly startedAt: number;
+};
+
 export class RetryShare {
-	static create(allowance: RetryAllowance): RetryShare {
-		return new RetryShare(allowance);
+	static create(options: RetryShareOptions): RetryShare {
+		return new RetryShare(options);
 	}
 
 	#allowance: RetryAllowance;
+	readonly #startedAt: number;
 	readonly #buckets = new Map<string, Bucket[]>();
 
-	private constructor(allowance: RetryAllowance) {
+	private constructor({allowance, startedAt}: RetryShareOptions) {
 		this.#allowance = allowance;
+		this.#startedAt = startedAt;
 	}
 
 	setAllowance(allowance: RetryAllowance): void {
@@ -57,14 +70,15 @@
 	/** Takes one retry if the allowance has it, for one of this many live instances. */
 	takeRetry(service: string, instances: number, now: number): RetryGrant {
 		const bucket = this.#bucket(service, now);
-		const {ratio, slack} = this.#allowance;
+		const {ratio, slack, windowMilliseconds} = this.#allowance;
+		const ownSlack = now - this.#startedAt < windowMilliseconds ? 0 : slack / Math.max(1, instances);
 		const buckets = this.#buckets.get(service) ?? [];
 		const requests = buckets.reduce((sum, one) => sum + one.requests, 0);
 		const spent = buckets.reduce((sum, one) => sum + one.retries, 0);
-		const allowed = usableShare * ((requests * ratio) + (slack / Math.max(1, instances)));
+		const allowed = usableShare * ((requests * ratio) + ownSlack);
 		const isGranted = spent + 1 <= allowed;
 		bucket.retries += isGranted ? 1 : 0;
-		return {isGranted, spent, requests, allowed, instances};
+		return {isGranted, spent, requests, allowed, instances, ownSlack};
 	}
 
 	#bucket(service: string, now: number): Bucket {
