The slack of retries is divided among all instances that may be serving

Cause: the slack was divided by the number of links, and by one without links. Instances cut off from each other each took all of it, and when one was killed or frozen the others took its share at once, while it, or what it had spent, was still in the same window. Class: a belief about who is linked taken for the truth about who may serve. Change: src/policy/sharing/possible-instances.ts folds signs (announced, linked, lost, unlinked, withdrawn) into the number of instances that may be serving. The log line of a denied retry names the number or 'unknown'. The soak waits for a window before its traffic, so that faults meet spent shares.

--- a/bench/gateway-soak/retry-course.ts
+++ b/bench/gateway-soak/retry-course.ts
@@ -67,6 +67,8 @@
 
 	async run(): Promise<SeedResult> {
 		const notReady = await this.#listNotReady();
+		// An instance has no share of the slack before it has run for a window; without one, the first faults would find little to forget.
+		await sleep(retryAllowance.windowSeconds * 1000);
 		const count = this.#kinds.length === 0 ? 0 : Math.floor(this.#between(faultCount));
 		const faultTimes = Array.from({length: count}, () => this.#between({low: firstFaultMilliseconds, high: trafficMilliseconds * 0.9}));
 		const faults = faultTimes.map(async at => {
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -72,20 +72,22 @@
 			routingState,
 			logger: forPart(logger, 'Dispatch'),
 			allowance: allowanceOf(settings),
+			// What an instance has spent before it ended counts for a window.
+			slackSharing: () => peers.roster.slackSharing((settings.stopSeconds + settings.retryWindowSeconds) * 1000, performance.now()),
 			random: Math.random,
 			tuning: parseTuning(process.env.CASSIAFLOW_TUNING),
 			onLoad(event) {
 				peers.broadcastLoad(event);
 			},
 			instance: settings.instance,
-			instances: () => peers.presentInstances,
+			instances: () => peers.roster.presentNames(performance.now()),
 			onRateLimitReport(report) {
 				peers.announce(encodeRateLimitReport(report, performance.now()));
 			},
 		});
 		const promptCacheReader = PromptCacheReader.create({
 			instance: settings.instance, routingState, logger: forPart(logger, 'Kept'),
-			instances: () => peers.instanceNames,
+			instances: () => peers.roster.instanceNames,
 			read: async address => adapter.readCachedParts(address),
 			statements: dispatcher.statements,
 			onRead(list) {
--- a/src/gateway/decision-log.ts
+++ b/src/gateway/decision-log.ts
@@ -113,8 +113,8 @@
 			return;
 		}
 
-		const {spent, requests, allowed, instances, ownSlack} = decision.grant;
-		this.#write('Not retried.', {request: facts.id, route: route.name, service, reason, spent, requests, allowed: Math.floor(allowed), instances, ownSlack: Math.floor(ownSlack)});
+		const {spent, requests, allowed, sharing, ownSlack} = decision.grant;
+		this.#write('Not retried.', {request: facts.id, route: route.name, service, reason, spent, requests, allowed: Math.floor(allowed), ownSlack: Math.floor(ownSlack), instances: sharing.type === 'known' ? sharing.instances : 'unknown'});
 	}
 
 	/** Logs the final response; a request served by its first attempt already has its line. */
--- a/src/gateway/dispatcher-options.ts
+++ b/src/gateway/dispatcher-options.ts
@@ -1,5 +1,5 @@
 import {type InstanceId, type ZoneName} from '../model/index.js';
-import {type LoadEvent, type RetryAllowance, type Tuning} from '../policy/dispatch/index.js';
+import {type LoadEvent, type RetryAllowance, type SlackSharing, type Tuning} from '../policy/dispatch/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type RoutingState} from './routing-state.js';
 import {type RateLimitReport} from './statement-registry.js';
@@ -12,6 +12,7 @@
 	readonly routingState: RoutingState;
 	readonly logger: PartLogger;
 	readonly allowance: RetryAllowance;
+	readonly slackSharing: () => SlackSharing;
 	readonly random: () => number;
 	readonly tuning: Tuning;
 	/** Called with load events of this instance that other instances need. */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,6 +1,6 @@
 import {
 	sendProbability, choosePlace, type PlacementContext, groupKeyOf, ScanResults, QueueReporter, LoadTracker, type LoadEvent, type Place, propagationMilliseconds, prefillMilliseconds,
-	RetryShare, runId,
+	type RetryGrant, RetryShare, runId,
 } from '../policy/dispatch/index.js';
 import {singleInstanceView, type FleetView} from '../policy/sharing/index.js';
 import {type EndpointRecord} from '../routing/index.js';
@@ -96,6 +96,11 @@
 		this.#queue.remove(id);
 	}
 
+	/** Takes one retry for a request to this service, if this instance's share of the allowance has it. */
+	takeRetry(service: string, now: number): RetryGrant {
+		return this.retries.takeRetry(service, this.#options.slackSharing(), now);
+	}
+
 	recordFirstEvent(runId: string): void {
 		this.#publishLoad({type: 'first-event', id: runId});
 	}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -273,7 +273,7 @@
 		const now = performance.now();
 		const decision = this.#retryProgress.decide(outcome, {
 			hasLeft: caller.hasDisconnected, remainingMilliseconds: this.#deadlineAt - now, hasResponse: caller.hasResponse, lastEventId: this.#forwarder.lastEventId,
-			takeRetry: () => dispatcher.retries.takeRetry(service, dispatcher.view.instances, now),
+			takeRetry: () => dispatcher.takeRetry(service, now),
 		});
 		log.logRetryDecision(this.#options, decision);
 		return decision.type === 'retry';
--- a/src/gateway/peer-roster.ts
+++ b/src/gateway/peer-roster.ts
@@ -1,5 +1,6 @@
 import {type ZoneName} from '../model/index.js';
-import {type Member, type Neighbours, neighboursOf} from '../policy/sharing/index.js';
+import {type SlackSharing} from '../policy/dispatch/index.js';
+import {countPossibleInstances, type InstanceEvent, type Member, type Neighbours, neighboursOf, noPossibleInstances, prunePossibleInstances, stepPossibleInstances} from '../policy/sharing/index.js';
 
 /** Another instance, as it announced itself. */
 export type PeerRecord = {readonly instance: string; readonly address: string; readonly zone?: ZoneName | undefined};
@@ -35,6 +36,8 @@
 	/** When the links of instances without one were lost. */
 	readonly #lostAt = new Map<string, number>();
 	#neighbours: Neighbours | undefined;
+	#possibleInstances = noPossibleInstances;
+	#hasSnapshot = false;
 
 	private constructor(own: Member) {
 		this.#own = own;
@@ -60,6 +63,19 @@
 		return this.neighbours.linked.size === this.reachableCount;
 	}
 
+	/**
+	 * How many instances may be serving, linked or not, once a snapshot of the announcements was read; one that shuts down counts for
+	 * `shutdownMilliseconds` more.
+	 */
+	slackSharing(shutdownMilliseconds: number, now: number): SlackSharing {
+		if (!this.#hasSnapshot) {
+			return {type: 'unknown'};
+		}
+
+		this.#possibleInstances = prunePossibleInstances(this.#possibleInstances, shutdownMilliseconds, now);
+		return {type: 'known', instances: countPossibleInstances(this.#possibleInstances, shutdownMilliseconds, now)};
+	}
+
 	get neighbours(): Neighbours {
 		const members = Array.from(this.#peers.values(), ({instance, zone}): Member => ({name: instance, zone}));
 		this.#neighbours ??= neighboursOf(this.#own, members, name => {
@@ -73,8 +89,10 @@
 	 * Adds announced instances; the newest announcement of an instance counts. Those of a snapshot were announced before this
 	 * instance started.
 	 */
-	addPeers(records: readonly PeerRecord[], isSnapshot: boolean): void {
+	addPeers(records: readonly PeerRecord[], isSnapshot: boolean, now: number): void {
+		this.#hasSnapshot ||= isSnapshot;
 		for (const record of records.filter(({instance}) => instance !== this.#own.name)) {
+			this.#recordSign({type: 'announced', instance: record.instance}, now);
 			if (isSnapshot) {
 				this.#startedEarlier.add(record.instance);
 			}
@@ -86,7 +104,8 @@
 		}
 	}
 
-	removePeer(instance: string): void {
+	removePeer(instance: string, now: number): void {
+		this.#recordSign({type: 'withdrawn', instance}, now);
 		this.#peers.delete(instance);
 		this.#lostAt.delete(instance);
 		this.#neighbours = undefined;
@@ -109,18 +128,21 @@
 	recordDial(address: string, now: number): number {
 		const previous = this.#dials.get(address);
 		const pause = Math.min(redialPauseMilliseconds.longest, previous === undefined ? redialPauseMilliseconds.first : previous.pause * 2);
-		this.#setDialState(address, {at: now, pause, failures: (previous?.failures ?? 0) + 1});
+		this.#setDialState(address, {at: now, pause, failures: (previous?.failures ?? 0) + 1}, now);
 		return pause;
 	}
 
 	/** Records that there is a link to an instance. */
-	recordLinked(instance: string): void {
+	recordLinked(instance: string, now: number): void {
+		this.#recordSign({type: 'linked', instance}, now);
 		this.#lostAt.delete(instance);
 	}
 
 	/** Records the end of a link. A link to an instance that is no longer a neighbour ends without a loss. */
 	recordLost(instance: string, now: number): void {
-		if (this.neighbours.linked.has(instance)) {
+		const isNeighbour = this.neighbours.linked.has(instance);
+		this.#recordSign({type: isNeighbour || !this.#peers.has(instance) ? 'lost' : 'unlinked', instance}, now);
+		if (isNeighbour) {
 			this.#lostAt.set(instance, now);
 		}
 	}
@@ -132,13 +154,22 @@
 		}
 	}
 
-	#setDialState(address: string, dialState: DialState): void {
+	#setDialState(address: string, dialState: DialState, now: number): void {
 		this.#dials.set(address, dialState);
-		if (dialState.failures > maxFailedDials) {
-			this.#neighbours = undefined;
+		if (dialState.failures <= maxFailedDials) {
+			return;
+		}
+
+		this.#neighbours = undefined;
+		for (const {instance} of [...this.#peers.values()].filter(peer => peer.address === address)) {
+			this.#recordSign({type: 'lost', instance}, now);
 		}
 	}
 
+	#recordSign(event: InstanceEvent, now: number): void {
+		this.#possibleInstances = stepPossibleInstances(this.#possibleInstances, event, now);
+	}
+
 	#isPresent({instance, address}: PeerRecord, now: number): boolean {
 		const lostAt = this.#lostAt.get(instance);
 		if (lostAt !== undefined && now - lostAt < presentMilliseconds) {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -40,8 +40,9 @@
 		return peers;
 	}
 
+	/** The instances that announced themselves. */
+	readonly roster: PeerRoster;
 	readonly #options: PeersOptions;
-	readonly #roster: PeerRoster;
 	readonly #links = new Map<string, PeerLink>();
 	readonly #tablePuller: RoutingTablePuller;
 	readonly #loadBatch = LoadBatch.create(() => batchIntervalMilliseconds(this.#links.size), rows => {
@@ -54,7 +55,7 @@
 
 	private constructor(options: PeersOptions) {
 		this.#options = options;
-		this.#roster = PeerRoster.create({name: options.instance, zone: options.zone});
+		this.roster = PeerRoster.create({name: options.instance, zone: options.zone});
 		this.#seeds = options.seeds.filter(seed => seed !== `${options.host}:${options.port}`);
 		this.#tablePuller = RoutingTablePuller.create({
 			ownVersion: () => options.routingState.table?.version,
@@ -85,23 +86,13 @@
 		return this.#links.size;
 	}
 
-	/** Names of the other instances that may serve. */
-	get presentInstances(): readonly string[] {
-		return this.#roster.presentNames(performance.now());
-	}
-
-	/** Names of the other instances that announced themselves. */
-	get instanceNames(): readonly string[] {
-		return this.#roster.instanceNames;
-	}
-
 	/**
 	 * In a full mesh the number of links is the number of live instances; an instance without links receives reports from no
 	 * other one.
 	 */
 	get view(): FleetView {
 		const links = this.#links.size;
-		return {links, instances: (links === 0 || this.#roster.isFullMesh ? links : Math.max(links, this.#roster.reachableCount)) + 1};
+		return {links, instances: (links === 0 || this.roster.isFullMesh ? links : Math.max(links, this.roster.reachableCount)) + 1};
 	}
 
 	/** Reports to all neighbours which prompt parts an endpoint has cached. */
@@ -119,12 +110,12 @@
 	 * before this one started.
 	 */
 	addPeers(records: readonly PeerRecord[], isSnapshot: boolean): void {
-		this.#roster.addPeers(records, isSnapshot);
+		this.roster.addPeers(records, isSnapshot, performance.now());
 		this.#options.onView(this.view);
 	}
 
 	removePeer(instance: string): void {
-		this.#roster.removePeer(instance);
+		this.roster.removePeer(instance, performance.now());
 		this.#options.onView(this.view);
 	}
 
@@ -157,7 +148,7 @@
 
 	* #maintainLinks(): Body<void> {
 		while (!this.#isClosed) {
-			for (const address of this.#roster.addressesToDial(new Set(this.#links.keys()), this.#seeds, performance.now())) {
+			for (const address of this.roster.addressesToDial(new Set(this.#links.keys()), this.#seeds, performance.now())) {
 				void spawn('dial peer', () => this.#dial(address));
 			}
 
@@ -174,7 +165,7 @@
 	 * one is due.
 	 */
 	#maintainLink({connection, instance, isDialled, since}: PeerLink): void {
-		if (isDialled && performance.now() - since > minLinkMilliseconds && !this.#roster.neighbours.linked.has(instance)) {
+		if (isDialled && performance.now() - since > minLinkMilliseconds && !this.roster.neighbours.linked.has(instance)) {
 			connection.close('no longer a neighbour');
 		} else if (connection.takeHeartbeat(this.#links.size)) {
 			connection.send({type: 'heartbeat', catalogueOffset: 0});
@@ -182,7 +173,7 @@
 	}
 
 	* #dial(address: string): Body<void> {
-		const pause = this.#roster.recordDial(address, performance.now());
+		const pause = this.roster.recordDial(address, performance.now());
 		try {
 			const connection = yield * wait(dial(address, this.#options.security));
 			yield * this.#serve(connection, address);
@@ -240,7 +231,7 @@
 		const existing = this.#links.get(hello.instance);
 		const isDialled = address !== undefined;
 		if (isDialled) {
-			this.#roster.recordConnected(address);
+			this.roster.recordConnected(address);
 		}
 
 		if (hello.protocol !== protocolVersion || hello.instance === this.#options.instance) {
@@ -259,7 +250,7 @@
 
 		const link = createPeerLink(hello, {connection, isDialled, existing});
 		this.#links.set(hello.instance, link);
-		this.#roster.recordLinked(hello.instance);
+		this.roster.recordLinked(hello.instance, performance.now());
 		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
 		const newPeer = {knowsEndpoints: hello.knowsEndpoints, holderAnnouncement: this.#options.holderAnnouncement(), now: performance.now()};
@@ -290,7 +281,7 @@
 		}
 
 		this.#links.delete(link.instance);
-		this.#roster.recordLost(link.instance, performance.now());
+		this.roster.recordLost(link.instance, performance.now());
 		this.#options.onView(this.view);
 		this.#options.onLoad({type: 'owner-lost', owner: link.incarnation});
 		this.#options.logger.warn('Peer lost.', {peer: link.instance, reason: link.connection.closeReason, peers: this.#links.size});
--- a/src/policy/dispatch/retry-share.ts
+++ b/src/policy/dispatch/retry-share.ts
@@ -2,7 +2,8 @@
  * Load pattern: a fault makes many requests fail at once, at all instances, and the retries of all of them together
  * must stay within one allowance for each service: a ratio of its requests in a window, and a fixed slack. Each
  * instance spends the ratio on its own requests and an equal share of the slack, so that the sum holds without
- * communication.
+ * communication. The slack is divided among all instances that may be serving, whether they see each other or not: instances that
+ * are cut off from each other would otherwise each take all of it.
  *
  * An instance that starts has no share of the slack until it has run for a window. The one before it under its name may have spent the
  * share, nobody else has counted it, and instances that start again and again would have a new share each time. The
@@ -24,6 +25,9 @@
 /** Buckets in a window; the window slides by one bucket. */
 const bucketCount = 10;
 
+/** The instances that share the slack: unknown before this one has read which there are. */
+export type SlackSharing = {readonly type: 'unknown'} | {readonly type: 'known'; readonly instances: number};
+
 /** Whether a retry may be made, with what the decision was based on. */
 export type RetryGrant = {
 	readonly isGranted: boolean;
@@ -32,8 +36,8 @@
 	readonly requests: number;
 	/** Retries that this instance may make in the window. */
 	readonly allowed: number;
-	/** Number of instances that share the slack, and this one's share of it. */
-	readonly instances: number;
+	/** The instances that share the slack, and this one's share of it. */
+	readonly sharing: SlackSharing;
 	readonly ownSlack: number;
 };
 
@@ -67,18 +71,23 @@
 		this.#bucket(service, now).requests += 1;
 	}
 
-	/** Takes one retry if the allowance has it, for one of this many live instances. */
-	takeRetry(service: string, instances: number, now: number): RetryGrant {
+	/** Takes one retry if this instance's share of the allowance has it. */
+	takeRetry(service: string, sharing: SlackSharing, now: number): RetryGrant {
 		const bucket = this.#bucket(service, now);
-		const {ratio, slack, windowMilliseconds} = this.#allowance;
-		const ownSlack = now - this.#startedAt < windowMilliseconds ? 0 : slack / Math.max(1, instances);
+		const {ratio} = this.#allowance;
+		const ownSlack = this.#ownSlack(sharing, now);
 		const buckets = this.#buckets.get(service) ?? [];
 		const requests = buckets.reduce((sum, one) => sum + one.requests, 0);
 		const spent = buckets.reduce((sum, one) => sum + one.retries, 0);
 		const allowed = usableShare * ((requests * ratio) + ownSlack);
 		const isGranted = spent + 1 <= allowed;
 		bucket.retries += isGranted ? 1 : 0;
-		return {isGranted, spent, requests, allowed, instances, ownSlack};
+		return {isGranted, spent, requests, allowed, sharing, ownSlack};
+	}
+
+	#ownSlack(sharing: SlackSharing, now: number): number {
+		const {slack, windowMilliseconds} = this.#allowance;
+		return sharing.type === 'unknown' || now - this.#startedAt < windowMilliseconds ? 0 : slack / Math.max(1, sharing.instances);
 	}
 
 	#bucket(service: string, now: number): Bucket {
--- a/src/policy/sharing/index.ts
+++ b/src/policy/sharing/index.ts
@@ -1,4 +1,5 @@
-/** Which peers an instance connects to, and how often it polls the store. */
+/** Which peers an instance connects to, how many instances there may be, and how often it polls the store. */
 export * from './neighbours.js';
 export * from './polling.js';
+export * from './possible-instances.js';
 export * from './view.js';
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -152,8 +152,8 @@
 	const own = {name: 'm', zone: 'zone-a' as ZoneName};
 	const roster = PeerRoster.create(own);
 	const peer = (instance: string) => ({instance, address: `${instance}:1`, zone: own.zone});
-	roster.addPeers([peer('a')], true);
-	roster.addPeers([peer('b'), peer('z')], false);
+	roster.addPeers([peer('a')], true, 0);
+	roster.addPeers([peer('b'), peer('z')], false, 0);
 	t.same(roster.addressesToDial(new Set(), [], 0).toSorted(), ['a:1', 'z:1'], 'the smaller name dials, but a new instance dials those that were there');
 	t.same(roster.addressesToDial(new Set(['a', 'z']), ['seed:1'], 0), [], 'seeds only while there is no link');
 	for (let now = 0, tries = 0; tries < 6; tries++) {
@@ -164,7 +164,7 @@
 	t.same(roster.addressesToDial(new Set(['a']), [], 1e6), ['z:1'], 'and is still retried');
 	roster.recordConnected('z:1');
 	t.equal(roster.reachableCount, 3);
-	roster.removePeer('z');
+	roster.removePeer('z', 0);
 	t.same(roster.instanceNames, ['a', 'b']);
 });
 
@@ -172,21 +172,37 @@
 // instance that is gone, or taken from one that is merely no longer a neighbour.
 tap.test('an instance without a link counts as present for a time, and always if it is no neighbour', async t => {
 	const roster = PeerRoster.create({name: 'a', zone: undefined});
-	roster.addPeers([{instance: 'b', address: 'b:1'}, {instance: 'c', address: 'c:1'}], false);
+	roster.addPeers([{instance: 'b', address: 'b:1'}, {instance: 'c', address: 'c:1'}], false, 0);
 	t.same(roster.presentNames(0), ['b', 'c'], 'announced');
-	roster.recordLinked('b');
+	roster.recordLinked('b', 0);
 	roster.recordLost('b', 1000);
 	t.same(roster.presentNames(20_000), ['b', 'c']);
 	t.same(roster.presentNames(40_000), ['c']);
-	roster.recordLinked('b');
+	roster.recordLinked('b', 40_000);
 	t.same(roster.presentNames(40_000), ['b', 'c']);
-	roster.removePeer('b');
+	roster.removePeer('b', 50_000);
 	roster.recordLost('b', 50_000);
-	roster.addPeers([{instance: 'b', address: 'b:2'}], false);
+	roster.addPeers([{instance: 'b', address: 'b:2'}], false, 50_000);
 	t.same(roster.presentNames(90_000), ['c', 'b'], 'a lost link of an instance that had retracted its announcement says nothing');
 	const large = PeerRoster.create({name: 'a', zone: undefined});
-	large.addPeers(Array.from({length: 60}, (_, number) => ({instance: `i${number}`, address: `i${number}:1`})), false);
+	large.addPeers(Array.from({length: 60}, (_, number) => ({instance: `i${number}`, address: `i${number}:1`})), false, 0);
 	const stranger = Array.from({length: 60}, (_, number) => `i${number}`).find(name => !large.neighbours.linked.has(name))!;
 	large.recordLost(stranger, 0);
 	t.equal(large.presentNames(100_000).length, 60);
 });
+
+// Each of them counted itself alone and spent all of the slack that all instances have for retries.
+tap.test('instances that are cut off from each other still share by the number of all of them', async t => {
+	const shutdownMilliseconds = 10_000;
+	const one = await createPeers('one');
+	const two = await createPeers('two', [one.peers.address]);
+	const sharing = ({peers}: TestInstance) => peers.roster.slackSharing(shutdownMilliseconds, performance.now());
+	t.same(sharing(one), {type: 'unknown'}, 'before the announcements were read');
+	one.peers.addPeers([{instance: 'three', address: '127.0.0.1:1'}], true);
+	await waitUntil(() => one.peers.count === 1);
+	t.same(sharing(one), {type: 'known', instances: 3}, 'one linked, one announced');
+	await two.peers[Symbol.asyncDispose]();
+	await waitUntil(() => one.peers.count === 0);
+	t.same(sharing(one), {type: 'known', instances: 3});
+	await one.peers[Symbol.asyncDispose]();
+});
--- a/test/gateway/queue-reports.test.ts
+++ b/test/gateway/queue-reports.test.ts
@@ -42,7 +42,7 @@
 	const records = ['holder', 'other'].map(id => ({id, service: 'models', address: '127.0.0.1:1', zone, isLeaving: false, slots: 4, revision: 1}));
 	routingState.applyEndpointChanges(records.map((record, offset) => ({type: 'registered', era: 0, offset, record})), 'store', performance.now());
 	const dispatcher = Dispatcher.create({
-		incarnation: 'a' as InstanceId, zone, routingState, logger: silentLogger, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, random: () => 0, tuning: defaultTuning,
+		incarnation: 'a' as InstanceId, zone, routingState, logger: silentLogger, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, slackSharing: () => ({type: 'unknown'}), random: () => 0, tuning: defaultTuning,
 		instance: 'a', instances: () => [], onRateLimitReport: () => undefined,
 		onLoad(event) {
 			loadEvents.push(event);
--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -156,7 +156,7 @@
 		this.dispatchers = this.#routingStates.map((routingState, number) => {
 			routingState.applyEndpointChanges(records.map((record, offset) => ({type: 'registered', era: 0, offset, record})), 'store', performance.now());
 			const dispatcher = Dispatcher.create({
-				incarnation: `i${number}` as InstanceId, zone, routingState, logger: silentLogger, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000},
+				incarnation: `i${number}` as InstanceId, zone, routingState, logger: silentLogger, allowance: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000}, slackSharing: () => ({type: 'unknown'}),
 				random: () => this.#random.uniform(), tuning: defaultTuning,
 				instance: `i${number}`, instances: () => this.#instanceNames,
 				onRateLimitReport: news => {
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -290,7 +290,7 @@
 			if (isRequest) {
 				share.countRequest('orders', now);
 				requests.push(now);
-			} else if (share.takeRetry('orders', count, now).isGranted) {
+			} else if (share.takeRetry('orders', {type: 'known', instances: count}, now).isGranted) {
 				retries.push(now);
 			}
 
--- a/test/policy/retry-share.test.ts
+++ b/test/policy/retry-share.test.ts
@@ -31,7 +31,7 @@
 		const {share} = instances[number % instances.length]!;
 		share.countRequest('orders', now);
 		requests.push(now);
-		if ((number * failingPart) % 1 < failingPart && share.takeRetry('orders', instances.length, now).isGranted) {
+		if ((number * failingPart) % 1 < failingPart && share.takeRetry('orders', {type: 'known', instances: instances.length}, now).isGranted) {
 			retries.push(now);
 		}
 	}
@@ -66,6 +66,6 @@
 
 tap.test('a share of the slack comes back once an instance has run for a window', async t => {
 	const share = RetryShare.create({allowance, startedAt: 0});
-	t.notOk(share.takeRetry('orders', 1, 9999).isGranted);
-	t.ok(share.takeRetry('orders', 1, 10_000).isGranted);
+	t.notOk(share.takeRetry('orders', {type: 'known', instances: 1}, 9999).isGranted);
+	t.ok(share.takeRetry('orders', {type: 'known', instances: 1}, 10_000).isGranted);
 });
