A retry counts from its decision on, and for a whole window from its sending

Cause: ten buckets covered nine to ten seconds, so that two bursts 9.1 s apart each had the whole share; and a retry counted when it was decided, though it may wait for seconds until an endpoint is free, so that those of an outage were sent together beside those of the next window. Class: the promise is about what arrives, the bookkeeping about what was intended. Change: src/policy/dispatch/retry-window.ts counts reserved retries until they are sent or given back, sent ones for up to a bucket longer than the window, requests for up to a bucket less. A changed window length counts as a start. Tests: test/policy/retry-share.test.ts "retries that wait before they are sent stay within the allowance in any window" (300 drawn courses) and "a retry that is not sent after all ...". Evidence: in pure courses only.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -176,7 +176,7 @@
 
 	/** Applies the settings that can change at run time. */
 	apply(settings: GatewaySettings): void {
-		this.#parts.dispatcher.retries.setAllowance(allowanceOf(settings));
+		this.#parts.dispatcher.retries.setAllowance(allowanceOf(settings), performance.now());
 	}
 
 	/** Shuts down gracefully; resolves to true if all requests ended, and the attempt to retract the announcement too, before the deadline. */
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -96,9 +96,9 @@
 		this.#queue.remove(id);
 	}
 
-	/** Takes one retry for a request to this service, if this instance's share of the allowance has it. */
-	takeRetry(service: string, now: number): RetryGrant {
-		return this.retries.takeRetry(service, this.#options.slackSharing(), now);
+	/** Reserves one retry of a request to this service, if this instance's share of the allowance has it. */
+	reserveRetry(service: string, now: number): RetryGrant {
+		return this.retries.reserve(service, this.#options.slackSharing(), now);
 	}
 
 	recordFirstEvent(runId: string): void {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -128,7 +128,7 @@
 
 	/** Runs one attempt to its end. */
 	* #runAttempt(decision: Extract<Decision, {type: 'placed'}>, alarm: Alarm): Body<Outcome> {
-		const {dispatcher, connectionPools, codec, facts, method, path, rawHeaders, body, workspace, route} = this.#options;
+		const {dispatcher, connectionPools, codec, facts, method, path, rawHeaders, body, workspace, route, service} = this.#options;
 		const {record, runId} = decision;
 		const remaining = this.#deadlineAt - performance.now();
 		if (remaining < minRunMilliseconds || this.#options.caller.hasDisconnected) {
@@ -139,6 +139,10 @@
 		this.#attempts += 1;
 		this.#attemptNumber += 1;
 		const number = this.#attemptNumber;
+		if (this.#retryProgress.takeReservation()) {
+			dispatcher.retries.recordSent(service, performance.now());
+		}
+
 		this.#usage.recordSent(route.kind === RouteKind.stream);
 		const attempt = Attempt.start({
 			address: record.address,
@@ -255,17 +259,12 @@
 
 	/** Decides whether the request is retried; if not, its final response is sent at once. */
 	#shouldRetry(outcome: Outcome): boolean {
-		if (outcome.type !== 'failed') {
-			this.#finish(outcome);
-			return false;
-		}
-
-		const isRetried = this.#mayRetry(outcome);
-		if (!isRetried) {
-			this.#finish(outcome);
+		if (outcome.type === 'failed' && this.#mayRetry(outcome)) {
+			return true;
 		}
 
-		return isRetried;
+		this.#finish(outcome);
+		return false;
 	}
 
 	#mayRetry(outcome: FailedOutcome): boolean {
@@ -273,14 +272,18 @@
 		const now = performance.now();
 		const decision = this.#retryProgress.decide(outcome, {
 			hasLeft: caller.hasDisconnected, remainingMilliseconds: this.#deadlineAt - now, hasResponse: caller.hasResponse, lastEventId: this.#forwarder.lastEventId,
-			takeRetry: () => dispatcher.takeRetry(service, now),
+			reserveRetry: () => dispatcher.reserveRetry(service, now),
 		});
 		log.logRetryDecision(this.#options, decision);
 		return decision.type === 'retry';
 	}
 
 	#finish(outcome: Outcome, retryAfterMilliseconds = defaultRetryMilliseconds): void {
-		const {caller, codec, facts, log} = this.#options;
+		const {caller, codec, facts, log, dispatcher, service} = this.#options;
+		if (this.#retryProgress.takeReservation()) {
+			dispatcher.retries.release(service, performance.now());
+		}
+
 		log.logResult(this.#options, {
 			outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, sendings: this.#attempts,
 			verdict: this.#retryProgress.verdict, firstEventAt: this.#forwarder.firstEventAt,
--- a/src/gateway/retry-progress.ts
+++ b/src/gateway/retry-progress.ts
@@ -13,8 +13,8 @@
 	readonly hasResponse: boolean;
 	/** Id of the last event that the caller was sent. */
 	readonly lastEventId: string | undefined;
-	/** Takes one retry from the allowance of all instances. */
-	readonly takeRetry: () => RetryGrant;
+	/** Reserves one retry of the allowance of all instances. */
+	readonly reserveRetry: () => RetryGrant;
 };
 
 /** Whether a failed request is retried, and if not, the reason. */
@@ -37,6 +37,7 @@
 	#verdict: Verdict = Verdict.notRun;
 	/** Number of attempts that may have run the request. */
 	#possibleRuns = 0;
+	#hasReservation = false;
 
 	private constructor(route: Route) {
 		this.#route = route;
@@ -56,7 +57,7 @@
 		return this.isIdempotent && this.#possibleRuns + 1 < this.#route.largestAttempts;
 	}
 
-	/** Records a failed attempt and decides whether another one follows; this takes a retry from the allowance. */
+	/** Records a failed attempt and decides whether another one follows. */
 	decide(outcome: FailedOutcome, context: RetryContext): RetryDecision {
 		this.#possibleRuns += outcome.verdict === Verdict.notRun ? 0 : 1;
 		this.#verdict = combineVerdicts(this.#verdict, outcome.verdict);
@@ -65,14 +66,23 @@
 			return {type: 'give-up', reason};
 		}
 
+		// An attempt that was never sent has taken nothing from the allowance, and the next one is the first to arrive.
 		if (outcome.isUnsent === true) {
 			return {type: 'retry'};
 		}
 
-		const grant = context.takeRetry();
+		const grant = context.reserveRetry();
+		this.#hasReservation = grant.isGranted;
 		return grant.isGranted ? {type: 'retry'} : {type: 'give-up', reason: 'allowance', grant};
 	}
 
+	/** True once after a decision that has reserved a retry, for the caller to record it as sent or to release it. */
+	takeReservation(): boolean {
+		const hadReservation = this.#hasReservation;
+		this.#hasReservation = false;
+		return hadReservation;
+	}
+
 	get #isResumable(): boolean {
 		return this.#route.kind === RouteKind.stream && this.#route.resumable;
 	}
--- a/src/policy/dispatch/retry-share.ts
+++ b/src/policy/dispatch/retry-share.ts
@@ -9,6 +9,8 @@
  * share, nobody else has counted it, and instances that start again and again would have a new share each time. The
  * ratio needs no such wait: it is earned by the requests since the start.
  */
+import {countRetryWindow, emptyRetryWindow, type RetryWindow, type RetryWindowEvent, stepRetryWindow} from './retry-window.js';
+
 export type RetryAllowance = {
 	/** Retries for each request. */
 	readonly ratio: number;
@@ -17,14 +19,6 @@
 	readonly windowMilliseconds: number;
 };
 
-/**
- * Share of the allowance that is spent; the rest is a margin for requests and retries at the edge of a window, which
- * other instances may count in another window.
- */
-const usableShare = 0.6;
-/** Buckets in a window; the window slides by one bucket. */
-const bucketCount = 10;
-
 /** The instances that share the slack: unknown before this one has read which there are. */
 export type SlackSharing = {readonly type: 'unknown'} | {readonly type: 'known'; readonly instances: number};
 
@@ -41,7 +35,11 @@
 	readonly ownSlack: number;
 };
 
-type Bucket = {readonly index: number; requests: number; retries: number};
+/**
+ * Share of the allowance that is spent; the rest is a margin for requests and retries at the edge of a window, which
+ * other instances may count in another window.
+ */
+const usableShare = 0.6;
 
 export type RetryShareOptions = {
 	readonly allowance: RetryAllowance;
@@ -49,58 +47,66 @@
 	readonly startedAt: number;
 };
 
+/** One instance's share of the retries of each service. */
 export class RetryShare {
 	static create(options: RetryShareOptions): RetryShare {
 		return new RetryShare(options);
 	}
 
 	#allowance: RetryAllowance;
-	readonly #startedAt: number;
-	readonly #buckets = new Map<string, Bucket[]>();
+	#startedAt: number;
+	readonly #windows = new Map<string, RetryWindow>();
 
 	private constructor({allowance, startedAt}: RetryShareOptions) {
 		this.#allowance = allowance;
 		this.#startedAt = startedAt;
 	}
 
-	setAllowance(allowance: RetryAllowance): void {
+	/** Changes the allowance. What was counted in windows of another length can't be compared, so that this is like a start. */
+	setAllowance(allowance: RetryAllowance, now: number): void {
+		if (allowance.windowMilliseconds !== this.#allowance.windowMilliseconds) {
+			this.#windows.clear();
+			this.#startedAt = now;
+		}
+
 		this.#allowance = allowance;
 	}
 
 	countRequest(service: string, now: number): void {
-		this.#bucket(service, now).requests += 1;
+		this.#step(service, {type: 'request'}, now);
 	}
 
-	/** Takes one retry if this instance's share of the allowance has it. */
-	takeRetry(service: string, sharing: SlackSharing, now: number): RetryGrant {
-		const bucket = this.#bucket(service, now);
-		const {ratio} = this.#allowance;
+	/** Reserves one retry if this instance's share of the allowance has it; `recordSent` or `release` must follow. */
+	reserve(service: string, sharing: SlackSharing, now: number): RetryGrant {
+		const {ratio, windowMilliseconds} = this.#allowance;
+		const {requests, retries: spent} = countRetryWindow(this.#windows.get(service) ?? emptyRetryWindow, now, windowMilliseconds);
 		const ownSlack = this.#ownSlack(sharing, now);
-		const buckets = this.#buckets.get(service) ?? [];
-		const requests = buckets.reduce((sum, one) => sum + one.requests, 0);
-		const spent = buckets.reduce((sum, one) => sum + one.retries, 0);
 		const allowed = usableShare * ((requests * ratio) + ownSlack);
 		const isGranted = spent + 1 <= allowed;
-		bucket.retries += isGranted ? 1 : 0;
+		if (isGranted) {
+			this.#step(service, {type: 'reserve'}, now);
+		}
+
 		return {isGranted, spent, requests, allowed, sharing, ownSlack};
 	}
 
+	/** Records that a reserved retry is sent. */
+	recordSent(service: string, now: number): void {
+		this.#step(service, {type: 'send'}, now);
+	}
+
+	/** Gives a reserved retry back that is not sent. */
+	release(service: string, now: number): void {
+		this.#step(service, {type: 'release'}, now);
+	}
+
 	#ownSlack(sharing: SlackSharing, now: number): number {
 		const {slack, windowMilliseconds} = this.#allowance;
 		return sharing.type === 'unknown' || now - this.#startedAt < windowMilliseconds ? 0 : slack / Math.max(1, sharing.instances);
 	}
 
-	#bucket(service: string, now: number): Bucket {
-		const index = Math.floor(now / (this.#allowance.windowMilliseconds / bucketCount));
-		const recent = (this.#buckets.get(service) ?? []).filter(bucket => bucket.index > index - bucketCount);
-		this.#buckets.set(service, recent);
-		const last = recent.at(-1);
-		if (last?.index === index) {
-			return last;
-		}
-
-		const bucket = {index, requests: 0, retries: 0};
-		recent.push(bucket);
-		return bucket;
+	#step(service: string, event: RetryWindowEvent, now: number): void {
+		const {windowMilliseconds} = this.#allowance;
+		this.#windows.set(service, stepRetryWindow(this.#windows.get(service) ?? emptyRetryWindow, event, {now, windowMilliseconds}));
 	}
 }
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -290,7 +290,8 @@
 			if (isRequest) {
 				share.countRequest('orders', now);
 				requests.push(now);
-			} else if (share.takeRetry('orders', {type: 'known', instances: count}, now).isGranted) {
+			} else if (share.reserve('orders', {type: 'known', instances: count}, now).isGranted) {
+				share.recordSent('orders', now);
 				retries.push(now);
 			}
 
--- a/test/policy/retry-share.test.ts
+++ b/test/policy/retry-share.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import tap from 'tap';
-import {RetryShare} from '../../src/policy/dispatch/index.js';
+import {RetryShare, type SlackSharing} from '../../src/policy/dispatch/index.js';
 
 const allowance = {ratio: 0.2, slack: 54, windowMilliseconds: 10_000};
 const requestEveryMilliseconds = 25;
@@ -31,7 +31,8 @@
 		const {share} = instances[number % instances.length]!;
 		share.countRequest('orders', now);
 		requests.push(now);
-		if ((number * failingPart) % 1 < failingPart && share.takeRetry('orders', {type: 'known', instances: instances.length}, now).isGranted) {
+		if ((number * failingPart) % 1 < failingPart && share.reserve('orders', {type: 'known', instances: instances.length}, now).isGranted) {
+			share.recordSent('orders', now);
 			retries.push(now);
 		}
 	}
@@ -64,8 +65,64 @@
 	t.ok(most >= 0.5 * ((allowance.ratio * countWithin(requests, courseMilliseconds)) + allowance.slack), `${most} retries`);
 });
 
+const alone: SlackSharing = {type: 'known', instances: 1};
+
 tap.test('a share of the slack comes back once an instance has run for a window', async t => {
 	const share = RetryShare.create({allowance, startedAt: 0});
-	t.notOk(share.takeRetry('orders', {type: 'known', instances: 1}, 9999).isGranted);
-	t.ok(share.takeRetry('orders', {type: 'known', instances: 1}, 10_000).isGranted);
+	t.notOk(share.reserve('orders', alone, 9999).isGranted);
+	t.ok(share.reserve('orders', alone, 10_000).isGranted);
+	share.setAllowance({...allowance, windowMilliseconds: 5000}, 20_000);
+	t.notOk(share.reserve('orders', alone, 24_999).isGranted, 'a window of another length is a start');
+	t.ok(share.reserve('orders', alone, 25_000).isGranted);
+});
+
+tap.test('there is no share of the slack while the number of instances is unknown', async t => {
+	const share = RetryShare.create({allowance, startedAt: -Infinity});
+	t.notOk(share.reserve('orders', {type: 'unknown'}, 0).isGranted);
+});
+
+// Retries were counted when they were decided; those that waited for an endpoint were sent together, beside those of the next window.
+tap.test('retries that wait before they are sent stay within the allowance in any window', async t => {
+	const retry = fc.record({pause: fc.nat(3000), waits: fc.nat(9000), count: fc.integer({min: 1, max: 60})});
+	fc.assert(fc.property(fc.array(retry, {maxLength: 40}), fc.nat(999), (bursts, offset) => {
+		const share = RetryShare.create({allowance, startedAt: -Infinity});
+		const events: Array<{readonly at: number; readonly type: 'decide' | 'send'}> = [];
+		let at = offset;
+		for (const {pause, waits, count} of bursts) {
+			at += pause;
+			for (let number = 0; number < count; number++) {
+				events.push({at, type: 'decide'}, {at: at + waits, type: 'send'});
+			}
+		}
+
+		return sentWithinAllowance(share, events.toSorted((left, right) => left.at - right.at));
+	}), {seed: 7, numRuns: 300});
+});
+
+/** Plays decisions and the sendings that follow them; true if no window has more retries than the slack. */
+function sentWithinAllowance(share: RetryShare, events: ReadonlyArray<{readonly at: number; readonly type: 'decide' | 'send'}>): boolean {
+	const sentAt: number[] = [];
+	let waiting = 0;
+	for (const {at, type} of events) {
+		if (type === 'decide') {
+			waiting += share.reserve('orders', alone, at).isGranted ? 1 : 0;
+		} else if (waiting > 0) {
+			waiting -= 1;
+			share.recordSent('orders', at);
+			sentAt.push(at);
+		}
+	}
+
+	return sentAt.every(until => countWithin(sentAt, until) <= allowance.slack);
+}
+
+tap.test('a retry that is not sent after all can be made by another request', async t => {
+	const share = RetryShare.create({allowance: {ratio: 0, slack: 2, windowMilliseconds: 10_000}, startedAt: -Infinity});
+	t.ok(share.reserve('orders', alone, 0).isGranted);
+	t.notOk(share.reserve('orders', alone, 1).isGranted, 'reserved ones count');
+	share.release('orders', 2);
+	t.ok(share.reserve('orders', alone, 3).isGranted);
+	share.recordSent('orders', 4);
+	t.notOk(share.reserve('orders', alone, 10_003).isGranted, 'for a whole window after it was sent');
+	t.ok(share.reserve('orders', alone, 11_100).isGranted);
 });
