A request that crashes the endpoints that run it is refused

What callers saw: one caller's request, sent again and again, took down one endpoint after the other; who had work there got a broken answer, and new requests found fewer and fewer endpoints. Cause: nothing on this path remembered which request ran where an endpoint crashed. Class: a rule without a keeper. Change: CrashLedger (src/gateway) records connections that break under a request, drops those that a response to a later request refutes within a second, and folds the rest with the quarantine of src/policy, whose crash records may now come from several writers. Three crashes without a complete run in between refuse the request (workspace, method, path, body) for ten minutes with 503 and that time as Retry-After, at arrival and before a retry. Records go to all instances and to each that starts. Without known crashes a request costs nothing. Other way, not taken: every broken connection counts. Lost answers (a third of them at half of the endpoints) would refuse callers that are unlucky three times. What is left: if all instances restart at once, the crashes are forgotten, and three more endpoints pay.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {type CachedPartsResponse, RoutingState, ConnectionPools, DecisionLog, Dispatcher, encodeRateLimitReport, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
+import {type CachedPartsResponse, RoutingState, ConnectionPools, CrashLedger, DecisionLog, Dispatcher, encodeCrashRecords, encodeRateLimitReport, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type RetryAllowance} from '../policy/dispatch/index.js';
 import {type ServiceSample} from '../policy/scaling/index.js';
@@ -85,6 +85,12 @@
 				peers.announce(encodeRateLimitReport(report, performance.now()));
 			},
 		});
+		const crashes = CrashLedger.create({
+			logger: forPart(logger, 'Crashes'),
+			onRecords(records) {
+				peers.announce(encodeCrashRecords(records, performance.now()));
+			},
+		});
 		const promptCacheReader = PromptCacheReader.create({
 			instance: settings.instance, routingState, logger: forPart(logger, 'Kept'),
 			instances: () => peers.roster.instanceNames,
@@ -97,7 +103,7 @@
 		});
 		/** Set after the peers are opened. Until then this instance tells connecting peers that it has not read the endpoints. */
 		const followers: {feeds?: FeedFollowers; duties?: Duties | undefined} = {};
-		const peers = await openPeers(settings, {incarnation, routingState, dispatcher, promptCacheReader, logger, feeds: () => followers.feeds, duties: () => followers.duties});
+		const peers = await openPeers(settings, {incarnation, routingState, dispatcher, crashes, promptCacheReader, logger, feeds: () => followers.feeds, duties: () => followers.duties});
 		const eraCounter = metrics.counter('gateway_store_eras_total', 'How often a feed was read again because the store was restored from a backup.', ['feed']);
 		const feeds = followFeeds(store, {
 			routingState, peers, drainMilliseconds: settings.drainMilliseconds, applyMilliseconds: settings.applyMilliseconds, logger: forPart(logger, 'Store'), random: Math.random,
@@ -117,12 +123,13 @@
 		const gateway = await Gateway.create({
 			...splitAddress(settings.callerAddress),
 			maxBufferedBodyBytes: settings.memoryMegabytes * 1024 * 1024 * bodyMemoryShare,
-			routingState, dispatcher, connectionPools, codec: adapter.codec, log: decisions, eventLoopMonitor, logger: forPart(logger, 'Gateway'), usage: duties?.counter,
+			routingState, dispatcher, connectionPools, codec: adapter.codec, crashes, log: decisions, eventLoopMonitor, logger: forPart(logger, 'Gateway'), usage: duties?.counter,
 		});
 		metrics.observe('gateway_waiting', 'Requests in the placement queue.', () => dispatcher.queueLength);
 		metrics.observe('gateway_rate_limited_endpoints', 'Endpoints that state a rate limit.', () => dispatcher.statements.countOf('rate-limit', performance.now()));
 		metrics.observe('gateway_leaving_endpoints', 'Endpoints that have stated in a response that they leave.', () => dispatcher.statements.countOf('leaving', performance.now()));
 		metrics.observe('gateway_backing_off_endpoints', 'Endpoints that have asked this instance for a backoff.', () => dispatcher.statements.countOf('backoff', performance.now()));
+		metrics.observe('gateway_endpoint_crashes', 'Endpoints that crashed with requests of this instance or its peers, as far as they still count.', () => crashes.crashCount);
 		metrics.observe('gateway_open', 'Requests whose response is not complete.', () => gateway.openRequests);
 		metrics.observe('gateway_peers', 'Connected peer gateways.', () => peers.count);
 		metrics.observe('gateway_table_version', 'Version of the routing table in force.', () => routingState.table?.version ?? 0);
@@ -131,6 +138,7 @@
 			routingState.prune(performance.now());
 			dispatcher.loadTracker.prune(performance.now());
 			dispatcher.statements.prune(performance.now());
+			crashes.prune(performance.now());
 			dispatcher.statements.handleFleetChange(performance.now());
 			connectionPools.retain(new Set(routingState.directory.entries.keys()));
 		}, pruneMilliseconds);
@@ -141,7 +149,7 @@
 		};
 		return new GatewayProcess({
 			settings, log: forPart(logger, 'Gateway'), store, routingState, peers, dispatcher, gateway, admin, duties,
-			disposables: [timers, admin, gateway, feeds, promptCacheReader, ...(duties === undefined ? [] : [duties]), peers, dispatcher, decisions, eventLoopMonitor, connectionPools, store],
+			disposables: [timers, admin, gateway, feeds, promptCacheReader, ...(duties === undefined ? [] : [duties]), peers, dispatcher, crashes, decisions, eventLoopMonitor, connectionPools, store],
 		});
 	}
 
@@ -235,9 +243,9 @@
 	return sampleServices({routingState, loadTracker, view, now, isHealthy: record => endpoints.isOpen(record, now)});
 }
 
-type PeerParts = {readonly incarnation: string; readonly routingState: RoutingState; readonly dispatcher: Dispatcher; readonly promptCacheReader: PromptCacheReader; readonly logger: Logger; readonly feeds: () => FeedFollowers | undefined; readonly duties: () => Duties | undefined};
+type PeerParts = {readonly incarnation: string; readonly routingState: RoutingState; readonly dispatcher: Dispatcher; readonly crashes: CrashLedger; readonly promptCacheReader: PromptCacheReader; readonly logger: Logger; readonly feeds: () => FeedFollowers | undefined; readonly duties: () => Duties | undefined};
 
-async function openPeers(settings: GatewaySettings, {incarnation, routingState, dispatcher, promptCacheReader, logger, feeds, duties}: PeerParts): Promise<Peers> {
+async function openPeers(settings: GatewaySettings, {incarnation, routingState, dispatcher, crashes, promptCacheReader, logger, feeds, duties}: PeerParts): Promise<Peers> {
 	const {host, port} = splitAddress(settings.peerAddress);
 	return Peers.create({
 		instance: settings.instance,
@@ -267,6 +275,10 @@
 		onRateLimitReport(report) {
 			dispatcher.statements.recordReport(report, performance.now());
 		},
+		onCrashRecords(records, source) {
+			crashes.applyRecords(records, source);
+		},
+		openCrashes: () => crashes.openCrashes(performance.now()),
 		onView(view) {
 			dispatcher.view = view;
 			dispatcher.statements.handleFleetChange(performance.now());
--- a/src/gateway/attempt-state.ts
+++ b/src/gateway/attempt-state.ts
@@ -16,7 +16,12 @@
 	= | {readonly type: 'done'}
 		| {readonly type: 'left'}
 		| {readonly type: 'expired'}
-		| {readonly type: 'failed'; readonly verdict: Verdict; readonly reason: string; readonly isUnsent?: boolean; readonly endpointResponse?: BufferedResponse | undefined};
+		| {
+			readonly type: 'failed'; readonly verdict: Verdict; readonly reason: string;
+			/** The connection was never established, or broke before the end of the response. */
+			readonly connection?: 'none' | 'broken';
+			readonly endpointResponse?: BufferedResponse | undefined;
+		};
 
 /** An endpoint's complete error response, which is sent to the caller if the request is not retried. */
 export type BufferedResponse = {readonly status: number; readonly headers: RawHeaders; readonly body: Uint8Array};
--- a/src/gateway/exchange-options.ts
+++ b/src/gateway/exchange-options.ts
@@ -3,6 +3,7 @@
 import {type Outcome} from './attempt-state.js';
 import {type Caller} from './caller.js';
 import {type ConnectionPools} from './connection-pools.js';
+import {type CrashLedger, type RepeatableRequest} from './crash-ledger.js';
 import {type Decision} from './decision.js';
 import {type DecisionLog} from './decision-log.js';
 import {type Dispatcher} from './dispatcher.js';
@@ -12,10 +13,7 @@
 /** One request, its routing context, and the components that serve it. */
 export type ExchangeOptions = {
 	readonly facts: RequestMetadata;
-	readonly method: string;
-	readonly path: string;
 	readonly rawHeaders: RawHeaders;
-	readonly body: Uint8Array | undefined;
 	readonly table: RoutingTable;
 	readonly route: Route;
 	readonly service: string;
@@ -24,6 +22,9 @@
 	readonly codec: RequestCodec;
 	readonly dispatcher: Dispatcher;
 	readonly connectionPools: ConnectionPools;
+	/** Which requests crash endpoints; `request` identifies this one when it is sent again. */
+	readonly crashes: CrashLedger;
+	readonly request: RepeatableRequest;
 	readonly log: DecisionLog;
 	/** Counts requests that begin to run; absent where nothing is counted. */
 	readonly usage?: UsageCounter | undefined;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -6,7 +6,7 @@
 import {Attempt} from './attempt.js';
 import {AttemptState, type Outcome} from './attempt-state.js';
 import {type Decision} from './decision.js';
-import {reportOutcome, reportStatements} from './outcome-report.js';
+import {reportCrashEvidence, reportOutcome, reportResponse} from './outcome-report.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {sendErrorResponse} from './error-response.js';
 import {RequestUsage} from './duties/index.js';
@@ -103,7 +103,6 @@
 				}
 
 				log.logRefusal(this.#options, event.decision, this.#waitedMilliseconds);
-
 				this.#finish({type: 'failed', verdict: this.#retryProgress.verdict, reason: event.decision.reason}, event.decision.retryAfterMilliseconds);
 				return undefined;
 			}
@@ -128,7 +127,8 @@
 
 	/** Runs one attempt to its end. */
 	* #runAttempt(decision: Extract<Decision, {type: 'placed'}>, alarm: Alarm): Body<Outcome> {
-		const {dispatcher, connectionPools, codec, facts, method, path, rawHeaders, body, workspace, route, service} = this.#options;
+		const {dispatcher, connectionPools, codec, facts, rawHeaders, workspace, route, service, crashes, request} = this.#options;
+		const {method, path, body} = request;
 		const {record, runId} = decision;
 		const remaining = this.#deadlineAt - performance.now();
 		if (remaining < minRunMilliseconds || this.#options.caller.hasDisconnected) {
@@ -163,7 +163,7 @@
 			},
 		});
 		const state: AttemptState = AttemptState.create({attempt, number, decision, isStream: route.kind === RouteKind.stream, requestId: facts.id, codec, onHead(response) {
-			reportStatements(dispatcher, state, response);
+			reportResponse(dispatcher, crashes, state, response);
 		}});
 		const outcome = yield * this.#awaitOutcome(state, alarm);
 		attempt.cancel();
@@ -172,6 +172,7 @@
 		dispatcher.recordEnd(runId);
 		this.#excluded.add(record.id);
 		reportOutcome(dispatcher, outcome, state);
+		reportCrashEvidence(crashes, request, outcome, state);
 		this.#options.log.logAttempt(this.#options, decision, {
 			waitedMilliseconds: this.#waitedMilliseconds, startedAt: state.startedAt, firstEventAt: state.firstEventAt, events: state.events, pauseMilliseconds: state.longestPauseMilliseconds,
 			outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, status: state.status,
@@ -268,10 +269,11 @@
 	}
 
 	#mayRetry(outcome: FailedOutcome): boolean {
-		const {dispatcher, service, caller, log} = this.#options;
+		const {dispatcher, service, caller, log, crashes, request} = this.#options;
 		const now = performance.now();
 		const decision = this.#retryProgress.decide(outcome, {
 			hasLeft: caller.hasDisconnected, remainingMilliseconds: this.#deadlineAt - now, hasResponse: caller.hasResponse, lastEventId: this.#forwarder.lastEventId,
+			isQuarantined: () => crashes.quarantineOf(request, now) !== undefined,
 			reserveRetry: () => dispatcher.reserveRetry(service, now),
 		});
 		log.logRetryDecision(this.#options, decision);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import {type PartLogger} from '../telemetry/index.js';
 import {type RoutingState} from './routing-state.js';
 import {Caller} from './caller.js';
+import {type CrashLedger, type QuarantineStatus, type RepeatableRequest} from './crash-ledger.js';
 import {type ConnectionPools} from './connection-pools.js';
 import {type DecisionLog} from './decision-log.js';
 import {type Dispatcher} from './dispatcher.js';
@@ -25,6 +26,7 @@
 	readonly dispatcher: Dispatcher;
 	readonly connectionPools: ConnectionPools;
 	readonly codec: RequestCodec;
+	readonly crashes: CrashLedger;
 	readonly log: DecisionLog;
 	readonly eventLoopMonitor: EventLoopMonitor;
 	readonly logger: PartLogger;
@@ -153,12 +155,12 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
-		const {routingState, codec, log} = this.#options;
+		const {routingState, codec, log, crashes} = this.#options;
 		const caller = Caller.create(request, response);
 		const read = codec.readRequest(request.headers);
 		const facts = read.type === 'facts' ? read.facts : undefined;
-		const reject = (status: number, message: string, more: {retryAfterMilliseconds?: number; closesConnection?: boolean} = {}): void => {
-			log.logRejection(facts?.id, status, {message, version: routingState.table?.version});
+		const reject = (status: number, message: string, {details, ...more}: {retryAfterMilliseconds?: number; closesConnection?: boolean; details?: QuarantineStatus} = {}): void => {
+			log.logRejection(facts?.id, status, {message, version: routingState.table?.version, ...details});
 			request.resume();
 			caller.respond({status, message, headers: codec.gatewayResponseHeaders(facts), ...more});
 		};
@@ -213,10 +215,17 @@
 			return;
 		}
 
+		const repeatable: RepeatableRequest = {workspace: access.workspace?.name, method: request.method ?? 'GET', path, body: outcome.body};
+		const quarantine = crashes.quarantineOf(repeatable, performance.now());
+		if (quarantine !== undefined) {
+			reject(503, 'The request has crashed the endpoints that ran it; it has not run.', {retryAfterMilliseconds: quarantine.remainingMilliseconds, details: quarantine});
+			return;
+		}
+
 		const bufferedBytes = outcome.body?.length ?? 0;
 		this.#bufferedBytes += bufferedBytes;
 		const exchange = Exchange.create({
-			facts: read.facts, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body: outcome.body, table, route, service,
+			facts: read.facts, request: repeatable, crashes, rawHeaders: request.rawHeaders, table, route, service,
 			workspace: access.workspace, caller, codec, dispatcher: this.#options.dispatcher, connectionPools: this.#options.connectionPools, log, arrivedAt, usage: this.#options.usage,
 		});
 		try {
--- a/src/gateway/outcome-report.ts
+++ b/src/gateway/outcome-report.ts
@@ -1,5 +1,6 @@
 import {Verdict} from '../model/index.js';
 import {type AttemptState, type Outcome} from './attempt-state.js';
+import {type CrashLedger, type RepeatableRequest} from './crash-ledger.js';
 import {type Dispatcher} from './dispatcher.js';
 import {type ResponseMetadata} from './types.js';
 
@@ -16,9 +17,20 @@
 	}
 }
 
-/** Tells the dispatcher what the endpoint states about itself in a response, valid or not; a misdirected response comes from another endpoint. */
-export function reportStatements({statements}: Dispatcher, {decision, requestId, startedAt}: AttemptState, {isMisdirected, requestId: answered, stated}: ResponseMetadata): void {
+/** Tells what a response shows of its endpoint, valid or not: that it runs, and what it states about itself. A misdirected response comes from another endpoint. */
+export function reportResponse({statements}: Dispatcher, crashes: CrashLedger, {decision, requestId, startedAt}: AttemptState, {isMisdirected, requestId: answered, stated}: ResponseMetadata): void {
 	if (!isMisdirected) {
+		crashes.recordResponse(decision.record, startedAt);
 		statements.recordResponse(decision.record, {...stated, sentAt: startedAt, canWithdraw: answered === requestId}, performance.now());
 	}
 }
+
+/** Tells the ledger whether the attempt may have crashed its endpoint, or has shown that the request can run to its end. */
+export function reportCrashEvidence(crashes: CrashLedger, request: RepeatableRequest, outcome: Outcome, {decision}: AttemptState): void {
+	const now = performance.now();
+	if (outcome.type === 'failed' && outcome.connection === 'broken') {
+		crashes.recordBreak(decision.record, request, now);
+	} else if (outcome.type === 'done' || (outcome.type === 'failed' && outcome.verdict === Verdict.ran)) {
+		crashes.recordCompleted(request, now);
+	}
+}
--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -1,4 +1,5 @@
 import {decodeLoad, type LoadEvent, unflattenParts} from '../policy/dispatch/index.js';
+import {type CrashRecord, type QuarantineRecord} from '../policy/quarantine/index.js';
 import {type EndpointChange, positionOf} from '../routing/index.js';
 import {type Connection, type GatewayMessage, type MessageOf} from '../wire/index.js';
 import {type RoutingStateChange, type RoutingState} from './routing-state.js';
@@ -35,6 +36,7 @@
 	/** Whether the peer has read the endpoints from the store lately. */
 	readonly knowsEndpoints: boolean;
 	readonly holderAnnouncement: MessageOf<'duty-holder'> | undefined;
+	readonly crashes: readonly CrashRecord[];
 	/** Milliseconds of the monotonic clock. */
 	readonly now: number;
 };
@@ -45,7 +47,7 @@
  * every endpoint to each neighbour, small instances are busy with lists that they have just read themselves, while callers
  * reconnect. Unconfirmed endpoints are not announced, because each receiver would start a new grace period for them.
  */
-export function initialMessages({tableInput, directory}: RoutingState, {knowsEndpoints, holderAnnouncement, now}: NewPeer): GatewayMessage[] {
+export function initialMessages({tableInput, directory}: RoutingState, {knowsEndpoints, holderAnnouncement, crashes, now}: NewPeer): GatewayMessage[] {
 	const listed = [...directory.entries.values()].filter(({unconfirmedUntil, endedAt}) => unconfirmedUntil === undefined && (
 		!knowsEndpoints || (endedAt !== undefined && now - endedAt < recentRemovalMilliseconds)
 	));
@@ -55,6 +57,7 @@
 	return [
 		...(tableInput === undefined ? [] : [{type: 'routing-version', version: tableInput.version} as const]),
 		...(changes.length === 0 ? [] : [{type: 'endpoints', changes} as const]),
+		...(crashes.length === 0 ? [] : [encodeCrashRecords(crashes, now)]),
 		...(holderAnnouncement === undefined ? [] : [holderAnnouncement]),
 	];
 }
@@ -71,6 +74,16 @@
 	return {endpoint, bornAt, rateLimit: requestsPerSecond === undefined ? undefined : {type: 'rate-limit', requestsPerSecond}, observedAt: now - ageMilliseconds};
 }
 
+/** The message that tells peers of crashes. */
+export function encodeCrashRecords(records: readonly QuarantineRecord[], now: number): MessageOf<'request-crashes'> {
+	return {type: 'request-crashes', records: [...records], now};
+}
+
+/** The records with their times on the clock of this instance. */
+function decodeCrashRecords({records, now: sentAt}: MessageOf<'request-crashes'>, now: number): QuarantineRecord[] {
+	return records.map(record => ({...record, time: record.time + now - sentAt}));
+}
+
 /** The sender of a message, and the state and callbacks that the message is applied to. */
 export type MessageContext = {
 	readonly routingState: RoutingState;
@@ -80,12 +93,13 @@
 	readonly onVersion: (version: number) => void;
 	readonly onLoad: (event: LoadEvent) => void;
 	readonly onRateLimitReport: (report: RateLimitReport) => void;
+	readonly onCrashRecords: (records: readonly QuarantineRecord[], source: string) => void;
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
 	readonly onHolderAnnouncement: (word: MessageOf<'duty-holder'>) => void;
 };
 
 /** Handles a message of a peer that has sent its hello. */
-export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onHolderAnnouncement}: MessageContext): void {
+export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onCrashRecords, onHolderAnnouncement}: MessageContext): void {
 	switch (message.type) {
 		case 'routing-version': {
 			onVersion(message.version);
@@ -120,6 +134,11 @@
 			return;
 		}
 
+		case 'request-crashes': {
+			onCrashRecords(decodeCrashRecords(message, performance.now()), `instance ${instance}`);
+			return;
+		}
+
 		case 'usage': {
 			connection.close('usage has a connection of its own');
 			return;
--- a/src/gateway/peers-options.ts
+++ b/src/gateway/peers-options.ts
@@ -1,5 +1,6 @@
 import {type ZoneName} from '../model/index.js';
 import {type LoadEvent} from '../policy/dispatch/index.js';
+import {type CrashRecord, type QuarantineRecord} from '../policy/quarantine/index.js';
 import {type FleetView} from '../policy/sharing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type MessageOf, type Security} from '../wire/index.js';
@@ -25,6 +26,10 @@
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
 	/** Called when a peer reports whether an endpoint has a rate limit. */
 	readonly onRateLimitReport: (report: RateLimitReport) => void;
+	/** Called when a peer tells of crashes; the records' times are on the clock of this instance. */
+	readonly onCrashRecords: (records: readonly QuarantineRecord[], source: string) => void;
+	/** The crashes that a new peer needs. */
+	readonly openCrashes: () => readonly CrashRecord[];
 	/** The message that names the holder of the duties to a new peer, if this instance knows one. */
 	readonly holderAnnouncement: () => MessageOf<'duty-holder'> | undefined;
 	/** Called when a peer names the holder of the duties. */
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -100,8 +100,8 @@
 		this.#broadcast({type: 'kept', endpoint, parts: flattenParts(parts)});
 	}
 
-	/** Sends to all neighbours who holds the duties, or what a response to this instance has shown of an endpoint. */
-	announce(message: MessageOf<'duty-holder' | 'endpoint-rate-limit'>): void {
+	/** Sends to all neighbours who holds the duties, or what this instance has seen of an endpoint. */
+	announce(message: MessageOf<'duty-holder' | 'endpoint-rate-limit' | 'request-crashes'>): void {
 		this.#broadcast(message);
 	}
 
@@ -215,10 +215,10 @@
 			return undefined;
 		}
 
-		const {routingState, onLoad, onPromptCache, onRateLimitReport, onHolderAnnouncement} = this.#options;
+		const {routingState, onLoad, onPromptCache, onRateLimitReport, onCrashRecords, onHolderAnnouncement} = this.#options;
 		const {instance, incarnation} = link;
 		handleMessage(message, {
-			routingState, connection, instance, incarnation, onLoad, onPromptCache, onRateLimitReport, onHolderAnnouncement,
+			routingState, connection, instance, incarnation, onLoad, onPromptCache, onRateLimitReport, onCrashRecords, onHolderAnnouncement,
 			onVersion: version => {
 				link.routingVersion = version;
 				this.#tablePuller.handlePeerVersion();
@@ -253,7 +253,8 @@
 		this.roster.recordLinked(hello.instance, performance.now());
 		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
-		const newPeer = {knowsEndpoints: hello.knowsEndpoints, holderAnnouncement: this.#options.holderAnnouncement(), now: performance.now()};
+		const {holderAnnouncement, openCrashes} = this.#options;
+		const newPeer = {knowsEndpoints: hello.knowsEndpoints, holderAnnouncement: holderAnnouncement(), crashes: openCrashes(), now: performance.now()};
 		for (const message of initialMessages(this.#options.routingState, newPeer)) {
 			connection.send(message);
 		}
--- a/src/gateway/response-forwarder.ts
+++ b/src/gateway/response-forwarder.ts
@@ -54,7 +54,7 @@
 			}
 
 			case 'broken': {
-				return {type: 'failed', verdict: event.verdict, reason: event.reason, isUnsent: event.verdict === Verdict.notRun};
+				return {type: 'failed', verdict: event.verdict, reason: event.reason, connection: event.verdict === Verdict.notRun ? 'none' : 'broken'};
 			}
 		}
 	}
--- a/src/gateway/retry-progress.ts
+++ b/src/gateway/retry-progress.ts
@@ -13,6 +13,8 @@
 	readonly hasResponse: boolean;
 	/** Id of the last event that the caller was sent. */
 	readonly lastEventId: string | undefined;
+	/** Whether the request has crashed endpoints, and is sent to none any more. */
+	readonly isQuarantined: () => boolean;
 	/** Reserves one retry of the allowance of all instances. */
 	readonly reserveRetry: () => RetryGrant;
 };
@@ -20,7 +22,7 @@
 /** Whether a failed request is retried, and if not, the reason. */
 export type RetryDecision
 	= | {readonly type: 'retry'}
-		| {readonly type: 'give-up'; readonly reason: 'may-have-run' | 'attempts' | 'response-begun' | 'left' | 'deadline'}
+		| {readonly type: 'give-up'; readonly reason: 'may-have-run' | 'attempts' | 'response-begun' | 'left' | 'deadline' | 'quarantined'}
 	/** All instances together have made as many retries as are allowed, or this one its share of them. */
 		| {readonly type: 'give-up'; readonly reason: 'allowance'; readonly grant: RetryGrant};
 
@@ -67,7 +69,7 @@
 		}
 
 		// An attempt that was never sent has taken nothing from the allowance, and the next one is the first to arrive.
-		if (outcome.isUnsent === true) {
+		if (outcome.connection === 'none') {
 			return {type: 'retry'};
 		}
 
@@ -87,7 +89,7 @@
 		return this.#route.kind === RouteKind.stream && this.#route.resumable;
 	}
 
-	#obstacle({verdict}: FailedOutcome, {hasLeft, remainingMilliseconds, hasResponse, lastEventId}: RetryContext): Exclude<Extract<RetryDecision, {type: 'give-up'}>['reason'], 'allowance'> | undefined {
+	#obstacle({verdict}: FailedOutcome, {hasLeft, remainingMilliseconds, hasResponse, lastEventId, isQuarantined}: RetryContext): Exclude<Extract<RetryDecision, {type: 'give-up'}>['reason'], 'allowance'> | undefined {
 		if (verdict !== Verdict.notRun && !this.isIdempotent) {
 			return 'may-have-run';
 		}
@@ -104,6 +106,10 @@
 			return 'left';
 		}
 
-		return remainingMilliseconds > minRunMilliseconds ? undefined : 'deadline';
+		if (remainingMilliseconds <= minRunMilliseconds) {
+			return 'deadline';
+		}
+
+		return isQuarantined() ? 'quarantined' : undefined;
 	}
 }
--- a/src/policy/quarantine/index.ts
+++ b/src/policy/quarantine/index.ts
@@ -43,21 +43,33 @@
 	return {type: 'crashed', crash: `${side}@${Math.floor(now)}`, endpoint, fingerprints: [...new Set(fingerprints)].toSorted(), time: now};
 }
 
-/** Adds a record. The operation is idempotent and commutative: neither repetition nor the order of records matters. */
+/** Adds a record; the same state if nothing is added. The operation is idempotent and commutative: neither repetition nor the order of records matters. */
 export function foldQuarantine(state: Quarantine, record: QuarantineRecord): Quarantine {
 	switch (record.type) {
 		case 'crashed': {
-			return state.crashes.has(record.crash) ? state : {...state, crashes: new Map(state.crashes).set(record.crash, record)};
+			const known = state.crashes.get(record.crash);
+			const merged = known === undefined ? record : mergeCrash(known, record);
+			return merged === known ? state : {...state, crashes: new Map(state.crashes).set(record.crash, merged)};
 		}
 
 		case 'cleared':
 		case 'released': {
-			const crashes = new Set([...state.cleared.get(record.fingerprint) ?? [], ...record.crashes]);
-			return {...state, cleared: new Map(state.cleared).set(record.fingerprint, crashes)};
+			const before = state.cleared.get(record.fingerprint);
+			const crashes = new Set([...before ?? [], ...record.crashes]);
+			return crashes.size === before?.size ? state : {...state, cleared: new Map(state.cleared).set(record.fingerprint, crashes)};
 		}
 	}
 }
 
+/**
+ * Several writers may see one crash, each with the requests that it had sent there. Their times differ by less than matters, so the first one
+ * known stays; a record whose time alone is new would otherwise be passed on again and again.
+ */
+function mergeCrash(known: CrashRecord, added: CrashRecord): CrashRecord {
+	const fingerprints = [...new Set([...known.fingerprints, ...added.fingerprints])].toSorted();
+	return fingerprints.length === known.fingerprints.length ? known : {...known, fingerprints};
+}
+
 /** Drops records that no longer count, and the oldest crashes beyond `maxCrashRecords`. */
 export function pruneQuarantine(state: Quarantine, now: number): Quarantine {
 	const recent = [...state.crashes.values()]
@@ -76,14 +88,14 @@
 /** The suspicion against a fingerprint, and the crashes on which it is based. */
 export type FingerprintStatus = {readonly suspicion: Suspicion; readonly crashes: readonly CrashRecord[]};
 
-/** The status of a fingerprint at a time, from all records that still count. */
-export function evaluateFingerprint(state: Quarantine, fingerprint: string, now: number): FingerprintStatus {
+/** The status of a fingerprint at a time, from all records that still count; this many crashes quarantine it. */
+export function evaluateFingerprint(state: Quarantine, fingerprint: string, now: number, threshold = quarantineThreshold): FingerprintStatus {
 	const counted = countedCrashes(state, fingerprint, now);
-	if (counted.length >= quarantineThreshold) {
+	if (counted.length >= threshold) {
 		return {suspicion: Suspicion.quarantined, crashes: counted};
 	}
 
-	const unexplained = counted.filter(crash => !isExplained(state, crash, fingerprint, now));
+	const unexplained = counted.filter(crash => !isExplained(state, crash, {fingerprint, now, threshold}));
 	return {suspicion: unexplained.length > 0 ? Suspicion.suspect : Suspicion.none, crashes: unexplained};
 }
 
@@ -99,8 +111,17 @@
  * unrelated request that ran beside a poison request remains a suspect and has to wait until no other suspect runs, so that
  * one caller's poison request slows down the requests of others.
  */
-function isExplained(state: Quarantine, crash: CrashRecord, fingerprint: string, now: number): boolean {
-	return crash.fingerprints.some(other => other !== fingerprint && countedCrashes(state, other, now).length >= quarantineThreshold);
+function isExplained(state: Quarantine, crash: CrashRecord, {fingerprint, now, threshold}: {fingerprint: string; now: number; threshold: number}): boolean {
+	return crash.fingerprints.some(other => other !== fingerprint && countedCrashes(state, other, now).length >= threshold);
+}
+
+/** The newest crashes that still count, at most this many, without the requests that were cleared of them. */
+export function openCrashes(state: Quarantine, {now, most}: {now: number; most: number}): readonly CrashRecord[] {
+	return [...state.crashes.values()]
+		.map(crash => ({...crash, fingerprints: crash.fingerprints.filter(fingerprint => state.cleared.get(fingerprint)?.has(crash.crash) !== true)}))
+		.filter(crash => now - crash.time < quarantineMilliseconds && crash.fingerprints.length > 0)
+		.toSorted((left, right) => right.time - left.time)
+		.slice(0, most);
 }
 
 /** All quarantined fingerprints, for operators. */
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -148,6 +148,13 @@
 	ageMilliseconds: milliseconds,
 });
 
+/** Gateway to gateway: endpoints that crashed with the requests that ran there, and requests that were cleared of crashes. */
+const requestCrashes = z.object({
+	type: z.literal('request-crashes'), records: z.array(quarantineRecordSchema),
+	/** The time of sending, on the clock of the records' times. Clocks of instances differ, so a receiver uses only the differences. */
+	now: z.number(),
+});
+
 const usageCounts = z.record(text, z.number().int().nonnegative());
 /** Gateway to the holder of the duties: the sender's counts of the windows that changed since its last message on this connection. */
 const usage = z.object({
@@ -199,15 +206,16 @@
 	load,
 	kept,
 	endpointRateLimit,
+	requestCrashes,
 	usage,
 	holderAnnouncement,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
 /** The messages that only gateways send to each other. */
-export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'endpoint-rate-limit' | 'usage' | 'duty-holder'>;
+export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'endpoint-rate-limit' | 'request-crashes' | 'usage' | 'duty-holder'>;
 
-const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'endpoint-rate-limit', 'usage', 'duty-holder']);
+const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'endpoint-rate-limit', 'request-crashes', 'usage', 'duty-holder']);
 
 export function isGatewayMessage(message: Message): message is GatewayMessage {
 	return gatewayTypes.has(message.type);
--- /dev/null
+++ b/test/gateway/crash-ledger.test.ts
@@ -0,0 +1,114 @@
+import tap from 'tap';
+import {CrashLedger, type RepeatableRequest} from '../../src/gateway/index.js';
+import {quarantineMilliseconds, type QuarantineRecord} from '../../src/policy/quarantine/index.js';
+import {type EndpointRecord} from '../../src/routing/index.js';
+import {type ZoneName} from '../../src/model/index.js';
+
+const silentLogger = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
+const request: RepeatableRequest = {workspace: 'studio-a', method: 'POST', path: '/chart/1', body: new TextEncoder().encode('artwork')};
+/** Longer than a broken connection stays open to refutation. */
+const confirmedMilliseconds = 1100;
+
+function endpoint(id: string, bornAt?: number): EndpointRecord {
+	return {id, service: 'models', address: '127.0.0.1:1', zone: 'z' as ZoneName, isLeaving: false, slots: 4, revision: 1, ...(bornAt !== undefined && {bornAt})};
+}
+
+function createLedger(): {ledger: CrashLedger; sent: QuarantineRecord[]} {
+	const sent: QuarantineRecord[] = [];
+	const ledger = CrashLedger.create({
+		logger: silentLogger,
+		onRecords(records) {
+			sent.push(...records);
+		},
+	});
+	return {ledger, sent};
+}
+
+async function untilConfirmed(): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, confirmedMilliseconds);
+	});
+}
+
+function crashRecord(endpointId: string, fingerprints: readonly string[], time: number): QuarantineRecord {
+	return {type: 'crashed', crash: endpointId, endpoint: endpointId, fingerprints: [...fingerprints], time};
+}
+
+tap.test('three endpoints that crash with a request quarantine it for ten minutes', async t => {
+	const {ledger, sent} = createLedger();
+	const now = performance.now();
+	for (const id of ['a', 'b', 'c']) {
+		ledger.recordBreak(endpoint(id), request, now);
+	}
+
+	t.equal(ledger.quarantineOf(request, now), undefined, 'a break can still be refuted');
+	await untilConfirmed();
+	t.match(ledger.quarantineOf(request, now + 2000), {crashes: 3, remainingMilliseconds: quarantineMilliseconds - 2000});
+	t.equal(sent.length, 3, 'and peers are told');
+	t.equal(ledger.quarantineOf({...request, body: new TextEncoder().encode('other')}, now), undefined);
+	t.equal(ledger.quarantineOf({...request, path: '/chart/2'}, now), undefined);
+	t.equal(ledger.quarantineOf({...request, workspace: 'studio-b'}, now), undefined);
+	t.equal(ledger.quarantineOf(request, now + quarantineMilliseconds), undefined, 'it may be tried again');
+});
+
+// A lost response or a reset connection is no crash; the request of a caller that met three of them would be refused.
+tap.test('a break is no crash if the endpoint responds to a later request', async t => {
+	const {ledger, sent} = createLedger();
+	const now = performance.now();
+	for (const id of ['a', 'b', 'c']) {
+		ledger.recordBreak(endpoint(id), request, now);
+		ledger.recordResponse(endpoint(id), now + 50);
+	}
+
+	await untilConfirmed();
+	t.same(sent, []);
+});
+
+// A crashed endpoint's last responses arrive after the break.
+tap.test('responses to earlier requests, or of another incarnation, refute no crash', async t => {
+	const {ledger, sent} = createLedger();
+	const now = performance.now();
+	for (const id of ['a', 'b', 'c']) {
+		ledger.recordBreak(endpoint(id, 1), request, now);
+		ledger.recordResponse(endpoint(id, 1), now - 50);
+		ledger.recordResponse(endpoint(id, 2), now + 50);
+	}
+
+	await untilConfirmed();
+	t.equal(sent.length, 3);
+});
+
+tap.test('several breaks at one incarnation of an endpoint are one crash', async t => {
+	const {ledger, sent} = createLedger();
+	for (let number = 0; number < 5; number++) {
+		ledger.recordBreak(endpoint('a'), request, performance.now());
+	}
+
+	await untilConfirmed();
+	t.equal(sent.length, 1);
+	t.equal(ledger.quarantineOf(request, performance.now()), undefined);
+	ledger.applyRecords(sent.map(record => ({...record, time: record.time + 3})), 'instance b');
+	t.equal(sent.length, 1, 'what another instance saw of it is not passed on again');
+});
+
+// It ran beside the request that crashed the endpoints, and is served by others.
+tap.test('a complete run clears a request, at the peers too', async t => {
+	const {ledger, sent} = createLedger();
+	const other = createLedger();
+	const now = performance.now();
+	ledger.recordBreak(endpoint('a'), request, now);
+	await untilConfirmed();
+	const [crash] = sent;
+	const fingerprints = crash?.type === 'crashed' ? crash.fingerprints : [];
+	const more = [crashRecord('b', fingerprints, now), crashRecord('c', fingerprints, now)];
+	for (const one of [ledger, other.ledger]) {
+		one.applyRecords([...sent, ...more], 'instance x');
+		t.not(one.quarantineOf(request, now + 1), undefined);
+	}
+
+	ledger.recordCompleted(request, now + 2);
+	t.equal(ledger.quarantineOf(request, now + 3), undefined);
+	other.ledger.applyRecords(sent.filter(({type}) => type === 'cleared'), 'instance y');
+	t.equal(other.ledger.quarantineOf(request, now + 3), undefined);
+	t.same(other.ledger.openCrashes(now + 3), [], 'and a new peer is not told');
+});
--- a/test/gateway/crashing-request.test.ts
+++ b/test/gateway/crashing-request.test.ts
@@ -1,6 +1,6 @@
 import tap from 'tap';
 import {FakePlatformWorker, type WorkerRequest} from '../../fakes/platform-worker.js';
-import {Testbed} from './testbed.js';
+import {eventually, Testbed} from './testbed.js';
 
 const crashingBody = 'artwork that crashes';
 const workersEach = 8;
@@ -43,7 +43,7 @@
 	}
 
 	const sending = new AbortController();
-	for (const worker of [...testbed.workers]) {
+	for (const worker of testbed.workers) {
 		crashOn(testbed, worker, {body: crashingBody, signal: sending.signal});
 	}
 
@@ -64,4 +64,12 @@
 	t.ok(late.length <= allowedRuns, `${late.length} runs of ${allowedRuns} allowed, of ${runs.length} in all`);
 	t.equal(statuses.at(-1), 503, 'its caller is told at once that it has not run');
 	t.equal(await testbed.statusOf({method: 'POST', path: '/lookup/artwork', body: 'other artwork'}), 200, 'other requests of the caller are served');
+	t.equal(await testbed.statusOf({method: 'POST', path: '/lookup/artwork', body: crashingBody, key: 'key-b'}), 502, 'the same body of another workspace is another request');
+	const countTold = (): number => testbed.logLines.filter(({msg}) => String(msg).includes('Request quarantined.')).length;
+	const toldBefore = countTold();
+	const startedLater = await testbed.startGateway();
+	await eventually(() => countTold() > toldBefore);
+	const before = runsOf(testbed, crashingBody).length;
+	t.equal(await testbed.statusOf({method: 'POST', path: '/lookup/artwork', body: crashingBody}, startedLater), 503, 'an instance that starts learns it from its peers');
+	t.equal(runsOf(testbed, crashingBody).length, before);
 });
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -14,7 +14,7 @@
 	const routingState = RoutingState.create(silentLogger);
 	const peers = await Peers.create({
 		instance, zone: 'zone-a' as ZoneName, incarnation: `${instance}-first`, host: '127.0.0.1', port: 0, security: {type: 'plaintext'}, seeds, routingState, logger: silentLogger,
-		onPromptCache: () => undefined, onRateLimitReport: () => undefined, holderAnnouncement: () => undefined, onHolderAnnouncement: () => undefined, onStaleTable: () => undefined,
+		onPromptCache: () => undefined, onRateLimitReport: () => undefined, onCrashRecords: () => undefined, openCrashes: () => [], holderAnnouncement: () => undefined, onHolderAnnouncement: () => undefined, onStaleTable: () => undefined,
 		onLoad(event) {
 			events.push(event);
 		},
@@ -141,7 +141,7 @@
 	const routingState = RoutingState.create(silentLogger);
 	const record = (id: string, isLeaving: boolean) => ({id, service: 's', address: '1.2.3.4:5', zone: 'z' as ZoneName, slots: 1, isLeaving, revision: 1});
 	routingState.applyEndpointChanges([{type: 'registered', era: 1, offset: 1, record: record('stays', false)}, {type: 'registered', era: 1, offset: 2, record: record('leaves', true)}], 'store', 0);
-	const endpointIds = (knowsEndpoints: boolean, now: number): string[] => initialMessages(routingState, {knowsEndpoints, holderAnnouncement: undefined, now})
+	const endpointIds = (knowsEndpoints: boolean, now: number): string[] => initialMessages(routingState, {knowsEndpoints, holderAnnouncement: undefined, crashes: [], now})
 		.flatMap(message => message.type === 'endpoints' ? message.changes.map(change => change.type === 'registered' ? change.record.id : change.id) : []);
 	t.same(endpointIds(false, 10), ['stays', 'leaves']);
 	t.same(endpointIds(true, 10), ['leaves']);
