--- a/bench/gateway-soak/caller.ts
+++ b/bench/gateway-soak/caller.ts
@@ -19,12 +19,12 @@
 const deadlineMilliseconds = 1500;
 
 /** Sends one request; resolves when its response has ended, cleanly or not. */
-export function sendRequest({id, kind, port, key}: {id: string; kind: Kind; port: number; key: string}): Promise<ExchangeRecord> {
+export function sendRequest({id, kind, port, key, path = `/${kind}/1`}: {id: string; kind: Kind; port: number; key: string; path?: string}): Promise<ExchangeRecord> {
 	return new Promise(resolve => {
 		const record: ExchangeRecord = {id, kind, sentAt: performance.now(), status: 0, body: '', isWhole: false};
 		const method = kind === 'lookup' ? 'GET' : 'POST';
 		const sent = httpRequest({
-			host: '127.0.0.1', port, method, path: `/${kind}/1`, agent: false, timeout: deadlineMilliseconds + 500,
+			host: '127.0.0.1', port, method, path, agent: false, timeout: deadlineMilliseconds + 500,
 			headers: {host: 'studio.example', 'request-id': id, authorization: `Bearer ${key}`, 'deadline-ms': String(deadlineMilliseconds)},
 		});
 		sent.once('response', response => {
--- a/bench/gateway-soak/index.ts
+++ b/bench/gateway-soak/index.ts
@@ -1,12 +1,14 @@
 import {execFileSync} from 'node:child_process';
 import process from 'node:process';
 import {type CommandModule} from 'yargs';
-import {courseFaults, runRetrySeed} from './retry-course.js';
+import {courseFaults} from './course-world.js';
+import {runCrashSeed} from './crash-course.js';
+import {runRetrySeed} from './retry-course.js';
 import {portsPerGateway, runSeed} from './run-seed.js';
 
-type Settings = {seed: number; count: number; jobs: number; gateways: number; course: 'mixed' | 'retries'; faults: string};
+type Settings = {seed: number; count: number; jobs: number; gateways: number; course: 'mixed' | keyof typeof courses; faults: string; firstPort: number};
 
-const firstPort = 21_000;
+const courses = {retries: runRetrySeed, crashes: runCrashSeed} as const;
 
 /** Runs real gateways as processes with fault injection; prints the seeds and exits with 1 if a rule was violated. */
 export const gatewaySoakCommand: CommandModule<unknown, Settings> = {
@@ -16,11 +18,12 @@
 		seed: {type: 'number', default: 1, describe: 'the first seed'},
 		count: {type: 'number', default: 50, describe: 'how many seeds'},
 		jobs: {type: 'number', default: 4, describe: 'seeds at a time'},
-		course: {choices: ['mixed', 'retries'] as const, default: 'mixed' as const, describe: 'faults of every kind, or retries while gateways come and go'},
-		faults: {type: 'string', default: courseFaults.join(','), describe: 'the kinds of faults of the course "retries", joined by commas'},
+		course: {choices: ['mixed', 'retries', 'crashes'] as const, default: 'mixed' as const, describe: 'faults of every kind, or retries, or a request that crashes endpoints, while gateways come and go'},
+		faults: {type: 'string', default: courseFaults.join(','), describe: 'the kinds of faults of the other courses than mixed, joined by commas'},
+		'first-port': {type: 'number', default: 21_000, describe: 'the gateways listen from here on; two runs at a time need different ones'},
 		gateways: {type: 'number', default: 2, describe: 'gateways of each seed'},
 	},
-	async handler({seed, count, jobs, gateways, course, faults}) {
+	async handler({seed, count, jobs, gateways, course, faults, firstPort}) {
 		execFileSync(process.execPath, ['tools/bundle.mjs'], {stdio: 'inherit'});
 		const kinds = courseFaults.filter(kind => faults.split(',').includes(kind));
 		const seeds = Array.from({length: count}, (_, index) => seed + index);
@@ -28,7 +31,7 @@
 		const runLane = async (lane: number): Promise<void> => {
 			for (let next = seeds.shift(); next !== undefined; next = seeds.shift()) {
 				const options = {seed: next, gateways, firstPort: firstPort + (lane * gateways * portsPerGateway)};
-				const result = await (course === 'retries' ? runRetrySeed({...options, faults: kinds}) : runSeed(options));
+				const result = await (course === 'mixed' ? runSeed(options) : courses[course]({...options, faults: kinds}));
 				totals.requests += result.requests;
 				totals.served += result.served;
 				totals.violations += result.violations.length;
--- a/bench/gateway-soak/soak-platform.ts
+++ b/bench/gateway-soak/soak-platform.ts
@@ -9,11 +9,17 @@
 /** Upper bound on the time after a restore until the lost records are written again. */
 const rewriteMilliseconds = 2000;
 const workersEach = 3;
+/** A crashed worker is back after this time. */
+const restartMilliseconds = 700;
 export const validKey = 'key-a';
 export const revokedKey = 'key-b';
 
 export type SoakWorker = {readonly worker: FakePlatformWorker; readonly path: FakePath; revision: number; isDraining: boolean};
 
+function crashesNever(): boolean {
+	return false;
+}
+
 /** What stands around the gateways: the store, the receiver of reports, and workers behind network paths with fault injection. */
 export class SoakPlatform implements AsyncDisposable {
 	static async create(random: Random): Promise<SoakPlatform> {
@@ -35,9 +41,12 @@
 	answerMode: WorkerAnswer['type'] | 'cut' = 'whole';
 	/** Part of the requests that workers refuse while no other fault is set. */
 	refusedShare = 0;
+	/** Requests that crash the worker that runs them. */
+	crashesOn: (request: WorkerRequest) => boolean = crashesNever;
 	isRevoked = false;
 	readonly #random: Random;
 	#version = 0;
+	#isDisposed = false;
 
 	private constructor(random: Random, store: FakePlatformStore, receiver: FakeDutyReceiver) {
 		this.#random = random;
@@ -47,7 +56,14 @@
 
 	async addWorker(id: string, service: string): Promise<void> {
 		const worker = await FakePlatformWorker.create(id, service);
-		worker.answer = request => worker.statements['Retry-After'] === undefined ? this.#answer(request) : {type: 'not-run'};
+		worker.onCrash = () => {
+			this.store.put('keyed.servers', id);
+			setTimeout(() => {
+				void this.#restartWorker(id, service);
+			}, restartMilliseconds).unref();
+		};
+
+		worker.answer = request => this.crashesOn(request) ? {type: 'crash'} : (worker.statements['Retry-After'] === undefined ? this.#answer(request) : {type: 'not-run'});
 		const path = await FakePath.create(worker.address);
 		const added = {worker, path, revision: 0, isDraining: false};
 		this.workers.push(added);
@@ -83,11 +99,19 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isDisposed = true;
 		await Promise.all(this.workers.flatMap(({worker, path}) => [worker[Symbol.asyncDispose](), path[Symbol.asyncDispose]()]));
 		await this.store[Symbol.asyncDispose]();
 		await this.receiver[Symbol.asyncDispose]();
 	}
 
+	/** A crashed worker comes back under another id. */
+	async #restartWorker(id: string, service: string): Promise<void> {
+		if (!this.#isDisposed) {
+			await this.addWorker(`${id}'`, service);
+		}
+	}
+
 	/** Writes a worker's heartbeat with the next revision. */
 	#register(registered: SoakWorker): void {
 		const {worker, path, isDraining} = registered;
