A part of the retries is left to the more urgent requests

Load pattern: half of the attempts at all engines fail; most failed requests are drafts and take the retries as they come. Test: test/policy/retry-share.test.ts "a part of the retries is left to the more urgent requests".

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -1,5 +1,5 @@
 import {
-	sendProbability, choosePlace, type PlacementContext, groupKeyOf, ScanResults, QueueReporter, LoadTracker, type LoadEvent, type Place, propagationMilliseconds, prefillMilliseconds,
+	type Demand, sendProbability, choosePlace, type PlacementContext, groupKeyOf, ScanResults, QueueReporter, LoadTracker, type LoadEvent, type Place, propagationMilliseconds, prefillMilliseconds,
 	type RetryGrant, RetryShare, runId,
 } from '../policy/dispatch/index.js';
 import {singleInstanceView, type FleetView} from '../policy/sharing/index.js';
@@ -96,9 +96,10 @@
 		this.#queue.remove(id);
 	}
 
-	/** Reserves one retry of a request to this service, if this instance's share of the allowance has it. */
-	reserveRetry(service: string, now: number): RetryGrant {
-		return this.retries.reserve(service, this.#options.slackSharing(), now);
+	/** Reserves one retry of a request, if this instance's share of the allowance has it. */
+	reserveRetry({service, urgency, urgencies: {most, least}}: Demand, now: number): RetryGrant {
+		const urgencyPosition = least > most ? (urgency - most) / (least - most) : 0;
+		return this.retries.reserve({service, urgencyPosition}, this.#options.slackSharing(), now);
 	}
 
 	recordFirstEvent(runId: string): void {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -269,12 +269,12 @@
 	}
 
 	#mayRetry(outcome: FailedOutcome): boolean {
-		const {dispatcher, service, caller, log, crashes, request} = this.#options;
+		const {dispatcher, caller, log, crashes, request} = this.#options;
 		const now = performance.now();
 		const decision = this.#retryProgress.decide(outcome, {
 			hasLeft: caller.hasDisconnected, remainingMilliseconds: this.#deadlineAt - now, hasResponse: caller.hasResponse, lastEventId: this.#forwarder.lastEventId,
 			isQuarantined: () => crashes.quarantineOf(request, now) !== undefined,
-			reserveRetry: () => dispatcher.reserveRetry(service, now),
+			reserveRetry: () => dispatcher.reserveRetry(this.#demand, now),
 		});
 		log.logRetryDecision(this.#options, decision);
 		return decision.type === 'retry';
--- a/src/policy/dispatch/retry-share.ts
+++ b/src/policy/dispatch/retry-share.ts
@@ -41,6 +41,20 @@
  */
 const usableShare = 0.6;
 
+/**
+ * Part of a share that is left to more urgent requests by those of the least urgency; those between leave less, in proportion. In an
+ * outage most failed requests are drafts. Without this, the retries go to whoever fails first, and an urgent request that is worth
+ * several of them is given up.
+ */
+const leftToMoreUrgent = 0.4;
+
+/** A failed request that asks for a retry. */
+export type RetryCandidate = {
+	readonly service: string;
+	/** Position of its urgency among those of the service: 0 for the most urgent, 1 for the least. */
+	readonly urgencyPosition: number;
+};
+
 export type RetryShareOptions = {
 	readonly allowance: RetryAllowance;
 	/** Start of this instance, on the clock of the other times. */
@@ -77,12 +91,12 @@
 	}
 
 	/** Reserves one retry if this instance's share of the allowance has it; `recordSent` or `release` must follow. */
-	reserve(service: string, sharing: SlackSharing, now: number): RetryGrant {
+	reserve({service, urgencyPosition}: RetryCandidate, sharing: SlackSharing, now: number): RetryGrant {
 		const {ratio, windowMilliseconds} = this.#allowance;
 		const {requests, retries: spent} = countRetryWindow(this.#windows.get(service) ?? emptyRetryWindow, now, windowMilliseconds);
 		const ownSlack = this.#ownSlack(sharing, now);
 		const allowed = usableShare * ((requests * ratio) + ownSlack);
-		const isGranted = spent + 1 <= allowed;
+		const isGranted = spent + 1 <= allowed * (1 - (leftToMoreUrgent * urgencyPosition));
 		if (isGranted) {
 			this.#step(service, {type: 'reserve'}, now);
 		}
--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -277,6 +277,8 @@
 	return times.filter(time => now - time < 10_000).length;
 }
 
+const orders = {service: 'orders', urgencyPosition: 0};
+
 tap.test('retries of all instances stay within the allowance for any order of events', async t => {
 	const allowance = {ratio: 0.2, slack: 54, windowMilliseconds: 10_000};
 	fc.assert(fc.property(fc.integer({min: 1, max: 6}), fc.array(fc.tuple(fc.nat(5), fc.nat(200), fc.boolean()), {maxLength: 600}), (count, events) => {
@@ -290,7 +292,7 @@
 			if (isRequest) {
 				share.countRequest('orders', now);
 				requests.push(now);
-			} else if (share.reserve('orders', {type: 'known', instances: count}, now).isGranted) {
+			} else if (share.reserve(orders, {type: 'known', instances: count}, now).isGranted) {
 				share.recordSent('orders', now);
 				retries.push(now);
 			}
--- a/test/policy/retry-share.test.ts
+++ b/test/policy/retry-share.test.ts
@@ -6,6 +6,8 @@
 const requestEveryMilliseconds = 25;
 const courseMilliseconds = 30_000;
 
+const orders = {service: 'orders', urgencyPosition: 0};
+
 type Course = {
 	/** Number of instances, and at which times each one starts again. */
 	readonly starts: ReadonlyArray<readonly number[]>;
@@ -31,7 +33,7 @@
 		const {share} = instances[number % instances.length]!;
 		share.countRequest('orders', now);
 		requests.push(now);
-		if ((number * failingPart) % 1 < failingPart && share.reserve('orders', {type: 'known', instances: instances.length}, now).isGranted) {
+		if ((number * failingPart) % 1 < failingPart && share.reserve(orders, {type: 'known', instances: instances.length}, now).isGranted) {
 			share.recordSent('orders', now);
 			retries.push(now);
 		}
@@ -69,16 +71,16 @@
 
 tap.test('a share of the slack comes back once an instance has run for a window', async t => {
 	const share = RetryShare.create({allowance, startedAt: 0});
-	t.notOk(share.reserve('orders', alone, 9999).isGranted);
-	t.ok(share.reserve('orders', alone, 10_000).isGranted);
+	t.notOk(share.reserve(orders, alone, 9999).isGranted);
+	t.ok(share.reserve(orders, alone, 10_000).isGranted);
 	share.setAllowance({...allowance, windowMilliseconds: 5000}, 20_000);
-	t.notOk(share.reserve('orders', alone, 24_999).isGranted, 'a window of another length is a start');
-	t.ok(share.reserve('orders', alone, 25_000).isGranted);
+	t.notOk(share.reserve(orders, alone, 24_999).isGranted, 'a window of another length is a start');
+	t.ok(share.reserve(orders, alone, 25_000).isGranted);
 });
 
 tap.test('there is no share of the slack while the number of instances is unknown', async t => {
 	const share = RetryShare.create({allowance, startedAt: -Infinity});
-	t.notOk(share.reserve('orders', {type: 'unknown'}, 0).isGranted);
+	t.notOk(share.reserve(orders, {type: 'unknown'}, 0).isGranted);
 });
 
 // Retries were counted when they were decided; those that waited for an endpoint were sent together, beside those of the next window.
@@ -105,7 +107,7 @@
 	let waiting = 0;
 	for (const {at, type} of events) {
 		if (type === 'decide') {
-			waiting += share.reserve('orders', alone, at).isGranted ? 1 : 0;
+			waiting += share.reserve(orders, alone, at).isGranted ? 1 : 0;
 		} else if (waiting > 0) {
 			waiting -= 1;
 			share.recordSent('orders', at);
@@ -118,11 +120,23 @@
 
 tap.test('a retry that is not sent after all can be made by another request', async t => {
 	const share = RetryShare.create({allowance: {ratio: 0, slack: 2, windowMilliseconds: 10_000}, startedAt: -Infinity});
-	t.ok(share.reserve('orders', alone, 0).isGranted);
-	t.notOk(share.reserve('orders', alone, 1).isGranted, 'reserved ones count');
+	t.ok(share.reserve(orders, alone, 0).isGranted);
+	t.notOk(share.reserve(orders, alone, 1).isGranted, 'reserved ones count');
 	share.release('orders', 2);
-	t.ok(share.reserve('orders', alone, 3).isGranted);
+	t.ok(share.reserve(orders, alone, 3).isGranted);
 	share.recordSent('orders', 4);
-	t.notOk(share.reserve('orders', alone, 10_003).isGranted, 'for a whole window after it was sent');
-	t.ok(share.reserve('orders', alone, 11_100).isGranted);
+	t.notOk(share.reserve(orders, alone, 10_003).isGranted, 'for a whole window after it was sent');
+	t.ok(share.reserve(orders, alone, 11_100).isGranted);
+});
+
+// In an outage most failed requests are drafts, and urgent ones were given up because the drafts had taken the retries.
+tap.test('a part of the retries is left to the more urgent requests', async t => {
+	const share = RetryShare.create({allowance: {ratio: 0, slack: 100, windowMilliseconds: 10_000}, startedAt: -Infinity});
+	const countGranted = (urgencyPosition: number): number => Array.from({length: 100}, () => share.reserve({service: 'models', urgencyPosition}, alone, 0)).filter(({isGranted}) => isGranted).length;
+	const drafts = countGranted(1);
+	const between = countGranted(0.5);
+	const urgent = countGranted(0);
+	t.equal(drafts + between + urgent, 60, 'all of the share can be used');
+	t.ok(between > 0);
+	t.ok(urgent >= 10);
 });
