--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,7 @@
 import {lossesCommand} from './losses/index.js';
 import {limitsCommand} from './limits/index.js';
 import {rateLimitCommand} from './rate-limit/index.js';
+import {retrySharesCommand} from './retry-shares/index.js';
 import {pathCommand} from './path/index.js';
 
 await yargs(hideBin(process.argv))
@@ -17,6 +18,7 @@
 	.command(decisionsCommand)
 	.command(limitsCommand)
 	.command(rateLimitCommand)
+	.command(retrySharesCommand)
 	.command(lossesCommand)
 	.command(gatewaySoakCommand)
 	.command(gatewayLoadCommand)
