Gateway soak: a course of rate limits under more traffic than they permit

What was open: twenty real gateways kept a shared limit, but so did a mutant without sharing, since the traffic was too little. Change: course 'limits': all endpoints of a service state limits of 1.5 to 6 a second, 80 requests a second come, some gateways are disturbed. A first form, with one endpoint that states no limit, did not tell them apart: it took the traffic.

--- a/bench/gateway-soak/index.ts
+++ b/bench/gateway-soak/index.ts
@@ -3,12 +3,13 @@
 import {type CommandModule} from 'yargs';
 import {courseFaults} from './course-world.js';
 import {runCrashSeed} from './crash-course.js';
+import {runLimitSeed} from './limit-course.js';
 import {runRetrySeed} from './retry-course.js';
 import {portsPerGateway, runSeed} from './run-seed.js';
 
 type Settings = {seed: number; count: number; jobs: number; gateways: number; course: 'mixed' | keyof typeof courses; faults: string; firstPort: number};
 
-const courses = {retries: runRetrySeed, crashes: runCrashSeed} as const;
+const courses = {retries: runRetrySeed, crashes: runCrashSeed, limits: runLimitSeed} as const;
 
 /** Runs real gateways as processes with fault injection; prints the seeds and exits with 1 if a rule was violated. */
 export const gatewaySoakCommand: CommandModule<unknown, Settings> = {
@@ -18,7 +19,7 @@
 		seed: {type: 'number', default: 1, describe: 'the first seed'},
 		count: {type: 'number', default: 50, describe: 'how many seeds'},
 		jobs: {type: 'number', default: 4, describe: 'seeds at a time'},
-		course: {choices: ['mixed', 'retries', 'crashes'] as const, default: 'mixed' as const, describe: 'faults of every kind, or retries, or a request that crashes endpoints, while gateways come and go'},
+		course: {choices: ['mixed', 'retries', 'crashes', 'limits'] as const, default: 'mixed' as const, describe: 'faults of every kind, or one matter while gateways come and go: retries, a request that crashes endpoints, rate limits'},
 		faults: {type: 'string', default: courseFaults.join(','), describe: 'the kinds of faults of the other courses than mixed, joined by commas'},
 		'first-port': {type: 'number', default: 21_000, describe: 'the gateways listen from here on; two runs at a time need different ones'},
 		gateways: {type: 'number', default: 2, describe: 'gateways of each seed'},
