Crash records stay within a message; an instance does not count itself twice

An instance that reads its own withdrawn announcement from before its start counted it as another instance that shuts down. Tests that failed before: crash-ledger.test.ts "a crash under thousands of requests ...", peers.test.ts "its own record ... is no other instance".

--- a/src/gateway/crash-ledger.ts
+++ b/src/gateway/crash-ledger.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {sha256} from '../model/index.js';
 import {
-	type CrashRecord, createClearedRecord, createQuarantine, evaluateFingerprint, foldQuarantine, openCrashes, pruneQuarantine, quarantineMilliseconds, type QuarantineRecord, Suspicion,
+	countedCrashes, type CrashRecord, createClearedRecord, createQuarantine, foldQuarantine, maxNamed, openCrashes, pruneQuarantine, quarantineMilliseconds, type QuarantineRecord,
 } from '../policy/quarantine/index.js';
 import {type EndpointRecord} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
@@ -67,8 +67,8 @@
 		}
 
 		const fingerprint = fingerprintOf(request);
-		const {suspicion, crashes} = evaluateFingerprint(this.#state, fingerprint, now, crashThreshold);
-		if (suspicion !== Suspicion.quarantined) {
+		const crashes = countedCrashes(this.#state, fingerprint, now);
+		if (crashes.length < crashThreshold) {
 			return undefined;
 		}
 
@@ -98,9 +98,9 @@
 		}
 
 		const fingerprint = fingerprintOf(request);
-		const status = evaluateFingerprint(this.#state, fingerprint, now, crashThreshold);
-		if (status.suspicion !== Suspicion.none) {
-			this.#add([createClearedRecord(fingerprint, status, now)], 'response');
+		const crashes = countedCrashes(this.#state, fingerprint, now);
+		if (crashes.length > 0) {
+			this.#add([createClearedRecord(fingerprint, {crashes}, now)], 'response');
 		}
 	}
 
@@ -131,7 +131,7 @@
 	}
 
 	#confirm(key: string, {record, breaks}: PendingCrash): void {
-		const fingerprints = [...new Set(breaks.map(({fingerprint}) => fingerprint))];
+		const fingerprints = [...new Set(breaks.map(({fingerprint}) => fingerprint))].slice(0, maxNamed);
 		if (fingerprints.length === 0) {
 			return;
 		}
@@ -167,8 +167,8 @@
 
 		const {endpoint, time} = record;
 		for (const fingerprint of record.fingerprints) {
-			const {suspicion, crashes} = evaluateFingerprint(this.#state, fingerprint, time, crashThreshold);
-			if (suspicion === Suspicion.quarantined) {
+			const crashes = countedCrashes(this.#state, fingerprint, time);
+			if (crashes.length >= crashThreshold) {
 				logger.warn('Request quarantined.', {fingerprint, endpoint, crashes: crashes.map(({crash}) => crash), source});
 			}
 		}
--- a/src/gateway/peer-roster.ts
+++ b/src/gateway/peer-roster.ts
@@ -166,8 +166,11 @@
 		}
 	}
 
+	/** Records a sign of another instance; this one is counted without, and may read what it has written itself. */
 	#recordSign(event: InstanceEvent, now: number): void {
-		this.#possibleInstances = stepPossibleInstances(this.#possibleInstances, event, now);
+		if (event.instance !== this.#own.name) {
+			this.#possibleInstances = stepPossibleInstances(this.#possibleInstances, event, now);
+		}
 	}
 
 	#isPresent({instance, address}: PeerRecord, now: number): boolean {
--- a/src/policy/quarantine/index.ts
+++ b/src/policy/quarantine/index.ts
@@ -11,10 +11,10 @@
  * by frame and by log, late, repeated and in any order, and all readers of the same records agree.
  */
 import {type EndpointId, type InstanceId} from '../../model/index.js';
-import {type ClearedRecord, type CrashRecord, type QuarantineRecord, type ReleasedRecord} from './records.js';
+import {type ClearedRecord, type CrashRecord, maxNamed, type QuarantineRecord, type ReleasedRecord} from './records.js';
 
 export {fingerprintOf} from './fingerprint.js';
-export {quarantineRecordSchema, type ClearedRecord, type CrashRecord, type QuarantineRecord, type ReleasedRecord} from './records.js';
+export {maxNamed, quarantineRecordSchema, type ClearedRecord, type CrashRecord, type QuarantineRecord, type ReleasedRecord} from './records.js';
 
 /** How long a crash counts. A caller that sends the request again does so within minutes. */
 export const quarantineMilliseconds = 10 * 60_000;
@@ -66,7 +66,7 @@
  * known stays; a record whose time alone is new would otherwise be passed on again and again.
  */
 function mergeCrash(known: CrashRecord, added: CrashRecord): CrashRecord {
-	const fingerprints = [...new Set([...known.fingerprints, ...added.fingerprints])].toSorted();
+	const fingerprints = [...new Set([...known.fingerprints, ...added.fingerprints])].slice(0, maxNamed).toSorted();
 	return fingerprints.length === known.fingerprints.length ? known : {...known, fingerprints};
 }
 
@@ -88,18 +88,19 @@
 /** The suspicion against a fingerprint, and the crashes on which it is based. */
 export type FingerprintStatus = {readonly suspicion: Suspicion; readonly crashes: readonly CrashRecord[]};
 
-/** The status of a fingerprint at a time, from all records that still count; this many crashes quarantine it. */
-export function evaluateFingerprint(state: Quarantine, fingerprint: string, now: number, threshold = quarantineThreshold): FingerprintStatus {
+/** The status of a fingerprint at a time, from all records that still count. */
+export function evaluateFingerprint(state: Quarantine, fingerprint: string, now: number): FingerprintStatus {
 	const counted = countedCrashes(state, fingerprint, now);
-	if (counted.length >= threshold) {
+	if (counted.length >= quarantineThreshold) {
 		return {suspicion: Suspicion.quarantined, crashes: counted};
 	}
 
-	const unexplained = counted.filter(crash => !isExplained(state, crash, {fingerprint, now, threshold}));
+	const unexplained = counted.filter(crash => !isExplained(state, crash, fingerprint, now));
 	return {suspicion: unexplained.length > 0 ? Suspicion.suspect : Suspicion.none, crashes: unexplained};
 }
 
-function countedCrashes(state: Quarantine, fingerprint: string, now: number): CrashRecord[] {
+/** The crashes that count against a fingerprint at a time. */
+export function countedCrashes(state: Quarantine, fingerprint: string, now: number): CrashRecord[] {
 	const cleared = state.cleared.get(fingerprint);
 	return [...state.crashes.values()].filter(crash => crash.fingerprints.includes(fingerprint)
 		&& now - crash.time < quarantineMilliseconds
@@ -111,8 +112,8 @@
  * unrelated request that ran beside a poison request remains a suspect and has to wait until no other suspect runs, so that
  * one caller's poison request slows down the requests of others.
  */
-function isExplained(state: Quarantine, crash: CrashRecord, {fingerprint, now, threshold}: {fingerprint: string; now: number; threshold: number}): boolean {
-	return crash.fingerprints.some(other => other !== fingerprint && countedCrashes(state, other, now).length >= threshold);
+function isExplained(state: Quarantine, crash: CrashRecord, fingerprint: string, now: number): boolean {
+	return crash.fingerprints.some(other => other !== fingerprint && countedCrashes(state, other, now).length >= quarantineThreshold);
 }
 
 /** The newest crashes that still count, at most this many, without the requests that were cleared of them. */
@@ -134,7 +135,7 @@
 }
 
 /** Creates the record that clears a suspect after a complete run, of the crashes that counted against it when it started. */
-export function createClearedRecord(fingerprint: string, statusAtStart: FingerprintStatus, now: number): ClearedRecord {
+export function createClearedRecord(fingerprint: string, statusAtStart: Pick<FingerprintStatus, 'crashes'>, now: number): ClearedRecord {
 	return {type: 'cleared', fingerprint, crashes: statusAtStart.crashes.map(({crash}) => crash), time: now};
 }
 
--- a/test/gateway/crash-ledger.test.ts
+++ b/test/gateway/crash-ledger.test.ts
@@ -1,6 +1,6 @@
 import tap from 'tap';
 import {CrashLedger, type RepeatableRequest} from '../../src/gateway/index.js';
-import {quarantineMilliseconds, type QuarantineRecord} from '../../src/policy/quarantine/index.js';
+import {quarantineMilliseconds, type QuarantineRecord, quarantineRecordSchema} from '../../src/policy/quarantine/index.js';
 import {type EndpointRecord} from '../../src/routing/index.js';
 import {type ZoneName} from '../../src/model/index.js';
 
@@ -112,3 +112,17 @@
 	t.equal(other.ledger.quarantineOf(request, now + 3), undefined);
 	t.same(other.ledger.openCrashes(now + 3), [], 'and a new peer is not told');
 });
+
+// A record with more names than a message may have would end the links to all peers.
+tap.test('a crash under thousands of requests is told in a record of bounded size', async t => {
+	const {ledger, sent} = createLedger();
+	for (let number = 0; number < 1500; number++) {
+		ledger.recordBreak(endpoint('a'), {...request, path: `/chart/${number}`}, performance.now());
+	}
+
+	await untilConfirmed();
+	ledger.applyRecords([crashRecord('a', Array.from({length: 1000}, (_, number) => `other-${number}`), performance.now())], 'instance b');
+	for (const record of [...sent, ...ledger.openCrashes(performance.now())]) {
+		t.ok(quarantineRecordSchema.safeParse(record).success);
+	}
+});
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -201,6 +201,8 @@
 	one.peers.addPeers([{instance: 'three', address: '127.0.0.1:1'}], true);
 	await waitUntil(() => one.peers.count === 1);
 	t.same(sharing(one), {type: 'known', instances: 3}, 'one linked, one announced');
+	one.peers.removePeer('one');
+	t.same(sharing(one), {type: 'known', instances: 3}, 'its own record, withdrawn before it started again, is no other instance');
 	await two.peers[Symbol.asyncDispose]();
 	await waitUntil(() => one.peers.count === 0);
 	t.same(sharing(one), {type: 'known', instances: 3});
