--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -178,6 +178,7 @@
 			case 'routing-wanted':
 			case 'kept':
 			case 'endpoint-rate-limit':
+			case 'request-crashes':
 			case 'routing':
 			case 'endpoints':
 			case 'usage':
