--- a/test/policy/dispatch.test.ts
+++ b/test/policy/dispatch.test.ts
@@ -281,7 +281,7 @@
 
 tap.test('retries of all instances stay within the allowance for any order of events', async t => {
 	const allowance = {ratio: 0.2, slack: 54, windowMilliseconds: 10_000};
-	fc.assert(fc.property(fc.integer({min: 1, max: 6}), fc.array(fc.tuple(fc.nat(5), fc.nat(200), fc.boolean()), {maxLength: 600}), (count, events) => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 6}), fc.array(fc.tuple(fc.nat(5), fc.nat(200), fc.boolean()), {maxLength: 600, size: 'max'}), (count, events) => {
 		const instances = Array.from({length: count}, () => RetryShare.create({allowance, startedAt: -Infinity}));
 		let now = 0;
 		const requests: number[] = [];
--- a/test/policy/retry-fleet.test.ts
+++ b/test/policy/retry-fleet.test.ts
@@ -177,7 +177,7 @@
 
 // Guards against every way in which the shares of all instances together can exceed what they share.
 tap.test('a fleet whose instances start, end, come anew and lose each other stays within the allowance', async t => {
-	fc.assert(fc.property(fc.integer({min: 1, max: 24}), fc.array(event, {maxLength: 16}), (instances, events) => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 24}), fc.array(event, {maxLength: 16, size: 'max'}), (instances, events) => {
 		const fleet = new Fleet(instances);
 		for (const one of events) {
 			fleet.schedule(one);
--- a/test/policy/retry-share.test.ts
+++ b/test/policy/retry-share.test.ts
@@ -86,7 +86,7 @@
 // Retries were counted when they were decided; those that waited for an endpoint were sent together, beside those of the next window.
 tap.test('retries that wait before they are sent stay within the allowance in any window', async t => {
 	const retry = fc.record({pause: fc.nat(3000), waits: fc.nat(9000), count: fc.integer({min: 1, max: 60})});
-	fc.assert(fc.property(fc.array(retry, {maxLength: 40}), fc.nat(999), (bursts, offset) => {
+	fc.assert(fc.property(fc.array(retry, {maxLength: 40, size: 'max'}), fc.nat(999), (bursts, offset) => {
 		const share = RetryShare.create({allowance, startedAt: -Infinity});
 		const events: Array<{readonly at: number; readonly type: 'decide' | 'send'}> = [];
 		let at = offset;
