Take back: entries share the retries of their start

Streams were not resumed after the crash of their engine (endpoint_lost, "failed"), since the share of the initial retries in a fleet of a few entries is less than one crash takes. That is worse for callers than the sum that it bounds, which nobody promises on this path.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -91,7 +91,7 @@
 
 	private constructor(options: EntryOptions<State>) {
 		this.#options = options;
-		this.retries = RetryController.create({random: options.random, entries: () => this.fleet.entries.size});
+		this.retries = RetryController.create(options.random);
 		this.telemetry = options.telemetry ?? EntryTelemetry.create(Metrics.create({role: 'entry'}), DecisionJournal.create());
 		this.fleet = Fleet.create({
 			...options,
--- a/src/policy/retries/index.ts
+++ b/src/policy/retries/index.ts
@@ -3,16 +3,15 @@
  * them is retried up to the attempt limit, and the retries double the load on the remaining endpoints, so
  * that the fleet stays down after the fault is gone.
  *
- * Retries are therefore limited to about a tenth of recent requests, with a small minimum rate so that a
- * fleet with little traffic may still retry. All entries share this rate and the retries that they may make at their start; if each had its
- * own, hundreds of entries that start after an outage would make thousands of retries at once. The retries of each request are also limited by its deadline, by a number of
+ * Retries are therefore limited to about a tenth of recent requests, with a small minimum rate so that an
+ * entry with little traffic may still retry. The retries of each request are also limited by its deadline, by a number of
  * attempts, and by the verdict: a request that may have run is retried only if it is idempotent.
  */
 import {type Failure, FailureKind, mayRetry as verdictAllows} from '../../model/index.js';
 
 /** Retries added to the budget by each request: a tenth keeps the added load below the headroom of a fleet that runs at 90% of its capacity. */
 export const retriesPerRequest = 0.1;
-/** Retries added per second for all entries together even without traffic: the loss of one endpoint in a quiet period affects a handful of requests. */
+/** Retries added per second even without traffic: the loss of one endpoint in a quiet period affects a handful of requests. */
 export const minimumRetriesPerSecond = 1;
 /** Maximum size of the budget: enough for the retries after the loss of one endpoint with 32 slots at an entry that had used half of them. */
 export const maxBudgetTokens = 20;
@@ -20,46 +19,34 @@
 export const attemptLimit = 4;
 
 /** A token bucket for retries. Times are milliseconds. */
-export type RetryBudget = {readonly tokens: number; readonly at: number; readonly entries: number};
+export type RetryBudget = {readonly tokens: number; readonly at: number};
 
-export type RetryEvent
-	= | {readonly type: 'request'}
-		| {readonly type: 'retry'}
-	/** The number of live entries has changed. */
-		| {readonly type: 'fleet'; readonly entries: number};
+export type RetryEvent = {readonly type: 'request'} | {readonly type: 'retry'};
 
-/** One entry's share of a budget that is half full. */
-export function createRetryBudget(entries: number, now: number): RetryBudget {
-	return {tokens: maxBudgetTokens / 2 / entries, at: now, entries};
+/** A budget that is half full. */
+export function createRetryBudget(now: number): RetryBudget {
+	return {tokens: maxBudgetTokens / 2, at: now};
 }
 
 /** A request adds to the budget, a retry spends from it. */
 export function stepRetryBudget(state: RetryBudget, event: RetryEvent, now: number): RetryBudget {
-	const tokens = tokensAt(state, now);
-	const {entries} = state;
+	const refilled = state.tokens + (Math.max(0, now - state.at) / 1000 * minimumRetriesPerSecond);
 	const at = Math.max(now, state.at);
 	switch (event.type) {
 		case 'request': {
-			return {tokens: Math.min(maxBudgetTokens, tokens + retriesPerRequest), at, entries};
+			return {tokens: Math.min(maxBudgetTokens, refilled + retriesPerRequest), at};
 		}
 
 		case 'retry': {
-			return {tokens: tokens - 1, at, entries};
-		}
-
-		case 'fleet': {
-			return {tokens, at, entries: event.entries};
+			return {tokens: Math.min(maxBudgetTokens, refilled) - 1, at};
 		}
 	}
 }
 
 /** True if the budget covers one more retry. */
 export function budgetAllows(state: RetryBudget, now: number): boolean {
-	return tokensAt(state, now) >= 1;
-}
-
-function tokensAt({tokens, at, entries}: RetryBudget, now: number): number {
-	return Math.min(maxBudgetTokens, tokens + (Math.max(0, now - at) / 1000 * minimumRetriesPerSecond / entries));
+	const refilled = state.tokens + (Math.max(0, now - state.at) / 1000 * minimumRetriesPerSecond);
+	return Math.min(maxBudgetTokens, refilled) >= 1;
 }
 
 /** A failed attempt. */
