--- a/bench/gateway-soak/crash-course.ts
+++ b/bench/gateway-soak/crash-course.ts
@@ -1,77 +1,102 @@
 /**
- * Real gateways, and a caller that sends a request again and again that crashes each endpoint that runs it, beside ordinary traffic. The
- * gateways are killed, restarted, frozen and cut off meanwhile. Once it has crashed three endpoints it must hardly reach any more.
+ * Real gateways, and callers that send requests again and again that crash each endpoint that runs them, beside ordinary traffic. The endpoints
+ * close their connections or fall silent, at once, some time after the start or in the middle of a stream. The gateways are killed, restarted,
+ * frozen and cut off meanwhile. Once a request has crashed three endpoints it must hardly reach any more.
  */
 import {type WorkerRequest} from '../../fakes/platform-worker.js';
-import {sendRequest, type ExchangeRecord} from './caller.js';
+import {type Kind, sendRequest, type ExchangeRecord} from './caller.js';
 import {violations} from './checker.js';
 import {type CourseOptions, CourseWorld, sleep} from './course-world.js';
 import {type SeedResult} from './run-seed.js';
-import {validKey} from './soak-platform.js';
+import {type CrashAnswer, revokedKey, validKey} from './soak-platform.js';
 import {type Disturbance} from './statement-checker.js';
 
-const trafficMilliseconds = 14_000;
+const trafficMilliseconds = 26_000;
 const requestPauseMilliseconds = 30;
-/** One request in this many is the one that crashes endpoints. */
-const crashingEvery = 8;
-const crashingPath = '/lookup/crash';
 const faultCount = {low: 1, high: 5};
 const faultsWithin = {low: 1000, high: trafficMilliseconds * 0.8};
 
+/** Pauses between two sendings of a request that crashes endpoints. */
+const crashingPauses = [240, 500, 1000, 2000] as const;
+/** How a request crashes endpoints: with which path, and what its caller sees of it. */
+const crashManners = ['at-once', 'later', 'in-a-stream'] as const;
+const laterMilliseconds = 300;
+const eventsBefore = 2;
+
 /** Number of crashes after which further runs count, from `noticeMilliseconds` later on, and how many of these are allowed. */
 const freeCrashes = 3;
 const allowedRuns = 3;
 /** A gateway that was disturbed within this time before it sent the request is not judged. */
 const noticeMilliseconds = 3000;
 
+/** A request that crashes endpoints: its caller sends it with this key and path, each time under another id. */
+type CrashingRequest = {readonly name: string; readonly kind: Kind; readonly key: string; readonly path: string; readonly pauseMilliseconds: number; readonly answer: CrashAnswer};
+
+/** One of the requests is always this one. */
+const plainestRequest: CrashingRequest = {name: 'c0', kind: 'lookup', key: validKey, path: '/lookup/crash-c0', pauseMilliseconds: 240, answer: {type: 'crash'}};
+
 /** Runs one seed of the course. */
 export async function runCrashSeed(options: CourseOptions): Promise<SeedResult> {
 	await using world = await CourseWorld.create(options);
 	const {platform, injected, disturbances} = world;
-	platform.crashesOn = ({path}) => path === crashingPath;
+	const crashing = [plainestRequest, ...[validKey, revokedKey].map((key, index) => drawCrashingRequest(world, `c${index + 1}`, key))];
+	platform.crashOn = ({path}) => crashing.find(one => one.path === path)?.answer;
 	const notReady = await world.listNotReady();
 	const faults = world.injectFaults(faultCount, faultsWithin);
-	const records = await sendTraffic(world, options.seed);
+	const sent = await Promise.all([sendOrdinary(world, options.seed), ...crashing.map(async one => sendCrashing(world, one))]);
+	const records = sent.flat();
 	await faults;
 	const workers = platform.workers.map(({worker}) => worker);
-	const crashing = workers.flatMap(({requests}) => requests).filter(({path}) => path === crashingPath);
-	const ordinary = records.filter(({id}) => !isCrashing(id));
+	const runs = workers.flatMap(({requests}) => requests);
+	const ordinary = records.filter(({id}) => id.startsWith('s'));
 	return {
-		seed: options.seed, requests: records.length, served: ordinary.filter(({status, isWhole}) => status === 200 && isWhole).length, faults: injected,
-		violations: [...notReady, ...violations(ordinary, workers), ...crashViolations(crashing, {disturbances, gateways: options.gateways})], lines: world.lines,
+		seed: options.seed, requests: records.length, served: ordinary.filter(({status, isWhole}) => status === 200 && isWhole).length,
+		faults: [...crashing.map(({kind, pauseMilliseconds, answer}) => `${kind} every ${pauseMilliseconds} ms ${JSON.stringify(answer)}`), ...injected],
+		violations: [
+			...notReady,
+			...violations(ordinary, workers),
+			...crashing.flatMap(one => crashViolations(one, {runs: runs.filter(({path}) => path === one.path), disturbances, gateways: options.gateways})),
+		], lines: world.lines,
 	};
 }
 
-function isCrashing(id: string): boolean {
-	return numberOf(id) % crashingEvery === crashingEvery - 1;
+function drawCrashingRequest({random}: CourseWorld, name: string, key: string): CrashingRequest {
+	const manner = random.pick(crashManners);
+	const kind = manner === 'in-a-stream' ? 'chart' : random.pick(['lookup', 'release'] as const);
+	const more = {'at-once': {}, later: {afterMilliseconds: laterMilliseconds}, 'in-a-stream': {afterEvents: eventsBefore}}[manner];
+	return {name, kind, key, path: `/${kind}/crash-${name}`, pauseMilliseconds: random.pick(crashingPauses), answer: {type: 'crash', isSilent: random.uniform() < 0.5, ...more}};
 }
 
-function numberOf(id: string): number {
-	return Number(id.split('-')[1]);
-}
-
-async function sendTraffic({gateways}: CourseWorld, seed: number): Promise<ExchangeRecord[]> {
+async function sendOrdinary({gateways}: CourseWorld, seed: number): Promise<ExchangeRecord[]> {
 	const records: Array<Promise<ExchangeRecord>> = [];
 	const until = performance.now() + trafficMilliseconds;
 	for (let number = 0; performance.now() < until; number++) {
-		const id = `s${seed}-${number}`;
-		const {callerPort: port} = gateways[gatewayOf(id, gateways.length)]!;
-		records.push(sendRequest({id, kind: 'lookup', port, key: validKey, ...(isCrashing(id) && {path: crashingPath})}));
+		records.push(sendRequest({id: `s${seed}-${number}`, kind: 'lookup', port: gateways[number % gateways.length]!.callerPort, key: validKey}));
 		await sleep(requestPauseMilliseconds);
 	}
 
 	return Promise.all(records);
 }
 
-/** All gateways get the crashing request in turn. */
-function gatewayOf(id: string, gateways: number): number {
-	return Math.floor(numberOf(id) / crashingEvery) % gateways;
+/** All gateways get a crashing request in turn. */
+async function sendCrashing({gateways}: CourseWorld, {name, kind, key, path, pauseMilliseconds}: CrashingRequest): Promise<ExchangeRecord[]> {
+	const records: Array<Promise<ExchangeRecord>> = [];
+	const until = performance.now() + trafficMilliseconds;
+	for (let number = 0; performance.now() < until; number++) {
+		records.push(sendRequest({id: `${name}-${number}`, kind, port: gateways[number % gateways.length]!.callerPort, key, path}));
+		await sleep(pauseMilliseconds);
+	}
+
+	return Promise.all(records);
 }
 
-function crashViolations(runs: readonly WorkerRequest[], {disturbances, gateways}: {disturbances: readonly Disturbance[]; gateways: number}): string[] {
+type CrashRuns = {readonly runs: readonly WorkerRequest[]; readonly disturbances: readonly Disturbance[]; readonly gateways: number};
+
+function crashViolations({name, kind, pauseMilliseconds, answer}: CrashingRequest, {runs, disturbances, gateways}: CrashRuns): string[] {
 	const ordered = runs.toSorted((left, right) => left.at - right.at);
 	const judgedFrom = (ordered[freeCrashes - 1]?.at ?? Infinity) + noticeMilliseconds;
+	const gatewayOf = (id: string): number => Number(id.slice(name.length + 1)) % gateways;
 	const late = ordered.filter(({id, at}) => at > judgedFrom
-		&& !disturbances.some(({gateway, from, until}) => gateway === gatewayOf(id, gateways) && from <= at && until >= at - noticeMilliseconds));
-	return late.length > allowedRuns ? [`a request that crashes endpoints reached ${late.length} of them when that was known, ${ordered.length} in all`] : [];
+		&& !disturbances.some(({gateway, from, until}) => gateway === gatewayOf(id) && from <= at && until >= at - noticeMilliseconds));
+	return late.length > allowedRuns ? [`a ${kind} every ${pauseMilliseconds} ms that crashes endpoints (${JSON.stringify(answer)}) reached ${late.length} of them when that was known, ${ordered.length} in all`] : [];
 }
--- a/bench/gateway-soak/soak-platform.ts
+++ b/bench/gateway-soak/soak-platform.ts
@@ -11,13 +11,16 @@
 const workersEach = 3;
 /** A crashed worker is back after this time. */
 const restartMilliseconds = 700;
+/** The store removes a worker after this time without a heartbeat. */
+const lapseMilliseconds = 3600;
 export const validKey = 'key-a';
 export const revokedKey = 'key-b';
 
+export type CrashAnswer = Extract<WorkerAnswer, {type: 'crash'}>;
 export type SoakWorker = {readonly worker: FakePlatformWorker; readonly path: FakePath; revision: number; isDraining: boolean};
 
-function crashesNever(): boolean {
-	return false;
+function crashesNever(): undefined {
+	return undefined;
 }
 
 /** What stands around the gateways: the store, the receiver of reports, and workers behind network paths with fault injection. */
@@ -41,8 +44,8 @@
 	answerMode: WorkerAnswer['type'] | 'cut' = 'whole';
 	/** Part of the requests that workers refuse while no other fault is set. */
 	refusedShare = 0;
-	/** Requests that crash the worker that runs them. */
-	crashesOn: (request: WorkerRequest) => boolean = crashesNever;
+	/** How a request crashes the worker that runs it, if it does. */
+	crashOn: (request: WorkerRequest) => CrashAnswer | undefined = crashesNever;
 	isRevoked = false;
 	readonly #random: Random;
 	#version = 0;
@@ -56,15 +59,18 @@
 
 	async addWorker(id: string, service: string): Promise<void> {
 		const worker = await FakePlatformWorker.create(id, service);
-		worker.onCrash = () => {
-			this.store.put('keyed.servers', id);
+		const path = await FakePath.create(worker.address);
+		worker.onCrash = ({isSilent}) => {
+			path.faults.silent = isSilent;
+			setTimeout(() => {
+				this.store.put('keyed.servers', id);
+			}, isSilent ? lapseMilliseconds : 0).unref();
 			setTimeout(() => {
 				void this.#restartWorker(id, service);
 			}, restartMilliseconds).unref();
 		};
 
-		worker.answer = request => this.crashesOn(request) ? {type: 'crash'} : (worker.statements['Retry-After'] === undefined ? this.#answer(request) : {type: 'not-run'});
-		const path = await FakePath.create(worker.address);
+		worker.answer = request => this.crashOn(request) ?? (worker.statements['Retry-After'] === undefined ? this.#answer(request) : {type: 'not-run'});
 		const added = {worker, path, revision: 0, isDraining: false};
 		this.workers.push(added);
 		this.#register(added);
--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -10,8 +10,11 @@
 		| {readonly type: 'not-run'}
 		| {readonly type: 'silent'}
 		| {readonly type: 'reset'}
-	/** The worker ends: it resets all its connections and accepts no more. */
-		| {readonly type: 'crash'};
+	/**
+	 * The worker ends after a time, or in the middle of a stream: it resets all its connections and accepts no more. If it falls silent
+	 * instead, its connections stay open, and nothing is sent or received on them any more.
+	 */
+		| {readonly type: 'crash'; readonly isSilent?: boolean; readonly afterMilliseconds?: number; readonly afterEvents?: number};
 
 /** A request as a worker received it. */
 export type WorkerRequest = {readonly id: string; readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string; readonly at: number; readonly statements: Readonly<Record<string, string>>; wasRun: boolean};
@@ -21,6 +24,9 @@
 
 const defaultAnswer: ChooseAnswer = () => ({type: 'whole', body: 'ok'});
 
+/** Between the events of a stream in which a worker crashes. */
+const crashingGapMilliseconds = 10;
+
 function noAction(): void {
 	// By default nothing follows a crash.
 }
@@ -42,7 +48,7 @@
 	/** Number of requests for the list of cached prompt parts. */
 	listings = 0;
 	/** Called when it has crashed. */
-	onCrash: () => void = noAction;
+	onCrash: (how: {readonly isSilent: boolean}) => void = noAction;
 	readonly id: string;
 	readonly service: string;
 	readonly requests: WorkerRequest[] = [];
@@ -52,6 +58,8 @@
 		void this.#take(request, response);
 	});
 
+	#hasCrashed = false;
+
 	private constructor(id: string, service: string) {
 		this.id = id;
 		this.service = service;
@@ -102,7 +110,7 @@
 	async #answer(request: WorkerRequest, response: ServerResponse): Promise<void> {
 		const answer = this.answer(request);
 		request.wasRun = answer.type !== 'not-run';
-		const signatureHeaders = {'Request-Id': request.id, 'Upstream-Signature': `${this.id}.1`, ...this.statements};
+		const signatureHeaders = this.#signatureHeaders(request);
 		switch (answer.type) {
 			case 'whole': {
 				await sleep(answer.afterMilliseconds ?? 0);
@@ -131,11 +139,37 @@
 			}
 
 			case 'crash': {
-				this.#server.close();
-				this.#server.closeAllConnections();
-				this.onCrash();
+				await this.#crash(request, response, answer);
+			}
+		}
+	}
+
+	async #crash(request: WorkerRequest, response: ServerResponse, {isSilent = false, afterMilliseconds = 0, afterEvents = 0}: Extract<WorkerAnswer, {type: 'crash'}>): Promise<void> {
+		await sleep(afterMilliseconds);
+		if (afterEvents > 0) {
+			response.writeHead(200, {...this.#signatureHeaders(request), 'Content-Type': 'text/event-stream'});
+			const after = Number(request.headers['last-event-id'] ?? 0);
+			for (let number = after + 1; number <= after + afterEvents; number++) {
+				await sleep(crashingGapMilliseconds);
+				writeEvent(response, request.id, number);
 			}
 		}
+
+		if (this.#hasCrashed) {
+			return;
+		}
+
+		this.#hasCrashed = true;
+		if (!isSilent) {
+			this.#server.close();
+			this.#server.closeAllConnections();
+		}
+
+		this.onCrash({isSilent});
+	}
+
+	#signatureHeaders({id}: WorkerRequest): Record<string, string> {
+		return {'Request-Id': id, 'Upstream-Signature': `${this.id}.1`, ...this.statements};
 	}
 }
 
@@ -150,12 +184,16 @@
 			return;
 		}
 
-		response.write(`id: ${number}\ndata: ${requestId} ${number}\n\n`);
+		writeEvent(response, requestId, number);
 	}
 
 	response.end();
 }
 
+function writeEvent(response: ServerResponse, requestId: string, number: number): void {
+	response.write(`id: ${number}\ndata: ${requestId} ${number}\n\n`);
+}
+
 async function sleep(milliseconds: number): Promise<void> {
 	if (milliseconds > 0) {
 		await new Promise(resolve => {
