--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -85,11 +85,15 @@
 				peers.announce(encodeRateLimitReport(report, performance.now()));
 			},
 		});
+		const crashEvidence = metrics.counter('gateway_crash_evidence_total', 'Evidence that a request crashed an endpoint, by what became of it.', ['verdict']);
 		const crashes = CrashLedger.create({
 			logger: forPart(logger, 'Crashes'),
 			onRecords(records) {
 				peers.announce(encodeCrashRecords(records, performance.now()));
 			},
+			onEvidence(verdict) {
+				crashEvidence.add(1, {verdict});
+			},
 		});
 		const promptCacheReader = PromptCacheReader.create({
 			instance: settings.instance, routingState, logger: forPart(logger, 'Kept'),
--- a/src/gateway/crash-ledger.ts
+++ b/src/gateway/crash-ledger.ts
@@ -16,8 +16,13 @@
 	readonly logger: PartLogger;
 	/** Called with records that the other instances need. */
 	readonly onRecords: (records: readonly QuarantineRecord[]) => void;
+	/** Called with what became of the evidence of a crash. */
+	readonly onEvidence: (verdict: EvidenceVerdict) => void;
 };
 
+/** What became of the evidence that a request crashed an endpoint. */
+export type EvidenceVerdict = 'pending' | 'refuted' | 'confirmed';
+
 /**
  * Crashes that quarantine a request. Requests run beside each other, and a request that is sent again after a crash may meet a second one by
  * chance; with each further crash and no complete run in between chance explains it less.
@@ -80,14 +85,24 @@
 	recordBreak(record: EndpointRecord, request: RepeatableRequest, now: number): void {
 		const key = incarnationOf(record);
 		const pending = this.#pending.get(key) ?? this.#startPending(key, record);
-		pending.breaks.push({fingerprint: fingerprintOf(request), at: now});
+		const fingerprint = fingerprintOf(request);
+		pending.breaks.push({fingerprint, at: now});
+		this.#options.onEvidence('pending');
+		this.#options.logger.info('Connection to an endpoint broke under a request.', {endpoint: record.id, service: record.service, fingerprint});
 	}
 
 	/** Records a response of an endpoint to a request that was sent at this time. */
 	recordResponse(record: EndpointRecord, sentAt: number): void {
 		const pending = this.#pending.get(incarnationOf(record));
-		if (pending !== undefined) {
-			pending.breaks = pending.breaks.filter(({at}) => at >= sentAt);
+		if (pending === undefined) {
+			return;
+		}
+
+		const before = pending.breaks.length;
+		pending.breaks = pending.breaks.filter(({at}) => at >= sentAt);
+		if (pending.breaks.length < before) {
+			this.#options.onEvidence('refuted');
+			this.#options.logger.info('Endpoint has not crashed, it responds.', {endpoint: record.id, service: record.service, breaks: before - pending.breaks.length});
 		}
 	}
 
@@ -136,6 +151,7 @@
 			return;
 		}
 
+		this.#options.onEvidence('confirmed');
 		this.#options.logger.info('Endpoint crashed.', {endpoint: record.id, service: record.service, requests: fingerprints.length});
 		this.#add([{type: 'crashed', crash: key, endpoint: record.id, fingerprints, time: Math.min(...breaks.map(({at}) => at))}], 'own connection');
 	}
--- a/test/gateway/crash-ledger.test.ts
+++ b/test/gateway/crash-ledger.test.ts
@@ -20,6 +20,7 @@
 		onRecords(records) {
 			sent.push(...records);
 		},
+		onEvidence: () => undefined,
 	});
 	return {ledger, sent};
 }
