A response to another request says nothing about this one, also where it says not run

Callers got 503, a promise that nothing has run, for a request that an endpoint was running; requests that may be repeated went on to further endpoints. Cause: handleHead took *not run* and *misdirected* before it looked whose response it is; both sites list extra responses that come late. Class: a message believed before its sender is known. Now the id comes first; and a foreign response refutes no crash, since its request may have been sent before the break. What an endpoint states about itself stays believed: it is the same endpoint's word.

--- a/src/gateway/attempt-state.ts
+++ b/src/gateway/attempt-state.ts
@@ -82,11 +82,15 @@
 		this.#onHead(response);
 		this.status = status;
 		this.rawHeaders = rawHeaders;
+		if (isForeign(response, this.requestId)) {
+			return {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'answer of another request'};
+		}
+
 		if (response.isNotRun || response.isMisdirected) {
 			return {type: 'failed', verdict: Verdict.notRun, reason: response.isMisdirected ? 'other endpoint' : 'rejected'};
 		}
 
-		const reason = invalidReason(response, this.requestId);
+		const reason = invalidReason(response);
 		if (reason !== undefined) {
 			return {type: 'failed', verdict: Verdict.mayHaveRun, reason};
 		}
@@ -119,17 +123,18 @@
 }
 
 /**
- * Why a response must not be forwarded, if so. Without this check, a late second response or a response to another request
- * could be returned to the wrong caller, so a response that does not name this request is not forwarded.
+ * Whether a response names another request: a late second response, for example. Whatever it says, that this one has not run among others,
+ * says nothing about this one.
  */
-function invalidReason(response: ResponseMetadata, requestId: string): string | undefined {
-	if (response.requestId !== undefined && response.requestId !== requestId) {
-		return 'answer of another request';
-	}
+export function isForeign({requestId}: ResponseMetadata, ownId: string): boolean {
+	return requestId !== undefined && requestId !== ownId;
+}
 
-	if (!response.isGenuine) {
+/** Why a response must not be forwarded, if so. */
+function invalidReason({isGenuine, promisesNotRun}: ResponseMetadata): string | undefined {
+	if (!isGenuine) {
 		return 'no whole answer of the endpoint';
 	}
 
-	return response.promisesNotRun ? 'a promise that the endpoint does not make good' : undefined;
+	return promisesNotRun ? 'a promise that the endpoint does not make good' : undefined;
 }
--- a/src/gateway/outcome-report.ts
+++ b/src/gateway/outcome-report.ts
@@ -1,5 +1,5 @@
 import {Verdict} from '../model/index.js';
-import {type AttemptState, type Outcome} from './attempt-state.js';
+import {type AttemptState, isForeign, type Outcome} from './attempt-state.js';
 import {type CrashLedger, type RepeatableRequest} from './crash-ledger.js';
 import {type Dispatcher} from './dispatcher.js';
 import {type ResponseMetadata} from './types.js';
@@ -18,11 +18,16 @@
 }
 
 /** Tells what a response shows of its endpoint, valid or not: that it runs, and what it states about itself. A misdirected response comes from another endpoint. */
-export function reportResponse({statements}: Dispatcher, crashes: CrashLedger, {decision, requestId, startedAt}: AttemptState, {isMisdirected, requestId: answered, stated}: ResponseMetadata): void {
-	if (!isMisdirected) {
+export function reportResponse({statements}: Dispatcher, crashes: CrashLedger, {decision, requestId, startedAt}: AttemptState, response: ResponseMetadata): void {
+	if (response.isMisdirected) {
+		return;
+	}
+
+	if (!isForeign(response, requestId)) {
 		crashes.recordResponse(decision.record, startedAt);
-		statements.recordResponse(decision.record, {...stated, sentAt: startedAt, canWithdraw: answered === requestId}, performance.now());
 	}
+
+	statements.recordResponse(decision.record, {...response.stated, sentAt: startedAt, canWithdraw: response.requestId === requestId}, performance.now());
 }
 
 /** Tells the ledger whether the attempt may have crashed its endpoint, or has shown that the request can run to its end. */
