Only a success clears a request of the crashes of endpoints

Cause: a complete response of any status counted as a run to the end; an endpoint that fails a request may not have begun to run it. An innocent request that always gets an error stays suspected of the crashes that it met, and is refused only after three.

--- a/src/gateway/outcome-report.ts
+++ b/src/gateway/outcome-report.ts
@@ -31,11 +31,16 @@
 }
 
 /** Tells the ledger whether the attempt may have crashed its endpoint, or has shown that the request can run to its end. */
-export function reportCrashEvidence(crashes: CrashLedger, request: RepeatableRequest, outcome: Outcome, {decision}: AttemptState): void {
+export function reportCrashEvidence(crashes: CrashLedger, request: RepeatableRequest, outcome: Outcome, {decision, status}: AttemptState): void {
 	const now = performance.now();
 	if (outcome.type === 'failed' && outcome.connection === 'broken') {
 		crashes.recordBreak(decision.record, request, now);
-	} else if (outcome.type === 'done' || (outcome.type === 'failed' && outcome.verdict === Verdict.ran)) {
+	} else if (outcome.type === 'done' && isSuccess(status)) {
 		crashes.recordCompleted(request, now);
 	}
 }
+
+/** Whether an endpoint ran the request to its end; one that fails it may not have begun. */
+function isSuccess(status: number): boolean {
+	return status >= 200 && status < 300;
+}
