An endpoint that falls silent under a request and loses its registration has crashed

Callers of a request under which endpoints fall silent crashed one endpoint after the other, 5 to 44 of them late where 3 are allowed; others waited at dead endpoints. Cause: the ledger counted broken connections only, and an endpoint that loses power closes none. Class: a failure recognised by one of its signs.

Silence of half a second beyond what is usual makes the requests there suspects, told to all instances; the end of the registration without an announced shutdown makes it a crash; a response or a new registration takes it back, and ten seconds end it. While three crashes are certain or pending the request is refused, with two seconds as Retry-After; three certain ones refuse it for ten minutes as before. A request that was sent to an endpoint already silent is not suspected. The message to peers gains a field that older instances ignore.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {type CachedPartsResponse, RoutingState, ConnectionPools, CrashLedger, DecisionLog, Dispatcher, encodeCrashRecords, encodeRateLimitReport, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
+import {type CachedPartsResponse, RoutingState, ConnectionPools, CrashLedger, DecisionLog, Dispatcher, encodeCrashNews, encodeRateLimitReport, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, isRegistrationLost, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds, watchRegistrations} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type RetryAllowance} from '../policy/dispatch/index.js';
 import {type ServiceSample} from '../policy/scaling/index.js';
@@ -88,13 +88,15 @@
 		const crashEvidence = metrics.counter('gateway_crash_evidence_total', 'Evidence that a request crashed an endpoint, by what became of it.', ['verdict']);
 		const crashes = CrashLedger.create({
 			logger: forPart(logger, 'Crashes'),
-			onRecords(records) {
-				peers.announce(encodeCrashRecords(records, performance.now()));
+			isLost: record => isRegistrationLost(routingState, record),
+			onNews(news) {
+				peers.announce(encodeCrashNews(news, performance.now()));
 			},
 			onEvidence(verdict) {
 				crashEvidence.add(1, {verdict});
 			},
 		});
+		watchRegistrations(routingState, crashes.monitor);
 		const promptCacheReader = PromptCacheReader.create({
 			instance: settings.instance, routingState, logger: forPart(logger, 'Kept'),
 			instances: () => peers.roster.instanceNames,
@@ -134,6 +136,7 @@
 		metrics.observe('gateway_leaving_endpoints', 'Endpoints that have stated in a response that they leave.', () => dispatcher.statements.countOf('leaving', performance.now()));
 		metrics.observe('gateway_backing_off_endpoints', 'Endpoints that have asked this instance for a backoff.', () => dispatcher.statements.countOf('backoff', performance.now()));
 		metrics.observe('gateway_endpoint_crashes', 'Endpoints that crashed with requests of this instance or its peers, as far as they still count.', () => crashes.crashCount);
+		metrics.observe('gateway_pending_crashes', 'Endpoints that may have crashed with requests of this instance or its peers.', () => crashes.pendingCount);
 		metrics.observe('gateway_open', 'Requests whose response is not complete.', () => gateway.openRequests);
 		metrics.observe('gateway_peers', 'Connected peer gateways.', () => peers.count);
 		metrics.observe('gateway_table_version', 'Version of the routing table in force.', () => routingState.table?.version ?? 0);
@@ -279,8 +282,8 @@
 		onRateLimitReport(report) {
 			dispatcher.statements.recordReport(report, performance.now());
 		},
-		onCrashRecords(records, source) {
-			crashes.applyRecords(records, source);
+		onCrashNews(news, source) {
+			crashes.applyNews(news, source);
 		},
 		openCrashes: () => crashes.openCrashes(performance.now()),
 		onView(view) {
--- a/src/gateway/attempt-state.ts
+++ b/src/gateway/attempt-state.ts
@@ -20,6 +20,8 @@
 			readonly type: 'failed'; readonly verdict: Verdict; readonly reason: string;
 			/** The connection was never established, or broke before the end of the response. */
 			readonly connection?: 'none' | 'broken';
+			/** The endpoint had sent nothing for too long. */
+			readonly isSilent?: boolean;
 			readonly endpointResponse?: BufferedResponse | undefined;
 		};
 
@@ -60,6 +62,8 @@
 	events = 0;
 	/** When the endpoint's silence is reported as a failure. */
 	suspectAt: number | undefined;
+	/** True once the endpoint's silence since its last event is reported to the crash ledger. */
+	hasReportedSilence = false;
 	bufferedBytes = 0;
 	readonly #codec: RequestCodec;
 	readonly #onHead: AttemptStateOptions['onHead'];
@@ -104,6 +108,7 @@
 	/** Records a complete event of the stream. */
 	recordEvent(now: number): void {
 		this.suspectAt = undefined;
+		this.hasReportedSilence = false;
 		this.firstEventAt ??= now;
 		this.longestPauseMilliseconds = Math.max(this.longestPauseMilliseconds, now - (this.lastEventAt ?? now));
 		this.lastEventAt = now;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -6,7 +6,7 @@
 import {Attempt} from './attempt.js';
 import {AttemptState, type Outcome} from './attempt-state.js';
 import {type Decision} from './decision.js';
-import {reportCrashEvidence, reportOutcome, reportResponse} from './outcome-report.js';
+import {reportCrashEvidence, reportOutcome, reportResponse, reportSilence} from './outcome-report.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {sendErrorResponse} from './error-response.js';
 import {RequestUsage} from './duties/index.js';
@@ -155,6 +155,10 @@
 			body,
 			connectionPool: connectionPools.forEndpoint(record, this.#options.table.service(record.service)?.largestConnections),
 			onEvent: event => {
+				if (event.type === 'data' && crashes.monitor.isWatching) {
+					crashes.monitor.recordResponse(record, state.startedAt, performance.now());
+				}
+
 				const outcome = this.#forwarder.handle(state, event);
 				if (outcome !== undefined) {
 					attempt.cancel();
@@ -221,20 +225,22 @@
 
 	#nextAlarm(state: AttemptState, sentAt: number): number {
 		const now = performance.now();
-		return Math.max(0, Math.min(this.#deadlineAt, this.#failoverAt(state, sentAt), state.suspectAt ?? Infinity) - now);
+		const silentAt = state.hasReportedSilence ? Infinity : this.#silentAt(state, sentAt);
+		return Math.max(0, Math.min(this.#deadlineAt, this.#failoverAt(state, sentAt), silentAt, state.suspectAt ?? Infinity) - now);
 	}
 
-	/**
-	 * When the request is retried at another endpoint because this one is silent; infinite if it may not run again or the
-	 * caller reads too slowly.
-	 */
+	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again. */
 	#failoverAt(state: AttemptState, sentAt: number): number {
-		const {route} = this.#options;
-		if (!this.#retryProgress.mayRunElsewhere || this.#forwarder.isPaused) {
+		return this.#retryProgress.mayRunElsewhere ? this.#silentAt(state, sentAt) : Infinity;
+	}
+
+	/** When the endpoint has sent nothing for too long; infinite if the caller reads too slowly. */
+	#silentAt(state: AttemptState, sentAt: number): number {
+		if (this.#forwarder.isPaused) {
 			return Infinity;
 		}
 
-		const {targetMilliseconds, longestPauseMilliseconds} = route;
+		const {targetMilliseconds, longestPauseMilliseconds} = this.#options.route;
 		return failoverAt({sentAt, lastEventAt: state.lastEventAt, targetMilliseconds, longestPauseMilliseconds, expectedMilliseconds: state.decision.expectedMilliseconds});
 	}
 
@@ -249,8 +255,13 @@
 			this.#options.dispatcher.endpoints.report(state.decision.record, 'unreachable');
 		}
 
+		if (!state.hasReportedSilence && now >= this.#silentAt(state, sentAt)) {
+			state.hasReportedSilence = true;
+			reportSilence(this.#options.crashes, this.#options.request, state);
+		}
+
 		if (now >= this.#failoverAt(state, sentAt) && this.#options.dispatcher.endpoints.hasAnother(this.#demand.service, this.#excluded, state.decision.record)) {
-			return {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'silent'};
+			return {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'silent', isSilent: true};
 		}
 
 		// The timer fired early, or no other endpoint is available: check again after another pause.
--- a/src/gateway/outcome-report.ts
+++ b/src/gateway/outcome-report.ts
@@ -24,19 +24,47 @@
 	}
 
 	if (!isForeign(response, requestId)) {
-		crashes.recordResponse(decision.record, startedAt);
+		crashes.monitor.recordResponse(decision.record, startedAt, performance.now());
 	}
 
 	statements.recordResponse(decision.record, {...response.stated, sentAt: startedAt, canWithdraw: response.requestId === requestId}, performance.now());
 }
 
 /** Tells the ledger whether the attempt may have crashed its endpoint, or has shown that the request can run to its end. */
-export function reportCrashEvidence(crashes: CrashLedger, request: RepeatableRequest, outcome: Outcome, {decision, status}: AttemptState): void {
+export function reportCrashEvidence(crashes: CrashLedger, request: RepeatableRequest, outcome: Outcome, {attempt, decision, startedAt, status}: AttemptState): void {
 	const now = performance.now();
-	if (outcome.type === 'failed' && outcome.connection === 'broken') {
-		crashes.recordBreak(decision.record, request, now);
-	} else if (outcome.type === 'done' && isSuccess(status)) {
-		crashes.recordCompleted(request, now);
+	if (outcome.type === 'done') {
+		if (isSuccess(status)) {
+			crashes.recordCompleted(request, now);
+		}
+
+		return;
+	}
+
+	const sign = signOfCrash(outcome);
+	if (sign !== undefined && attempt.mayHaveReachedEndpoint) {
+		crashes.recordUnanswered(decision.record, request, {sentAt: startedAt, sign, now});
+	}
+}
+
+/** Tells the ledger that the endpoint has sent nothing for too long, while the attempt goes on. */
+export function reportSilence(crashes: CrashLedger, request: RepeatableRequest, {attempt, decision, startedAt}: AttemptState): void {
+	if (attempt.mayHaveReachedEndpoint) {
+		crashes.recordUnanswered(decision.record, request, {sentAt: startedAt, sign: 'silence', now: performance.now()});
+	}
+}
+
+/** What an attempt without a complete response shows of its endpoint: after a break or in silence, it may have crashed. */
+function signOfCrash(outcome: Exclude<Outcome, {type: 'done'}>): 'break' | 'silence' | undefined {
+	switch (outcome.type) {
+		case 'failed': {
+			return outcome.connection === 'broken' ? 'break' : (outcome.isSilent === true ? 'silence' : undefined);
+		}
+
+		case 'left':
+		case 'expired': {
+			return 'silence';
+		}
 	}
 }
 
--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -1,7 +1,8 @@
 import {decodeLoad, type LoadEvent, unflattenParts} from '../policy/dispatch/index.js';
-import {type CrashRecord, type QuarantineRecord} from '../policy/quarantine/index.js';
+import {type CrashRecord} from '../policy/quarantine/index.js';
 import {type EndpointChange, positionOf} from '../routing/index.js';
 import {type Connection, type GatewayMessage, type MessageOf} from '../wire/index.js';
+import {type CrashNews} from './crash-ledger.js';
 import {type RoutingStateChange, type RoutingState} from './routing-state.js';
 import {type CachedPromptParts} from './prompt-cache-reader.js';
 import {type RateLimitReport} from './statement-registry.js';
@@ -57,7 +58,7 @@
 	return [
 		...(tableInput === undefined ? [] : [{type: 'routing-version', version: tableInput.version} as const]),
 		...(changes.length === 0 ? [] : [{type: 'endpoints', changes} as const]),
-		...(crashes.length === 0 ? [] : [encodeCrashRecords(crashes, now)]),
+		...(crashes.length === 0 ? [] : [encodeCrashNews({records: crashes, pending: []}, now)]),
 		...(holderAnnouncement === undefined ? [] : [holderAnnouncement]),
 	];
 }
@@ -75,13 +76,14 @@
 }
 
 /** The message that tells peers of crashes. */
-export function encodeCrashRecords(records: readonly QuarantineRecord[], now: number): MessageOf<'request-crashes'> {
-	return {type: 'request-crashes', records: [...records], now};
+export function encodeCrashNews({records, pending}: CrashNews, now: number): MessageOf<'request-crashes'> {
+	return {type: 'request-crashes', records: [...records], pending: [...pending], now};
 }
 
-/** The records with their times on the clock of this instance. */
-function decodeCrashRecords({records, now: sentAt}: MessageOf<'request-crashes'>, now: number): QuarantineRecord[] {
-	return records.map(record => ({...record, time: record.time + now - sentAt}));
+/** The news with times on the clock of this instance. */
+function decodeCrashNews({records, pending, now: sentAt}: MessageOf<'request-crashes'>, now: number): CrashNews {
+	const shift = now - sentAt;
+	return {records: records.map(record => ({...record, time: record.time + shift})), pending: pending.map(record => ({...record, time: record.time + shift}))};
 }
 
 /** The sender of a message, and the state and callbacks that the message is applied to. */
@@ -93,13 +95,13 @@
 	readonly onVersion: (version: number) => void;
 	readonly onLoad: (event: LoadEvent) => void;
 	readonly onRateLimitReport: (report: RateLimitReport) => void;
-	readonly onCrashRecords: (records: readonly QuarantineRecord[], source: string) => void;
+	readonly onCrashNews: (news: CrashNews, source: string) => void;
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
 	readonly onHolderAnnouncement: (word: MessageOf<'duty-holder'>) => void;
 };
 
 /** Handles a message of a peer that has sent its hello. */
-export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onCrashRecords, onHolderAnnouncement}: MessageContext): void {
+export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement}: MessageContext): void {
 	switch (message.type) {
 		case 'routing-version': {
 			onVersion(message.version);
@@ -135,7 +137,7 @@
 		}
 
 		case 'request-crashes': {
-			onCrashRecords(decodeCrashRecords(message, performance.now()), `instance ${instance}`);
+			onCrashNews(decodeCrashNews(message, performance.now()), `instance ${instance}`);
 			return;
 		}
 
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -215,10 +215,10 @@
 			return undefined;
 		}
 
-		const {routingState, onLoad, onPromptCache, onRateLimitReport, onCrashRecords, onHolderAnnouncement} = this.#options;
+		const {routingState, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement} = this.#options;
 		const {instance, incarnation} = link;
 		handleMessage(message, {
-			routingState, connection, instance, incarnation, onLoad, onPromptCache, onRateLimitReport, onCrashRecords, onHolderAnnouncement,
+			routingState, connection, instance, incarnation, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement,
 			onVersion: version => {
 				link.routingVersion = version;
 				this.#tablePuller.handlePeerVersion();
--- /dev/null
+++ b/src/gateway/registration-watch.ts
@@ -0,0 +1,44 @@
+import {type EndpointRecord} from '../routing/index.js';
+import {type CrashMonitor} from './crash-monitor.js';
+import {type RoutingState} from './routing-state.js';
+
+/** Whether an incarnation's registration has ended without an announced shutdown, or another incarnation has taken its place. */
+export function isRegistrationLost({directory}: RoutingState, {id, bornAt}: EndpointRecord): boolean {
+	const entry = directory.entries.get(id);
+	return entry !== undefined && (entry.record.bornAt !== bornAt || (entry.endedAt !== undefined && !entry.record.isLeaving));
+}
+
+/** Tells the monitor of registrations that end or are back: an endpoint that has fallen silent and is not registered any more has crashed. */
+export function watchRegistrations(routingState: RoutingState, monitor: CrashMonitor): void {
+	routingState.onChange(change => {
+		const now = performance.now();
+		const recordOf = (id: string): EndpointRecord[] => {
+			const entry = routingState.directory.entries.get(id);
+			return entry === undefined ? [] : [entry.record];
+		};
+
+		switch (change.type) {
+			case 'endpoints': {
+				for (const record of change.changes.flatMap(one => recordOf(one.type === 'registered' ? one.record.id : one.id))) {
+					monitor.recordRegistration(record, now);
+				}
+
+				break;
+			}
+
+			case 'reborn': {
+				for (const record of change.ids.flatMap(id => recordOf(id))) {
+					monitor.recordRestart(record, now);
+				}
+
+				break;
+			}
+
+			case 'table':
+			case 'era': {
+				// Neither ends a registration.
+				break;
+			}
+		}
+	});
+}
--- a/test/gateway/crash-ledger.test.ts
+++ b/test/gateway/crash-ledger.test.ts
@@ -17,7 +17,8 @@
 	const sent: QuarantineRecord[] = [];
 	const ledger = CrashLedger.create({
 		logger: silentLogger,
-		onRecords(records) {
+		isLost: () => false,
+		onNews({records}) {
 			sent.push(...records);
 		},
 		onEvidence: () => undefined,
@@ -39,7 +40,7 @@
 	const {ledger, sent} = createLedger();
 	const now = performance.now();
 	for (const id of ['a', 'b', 'c']) {
-		ledger.recordBreak(endpoint(id), request, now);
+		ledger.recordUnanswered(endpoint(id), request, {sentAt: 0, sign: 'break', now});
 	}
 
 	t.equal(ledger.quarantineOf(request, now), undefined, 'a break can still be refuted');
@@ -57,8 +58,8 @@
 	const {ledger, sent} = createLedger();
 	const now = performance.now();
 	for (const id of ['a', 'b', 'c']) {
-		ledger.recordBreak(endpoint(id), request, now);
-		ledger.recordResponse(endpoint(id), now + 50);
+		ledger.recordUnanswered(endpoint(id), request, {sentAt: 0, sign: 'break', now});
+		ledger.monitor.recordResponse(endpoint(id), now + 50, now + 60);
 	}
 
 	await untilConfirmed();
@@ -70,9 +71,9 @@
 	const {ledger, sent} = createLedger();
 	const now = performance.now();
 	for (const id of ['a', 'b', 'c']) {
-		ledger.recordBreak(endpoint(id, 1), request, now);
-		ledger.recordResponse(endpoint(id, 1), now - 50);
-		ledger.recordResponse(endpoint(id, 2), now + 50);
+		ledger.recordUnanswered(endpoint(id, 1), request, {sentAt: 0, sign: 'break', now});
+		ledger.monitor.recordResponse(endpoint(id, 1), now - 50, now + 60);
+		ledger.monitor.recordResponse(endpoint(id, 2), now + 50, now + 60);
 	}
 
 	await untilConfirmed();
@@ -82,13 +83,13 @@
 tap.test('several breaks at one incarnation of an endpoint are one crash', async t => {
 	const {ledger, sent} = createLedger();
 	for (let number = 0; number < 5; number++) {
-		ledger.recordBreak(endpoint('a'), request, performance.now());
+		ledger.recordUnanswered(endpoint('a'), request, {sentAt: 0, sign: 'break', now: performance.now()});
 	}
 
 	await untilConfirmed();
 	t.equal(sent.length, 1);
 	t.equal(ledger.quarantineOf(request, performance.now()), undefined);
-	ledger.applyRecords(sent.map(record => ({...record, time: record.time + 3})), 'instance b');
+	ledger.applyNews({records: sent.map(record => ({...record, time: record.time + 3})), pending: []}, 'instance b');
 	t.equal(sent.length, 1, 'what another instance saw of it is not passed on again');
 });
 
@@ -97,32 +98,43 @@
 	const {ledger, sent} = createLedger();
 	const other = createLedger();
 	const now = performance.now();
-	ledger.recordBreak(endpoint('a'), request, now);
+	ledger.recordUnanswered(endpoint('a'), request, {sentAt: 0, sign: 'break', now});
 	await untilConfirmed();
 	const [crash] = sent;
 	const fingerprints = crash?.type === 'crashed' ? crash.fingerprints : [];
 	const more = [crashRecord('b', fingerprints, now), crashRecord('c', fingerprints, now)];
 	for (const one of [ledger, other.ledger]) {
-		one.applyRecords([...sent, ...more], 'instance x');
+		one.applyNews({records: [...sent, ...more], pending: []}, 'instance x');
 		t.not(one.quarantineOf(request, now + 1), undefined);
 	}
 
 	ledger.recordCompleted(request, now + 2);
 	t.equal(ledger.quarantineOf(request, now + 3), undefined);
-	other.ledger.applyRecords(sent.filter(({type}) => type === 'cleared'), 'instance y');
+	other.ledger.applyNews({records: sent.filter(({type}) => type === 'cleared'), pending: []}, 'instance y');
 	t.equal(other.ledger.quarantineOf(request, now + 3), undefined);
 	t.same(other.ledger.openCrashes(now + 3), [], 'and a new peer is not told');
 });
 
+tap.test('a request is refused for a moment while three crashes are not certain', async t => {
+	const {ledger} = createLedger();
+	const now = performance.now();
+	for (const id of ['a', 'b', 'c']) {
+		ledger.recordUnanswered(endpoint(id), request, {sentAt: now - 700, sign: 'silence', now});
+	}
+
+	await untilConfirmed();
+	t.match(ledger.quarantineOf(request, performance.now()), {type: 'suspected', crashes: 3, remainingMilliseconds: 2000});
+});
+
 // A record with more names than a message may have would end the links to all peers.
 tap.test('a crash under thousands of requests is told in a record of bounded size', async t => {
 	const {ledger, sent} = createLedger();
 	for (let number = 0; number < 1500; number++) {
-		ledger.recordBreak(endpoint('a'), {...request, path: `/chart/${number}`}, performance.now());
+		ledger.recordUnanswered(endpoint('a'), {...request, path: `/chart/${number}`}, {sentAt: 0, sign: 'break', now: performance.now()});
 	}
 
 	await untilConfirmed();
-	ledger.applyRecords([crashRecord('a', Array.from({length: 1000}, (_, number) => `other-${number}`), performance.now())], 'instance b');
+	ledger.applyNews({records: [crashRecord('a', Array.from({length: 1000}, (_, number) => `other-${number}`), performance.now())], pending: []}, 'instance b');
 	for (const record of [...sent, ...ledger.openCrashes(performance.now())]) {
 		t.ok(quarantineRecordSchema.safeParse(record).success);
 	}
--- /dev/null
+++ b/test/policy/pending-crashes.test.ts
@@ -0,0 +1,50 @@
+import fc from 'fast-check';
+import tap from 'tap';
+import {foldPending, noPendingCrashes, pendingCrashesOf, pendingMilliseconds, type PendingCrashes, type PendingRecord, prunePending} from '../../src/policy/quarantine/index.js';
+
+function fold(records: readonly PendingRecord[]): PendingCrashes {
+	let state = noPendingCrashes;
+	for (const record of records) {
+		state = foldPending(state, record);
+	}
+
+	return state;
+}
+
+const pending = (time: number, crash = 'x'): PendingRecord => ({type: 'pending', crash, fingerprints: ['a'], time});
+const dismissed = (time: number): PendingRecord => ({...pending(time), type: 'dismissed'});
+
+tap.test('pending crashes count for a time, until they are dismissed', async t => {
+	t.same(pendingCrashesOf(fold([pending(0), pending(0, 'y')]), 'a', 100), ['x', 'y']);
+	t.same(pendingCrashesOf(fold([pending(0)]), 'b', 100), []);
+	t.same(pendingCrashesOf(fold([pending(0)]), 'a', pendingMilliseconds), []);
+	t.same(pendingCrashesOf(fold([pending(0), dismissed(300)]), 'a', 400), []);
+	t.same(pendingCrashesOf(fold([dismissed(300), pending(0)]), 'a', 400), [], 'in whatever order they arrive');
+	t.same(pendingCrashesOf(fold([pending(0), dismissed(300), pending(5000)]), 'a', 5100), ['x'], 'the endpoint may fall silent again');
+	t.equal(prunePending(fold([pending(0)]), pendingMilliseconds).size, 0);
+});
+
+// Instances pass on what is new to them, each with a time that is a little later: it went round without end.
+tap.test('a statement that comes back from a peer is not new', async t => {
+	const state = fold([pending(0)]);
+	t.equal(foldPending(state, pending(40)), state);
+	const ended = fold([pending(0), dismissed(300)]);
+	t.equal(foldPending(ended, pending(340)), ended);
+	t.equal(foldPending(ended, dismissed(340)), ended);
+});
+
+tap.test('a record with unknown crashes is bounded', async t => {
+	const records = Array.from({length: 3000}, (_, number) => pending(0, `crash-${number}`));
+	t.ok(fold(records).size <= 1000);
+});
+
+tap.test('the same statements, in any order, count alike if they are more than an echo apart', async t => {
+	const drawn = fc.array(fc.record({type: fc.constantFrom('pending' as const, 'dismissed' as const), step: fc.integer({min: 0, max: 4})}), {maxLength: 6});
+	fc.assert(fc.property(drawn.chain(list => fc.tuple(fc.constant(list), fc.shuffledSubarray(list.map((_, index) => index), {minLength: list.length}))), ([list, order]) => {
+		const records = list.map(({type, step}): PendingRecord => ({...pending(step * 2000), type}));
+		const newest = Math.max(-1, ...list.map(({step}) => step));
+		const expected = list.some(({step}) => step === newest) && !list.some(({type, step}) => step === newest && type === 'dismissed');
+		return (pendingCrashesOf(fold(order.map(index => records[index]!)), 'a', newest * 2000).length > 0) === expected;
+	}));
+	t.pass();
+});
