A request that lately ran elsewhere is not blamed for crashes

Many callers send one request (a lookup without a body), and several endpoints fail together: it was at each of them, was refused for ten minutes although it runs wherever it is sent, and once refused no run could clear it. Cause: a complete run cleared only crashes that were known by then, and a crash is known a second later.

Cost: a hash of each completed request (fingerprintOf).

--- a/src/gateway/crash-ledger.ts
+++ b/src/gateway/crash-ledger.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {sha256} from '../model/index.js';
 import {
-	countedCrashes, type CrashRecord, createClearedRecord, createQuarantine, foldPending, foldQuarantine, noPendingCrashes, openCrashes, pendingCrashesOf, type PendingRecord, prunePending, pruneQuarantine,
+	addCompletion, type Completions, countedCrashes, type CrashRecord, createQuarantine, foldPending, foldQuarantine, isClearedByRun, noPendingCrashes, openCrashes, pendingCrashesOf, type PendingRecord, prunePending, pruneQuarantine,
 	quarantineMilliseconds, type QuarantineRecord,
 } from '../policy/quarantine/index.js';
 import {type EndpointRecord} from '../routing/index.js';
@@ -48,6 +48,7 @@
 	readonly #options: CrashLedgerOptions;
 	#state = createQuarantine();
 	#pending = noPendingCrashes;
+	readonly #completions: Completions = new Map();
 
 	private constructor(options: CrashLedgerOptions) {
 		this.#options = options;
@@ -109,16 +110,13 @@
 		this.monitor.recordUnanswered({record, fingerprint: fingerprintOf(request), sentAt, sign}, now);
 	}
 
-	/** Records that a request ran to its end; this clears it of all crashes that are known. */
+	/** Records that a request ran to its end; this clears it of all crashes that are known, and of those that are noticed or told a little later. */
 	recordCompleted(request: RepeatableRequest, now: number): void {
-		if (this.#state.crashes.size === 0) {
-			return;
-		}
-
 		const fingerprint = fingerprintOf(request);
-		const crashes = countedCrashes(this.#state, fingerprint, now);
-		if (crashes.length > 0) {
-			this.#add({records: [createClearedRecord(fingerprint, {crashes}, now)], pending: []}, 'response');
+		addCompletion(this.#completions, fingerprint, now);
+		if (this.#state.crashes.size > 0 || this.#pending.size > 0) {
+			this.#clear(fingerprint, countedCrashes(this.#state, fingerprint, now).map(({crash}) => crash), now);
+			this.#dismiss(fingerprint, pendingCrashesOf(this.#pending, fingerprint, now), now);
 		}
 	}
 
@@ -164,6 +162,38 @@
 		for (const {type, crash, fingerprints} of pending) {
 			this.#options.logger.info(type === 'pending' ? 'Crash is pending.' : 'Crash is dismissed.', {crash, requests: fingerprints.length, source});
 		}
+
+		this.#clearCompleted({records, pending});
+	}
+
+	/** Clears requests of new crashes beside which they ran to their end elsewhere. */
+	#clearCompleted({records, pending}: CrashNews): void {
+		const now = performance.now();
+		for (const record of records) {
+			if (record.type === 'crashed') {
+				for (const fingerprint of record.fingerprints.filter(one => isClearedByRun(this.#completions, one, record.time))) {
+					this.#clear(fingerprint, [record.crash], now);
+				}
+			}
+		}
+
+		for (const {crash, fingerprints, time} of pending.filter(({type}) => type === 'pending')) {
+			for (const fingerprint of fingerprints.filter(one => isClearedByRun(this.#completions, one, time))) {
+				this.#dismiss(fingerprint, [crash], now);
+			}
+		}
+	}
+
+	#clear(fingerprint: string, crashes: readonly string[], now: number): void {
+		if (crashes.length > 0) {
+			this.#add({records: [{type: 'cleared', fingerprint, crashes: [...crashes], time: now}], pending: []}, 'response');
+		}
+	}
+
+	#dismiss(fingerprint: string, crashes: readonly string[], now: number): void {
+		if (crashes.length > 0) {
+			this.#add({records: [], pending: crashes.map(crash => ({type: 'dismissed', crash, fingerprints: [fingerprint], time: now}))}, 'response');
+		}
 	}
 
 	#log(record: QuarantineRecord, source: string): void {
--- a/src/policy/quarantine/index.ts
+++ b/src/policy/quarantine/index.ts
@@ -14,6 +14,7 @@
 import {type ClearedRecord, type CrashRecord, maxNamed, type QuarantineRecord, type ReleasedRecord} from './records.js';
 
 export {fingerprintOf} from './fingerprint.js';
+export {addCompletion, type Completions, isClearedByRun} from './completions.js';
 export {foldPending, noPendingCrashes, pendingCrashesOf, pendingMilliseconds, type PendingCrashes, type PendingRecord, pendingRecordSchema, prunePending} from './pending.js';
 export {maxNamed, quarantineRecordSchema, type ClearedRecord, type CrashRecord, type QuarantineRecord, type ReleasedRecord} from './records.js';
 
--- a/test/gateway/crash-ledger.test.ts
+++ b/test/gateway/crash-ledger.test.ts
@@ -115,6 +115,28 @@
 	t.same(other.ledger.openCrashes(now + 3), [], 'and a new peer is not told');
 });
 
+// Many callers send one request, and three of its endpoints fail together: it was refused for ten minutes, and nothing could clear it any more.
+tap.test('crashes of endpoints that fail together do not count against a request that ran elsewhere just before', async t => {
+	const {ledger, sent} = createLedger();
+	const [unused, other] = [createLedger(), createLedger()];
+	const now = performance.now();
+	for (const id of ['a', 'b', 'c']) {
+		unused.ledger.recordUnanswered(endpoint(id), request, {sentAt: 0, sign: 'break', now});
+	}
+
+	await untilConfirmed();
+	const pending = ['d', 'e', 'f'].map(crash => ({type: 'pending' as const, crash, fingerprints: unused.sent.flatMap(record => record.type === 'crashed' ? record.fingerprints : []), time: now}));
+	ledger.recordCompleted(request, now - 1000);
+	other.ledger.recordCompleted(request, now - 5000);
+	for (const one of [ledger, other.ledger]) {
+		one.applyNews({records: unused.sent, pending}, 'instance x');
+	}
+
+	t.equal(ledger.quarantineOf(request, now + 1), undefined);
+	t.equal(sent.filter(({type}) => type === 'cleared').length, 3, 'and peers are told');
+	t.match(other.ledger.quarantineOf(request, now + 1), {type: 'quarantined'}, 'a run of long before says nothing');
+});
+
 tap.test('a request is refused for a moment while three crashes are not certain', async t => {
 	const {ledger} = createLedger();
 	const now = performance.now();
@@ -124,6 +146,8 @@
 
 	await untilConfirmed();
 	t.match(ledger.quarantineOf(request, performance.now()), {type: 'suspected', crashes: 3, remainingMilliseconds: 2000});
+	ledger.recordCompleted(request, performance.now());
+	t.equal(ledger.quarantineOf(request, performance.now()), undefined, 'unless it runs to its end');
 });
 
 // A record with more names than a message may have would end the links to all peers.
