Crashes are kept in the store, so that a loss of all instances does not forget them

Cause: what is known of crashes was in memory and at peers; no machine has a disk. Class: a promise that outlives those who keep it, kept in memory alone.

Change: CrashArchive writes the crashes that count under the instance's name in a keyed topic of the store, once for each crash that this instance has noticed (200 ms of them together), and reads all at its start, one call. Ages instead of times, since clocks differ by hours; an instance removes its own record when nothing in it counts, one of the others removes that of an instance that is gone. Compared by reading: a record at the threshold alone forgets two crashes at each loss, and asking peers finds none.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {type CachedPartsResponse, RoutingState, ConnectionPools, CrashLedger, DecisionLog, Dispatcher, encodeCrashNews, encodeRateLimitReport, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, isRegistrationLost, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds, watchRegistrations} from '../gateway/index.js';
+import {type CachedPartsResponse, RoutingState, ConnectionPools, CrashArchive, CrashLedger, type CrashStore, DecisionLog, Dispatcher, encodeCrashNews, encodeRateLimitReport, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, isRegistrationLost, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds, watchRegistrations} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type RetryAllowance} from '../policy/dispatch/index.js';
 import {type ServiceSample} from '../policy/scaling/index.js';
@@ -23,6 +23,7 @@
 
 export type GatewayStore = AsyncDisposable & StoreFeeds & {
 	readonly duties: DutyStore;
+	readonly crashes: CrashStore;
 	/** Registers a listener for the first response from a newer era of the store; the era is its generation number, which rises when it is restored from a backup. */
 	onEra(listener: (era: number) => void): void;
 	announce(record: PeerRecord): Promise<void>;
@@ -92,11 +93,23 @@
 			onNews(news) {
 				peers.announce(encodeCrashNews(news, performance.now()));
 			},
+			onOwnCrash() {
+				crashArchive.save();
+			},
 			onEvidence(verdict) {
 				crashEvidence.add(1, {verdict});
 			},
 		});
 		watchRegistrations(routingState, crashes.monitor);
+		const crashArchive = CrashArchive.start({
+			instance: settings.instance, store: store.crashes, ledger: crashes, logger: forPart(logger, 'Crashes'),
+			instances: () => peers.roster.presentNames(performance.now()),
+		});
+		store.onEra(() => {
+			if (crashes.crashCount > 0) {
+				crashArchive.save();
+			}
+		});
 		const promptCacheReader = PromptCacheReader.create({
 			instance: settings.instance, routingState, logger: forPart(logger, 'Kept'),
 			instances: () => peers.roster.instanceNames,
@@ -146,6 +159,7 @@
 			dispatcher.loadTracker.prune(performance.now());
 			dispatcher.statements.prune(performance.now());
 			crashes.prune(performance.now());
+			crashArchive.prune(performance.now());
 			dispatcher.statements.handleFleetChange(performance.now());
 			connectionPools.retain(new Set(routingState.directory.entries.keys()));
 		}, pruneMilliseconds);
@@ -156,7 +170,7 @@
 		};
 		return new GatewayProcess({
 			settings, log: forPart(logger, 'Gateway'), store, routingState, peers, dispatcher, gateway, admin, duties,
-			disposables: [timers, admin, gateway, feeds, promptCacheReader, ...(duties === undefined ? [] : [duties]), peers, dispatcher, crashes, decisions, eventLoopMonitor, connectionPools, store],
+			disposables: [timers, admin, gateway, feeds, promptCacheReader, ...(duties === undefined ? [] : [duties]), peers, dispatcher, crashArchive, crashes, decisions, eventLoopMonitor, connectionPools, store],
 		});
 	}
 
--- a/src/gateway/crash-ledger.ts
+++ b/src/gateway/crash-ledger.ts
@@ -23,6 +23,8 @@
 	readonly isLost: (record: EndpointRecord) => boolean;
 	/** Called with what the other instances need. */
 	readonly onNews: (news: CrashNews) => void;
+	/** Called when this instance has noticed a crash, or has taken one back. */
+	readonly onOwnCrash: () => void;
 	/** Called with what became of the evidence of a crash. */
 	readonly onEvidence: (verdict: EvidenceVerdict) => void;
 };
@@ -66,10 +68,12 @@
 			},
 			onCrash: ({crash, record, fingerprints, at}) => {
 				this.#add({records: [{type: 'crashed', crash, endpoint: record.id, fingerprints: [...fingerprints], time: at}], pending: []}, 'own attempt');
+				options.onOwnCrash();
 			},
 			onRetract: ({crash, fingerprints}) => {
 				const records = fingerprints.map((fingerprint): QuarantineRecord => ({type: 'cleared', fingerprint, crashes: [crash], time: performance.now()}));
 				this.#add({records, pending: []}, 'own attempt');
+				options.onOwnCrash();
 			},
 		});
 	}
--- a/test/gateway/crash-ledger.test.ts
+++ b/test/gateway/crash-ledger.test.ts
@@ -21,6 +21,7 @@
 		onNews({records}) {
 			sent.push(...records);
 		},
+		onOwnCrash: () => undefined,
 		onEvidence: () => undefined,
 	});
 	return {ledger, sent};
