Gateway soak: logs of seeds that violate a rule; peers' addresses are rewritten in their own topic only

The harness replaced an instance's record by key in every topic, so that what an instance stores of crashes under its name became malformed (skipped and logged by the gateways; nothing was read after a loss of all).

--- a/bench/gateway-soak/course-world.ts
+++ b/bench/gateway-soak/course-world.ts
@@ -1,6 +1,7 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {FakePath} from '../../fakes/network-path.js';
+import {instancesTopic} from '../../platform/feeds.js';
 import {createRandom, type Random} from '../harness/random.js';
 import {GatewayChild} from './child.js';
 import {retryAllowance} from './retry-checker.js';
@@ -82,7 +83,7 @@
 		const peerPath = await FakePath.create(`127.0.0.1:${port + 2}`);
 		this.#peerPaths.push(peerPath);
 		const rewriteOthers = store.rewrite;
-		store.rewrite = (topic, key, value) => key === instance ? {...value as Readonly<Record<string, unknown>>, address: peerPath.address} : rewriteOthers(topic, key, value);
+		store.rewrite = (topic, key, value) => topic === instancesTopic && key === instance ? {...value as Readonly<Record<string, unknown>>, address: peerPath.address} : rewriteOthers(topic, key, value);
 		this.gateways.push(await GatewayChild.create({
 			instance, folder: this.#folder, storeAddress: store.address, ports: [port, port + 1, port + 2, port + 3], seedHosts: [],
 			clockMilliseconds: Math.round((this.random.uniform() - 0.5) * 7_200_000), retryAllowance,
--- a/bench/gateway-soak/index.ts
+++ b/bench/gateway-soak/index.ts
@@ -1,4 +1,5 @@
 import {execFileSync} from 'node:child_process';
+import {mkdirSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {type CommandModule} from 'yargs';
 import {courseFaults} from './course-world.js';
@@ -7,7 +8,7 @@
 import {runRetrySeed} from './retry-course.js';
 import {portsPerGateway, runSeed} from './run-seed.js';
 
-type Settings = {seed: number; count: number; jobs: number; gateways: number; course: 'mixed' | keyof typeof courses; faults: string; firstPort: number};
+type Settings = {seed: number; count: number; jobs: number; gateways: number; course: 'mixed' | keyof typeof courses; faults: string; firstPort: number; logs: string | undefined};
 
 const courses = {retries: runRetrySeed, crashes: runCrashSeed, limits: runLimitSeed} as const;
 
@@ -22,9 +23,10 @@
 		course: {choices: ['mixed', 'retries', 'crashes', 'limits'] as const, default: 'mixed' as const, describe: 'faults of every kind, or one matter while gateways come and go: retries, a request that crashes endpoints, rate limits'},
 		faults: {type: 'string', default: courseFaults.join(','), describe: 'the kinds of faults of the other courses than mixed, joined by commas'},
 		'first-port': {type: 'number', default: 21_000, describe: 'the gateways listen from here on; two runs at a time need different ones'},
+		logs: {type: 'string', describe: 'a folder for the log lines of the gateways of each seed that violates a rule'},
 		gateways: {type: 'number', default: 2, describe: 'gateways of each seed'},
 	},
-	async handler({seed, count, jobs, gateways, course, faults, firstPort}) {
+	async handler({seed, count, jobs, gateways, course, faults, firstPort, logs}) {
 		execFileSync(process.execPath, ['tools/bundle.mjs'], {stdio: 'inherit'});
 		const kinds = courseFaults.filter(kind => faults.split(',').includes(kind));
 		const seeds = Array.from({length: count}, (_, index) => seed + index);
@@ -40,6 +42,11 @@
 					console.log(`seed ${next}: ${service}, at most ${retries} of ${Math.floor(allowed)} retries in a window`);
 				}
 
+				if (logs !== undefined && result.violations.length > 0) {
+					mkdirSync(logs, {recursive: true});
+					writeFileSync(`${logs}/${course}-${next}.log`, result.lines);
+				}
+
 				for (const violation of result.violations) {
 					console.log(`seed ${next}: ${violation} [${result.faults.join(', ')}]`);
 				}
