A request at a silent endpoint searches for another one twenty times a second, not in each turn of the event loop

Where endpoints go dark under load, dozens of requests do so at once, on half a core. For streams, the search after one that found nothing came a whole pause later and moved the time of the last event with it, so that the longest pause was told too short; now 50 ms later.

--- a/src/gateway/attempt-state.ts
+++ b/src/gateway/attempt-state.ts
@@ -62,6 +62,8 @@
 	events = 0;
 	/** When the endpoint's silence is reported as a failure. */
 	suspectAt: number | undefined;
+	/** Earliest time of the next search for another endpoint, after one that found none. */
+	nextFailoverAt = -Infinity;
 	/** True once the endpoint's silence since its last event is reported to the crash ledger. */
 	hasReportedSilence = false;
 	bufferedBytes = 0;
--- /dev/null
+++ b/src/gateway/attempt-timeouts.ts
@@ -0,0 +1,78 @@
+import {Verdict} from '../model/index.js';
+import {failoverAt} from '../policy/dispatch/index.js';
+import {type AttemptState, type Outcome} from './attempt-state.js';
+import {type ExchangeOptions} from './exchange-options.js';
+import {reportSilence} from './outcome-report.js';
+import {type ResponseForwarder} from './response-forwarder.js';
+import {type RetryProgress} from './retry-progress.js';
+
+/** Interval between searches for another endpoint while the one in use is silent and no other one is available. */
+const failoverSearchMilliseconds = 50;
+
+export type AttemptTimeoutsOptions = {
+	readonly exchange: ExchangeOptions;
+	readonly deadlineAt: number;
+	readonly retryProgress: RetryProgress;
+	readonly forwarder: ResponseForwarder;
+	/** Endpoints that the request has already been sent to. */
+	readonly excluded: ReadonlySet<string>;
+};
+
+/** What the silence of an endpoint leads to: its report, a retry at another endpoint, the end of the request. Times are milliseconds of the monotonic clock. */
+export class AttemptTimeouts {
+	static create(options: AttemptTimeoutsOptions): AttemptTimeouts {
+		return new AttemptTimeouts(options);
+	}
+
+	readonly #options: AttemptTimeoutsOptions;
+
+	private constructor(options: AttemptTimeoutsOptions) {
+		this.#options = options;
+	}
+
+	/** Time until `check` may have something to do. */
+	nextMilliseconds(state: AttemptState): number {
+		const silentAt = state.hasReportedSilence ? Infinity : this.#silentAt(state);
+		return Math.max(0, Math.min(this.#options.deadlineAt, this.#failoverAt(state), silentAt, state.suspectAt ?? Infinity) - performance.now());
+	}
+
+	/** Reports a silent endpoint; an outcome ends the attempt. */
+	check(state: AttemptState): Outcome | undefined {
+		const {deadlineAt, excluded, exchange: {dispatcher, crashes, request, service}} = this.#options;
+		const now = performance.now();
+		if (now >= deadlineAt) {
+			return {type: 'expired'};
+		}
+
+		const {record} = state.decision;
+		if (state.suspectAt !== undefined && now >= state.suspectAt) {
+			state.suspectAt = undefined;
+			dispatcher.endpoints.report(record, 'unreachable');
+		}
+
+		if (!state.hasReportedSilence && now >= this.#silentAt(state)) {
+			state.hasReportedSilence = true;
+			reportSilence(crashes, request, state);
+		}
+
+		if (now < this.#failoverAt(state)) {
+			return undefined;
+		}
+
+		state.nextFailoverAt = now + failoverSearchMilliseconds;
+		return dispatcher.endpoints.hasAnother(service, excluded, record)
+			? {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'silent', isSilent: true}
+			: undefined;
+	}
+
+	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again. */
+	#failoverAt(state: AttemptState): number {
+		return this.#options.retryProgress.mayRunElsewhere ? Math.max(this.#silentAt(state), state.nextFailoverAt) : Infinity;
+	}
+
+	/** When the endpoint has sent nothing for too long; infinite if the caller reads too slowly. */
+	#silentAt({startedAt, lastEventAt, decision: {expectedMilliseconds}}: AttemptState): number {
+		const {forwarder, exchange: {route: {targetMilliseconds, longestPauseMilliseconds}}} = this.#options;
+		return forwarder.isPaused ? Infinity : failoverAt({sentAt: startedAt, lastEventAt, targetMilliseconds, longestPauseMilliseconds, expectedMilliseconds});
+	}
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,12 +1,13 @@
 import {Alarm, type Body, channel, receive, tryDeliver, tryReceive} from '../concurrency/index.js';
 import {Verdict} from '../model/index.js';
-import {type Demand, failoverAt} from '../policy/dispatch/index.js';
+import {type Demand} from '../policy/dispatch/index.js';
 import {RouteKind} from '../routing/index.js';
 import {ResponseForwarder} from './response-forwarder.js';
 import {Attempt} from './attempt.js';
 import {AttemptState, type Outcome} from './attempt-state.js';
+import {AttemptTimeouts} from './attempt-timeouts.js';
 import {type Decision} from './decision.js';
-import {reportCrashEvidence, reportOutcome, reportResponse, reportSilence} from './outcome-report.js';
+import {reportCrashEvidence, reportOutcome, reportResponse} from './outcome-report.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {sendErrorResponse} from './error-response.js';
 import {RequestUsage} from './duties/index.js';
@@ -34,6 +35,7 @@
 	#attempts = 0;
 	#attemptNumber = 0;
 	readonly #forwarder: ResponseForwarder;
+	readonly #timeouts: AttemptTimeouts;
 	readonly #usage: RequestUsage;
 	#waitedMilliseconds = 0;
 
@@ -54,6 +56,7 @@
 				tryDeliver(this.#inbox, {type: 'drained'});
 			},
 		});
+		this.#timeouts = AttemptTimeouts.create({exchange: options, deadlineAt: this.#deadlineAt, retryProgress: this.#retryProgress, forwarder: this.#forwarder, excluded: this.#excluded});
 	}
 
 	/** Runs until the final response is sent or the caller has disconnected. */
@@ -185,10 +188,9 @@
 	}
 
 	* #awaitOutcome(state: AttemptState, alarm: Alarm): Body<Outcome> {
-		const sentAt = performance.now();
 		for (;;) {
-			// Forwarded bytes can postpone a timeout without an event here; `#checkTimeouts` compares the times again when the timer fires.
-			alarm.set(this.#nextAlarm(state, sentAt));
+			// Forwarded bytes can postpone a timeout without an event here; `check` compares the times again when the timer fires.
+			alarm.set(this.#timeouts.nextMilliseconds(state));
 			const event = (yield * receive(this.#inbox))!;
 			switch (event.type) {
 				case 'left': {
@@ -206,7 +208,7 @@
 				}
 
 				case 'alarm': {
-					const outcome = alarm.hasFired ? this.#checkTimeouts(state, sentAt) : undefined;
+					const outcome = alarm.hasFired ? this.#timeouts.check(state) : undefined;
 					if (outcome !== undefined) {
 						return outcome;
 					}
@@ -223,52 +225,6 @@
 		}
 	}
 
-	#nextAlarm(state: AttemptState, sentAt: number): number {
-		const now = performance.now();
-		const silentAt = state.hasReportedSilence ? Infinity : this.#silentAt(state, sentAt);
-		return Math.max(0, Math.min(this.#deadlineAt, this.#failoverAt(state, sentAt), silentAt, state.suspectAt ?? Infinity) - now);
-	}
-
-	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again. */
-	#failoverAt(state: AttemptState, sentAt: number): number {
-		return this.#retryProgress.mayRunElsewhere ? this.#silentAt(state, sentAt) : Infinity;
-	}
-
-	/** When the endpoint has sent nothing for too long; infinite if the caller reads too slowly. */
-	#silentAt(state: AttemptState, sentAt: number): number {
-		if (this.#forwarder.isPaused) {
-			return Infinity;
-		}
-
-		const {targetMilliseconds, longestPauseMilliseconds} = this.#options.route;
-		return failoverAt({sentAt, lastEventAt: state.lastEventAt, targetMilliseconds, longestPauseMilliseconds, expectedMilliseconds: state.decision.expectedMilliseconds});
-	}
-
-	#checkTimeouts(state: AttemptState, sentAt: number): Outcome | undefined {
-		const now = performance.now();
-		if (now >= this.#deadlineAt) {
-			return {type: 'expired'};
-		}
-
-		if (state.suspectAt !== undefined && now >= state.suspectAt) {
-			state.suspectAt = undefined;
-			this.#options.dispatcher.endpoints.report(state.decision.record, 'unreachable');
-		}
-
-		if (!state.hasReportedSilence && now >= this.#silentAt(state, sentAt)) {
-			state.hasReportedSilence = true;
-			reportSilence(this.#options.crashes, this.#options.request, state);
-		}
-
-		if (now >= this.#failoverAt(state, sentAt) && this.#options.dispatcher.endpoints.hasAnother(this.#demand.service, this.#excluded, state.decision.record)) {
-			return {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'silent', isSilent: true};
-		}
-
-		// The timer fired early, or no other endpoint is available: check again after another pause.
-		state.lastEventAt = state.lastEventAt === undefined ? undefined : now;
-		return undefined;
-	}
-
 	/** Decides whether the request is retried; if not, its final response is sent at once. */
 	#shouldRetry(outcome: Outcome): boolean {
 		if (outcome.type === 'failed' && this.#mayRetry(outcome)) {
