--- a/test/gateway/crash-archive.test.ts
+++ b/test/gateway/crash-archive.test.ts
@@ -1,5 +1,6 @@
 import tap from 'tap';
 import {CrashArchive, CrashLedger, type CrashStore, type StoredCrash, type StoredCrashes} from '../../src/gateway/index.js';
+import {rankByRendezvous} from '../../src/policy/hashing/index.js';
 import {quarantineMilliseconds} from '../../src/policy/quarantine/index.js';
 import {eventually} from './testbed.js';
 
@@ -66,22 +67,26 @@
 
 // An instance that was taken away for good never removes what it stored.
 tap.test('what an instance that is gone has stored is removed by one of the others', async t => {
+	const present = Array.from({length: 30}, (_, number) => `instance-${number}`);
+	const isOfFirst = (name: string): boolean => rankByRendezvous(name, present)[0] === present[0];
+	const gone = Array.from({length: 300}, (_, number) => `gone-${number}`).find(name => isOfFirst(name))!;
+	const living = present.slice(1).find(name => isOfFirst(name))!;
 	const store = MemoryStore.create();
-	for (const name of ['gone', 'b']) {
+	for (const name of [gone, living]) {
 		store.stored.set(name, [{crash: 'x', endpoint: 'x', fingerprints: ['f'], ageMilliseconds: 0}]);
 	}
 
-	const members = ['a', 'b', 'c'].map(instance => startInstance(store, {instance, instances: ['a', 'b', 'c']}));
+	const members = present.filter(name => name !== living).map(instance => startInstance(store, {instance, instances: present}));
 	await eventually(() => members.every(({ledger}) => ledger.crashCount === 1));
 	const later = performance.now() + quarantineMilliseconds;
 	const {calls} = store;
-	for (const {archive} of members.filter((_, index) => index !== 1)) {
+	for (const {archive} of members) {
 		archive.prune(later);
 	}
 
-	await eventually(() => !store.stored.has('gone'));
+	await eventually(() => !store.stored.has(gone));
 	t.equal(store.calls, calls + 1);
-	t.ok(store.stored.has('b'), 'one that is there removes its own');
+	t.ok(store.stored.has(living), 'one that is there removes its own');
 });
 
 tap.test('a store that is down gets the crashes once it is back', async t => {
