--- a/test/gateway/crash-archive.test.ts
+++ b/test/gateway/crash-archive.test.ts
@@ -72,7 +72,7 @@
 	const gone = Array.from({length: 300}, (_, number) => `gone-${number}`).find(name => isOfFirst(name))!;
 	const living = present.slice(1).find(name => isOfFirst(name))!;
 	const store = MemoryStore.create();
-	for (const name of [gone, living]) {
+	for (const name of [living, gone]) {
 		store.stored.set(name, [{crash: 'x', endpoint: 'x', fingerprints: ['f'], ageMilliseconds: 0}]);
 	}
 
