--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {crashEvidenceCommand} from './crash-evidence/index.js';
 import {decisionsCommand} from './decisions/index.js';
 import {controlCommand} from './control/index.js';
 import {loadCommand} from './load/index.js';
@@ -19,6 +20,7 @@
 	.command(limitsCommand)
 	.command(rateLimitCommand)
 	.command(retrySharesCommand)
+	.command(crashEvidenceCommand)
 	.command(lossesCommand)
 	.command(gatewaySoakCommand)
 	.command(gatewayLoadCommand)
