--- a/bench/gateway-soak/caller.ts
+++ b/bench/gateway-soak/caller.ts
@@ -11,6 +11,8 @@
 	status: number;
 	body: string;
 	isWhole: boolean;
+	/** When the caller is told to come back, if it is. */
+	retryAfterSeconds?: number;
 };
 
 export const kinds: readonly Kind[] = ['lookup', 'release', 'chart', 'question'];
@@ -29,6 +31,10 @@
 		});
 		sent.once('response', response => {
 			record.status = response.statusCode ?? 0;
+			if (response.headers['retry-after'] !== undefined) {
+				record.retryAfterSeconds = Number(response.headers['retry-after']);
+			}
+
 			response.on('data', (part: Uint8Array) => {
 				record.body += Buffer.from(part).toString();
 			});
--- a/bench/gateway-soak/crash-course.ts
+++ b/bench/gateway-soak/crash-course.ts
@@ -1,7 +1,8 @@
 /**
  * Real gateways, and callers that send requests again and again that crash each endpoint that runs them, beside ordinary traffic. The endpoints
  * close their connections or fall silent, at once, some time after the start or in the middle of a stream. The gateways are killed, restarted,
- * frozen and cut off meanwhile. Once a request has crashed three endpoints it must hardly reach any more.
+ * frozen and cut off meanwhile, endpoints lose answers or their links are held up. Once a request has crashed three endpoints it must hardly reach
+ * any more, and no other one may be refused for as long.
  */
 import {type WorkerRequest} from '../../fakes/platform-worker.js';
 import {type Kind, sendRequest, type ExchangeRecord} from './caller.js';
@@ -23,6 +24,14 @@
 const laterMilliseconds = 300;
 const eventsBefore = 2;
 
+/** What else goes wrong: endpoints lose answers, or the link to one is held up again and again. */
+const besides = ['nothing', 'lost-answers', 'held-links'] as const;
+type Beside = (typeof besides)[number];
+const heldMilliseconds = {low: 300, high: 3000};
+const heldPauseMilliseconds = 700;
+/** A request that is told to come back later than this counts as quarantined. */
+const longRefusalSeconds = 30;
+
 /** Number of crashes after which further runs count, from `noticeMilliseconds` later on, and how many of these are allowed. */
 const freeCrashes = 3;
 const allowedRuns = 3;
@@ -42,7 +51,8 @@
 	const crashing = [plainestRequest, ...[validKey, revokedKey].map((key, index) => drawCrashingRequest(world, `c${index + 1}`, key))];
 	platform.crashOn = ({path}) => crashing.find(one => one.path === path)?.answer;
 	const notReady = await world.listNotReady();
-	const faults = world.injectFaults(faultCount, faultsWithin);
+	const beside = world.random.pick(besides);
+	const faults = Promise.all([world.injectFaults(faultCount, faultsWithin), injectBeside(world, beside)]);
 	const sent = await Promise.all([sendOrdinary(world, options.seed), ...crashing.map(async one => sendCrashing(world, one))]);
 	const records = sent.flat();
 	await faults;
@@ -51,10 +61,11 @@
 	const ordinary = records.filter(({id}) => id.startsWith('s'));
 	return {
 		seed: options.seed, requests: records.length, served: ordinary.filter(({status, isWhole}) => status === 200 && isWhole).length,
-		faults: [...crashing.map(({kind, pauseMilliseconds, answer}) => `${kind} every ${pauseMilliseconds} ms ${JSON.stringify(answer)}`), ...injected],
+		faults: [beside, ...crashing.map(({kind, pauseMilliseconds, answer}) => `${kind} every ${pauseMilliseconds} ms ${JSON.stringify(answer)}`), ...injected],
 		violations: [
 			...notReady,
 			...violations(ordinary, workers),
+			...refusalViolations(ordinary),
 			...crashing.flatMap(one => crashViolations(one, {runs: runs.filter(({path}) => path === one.path), disturbances, gateways: options.gateways})),
 		], lines: world.lines,
 	};
@@ -67,6 +78,38 @@
 	return {name, kind, key, path: `/${kind}/crash-${name}`, pauseMilliseconds: random.pick(crashingPauses), answer: {type: 'crash', isSilent: random.uniform() < 0.5, ...more}};
 }
 
+/** Lets endpoints lose answers, or holds up their links, until shortly before the traffic ends. */
+async function injectBeside(world: CourseWorld, beside: Beside): Promise<void> {
+	switch (beside) {
+		case 'nothing': {
+			return;
+		}
+
+		case 'lost-answers': {
+			world.platform.answerMode = 'reset';
+			return;
+		}
+
+		case 'held-links': {
+			const until = performance.now() + (trafficMilliseconds * 0.8);
+			while (performance.now() < until) {
+				await sleep(heldPauseMilliseconds);
+				await holdLink(world);
+			}
+		}
+	}
+}
+
+/** Holds up the link to an endpoint for a time; one that has crashed meanwhile stays silent. */
+async function holdLink(world: CourseWorld): Promise<void> {
+	const held = world.random.pick(world.platform.workers.filter(({hasCrashed}) => !hasCrashed));
+	held.path.faults.silent = true;
+	await sleep(world.between(heldMilliseconds));
+	if (!held.hasCrashed) {
+		held.path.heal();
+	}
+}
+
 async function sendOrdinary({gateways}: CourseWorld, seed: number): Promise<ExchangeRecord[]> {
 	const records: Array<Promise<ExchangeRecord>> = [];
 	const until = performance.now() + trafficMilliseconds;
@@ -90,6 +133,11 @@
 	return Promise.all(records);
 }
 
+function refusalViolations(ordinary: readonly ExchangeRecord[]): string[] {
+	const refused = ordinary.filter(({retryAfterSeconds = 0}) => retryAfterSeconds > longRefusalSeconds);
+	return refused.length === 0 ? [] : [`${refused.length} requests that crash nothing were refused for ${refused[0]!.retryAfterSeconds} s`];
+}
+
 type CrashRuns = {readonly runs: readonly WorkerRequest[]; readonly disturbances: readonly Disturbance[]; readonly gateways: number};
 
 function crashViolations({name, kind, pauseMilliseconds, answer}: CrashingRequest, {runs, disturbances, gateways}: CrashRuns): string[] {
--- a/bench/gateway-soak/soak-platform.ts
+++ b/bench/gateway-soak/soak-platform.ts
@@ -17,7 +17,7 @@
 export const revokedKey = 'key-b';
 
 export type CrashAnswer = Extract<WorkerAnswer, {type: 'crash'}>;
-export type SoakWorker = {readonly worker: FakePlatformWorker; readonly path: FakePath; revision: number; isDraining: boolean};
+export type SoakWorker = {readonly worker: FakePlatformWorker; readonly path: FakePath; revision: number; isDraining: boolean; hasCrashed: boolean};
 
 function crashesNever(): undefined {
 	return undefined;
@@ -60,7 +60,9 @@
 	async addWorker(id: string, service: string): Promise<void> {
 		const worker = await FakePlatformWorker.create(id, service);
 		const path = await FakePath.create(worker.address);
+		const added = {worker, path, revision: 0, isDraining: false, hasCrashed: false};
 		worker.onCrash = ({isSilent}) => {
+			added.hasCrashed = true;
 			path.faults.silent = isSilent;
 			setTimeout(() => {
 				this.store.put('keyed.servers', id);
@@ -71,7 +73,6 @@
 		};
 
 		worker.answer = request => this.crashOn(request) ?? (worker.statements['Retry-After'] === undefined ? this.#answer(request) : {type: 'not-run'});
-		const added = {worker, path, revision: 0, isDraining: false};
 		this.workers.push(added);
 		this.#register(added);
 	}
