A caller that leaves early makes no endpoint suspect; one log line for each time that an endpoint stops responding

Found by reading the diff: a caller that leaves before an answer is due left evidence of silence. At an endpoint without other traffic nothing refutes it, so the endpoint was suspected for ten seconds, and a request that then silenced it passed for innocent, being sent after the silence. Each of them wrote a line, without a bound.

--- a/src/gateway/crash-monitor.ts
+++ b/src/gateway/crash-monitor.ts
@@ -49,7 +49,10 @@
 		const watched = this.#watched.get(key) ?? {record, state: noEvidence, timer: undefined};
 		this.#watched.set(key, watched);
 		this.#options.onEvidence('unanswered');
-		this.#options.logger.info('Endpoint leaves a request unanswered.', {endpoint: record.id, service: record.service, fingerprint: request.fingerprint, sign: request.sign, sent: Math.round(now - request.sentAt)});
+		if (watched.state.requests.length === 0) {
+			this.#options.logger.info('Endpoint leaves a request unanswered.', {endpoint: record.id, service: record.service, fingerprint: request.fingerprint, sign: request.sign, sent: Math.round(now - request.sentAt)});
+		}
+
 		this.#step(watched, {type: 'unanswered', request: {...request, at: now}}, now);
 		if (this.#options.isLost(record)) {
 			this.#step(watched, {type: 'lost'}, now);
--- a/src/gateway/outcome-report.ts
+++ b/src/gateway/outcome-report.ts
@@ -31,7 +31,7 @@
 }
 
 /** Tells the ledger whether the attempt may have crashed its endpoint, or has shown that the request can run to its end. */
-export function reportCrashEvidence(crashes: CrashLedger, request: RepeatableRequest, outcome: Outcome, {attempt, decision, startedAt, status}: AttemptState): void {
+export function reportCrashEvidence(crashes: CrashLedger, request: RepeatableRequest, outcome: Outcome, {attempt, decision, startedAt, status, firstEventAt}: AttemptState): void {
 	const now = performance.now();
 	if (outcome.type === 'done') {
 		if (isSuccess(status)) {
@@ -41,7 +41,7 @@
 		return;
 	}
 
-	const sign = signOfCrash(outcome);
+	const sign = signOfCrash(outcome, firstEventAt !== undefined);
 	if (sign !== undefined && attempt.mayHaveReachedEndpoint) {
 		crashes.recordUnanswered(decision.record, request, {sentAt: startedAt, sign, now});
 	}
@@ -54,16 +54,22 @@
 	}
 }
 
-/** What an attempt without a complete response shows of its endpoint: after a break or in silence, it may have crashed. */
-function signOfCrash(outcome: Exclude<Outcome, {type: 'done'}>): 'break' | 'silence' | undefined {
+/**
+ * What an attempt without a complete response shows of its endpoint: after a break or in silence, it may have crashed. A caller that leaves, or
+ * a stream that runs into the deadline, shows nothing; if the endpoint had been silent until then, it has been reported already.
+ */
+function signOfCrash(outcome: Exclude<Outcome, {type: 'done'}>, hasEvents: boolean): 'break' | 'silence' | undefined {
 	switch (outcome.type) {
 		case 'failed': {
 			return outcome.connection === 'broken' ? 'break' : (outcome.isSilent === true ? 'silence' : undefined);
 		}
 
-		case 'left':
 		case 'expired': {
-			return 'silence';
+			return hasEvents ? undefined : 'silence';
+		}
+
+		case 'left': {
+			return undefined;
 		}
 	}
 }
