Other instances are told of a request only once it is suspected of a second crash

The first suspicion of a request now stays with the instance; a second crash, certain or suspected, tells both, and what was told is taken back at all. Certain crashes are told as before.

--- a/bench/crash-evidence/simulation.ts
+++ b/bench/crash-evidence/simulation.ts
@@ -1,6 +1,6 @@
 import {type CrashEvidence, type EvidenceEvent, nextEvidenceAt, noEvidence, stepEvidence} from '../../src/policy/crashes/index.js';
 import {
-	addCompletion, type Completions, countedCrashes, createQuarantine, foldPending, foldQuarantine, isClearedByRun, noPendingCrashes, pendingCrashesOf, type PendingRecord,
+	addCompletion, type Completions, countedCrashes, createQuarantine, foldPending, foldQuarantine, isClearedByRun, noPendingCrashes, type PendingRecord, pendingRecordsOf,
 } from '../../src/policy/quarantine/index.js';
 import {createRandom, type Random} from '../harness/random.js';
 import {Timeline} from './timeline.js';
@@ -196,14 +196,14 @@
 			this.#quarantine = foldQuarantine(this.#quarantine, {type: 'cleared', fingerprint, crashes: [crash], time: this.#now});
 		}
 
-		for (const crash of pendingCrashesOf(this.#pending, fingerprint, this.#now)) {
+		for (const crash of pendingRecordsOf(this.#pending, fingerprint, this.#now).map(({crash}) => crash)) {
 			this.#addPending('dismissed', crash, [fingerprint]);
 		}
 	}
 
 	#isRefused(fingerprint: string): boolean {
 		const certain = countedCrashes(this.#quarantine, fingerprint, this.#now).map(({crash}) => crash);
-		const pending = this.#scenario.way === 'pending' ? pendingCrashesOf(this.#pending, fingerprint, this.#now) : [];
+		const pending = this.#scenario.way === 'pending' ? pendingRecordsOf(this.#pending, fingerprint, this.#now).map(({crash}) => crash) : [];
 		const isRefused = new Set([...certain, ...pending]).size >= threshold;
 		if (isRefused && fingerprint !== crashingFingerprint) {
 			this.#refused += 1;
--- a/src/gateway/crash-ledger.ts
+++ b/src/gateway/crash-ledger.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {sha256} from '../model/index.js';
 import {
-	addCompletion, type Completions, countedCrashes, type CrashRecord, createQuarantine, foldPending, foldQuarantine, isClearedByRun, noPendingCrashes, openCrashes, pendingCrashesOf, type PendingRecord, prunePending, pruneQuarantine,
+	addCompletion, type Completions, countedCrashes, type CrashRecord, createQuarantine, foldPending, foldQuarantine, isClearedByRun, noPendingCrashes, openCrashes, type PendingRecord, pendingRecordsOf, prunePending, pruneQuarantine,
 	quarantineMilliseconds, type QuarantineRecord,
 } from '../policy/quarantine/index.js';
 import {type EndpointRecord} from '../routing/index.js';
@@ -51,20 +51,18 @@
 	#state = createQuarantine();
 	#pending = noPendingCrashes;
 	readonly #completions: Completions = new Map();
+	/** Pending crashes of requests that other instances know too. */
+	readonly #told = new Set<string>();
 
 	private constructor(options: CrashLedgerOptions) {
 		this.#options = options;
-		const addPending = (type: PendingRecord['type'], {crash, fingerprints}: CrashOf): void => {
-			this.#add({records: [], pending: [{type, crash, fingerprints: [...fingerprints], time: performance.now()}]}, 'own attempt');
-		};
-
 		this.monitor = CrashMonitor.create({
 			...options,
-			onSuspect(suspicion) {
-				addPending('pending', suspicion);
+			onSuspect: suspicion => {
+				this.#suspect(suspicion);
 			},
-			onDismiss(dismissal) {
-				addPending('dismissed', dismissal);
+			onDismiss: ({crash, fingerprints}) => {
+				this.#dismiss([{type: 'dismissed', crash, fingerprints: [...fingerprints], time: performance.now()}], 'own attempt');
 			},
 			onCrash: ({crash, record, fingerprints, at}) => {
 				this.#add({records: [{type: 'crashed', crash, endpoint: record.id, fingerprints: [...fingerprints], time: at}], pending: []}, 'own attempt');
@@ -105,8 +103,8 @@
 			return {type: 'quarantined', fingerprint, crashes: certain.length, remainingMilliseconds: times[crashThreshold - 1]! + quarantineMilliseconds - now};
 		}
 
-		const possible = new Set([...certain.map(({crash}) => crash), ...pendingCrashesOf(this.#pending, fingerprint, now)]);
-		return possible.size < crashThreshold ? undefined : {type: 'suspected', fingerprint, crashes: possible.size, remainingMilliseconds: suspectedRetryMilliseconds};
+		const crashes = this.#countPossible(fingerprint, now);
+		return crashes < crashThreshold ? undefined : {type: 'suspected', fingerprint, crashes, remainingMilliseconds: suspectedRetryMilliseconds};
 	}
 
 	/** Records that an endpoint has left a request unanswered: its connection broke, or it has been silent for longer than usual. */
@@ -120,12 +118,13 @@
 		addCompletion(this.#completions, fingerprint, now);
 		if (this.#state.crashes.size > 0 || this.#pending.size > 0) {
 			this.#clear(fingerprint, countedCrashes(this.#state, fingerprint, now).map(({crash}) => crash), now);
-			this.#dismiss(fingerprint, pendingCrashesOf(this.#pending, fingerprint, now), now);
+			this.#dismiss(pendingRecordsOf(this.#pending, fingerprint, now).map(record => ({...record, type: 'dismissed', time: now})), 'response');
 		}
 	}
 
 	/** Applies what another instance tells, with times on the clock of this one. */
 	applyNews(news: CrashNews, source: string): void {
+		this.#recordTold(news.pending);
 		this.#add(news, source);
 	}
 
@@ -138,36 +137,79 @@
 		this.#state = pruneQuarantine(this.#state, now);
 		this.#pending = prunePending(this.#pending, now);
 		this.monitor.prune(now);
+		if (this.#pending.size === 0) {
+			this.#told.clear();
+		}
+	}
+
+	/** Number of crashes that count against a request, certain or pending. */
+	#countPossible(fingerprint: string, now: number): number {
+		return new Set([...countedCrashes(this.#state, fingerprint, now), ...pendingRecordsOf(this.#pending, fingerprint, now)].map(({crash}) => crash)).size;
+	}
+
+	/**
+	 * Adds a suspicion. Other instances are told only of requests that are suspected of another crash too: under overload many endpoints seem
+	 * silent for a moment, and each of these would be a message from every instance to every neighbour.
+	 */
+	#suspect({crash, fingerprints}: CrashOf): void {
+		const now = performance.now();
+		const repeated = fingerprints.filter(fingerprint => this.#countPossible(fingerprint, now) > 0);
+		this.#clearCompleted(this.#fold({records: [], pending: [{type: 'pending', crash, fingerprints: [...fingerprints], time: now}]}, 'own attempt'));
+		const told = repeated.flatMap(fingerprint => pendingRecordsOf(this.#pending, fingerprint, now));
+		if (told.length > 0) {
+			this.#recordTold(told);
+			this.#options.onNews({records: [], pending: told});
+		}
+	}
+
+	/** Takes suspicions back, at the other instances too if they know them. */
+	#dismiss(dismissals: readonly PendingRecord[], source: string): void {
+		const told = this.#fold({records: [], pending: dismissals}, source).pending.filter(({crash, fingerprints}) => fingerprints.some(fingerprint => this.#told.has(toldKey(crash, fingerprint))));
+		if (told.length > 0) {
+			this.#options.onNews({records: [], pending: told});
+		}
+	}
+
+	#recordTold(pending: readonly PendingRecord[]): void {
+		for (const {crash, fingerprints} of pending) {
+			for (const fingerprint of fingerprints) {
+				this.#told.add(toldKey(crash, fingerprint));
+			}
+		}
 	}
 
 	/** Adds what is told and passes on what is new, so that it reaches instances without a link to its writer. */
 	#add(news: CrashNews, source: string): void {
-		const records = news.records.filter(record => {
+		const added = this.#fold(news, source);
+		if (added.records.length > 0 || added.pending.length > 0) {
+			this.#options.onNews(added);
+			this.#clearCompleted(added);
+		}
+	}
+
+	/** Adds what is told; returns what is new. */
+	#fold({records, pending}: CrashNews, source: string): CrashNews {
+		const newRecords = records.filter(record => {
 			const next = foldQuarantine(this.#state, record);
 			const isNew = next !== this.#state;
 			this.#state = next;
 			return isNew;
 		});
-		const pending = news.pending.filter(record => {
+		const newPending = pending.filter(record => {
 			const next = foldPending(this.#pending, record);
 			const isNew = next !== this.#pending;
 			this.#pending = next;
 			return isNew;
 		});
-		if (records.length === 0 && pending.length === 0) {
-			return;
-		}
-
-		this.#options.onNews({records, pending});
-		for (const record of records) {
+		for (const record of newRecords) {
 			this.#log(record, source);
 		}
 
-		for (const {type, crash, fingerprints} of pending) {
+		for (const {type, crash, fingerprints} of newPending) {
 			this.#options.logger.info(type === 'pending' ? 'Crash is pending.' : 'Crash is dismissed.', {crash, requests: fingerprints.length, source});
 		}
 
-		this.#clearCompleted({records, pending});
+		return {records: newRecords, pending: newPending};
 	}
 
 	/** Clears requests of new crashes beside which they ran to their end elsewhere. */
@@ -183,7 +225,7 @@
 
 		for (const {crash, fingerprints, time} of pending.filter(({type}) => type === 'pending')) {
 			for (const fingerprint of fingerprints.filter(one => isClearedByRun(this.#completions, one, time))) {
-				this.#dismiss(fingerprint, [crash], now);
+				this.#dismiss([{type: 'dismissed', crash, fingerprints: [fingerprint], time: now}], 'response');
 			}
 		}
 	}
@@ -194,12 +236,6 @@
 		}
 	}
 
-	#dismiss(fingerprint: string, crashes: readonly string[], now: number): void {
-		if (crashes.length > 0) {
-			this.#add({records: [], pending: crashes.map(crash => ({type: 'dismissed', crash, fingerprints: [fingerprint], time: now}))}, 'response');
-		}
-	}
-
 	#log(record: QuarantineRecord, source: string): void {
 		const {logger} = this.#options;
 		if (record.type !== 'crashed') {
@@ -217,6 +253,10 @@
 	}
 }
 
+function toldKey(crash: string, fingerprint: string): string {
+	return `${crash}\n${fingerprint}`;
+}
+
 /** Hash of the parts that stay the same when a caller sends a request again. The body is opaque, so any change of it makes another request. */
 function fingerprintOf({workspace = '', method, path, body = new Uint8Array()}: RepeatableRequest): string {
 	return sha256(Buffer.concat([Buffer.from(`${workspace}\n${method}\n${path}\n`), body])).slice(0, 32);
--- a/src/policy/quarantine/index.ts
+++ b/src/policy/quarantine/index.ts
@@ -15,7 +15,7 @@
 
 export {fingerprintOf} from './fingerprint.js';
 export {addCompletion, type Completions, isClearedByRun} from './completions.js';
-export {foldPending, noPendingCrashes, pendingCrashesOf, pendingMilliseconds, type PendingCrashes, type PendingRecord, pendingRecordSchema, prunePending} from './pending.js';
+export {foldPending, noPendingCrashes, pendingMilliseconds, pendingRecordsOf, type PendingCrashes, type PendingRecord, pendingRecordSchema, prunePending} from './pending.js';
 export {maxNamed, quarantineRecordSchema, type ClearedRecord, type CrashRecord, type QuarantineRecord, type ReleasedRecord} from './records.js';
 
 /** How long a crash counts. A caller that sends the request again does so within minutes. */
--- a/src/policy/quarantine/pending.ts
+++ b/src/policy/quarantine/pending.ts
@@ -41,13 +41,12 @@
 	return new Map(state).set(crash, new Map([...before, ...added.map(fingerprint => [fingerprint, {type, time}] as const)]));
 }
 
-/** Pending crashes that count against a request at a time. */
-export function pendingCrashesOf(state: PendingCrashes, fingerprint: string, now: number): string[] {
-	const counted = [...state].filter(([, requests]) => {
+/** Pending crashes that count against a request at a time, each as a record of its own. */
+export function pendingRecordsOf(state: PendingCrashes, fingerprint: string, now: number): PendingRecord[] {
+	return [...state].flatMap(([crash, requests]) => {
 		const found = requests.get(fingerprint);
-		return found?.type === 'pending' && now - found.time < pendingMilliseconds;
+		return found?.type === 'pending' && now - found.time < pendingMilliseconds ? [{type: 'pending', crash, fingerprints: [fingerprint], time: found.time}] : [];
 	});
-	return counted.map(([crash]) => crash);
 }
 
 /** Drops statements that no longer count. */
--- a/test/gateway/crash-ledger.test.ts
+++ b/test/gateway/crash-ledger.test.ts
@@ -1,6 +1,6 @@
 import tap from 'tap';
 import {CrashLedger, type RepeatableRequest} from '../../src/gateway/index.js';
-import {quarantineMilliseconds, type QuarantineRecord, quarantineRecordSchema} from '../../src/policy/quarantine/index.js';
+import {type PendingRecord, quarantineMilliseconds, type QuarantineRecord, quarantineRecordSchema} from '../../src/policy/quarantine/index.js';
 import {type EndpointRecord} from '../../src/routing/index.js';
 import {type ZoneName} from '../../src/model/index.js';
 
@@ -13,18 +13,20 @@
 	return {id, service: 'models', address: '127.0.0.1:1', zone: 'z' as ZoneName, isLeaving: false, slots: 4, revision: 1, ...(bornAt !== undefined && {bornAt})};
 }
 
-function createLedger(): {ledger: CrashLedger; sent: QuarantineRecord[]} {
+function createLedger(): {ledger: CrashLedger; sent: QuarantineRecord[]; sentPending: PendingRecord[]} {
 	const sent: QuarantineRecord[] = [];
+	const sentPending: PendingRecord[] = [];
 	const ledger = CrashLedger.create({
 		logger: silentLogger,
 		isLost: () => false,
-		onNews({records}) {
+		onNews({records, pending}) {
 			sent.push(...records);
+			sentPending.push(...pending);
 		},
 		onOwnCrash: () => undefined,
 		onEvidence: () => undefined,
 	});
-	return {ledger, sent};
+	return {ledger, sent, sentPending};
 }
 
 async function untilConfirmed(): Promise<void> {
@@ -151,6 +153,35 @@
 	t.equal(ledger.quarantineOf(request, performance.now()), undefined, 'unless it runs to its end');
 });
 
+// Under overload endpoints seem silent for a moment all the time; each instance told each neighbour of each of them.
+tap.test('other instances are told of a request that is suspected twice, and of the end of what they were told', async t => {
+	const {ledger, sentPending} = createLedger();
+	const now = performance.now();
+	ledger.recordUnanswered(endpoint('a'), request, {sentAt: now - 700, sign: 'silence', now});
+	await untilConfirmed();
+	t.same(sentPending, [], 'not of the first suspicion');
+	ledger.monitor.recordResponse(endpoint('a'), now, performance.now());
+	t.same(sentPending, [], 'nor of its end');
+	for (const id of ['b', 'c']) {
+		ledger.recordUnanswered(endpoint(id), request, {sentAt: now - 700, sign: 'silence', now: performance.now()});
+	}
+
+	await untilConfirmed();
+	t.same(sentPending.map(({type, crash}) => `${type} ${crash}`).toSorted(), ['pending b', 'pending c']);
+	ledger.monitor.recordResponse(endpoint('b'), performance.now(), performance.now() + 10);
+	t.match(sentPending.at(-1), {type: 'dismissed', crash: 'b'});
+});
+
+tap.test('what another instance suspects is passed on, and its end too', async t => {
+	const {ledger, sentPending} = createLedger();
+	const record: PendingRecord = {type: 'pending', crash: 'x', fingerprints: ['f'], time: performance.now()};
+	ledger.applyNews({records: [], pending: [record]}, 'instance x');
+	ledger.applyNews({records: [], pending: [record]}, 'instance y');
+	t.equal(sentPending.length, 1);
+	ledger.applyNews({records: [], pending: [{...record, type: 'dismissed', time: record.time + 100}]}, 'instance x');
+	t.equal(sentPending.length, 2);
+});
+
 // A record with more names than a message may have would end the links to all peers.
 tap.test('a crash under thousands of requests is told in a record of bounded size', async t => {
 	const {ledger, sent} = createLedger();
--- a/test/policy/pending-crashes.test.ts
+++ b/test/policy/pending-crashes.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import tap from 'tap';
-import {addCompletion, type Completions, foldPending, isClearedByRun, noPendingCrashes, pendingCrashesOf, pendingMilliseconds, type PendingCrashes, type PendingRecord, prunePending} from '../../src/policy/quarantine/index.js';
+import {addCompletion, type Completions, foldPending, isClearedByRun, noPendingCrashes, pendingMilliseconds, pendingRecordsOf, type PendingCrashes, type PendingRecord, prunePending} from '../../src/policy/quarantine/index.js';
 
 function fold(records: readonly PendingRecord[]): PendingCrashes {
 	let state = noPendingCrashes;
@@ -11,6 +11,10 @@
 	return state;
 }
 
+function pendingCrashesOf(state: PendingCrashes, fingerprint: string, now: number): string[] {
+	return pendingRecordsOf(state, fingerprint, now).map(({crash}) => crash);
+}
+
 const pending = (time: number, crash = 'x'): PendingRecord => ({type: 'pending', crash, fingerprints: ['a'], time});
 const dismissed = (time: number): PendingRecord => ({...pending(time), type: 'dismissed'});
 
