A request is weighed by its runs and its crashes: one success clears it of crashes no longer

Callers saw: a request under which two of three runs end the endpoint went on for as long as it was sent; each success, wherever, cleared it of all crashes, at all instances.

Class: one sign taken for the fact. A run that an endpoint survives shows that this endpoint survived it, not that the others did.

Now complete runs are counted for each request that crashed an endpoint, by instance, largest count wins, and told once two crashes count. Without any run each endpoint counts, as before; with some, endpoints that crash within a second are one event (a rack that fails under a request of many callers), and ten runs outweigh one event.

--- a/bench/crash-evidence/index.ts
+++ b/bench/crash-evidence/index.ts
@@ -8,6 +8,10 @@
 
 const courses: ReadonlyArray<{readonly name: string; readonly scenario: Omit<Scenario, 'way' | 'seed'>}> = [
 	...[250, 1000, 2000].map(pause => ({name: `a crashing request every ${pause} ms`, scenario: {...quiet, crashingPauseMilliseconds: pause}})),
+	...[2, 3, 10].flatMap(every => [200, 500].map(pause => ({name: `a request every ${pause} ms that one of ${every} endpoints survives`, scenario: {...quiet, endpoints: 6 * every, survivorEvery: every, crashingPauseMilliseconds: pause}}))),
+	...[2, 10].map(every => ({name: `a request every 500 ms that all but one of ${every} endpoints survive`, scenario: {...quiet, endpoints: 6 * every, survivorEvery: -every, crashingPauseMilliseconds: 500}})),
+	{name: '18 of six endpoints fail one by one', scenario: {...quiet, endpoints: 6, silences: Array.from({length: 18}, (_, index) => ({at: 2000 + (index * 3000), count: 1}))}},
+	{name: 'three racks of ten fail one after the other', scenario: {...quiet, silences: [10_000, 20_000, 30_000].map(at => ({at, count: 10}))}},
 	{name: '18 endpoints fail one by one', scenario: {...quiet, silences: Array.from({length: 18}, (_, index) => ({at: 2000 + (index * 3000), count: 1}))}},
 	{name: 'a third of the endpoints fails at once', scenario: {...quiet, silences: [{at: 10_000, count: 20}]}},
 	{name: 'links to a third of the endpoints are cut for 5 s', scenario: {...quiet, silences: [{at: 10_000, count: 20, returnsAfter: 5000}]}},
--- a/src/bin/gateway-crashes.ts
+++ b/src/bin/gateway-crashes.ts
@@ -22,10 +22,11 @@
 export function openCrashes({instance, store, routingState, instances, onNews, metrics, logger}: CrashParts): Crashes {
 	const evidence = metrics.counter('gateway_crash_evidence_total', 'Evidence that a request crashed an endpoint, by what became of it.', ['verdict']);
 	const ledger = CrashLedger.create({
+		instance,
 		logger: forPart(logger, 'Crashes'),
 		isLost: record => isRegistrationLost(routingState, record),
 		onNews,
-		onOwnCrash() {
+		onOwnNews() {
 			archive.save();
 		},
 		onEvidence(verdict) {
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -287,7 +287,7 @@
 		onCrashNews(news, source) {
 			crashes.applyNews(news, source);
 		},
-		openCrashes: () => crashes.openCrashes(performance.now()),
+		crashNews: () => crashes.openNews(performance.now()),
 		onView(view) {
 			dispatcher.view = view;
 			dispatcher.statements.handleFleetChange(performance.now());
--- a/src/gateway/crash-archive.ts
+++ b/src/gateway/crash-archive.ts
@@ -92,7 +92,7 @@
 		const now = performance.now();
 		const crashes = stored.flatMap(one => one.crashes.map(({ageMilliseconds, ...crash}): CrashRecord => ({type: 'crashed', ...crash, time: now - ageMilliseconds})));
 		logger.info('Crashes read from the store.', {instances: stored.length, crashes: crashes.length});
-		ledger.applyNews({records: crashes, pending: []}, 'store');
+		ledger.applyNews({records: crashes}, 'store');
 		this.#hasStored ||= stored.some(one => one.instance === instance);
 		this.#storedBefore = stored.map(one => one.instance).filter(name => name !== instance);
 	}
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -4,7 +4,8 @@
 export {ConnectionPools} from './connection-pools.js';
 export {CrashArchive, type CrashStore, type StoredCrash, type StoredCrashes} from './crash-archive.js';
 export {CrashMonitor, type EvidenceVerdict} from './crash-monitor.js';
-export {CrashLedger, type CrashNews, type RepeatableRequest} from './crash-ledger.js';
+export {CrashLedger, type RepeatableRequest} from './crash-ledger.js';
+export {type CrashNews, CrashRecords, noCrashNews} from './crash-records.js';
 export {DecisionLog} from './decision-log.js';
 export {RefusalReason, type Decision, type WaitEstimate, type PlacementRequest} from './decision.js';
 export {Dispatcher} from './dispatcher.js';
--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -1,8 +1,7 @@
 import {decodeLoad, type LoadEvent, unflattenParts} from '../policy/dispatch/index.js';
-import {type CrashRecord} from '../policy/quarantine/index.js';
 import {type EndpointChange, positionOf} from '../routing/index.js';
 import {type Connection, type GatewayMessage, type MessageOf} from '../wire/index.js';
-import {type CrashNews} from './crash-ledger.js';
+import {type CrashNews} from './crash-records.js';
 import {type RoutingStateChange, type RoutingState} from './routing-state.js';
 import {type CachedPromptParts} from './prompt-cache-reader.js';
 import {type RateLimitReport} from './statement-registry.js';
@@ -37,7 +36,7 @@
 	/** Whether the peer has read the endpoints from the store lately. */
 	readonly knowsEndpoints: boolean;
 	readonly holderAnnouncement: MessageOf<'duty-holder'> | undefined;
-	readonly crashes: readonly CrashRecord[];
+	readonly crashes: CrashNews;
 	/** Milliseconds of the monotonic clock. */
 	readonly now: number;
 };
@@ -58,7 +57,7 @@
 	return [
 		...(tableInput === undefined ? [] : [{type: 'routing-version', version: tableInput.version} as const]),
 		...(changes.length === 0 ? [] : [{type: 'endpoints', changes} as const]),
-		...(crashes.length === 0 ? [] : [encodeCrashNews({records: crashes, pending: []}, now)]),
+		...(crashes.records.length === 0 ? [] : [encodeCrashNews(crashes, now)]),
 		...(holderAnnouncement === undefined ? [] : [holderAnnouncement]),
 	];
 }
@@ -76,14 +75,14 @@
 }
 
 /** The message that tells peers of crashes. */
-export function encodeCrashNews({records, pending}: CrashNews, now: number): MessageOf<'request-crashes'> {
-	return {type: 'request-crashes', records: [...records], pending: [...pending], now};
+export function encodeCrashNews({records, pending, runs}: CrashNews, now: number): MessageOf<'request-crashes'> {
+	return {type: 'request-crashes', records: [...records], pending: [...pending], runs: [...runs], now};
 }
 
 /** The news with times on the clock of this instance. */
-function decodeCrashNews({records, pending, now: sentAt}: MessageOf<'request-crashes'>, now: number): CrashNews {
+function decodeCrashNews({records, pending, runs, now: sentAt}: MessageOf<'request-crashes'>, now: number): CrashNews {
 	const shift = now - sentAt;
-	return {records: records.map(record => ({...record, time: record.time + shift})), pending: pending.map(record => ({...record, time: record.time + shift}))};
+	return {records: records.map(record => ({...record, time: record.time + shift})), pending: pending.map(record => ({...record, time: record.time + shift})), runs};
 }
 
 /** The sender of a message, and the state and callbacks that the message is applied to. */
--- a/src/gateway/peers-options.ts
+++ b/src/gateway/peers-options.ts
@@ -1,10 +1,9 @@
 import {type ZoneName} from '../model/index.js';
 import {type LoadEvent} from '../policy/dispatch/index.js';
-import {type CrashRecord} from '../policy/quarantine/index.js';
 import {type FleetView} from '../policy/sharing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type MessageOf, type Security} from '../wire/index.js';
-import {type CrashNews} from './crash-ledger.js';
+import {type CrashNews} from './crash-records.js';
 import {type RoutingState} from './routing-state.js';
 import {type CachedPromptParts} from './prompt-cache-reader.js';
 import {type RateLimitReport} from './statement-registry.js';
@@ -29,8 +28,8 @@
 	readonly onRateLimitReport: (report: RateLimitReport) => void;
 	/** Called when a peer tells of crashes; the records' times are on the clock of this instance. */
 	readonly onCrashNews: (news: CrashNews, source: string) => void;
-	/** The crashes that a new peer needs. */
-	readonly openCrashes: () => readonly CrashRecord[];
+	/** What a new peer needs to know of crashes. */
+	readonly crashNews: () => CrashNews;
 	/** The message that names the holder of the duties to a new peer, if this instance knows one. */
 	readonly holderAnnouncement: () => MessageOf<'duty-holder'> | undefined;
 	/** Called when a peer names the holder of the duties. */
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -253,8 +253,8 @@
 		this.roster.recordLinked(hello.instance, performance.now());
 		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
-		const {holderAnnouncement, openCrashes} = this.#options;
-		const newPeer = {knowsEndpoints: hello.knowsEndpoints, holderAnnouncement: holderAnnouncement(), crashes: openCrashes(), now: performance.now()};
+		const {holderAnnouncement, crashNews} = this.#options;
+		const newPeer = {knowsEndpoints: hello.knowsEndpoints, holderAnnouncement: holderAnnouncement(), crashes: crashNews(), now: performance.now()};
 		for (const message of initialMessages(this.#options.routingState, newPeer)) {
 			connection.send(message);
 		}
--- a/src/policy/quarantine/index.ts
+++ b/src/policy/quarantine/index.ts
@@ -14,8 +14,9 @@
 import {type ClearedRecord, type CrashRecord, maxNamed, type QuarantineRecord, type ReleasedRecord} from './records.js';
 
 export {fingerprintOf} from './fingerprint.js';
-export {addCompletion, type Completions, isClearedByRun} from './completions.js';
+export {addCompletion, type Completions, countRunsBeside} from './completions.js';
 export {foldPending, noPendingCrashes, pendingMilliseconds, pendingRecordsOf, type PendingCrashes, type PendingRecord, pendingRecordSchema, prunePending} from './pending.js';
+export {countRuns, type CountedRuns, foldRuns, needsRuns, noCountedRuns, pruneRuns, type RunRecord, runRecordSchema, weighCrashes} from './runs.js';
 export {maxNamed, quarantineRecordSchema, type ClearedRecord, type CrashRecord, type QuarantineRecord, type ReleasedRecord} from './records.js';
 
 /** How long a crash counts. A caller that sends the request again does so within minutes. */
--- /dev/null
+++ b/src/policy/quarantine/runs.ts
@@ -0,0 +1,79 @@
+/**
+ * Complete runs of requests that have crashed endpoints. Load pattern: a request ends most endpoints that run it, and some survive it. If one
+ * complete run cleared it of everything, it would go on crashing the others; if no run counted, a request that many callers send alike would be
+ * refused for ten minutes because endpoints failed beside it.
+ *
+ * Complete runs are therefore weighed against the times at which endpoints crashed. Without any run each endpoint counts, since a request that
+ * arrives many times at once may crash several endpoints within moments; with some, endpoints that crash together count as one event, as they
+ * do when a rack fails.
+ *
+ * The state is a set of largest counts by request and instance, so that records may arrive late, repeated and in any order.
+ */
+import {z} from 'zod';
+
+const id = z.string().min(1).max(256);
+
+/** How often a request has run to its end at an instance since the first crash that counts against it. */
+export const runRecordSchema = z.object({fingerprint: id, instance: id, runs: z.number().int().positive()});
+export type RunRecord = z.infer<typeof runRecordSchema>;
+
+/** Runs by request and instance. */
+export type CountedRuns = ReadonlyMap<string, ReadonlyMap<string, number>>;
+
+export const noCountedRuns: CountedRuns = new Map();
+
+/** Endpoints that crash within this time of the first one crash together. */
+const eventMilliseconds = 1000;
+/** Complete runs that outweigh one event. */
+const runsPerEvent = 10;
+/** Runs are counted for this many events more than are known, so that the next event does not find too few. */
+const spareEvents = 3;
+
+/** Adds a record; the same state if it says nothing new. */
+export function foldRuns(state: CountedRuns, {fingerprint, instance, runs}: RunRecord): CountedRuns {
+	const known = state.get(fingerprint);
+	return runs <= (known?.get(instance) ?? 0) ? state : new Map(state).set(fingerprint, new Map(known).set(instance, runs));
+}
+
+/** All runs of a request that are known. */
+export function countRuns(state: CountedRuns, fingerprint: string): number {
+	let sum = 0;
+	for (const runs of state.get(fingerprint)?.values() ?? []) {
+		sum += runs;
+	}
+
+	return sum;
+}
+
+/** Drops the runs of requests against which nothing counts any more. */
+export function pruneRuns(state: CountedRuns, isCounted: (fingerprint: string) => boolean): CountedRuns {
+	return new Map([...state].filter(([fingerprint]) => isCounted(fingerprint)));
+}
+
+/** How many crashes count against a request, by the times at which endpoints crashed with it and its complete runs. */
+export function weighCrashes(times: readonly number[], runs: number): number {
+	if (runs === 0) {
+		return times.length;
+	}
+
+	const events = countEvents(times);
+	return runs >= runsPerEvent * events ? 0 : events;
+}
+
+/** Whether more runs of a request may change how its crashes weigh, or will soon. */
+export function needsRuns(times: readonly number[], runs: number): boolean {
+	return runs < runsPerEvent * (countEvents(times) + spareEvents);
+}
+
+function countEvents(times: readonly number[]): number {
+	let events = 0;
+	let startedAt = -Infinity;
+	for (const time of times.toSorted((left, right) => left - right)) {
+		if (time - startedAt >= eventMilliseconds) {
+			events += 1;
+			startedAt = time;
+		}
+	}
+
+	return events;
+}
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {FailureKind, Verdict} from '../model/index.js';
-import {pendingRecordSchema, quarantineRecordSchema} from '../policy/quarantine/index.js';
+import {pendingRecordSchema, quarantineRecordSchema, runRecordSchema} from '../policy/quarantine/index.js';
 import {endpointChangeSchema, routingTableSchema} from '../routing/index.js';
 
 /**
@@ -149,11 +149,11 @@
 });
 
 /**
- * Gateway to gateway: endpoints that crashed, or may have, with the requests that ran there, and requests that were cleared of crashes.
- * Instances without support for pending crashes send none and ignore them.
+ * Gateway to gateway: endpoints that crashed, or may have, with the requests that ran there, requests that were cleared of crashes, and
+ * complete runs of such requests. Instances without support for pending crashes or runs send none and ignore them.
  */
 const requestCrashes = z.object({
-	type: z.literal('request-crashes'), records: z.array(quarantineRecordSchema), pending: z.array(pendingRecordSchema).default([]),
+	type: z.literal('request-crashes'), records: z.array(quarantineRecordSchema), pending: z.array(pendingRecordSchema).default([]), runs: z.array(runRecordSchema).default([]),
 	/** The time of sending, on the clock of the records' times. Clocks of instances differ, so a receiver uses only the differences. */
 	now: z.number(),
 });
--- a/test/gateway/crashing-workers.ts
+++ b/test/gateway/crashing-workers.ts
@@ -30,6 +30,7 @@
 	readonly #service: string;
 	readonly #answer: (number: number) => WorkerAnswer;
 	readonly #paths: FakePath[] = [];
+	readonly #crashedAt: number[] = [];
 	#isDisposed = false;
 
 	private constructor(testbed: Testbed, service: string, answer: (number: number) => WorkerAnswer) {
@@ -49,6 +50,15 @@
 		return runs.filter(({at}) => at > (runs[freeCrashes - 1]?.at ?? Infinity) + noticeMilliseconds);
 	}
 
+	get crashCount(): number {
+		return this.#crashedAt.length;
+	}
+
+	/** Runs that count as late by the platform's rule where some workers survive the request. */
+	get runsAfterCrashes(): WorkerRequest[] {
+		return this.runs.filter(({at}) => at > (this.#crashedAt[freeCrashes - 1] ?? Infinity) + noticeMilliseconds);
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#isDisposed = true;
 		await Promise.all(this.#paths.map(async path => path[Symbol.asyncDispose]()));
@@ -61,6 +71,7 @@
 		this.#paths.push(path);
 		worker.answer = request => request.body === crashingBody ? this.#answer(number) : {type: 'whole', body: 'ok', afterMilliseconds: 5};
 		worker.onCrash = ({isSilent}) => {
+			this.#crashedAt.push(performance.now());
 			path.faults.silent = isSilent;
 			this.#after(isSilent ? lapseMilliseconds : 0, async () => this.#remove(worker));
 			this.#after(restartMilliseconds, async () => this.#start(`${id}'`, number));
