What others store of crashes is followed: instances without a link to each other know a request that crashes endpoints

Callers saw: endpoints that ended one after the other under one request, although its instances had each met crashes of it. What is known of crashes went over links between instances alone; the store was read at a start and never again.

Class: what must hold for all instances went over a path that may fail while the rule still binds.

Now each instance follows the topic in which crashes are stored (FeedFollower, long polls of 16 to 20 s, a quarter of a second between two), and runs that speak for a request are stored with its crashes, own records are not read back. A request's weight is logged once it changes.

Calls: one read in 16 to 20 s and instance.

--- a/src/bin/gateway-crashes.ts
+++ b/src/bin/gateway-crashes.ts
@@ -34,7 +34,7 @@
 		},
 	});
 	watchRegistrations(routingState, ledger.monitor);
-	const archive = CrashArchive.start({instance, store: store.crashes, ledger, logger: forPart(logger, 'Crashes'), instances});
+	const archive = CrashArchive.create({instance, write: async stored => store.writeCrashes(stored), ledger, logger: forPart(logger, 'Crashes'), instances});
 	store.onEra(() => {
 		if (ledger.crashCount > 0) {
 			archive.save();
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type CachedPartsResponse, RoutingState, ConnectionPools, type CrashLedger, type CrashStore, DecisionLog, Dispatcher, encodeCrashNews, encodeRateLimitReport, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoreFeeds} from '../gateway/index.js';
+import {type CachedPartsResponse, RoutingState, ConnectionPools, type CrashLedger, DecisionLog, Dispatcher, encodeCrashNews, encodeRateLimitReport, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoredCrashes, type StoreFeeds} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type RetryAllowance} from '../policy/dispatch/index.js';
 import {type ServiceSample} from '../policy/scaling/index.js';
@@ -25,7 +25,8 @@
 
 export type GatewayStore = AsyncDisposable & StoreFeeds & {
 	readonly duties: DutyStore;
-	readonly crashes: CrashStore;
+	/** Replaces what an instance has stored of crashes; removes it if there is none. */
+	writeCrashes(stored: StoredCrashes): Promise<void>;
 	/** Registers a listener for the first response from a newer era of the store; the era is its generation number, which rises when it is restored from a backup. */
 	onEra(listener: (era: number) => void): void;
 	announce(record: PeerRecord): Promise<void>;
@@ -110,7 +111,7 @@
 		const peers = await openPeers(settings, {incarnation, routingState, dispatcher, crashes, promptCacheReader, logger, feeds: () => followers.feeds, duties: () => followers.duties});
 		const eraCounter = metrics.counter('gateway_store_eras_total', 'How often a feed was read again because the store was restored from a backup.', ['feed']);
 		const feeds = followFeeds(store, {
-			routingState, peers, drainMilliseconds: settings.drainMilliseconds, applyMilliseconds: settings.applyMilliseconds, logger: forPart(logger, 'Store'), random: Math.random,
+			routingState, peers, crashes: crashArchive, drainMilliseconds: settings.drainMilliseconds, applyMilliseconds: settings.applyMilliseconds, logger: forPart(logger, 'Store'), random: Math.random,
 			onEra({feed}) {
 				eraCounter.add(1, {feed});
 			},
--- a/src/gateway/crash-archive.ts
+++ b/src/gateway/crash-archive.ts
@@ -3,22 +3,19 @@
 import {type PartLogger} from '../telemetry/index.js';
 import {type CrashLedger} from './crash-ledger.js';
 
-/** A crash as it is stored: its age counts from when it was written, since the clocks of instances differ. */
-export type StoredCrash = Omit<CrashRecord, 'type' | 'time'> & {readonly ageMilliseconds: number};
+/** A crash as it is stored. Its age is stored and not its time: the clocks of instances differ. */
+export type StoredCrash = {readonly crash: string; readonly endpoint: string; readonly fingerprints: string[]; readonly ageMilliseconds: number};
 
-/** What one instance has stored. */
-export type StoredCrashes = {readonly instance: string; readonly crashes: readonly StoredCrash[]};
+/** Complete runs at the storing instance of a request that crashed endpoints. */
+export type StoredRuns = {readonly fingerprint: string; readonly runs: number};
 
-/** Where crashes are kept for instances that start when no other one runs. */
-export type CrashStore = {
-	read(): Promise<readonly StoredCrashes[]>;
-	/** Replaces what an instance has stored; removes it if there is none. */
-	write(stored: StoredCrashes): Promise<void>;
-};
+/** What one instance has stored. */
+export type StoredCrashes = {readonly instance: string; readonly crashes: readonly StoredCrash[]; readonly runs: readonly StoredRuns[]};
 
 export type CrashArchiveOptions = {
 	readonly instance: string;
-	readonly store: CrashStore;
+	/** Replaces what an instance has stored; removes it if there is none. What is stored outlives all instances. */
+	readonly write: (stored: StoredCrashes) => Promise<void>;
 	readonly ledger: CrashLedger;
 	/** Names of the known instances, with or without this one. */
 	readonly instances: () => readonly string[];
@@ -33,20 +30,18 @@
 const maxStoredFingerprints = 4000;
 
 /**
- * Keeps the crashes that count in the store, each instance under its own name. Without it, a request that crashes endpoints would be forgotten
- * whenever all instances are lost at once, and crash as many endpoints again. Written only when this instance has noticed a crash, and when
- * its crashes no longer count.
+ * Keeps the crashes that count in the store, each instance under its own name, and takes in what the others store. Without the first, a request
+ * that crashes endpoints would be forgotten whenever all instances are lost at once; without the second, instances that reach the store but not
+ * each other would each have to see its crashes. Written only when this instance has noticed something, and when its crashes no longer count.
  */
 export class CrashArchive implements Disposable {
-	static start(options: CrashArchiveOptions): CrashArchive {
-		const archive = new CrashArchive(options);
-		void archive.#restore();
-		return archive;
+	static create(options: CrashArchiveOptions): CrashArchive {
+		return new CrashArchive(options);
 	}
 
 	readonly #options: CrashArchiveOptions;
-	/** Instances that had crashes in the store when this one started. */
-	#storedBefore: readonly string[] = [];
+	/** Instances that have stored crashes. */
+	readonly #storing = new Set<string>();
 	#hasStored = false;
 	#isWriting = false;
 	#isOutdated = false;
@@ -65,6 +60,17 @@
 		}
 	}
 
+	/** Takes in what instances had stored when it was read; this one may have done so in an earlier life. */
+	restore(stored: readonly StoredCrashes[]): void {
+		this.#hasStored ||= stored.some(({instance}) => instance === this.#options.instance);
+		this.#apply(stored);
+	}
+
+	/** Takes in what other instances store. */
+	receive(stored: readonly StoredCrashes[]): void {
+		this.#apply(stored.filter(({instance}) => instance !== this.#options.instance));
+	}
+
 	/** Removes what no longer counts from the store: its own crashes, and those of instances that are gone. */
 	prune(now: number): void {
 		if (this.#options.ledger.openCrashes(now).length > 0) {
@@ -82,30 +88,33 @@
 		this.#isDisposed = true;
 	}
 
-	async #restore(): Promise<void> {
-		const {store, ledger, instance, logger} = this.#options;
-		const stored = await this.#untilSuccess('read', async () => store.read());
-		if (stored === undefined || stored.length === 0) {
+	#apply(stored: readonly StoredCrashes[]): void {
+		const {ledger, logger} = this.#options;
+		const now = performance.now();
+		const records = stored.flatMap(({crashes}) => crashes.map(({ageMilliseconds, ...crash}): CrashRecord => ({type: 'crashed', ...crash, time: now - ageMilliseconds})));
+		const runs = stored.flatMap(one => one.runs.map(counted => ({...counted, instance: one.instance})));
+		if (records.length === 0) {
 			return;
 		}
 
-		const now = performance.now();
-		const crashes = stored.flatMap(one => one.crashes.map(({ageMilliseconds, ...crash}): CrashRecord => ({type: 'crashed', ...crash, time: now - ageMilliseconds})));
-		logger.info('Crashes read from the store.', {instances: stored.length, crashes: crashes.length});
-		ledger.applyNews({records: crashes}, 'store');
-		this.#hasStored ||= stored.some(one => one.instance === instance);
-		this.#storedBefore = stored.map(one => one.instance).filter(name => name !== instance);
+		logger.info('Crashes read from the store.', {instances: stored.map(({instance}) => instance), crashes: records.length, runs: runs.length});
+		for (const {instance} of stored) {
+			this.#storing.add(instance);
+		}
+
+		ledger.applyNews({records, runs}, 'store');
 	}
 
 	async #write(): Promise<void> {
-		const {store, ledger, instance, logger} = this.#options;
+		const {write, ledger, instance, logger} = this.#options;
 		while (this.#isOutdated && !this.#isDisposed) {
 			await sleep(writeDelayMilliseconds);
 			this.#isOutdated = false;
 			const crashes = await this.#untilSuccess('store', async () => {
-				const stored = toStored(ledger.openCrashes(performance.now()), performance.now());
-				await store.write({instance, crashes: stored});
-				return stored;
+				const now = performance.now();
+				const stored = {instance, crashes: toStored(ledger.openCrashes(now), now), runs: ledger.ownRuns(now)};
+				await write(stored);
+				return stored.crashes;
 			});
 			this.#hasStored = crashes !== undefined && crashes.length > 0;
 			logger.info('Crashes stored.', {crashes: crashes?.length ?? 0});
@@ -116,17 +125,17 @@
 
 	/** One of the instances removes what instances that are gone have left. */
 	async #removeOrphans(): Promise<void> {
-		const {instance, instances, store} = this.#options;
+		const {instance, instances, write} = this.#options;
 		const present = new Set([...instances(), instance]);
-		const orphans = this.#storedBefore.filter(name => !present.has(name) && rankByRendezvous(name, present)[0] === instance);
-		this.#storedBefore = this.#storedBefore.filter(name => !orphans.includes(name));
+		const orphans = [...this.#storing].filter(name => !present.has(name) && rankByRendezvous(name, present)[0] === instance);
 		for (const name of orphans) {
-			await this.#untilSuccess('remove', async () => store.write({instance: name, crashes: []}));
+			this.#storing.delete(name);
+			await this.#untilSuccess('remove', async () => write({instance: name, crashes: [], runs: []}));
 		}
 	}
 
 	/** Repeats a call until it succeeds; undefined if this instance stops before. */
-	async #untilSuccess<Result>(call: 'read' | 'store' | 'remove', run: () => Promise<Result>): Promise<Result | undefined> {
+	async #untilSuccess<Result>(call: 'store' | 'remove', run: () => Promise<Result>): Promise<Result | undefined> {
 		for (let tries = 1; !this.#isDisposed; tries++) {
 			try {
 				return await run();
--- a/src/gateway/crash-ledger.ts
+++ b/src/gateway/crash-ledger.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {sha256} from '../model/index.js';
-import {addCompletion, type Completions, countRunsBeside, type CrashRecord, type PendingRecord, quarantineMilliseconds, type QuarantineRecord} from '../policy/quarantine/index.js';
+import {addCompletion, type Completions, countRunsBeside, type CrashRecord, type PendingRecord, quarantineMilliseconds, type QuarantineRecord, type RunRecord} from '../policy/quarantine/index.js';
 import {type CrashSign} from '../policy/crashes/index.js';
 import {type EndpointRecord} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
@@ -35,6 +35,8 @@
 const toldRunsFrom = 2;
 /** When a request may come back that is refused for crashes that are not certain: most are certain, or refuted, within this time. */
 const suspectedRetryMilliseconds = 2000;
+/** Requests of which such a line is logged while any crash counts. */
+const maxLoggedWeights = 1000;
 /** Limit of the crashes that a new peer is sent: more than happen in the time for which they count. */
 const maxSentCrashes = 100;
 
@@ -49,6 +51,8 @@
 	readonly #options: CrashLedgerOptions;
 	readonly #records = CrashRecords.create();
 	readonly #completions: Completions = new Map();
+	/** What was logged last of the crashes of requests that are not quarantined. */
+	readonly #loggedWeights = new Map<string, string>();
 	/** Pending crashes of requests that other instances know too. */
 	readonly #told = new Set<string>();
 
@@ -101,6 +105,7 @@
 			return {type: 'quarantined', fingerprint, crashes: crashes.length, runs, remainingMilliseconds: times[crashThreshold - 1]! + quarantineMilliseconds - now};
 		}
 
+		this.#logWeight(fingerprint, {certain, possible, runs});
 		return possible < crashThreshold ? undefined : {type: 'suspected', fingerprint, crashes: possible, runs, remainingMilliseconds: suspectedRetryMilliseconds};
 	}
 
@@ -134,6 +139,11 @@
 		return this.#records.openCrashes(now, maxSentCrashes);
 	}
 
+	/** Runs at this instance that speak for requests of several crashes. */
+	ownRuns(now: number): readonly RunRecord[] {
+		return this.#records.countedRuns(this.openCrashes(now)).filter(({instance}) => instance === this.#options.instance);
+	}
+
 	/** What a new peer needs. */
 	openNews(now: number): CrashNews {
 		const records = this.openCrashes(now);
@@ -143,6 +153,10 @@
 	prune(now: number): void {
 		this.#records.prune(now);
 		this.monitor.prune(now);
+		if (this.#records.isEmpty) {
+			this.#loggedWeights.clear();
+		}
+
 		if (this.pendingCount === 0) {
 			this.#told.clear();
 		}
@@ -235,6 +249,15 @@
 		}
 	}
 
+	/** Logs once what a request is let through with, or suspected for, until that changes. */
+	#logWeight(fingerprint: string, {certain, possible, runs}: {certain: number; possible: number; runs: number}): void {
+		const weight = `${certain} ${possible}`;
+		if (possible > 0 && this.#loggedWeights.get(fingerprint) !== weight && this.#loggedWeights.size < maxLoggedWeights) {
+			this.#loggedWeights.set(fingerprint, weight);
+			this.#options.logger.info('Request has met crashes.', {fingerprint, crashes: certain, possible, runs});
+		}
+	}
+
 	#log(record: QuarantineRecord, source: string): void {
 		const {logger} = this.#options;
 		if (record.type !== 'crashed') {
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -2,7 +2,7 @@
 export type * from './types.js';
 export {RoutingState, type RoutingStateChange, type UpdateSource} from './routing-state.js';
 export {ConnectionPools} from './connection-pools.js';
-export {CrashArchive, type CrashStore, type StoredCrash, type StoredCrashes} from './crash-archive.js';
+export {CrashArchive, type StoredCrash, type StoredCrashes, type StoredRuns} from './crash-archive.js';
 export {CrashMonitor, type EvidenceVerdict} from './crash-monitor.js';
 export {CrashLedger, type RepeatableRequest} from './crash-ledger.js';
 export {type CrashNews, CrashRecords, noCrashNews} from './crash-records.js';
--- a/src/gateway/store-feeds.ts
+++ b/src/gateway/store-feeds.ts
@@ -1,6 +1,7 @@
-import {endpointPollInterval, type FleetView, instancePollInterval, routingLongPollWait} from '../policy/sharing/index.js';
+import {crashLongPollWait, crashPauseMilliseconds, endpointPollInterval, type FleetView, instancePollInterval, routingLongPollWait} from '../policy/sharing/index.js';
 import {type EndpointChange, type RoutingTableInput} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
+import {type CrashArchive, type StoredCrashes} from './crash-archive.js';
 import {type RoutingState} from './routing-state.js';
 import {type EraChange, FeedFollower} from './feed-follower.js';
 import {type PeerRecord} from './peer-roster.js';
@@ -14,6 +15,7 @@
 	readonly routing: Feed<RoutingTableInput>;
 	readonly endpoints: Feed<EndpointChange>;
 	readonly instances: Feed<InstanceAnnouncement>;
+	readonly crashes: Feed<StoredCrashes>;
 };
 
 /** Receives announcements of instances, and counts the instances that notify each other of what they read from the store. */
@@ -26,6 +28,7 @@
 export type FollowFeedsOptions = {
 	readonly routingState: RoutingState;
 	readonly peers: PeerRegistry;
+	readonly crashes: Pick<CrashArchive, 'restore' | 'receive'>;
 	/** How long a draining endpoint still serves requests. */
 	readonly drainMilliseconds: number;
 	/** Time within which a change by the operator must be in force. */
@@ -40,12 +43,13 @@
 export type FeedFollowers = AsyncDisposable & {readonly endpoints: FeedFollower<EndpointChange>; readonly routing: FeedFollower<RoutingTableInput>};
 
 /** Follows all feeds of the store and applies them to the routing state and the peers. */
-export function followFeeds(store: StoreFeeds, {routingState, peers, drainMilliseconds, applyMilliseconds, logger, random, onEra}: FollowFeedsOptions): FeedFollowers {
+export function followFeeds(store: StoreFeeds, {routingState, peers, crashes: archive, drainMilliseconds, applyMilliseconds, logger, random, onEra}: FollowFeedsOptions): FeedFollowers {
 	const otherInstances = (): number => peers.view.instances - 1;
 	const common = {
 		logger, random, otherInstances, onEra, applyMilliseconds,
 		onFailed() {
 			routing.abortLongPoll();
+			crashes.abortLongPoll();
 		},
 	};
 	const applyTables = (tables: readonly RoutingTableInput[]): void => {
@@ -81,6 +85,16 @@
 			return 0;
 		},
 	});
+	const crashes: FeedFollower<StoredCrashes> = FeedFollower.start({
+		...common, feed: store.crashes, waitMilliseconds: longPoll => crashLongPollWait(longPoll, random()), pauseMilliseconds: () => crashPauseMilliseconds,
+		onChanges(stored) {
+			archive.receive(stored);
+		},
+		onSnapshot(stored) {
+			archive.restore(stored);
+			return 0;
+		},
+	});
 	routingState.onChange(change => {
 		if (change.type === 'era') {
 			endpoints.pollNow();
@@ -90,7 +104,7 @@
 		endpoints,
 		routing,
 		async [Symbol.asyncDispose]() {
-			await Promise.all([routing, endpoints, instances].map(async follower => follower[Symbol.asyncDispose]()));
+			await Promise.all([routing, endpoints, instances, crashes].map(async follower => follower[Symbol.asyncDispose]()));
 		},
 	};
 }
--- a/src/policy/sharing/polling.ts
+++ b/src/policy/sharing/polling.ts
@@ -82,6 +82,23 @@
 	return Math.round(baseWait * (minimumFactor + ((1 - minimumFactor) * draw)));
 }
 
+/**
+ * How long a long poll of the stored crashes may wait. Peers tell of crashes over links; the store reaches those without a link, and is
+ * polled as rarely as a wait may last.
+ */
+const crashWaitMilliseconds = 20_000;
+
+/** How long the next long poll of the stored crashes may wait at the store, in whole milliseconds, for a random draw from 0 to 1. */
+export function crashLongPollWait({isStoreUnresponsive: isDoubted}: LongPoll, draw: number): number {
+	return isDoubted ? 0 : Math.round(crashWaitMilliseconds * (minimumJitterFactor.later + ((1 - minimumJitterFactor.later) * draw)));
+}
+
+/**
+ * Pause between two long polls of the stored crashes. Many instances notice a crash within moments, and each of their records would otherwise
+ * be a read of its own at every other instance.
+ */
+export const crashPauseMilliseconds = 250;
+
 /** Instances that start together have announced themselves within the first polls; later they come and go rarely. */
 const instanceIntervals = {initial: 600, factor: 4, maximum: 20_000};
 
--- a/test/gateway/crash-archive.test.ts
+++ b/test/gateway/crash-archive.test.ts
@@ -1,49 +1,56 @@
 import tap from 'tap';
-import {CrashArchive, CrashLedger, type CrashStore, type StoredCrash, type StoredCrashes} from '../../src/gateway/index.js';
+import {CrashArchive, CrashLedger, type CrashNews, type StoredCrashes} from '../../src/gateway/index.js';
+import {type ZoneName} from '../../src/model/index.js';
 import {rankByRendezvous} from '../../src/policy/hashing/index.js';
 import {quarantineMilliseconds} from '../../src/policy/quarantine/index.js';
 import {eventually} from './testbed.js';
 
 const silentLogger = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
 
-class MemoryStore implements CrashStore {
+class MemoryStore {
 	static create(): MemoryStore {
 		return new MemoryStore();
 	}
 
-	readonly stored = new Map<string, readonly StoredCrash[]>();
+	readonly stored = new Map<string, StoredCrashes>();
 	isDown = false;
 	calls = 0;
 
-	async read(): Promise<readonly StoredCrashes[]> {
-		this.#call();
-		return [...this.stored].map(([instance, crashes]) => ({instance, crashes}));
+	get all(): readonly StoredCrashes[] {
+		return [...this.stored.values()];
 	}
 
-	async write({instance, crashes}: StoredCrashes): Promise<void> {
-		this.#call();
-		if (crashes.length === 0) {
-			this.stored.delete(instance);
-		} else {
-			this.stored.set(instance, crashes);
-		}
-	}
-
-	#call(): void {
+	async write(stored: StoredCrashes): Promise<void> {
 		this.calls += 1;
 		if (this.isDown) {
 			throw new Error('down');
 		}
+
+		if (stored.crashes.length === 0) {
+			this.stored.delete(stored.instance);
+		} else {
+			this.stored.set(stored.instance, stored);
+		}
 	}
 }
 
-function startInstance(store: CrashStore, {instance = 'a', instances = []}: {instance?: string; instances?: readonly string[]} = {}): {ledger: CrashLedger; archive: CrashArchive} {
-	const ledger = CrashLedger.create({instance, logger: silentLogger, isLost: () => false, onNews: () => undefined, onOwnNews: () => undefined, onEvidence: () => undefined});
-	return {ledger, archive: CrashArchive.start({instance, store, ledger, instances: () => instances, logger: silentLogger})};
+/** An instance that has read what is stored. */
+function startInstance(store: MemoryStore, {instance = 'a', instances = []}: {instance?: string; instances?: readonly string[]} = {}): {ledger: CrashLedger; archive: CrashArchive} {
+	const archives: CrashArchive[] = [];
+	const ledger = CrashLedger.create({
+		instance, logger: silentLogger, isLost: () => false, onNews: () => undefined, onEvidence: () => undefined,
+		onOwnNews() {
+			archives[0]?.save();
+		},
+	});
+	const archive = CrashArchive.create({instance, write: async stored => store.write(stored), ledger, instances: () => instances, logger: silentLogger});
+	archives.push(archive);
+	archive.restore(store.all);
+	return {ledger, archive};
 }
 
-function crash(id: string, fingerprints = ['f']): Parameters<CrashLedger['applyNews']>[0] {
-	return {records: [{type: 'crashed', crash: id, endpoint: id, fingerprints, time: performance.now()}], pending: []};
+function crash(id: string, fingerprints = ['f']): CrashNews {
+	return {records: [{type: 'crashed', crash: id, endpoint: id, fingerprints, time: performance.now()}], pending: [], runs: []};
 }
 
 tap.test('crashes outlive the instance that stored them, and end after their time', async t => {
@@ -65,6 +72,41 @@
 	t.equal(store.calls, calls, 'nothing is written while there is nothing to store');
 });
 
+// A request that runs beside crashes was refused for ten minutes by an instance that had read the crashes, and not the runs, from the store.
+tap.test('runs that speak for a request are stored with its crashes', async t => {
+	const store = MemoryStore.create();
+	const request = {workspace: 'w', method: 'GET', path: '/', body: undefined};
+	const first = startInstance(store);
+	const now = performance.now();
+	first.ledger.recordCompleted(request, now);
+	const named: string[] = [];
+	const other = startInstance(MemoryStore.create(), {instance: 'other'});
+	other.ledger.recordUnanswered({id: 'x', service: 's', address: '127.0.0.1:1', zone: 'z' as ZoneName, isLeaving: false, slots: 1, revision: 1}, request, {sentAt: 0, sign: 'break', now});
+	await eventually(() => other.ledger.crashCount === 1);
+	named.push(...other.ledger.openCrashes(now)[0]!.fingerprints);
+	for (const id of ['x', 'y', 'z']) {
+		first.ledger.applyNews(crash(id, named), 'test');
+	}
+
+	await eventually(() => store.all[0]?.runs[0]?.runs === 1);
+	const next = startInstance(store, {instance: 'b'});
+	t.equal(next.ledger.crashCount, 3);
+	t.equal(next.ledger.quarantineOf(request, performance.now()), undefined);
+	const without = startInstance(MemoryStore.create(), {instance: 'c'});
+	without.archive.restore(store.all.map(one => ({...one, runs: []})));
+	t.match(without.ledger.quarantineOf(request, performance.now()), {type: 'quarantined'}, 'without them it is refused');
+});
+
+// What an instance has stored itself would count as told by another one, with an age that grows by each reading.
+tap.test('an instance takes in what others store while it runs, and not its own', async t => {
+	const {ledger, archive} = startInstance(MemoryStore.create());
+	const stored = {crashes: [{crash: 'x', endpoint: 'x', fingerprints: ['f'], ageMilliseconds: 0}], runs: []};
+	archive.receive([{instance: 'a', ...stored}]);
+	t.equal(ledger.crashCount, 0);
+	archive.receive([{instance: 'b', ...stored}]);
+	t.equal(ledger.crashCount, 1);
+});
+
 // An instance that was taken away for good never removes what it stored.
 tap.test('what an instance that is gone has stored is removed by one of the others', async t => {
 	const present = Array.from({length: 30}, (_, number) => `instance-${number}`);
@@ -73,7 +115,7 @@
 	const living = present.slice(1).find(name => isOfFirst(name))!;
 	const store = MemoryStore.create();
 	for (const name of [living, gone]) {
-		store.stored.set(name, [{crash: 'x', endpoint: 'x', fingerprints: ['f'], ageMilliseconds: 0}]);
+		store.stored.set(name, {instance: name, crashes: [{crash: 'x', endpoint: 'x', fingerprints: ['f'], ageMilliseconds: 0}], runs: []});
 	}
 
 	const members = present.filter(name => name !== living).map(instance => startInstance(store, {instance, instances: present}));
@@ -111,5 +153,5 @@
 
 	archive.save();
 	await eventually(() => store.stored.size === 1);
-	t.equal(store.stored.get('a')?.length, 4);
+	t.equal(store.stored.get('a')?.crashes.length, 4);
 });
--- a/test/gateway/virtual-store.ts
+++ b/test/gateway/virtual-store.ts
@@ -95,6 +95,8 @@
 		return {
 			endpoints: this.#idleFeed('endpoints'),
 			instances: this.#idleFeed('instances'),
+			// Never responds, so that it helps no other feed to notice what the store does.
+			crashes: {...this.#idleFeed('crashes'), readSnapshot: neverResponds},
 			routing: {
 				...this.#idleFeed('routing'),
 				readSnapshot: async () => this.#call(() => this.#store.readSnapshot()),
@@ -201,3 +203,12 @@
 function createTable(version: number): RoutingTableInput {
 	return {version, routes: [], services: [], limits: {headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1}};
 }
+
+function noop(): void {
+	// Settles nothing.
+}
+
+async function neverResponds(): Promise<never> {
+	await new Promise(noop);
+	throw new Error('It has responded.');
+}
