Counts of runs are told as they double and bounded far above what is needed

Now an instance counts up to 2,000 runs and tells them once they have doubled, eleven messages at most a request.

--- a/src/gateway/crash-ledger.ts
+++ b/src/gateway/crash-ledger.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {sha256} from '../model/index.js';
-import {addCompletion, type Completions, countRunsBeside, type CrashRecord, type PendingRecord, quarantineMilliseconds, type QuarantineRecord, type RunRecord} from '../policy/quarantine/index.js';
+import {addCompletion, type Completions, countRun, countRunsBeside, type CrashRecord, isWorthTelling, type PendingRecord, quarantineMilliseconds, type QuarantineRecord, type RunRecord} from '../policy/quarantine/index.js';
 import {type CrashSign} from '../policy/crashes/index.js';
 import {type EndpointRecord} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
@@ -51,6 +51,8 @@
 	readonly #options: CrashLedgerOptions;
 	readonly #records = CrashRecords.create();
 	readonly #completions: Completions = new Map();
+	/** Own runs of which the other instances were told last. */
+	readonly #toldRuns = new Map<string, number>();
 	/** What was logged last of the crashes of requests that are not quarantined. */
 	readonly #loggedWeights = new Map<string, string>();
 	/** Pending crashes of requests that other instances know too. */
@@ -123,8 +125,9 @@
 		}
 
 		this.#dismiss(this.#records.pendingRecordsOf(fingerprint, now).map(record => ({...record, type: 'dismissed', time: now})), 'response');
-		if (this.#records.needsRuns(fingerprint, now)) {
-			this.#addRuns([fingerprint], () => this.#records.runsAt(fingerprint, this.#options.instance) + 1);
+		if (this.#records.countedCrashes(fingerprint, now).length > 0) {
+			const runs = countRun(this.#records.runsAt(fingerprint, this.#options.instance));
+			this.#addRuns([{fingerprint, runs}], isWorthTelling(runs, this.#toldRuns.get(fingerprint) ?? 0));
 		}
 	}
 
@@ -155,6 +158,7 @@
 		this.monitor.prune(now);
 		if (this.#records.isEmpty) {
 			this.#loggedWeights.clear();
+			this.#toldRuns.clear();
 		}
 
 		if (this.pendingCount === 0) {
@@ -221,18 +225,25 @@
 	#addRunsBeside(records: readonly QuarantineRecord[]): void {
 		for (const record of records) {
 			if (record.type === 'crashed') {
-				this.#addRuns(record.fingerprints, fingerprint => Math.max(this.#records.runsAt(fingerprint, this.#options.instance), countRunsBeside(this.#completions, fingerprint, record.time)));
+				const counted = record.fingerprints.map(fingerprint => ({
+					fingerprint, runs: Math.max(this.#records.runsAt(fingerprint, this.#options.instance), countRunsBeside(this.#completions, fingerprint, record.time)),
+				}));
+				this.#addRuns(counted.filter(({runs}) => runs > 0), true);
 			}
 		}
 	}
 
-	/** Counts own runs of requests; the other instances are told of those against which several crashes count. */
-	#addRuns(fingerprints: readonly string[], runsOf: (fingerprint: string) => number): void {
+	/** Counts own runs of requests; the other instances are told, if due, of those against which several crashes count. */
+	#addRuns(counted: ReadonlyArray<Pick<RunRecord, 'fingerprint' | 'runs'>>, isDue: boolean): void {
 		const {instance, onNews, onOwnNews} = this.#options;
-		const counted = fingerprints.map(fingerprint => ({fingerprint, instance, runs: runsOf(fingerprint)})).filter(({runs}) => runs > 0);
-		this.#records.fold({...noCrashNews, runs: counted});
+		const runs = counted.map(one => ({...one, instance}));
+		this.#records.fold({...noCrashNews, runs});
 		const now = performance.now();
-		const told = counted.filter(({fingerprint}) => this.#records.countedCrashes(fingerprint, now).length >= toldRunsFrom);
+		const told = isDue ? runs.filter(({fingerprint}) => this.#records.countedCrashes(fingerprint, now).length >= toldRunsFrom) : [];
+		for (const {fingerprint, runs: count} of told) {
+			this.#toldRuns.set(fingerprint, count);
+		}
+
 		if (told.length > 0) {
 			onNews({...noCrashNews, runs: told});
 			onOwnNews();
--- a/src/gateway/crash-records.ts
+++ b/src/gateway/crash-records.ts
@@ -1,5 +1,5 @@
 import {
-	countedCrashes, countRuns, type CrashRecord, createQuarantine, foldPending, foldQuarantine, foldRuns, needsRuns, noCountedRuns, noPendingCrashes, openCrashes, type PendingRecord,
+	countedCrashes, countRuns, type CrashRecord, createQuarantine, foldPending, foldQuarantine, foldRuns, noCountedRuns, noPendingCrashes, openCrashes, type PendingRecord,
 	pendingRecordsOf, prunePending, pruneQuarantine, pruneRuns, type QuarantineRecord, type RunRecord, weighCrashes,
 } from '../policy/quarantine/index.js';
 
@@ -72,12 +72,6 @@
 		return pendingRecordsOf(this.#pending, fingerprint, now);
 	}
 
-	/** Whether further runs of a request may change what counts against it. */
-	needsRuns(fingerprint: string, now: number): boolean {
-		const times = this.countedCrashes(fingerprint, now).map(({time}) => time);
-		return times.length > 0 && needsRuns(times, countRuns(this.#runs, fingerprint));
-	}
-
 	/** Runs of a request that an instance has told of. */
 	runsAt(fingerprint: string, instance: string): number {
 		return this.#runs.get(fingerprint)?.get(instance) ?? 0;
--- a/src/policy/quarantine/index.ts
+++ b/src/policy/quarantine/index.ts
@@ -16,7 +16,7 @@
 export {fingerprintOf} from './fingerprint.js';
 export {addCompletion, type Completions, countRunsBeside} from './completions.js';
 export {foldPending, noPendingCrashes, pendingMilliseconds, pendingRecordsOf, type PendingCrashes, type PendingRecord, pendingRecordSchema, prunePending} from './pending.js';
-export {countRuns, type CountedRuns, foldRuns, needsRuns, noCountedRuns, pruneRuns, type RunRecord, runRecordSchema, weighCrashes} from './runs.js';
+export {countRun, countRuns, type CountedRuns, foldRuns, isWorthTelling, noCountedRuns, pruneRuns, type RunRecord, runRecordSchema, weighCrashes} from './runs.js';
 export {maxNamed, quarantineRecordSchema, type ClearedRecord, type CrashRecord, type QuarantineRecord, type ReleasedRecord} from './records.js';
 
 /** How long a crash counts. A caller that sends the request again does so within minutes. */
--- a/src/policy/quarantine/runs.ts
+++ b/src/policy/quarantine/runs.ts
@@ -26,8 +26,10 @@
 const eventMilliseconds = 1000;
 /** Complete runs that outweigh one event. */
 const runsPerEvent = 10;
-/** Runs are counted for this many events more than are known, so that the next event does not find too few. */
-const spareEvents = 3;
+/** Runs of one request that an instance counts at most: more than outweigh all that may happen within the time for which crashes count. */
+const maxRuns = 2000;
+/** An instance tells its count once it has grown by this factor, so that the others know at least half of all runs. */
+const toldFactor = 2;
 
 /** Adds a record; the same state if it says nothing new. */
 export function foldRuns(state: CountedRuns, {fingerprint, instance, runs}: RunRecord): CountedRuns {
@@ -60,9 +62,14 @@
 	return runs >= runsPerEvent * events ? 0 : events;
 }
 
-/** Whether more runs of a request may change how its crashes weigh, or will soon. */
-export function needsRuns(times: readonly number[], runs: number): boolean {
-	return runs < runsPerEvent * (countEvents(times) + spareEvents);
+/** The count of an instance after one more run. */
+export function countRun(runs: number): number {
+	return Math.min(maxRuns, runs + 1);
+}
+
+/** Whether the other instances are to be told of a count, after one that they were told. */
+export function isWorthTelling(runs: number, told: number): boolean {
+	return runs >= told * toldFactor;
 }
 
 function countEvents(times: readonly number[]): number {
--- a/test/gateway/crash-ledger.test.ts
+++ b/test/gateway/crash-ledger.test.ts
@@ -121,6 +121,11 @@
 
 	ledger.recordCompleted(request, now + 5000);
 	t.equal(ledger.quarantineOf(request, now + 5001), undefined);
+	for (let run = 30; run < 60; run++) {
+		ledger.recordCompleted(request, now + 5000);
+	}
+
+	t.ok(sentRuns.length < 10, 'counts are told as they double');
 	other.ledger.applyNews({runs: sentRuns}, 'instance y');
 	t.equal(other.ledger.quarantineOf(request, now + 5001), undefined);
 	const newcomer = createLedger('c');
