A stream goes on at the build that began it, within one response and when its caller takes it up elsewhere

Callers saw: streams that began at one version of an engine's software and went on at another, whose text does not fit. The build was in the registrations and nothing decided by it.

Class: a property of the run that was treated as one of the request: any endpoint of the service was as good as the one that began it.

Now the first event binds a stream to the build that brought it; later endpoints of the response, failover included, have that build, or the response ends at once so that its caller can take it up. Each instance remembers the builds of the streams that it sent, tells two others while several builds serve, and asks its links where a caller takes up a stream it does not know; what nobody knows goes on only where one build can have begun it. A take-up goes to the service that its first request went to.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,6 +1,9 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type CachedPartsResponse, RoutingState, ConnectionPools, type CrashLedger, DecisionLog, Dispatcher, encodeCrashNews, encodeRateLimitReport, type Duties, type DutyReceiver, type DutyStore, type FeedFollowers, followFeeds, Gateway, PromptCacheReader, type PeerRecord, Peers, EventLoopMonitor, type RequestCodec, sampleServices, type StoredCrashes, type StoreFeeds} from '../gateway/index.js';
+import {
+	type CachedPartsResponse, ConnectionPools, DecisionLog, Dispatcher, type Duties, type DutyReceiver, type DutyStore, encodeCrashNews, encodeRateLimitReport, EventLoopMonitor, type FeedFollowers, followFeeds, Gateway,
+	type PeerRecord, type Peers, PromptCacheReader, type RequestCodec, RoutingState, sampleServices, type StoredCrashes, type StoreFeeds,
+} from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress, type ZoneName} from '../model/index.js';
 import {type RetryAllowance} from '../policy/dispatch/index.js';
 import {type ServiceSample} from '../policy/scaling/index.js';
@@ -8,6 +11,8 @@
 import {AdminServer, forPart, type Logger, Metrics, type PartLogger} from '../telemetry/index.js';
 import {openCrashes} from './gateway-crashes.js';
 import {openDuties} from './gateway-duties.js';
+import {openPeers} from './gateway-peers.js';
+import {openStreams} from './gateway-streams.js';
 import {type GatewaySettings} from './settings/gateway-settings.js';
 import {parseTuning} from './settings/tuning.js';
 import {withinMilliseconds} from './stop-signal.js';
@@ -96,6 +101,7 @@
 				peers.announce(encodeCrashNews(news, performance.now()));
 			},
 		});
+		const streams = openStreams({routingState, metrics, logger, peers: () => peers});
 		const promptCacheReader = PromptCacheReader.create({
 			instance: settings.instance, routingState, logger: forPart(logger, 'Kept'),
 			instances: () => peers.roster.instanceNames,
@@ -108,7 +114,7 @@
 		});
 		/** Set after the peers are opened. Until then this instance tells connecting peers that it has not read the endpoints. */
 		const followers: {feeds?: FeedFollowers; duties?: Duties | undefined} = {};
-		const peers = await openPeers(settings, {incarnation, routingState, dispatcher, crashes, promptCacheReader, logger, feeds: () => followers.feeds, duties: () => followers.duties});
+		const peers = await openPeers(settings, {incarnation, routingState, dispatcher, crashes, streams, promptCacheReader, logger, feeds: () => followers.feeds, duties: () => followers.duties});
 		const eraCounter = metrics.counter('gateway_store_eras_total', 'How often a feed was read again because the store was restored from a backup.', ['feed']);
 		const feeds = followFeeds(store, {
 			routingState, peers, crashes: crashArchive, drainMilliseconds: settings.drainMilliseconds, applyMilliseconds: settings.applyMilliseconds, logger: forPart(logger, 'Store'), random: Math.random,
@@ -128,7 +134,7 @@
 		const gateway = await Gateway.create({
 			...splitAddress(settings.callerAddress),
 			maxBufferedBodyBytes: settings.memoryMegabytes * 1024 * 1024 * bodyMemoryShare,
-			routingState, dispatcher, connectionPools, codec: adapter.codec, crashes, log: decisions, eventLoopMonitor, logger: forPart(logger, 'Gateway'), usage: duties?.counter,
+			routingState, dispatcher, connectionPools, codec: adapter.codec, crashes, streams, log: decisions, eventLoopMonitor, logger: forPart(logger, 'Gateway'), usage: duties?.counter,
 		});
 		metrics.observe('gateway_waiting', 'Requests in the placement queue.', () => dispatcher.queueLength);
 		metrics.observe('gateway_rate_limited_endpoints', 'Endpoints that state a rate limit.', () => dispatcher.statements.countOf('rate-limit', performance.now()));
@@ -154,7 +160,7 @@
 		};
 		return new GatewayProcess({
 			settings, log: forPart(logger, 'Gateway'), store, routingState, peers, dispatcher, gateway, admin, duties,
-			disposables: [timers, admin, gateway, feeds, promptCacheReader, ...(duties === undefined ? [] : [duties]), peers, dispatcher, crashArchive, crashes, decisions, eventLoopMonitor, connectionPools, store],
+			disposables: [timers, admin, gateway, feeds, promptCacheReader, ...(duties === undefined ? [] : [duties]), peers, dispatcher, crashArchive, crashes, streams, decisions, eventLoopMonitor, connectionPools, store],
 		});
 	}
 
@@ -253,49 +259,6 @@
 	return sampleServices({routingState, loadTracker, view, now, isHealthy: record => endpoints.isOpen(record, now)});
 }
 
-type PeerParts = {readonly incarnation: string; readonly routingState: RoutingState; readonly dispatcher: Dispatcher; readonly crashes: CrashLedger; readonly promptCacheReader: PromptCacheReader; readonly logger: Logger; readonly feeds: () => FeedFollowers | undefined; readonly duties: () => Duties | undefined};
-
-async function openPeers(settings: GatewaySettings, {incarnation, routingState, dispatcher, crashes, promptCacheReader, logger, feeds, duties}: PeerParts): Promise<Peers> {
-	const {host, port} = splitAddress(settings.peerAddress);
-	return Peers.create({
-		instance: settings.instance,
-		zone: settings.availabilityZone as ZoneName,
-		incarnation,
-		host,
-		port,
-		security: {type: 'plaintext'},
-		seeds: settings.seedHosts.map(seed => `${seed.split(':', 1)[0]}:${port}`),
-		routingState,
-		logger: forPart(logger, 'Peers'),
-		onLoad(event) {
-			dispatcher.applyLoad(event);
-		},
-		onPromptCache(list) {
-			promptCacheReader.markRead(list.endpoint);
-			dispatcher.applyLoad({type: 'kept', ...list});
-		},
-		knowsEndpoints: () => (feeds()?.endpoints.millisecondsSinceRead(performance.now()) ?? Infinity) < recentPollMilliseconds,
-		holderAnnouncement: () => duties()?.announcement,
-		onHolderAnnouncement(announcement) {
-			duties()?.handleAnnouncement(announcement);
-		},
-		onStaleTable() {
-			feeds()?.routing.abortLongPoll();
-		},
-		onRateLimitReport(report) {
-			dispatcher.statements.recordReport(report, performance.now());
-		},
-		onCrashNews(news, source) {
-			crashes.applyNews(news, source);
-		},
-		crashNews: () => crashes.openNews(performance.now()),
-		onView(view) {
-			dispatcher.view = view;
-			dispatcher.statements.handleFleetChange(performance.now());
-		},
-	});
-}
-
 function allowanceOf({retryRatio, retrySlack, retryWindowSeconds}: GatewaySettings): RetryAllowance {
 	return {ratio: retryRatio, slack: retrySlack, windowMilliseconds: retryWindowSeconds * 1000};
 }
--- a/src/gateway/attempt-timeouts.ts
+++ b/src/gateway/attempt-timeouts.ts
@@ -16,6 +16,8 @@
 	readonly forwarder: ResponseForwarder;
 	/** Endpoints that the request has already been sent to. */
 	readonly excluded: ReadonlySet<string>;
+	/** The build that the request is bound to, once it is. */
+	readonly build: () => string | undefined;
 };
 
 /** What the silence of an endpoint leads to: its report, a retry at another endpoint, the end of the request. Times are milliseconds of the monotonic clock. */
@@ -38,7 +40,7 @@
 
 	/** Reports a silent endpoint; an outcome ends the attempt. */
 	check(state: AttemptState): Outcome | undefined {
-		const {deadlineAt, excluded, exchange: {dispatcher, crashes, request, service}} = this.#options;
+		const {deadlineAt, excluded, build, exchange: {dispatcher, crashes, request, service}} = this.#options;
 		const now = performance.now();
 		if (now >= deadlineAt) {
 			return {type: 'expired'};
@@ -60,7 +62,7 @@
 		}
 
 		state.nextFailoverAt = now + failoverSearchMilliseconds;
-		return dispatcher.endpoints.hasAnother(service, excluded, record)
+		return dispatcher.endpoints.hasAnother(service, {excluded, build: build()}, record)
 			? {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'silent', isSilent: true}
 			: undefined;
 	}
--- a/src/gateway/decision.ts
+++ b/src/gateway/decision.ts
@@ -12,6 +12,8 @@
 	waitsFor?: {readonly endpoint: string; readonly until: number};
 	/** Endpoints that it was already sent to. */
 	readonly excluded: ReadonlySet<string>;
+	/** The build that its endpoint must have; undefined if any will do. */
+	readonly build: string | undefined;
 	/** True if it may run again, so that it may be sent to an endpoint as a trial of its recovery. */
 	readonly isIdempotent: boolean;
 	readonly onDecision: (decision: Decision) => void;
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -83,7 +83,7 @@
 	 * would take a slot that queued requests wait for.
 	 */
 	submit(request: PlacementRequest): void {
-		const wait = request.demand.isLatencyCritical || request.excluded.size > 0 ? undefined : this.#lastScan.waitMilliseconds(groupKeyOf(request));
+		const wait = request.demand.isLatencyCritical || hasFewerCandidates(request) ? undefined : this.#lastScan.waitMilliseconds(groupKeyOf(request));
 		if (wait === undefined) {
 			this.#search(request, this.#queue.endpointsAwaitedBefore(request));
 			return;
@@ -149,7 +149,7 @@
 				request.deferredAt ??= now;
 			}
 
-			results?.recordWait(groupKeyOf(request), {...choice, endpoints: candidates.length, hasExcluded: request.excluded.size > 0});
+			results?.recordWait(groupKeyOf(request), {...choice, endpoints: candidates.length, hasExcluded: hasFewerCandidates(request)});
 			return this.#queue.enqueue(request, choice, candidates);
 		}
 
@@ -291,3 +291,8 @@
 		this.#options.onLoad(event);
 	}
 }
+
+/** Whether a request may not be sent to every endpoint of its service. */
+function hasFewerCandidates({excluded, build}: PlacementRequest): boolean {
+	return excluded.size > 0 || build !== undefined;
+}
--- a/src/gateway/endpoint-pool.ts
+++ b/src/gateway/endpoint-pool.ts
@@ -1,5 +1,5 @@
 import {availability, type Candidate, createEndpointHealth, type EndpointHealth, type HealthEvent, inHashOrder, type LoadTracker, stepEndpointHealth, trialTurnMilliseconds} from '../policy/dispatch/index.js';
-import {type EndpointEntry, type EndpointRecord, EndpointStatus, endpointStatusOf} from '../routing/index.js';
+import {type EndpointEntry, type EndpointRecord, EndpointStatus, buildOf, endpointStatusOf} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type RoutingState} from './routing-state.js';
 import {type PlacementRequest} from './decision.js';
@@ -117,12 +117,13 @@
 		}
 	}
 
-	/** Whether a service has a healthy endpoint other than this one and the excluded ones. */
-	hasAnother(service: string, excluded: ReadonlySet<string>, record: EndpointRecord): boolean {
+	/** Whether a service has a healthy endpoint of a build, if one is given, other than this one and the excluded ones. */
+	hasAnother(service: string, {excluded, build}: Pick<PlacementRequest, 'excluded' | 'build'>, record: EndpointRecord): boolean {
 		const now = performance.now();
 		return [...this.#options.routingState.directory.entries.values()].some(entry => entry.record.service === service
 			&& entry.record.id !== record.id
 			&& !excluded.has(entry.record.id)
+			&& hasBuild(entry.record, build)
 			&& endpointStatusOf(entry, now) === EndpointStatus.ready
 			&& this.#availability(entry.record.id, now) === 'open'
 			&& this.#options.statements.admission(entry.record.id, now).type === 'open');
@@ -138,7 +139,7 @@
 		for (const endpoint of this.#endpointsOf(request.demand.service)) {
 			const status = endpointStatusOf(endpoint.entry, now);
 			sorted.hasReady ||= status === EndpointStatus.ready;
-			if (status !== EndpointStatus.gone && !request.excluded.has(endpoint.record.id)) {
+			if (status !== EndpointStatus.gone && !request.excluded.has(endpoint.record.id) && hasBuild(endpoint.record, request.build)) {
 				this.#add(sorted, endpoint, {isReady: status === EndpointStatus.ready, now});
 			}
 		}
@@ -200,6 +201,10 @@
 	}
 }
 
+function hasBuild(record: EndpointRecord, build: string | undefined): boolean {
+	return build === undefined || buildOf(record) === build;
+}
+
 function round(value: number): number {
 	return Math.round(value * 1000) / 1000;
 }
--- a/src/gateway/exchange-options.ts
+++ b/src/gateway/exchange-options.ts
@@ -8,6 +8,7 @@
 import {type DecisionLog} from './decision-log.js';
 import {type Dispatcher} from './dispatcher.js';
 import {type UsageCounter} from './duties/index.js';
+import {type StreamRegistry} from './stream-registry.js';
 import {type RawHeaders, type RequestCodec, type RequestMetadata} from './types.js';
 
 /** One request, its routing context, and the components that serve it. */
@@ -25,6 +26,8 @@
 	/** Which requests crash endpoints; `request` identifies this one when it is sent again. */
 	readonly crashes: CrashLedger;
 	readonly request: RepeatableRequest;
+	/** Which builds began streams. */
+	readonly streams: StreamRegistry;
 	readonly log: DecisionLog;
 	/** Counts requests that begin to run; absent where nothing is counted. */
 	readonly usage?: UsageCounter | undefined;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,7 +1,7 @@
 import {Alarm, type Body, channel, receive, tryDeliver, tryReceive} from '../concurrency/index.js';
 import {Verdict} from '../model/index.js';
 import {type Demand} from '../policy/dispatch/index.js';
-import {RouteKind} from '../routing/index.js';
+import {buildOf, RouteKind} from '../routing/index.js';
 import {ResponseForwarder} from './response-forwarder.js';
 import {Attempt} from './attempt.js';
 import {AttemptState, type Outcome} from './attempt-state.js';
@@ -12,6 +12,7 @@
 import {sendErrorResponse} from './error-response.js';
 import {RequestUsage} from './duties/index.js';
 import {demandOf, placementRequestOf} from './placement-request.js';
+import {StreamBinding} from './stream-binding.js';
 import {type FailedOutcome, minRunMilliseconds, RetryProgress} from './retry-progress.js';
 
 /** Capacity of the inbox; more than the number of event types, of which at most one each is pending at a time. */
@@ -38,10 +39,12 @@
 	readonly #timeouts: AttemptTimeouts;
 	readonly #usage: RequestUsage;
 	#waitedMilliseconds = 0;
+	readonly #binding: StreamBinding;
 
 	private constructor(options: ExchangeOptions) {
 		this.#options = options;
 		this.#deadlineAt = options.arrivedAt + Math.min(options.route.timeoutMilliseconds, options.facts.deadlineMilliseconds ?? Infinity);
+		this.#binding = StreamBinding.create(options);
 		this.#demand = demandOf(options);
 		this.#retryProgress = RetryProgress.create(options.route);
 		this.#usage = RequestUsage.create(options.usage, options.workspace?.name);
@@ -51,12 +54,13 @@
 			onFirstEvent: state => {
 				this.#usage.recordFirstEvent();
 				options.dispatcher.recordFirstEvent(state.decision.runId);
+				this.#binding.bindTo(buildOf(state.decision.record));
 			},
 			onDrained: () => {
 				tryDeliver(this.#inbox, {type: 'drained'});
 			},
 		});
-		this.#timeouts = AttemptTimeouts.create({exchange: options, deadlineAt: this.#deadlineAt, retryProgress: this.#retryProgress, forwarder: this.#forwarder, excluded: this.#excluded});
+		this.#timeouts = AttemptTimeouts.create({exchange: options, deadlineAt: this.#deadlineAt, retryProgress: this.#retryProgress, forwarder: this.#forwarder, excluded: this.#excluded, build: () => this.#binding.build});
 	}
 
 	/** Runs until the final response is sent or the caller has disconnected. */
@@ -67,6 +71,12 @@
 			tryDeliver(this.#inbox, {type: 'left'});
 		});
 		dispatcher.retries.countRequest(service, performance.now());
+		const mayGoOn = yield * this.#binding.find();
+		if (!mayGoOn || caller.hasDisconnected) {
+			this.#finish(caller.hasDisconnected ? {type: 'left'} : {type: 'failed', verdict: Verdict.notRun, reason: 'the build that began the stream is not known'});
+			return;
+		}
+
 		for (;;) {
 			const decision = yield * this.#awaitPlacement();
 			if (decision === undefined) {
@@ -92,6 +102,7 @@
 			id: placementId,
 			lastStartAt: Math.min(this.#deadlineAt - minRunMilliseconds, expectedDisconnectAt),
 			excluded: this.#excluded,
+			build: this.#binding.build,
 			isIdempotent: this.#retryProgress.isIdempotent,
 			onDecision: decision => {
 				tryDeliver(this.#inbox, {type: 'decided', decision});
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import {Exchange} from './exchange.js';
 import {type EventLoopMonitor} from './event-loop-monitor.js';
 import {type RequestCodec, type RequestMetadata} from './types.js';
+import {type StreamRegistry} from './stream-registry.js';
 import {type UsageCounter} from './duties/index.js';
 
 export type GatewayOptions = {
@@ -27,6 +28,7 @@
 	readonly connectionPools: ConnectionPools;
 	readonly codec: RequestCodec;
 	readonly crashes: CrashLedger;
+	readonly streams: StreamRegistry;
 	readonly log: DecisionLog;
 	readonly eventLoopMonitor: EventLoopMonitor;
 	readonly logger: PartLogger;
@@ -178,7 +180,7 @@
 
 		const path = pathOf(request);
 		const route = table.findRoute(request.headers.host ?? '', path.split('?', 1)[0]!);
-		const service = route === undefined ? undefined : chooseService(route, hash32(read.facts.id) / 0x1_00_00_00_00);
+		const service = route === undefined ? undefined : chooseService(route, hash32(read.facts.resumption?.request ?? read.facts.id) / 0x1_00_00_00_00);
 		if (route === undefined || service === undefined) {
 			reject(404, 'No route begins this path at this host.');
 			return;
@@ -225,7 +227,7 @@
 		const bufferedBytes = outcome.body?.length ?? 0;
 		this.#bufferedBytes += bufferedBytes;
 		const exchange = Exchange.create({
-			facts: read.facts, request: repeatable, crashes, rawHeaders: request.rawHeaders, table, route, service,
+			facts: read.facts, request: repeatable, crashes, streams: this.#options.streams, rawHeaders: request.rawHeaders, table, route, service,
 			workspace: access.workspace, caller, codec, dispatcher: this.#options.dispatcher, connectionPools: this.#options.connectionPools, log, arrivedAt, usage: this.#options.usage,
 		});
 		try {
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -19,6 +19,7 @@
 export {followFeeds, type PeerRegistry, type FeedFollowers, type InstanceAnnouncement, type StoreFeeds} from './store-feeds.js';
 export * from './prompt-cache-reader.js';
 export * from './event-loop-monitor.js';
+export {StreamRegistry, type ResumedStream, type StreamPeers} from './stream-registry.js';
 export {StatementRegistry, type RateLimitReport, type StatingResponse} from './statement-registry.js';
 export {sampleServices} from './service-samples.js';
 export * from './duties/index.js';
--- a/src/gateway/peer-messages.ts
+++ b/src/gateway/peer-messages.ts
@@ -97,10 +97,11 @@
 	readonly onCrashNews: (news: CrashNews, source: string) => void;
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
 	readonly onHolderAnnouncement: (word: MessageOf<'duty-holder'>) => void;
+	readonly onStreamOrigins: (message: MessageOf<'stream-origins'>, instance: string) => void;
 };
 
 /** Handles a message of a peer that has sent its hello. */
-export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement}: MessageContext): void {
+export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement, onStreamOrigins}: MessageContext): void {
 	switch (message.type) {
 		case 'routing-version': {
 			onVersion(message.version);
@@ -140,6 +141,11 @@
 			return;
 		}
 
+		case 'stream-origins': {
+			onStreamOrigins(message, instance);
+			return;
+		}
+
 		case 'usage': {
 			connection.close('usage has a connection of its own');
 			return;
--- a/src/gateway/peers-options.ts
+++ b/src/gateway/peers-options.ts
@@ -34,6 +34,8 @@
 	readonly holderAnnouncement: () => MessageOf<'duty-holder'> | undefined;
 	/** Called when a peer names the holder of the duties. */
 	readonly onHolderAnnouncement: (announcement: MessageOf<'duty-holder'>) => void;
+	/** Called when a peer tells or asks which builds began streams. */
+	readonly onStreamOrigins: (message: MessageOf<'stream-origins'>, instance: string) => void;
 	/** Whether this instance has read the endpoints from the store lately. */
 	readonly knowsEndpoints: () => boolean;
 	/** Called when a peer has had a newer routing table for longer than a read of the store takes: this instance's own read may hang. */
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -95,6 +95,14 @@
 		return {links, instances: (links === 0 || this.roster.isFullMesh ? links : Math.max(links, this.roster.reachableCount)) + 1};
 	}
 
+	get linkedNames(): readonly string[] {
+		return [...this.#links.keys()];
+	}
+
+	sendTo(instance: string, message: MessageOf<'stream-origins'>): void {
+		this.#links.get(instance)?.connection.send(message);
+	}
+
 	/** Reports to all neighbours which prompt parts an endpoint has cached. */
 	broadcastPromptCache({endpoint, parts}: CachedPromptParts): void {
 		this.#broadcast({type: 'kept', endpoint, parts: flattenParts(parts)});
@@ -215,10 +223,10 @@
 			return undefined;
 		}
 
-		const {routingState, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement} = this.#options;
+		const {routingState, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement, onStreamOrigins} = this.#options;
 		const {instance, incarnation} = link;
 		handleMessage(message, {
-			routingState, connection, instance, incarnation, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement,
+			routingState, connection, instance, incarnation, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement, onStreamOrigins,
 			onVersion: version => {
 				link.routingVersion = version;
 				this.#tablePuller.handlePeerVersion();
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -18,6 +18,8 @@
 	readonly parts: readonly PromptPart[];
 	/** Expected number of tokens in the response. */
 	readonly outputTokens: number;
+	/** The stream that the caller takes up: the request that brought its first event, if the caller names one; undefined for a new stream. */
+	readonly resumption: {readonly request: string | undefined} | undefined;
 };
 
 /** A request as it is sent to an endpoint. */
--- /dev/null
+++ b/src/policy/streams/index.ts
@@ -0,0 +1,3 @@
+/** Which build began a stream, and where it may go on. */
+export * from './origins.js';
+export * from './take-up.js';
--- a/src/routing/routing-table.ts
+++ b/src/routing/routing-table.ts
@@ -250,4 +250,11 @@
 	readonly revision: number;
 	/** The start time of this incarnation in Unix milliseconds of its own clock; absent if the endpoint does not report it. */
 	readonly bornAt?: number | undefined;
+	/** The version of its software; absent if the endpoint does not report it. */
+	readonly build?: string | undefined;
 };
+
+/** The build of an endpoint; those that report none are of one build. */
+export function buildOf({build = ''}: EndpointRecord): string {
+	return build;
+}
--- a/src/routing/schemas.ts
+++ b/src/routing/schemas.ts
@@ -55,6 +55,7 @@
 	slots: count,
 	revision: z.number(),
 	bornAt: z.number().optional(),
+	build: z.string().max(512).optional(),
 });
 
 /**
--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -179,6 +179,7 @@
 			case 'kept':
 			case 'endpoint-rate-limit':
 			case 'request-crashes':
+			case 'stream-origins':
 			case 'routing':
 			case 'endpoints':
 			case 'usage':
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {FailureKind, Verdict} from '../model/index.js';
+import {streamOriginSchema} from '../policy/streams/index.js';
 import {pendingRecordSchema, quarantineRecordSchema, runRecordSchema} from '../policy/quarantine/index.js';
 import {endpointChangeSchema, routingTableSchema} from '../routing/index.js';
 
@@ -159,6 +160,8 @@
 });
 
 const usageCounts = z.record(text, z.number().int().nonnegative());
+/** Gateway to gateway: builds of endpoints that began streams, and streams of which the sender wants to know it. */
+const streamOrigins = z.object({type: z.literal('stream-origins'), known: z.array(streamOriginSchema).max(1000), wanted: z.array(text).max(1000)});
 /** Gateway to the holder of the duties: the sender's counts of the windows that changed since its last message on this connection. */
 const usage = z.object({
 	type: z.literal('usage'), instance: text, incarnation: text,
@@ -210,15 +213,16 @@
 	kept,
 	endpointRateLimit,
 	requestCrashes,
+	streamOrigins,
 	usage,
 	holderAnnouncement,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
 /** The messages that only gateways send to each other. */
-export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'endpoint-rate-limit' | 'request-crashes' | 'usage' | 'duty-holder'>;
+export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'endpoint-rate-limit' | 'request-crashes' | 'stream-origins' | 'usage' | 'duty-holder'>;
 
-const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'endpoint-rate-limit', 'request-crashes', 'usage', 'duty-holder']);
+const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'endpoint-rate-limit', 'request-crashes', 'stream-origins', 'usage', 'duty-holder']);
 
 export function isGatewayMessage(message: Message): message is GatewayMessage {
 	return gatewayTypes.has(message.type);
--- a/test/gateway/dispatcher.test.ts
+++ b/test/gateway/dispatcher.test.ts
@@ -28,7 +28,7 @@
 	const decisions: Decision[] = [];
 	const now = performance.now();
 	const request: PlacementRequest = {
-		id, workspace: 'w', service: 'models', urgency: {route: 1, workspace: undefined}, work: 2000, arrivedAt: now, inTimeUntil: now + 300, lastStartAt: now + 2000, excluded, isIdempotent: true,
+		id, workspace: 'w', service: 'models', urgency: {route: 1, workspace: undefined}, work: 2000, arrivedAt: now, inTimeUntil: now + 300, lastStartAt: now + 2000, excluded, build: undefined, isIdempotent: true,
 		demand: {
 			service: 'models', urgency: 1, urgencies: {most: 1, least: 2}, targetMilliseconds: 400, parts: [{id: 1, tokens: 2000}], isLatencyCritical: false,
 			maxPauseMilliseconds: 300, strictestPauseMilliseconds: 200, deferredMilliseconds: 0, elapsedMilliseconds: 0, isOutranked: false,
--- a/test/gateway/queue-reports.test.ts
+++ b/test/gateway/queue-reports.test.ts
@@ -63,7 +63,7 @@
 function confirmation(now: number): PlacementRequest {
 	return {
 		id: 'confirmation', workspace: 'w', service: 'models', urgency: {route: 1, workspace: undefined}, work: 6500,
-		arrivedAt: now, inTimeUntil: now + 3000, lastStartAt: now + 5000, excluded: new Set(), isIdempotent: true,
+		arrivedAt: now, inTimeUntil: now + 3000, lastStartAt: now + 5000, excluded: new Set(), build: undefined, isIdempotent: true,
 		demand: {
 			service: 'models', urgency: 1, urgencies: {most: 1, least: 2}, targetMilliseconds: 4000, parts: [sharedPrefix, {id: 2, tokens: 500}], isLatencyCritical: false,
 			maxPauseMilliseconds: 300, strictestPauseMilliseconds: 200, deferredMilliseconds: 0, elapsedMilliseconds: 0, isOutranked: false,
