--- a/bench/gateway-soak/crash-course.ts
+++ b/bench/gateway-soak/crash-course.ts
@@ -108,7 +108,12 @@
 
 /** Holds up the link to an endpoint for a time; one that has crashed meanwhile stays silent. */
 async function holdLink(world: CourseWorld): Promise<void> {
-	const held = world.random.pick(world.platform.workers.filter(({hasCrashed}) => !hasCrashed));
+	const living = world.platform.workers.filter(({hasCrashed}) => !hasCrashed);
+	if (living.length === 0) {
+		return;
+	}
+
+	const held = world.random.pick(living);
 	held.path.faults.silent = true;
 	await sleep(world.between(heldMilliseconds));
 	if (!held.hasCrashed) {
