--- a/bench/gateway-soak/caller.ts
+++ b/bench/gateway-soak/caller.ts
@@ -29,12 +29,14 @@
 	readonly port: number;
 	readonly key: string;
 	readonly path?: string;
+	/** The stream that it takes up: the request that began it, and the last event that was received. */
+	readonly resumption?: {readonly request: string; readonly lastEvent: number};
 	/** When the caller disconnects, whether it has its response or not. */
 	readonly leaveAfterMilliseconds?: number;
 };
 
 /** Sends one request; resolves when its response has ended, cleanly or not. */
-export function sendRequest({id, kind, port, key, path = `/${kind}/1`, leaveAfterMilliseconds}: SoakRequest): Promise<ExchangeRecord> {
+export function sendRequest({id, kind, port, key, path = `/${kind}/1`, resumption, leaveAfterMilliseconds}: SoakRequest): Promise<ExchangeRecord> {
 	return new Promise(resolve => {
 		const record: ExchangeRecord = {id, kind, sentAt: performance.now(), endedAt: Infinity, status: 0, body: '', isWhole: false};
 		const end = (): void => {
@@ -45,7 +47,7 @@
 		const method = kind === 'lookup' ? 'GET' : 'POST';
 		const sent = httpRequest({
 			host: '127.0.0.1', port, method, path, agent: false, timeout: deadlineMilliseconds + 500,
-			headers: {host: 'studio.example', 'request-id': id, authorization: `Bearer ${key}`, 'deadline-ms': String(deadlineMilliseconds)},
+			headers: {host: 'studio.example', 'request-id': id, authorization: `Bearer ${key}`, 'deadline-ms': String(deadlineMilliseconds), ...(resumption !== undefined && {resumes: resumption.request, 'last-event-id': String(resumption.lastEvent)})},
 		});
 		sent.once('response', response => {
 			record.status = response.statusCode ?? 0;
--- a/bench/gateway-soak/soak-platform.ts
+++ b/bench/gateway-soak/soak-platform.ts
@@ -9,6 +9,8 @@
 /** Upper bound on the time after a restore until the lost records are written again. */
 const rewriteMilliseconds = 2000;
 const workersEach = 3;
+/** The version of the software of all workers until a release. */
+export const firstBuild = 'v1';
 /** A crashed worker is back after this time. */
 const restartMilliseconds = 700;
 /** The store removes a worker after this time without a heartbeat. */
@@ -17,7 +19,7 @@
 export const revokedKey = 'key-b';
 
 export type CrashAnswer = Extract<WorkerAnswer, {type: 'crash'}>;
-export type SoakWorker = {readonly worker: FakePlatformWorker; readonly path: FakePath; revision: number; isDraining: boolean; hasCrashed: boolean};
+export type SoakWorker = {readonly worker: FakePlatformWorker; readonly path: FakePath; readonly build: string; revision: number; isDraining: boolean; hasCrashed: boolean};
 
 function crashesNever(): undefined {
 	return undefined;
@@ -57,10 +59,10 @@
 		this.receiver = receiver;
 	}
 
-	async addWorker(id: string, service: string): Promise<void> {
+	async addWorker(id: string, service: string, build = firstBuild): Promise<void> {
 		const worker = await FakePlatformWorker.create(id, service);
 		const path = await FakePath.create(worker.address);
-		const added = {worker, path, revision: 0, isDraining: false, hasCrashed: false};
+		const added = {worker, path, build, revision: 0, isDraining: false, hasCrashed: false};
 		worker.onCrash = ({isSilent}) => {
 			added.hasCrashed = true;
 			path.faults.silent = isSilent;
@@ -68,7 +70,7 @@
 				this.store.put('keyed.servers', id);
 			}, isSilent ? lapseMilliseconds : 0).unref();
 			setTimeout(() => {
-				void this.#restartWorker(id, service);
+				void this.#restartWorker(id, service, build);
 			}, restartMilliseconds).unref();
 		};
 
@@ -113,17 +115,17 @@
 	}
 
 	/** A crashed worker comes back under another id. */
-	async #restartWorker(id: string, service: string): Promise<void> {
+	async #restartWorker(id: string, service: string, build: string): Promise<void> {
 		if (!this.#isDisposed) {
-			await this.addWorker(`${id}'`, service);
+			await this.addWorker(`${id}'`, service, build);
 		}
 	}
 
 	/** Writes a worker's heartbeat with the next revision. */
 	#register(registered: SoakWorker): void {
-		const {worker, path, isDraining} = registered;
+		const {worker, path, build, isDraining} = registered;
 		registered.revision += 1;
-		this.store.put('keyed.servers', worker.id, {...worker.beat({state: isDraining ? 'draining' : 'ready', seq: registered.revision}), address: path.address});
+		this.store.put('keyed.servers', worker.id, {...worker.beat({version: build, state: isDraining ? 'draining' : 'ready', seq: registered.revision}), address: path.address});
 	}
 
 	/** Chooses a worker's response; about one in three gets the current fault. */
