Silences that other instances met are forgotten at the first response that anybody has

An instance that sends little to an endpoint suspended it for two single responses that others had lost minutes apart: what others met was counted with its own failures, which only its own responses end.

--- a/src/policy/dispatch/endpoint-health.ts
+++ b/src/policy/dispatch/endpoint-health.ts
@@ -15,6 +15,8 @@
 	/** Share of recent requests that failed, weighted toward the newest. */
 	readonly failureShare: number;
 	readonly consecutiveUnreachable: number;
+	/** Silences that other instances have met since anybody had a response. */
+	readonly othersSilences: number;
 	readonly suspendedUntil: number;
 	/** Duration of the next suspension. */
 	readonly nextSuspensionMilliseconds: number;
@@ -70,7 +72,7 @@
 
 export function createEndpointHealth(): EndpointHealth {
 	return {
-		failureShare: 0, consecutiveUnreachable: 0, suspendedUntil: -Infinity, nextSuspensionMilliseconds: firstSuspensionMilliseconds, trialAt: undefined,
+		failureShare: 0, consecutiveUnreachable: 0, othersSilences: 0, suspendedUntil: -Infinity, nextSuspensionMilliseconds: firstSuspensionMilliseconds, trialAt: undefined,
 		lastResponseAt: -Infinity, isSilentToOthers: false,
 	};
 }
@@ -85,13 +87,13 @@
 		case 'failed': {
 			const failureShare = raiseFailureShare(state.failureShare);
 			const isExcess = failureShare > event.usualShare + excessFailureShare;
-			const responded = {...state, failureShare, lastResponseAt: now, isSilentToOthers: false};
+			const responded = {...state, failureShare, lastResponseAt: now, othersSilences: 0, isSilentToOthers: false};
 			return isExcess ? suspend(responded, now) : {...responded, trialAt: undefined};
 		}
 
 		case 'unreachable': {
 			const updated = {...state, failureShare: raiseFailureShare(state.failureShare), consecutiveUnreachable: state.consecutiveUnreachable + 1};
-			return updated.consecutiveUnreachable >= consecutiveUnreachableLimit || state.trialAt !== undefined ? suspend(updated, now) : updated;
+			return hasFallenSilent(updated) || state.trialAt !== undefined ? suspend(updated, now) : updated;
 		}
 
 		case 'trial': {
@@ -114,15 +116,15 @@
 
 /** A suspended endpoint that was silent to all may be tried at once. One that is silent to this instance alone keeps its suspension. */
 function afterOthersResponse(state: EndpointHealth, now: number): EndpointHealth {
-	const responded = {...state, lastResponseAt: now, isSilentToOthers: false};
+	const responded = {...state, lastResponseAt: now, othersSilences: 0, isSilentToOthers: false};
 	return state.isSilentToOthers && isSuspended(state) ? {...responded, trialAt: undefined, suspendedUntil: Math.min(state.suspendedUntil, now)} : responded;
 }
 
 function afterOthersSilence(state: EndpointHealth, turnMilliseconds: number, now: number): EndpointHealth {
 	const silent = {...state, isSilentToOthers: true};
 	if (!isSuspended(state)) {
-		const updated = {...silent, consecutiveUnreachable: state.consecutiveUnreachable + 1};
-		return updated.consecutiveUnreachable >= consecutiveUnreachableLimit ? postpone(suspend(updated, now), turnMilliseconds) : updated;
+		const updated = {...silent, othersSilences: state.othersSilences + 1};
+		return hasFallenSilent(updated) ? postpone(suspend(updated, now), turnMilliseconds) : updated;
 	}
 
 	// Of several instances that met the same silence, the first one counts; a trial of any of them counts for all.
@@ -133,6 +135,11 @@
 	return state.isSilentToOthers ? state : postpone(silent, turnMilliseconds);
 }
 
+/** Silences that this instance and others have met count alike. */
+function hasFallenSilent({consecutiveUnreachable, othersSilences}: EndpointHealth): boolean {
+	return consecutiveUnreachable + othersSilences >= consecutiveUnreachableLimit;
+}
+
 function postpone(state: EndpointHealth, milliseconds: number): EndpointHealth {
 	return {...state, suspendedUntil: state.suspendedUntil + milliseconds};
 }
