A take-up asks also while one build is known, and ends once all have answered

Found by reading: an instance that had not read of a new build yet took a stream of it up at the old one, since it knew one build and asked nobody. Now it asks all links about any stream that it does not know, and those that don't know it say so: what took a quarter of a second ends in one exchange.

--- a/src/gateway/stream-registry.ts
+++ b/src/gateway/stream-registry.ts
@@ -4,6 +4,7 @@
 import {type PartLogger} from '../telemetry/index.js';
 import {type MessageOf} from '../wire/index.js';
 import {type RoutingState} from './routing-state.js';
+import {StreamQuestion} from './stream-question.js';
 
 /** A stream that a caller takes up: the id of the request that began it, if the caller names one. */
 export type ResumedStream = {readonly request: string; readonly resumes: string | undefined; readonly workspace: string | undefined; readonly service: string};
@@ -26,8 +27,6 @@
 const copies = 2;
 /** Streams that begin within this time are told together. */
 const batchMilliseconds = 20;
-/** How long another instance may take to answer; a busy one answers after some turns of its event loop. */
-const answerMilliseconds = 250;
 /** Limit of the streams that one message names. */
 const maxNamed = 500;
 
@@ -45,8 +44,8 @@
 	/** Streams that the other instances are about to be told. */
 	#untold: StreamOrigin[] = [];
 	#timer: NodeJS.Timeout | undefined;
-	/** Take-ups that wait for an answer, by stream. */
-	readonly #waiting = new Map<string, Set<() => void>>();
+	/** Questions that are open, by stream. */
+	readonly #questions = new Map<string, StreamQuestion>();
 
 	private constructor(options: StreamRegistryOptions) {
 		this.#options = options;
@@ -72,7 +71,7 @@
 		const {logger, onTakeUp} = this.#options;
 		const {request, resumes, workspace, service} = stream;
 		const startedAt = performance.now();
-		const finding = resumes === undefined ? {type: 'unknown' as const} : await this.#find(keyOf(workspace, resumes), service);
+		const finding = resumes === undefined ? {type: 'unknown' as const} : await this.#find(keyOf(workspace, resumes));
 		const builds = this.#buildsOf(service);
 		const decision = decideTakeUp(finding, builds);
 		onTakeUp(decision.reason);
@@ -83,18 +82,21 @@
 	}
 
 	/** Handles what another instance tells or asks. */
-	handleMessage({known, wanted}: MessageOf<'stream-origins'>, instance: string): void {
+	handleMessage({known, wanted, unknown}: MessageOf<'stream-origins'>, instance: string): void {
 		const now = performance.now();
 		for (const origin of known) {
 			addOrigin(this.#origins, origin, now);
-			for (const resolve of this.#waiting.get(origin.key) ?? []) {
-				resolve();
-			}
+			this.#questions.get(origin.key)?.end();
+		}
+
+		for (const key of unknown) {
+			this.#questions.get(key)?.recordUnknown(instance);
 		}
 
-		const answers = wanted.flatMap(key => this.#knownOrigins(key, now));
-		if (answers.length > 0) {
-			this.#options.peers().sendTo(instance, {type: 'stream-origins', known: answers, wanted: []});
+		if (wanted.length > 0) {
+			const answers = wanted.flatMap(key => this.#knownOrigins(key, now));
+			const found = new Set(answers.map(({key}) => key));
+			this.#options.peers().sendTo(instance, {type: 'stream-origins', known: answers, wanted: [], unknown: wanted.filter(key => !found.has(key))});
 		}
 	}
 
@@ -102,34 +104,36 @@
 		clearTimeout(this.#timer);
 	}
 
-	/** What is known of a stream, by this instance or those that it asks; one build alone needs no question. */
-	async #find(key: string, service: string): Promise<OriginFinding> {
+	/**
+	 * What is known of a stream, by this instance or those that it asks. It asks also while it knows one build only: another instance may have
+	 * learned of a new one before, and used it.
+	 */
+	async #find(key: string): Promise<OriginFinding> {
 		const own = findOrigin(this.#origins, key, performance.now());
 		const {linkedNames} = this.#options.peers();
-		if (own.type !== 'unknown' || linkedNames.length === 0 || this.#buildsOf(service).size <= 1) {
+		if (own.type !== 'unknown' || linkedNames.length === 0) {
 			return own;
 		}
 
-		for (const name of linkedNames) {
-			this.#options.peers().sendTo(name, {type: 'stream-origins', known: [], wanted: [key]});
-		}
-
-		await this.#answered(key);
+		await this.#ask(key, linkedNames);
 		return findOrigin(this.#origins, key, performance.now());
 	}
 
-	/** Resolves at the first answer about a stream, or once there was time for one. */
-	async #answered(key: string): Promise<void> {
-		const resolvers = this.#waiting.get(key) ?? new Set();
-		this.#waiting.set(key, resolvers);
-		await new Promise<void>(resolve => {
-			const timer = setTimeout(resolve, answerMilliseconds);
-			resolvers.add(() => {
-				clearTimeout(timer);
-				resolve();
-			});
-		});
-		this.#waiting.delete(key);
+	/** Asks other instances about a stream; resolves once one knows it, none does, or there was time for an answer. */
+	async #ask(key: string, names: readonly string[]): Promise<void> {
+		const open = this.#questions.get(key);
+		if (open !== undefined) {
+			return open.ended;
+		}
+
+		const question = StreamQuestion.create(names);
+		this.#questions.set(key, question);
+		for (const name of names) {
+			this.#options.peers().sendTo(name, {type: 'stream-origins', known: [], wanted: [key], unknown: []});
+		}
+
+		await question.ended;
+		this.#questions.delete(key);
 	}
 
 	#knownOrigins(key: string, now: number): StreamOrigin[] {
@@ -150,7 +154,7 @@
 
 		this.#untold = [];
 		for (const [name, known] of told) {
-			peers.sendTo(name, {type: 'stream-origins', known: known.slice(0, maxNamed), wanted: []});
+			peers.sendTo(name, {type: 'stream-origins', known: known.slice(0, maxNamed), wanted: [], unknown: []});
 		}
 	}
 
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -160,8 +160,10 @@
 });
 
 const usageCounts = z.record(text, z.number().int().nonnegative());
-/** Gateway to gateway: builds of endpoints that began streams, and streams of which the sender wants to know it. */
-const streamOrigins = z.object({type: z.literal('stream-origins'), known: z.array(streamOriginSchema).max(1000), wanted: z.array(text).max(1000)});
+/** Gateway to gateway: builds of endpoints that began streams, streams of which the sender wants to know it, and those that it was asked for in vain. */
+const streamOrigins = z.object({
+	type: z.literal('stream-origins'), known: z.array(streamOriginSchema).max(1000), wanted: z.array(text).max(1000).default([]), unknown: z.array(text).max(1000).default([]),
+});
 /** Gateway to the holder of the duties: the sender's counts of the windows that changed since its last message on this connection. */
 const usage = z.object({
 	type: z.literal('usage'), instance: text, incarnation: text,
