Crashes that a request explains which never runs do not count against one that runs

Now a crash that names a request which is quarantined and has never run is no evidence against one that has runs, and one that has runs is told to come back in two seconds. The stand-in's store no longer keeps a test's process for as long as a given-up read had asked to wait.

--- a/fakes/platform-store.ts
+++ b/fakes/platform-store.ts
@@ -281,7 +281,8 @@
 			resolve();
 		};
 
-		const timer = setTimeout(wake, milliseconds);
+		// A read that its caller has given up must not keep the process of a test for as long as it asked to wait.
+		const timer = setTimeout(wake, milliseconds).unref();
 		waiting.add(wake);
 	});
 }
--- a/src/gateway/crash-ledger.ts
+++ b/src/gateway/crash-ledger.ts
@@ -5,7 +5,7 @@
 import {type EndpointRecord} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {CrashMonitor, type CrashOf, type EvidenceVerdict} from './crash-monitor.js';
-import {type CrashNews, CrashRecords, noCrashNews} from './crash-records.js';
+import {type CrashNews, CrashRecords, crashThreshold, noCrashNews} from './crash-records.js';
 
 /** The parts of a request that stay the same when its caller sends it again. */
 export type RepeatableRequest = {readonly workspace: string | undefined; readonly method: string; readonly path: string; readonly body: Uint8Array | undefined};
@@ -26,14 +26,9 @@
 	readonly onEvidence: (verdict: EvidenceVerdict) => void;
 };
 
-/**
- * Weight of crashes that quarantines a request. Requests run beside each other, and a request that is sent again after a crash may meet a second
- * one by chance; with each further crash chance explains it less.
- */
-const crashThreshold = 3;
 /** Instances tell each other of runs of a request that so many crashes count against; with fewer it is not refused after the next one. */
 const toldRunsFrom = 2;
-/** When a request may come back that is refused for crashes that are not certain: most are certain, or refuted, within this time. */
+/** When a request may come back that is refused for crashes that are not certain, or runs elsewhere: most are certain, refuted or outweighed within this time. */
 const suspectedRetryMilliseconds = 2000;
 /** Requests of which such a line is logged while any crash counts. */
 const maxLoggedWeights = 1000;
@@ -103,8 +98,7 @@
 		const fingerprint = fingerprintOf(request);
 		const {certain, possible, runs, crashes} = this.#records.weigh(fingerprint, now);
 		if (certain >= crashThreshold) {
-			const times = crashes.map(({time}) => time).toSorted((left, right) => right - left);
-			return {type: 'quarantined', fingerprint, crashes: crashes.length, runs, remainingMilliseconds: times[crashThreshold - 1]! + quarantineMilliseconds - now};
+			return {type: 'quarantined', fingerprint, crashes: crashes.length, runs, remainingMilliseconds: runs > 0 ? suspectedRetryMilliseconds : remainingOf(crashes, now)};
 		}
 
 		this.#logWeight(fingerprint, {certain, possible, runs});
@@ -286,6 +280,12 @@
 	}
 }
 
+/** Until fewer crashes than quarantine a request count, in milliseconds. */
+function remainingOf(crashes: readonly CrashRecord[], now: number): number {
+	const times = crashes.map(({time}) => time).toSorted((left, right) => right - left);
+	return times[crashThreshold - 1]! + quarantineMilliseconds - now;
+}
+
 function toldKey(crash: string, fingerprint: string): string {
 	return `${crash}\n${fingerprint}`;
 }
--- a/src/gateway/crash-records.ts
+++ b/src/gateway/crash-records.ts
@@ -1,6 +1,6 @@
 import {
 	countedCrashes, countRuns, type CrashRecord, createQuarantine, foldPending, foldQuarantine, foldRuns, noCountedRuns, noPendingCrashes, openCrashes, type PendingRecord,
-	pendingRecordsOf, prunePending, pruneQuarantine, pruneRuns, type QuarantineRecord, type RunRecord, weighCrashes,
+	pendingRecordsOf, type Quarantine, prunePending, pruneQuarantine, pruneRuns, type QuarantineRecord, type RunRecord, weighCrashes,
 } from '../policy/quarantine/index.js';
 
 /** What instances tell each other of crashes. */
@@ -8,6 +8,12 @@
 
 export const noCrashNews: CrashNews = {records: [], pending: [], runs: []};
 
+/**
+ * Weight of crashes that quarantines a request. Requests run beside each other, and a request that is sent again after a crash may meet a second
+ * one by chance; with each further crash chance explains it less.
+ */
+export const crashThreshold = 3;
+
 /** How much counts against a request: crashes that are certain, and those with others that may have happened. */
 export type CrashWeight = {readonly certain: number; readonly possible: number; readonly runs: number; readonly crashes: readonly CrashRecord[]};
 
@@ -20,6 +26,8 @@
 	#quarantine = createQuarantine();
 	#pending = noPendingCrashes;
 	#runs = noCountedRuns;
+	/** Crashes by request, for one state of the quarantine. */
+	#counts: {readonly state: Quarantine; readonly byRequest: ReadonlyMap<string, number>} | undefined;
 
 	get crashCount(): number {
 		return this.#quarantine.crashes.size;
@@ -56,8 +64,8 @@
 
 	/** What counts against a request. */
 	weigh(fingerprint: string, now: number): CrashWeight {
-		const crashes = this.countedCrashes(fingerprint, now);
 		const runs = countRuns(this.#runs, fingerprint);
+		const crashes = this.countedCrashes(fingerprint, now).filter(crash => runs === 0 || !this.#isExplained(crash));
 		const certainTimes = crashes.map(({time}) => time);
 		const known = new Set(crashes.map(({crash}) => crash));
 		const pendingTimes = this.pendingRecordsOf(fingerprint, now).filter(({crash}) => !known.has(crash)).map(({time}) => time);
@@ -97,4 +105,28 @@
 		this.#pending = prunePending(this.#pending, now);
 		this.#runs = pruneRuns(this.#runs, fingerprint => this.countedCrashes(fingerprint, now).length > 0);
 	}
+
+	/**
+	 * Whether a crash names a request that is quarantined and has never run to its end. It is no evidence against one that does run: while one
+	 * request ends all endpoints of a service, a request that many callers send alike is at each of them.
+	 */
+	#isExplained({fingerprints}: CrashRecord): boolean {
+		const counts = this.#crashCounts();
+		return fingerprints.some(fingerprint => (counts.get(fingerprint) ?? 0) >= crashThreshold && countRuns(this.#runs, fingerprint) === 0);
+	}
+
+	#crashCounts(): ReadonlyMap<string, number> {
+		if (this.#counts?.state !== this.#quarantine) {
+			const byRequest = new Map<string, number>();
+			for (const {crash, fingerprints} of this.#quarantine.crashes.values()) {
+				for (const fingerprint of fingerprints.filter(one => this.#quarantine.cleared.get(one)?.has(crash) !== true)) {
+					byRequest.set(fingerprint, (byRequest.get(fingerprint) ?? 0) + 1);
+				}
+			}
+
+			this.#counts = {state: this.#quarantine, byRequest};
+		}
+
+		return this.#counts.byRequest;
+	}
 }
--- a/test/gateway/crash-ledger.test.ts
+++ b/test/gateway/crash-ledger.test.ts
@@ -134,6 +134,23 @@
 	t.equal(newcomer.ledger.quarantineOf(request, now + 5001), undefined, 'and a new peer is told of both');
 });
 
+// Three requests ended all endpoints of a service again and again, and a request that many callers send was told to come back ten minutes later.
+tap.test('crashes that a request which never runs explains do not count against one that runs', async t => {
+	const {ledger, sent} = createLedger();
+	const now = performance.now();
+	ledger.recordUnanswered(endpoint('a'), request, {sentAt: 0, sign: 'break', now});
+	await untilConfirmed();
+	const fingerprints = sent[0]?.type === 'crashed' ? sent[0].fingerprints : [];
+	const times = [now, now + 2000, now + 4000];
+	ledger.applyNews({records: ['b', 'c', 'd'].map((id, index) => crashRecord(id, fingerprints, times[index]!))}, 'instance x');
+	ledger.recordCompleted(request, now + 4000);
+	t.match(ledger.quarantineOf(request, now + 5000), {type: 'quarantined', remainingMilliseconds: 2000}, 'it runs, so it may soon be outweighed');
+	ledger.applyNews({records: ['a', 'b', 'c', 'd'].map((id, index) => crashRecord(id, ['crashing'], times[index] ?? now))}, 'instance x');
+	t.equal(ledger.quarantineOf(request, now + 5000), undefined, 'the other request explains them');
+	ledger.applyNews({runs: [{fingerprint: 'crashing', instance: 'x', runs: 1}]}, 'instance x');
+	t.match(ledger.quarantineOf(request, now + 5000), {type: 'quarantined'}, 'unless that one runs too');
+});
+
 // Many callers send one request, and three of its endpoints fail together: it was refused for ten minutes, and nothing could clear it any more.
 tap.test('crashes of endpoints that fail together do not count against a request that ran elsewhere just before', async t => {
 	const {ledger, sentRuns} = createLedger();
