Stored crashes are read rarely while all instances are linked, and runs are stored later

Now an instance reads every ten seconds and more while it reaches all others, and each second otherwise, which still leaves a third crash known within the three seconds that the rule gives. Runs alone are written after three seconds.

--- a/src/bin/gateway-crashes.ts
+++ b/src/bin/gateway-crashes.ts
@@ -26,8 +26,8 @@
 		logger: forPart(logger, 'Crashes'),
 		isLost: record => isRegistrationLost(routingState, record),
 		onNews,
-		onOwnNews() {
-			archive.save();
+		onOwnNews(kind) {
+			archive.save(kind);
 		},
 		onEvidence(verdict) {
 			evidence.add(1, {verdict});
@@ -37,7 +37,7 @@
 	const archive = CrashArchive.create({instance, write: async stored => store.writeCrashes(stored), ledger, logger: forPart(logger, 'Crashes'), instances});
 	store.onEra(() => {
 		if (ledger.crashCount > 0) {
-			archive.save();
+			archive.save('crash');
 		}
 	});
 	metrics.observe('gateway_endpoint_crashes', 'Endpoints that crashed with requests of this instance or its peers, as far as they still count.', () => ledger.crashCount);
--- a/src/gateway/crash-archive.ts
+++ b/src/gateway/crash-archive.ts
@@ -22,8 +22,10 @@
 	readonly logger: PartLogger;
 };
 
-/** Crashes that are noticed within this time are written together. */
-const writeDelayMilliseconds = 200;
+/** What is noticed within this time is written together. Runs are news for the next start; they wait for more. */
+const writeDelayMilliseconds = {crash: 200, runs: 3000};
+/** Interval at which a write that waits looks whether it is due. */
+const dueCheckMilliseconds = 100;
 const retryMilliseconds = 1000;
 const maxRetryFactor = 8;
 /** Limit of the requests that an instance stores, so that a record stays within what the store accepts. */
@@ -45,6 +47,8 @@
 	#hasStored = false;
 	#isWriting = false;
 	#isOutdated = false;
+	/** When the next write is due, on the monotonic clock. */
+	#dueAt = Infinity;
 	#isDisposed = false;
 
 	private constructor(options: CrashArchiveOptions) {
@@ -52,8 +56,9 @@
 	}
 
 	/** Stores the crashes that this instance knows. */
-	save(): void {
+	save(kind: 'crash' | 'runs'): void {
 		this.#isOutdated = true;
+		this.#dueAt = Math.min(this.#dueAt, performance.now() + writeDelayMilliseconds[kind]);
 		if (!this.#isWriting) {
 			this.#isWriting = true;
 			void this.#write();
@@ -78,7 +83,7 @@
 		}
 
 		if (this.#hasStored) {
-			this.save();
+			this.save('crash');
 		}
 
 		void this.#removeOrphans();
@@ -108,8 +113,9 @@
 	async #write(): Promise<void> {
 		const {write, ledger, instance, logger} = this.#options;
 		while (this.#isOutdated && !this.#isDisposed) {
-			await sleep(writeDelayMilliseconds);
+			await this.#untilDue();
 			this.#isOutdated = false;
+			this.#dueAt = Infinity;
 			const crashes = await this.#untilSuccess('store', async () => {
 				const now = performance.now();
 				const stored = {instance, crashes: toStored(ledger.openCrashes(now), now), runs: ledger.ownRuns(now)};
@@ -123,6 +129,12 @@
 		this.#isWriting = false;
 	}
 
+	async #untilDue(): Promise<void> {
+		while (performance.now() < this.#dueAt && !this.#isDisposed) {
+			await sleep(dueCheckMilliseconds);
+		}
+	}
+
 	/** One of the instances removes what instances that are gone have left. */
 	async #removeOrphans(): Promise<void> {
 		const {instance, instances, write} = this.#options;
--- a/src/gateway/crash-ledger.ts
+++ b/src/gateway/crash-ledger.ts
@@ -21,7 +21,7 @@
 	/** Called with what the other instances need. */
 	readonly onNews: (news: CrashNews) => void;
 	/** Called when this instance has noticed something that the others must know: a crash, that it was none, or runs that speak for a request. */
-	readonly onOwnNews: () => void;
+	readonly onOwnNews: (kind: 'crash' | 'runs') => void;
 	/** Called with what became of the evidence of a crash. */
 	readonly onEvidence: (verdict: EvidenceVerdict) => void;
 };
@@ -65,12 +65,12 @@
 			},
 			onCrash: ({crash, record, fingerprints, at}) => {
 				this.#add({...noCrashNews, records: [{type: 'crashed', crash, endpoint: record.id, fingerprints: [...fingerprints], time: at}]}, 'own attempt');
-				options.onOwnNews();
+				options.onOwnNews('crash');
 			},
 			onRetract: ({crash, fingerprints}) => {
 				const records = fingerprints.map((fingerprint): QuarantineRecord => ({type: 'cleared', fingerprint, crashes: [crash], time: performance.now()}));
 				this.#add({...noCrashNews, records}, 'own attempt');
-				options.onOwnNews();
+				options.onOwnNews('crash');
 			},
 		});
 	}
@@ -240,7 +240,7 @@
 
 		if (told.length > 0) {
 			onNews({...noCrashNews, runs: told});
-			onOwnNews();
+			onOwnNews('runs');
 		}
 	}
 
--- a/src/gateway/peer-roster.ts
+++ b/src/gateway/peer-roster.ts
@@ -76,6 +76,11 @@
 		return {type: 'known', instances: countPossibleInstances(this.#possibleInstances, shutdownMilliseconds, now)};
 	}
 
+	/** Whether an announced instance may be out of reach: a neighbour without a link, or one that does not respond to dials. */
+	hasUnreached(linked: ReadonlySet<string>): boolean {
+		return [...this.#peers.values()].some(({instance, address}) => !linked.has(instance) && (this.neighbours.linked.has(instance) || this.#isUnreachable(address)));
+	}
+
 	get neighbours(): Neighbours {
 		const members = Array.from(this.#peers.values(), ({instance, zone}): Member => ({name: instance, zone}));
 		this.#neighbours ??= neighboursOf(this.#own, members, name => {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -95,6 +95,10 @@
 		return {links, instances: (links === 0 || this.roster.isFullMesh ? links : Math.max(links, this.roster.reachableCount)) + 1};
 	}
 
+	get isApart(): boolean {
+		return this.roster.hasUnreached(new Set(this.#links.keys()));
+	}
+
 	get linkedNames(): readonly string[] {
 		return [...this.#links.keys()];
 	}
@@ -223,10 +227,8 @@
 			return undefined;
 		}
 
-		const {routingState, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement, onStreamOrigins} = this.#options;
-		const {instance, incarnation} = link;
 		handleMessage(message, {
-			routingState, connection, instance, incarnation, onLoad, onPromptCache, onRateLimitReport, onCrashNews, onHolderAnnouncement, onStreamOrigins,
+			...this.#options, connection, instance: link.instance, incarnation: link.incarnation,
 			onVersion: version => {
 				link.routingVersion = version;
 				this.#tablePuller.handlePeerVersion();
--- a/src/gateway/store-feeds.ts
+++ b/src/gateway/store-feeds.ts
@@ -1,4 +1,4 @@
-import {crashLongPollWait, crashPauseMilliseconds, endpointPollInterval, type FleetView, instancePollInterval, routingLongPollWait} from '../policy/sharing/index.js';
+import {crashLongPollWait, crashPollPause, endpointPollInterval, type FleetView, instancePollInterval, routingLongPollWait} from '../policy/sharing/index.js';
 import {type EndpointChange, type RoutingTableInput} from '../routing/index.js';
 import {type PartLogger} from '../telemetry/index.js';
 import {type CrashArchive, type StoredCrashes} from './crash-archive.js';
@@ -21,6 +21,8 @@
 /** Receives announcements of instances, and counts the instances that notify each other of what they read from the store. */
 export type PeerRegistry = {
 	readonly view: FleetView;
+	/** Whether an announced instance may be out of reach. */
+	readonly isApart: boolean;
 	addPeers(records: readonly PeerRecord[], isSnapshot: boolean): void;
 	removePeer(instance: string): void;
 };
@@ -86,7 +88,7 @@
 		},
 	});
 	const crashes: FeedFollower<StoredCrashes> = FeedFollower.start({
-		...common, feed: store.crashes, waitMilliseconds: longPoll => crashLongPollWait(longPoll, random()), pauseMilliseconds: () => crashPauseMilliseconds,
+		...common, feed: store.crashes, waitMilliseconds: longPoll => crashLongPollWait(longPoll, random()), pauseMilliseconds: () => crashPollPause(peers.isApart),
 		onChanges(stored) {
 			archive.receive(stored);
 		},
--- a/src/policy/sharing/polling.ts
+++ b/src/policy/sharing/polling.ts
@@ -95,9 +95,14 @@
 
 /**
  * Pause between two long polls of the stored crashes. Many instances notice a crash within moments, and each of their records would otherwise
- * be a read of its own at every other instance.
+ * be a read of its own at every other instance. One that reaches all others learns of crashes from them.
  */
-export const crashPauseMilliseconds = 250;
+const crashPauseMilliseconds = {apart: 1000, linked: 10_000};
+
+/** How long until the stored crashes are polled again, by whether some other instance may be out of reach. */
+export function crashPollPause(isApart: boolean): number {
+	return isApart ? crashPauseMilliseconds.apart : crashPauseMilliseconds.linked;
+}
 
 /** Instances that start together have announced themselves within the first polls; later they come and go rarely. */
 const instanceIntervals = {initial: 600, factor: 4, maximum: 20_000};
--- a/test/gateway/crash-archive.test.ts
+++ b/test/gateway/crash-archive.test.ts
@@ -39,8 +39,8 @@
 	const archives: CrashArchive[] = [];
 	const ledger = CrashLedger.create({
 		instance, logger: silentLogger, isLost: () => false, onNews: () => undefined, onEvidence: () => undefined,
-		onOwnNews() {
-			archives[0]?.save();
+		onOwnNews(kind) {
+			archives[0]?.save(kind);
 		},
 	});
 	const archive = CrashArchive.create({instance, write: async stored => store.write(stored), ledger, instances: () => instances, logger: silentLogger});
@@ -57,7 +57,7 @@
 	const store = MemoryStore.create();
 	const {ledger, archive} = startInstance(store);
 	ledger.applyNews(crash('x'), 'test');
-	archive.save();
+	archive.save('crash');
 	await eventually(() => store.stored.size === 1);
 	const next = startInstance(store);
 	await eventually(() => next.ledger.crashCount === 1);
@@ -136,7 +136,7 @@
 	store.isDown = true;
 	const {ledger, archive} = startInstance(store);
 	ledger.applyNews(crash('x'), 'test');
-	archive.save();
+	archive.save('crash');
 	await eventually(() => store.calls >= 3);
 	store.isDown = false;
 	await eventually(() => store.stored.size === 1);
@@ -151,7 +151,7 @@
 		ledger.applyNews(crash(`x${number}`, Array.from({length: 1000}, (_, index) => `f${number}-${index}`)), 'test');
 	}
 
-	archive.save();
+	archive.save('crash');
 	await eventually(() => store.stored.size === 1);
 	t.equal(store.stored.get('a')?.crashes.length, 4);
 });
--- a/test/gateway/virtual-followers.ts
+++ b/test/gateway/virtual-followers.ts
@@ -75,7 +75,7 @@
 		const feeds = followFeeds(new VirtualClient(this.store, time).feeds(), {
 			routingState, drainMilliseconds: applyMilliseconds, applyMilliseconds, logger: silentLogger, random, onEra: () => undefined,
 			crashes: {restore: () => undefined, receive: () => undefined},
-			peers: {view: {links: linked.size, instances}, addPeers: () => undefined, removePeer: () => undefined},
+			peers: {isApart: false, view: {links: linked.size, instances}, addPeers: () => undefined, removePeer: () => undefined},
 		});
 		this.#followers.push({name: member.name, routingState, feeds, tablePuller, peerVersions});
 	}
