--- a/src/gateway/stream-registry.ts
+++ b/src/gateway/stream-registry.ts
@@ -1,3 +1,4 @@
+import {sha256} from '../model/index.js';
 import {rankByRendezvous} from '../policy/hashing/index.js';
 import {addOrigin, decideTakeUp, findOrigin, type OriginFinding, originMilliseconds, type StreamOrigin, type StreamOrigins, type TakeUp} from '../policy/streams/index.js';
 import {buildOf} from '../routing/index.js';
@@ -166,7 +167,7 @@
 	}
 }
 
-/** Workspaces choose the ids of their requests by themselves. */
+/** Workspaces choose the ids of their requests by themselves. A hash has one length, whatever theirs are: a longer key than a message may have would end the link. */
 function keyOf(workspace: string | undefined, request: string): string {
-	return `${workspace ?? ''}\n${request}`;
+	return sha256(`${workspace ?? ''}\n${request}`).slice(0, 32);
 }
--- a/test/gateway/stream-registry.test.ts
+++ b/test/gateway/stream-registry.test.ts
@@ -1,7 +1,7 @@
 import tap from 'tap';
 import {RoutingState, StreamRegistry} from '../../src/gateway/index.js';
 import {type ZoneName} from '../../src/model/index.js';
-import {type MessageOf} from '../../src/wire/index.js';
+import {type MessageOf, messageSchema} from '../../src/wire/index.js';
 import {eventually} from './testbed.js';
 
 const silentLogger = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
@@ -122,6 +122,14 @@
 	t.match(await fleet.of('a').takeUp({...stream, request: 't', resumes: undefined}), {type: 'refuse', reason: 'unknown'});
 });
 
+// A key that is longer than a message may have would end the links to all peers.
+tap.test('a stream of a workspace with a long name is told in a valid message', async t => {
+	using fleet = Fleet.create(names, ['v1', 'v2']);
+	fleet.of('a').recordBegun({...stream, workspace: 'w'.repeat(512), request: 'r'.repeat(128)}, 'v1');
+	await eventually(() => fleet.sent.length === 2);
+	t.ok(fleet.sent.every(message => messageSchema.safeParse(message).success));
+});
+
 // An endpoint of the old build that has just gone may have begun a stream that is taken up now.
 tap.test('a build that has lately served still counts', async t => {
 	const routingState = RoutingState.create(silentLogger);
