The counts of runs in a stored record are limited

Thousands of requests that two crashes name would have made a record longer than the store accepts, and no crash would have been stored: found by reading the diff.

--- a/src/gateway/crash-archive.ts
+++ b/src/gateway/crash-archive.ts
@@ -28,8 +28,9 @@
 const dueCheckMilliseconds = 100;
 const retryMilliseconds = 1000;
 const maxRetryFactor = 8;
-/** Limit of the requests that an instance stores, so that a record stays within what the store accepts. */
+/** Limits of the requests, and of the counts of runs, that an instance stores, so that a record stays within what the store accepts. */
 const maxStoredFingerprints = 4000;
+const maxStoredRuns = 1000;
 
 /**
  * Keeps the crashes that count in the store, each instance under its own name, and takes in what the others store. Without the first, a request
@@ -118,7 +119,7 @@
 			this.#dueAt = Infinity;
 			const crashes = await this.#untilSuccess('store', async () => {
 				const now = performance.now();
-				const stored = {instance, crashes: toStored(ledger.openCrashes(now), now), runs: ledger.ownRuns(now)};
+				const stored = {instance, crashes: toStored(ledger.openCrashes(now), now), runs: ledger.ownRuns(now).slice(0, maxStoredRuns)};
 				await write(stored);
 				return stored.crashes;
 			});
--- a/test/gateway/crash-archive.test.ts
+++ b/test/gateway/crash-archive.test.ts
@@ -155,3 +155,16 @@
 	await eventually(() => store.stored.size === 1);
 	t.equal(store.stored.get('a')?.crashes.length, 4);
 });
+
+tap.test('the counts of runs in a record are limited too', async t => {
+	const store = MemoryStore.create();
+	const {ledger, archive} = startInstance(store);
+	const names = Array.from({length: 1500}, (_, index) => `f${index}`);
+	ledger.applyNews({runs: names.map(fingerprint => ({fingerprint, instance: 'a', runs: 1}))}, 'test');
+	ledger.applyNews(crash('x', names), 'test');
+	ledger.applyNews(crash('y', names), 'test');
+	archive.save('crash');
+	await eventually(() => store.stored.size === 1);
+	t.equal(store.all[0]?.crashes.length, 2);
+	t.equal(store.all[0]?.runs.length, 1000);
+});
