--- a/test/gateway/stream-builds.test.ts
+++ b/test/gateway/stream-builds.test.ts
@@ -112,3 +112,37 @@
 	await testbed.startGateway();
 	t.equal(await testbed.statusOf({path: '/chart/1', id: 't', headers: {Resumes: 'unknown'}}), 200);
 });
+
+// A silent stream was given up although only another build had an endpoint left, so that it could no longer go on.
+tap.test('a stream that falls silent is not given up while no other endpoint has its build', async t => {
+	await using testbed = await createTwoBuilds(() => ({type: 'crash', isSilent: true, afterEvents: 2}), 2);
+	await testbed.startGateway();
+	const response = await testbed.send({path: '/chart/1', id: 's'});
+	t.ok(response.milliseconds > 1400, `its endpoint has until the deadline, ${Math.round(response.milliseconds)} ms`);
+	t.equal(testbed.attemptCount('s'), 1);
+});
+
+// A route that is divided between services chose by the id of the take-up, and half of the streams went on at another service.
+tap.test('a stream of a divided route is taken up at the service that began it', async t => {
+	await using testbed = await Testbed.create({services: ['models', 'more-models']});
+	testbed.respondWith('models', () => whole);
+	testbed.respondWith('more-models', () => whole);
+	const state = desiredState(2);
+	const split = [{service: 'models', weight: 1}, {service: 'more-models', weight: 1}];
+	testbed.store.put('keyed.op', 'config', {
+		...state,
+		routes: (state.routes as Array<Record<string, unknown>>).map(route => route.name === 'chart' ? {...route, service: undefined, split} : route),
+		services: [...state.services as Array<Record<string, unknown>>, {name: 'more-models', maxConnections: 100}],
+	});
+	const gateway = await testbed.startGateway();
+	await eventually(() => gateway.routingState.table?.version === 2);
+	const serviceOf = (id: string): string | undefined => testbed.workers.find(({requests}) => requests.some(request => request.id === id))?.service;
+	for (let number = 0; number < 12; number++) {
+		await testbed.send({path: '/chart/1', id: `s${number}`});
+		await testbed.send({path: '/chart/1', id: `t${number}`, headers: {Resumes: `s${number}`, 'Last-Event-Id': '2'}});
+	}
+
+	const numbers = Array.from({length: 12}, (_, number) => number);
+	t.equal(new Set(numbers.map(number => serviceOf(`s${number}`))).size, 2, 'both services get streams');
+	t.ok(numbers.every(number => serviceOf(`s${number}`) === serviceOf(`t${number}`)));
+});
