A call's timeout passes in steps, so that a late event loop reads what has arrived

Cause: timers run before the sockets are read. In a loop whose turn takes longer than the 900 ms of a call to the store, the timer fires while the response waits in the kernel; the connection is reset, every long poll is aborted, and the next try waits up to 3.4 s and ends the same way. Class: a process takes its own lateness for silence of what it waits on. Why the fix works: a timeout passes in four steps with a turn of the loop in each and one more at its end; a call needs at most three turns.

--- a/src/concurrency/index.ts
+++ b/src/concurrency/index.ts
@@ -5,3 +5,4 @@
 } from './operations.js';
 export type {Channel} from 'js-csp';
 export {Alarm, type AlarmEvent} from './alarm.js';
+export {Timeout} from './timeout.js';
--- a/src/platform/http-caller.ts
+++ b/src/platform/http-caller.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request as httpRequest, type ClientRequest, type IncomingMessage} from 'node:http';
+import {Timeout} from '../concurrency/index.js';
 import {limitReceivedBytes} from './byte-limit.js';
 import {abortRequest} from './abort-request.js';
 import {watchConnection} from './connection-watch.js';
@@ -74,15 +75,11 @@
 		const timeoutMilliseconds = call.timeoutMilliseconds ?? this.#settings.timeoutMilliseconds;
 		limitReceivedBytes(clientRequest, () => maximumResponseBytes);
 		let abortReason: string | undefined;
-		const timer = setTimeout(() => {
+		using _timeout = Timeout.start(timeoutMilliseconds, () => {
 			abortReason = `no complete response within ${timeoutMilliseconds} ms`;
 			abortRequest(clientRequest);
-		}, timeoutMilliseconds);
-		try {
-			return parseResponse(await exchange(clientRequest, {payload, abortReason: () => abortReason}));
-		} finally {
-			clearTimeout(timer);
-		}
+		});
+		return parseResponse(await exchange(clientRequest, {payload, abortReason: () => abortReason}));
 	}
 }
 
