--- a/src/concurrency/timeout.ts
+++ b/src/concurrency/timeout.ts
@@ -19,7 +19,6 @@
 	readonly #milliseconds: number;
 	readonly #onTimeout: (lateMilliseconds: number) => void;
 	#timer: NodeJS.Timeout | undefined;
-	#lastTurn: NodeJS.Immediate | undefined;
 
 	private constructor(milliseconds: number, onTimeout: (lateMilliseconds: number) => void) {
 		this.#milliseconds = milliseconds;
@@ -29,7 +28,6 @@
 
 	[Symbol.dispose](): void {
 		clearTimeout(this.#timer);
-		clearImmediate(this.#lastTurn);
 	}
 
 	#schedule(step: number): void {
@@ -43,9 +41,10 @@
 		}, Math.max(0, at - performance.now()));
 	}
 
+	/** What arrived while the last step passed is read before this timer fires. */
 	#awaitLastTurn(): void {
-		this.#lastTurn = setImmediate(() => {
+		this.#timer = setTimeout(() => {
 			this.#onTimeout(performance.now() - this.#startedAt - this.#milliseconds);
-		});
+		}, 0);
 	}
 }
