A connection that has been established is not given up by a late event loop

Evidence: test/gateway/attempt.test.ts, the new test red before ('broken'), green after. Why the fix works: the same stepwise timeout; it ends with the connection, so that it costs no wake-up after it. Dials of other instances and the headers of endpoints of the product's own path have it too.

--- a/src/endpoint/open-call.ts
+++ b/src/endpoint/open-call.ts
@@ -1,4 +1,5 @@
 import {request as httpRequest, type Agent, type ClientRequest, type IncomingMessage} from 'node:http';
+import {Timeout} from '../concurrency/index.js';
 import {abortOnSignal, abortRequest, watchConnection} from '../platform/index.js';
 import {createFailure, FailureKind, Verdict, type Failure} from '../model/index.js';
 
@@ -35,20 +36,20 @@
 			agent: settings.usesNewConnection ? false : settings.agent, method: settings.method, headers: settings.headers,
 		});
 		let hasTimedOut = false;
-		const timer = setTimeout(() => {
+		const timeout = Timeout.start(settings.headerTimeoutMilliseconds, () => {
 			hasTimedOut = true;
 			abortRequest(request);
-		}, settings.headerTimeoutMilliseconds);
+		});
 		abortOnSignal(request, settings.signal);
 		const connection = watchConnection(request);
 		// The listener is not removed: the response reports an error after the headers, and it must not be thrown here as well.
 		request.on('error', error => {
-			clearTimeout(timer);
+			timeout[Symbol.dispose]();
 			const cause = hasTimedOut ? Object.assign(new Error('no response in time'), {code: 'ETIMEDOUT'}) : error;
 			resolve({type: 'failed', failure: createConnectionFailure(cause, connection.isEstablished, settings.signal)});
 		});
 		request.once('response', response => {
-			clearTimeout(timer);
+			timeout[Symbol.dispose]();
 			resolve({type: 'answered', response});
 		});
 		settings.write(request);
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -1,5 +1,6 @@
 import {request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
+import {Timeout} from '../../concurrency/index.js';
 import {splitAddress, type Verdict as VerdictType, Verdict} from '../../model/index.js';
 import {abortRequest, limitReceivedBytes, watchConnection} from '../../platform/index.js';
 import {type ConnectionPool} from '../endpoints/index.js';
@@ -46,7 +47,7 @@
 	#isFinished = false;
 	#isReset = false;
 	#socket: Socket | undefined;
-	#connectTimer: NodeJS.Timeout | undefined;
+	readonly #connectTimeout: Timeout;
 	#bodyBytes = 0;
 
 	private constructor(options: AttemptOptions) {
@@ -61,9 +62,10 @@
 		});
 		this.#connection = watchConnection(this.#request);
 		limitReceivedBytes(this.#request, () => maxOverheadBytes + (this.#bodyBytes * maxFramingFactor));
-		this.#startConnectTimeout();
+		this.#connectTimeout = this.#startConnectTimeout();
 		this.#request.once('socket', socket => {
 			this.#socket = socket;
+			this.#endConnectTimeout(socket);
 			// Runs before the HTTP parser sees the end, while the state of the connection can still be read.
 			socket.prependListener('end', this.#onSocketEnd);
 		});
@@ -94,7 +96,7 @@
 	/** Cancels the attempt; an endpoint drops the work when its connection ends. One that has sent nothing may not have the request yet, and does not get it any more. */
 	cancel(): void {
 		this.#isFinished = true;
-		clearTimeout(this.#connectTimer);
+		this.#connectTimeout[Symbol.dispose]();
 		if (this.#response === undefined) {
 			abortRequest(this.#request);
 			return;
@@ -113,16 +115,28 @@
 		this.#response?.resume();
 	}
 
-	#startConnectTimeout(): void {
-		this.#connectTimer = setTimeout(() => {
+	#startConnectTimeout(): Timeout {
+		return Timeout.start(connectTimeoutMilliseconds, () => {
 			if (!this.#connection.isEstablished) {
 				this.#request.destroy(new Error(`no connection within ${connectTimeoutMilliseconds} ms`));
 			}
-		}, connectTimeoutMilliseconds);
+		});
+	}
+
+	/** Ends the timeout once the connection is established; a reused one is already. */
+	#endConnectTimeout(socket: Socket): void {
+		if (!socket.connecting) {
+			this.#connectTimeout[Symbol.dispose]();
+			return;
+		}
+
+		socket.once('connect', () => {
+			this.#connectTimeout[Symbol.dispose]();
+		});
 	}
 
 	#handleResponse(response: IncomingMessage): void {
-		clearTimeout(this.#connectTimer);
+		this.#connectTimeout[Symbol.dispose]();
 		this.#response = response;
 		this.#emit({type: 'head', status: response.statusCode ?? 0, headers: response.headers, rawHeaders: response.rawHeaders});
 		response.on('data', (bytes: Uint8Array) => {
@@ -155,7 +169,7 @@
 	};
 
 	#fail(reason: string): void {
-		clearTimeout(this.#connectTimer);
+		this.#connectTimeout[Symbol.dispose]();
 		this.#emit({type: 'broken', verdict: this.#connection.isEstablished ? Verdict.mayHaveRun : Verdict.notRun, reason});
 		this.#isFinished = true;
 		this.#request.destroy();
--- a/src/wire/transport.ts
+++ b/src/wire/transport.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import net, {type AddressInfo} from 'node:net';
 import tls from 'node:tls';
+import {Timeout} from '../concurrency/index.js';
 import {splitAddress} from '../model/index.js';
 import {Connection} from './connection.js';
 
@@ -57,9 +58,12 @@
 		: tls.connect({
 			host, port, cert: security.certificate, key: security.key, ca: security.authority, minVersion: 'TLSv1.3', checkServerIdentity: skipHostNameCheck,
 		});
-	const signal = AbortSignal.timeout(dialTimeoutMilliseconds);
+	const controller = new AbortController();
+	using _timeout = Timeout.start(dialTimeoutMilliseconds, () => {
+		controller.abort(new Error(`no connection within ${dialTimeoutMilliseconds} ms`));
+	});
 	try {
-		await once(socket, security.type === 'plaintext' ? 'connect' : 'secureConnect', {signal});
+		await once(socket, security.type === 'plaintext' ? 'connect' : 'secureConnect', {signal: controller.signal});
 	} catch (error) {
 		socket.destroy();
 		throw error;
--- a/test/gateway/attempt.test.ts
+++ b/test/gateway/attempt.test.ts
@@ -1,14 +1,15 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import net, {type AddressInfo} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import tap from 'tap';
 import {Attempt, type AttemptEvent} from '../../src/gateway/requests/attempt.js';
 import {ConnectionPool} from '../../src/gateway/endpoints/connection-pool.js';
 
 type Respond = (socket: net.Socket) => void;
 
-/** Sends one request to an endpoint that responds like this, and returns all events of the attempt. */
-async function attemptAgainst(respond: Respond): Promise<AttemptEvent[]> {
+/** Sends one request to an endpoint that responds like this, and returns all events of the attempt. `onStarted` runs in the turn in which the attempt was started. */
+async function attemptAgainst(respond: Respond, onStarted?: () => void): Promise<AttemptEvent[]> {
 	const server = net.createServer(socket => {
 		socket.once('data', () => {
 			respond(socket);
@@ -19,6 +20,7 @@
 	await once(server, 'listening');
 	const connectionPool = ConnectionPool.create(4);
 	const events: AttemptEvent[] = [];
+	await nextTurn();
 	await new Promise<void>(resolve => {
 		Attempt.start({
 			address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
@@ -30,12 +32,15 @@
 				}
 			},
 		});
+		onStarted?.();
 	});
 	connectionPool.destroy();
 	server.close();
 	return events;
 }
 
+/** A turn of the event loop that takes longer than an attempt waits for its connection. */
+const lateTurnMilliseconds = 500;
 const head = 'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n';
 
 // A response without a length ends with its connection. If the worker's process dies in the middle, the connection is reset; a
@@ -161,3 +166,16 @@
 	server.close();
 	t.equal(connections, 1);
 });
+
+// A busy instance found endpoints unreachable that had accepted its connections, and suspended them.
+tap.test('a connection that has been established is not given up by a late event loop', async t => {
+	const events = await attemptAgainst(socket => {
+		socket.end(`${head}Content-Length: 2\r\n\r\nok`);
+	}, () => {
+		const until = performance.now() + lateTurnMilliseconds;
+		while (performance.now() < until) {
+			// The event loop reads nothing meanwhile.
+		}
+	});
+	t.same(events.map(({type}) => type), ['head', 'data', 'end']);
+});
