A peer is silent only if nothing of it waits to be read

What callers may see: an instance that stood still for three seconds closes its links to all others as it goes on, and loses the routing tables, loads and crashes they tell of until it has dialled again. Evidence: test/wire/late-loop.test.ts, red before ('the peer is silent'), green after.

--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type Duplex} from 'node:stream';
-import {channel, deliver, type Channel} from '../concurrency/index.js';
+import {channel, deliver, Timeout, type Channel} from '../concurrency/index.js';
 import {encodeFrame, FrameDecoder} from './frames.js';
 import {type Message} from './messages.js';
 
@@ -16,6 +16,8 @@
 export const silenceMilliseconds = 6000;
 /** The same for a connection that carries no request: nothing depends on it, and its heartbeats are infrequent. */
 export const idleSilenceMilliseconds = 45_000;
+/** What a silent peer has sent is read within this time; a process that stood still finds it in the kernel. */
+const lastReadMilliseconds = 40;
 /** Heartbeat interval of a connection that carries requests. */
 export const busyHeartbeatMilliseconds = 2000;
 
@@ -57,6 +59,7 @@
 	#isBusy = false;
 	#busyTimes = defaultBusyTimes;
 	readonly #silenceCheck: NodeJS.Timeout;
+	#lastRead: Timeout | undefined;
 
 	private constructor(socket: Duplex, peer: string) {
 		this.#socket = socket;
@@ -65,6 +68,7 @@
 			socket.once('close', () => {
 				this.incoming.close();
 				clearInterval(this.#silenceCheck);
+				this.#lastRead?.[Symbol.dispose]();
 				resolve();
 			});
 		});
@@ -96,7 +100,7 @@
 		this.#isBusy = isBusy;
 	}
 
-	/** Closes the connection if the peer is silent. Returns whether a heartbeat is due, and counts that heartbeat as sent; `connections` is the process's number of connections. */
+	/** Closes the connection soon if the peer is silent. Returns whether a heartbeat is due, and counts that heartbeat as sent; `connections` is the process's number of connections. */
 	takeHeartbeat(connections: number): boolean {
 		const now = performance.now();
 		this.#checkSilence();
@@ -208,7 +212,17 @@
 		}
 
 		if (performance.now() - this.#lastReceivedAt > (this.#isBusy ? this.#busyTimes.silenceMilliseconds : idleSilenceMilliseconds)) {
-			this.close('the peer is silent');
+			this.#closeUnlessHeard(this.#lastReceivedAt);
 		}
 	}
+
+	/** Closes the connection if nothing arrives on it in the next turns of the event loop either. */
+	#closeUnlessHeard(lastReceivedAt: number): void {
+		this.#lastRead ??= Timeout.start(lastReadMilliseconds, () => {
+			this.#lastRead = undefined;
+			if (this.#lastReceivedAt === lastReceivedAt) {
+				this.close('the peer is silent');
+			}
+		});
+	}
 }
