News that a link cannot carry waits behind configuration, and is bounded

From 17 s on, with five engines dark and six crashed, fourteen small instances (links of 10 Mbit/s) got next to nothing: at one of them the routing feed failed at 17.258 s ('no complete response within 900 ms') and every try after it until the end, with a loop that was 0.72 to 0.9 busy in turns of 20 to 140 ms. Others told of version 19 at 25.8 s, it heard of it at 32.860 s, asked peers for the table 21 times and had no answer. Five of twenty instances had the version in time. Class: an unbounded queue in which configuration waits behind bulk. Ruled out: the late loop (other instances as late had the table), the store (big instances read it). Change: messages between instances are prompt or bulk (news of crashes, lists of cached prompts). Bulk is written in parts of 16 kB once everything before it is written; 64 kB of it may wait for one peer, older ones are dropped, counted and logged. What is certain of crashes is in the store besides. Why it works: a version, a table and an endpoint that leaves wait for what the kernel holds of one connection at most, and a slow link holds 64 kB more for each peer, not 64 MB.

--- a/src/gateway/peers/peer-link.ts
+++ b/src/gateway/peers/peer-link.ts
@@ -1,3 +1,4 @@
+import {type PartLogger} from '../../telemetry/index.js';
 import {type Connection, type MessageOf} from '../../wire/index.js';
 
 /** The connection to one peer. */
@@ -29,3 +30,11 @@
 export function isPreferredLink(existing: PeerLink, isDialled: boolean, ownInstance: string): boolean {
 	return existing.isDialled === isDialled || isDialled === (ownInstance < existing.instance);
 }
+
+/** Logs how many messages were dropped since the previous call because the peer takes less than it is sent. */
+export function logDropped({connection, instance}: Pick<PeerLink, 'connection' | 'instance'>, logger: PartLogger): void {
+	const messages = connection.takeDropped();
+	if (messages > 0) {
+		logger.warn('A peer takes less than it is sent, messages dropped.', {peer: instance, messages});
+	}
+}
--- a/src/gateway/peers/peer-messages.ts
+++ b/src/gateway/peers/peer-messages.ts
@@ -1,6 +1,6 @@
 import {decodeLoad, type LoadEvent, unflattenParts} from '../../policy/dispatch/index.js';
 import {type EndpointChange, positionOf} from '../../routing/index.js';
-import {type Connection, type GatewayMessage, type MessageOf} from '../../wire/index.js';
+import {type Connection, type GatewayMessage, type MessageOf, MessagePriority} from '../../wire/index.js';
 import {type CrashNews} from '../crashes/index.js';
 import {type RoutingStateChange, type RoutingState} from '../table/index.js';
 import {type CachedPromptParts, type EndpointIncarnation, type LentShare, type RateLimitReport} from '../endpoints/index.js';
@@ -31,6 +31,14 @@
 	}
 }
 
+/**
+ * Whether a message may wait for its link. News of crashes and of cached prompt parts is most of what instances tell each other while many endpoints
+ * fail; what is certain of crashes is in the store, too.
+ */
+export function priorityOf({type}: GatewayMessage): MessagePriority {
+	return type === 'request-crashes' || type === 'kept' ? MessagePriority.bulk : MessagePriority.prompt;
+}
+
 /** What is known at the time of a peer's hello. */
 export type NewPeer = {
 	/** Whether the peer has read the endpoints from the store lately. */
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -1,11 +1,11 @@
 import {type Body, receive, sleep, spawn, wait} from '../../concurrency/index.js';
 import {flattenParts, type LoadEvent, batchIntervalMilliseconds} from '../../policy/dispatch/index.js';
 import {type FleetView} from '../../policy/sharing/index.js';
-import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type Message, type MessageOf, protocolVersion} from '../../wire/index.js';
+import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type MessageOf, protocolVersion, type Message} from '../../wire/index.js';
 import {type CachedPromptParts} from '../endpoints/index.js';
 import {LoadBatch} from './load-batch.js';
-import {initialMessages, handleMessage, messageForChange} from './peer-messages.js';
-import {createPeerLink, isPreferredLink, type PeerLink} from './peer-link.js';
+import {initialMessages, handleMessage, messageForChange, priorityOf} from './peer-messages.js';
+import {createPeerLink, isPreferredLink, logDropped, type PeerLink} from './peer-link.js';
 import {type PeerRecord, PeerRoster} from './peer-roster.js';
 import {type PeersOptions} from './peers-options.js';
 import {RoutingTablePuller} from './routing-table-puller.js';
@@ -145,14 +145,14 @@
 		await Promise.all([...this.#links.values()].map(async ({connection}) => connection[Symbol.asyncDispose]()));
 	}
 
-	#broadcast(message: Message): void {
+	#broadcast(message: GatewayMessage): void {
 		if (this.#links.size === 0) {
 			return;
 		}
 
 		const frame = encodeFrame(message);
 		for (const {connection} of this.#links.values()) {
-			connection.sendFrame(frame);
+			connection.sendFrame(frame, priorityOf(message));
 		}
 	}
 
@@ -175,6 +175,7 @@
 	 * one is due.
 	 */
 	#maintainLink({connection, instance, isDialled, since}: PeerLink): void {
+		logDropped({connection, instance}, this.#options.logger);
 		if (isDialled && performance.now() - since > minLinkMilliseconds && !this.roster.neighbours.linked.has(instance)) {
 			connection.close('no longer a neighbour');
 		} else if (connection.takeHeartbeat(this.#links.size)) {
@@ -264,7 +265,7 @@
 		const {holderAnnouncement, crashNews} = this.#options;
 		const newPeer = {knowsEndpoints: hello.knowsEndpoints, holderAnnouncement: holderAnnouncement(), crashes: crashNews(), now: performance.now()};
 		for (const message of initialMessages(this.#options.routingState, newPeer)) {
-			connection.send(message);
+			connection.send(message, priorityOf(message));
 		}
 
 		return link;
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -3,6 +3,7 @@
 import {channel, deliver, Timeout, type Channel} from '../concurrency/index.js';
 import {encodeFrame, FrameDecoder} from './frames.js';
 import {type Message} from './messages.js';
+import {MessagePriority, SendQueue} from './send-queue.js';
 
 /** Received batches, one per turn of the event loop, that may be queued for the reader before the socket is paused. */
 const maximumQueuedBatches = 32;
@@ -52,7 +53,8 @@
 	readonly counts = {sentMessages: 0, sentBytes: 0, receivedMessages: 0, receivedBytes: 0};
 	readonly #socket: Duplex;
 	readonly #decoder = FrameDecoder.create();
-	#unsent: Uint8Array[] = [];
+	readonly #unsent = SendQueue.create();
+	#isFlushDue = false;
 	#lastReceivedAt = performance.now();
 	/** Starts at a random offset, so that connections opened at the same time don't send their heartbeats at the same time. */
 	#lastHeartbeatAt = performance.now() - (Math.random() * idleHeartbeatMilliseconds);
@@ -116,19 +118,20 @@
 	 * Queues a message. It is written at the end of this turn of the event loop, after all ready sockets have
 	 * been read, together with the other queued messages. A closed connection drops it.
 	 */
-	send(message: Message): void {
+	send(message: Message, priority: MessagePriority = MessagePriority.prompt): void {
 		if (!this.#socket.destroyed) {
-			this.sendFrame(encodeFrame(message));
+			this.sendFrame(encodeFrame(message), priority);
 		}
 	}
 
 	/** Queues an encoded message, so that a message to many peers is encoded once. */
-	sendFrame(frame: Uint8Array): void {
+	sendFrame(frame: Uint8Array, priority: MessagePriority = MessagePriority.prompt): void {
 		if (this.#socket.destroyed) {
 			return;
 		}
 
-		if (this.#unsent.length === 0) {
+		if (!this.#isFlushDue) {
+			this.#isFlushDue = true;
 			setImmediate(() => {
 				this.#flush();
 			});
@@ -136,7 +139,12 @@
 
 		this.counts.sentMessages += 1;
 		this.counts.sentBytes += frame.byteLength;
-		this.#unsent.push(frame);
+		this.#unsent.push(frame, priority);
+	}
+
+	/** Number of bulk messages dropped since the previous call because the peer took less than was sent. */
+	takeDropped(): number {
+		return this.#unsent.takeDropped();
 	}
 
 	/** Hands the queued messages to the socket and destroys it without waiting; the peer sees an interrupted connection. */
@@ -162,18 +170,25 @@
 	}
 
 	#flush(): void {
-		const frames = this.#unsent;
-		this.#unsent = [];
-		if (frames.length === 0 || this.#socket.destroyed) {
+		this.#isFlushDue = false;
+		const frames = this.#socket.destroyed ? [] : this.#unsent.take(this.#socket.writableLength === 0);
+		if (frames.length === 0) {
 			return;
 		}
 
-		this.#socket.write(frames.length === 1 ? frames[0] : Buffer.concat(frames));
+		this.#socket.write(frames.length === 1 ? frames[0] : Buffer.concat(frames), this.#onWritten);
 		if (this.#socket.writableLength > maximumUnsentBytes) {
 			this.close('the peer does not read');
 		}
 	}
 
+	/** Bulk that waited for earlier writes follows them. */
+	readonly #onWritten = (): void => {
+		if (!this.#isFlushDue && !this.#unsent.isEmpty) {
+			this.#flush();
+		}
+	};
+
 	#receive(bytes: Uint8Array): void {
 		this.#lastReceivedAt = performance.now();
 		this.counts.receivedBytes += bytes.byteLength;
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -4,4 +4,5 @@
 	isGatewayMessage, messageSchema, protocolVersion, type Message, type GatewayMessage, type MessageOf, type StreamMessage,
 } from './messages.js';
 export {Connection, idleHeartbeatInterval, idleSilenceMilliseconds, silenceMilliseconds} from './connection.js';
+export {MessagePriority} from './send-queue.js';
 export {dial, Listener, type Security} from './transport.js';
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -1,8 +1,10 @@
+import {once} from 'node:events';
+import net from 'node:net';
 import tap from 'tap';
-import {type ZoneName} from '../../src/model/index.js';
+import {splitAddress, type ZoneName} from '../../src/model/index.js';
 import {RoutingState, initialMessages, noCrashNews, PeerRoster, Peers} from '../../src/gateway/index.js';
 import {type RoutingTableInput} from '../../src/routing/index.js';
-import {dial, protocolVersion} from '../../src/wire/index.js';
+import {dial, encodeFrame, FrameDecoder, protocolVersion} from '../../src/wire/index.js';
 import {LoadTracker, type LoadEvent} from '../../src/policy/dispatch/index.js';
 
 const silentLogger = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
@@ -24,6 +26,9 @@
 	return {peers, events, routingState};
 }
 
+/** Several times what the kernel's buffers of a connection hold. */
+const floodBytes = 48 * 1024 * 1024;
+
 async function waitUntil(holds: () => boolean): Promise<void> {
 	while (!holds()) {
 		await new Promise(resolve => {
@@ -87,6 +92,42 @@
 	await one.peers[Symbol.asyncDispose]();
 });
 
+// Links of small instances were full of news of crashes, and a table that was in force elsewhere was told and sent to them many seconds late.
+tap.test('the version of a new table does not wait behind crash news that its link cannot carry', async t => {
+	const one = await createPeers('one');
+	const socket = net.connect(splitAddress(one.peers.address));
+	await once(socket, 'connect');
+	socket.write(encodeFrame({type: 'gateway-hello', protocol: protocolVersion, instance: 'two', incarnation: 'two-first', knowsEndpoints: true}));
+	await waitUntil(() => one.peers.count === 1);
+	socket.pause();
+	const news = {type: 'request-crashes' as const, records: [], pending: [], runs: Array.from({length: 500}, (_, index) => ({fingerprint: `${index}`.repeat(10), instance: 'one', runs: index + 1})), now: 0};
+	const newsBytes = encodeFrame(news).byteLength;
+	const count = Math.ceil(floodBytes / newsBytes);
+	for (let sent = 0; sent < count; sent++) {
+		one.peers.announce(news);
+		if (sent % 20 === 0) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
+	one.routingState.applyTable(table(2), 'store');
+	const decoder = FrameDecoder.create();
+	let before = 0;
+	let isTold = false;
+	socket.on('data', (bytes: Uint8Array) => {
+		const messages = decoder.push(bytes);
+		isTold ||= messages.some(({type}) => type === 'routing-version');
+		before += isTold ? 0 : bytes.byteLength;
+	});
+	socket.resume();
+	await waitUntil(() => isTold);
+	t.ok(before < floodBytes / 2, `${before} of ${floodBytes} bytes came before it`);
+	socket.destroy();
+	await one.peers[Symbol.asyncDispose]();
+});
+
 // The store refuses an instance while the operator publishes. The instance receives the version from a peer and requests the table;
 // without this it would use the old table until the store is available again.
 tap.test('an instance that the store refuses gets the table from a peer', async t => {
