--- a/bench/gateway-soak/soak-platform.ts
+++ b/bench/gateway-soak/soak-platform.ts
@@ -49,6 +49,8 @@
 	/** How a request crashes the worker that runs it, if it does. */
 	crashOn: (request: WorkerRequest) => CrashAnswer | undefined = crashesNever;
 	isRevoked = false;
+	/** A further key of the second workspace, if it has one. */
+	#seriesKey: string | undefined;
 	readonly #random: Random;
 	#version = 0;
 	#isDisposed = false;
@@ -107,6 +109,12 @@
 		this.#publishAgain();
 	}
 
+	/** Publishes a table in which the second workspace has this key in place of the one that was published so before. */
+	publishKey(key: string): void {
+		this.#seriesKey = key;
+		this.publish();
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#isDisposed = true;
 		await Promise.all(this.workers.flatMap(({worker, path}) => [worker[Symbol.asyncDispose](), path[Symbol.asyncDispose]()]));
@@ -145,7 +153,7 @@
 	}
 
 	#publishAgain(): void {
-		const tenants = [{name: 'studio-a', apiKeys: [validKey]}, {name: 'studio-b', apiKeys: this.isRevoked ? [] : [revokedKey]}];
+		const tenants = [{name: 'studio-a', apiKeys: [validKey]}, {name: 'studio-b', apiKeys: [...(this.isRevoked ? [] : [revokedKey]), ...(this.#seriesKey === undefined ? [] : [this.#seriesKey])]}];
 		this.store.put('keyed.op', 'config', desiredState(this.#version, {tenants}));
 	}
 }
