Messages between instances are control or bulk, and none is written once a connection ends

'Prompt' means something else in this project; and bulk that waited was written after the end of a connection that was closing gracefully, which would have destroyed it with what was not sent yet. Tests of wire, peers and crashes pass.

--- a/src/gateway/peers/peer-messages.ts
+++ b/src/gateway/peers/peer-messages.ts
@@ -36,7 +36,7 @@
  * fail; what is certain of crashes is in the store, too.
  */
 export function priorityOf({type}: GatewayMessage): MessagePriority {
-	return type === 'request-crashes' || type === 'kept' ? MessagePriority.bulk : MessagePriority.prompt;
+	return type === 'request-crashes' || type === 'kept' ? MessagePriority.bulk : MessagePriority.control;
 }
 
 /** What is known at the time of a peer's hello. */
--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -118,14 +118,14 @@
 	 * Queues a message. It is written at the end of this turn of the event loop, after all ready sockets have
 	 * been read, together with the other queued messages. A closed connection drops it.
 	 */
-	send(message: Message, priority: MessagePriority = MessagePriority.prompt): void {
+	send(message: Message, priority: MessagePriority = MessagePriority.control): void {
 		if (!this.#socket.destroyed) {
 			this.sendFrame(encodeFrame(message), priority);
 		}
 	}
 
 	/** Queues an encoded message, so that a message to many peers is encoded once. */
-	sendFrame(frame: Uint8Array, priority: MessagePriority = MessagePriority.prompt): void {
+	sendFrame(frame: Uint8Array, priority: MessagePriority = MessagePriority.control): void {
 		if (this.#socket.destroyed) {
 			return;
 		}
@@ -171,7 +171,7 @@
 
 	#flush(): void {
 		this.#isFlushDue = false;
-		const frames = this.#socket.destroyed ? [] : this.#unsent.take(this.#socket.writableLength === 0);
+		const frames = this.#socket.writable ? this.#unsent.take(this.#socket.writableLength === 0) : [];
 		if (frames.length === 0) {
 			return;
 		}
--- a/src/wire/send-queue.ts
+++ b/src/wire/send-queue.ts
@@ -1,8 +1,8 @@
 /**
- * Whether a message may wait for its connection. `prompt` messages are written at once and in their order. `bulk` messages wait while the peer
+ * Whether a message may wait for its connection. `control` messages are written at once and in their order. `bulk` messages wait while the peer
  * takes less than is sent, and the oldest of them are dropped beyond a bound: their sender does not rely on each one.
  */
-export const MessagePriority = {prompt: 'prompt', bulk: 'bulk'} as const;
+export const MessagePriority = {control: 'control', bulk: 'bulk'} as const;
 export type MessagePriority = (typeof MessagePriority)[keyof typeof MessagePriority];
 
 /** Bulk that may wait for one peer: more than a second's worth where twenty peers share a link of ten megabits a second. */
@@ -16,20 +16,20 @@
 		return new SendQueue();
 	}
 
-	#prompt: Uint8Array[] = [];
+	#control: Uint8Array[] = [];
 	readonly #bulk: Uint8Array[] = [];
 	#bulkBytes = 0;
 	#dropped = 0;
 
 	get isEmpty(): boolean {
-		return this.#prompt.length === 0 && this.#bulk.length === 0;
+		return this.#control.length === 0 && this.#bulk.length === 0;
 	}
 
 	/** Adds a frame; older bulk is dropped if more of it waits than may. */
 	push(frame: Uint8Array, priority: MessagePriority): void {
 		switch (priority) {
-			case 'prompt': {
-				this.#prompt.push(frame);
+			case 'control': {
+				this.#control.push(frame);
 				return;
 			}
 
@@ -41,10 +41,10 @@
 		}
 	}
 
-	/** Takes what is written now: all prompt frames, and bulk behind them if everything before was written. */
+	/** Takes what is written now: all control frames, and bulk behind them if everything before was written. */
 	take(isWritten: boolean): readonly Uint8Array[] {
-		const taken = this.#prompt;
-		this.#prompt = [];
+		const taken = this.#control;
+		this.#control = [];
 		return isWritten ? [...taken, ...this.#takeBulk()] : taken;
 	}
 
--- a/test/wire/send-queue.test.ts
+++ b/test/wire/send-queue.test.ts
@@ -5,17 +5,17 @@
 
 const frames = fc.array(fc.record({size: fc.integer({min: 1, max: maxBulkWriteBytes * 2}), isBulk: fc.boolean(), isTaken: fc.boolean()}), {maxLength: 60});
 
-// A peer that reads slowly must neither hold up what is prompt nor let what waits for it grow without bound.
-tap.test('prompt frames keep their order and are never dropped, bulk keeps its order and is bounded', async () => {
+// A peer that reads slowly must neither hold up control nor let what waits for it grow without bound.
+tap.test('control frames keep their order and are never dropped, bulk keeps its order and is bounded', async () => {
 	fc.assert(fc.property(frames, pushed => {
 		const queue = SendQueue.create();
 		const taken: Uint8Array[] = [];
-		const prompt: Uint8Array[] = [];
+		const control: Uint8Array[] = [];
 		const bulk: Uint8Array[] = [];
 		for (const {size, isBulk, isTaken} of pushed) {
 			const frame = new Uint8Array(size);
-			(isBulk ? bulk : prompt).push(frame);
-			queue.push(frame, isBulk ? MessagePriority.bulk : MessagePriority.prompt);
+			(isBulk ? bulk : control).push(frame);
+			queue.push(frame, isBulk ? MessagePriority.bulk : MessagePriority.control);
 			const written = isTaken ? queue.take(false) : [];
 			taken.push(...written);
 			if (isTaken && written.some(one => bulk.includes(one))) {
@@ -29,7 +29,7 @@
 
 		const takenBulk = taken.filter(frame => bulk.includes(frame));
 		const waited = takenBulk.reduce((sum, {byteLength}) => sum + byteLength, 0);
-		return isSame(taken.filter(frame => prompt.includes(frame)), prompt)
+		return isSame(taken.filter(frame => control.includes(frame)), control)
 			&& isSame(takenBulk, bulk.slice(bulk.length - takenBulk.length))
 			&& waited <= maxWaitingBulkBytes
 			&& queue.takeDropped() === bulk.length - takenBulk.length;
@@ -44,8 +44,8 @@
 
 	t.equal(queue.take(false).length, 0);
 	t.equal(queue.take(true).length, 2);
-	queue.push(new Uint8Array(1), MessagePriority.prompt);
-	t.equal(queue.take(true)[0]!.byteLength, 1, 'what is prompt goes first');
+	queue.push(new Uint8Array(1), MessagePriority.control);
+	t.equal(queue.take(true)[0]!.byteLength, 1, 'control goes first');
 	t.ok(queue.isEmpty);
 });
 
