--- a/src/wire/send-queue.ts
+++ b/src/wire/send-queue.ts
@@ -1,5 +1,5 @@
 /**
- * Whether a message may wait for its connection. `control` messages are written at once and in their order. `bulk` messages wait while the peer
+ * Whether a message may wait for its connection. `control` messages, the default, are written at once and in their order. `bulk` messages wait while the peer
  * takes less than is sent, and the oldest of them are dropped beyond a bound: their sender does not rely on each one.
  */
 export const MessagePriority = {control: 'control', bulk: 'bulk'} as const;
