--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -170,10 +170,7 @@
 		}
 	}
 
-	/**
-	 * Closes a link to an instance that is no longer a neighbour if this instance dialled it; otherwise sends a heartbeat when
-	 * one is due.
-	 */
+	/** Closes a link that this instance dialled to one that is no longer a neighbour; otherwise sends a heartbeat when one is due. */
 	#maintainLink({connection, instance, isDialled, since}: PeerLink): void {
 		logDropped({connection, instance}, this.#options.logger);
 		if (isDialled && performance.now() - since > minLinkMilliseconds && !this.roster.neighbours.linked.has(instance)) {
