Bulk is dropped only while its connection takes less than is sent

Callers saw nothing of it yet: found by reading.

Cause: the bound was checked in push(), which does not know whether earlier writes wait. Change: take() checks it, and only where earlier writes wait.

--- a/src/wire/send-queue.ts
+++ b/src/wire/send-queue.ts
@@ -25,7 +25,7 @@
 		return this.#control.length === 0 && this.#bulk.length === 0;
 	}
 
-	/** Adds a frame; older bulk is dropped if more of it waits than may. */
+	/** Adds a frame, whatever waits: only the next call of `take` knows whether the connection takes it. */
 	push(frame: Uint8Array, priority: MessagePriority): void {
 		switch (priority) {
 			case 'control': {
@@ -36,16 +36,20 @@
 			case 'bulk': {
 				this.#bulk.push(frame);
 				this.#bulkBytes += frame.byteLength;
-				this.#dropOldest();
 			}
 		}
 	}
 
-	/** Takes what is written now: all control frames, and bulk behind them if everything before was written. */
+	/** Takes what is written now: all control frames, and bulk behind them if everything before was written. Otherwise bulk waits, and the oldest is dropped if more waits than may. */
 	take(isWritten: boolean): readonly Uint8Array[] {
 		const taken = this.#control;
 		this.#control = [];
-		return isWritten ? [...taken, ...this.#takeBulk()] : taken;
+		if (isWritten) {
+			return [...taken, ...this.#takeBulk()];
+		}
+
+		this.#dropOldest();
+		return taken;
 	}
 
 	/** Number of messages dropped since the previous call. */
--- a/test/wire/send-queue.test.ts
+++ b/test/wire/send-queue.test.ts
@@ -23,6 +23,7 @@
 			}
 		}
 
+		taken.push(...queue.take(false));
 		while (!queue.isEmpty) {
 			taken.push(...queue.take(true));
 		}
@@ -36,6 +37,23 @@
 	}), {seed: 69, numRuns: 500});
 });
 
+// A turn with much to say lost part of it on a connection that took everything.
+tap.test('bulk is not dropped, however much of it one turn has, while all earlier frames are written', async t => {
+	const queue = SendQueue.create();
+	const count = (3 * maxWaitingBulkBytes) / maxBulkWriteBytes;
+	for (let number = 0; number < count; number++) {
+		queue.push(new Uint8Array(maxBulkWriteBytes), MessagePriority.bulk);
+	}
+
+	let written = 0;
+	while (!queue.isEmpty) {
+		written += queue.take(true).length;
+	}
+
+	t.equal(written, count);
+	t.equal(queue.takeDropped(), 0);
+});
+
 tap.test('bulk is written in parts once everything before is written', async t => {
 	const queue = SendQueue.create();
 	for (let number = 0; number < 4; number++) {
