--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -8,6 +8,8 @@
 import process from 'node:process';
 
 const testFolder = 'dist/test';
+/** Details of a failed assertion beyond so many lines are only in the whole output. */
+const longestDetailLines = 25;
 const selected = process.argv.slice(2);
 
 function findTests() {
@@ -52,6 +54,19 @@
 	return /^ +(?:not )?ok \d/v.test(line) && !/# time=/v.test(line);
 }
 
+/** Returns the failed assertions with their details, which end with a line of three dots. */
+function failuresOf(lines) {
+	const failures = [];
+	for (const [index, line] of lines.entries()) {
+		if (/^ +not ok \d/v.test(line)) {
+			const end = lines.slice(index, index + longestDetailLines).findIndex(one => one.trim() === '...');
+			failures.push(...lines.slice(index, index + Math.max(1, end)));
+		}
+	}
+
+	return failures;
+}
+
 function runTap(files) {
 	if (files.length === 0) {
 		return {passed: 0, failed: 0};
@@ -70,7 +85,7 @@
 	if (failedFiles.length > 0 || result.status !== 0) {
 		console.log(result.stdout);
 		console.log(result.stderr);
-		for (const line of failedFiles) {
+		for (const line of [...failedFiles, ...failuresOf(lines)]) {
 			console.log(`FAILED ${line}`);
 		}
 	}
