Crashes a second apart are one event each, also with a few milliseconds of jitter

Callers saw: a request that two of three runs crash, sent every half second through four gateways, ran 5 times after its third crash and the time to notice, where 3 are allowed.

Cause: crashes within a second of an event's first one belong to it. Crashes of callers who send again each second lie within it or not by a few milliseconds: 0, 7, 998, 1001, 2004, 2012, 3001, 3004 ms were two events at one instance and three at another, whose clock differs by some. One refused the request and the other sent it on. Class: a bound at the very pace of what it divides.

Change: 0.7 s.

Open: a request sent again every 700 ms has the same doubt. What would tell a rack from a request is whether it was sent after the event's first crash; records do not hold it.

--- a/src/policy/quarantine/runs.ts
+++ b/src/policy/quarantine/runs.ts
@@ -23,7 +23,7 @@
 export const noCountedRuns: CountedRuns = new Map();
 
 /** Endpoints that crash within this time of the first one crash together. */
-const eventMilliseconds = 1000;
+const eventMilliseconds = 700;
 /** Complete runs that outweigh one event. Requests that share a part end together with their endpoint, so a part meets more crashes that it has not caused. */
 const runsPerEvent = {request: 10, part: 1};
 /** Runs of one request that an instance counts at most: more than outweigh all that may happen within the time for which crashes count. */
