--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -11,3 +11,4 @@
 } from './journal/index.js';
 export {createOperatorRoutes, type OperatorRoutesOptions} from './operator-routes.js';
 export {LineSink} from './line-sink.js';
+export {LogLimit, type LogLimitSettings} from './log-limit.js';
