--- a/src/policy/quarantine/index.ts
+++ b/src/policy/quarantine/index.ts
@@ -29,6 +29,8 @@
 /** Number of crash records kept: a hundred a minute for the whole period, far more than the 18 instances that fail on an ordinary day in a full-size fleet. */
 export const maxCrashRecords = 1000;
 
+const computedNames = new WeakMap<CrashRecord, ReadonlySet<string>>();
+
 /** The crash records, and which fingerprints were cleared of them. */
 export type Quarantine = {
 	readonly crashes: ReadonlyMap<string, CrashRecord>;
@@ -72,10 +74,22 @@
  * known stays; a record whose time alone is new would otherwise be passed on again and again.
  */
 function mergeCrash(known: CrashRecord, added: CrashRecord): CrashRecord {
+	const names = namesOf(known);
+	if (added.fingerprints.every(fingerprint => names.has(fingerprint))) {
+		return known;
+	}
+
 	const fingerprints = [...new Set([...known.fingerprints, ...added.fingerprints])].slice(0, maxNamed).toSorted();
 	return fingerprints.length === known.fingerprints.length ? known : {...known, fingerprints};
 }
 
+/** Names of a record. Each instance tells, stores and reads of a crash what most others know. */
+function namesOf(record: CrashRecord): ReadonlySet<string> {
+	const names = computedNames.get(record) ?? new Set(record.fingerprints);
+	computedNames.set(record, names);
+	return names;
+}
+
 /** Drops records that no longer count, and the oldest crashes beyond `maxCrashRecords`. */
 export function pruneQuarantine(state: Quarantine, now: number): Quarantine {
 	const recent = [...state.crashes.values()]
