--- a/src/bin/gateway-metrics.ts
+++ b/src/bin/gateway-metrics.ts
@@ -14,5 +14,6 @@
 	metrics.observe('gateway_loop_lag', 'How late the event loop is, in milliseconds; 0 below the lag of the settings.', () => lateness.milliseconds);
 	metrics.observe('gateway_open', 'Requests whose response is not complete.', () => gateway.openRequests);
 	metrics.observe('gateway_peers', 'Connected peer gateways.', () => peers.count);
+	metrics.observeEach('gateway_peer_sent_bytes', 'Bytes for other instances since the start, by type of message.', 'type', () => peers.sentBytes);
 	metrics.observe('gateway_table_version', 'Version of the routing table in force.', () => routingState.table?.version ?? 0);
 }
--- a/src/gateway/crashes/crash-archive.ts
+++ b/src/gateway/crashes/crash-archive.ts
@@ -103,7 +103,7 @@
 			return;
 		}
 
-		logger.info('Crashes read from the store.', {instances: stored.map(({instance}) => instance), crashes: records.length, runs: runs.length});
+		logger.info('Crashes read from the store.', {instances: stored.map(({instance}) => instance), crashes: records.length, names: countNames(records), runs: runs.length});
 		for (const {instance} of stored) {
 			this.#storing.add(instance);
 		}
@@ -117,14 +117,14 @@
 			await this.#untilDue();
 			this.#isOutdated = false;
 			this.#dueAt = Infinity;
-			const crashes = await this.#untilSuccess('store', async () => {
+			const stored = await this.#untilSuccess('store', async () => {
 				const now = performance.now();
-				const stored = {instance, crashes: toStored(ledger.openCrashes(now), now), runs: ledger.ownRuns(now).slice(0, maxStoredRuns)};
-				await write(stored);
-				return stored.crashes;
+				const news = {instance, crashes: toStored(ledger.openCrashes(now), now), runs: ledger.ownRuns(now).slice(0, maxStoredRuns)};
+				await write(news);
+				return news;
 			});
-			this.#hasStored = crashes !== undefined && crashes.length > 0;
-			logger.info('Crashes stored.', {crashes: crashes?.length ?? 0});
+			this.#hasStored = stored !== undefined && stored.crashes.length > 0;
+			logger.info('Crashes stored.', {crashes: stored?.crashes.length ?? 0, names: stored === undefined ? 0 : countNames(stored.crashes), runs: stored?.runs.length ?? 0});
 		}
 
 		this.#isWriting = false;
@@ -165,6 +165,11 @@
 	}
 }
 
+/** How many requests and parts crashes name: what a record's length grows with. */
+function countNames(crashes: ReadonlyArray<Pick<StoredCrash, 'fingerprints'>>): number {
+	return crashes.reduce((sum, {fingerprints}) => sum + fingerprints.length, 0);
+}
+
 /** The newest crashes, without those that would exceed the limit. */
 function toStored(crashes: readonly CrashRecord[], now: number): StoredCrash[] {
 	let fingerprints = 0;
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -1,12 +1,13 @@
 import {type Body, receive, sleep, spawn, wait} from '../../concurrency/index.js';
 import {flattenParts, type LoadEvent, batchIntervalMilliseconds} from '../../policy/dispatch/index.js';
 import {type FleetView} from '../../policy/sharing/index.js';
-import {type Connection, dial, encodeFrame, type GatewayMessage, isGatewayMessage, Listener, type MessageOf, protocolVersion, type Message} from '../../wire/index.js';
+import {type Connection, dial, type GatewayMessage, isGatewayMessage, Listener, type MessageOf, protocolVersion, type Message} from '../../wire/index.js';
 import {type CachedPromptParts} from '../endpoints/index.js';
 import {LoadBatch} from './load-batch.js';
 import {createPeerLink, isPreferredLink, logDropped, type PeerLink} from './peer-link.js';
-import {initialMessages, handleMessage, messageForChange, priorityOf} from './peer-messages.js';
+import {initialMessages, handleMessage, messageForChange} from './peer-messages.js';
 import {type PeerRecord, PeerRoster} from './peer-roster.js';
+import {PeerSender} from './peer-sender.js';
 import {type PeersOptions} from './peers-options.js';
 import {RoutingTablePuller} from './routing-table-puller.js';
 
@@ -44,6 +45,7 @@
 	readonly roster: PeerRoster;
 	readonly #options: PeersOptions;
 	readonly #links = new Map<string, PeerLink>();
+	readonly #sender = PeerSender.create();
 	readonly #tablePuller: RoutingTablePuller;
 	readonly #loadBatch = LoadBatch.create(() => batchIntervalMilliseconds(this.#links.size), rows => {
 		this.#broadcast({type: 'load', rows});
@@ -99,6 +101,10 @@
 		return this.roster.hasUnreached(new Set(this.#links.keys()));
 	}
 
+	get sentBytes(): ReadonlyMap<string, number> {
+		return this.#sender.sentBytes;
+	}
+
 	get linkedNames(): readonly string[] {
 		return [...this.#links.keys()];
 	}
@@ -146,13 +152,8 @@
 	}
 
 	#broadcast(message: GatewayMessage): void {
-		if (this.#links.size === 0) {
-			return;
-		}
-
-		const frame = encodeFrame(message);
-		for (const {connection} of this.#links.values()) {
-			connection.sendFrame(frame, priorityOf(message));
+		if (this.#links.size > 0) {
+			this.#sender.send(message, Array.from(this.#links.values(), ({connection}) => connection));
 		}
 	}
 
@@ -262,7 +263,7 @@
 		const {holderAnnouncement, crashNews} = this.#options;
 		const newPeer = {knowsEndpoints: hello.knowsEndpoints, holderAnnouncement: holderAnnouncement(), crashes: crashNews(), now: performance.now()};
 		for (const message of initialMessages(this.#options.routingState, newPeer)) {
-			connection.send(message, priorityOf(message));
+			this.#sender.send(message, [connection]);
 		}
 
 		return link;
