Each instance stores its share of what is known of crashes

Cause: each instance wrote all that it knew of crashes, its own or told, whenever it noticed one, and all others read that. What is stored grew with instances times what all know: with 68 instances, 44 crashes and the requests of 128 slots at each, hundreds of kilobytes a record, read 68 times each, and all of it again at each start. Change: an instance stores what it has noticed itself, in this life or an earlier one, and whole the crashes that it forwards (three instances for each). A forwarder also stores what it was told and what nobody is known to have stored after three seconds, so that what an instance without the store noticed outlives all of them; before, that was stored by whoever happened to notice something later. The lines of the ledger are in a file of their own, crash-log.ts.

--- a/src/gateway/crashes/crash-archive.ts
+++ b/src/gateway/crashes/crash-archive.ts
@@ -2,6 +2,7 @@
 import {type CrashRecord} from '../../policy/quarantine/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 import {type CrashLedger} from './crash-ledger.js';
+import {type StoredNews} from './crash-ledger-options.js';
 
 /** A crash as it is stored. Its age is stored and not its time: the clocks of instances differ. */
 export type StoredCrash = {readonly crash: string; readonly endpoint: string; readonly fingerprints: string[]; readonly ageMilliseconds: number};
@@ -22,8 +23,8 @@
 	readonly logger: PartLogger;
 };
 
-/** What is noticed within this time is written together. Runs are news for the next start; they wait for more. */
-const writeDelayMilliseconds = {crash: 200, runs: 3000};
+/** What is noticed within this time is written together. Runs are news for the next start; they wait for more. Whoever tells of a crash stores it in less than the last time. */
+const writeDelayMilliseconds: Readonly<Record<StoredNews, number>> = {crash: 200, runs: 3000, told: 3000};
 /** Interval at which a write that waits looks whether it is due. */
 const dueCheckMilliseconds = 100;
 const retryMilliseconds = 1000;
@@ -33,7 +34,7 @@
 const maxStoredRuns = 1000;
 
 /**
- * Keeps the crashes that count in the store, each instance under its own name, and takes in what the others store. Without the first, a request
+ * Keeps the crashes that count in the store, each instance its share under its own name, and takes in what the others store. Without the first, a request
  * that crashes endpoints would be forgotten whenever all instances are lost at once; without the second, instances that reach the store but not
  * each other would each have to see its crashes. Written only when this instance has noticed something, and when its crashes no longer count.
  */
@@ -47,7 +48,8 @@
 	readonly #storing = new Set<string>();
 	#hasStored = false;
 	#isWriting = false;
-	#isOutdated = false;
+	/** What has come since the last write began. */
+	readonly #unwritten = new Set<StoredNews>();
 	/** When the next write is due, on the monotonic clock. */
 	#dueAt = Infinity;
 	#isDisposed = false;
@@ -56,9 +58,9 @@
 		this.#options = options;
 	}
 
-	/** Stores the crashes that this instance knows. */
-	save(kind: 'crash' | 'runs'): void {
-		this.#isOutdated = true;
+	/** Stores this instance's share of the crashes that it knows. */
+	save(kind: StoredNews): void {
+		this.#unwritten.add(kind);
 		this.#dueAt = Math.min(this.#dueAt, performance.now() + writeDelayMilliseconds[kind]);
 		if (!this.#isWriting) {
 			this.#isWriting = true;
@@ -68,7 +70,9 @@
 
 	/** Takes in what instances had stored when it was read; this one may have done so in an earlier life. */
 	restore(stored: readonly StoredCrashes[]): void {
-		this.#hasStored ||= stored.some(({instance}) => instance === this.#options.instance);
+		const own = stored.filter(({instance}) => instance === this.#options.instance);
+		this.#hasStored ||= own.length > 0;
+		this.#options.ledger.share.recordOwn(recordsOf(own, performance.now()));
 		this.#apply(stored);
 	}
 
@@ -97,7 +101,7 @@
 	#apply(stored: readonly StoredCrashes[]): void {
 		const {ledger, logger} = this.#options;
 		const now = performance.now();
-		const records = stored.flatMap(({crashes}) => crashes.map(({ageMilliseconds, ...crash}): CrashRecord => ({type: 'crashed', ...crash, time: now - ageMilliseconds})));
+		const records = recordsOf(stored, now);
 		const runs = stored.flatMap(one => one.runs.map(counted => ({...counted, instance: one.instance})));
 		if (records.length === 0) {
 			return;
@@ -108,21 +112,22 @@
 			this.#storing.add(instance);
 		}
 
+		ledger.share.recordStored(records);
 		ledger.applyNews({records, runs}, 'store');
 	}
 
 	async #write(): Promise<void> {
-		const {write, ledger, instance, logger} = this.#options;
-		while (this.#isOutdated && !this.#isDisposed) {
+		const {instance, logger} = this.#options;
+		while (this.#unwritten.size > 0 && !this.#isDisposed) {
 			await this.#untilDue();
-			this.#isOutdated = false;
+			const isOnlyTold = this.#unwritten.size === 1 && this.#unwritten.has('told');
+			this.#unwritten.clear();
 			this.#dueAt = Infinity;
-			const stored = await this.#untilSuccess('store', async () => {
-				const now = performance.now();
-				const news = {instance, crashes: toStored(ledger.openCrashes(now), now), runs: ledger.ownRuns(now).slice(0, maxStoredRuns)};
-				await write(news);
-				return news;
-			});
+			if (isOnlyTold && this.#isShareStored()) {
+				continue;
+			}
+
+			const stored = await this.#untilSuccess('store', async () => this.#writeShare(instance));
 			this.#hasStored = stored !== undefined && stored.crashes.length > 0;
 			logger.info('Crashes stored.', {crashes: stored?.crashes.length ?? 0, names: stored === undefined ? 0 : countNames(stored.crashes), runs: stored?.runs.length ?? 0});
 		}
@@ -130,6 +135,22 @@
 		this.#isWriting = false;
 	}
 
+	/** Whether others have stored meanwhile what this instance was told. */
+	#isShareStored(): boolean {
+		const {ledger} = this.#options;
+		return ledger.share.unstoredOf(ledger.crashesToStore(performance.now())).length === 0;
+	}
+
+	async #writeShare(instance: string): Promise<StoredCrashes> {
+		const {write, ledger} = this.#options;
+		const now = performance.now();
+		const records = ledger.crashesToStore(now);
+		const stored = {instance, crashes: toStored(records, now), runs: ledger.ownRuns(now).slice(0, maxStoredRuns)};
+		await write(stored);
+		ledger.share.recordStored(recordsOf([stored], now));
+		return stored;
+	}
+
 	async #untilDue(): Promise<void> {
 		while (performance.now() < this.#dueAt && !this.#isDisposed) {
 			await sleep(dueCheckMilliseconds);
@@ -170,6 +191,11 @@
 	return crashes.reduce((sum, {fingerprints}) => sum + fingerprints.length, 0);
 }
 
+/** The crashes that instances have stored, with times on the clock of this instance. */
+function recordsOf(stored: readonly StoredCrashes[], now: number): readonly CrashRecord[] {
+	return stored.flatMap(({crashes}) => crashes.map(({ageMilliseconds, ...crash}): CrashRecord => ({type: 'crashed', ...crash, time: now - ageMilliseconds})));
+}
+
 /** The newest crashes, without those that would exceed the limit. */
 function toStored(crashes: readonly CrashRecord[], now: number): StoredCrash[] {
 	let fingerprints = 0;
--- a/src/gateway/crashes/crash-ledger-options.ts
+++ b/src/gateway/crashes/crash-ledger-options.ts
@@ -3,6 +3,9 @@
 import {type EvidenceVerdict} from './crash-monitor.js';
 import {type CrashNews} from './crash-records.js';
 
+/** What is to be stored: a crash that this instance noticed, or that it was none; runs that speak for a request; a crash that it was told of and that nobody is known to have stored. */
+export type StoredNews = 'crash' | 'runs' | 'told';
+
 /** What a ledger of crashes needs, and whom it tells. */
 export type CrashLedgerOptions = {
 	readonly instance: string;
@@ -13,8 +16,8 @@
 	readonly isLost: (record: EndpointRecord) => boolean;
 	/** Called with what the other instances need. */
 	readonly onNews: (news: CrashNews) => void;
-	/** Called when this instance has noticed something that the others must know: a crash, that it was none, or runs that speak for a request. */
-	readonly onOwnNews: (kind: 'crash' | 'runs') => void;
+	/** Called when this instance has something to store. */
+	readonly onOwnNews: (kind: StoredNews) => void;
 	/** Called with what became of the evidence of a crash. */
 	readonly onEvidence: (verdict: EvidenceVerdict) => void;
 };
--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -1,14 +1,15 @@
 import {
-	countRun, type CrashRecord, crashThresholdOf, fingerprintOfPart, isPart, type PendingRecord, type QuarantineRecord, type RunRecord,
+	countRun, type CrashRecord, fingerprintOfPart, type PendingRecord, type QuarantineRecord, type RunRecord,
 } from '../../policy/quarantine/index.js';
 import {type CrashSign} from '../../policy/crashes/index.js';
 import {type EndpointRecord} from '../../routing/index.js';
 import {CompletedRuns} from './completed-runs.js';
 import {type CrashLedgerOptions} from './crash-ledger-options.js';
 import {CrashMonitor, type CrashOf} from './crash-monitor.js';
-import {type CrashNews, CrashRecords, type CrashWeight, noCrashNews} from './crash-records.js';
+import {CrashLog} from './crash-log.js';
+import {type CrashNews, CrashRecords, noCrashNews} from './crash-records.js';
+import {CrashShare} from './crash-share.js';
 import {forwardedNews, isEmptyNews} from './forwarded-news.js';
-import {LoggedWeights} from './logged-weights.js';
 import {isSuspectAfterFailure, type QuarantineStatus, quarantineStatusOf} from './quarantine-status.js';
 import {fingerprintsOf, keptFingerprintsOf, type RepeatableRequest} from './repeatable-request.js';
 import {ToldRuns} from './told-runs.js';
@@ -27,17 +28,18 @@
 
 	/** Notices crashes from the attempts of this instance. */
 	readonly monitor: CrashMonitor;
+	/** What this instance stores of all that it knows. */
+	readonly share = CrashShare.create();
 	readonly #options: CrashLedgerOptions;
 	readonly #records = CrashRecords.create();
 	readonly #completed = CompletedRuns.create();
 	readonly #toldRuns = ToldRuns.create();
-	/** Of what is let through, and of what is quarantined; the first, of which there may be very much, must not displace the second. */
-	readonly #loggedWeights = LoggedWeights.create();
-	readonly #loggedQuarantines = LoggedWeights.create();
+	readonly #log: CrashLog;
 	readonly #told = ToldSuspicions.create();
 
 	private constructor(options: CrashLedgerOptions) {
 		this.#options = options;
+		this.#log = CrashLog.create(options.logger);
 		this.monitor = CrashMonitor.create({
 			...options,
 			onSuspect: suspicion => {
@@ -115,8 +117,13 @@
 	applyNews(news: Partial<CrashNews>, source: string): void {
 		this.#told.add(news.pending ?? []);
 		const added = this.#fold({...noCrashNews, ...news}, source);
-		const {instance, instances} = this.#options;
-		this.#tell(forwardedNews(added, instance, instances()));
+		const {instance, instances, onOwnNews} = this.#options;
+		const forwarded = forwardedNews(added, instance, instances());
+		this.#tell(forwarded);
+		if (this.share.unstoredOf(crashesOf(forwarded.records)).length > 0) {
+			onOwnNews('told');
+		}
+
 		this.#completeWith(added);
 	}
 
@@ -125,6 +132,11 @@
 		return this.#records.openCrashes(now, maxSentCrashes);
 	}
 
+	/** What this instance stores. */
+	crashesToStore(now: number): readonly CrashRecord[] {
+		return this.share.of(this.openCrashes(now), this.#options.instance, this.#options.instances());
+	}
+
 	/** Runs at this instance that speak for requests of several crashes. */
 	ownRuns(now: number): readonly RunRecord[] {
 		return this.#records.countedRuns(this.openCrashes(now)).filter(({instance}) => instance === this.#options.instance);
@@ -139,10 +151,11 @@
 	prune(now: number): void {
 		this.#records.prune(now);
 		this.monitor.prune(now);
+		const counted = new Set(this.openCrashes(now).map(({crash}) => crash));
+		this.share.prune(crash => counted.has(crash));
 		this.#toldRuns.prune(fingerprint => this.#records.runsAt(fingerprint, this.#options.instance) > 0);
 		if (this.#records.isEmpty) {
-			this.#loggedWeights.clear();
-			this.#loggedQuarantines.clear();
+			this.#log.clear();
 		}
 
 		if (this.pendingCount === 0) {
@@ -154,7 +167,7 @@
 		const weight = this.#records.weigh(fingerprint, now);
 		const status = quarantineStatusOf(fingerprint, weight, now);
 		if (status?.type !== 'quarantined') {
-			this.#logWeight(fingerprint, weight);
+			this.#log.logWeight(fingerprint, weight);
 		}
 
 		return status;
@@ -202,6 +215,7 @@
 
 	/** Adds what this instance has noticed, and tells all others. */
 	#addOwn(records: readonly QuarantineRecord[]): void {
+		this.share.recordOwn(records);
 		const added = this.#fold({...noCrashNews, records}, 'own attempt');
 		this.#tell(added);
 		this.#completeWith(added);
@@ -222,14 +236,7 @@
 	/** Adds what is told; returns what is new. */
 	#fold(news: CrashNews, source: string): CrashNews {
 		const added = this.#records.fold(news);
-		for (const record of added.records) {
-			this.#log(record, source);
-		}
-
-		for (const {type, crash, fingerprints} of added.pending) {
-			this.#options.logger.info(type === 'pending' ? 'Crash is pending.' : 'Crash is dismissed.', {crash, requests: fingerprints.length, source});
-		}
-
+		this.#log.logNews(added, source, (fingerprint, now) => this.#records.weigh(fingerprint, now));
 		return added;
 	}
 
@@ -268,27 +275,8 @@
 			}
 		}
 	}
+}
 
-	/** Logs once what a request is let through with, or suspected for, until that changes. */
-	#logWeight(fingerprint: string, {certain, possible, runs}: CrashWeight): void {
-		if (possible > 0 && this.#loggedWeights.isNew(fingerprint, `${certain} ${possible}`)) {
-			this.#options.logger.info('Request has met crashes.', {fingerprint, crashes: certain, possible, runs});
-		}
-	}
-
-	#log(record: QuarantineRecord, source: string): void {
-		const {logger} = this.#options;
-		if (record.type !== 'crashed') {
-			logger.info('Request cleared of crashes.', {fingerprint: record.fingerprint, crashes: record.crashes, source});
-			return;
-		}
-
-		const {endpoint, time} = record;
-		for (const fingerprint of record.fingerprints) {
-			const {certain, runs, crashes} = this.#records.weigh(fingerprint, time);
-			if (certain >= crashThresholdOf(fingerprint) && this.#loggedQuarantines.isNew(fingerprint, String(crashes.length))) {
-				logger.warn(isPart(fingerprint) ? 'Prompt part quarantined.' : 'Request quarantined.', {fingerprint, endpoint, crashes: crashes.map(({crash}) => crash), runs, source});
-			}
-		}
-	}
+function crashesOf(records: readonly QuarantineRecord[]): readonly CrashRecord[] {
+	return records.filter(record => record.type === 'crashed');
 }
