Instances that have read what is stored of crashes do not tell it to each other

Callers saw, after a loss of power of all instances: late answers for ten seconds and more. Cause: each link began with all crashes that count, all requests and parts that they name, and the counts of runs of all instances, from both ends, though both had just read the same from the store. Change: a new peer is told at once what is not known to be in the store. An instance says when it has read what is stored (an empty message of news, which older builds fold into nothing); a peer that has not said so two seconds after its hello is told all, since it does not reach the store.

--- a/src/bin/gateway-parts.ts
+++ b/src/bin/gateway-parts.ts
@@ -1,6 +1,6 @@
 import {
 	ConnectionPools, type CrashArchive, DecisionLog, type Dispatcher, type Duties, encodeCrashNews, EventLoopMonitor, type FeedFollowers, followFeeds, Gateway,
-	LoopLateness, type Peers, RoutingState, sampleServices,
+	LoopLateness, noCrashNews, type Peers, RoutingState, sampleServices,
 } from '../gateway/index.js';
 import {createInstanceId, type InstanceId, splitAddress} from '../model/index.js';
 import {type ServiceSample} from '../policy/scaling/index.js';
@@ -121,6 +121,9 @@
 		onEra({feed}) {
 			eraCounter.add(1, {feed});
 		},
+		onCrashesRead() {
+			peers().announce(encodeCrashNews(noCrashNews, performance.now(), true));
+		},
 	});
 }
 
--- a/src/bin/gateway-peers.ts
+++ b/src/bin/gateway-peers.ts
@@ -61,7 +61,8 @@
 		onStreamOrigins(message, instance) {
 			streams.handleMessage(message, instance);
 		},
-		crashNews: () => crashes.openNews(performance.now()),
+		crashNews: part => part === 'all' ? crashes.openNews(performance.now()) : crashes.unstoredNews(performance.now()),
+		knowsCrashes: () => feeds()?.crashes.isConnected ?? false,
 		onView(view) {
 			dispatcher.view = view;
 			dispatcher.statements.handleFleetChange(performance.now());
--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -142,7 +142,12 @@
 		return this.#records.countedRuns(this.openCrashes(now)).filter(({instance}) => instance === this.#options.instance);
 	}
 
-	/** What a new peer needs. */
+	/** What a new peer needs that has read what is stored. */
+	unstoredNews(now: number): CrashNews {
+		return {...noCrashNews, records: this.share.unstoredOf(this.openCrashes(now))};
+	}
+
+	/** What a new peer needs that does not reach the store. */
 	openNews(now: number): CrashNews {
 		const records = this.openCrashes(now);
 		return {records, pending: [], runs: this.#records.countedRuns(records)};
--- a/src/gateway/feeds/store-feeds.ts
+++ b/src/gateway/feeds/store-feeds.ts
@@ -39,10 +39,12 @@
 	readonly random: () => number;
 	/** Called when a feed's snapshot was read after the store was restored from a backup. */
 	readonly onEra: (change: EraChange) => void;
+	/** Called when all that is stored of crashes was read. */
+	readonly onCrashesRead?: () => void;
 };
 
 /** The followers of the store's feeds. */
-export type FeedFollowers = AsyncDisposable & {readonly endpoints: FeedFollower<EndpointChange>; readonly routing: FeedFollower<RoutingTableInput>};
+export type FeedFollowers = AsyncDisposable & {readonly endpoints: FeedFollower<EndpointChange>; readonly routing: FeedFollower<RoutingTableInput>; readonly crashes: FeedFollower<StoredCrashes>};
 
 /** Follows all feeds of the store and applies them to the routing state and the peers. */
 export function followFeeds(store: StoreFeeds, options: FollowFeedsOptions): FeedFollowers {
@@ -67,6 +69,7 @@
 	return {
 		endpoints,
 		routing,
+		crashes,
 		async [Symbol.asyncDispose]() {
 			await Promise.all([routing, endpoints, instances, crashes].map(async follower => follower[Symbol.asyncDispose]()));
 		},
@@ -120,7 +123,7 @@
 	});
 }
 
-function followCrashes(feed: Feed<StoredCrashes>, {crashes: archive, peers, random}: FollowFeedsOptions, common: CommonOptions): FeedFollower<StoredCrashes> {
+function followCrashes(feed: Feed<StoredCrashes>, {crashes: archive, peers, random, onCrashesRead}: FollowFeedsOptions, common: CommonOptions): FeedFollower<StoredCrashes> {
 	return FeedFollower.start({
 		...common, feed, waitMilliseconds: longPoll => crashLongPollWait(longPoll, random()), pauseMilliseconds: () => crashPollPause(peers.isApart),
 		onChanges(stored) {
@@ -128,6 +131,7 @@
 		},
 		onSnapshot(stored) {
 			archive.restore(stored);
+			onCrashesRead?.();
 			return 0;
 		},
 	});
--- a/src/gateway/peers/peer-link.ts
+++ b/src/gateway/peers/peer-link.ts
@@ -12,6 +12,8 @@
 	readonly since: number;
 	/** The newest version of the routing table that the peer has named. */
 	routingVersion: number;
+	/** Whether the peer has read what is stored of crashes, or was told all of it. */
+	knowsCrashes: boolean;
 };
 
 /** The link that a peer's hello opens. It keeps the routing version of an existing link to the same incarnation. */
@@ -19,6 +21,7 @@
 	return {
 		connection, instance, incarnation, isDialled, since: performance.now(),
 		routingVersion: existing?.incarnation === incarnation ? existing.routingVersion : -Infinity,
+		knowsCrashes: existing?.incarnation === incarnation && existing.knowsCrashes,
 	};
 }
 
--- a/src/gateway/peers/peer-messages.ts
+++ b/src/gateway/peers/peer-messages.ts
@@ -92,8 +92,8 @@
 }
 
 /** The message that tells peers of crashes. */
-export function encodeCrashNews({records, pending, runs}: CrashNews, now: number): MessageOf<'request-crashes'> {
-	return {type: 'request-crashes', records: [...records], pending: [...pending], runs: [...runs], now};
+export function encodeCrashNews({records, pending, runs}: CrashNews, now: number, hasReadStore = false): MessageOf<'request-crashes'> {
+	return {type: 'request-crashes', records: [...records], pending: [...pending], runs: [...runs], now, ...(hasReadStore && {hasReadStore})};
 }
 
 /** The news with times on the clock of this instance. */
@@ -116,13 +116,15 @@
 	/** Called with shares that the peer has lent, for as long as the monotonic clock is below `until`. */
 	readonly onSharesLent: (instance: string, shares: readonly LentShare[], until: number) => void;
 	readonly onCrashNews: (news: CrashNews, source: string) => void;
+	/** Called when the peer has read what is stored of crashes. */
+	readonly onCrashesRead: () => void;
 	readonly onPromptCache: (cached: CachedPromptParts) => void;
 	readonly onHolderAnnouncement: (word: MessageOf<'duty-holder'>) => void;
 	readonly onStreamOrigins: (message: MessageOf<'stream-origins'>, instance: string) => void;
 };
 
 /** Handles a message of a peer that has sent its hello. */
-export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onSharesWanted, onSharesLent, onCrashNews, onHolderAnnouncement, onStreamOrigins}: MessageContext): void {
+export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onSharesWanted, onSharesLent, onCrashNews, onCrashesRead, onHolderAnnouncement, onStreamOrigins}: MessageContext): void {
 	switch (message.type) {
 		case 'routing-version': {
 			onVersion(message.version);
@@ -175,6 +177,10 @@
 
 		case 'request-crashes': {
 			onCrashNews(decodeCrashNews(message, performance.now()), `instance ${instance}`);
+			if (message.hasReadStore === true) {
+				onCrashesRead();
+			}
+
 			return;
 		}
 
--- a/src/gateway/peers/peer-sender.ts
+++ b/src/gateway/peers/peer-sender.ts
@@ -15,15 +15,16 @@
 	}
 
 	/** Sends a message over each of the connections; it is encoded once. */
-	send(message: GatewayMessage, connections: Iterable<Connection>): void {
+	send(message: GatewayMessage, connections: readonly Connection[]): void {
+		if (connections.length === 0) {
+			return;
+		}
+
 		const frame = encodeFrame(message);
-		const priority = priorityOf(message);
-		let count = 0;
 		for (const connection of connections) {
-			connection.sendFrame(frame, priority);
-			count += 1;
+			connection.sendFrame(frame, priorityOf(message));
 		}
 
-		this.#sentBytes.set(message.type, (this.#sentBytes.get(message.type) ?? 0) + (frame.byteLength * count));
+		this.#sentBytes.set(message.type, (this.#sentBytes.get(message.type) ?? 0) + (frame.byteLength * connections.length));
 	}
 }
--- a/src/gateway/peers/peers-options.ts
+++ b/src/gateway/peers/peers-options.ts
@@ -33,8 +33,10 @@
 	readonly onLenderLost: (instance: string) => void;
 	/** Called when a peer tells of crashes; the records' times are on the clock of this instance. */
 	readonly onCrashNews: (news: CrashNews, source: string) => void;
-	/** What a new peer needs to know of crashes. */
-	readonly crashNews: () => CrashNews;
+	/** What counts of crashes: all of it, or what is not known to be in the store. */
+	readonly crashNews: (part: 'all' | 'unstored') => CrashNews;
+	/** Whether this instance follows what is stored of crashes. */
+	readonly knowsCrashes: () => boolean;
 	/** The message that names the holder of the duties to a new peer, if this instance knows one. */
 	readonly holderAnnouncement: () => MessageOf<'duty-holder'> | undefined;
 	/** Called when a peer names the holder of the duties. */
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -3,9 +3,10 @@
 import {type FleetView} from '../../policy/sharing/index.js';
 import {type Connection, dial, type GatewayMessage, isGatewayMessage, Listener, type MessageOf, protocolVersion, type Message} from '../../wire/index.js';
 import {type CachedPromptParts} from '../endpoints/index.js';
+import {Greeter} from './greeter.js';
 import {LoadBatch} from './load-batch.js';
 import {createPeerLink, isPreferredLink, logDropped, type PeerLink} from './peer-link.js';
-import {initialMessages, handleMessage, messageForChange} from './peer-messages.js';
+import {handleMessage, messageForChange} from './peer-messages.js';
 import {type PeerRecord, PeerRoster} from './peer-roster.js';
 import {PeerSender} from './peer-sender.js';
 import {type PeersOptions} from './peers-options.js';
@@ -46,6 +47,7 @@
 	readonly #options: PeersOptions;
 	readonly #links = new Map<string, PeerLink>();
 	readonly #sender = PeerSender.create();
+	readonly #greeter: Greeter;
 	readonly #tablePuller: RoutingTablePuller;
 	readonly #loadBatch = LoadBatch.create(() => batchIntervalMilliseconds(this.#links.size), rows => {
 		this.#broadcast({type: 'load', rows});
@@ -57,6 +59,7 @@
 
 	private constructor(options: PeersOptions) {
 		this.#options = options;
+		this.#greeter = Greeter.create(options, this.#sender);
 		this.roster = PeerRoster.create({name: options.instance, zone: options.zone});
 		this.#seeds = options.seeds.filter(seed => seed !== `${options.host}:${options.port}`);
 		this.#tablePuller = RoutingTablePuller.create({
@@ -152,9 +155,7 @@
 	}
 
 	#broadcast(message: GatewayMessage): void {
-		if (this.#links.size > 0) {
-			this.#sender.send(message, Array.from(this.#links.values(), ({connection}) => connection));
-		}
+		this.#sender.send(message, Array.from(this.#links.values(), ({connection}) => connection));
 	}
 
 	* #maintainLinks(): Body<void> {
@@ -172,8 +173,10 @@
 	}
 
 	/** Closes a link that this instance dialled to one that is no longer a neighbour; otherwise sends a heartbeat when one is due. */
-	#maintainLink({connection, instance, isDialled, since}: PeerLink): void {
+	#maintainLink(link: PeerLink): void {
+		const {connection, instance, isDialled, since} = link;
 		logDropped({connection, instance}, this.#options.logger);
+		this.#greeter.complete(link, performance.now());
 		if (isDialled && performance.now() - since > minLinkMilliseconds && !this.roster.neighbours.linked.has(instance)) {
 			connection.close('no longer a neighbour');
 		} else if (connection.takeHeartbeat(this.#links.size)) {
@@ -226,6 +229,9 @@
 
 		handleMessage(message, {
 			...this.#options, connection, instance: link.instance, incarnation: link.incarnation,
+			onCrashesRead: () => {
+				link.knowsCrashes = true;
+			},
 			onVersion: version => {
 				link.routingVersion = version;
 				this.#tablePuller.handlePeerVersion();
@@ -260,12 +266,7 @@
 		this.roster.recordLinked(hello.instance, performance.now());
 		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
-		const {holderAnnouncement, crashNews} = this.#options;
-		const newPeer = {knowsEndpoints: hello.knowsEndpoints, holderAnnouncement: holderAnnouncement(), crashes: crashNews(), now: performance.now()};
-		for (const message of initialMessages(this.#options.routingState, newPeer)) {
-			this.#sender.send(message, [connection]);
-		}
-
+		this.#greeter.greet(link, hello.knowsEndpoints);
 		return link;
 	}
 
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -165,6 +165,8 @@
 	type: z.literal('request-crashes'), records: z.array(quarantineRecordSchema), pending: z.array(pendingRecordSchema).default([]), runs: z.array(runRecordSchema).default([]),
 	/** The time of sending, on the clock of the records' times. Clocks of instances differ, so a receiver uses only the differences. */
 	now: z.number(),
+	/** True if the sender has read what is stored of crashes, so that it need not be told that. */
+	hasReadStore: z.boolean().optional(),
 });
 
 const usageCounts = z.record(text, z.number().int().nonnegative());
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -16,7 +16,7 @@
 	const routingState = RoutingState.create(silentLogger);
 	const peers = await Peers.create({
 		instance, zone: 'zone-a' as ZoneName, incarnation: `${instance}-first`, host: '127.0.0.1', port: 0, security: {type: 'plaintext'}, seeds, routingState, logger: silentLogger,
-		onPromptCache: () => undefined, onRateLimitReport: () => undefined, onSharesWanted: () => [], onSharesLent: () => undefined, onLenderLost: () => undefined, onCrashNews: () => undefined, crashNews: () => noCrashNews, onStreamOrigins: () => undefined, holderAnnouncement: () => undefined, onHolderAnnouncement: () => undefined, onStaleTable: () => undefined,
+		onPromptCache: () => undefined, onRateLimitReport: () => undefined, onSharesWanted: () => [], onSharesLent: () => undefined, onLenderLost: () => undefined, onCrashNews: () => undefined, crashNews: () => noCrashNews, knowsCrashes: () => false, onStreamOrigins: () => undefined, holderAnnouncement: () => undefined, onHolderAnnouncement: () => undefined, onStaleTable: () => undefined,
 		onLoad(event) {
 			events.push(event);
 		},
