--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -57,6 +57,8 @@
 	readonly requests: WorkerRequest[] = [];
 	/** Ids of requests whose connection closed before the response was sent. */
 	readonly abandoned: string[] = [];
+	/** When those connections closed, by the request's id. */
+	readonly abandonedAt = new Map<string, number>();
 	readonly #server: Server = createServer((request, response) => {
 		void this.#take(request, response);
 	});
@@ -120,6 +122,7 @@
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				this.abandoned.push(id);
+				this.abandonedAt.set(id, performance.now());
 			}
 		});
 		await this.#answer(received, response);
