Connections that wait are accepted before a request is begun

Callers saw: on new connections, a wait of a second and more at a busy instance, while requests on open connections were read within some twenty milliseconds; many gave up unread, or were answered half a second past their route's timeout, or were sent on after they had left. Cause: a turn of Node's event loop accepts one connection, and each turn also began what it had read. So the wait grew by a beginning for each connection ahead, in a queue of the kernel where neither deadlines nor urgency nor hang-ups are seen, and where connections that their callers have left stay. Change: after a turn that accepted a connection the next turns begin nothing, until one has accepted none or sixteen have; then one request is begun. What was read waits in the gate, in the order of its urgency, and counts from the earliest moment at which its connection can have been opened.

--- a/bench/gateway-waits/index.ts
+++ b/bench/gateway-waits/index.ts
@@ -41,7 +41,7 @@
 	},
 	async handler(settings) {
 		const all = new Map<string, number[]>();
-		for (let seed = settings.seed; seed < settings.seed + settings.count; seed++) {
+		for (let {seed} = settings; seed < settings.seed + settings.count; seed++) {
 			for (const {name, milliseconds} of await play(settings, seed)) {
 				all.set(name, [...(all.get(name) ?? []), ...milliseconds]);
 				printWaits(`seed ${seed}: ${name}`, milliseconds);
@@ -97,7 +97,8 @@
 
 async function createWorker(store: FakePlatformStore, number: number): Promise<FakePlatformWorker> {
 	const worker = await FakePlatformWorker.create(`worker-${number}`, number % 2 === 0 ? 'orders' : 'models');
-	worker.answer = ({id}) => id.startsWith('hang-up') ? {type: 'whole', body: 'late', afterMilliseconds: longMilliseconds}
+	worker.answer = ({id}) => id.startsWith('hang-up')
+		? {type: 'whole', body: 'late', afterMilliseconds: longMilliseconds}
 		: (worker.service === 'models' ? {type: 'events', count: 8, gapMilliseconds: 20} : {type: 'whole', body: 'ok', afterMilliseconds: 40});
 	store.put('keyed.servers', worker.id, worker.beat());
 	return worker;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -63,7 +63,7 @@
 			void this.#accept(request, response);
 		});
 		this.#server.on('connection', (socket: Socket) => {
-			options.lateness.recordConnection(socket);
+			options.lateness.recordConnection(socket, this.#intake.recordConnection());
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.#rejectMalformed(error, socket);
--- a/src/gateway/intake-gate.ts
+++ b/src/gateway/intake-gate.ts
@@ -19,7 +19,17 @@
 	readonly hasOthers: () => boolean;
 };
 
-/** Requests wait here between their reading and their beginning while the event loop is late; one is begun in each turn. */
+/**
+ * Turns of the event loop that accept connections before a request is begun. Node accepts one connection a turn, so that callers on new
+ * connections would wait for as many beginnings as there are connections before theirs, unseen by their deadlines and their urgency. With less than
+ * a tenth of the time of a beginning for each, sixteen leave a busy instance half of its time for requests.
+ */
+const maxAcceptTurns = 16;
+
+/**
+ * Requests wait here between their reading and their beginning while the event loop is late, or while connections wait to be accepted; one is begun
+ * in each turn.
+ */
 export class IntakeGate {
 	static create(options: IntakeGateOptions): IntakeGate {
 		return new IntakeGate(options);
@@ -32,12 +42,28 @@
 	/** When a request was begun in the last turn, if others waited. */
 	#begunAt: number | undefined;
 	#isStepping = false;
+	/** Whether a connection was accepted since the last turn, and in how many turns before it without a beginning. */
+	#hasAccepted = false;
+	#acceptTurns = 0;
+	/** The earliest moment at which a connection that is accepted now can have been opened: no turn since then found none. */
+	#openedSince = 0;
 
 	private constructor(options: IntakeGateOptions) {
 		this.#options = options;
 	}
 
-	/** Whether requests go through the gate: the loop is late, or some still wait. */
+	/** Records that a connection was accepted; returns the earliest moment at which it can have been opened. More may wait, so that the next turns accept them first. */
+	recordConnection(): number {
+		if (!this.#isStepping) {
+			this.#openedSince = this.#options.lateness.earliestArrival;
+		}
+
+		this.#hasAccepted = true;
+		this.#stepNextTurn();
+		return this.#openedSince;
+	}
+
+	/** Whether requests go through the gate: the loop is late, connections are being accepted, or some still wait. */
 	get isClosed(): boolean {
 		return this.#options.lateness.intakeMilliseconds > 0 || this.#isStepping;
 	}
@@ -84,6 +110,10 @@
 	#step(): void {
 		const now = performance.now();
 		this.#isStepping = false;
+		if (this.#takeAcceptTurn(now)) {
+			return;
+		}
+
 		if (this.#begunAt !== undefined) {
 			this.#intake.recordTurn(now - this.#begunAt);
 		}
@@ -94,22 +124,38 @@
 		}
 
 		next?.settle({type: 'begin'});
+		this.#addFresh();
+		this.#begunAt = this.#intake.size > 0 && next !== undefined ? now : undefined;
+		if (this.#intake.size > 0) {
+			this.#stepNextTurn();
+		}
+	}
+
+	/** Leaves this turn to connections that wait, if the last one accepted any and a request was begun not long ago. */
+	#takeAcceptTurn(now: number): boolean {
+		const isAcceptTurn = this.#hasAccepted && this.#acceptTurns < maxAcceptTurns;
+		this.#openedSince = this.#hasAccepted ? this.#openedSince : now;
+		this.#hasAccepted = false;
+		this.#acceptTurns = isAcceptTurn ? this.#acceptTurns + 1 : 0;
+		if (isAcceptTurn) {
+			this.#addFresh();
+			this.#stepNextTurn();
+		}
 
+		return isAcceptTurn;
+	}
+
+	#addFresh(): void {
 		for (const request of this.#fresh) {
 			this.#intake.add(request);
 		}
 
 		this.#fresh = [];
-
-		this.#begunAt = this.#intake.size > 0 && next !== undefined ? now : undefined;
-		if (this.#intake.size > 0) {
-			this.#stepNextTurn();
-		}
 	}
 
 	#situation(): Situation {
 		const {lateness, hasOthers} = this.#options;
-		return {now: performance.now(), lagMilliseconds: lateness.intakeMilliseconds, hasOthers: hasOthers()};
+		return {now: performance.now(), lagMilliseconds: lateness.intakeMilliseconds, hasOthers: lateness.givesAway && hasOthers()};
 	}
 
 	#refuse(judgement: Judgement): Extract<IntakeOutcome, {type: 'refuse'}> {
--- a/src/gateway/loop-lateness.ts
+++ b/src/gateway/loop-lateness.ts
@@ -22,11 +22,12 @@
 	#longestLag = 0;
 	#lateArrivals = 0;
 	#refusals = 0;
-	readonly #givesAway: boolean;
+	/** Whether a late instance gives requests to other ones. */
+	readonly givesAway: boolean;
 	readonly #connections = new WeakMap<WeakKey, ConnectionTimes>();
 
 	private constructor(settings: LatenessSettings | undefined) {
-		this.#givesAway = settings?.givesAway ?? true;
+		this.givesAway = settings?.givesAway ?? true;
 		if (settings === undefined) {
 			return;
 		}
@@ -50,13 +51,18 @@
 
 	/** The lag of the event loop for the order of its intake; 0 while it is in time, or where that order is not wanted. */
 	get intakeMilliseconds(): number {
-		return this.#givesAway ? this.milliseconds : 0;
+		return this.givesAway ? this.milliseconds : 0;
 	}
 
-	/** Records that a connection was accepted. */
-	recordConnection(socket: WeakKey): void {
+	/** The earliest moment at which what is read now can have arrived. */
+	get earliestArrival(): number {
+		const now = performance.now();
+		return this.#lag?.arrivalOf(now) ?? now;
+	}
+
+	/** Records that a connection was accepted, and when it can have been opened at the earliest. */
+	recordConnection(socket: WeakKey, openedAt: number): void {
 		const now = performance.now();
-		const openedAt = this.#lag?.arrivalOf(now) ?? now;
 		if (openedAt < now) {
 			this.#connections.set(socket, {acceptedAt: now, openedAt});
 		}
