--- a/fakes/platform-store.ts
+++ b/fakes/platform-store.ts
@@ -60,8 +60,13 @@
 
 	/** Appends a record as the operator or a worker does and returns its offset; without a value it deletes the key. */
 	put(topic: string, key: string, value?: unknown): number {
+		return this.putText(topic, key, value === undefined ? '' : JSON.stringify(value));
+	}
+
+	/** Appends a record whose value is any text; an empty one removes the key. */
+	putText(topic: string, key: string, text: string): number {
 		const topicState = this.#topic(topic);
-		topicState.records.push({key, value: value === undefined ? new Uint8Array() : Buffer.from(JSON.stringify(value))});
+		topicState.records.push({key, value: Buffer.from(text)});
 		for (const wake of topicState.waiting) {
 			wake();
 		}
--- a/src/gateway/loop-lateness.ts
+++ b/src/gateway/loop-lateness.ts
@@ -17,13 +17,13 @@
 		return new LoopLateness(settings);
 	}
 
+	/** Whether a late instance gives requests to other ones. */
+	readonly givesAway: boolean;
 	#lag: LoopLag | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#longestLag = 0;
 	#lateArrivals = 0;
 	#refusals = 0;
-	/** Whether a late instance gives requests to other ones. */
-	readonly givesAway: boolean;
 	readonly #connections = new WeakMap<WeakKey, ConnectionTimes>();
 
 	private constructor(settings: LatenessSettings | undefined) {
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -229,7 +229,7 @@
 
 		handleMessage(message, {
 			...this.#options, connection, instance: link.instance, incarnation: link.incarnation,
-			onCrashesRead: () => {
+			onCrashesRead() {
 				link.knowsCrashes = true;
 			},
 			onVersion: version => {
--- a/test/gateway/testbed.ts
+++ b/test/gateway/testbed.ts
@@ -83,6 +83,14 @@
 		return gateway;
 	}
 
+	/** Starts another worker and registers it. */
+	async addWorker(id: string, service: string): Promise<FakePlatformWorker> {
+		const worker = await FakePlatformWorker.create(id, service);
+		this.workers.push(worker);
+		this.store.put('keyed.servers', worker.id, worker.beat());
+		return worker;
+	}
+
 	ofService(service: string): FakePlatformWorker[] {
 		return this.workers.filter(worker => worker.service === service);
 	}
