Builds that serve a service, or did until lately, are kept in the store

Two builds were in service, or the earlier one's endpoints had just left, when all instances were lost at once. Cause: which builds had lately served was known from the registrations that an instance had seen itself. After a loss of all of them a build that had left was forgotten, and a stream of which nobody knows anything counted as one of the only build. Change: two instances for each service store the builds that serve it or did in the last minute, when they change and more than one is to be told. An instance that starts reads that once, and for a minute counts them too; until it has read it, a stream of which nobody knows the build is not taken up (503, not run).

--- a/src/bin/gateway-parts.ts
+++ b/src/bin/gateway-parts.ts
@@ -14,7 +14,7 @@
 import {observeGateway} from './gateway-metrics.js';
 import {openPeers} from './gateway-peers.js';
 import {startPruning} from './gateway-pruning.js';
-import {openStreams} from './gateway-streams.js';
+import {openStreams, type Streams} from './gateway-streams.js';
 
 /** The share of `memoryMegabytes` for buffered request bodies; the rest is for the program, responses and connections. */
 const bodyMemoryShare = 0.2;
@@ -59,7 +59,7 @@
 	const decisions = DecisionLog.create(forPart(logger, 'Request'), metrics);
 	const dispatcher = openDispatcher(base);
 	const {ledger: crashes, archive: crashArchive} = openGatewayCrashes(base);
-	const streams = openStreams(base);
+	const {registry: streams, builds} = openGatewayStreams(base);
 	const promptCacheReader = openPromptCacheReader(base, dispatcher, adapter);
 	const peers = await openPeers(settings, {incarnation, routingState, dispatcher, crashes, streams, promptCacheReader, logger, feeds: base.feeds, duties: base.duties});
 	late.peers = peers;
@@ -80,7 +80,7 @@
 	const pruning = startPruning(metrics, {routingState, dispatcher, crashes, crashArchive, connectionPools});
 	return {
 		settings, log: forPart(logger, 'Gateway'), store, routingState, peers, dispatcher, gateway, admin, duties,
-		disposables: [pruning, admin, gateway, feeds, promptCacheReader, ...(duties === undefined ? [] : [duties]), peers, dispatcher, crashArchive, crashes, streams, decisions, lateness, eventLoopMonitor, connectionPools, store],
+		disposables: [pruning, admin, gateway, feeds, promptCacheReader, ...(duties === undefined ? [] : [duties]), peers, dispatcher, crashArchive, crashes, streams, builds, decisions, lateness, eventLoopMonitor, connectionPools, store],
 	};
 }
 
@@ -114,6 +114,10 @@
 	});
 }
 
+function openGatewayStreams({settings: {instance}, store, routingState, metrics, logger, peers}: Base): Streams {
+	return openStreams({instance, store, routingState, metrics, logger, peers, instances: () => peers().roster.presentNames(performance.now())});
+}
+
 function openFeeds({settings, store, routingState, metrics, logger, peers}: Base, crashes: CrashArchive): FeedFollowers {
 	const eraCounter = metrics.counter('gateway_store_eras_total', 'How often a feed was read again because the store was restored from a backup.', ['feed']);
 	return followFeeds(store, {
--- a/src/bin/gateway-streams.ts
+++ b/src/bin/gateway-streams.ts
@@ -1,18 +1,36 @@
-import {type RoutingState, type StreamPeers, StreamRegistry} from '../gateway/index.js';
+import {BuildMemory, type RoutingState, type StreamPeers, StreamRegistry} from '../gateway/index.js';
 import {forPart, type Logger, type Metrics} from '../telemetry/index.js';
+import {type GatewayStore} from './gateway-adapter.js';
 
 /** What the registry of streams needs of the process. */
-export type StreamParts = {readonly routingState: RoutingState; readonly peers: () => StreamPeers; readonly metrics: Metrics; readonly logger: Logger};
+export type StreamParts = {
+	readonly instance: string;
+	/** Names of the instances that are there. */
+	readonly instances: () => readonly string[];
+	readonly store: GatewayStore;
+	readonly routingState: RoutingState;
+	readonly peers: () => StreamPeers;
+	readonly metrics: Metrics;
+	readonly logger: Logger;
+};
+
+/** The builds that began streams, and those that serve services or did until lately. */
+export type Streams = {readonly registry: StreamRegistry; readonly builds: BuildMemory};
 
 /** Opens the registry of the builds that began streams, and its metrics. */
-export function openStreams({routingState, peers, metrics, logger}: StreamParts): StreamRegistry {
+export function openStreams({instance, instances, store, routingState, peers, metrics, logger}: StreamParts): Streams {
 	const takeUps = metrics.counter('gateway_stream_take_ups_total', 'Streams that callers took up, by what decided whether they go on.', ['reason']);
-	const streams = StreamRegistry.create({
-		routingState, peers, logger: forPart(logger, 'Streams'),
+	const builds = BuildMemory.create({
+		instance, instances, routingState, logger: forPart(logger, 'Streams'),
+		read: async () => store.readBuilds(),
+		write: async stored => store.writeBuilds(stored),
+	});
+	const registry = StreamRegistry.create({
+		builds, peers, logger: forPart(logger, 'Streams'),
 		onTakeUp(reason) {
 			takeUps.add(1, {reason});
 		},
 	});
-	metrics.observe('gateway_stream_origins', 'Streams of which this instance knows the build that began them.', () => streams.size);
-	return streams;
+	metrics.observe('gateway_stream_origins', 'Streams of which this instance knows the build that began them.', () => registry.size);
+	return {registry, builds};
 }
--- a/src/gateway/streams/stream-registry.ts
+++ b/src/gateway/streams/stream-registry.ts
@@ -1,10 +1,9 @@
 import {sha256} from '../../model/index.js';
 import {rankByRendezvous} from '../../policy/hashing/index.js';
-import {addOrigin, decideTakeUp, findOrigin, type OriginFinding, originMilliseconds, type StreamOrigin, type StreamOrigins, type TakeUp} from '../../policy/streams/index.js';
-import {buildOf} from '../../routing/index.js';
+import {addOrigin, decideTakeUp, findOrigin, type OriginFinding, type StreamOrigin, type StreamOrigins, type TakeUp} from '../../policy/streams/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 import {type MessageOf} from '../../wire/index.js';
-import {type RoutingState} from '../table/index.js';
+import {type BuildMemory} from './build-memory.js';
 import {StreamQuestion} from './stream-question.js';
 
 /** A stream that a caller takes up: the id of the request that began it, if the caller names one. */
@@ -17,7 +16,7 @@
 };
 
 export type StreamRegistryOptions = {
-	readonly routingState: RoutingState;
+	readonly builds: Pick<BuildMemory, 'buildsOf' | 'whenRead'>;
 	readonly peers: () => StreamPeers;
 	readonly logger: PartLogger;
 	/** Called with what became of a stream that a caller has taken up. */
@@ -28,6 +27,8 @@
 const copies = 2;
 /** Streams that begin within this time are told together. */
 const batchMilliseconds = 20;
+/** After a start, a caller that takes a stream up waits so long for what is stored to be read; a read takes a tenth of it. */
+const readMilliseconds = 300;
 /** Limit of the streams that one message names. */
 const maxNamed = 500;
 
@@ -59,7 +60,7 @@
 	/** Records that an endpoint of a build has brought the first event of a stream. */
 	recordBegun({request, workspace, service}: Omit<ResumedStream, 'resumes'>, build: string): void {
 		const origin = {key: keyOf(workspace, request), build};
-		if (addOrigin(this.#origins, origin, performance.now()) && this.#buildsOf(service).size > 1) {
+		if (addOrigin(this.#origins, origin, performance.now()) && this.#options.builds.buildsOf(service)?.size !== 1) {
 			this.#untold.push(origin);
 			this.#timer ??= setTimeout(() => {
 				this.#tell();
@@ -73,11 +74,11 @@
 		const {request, resumes, workspace, service} = stream;
 		const startedAt = performance.now();
 		const finding = resumes === undefined ? {type: 'unknown' as const} : await this.#find(keyOf(workspace, resumes));
-		const builds = this.#buildsOf(service);
+		const builds = await this.#buildsOf(service);
 		const decision = decideTakeUp(finding, builds);
 		onTakeUp(decision.reason);
 		logger.info(decision.type === 'go-on' ? 'Stream goes on.' : 'Stream does not go on.', {
-			request, resumes, service, reason: decision.reason, build: decision.type === 'go-on' ? decision.build : undefined, builds: [...builds], waited: Math.round(performance.now() - startedAt),
+			request, resumes, service, reason: decision.reason, build: decision.type === 'go-on' ? decision.build : undefined, builds: builds && [...builds], waited: Math.round(performance.now() - startedAt),
 		});
 		return decision;
 	}
@@ -159,14 +160,23 @@
 		}
 	}
 
-	/** Builds that serve a service, or have within the time for which streams are taken up. */
-	#buildsOf(service: string): Set<string> {
-		const now = performance.now();
-		const entries = [...this.#options.routingState.directory.entries.values()];
-		return new Set(entries.filter(({record, endedAt = Infinity}) => record.service === service && now - endedAt < originMilliseconds).map(({record}) => buildOf(record)));
+	/** Builds that may have begun a stream of a service; undefined if what was stored cannot be read in a moment. */
+	async #buildsOf(service: string): Promise<ReadonlySet<string> | undefined> {
+		const {builds} = this.#options;
+		if (builds.buildsOf(service) === undefined) {
+			await Promise.race([builds.whenRead, sleep(readMilliseconds)]);
+		}
+
+		return builds.buildsOf(service);
 	}
 }
 
+async function sleep(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds).unref();
+	});
+}
+
 /** Workspaces choose the ids of their requests by themselves. A hash has one length, whatever theirs are: a longer key than a message may have would end the link. */
 function keyOf(workspace: string | undefined, request: string): string {
 	return sha256(`${workspace ?? ''}\n${request}`).slice(0, 32);
--- a/src/policy/streams/take-up.ts
+++ b/src/policy/streams/take-up.ts
@@ -6,9 +6,9 @@
 
 /**
  * Decides by what is known of a stream, and the builds that have lately served its service. A stream of unknown origin goes on only where no
- * other build can have begun it.
+ * other build can have begun it; `builds` is undefined where that is not known.
  */
-export function decideTakeUp(finding: OriginFinding, builds: ReadonlySet<string>): TakeUp {
+export function decideTakeUp(finding: OriginFinding, builds: ReadonlySet<string> | undefined): TakeUp {
 	switch (finding.type) {
 		case 'known': {
 			return {type: 'go-on', build: finding.build, reason: 'known'};
@@ -19,7 +19,7 @@
 		}
 
 		case 'unknown': {
-			return builds.size > 1 ? {type: 'refuse', reason: 'unknown'} : {type: 'go-on', build: [...builds][0], reason: 'one-build'};
+			return builds === undefined || builds.size > 1 ? {type: 'refuse', reason: 'unknown'} : {type: 'go-on', build: [...builds][0], reason: 'one-build'};
 		}
 	}
 }
--- a/test/gateway/stream-registry.test.ts
+++ b/test/gateway/stream-registry.test.ts
@@ -1,5 +1,5 @@
 import tap from 'tap';
-import {RoutingState, StreamRegistry} from '../../src/gateway/index.js';
+import {BuildMemory, RoutingState, StreamRegistry} from '../../src/gateway/index.js';
 import {type ZoneName} from '../../src/model/index.js';
 import {type MessageOf, messageSchema} from '../../src/wire/index.js';
 import {eventually} from './testbed.js';
@@ -48,12 +48,17 @@
 		};
 
 		this.registries.set(name, StreamRegistry.create({
-			routingState, logger: silentLogger, onTakeUp: () => undefined,
+			builds: memoryOf(routingState), logger: silentLogger, onTakeUp: () => undefined,
 			peers: () => ({linkedNames: linkedNames(), sendTo}),
 		}));
 	}
 }
 
+/** What an instance remembers of builds with a store that is empty. */
+function memoryOf(routingState: RoutingState): BuildMemory {
+	return BuildMemory.create({instance: 'a', instances: () => [], routingState, read: async () => [], write: async () => undefined, logger: silentLogger});
+}
+
 const names = ['a', 'b', 'c', 'd', 'e'];
 
 tap.test('any instance finds the build of a stream that another one has sent', async t => {
@@ -136,6 +141,6 @@
 	const record = {service: 'models', address: '127.0.0.1:1', zone: 'z' as ZoneName, slots: 1, isLeaving: false, revision: 1};
 	routingState.applyEndpointChanges([{type: 'registered', era: 1, offset: 0, record: {...record, id: 'x', build: 'v1'}}, {type: 'registered', era: 1, offset: 1, record: {...record, id: 'y', build: 'v2'}}], 'store', performance.now());
 	routingState.applyEndpointChanges([{type: 'removed', era: 1, offset: 2, id: 'x'}], 'store', performance.now());
-	using registry = StreamRegistry.create({routingState, logger: silentLogger, onTakeUp: () => undefined, peers: () => ({linkedNames: [], sendTo: () => undefined})});
+	using registry = StreamRegistry.create({builds: memoryOf(routingState), logger: silentLogger, onTakeUp: () => undefined, peers: () => ({linkedNames: [], sendTo: () => undefined})});
 	t.match(await registry.takeUp({...stream, request: 't', resumes: 's'}), {type: 'refuse', reason: 'unknown'});
 });
