--- a/src/gateway/intake-gate.ts
+++ b/src/gateway/intake-gate.ts
@@ -21,8 +21,7 @@
 
 /**
  * Turns of the event loop that accept connections before a request is begun. Node accepts one connection a turn, so that callers on new
- * connections would wait for as many beginnings as there are connections before theirs, unseen by their deadlines and their urgency. With less than
- * a tenth of the time of a beginning for each, sixteen leave a busy instance half of its time for requests.
+ * connections would wait for as many beginnings as there are connections before theirs, where neither deadlines nor urgency nor hang-ups are seen.
  */
 const maxAcceptTurns = 16;
 
--- a/src/gateway/peers/greeter.ts
+++ b/src/gateway/peers/greeter.ts
@@ -4,7 +4,7 @@
 import {type PeerSender} from './peer-sender.js';
 import {type PeersOptions} from './peers-options.js';
 
-/** A peer that has not read the crashes from the store by now does not reach it: twice what a small instance takes after a loss of power of all. */
+/** A peer that has not read the crashes from the store by then counts as one that does not reach it. */
 const crashReadMilliseconds = 2000;
 
 /** Tells new peers what they lack. */
