Bytes that Node's client or server throws at end no instance

A tab or a form feed in a path or query, a space before a header's colon, of a caller or of an endpoint's answer, or an answer's status below 100 ended the instance that passed it on (TypeError and RangeError in a request's process or in a socket's event): each caller and each endpoint could end all of them, one after the other.

--- a/src/gateway/request-target.ts
+++ b/src/gateway/request-target.ts
@@ -1,7 +1,8 @@
 import {type IncomingMessage} from 'node:http';
+import {canPassOn} from '../model/index.js';
 import {retryAfterWithoutTable} from '../policy/dispatch/index.js';
 import {hash32} from '../policy/hashing/index.js';
-import {chooseService, type Route, type RoutingTable, type Workspace} from '../routing/index.js';
+import {chooseService, hasUrlCharacters, type Route, type RoutingTable, type Workspace} from '../routing/index.js';
 import {type RequestCodec, type RequestMetadata} from './adapter/index.js';
 
 /** Why a request is not forwarded, as its caller is told. `details` are only logged. */
@@ -49,6 +50,10 @@
 
 	const {facts} = read;
 	const path = pathOf(request);
+	if (!hasUrlCharacters(path) || !canPassOn(request.rawHeaders)) {
+		return rejected({status: 400, message: 'The path, the query or a header has characters that it cannot have.'});
+	}
+
 	const route = table.findRoute(request.headers.host ?? '', path.split('?', 1)[0]!);
 	const service = route && chooseService(route, drawOf(facts));
 	if (route === undefined || service === undefined) {
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -4,4 +4,5 @@
 export * from './failure.js';
 export type * from './request.js';
 export * from './address.js';
+export * from './http-headers.js';
 export * from './log-position.js';
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -2,5 +2,6 @@
 export * from './routing-table.js';
 export * from './endpoint-directory.js';
 export * from './registrations.js';
+export * from './request-targets.js';
 export * from './schemas.js';
 export * from './urgency-ranks.js';
