A new peer that has read what is stored is told of the runs here

Found by reading the diff again. Cause: the greeting to a peer that has read the store left out all runs, and was not sent at all without records.

--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -142,9 +142,9 @@
 		return this.#records.countedRuns(this.openCrashes(now)).filter(({instance}) => instance === this.#options.instance);
 	}
 
-	/** What a new peer needs that has read what is stored. */
+	/** What a new peer needs that has read what is stored: what is not, and the runs here, which are stored some time after they are counted. */
 	unstoredNews(now: number): CrashNews {
-		return {...noCrashNews, records: this.share.unstoredOf(this.openCrashes(now))};
+		return {pending: [], records: this.share.unstoredOf(this.openCrashes(now)), runs: this.ownRuns(now)};
 	}
 
 	/** What a new peer needs that does not reach the store. */
--- a/src/gateway/peers/peer-messages.ts
+++ b/src/gateway/peers/peer-messages.ts
@@ -1,7 +1,7 @@
 import {decodeLoad, type LoadEvent, unflattenParts} from '../../policy/dispatch/index.js';
 import {type EndpointChange, positionOf} from '../../routing/index.js';
 import {type Connection, type GatewayMessage, type MessageOf, MessagePriority} from '../../wire/index.js';
-import {type CrashNews} from '../crashes/index.js';
+import {type CrashNews, isEmptyNews} from '../crashes/index.js';
 import {type RoutingStateChange, type RoutingState} from '../table/index.js';
 import {type CachedPromptParts, type EndpointIncarnation, type LentShare, type RateLimitReport} from '../endpoints/index.js';
 import {leaseMilliseconds} from '../../policy/statements/index.js';
@@ -65,7 +65,7 @@
 	return [
 		...(tableInput === undefined ? [] : [{type: 'routing-version', version: tableInput.version} as const]),
 		...(changes.length === 0 ? [] : [{type: 'endpoints', changes} as const]),
-		...(crashes.records.length === 0 ? [] : [encodeCrashNews(crashes, now)]),
+		...(isEmptyNews(crashes) ? [] : [encodeCrashNews(crashes, now)]),
 		...(holderAnnouncement === undefined ? [] : [holderAnnouncement]),
 	];
 }
--- a/test/gateway/crash-ledger.test.ts
+++ b/test/gateway/crash-ledger.test.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import tap from 'tap';
-import {CrashLedger, type RepeatableRequest} from '../../src/gateway/index.js';
+import {CrashLedger, initialMessages, type RepeatableRequest, RoutingState} from '../../src/gateway/index.js';
 import {fingerprintOfPart, type PendingRecord, quarantineMilliseconds, type QuarantineRecord, quarantineRecordSchema, type RunRecord} from '../../src/policy/quarantine/index.js';
 import {type EndpointRecord} from '../../src/routing/index.js';
 import {type ZoneName} from '../../src/model/index.js';
@@ -317,3 +317,20 @@
 	ledger.applyNews({records: ['d', 'e'].map(id => crashRecord(id, [part], now + 100))}, 'peer');
 	t.ok(sentRuns.some(({fingerprint}) => fingerprint === part), 'the others are told');
 });
+
+// A peer that has read the store was not told of runs here that are not stored yet, and refused a sound request for ten minutes.
+tap.test('a new peer that has read what is stored is told of the runs here', async t => {
+	const ledger = CrashLedger.create({
+		instance: 'a', instances: () => ['a', 'b'], logger: silentLogger,
+		isLost: () => false, onNews: () => undefined, onOwnNews: () => undefined, onEvidence: () => undefined,
+	});
+	const now = performance.now();
+	const records = ['x', 'y', 'z'].map(crash => ({type: 'crashed' as const, crash, endpoint: crash, fingerprints: ['sound'], time: now}));
+	ledger.share.recordStored(records);
+	ledger.applyNews({records, runs: [{fingerprint: 'sound', instance: 'a', runs: 7}, {fingerprint: 'sound', instance: 'b', runs: 2}]}, 'store');
+	const news = ledger.unstoredNews(now);
+	t.same(news, {records: [], pending: [], runs: [{fingerprint: 'sound', instance: 'a', runs: 7}]});
+	const state = RoutingState.create(silentLogger);
+	const messages = initialMessages(state, {knowsEndpoints: true, holderAnnouncement: undefined, crashes: news, now});
+	t.match(messages, [{type: 'request-crashes', runs: [{fingerprint: 'sound', runs: 7}]}]);
+});
