--- a/src/gateway/intake-gate.ts
+++ b/src/gateway/intake-gate.ts
@@ -1,4 +1,4 @@
-import {Intake, type IntakeRequest, type Judgement, retryElsewhereAfter, type Situation} from '../policy/lateness/index.js';
+import {AcceptTurns, Intake, type IntakeRequest, type Judgement, retryElsewhereAfter, type Situation} from '../policy/lateness/index.js';
 import {type Route, type Workspace} from '../routing/index.js';
 import {type LoopLateness} from './loop-lateness.js';
 import {type RequestCodec, type RequestMetadata} from './adapter/index.js';
@@ -19,12 +19,6 @@
 	readonly hasOthers: () => boolean;
 };
 
-/**
- * Turns of the event loop that accept connections before a request is begun. Node accepts one connection a turn, so that callers on new
- * connections would wait for as many beginnings as there are connections before theirs, where neither deadlines nor urgency nor hang-ups are seen.
- */
-const maxAcceptTurns = 16;
-
 /**
  * Requests wait here between their reading and their beginning while the event loop is late, or while connections wait to be accepted; one is begun
  * in each turn.
@@ -41,9 +35,7 @@
 	/** When a request was begun in the last turn, if others waited. */
 	#begunAt: number | undefined;
 	#isStepping = false;
-	/** Whether a connection was accepted since the last turn, and in how many turns before it without a beginning. */
-	#hasAccepted = false;
-	#acceptTurns = 0;
+	#acceptTurns = AcceptTurns.create();
 	/** The earliest moment at which a connection that is accepted now can have been opened: no turn since then found none. */
 	#openedSince = 0;
 
@@ -58,7 +50,7 @@
 			this.#openedSince = this.#options.lateness.earliestArrival;
 		}
 
-		this.#hasAccepted = true;
+		this.#acceptTurns = this.#acceptTurns.accept();
 		this.#stepNextTurn();
 		return this.#openedSince;
 	}
@@ -110,10 +102,23 @@
 	#step(): void {
 		const now = performance.now();
 		this.#isStepping = false;
-		if (this.#takeAcceptTurn(now)) {
+		if (!this.#acceptTurns.hasAccepted) {
+			this.#openedSince = now;
+		}
+
+		const {type, next} = this.#acceptTurns.endTurn();
+		this.#acceptTurns = next;
+		if (type === 'accept') {
+			this.#addFresh();
+			this.#stepNextTurn();
 			return;
 		}
 
+		this.#beginNext(now);
+	}
+
+	/** Begins the next request, and refuses those that can't be answered any more. */
+	#beginNext(now: number): void {
 		if (this.#begunAt !== undefined) {
 			this.#intake.recordTurn(now - this.#begunAt);
 		}
@@ -131,20 +136,6 @@
 		}
 	}
 
-	/** Leaves this turn to connections that wait, if the last one accepted any and a request was begun not long ago. */
-	#takeAcceptTurn(now: number): boolean {
-		const isAcceptTurn = this.#hasAccepted && this.#acceptTurns < maxAcceptTurns;
-		this.#openedSince = this.#hasAccepted ? this.#openedSince : now;
-		this.#hasAccepted = false;
-		this.#acceptTurns = isAcceptTurn ? this.#acceptTurns + 1 : 0;
-		if (isAcceptTurn) {
-			this.#addFresh();
-			this.#stepNextTurn();
-		}
-
-		return isAcceptTurn;
-	}
-
 	#addFresh(): void {
 		for (const request of this.#fresh) {
 			this.#intake.add(request);
