Which builds may have begun a stream is decided in policy

The decision read the clock in the gateway's memory of builds. Now src/policy/streams/served-builds states its load pattern and decides with the time that it is given; the rest is BuildHistory, the name for what it keeps. A known stream no longer waits for what is stored to be read.

--- a/src/bin/gateway-streams.ts
+++ b/src/bin/gateway-streams.ts
@@ -1,4 +1,4 @@
-import {BuildMemory, type RoutingState, type StreamPeers, StreamRegistry} from '../gateway/index.js';
+import {BuildHistory, type RoutingState, type StreamPeers, StreamRegistry} from '../gateway/index.js';
 import {forPart, type Logger, type Metrics} from '../telemetry/index.js';
 import {type GatewayStore} from './gateway-adapter.js';
 
@@ -15,12 +15,12 @@
 };
 
 /** The builds that began streams, and those that serve services or did until lately. */
-export type Streams = {readonly registry: StreamRegistry; readonly builds: BuildMemory};
+export type Streams = {readonly registry: StreamRegistry; readonly builds: BuildHistory};
 
 /** Opens the registry of the builds that began streams, and its metrics. */
 export function openStreams({instance, instances, store, routingState, peers, metrics, logger}: StreamParts): Streams {
 	const takeUps = metrics.counter('gateway_stream_take_ups_total', 'Streams that callers took up, by what decided whether they go on.', ['reason']);
-	const builds = BuildMemory.create({
+	const builds = BuildHistory.create({
 		instance, instances, routingState, logger: forPart(logger, 'Streams'),
 		read: async () => store.readBuilds(),
 		write: async stored => store.writeBuilds(stored),
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -21,7 +21,7 @@
 export * from './event-loop-monitor.js';
 export * from './intake-gate.js';
 export * from './loop-lateness.js';
-export {BuildMemory, type StoredBuilds, StreamRegistry, type ResumedStream, type StreamPeers} from './streams/index.js';
+export {BuildHistory, type StoredBuilds, StreamRegistry, type ResumedStream, type StreamPeers} from './streams/index.js';
 export {StatementRegistry, type EndpointIncarnation, type LentShare, type RateLimitReport, type StatingResponse} from './endpoints/index.js';
 export {sampleServices} from './endpoints/index.js';
 export * from './duties/index.js';
--- a/src/gateway/streams/index.ts
+++ b/src/gateway/streams/index.ts
@@ -1,3 +1,3 @@
 /** Which build began each stream. */
-export * from './build-memory.js';
+export * from './build-history.js';
 export * from './stream-registry.js';
--- a/src/gateway/streams/stream-registry.ts
+++ b/src/gateway/streams/stream-registry.ts
@@ -3,7 +3,7 @@
 import {addOrigin, decideTakeUp, findOrigin, type OriginFinding, type StreamOrigin, type StreamOrigins, type TakeUp} from '../../policy/streams/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 import {type MessageOf} from '../../wire/index.js';
-import {type BuildMemory} from './build-memory.js';
+import {type BuildHistory} from './build-history.js';
 import {StreamQuestion} from './stream-question.js';
 
 /** A stream that a caller takes up: the id of the request that began it, if the caller names one. */
@@ -16,7 +16,7 @@
 };
 
 export type StreamRegistryOptions = {
-	readonly builds: Pick<BuildMemory, 'buildsOf' | 'whenRead'>;
+	readonly builds: Pick<BuildHistory, 'buildsOf' | 'whenRead'>;
 	readonly peers: () => StreamPeers;
 	readonly logger: PartLogger;
 	/** Called with what became of a stream that a caller has taken up. */
@@ -74,7 +74,7 @@
 		const {request, resumes, workspace, service} = stream;
 		const startedAt = performance.now();
 		const finding = resumes === undefined ? {type: 'unknown' as const} : await this.#find(keyOf(workspace, resumes));
-		const builds = await this.#buildsOf(service);
+		const builds = finding.type === 'unknown' ? await this.#buildsOf(service) : this.#options.builds.buildsOf(service);
 		const decision = decideTakeUp(finding, builds);
 		onTakeUp(decision.reason);
 		logger.info(decision.type === 'go-on' ? 'Stream goes on.' : 'Stream does not go on.', {
--- a/test/gateway/stream-registry.test.ts
+++ b/test/gateway/stream-registry.test.ts
@@ -1,5 +1,5 @@
 import tap from 'tap';
-import {BuildMemory, RoutingState, StreamRegistry} from '../../src/gateway/index.js';
+import {BuildHistory, RoutingState, StreamRegistry} from '../../src/gateway/index.js';
 import {type ZoneName} from '../../src/model/index.js';
 import {type MessageOf, messageSchema} from '../../src/wire/index.js';
 import {eventually} from './testbed.js';
@@ -55,8 +55,8 @@
 }
 
 /** What an instance remembers of builds with a store that is empty. */
-function memoryOf(routingState: RoutingState): BuildMemory {
-	return BuildMemory.create({instance: 'a', instances: () => [], routingState, read: async () => [], write: async () => undefined, logger: silentLogger});
+function memoryOf(routingState: RoutingState): BuildHistory {
+	return BuildHistory.create({instance: 'a', instances: () => [], routingState, read: async () => [], write: async () => undefined, logger: silentLogger});
 }
 
 const names = ['a', 'b', 'c', 'd', 'e'];
--- /dev/null
+++ b/test/policy/served-builds.test.ts
@@ -0,0 +1,36 @@
+import tap from 'tap';
+import {isWorthStoring, originMilliseconds, possibleBuilds, type ServedBuild} from '../../src/policy/streams/index.js';
+
+const startedAt = 1000;
+
+function possible(served: readonly ServedBuild[], stored: readonly string[] | undefined, uptime: number): string[] | undefined {
+	const builds = possibleBuilds({served, stored, startedAt}, startedAt + uptime);
+	return builds && [...builds];
+}
+
+const v2: ServedBuild = {build: 'v2', endedAt: undefined};
+
+// A build that left just before all instances were lost may have begun a stream that is taken up now.
+tap.test('a build that was stored counts for as long as its streams may go on', async t => {
+	t.same(possible([v2], ['v1', 'v2'], 10), ['v1', 'v2']);
+	t.same(possible([v2], ['v1', 'v2'], originMilliseconds - 1), ['v1', 'v2']);
+	t.same(possible([v2], ['v1', 'v2'], originMilliseconds), ['v2']);
+});
+
+tap.test('until what was stored is read, the builds are not known, and after a while those of this start are all', async t => {
+	t.same(possible([v2], undefined, 10), undefined);
+	t.same(possible([v2], undefined, originMilliseconds), ['v2']);
+});
+
+tap.test('a build counts for a while after its last endpoint has ended', async t => {
+	const ended: ServedBuild = {build: 'v1', endedAt: startedAt + 500};
+	t.same(possible([v2, ended], [], 600), ['v1', 'v2']);
+	t.same(possible([v2, ended], [], 500 + originMilliseconds), ['v2']);
+});
+
+tap.test('builds are stored where there is more than one to tell, or more are stored than serve', async t => {
+	t.notOk(isWorthStoring(new Set(['v1']), undefined));
+	t.ok(isWorthStoring(new Set(['v1', 'v2']), undefined));
+	t.ok(isWorthStoring(new Set(['v2']), ['v1', 'v2']));
+	t.notOk(isWorthStoring(new Set(['v1', 'v2']), ['v2', 'v1']));
+});
