Names and comments of the crash share, the initial sync of peers and what is forwarded

From reading the diff as a newcomer: a greeter was a metaphor, 'of' and 'pass on' said less than they could, 200 stood twice, and three safeguards lacked the failure that they guard against. No change in behaviour; peers, crash-archive, crashes-* and odd-answer-head pass.

--- a/src/gateway/crashes/crash-archive.ts
+++ b/src/gateway/crashes/crash-archive.ts
@@ -36,7 +36,7 @@
 /**
  * Keeps the crashes that count in the store, each instance its share under its own name, and takes in what the others store. Without the first, a request
  * that crashes endpoints would be forgotten whenever all instances are lost at once; without the second, instances that reach the store but not
- * each other would each have to see its crashes. Written only when this instance has noticed something, and when its crashes no longer count.
+ * each other would each have to see its crashes. Written only when this instance has noticed something, was told something that nobody has stored, and when its crashes no longer count.
  */
 export class CrashArchive implements Disposable {
 	static create(options: CrashArchiveOptions): CrashArchive {
--- a/src/gateway/crashes/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -134,7 +134,7 @@
 
 	/** What this instance stores. */
 	crashesToStore(now: number): readonly CrashRecord[] {
-		return this.share.of(this.openCrashes(now), this.#options.instance, this.#options.instances());
+		return this.share.select(this.openCrashes(now), this.#options.instance, this.#options.instances());
 	}
 
 	/** Runs at this instance that speak for requests of several crashes. */
--- a/src/gateway/crashes/crash-share.ts
+++ b/src/gateway/crashes/crash-share.ts
@@ -4,8 +4,9 @@
 type NamesByCrash = Map<string, Set<string>>;
 
 /**
- * Which part of all that is known of crashes this instance stores. It stores what it has noticed itself, in this life or an earlier one, and whole the crashes
- * that it forwards. So a name is stored by the few instances that noticed it and by three others, however many know it.
+ * Which part of all that is known of crashes this instance stores: what it has noticed itself, before its last restart too, and whole the crashes that it
+ * forwards. Where each instance stored all that it knew, what all of them read grew with the square of their number, and small instances were late
+ * while endpoints crashed. A name is now stored by the few that noticed it and by three others, so that no single loss forgets it.
  */
 export class CrashShare {
 	static create(): CrashShare {
@@ -26,13 +27,13 @@
 	}
 
 	/** What this instance stores of the crashes that it knows. */
-	of(known: readonly CrashRecord[], instance: string, instances: readonly string[]): readonly CrashRecord[] {
-		return known.flatMap(record => isForwarder(record.crash, instance, instances) ? [record] : select(record, name => this.#own.get(record.crash)?.has(name) === true));
+	select(known: readonly CrashRecord[], instance: string, instances: readonly string[]): readonly CrashRecord[] {
+		return known.flatMap(record => isForwarder(record.crash, instance, instances) ? [record] : withNames(record, name => this.#own.get(record.crash)?.has(name) === true));
 	}
 
 	/** What no instance is known to have stored. */
 	unstoredOf(known: readonly CrashRecord[]): readonly CrashRecord[] {
-		return known.flatMap(record => select(record, name => this.#stored.get(record.crash)?.has(name) !== true));
+		return known.flatMap(record => withNames(record, name => this.#stored.get(record.crash)?.has(name) !== true));
 	}
 
 	/** Forgets crashes that no longer count. */
@@ -59,7 +60,7 @@
 }
 
 /** The record with the selected names alone; nothing if there is none. */
-function select(record: CrashRecord, isSelected: (name: string) => boolean): readonly CrashRecord[] {
+function withNames(record: CrashRecord, isSelected: (name: string) => boolean): readonly CrashRecord[] {
 	const fingerprints = record.fingerprints.filter(name => isSelected(name));
 	return fingerprints.length === 0 ? [] : [{...record, fingerprints}];
 }
--- a/src/gateway/peers/greeter.ts
+++ b/src/gateway/peers/initial-sync.ts
@@ -7,10 +7,14 @@
 /** A peer that has not read the crashes from the store by then counts as one that does not reach it. */
 const crashReadMilliseconds = 2000;
 
-/** Tells new peers what they lack. */
-export class Greeter {
-	static create(options: PeersOptions, sender: PeerSender): Greeter {
-		return new Greeter(options, sender);
+/**
+ * Sends a new peer what it lacks. What is stored of crashes is left out for a peer that reads the store itself: after a loss of power of all instances,
+ * each told each other one all that both had just read, links of small instances were full, and callers were answered late. A peer that does not
+ * reach the store is sent all of it, so that it does not send on what crashes endpoints.
+ */
+export class InitialSync {
+	static create(options: PeersOptions, sender: PeerSender): InitialSync {
+		return new InitialSync(options, sender);
 	}
 
 	readonly #options: PeersOptions;
@@ -22,7 +26,7 @@
 	}
 
 	/** Sends to a peer that has said hello what it cannot read from the store. */
-	greet(link: PeerLink, knowsEndpoints: boolean): void {
+	start(link: PeerLink, knowsEndpoints: boolean): void {
 		const {routingState, holderAnnouncement, crashNews} = this.#options;
 		const now = performance.now();
 		for (const message of initialMessages(routingState, {knowsEndpoints, holderAnnouncement: holderAnnouncement(), crashes: crashNews('unstored'), now})) {
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -3,7 +3,7 @@
 import {type FleetView} from '../../policy/sharing/index.js';
 import {type Connection, dial, type GatewayMessage, isGatewayMessage, Listener, type MessageOf, protocolVersion, type Message} from '../../wire/index.js';
 import {type CachedPromptParts} from '../endpoints/index.js';
-import {Greeter} from './greeter.js';
+import {InitialSync} from './initial-sync.js';
 import {LoadBatch} from './load-batch.js';
 import {createPeerLink, isPreferredLink, logDropped, type PeerLink} from './peer-link.js';
 import {handleMessage, messageForChange} from './peer-messages.js';
@@ -47,7 +47,7 @@
 	readonly #options: PeersOptions;
 	readonly #links = new Map<string, PeerLink>();
 	readonly #sender = PeerSender.create();
-	readonly #greeter: Greeter;
+	readonly #initialSync: InitialSync;
 	readonly #tablePuller: RoutingTablePuller;
 	readonly #loadBatch = LoadBatch.create(() => batchIntervalMilliseconds(this.#links.size), rows => {
 		this.#broadcast({type: 'load', rows});
@@ -59,7 +59,7 @@
 
 	private constructor(options: PeersOptions) {
 		this.#options = options;
-		this.#greeter = Greeter.create(options, this.#sender);
+		this.#initialSync = InitialSync.create(options, this.#sender);
 		this.roster = PeerRoster.create({name: options.instance, zone: options.zone});
 		this.#seeds = options.seeds.filter(seed => seed !== `${options.host}:${options.port}`);
 		this.#tablePuller = RoutingTablePuller.create({
@@ -176,7 +176,7 @@
 	#maintainLink(link: PeerLink): void {
 		const {connection, instance, isDialled, since} = link;
 		logDropped({connection, instance}, this.#options.logger);
-		this.#greeter.complete(link, performance.now());
+		this.#initialSync.complete(link, performance.now());
 		if (isDialled && performance.now() - since > minLinkMilliseconds && !this.roster.neighbours.linked.has(instance)) {
 			connection.close('no longer a neighbour');
 		} else if (connection.takeHeartbeat(this.#links.size)) {
@@ -266,7 +266,7 @@
 		this.roster.recordLinked(hello.instance, performance.now());
 		this.#options.onView(this.view);
 		this.#options.logger.info('Peer connected.', {peer: hello.instance, incarnation: hello.incarnation, peers: this.#links.size});
-		this.#greeter.greet(link, hello.knowsEndpoints);
+		this.#initialSync.start(link, hello.knowsEndpoints);
 		return link;
 	}
 
--- a/src/gateway/request-target.ts
+++ b/src/gateway/request-target.ts
@@ -1,5 +1,5 @@
 import {type IncomingMessage} from 'node:http';
-import {canPassOn} from '../model/index.js';
+import {areForwardable} from '../model/index.js';
 import {retryAfterWithoutTable} from '../policy/dispatch/index.js';
 import {hash32} from '../policy/hashing/index.js';
 import {chooseService, hasUrlCharacters, type Route, type RoutingTable, type Workspace} from '../routing/index.js';
@@ -50,7 +50,7 @@
 
 	const {facts} = read;
 	const path = pathOf(request);
-	if (!hasUrlCharacters(path) || !canPassOn(request.rawHeaders)) {
+	if (!hasUrlCharacters(path) || !areForwardable(request.rawHeaders)) {
 		return rejected({status: 400, message: 'The path, the query or a header has characters that it cannot have.'});
 	}
 
--- a/src/gateway/requests/attempt-state.ts
+++ b/src/gateway/requests/attempt-state.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {canPassOn, Verdict} from '../../model/index.js';
+import {areForwardable, Verdict} from '../../model/index.js';
 import {type Decision} from '../placement/index.js';
 import {type ResponseMetadata, type RawHeaders, type RequestCodec} from '../adapter/index.js';
 import {type Attempt, type AttemptEvent} from './attempt.js';
@@ -13,8 +13,6 @@
 
 const firstSuccess = 200;
 const firstRedirect = 300;
-/** Lower ones are none, or are not a response's last. */
-const firstFinalStatus = 200;
 const firstServerError = 500;
 
 /** The pace of an endpoint is taken over at least this time of a stream, so that events cost little and a slow moment is seen early. */
@@ -115,7 +113,7 @@
 			return {type: 'failed', verdict: Verdict.notRun, reason: response.isMisdirected ? 'other endpoint' : 'rejected'};
 		}
 
-		const reason = canPassOn(rawHeaders) && status >= firstFinalStatus ? invalidReason(response) : 'a status or header that cannot be passed on';
+		const reason = areForwardable(rawHeaders) && status >= firstSuccess ? invalidReason(response) : 'a status or header that cannot be forwarded';
 		if (reason !== undefined) {
 			return {type: 'failed', verdict: Verdict.mayHaveRun, reason};
 		}
--- a/src/routing/request-targets.ts
+++ b/src/routing/request-targets.ts
@@ -8,8 +8,8 @@
 }
 
 /**
- * Whether a path with its query has characters that a URL may have. Node's parser refuses requests with others on some processors; on others it lets
- * them pass, and its client throws at some of them.
+ * Whether a path with its query has characters that a URL may have alone. Node's parser refuses requests with others on some processors; on others it
+ * lets them pass, and its client throws at some of them, which ends the instance.
  */
 export function hasUrlCharacters(target: string): boolean {
 	return targetPattern.test(target);
