A service's answer that Node would not write is a failure, on the product's own path too

Change: such an answer is a bad one (may have run). test/endpoint/odd-answer-head: 4 of the heads that were let through made Node's server throw before (0, 1, 99, a space), none now.

--- a/src/endpoint/service-client.ts
+++ b/src/endpoint/service-client.ts
@@ -1,7 +1,8 @@
 import {Agent, type ClientRequest, type IncomingMessage} from 'node:http';
 import {Readable, pipeline} from 'node:stream';
-import {RequestError, type Failure} from '../model/index.js';
+import {areForwardable, RequestError, type Failure} from '../model/index.js';
 import {createConnectionFailure, openCall} from './open-call.js';
+import {createBadResponseFailure} from './response-checker.js';
 import {readRetryAfter} from './retry-after.js';
 import {responseHeadersForCaller, requestHeadersForService} from './service-headers.js';
 
@@ -36,6 +37,7 @@
 	}
 	| {readonly type: 'failed'; readonly failure: Failure};
 
+const firstFinalStatus = 200;
 /** Too many requests, and service unavailable. With other statuses `Retry-After` concerns the resource of the one call. */
 const refusalStatuses: ReadonlySet<number> = new Set([429, 503]);
 /** A service call may be a long job. A minute limits the wait for a call whose connection is dead but was not closed. */
@@ -75,6 +77,11 @@
 
 		const {response} = opened;
 		const status = response.statusCode ?? 0;
+		if (status < firstFinalStatus || !areForwardable(response.rawHeaders)) {
+			response.destroy();
+			return {type: 'failed', failure: createBadResponseFailure(`status ${status} or a header that cannot be forwarded`)};
+		}
+
 		return {
 			type: 'answered', status, headers: responseHeadersForCaller(response.headers), body: readBody(response, call.signal),
 			backoffMilliseconds: refusalStatuses.has(status) ? readRetryAfter(response.headers) : undefined,
