An odd entry that another instance tells ends no instance

An instance of an older build has an entry with a port out of range in its list and tells it on; the instance that was told then ended at the first request that chose it (ERR_SOCKET_BAD_PORT).

--- a/src/gateway/peers/peer-messages.ts
+++ b/src/gateway/peers/peer-messages.ts
@@ -4,6 +4,8 @@
 import {type CrashNews, isEmptyNews} from '../crashes/index.js';
 import {type RoutingStateChange, type RoutingState} from '../table/index.js';
 import {type CachedPromptParts, type EndpointIncarnation, type LentShare, type RateLimitReport} from '../endpoints/index.js';
+import {isAddress} from '../../model/index.js';
+import {type PartLogger} from '../../telemetry/index.js';
 import {leaseMilliseconds} from '../../policy/statements/index.js';
 
 /**
@@ -102,8 +104,19 @@
 	return {records: records.map(record => ({...record, time: record.time + shift})), pending: pending.map(record => ({...record, time: record.time + shift})), runs};
 }
 
+/** Leaves out endpoints at addresses that Node throws at; an instance of an older build tells of them too. */
+function usableChanges(changes: readonly EndpointChange[], instance: string, logger: PartLogger): readonly EndpointChange[] {
+	const usable = changes.filter(change => change.type === 'removed' || isAddress(change.record.address));
+	if (usable.length < changes.length) {
+		logger.warn('Skipped endpoints without a usable address.', {peer: instance, endpoints: changes.length - usable.length});
+	}
+
+	return usable;
+}
+
 /** The sender of a message, and the state and callbacks that the message is applied to. */
 export type MessageContext = {
+	readonly logger: PartLogger;
 	readonly routingState: RoutingState;
 	readonly connection: Connection;
 	readonly instance: string;
@@ -124,7 +137,7 @@
 };
 
 /** Handles a message of a peer that has sent its hello. */
-export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onSharesWanted, onSharesLent, onCrashNews, onCrashesRead, onHolderAnnouncement, onStreamOrigins}: MessageContext): void {
+export function handleMessage(message: Exclude<GatewayMessage, {type: 'gateway-hello'}>, {logger, routingState, connection, instance, incarnation, onVersion, onLoad, onPromptCache, onRateLimitReport, onSharesWanted, onSharesLent, onCrashNews, onCrashesRead, onHolderAnnouncement, onStreamOrigins}: MessageContext): void {
 	switch (message.type) {
 		case 'routing-version': {
 			onVersion(message.version);
@@ -145,7 +158,7 @@
 		}
 
 		case 'endpoints': {
-			routingState.applyEndpointChanges(message.changes, `instance ${instance}`, performance.now());
+			routingState.applyEndpointChanges(usableChanges(message.changes, instance, logger), `instance ${instance}`, performance.now());
 			return;
 		}
 
