Bench gateway-overload: what callers get of a gateway with a part of a core, by rate

gateway-waits judged accepting first by the wait of a connection at a rate at which all are begun. This bench has kinds with targets and deadlines, rates above what can be begun, and callers that come back once.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import {controlCommand} from './control/index.js';
 import {loadCommand} from './load/index.js';
 import {gatewayLoadCommand} from './gateway-load/index.js';
+import {gatewayOverloadCommand} from './gateway-overload/index.js';
 import {gatewayWaitsCommand} from './gateway-waits/index.js';
 import {gatewaySoakCommand} from './gateway-soak/index.js';
 import {lossesCommand} from './losses/index.js';
@@ -27,6 +28,7 @@
 	.command(lossesCommand)
 	.command(gatewaySoakCommand)
 	.command(gatewayLoadCommand)
+	.command(gatewayOverloadCommand)
 	.command(gatewayWaitsCommand)
 	.command(controlCommand)
 	.command(loadCommand)
