--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import {type IntakeRequest} from '../policy/lateness/index.js';
 import {Caller, Exchange} from './requests/index.js';
 import {type RepeatableRequest} from './crashes/index.js';
+import {AcceptProbe} from './accept-probe.js';
 import {IntakeGate, type IntakeOutcome, intakeRequestOf} from './intake-gate.js';
 import {type RequestMetadata} from './adapter/index.js';
 import {type GatewayOptions} from './gateway-options.js';
@@ -46,6 +47,7 @@
 	readonly #openResponses = new Set<ServerResponse>();
 	readonly #startedAt = performance.now();
 	readonly #intake: IntakeGate;
+	readonly #acceptProbe: AcceptProbe;
 	#bufferedBytes = 0;
 	#isStopping = false;
 
@@ -58,12 +60,23 @@
 			onTurn(milliseconds) {
 				options.eventLoopMonitor.recordTurn(milliseconds);
 			},
+			openProbe: () => {
+				this.#acceptProbe.open();
+			},
+		});
+		this.#acceptProbe = AcceptProbe.create({
+			address: () => this.#server.address() as AddressInfo, logger: options.logger, onEnd: outcome => {
+				this.#intake.recordProbe(outcome);
+			},
 		});
 		this.#server = createServer({maxHeaderSize: maxHeaderBytes, requestTimeout: requestTimeoutMilliseconds, keepAliveTimeout: defaultIdleMilliseconds, noDelay: true}, (request, response) => {
 			void this.#accept(request, response);
 		});
 		this.#server.on('connection', (socket: Socket) => {
-			options.lateness.recordConnection(socket, this.#intake.recordConnection());
+			const openedAt = this.#intake.recordConnection();
+			if (!this.#acceptProbe.accept(socket)) {
+				options.lateness.recordConnection(socket, openedAt);
+			}
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.#rejectMalformed(error, socket);
@@ -108,6 +121,7 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
+		this.#acceptProbe[Symbol.dispose]();
 		this.#server.close();
 		this.#server.closeAllConnections();
 	}
--- a/src/gateway/intake-gate.ts
+++ b/src/gateway/intake-gate.ts
@@ -1,4 +1,4 @@
-import {AcceptTurns, Intake, type IntakeRequest, type Judgement, retryElsewhereAfter, type Situation} from '../policy/lateness/index.js';
+import {AcceptTurns, Intake, IntakeQueue, type IntakeRequest, type Judgement, retryAfterOverload, retryElsewhereAfter, type Situation} from '../policy/lateness/index.js';
 import {type Route, type Workspace} from '../routing/index.js';
 import {type LoopLateness} from './loop-lateness.js';
 import {type RequestCodec, type RequestMetadata} from './adapter/index.js';
@@ -17,8 +17,13 @@
 	readonly onTurn?: (milliseconds: number) => void;
 	/** Whether there are other instances, to which callers can go. */
 	readonly hasOthers: () => boolean;
+	/** Opens a connection to the own port, of which `recordProbe` tells. Without it, how long connections have waited is only bounded. */
+	readonly openProbe?: () => void;
 };
 
+/** While every turn accepts a connection, the own port is probed so often: it takes some one in a hundred turns. */
+const probeMilliseconds = 50;
+
 /**
  * Requests wait here between their reading and their beginning while the event loop is late, or while connections wait to be accepted; one is begun
  * in each turn.
@@ -29,7 +34,7 @@
 	}
 
 	readonly #options: IntakeGateOptions;
-	readonly #intake: Intake<Waiting>;
+	readonly #intake: Intake<Waiting> | IntakeQueue<Waiting>;
 	/** Requests that were read in this turn; their callers' hang-ups are read in the next. */
 	#fresh: Waiting[] = [];
 	/** When a request was begun in the last turn, if others waited. */
@@ -38,10 +43,12 @@
 	#acceptTurns = AcceptTurns.create();
 	/** The earliest moment at which a connection that is accepted now can have been opened: no turn since then found none. */
 	#openedSince = 0;
+	/** When the probe was opened that waits to be accepted. */
+	#probedAt: number | undefined;
 
 	private constructor(options: IntakeGateOptions) {
 		this.#options = options;
-		this.#intake = Intake.create<Waiting>(options.lateness.givesAway);
+		this.#intake = options.lateness.givesAway ? Intake.create<Waiting>() : IntakeQueue.create<Waiting>();
 	}
 
 	/** Records that a connection was accepted; returns the earliest moment at which it can have been opened. More may wait, so that the next turns accept them first. */
@@ -55,6 +62,15 @@
 		return this.#openedSince;
 	}
 
+	/** Records that the probe of the own port was accepted, or has failed: what is accepted from now on was opened after it. */
+	recordProbe(outcome: 'accepted' | 'failed'): void {
+		if (outcome === 'accepted' && this.#probedAt !== undefined) {
+			this.#openedSince = Math.max(this.#openedSince, this.#probedAt);
+		}
+
+		this.#probedAt = undefined;
+	}
+
 	/** Whether requests go through the gate: the loop is late, connections are being accepted, or some still wait. */
 	get isClosed(): boolean {
 		return this.#options.lateness.intakeMilliseconds > 0 || this.#isStepping;
@@ -106,6 +122,7 @@
 			this.#openedSince = now;
 		}
 
+		this.#probeIfDue(now);
 		const {type, next} = this.#acceptTurns.endTurn();
 		this.#acceptTurns = next;
 		if (type === 'accept') {
@@ -117,9 +134,16 @@
 		this.#beginNext(now);
 	}
 
+	#probeIfDue(now: number): void {
+		if (this.#probedAt === undefined && now - this.#openedSince >= probeMilliseconds && this.#options.openProbe !== undefined) {
+			this.#probedAt = now;
+			this.#options.openProbe();
+		}
+	}
+
 	/** Begins the next request, and refuses those that can't be answered any more. */
 	#beginNext(now: number): void {
-		if (this.#begunAt !== undefined) {
+		if (this.#begunAt !== undefined && this.#intake instanceof Intake) {
 			this.#intake.recordTurn(now - this.#begunAt);
 		}
 
@@ -138,7 +162,7 @@
 
 	#addFresh(): void {
 		for (const request of this.#fresh) {
-			this.#intake.add(request);
+			this.#intake.add(request, performance.now());
 		}
 
 		this.#fresh = [];
@@ -151,7 +175,9 @@
 
 	#refuse(judgement: Judgement): Extract<IntakeOutcome, {type: 'refuse'}> {
 		this.#options.lateness.recordRefusal();
-		return {type: 'refuse', judgement, retryAfterMilliseconds: retryElsewhereAfter(this.#options.random())};
+		const draw = this.#options.random();
+		const retryAfterMilliseconds = judgement.reason === 'given-away' ? retryElsewhereAfter(draw) : retryAfterOverload(judgement, draw);
+		return {type: 'refuse', judgement, retryAfterMilliseconds};
 	}
 }
 
--- a/src/policy/lateness/intake.ts
+++ b/src/policy/lateness/intake.ts
@@ -26,7 +26,7 @@
 };
 
 /** Why a request is refused, and the wait that was foreseen: another instance can serve it earlier, or this one can't any more. */
-export type Judgement = {readonly reason: 'given-away' | 'hopeless'; readonly waitMilliseconds: number};
+export type Judgement = {readonly reason: 'given-away' | 'hopeless'; readonly waitMilliseconds: number; /** For how long requests have been refused now, where that is known. */ readonly overloadedMilliseconds?: number};
 
 export type IntakeStep<Request> = {
 	readonly refused: ReadonlyArray<{readonly request: Request; readonly judgement: Judgement}>;
@@ -98,7 +98,7 @@
 		return this.#refusedElsewhereShare >= allLateShare;
 	}
 
-	add(request: Request): void {
+	add(request: Request, _now?: number): void {
 		this.#waiting.push(request);
 		this.#leastUrgent = this.#leastUrgent === undefined || compareUrgency(request.urgency, this.#leastUrgent) > 0 ? request.urgency : this.#leastUrgent;
 		const {route, givenMilliseconds = Infinity} = request;
@@ -200,7 +200,8 @@
 	}
 }
 
-function isLate({arrivedAt, targetMilliseconds}: IntakeRequest, now: number): boolean {
+/** Whether a request that is begun now is late: its endpoint has less than the rest of its target. */
+export function isLate({arrivedAt, targetMilliseconds}: IntakeRequest, now: number): boolean {
 	return now > arrivedAt + (targetMilliseconds * waitShare);
 }
 
--- a/test/gateway/virtual-loop.ts
+++ b/test/gateway/virtual-loop.ts
@@ -21,11 +21,17 @@
 	readonly share: number;
 	/** Without a gate each request is begun in the turn in which it is read. */
 	readonly hasGate: boolean;
+	/** Connections that the kernel keeps until they are accepted; the opening of one more is tried again after a second, as TCP does. */
+	readonly backlog?: number;
 };
 
-type Connection = {readonly caller: LoopCaller; readonly openedAt: number};
+/** A connection without a caller is the loop's own probe. */
+type Connection = {readonly caller: LoopCaller | undefined; readonly openedAt: number};
 
-const least = 0.02;
+const leastTurnMilliseconds = 0.02;
+const defaultBacklog = 511;
+/** A kernel that has no answer to the opening of a connection sends it once more after this time. */
+const reopenMilliseconds = 1000;
 
 /**
  * The event loop of one instance in virtual time, as Node runs it: a turn accepts one of the connections that wait in the kernel, reads those that were
@@ -58,6 +64,9 @@
 					this.#tasks.push(task);
 					this.#wake();
 				},
+				openProbe: () => {
+					this.#waiting.push({caller: undefined, openedAt: options.time.now});
+				},
 			});
 		});
 	}
@@ -81,7 +90,19 @@
 	}
 
 	#open(caller: LoopCaller): void {
-		this.#waiting.push({caller, openedAt: this.#options.time.now});
+		const {time, backlog = defaultBacklog} = this.#options;
+		if (this.#hasLeft(caller)) {
+			return;
+		}
+
+		if (this.#waiting.length >= backlog) {
+			time.after(reopenMilliseconds, () => {
+				this.#open(caller);
+			});
+			return;
+		}
+
+		this.#waiting.push({caller, openedAt: time.now});
 		this.#wake();
 	}
 
@@ -95,7 +116,7 @@
 	}
 
 	#turn(): void {
-		this.#spend(least);
+		this.#spend(leastTurnMilliseconds);
 		const read = this.#unread;
 		this.#unread = [];
 		const accepted = this.#waiting.findIndex(({openedAt}) => openedAt <= this.#options.time.now);
@@ -121,14 +142,20 @@
 
 	#accept(connection: Connection): void {
 		this.#spend(this.#options.costs.accept);
-		this.#lateness.recordConnection(connection, this.#gate.recordConnection());
+		const openedAt = this.#gate.recordConnection();
+		if (connection.caller === undefined) {
+			this.#gate.recordProbe('accepted');
+			return;
+		}
+
+		this.#lateness.recordConnection(connection, openedAt);
 		this.#unread.push(connection);
 	}
 
 	#read(connection: Connection): void {
 		const {costs, hasGate} = this.#options;
 		const {caller, openedAt} = connection;
-		if (this.#hasLeft(caller)) {
+		if (caller === undefined || this.#hasLeft(caller)) {
 			return;
 		}
 
