A stream of unknown origin goes on only by registrations that were read after its caller came

What callers saw: the text of a stream that one build began and another went on with, taken up at an instance that was cut off or whose store was late while the new build joined. Now, where nobody knows the origin and one build is known, the registrations are read again, by a read that begins after the take-up, for 300 ms at most; without it the answer is 503, not run. What other instances know goes on as before, without a read.

--- a/src/bin/gateway-parts.ts
+++ b/src/bin/gateway-parts.ts
@@ -114,8 +114,11 @@
 	});
 }
 
-function openGatewayStreams({settings: {instance}, store, routingState, metrics, logger, peers}: Base): Streams {
-	return openStreams({instance, store, routingState, metrics, logger, peers, instances: () => peers().roster.presentNames(performance.now())});
+function openGatewayStreams({settings: {instance}, store, routingState, metrics, logger, peers, feeds}: Base): Streams {
+	return openStreams({
+		instance, store, routingState, metrics, logger, peers, instances: () => peers().roster.presentNames(performance.now()),
+		readEndpoints: async milliseconds => await feeds()?.endpoints.readAgain(milliseconds) ?? false,
+	});
 }
 
 function openFeeds({settings, store, routingState, metrics, logger, peers}: Base, crashes: CrashArchive): FeedFollowers {
--- a/src/bin/gateway-streams.ts
+++ b/src/bin/gateway-streams.ts
@@ -10,6 +10,8 @@
 	readonly store: GatewayStore;
 	readonly routingState: RoutingState;
 	readonly peers: () => StreamPeers;
+	/** Reads the registrations again; false if the store has not answered within the time. */
+	readonly readEndpoints: (milliseconds: number) => Promise<boolean>;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 };
@@ -18,10 +20,10 @@
 export type Streams = {readonly registry: StreamRegistry; readonly builds: BuildHistory};
 
 /** Opens the registry of the builds that began streams, and its metrics. */
-export function openStreams({instance, instances, store, routingState, peers, metrics, logger}: StreamParts): Streams {
+export function openStreams({instance, instances, store, routingState, peers, metrics, logger, readEndpoints}: StreamParts): Streams {
 	const takeUps = metrics.counter('gateway_stream_take_ups_total', 'Streams that callers took up, by what decided whether they go on.', ['reason']);
 	const builds = BuildHistory.create({
-		instance, instances, routingState, logger: forPart(logger, 'Streams'),
+		instance, instances, routingState, readEndpoints, logger: forPart(logger, 'Streams'),
 		read: async () => store.readBuilds(),
 		write: async stored => store.writeBuilds(stored),
 	});
--- a/src/gateway/feeds/feed-follower.ts
+++ b/src/gateway/feeds/feed-follower.ts
@@ -65,6 +65,10 @@
 	#quietPolls = 0;
 	#isStopped = false;
 	#lastReadAt = -Infinity;
+	/** When the read that is in progress began, or the last one. */
+	#readStartedAt = -Infinity;
+	/** Calls of `readAgain` that wait for a read. */
+	readonly #awaiting = new Set<{readonly since: number; readonly resolve: () => void}>();
 
 	private constructor(options: FeedFollowerOptions<Item>) {
 		this.#options = options;
@@ -87,6 +91,25 @@
 		tryDeliver(this.#wake, 'wake');
 	}
 
+	/** Reads again; resolves once a read that began after this call has ended, or to false if none has within the time. */
+	async readAgain(milliseconds: number): Promise<boolean> {
+		return new Promise(resolve => {
+			const timer = setTimeout(() => {
+				this.#awaiting.delete(awaited);
+				resolve(false);
+			}, milliseconds);
+			const awaited = {
+				since: performance.now(),
+				resolve() {
+					clearTimeout(timer);
+					resolve(true);
+				},
+			};
+			this.#awaiting.add(awaited);
+			this.pollNow();
+		});
+	}
+
 	/**
 	 * Aborts a long poll and reads what is there. Without this, a long poll on a connection that delivers nothing any more, or at a
 	 * store that stopped responding, would return nothing until its wait is over, long after the store has recovered.
@@ -119,6 +142,7 @@
 
 	* #pollOnce(): Body<void> {
 		const {feed, logger} = this.#options;
+		this.#readStartedAt = performance.now();
 		if (this.#next === undefined) {
 			this.#applySnapshot(yield * wait(feed.readSnapshot()));
 			yield * this.#pause();
@@ -192,6 +216,7 @@
 		}
 
 		this.#next = next;
+		this.#resolveAwaiting();
 	}
 
 	#applySnapshot({items, next}: FeedPage<Item>): void {
@@ -204,6 +229,7 @@
 
 		const unconfirmed = this.#options.onSnapshot(items, next.era);
 		this.#next = next;
+		this.#resolveAwaiting();
 		if (this.#positionBeforeRestore !== undefined) {
 			this.#reportEra({feed: this.#options.feed.name, before: this.#positionBeforeRestore, after: next}, unconfirmed);
 			this.#positionBeforeRestore = undefined;
@@ -222,6 +248,20 @@
 		tryReceive(this.#wake);
 	}
 
+	/** Ends the calls that this read was for, once its changes are applied. */
+	#resolveAwaiting(): void {
+		for (const awaited of this.#awaiting) {
+			if (awaited.since <= this.#readStartedAt) {
+				this.#awaiting.delete(awaited);
+				awaited.resolve();
+			}
+		}
+
+		if (this.#awaiting.size > 0) {
+			this.pollNow();
+		}
+	}
+
 	#recordSuccess(): void {
 		if (this.#failures > 0) {
 			this.#options.logger.info('Store available again.', {feed: this.#options.feed.name, failures: this.#failures});
--- a/src/gateway/streams/build-history.ts
+++ b/src/gateway/streams/build-history.ts
@@ -14,9 +14,13 @@
 	readonly routingState: RoutingState;
 	readonly read: () => Promise<readonly StoredBuilds[]>;
 	readonly write: (stored: StoredBuilds) => Promise<void>;
+	/** Reads the registrations again; false if the store has not answered within the time. */
+	readonly readEndpoints: (milliseconds: number) => Promise<boolean>;
 	readonly logger: PartLogger;
 };
 
+/** A caller that takes a stream up waits so long for the store; a read takes a tenth of it. */
+const readMilliseconds = 300;
 /** Instances that store the builds of a service: one of them may be lost just then. */
 const writers = 2;
 /** Changes within the first time are stored together; builds that left long ago, and writes that failed, are noticed within the second. */
@@ -72,6 +76,15 @@
 		}, performance.now());
 	}
 
+	/**
+	 * The same by registrations that were read after this call; undefined if the store does not tell. An instance that is cut off, or has stood still,
+	 * knows of no build that joined meanwhile: what it knows is not all there is.
+	 */
+	async currentBuildsOf(service: string): Promise<ReadonlySet<string> | undefined> {
+		const isCurrent = await this.#options.readEndpoints(readMilliseconds);
+		return isCurrent ? this.buildsOf(service) : undefined;
+	}
+
 	/** Stores the builds that have changed and that this instance is to store. */
 	#storeChanges(): void {
 		const {instance, instances, routingState} = this.#options;
--- a/src/gateway/streams/stream-registry.ts
+++ b/src/gateway/streams/stream-registry.ts
@@ -16,7 +16,7 @@
 };
 
 export type StreamRegistryOptions = {
-	readonly builds: Pick<BuildHistory, 'buildsOf' | 'whenRead'>;
+	readonly builds: Pick<BuildHistory, 'buildsOf' | 'currentBuildsOf' | 'whenRead'>;
 	readonly peers: () => StreamPeers;
 	readonly logger: PartLogger;
 	/** Called with what became of a stream that a caller has taken up. */
@@ -160,14 +160,15 @@
 		}
 	}
 
-	/** Builds that may have begun a stream of a service; undefined if what was stored cannot be read in a moment. */
+	/** Builds that may have begun a stream of a service; undefined if what is stored, now or before this instance started, cannot be read in a moment. */
 	async #buildsOf(service: string): Promise<ReadonlySet<string> | undefined> {
 		const {builds} = this.#options;
 		if (builds.buildsOf(service) === undefined) {
 			await Promise.race([builds.whenRead, sleep(readMilliseconds)]);
 		}
 
-		return builds.buildsOf(service);
+		const known = builds.buildsOf(service);
+		return known === undefined || known.size > 1 ? known : builds.currentBuildsOf(service);
 	}
 }
 
