--- a/src/gateway/intake-gate.ts
+++ b/src/gateway/intake-gate.ts
@@ -39,6 +39,8 @@
 	#fresh: Waiting[] = [];
 	/** When a request was begun in the last turn, if others waited. */
 	#begunAt: number | undefined;
+	/** When a request was begun in the turn that is under way, if others waited. */
+	#begunInTurnAt: number | undefined;
 	#isStepping = false;
 	#acceptTurns = AcceptTurns.create();
 	/** The earliest moment at which a connection that is accepted now can have been opened: no turn since then found none. */
@@ -123,7 +125,12 @@
 		}
 
 		this.#probeIfDue(now);
-		const {type, next} = this.#acceptTurns.endTurn();
+		if (this.#begunInTurnAt !== undefined && this.#intake instanceof IntakeQueue) {
+			this.#intake.recordTurn(now - this.#begunInTurnAt);
+		}
+
+		this.#begunInTurnAt = undefined;
+		const {type, next} = this.#acceptTurns.endTurn(this.#intake.size + this.#fresh.length > 0);
 		this.#acceptTurns = next;
 		if (type === 'accept') {
 			this.#addFresh();
@@ -155,6 +162,7 @@
 		next?.settle({type: 'begin'});
 		this.#addFresh();
 		this.#begunAt = this.#intake.size > 0 && next !== undefined ? now : undefined;
+		this.#begunInTurnAt = this.#begunAt;
 		if (this.#intake.size > 0) {
 			this.#stepNextTurn();
 		}
--- a/src/policy/lateness/accept-turns.ts
+++ b/src/policy/lateness/accept-turns.ts
@@ -44,9 +44,13 @@
 		return new AcceptTurns({...this.#state, hasAccepted: true});
 	}
 
-	/** The sockets of a turn were read. */
-	endTurn(): TurnUse {
+	/** The sockets of a turn were read. Where no request waits, accepting holds up none and is not counted. */
+	endTurn(isWaiting = true): TurnUse {
 		const {hasAccepted, turns} = this.#state;
+		if (!isWaiting) {
+			return {type: hasAccepted ? 'accept' : 'begin', next: new AcceptTurns({hasAccepted: false, turns: 0, credit: this.#state.credit})};
+		}
+
 		const credit = this.#state.credit - (hasAccepted ? 1 : 0);
 		return hasAccepted && turns < maxAcceptTurns && credit > 0
 			? {type: 'accept', next: new AcceptTurns({hasAccepted: false, turns: turns + 1, credit})}
--- a/src/policy/lateness/intake-queue.ts
+++ b/src/policy/lateness/intake-queue.ts
@@ -5,13 +5,13 @@
  * reading, those whose callers wait for the shortest time get nothing, whatever their urgency; kept until their time is over, all are late, and
  * what was begun last has no time left at its endpoint.
  *
- * The order is by urgency, then by who can still be in time, then by arrival; who has used half of its time goes before every less urgent route, as in
- * the queue for placement. A request is refused as soon as its wait is foreseen to leave it no time, and is told how long the wait is. While a
- * request is refused, less urgent ones are begun once a second at most: often enough that none starves.
+ * The order is by the route's urgency, then by the workspace's: who is not begun gets nothing, and that is a matter of the kind of request. Which
+ * of those that are begun goes first is the workspace's order in the queue for placement. Among equals who can still be in time goes first, by when that
+ * ends, then by arrival. A request is refused as soon as its wait is foreseen to leave it no time, and its caller is told how long the overload may
+ * last. While a request is refused, less urgent ones are begun once a second at most: often enough that none starves.
  */
-import {compareUrgency, type UrgencyPair} from '../../routing/index.js';
-import {isAtRisk} from '../dispatch/index.js';
-import {type IntakeRequest, type IntakeStep, isLate, type Judgement, type Situation} from './intake.js';
+import {compareByRoute, type UrgencyPair} from '../../routing/index.js';
+import {inTimeUntil, type IntakeRequest, type IntakeStep, isLate, type Judgement, type Situation} from './intake.js';
 import {IntakeRates} from './intake-rates.js';
 
 /** Every eighth beginning is the longest wait: the most urgent keep nearly their full share, and the least urgent proceed. */
@@ -25,6 +25,9 @@
 /** Time between two looks at the waits of all. */
 const reviewMilliseconds = 100;
 
+/** At most this part of a request's time is reserved for its endpoint. */
+const largestReserveShare = 0.5;
+
 type Pressure = {readonly urgency: UrgencyPair; readonly since: number; readonly until: number};
 
 /** Requests between their reading and their beginning. Times are milliseconds of the monotonic clock. */
@@ -54,7 +57,12 @@
 
 	/** Why a request that is read now is refused before it is added, if it is. */
 	judge(request: IntakeRequest, {now}: Pick<Situation, 'now'>): Judgement | undefined {
-		return this.#judge(request, this.#waiting.filter(other => isAhead(other, request, now)).length, now);
+		return this.#judge(request, this.#waiting.filter(other => compare(other, request, now) <= 0).length, now);
+	}
+
+	/** Records that a turn took this long in which a request was begun. */
+	recordTurn(milliseconds: number): void {
+		this.#rates.recordTurn(milliseconds);
 	}
 
 	/** Takes the requests that are refused now, and the one that is begun in this turn. */
@@ -74,7 +82,7 @@
 		this.#reviewedAt = now;
 		const kept: Request[] = [];
 		return this.#refuse(this.#waiting.toSorted((left, right) => compare(left, right, now)), request => {
-			const judgement = this.#judge(request, kept.filter(other => isAhead(other, request, now)).length, now);
+			const judgement = this.#judge(request, kept.length, now);
 			if (judgement === undefined) {
 				kept.push(request);
 			}
@@ -104,11 +112,9 @@
 	}
 
 	#judge(request: IntakeRequest, ahead: number, now: number): Judgement | undefined {
-		const {arrivedAt, targetMilliseconds, lastStartAt, urgency} = request;
+		const {urgency} = request;
 		const waitMilliseconds = this.#rates.waitMilliseconds(ahead, {urgency, leastRate: this.#leastRate(urgency, now), now});
-		// A request that is begun in its last moments only takes the time of others.
-		const isHopeless = now > lastStartAt || now + waitMilliseconds > Math.max(arrivedAt, lastStartAt - targetMilliseconds);
-		if (!isHopeless) {
+		if (now <= request.lastStartAt && (waitMilliseconds === 0 || now + waitMilliseconds <= usefulUntil(request))) {
 			return undefined;
 		}
 
@@ -119,7 +125,7 @@
 	/** Beginnings in a millisecond that requests of this urgency have at least, by their longest wait. */
 	#leastRate(urgency: UrgencyPair, now: number): number {
 		const pressing = this.#pressing(now);
-		return pressing !== undefined && compareUrgency(pressing.urgency, urgency) < 0 ? 1 / pressedIntervalMilliseconds : (this.#rates.beginRate ?? 0) / oldestFirstInterval;
+		return pressing !== undefined && compareByRoute(pressing.urgency, urgency) < 0 ? 1 / pressedIntervalMilliseconds : (this.#rates.beginRate ?? 0) / oldestFirstInterval;
 	}
 
 	#pressing(now: number): Pressure | undefined {
@@ -136,27 +142,20 @@
 		return this.#waiting.splice(position, 1)[0];
 	}
 
-	/** The first of the order; or the first at risk, if that is of a more urgent route. */
 	#positionOfFirst(now: number): number {
 		let first = 0;
-		let atRisk: number | undefined;
 		for (const [position, request] of this.#waiting.entries()) {
 			first = compare(request, this.#waiting[first]!, now) < 0 ? position : first;
-			if (isAtRisk(request, now)) {
-				const other = atRisk === undefined ? undefined : this.#waiting[atRisk]!;
-				const isFirst = other === undefined || request.urgency.route < other.urgency.route || (request.urgency.route === other.urgency.route && compare(request, other, now) < 0);
-				atRisk = isFirst ? position : atRisk;
-			}
 		}
 
-		return atRisk !== undefined && this.#waiting[atRisk]!.urgency.route < this.#waiting[first]!.urgency.route ? atRisk : first;
+		return first;
 	}
 
 	/** The longest wait; while a request is refused, of those that are as urgent, but for once in an interval. */
 	#positionOfOldest(now: number): number {
 		const oldest = positionOfOldest(this.#waiting);
 		const pressing = this.#pressing(now);
-		if (pressing !== undefined && compareUrgency(pressing.urgency, this.#waiting[oldest]!.urgency) < 0 && now - this.#oldestBegunAt < pressedIntervalMilliseconds) {
+		if (pressing !== undefined && compareByRoute(pressing.urgency, this.#waiting[oldest]!.urgency) < 0 && now - this.#oldestBegunAt < pressedIntervalMilliseconds) {
 			return this.#positionOfFirst(now);
 		}
 
@@ -167,7 +166,7 @@
 
 function pressedBy(urgency: UrgencyPair, pressing: Pressure | undefined, now: number): Pressure {
 	const until = now + pressureMilliseconds;
-	return pressing === undefined ? {urgency, since: now, until} : {urgency: compareUrgency(urgency, pressing.urgency) < 0 ? urgency : pressing.urgency, since: pressing.since, until};
+	return pressing === undefined ? {urgency, since: now, until} : {urgency: compareByRoute(urgency, pressing.urgency) < 0 ? urgency : pressing.urgency, since: pressing.since, until};
 }
 
 /**
@@ -180,13 +179,15 @@
 	return Math.min(mostMilliseconds, Math.max(leastMilliseconds, milliseconds));
 }
 
-/** Whether one request is begun before another. Those of a less urgent route are not, of whichever workspace: once the other is at risk, it goes first. */
-function isAhead(one: IntakeRequest, other: IntakeRequest, now: number): boolean {
-	return one.urgency.route <= other.urgency.route && compare(one, other, now) <= 0;
+/** A request that has to wait until later would only take the time of others: its endpoint has no time for it. */
+function usefulUntil({arrivedAt, lastStartAt, targetMilliseconds}: IntakeRequest): number {
+	return lastStartAt - Math.min(targetMilliseconds, (lastStartAt - arrivedAt) * largestReserveShare);
 }
 
 function compare(left: IntakeRequest, right: IntakeRequest, now: number): number {
-	return compareUrgency(left.urgency, right.urgency) || Number(isLate(left, now)) - Number(isLate(right, now)) || left.arrivedAt - right.arrivedAt;
+	const isLeftLate = isLate(left, now);
+	const byUrgency = compareByRoute(left.urgency, right.urgency) || Number(isLeftLate) - Number(isLate(right, now));
+	return byUrgency || (isLeftLate ? left.arrivedAt - right.arrivedAt : inTimeUntil(left) - inTimeUntil(right));
 }
 
 function positionOfOldest(requests: readonly IntakeRequest[]): number {
--- a/src/policy/lateness/intake-rates.ts
+++ b/src/policy/lateness/intake-rates.ts
@@ -5,10 +5,14 @@
  * loop, since the events of all running streams share the turns, so the wait follows from beginnings as they happen. More urgent requests that come
  * meanwhile go first and are counted by their rate; without that a less urgent one would be kept until its time is over.
  */
-import {compareUrgency, type UrgencyPair} from '../../routing/index.js';
+import {compareByRoute, type UrgencyPair} from '../../routing/index.js';
 
 /** Beginnings and arrivals of about the last second count: a burst shows within its first half second, and one slow turn does not pass for one. */
 const windowMilliseconds = 1000;
+/** Accepting, reading and refusing take at most this part of the time: a rate that falls because of refusals must not lead to more of them. */
+const largestOtherShare = 0.5;
+/** Weight of the newest turn in the learned time of one that begins a request: some ten turns show a burst. */
+const turnWeight = 0.15;
 /** Nothing is foreseen before requests have waited for this long together. */
 const leastBusyMilliseconds = 300;
 
@@ -22,6 +26,7 @@
 
 	#begun = 0;
 	#busyMilliseconds = 0;
+	#turnMilliseconds = 0;
 	readonly #arrivals = new Map<string, Rate>();
 
 	/** A request was added to those that wait. */
@@ -37,9 +42,15 @@
 		this.#begun = (this.#begun * kept) + begun;
 	}
 
+	/** A turn took this long in which a request was begun. */
+	recordTurn(milliseconds: number): void {
+		this.#turnMilliseconds += (milliseconds - this.#turnMilliseconds) * (this.#turnMilliseconds === 0 ? 1 : turnWeight);
+	}
+
 	/** Beginnings in a millisecond while requests wait; undefined before it is known. */
 	get beginRate(): number | undefined {
-		return this.#busyMilliseconds < leastBusyMilliseconds ? undefined : this.#begun / this.#busyMilliseconds;
+		const possible = this.#turnMilliseconds === 0 ? 0 : (1 - largestOtherShare) / this.#turnMilliseconds;
+		return this.#busyMilliseconds < leastBusyMilliseconds ? undefined : Math.max(this.#begun / this.#busyMilliseconds, possible);
 	}
 
 	/**
@@ -54,7 +65,7 @@
 	#moreUrgentRate(urgency: UrgencyPair, now: number): number {
 		let count = 0;
 		for (const rate of this.#arrivals.values()) {
-			count += compareUrgency(rate.urgency, urgency) < 0 ? countAt(rate, now) : 0;
+			count += compareByRoute(rate.urgency, urgency) < 0 ? countAt(rate, now) : 0;
 		}
 
 		return count / windowMilliseconds;
--- a/src/policy/lateness/intake.ts
+++ b/src/policy/lateness/intake.ts
@@ -152,7 +152,7 @@
 	}
 
 	#judge(request: IntakeRequest, {now, hasOthers, waitMilliseconds}: Omit<Situation, 'lagMilliseconds'> & {waitMilliseconds: number}): Judgement | undefined {
-		const {lastStartAt, arrivedAt, targetMilliseconds} = request;
+		const {lastStartAt} = request;
 		if (now + waitMilliseconds > lastStartAt) {
 			return {reason: 'hopeless', waitMilliseconds};
 		}
@@ -161,7 +161,7 @@
 			return undefined;
 		}
 
-		const isTooLate = now + waitMilliseconds > arrivedAt + (targetMilliseconds * waitShare);
+		const isTooLate = now + waitMilliseconds > inTimeUntil(request);
 		const isGivenAway = isTooLate ? this.#isOwnTurn(request, now) : this.#isRelief(request, now);
 		return isGivenAway && this.#mayTryElsewhere(request, {now, hasOthers}) ? {reason: 'given-away', waitMilliseconds} : undefined;
 	}
@@ -200,9 +200,13 @@
 	}
 }
 
-/** Whether a request that is begun now is late: its endpoint has less than the rest of its target. */
-export function isLate({arrivedAt, targetMilliseconds}: IntakeRequest, now: number): boolean {
-	return now > arrivedAt + (targetMilliseconds * waitShare);
+/** A request that is begun later leaves its endpoint less than the rest of its target. */
+export function inTimeUntil({arrivedAt, targetMilliseconds}: IntakeRequest): number {
+	return arrivedAt + (targetMilliseconds * waitShare);
+}
+
+export function isLate(request: IntakeRequest, now: number): boolean {
+	return now > inTimeUntil(request);
 }
 
 function positionOfOldest(requests: readonly IntakeRequest[]): number {
--- a/src/routing/urgency-ranks.ts
+++ b/src/routing/urgency-ranks.ts
@@ -10,6 +10,11 @@
 	return compareNumbers(primaryUrgency(left), primaryUrgency(right)) || compareNumbers(left.route, right.route);
 }
 
+/** Order by the route's urgency first and the workspace's second, where it is decided which kind of request gets nothing. */
+export function compareByRoute(left: UrgencyPair, right: UrgencyPair): number {
+	return compareNumbers(left.route, right.route) || compareNumbers(primaryUrgency(left), primaryUrgency(right));
+}
+
 /**
  * Ranks of the requests that one service may receive, 0 for the most urgent. A workspace's urgency takes precedence over
  * the route's; between requests of equally urgent workspaces the route's decides. Without the second criterion, all routes of
