The probe of the own port knows its own connection, and fails where the port is closed

Found by a test of the probe written after it: a socket's port was asked for before it had connected, and Node keeps the first answer, so that no probe was ever known for its own; and a port that had just closed would have thrown in a turn of the loop and ended the instance with all that it still served. Now an accepted connection of this machine waits for the probe to have connected, and a closed port is a failed probe.

--- a/src/gateway/accept-probe.ts
+++ b/src/gateway/accept-probe.ts
@@ -2,8 +2,8 @@
 import {type PartLogger} from '../telemetry/index.js';
 
 export type AcceptProbeOptions = {
-	/** Where this instance's server listens. */
-	readonly address: () => net.AddressInfo;
+	/** Where this instance's server listens; undefined once its port is closed. */
+	readonly address: () => net.AddressInfo | undefined;
 	readonly logger: PartLogger;
 	/** Called once the probe is accepted, or has failed. */
 	readonly onEnd: (outcome: 'accepted' | 'failed') => void;
@@ -23,6 +23,8 @@
 
 	readonly #options: AcceptProbeOptions;
 	#socket: net.Socket | undefined;
+	/** Accepted connections from this machine, one of which may be the probe's: its port is known once it has connected, which may be read later. */
+	#candidates: net.Socket[] = [];
 	#loggedAt = -Infinity;
 
 	private constructor(options: AcceptProbeOptions) {
@@ -32,12 +34,21 @@
 	[Symbol.dispose](): void {
 		this.#socket?.destroy();
 		this.#socket = undefined;
+		this.#candidates = [];
 	}
 
 	open(): void {
-		const {address, port} = this.#options.address();
-		const socket = net.connect({host: address, port});
+		const listening = this.#options.address();
+		if (listening === undefined) {
+			this.#end('failed');
+			return;
+		}
+
+		const socket = net.connect({host: listening.address, port: listening.port});
 		this.#socket = socket;
+		socket.once('connect', () => {
+			this.#candidates.some(candidate => this.#endIfOwn(candidate, socket));
+		});
 		socket.once('error', error => {
 			this.#logFailure(error);
 			if (this.#socket === socket) {
@@ -46,16 +57,29 @@
 		});
 	}
 
-	/** Ends the probe if this accepted connection is its own; returns whether it is. */
+	/** Ends the probe if this accepted connection is its own; returns whether that is known. */
 	accept(socket: net.Socket): boolean {
 		const own = this.#socket;
-		if (own === undefined || socket.remotePort !== own.localPort || socket.remoteAddress !== own.localAddress) {
+		if (own === undefined || socket.remoteAddress !== socket.localAddress) {
+			return false;
+		}
+
+		if (own.connecting) {
+			this.#candidates.push(socket);
 			return false;
 		}
 
-		socket.destroy();
-		this.#end('accepted');
-		return true;
+		return this.#endIfOwn(socket, own);
+	}
+
+	#endIfOwn(socket: net.Socket, own: net.Socket): boolean {
+		const isOwn = socket.remotePort === own.localPort && socket.remoteAddress === own.localAddress;
+		if (isOwn) {
+			socket.destroy();
+			this.#end('accepted');
+		}
+
+		return isOwn;
 	}
 
 	#end(outcome: 'accepted' | 'failed'): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -65,7 +65,7 @@
 			},
 		});
 		this.#acceptProbe = AcceptProbe.create({
-			address: () => this.#server.address() as AddressInfo, logger: options.logger, onEnd: outcome => {
+			address: () => this.#server.listening ? this.#server.address() as AddressInfo : undefined, logger: options.logger, onEnd: outcome => {
 				this.#intake.recordProbe(outcome);
 			},
 		});
