an id or name that cannot be a header's value is refused where it enters

Cause: the key of a registration became the id of an endpoint unchecked, and the id the header Target-Instance; Node throws at characters beyond Latin-1 and at control characters, and the error ended the program. Names of workspaces reached Tenant, the instance's name Duty-Holder, and a caller's Request-Id the gateway's own answers in the same way.

What is text beyond ASCII is written as its UTF-8 bytes, so that such names are served.

--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {toHeaderValue} from '../src/model/index.js';
 
 /** How a worker responds to one request. */
 export type WorkerAnswer
@@ -112,8 +113,8 @@
 		}
 
 		const id = String(request.headers['request-id']);
-		if (request.headers['target-instance'] !== this.id) {
-			response.writeHead(421, {'Instance-Id': this.id, ...this.statements}).end();
+		if (request.headers['target-instance'] !== toHeaderValue(this.id)) {
+			response.writeHead(421, {'Instance-Id': toHeaderValue(this.id), ...this.statements}).end();
 			return;
 		}
 
@@ -181,7 +182,7 @@
 	}
 
 	#signatureHeaders({id}: WorkerRequest): Record<string, string> {
-		return {'Request-Id': id, 'Upstream-Signature': `${this.id}.1`, ...this.statements};
+		return {'Request-Id': id, 'Upstream-Signature': toHeaderValue(`${this.id}.1`), ...this.statements};
 	}
 }
 
--- a/src/gateway/peers/peer-messages.ts
+++ b/src/gateway/peers/peer-messages.ts
@@ -4,7 +4,7 @@
 import {type CrashNews, isEmptyNews} from '../crashes/index.js';
 import {type RoutingStateChange, type RoutingState} from '../table/index.js';
 import {type CachedPromptParts, type EndpointIncarnation, type LentShare, type RateLimitReport} from '../endpoints/index.js';
-import {isAddress} from '../../model/index.js';
+import {isAddress, isHeaderText} from '../../model/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 import {leaseMilliseconds} from '../../policy/statements/index.js';
 
@@ -104,11 +104,11 @@
 	return {records: records.map(record => ({...record, time: record.time + shift})), pending: pending.map(record => ({...record, time: record.time + shift})), runs};
 }
 
-/** Leaves out endpoints at addresses that Node throws at; an instance of an older build tells of them too. */
+/** Leaves out endpoints with ids or addresses that Node throws at; an instance of an older build tells of them too. */
 function usableChanges(changes: readonly EndpointChange[], instance: string, logger: PartLogger): readonly EndpointChange[] {
-	const usable = changes.filter(change => change.type === 'removed' || isAddress(change.record.address));
+	const usable = changes.filter(change => change.type === 'removed' || (isAddress(change.record.address) && isHeaderText(change.record.id)));
 	if (usable.length < changes.length) {
-		logger.warn('Skipped endpoints without a usable address.', {peer: instance, endpoints: changes.length - usable.length});
+		logger.warn('Skipped endpoints without a usable id or address.', {peer: instance, endpoints: changes.length - usable.length});
 	}
 
 	return usable;
--- a/src/model/http-headers.ts
+++ b/src/model/http-headers.ts
@@ -1,3 +1,5 @@
+import {Buffer} from 'node:buffer';
+
 /** A name is a token of RFC 9110; Node throws at others. */
 const namePattern = /^[!#$%\u{26}'*+\-.^_`\|~\w]+$/v;
 
@@ -10,3 +12,18 @@
 export function areForwardable(rawHeaders: readonly string[]): boolean {
 	return rawHeaders.every((text, index) => (index % 2 === 0 ? namePattern : valuePattern).test(text));
 }
+
+const asciiPattern = /^[\u{20}-\u{7E}]+$/v;
+
+/** Without control characters, unpaired surrogates, and the character that stands for bytes that are no text. */
+const headerTextPattern = /^[^\p{Cc}\p{Cs}\u{FFFD}]+$/v;
+
+/** Whether a text from outside can be the value of a header; see `toHeaderValue`. */
+export function isHeaderText(text: string): boolean {
+	return headerTextPattern.test(text);
+}
+
+/** A text as the value of a header: its bytes in UTF-8, as Node writes one byte for each character and throws at those beyond Latin-1. */
+export function toHeaderValue(text: string): string {
+	return asciiPattern.test(text) ? text : Buffer.from(text, 'utf8').toString('latin1');
+}
--- a/src/routing/schemas.ts
+++ b/src/routing/schemas.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {type WorkspaceName, type ZoneName} from '../model/index.js';
+import {isHeaderText, type WorkspaceName, type ZoneName} from '../model/index.js';
 import {type EndpointChange} from './endpoint-directory.js';
 import {RouteKind, type RoutingTableInput} from './routing-table.js';
 
@@ -36,7 +36,7 @@
 	scale: z.object({leastEndpoints: count, mostEndpoints: count, bootMilliseconds: milliseconds}).optional(),
 });
 
-const workspaceSchema = z.object({name: name.transform(text => text as WorkspaceName), keys: z.array(z.string()), urgency: z.number().optional()});
+const workspaceSchema = z.object({name: name.refine(isHeaderText).transform(text => text as WorkspaceName), keys: z.array(z.string()), urgency: z.number().optional()});
 
 export const routingTableSchema: z.ZodType<RoutingTableInput> = z.object({
 	version: z.number(),
