a stream that goes on at an endpoint that answers with a status ends alone, or goes on

Cause: a resumable stream had brought events and broke off; the next endpoint answered with a status of 300 to 499. That answer was taken for the final one, and its status was written after the first endpoint's, at which Node throws; so it was with an answer of 500 and more whose body is over 512 KiB.

Change: an answer that is no stream, to a stream that has begun, is a failed attempt. It goes on at another endpoint where the route allows one more attempt, else the response is broken off, which no caller can take for whole.

--- a/src/gateway/requests/response-forwarder.ts
+++ b/src/gateway/requests/response-forwarder.ts
@@ -45,7 +45,7 @@
 	handle(state: AttemptState, event: AttemptEvent): Outcome | undefined {
 		switch (event.type) {
 			case 'head': {
-				return state.handleHead(event);
+				return state.handleHead(event) ?? this.#failureAfterBegin(state);
 			}
 
 			case 'data': {
@@ -62,6 +62,13 @@
 		}
 	}
 
+	/** An answer that is no stream cannot follow the events that the caller was sent: its status would be a second one, at which Node throws. */
+	#failureAfterBegin({isStream, status}: AttemptState): Outcome | undefined {
+		return this.#options.caller.hasResponse && !isStream
+			? {type: 'failed', verdict: Verdict.ran, reason: `status ${status} after the response had begun`}
+			: undefined;
+	}
+
 	#handleData(state: AttemptState, bytes: Uint8Array): Outcome | undefined {
 		if (state.isForwarding) {
 			this.#write(state, bytes);
