an error in the process of one request ends that request alone

Cause: the process of a request and the handlers of its endpoint's bytes let an error through to the program, which ends at it. That is right for shared state, of which nobody knows what it is after an error, but a request holds nothing of that kind.

Change: an error in a request's process, in what its endpoint's bytes cause, or before it is forwarded ends that request. One that was sent is answered 502, as it may have run; one that was not, 503 with a time to come back; a response that has begun is broken off. Its place at the endpoint, its place in the line, its connection, its retry and its usage count are released (held-run.ts, placement-wait.ts). It is counted (gateway_request_errors_total) and logged with its stack, once a second for errors alike. An error of shared parts still ends the program.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,18 +2,11 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
-import {spawn} from '../concurrency/index.js';
-import {type IntakeRequest} from '../policy/lateness/index.js';
-import {Caller, Exchange} from './requests/index.js';
-import {type RepeatableRequest} from './crashes/index.js';
 import {AcceptProbe} from './accept-probe.js';
-import {IntakeGate, type IntakeOutcome, intakeRequestOf} from './intake-gate.js';
-import {type RequestMetadata} from './adapter/index.js';
+import {IntakeGate} from './intake-gate.js';
 import {type GatewayOptions} from './gateway-options.js';
-import {findTarget, type Rejection, type RequestTarget} from './request-target.js';
+import {RequestServer} from './request-server.js';
 
-/** Retry delay while memory for bodies is short: a few requests end within this time. */
-const bufferFullRetryMilliseconds = 300;
 /**
  * How long the port stays open during a graceful shutdown; then idle connections are closed. The load balancer sends new
  * connections until two health checks have failed, which takes two seconds and the time of a response. A long stream that is
@@ -27,9 +20,6 @@
 /** Limit for the headers of a request; prompt parts take a few hundred bytes of it. */
 const maxHeaderBytes = 16_384;
 
-/** A request whose headers have arrived. `facts` are undefined if its headers could not be read. */
-type Arrival = {readonly request: IncomingMessage; readonly caller: Caller; readonly facts: RequestMetadata | undefined; readonly arrivedAt: number};
-
 /** The HTTP server for callers. */
 export class Gateway implements AsyncDisposable {
 	static async create(options: GatewayOptions): Promise<Gateway> {
@@ -45,10 +35,9 @@
 	readonly #drainedListeners = new Set<() => void>();
 	/** Responses that are not complete yet. */
 	readonly #openResponses = new Set<ServerResponse>();
-	readonly #startedAt = performance.now();
 	readonly #intake: IntakeGate;
+	readonly #requests: RequestServer;
 	readonly #acceptProbe: AcceptProbe;
-	#bufferedBytes = 0;
 	#isStopping = false;
 
 	private constructor(options: GatewayOptions) {
@@ -64,6 +53,7 @@
 				this.#acceptProbe.open();
 			},
 		});
+		this.#requests = RequestServer.create(options, this.#intake);
 		this.#acceptProbe = AcceptProbe.create({
 			address: () => this.#server.listening ? this.#server.address() as AddressInfo : undefined, logger: options.logger, onEnd: outcome => {
 				this.#intake.recordProbe(outcome);
@@ -163,129 +153,8 @@
 			announceClose(response);
 		}
 
-		await this.#serve(request, response, arrivedAt);
-	}
-
-	async #serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
-		const {routingState: {table}, codec} = this.#options;
-		const read = codec.readRequest(request.headers);
-		const arrival: Arrival = {request, caller: Caller.create(request, response), facts: read.type === 'facts' ? read.facts : undefined, arrivedAt};
-		const found = findTarget({read, table, request, uptimeMilliseconds: arrivedAt - this.#startedAt});
-		if (found.type === 'rejected') {
-			this.#reject(arrival, found.rejection);
-			return;
-		}
-
-		const {target} = found;
-		const intakeRequest = intakeRequestOf({...target, arrivedAt}, codec);
-		const rejection = this.#rejectionByMemory(request) ?? this.#rejectionByLateness(intakeRequest, target);
-		if (rejection !== undefined) {
-			this.#reject(arrival, rejection);
-			return;
-		}
-
-		await this.#readBody(arrival, target, intakeRequest);
-	}
-
-	async #readBody(arrival: Arrival, target: RequestTarget, intakeRequest: IntakeRequest): Promise<void> {
-		const outcome = await arrival.caller.readBody(target.table.limits.bodyBytes);
-		switch (outcome.type) {
-			case 'left': {
-				this.#logDisconnect(arrival, 'The caller disconnected before its body was complete.');
-				break;
-			}
-
-			case 'too-large': {
-				this.#reject(arrival, {status: 413, message: 'The body is longer than the limit.', closesConnection: true});
-				break;
-			}
-
-			case 'whole': {
-				await this.#holdBody(outcome.body, async () => this.#begin(arrival, target, intakeRequest, outcome.body));
-			}
-		}
-	}
-
-	/** Counts a body as buffered while its request is served. */
-	async #holdBody(body: Uint8Array | undefined, serve: () => Promise<void>): Promise<void> {
-		const bytes = body?.length ?? 0;
-		this.#bufferedBytes += bytes;
-		try {
-			await serve();
-		} finally {
-			this.#bufferedBytes -= bytes;
-		}
-	}
-
-	/** Begins a request that has arrived completely, once the event loop has time for it. */
-	async #begin(arrival: Arrival, target: RequestTarget, intakeRequest: IntakeRequest, body: Uint8Array | undefined): Promise<void> {
-		const intake = await this.#intake.admit(intakeRequest);
-		if (arrival.caller.hasDisconnected) {
-			this.#logDisconnect(arrival, 'The caller disconnected before its request was placed.');
-			return;
-		}
-
-		if (intake.type === 'refuse') {
-			this.#reject(arrival, rejectionOf(intake, target));
-			return;
-		}
-
-		const repeatable: RepeatableRequest = {workspace: target.workspace?.name, method: arrival.request.method ?? 'GET', path: target.path, body, parts: target.facts.sharedParts};
-		const rejection = this.#rejectionByQuarantine(repeatable);
-		if (rejection !== undefined) {
-			this.#reject(arrival, rejection);
-			return;
-		}
-
-		await this.#forward(arrival, target, repeatable);
-	}
-
-	async #forward({request, caller, arrivedAt}: Arrival, {path: _, ...target}: RequestTarget, repeatable: RepeatableRequest): Promise<void> {
-		const {crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness} = this.#options;
-		const exchange = Exchange.create({
-			...target, request: repeatable, rawHeaders: request.rawHeaders, caller, arrivedAt, crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness,
-		});
-		await spawn('exchange', () => exchange.run());
+		await this.#requests.serve(request, response, arrivedAt);
 	}
-
-	/** The bodies that are held, and this one's announced length, would exceed the limit. */
-	#rejectionByMemory({headers}: IncomingMessage): Rejection | undefined {
-		const announcedBytes = Number(headers['content-length'] ?? 0);
-		return this.#bufferedBytes + announcedBytes > this.#options.maxBufferedBodyBytes
-			? {status: 503, message: 'Too many bodies are held; the request has not run.', retryAfterMilliseconds: bufferFullRetryMilliseconds}
-			: undefined;
-	}
-
-	/** The event loop is so late that another instance serves the request sooner. */
-	#rejectionByLateness(intakeRequest: IntakeRequest, target: RequestTarget): Rejection | undefined {
-		const refusal = this.#intake.refusalOf(intakeRequest);
-		return refusal && rejectionOf(refusal, target);
-	}
-
-	/** The request, or a part of its prompt, has crashed endpoints. */
-	#rejectionByQuarantine(repeatable: RepeatableRequest): Rejection | undefined {
-		const quarantine = this.#options.crashes.quarantineOf(repeatable, performance.now());
-		return quarantine && {
-			status: 503, message: 'The request, or a part of its prompt, has crashed the endpoints that ran it; it has not run.',
-			retryAfterMilliseconds: quarantine.remainingMilliseconds, details: quarantine,
-		};
-	}
-
-	/** Sends a response that says why the request is not forwarded. */
-	#reject({request, caller, facts}: Arrival, {status, message, details, ...more}: Rejection): void {
-		const {log, routingState, codec} = this.#options;
-		log.logRejection(facts?.id, status, {message, version: routingState.table?.version, ...details});
-		request.resume();
-		caller.respond({status, message, headers: codec.gatewayResponseHeaders(facts), ...more});
-	}
-
-	#logDisconnect({facts}: Arrival, message: string): void {
-		this.#options.log.logRejection(facts?.id, 0, {message});
-	}
-}
-
-function rejectionOf({judgement, retryAfterMilliseconds}: Extract<IntakeOutcome, {type: 'refuse'}>, {route}: RequestTarget): Rejection {
-	return {status: 503, message: 'The instance is late; the request has not run.', retryAfterMilliseconds, details: {...judgement, route: route.name}};
 }
 
 /**
--- a/src/gateway/requests/decision-log.ts
+++ b/src/gateway/requests/decision-log.ts
@@ -1,5 +1,5 @@
 import {type MemoryShortage, findKept, type KeptValue} from '../../policy/dispatch/index.js';
-import {type Counter, type Latency, type Metrics, type PartLogger} from '../../telemetry/index.js';
+import {type Counter, type Latency, LogLimit, type Metrics, type PartLogger} from '../../telemetry/index.js';
 import {type Decision, type Dispatcher} from '../placement/index.js';
 import {type PlacedDecision} from './attempt-state.js';
 import {type RequestContext} from './placement-request.js';
@@ -38,6 +38,9 @@
 /** Limit of log lines in each second, also in a burst: at 300 bytes a line, at most 120 kB a second are written. */
 const maxLinesPerSecond = 400;
 const summaryMilliseconds = 1000;
+/** Errors that are logged, told apart by the first characters of what they say. */
+const maxErrorKeys = 100;
+const maxErrorKeyCharacters = 100;
 /** Limit for the endpoints held by their own statements that one line names. */
 const maxLoggedHeld = 8;
 
@@ -59,6 +62,8 @@
 	readonly #keptPrompts: Counter;
 	readonly #firstEvents: Latency;
 	readonly #durations: Latency;
+	readonly #errors: Counter;
+	readonly #errorLimit = LogLimit.create({intervalMilliseconds: summaryMilliseconds, maxKeys: maxErrorKeys});
 	readonly #dropped = new Map<string, number>();
 	readonly #timer: NodeJS.Timeout;
 	#lines = 0;
@@ -70,6 +75,7 @@
 		this.#retries = metrics.counter('gateway_retry_decisions_total', 'Failed attempts, by service, and by what was decided about a retry.', ['service', 'decision']);
 		this.#givenUp = metrics.counter('gateway_attempts_given_up_total', 'Attempts given up before their endpoint sent anything, by service.', ['service']);
 		this.#keptPrompts = metrics.counter('gateway_kept_prompts_total', 'Prompts sent to an idle engine, by what was believed of their shared parts there, and by what the first event showed.', ['believed', 'found']);
+		this.#errors = metrics.counter('gateway_request_errors_total', 'Requests that ended by an error of this process, by route.', ['route']);
 		this.#firstEvents = metrics.latency('gateway_first_event', 'From arrival to the first event of a stream.');
 		this.#durations = metrics.latency('gateway_request', 'From arrival to the end of the response.');
 		this.#timer = setInterval(() => {
@@ -152,6 +158,14 @@
 		}
 	}
 
+	/** Counts an error of this process that ended one request, and logs it with its stack; one that many requests meet is logged once a second. */
+	logError(error: unknown, request: {readonly request?: string | undefined; readonly route?: string; readonly sendings: number}): void {
+		this.#errors.add(1, {route: request.route ?? 'none'});
+		if (this.#errorLimit.allows(String(error).slice(0, maxErrorKeyCharacters))) {
+			this.#logger.error('A request failed by an error of this process.', {...request, err: error});
+		}
+	}
+
 	/** Logs a request that ended before it had a route or a placement. */
 	logRejection(request: string | undefined, status: number, details: Readonly<Record<string, unknown>>): void {
 		this.#decisions.add(1, {decision: `status-${status}`});
--- a/src/gateway/requests/exchange-options.ts
+++ b/src/gateway/requests/exchange-options.ts
@@ -33,5 +33,7 @@
 		| {readonly type: 'left'}
 		| {readonly type: 'drained'}
 		| {readonly type: 'decided'; readonly decision: Decision}
+	/** An error while an attempt's event was handled; it ends the request. */
+		| {readonly type: 'error'; readonly error: unknown}
 	/** How the received bytes ended an attempt. Bytes that don't end it are forwarded in the event loop turn in which they arrive. */
 		| {readonly type: 'outcome'; readonly number: number; readonly outcome: Outcome};
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -5,12 +5,13 @@
 import {type Decision} from '../placement/index.js';
 import {RequestUsage} from '../duties/index.js';
 import {ResponseForwarder} from './response-forwarder.js';
-import {Attempt, type AttemptEvent} from './attempt.js';
-import {AttemptState, type Outcome, type PlacedDecision} from './attempt-state.js';
+import {AttemptSender} from './attempt-sender.js';
+import {type AttemptState, type Outcome, type PlacedDecision} from './attempt-state.js';
 import {AttemptTimeouts} from './attempt-timeouts.js';
-import {attemptResultOf, givenUpOf, reportCrashEvidence, reportOutcome, reportOutput, reportResponse, signOf} from './outcome-report.js';
+import {attemptResultOf, givenUpOf, reportCrashEvidence, reportOutcome, reportOutput, signOf} from './outcome-report.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {sendErrorResponse} from './error-response.js';
+import {HeldRun} from './held-run.js';
 import {demandOf} from './placement-request.js';
 import {PlacementWait} from './placement-wait.js';
 import {RequestEnd} from './request-end.js';
@@ -38,6 +39,7 @@
 	/** Number of attempts that were sent; the newest has this number. */
 	#attempts = 0;
 	readonly #forwarder: ResponseForwarder;
+	readonly #sender: AttemptSender;
 	readonly #timeouts: AttemptTimeouts;
 	readonly #usage: RequestUsage;
 	#waitedMilliseconds = 0;
@@ -68,14 +70,23 @@
 				tryDeliver(this.#inbox, {type: 'drained'});
 			},
 		});
+		this.#sender = AttemptSender.create({exchange: options, forwarder: this.#forwarder, inbox: this.#inbox});
 		this.#timeouts = AttemptTimeouts.create({
 			exchange: options, end: this.#end, retryProgress: this.#retryProgress, forwarder: this.#forwarder, excluded: this.#excluded, build: () => this.#binding.build,
 		});
 	}
 
-	/** Runs until the final response is sent or the caller has disconnected. */
+	/** Runs until the final response is sent or the caller has disconnected. An error ends this request alone. */
 	* run(): Body<void> {
 		using _alarm = this.#alarm;
+		try {
+			yield * this.#serve();
+		} catch (error) {
+			this.#endByError(error);
+		}
+	}
+
+	* #serve(): Body<void> {
 		const {caller, dispatcher, service} = this.#options;
 		caller.onDisconnect(() => {
 			tryDeliver(this.#inbox, {type: 'left'});
@@ -128,16 +139,17 @@
 	/** Runs one attempt to its end. */
 	* #runAttempt(decision: PlacedDecision): Body<Outcome> {
 		const {dispatcher, caller} = this.#options;
+		using run = HeldRun.create({dispatcher, usage: this.#usage, runId: decision.runId});
 		const remaining = this.#end.at - performance.now();
 		if (remaining < minRunMilliseconds || caller.hasDisconnected) {
-			dispatcher.recordEnd(decision.runId);
 			return caller.hasDisconnected ? {type: 'left'} : {type: 'expired'};
 		}
 
 		this.#countAttempt();
-		const state = this.#send(decision, remaining);
+		const state = this.#sender.send({decision, number: this.#attempts, remainingMilliseconds: remaining});
+		run.attempt = state.attempt;
 		const outcome = yield * this.#awaitOutcome(state);
-		this.#endAttempt(state, outcome);
+		this.#endAttempt(state, outcome, run);
 		return outcome;
 	}
 
@@ -151,44 +163,6 @@
 		this.#usage.recordSent(route.kind === RouteKind.stream);
 	}
 
-	/** Sends the request to the endpoint that was chosen for it. */
-	#send(decision: PlacedDecision, remainingMilliseconds: number): AttemptState {
-		const {dispatcher, connectionPools, codec, facts, rawHeaders, workspace, route, table, crashes, request: {method, path, body}} = this.#options;
-		const {record, fetch} = decision;
-		const attempt = Attempt.start({
-			address: record.address,
-			method,
-			path,
-			headers: codec.requestHeaders({
-				rawHeaders, bodyBytes: body?.length, endpoint: record.id, workspace,
-				remainingMilliseconds: Math.floor(remainingMilliseconds), resumeAfter: this.#forwarder.lastEventId, fetchFrom: fetch?.address, route,
-			}),
-			body,
-			connectionPool: connectionPools.forEndpoint(record, table.service(record.service)?.largestConnections),
-			onEvent: event => {
-				this.#handleAttemptEvent(state, event);
-			},
-		});
-		const state: AttemptState = AttemptState.create({attempt, number: this.#attempts, decision, isStream: route.kind === RouteKind.stream, requestId: facts.id, codec, onHead(response) {
-			reportResponse(dispatcher, crashes, state, response);
-		}});
-		return state;
-	}
-
-	/** Forwards what an attempt brings in the turn of the event loop in which it arrives; the outcome that ends the attempt goes to the inbox. */
-	#handleAttemptEvent(state: AttemptState, event: AttemptEvent): void {
-		const {monitor} = this.#options.crashes;
-		if (event.type === 'data' && monitor.isWatching) {
-			monitor.recordResponse(state.decision.record, state.startedAt, performance.now());
-		}
-
-		const outcome = this.#forwarder.handle(state, event);
-		if (outcome !== undefined) {
-			state.attempt.cancel();
-			tryDeliver(this.#inbox, {type: 'outcome', number: state.number, outcome});
-		}
-	}
-
 	* #awaitOutcome(state: AttemptState): Body<Outcome> {
 		for (;;) {
 			// Forwarded bytes can postpone a timeout without an event here; `check` compares the times again when the timer fires.
@@ -220,6 +194,10 @@
 				return this.#alarm.hasFired ? this.#timeouts.check(state) : undefined;
 			}
 
+			case 'error': {
+				throw event.error;
+			}
+
 			case 'outcome': {
 				return event.number === state.number ? event.outcome : undefined;
 			}
@@ -227,14 +205,13 @@
 	}
 
 	/** Cancels an attempt that has an outcome, and reports and logs what it has shown. */
-	#endAttempt(state: AttemptState, outcome: Outcome): void {
+	#endAttempt(state: AttemptState, outcome: Outcome, run: HeldRun): void {
 		const {dispatcher, crashes, request, log} = this.#options;
 		const {attempt, decision} = state;
 		const givenUp = givenUpOf(attempt, outcome);
-		attempt.cancel();
-		this.#usage.recordEnd(attempt.mayHaveReachedEndpoint && !(outcome.type === 'failed' && outcome.verdict === Verdict.notRun));
+		const hasBegun = attempt.mayHaveReachedEndpoint && !(outcome.type === 'failed' && outcome.verdict === Verdict.notRun);
+		run.release({hasBegun, sign: signOf(outcome, state)});
 		this.#forwarder.isPaused = false;
-		dispatcher.recordEnd(decision.runId, signOf(outcome, state));
 		this.#excluded.add(decision.record.id);
 		reportOutcome(dispatcher, outcome, state);
 		reportOutput(this.#options, outcome, state);
@@ -264,6 +241,22 @@
 		return decision.type === 'retry';
 	}
 
+	/** Ends the request after an error of this process; one that was sent may have run. */
+	#endByError(error: unknown): void {
+		const {log, facts, route, caller} = this.#options;
+		log.logError(error, {request: facts.id, route: route.name, sendings: this.#attempts});
+		if (this.#attempts > 0) {
+			this.#retryProgress.recordUnknownRun();
+		}
+
+		try {
+			this.#finish({type: 'failed', verdict: this.#retryProgress.verdict, reason: 'an error of this process'});
+		} catch (error_) {
+			log.logError(error_, {request: facts.id, route: route.name, sendings: this.#attempts});
+			caller.abort();
+		}
+	}
+
 	#finish(outcome: Outcome, retryAfterMilliseconds = defaultRetryMilliseconds): void {
 		const {caller, codec, facts, log, dispatcher, service} = this.#options;
 		if (this.#retryProgress.takeReservation()) {
--- a/src/gateway/requests/placement-wait.ts
+++ b/src/gateway/requests/placement-wait.ts
@@ -39,19 +39,26 @@
 	* run(id: string, next: NextAttempt): Body<WaitResult> {
 		const {inbox, alarm, end, exchange: {dispatcher}} = this.#options;
 		const submittedAt = performance.now();
-		alarm.set(end.nextLookAt - submittedAt);
-		this.#submit(id, next);
-		for (;;) {
-			const event = (yield * receive(inbox))!;
-			if (event.type === 'decided') {
-				return {type: 'decided', decision: event.decision, waitedMilliseconds: performance.now() - submittedAt};
-			}
+		let decision: Decision | undefined;
+		try {
+			alarm.set(end.nextLookAt - submittedAt);
+			this.#submit(id, next);
+			for (;;) {
+				const event = (yield * receive(inbox))!;
+				if (event.type === 'decided') {
+					({decision} = event);
+					return {type: 'decided', decision, waitedMilliseconds: performance.now() - submittedAt};
+				}
 
-			const outcome = this.#endOf(event);
-			if (outcome !== undefined) {
+				const outcome = this.#endOf(event);
+				if (outcome !== undefined) {
+					return {type: 'ended', outcome};
+				}
+			}
+		} finally {
+			if (decision === undefined) {
 				dispatcher.cancel(id);
 				this.#releaseLatePlacement();
-				return {type: 'ended', outcome};
 			}
 		}
 	}
@@ -74,6 +81,10 @@
 	/** How an event other than the decision ends the wait; undefined if it goes on. */
 	#endOf(event: ExchangeEvent): Outcome | undefined {
 		const {alarm, end} = this.#options;
+		if (event.type === 'error') {
+			throw event.error;
+		}
+
 		if (event.type === 'left') {
 			return {type: 'left'};
 		}
--- a/src/gateway/requests/retry-progress.ts
+++ b/src/gateway/requests/retry-progress.ts
@@ -78,6 +78,11 @@
 		return grant.isGranted ? {type: 'retry'} : {type: 'give-up', reason: 'allowance', grant};
 	}
 
+	/** Records that an attempt has ended without its outcome: it may have run. */
+	recordUnknownRun(): void {
+		this.#verdict = combineVerdicts(this.#verdict, Verdict.mayHaveRun);
+	}
+
 	/** True once after a decision that has reserved a retry, for the caller to record it as sent or to release it. */
 	takeReservation(): boolean {
 		const hadReservation = this.#hasReservation;
--- a/test/gateway/testbed.ts
+++ b/test/gateway/testbed.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {Agent, request as httpRequest, type IncomingHttpHeaders} from 'node:http';
 import net, {type AddressInfo} from 'node:net';
+import {type GatewayAdapter} from '../../src/bin/gateway-adapter.js';
 import {GatewayProcess} from '../../src/bin/gateway-process.js';
 import {parseGatewaySettings} from '../../src/settings/gateway/index.js';
 import {createLogger} from '../../src/telemetry/index.js';
@@ -61,14 +62,14 @@
 	}
 
 	/** Starts a gateway and waits until it is ready. */
-	async startGateway(overrides: Readonly<Record<string, unknown>> = {}): Promise<GatewayProcess> {
-		const gateway = await this.createGateway(overrides);
+	async startGateway(overrides: Readonly<Record<string, unknown>> = {}, adapter: GatewayAdapter = platformAdapter): Promise<GatewayProcess> {
+		const gateway = await this.createGateway(overrides, adapter);
 		await eventually(() => gateway.gateway.isReady);
 		return gateway;
 	}
 
 	/** Starts a gateway without waiting for its readiness; `overrides` replaces settings. */
-	async createGateway(overrides: Readonly<Record<string, unknown>> = {}): Promise<GatewayProcess> {
+	async createGateway(overrides: Readonly<Record<string, unknown>> = {}, adapter: GatewayAdapter = platformAdapter): Promise<GatewayProcess> {
 		const settings = parseGatewaySettings(JSON.stringify({
 			instance: `gateway-${this.gateways.length}`, availabilityZone: 'zone-a', callerAddress: '127.0.0.1:0', adminAddress: '127.0.0.1:0',
 			peerAddress: `127.0.0.1:${await freePort()}`, storeAddress: this.store.address, memoryMegabytes: 200, retryRatio, ...overrides,
@@ -78,7 +79,7 @@
 				this.logLines.push(JSON.parse(line) as Record<string, unknown>);
 			},
 		};
-		const gateway = await GatewayProcess.create({settings, adapter: platformAdapter, logger: createLogger({name: 'gateway', level: 'info', output})});
+		const gateway = await GatewayProcess.create({settings, adapter, logger: createLogger({name: 'gateway', level: 'info', output})});
 		this.gateways.push(gateway);
 		return gateway;
 	}
