a single build is stored, too, and a start that finds nothing stored assumes nothing

Cause: builds were stored only once there were two of them; an instance that started and found nothing took the only build that it saw for the one that had always served.

Change: two instances store the builds of a service whenever they change, also a single one. A start that finds nothing for a service assumes nothing: what neither it nor a link knows is refused for its first minute. Only at the first start of all, which the settings tell and no stored row contradicts, nothing has served before. To keep 350 instances that start together from storing 19 services each, an instance stores nothing in its first 2 to 2.5 s, until the others are known to it.

The test that a single build is not worth storing was this fault itself; it now requires the opposite, and that nothing is stored twice.

--- a/bench/gateway-soak/child.ts
+++ b/bench/gateway-soak/child.ts
@@ -66,7 +66,7 @@
 		const {retryAllowance} = this.options;
 		const file = `${this.options.folder}/${this.options.instance}.json`;
 		writeFileSync(file, JSON.stringify({
-			instance: this.options.instance, availabilityZone: 'zone-a', callerAddress: `127.0.0.1:${callers}`, adminAddress: `127.0.0.1:${admin}`,
+			instance: this.options.instance, isFirstStart: this.#process === undefined, availabilityZone: 'zone-a', callerAddress: `127.0.0.1:${callers}`, adminAddress: `127.0.0.1:${admin}`,
 			peerAddress: `127.0.0.1:${peers}`, storeAddress: this.storePath.address, seedHosts: this.options.seedHosts, memoryMegabytes: 200, stopSeconds: 6, lateLoop: {givesAway: false},
 			...(retryAllowance !== undefined && {retryRatio: retryAllowance.ratio, retrySlack: retryAllowance.slack, retryWindowSeconds: retryAllowance.windowSeconds}),
 			...(this.options.receiverAddress !== undefined && {duties: {...dutySettings, receiverAddress: this.options.receiverAddress, address: `127.0.0.1:${usage}`}}),
--- a/src/bin/gateway-parts.ts
+++ b/src/bin/gateway-parts.ts
@@ -114,9 +114,9 @@
 	});
 }
 
-function openGatewayStreams({settings: {instance}, store, routingState, metrics, logger, peers, feeds}: Base): Streams {
+function openGatewayStreams({settings: {instance, isFirstStart}, store, routingState, metrics, logger, peers, feeds}: Base): Streams {
 	return openStreams({
-		instance, store, routingState, metrics, logger, peers, instances: () => peers().roster.presentNames(performance.now()),
+		instance, isFirstStart, store, routingState, metrics, logger, peers, instances: () => peers().roster.presentNames(performance.now()),
 		readEndpoints: async milliseconds => await feeds()?.endpoints.readAgain(milliseconds) ?? false,
 	});
 }
--- a/src/bin/gateway-streams.ts
+++ b/src/bin/gateway-streams.ts
@@ -5,6 +5,8 @@
 /** What the registry of streams needs of the process. */
 export type StreamParts = {
 	readonly instance: string;
+	/** Whether the whole system starts for the first time. */
+	readonly isFirstStart: boolean;
 	/** Names of the instances that are there. */
 	readonly instances: () => readonly string[];
 	readonly store: GatewayStore;
@@ -20,10 +22,10 @@
 export type Streams = {readonly registry: StreamRegistry; readonly builds: BuildHistory};
 
 /** Opens the registry of the builds that began streams, and its metrics. */
-export function openStreams({instance, instances, store, routingState, peers, metrics, logger, readEndpoints}: StreamParts): Streams {
+export function openStreams({instance, isFirstStart, instances, store, routingState, peers, metrics, logger, readEndpoints}: StreamParts): Streams {
 	const takeUps = metrics.counter('gateway_stream_take_ups_total', 'Streams that callers took up, by what decided whether they go on.', ['reason']);
 	const builds = BuildHistory.create({
-		instance, instances, routingState, readEndpoints, logger: forPart(logger, 'Streams'),
+		instance, isFirstStart, instances, routingState, readEndpoints, random: Math.random, logger: forPart(logger, 'Streams'),
 		read: async () => store.readBuilds(),
 		write: async stored => store.writeBuilds(stored),
 	});
--- a/src/gateway/streams/build-history.ts
+++ b/src/gateway/streams/build-history.ts
@@ -1,5 +1,5 @@
 import {rankByRendezvous} from '../../policy/hashing/index.js';
-import {isWorthStoring, possibleBuilds} from '../../policy/streams/index.js';
+import {buildsToStore, isWorthStoring, type KnownBuilds, possibleBuilds} from '../../policy/streams/index.js';
 import {buildOf} from '../../routing/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 import {type RoutingState} from '../table/index.js';
@@ -9,6 +9,9 @@
 
 export type BuildHistoryOptions = {
 	readonly instance: string;
+	/** Whether the whole system starts for the first time, so that nothing has served before. */
+	readonly isFirstStart: boolean;
+	readonly random: () => number;
 	/** Names of the known instances, with or without this one. */
 	readonly instances: () => readonly string[];
 	readonly routingState: RoutingState;
@@ -25,6 +28,8 @@
 const writers = 2;
 /** Changes within the first time are stored together; builds that left long ago, and writes that failed, are noticed within the second. */
 const lookMilliseconds = {change: 100, rest: 10_000};
+/** An instance that starts stores nothing before the others are known to it; else each of many that start together would take itself for a writer. */
+const settleMilliseconds = {least: 2000, spread: 500};
 const retryMilliseconds = 500;
 const maxRetryFactor = 8;
 
@@ -43,17 +48,19 @@
 	/** What is stored now, as far as this instance has read or written it. */
 	readonly #stored = new Map<string, readonly string[]>();
 	#isDisposed = false;
+	readonly #settledAt: number;
 	#changeTimer: NodeJS.Timeout | undefined;
 	readonly #restTimer: NodeJS.Timeout;
 
 	private constructor(options: BuildHistoryOptions) {
 		this.#options = options;
+		this.#settledAt = this.#startedAt + settleMilliseconds.least + (options.random() * settleMilliseconds.spread);
 		this.whenRead = this.#read();
 		options.routingState.onChange(() => {
 			this.#changeTimer ??= setTimeout(() => {
 				this.#changeTimer = undefined;
 				this.#storeChanges();
-			}, lookMilliseconds.change);
+			}, Math.max(lookMilliseconds.change, this.#settledAt - performance.now())).unref();
 		});
 		this.#restTimer = setInterval(() => {
 			this.#storeChanges();
@@ -68,12 +75,7 @@
 
 	/** Builds that may have begun streams of a service that callers still take up; undefined while that is not known. */
 	buildsOf(service: string): ReadonlySet<string> | undefined {
-		const entries = [...this.#options.routingState.directory.entries.values()].filter(({record}) => record.service === service);
-		return possibleBuilds({
-			served: entries.map(({record, endedAt}) => ({build: buildOf(record), endedAt})),
-			stored: this.#earlier && (this.#earlier.get(service) ?? []),
-			startedAt: this.#startedAt,
-		}, performance.now());
+		return possibleBuilds(this.#known(service), performance.now());
 	}
 
 	/**
@@ -85,14 +87,28 @@
 		return isCurrent ? this.buildsOf(service) : undefined;
 	}
 
+	#known(service: string): KnownBuilds {
+		const {routingState, isFirstStart} = this.#options;
+		const entries = [...routingState.directory.entries.values()].filter(({record}) => record.service === service);
+		return {
+			served: entries.map(({record, endedAt}) => ({build: buildOf(record), endedAt})),
+			stored: this.#earlier && (this.#earlier.get(service) ?? (isFirstStart && this.#earlier.size === 0 ? [] : undefined)),
+			startedAt: this.#startedAt,
+		};
+	}
+
 	/** Stores the builds that have changed and that this instance is to store. */
 	#storeChanges(): void {
 		const {instance, instances, routingState} = this.#options;
+		if (this.#earlier === undefined || performance.now() < this.#settledAt) {
+			return;
+		}
+
 		const names = [...new Set([instance, ...instances()])];
 		const services = new Set(Array.from(routingState.directory.entries.values(), ({record}) => record.service));
 		for (const service of services) {
-			const builds = this.buildsOf(service);
-			if (builds !== undefined && isWorthStoring(builds, this.#stored.get(service)) && rankByRendezvous(service, names).slice(0, writers).includes(instance)) {
+			const builds = buildsToStore(this.#known(service), performance.now());
+			if (isWorthStoring(builds, this.#stored.get(service)) && rankByRendezvous(service, names).slice(0, writers).includes(instance)) {
 				void this.#store({service, builds: [...builds]});
 			}
 		}
--- a/src/policy/streams/served-builds.ts
+++ b/src/policy/streams/served-builds.ts
@@ -14,14 +14,17 @@
 export type KnownBuilds = {
 	/** Endpoints that are registered, or were since this instance started. */
 	readonly served: readonly ServedBuild[];
-	/** What was stored when this instance started; undefined while that is not read. */
+	/**
+	 * What was stored when this instance started, empty at the first start of all. Undefined while that is not read, and where nothing was stored: the
+	 * instances that saw the builds before may have been lost before one of them had stored them.
+	 */
 	readonly stored: readonly string[] | undefined;
 	readonly startedAt: number;
 };
 
 /** Builds that may have begun a stream, in the order of their names; undefined while that is not known. */
 export function possibleBuilds({served, stored, startedAt}: KnownBuilds, now: number): ReadonlySet<string> | undefined {
-	const recent = served.filter(({endedAt = Infinity}) => now - endedAt < originMilliseconds).map(({build}) => build);
+	const recent = recentBuilds(served, now);
 	if (now - startedAt >= originMilliseconds) {
 		return sortedOnce(recent);
 	}
@@ -29,12 +32,21 @@
 	return stored && sortedOnce([...recent, ...stored]);
 }
 
+/** Builds that an instance that starts now has to know of. */
+export function buildsToStore({served, stored = [], startedAt}: KnownBuilds, now: number): ReadonlySet<string> {
+	return sortedOnce(now - startedAt >= originMilliseconds ? recentBuilds(served, now) : [...recentBuilds(served, now), ...stored]);
+}
+
 /**
- * Whether the builds of a service are to be stored, with what is stored now. A single build is what an instance that reads nothing takes for
- * granted, so that it is stored only in place of more.
+ * Whether the builds of a service are to be stored, with what is stored now. A single one is, too: without it, an instance that starts cannot tell
+ * whether the build that it sees has replaced another one while all instances were lost.
  */
 export function isWorthStoring(builds: ReadonlySet<string>, stored: readonly string[] | undefined): boolean {
-	return stored === undefined ? builds.size > 1 : JSON.stringify([...builds]) !== JSON.stringify([...sortedOnce(stored)]);
+	return builds.size > 0 && (stored === undefined || JSON.stringify([...builds]) !== JSON.stringify([...sortedOnce(stored)]));
+}
+
+function recentBuilds(served: readonly ServedBuild[], now: number): string[] {
+	return served.filter(({endedAt = Infinity}) => now - endedAt < originMilliseconds).map(({build}) => build);
 }
 
 function sortedOnce(builds: readonly string[]): ReadonlySet<string> {
--- a/src/settings/gateway/gateway-settings.ts
+++ b/src/settings/gateway/gateway-settings.ts
@@ -29,6 +29,8 @@
 	/** The instance's name, which stays the same across restarts. */
 	instance: z.string().min(1),
 	availabilityZone: z.string().min(1),
+	/** Whether the whole system starts for the first time: then nothing that the store lacks can have been before. */
+	isFirstStart: z.boolean().default(false),
 	/** The address for callers' requests. */
 	callerAddress: address,
 	/** The address for the balancer's readiness checks and the operators' `/metrics`. */
--- a/test/gateway/stream-registry.test.ts
+++ b/test/gateway/stream-registry.test.ts
@@ -56,7 +56,7 @@
 
 /** What an instance remembers of builds with a store that is empty. */
 function memoryOf(routingState: RoutingState): BuildHistory {
-	return BuildHistory.create({instance: 'a', instances: () => [], routingState, read: async () => [], write: async () => undefined, readEndpoints: async () => true, logger: silentLogger});
+	return BuildHistory.create({instance: 'a', isFirstStart: true, random: () => 0, instances: () => [], routingState, read: async () => [], write: async () => undefined, readEndpoints: async () => true, logger: silentLogger});
 }
 
 const names = ['a', 'b', 'c', 'd', 'e'];
--- a/test/gateway/testbed.ts
+++ b/test/gateway/testbed.ts
@@ -55,6 +55,8 @@
 	readonly logLines: Array<Record<string, unknown>> = [];
 	readonly gateways: GatewayProcess[] = [];
 	readonly #callerAgent = new Agent({keepAlive: true});
+	/** Names of instances that have started; one that starts again does not take part in the first start of all. */
+	readonly #startedNames = new Set<string>();
 	#requestCount = 0;
 
 	private constructor(store: FakePlatformStore) {
@@ -70,10 +72,12 @@
 
 	/** Starts a gateway without waiting for its readiness; `overrides` replaces settings. */
 	async createGateway(overrides: Readonly<Record<string, unknown>> = {}, adapter: GatewayAdapter = platformAdapter): Promise<GatewayProcess> {
+		const {instance = `gateway-${this.gateways.length}`} = overrides as {readonly instance?: string};
 		const settings = parseGatewaySettings(JSON.stringify({
-			instance: `gateway-${this.gateways.length}`, availabilityZone: 'zone-a', callerAddress: '127.0.0.1:0', adminAddress: '127.0.0.1:0',
+			instance, isFirstStart: !this.#startedNames.has(instance), availabilityZone: 'zone-a', callerAddress: '127.0.0.1:0', adminAddress: '127.0.0.1:0',
 			peerAddress: `127.0.0.1:${await freePort()}`, storeAddress: this.store.address, memoryMegabytes: 200, retryRatio, ...overrides,
 		}));
+		this.#startedNames.add(instance);
 		const output = {
 			write: (line: string) => {
 				this.logLines.push(JSON.parse(line) as Record<string, unknown>);
--- a/test/policy/served-builds.test.ts
+++ b/test/policy/served-builds.test.ts
@@ -1,5 +1,5 @@
 import tap from 'tap';
-import {isWorthStoring, originMilliseconds, possibleBuilds, type ServedBuild} from '../../src/policy/streams/index.js';
+import {buildsToStore, isWorthStoring, originMilliseconds, possibleBuilds, type ServedBuild} from '../../src/policy/streams/index.js';
 
 const startedAt = 1000;
 
@@ -28,9 +28,19 @@
 	t.same(possible([v2, ended], [], 500 + originMilliseconds), ['v2']);
 });
 
-tap.test('builds are stored where there is more than one to tell, or more are stored than serve', async t => {
-	t.notOk(isWorthStoring(new Set(['v1']), undefined));
+// A single build was not stored: an instance that started took the one that it saw for the one that had always served.
+tap.test('builds are stored where they are not, or others are', async t => {
+	t.ok(isWorthStoring(new Set(['v1']), undefined));
+	t.notOk(isWorthStoring(new Set(['v1']), ['v1']));
+	t.notOk(isWorthStoring(new Set(), undefined));
 	t.ok(isWorthStoring(new Set(['v1', 'v2']), undefined));
 	t.ok(isWorthStoring(new Set(['v2']), ['v1', 'v2']));
 	t.notOk(isWorthStoring(new Set(['v1', 'v2']), ['v2', 'v1']));
 });
+
+tap.test('what is stored keeps earlier builds for as long as their streams may go on, also where nothing was read', async t => {
+	const toStore = (stored: readonly string[] | undefined, uptime: number): string[] => [...buildsToStore({served: [v2], stored, startedAt}, startedAt + uptime)];
+	t.same(toStore(['v1'], 10), ['v1', 'v2']);
+	t.same(toStore(undefined, 10), ['v2']);
+	t.same(toStore(['v1'], originMilliseconds), ['v2']);
+});
