what endpoints send without end is held within one limit for all requests

Causes: no limit for all requests together; each piece of an event was joined with all before it, and searched from its start again; pieces of a byte were kept as objects of a hundred.

Change: what requests hold of answers is counted in one pool, a tenth of the memory (memory-pool.ts). Where it is full, an answer that holds over 16 KiB is not held further: a body is passed on, an event that does not end fails its attempt. Pieces are copied together (byte-buffer.ts) and searched once. A body in more than 1,000 pieces and one for each 8 bytes fails its attempt.

--- a/src/bin/gateway-parts.ts
+++ b/src/bin/gateway-parts.ts
@@ -18,6 +18,9 @@
 
 /** The share of `memoryMegabytes` for buffered request bodies; the rest is for the program, responses and connections. */
 const bodyMemoryShare = 0.2;
+/** The same for what is held of answers until an event, or a short answer, is complete. */
+const responseMemoryShare = 0.1;
+const megabyte = 1024 * 1024;
 
 export type GatewayProcessOptions = {readonly settings: GatewaySettings; readonly adapter: GatewayAdapter; readonly logger: Logger};
 
@@ -72,7 +75,8 @@
 	dispatcher.loadTracker.paces.mayLearn = () => eventLoopMonitor.measuresInTime;
 	const gateway = await Gateway.create({
 		...splitAddress(settings.callerAddress),
-		maxBufferedBodyBytes: settings.memoryMegabytes * 1024 * 1024 * bodyMemoryShare,
+		maxBodyMemoryBytes: settings.memoryMegabytes * megabyte * bodyMemoryShare,
+		maxResponseMemoryBytes: settings.memoryMegabytes * megabyte * responseMemoryShare,
 		routingState, dispatcher, connectionPools, codec: adapter.codec, crashes, streams, log: decisions, eventLoopMonitor, lateness, logger: forPart(logger, 'Gateway'), usage: duties?.counter,
 	});
 	observeGateway(metrics, {dispatcher, lateness, gateway, peers, routingState});
--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -14,8 +14,10 @@
 export type GatewayOptions = {
 	readonly host: string;
 	readonly port: number;
-	/** Limit for the buffered bodies of all requests, in bytes. */
-	readonly maxBufferedBodyBytes: number;
+	/** Limit for the bodies of all requests, in bytes. */
+	readonly maxBodyMemoryBytes: number;
+	/** Limit for what is held of the answers of all requests, in bytes; one that holds little is not counted against it. */
+	readonly maxResponseMemoryBytes: number;
 	readonly routingState: RoutingState;
 	readonly dispatcher: Dispatcher;
 	readonly connectionPools: ConnectionPools;
--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -5,6 +5,7 @@
 import {type RepeatableRequest} from './crashes/index.js';
 import {type GatewayOptions} from './gateway-options.js';
 import {type IntakeGate, type IntakeOutcome, intakeRequestOf} from './intake-gate.js';
+import {MemoryPool} from './memory-pool.js';
 import {findTarget, type Rejection, type RequestTarget} from './request-target.js';
 import {Caller, Exchange} from './requests/index.js';
 
@@ -16,6 +17,8 @@
 /** A request whose headers have arrived. `facts` are undefined if its headers could not be read. */
 type Arrival = {readonly request: IncomingMessage; readonly caller: Caller; readonly facts: RequestMetadata | undefined; readonly arrivedAt: number};
 
+const noRoom: Rejection = {status: 503, message: 'Too many bodies are held; the request has not run.', retryAfterMilliseconds: bufferFullRetryMilliseconds};
+
 /** Serves requests of callers, from their headers on: rejects them, or reads their bodies, admits and forwards them. */
 export class RequestServer {
 	static create(options: GatewayOptions, intake: IntakeGate): RequestServer {
@@ -25,11 +28,14 @@
 	readonly #options: GatewayOptions;
 	readonly #intake: IntakeGate;
 	readonly #startedAt = performance.now();
-	#bufferedBytes = 0;
+	readonly #bodyMemory: MemoryPool;
+	readonly #responseMemory: MemoryPool;
 
 	private constructor(options: GatewayOptions, intake: IntakeGate) {
 		this.#options = options;
 		this.#intake = intake;
+		this.#bodyMemory = MemoryPool.create(options.maxBodyMemoryBytes);
+		this.#responseMemory = MemoryPool.create(options.maxResponseMemoryBytes);
 	}
 
 	/** Serves one request to its end. An error ends this request alone. */
@@ -75,7 +81,8 @@
 	}
 
 	async #readBody(arrival: Arrival, target: RequestTarget, intakeRequest: IntakeRequest): Promise<void> {
-		const outcome = await arrival.caller.readBody(target.table.limits.bodyBytes);
+		using account = this.#bodyMemory.open();
+		const outcome = await arrival.caller.readBody(target.table.limits.bodyBytes, this.#bodyMemory, account);
 		switch (outcome.type) {
 			case 'left': {
 				this.#logDisconnect(arrival, 'The caller disconnected before its body was complete.');
@@ -87,20 +94,14 @@
 				break;
 			}
 
-			case 'whole': {
-				await this.#holdBody(outcome.body, async () => this.#begin(arrival, target, intakeRequest, outcome.body));
+			case 'no-room': {
+				this.#reject(arrival, {...noRoom, closesConnection: true});
+				break;
 			}
-		}
-	}
 
-	/** Counts a body as buffered while its request is served. */
-	async #holdBody(body: Uint8Array | undefined, serve: () => Promise<void>): Promise<void> {
-		const bytes = body?.length ?? 0;
-		this.#bufferedBytes += bytes;
-		try {
-			await serve();
-		} finally {
-			this.#bufferedBytes -= bytes;
+			case 'whole': {
+				await this.#begin(arrival, target, intakeRequest, outcome.body);
+			}
 		}
 	}
 
@@ -130,7 +131,7 @@
 	async #forward({request, caller, arrivedAt}: Arrival, {path: _, ...target}: RequestTarget, repeatable: RepeatableRequest): Promise<void> {
 		const {crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness} = this.#options;
 		const exchange = Exchange.create({
-			...target, request: repeatable, rawHeaders: request.rawHeaders, caller, arrivedAt, crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness,
+			...target, request: repeatable, rawHeaders: request.rawHeaders, caller, arrivedAt, crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness, responseMemory: this.#responseMemory,
 		});
 		await spawn('exchange', () => exchange.run(), (_, error) => {
 			log.logError(error, {request: target.facts.id, route: target.route.name, sendings: 0});
@@ -141,9 +142,7 @@
 	/** The bodies that are held, and this one's announced length, would exceed the limit. */
 	#rejectionByMemory({headers}: IncomingMessage): Rejection | undefined {
 		const announcedBytes = Number(headers['content-length'] ?? 0);
-		return this.#bufferedBytes + announcedBytes > this.#options.maxBufferedBodyBytes
-			? {status: 503, message: 'Too many bodies are held; the request has not run.', retryAfterMilliseconds: bufferFullRetryMilliseconds}
-			: undefined;
+		return this.#bodyMemory.hasRoomFor(announcedBytes) ? undefined : noRoom;
 	}
 
 	/** The event loop is so late that another instance serves the request sooner. */
--- a/src/gateway/requests/attempt-sender.ts
+++ b/src/gateway/requests/attempt-sender.ts
@@ -26,7 +26,7 @@
 	/** Sends the request to the endpoint that was chosen for it. */
 	send({decision, number, remainingMilliseconds}: NewAttempt): AttemptState {
 		const {exchange, forwarder} = this.#options;
-		const {dispatcher, connectionPools, codec, facts, rawHeaders, workspace, route, table, crashes, request: {method, path, body}} = exchange;
+		const {dispatcher, connectionPools, codec, facts, rawHeaders, workspace, route, table, crashes, responseMemory, request: {method, path, body}} = exchange;
 		const {record, fetch} = decision;
 		const attempt = Attempt.start({
 			address: record.address,
@@ -42,7 +42,7 @@
 				this.#passEvent(state, event);
 			},
 		});
-		const state: AttemptState = AttemptState.create({attempt, number, decision, isStream: route.kind === RouteKind.stream, requestId: facts.id, codec, onHead(response) {
+		const state: AttemptState = AttemptState.create({attempt, number, decision, isStream: route.kind === RouteKind.stream, requestId: facts.id, codec, memory: responseMemory, onHead(response) {
 			reportResponse(dispatcher, crashes, state, response);
 		}});
 		return state;
--- a/src/gateway/requests/attempt-state.ts
+++ b/src/gateway/requests/attempt-state.ts
@@ -1,9 +1,10 @@
-import {Buffer} from 'node:buffer';
 import {areForwardable, Verdict} from '../../model/index.js';
 import {type Decision} from '../placement/index.js';
+import {type MemoryAccount, type MemoryPool} from '../memory-pool.js';
 import {type ResponseMetadata, type RawHeaders, type RequestCodec} from '../adapter/index.js';
 import {type Attempt, type AttemptEvent} from './attempt.js';
-import {EventSplitter} from './event-splitter.js';
+import {ByteBuffer} from './byte-buffer.js';
+import {EventSplitter, type StreamEvent} from './event-splitter.js';
 
 /**
  * An endpoint that has sent nothing for three times the expected time plus this margin is reported as unreachable, even if the
@@ -18,6 +19,9 @@
 /** The pace of an endpoint is taken over at least this time of a stream, so that events cost little and a slow moment is seen early. */
 const paceMilliseconds = 100;
 
+/** An answer that holds no more is never ended for want of memory: usual events and answers of plain services are shorter. */
+const smallAnswerBytes = 16 * 1024;
+
 /** Events of a stream, and how long they took. */
 export type PaceWindow = {readonly events: number; readonly milliseconds: number};
 
@@ -48,6 +52,8 @@
 	readonly isStream: boolean;
 	readonly requestId: string;
 	readonly codec: RequestCodec;
+	/** What all requests of this instance hold of answers. */
+	readonly memory: MemoryPool;
 	/** Called with the status line and headers of the response, valid or not. */
 	readonly onHead: (response: ResponseMetadata) => void;
 };
@@ -63,7 +69,6 @@
 	readonly decision: PlacedDecision;
 	readonly requestId: string;
 	readonly startedAt = performance.now();
-	readonly splitter = EventSplitter.create();
 	isStream: boolean;
 	isForwarding = false;
 	isServerError = false;
@@ -81,10 +86,13 @@
 	nextFailoverAt = -Infinity;
 	/** True once the endpoint's silence since its last event is reported to the crash ledger. */
 	hasReportedSilence = false;
-	bufferedBytes = 0;
+	/** What this attempt holds of its answer; whoever ends the attempt disposes of it. */
+	readonly held: MemoryAccount;
+	readonly #splitter = EventSplitter.create();
+	readonly #memory: MemoryPool;
 	readonly #codec: RequestCodec;
 	readonly #onHead: AttemptStateOptions['onHead'];
-	#buffered: Uint8Array[] = [];
+	readonly #buffered = ByteBuffer.create();
 	#paceFrom: {readonly at: number; readonly events: number} | undefined;
 
 	private constructor(options: AttemptStateOptions) {
@@ -93,6 +101,8 @@
 		this.decision = options.decision;
 		this.isStream = options.isStream;
 		this.requestId = options.requestId;
+		this.#memory = options.memory;
+		this.held = options.memory.open();
 		this.#codec = options.codec;
 		this.#onHead = options.onHead;
 		this.suspectAt = this.startedAt + (options.decision.expectedMilliseconds * 3) + silenceMarginMilliseconds;
@@ -143,17 +153,42 @@
 		this.#paceFrom = undefined;
 	}
 
+	get bufferedBytes(): number {
+		return this.#buffered.length;
+	}
+
 	buffer(bytes: Uint8Array): void {
-		this.#buffered.push(bytes);
-		this.bufferedBytes += bytes.length;
+		this.#buffered.append(bytes);
+		this.#recordHeld();
 	}
 
 	takeBuffered(): Uint8Array {
-		const buffered = Buffer.concat(this.#buffered);
-		this.#buffered = [];
+		const buffered = this.#buffered.take();
+		this.#recordHeld();
 		return buffered;
 	}
 
+	/** Splits off the events that are complete with these bytes. Throws if one is longer than the limit. */
+	splitEvents(bytes: Uint8Array): StreamEvent[] {
+		const events = this.#splitter.push(bytes);
+		this.#recordHeld();
+		return events;
+	}
+
+	/** Bytes of an event that is not complete. */
+	get unfinishedBytes(): number {
+		return this.#splitter.restBytes;
+	}
+
+	/** Whether this is one of the answers that take the memory that all share. */
+	get holdsTooMuch(): boolean {
+		return this.held.heldBytes > smallAnswerBytes && !this.#memory.hasRoomFor(0);
+	}
+
+	#recordHeld(): void {
+		this.held.hold(this.#splitter.restBytes + this.#buffered.length);
+	}
+
 	#takePace(now: number): PaceWindow | undefined {
 		if (this.#paceFrom === undefined) {
 			this.#paceFrom = {at: now, events: this.events};
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -34,6 +34,10 @@
 /** Bytes of framing for each byte of a body: a chunk of one byte takes five more. */
 const maxFramingFactor = 8;
 
+/** Pieces that a body may have, besides one for every few bytes of it: the shortest event of a stream has twice as many. */
+const maxShortPieces = 1000;
+const minMeanPieceBytes = 8;
+
 /** One attempt to send a request to an endpoint. Emits no events after `cancel` or after its last event. */
 export class Attempt {
 	static start(options: AttemptOptions): Attempt {
@@ -49,6 +53,7 @@
 	#socket: Socket | undefined;
 	readonly #connectTimeout: Timeout;
 	#bodyBytes = 0;
+	#pieces = 0;
 
 	private constructor(options: AttemptOptions) {
 		this.#options = options;
@@ -140,8 +145,7 @@
 		this.#response = response;
 		this.#emit({type: 'head', status: response.statusCode ?? 0, headers: response.headers, rawHeaders: response.rawHeaders});
 		response.on('data', (bytes: Uint8Array) => {
-			this.#bodyBytes += bytes.length;
-			this.#emit({type: 'data', bytes});
+			this.#handleData(bytes);
 		});
 		response.on('error', (error: Error) => {
 			this.#fail(error.message);
@@ -159,6 +163,22 @@
 		});
 	}
 
+	/** Each piece of a body takes its turn of the processor, however short: an endpoint that sends one byte in each would take all of it. */
+	#handleData(bytes: Uint8Array): void {
+		if (this.#isFinished) {
+			return;
+		}
+
+		this.#bodyBytes += bytes.length;
+		this.#pieces += 1;
+		if (this.#pieces > maxShortPieces + (this.#bodyBytes / minMeanPieceBytes)) {
+			this.#fail('a body in too many pieces');
+			return;
+		}
+
+		this.#emit({type: 'data', bytes});
+	}
+
 	/**
 	 * If data and a reset are read in one turn of the event loop, libuv reports the reset as a plain end, and a truncated
 	 * response without a length would pass for complete. A reset connection has no remote address any more, one that was ended
--- a/src/gateway/requests/caller.ts
+++ b/src/gateway/requests/caller.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type RawHeaders} from '../adapter/index.js';
+import {type MemoryAccount, type MemoryPool} from '../memory-pool.js';
+import {ByteBuffer} from './byte-buffer.js';
 
 /** If at least this much data for a slow caller is unsent, the endpoint's response is paused. */
 const maxUnsentBytes = 256 * 1024;
@@ -9,6 +11,8 @@
 export type BodyResult
 	= | {readonly type: 'whole'; readonly body: Uint8Array | undefined}
 		| {readonly type: 'too-large'}
+	/** The bodies of all requests take the memory that there is for them. */
+		| {readonly type: 'no-room'}
 		| {readonly type: 'left'};
 
 /** A response that the gateway makes itself. */
@@ -54,24 +58,27 @@
 		});
 	}
 
-	readBody(limitBytes: number): Promise<BodyResult> {
+	/** Reads the body; what has arrived is counted in the account of this request. */
+	readBody(limitBytes: number, memory: MemoryPool, account: MemoryAccount): Promise<BodyResult> {
 		const request = this.#request;
 		return new Promise(resolve => {
-			const chunks: Uint8Array[] = [];
+			const body = ByteBuffer.create();
 			let length = 0;
 			request.on('data', (chunk: Uint8Array) => {
 				length += chunk.length;
-				if (length > limitBytes) {
+				if (length > limitBytes || !memory.hasRoomFor(chunk.length)) {
 					request.removeAllListeners('data');
 					request.resume();
-					resolve({type: 'too-large'});
+					body.take();
+					resolve({type: length > limitBytes ? 'too-large' : 'no-room'});
 					return;
 				}
 
-				chunks.push(chunk);
+				account.hold(length);
+				body.append(chunk);
 			});
 			request.once('end', () => {
-				resolve({type: 'whole', body: hasBody(request) ? Buffer.concat(chunks) : undefined});
+				resolve({type: 'whole', body: hasBody(request) ? body.take() : undefined});
 			});
 			request.once('error', () => {
 				resolve({type: 'left'});
--- a/src/gateway/requests/event-splitter.ts
+++ b/src/gateway/requests/event-splitter.ts
@@ -1,10 +1,13 @@
 import {Buffer} from 'node:buffer';
+import {ByteBuffer} from './byte-buffer.js';
 
 /** A complete event of a stream, as the endpoint wrote it. */
 export type StreamEvent = {readonly bytes: Uint8Array; readonly id: string | undefined};
 
 /** Limit of the size of one event. */
 export const maxEventBytes = 1024 * 1024;
+/** The longest end of an event, two line ends of two characters each, may have arrived but for its last character. */
+const maxPartialEndBytes = 3;
 
 /**
  * Splits a stream into complete events, each with its closing blank line. Only complete events are forwarded, so that a stream
@@ -16,30 +19,47 @@
 		return new EventSplitter();
 	}
 
-	#rest: Uint8Array = new Uint8Array();
+	readonly #rest = ByteBuffer.create();
 
 	/** Bytes of an incomplete event. */
-	get rest(): Uint8Array {
-		return this.#rest;
+	get restBytes(): number {
+		return this.#rest.length;
 	}
 
 	push(bytes: Uint8Array): StreamEvent[] {
-		const buffer = Buffer.concat([this.#rest, bytes]);
+		// What was searched before is not searched again: an endpoint that sends no end of an event, byte by byte, would take the processor.
+		const searchedBytes = Math.max(0, this.#rest.length - maxPartialEndBytes);
+		const joined = this.#join(bytes);
+		const buffer = Buffer.from(joined.buffer, joined.byteOffset, joined.byteLength);
 		const events: StreamEvent[] = [];
 		let start = 0;
-		for (let end = endOfEvent(buffer, start); end !== -1; end = endOfEvent(buffer, start)) {
+		for (let end = endOfEvent(buffer, searchedBytes); end !== -1; end = endOfEvent(buffer, start)) {
 			const event = buffer.subarray(start, end);
 			events.push({bytes: event, id: idOf(event.toString('latin1'))});
 			start = end;
 		}
 
-		this.#rest = buffer.subarray(start);
+		if (events.length > 0 || this.#rest.length === 0) {
+			this.#rest.take();
+			this.#rest.append(buffer.subarray(start));
+		}
+
 		if (this.#rest.length > maxEventBytes) {
 			throw new RangeError('An event exceeds the size limit.');
 		}
 
 		return events;
 	}
+
+	/** The rest and what follows it; what follows no rest is not copied. */
+	#join(bytes: Uint8Array): Uint8Array {
+		if (this.#rest.length === 0) {
+			return bytes;
+		}
+
+		this.#rest.append(bytes);
+		return this.#rest.view;
+	}
 }
 
 type Searchable = {indexOf(text: string, start: number): number};
--- a/src/gateway/requests/exchange-options.ts
+++ b/src/gateway/requests/exchange-options.ts
@@ -1,6 +1,7 @@
 import {type AlarmEvent} from '../../concurrency/index.js';
 import {type ConnectionPools} from '../endpoints/index.js';
 import {type CrashLedger, type RepeatableRequest} from '../crashes/index.js';
+import {type MemoryPool} from '../memory-pool.js';
 import {type Decision} from '../placement/index.js';
 import {type UsageCounter} from '../duties/index.js';
 import {type StreamRegistry} from '../streams/index.js';
@@ -20,6 +21,8 @@
 	readonly request: RepeatableRequest;
 	/** Which builds began streams. */
 	readonly streams: StreamRegistry;
+	/** What all requests of this instance hold of answers. */
+	readonly responseMemory: MemoryPool;
 	readonly log: DecisionLog;
 	/** Counts requests that begin to run; absent where nothing is counted. */
 	readonly usage?: UsageCounter | undefined;
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -147,7 +147,7 @@
 
 		this.#countAttempt();
 		const state = this.#sender.send({decision, number: this.#attempts, remainingMilliseconds: remaining});
-		run.attempt = state.attempt;
+		run.attempt = state;
 		const outcome = yield * this.#awaitOutcome(state);
 		this.#endAttempt(state, outcome, run);
 		return outcome;
--- a/src/gateway/requests/held-run.ts
+++ b/src/gateway/requests/held-run.ts
@@ -1,18 +1,18 @@
 import {type EndpointSign} from '../../policy/dispatch/index.js';
 import {type RequestUsage} from '../duties/index.js';
 import {type Dispatcher} from '../placement/index.js';
-import {type Attempt} from './attempt.js';
+import {type AttemptState} from './attempt-state.js';
 
 export type HeldRunOptions = {readonly dispatcher: Dispatcher; readonly usage: RequestUsage; readonly runId: string};
 
-/** What a request holds from its placement to the end of its attempt: a place at the endpoint, a connection to it, and its count. Disposing of it releases what is still held. */
+/** What a request holds from its placement to the end of its attempt: a place at the endpoint, a connection to it, memory for the answer, and its count. Disposing of it releases what is still held. */
 export class HeldRun implements Disposable {
 	static create(options: HeldRunOptions): HeldRun {
 		return new HeldRun(options);
 	}
 
 	/** Set once the request was sent. */
-	attempt: Attempt | undefined;
+	attempt: AttemptState | undefined;
 	readonly #options: HeldRunOptions;
 	#isHeld = true;
 
@@ -25,13 +25,14 @@
 		const {dispatcher, usage, runId} = this.#options;
 		this.#isHeld = false;
 		dispatcher.recordEnd(runId, sign);
-		this.attempt?.cancel();
+		this.attempt?.attempt.cancel();
+		this.attempt?.held[Symbol.dispose]();
 		usage.recordEnd(hasBegun);
 	}
 
 	[Symbol.dispose](): void {
 		if (this.#isHeld) {
-			this.release({hasBegun: this.attempt?.mayHaveReachedEndpoint ?? false});
+			this.release({hasBegun: this.attempt?.attempt.mayHaveReachedEndpoint ?? false});
 		}
 	}
 }
--- a/src/gateway/requests/response-forwarder.ts
+++ b/src/gateway/requests/response-forwarder.ts
@@ -84,7 +84,7 @@
 		}
 
 		state.buffer(bytes);
-		if (state.bufferedBytes > maxBufferedBytes) {
+		if (state.bufferedBytes > maxBufferedBytes || state.holdsTooMuch) {
 			this.#options.caller.writeHead(state.status, this.#options.codec.responseHeaders(state.rawHeaders));
 			this.#write(state, state.takeBuffered());
 			state.isForwarding = true;
@@ -96,7 +96,7 @@
 	#handleEvents(state: AttemptState, bytes: Uint8Array): Outcome | undefined {
 		let events;
 		try {
-			events = state.splitter.push(bytes);
+			events = state.splitEvents(bytes);
 		} catch (error) {
 			return {type: 'failed', verdict: Verdict.mayHaveRun, reason: String(error)};
 		}
@@ -110,7 +110,7 @@
 			this.#forwardEvent(state, event);
 		}
 
-		return undefined;
+		return state.holdsTooMuch ? {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'no memory for an event that does not end'} : undefined;
 	}
 
 	/** Records that an event arrived, and what it shows of the endpoint's pace. */
@@ -169,7 +169,7 @@
 
 	#endStream(state: AttemptState): Outcome {
 		const {caller, codec} = this.#options;
-		if (state.splitter.rest.length > 0) {
+		if (state.unfinishedBytes > 0) {
 			return {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'ended within an event'};
 		}
 
