an instance that stops begins no request that cannot end, and answers what has not ended

The report of other operators: in a planned stop, in calm, requests that came late in the grace were taken and passed on; at its end they were cut off with no answer, among them requests that may not be repeated.

Whether it happens here: yes.

Change: a schedule of the stop (stop-schedule.ts, src/policy/stopping). A request is begun only as long as it can end: its route's usual run time with four deviations, or the route's timeout where nothing is known, before the end; one whose own deadline comes earlier always is. Otherwise it is answered 503 at that moment, with a time to come back, also while its body or a place is still awaited. A retry or a failover that could not end is not made; a silent endpoint is then waited for. 200 ms before the process must end, what runs is answered 502: it may have run. Such an end is no silence of the endpoint, so that nobody takes the request for one that crashes endpoints.

Short requests that come late are served as before.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -11,6 +11,8 @@
 const announceSpreadMilliseconds = 2000;
 /** A graceful shutdown ends this long before the platform would kill the process. */
 const stopMarginMilliseconds = 600;
+/** What has not ended so long before that is answered, so that the answer is sent before the process ends. */
+const answerMarginMilliseconds = 200;
 
 /** One gateway process with all its parts. */
 export class GatewayProcess implements AsyncDisposable {
@@ -62,10 +64,11 @@
 		const retracted = this.#announced.then(async () => store.retract(settings.instance)).catch((error: unknown) => {
 			log.warn('Could not retract the announcement.', {reason: String(error)});
 		});
-		const drained = Promise.all([gateway.drain(), retracted, duties?.release()]).then(() => {
+		const milliseconds = (settings.stopSeconds * 1000) - stopMarginMilliseconds;
+		const drained = Promise.all([gateway.drain(performance.now() + milliseconds - answerMarginMilliseconds), retracted, duties?.release()]).then(() => {
 			duties?.sendEnd();
 		});
-		return withinMilliseconds(drained, (settings.stopSeconds * 1000) - stopMarginMilliseconds);
+		return withinMilliseconds(drained, milliseconds);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import {IntakeGate} from './intake-gate.js';
 import {type GatewayOptions} from './gateway-options.js';
 import {RequestServer} from './request-server.js';
+import {StopSchedule} from './stop-schedule.js';
 
 /**
  * How long the port stays open during a graceful shutdown; then idle connections are closed. The load balancer sends new
@@ -37,6 +38,7 @@
 	readonly #openResponses = new Set<ServerResponse>();
 	readonly #intake: IntakeGate;
 	readonly #requests: RequestServer;
+	readonly #stop = StopSchedule.create();
 	readonly #acceptProbe: AcceptProbe;
 	#isStopping = false;
 
@@ -53,7 +55,7 @@
 				this.#acceptProbe.open();
 			},
 		});
-		this.#requests = RequestServer.create(options, this.#intake);
+		this.#requests = RequestServer.create({...options, intake: this.#intake, stop: this.#stop});
 		this.#acceptProbe = AcceptProbe.create({
 			address: () => this.#server.listening ? this.#server.address() as AddressInfo : undefined, logger: options.logger, onEnd: outcome => {
 				this.#intake.recordProbe(outcome);
@@ -91,9 +93,13 @@
 		return !this.#isStopping && this.#options.routingState.table !== undefined && this.#options.routingState.directory.entries.size > 0;
 	}
 
-	/** Shuts down gracefully: serves open requests, and new ones while the port stays open, and resolves once none is left. */
-	async drain(): Promise<void> {
+	/**
+	 * Shuts down gracefully: serves open requests, and new ones while the port stays open, and resolves once none is left. What cannot end by `endsAt`
+	 * is not begun, and what has not ended by then is answered. Milliseconds of the monotonic clock.
+	 */
+	async drain(endsAt: number): Promise<void> {
 		this.#isStopping = true;
+		this.#stop.begin(endsAt);
 		for (const response of this.#openResponses) {
 			announceClose(response);
 		}
--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -7,7 +7,8 @@
 import {type IntakeGate, type IntakeOutcome, intakeRequestOf} from './intake-gate.js';
 import {MemoryPool} from './memory-pool.js';
 import {findTarget, type Rejection, type RequestTarget} from './request-target.js';
-import {Caller, Exchange} from './requests/index.js';
+import {Caller, deadlineOf, Exchange} from './requests/index.js';
+import {type ScheduledRequest, type StopSchedule} from './stop-schedule.js';
 
 /** Retry delay while memory for bodies is short: a few requests end within this time. */
 const bufferFullRetryMilliseconds = 300;
@@ -19,21 +20,26 @@
 
 const noRoom: Rejection = {status: 503, message: 'Too many bodies are held; the request has not run.', retryAfterMilliseconds: bufferFullRetryMilliseconds};
 
+/** Retry delay for callers of an instance that stops; they reach another one. */
+const stoppingRetryMilliseconds = 50;
+const stopping: Rejection = {status: 503, message: 'The instance stops before the request could end; it has not run.', retryAfterMilliseconds: stoppingRetryMilliseconds};
+
+/** The gateway's parts, the gate of its requests, and the schedule of its stop. */
+export type RequestServerOptions = GatewayOptions & {readonly intake: IntakeGate; readonly stop: StopSchedule};
+
 /** Serves requests of callers, from their headers on: rejects them, or reads their bodies, admits and forwards them. */
 export class RequestServer {
-	static create(options: GatewayOptions, intake: IntakeGate): RequestServer {
-		return new RequestServer(options, intake);
+	static create(options: RequestServerOptions): RequestServer {
+		return new RequestServer(options);
 	}
 
-	readonly #options: GatewayOptions;
-	readonly #intake: IntakeGate;
+	readonly #options: RequestServerOptions;
 	readonly #startedAt = performance.now();
 	readonly #bodyMemory: MemoryPool;
 	readonly #responseMemory: MemoryPool;
 
-	private constructor(options: GatewayOptions, intake: IntakeGate) {
+	private constructor(options: RequestServerOptions) {
 		this.#options = options;
-		this.#intake = intake;
 		this.#bodyMemory = MemoryPool.create(options.maxBodyMemoryBytes);
 		this.#responseMemory = MemoryPool.create(options.maxResponseMemoryBytes);
 	}
@@ -82,7 +88,12 @@
 
 	async #readBody(arrival: Arrival, target: RequestTarget, intakeRequest: IntakeRequest): Promise<void> {
 		using account = this.#bodyMemory.open();
-		const outcome = await arrival.caller.readBody(target.table.limits.bodyBytes, this.#bodyMemory, account);
+		const outcome = await this.#options.stop.beforeLastStart(scheduledOf(arrival, target), arrival.caller.readBody(target.table.limits.bodyBytes, this.#bodyMemory, account));
+		if (outcome === undefined) {
+			this.#reject(arrival, {...stopping, closesConnection: true});
+			return;
+		}
+
 		switch (outcome.type) {
 			case 'left': {
 				this.#logDisconnect(arrival, 'The caller disconnected before its body was complete.');
@@ -107,7 +118,7 @@
 
 	/** Begins a request that has arrived completely, once the event loop has time for it. */
 	async #begin(arrival: Arrival, target: RequestTarget, intakeRequest: IntakeRequest, body: Uint8Array | undefined): Promise<void> {
-		const intake = await this.#intake.admit(intakeRequest);
+		const intake = await this.#options.intake.admit(intakeRequest);
 		if (arrival.caller.hasDisconnected) {
 			this.#logDisconnect(arrival, 'The caller disconnected before its request was placed.');
 			return;
@@ -118,6 +129,11 @@
 			return;
 		}
 
+		if (performance.now() >= this.#options.stop.lastStartAt(scheduledOf(arrival, target))) {
+			this.#reject(arrival, stopping);
+			return;
+		}
+
 		const repeatable: RepeatableRequest = {workspace: target.workspace?.name, method: arrival.request.method ?? 'GET', path: target.path, body, parts: target.facts.sharedParts};
 		const rejection = this.#rejectionByQuarantine(repeatable);
 		if (rejection !== undefined) {
@@ -129,9 +145,9 @@
 	}
 
 	async #forward({request, caller, arrivedAt}: Arrival, {path: _, ...target}: RequestTarget, repeatable: RepeatableRequest): Promise<void> {
-		const {crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness} = this.#options;
+		const {crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness, stop} = this.#options;
 		const exchange = Exchange.create({
-			...target, request: repeatable, rawHeaders: request.rawHeaders, caller, arrivedAt, crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness, responseMemory: this.#responseMemory,
+			...target, request: repeatable, rawHeaders: request.rawHeaders, caller, arrivedAt, crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness, stop, responseMemory: this.#responseMemory,
 		});
 		await spawn('exchange', () => exchange.run(), (_, error) => {
 			log.logError(error, {request: target.facts.id, route: target.route.name, sendings: 0});
@@ -147,7 +163,7 @@
 
 	/** The event loop is so late that another instance serves the request sooner. */
 	#rejectionByLateness(intakeRequest: IntakeRequest, target: RequestTarget): Rejection | undefined {
-		const refusal = this.#intake.refusalOf(intakeRequest);
+		const refusal = this.#options.intake.refusalOf(intakeRequest);
 		return refusal && rejectionOf(refusal, target);
 	}
 
@@ -173,6 +189,11 @@
 	}
 }
 
+/** The request as the schedule of a stop sees it. */
+function scheduledOf({arrivedAt}: Arrival, {route, facts}: RequestTarget): ScheduledRequest {
+	return {route, deadlineAt: deadlineOf(arrivedAt, route, facts)};
+}
+
 function rejectionOf({judgement, retryAfterMilliseconds}: Extract<IntakeOutcome, {type: 'refuse'}>, {route}: RequestTarget): Rejection {
 	return {status: 503, message: 'The instance is late; the request has not run.', retryAfterMilliseconds, details: {...judgement, route: route.name}};
 }
--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -44,7 +44,8 @@
 		const {end, excluded, build, exchange: {dispatcher, crashes, request, service}} = this.#options;
 		const now = performance.now();
 		if (now >= end.at) {
-			return {type: 'expired'};
+			// An endpoint that the instance's stop leaves no time is not silent, and its request not one that crashes it.
+			return end.isStopped ? {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'the instance stops'} : {type: 'expired'};
 		}
 
 		const {record} = state.decision;
@@ -68,9 +69,10 @@
 			: undefined;
 	}
 
-	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again. */
+	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again, or could not end there before the instance stops. */
 	#failoverAt(state: AttemptState): number {
-		return this.#options.retryProgress.mayRunElsewhere ? Math.max(this.#silentAt(state), state.nextFailoverAt) : Infinity;
+		const {end, retryProgress} = this.#options;
+		return retryProgress.mayRunElsewhere && performance.now() < end.lastStartAt ? Math.max(this.#silentAt(state), state.nextFailoverAt) : Infinity;
 	}
 
 	/** When the endpoint has sent nothing for too long; infinite if the caller reads too slowly. */
--- a/src/gateway/requests/exchange-options.ts
+++ b/src/gateway/requests/exchange-options.ts
@@ -4,6 +4,7 @@
 import {type MemoryPool} from '../memory-pool.js';
 import {type Decision} from '../placement/index.js';
 import {type UsageCounter} from '../duties/index.js';
+import {type StopSchedule} from '../stop-schedule.js';
 import {type StreamRegistry} from '../streams/index.js';
 import {type RawHeaders, type RequestCodec} from '../adapter/index.js';
 import {type DecisionLog, type LoggedRequest} from './decision-log.js';
@@ -26,6 +27,8 @@
 	readonly log: DecisionLog;
 	/** Counts requests that begin to run; absent where nothing is counted. */
 	readonly usage?: UsageCounter | undefined;
+	/** By when an instance that stops has answered the request. */
+	readonly stop: StopSchedule;
 	/** How late this process's event loop is; 0 while it is in time, or if it is not measured. */
 	readonly lateness: {readonly isMeasured: boolean; readonly milliseconds: number};
 };
@@ -36,6 +39,8 @@
 		| {readonly type: 'left'}
 		| {readonly type: 'drained'}
 		| {readonly type: 'decided'; readonly decision: Decision}
+	/** The instance has begun to stop, which changes when the request is ended. */
+		| {readonly type: 'stopping'}
 	/** An error while an attempt's event was handled; it ends the request. */
 		| {readonly type: 'error'; readonly error: unknown}
 	/** How the received bytes ended an attempt. Bytes that don't end it are forwarded in the event loop turn in which they arrive. */
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -38,6 +38,8 @@
 	readonly #retryProgress: RetryProgress;
 	/** Number of attempts that were sent; the newest has this number. */
 	#attempts = 0;
+	/** When the first attempt was sent. */
+	#sentAt: number | undefined;
 	readonly #forwarder: ResponseForwarder;
 	readonly #sender: AttemptSender;
 	readonly #timeouts: AttemptTimeouts;
@@ -87,7 +89,10 @@
 	}
 
 	* #serve(): Body<void> {
-		const {caller, dispatcher, service} = this.#options;
+		const {caller, dispatcher, service, stop} = this.#options;
+		using _listener = stop.onBegin(() => {
+			tryDeliver(this.#inbox, {type: 'stopping'});
+		});
 		caller.onDisconnect(() => {
 			tryDeliver(this.#inbox, {type: 'left'});
 		});
@@ -156,6 +161,7 @@
 	#countAttempt(): void {
 		const {dispatcher, route, service} = this.#options;
 		this.#attempts += 1;
+		this.#sentAt ??= performance.now();
 		if (this.#retryProgress.takeReservation()) {
 			dispatcher.retries.recordSent(service, performance.now());
 		}
@@ -186,7 +192,8 @@
 				return undefined;
 			}
 
-			case 'decided': {
+			case 'decided':
+			case 'stopping': {
 				return undefined;
 			}
 
@@ -233,7 +240,7 @@
 		const {dispatcher, caller, log, crashes, request} = this.#options;
 		const now = performance.now();
 		const decision = this.#retryProgress.decide(outcome, {
-			hasLeft: caller.hasDisconnected, remainingMilliseconds: this.#end.at - now, hasResponse: caller.hasResponse, lastEventId: this.#forwarder.lastEventId,
+			hasLeft: caller.hasDisconnected, remainingMilliseconds: this.#end.at - now, mayStart: now < this.#end.lastStartAt, hasResponse: caller.hasResponse, lastEventId: this.#forwarder.lastEventId,
 			isQuarantined: () => crashes.isSuspect(request, now),
 			reserveRetry: () => dispatcher.reserveRetry(this.#demand, now),
 		});
@@ -258,7 +265,11 @@
 	}
 
 	#finish(outcome: Outcome, retryAfterMilliseconds = defaultRetryMilliseconds): void {
-		const {caller, codec, facts, log, dispatcher, service} = this.#options;
+		const {caller, codec, facts, log, dispatcher, service, stop, route} = this.#options;
+		if (outcome.type === 'done' && this.#sentAt !== undefined) {
+			stop.recordRun(route, performance.now() - this.#sentAt);
+		}
+
 		if (this.#retryProgress.takeReservation()) {
 			dispatcher.retries.release(service, performance.now());
 		}
--- a/src/gateway/requests/index.ts
+++ b/src/gateway/requests/index.ts
@@ -4,3 +4,4 @@
 export * from './event-splitter.js';
 export * from './exchange.js';
 export * from './placement-request.js';
+export {deadlineOf} from './request-end.js';
--- a/src/gateway/requests/placement-wait.ts
+++ b/src/gateway/requests/placement-wait.ts
@@ -1,4 +1,5 @@
 import {type Alarm, type Body, type Channel, receive, tryDeliver, tryReceive} from '../../concurrency/index.js';
+import {Verdict} from '../../model/index.js';
 import {type Demand} from '../../policy/dispatch/index.js';
 import {type Decision} from '../placement/index.js';
 import {type Outcome} from './attempt-state.js';
@@ -41,7 +42,7 @@
 		const submittedAt = performance.now();
 		let decision: Decision | undefined;
 		try {
-			alarm.set(end.nextLookAt - submittedAt);
+			alarm.set(this.#nextLookAt - submittedAt);
 			this.#submit(id, next);
 			for (;;) {
 				const event = (yield * receive(inbox))!;
@@ -71,7 +72,7 @@
 			...placementRequestOf(exchange, demand),
 			...next,
 			id,
-			lastStartAt: Math.min(end.at - minRunMilliseconds, expectedDisconnectAt),
+			lastStartAt: Math.min(end.at - minRunMilliseconds, end.lastStartAt, expectedDisconnectAt),
 			onDecision(decision) {
 				tryDeliver(inbox, {type: 'decided', decision});
 			},
@@ -89,7 +90,7 @@
 			return {type: 'left'};
 		}
 
-		if (event.type !== 'alarm' || !alarm.hasFired) {
+		if (event.type !== 'stopping' && (event.type !== 'alarm' || !alarm.hasFired)) {
 			return undefined;
 		}
 
@@ -98,10 +99,19 @@
 			return {type: 'expired'};
 		}
 
-		alarm.set(end.nextLookAt - now);
+		if (now >= end.lastStartAt) {
+			return {type: 'failed', verdict: Verdict.notRun, reason: 'the instance stops before the request could end'};
+		}
+
+		alarm.set(this.#nextLookAt - now);
 		return undefined;
 	}
 
+	get #nextLookAt(): number {
+		const {end} = this.#options;
+		return Math.min(end.nextLookAt, end.lastStartAt);
+	}
+
 	/** Releases a placement that was made in the turn of the event loop in which the request ended. */
 	#releaseLatePlacement(): void {
 		const {inbox, exchange: {dispatcher}} = this.#options;
--- a/src/gateway/requests/request-end.ts
+++ b/src/gateway/requests/request-end.ts
@@ -1,28 +1,50 @@
 import {endAt, nextLookAt} from '../../policy/lateness/index.js';
+import {type Route} from '../../routing/index.js';
+import {type RequestMetadata} from '../adapter/index.js';
 import {type ExchangeOptions} from './exchange-options.js';
 
-/** When a request is ended: by its caller's deadline or its route's timeout, and in a late event loop before it, so that its final response leaves in time. */
+/** When a request's caller's deadline or its route's timeout ends it. Milliseconds of the monotonic clock. */
+export function deadlineOf(arrivedAt: number, route: Route, facts: RequestMetadata): number {
+	return arrivedAt + Math.min(route.timeoutMilliseconds, facts.deadlineMilliseconds ?? Infinity);
+}
+
+/** When a request is ended: by its caller's deadline, its route's timeout or the instance's stop, and in a late event loop before them, so that its final response leaves in time. */
 export class RequestEnd {
 	static create(options: ExchangeOptions): RequestEnd {
 		return new RequestEnd(options);
 	}
 
-	readonly #lateness: ExchangeOptions['lateness'];
+	readonly #options: ExchangeOptions;
 	readonly #limit: {readonly arrivedAt: number; readonly deadlineAt: number};
 
-	private constructor({arrivedAt, lateness, route, facts}: ExchangeOptions) {
-		this.#lateness = lateness;
-		this.#limit = {arrivedAt, deadlineAt: arrivedAt + Math.min(route.timeoutMilliseconds, facts.deadlineMilliseconds ?? Infinity)};
+	private constructor(options: ExchangeOptions) {
+		const {arrivedAt, route, facts} = options;
+		this.#options = options;
+		this.#limit = {arrivedAt, deadlineAt: deadlineOf(arrivedAt, route, facts)};
 	}
 
 	/** When the request is ended. */
 	get at(): number {
-		return endAt(this.#limit, this.#lateness.milliseconds);
+		const {lateness, stop} = this.#options;
+		return Math.min(endAt(this.#limit, lateness.milliseconds), stop.endsAt);
+	}
+
+	/** Whether the instance's stop, and not a time limit of its own, has ended the request. */
+	get isStopped(): boolean {
+		const {stop, lateness} = this.#options;
+		return performance.now() >= stop.endsAt && stop.endsAt < endAt(this.#limit, lateness.milliseconds);
+	}
+
+	/** The last moment at which the request may be sent to an endpoint; infinite while the instance does not stop. */
+	get lastStartAt(): number {
+		const {route, stop} = this.#options;
+		return stop.lastStartAt({route, deadlineAt: this.#limit.deadlineAt});
 	}
 
 	/** When to look whether the request is ended. */
 	get nextLookAt(): number {
-		const {isMeasured, milliseconds} = this.#lateness;
-		return isMeasured ? nextLookAt(this.#limit, {lagMilliseconds: milliseconds, now: performance.now()}) : this.#limit.deadlineAt;
+		const {lateness: {isMeasured, milliseconds}, stop} = this.#options;
+		const lookAt = isMeasured ? nextLookAt(this.#limit, {lagMilliseconds: milliseconds, now: performance.now()}) : this.#limit.deadlineAt;
+		return Math.min(lookAt, stop.endsAt);
 	}
 }
--- a/src/gateway/requests/retry-progress.ts
+++ b/src/gateway/requests/retry-progress.ts
@@ -9,6 +9,8 @@
 export type RetryContext = {
 	readonly hasLeft: boolean;
 	readonly remainingMilliseconds: number;
+	/** False if the instance stops before another attempt could end. */
+	readonly mayStart: boolean;
 	/** True if the response to the caller has begun. */
 	readonly hasResponse: boolean;
 	/** Id of the last event that the caller was sent. */
@@ -22,7 +24,7 @@
 /** Whether a failed request is retried, and if not, the reason. */
 export type RetryDecision
 	= | {readonly type: 'retry'}
-		| {readonly type: 'give-up'; readonly reason: 'may-have-run' | 'attempts' | 'response-begun' | 'left' | 'deadline' | 'quarantined'}
+		| {readonly type: 'give-up'; readonly reason: 'may-have-run' | 'attempts' | 'response-begun' | 'left' | 'deadline' | 'stopping' | 'quarantined'}
 	/** All instances together have made as many retries as are allowed, or this one its share of them. */
 		| {readonly type: 'give-up'; readonly reason: 'allowance'; readonly grant: RetryGrant};
 
@@ -94,7 +96,7 @@
 		return this.#route.kind === RouteKind.stream && this.#route.resumable;
 	}
 
-	#obstacle({verdict}: FailedOutcome, {hasLeft, remainingMilliseconds, hasResponse, lastEventId, isQuarantined}: RetryContext): Exclude<Extract<RetryDecision, {type: 'give-up'}>['reason'], 'allowance'> | undefined {
+	#obstacle({verdict}: FailedOutcome, {hasLeft, remainingMilliseconds, mayStart, hasResponse, lastEventId, isQuarantined}: RetryContext): Exclude<Extract<RetryDecision, {type: 'give-up'}>['reason'], 'allowance'> | undefined {
 		if (verdict !== Verdict.notRun && !this.isIdempotent) {
 			return 'may-have-run';
 		}
@@ -115,6 +117,10 @@
 			return 'deadline';
 		}
 
+		if (!mayStart) {
+			return 'stopping';
+		}
+
 		return isQuarantined() ? 'quarantined' : undefined;
 	}
 }
--- /dev/null
+++ b/src/gateway/stop-schedule.ts
@@ -0,0 +1,77 @@
+import {lastStartAt, longestRunTime, recordRunTime, type RunTimes} from '../policy/stopping/index.js';
+import {type Route} from '../routing/index.js';
+
+/** One request's place in the schedule: when its caller's deadline or its route's timeout ends it. */
+export type ScheduledRequest = {readonly route: Route; readonly deadlineAt: number};
+
+/** By when an instance that stops has answered every request, and until when it begins one. */
+export class StopSchedule {
+	static create(): StopSchedule {
+		return new StopSchedule();
+	}
+
+	/** When every request has its final response; infinite until the instance stops. Milliseconds of the monotonic clock. */
+	endsAt = Infinity;
+	readonly #listeners = new Set<() => void>();
+	readonly #runTimes: RunTimes = new Map();
+
+	private constructor() {
+		// Created by `create` alone.
+	}
+
+	/** Starts the stop, and tells all requests that wait. */
+	begin(endsAt: number): void {
+		this.endsAt = endsAt;
+		for (const listener of this.#listeners) {
+			listener();
+		}
+	}
+
+	/** Calls the listener when the stop begins, unless it is disposed before. */
+	onBegin(listener: () => void): Disposable {
+		this.#listeners.add(listener);
+		return {
+			[Symbol.dispose]: () => {
+				this.#listeners.delete(listener);
+			},
+		};
+	}
+
+	/** Records how long a request took, from its sending to the end of its response. */
+	recordRun(route: Route, milliseconds: number): void {
+		recordRunTime(this.#runTimes, route.name, milliseconds);
+	}
+
+	/** The last moment at which a request may be begun; infinite while the instance does not stop. */
+	lastStartAt({route: {name, timeoutMilliseconds}, deadlineAt}: ScheduledRequest): number {
+		return lastStartAt({deadlineAt, timeoutMilliseconds, longestMilliseconds: longestRunTime(this.#runTimes, name)}, this.endsAt);
+	}
+
+	/**
+	 * Waits for what a request needs before it can be begun; resolves to undefined at the last moment at which it could be. What it waits for is not
+	 * ended.
+	 */
+	async beforeLastStart<Result>(request: ScheduledRequest, work: Promise<Result>): Promise<Result | undefined> {
+		let timer: NodeJS.Timeout | undefined;
+		let setTimer: () => void = () => undefined;
+		const late = new Promise<undefined>(resolve => {
+			setTimer = () => {
+				const lastAt = this.lastStartAt(request);
+				timer = lastAt === Infinity
+					? undefined
+					: setTimeout(() => {
+						resolve(undefined);
+					}, lastAt - performance.now());
+			};
+		});
+		using _listener = this.onBegin(() => {
+			setTimer();
+		});
+		setTimer();
+		try {
+			return await Promise.race([work, late]);
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+}
--- /dev/null
+++ b/src/policy/stopping/index.ts
@@ -0,0 +1,3 @@
+/** What an instance that stops still begins. */
+export * from './last-start.js';
+export * from './run-times.js';
--- /dev/null
+++ b/test/policy/stopping.test.ts
@@ -0,0 +1,40 @@
+import fc from 'fast-check';
+import tap from 'tap';
+import {lastStartAt, longestRunTime, recordRunTime, type RunTimes} from '../../src/policy/stopping/index.js';
+
+const endsAt = 10_000;
+
+// An instance that knows nothing of a route began its requests until the end, and cut them off.
+tap.test('a request of a route of which nothing is known may take its whole timeout', async t => {
+	t.equal(lastStartAt({deadlineAt: Infinity, timeoutMilliseconds: 4000, longestMilliseconds: undefined}, endsAt), 6000);
+	t.equal(lastStartAt({deadlineAt: Infinity, timeoutMilliseconds: 4000, longestMilliseconds: 300}, endsAt), 9700);
+	t.equal(lastStartAt({deadlineAt: Infinity, timeoutMilliseconds: 200, longestMilliseconds: 300}, endsAt), 9800);
+});
+
+tap.test('a request whose deadline comes before the end of the stop may be begun at any time, and all may while there is no stop', async t => {
+	t.equal(lastStartAt({deadlineAt: endsAt, timeoutMilliseconds: 4000, longestMilliseconds: 4000}, endsAt), Infinity);
+	t.equal(lastStartAt({deadlineAt: endsAt + 1, timeoutMilliseconds: 4000, longestMilliseconds: 4000}, Infinity), Infinity);
+});
+
+tap.test('the longest run time covers requests of one length, and those of alternating lengths', async t => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 10_000}), fc.integer({min: 1, max: 10_000}), (one, other) => {
+		const times: RunTimes = new Map();
+		for (let number = 0; number < 40; number++) {
+			recordRunTime(times, 'route', number % 2 === 0 ? one : other);
+		}
+
+		return longestRunTime(times, 'route')! >= Math.max(one, other) - 1;
+	}), {seed: 1, numRuns: 500});
+	t.equal(longestRunTime(new Map(), 'route'), undefined);
+});
+
+tap.test('the routes that are remembered are bounded, and those in use are kept', async t => {
+	const times: RunTimes = new Map();
+	for (let number = 0; number < 3000; number++) {
+		recordRunTime(times, `route-${number}`, 10);
+		recordRunTime(times, 'used', 20);
+	}
+
+	t.ok(times.size <= 1000);
+	t.ok(longestRunTime(times, 'used') !== undefined);
+});
