--- a/bench/gateway-soak/child.ts
+++ b/bench/gateway-soak/child.ts
@@ -110,6 +110,11 @@
 		this.#process?.kill('SIGHUP');
 	}
 
+	/** Whether it is ready now. */
+	async isReady(): Promise<boolean> {
+		return this.#isReady();
+	}
+
 	async ready(): Promise<boolean> {
 		const until = performance.now() + readyMilliseconds;
 		while (performance.now() < until) {
--- a/bench/gateway-soak/soak-platform.ts
+++ b/bench/gateway-soak/soak-platform.ts
@@ -49,6 +49,8 @@
 	/** How a request crashes the worker that runs it, if it does. */
 	crashOn: (request: WorkerRequest) => CrashAnswer | undefined = crashesNever;
 	isRevoked = false;
+	/** Timeout of all routes; without it, that of the stand-in's desired state. */
+	routeTimeoutMilliseconds: number | undefined;
 	/** A further key of the second workspace, if it has one. */
 	#seriesKey: string | undefined;
 	readonly #random: Random;
@@ -154,7 +156,9 @@
 
 	#publishAgain(): void {
 		const tenants = [{name: 'studio-a', apiKeys: [validKey]}, {name: 'studio-b', apiKeys: [...(this.isRevoked ? [] : [revokedKey]), ...(this.#seriesKey === undefined ? [] : [this.#seriesKey])]}];
-		this.store.put('keyed.op', 'config', desiredState(this.#version, {tenants}));
+		const state = desiredState(this.#version, {tenants});
+		const routes = (state.routes as ReadonlyArray<Readonly<Record<string, unknown>>>).map(route => this.routeTimeoutMilliseconds === undefined ? route : {...route, timeoutMs: this.routeTimeoutMilliseconds});
+		this.store.put('keyed.op', 'config', {...state, routes});
 	}
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,7 +6,7 @@
 import {IntakeGate} from './intake-gate.js';
 import {type GatewayOptions} from './gateway-options.js';
 import {RequestServer} from './request-server.js';
-import {StopSchedule} from './stop-schedule.js';
+import {StopSchedule} from './stopping/index.js';
 
 /**
  * How long the port stays open during a graceful shutdown; then idle connections are closed. The load balancer sends new
--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -5,10 +5,10 @@
 import {type RepeatableRequest} from './crashes/index.js';
 import {type GatewayOptions} from './gateway-options.js';
 import {type IntakeGate, type IntakeOutcome, intakeRequestOf} from './intake-gate.js';
-import {MemoryPool} from './memory-pool.js';
+import {MemoryPool} from './memory/index.js';
 import {findTarget, type Rejection, type RequestTarget} from './request-target.js';
 import {Caller, deadlineOf, Exchange} from './requests/index.js';
-import {type ScheduledRequest, type StopSchedule} from './stop-schedule.js';
+import {type ScheduledRequest, type StopSchedule} from './stopping/index.js';
 
 /** Retry delay while memory for bodies is short: a few requests end within this time. */
 const bufferFullRetryMilliseconds = 300;
--- a/src/gateway/requests/attempt-state.ts
+++ b/src/gateway/requests/attempt-state.ts
@@ -1,6 +1,6 @@
 import {areForwardable, Verdict} from '../../model/index.js';
 import {type Decision} from '../placement/index.js';
-import {type MemoryAccount, type MemoryPool} from '../memory-pool.js';
+import {type MemoryAccount, type MemoryPool} from '../memory/index.js';
 import {type ResponseMetadata, type RawHeaders, type RequestCodec} from '../adapter/index.js';
 import {type Attempt, type AttemptEvent} from './attempt.js';
 import {ByteBuffer} from './byte-buffer.js';
--- a/src/gateway/requests/caller.ts
+++ b/src/gateway/requests/caller.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type RawHeaders} from '../adapter/index.js';
-import {type MemoryAccount, type MemoryPool} from '../memory-pool.js';
+import {type MemoryAccount, type MemoryPool} from '../memory/index.js';
 import {ByteBuffer} from './byte-buffer.js';
 
 /** If at least this much data for a slow caller is unsent, the endpoint's response is paused. */
--- a/src/gateway/requests/exchange-options.ts
+++ b/src/gateway/requests/exchange-options.ts
@@ -1,10 +1,10 @@
 import {type AlarmEvent} from '../../concurrency/index.js';
 import {type ConnectionPools} from '../endpoints/index.js';
 import {type CrashLedger, type RepeatableRequest} from '../crashes/index.js';
-import {type MemoryPool} from '../memory-pool.js';
+import {type MemoryPool} from '../memory/index.js';
 import {type Decision} from '../placement/index.js';
 import {type UsageCounter} from '../duties/index.js';
-import {type StopSchedule} from '../stop-schedule.js';
+import {type StopSchedule} from '../stopping/index.js';
 import {type StreamRegistry} from '../streams/index.js';
 import {type RawHeaders, type RequestCodec} from '../adapter/index.js';
 import {type DecisionLog, type LoggedRequest} from './decision-log.js';
--- /dev/null
+++ b/src/gateway/stopping/index.ts
@@ -0,0 +1,2 @@
+/** The schedule of an instance that stops. */
+export * from './stop-schedule.js';
--- a/src/gateway/stop-schedule.ts
+++ b/src/gateway/stopping/stop-schedule.ts
@@ -1,5 +1,5 @@
-import {lastStartAt, longestRunTime, recordRunTime, type RunTimes} from '../policy/stopping/index.js';
-import {type Route} from '../routing/index.js';
+import {lastStartAt, longestRunTime, recordRunTime, type RunTimes} from '../../policy/stopping/index.js';
+import {type Route} from '../../routing/index.js';
 
 /** One request's place in the schedule: when its caller's deadline or its route's timeout ends it. */
 export type ScheduledRequest = {readonly route: Route; readonly deadlineAt: number};
