a start outlasts settings that are half written and a port that its predecessor holds

What the users saw (FAULT): the system did not start, or its processes ended by themselves, once on each of two sites; no logs are kept.

What can happen here: the process ended with code 1 where its settings file was being written at that moment, which the platform does also without a signal, and where the process before it still held a port until the end of its grace.

Change: settings that cannot be read are read again for two seconds, and ports that are in use are waited for as long as a graceful shutdown takes; each is said once on standard error. After that the start fails with the same error as before.

Evidence: test/bin/gateway-start on: not ready, the process had ended, in both cases; ready in both since.

--- a/src/bin/gateway-program.ts
+++ b/src/bin/gateway-program.ts
@@ -4,6 +4,7 @@
 import {type GatewaySettings, parseGatewaySettings} from '../settings/gateway/index.js';
 import {type GatewayAdapter} from './gateway-adapter.js';
 import {GatewayProcess} from './gateway-process.js';
+import {readStartSettings, waitForPorts} from './gateway-start.js';
 import {stopSignal} from './stop-signal.js';
 
 /** Poll interval of the settings file, for changes without a signal. */
@@ -11,8 +12,8 @@
 
 /** Runs one gateway with the settings of a file until a signal stops it. */
 export async function runGateway(settingsFile: string, adapter: GatewayAdapter): Promise<void> {
-	const text = readFileSync(settingsFile, 'utf8');
-	const settings = parseGatewaySettings(text);
+	const {text, settings} = await readStartSettings(settingsFile);
+	await waitForPorts(settings);
 	using sink = LineSink.create(process.stdout.fd);
 	const logger = createLogger({name: 'cassiaflow-gateway', level: settings.logLevel, output: sink, fields: {instance: settings.instance}});
 	const log = forPart(logger, 'Gateway');
