--- a/src/bin/gateway-start.ts
+++ b/src/bin/gateway-start.ts
@@ -41,14 +41,11 @@
 export async function waitForPorts({callerAddress, adminAddress, peerAddress, stopSeconds}: GatewaySettings): Promise<void> {
 	const until = performance.now() + (stopSeconds * 1000);
 	for (const address of [callerAddress, adminAddress, peerAddress]) {
-		let tries = 1;
-		for (; performance.now() < until; tries++) {
-			if (await isFree(address)) {
-				break;
-			}
-
-			if (tries === 1) {
+		let hasSaid = false;
+		while (!await isFree(address) && performance.now() < until) {
+			if (!hasSaid) {
 				process.stderr.write(`cassiaflow-gateway: ${address} is in use, trying again.\n`);
+				hasSaid = true;
 			}
 
 			await delay(portRetryMilliseconds);
--- a/src/gateway/memory/memory-pool.ts
+++ b/src/gateway/memory/memory-pool.ts
@@ -40,6 +40,7 @@
 
 	readonly #onChange: (bytes: number) => void;
 	#heldBytes = 0;
+	#isClosed = false;
 
 	private constructor(onChange: (bytes: number) => void) {
 		this.#onChange = onChange;
@@ -49,13 +50,18 @@
 		return this.#heldBytes;
 	}
 
-	/** Sets how many bytes the request holds now. */
+	/** Sets how many bytes the request holds now; none once it has ended, whatever still arrives. */
 	hold(bytes: number): void {
+		if (this.#isClosed) {
+			return;
+		}
+
 		this.#onChange(bytes - this.#heldBytes);
 		this.#heldBytes = bytes;
 	}
 
 	[Symbol.dispose](): void {
 		this.hold(0);
+		this.#isClosed = true;
 	}
 }
--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -61,8 +61,9 @@
 			return;
 		}
 
-		request.resume();
-		Caller.create(request, response).respond({status: 503, message: 'The request has not run.', headers: [], retryAfterMilliseconds: errorRetryMilliseconds, closesConnection: true});
+		const caller = Caller.create(request, response);
+		caller.discardBody();
+		caller.respond({status: 503, message: 'The request has not run.', headers: [], retryAfterMilliseconds: errorRetryMilliseconds, closesConnection: true});
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
@@ -177,10 +178,10 @@
 	}
 
 	/** Sends a response that says why the request is not forwarded. */
-	#reject({request, caller, facts}: Arrival, {status, message, details, ...more}: Rejection): void {
+	#reject({caller, facts}: Arrival, {status, message, details, ...more}: Rejection): void {
 		const {log, routingState, codec} = this.#options;
 		log.logRejection(facts?.id, status, {message, version: routingState.table?.version, ...details});
-		request.resume();
+		caller.discardBody();
 		caller.respond({status, message, headers: codec.gatewayResponseHeaders(facts), ...more});
 	}
 
--- a/src/gateway/requests/caller.ts
+++ b/src/gateway/requests/caller.ts
@@ -7,6 +7,9 @@
 /** If at least this much data for a slow caller is unsent, the endpoint's response is paused. */
 const maxUnsentBytes = 256 * 1024;
 
+/** How long a connection that closes after a response stays open for the rest of a body that nobody reads. */
+const lingerMilliseconds = 500;
+
 /** Result of reading a caller's body. */
 export type BodyResult
 	= | {readonly type: 'whole'; readonly body: Uint8Array | undefined}
@@ -67,8 +70,7 @@
 			request.on('data', (chunk: Uint8Array) => {
 				length += chunk.length;
 				if (length > limitBytes || !memory.hasRoomFor(chunk.length)) {
-					request.removeAllListeners('data');
-					request.resume();
+					this.discardBody();
 					body.take();
 					resolve({type: length > limitBytes ? 'too-large' : 'no-room'});
 					return;
@@ -89,6 +91,12 @@
 		});
 	}
 
+	/** Reads what is left of the body without keeping it. */
+	discardBody(): void {
+		this.#request.removeAllListeners('data');
+		this.#request.resume();
+	}
+
 	/** Sends the status and headers of an endpoint's response. */
 	writeHead(status: number, headers: RawHeaders): void {
 		this.#response.writeHead(status, [...headers]);
@@ -125,8 +133,30 @@
 			...(retryAfterMilliseconds === undefined ? [] : ['Retry-After', (retryAfterMilliseconds / 1000).toFixed(2)]),
 			...(closesConnection === true ? ['Connection', 'close'] : []),
 		]);
+		if (closesConnection === true && !this.#request.complete) {
+			this.#response.write(body);
+			this.#endOnceRead();
+			return;
+		}
+
 		this.#response.end(body);
 	}
+
+	/**
+	 * Ends the response once the caller's body has arrived, or a moment later. A connection that is closed while bytes still arrive is reset, and the
+	 * reset can overtake the response: its caller would see neither that its request has not run nor when to come back.
+	 */
+	#endOnceRead(): void {
+		const timer = setTimeout(() => {
+			this.#response.end();
+		}, lingerMilliseconds);
+		for (const event of ['end', 'close']) {
+			this.#request.once(event, () => {
+				clearTimeout(timer);
+				this.#response.end();
+			});
+		}
+	}
 }
 
 /** Methods whose requests have no body unless the headers announce one. */
--- a/test/gateway/late-in-grace.test.ts
+++ b/test/gateway/late-in-grace.test.ts
@@ -130,6 +130,7 @@
 tap.test('a request that fails too late in the grace is not sent again', async t => {
 	await using testbed = await createTestbed(() => workMilliseconds);
 	await testbed.addWorker('other', 'orders');
+	testbed.respondWith('orders', () => ({type: 'whole', body: 'slow', afterMilliseconds: workMilliseconds}));
 	await testbed.send({path: '/lookup/1', id: 'before', headers: {'deadline-ms': String(longMilliseconds)}});
 	let attempts = 0;
 	testbed.respondWith('orders', ({id}) => {
@@ -153,3 +154,23 @@
 	const {status, isComplete} = await sent;
 	t.same([status, isComplete], [502, true]);
 });
+
+// The connection was closed while the body still came; the reset overtook the answer, and the caller saw a closed connection alone.
+tap.test('a caller who is still sending its body gets the answer that its request has not run', async t => {
+	await using testbed = await createTestbed(() => workMilliseconds);
+	await testbed.send({path: '/release/1', method: 'POST', id: 'before'});
+	const {socket, reply} = await connect(testbed);
+	socket.pause();
+	socket.write(headOf('sending').replace('Content-Length: 4', 'Content-Length: 60000'));
+	const timer = setInterval(() => {
+		socket.write('x'.repeat(100));
+	}, 10);
+	await sleep(50);
+	const stopped = stop(testbed);
+	await sleep(200);
+	socket.resume();
+	await eventually(() => reply.isClosed);
+	clearInterval(timer);
+	t.match(reply.text, /^HTTP\/1\.1 503 [\s\S]*has not run/v);
+	t.ok(await stopped);
+});
