builds are stored at the end of the wait after a start, also where a timer fires early or the store answers late

From reading the diff: the look at the end of the wait was set to the part of a millisecond, timers drop that part, and a look that came too early stored nothing until the next one, ten seconds later; so did a read that ended after the wait. The look is a millisecond late now, and follows the read. gateway/stream-builds-lost-power and stream-registry pass. A comment says deadline and timeout in place of another word.

--- a/src/gateway/requests/request-end.ts
+++ b/src/gateway/requests/request-end.ts
@@ -29,7 +29,7 @@
 		return Math.min(endAt(this.#limit, lateness.milliseconds), stop.endsAt);
 	}
 
-	/** Whether the instance's stop, and not a time limit of its own, has ended the request. */
+	/** Whether the instance's stop, and neither its deadline nor its route's timeout, has ended the request. */
 	get isStopped(): boolean {
 		const {stop, lateness} = this.#options;
 		return performance.now() >= stop.endsAt && stop.endsAt < endAt(this.#limit, lateness.milliseconds);
--- a/src/gateway/streams/build-history.ts
+++ b/src/gateway/streams/build-history.ts
@@ -56,11 +56,11 @@
 		this.#options = options;
 		this.#settledAt = this.#startedAt + settleMilliseconds.least + (options.random() * settleMilliseconds.spread);
 		this.whenRead = this.#read();
+		void this.whenRead.then(() => {
+			this.#lookSoon();
+		});
 		options.routingState.onChange(() => {
-			this.#changeTimer ??= setTimeout(() => {
-				this.#changeTimer = undefined;
-				this.#storeChanges();
-			}, Math.max(lookMilliseconds.change, this.#settledAt - performance.now())).unref();
+			this.#lookSoon();
 		});
 		this.#restTimer = setInterval(() => {
 			this.#storeChanges();
@@ -97,6 +97,18 @@
 		};
 	}
 
+	/** Stores changes in a moment, but not before this instance knows the others. A timer may fire up to a millisecond early. */
+	#lookSoon(): void {
+		if (this.#isDisposed) {
+			return;
+		}
+
+		this.#changeTimer ??= setTimeout(() => {
+			this.#changeTimer = undefined;
+			this.#storeChanges();
+		}, Math.max(lookMilliseconds.change, Math.ceil(this.#settledAt - performance.now()) + 1)).unref();
+	}
+
 	/** Stores the builds that have changed and that this instance is to store. */
 	#storeChanges(): void {
 		const {instance, instances, routingState} = this.#options;
