--- a/test/gateway/failed-request.test.ts
+++ b/test/gateway/failed-request.test.ts
@@ -127,3 +127,68 @@
 	t.same([stream.status, stream.isComplete], [200, false]);
 	t.equal(await testbed.statusOf(), 200);
 });
+
+/** How each kind of request is answered by its endpoints, and by how many. */
+const courses: ReadonlyArray<{readonly name: string; readonly path: string; readonly method: string}> = [
+	{name: 'an order', path: '/release/1', method: 'POST'},
+	{name: 'a lookup whose first endpoint resets', path: '/lookup/1', method: 'GET'},
+	{name: 'a stream that goes on at another endpoint', path: '/chart/1', method: 'POST'},
+	{name: 'a stream that may run once', path: '/question/1', method: 'POST'},
+];
+/** More calls than any of these requests makes. */
+const mostCalls = 14;
+
+/** The codec, with an error in one call for one request: the calls are counted in the order in which they come, until it is disarmed. */
+function codecFailingAt(call: number): {readonly codec: RequestCodec; readonly disarm: () => boolean} {
+	let calls = 0;
+	let isArmed = false;
+	let hasFailed = false;
+	const codec = Object.fromEntries(Object.entries(platformAdapter.codec).map(([name, handle]) => [name, (...parameters: unknown[]) => {
+		isArmed ||= name === 'readRequest' && (parameters[0] as Record<string, unknown>)[faultyHeader] !== undefined;
+		calls += isArmed ? 1 : 0;
+		if (isArmed && calls === call) {
+			hasFailed = true;
+			throw new TypeError(`an error in call ${call}, ${name}`);
+		}
+
+		return (handle as (...all: unknown[]) => unknown)(...parameters);
+	}])) as unknown as RequestCodec;
+	return {
+		codec, disarm() {
+			isArmed = false;
+			calls = Infinity;
+			return hasFailed;
+		},
+	};
+}
+
+// Whatever step of a request the error is in: its caller must get a true answer, and the next requests must be served.
+for (const {name, path, method} of courses) {
+	tap.test(`an error at any moment of ${name} ends it with a true answer, and what it held is released`, async t => {
+		let failed = 0;
+		for (let call = 1; call <= mostCalls; call++) {
+			await using testbed = await Testbed.create();
+			const isFirst = new Set<string>();
+			testbed.respondWith('orders', ({id}) => {
+				const isReset = path === '/lookup/1' && id === 'faulty' && !isFirst.has(id);
+				isFirst.add(id);
+				return isReset ? {type: 'reset'} : {type: 'whole', body: 'done'};
+			});
+			testbed.respondWith('models', ({headers}) => ({type: 'events', count: 4, ...(headers['last-event-id'] === undefined && path === '/chart/1' && {cutAfter: 2})}));
+			const {codec, disarm} = codecFailingAt(call);
+			const gateway = await testbed.startGateway({}, {...platformAdapter, codec});
+			const {status, isComplete, headers} = await testbed.send({path, method, id: 'faulty', headers: {[faultyHeader]: 'yes'}});
+			const runs = testbed.attemptCount('faulty');
+			const hasFailed = disarm();
+			failed += hasFailed ? 1 : 0;
+			t.ok(status === 503 ? runs === 0 && headers['retry-after'] !== undefined : (status === 200 || status === 502 || (status === 0 && !isComplete)), `call ${call}: status ${status}, ${runs} runs`);
+			t.ok(!hasFailed || status !== 200 || !isComplete, `call ${call}: what an error ended does not look whole`);
+			await eventually(() => gateway.gateway.openRequests === 0);
+			t.same(gateway.gateway.heldBytes, {bodies: 0, responses: 0});
+			const next = await Promise.all(Array.from({length: 4}, async () => testbed.statusOf({path: '/lookup/1'})));
+			t.ok(next.every(one => one === 200), `call ${call}: the next are served, ${next.join(', ')}`);
+		}
+
+		t.ok(failed >= 4, `${failed} of the calls were made`);
+	});
+}
--- a/test/gateway/late-in-grace.test.ts
+++ b/test/gateway/late-in-grace.test.ts
@@ -174,3 +174,36 @@
 	t.match(reply.text, /^HTTP\/1\.1 503 [\s\S]*has not run/v);
 	t.ok(await stopped);
 });
+
+const moments = 17;
+const momentMilliseconds = 200;
+const shortMilliseconds = 100;
+/** The process ends so long before the platform would end it, and has sent its last answers. */
+const marginsMilliseconds = 800;
+
+// At each moment of the grace something may become ready to be begun: none of it may be cut off, and none refused that had the time.
+tap.test('of requests whose bodies end at each moment of the grace none is cut off, and none refused that could have ended', async t => {
+	await using testbed = await createTestbed(() => shortMilliseconds);
+	await Promise.all(Array.from({length: 20}, async (_, number) => testbed.send({path: '/release/1', method: 'POST', id: `before-${number}`})));
+	const connections = await Promise.all(Array.from({length: moments}, async () => connect(testbed)));
+	for (const [number, {socket}] of connections.entries()) {
+		socket.write(headOf(`moment-${number}`));
+	}
+
+	await sleep(50);
+	const stopped = stop(testbed);
+	for (const [number, {socket}] of connections.entries()) {
+		setTimeout(() => {
+			socket.write('hi!!');
+		}, number * momentMilliseconds);
+	}
+
+	t.ok(await stopped);
+	const statuses = connections.map(({reply}) => Number(/^HTTP\/1\.1 (?<status>\d+)/v.exec(reply.text)?.groups?.status ?? 0));
+	const lastMilliseconds = (stopSeconds * 1000) - marginsMilliseconds - (5 * shortMilliseconds);
+	for (const [number, status] of statuses.entries()) {
+		const couldEnd = number * momentMilliseconds < lastMilliseconds;
+		t.ok(couldEnd ? status === 200 : [200, 502, 503].includes(status), `${number * momentMilliseconds} ms: ${status}`);
+		t.ok(status !== 503 || testbed.attemptCount(`moment-${number}`) === 0, 'what is answered 503 has not run');
+	}
+});
