log each response that this instance cuts off by closing its connection

Logs could not tell a connection that the instance closed with answers owed from one that its caller left: one line says it now, with the request's id, whether its response had begun and whether the instance stops; gateway_cut_responses_total counts them. It changes no logic.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -138,6 +138,14 @@
 		socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
 	}
 
+	/** A caller that leaves ends or resets its connection; without either, this instance has closed it. */
+	#logIfCut({socket, headersDistinct}: IncomingMessage, {writableFinished, headersSent}: ServerResponse): void {
+		const hasLeft = socket.readableEnded || socket.errored !== null;
+		if (!writableFinished && !hasLeft) {
+			this.#options.log.logCut(headersDistinct['request-id']?.[0], {hasBegun: headersSent, isStopping: this.#isStopping});
+		}
+	}
+
 	async #accept(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {socket} = request;
 		const arrivedAt = this.#options.lateness.arrivalOf(socket);
@@ -154,6 +162,7 @@
 		});
 		response.once('close', () => {
 			this.#openResponses.delete(response);
+			this.#logIfCut(request, response);
 			if (this.#openResponses.size === 0 && this.#isStopping) {
 				for (const resolve of this.#drainedListeners) {
 					resolve();
--- a/src/gateway/requests/decision-log.ts
+++ b/src/gateway/requests/decision-log.ts
@@ -63,6 +63,7 @@
 	readonly #firstEvents: Latency;
 	readonly #durations: Latency;
 	readonly #errors: Counter;
+	readonly #cut: Counter;
 	readonly #errorLimit = LogLimit.create({intervalMilliseconds: summaryMilliseconds, maxKeys: maxErrorKeys});
 	readonly #dropped = new Map<string, number>();
 	readonly #timer: NodeJS.Timeout;
@@ -76,6 +77,7 @@
 		this.#givenUp = metrics.counter('gateway_attempts_given_up_total', 'Attempts given up before their endpoint sent anything, by service.', ['service']);
 		this.#keptPrompts = metrics.counter('gateway_kept_prompts_total', 'Prompts sent to an idle engine, by what was believed of their shared parts there, and by what the first event showed.', ['believed', 'found']);
 		this.#errors = metrics.counter('gateway_request_errors_total', 'Requests that ended by an error of this process, by route.', ['route']);
+		this.#cut = metrics.counter('gateway_cut_responses_total', 'Responses that this instance cut off by closing their connection, by whether they had begun.', ['begun']);
 		this.#firstEvents = metrics.latency('gateway_first_event', 'From arrival to the first event of a stream.');
 		this.#durations = metrics.latency('gateway_request', 'From arrival to the end of the response.');
 		this.#timer = setInterval(() => {
@@ -166,6 +168,12 @@
 		}
 	}
 
+	/** Logs that this instance has closed a connection on which a response was owed, or was not complete. */
+	logCut(request: string | undefined, details: {readonly hasBegun: boolean; readonly isStopping: boolean}): void {
+		this.#cut.add(1, {begun: String(details.hasBegun)});
+		this.#write('Closed a connection without a whole response.', {request, ...details});
+	}
+
 	/** Logs a request that ended before it had a route or a placement. */
 	logRejection(request: string | undefined, status: number, details: Readonly<Record<string, unknown>>): void {
 		this.#decisions.add(1, {decision: `status-${status}`});
