which response closes a connection is decided once for the connection, and a request is begun when it is its turn

What callers saw: a request that was read behind another one on its connection (RFC 9112, 9.3.2 allows that) ran and had no answer, when the response before it closed the connection: in a stop, by a refusal, or by a response that broke off. Bytes that are no HTTP behind a request that runs were answered 400 at once, and the caller took that for the answer to its request. A caller that left with requests behind each other left the later ones running, and they counted as open for ever (the stop of such an instance lasted to its end and counted as not whole). Cause: each response decided for itself that its connection closes, and Node ends the connection after the first that says so; malformed bytes were answered past the responses that are owed; Node tells only the response that is being sent that its connection is gone. Class: what belongs to a connection was decided by one of its requests. Change: src/policy/connections holds the requests of a connection in their order: the last response that is owed closes it, nothing is begun behind a response that has said so, malformed bytes are answered last, and one request at a time is begun unless all have safe methods (the same section), since whatever breaks off a response also cuts those behind. At most 32 are open; the next is refused and closes the connection. src/connections does the I/O for an HTTP server. Tried before: all requests of a connection beside each other, the last one closing it: passes as well, but an order behind a stream that breaks off has run and gets no answer.

--- /dev/null
+++ b/src/connections/caller-connection.ts
@@ -0,0 +1,124 @@
+import {type IncomingMessage} from 'node:http';
+import {type Socket} from 'node:net';
+import {begunRequests, type ConnectionAction, type ConnectionEvent, type ConnectionState, newConnection, stepConnection} from '../policy/connections/index.js';
+import {malformedEvent, type OwedResponse} from './owed-response.js';
+
+/** A request with its response. */
+type OpenRequest = {readonly request: IncomingMessage; readonly response: OwedResponse; readonly begin: () => void};
+
+/** Methods that change nothing (RFC 9110, 9.2.1). */
+const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS', 'TRACE']);
+
+const reasons: Readonly<Record<number, string>> = {400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large'};
+
+/** One connection of a caller, with the requests whose responses it owes. */
+export class CallerConnection {
+	static create(socket: Socket): CallerConnection {
+		return new CallerConnection(socket);
+	}
+
+	readonly #socket: Socket;
+	readonly #open = new Map<number, OpenRequest>();
+	#state: ConnectionState = newConnection;
+	#requests = 0;
+	/** Bytes that had been received when the last request was complete; more than these are the beginning of another one. */
+	#readBytes = 0;
+
+	private constructor(socket: Socket) {
+		this.#socket = socket;
+	}
+
+	/** Number of responses that are owed. */
+	get openCount(): number {
+		return this.#open.size;
+	}
+
+	/** Whether it has served requests, owes no response, and no other request has begun to arrive. */
+	get isIdle(): boolean {
+		return this.#requests > 0 && this.#open.size === 0 && this.#socket.bytesRead === this.#readBytes;
+	}
+
+	/** Adds a request; tells whether it is served, refused, or ignored. */
+	add(request: IncomingMessage, response: OwedResponse): 'serve' | 'refuse' | 'ignore' {
+		const number = this.#requests;
+		this.#requests += 1;
+		request.once('end', () => {
+			this.#readBytes = this.#socket.bytesRead;
+		});
+		// Its connection was ended by this instance: no response can be sent, and its caller may send it again.
+		const {type} = this.#socket.writableEnded ? {type: 'ignore'} : this.#step({type: 'request', number, hasSafeMethod: safeMethods.has(request.method ?? '')});
+		if (type !== 'serve' && type !== 'refuse') {
+			return 'ignore';
+		}
+
+		this.#open.set(number, {request, response, begin: giveTurn(response)});
+		this.#beginNext();
+		response.onHead = () => this.#step({type: 'head', number, closes: response.closesConnection}).type === 'announce';
+		response.once('finish', () => {
+			this.#apply(this.#step({type: 'end', number}));
+			this.#beginNext();
+		});
+		response.once('close', () => {
+			this.#open.delete(number);
+		});
+		return type;
+	}
+
+	/** The instance stops: the connection closes once it owes no response. */
+	startClosing(): void {
+		this.#step({type: 'stop'});
+	}
+
+	/** Bytes arrived that are no request. A request whose body they end is answered by itself, those before it first. */
+	rejectMalformed(status: number): void {
+		const last = [...this.#open.values()].at(-1);
+		const isInsideBody = last !== undefined && !last.request.complete;
+		if (isInsideBody && last.request.emit(malformedEvent, status)) {
+			return;
+		}
+
+		this.#apply(this.#step({type: 'malformed', status}));
+	}
+
+	/** Ends the connection; what it has sent arrives first. */
+	close(): void {
+		this.#socket.destroySoon();
+	}
+
+	/** The connection is gone: nobody waits for the responses behind the first one. */
+	abandon(): void {
+		for (const {response, begin} of this.#open.values()) {
+			response.closeUnsent();
+			begin();
+		}
+	}
+
+	#beginNext(): void {
+		for (const number of begunRequests(this.#state)) {
+			this.#open.get(number)?.begin();
+		}
+	}
+
+	#step(event: ConnectionEvent): ConnectionAction {
+		const {state, action} = stepConnection(this.#state, event);
+		this.#state = state;
+		return action;
+	}
+
+	#apply(action: ConnectionAction): void {
+		if (action.type === 'reject' && this.#socket.writable) {
+			this.#socket.end(`HTTP/1.1 ${action.status} ${reasons[action.status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		} else if (action.type === 'close' || action.type === 'reject') {
+			this.close();
+		}
+	}
+}
+
+/** Has a response wait for its turn; returns what ends the wait. */
+function giveTurn(response: OwedResponse): () => void {
+	let begin: () => void = () => undefined;
+	response.turn = new Promise(resolve => {
+		begin = resolve;
+	});
+	return begin;
+}
--- /dev/null
+++ b/src/connections/caller-connections.ts
@@ -0,0 +1,189 @@
+import {type IncomingMessage, type Server} from 'node:http';
+import {Server as NetServer, type Socket} from 'node:net';
+import {type Duplex} from 'node:stream';
+import {CallerConnection} from './caller-connection.js';
+import {type OwedResponse} from './owed-response.js';
+
+export type CallerConnectionsOptions = {
+	readonly server: Server<typeof IncomingMessage, typeof OwedResponse>;
+	/** Serves a request. */
+	readonly onRequest: (request: IncomingMessage, response: OwedResponse) => void;
+	/** Refuses a request, since too many of its connection are open. */
+	readonly onExcess: (request: IncomingMessage, response: OwedResponse) => void;
+	/** Called with a request that arrived behind a response that closes its connection; it is neither begun nor answered. */
+	readonly onIgnored: (request: IncomingMessage) => void;
+	/** Called if bytes of a connection are no HTTP request, or a request does not arrive in time. */
+	readonly onMalformed: (status: number, reason: string) => void;
+};
+
+const badRequest = 400;
+/** Statuses of the errors of Node's parser; all others are bad requests. */
+const statuses: Readonly<Record<string, number>> = {HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408};
+
+type ParserError = Error & {readonly code?: string};
+
+/** The connections of one HTTP server. */
+export class CallerConnections {
+	static create(options: CallerConnectionsOptions): CallerConnections {
+		return new CallerConnections(options);
+	}
+
+	readonly #options: CallerConnectionsOptions;
+	readonly #connections = new Map<Duplex, CallerConnection>();
+	#isStopping = false;
+	#onEnded: (() => void) | undefined;
+
+	private constructor(options: CallerConnectionsOptions) {
+		this.#options = options;
+		const {server} = options;
+		server.on('connection', (socket: Socket) => {
+			this.#add(socket);
+		});
+		server.on('request', (request, response) => {
+			this.#accept(request, response);
+		});
+		server.on('clientError', (error: ParserError, socket) => {
+			this.#rejectMalformed(error, socket);
+		});
+		server.on('connect', (request, socket) => {
+			this.#rejectMalformed(new Error(`${request.method} is not served`), socket);
+		});
+		server.on('timeout', (socket: Socket) => {
+			this.#closeIfStillIdle(socket);
+		});
+	}
+
+	/** Number of requests whose response is not complete. */
+	get openRequests(): number {
+		let sum = 0;
+		for (const {openCount} of this.#connections.values()) {
+			sum += openCount;
+		}
+
+		return sum;
+	}
+
+	/** Lets each connection close after the last response that it owes. */
+	startClosing(): void {
+		this.#isStopping = true;
+		for (const connection of this.#connections.values()) {
+			connection.startClosing();
+		}
+	}
+
+	/**
+	 * Closes the port and idle connections, and resolves once no response is owed and all connections are closed. Node's own way to close a server would
+	 * also close connections whose last response is complete here and waits for its caller to read.
+	 */
+	async end(): Promise<void> {
+		NetServer.prototype.close.call(this.#options.server);
+		for (const connection of this.#connections.values()) {
+			if (connection.isIdle) {
+				connection.close();
+			}
+		}
+
+		if (this.openRequests > 0) {
+			await new Promise<void>(resolve => {
+				this.#onEnded = resolve;
+			});
+		}
+
+		await this.#closeRest();
+	}
+
+	#add(socket: Socket): void {
+		const connection = CallerConnection.create(socket);
+		this.#connections.set(socket, connection);
+		if (this.#isStopping) {
+			connection.startClosing();
+		}
+
+		socket.once('close', () => {
+			this.#connections.delete(socket);
+			connection.abandon();
+		});
+	}
+
+	#accept(request: IncomingMessage, response: OwedResponse): void {
+		const connection = this.#connections.get(request.socket);
+		const outcome = connection?.add(request, response) ?? 'ignore';
+		switch (outcome) {
+			case 'serve': {
+				this.#watchEnd(response);
+				this.#options.onRequest(request, response);
+				return;
+			}
+
+			case 'refuse': {
+				this.#watchEnd(response);
+				response.closesConnection = true;
+				this.#options.onExcess(request, response);
+				return;
+			}
+
+			case 'ignore': {
+				request.resume();
+				this.#options.onIgnored(request);
+			}
+		}
+	}
+
+	#watchEnd(response: OwedResponse): void {
+		response.once('close', () => {
+			if (this.#onEnded !== undefined && this.openRequests === 0) {
+				this.#onEnded();
+			}
+		});
+	}
+
+	#rejectMalformed(error: ParserError, socket: Duplex): void {
+		const connection = this.#connections.get(socket);
+		// A caller that ends its connection within a request has left, as one that ends it behind a request.
+		if (connection === undefined || !socket.writable || error.code === 'ECONNRESET' || error.code === 'HPE_INVALID_EOF_STATE') {
+			socket.destroy();
+			return;
+		}
+
+		const status = statusOf(error);
+		this.#options.onMalformed(status, error.message);
+		connection.rejectMalformed(status);
+	}
+
+	/**
+	 * Timers run before sockets are read: in a late loop a request that arrived long ago waits unread while its connection's idle timeout passes, and its
+	 * caller would see a closed connection. What has arrived is read in this turn.
+	 */
+	#closeIfStillIdle(socket: Socket): void {
+		const connection = this.#connections.get(socket);
+		setImmediate(() => {
+			if (connection?.isIdle === true) {
+				connection.close();
+			}
+		});
+	}
+
+	/** Closes what is left once nothing is owed; what has arrived by then is read and answered first. */
+	async #closeRest(): Promise<void> {
+		for (;;) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+			if (this.openRequests === 0) {
+				break;
+			}
+
+			await new Promise<void>(resolve => {
+				this.#onEnded = resolve;
+			});
+		}
+
+		for (const connection of this.#connections.values()) {
+			connection.close();
+		}
+	}
+}
+
+function statusOf({code = ''}: ParserError): number {
+	return statuses[code] ?? badRequest;
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,8 @@
 import {once} from 'node:events';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {createServer, IncomingMessage, type Server} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
-import {type Duplex} from 'node:stream';
+import {Timeout} from '../concurrency/index.js';
+import {CallerConnections, OwedResponse} from '../connections/index.js';
 import {AcceptProbe} from './accept-probe.js';
 import {IntakeGate} from './intake-gate.js';
 import {type GatewayOptions} from './gateway-options.js';
@@ -31,11 +32,8 @@
 	}
 
 	readonly #options: GatewayOptions;
-	readonly #server: Server;
-	/** Called when the last open response ends during a graceful shutdown. */
-	readonly #drainedListeners = new Set<() => void>();
-	/** Responses that are not complete yet. */
-	readonly #openResponses = new Set<ServerResponse>();
+	readonly #server: Server<typeof IncomingMessage, typeof OwedResponse>;
+	readonly #connections: CallerConnections;
 	readonly #intake: IntakeGate;
 	readonly #requests: RequestServer;
 	readonly #stop = StopSchedule.create();
@@ -61,18 +59,16 @@
 				this.#intake.recordProbe(outcome);
 			},
 		});
-		this.#server = createServer({maxHeaderSize: maxHeaderBytes, requestTimeout: requestTimeoutMilliseconds, keepAliveTimeout: defaultIdleMilliseconds, noDelay: true}, (request, response) => {
-			void this.#accept(request, response);
+		this.#server = createServer({
+			ServerResponse: OwedResponse, IncomingMessage, maxHeaderSize: maxHeaderBytes, requestTimeout: requestTimeoutMilliseconds, keepAliveTimeout: defaultIdleMilliseconds, noDelay: true,
 		});
+		this.#connections = this.#openConnections();
 		this.#server.on('connection', (socket: Socket) => {
 			const openedAt = this.#intake.recordConnection();
 			if (!this.#acceptProbe.accept(socket)) {
 				options.lateness.recordConnection(socket, openedAt);
 			}
 		});
-		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-			this.#rejectMalformed(error, socket);
-		});
 		options.routingState.onChange(change => {
 			if (change.type === 'table') {
 				this.#server.keepAliveTimeout = change.input.limits.idleMilliseconds;
@@ -86,7 +82,7 @@
 	}
 
 	get openRequests(): number {
-		return this.#openResponses.size;
+		return this.#connections.openRequests;
 	}
 
 	/** Bytes that all requests hold of bodies and of answers. */
@@ -105,20 +101,14 @@
 	async drain(endsAt: number): Promise<void> {
 		this.#isStopping = true;
 		this.#stop.begin(endsAt);
-		for (const response of this.#openResponses) {
-			announceClose(response);
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, drainListenMilliseconds);
-		});
-		this.#server.close();
-		this.#server.closeIdleConnections();
-		if (this.#openResponses.size > 0) {
-			await new Promise<void>(resolve => {
-				this.#drainedListeners.add(resolve);
+		this.#connections.startClosing();
+		// Its last turn reads what has arrived: a connection that waits to be accepted when the port closes is reset, and so is an idle one with a request unread.
+		await new Promise<void>(resolve => {
+			Timeout.start(drainListenMilliseconds, () => {
+				resolve();
 			});
-		}
+		});
+		await this.#connections.end();
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -127,63 +117,43 @@
 		this.#server.closeAllConnections();
 	}
 
-	/** Ends a connection whose bytes are no HTTP request. */
-	#rejectMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
-		if (!socket.writable || error.code === 'ECONNRESET') {
-			socket.destroy();
-			return;
-		}
-
-		this.#options.log.logRejection(undefined, 400, {reason: error.message});
-		socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+	#openConnections(): CallerConnections {
+		const {log} = this.#options;
+		return CallerConnections.create({
+			server: this.#server,
+			onRequest: (request, response) => {
+				void this.#accept(request, response);
+			},
+			onExcess: (request, response) => {
+				this.#logIfCut(request, response);
+				this.#requests.refuseExcess(request, response);
+			},
+			onIgnored(request) {
+				log.logIgnored(idOf(request));
+			},
+			onMalformed(status, reason) {
+				log.logRejection(undefined, status, {reason});
+			},
+		});
 	}
 
-	/** A caller that leaves ends or resets its connection; without either, this instance has closed it. */
-	#logIfCut({socket, headersDistinct}: IncomingMessage, {writableFinished, headersSent}: ServerResponse): void {
-		const hasLeft = socket.readableEnded || socket.errored !== null;
-		if (!writableFinished && !hasLeft) {
-			this.#options.log.logCut(headersDistinct['request-id']?.[0], {hasBegun: headersSent, isStopping: this.#isStopping});
-		}
+	async #accept(request: IncomingMessage, response: OwedResponse): Promise<void> {
+		this.#logIfCut(request, response);
+		await this.#requests.serve(request, response, this.#options.lateness.arrivalOf(request.socket));
 	}
 
-	async #accept(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	/** Logs a response that this instance cuts off. A caller that leaves ends or resets its connection; without either, this instance has closed it. */
+	#logIfCut(request: IncomingMessage, response: OwedResponse): void {
 		const {socket} = request;
-		const arrivedAt = this.#options.lateness.arrivalOf(socket);
-		if (socket.writableEnded) {
-			// The request arrived while the gateway closed its connection. No response is possible, so it is not forwarded.
-			return;
-		}
-
-		this.#openResponses.add(response);
-		response.once('finish', () => {
-			if (this.#isStopping) {
-				socket.destroySoon();
-			}
-		});
 		response.once('close', () => {
-			this.#openResponses.delete(response);
-			this.#logIfCut(request, response);
-			if (this.#openResponses.size === 0 && this.#isStopping) {
-				for (const resolve of this.#drainedListeners) {
-					resolve();
-				}
+			const hasLeft = socket.readableEnded || socket.errored !== null;
+			if (!response.writableFinished && !hasLeft) {
+				this.#options.log.logCut(idOf(request), {hasBegun: response.headersSent, isStopping: this.#isStopping});
 			}
 		});
-		if (this.#isStopping) {
-			announceClose(response);
-		}
-
-		await this.#requests.serve(request, response, arrivedAt);
 	}
 }
 
-/**
- * Announces that the connection closes after this response, if its headers are not sent yet; otherwise the connection is
- * closed after the response's last byte. Without this, a caller would keep its connection and send a request there seconds
- * later, which the end of the shutdown would interrupt.
- */
-function announceClose(response: ServerResponse): void {
-	if (!response.headersSent) {
-		response.setHeader('Connection', 'close');
-	}
+function idOf({headersDistinct}: IncomingMessage): string | undefined {
+	return headersDistinct['request-id']?.[0];
 }
--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -1,7 +1,8 @@
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type IncomingMessage} from 'node:http';
 import {spawn} from '../concurrency/index.js';
+import {type OwedResponse} from '../connections/index.js';
 import {type IntakeRequest} from '../policy/lateness/index.js';
-import {type RequestMetadata} from './adapter/index.js';
+import {type RequestCodec, type RequestMetadata} from './adapter/index.js';
 import {type RepeatableRequest} from './crashes/index.js';
 import {type GatewayOptions} from './gateway-options.js';
 import {type IntakeGate, type IntakeOutcome, intakeRequestOf} from './intake-gate.js';
@@ -24,6 +25,8 @@
 const stoppingRetryMilliseconds = 50;
 const stopping: Rejection = {status: 503, message: 'The instance stops before the request could end; it has not run.', retryAfterMilliseconds: stoppingRetryMilliseconds};
 
+const excess: Rejection = {status: 503, message: 'Too many requests of this connection are open; this one has not run.', retryAfterMilliseconds: bufferFullRetryMilliseconds};
+
 /** The gateway's parts, the gate of its requests, and the schedule of its stop. */
 export type RequestServerOptions = GatewayOptions & {readonly intake: IntakeGate; readonly stop: StopSchedule};
 
@@ -50,7 +53,7 @@
 	}
 
 	/** Serves one request to its end. An error ends this request alone. */
-	async serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
+	async serve(request: IncomingMessage, response: OwedResponse, arrivedAt: number): Promise<void> {
 		try {
 			await this.#serve(request, response, arrivedAt);
 		} catch (error) {
@@ -58,8 +61,14 @@
 		}
 	}
 
+	/** Refuses a request since too many of its connection are open. */
+	refuseExcess(request: IncomingMessage, response: OwedResponse): void {
+		const facts = factsOf(this.#options.codec.readRequest(request.headers));
+		this.#reject({request, caller: Caller.create(request, response), facts, arrivedAt: performance.now()}, {...excess, closesConnection: true});
+	}
+
 	/** Ends one request after an error of this process, before the request was forwarded; one that was has ended in its own process. */
-	#endByError(request: IncomingMessage, response: ServerResponse, error: unknown): void {
+	#endByError(request: IncomingMessage, response: OwedResponse, error: unknown): void {
 		this.#options.log.logError(error, {request: request.headersDistinct['request-id']?.[0], sendings: 0});
 		if (response.headersSent || response.destroyed) {
 			response.destroy();
@@ -71,10 +80,10 @@
 		caller.respond({status: 503, message: 'The request has not run.', headers: [], retryAfterMilliseconds: errorRetryMilliseconds, closesConnection: true});
 	}
 
-	async #serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): Promise<void> {
+	async #serve(request: IncomingMessage, response: OwedResponse, arrivedAt: number): Promise<void> {
 		const {routingState: {table}, codec} = this.#options;
 		const read = codec.readRequest(request.headers);
-		const arrival: Arrival = {request, caller: Caller.create(request, response), facts: read.type === 'facts' ? read.facts : undefined, arrivedAt};
+		const arrival: Arrival = {request, caller: Caller.create(request, response), facts: factsOf(read), arrivedAt};
 		const found = findTarget({read, table, request, uptimeMilliseconds: arrivedAt - this.#startedAt});
 		if (found.type === 'rejected') {
 			this.#reject(arrival, found.rejection);
@@ -116,17 +125,22 @@
 				break;
 			}
 
+			case 'malformed': {
+				this.#reject(arrival, {status: outcome.status, message: 'The body is malformed, or did not arrive in time.', closesConnection: true});
+				break;
+			}
+
 			case 'whole': {
 				await this.#begin(arrival, target, intakeRequest, outcome.body);
 			}
 		}
 	}
 
-	/** Begins a request that has arrived completely, once the event loop has time for it. */
+	/** Begins a request that has arrived completely, once it is its turn on its connection and the event loop has time for it. */
 	async #begin(arrival: Arrival, target: RequestTarget, intakeRequest: IntakeRequest, body: Uint8Array | undefined): Promise<void> {
 		const {intake: gate, stop} = this.#options;
 		const scheduled = scheduledOf(arrival, target);
-		const intake = await stop.beforeLastStart(scheduled, gate.admit(intakeRequest));
+		const intake = await stop.beforeLastStart(scheduled, arrival.caller.turn.then(async () => gate.admit(intakeRequest)));
 		if (arrival.caller.hasDisconnected) {
 			this.#logDisconnect(arrival, 'The caller disconnected before its request was placed.');
 			return;
@@ -197,6 +211,10 @@
 	}
 }
 
+function factsOf(read: ReturnType<RequestCodec['readRequest']>): RequestMetadata | undefined {
+	return read.type === 'facts' ? read.facts : undefined;
+}
+
 /** The request as the schedule of a stop sees it. */
 function scheduledOf({arrivedAt}: Arrival, {route, facts}: RequestTarget): ScheduledRequest {
 	return {route, deadlineAt: deadlineOf(arrivedAt, route, facts)};
--- a/src/gateway/requests/caller.ts
+++ b/src/gateway/requests/caller.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type IncomingMessage} from 'node:http';
+import {malformedEvent, type OwedResponse} from '../../connections/index.js';
 import {type RawHeaders} from '../adapter/index.js';
 import {type MemoryAccount, type MemoryPool} from '../memory/index.js';
 import {ByteBuffer} from './byte-buffer.js';
@@ -16,6 +17,8 @@
 		| {readonly type: 'too-large'}
 	/** The bodies of all requests take the memory that there is for them. */
 		| {readonly type: 'no-room'}
+	/** It is no body by HTTP's framing, or does not arrive in time. */
+		| {readonly type: 'malformed'; readonly status: number}
 		| {readonly type: 'left'};
 
 /** A response that the gateway makes itself. */
@@ -32,14 +35,14 @@
  * caller can't take it for complete.
  */
 export class Caller {
-	static create(request: IncomingMessage, response: ServerResponse): Caller {
+	static create(request: IncomingMessage, response: OwedResponse): Caller {
 		return new Caller(request, response);
 	}
 
 	readonly #request: IncomingMessage;
-	readonly #response: ServerResponse;
+	readonly #response: OwedResponse;
 
-	private constructor(request: IncomingMessage, response: ServerResponse) {
+	private constructor(request: IncomingMessage, response: OwedResponse) {
 		this.#request = request;
 		this.#response = response;
 	}
@@ -52,6 +55,11 @@
 		return this.#response.headersSent;
 	}
 
+	/** Resolves once the request may be begun: the responses before it on its connection are complete. */
+	get turn(): Promise<void> {
+		return this.#response.turn;
+	}
+
 	/** Calls the listener once if the connection closes before the response is sent. */
 	onDisconnect(listener: () => void): void {
 		this.#response.once('close', () => {
@@ -82,6 +90,9 @@
 			request.once('end', () => {
 				resolve({type: 'whole', body: hasBody(request) ? body.take() : undefined});
 			});
+			request.once(malformedEvent, (status: number) => {
+				resolve({type: 'malformed', status});
+			});
 			request.once('error', () => {
 				resolve({type: 'left'});
 			});
@@ -124,6 +135,7 @@
 
 	respond({status, message, headers, retryAfterMilliseconds, closesConnection}: GatewayResponse): void {
 		const body = Buffer.from(`${JSON.stringify({error: {message}})}\n`);
+		this.#response.closesConnection = closesConnection === true;
 		this.#response.writeHead(status, [
 			...headers,
 			'Content-Type',
@@ -131,7 +143,6 @@
 			'Content-Length',
 			String(body.length),
 			...(retryAfterMilliseconds === undefined ? [] : ['Retry-After', (retryAfterMilliseconds / 1000).toFixed(2)]),
-			...(closesConnection === true ? ['Connection', 'close'] : []),
 		]);
 		if (closesConnection === true && !this.#request.complete) {
 			this.#response.write(body);
--- a/src/gateway/requests/decision-log.ts
+++ b/src/gateway/requests/decision-log.ts
@@ -168,6 +168,12 @@
 		}
 	}
 
+	/** Logs a request that is neither begun nor answered, since a response before it on its connection says that the connection closes. */
+	logIgnored(request: string | undefined): void {
+		this.#decisions.add(1, {decision: 'ignored'});
+		this.#write('Ignored behind a response that closes its connection.', {request});
+	}
+
 	/** Logs that this instance has closed a connection on which a response was owed, or was not complete. */
 	logCut(request: string | undefined, details: {readonly hasBegun: boolean; readonly isStopping: boolean}): void {
 		this.#cut.add(1, {begun: String(details.hasBegun)});
--- a/test/gateway/requests-behind.test.ts
+++ b/test/gateway/requests-behind.test.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import net from 'node:net';
 import tap from 'tap';
+import {maxOpenRequests} from '../../src/policy/connections/index.js';
 import {eventually, Testbed} from './testbed.js';
 
 const workMilliseconds = 300;
@@ -51,20 +52,53 @@
 	});
 }
 
-// Two requests of one connection were open when the stop began; the first response closed the connection, and the second, which had run, was lost.
-tap.test('requests that were read behind each other before a stop are all answered', async t => {
+/** The callers' kinds of requests: an order, which may run once, and a lookup. */
+function lookupOf(id: string): string {
+	return textOf(id, '/lookup/1', '\r\n').replace('POST', 'GET');
+}
+
+const threeAnswers = [{status: 200, id: 'first'}, {status: 200, id: 'second'}, {status: 200, id: 'third'}];
+
+// Requests of one connection were open when the stop began; the first response closed the connection, and the others, which had run, were lost.
+tap.test('lookups that were read behind each other before a stop are all answered', async t => {
 	await using testbed = await createTestbed();
 	const connection = await connect(testbed);
-	connection.socket.write(textOf('first') + textOf('second') + textOf('third'));
+	connection.socket.write(lookupOf('first') + lookupOf('second') + lookupOf('third'));
 	await eventually(() => testbed.attemptCount('third') === 1);
+	t.notOk(connection.text, 'they run beside each other');
+	const drained = testbed.gateways[0]!.drain();
+	await eventually(() => connection.isClosed);
+	t.same(answersOf(connection), threeAnswers);
+	t.ok(await drained);
+});
+
+// The same for orders: one whose connection breaks while the one before it is answered would have run without an answer.
+tap.test('orders that were read behind each other before a stop run one after the other, and all are answered', async t => {
+	await using testbed = await createTestbed();
+	const connection = await connect(testbed);
+	connection.socket.write(textOf('first') + textOf('second') + textOf('third'));
+	await eventually(() => testbed.attemptCount('first') === 1);
 	const drained = testbed.gateways[0]!.drain();
+	await sleep(laterMilliseconds);
+	t.equal(testbed.attemptCount('second'), 0, 'it waits for the answer before it');
 	await eventually(() => connection.isClosed);
-	t.same(answersOf(connection), [{status: 200, id: 'first'}, {status: 200, id: 'second'}, {status: 200, id: 'third'}]);
+	t.same(answersOf(connection), threeAnswers);
 	t.ok(await drained);
 });
 
+// A request behind one that breaks off was passed on, and its answer was lost with the connection.
+tap.test('an order behind a stream that breaks off is not passed on', async t => {
+	await using testbed = await createTestbed();
+	testbed.respondWith('models', () => ({type: 'events', count: 8, gapMilliseconds: 40, cutAfter: 4}));
+	const connection = await connect(testbed);
+	connection.socket.write(textOf('first', '/question/1') + textOf('second'));
+	await eventually(() => connection.isClosed);
+	t.match(connection.text, 'id: 4');
+	t.equal(testbed.attemptCount('second'), 0);
+});
+
 // A request that came behind a response that closes its connection was passed on, and its answer was lost.
-tap.test('what is read in a stop behind a response that closes the connection is answered, or not passed on', async t => {
+tap.test('what is read in a stop behind a request is answered, or not passed on', async t => {
 	await using testbed = await createTestbed();
 	const connection = await connect(testbed);
 	connection.socket.write(textOf('first'));
@@ -75,9 +109,44 @@
 	await eventually(() => connection.isClosed);
 	const answered = answersOf(connection).filter(({status}) => status === 200).map(({id}) => id);
 	t.equal(answered.length, testbed.attemptCount('first') + testbed.attemptCount('second'), 'each request that ran has its answer');
+	t.same(answered, ['first', 'second']);
 	t.ok(await drained);
 });
 
+// Node tells nobody that a response behind another one has lost its connection: the work went on, and the request counted as open for ever.
+tap.test('a caller that leaves with lookups behind each other leaves nothing running', async t => {
+	await using testbed = await createTestbed();
+	const connection = await connect(testbed);
+	connection.socket.write(lookupOf('first') + lookupOf('second'));
+	await eventually(() => testbed.attemptCount('second') === 1);
+	connection.socket.destroy();
+	await eventually(() => testbed.workers.flatMap(({abandoned}) => abandoned).length === 2, workMilliseconds);
+	t.equal(testbed.gateways[0]!.gateway.openRequests, 0);
+});
+
+// One connection could have as many requests read and held as its caller can write.
+tap.test('more requests behind each other than are read ahead are refused, and have not run', async t => {
+	await using testbed = await createTestbed();
+	const connection = await connect(testbed);
+	connection.socket.write(Array.from({length: maxOpenRequests + 2}, (_, number) => lookupOf(`many-${number}`)).join(''));
+	await eventually(() => connection.isClosed);
+	const answers = answersOf(connection);
+	t.equal(answers.length, maxOpenRequests + 1);
+	t.same(answers.at(-1), {status: 503, id: `many-${maxOpenRequests}`});
+	t.ok(answers.slice(0, -1).every(({status}) => status === 200));
+	t.equal(testbed.attemptCount(`many-${maxOpenRequests}`) + testbed.attemptCount(`many-${maxOpenRequests + 1}`), 0);
+});
+
+// A request whose turn came after its caller's deadline must not be passed on, and says so.
+tap.test('an order whose deadline passes while it waits for its turn has not run', async t => {
+	await using testbed = await createTestbed();
+	const connection = await connect(testbed);
+	connection.socket.write(textOf('first') + textOf('second').replace('Deadline-Ms: 9000', `Deadline-Ms: ${laterMilliseconds}`));
+	await eventually(() => answersOf(connection).length === 2);
+	t.same(answersOf(connection), [{status: 200, id: 'first'}, {status: 503, id: 'second'}]);
+	t.equal(testbed.attemptCount('second'), 0);
+});
+
 // The same behind a stream whose head was sent before the stop.
 tap.test('what is read in a stop behind a stream that has begun is answered, or not passed on', async t => {
 	await using testbed = await createTestbed();
