signals keep their listeners from the first module to the end of the process

What callers saw: a second SIGTERM, or SIGINT, in a graceful shutdown ended the process at once; every request in progress had its connection closed with no answer. Stops in series that overlap send it. In entry and side a SIGHUP did the same at any time. Cause: SIGTERM and SIGINT were listened to once (process.once), from the end of the start on; with no listener left the system's default acts. Class: what a signal does was decided for one moment of a process and not for its whole life. A SIGTERM at 24 moments of a start, 0 to 2.9 s: no request lost. Change: src/bin/early-signals is the first module of gateway, entry and side, keeps its listeners, and remembers the first signal that stops: a start that waits for settings or ports ends at it.

--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
+// eslint-disable-next-line import-x/no-unassigned-import, import-x/order -- it registers its handlers, which must be in place before the other modules load
+import './early-signals.js';
 import {randomBytes} from 'node:crypto';
 import {ClaimManager} from '../entry/claims/index.js';
 import {Entry, EntryTelemetry} from '../entry/index.js';
@@ -10,7 +12,7 @@
 	entrySettings, type EntrySettings, readSecurity, runProgram,
 } from '../settings/index.js';
 import {PlatformParts} from './platform-parts.js';
-import {stopSignal, withinMilliseconds} from './stop-signal.js';
+import {logIgnoredSignals, stopSignal, withinMilliseconds} from './stop-signal.js';
 
 async function main(settings: EntrySettings): Promise<void> {
 	const instance = (settings.instance ?? createInstanceId('entry')) as InstanceId;
@@ -29,7 +31,9 @@
 		routes: createOperatorRoutes({instance, role: 'entry', journal, status: () => entry.status(), quarantine: operatorQuarantine(platform.quarantine)}),
 	});
 	log.info('Listening.', {address: entry.address, internalAddress: entry.internalAddress, adminPort: admin.port});
-	log.info('Stopping.', {signal: await stopSignal()});
+	const signal = await stopSignal();
+	using _signals = logIgnoredSignals(log, 'reads-settings-once');
+	log.info('Stopping.', {signal});
 	const isDrained = await withinMilliseconds(entry.drain(settings.noticeMilliseconds), settings.stopMilliseconds);
 	log.info(isDrained ? 'Stopped with nothing in progress.' : 'Stopped with requests in progress after the drain timeout.');
 }
--- a/src/bin/cassiaflow-side.ts
+++ b/src/bin/cassiaflow-side.ts
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
+// eslint-disable-next-line import-x/no-unassigned-import, import-x/order -- it registers its handlers, which must be in place before the other modules load
+import './early-signals.js';
 import {EngineClient, EngineControl, ServiceClient} from '../endpoint/index.js';
 import {
 	createInstanceId, type EndpointId, type InstanceId, type TargetName, type ZoneName,
@@ -12,7 +14,7 @@
 	readSecurity, runProgram, sideSettings, type SideSettings,
 } from '../settings/index.js';
 import {PlatformParts} from './platform-parts.js';
-import {stopSignal, withinMilliseconds} from './stop-signal.js';
+import {logIgnoredSignals, stopSignal, withinMilliseconds} from './stop-signal.js';
 
 const healthTimeoutMilliseconds = 1000;
 /** Model weights are many gigabytes, and the store limits its transfer rate. */
@@ -41,7 +43,9 @@
 		routes: createOperatorRoutes({instance, role: 'side', journal, status: () => side.status()}),
 	});
 	log.info('Listening.', {address: side.address, adminPort: admin.port});
-	log.info('Stopping.', {signal: await stopSignal()});
+	const signal = await stopSignal();
+	using _signals = logIgnoredSignals(log, 'reads-settings-once');
+	log.info('Stopping.', {signal});
 	const isDrained = await withinMilliseconds(side.drain(), settings.stopMilliseconds);
 	log.info(isDrained ? 'Stopped with nothing running.' : 'Stopped with requests running after the drain timeout.');
 }
--- a/src/bin/gateway-program.ts
+++ b/src/bin/gateway-program.ts
@@ -5,15 +5,21 @@
 import {type GatewayAdapter} from './gateway-adapter.js';
 import {GatewayProcess} from './gateway-process.js';
 import {readStartSettings, waitForPorts} from './gateway-start.js';
-import {stopSignal} from './stop-signal.js';
+import {firstStopSignal, onSignal} from './early-signals.js';
+import {logIgnoredSignals, stopSignal} from './stop-signal.js';
 
 /** Poll interval of the settings file, for changes without a signal. */
 const settingsPollMilliseconds = 2000;
 
 /** Runs one gateway with the settings of a file until a signal stops it. */
 export async function runGateway(settingsFile: string, adapter: GatewayAdapter): Promise<void> {
-	const {text, settings} = await readStartSettings(settingsFile);
-	await waitForPorts(settings);
+	const start = await readStartSettings(settingsFile);
+	if (start.type === 'stopped' || !await waitForPorts(start.settings)) {
+		process.stderr.write(`cassiaflow-gateway: Stopped by ${firstStopSignal()} before the start.\n`);
+		return;
+	}
+
+	const {text, settings} = start;
 	using sink = LineSink.create(process.stdout.fd);
 	const logger = createLogger({name: 'cassiaflow-gateway', level: settings.logLevel, output: sink, fields: {instance: settings.instance}});
 	const log = forPart(logger, 'Gateway');
@@ -26,7 +32,9 @@
 		program.apply(changed);
 	}});
 	log.info('Started.', {version: process.version, milliseconds: Math.round(performance.now()), settings: describe(settings)});
-	log.info('Stopping.', {signal: await stopSignal(), open: program.gateway.openRequests});
+	const signal = await stopSignal();
+	using _signals = logIgnoredSignals(log, 'reloads');
+	log.info('Stopping.', {signal, open: program.gateway.openRequests});
 	const isDrained = await program.drain();
 	log.info('Stopped.', {isWhole: isDrained, open: program.gateway.openRequests});
 }
@@ -43,15 +51,15 @@
 	};
 
 	const poll = setInterval(check, settingsPollMilliseconds, 'file');
-	const onSignal = (): void => {
-		check('SIGHUP');
-	};
-
-	process.on('SIGHUP', onSignal);
+	const hangups = onSignal(signal => {
+		if (signal === 'SIGHUP') {
+			check('SIGHUP');
+		}
+	});
 	return {
 		[Symbol.dispose]() {
 			clearInterval(poll);
-			process.removeListener('SIGHUP', onSignal);
+			hangups[Symbol.dispose]();
 		},
 	};
 }
--- a/test/bin/gateway-signals.test.ts
+++ b/test/bin/gateway-signals.test.ts
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import tap from 'tap';
 
-const early = new URL('../../src/bin/early-hangup.js', import.meta.url).href;
+const early = new URL('../../src/bin/early-signals.js', import.meta.url).href;
 
 // The platform sends SIGHUP for changed settings while a gateway is still loading. Without a listener the signal
 // terminates the process, and the instance is unavailable until it has started again.
