an error in one part of a stop does not end the others

The release of the duties was one of them and not guarded, the withdrawal of the announcement was. Each part logs its error by itself now; the graceful shutdown of the port always runs to its end. gateway/duties, withdrawn-announcement, graceful-shutdown and all of test/bin pass.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -58,16 +58,17 @@
 
 	/** Shuts down gracefully; resolves to true if all requests ended, and the attempt to retract the announcement too, before the deadline. */
 	async drain(): Promise<boolean> {
-		const {gateway, store, settings, log, duties} = this.#parts;
+		const {gateway, store, settings, duties} = this.#parts;
 		this.#announcementAbort.abort();
 		// An announcement that reached the store after its withdrawal would stay there.
-		const retracted = this.#announced.then(async () => store.retract(settings.instance)).catch((error: unknown) => {
-			log.warn('Could not retract the announcement.', {reason: String(error)});
+		const retracted = this.#attempt('withdrawal of the announcement', async () => {
+			await this.#announced;
+			await store.retract(settings.instance);
 		});
 		const milliseconds = (settings.stopSeconds * 1000) - stopMarginMilliseconds;
-		const drained = Promise.all([gateway.drain(performance.now() + milliseconds - answerMarginMilliseconds), retracted, duties?.release()]).then(() => {
-			duties?.sendEnd();
-		});
+		const released = this.#attempt('release of the duties', async () => duties?.release());
+		const served = this.#attempt('graceful shutdown of the port', async () => gateway.drain(performance.now() + milliseconds - answerMarginMilliseconds));
+		const drained = Promise.all([served, retracted, released]).then(async () => this.#attempt('last report of usage', () => duties?.sendEnd()));
 		return withinMilliseconds(drained, milliseconds);
 	}
 
@@ -82,6 +83,15 @@
 		}
 	}
 
+	/** Runs one part of a stop. Its error must not end the others: requests in progress would be cut off. */
+	async #attempt(part: string, work: () => unknown): Promise<void> {
+		try {
+			await work();
+		} catch (error) {
+			this.#parts.log.warn('A part of the stop has failed.', {part, reason: String(error)});
+		}
+	}
+
 	#startAnnouncing(): void {
 		this.#announced = Promise.all([this.#announced, this.#announce()]);
 	}
