--- a/src/connections/caller-connection.ts
+++ b/src/connections/caller-connection.ts
@@ -1,10 +1,10 @@
 import {type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {begunRequests, type ConnectionAction, type ConnectionEvent, type ConnectionState, newConnection, stepConnection} from '../policy/connections/index.js';
-import {malformedEvent, type OwedResponse} from './owed-response.js';
+import {malformedEvent, type PipelinedResponse} from './pipelined-response.js';
 
 /** A request with its response. */
-type OpenRequest = {readonly request: IncomingMessage; readonly response: OwedResponse; readonly begin: () => void};
+type OpenRequest = {readonly request: IncomingMessage; readonly response: PipelinedResponse; readonly begin: () => void};
 
 /** Methods that change nothing (RFC 9110, 9.2.1). */
 const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS', 'TRACE']);
@@ -39,7 +39,7 @@
 	}
 
 	/** Adds a request; tells whether it is served, refused, or ignored. */
-	add(request: IncomingMessage, response: OwedResponse): 'serve' | 'refuse' | 'ignore' {
+	add(request: IncomingMessage, response: PipelinedResponse): 'serve' | 'refuse' | 'ignore' {
 		const number = this.#requests;
 		this.#requests += 1;
 		request.once('end', () => {
@@ -115,7 +115,7 @@
 }
 
 /** Has a response wait for its turn; returns what ends the wait. */
-function giveTurn(response: OwedResponse): () => void {
+function giveTurn(response: PipelinedResponse): () => void {
 	let begin: () => void = () => undefined;
 	response.turn = new Promise(resolve => {
 		begin = resolve;
--- a/src/connections/caller-connections.ts
+++ b/src/connections/caller-connections.ts
@@ -2,14 +2,14 @@
 import {Server as NetServer, type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 import {CallerConnection} from './caller-connection.js';
-import {type OwedResponse} from './owed-response.js';
+import {type PipelinedResponse} from './pipelined-response.js';
 
 export type CallerConnectionsOptions = {
-	readonly server: Server<typeof IncomingMessage, typeof OwedResponse>;
+	readonly server: Server<typeof IncomingMessage, typeof PipelinedResponse>;
 	/** Serves a request. */
-	readonly onRequest: (request: IncomingMessage, response: OwedResponse) => void;
+	readonly onRequest: (request: IncomingMessage, response: PipelinedResponse) => void;
 	/** Refuses a request, since too many of its connection are open. */
-	readonly onExcess: (request: IncomingMessage, response: OwedResponse) => void;
+	readonly onExcess: (request: IncomingMessage, response: PipelinedResponse) => void;
 	/** Called with a request that arrived behind a response that closes its connection; it is neither begun nor answered. */
 	readonly onIgnored: (request: IncomingMessage) => void;
 	/** Called if bytes of a connection are no HTTP request, or a request does not arrive in time. */
@@ -105,7 +105,7 @@
 		});
 	}
 
-	#accept(request: IncomingMessage, response: OwedResponse): void {
+	#accept(request: IncomingMessage, response: PipelinedResponse): void {
 		const connection = this.#connections.get(request.socket);
 		const outcome = connection?.add(request, response) ?? 'ignore';
 		switch (outcome) {
@@ -129,7 +129,7 @@
 		}
 	}
 
-	#watchEnd(response: OwedResponse): void {
+	#watchEnd(response: PipelinedResponse): void {
 		response.once('close', () => {
 			if (this.#onEnded !== undefined && this.openRequests === 0) {
 				this.#onEnded();
--- a/src/connections/index.ts
+++ b/src/connections/index.ts
@@ -1,3 +1,3 @@
 /** The connections of an HTTP server. */
 export {CallerConnections, type CallerConnectionsOptions} from './caller-connections.js';
-export {malformedEvent, OwedResponse} from './owed-response.js';
+export {malformedEvent, PipelinedResponse} from './pipelined-response.js';
--- a/src/connections/owed-response.ts
+++ b/src/connections/pipelined-response.ts
@@ -3,8 +3,8 @@
 /** Emitted by a request, with a status, if the rest of its body is malformed or does not arrive in time. */
 export const malformedEvent = 'malformed';
 
-/** A response whose connection decides, when its headers are sent, whether they say that the connection closes. */
-export class OwedResponse<Request extends IncomingMessage = IncomingMessage> extends ServerResponse<Request> {
+/** A response in its place among those of its connection, which decides, when the headers are sent, whether they say that the connection closes. */
+export class PipelinedResponse<Request extends IncomingMessage = IncomingMessage> extends ServerResponse<Request> {
 	/** Whether nothing can be read behind the request, so that the connection must close. */
 	closesConnection = false;
 	/** Resolves once the request may be begun: the responses before it on the connection are complete, or the connection is gone. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,7 @@
 import {createServer, IncomingMessage, type Server} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {Timeout} from '../concurrency/index.js';
-import {CallerConnections, OwedResponse} from '../connections/index.js';
+import {CallerConnections, PipelinedResponse} from '../connections/index.js';
 import {AcceptProbe} from './accept-probe.js';
 import {IntakeGate} from './intake-gate.js';
 import {type GatewayOptions} from './gateway-options.js';
@@ -32,7 +32,7 @@
 	}
 
 	readonly #options: GatewayOptions;
-	readonly #server: Server<typeof IncomingMessage, typeof OwedResponse>;
+	readonly #server: Server<typeof IncomingMessage, typeof PipelinedResponse>;
 	readonly #connections: CallerConnections;
 	readonly #intake: IntakeGate;
 	readonly #requests: RequestServer;
@@ -60,7 +60,7 @@
 			},
 		});
 		this.#server = createServer({
-			ServerResponse: OwedResponse, IncomingMessage, maxHeaderSize: maxHeaderBytes, requestTimeout: requestTimeoutMilliseconds, keepAliveTimeout: defaultIdleMilliseconds, noDelay: true,
+			ServerResponse: PipelinedResponse, IncomingMessage, maxHeaderSize: maxHeaderBytes, requestTimeout: requestTimeoutMilliseconds, keepAliveTimeout: defaultIdleMilliseconds, noDelay: true,
 		});
 		this.#connections = this.#openConnections();
 		this.#server.on('connection', (socket: Socket) => {
@@ -137,13 +137,13 @@
 		});
 	}
 
-	async #accept(request: IncomingMessage, response: OwedResponse): Promise<void> {
+	async #accept(request: IncomingMessage, response: PipelinedResponse): Promise<void> {
 		this.#logIfCut(request, response);
 		await this.#requests.serve(request, response, this.#options.lateness.arrivalOf(request.socket));
 	}
 
 	/** Logs a response that this instance cuts off. A caller that leaves ends or resets its connection; without either, this instance has closed it. */
-	#logIfCut(request: IncomingMessage, response: OwedResponse): void {
+	#logIfCut(request: IncomingMessage, response: PipelinedResponse): void {
 		const {socket} = request;
 		response.once('close', () => {
 			const hasLeft = socket.readableEnded || socket.errored !== null;
--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -1,6 +1,6 @@
 import {type IncomingMessage} from 'node:http';
 import {spawn} from '../concurrency/index.js';
-import {type OwedResponse} from '../connections/index.js';
+import {type PipelinedResponse} from '../connections/index.js';
 import {type IntakeRequest} from '../policy/lateness/index.js';
 import {type RequestCodec, type RequestMetadata} from './adapter/index.js';
 import {type RepeatableRequest} from './crashes/index.js';
@@ -53,7 +53,7 @@
 	}
 
 	/** Serves one request to its end. An error ends this request alone. */
-	async serve(request: IncomingMessage, response: OwedResponse, arrivedAt: number): Promise<void> {
+	async serve(request: IncomingMessage, response: PipelinedResponse, arrivedAt: number): Promise<void> {
 		try {
 			await this.#serve(request, response, arrivedAt);
 		} catch (error) {
@@ -62,13 +62,13 @@
 	}
 
 	/** Refuses a request since too many of its connection are open. */
-	refuseExcess(request: IncomingMessage, response: OwedResponse): void {
+	refuseExcess(request: IncomingMessage, response: PipelinedResponse): void {
 		const facts = factsOf(this.#options.codec.readRequest(request.headers));
 		this.#reject({request, caller: Caller.create(request, response), facts, arrivedAt: performance.now()}, {...excess, closesConnection: true});
 	}
 
 	/** Ends one request after an error of this process, before the request was forwarded; one that was has ended in its own process. */
-	#endByError(request: IncomingMessage, response: OwedResponse, error: unknown): void {
+	#endByError(request: IncomingMessage, response: PipelinedResponse, error: unknown): void {
 		this.#options.log.logError(error, {request: request.headersDistinct['request-id']?.[0], sendings: 0});
 		if (response.headersSent || response.destroyed) {
 			response.destroy();
@@ -80,7 +80,7 @@
 		caller.respond({status: 503, message: 'The request has not run.', headers: [], retryAfterMilliseconds: errorRetryMilliseconds, closesConnection: true});
 	}
 
-	async #serve(request: IncomingMessage, response: OwedResponse, arrivedAt: number): Promise<void> {
+	async #serve(request: IncomingMessage, response: PipelinedResponse, arrivedAt: number): Promise<void> {
 		const {routingState: {table}, codec} = this.#options;
 		const read = codec.readRequest(request.headers);
 		const arrival: Arrival = {request, caller: Caller.create(request, response), facts: factsOf(read), arrivedAt};
--- a/src/gateway/requests/caller.ts
+++ b/src/gateway/requests/caller.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {malformedEvent, type OwedResponse} from '../../connections/index.js';
+import {malformedEvent, type PipelinedResponse} from '../../connections/index.js';
 import {type RawHeaders} from '../adapter/index.js';
 import {type MemoryAccount, type MemoryPool} from '../memory/index.js';
 import {ByteBuffer} from './byte-buffer.js';
@@ -35,14 +35,14 @@
  * caller can't take it for complete.
  */
 export class Caller {
-	static create(request: IncomingMessage, response: OwedResponse): Caller {
+	static create(request: IncomingMessage, response: PipelinedResponse): Caller {
 		return new Caller(request, response);
 	}
 
 	readonly #request: IncomingMessage;
-	readonly #response: OwedResponse;
+	readonly #response: PipelinedResponse;
 
-	private constructor(request: IncomingMessage, response: OwedResponse) {
+	private constructor(request: IncomingMessage, response: PipelinedResponse) {
 		this.#request = request;
 		this.#response = response;
 	}
