a connection that this instance has ended is still read for a moment, so that no reset takes its last answer

What callers saw: an answer that was cut off in its middle, or not seen at all, at a stop or behind a refusal, if the caller's next request crossed the end of the connection while the answer was still on its way. Cause: the connection was closed for both directions as soon as the kernel had the answer; the kernel answers bytes to a closed connection by a reset, and the reset takes what it had not yet delivered (RFC 9112, 9.6). Class: an end of a connection that does not wait for its caller. It stood mended at one place, for refusals before the end of a body; that code goes, since each close by this instance ends its own side first, reads and ignores what comes for 500 ms after its last byte, and then closes. The stop waits for that, half a second at most.

--- a/src/connections/caller-connection.ts
+++ b/src/connections/caller-connection.ts
@@ -9,6 +9,12 @@
 /** Methods that change nothing (RFC 9110, 9.2.1). */
 const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS', 'TRACE']);
 
+/**
+ * How long a connection that this instance has ended is still read. A caller's next request may cross that end; the kernel answers bytes to a closed
+ * connection by a reset, which takes the rest of the answers before it with it (RFC 9112, 9.6).
+ */
+export const lingerMilliseconds = 500;
+
 const reasons: Readonly<Record<number, string>> = {400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large'};
 
 /** One connection of a caller, with the requests whose responses it owes. */
@@ -24,8 +30,14 @@
 	/** Bytes that had been received when the last request was complete; more than these are the beginning of another one. */
 	#readBytes = 0;
 
+	#hasEnded = false;
+
 	private constructor(socket: Socket) {
 		this.#socket = socket;
+		// Node calls this after a response that says that the connection closes.
+		socket.destroySoon = () => {
+			this.close();
+		};
 	}
 
 	/** Number of responses that are owed. */
@@ -80,9 +92,17 @@
 		this.#apply(this.#step({type: 'malformed', status}));
 	}
 
-	/** Ends the connection; what it has sent arrives first. */
+	/** Ends the connection: what was sent arrives first, and what still comes is read and ignored for a moment. */
 	close(): void {
-		this.#socket.destroySoon();
+		if (this.#hasEnded) {
+			return;
+		}
+
+		this.#hasEnded = true;
+		this.#socket.once('finish', () => {
+			this.#destroyLater();
+		});
+		this.#socket.end();
 	}
 
 	/** The connection is gone: nobody waits for the responses behind the first one. */
@@ -93,6 +113,15 @@
 		}
 	}
 
+	#destroyLater(): void {
+		const timer = setTimeout(() => {
+			this.#socket.destroy();
+		}, lingerMilliseconds);
+		this.#socket.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+
 	#beginNext(): void {
 		for (const number of begunRequests(this.#state)) {
 			this.#open.get(number)?.begin();
@@ -107,8 +136,10 @@
 
 	#apply(action: ConnectionAction): void {
 		if (action.type === 'reject' && this.#socket.writable) {
-			this.#socket.end(`HTTP/1.1 ${action.status} ${reasons[action.status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-		} else if (action.type === 'close' || action.type === 'reject') {
+			this.#socket.write(`HTTP/1.1 ${action.status} ${reasons[action.status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		}
+
+		if (action.type === 'close' || action.type === 'reject') {
 			this.close();
 		}
 	}
--- a/src/connections/caller-connections.ts
+++ b/src/connections/caller-connections.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type Server} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
-import {CallerConnection} from './caller-connection.js';
+import {CallerConnection, lingerMilliseconds} from './caller-connection.js';
 import {type PipelinedResponse} from './pipelined-response.js';
 
 export type CallerConnectionsOptions = {
@@ -32,6 +32,7 @@
 	readonly #connections = new Map<Duplex, CallerConnection>();
 	#isStopping = false;
 	#onEnded: (() => void) | undefined;
+	#onClosed: (() => void) | undefined;
 
 	private constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
@@ -102,6 +103,9 @@
 		socket.once('close', () => {
 			this.#connections.delete(socket);
 			connection.abandon();
+			if (this.#connections.size === 0) {
+				this.#onClosed?.();
+			}
 		});
 	}
 
@@ -181,6 +185,20 @@
 		for (const connection of this.#connections.values()) {
 			connection.close();
 		}
+
+		await this.#awaitClosed();
+	}
+
+	/** Waits until all connections are closed, as long as their callers' bytes may cross that. */
+	async #awaitClosed(): Promise<void> {
+		if (this.#connections.size === 0) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			this.#onClosed = resolve;
+			setTimeout(resolve, lingerMilliseconds);
+		});
 	}
 }
 
