an end within a first request is answered 400 again, and a connection on which nothing came closes without a word

From reading the change: the caller that ends its side within a request has left only if others are open.

--- a/src/connections/caller-connection.ts
+++ b/src/connections/caller-connection.ts
@@ -83,6 +83,12 @@
 
 	/** Bytes arrived that are no request. A request whose body they end is answered by itself, those before it first. */
 	rejectMalformed(status: number): void {
+		if (this.#socket.bytesRead === 0) {
+			// Nothing came in time: an answer would be taken for that to the first request.
+			this.close();
+			return;
+		}
+
 		const last = [...this.#open.values()].at(-1);
 		const isInsideBody = last !== undefined && !last.request.complete;
 		if (isInsideBody && last.request.emit(malformedEvent, status)) {
--- a/src/connections/caller-connections.ts
+++ b/src/connections/caller-connections.ts
@@ -143,8 +143,7 @@
 
 	#rejectMalformed(error: ParserError, socket: Duplex): void {
 		const connection = this.#connections.get(socket);
-		// A caller that ends its connection within a request has left, as one that ends it behind a request.
-		if (connection === undefined || !socket.writable || error.code === 'ECONNRESET' || error.code === 'HPE_INVALID_EOF_STATE') {
+		if (connection === undefined || !socket.writable || error.code === 'ECONNRESET' || hasLeft(error, connection)) {
 			socket.destroy();
 			return;
 		}
@@ -202,6 +201,11 @@
 	}
 }
 
+/** A caller that ends its connection within a request, while others are open, has left, as one that ends it behind a request. */
+function hasLeft({code}: ParserError, {openCount}: CallerConnection): boolean {
+	return code === 'HPE_INVALID_EOF_STATE' && openCount > 0;
+}
+
 function statusOf({code = ''}: ParserError): number {
 	return statuses[code] ?? badRequest;
 }
