--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -19,6 +19,8 @@
 	readonly excluded: ReadonlySet<string>;
 	/** The build that the request is bound to, once it is. */
 	readonly build: () => string | undefined;
+	/** Whether the request may leave a silent endpoint for another one; if so, what that takes is reserved. */
+	readonly mayLeave: () => boolean;
 };
 
 /** What the silence of an endpoint leads to: its report, a retry at another endpoint, the end of the request. Times are milliseconds of the monotonic clock. */
@@ -41,7 +43,7 @@
 
 	/** Reports a silent endpoint; an outcome ends the attempt. */
 	check(state: AttemptState): Outcome | undefined {
-		const {end, excluded, build, exchange: {dispatcher, crashes, request, service}} = this.#options;
+		const {end, excluded, build, mayLeave, exchange: {dispatcher, crashes, request, service}} = this.#options;
 		const now = performance.now();
 		if (now >= end.at) {
 			// An endpoint that the instance's stop leaves no time is not silent, and its request not one that crashes it.
@@ -64,20 +66,26 @@
 		}
 
 		state.nextFailoverAt = now + failoverSearchMilliseconds;
-		return dispatcher.endpoints.hasAnother(service, {excluded, build: build()}, record)
+		return dispatcher.endpoints.hasAnother(service, {excluded, build: build()}, record) && mayLeave()
 			? {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'silent', isSilent: true}
 			: undefined;
 	}
 
-	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again, or could not end there before the instance stops. */
+	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again, its answer could not go on there, or it could not end there before the instance stops. */
 	#failoverAt(state: AttemptState): number {
-		const {end, retryProgress} = this.#options;
-		return retryProgress.mayRunElsewhere && performance.now() < end.lastStartAt ? Math.max(this.#silentAt(state), state.nextFailoverAt) : Infinity;
+		const {end, retryProgress, forwarder: {lastEventId}, exchange: {caller}} = this.#options;
+		return retryProgress.mayFailOver({hasResponse: caller.hasResponse, lastEventId}) && performance.now() < end.lastStartAt ? Math.max(this.#silentAt(state), state.nextFailoverAt) : Infinity;
 	}
 
 	/** When the endpoint has sent nothing for too long; infinite if the caller reads too slowly. */
-	#silentAt({startedAt, lastEventAt, decision: {expectedMilliseconds}}: AttemptState): number {
+	#silentAt({startedAt, lastEventAt, lastSignAt, decision: {expectedMilliseconds}}: AttemptState): number {
 		const {forwarder, exchange: {route: {targetMilliseconds, longestPauseMilliseconds}}} = this.#options;
-		return forwarder.isPaused ? Infinity : failoverAt({sentAt: startedAt, lastEventAt, targetMilliseconds, longestPauseMilliseconds, expectedMilliseconds});
+		if (forwarder.isPaused) {
+			return Infinity;
+		}
+
+		const timing = {sentAt: startedAt, targetMilliseconds, longestPauseMilliseconds, expectedMilliseconds};
+		const silentSinceSignAt = lastSignAt === undefined ? -Infinity : failoverAt({...timing, lastEventAt: lastSignAt});
+		return Math.max(failoverAt({...timing, lastEventAt}), silentSinceSignAt);
 	}
 }
--- a/src/gateway/requests/retry-progress.ts
+++ b/src/gateway/requests/retry-progress.ts
@@ -5,16 +5,19 @@
 
 export type FailedOutcome = Extract<Outcome, {type: 'failed'}>;
 
+/** What the caller was sent of a response. */
+export type BegunResponse = {
+	readonly hasResponse: boolean;
+	/** Id of the last event that the caller was sent. */
+	readonly lastEventId: string | undefined;
+};
+
 /** State of a request at the time of the decision whether it is retried. */
-export type RetryContext = {
+export type RetryContext = BegunResponse & {
 	readonly hasLeft: boolean;
 	readonly remainingMilliseconds: number;
 	/** False if the instance stops before another attempt could end. */
 	readonly mayStart: boolean;
-	/** True if the response to the caller has begun. */
-	readonly hasResponse: boolean;
-	/** Id of the last event that the caller was sent. */
-	readonly lastEventId: string | undefined;
 	/** Whether the request, or a part of its prompt, has crashed endpoints, or most likely has, and is not sent on. */
 	readonly isQuarantined: () => boolean;
 	/** Reserves one retry of the allowance of all instances. */
@@ -56,9 +59,9 @@
 		return this.#route.kind === RouteKind.safe || this.#isResumable;
 	}
 
-	/** True if the request may run at one more endpoint while the attempt in progress may still run it. */
-	get mayRunElsewhere(): boolean {
-		return this.isIdempotent && this.#possibleRuns + 1 < this.#route.largestAttempts;
+	/** True if the request may run at one more endpoint while the attempt in progress may still run it, and its caller can be sent what that one answers. */
+	mayFailOver(response: BegunResponse): boolean {
+		return this.isIdempotent && this.#possibleRuns + 1 < this.#route.largestAttempts && this.#canGoOn(response);
 	}
 
 	/** Records a failed attempt and decides whether another one follows. */
@@ -70,8 +73,8 @@
 			return {type: 'give-up', reason};
 		}
 
-		// An attempt that was never sent has taken nothing from the allowance, and the next one is the first to arrive.
-		if (outcome.connection === 'none') {
+		// An attempt that was never sent has taken nothing from the allowance, and the next one is the first to arrive; a failover may have been reserved.
+		if (outcome.connection === 'none' || this.#hasReservation) {
 			return {type: 'retry'};
 		}
 
@@ -85,6 +88,15 @@
 		this.#verdict = combineVerdicts(this.#verdict, Verdict.mayHaveRun);
 	}
 
+	/**
+	 * Reserves the retry of a request whose response has begun before it leaves a silent endpoint, and returns whether it may leave. Once it has left, a
+	 * retry that is not granted would break off a response that the endpoint may still go on with.
+	 */
+	reserveFailover(context: RetryContext): boolean {
+		this.#hasReservation ||= this.#obstacle({verdict: Verdict.mayHaveRun}, context) === undefined && context.reserveRetry().isGranted;
+		return this.#hasReservation;
+	}
+
 	/** True once after a decision that has reserved a retry, for the caller to record it as sent or to release it. */
 	takeReservation(): boolean {
 		const hadReservation = this.#hasReservation;
@@ -96,7 +108,12 @@
 		return this.#route.kind === RouteKind.stream && this.#route.resumable;
 	}
 
-	#obstacle({verdict}: FailedOutcome, {hasLeft, remainingMilliseconds, mayStart, hasResponse, lastEventId, isQuarantined}: RetryContext): Exclude<Extract<RetryDecision, {type: 'give-up'}>['reason'], 'allowance'> | undefined {
+	/** Whether another endpoint can answer after what the caller was sent: nothing, or events after which the stream may go on. */
+	#canGoOn({hasResponse, lastEventId}: BegunResponse): boolean {
+		return !hasResponse || (this.#isResumable && lastEventId !== undefined);
+	}
+
+	#obstacle({verdict}: Pick<FailedOutcome, 'verdict'>, {hasLeft, remainingMilliseconds, mayStart, hasResponse, lastEventId, isQuarantined}: RetryContext): Exclude<Extract<RetryDecision, {type: 'give-up'}>['reason'], 'allowance'> | undefined {
 		if (verdict !== Verdict.notRun && !this.isIdempotent) {
 			return 'may-have-run';
 		}
@@ -105,7 +122,7 @@
 			return 'attempts';
 		}
 
-		if (hasResponse && !(this.#isResumable && lastEventId !== undefined)) {
+		if (!this.#canGoOn({hasResponse, lastEventId})) {
 			return 'response-begun';
 		}
 
