--- a/src/policy/connections/connection-state.ts
+++ b/src/policy/connections/connection-state.ts
@@ -44,7 +44,7 @@
 		| {readonly type: 'serve'}
 	/** Too many requests are open: this one is refused, and closes the connection. */
 		| {readonly type: 'refuse'}
-	/** A response has said that the connection closes: the request is neither begun nor answered, and its caller may send it again elsewhere. */
+	/** A response has said that the connection closes, or malformed bytes came before: the request is neither begun nor answered, and its caller may send it again elsewhere. */
 		| {readonly type: 'ignore'}
 	/** The response says that the connection closes. */
 		| {readonly type: 'announce'}
@@ -92,7 +92,8 @@
 }
 
 function addRequest(state: ConnectionState, request: OwedRequest): ConnectionStep {
-	if (state.hasAnnounced) {
+	// The answer to malformed bytes is the last one; Node reads on behind headers that came too late.
+	if (state.hasAnnounced || state.malformedStatus !== undefined) {
 		return {state, action: {type: 'ignore'}};
 	}
 
