connections that wait are accepted before the port closes, and what is unread is read before the last close

Callers saw: reset connections at a stop in a late loop. 20 callers opened connections while the loop was blocked over the end of the intake: none was served. And one whose request came on a new connection while the last owed answer was made lost it unread. Cause: a turn of the event loop accepts one connection, and the last turn of the intake's timeout is one; the last close passed one setImmediate, which after I/O still runs in the turn that is under way, before sockets are read. Change: connections are accepted until a turn accepts none, for at most 300 ms; the last close passes a whole turn.

--- a/src/connections/caller-connections.ts
+++ b/src/connections/caller-connections.ts
@@ -20,6 +20,9 @@
 /** Statuses of the errors of Node's parser; all others are bad requests. */
 const statuses: Readonly<Record<string, number>> = {HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408};
 
+/** How long connections that wait are accepted before the port closes; each turn of the event loop accepts one. */
+const maxAcceptMilliseconds = 300;
+
 type ParserError = Error & {readonly code?: string};
 
 /** The connections of one HTTP server. */
@@ -31,6 +34,8 @@
 	readonly #options: CallerConnectionsOptions;
 	readonly #connections = new Map<Duplex, CallerConnection>();
 	#isStopping = false;
+	/** Number of connections that were accepted. */
+	#accepted = 0;
 	#onEnded: (() => void) | undefined;
 
 	private constructor(options: CallerConnectionsOptions) {
@@ -76,6 +81,7 @@
 	 * also close connections whose last response is complete here and waits for its caller to read.
 	 */
 	async end(): Promise<void> {
+		await this.#acceptWaiting();
 		NetServer.prototype.close.call(this.#options.server);
 		for (const connection of this.#connections.values()) {
 			if (connection.isIdle) {
@@ -94,6 +100,7 @@
 
 	#add(socket: Socket): void {
 		const connection = CallerConnection.create(socket);
+		this.#accepted += 1;
 		this.#connections.set(socket, connection);
 		if (this.#isStopping) {
 			connection.startClosing();
@@ -163,12 +170,23 @@
 		});
 	}
 
+	/**
+	 * A turn of the event loop accepts one connection, and the kernel resets those that still wait when the port closes: after a late turn that would be
+	 * most of them. Each is accepted and read first, until a turn accepts none.
+	 */
+	async #acceptWaiting(): Promise<void> {
+		const endsAt = performance.now() + maxAcceptMilliseconds;
+		let accepted: number;
+		do {
+			accepted = this.#accepted;
+			await passTurn();
+		} while (this.#accepted > accepted && performance.now() < endsAt);
+	}
+
 	/** Closes what is left once nothing is owed; what has arrived by then is read and answered first. */
 	async #closeRest(): Promise<void> {
 		for (;;) {
-			await new Promise(resolve => {
-				setImmediate(resolve);
-			});
+			await passTurn();
 			if (this.openRequests === 0) {
 				break;
 			}
@@ -184,6 +202,15 @@
 	}
 }
 
+/** Passes a turn of the event loop in which all sockets are read. After I/O the first callback still runs in the turn that is under way. */
+async function passTurn(): Promise<void> {
+	for (let turn = 0; turn < 2; turn++) {
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
 function statusOf({code = ''}: ParserError): number {
 	return statuses[code] ?? badRequest;
 }
