--- a/src/connections/caller-connection.ts
+++ b/src/connections/caller-connection.ts
@@ -13,7 +13,7 @@
  * How long a connection that this instance has ended is still read. A caller's next request may cross that end; the kernel answers bytes to a closed
  * connection by a reset, which takes the rest of the answers before it with it (RFC 9112, 9.6).
  */
-export const lingerMilliseconds = 500;
+const lingerMilliseconds = 2000;
 
 const reasons: Readonly<Record<number, string>> = {400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large'};
 
@@ -111,6 +111,12 @@
 		this.#socket.end();
 	}
 
+	/** The connection takes bytes again: tells the response that it sends. */
+	drain(): void {
+		const [first] = this.#open.values();
+		first?.response.emit('drain');
+	}
+
 	/** The connection is gone: nobody waits for the responses behind the first one. */
 	abandon(): void {
 		for (const {response, begin} of this.#open.values()) {
--- a/src/connections/caller-connections.ts
+++ b/src/connections/caller-connections.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type Server} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
-import {CallerConnection, lingerMilliseconds} from './caller-connection.js';
+import {CallerConnection} from './caller-connection.js';
 import {type PipelinedResponse} from './pipelined-response.js';
 
 export type CallerConnectionsOptions = {
@@ -23,6 +23,9 @@
 /** How long connections that wait are accepted before the port closes; each turn of the event loop accepts one. */
 const maxAcceptMilliseconds = 300;
 
+/** How long a server that ends waits for callers to end their side of connections that it has ended. */
+const lastLingerMilliseconds = 500;
+
 type ParserError = Error & {readonly code?: string};
 
 /** The connections of one HTTP server. */
@@ -51,8 +54,8 @@
 		server.on('clientError', (error: ParserError, socket) => {
 			this.#rejectMalformed(error, socket);
 		});
-		server.on('connect', (request, socket) => {
-			this.#rejectMalformed(new Error(`${request.method} is not served`), socket);
+		server.on('connect', (_, socket) => {
+			this.#rejectTunnel(socket);
 		});
 		server.on('timeout', (socket: Socket) => {
 			this.#closeIfStillIdle(socket);
@@ -160,6 +163,24 @@
 		connection.rejectMalformed(status);
 	}
 
+	/**
+	 * Node takes its listeners off the connection of a caller that asks for a tunnel: an error there would end the process, the caller's leaving would not
+	 * be seen, and a long answer before it would stop.
+	 */
+	#rejectTunnel(socket: Duplex): void {
+		for (const event of ['error', 'end']) {
+			socket.on(event, () => {
+				socket.destroy();
+			});
+		}
+
+		socket.on('drain', () => {
+			this.#connections.get(socket)?.drain();
+		});
+		socket.resume();
+		this.#rejectMalformed(new Error('CONNECT is not served'), socket);
+	}
+
 	/**
 	 * Timers run before sockets are read: in a late loop a request that arrived long ago waits unread while its connection's idle timeout passes, and its
 	 * caller would see a closed connection. What has arrived is read in this turn.
@@ -214,7 +235,7 @@
 
 		await new Promise<void>(resolve => {
 			this.#onClosed = resolve;
-			setTimeout(resolve, lingerMilliseconds);
+			setTimeout(resolve, lastLingerMilliseconds);
 		});
 	}
 }
