a caller that leaves while later answers wait behind a running request is seen to leave

Endpoints saw: requests that ran on for a caller that had left. Lookups run beside each other on one connection; once more than 16 KB of later answers waited behind a running one and another request came, Node stopped reading the connection, so that its end was not read before the first answer. Change: the connection is read on. What can wait is bounded as before by the open requests of a connection: those that come in one segment were all read and begun before Node looked at the mark. Resuming the socket alone did not help (a trial): Node pauses its parser as well.

test/connections/caller-connections.test.ts, "a caller that leaves while large answers wait ...": failed in 3 of 3 runs without the change, passes now. The file also covers HTTP/1.0 and Connection: close with requests behind, HEAD, Expect: 100-continue behind a running request, a large second body whose caller leaves, headers in two parts around the end, and a connection without a request: these passed before, too. test/gateway/requests-behind passes 3 of 3 alone; in a run beside two recompilations of its files its "more requests behind each other" had failed 1 of 1, not traced.

--- a/src/connections/caller-connections.ts
+++ b/src/connections/caller-connections.ts
@@ -101,6 +101,7 @@
 	#add(socket: Socket): void {
 		const connection = CallerConnection.create(socket);
 		this.#accepted += 1;
+		keepReading(socket);
 		this.#connections.set(socket, connection);
 		if (this.#isStopping) {
 			connection.startClosing();
@@ -202,6 +203,15 @@
 	}
 }
 
+/**
+ * Node stops reading a connection whose later answers wait behind a running request beyond this mark: that the caller leaves is then not seen, and the
+ * work for it goes on. What can wait is bounded by the number of open requests, and by what the server lets each response hold. The socket's own buffer
+ * keeps its mark.
+ */
+function keepReading(socket: Socket): void {
+	Object.defineProperty(socket, 'writableHighWaterMark', {value: Infinity});
+}
+
 /** Passes a turn of the event loop in which all sockets are read. After I/O the first callback still runs in the turn that is under way. */
 async function passTurn(): Promise<void> {
 	for (let turn = 0; turn < 2; turn++) {
