a benchmark that is done ends its process

Change: bench/main.ts flushes its output and calls process.exit, which closes no handles. The spinning itself was not reproduced.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -37,3 +37,16 @@
 	.strict()
 	.help()
 	.parseAsync();
+
+// Without this, Node closes all handles first; that once spun without end, waiting for a request of a socket that never completed, and held up CI.
+await flushOutput();
+process.exit(); // eslint-disable-line unicorn/no-process-exit
+
+/** Resolves once all output is written; a pipe may take it later. */
+async function flushOutput(): Promise<void> {
+	await Promise.all([process.stdout, process.stderr].map(async stream => new Promise<void>(resolve => {
+		stream.write('', () => {
+			resolve();
+		});
+	})));
+}
