a response that waits for its turn does not announce that its connection closes

What callers saw: in a stop, requests that were read behind a refusal (404, 401, 503), which itself waited behind a longer request, had no answer; the connection closed when the longer request was done, up to seconds later. Cause: the headers of the refusal count as sent when they are written, though Node holds them back until the responses before it are complete. From then on what was read was ignored. Change: only the response whose turn it is announces the close; the others leave it to those behind them, or the connection closes after the last. One behind which nothing can be read still ends the reading at once.

--- a/src/policy/connections/connection-state.ts
+++ b/src/policy/connections/connection-state.ts
@@ -106,8 +106,10 @@
 function sendHead(state: ConnectionState, {number, closes}: Extract<ConnectionEvent, {type: 'head'}>): ConnectionStep {
 	const isClosing = state.isClosing || closes;
 	const isLast = state.open.at(-1)?.number === number && state.malformedStatus === undefined;
-	const hasAnnounced = state.hasAnnounced || (isClosing && isLast);
-	return {state: {...state, isClosing, hasAnnounced}, action: isClosing && isLast ? {type: 'announce'} : none};
+	// Headers that wait behind other responses are not sent yet: what is read until then is still served, unless nothing can be read.
+	const isSent = closes || state.open[0]?.number === number;
+	const announces = isClosing && isLast && isSent;
+	return {state: {...state, isClosing, hasAnnounced: state.hasAnnounced || announces}, action: announces ? {type: 'announce'} : none};
 }
 
 function endResponse(state: ConnectionState, number: number): ConnectionStep {
--- a/test/gateway/requests-behind.test.ts
+++ b/test/gateway/requests-behind.test.ts
@@ -197,3 +197,18 @@
 	t.same(answersOf(connection).map(({status}) => status), [200, 413]);
 	t.equal(testbed.attemptCount('behind'), 0);
 });
+
+// The answer to the second, a refusal, waited behind the first and was already taken for the one that closes the connection: what came then was read, never answered.
+tap.test('what is read in a stop behind a refusal that waits for its turn is answered', async t => {
+	await using testbed = await createTestbed();
+	const connection = await connect(testbed);
+	connection.socket.write(lookupOf('first'));
+	await eventually(() => testbed.attemptCount('first') === 1);
+	const drained = testbed.gateways[0]!.drain();
+	connection.socket.write(lookupOf('second').replace('/lookup/1', '/nowhere/1'));
+	await sleep(laterMilliseconds);
+	connection.socket.write(lookupOf('third') + textOf('fourth'));
+	await eventually(() => connection.isClosed);
+	t.same(answersOf(connection), [{status: 200, id: 'first'}, {status: 404, id: 'second'}, {status: 200, id: 'third'}, {status: 200, id: 'fourth'}]);
+	t.ok(await drained, 'the stop is whole');
+});
