--- a/src/connections/pipelined-response.ts
+++ b/src/connections/pipelined-response.ts
@@ -13,7 +13,12 @@
 	onHead: () => boolean = () => false;
 
 	override writeHead(status: number, ...more: readonly unknown[]): this {
-		if (!this.headersSent && this.onHead()) {
+		const closes = !this.headersSent && this.onHead();
+		const headers = more.at(-1);
+		if (closes && Array.isArray(headers)) {
+			// After `setHeader` Node would set the headers of a list one by one, and keep only the last of each name.
+			headers.push('Connection', 'close');
+		} else if (closes) {
 			this.setHeader('Connection', 'close');
 		}
 
--- a/test/connections/caller-connections.test.ts
+++ b/test/connections/caller-connections.test.ts
@@ -1,6 +1,6 @@
 import {type IncomingMessage} from 'node:http';
 import tap from 'tap';
-import {type OwedResponse} from '../../src/connections/index.js';
+import {type PipelinedResponse} from '../../src/connections/index.js';
 import {runCallers} from './caller-thread.js';
 import {answer, requestOf, ServerBed} from './server-bed.js';
 
@@ -20,7 +20,7 @@
 });
 
 /** Answers what has a path of `/slow` late. */
-function serveSlowly(request: IncomingMessage, response: OwedResponse): void {
+function serveSlowly(request: IncomingMessage, response: PipelinedResponse): void {
 	request.resume();
 	setTimeout(answer, request.url!.startsWith('/slow') ? workMilliseconds : 0, request, response);
 }
