--- a/src/telemetry/admin-server.ts
+++ b/src/telemetry/admin-server.ts
@@ -44,7 +44,7 @@
 	static async create(options: AdminOptions): Promise<AdminServer> {
 		const routes = [...options.routes ?? []].toSorted((first, second) => second.prefix.length - first.prefix.length);
 		const server = createServer((request, response) => {
-			void handleRequest(request, response, {...options, routes});
+			void serve(request, response, {...options, routes});
 		});
 		server.listen(options.port, options.host);
 		await once(server, 'listening');
@@ -69,8 +69,28 @@
 	}
 }
 
+/** Handles a request to its end. An error ends this request alone, and not the process with all of its callers' requests. */
+async function serve(request: IncomingMessage, response: ServerResponse, options: AdminOptions & {routes: readonly AdminRoute[]}): Promise<void> {
+	try {
+		await handleRequest(request, response, options);
+	} catch (error) {
+		if (response.headersSent) {
+			response.destroy();
+			return;
+		}
+
+		sendJson(response, {status: 500, value: errorValue(`The request failed. ${String(error)}`)});
+	}
+}
+
 async function handleRequest(request: IncomingMessage, response: ServerResponse, options: AdminOptions & {routes: readonly AdminRoute[]}): Promise<void> {
-	const url = new URL(request.url ?? '/', 'http://admin');
+	const target = request.url ?? '/';
+	if (!URL.canParse(target, 'http://admin')) {
+		sendJson(response, {status: 400, value: errorValue('The target is no URL.')});
+		return;
+	}
+
+	const url = new URL(target, 'http://admin');
 	switch (url.pathname) {
 		case '/healthz': {
 			sendText(response, 200, 'ok\n');
