entry and side outlive the reader of their logs

What callers saw: the first line after the reader of standard error had left ended the process, with all requests in progress (EPIPE without a listener). A first form of this mend looked whether a listener was there: Node's own is, and the test failed.

--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -22,8 +22,24 @@
 	readonly fields?: Readonly<Record<string, unknown>>;
 };
 
+/**
+ * Without a listener the first line after the reader of the logs has left ends the process, with all requests in progress.
+ */
+function outliveReader(): void {
+	process.stderr.removeListener('error', ignoreError);
+	process.stderr.on('error', ignoreError);
+}
+
+function ignoreError(): void {
+	// There is nobody to tell it to.
+}
+
 /** Creates a logger that writes one JSON object per line. */
 export function createLogger({name, level, output = process.stderr, fields = {}}: LoggerOptions): Logger {
+	if (output === process.stderr) {
+		outliveReader();
+	}
+
 	const stream = {
 		write(record: unknown) {
 			output.write(`${redactedJson(record)}\n`);
