waiting for a time does not take a process's signals

Importing src/bin/stop-signal for its withinMilliseconds took SIGTERM and SIGINT, so that a test or benchmark with a gateway in its own process could not be ended by them (found by the review). It has a module of its own.

--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -12,7 +12,8 @@
 	entrySettings, type EntrySettings, readSecurity, runProgram,
 } from '../settings/index.js';
 import {PlatformParts} from './platform-parts.js';
-import {logIgnoredSignals, stopSignal, withinMilliseconds} from './stop-signal.js';
+import {logIgnoredSignals, stopSignal} from './stop-signal.js';
+import {withinMilliseconds} from './within-milliseconds.js';
 
 async function main(settings: EntrySettings): Promise<void> {
 	const instance = (settings.instance ?? createInstanceId('entry')) as InstanceId;
--- a/src/bin/cassiaflow-side.ts
+++ b/src/bin/cassiaflow-side.ts
@@ -14,7 +14,8 @@
 	readSecurity, runProgram, sideSettings, type SideSettings,
 } from '../settings/index.js';
 import {PlatformParts} from './platform-parts.js';
-import {logIgnoredSignals, stopSignal, withinMilliseconds} from './stop-signal.js';
+import {logIgnoredSignals, stopSignal} from './stop-signal.js';
+import {withinMilliseconds} from './within-milliseconds.js';
 
 const healthTimeoutMilliseconds = 1000;
 /** Model weights are many gigabytes, and the store limits its transfer rate. */
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -4,7 +4,7 @@
 import {type GatewaySettings} from '../settings/gateway/index.js';
 import {allowanceOf} from './gateway-dispatcher.js';
 import {type GatewayProcessOptions, openParts, type Parts} from './gateway-parts.js';
-import {withinMilliseconds} from './stop-signal.js';
+import {withinMilliseconds} from './within-milliseconds.js';
 
 const announceRetryMilliseconds = 1000;
 /** After the store is restored from a backup, all instances announce themselves again, at random times within this period. */
