--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -77,6 +77,12 @@
 		this.#request.on('error', (error: Error) => {
 			this.#fail(error.message);
 		});
+		// An answer that would switch protocols ends the connection with neither a response nor an error.
+		this.#request.once('close', () => {
+			if (this.#response === undefined) {
+				this.#fail('the connection closed without a response');
+			}
+		});
 		this.#request.once('response', response => {
 			this.#handleResponse(response);
 		});
