--- a/src/connections/caller-connection.ts
+++ b/src/connections/caller-connection.ts
@@ -31,6 +31,7 @@
 	#readBytes = 0;
 
 	#hasEnded = false;
+	#isMalformed = false;
 
 	private constructor(socket: Socket) {
 		this.#socket = socket;
@@ -81,21 +82,30 @@
 		this.#step({type: 'stop'});
 	}
 
-	/** Bytes arrived that are no request. A request whose body they end is answered by itself, those before it first. */
-	rejectMalformed(status: number): void {
+	/**
+	 * Bytes arrived that are no request. A request whose body they end is answered by itself, those before it first. Returns false if that was known:
+	 * the parser reports each further piece.
+	 */
+	rejectMalformed(status: number): boolean {
+		if (this.#isMalformed) {
+			return false;
+		}
+
+		this.#isMalformed = true;
 		if (this.#socket.bytesRead === 0) {
 			// Nothing came in time: an answer would be taken for that to the first request.
 			this.close();
-			return;
+			return false;
 		}
 
 		const last = [...this.#open.values()].at(-1);
 		const isInsideBody = last !== undefined && !last.request.complete;
 		if (isInsideBody && last.request.emit(malformedEvent, status)) {
-			return;
+			return true;
 		}
 
 		this.#apply(this.#step({type: 'malformed', status}));
+		return true;
 	}
 
 	/** Ends the connection: what was sent arrives first, and what still comes is read and ignored for a moment. */
--- a/src/connections/caller-connections.ts
+++ b/src/connections/caller-connections.ts
@@ -160,8 +160,9 @@
 		}
 
 		const status = statusOf(error);
-		this.#options.onMalformed(status, error.message);
-		connection.rejectMalformed(status);
+		if (connection.rejectMalformed(status)) {
+			this.#options.onMalformed(status, error.message);
+		}
 	}
 
 	/**
--- a/test/gateway/pipelined-requests.test.ts
+++ b/test/gateway/pipelined-requests.test.ts
@@ -212,3 +212,31 @@
 	t.same(answersOf(connection), [{status: 200, id: 'first'}, {status: 404, id: 'second'}, {status: 200, id: 'third'}, {status: 200, id: 'fourth'}]);
 	t.ok(await drained, 'the stop is whole');
 });
+
+// The body of a request that waited for its turn was held for ever when its caller had left.
+tap.test('an order whose caller leaves while it waits for its turn has not run, and holds nothing', async t => {
+	await using testbed = await createTestbed();
+	const connection = await connect(testbed);
+	connection.socket.write(textOf('first') + textOf('second'));
+	await eventually(() => testbed.attemptCount('first') === 1);
+	connection.socket.destroy();
+	await eventually(() => testbed.gateways[0]!.gateway.heldBytes.bodies === 0 && testbed.gateways[0]!.gateway.openRequests === 0);
+	await sleep(workMilliseconds);
+	t.equal(testbed.attemptCount('second'), 0);
+});
+
+// Each further piece of bytes that are no request was reported again, and logged.
+tap.test('bytes that are no request are logged once for a connection', async t => {
+	await using testbed = await createTestbed();
+	const connection = await connect(testbed);
+	connection.socket.write(textOf('first'));
+	await eventually(() => testbed.attemptCount('first') === 1);
+	for (let number = 0; number < 10; number++) {
+		connection.socket.write('no HTTP at all\r\n\r\n');
+		await sleep(10);
+	}
+
+	await eventually(() => connection.isClosed);
+	t.equal(testbed.logLines.filter(({status}) => status === 400).length, 1);
+	t.same(answersOf(connection).map(({status}) => status), [200, 400]);
+});
