an answer that lies unread when an alarm fires is not taken for silence, expiry or the end of the stop

Callers saw: connections closed in the middle of whole answers. In a late loop the alarm of the deadline, of a silent endpoint or of the stop's end was handled before the outcome of an answer that was read in the same turn: the answer had been forwarded, its exchange ended as expired, silent or stopped, its endpoint was reported for it, and the response was aborted; where others waited on that connection, all their answers were lost. Cause: timers run before sockets are read, and the alarm's event then stood in the inbox before the outcome. An answer that fits in one reading was still delivered, since js-csp passes a setImmediate.

--- a/src/gateway/requests/attempt-sender.ts
+++ b/src/gateway/requests/attempt-sender.ts
@@ -68,6 +68,7 @@
 		const outcome = forwarder.handle(state, event);
 		if (outcome !== undefined) {
 			state.attempt.cancel();
+			state.hasOutcome = true;
 			tryDeliver(inbox, {type: 'outcome', number: state.number, outcome});
 		}
 	}
--- a/src/gateway/requests/attempt-state.ts
+++ b/src/gateway/requests/attempt-state.ts
@@ -73,6 +73,8 @@
 	isForwarding = false;
 	isServerError = false;
 	status = 0;
+	/** True once the attempt has an outcome, whose event may still wait in the inbox behind others. */
+	hasOutcome = false;
 	/** True once a response of this endpoint to this request has begun. */
 	hasOwnResponse = false;
 	rawHeaders: RawHeaders = [];
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -198,7 +198,8 @@
 			}
 
 			case 'alarm': {
-				return this.#alarm.hasFired ? this.#timeouts.check(state) : undefined;
+				// An alarm of the turn in which the answer is read stands before it; it would abort a whole response.
+				return this.#alarm.hasFired && !state.hasOutcome ? this.#timeouts.check(state) : undefined;
 			}
 
 			case 'error': {
