an answer that has begun and that no other endpoint can go on with is not given up for silence

What callers saw: half of a large answer to a lookup, and the connection closed, with the answers to requests behind it, though its endpoint was at work and time was left. Cause: after a quarter of a second without bytes the attempt was ended to try another endpoint; only then it was found that the answer had begun and could not go on there. Evidence: test/gateway/silence-after-begin, 1 of 1 failed before (the body ends early), 1 of 1 passes; stream-goes-on, silent-endpoint-timers and failed-request pass.

--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -69,10 +69,10 @@
 			: undefined;
 	}
 
-	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again, or could not end there before the instance stops. */
+	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again, could not go on there, or could not end before the instance stops. */
 	#failoverAt(state: AttemptState): number {
-		const {end, retryProgress} = this.#options;
-		return retryProgress.mayRunElsewhere && performance.now() < end.lastStartAt ? Math.max(this.#silentAt(state), state.nextFailoverAt) : Infinity;
+		const {end, retryProgress, forwarder} = this.#options;
+		return retryProgress.mayRunElsewhere && !forwarder.isBound && performance.now() < end.lastStartAt ? Math.max(this.#silentAt(state), state.nextFailoverAt) : Infinity;
 	}
 
 	/** When the endpoint has sent nothing for too long; infinite if the caller reads too slowly. */
--- a/src/gateway/requests/response-forwarder.ts
+++ b/src/gateway/requests/response-forwarder.ts
@@ -45,6 +45,12 @@
 		this.#options = options;
 	}
 
+	/** True once the caller was sent a part of a response with which no other attempt can go on. */
+	get isBound(): boolean {
+		const {caller, isResumable} = this.#options;
+		return caller.hasResponse && !(isResumable && this.lastEventId !== undefined);
+	}
+
 	/** Handles an event of an attempt; a returned outcome ends the attempt. */
 	handle(state: AttemptState, event: AttemptEvent): Outcome | undefined {
 		switch (event.type) {
