--- a/bench/gateway-soak/planned-checker.ts
+++ b/bench/gateway-soak/planned-checker.ts
@@ -30,6 +30,8 @@
 	readonly delays: readonly number[];
 	/** How late the bench itself was at most between two times. */
 	readonly latenessBetween: (from: number, until: number) => number;
+	/** The sum of that lateness: a request and the end of its connection pass the bench's loop several times, at its callers and its paths. */
+	readonly totalLatenessBetween: (from: number, until: number) => number;
 };
 
 /** The bounds of the users' settings, as the gateways of the course have them. */
@@ -146,7 +148,7 @@
 		return false;
 	}
 
-	const closedAfter = endedAt - lastByteAt - unreadMilliseconds - evidence.delays[gateway]! - evidence.latenessBetween(lastByteAt, endedAt);
+	const closedAfter = endedAt - lastByteAt - unreadMilliseconds - evidence.delays[gateway]! - evidence.totalLatenessBetween(lastByteAt, endedAt);
 	// LOST: "either once it has been passed on to a worker, or later than `lossSlackMs` after its last byte was sent"; a reset tells that something was not read.
 	const counts = arrivals.length > 0 || (close === 'orderly' && closedAfter > bounds.lossSlackMilliseconds);
 	return counts && !isExcused(record, arrivals, evidence);
--- a/bench/gateway-soak/planned-course.ts
+++ b/bench/gateway-soak/planned-course.ts
@@ -48,7 +48,7 @@
 	const evidence: PlannedEvidence = {
 		records, versions: versions.published, leftWorkers: work.leftWorkers, storeSpans: work.storeSpans, brokenOff, delays: world.gateways.map((_, gateway) => paths.delayOf(gateway)),
 		arrivals: workers.flatMap(({id, service, requests}) => requests.map(request => ({request, worker: id, service}))),
-		lives: world.gateways.map(({lives}) => lives), latenessBetween: (from, until) => lateness.between(from, until),
+		lives: world.gateways.map(({lives}) => lives), latenessBetween: (from, until) => lateness.between(from, until), totalLatenessBetween: (from, until) => lateness.totalBetween(from, until),
 	};
 	const refused = records.filter(({status}) => status === 503).length;
 	return {
@@ -127,6 +127,12 @@
 		return Math.max(next?.milliseconds ?? 0, ...this.#samples.filter(({at}) => at >= from && at < until).map(({milliseconds}) => milliseconds));
 	}
 
+	/** All lateness of a span, with that of the first sample after it. */
+	totalBetween(from: number, until: number): number {
+		const next = this.#samples.find(({at}) => at >= until);
+		return this.#samples.filter(({at}) => at >= from && at < until).reduce((sum, {milliseconds}) => sum + milliseconds, next?.milliseconds ?? 0);
+	}
+
 	[Symbol.dispose](): void {
 		clearInterval(this.#timer);
 	}
