entry: requests behind each other on one connection are all answered, or do not run

What callers saw: in a stop the first response closed its connection, and requests that had been read behind it ran without an answer. A call behind a response that broke off ran for nothing. Bytes that are no HTTP were answered 400 in front of an answer that was owed. Responses behind a lost connection never closed: the work went on, the entry counted them as active for ever, and such a stop lasted to its end. Connections that had become idle stayed open after a stop's last answer. Cause: the entry left to Node's server what belongs to a connection; each response decided by itself that its connection closes. Change: CallerConnections and OwedResponse, as in the gateway. A call awaits its turn after its body (a service call: its first part) has been read; its time in queues counts from there. A caller that left before its call was registered, as in the wait for a lease of its limits, is noticed. A body that is malformed in its middle is answered, also of a service call that has begun (may have run). The last answer of a connection waits for the rest of a body that still arrives, at most half a second: OwedResponse.endOnceRead, moved from the gateway's Caller, which uses it for each of its refusals now.

--- a/src/connections/caller-connection.ts
+++ b/src/connections/caller-connection.ts
@@ -72,9 +72,11 @@
 	/** Bytes arrived that are no request. A request whose body they end is answered by itself, those before it first. */
 	rejectMalformed(status: number): void {
 		const last = [...this.#open.values()].at(-1);
-		const isInsideBody = last !== undefined && !last.request.complete;
-		if (isInsideBody && last.request.emit(malformedEvent, status)) {
-			return;
+		if (last !== undefined && !last.request.complete) {
+			last.response.closesConnection = true;
+			if (last.request.emit(malformedEvent, status)) {
+				return;
+			}
 		}
 
 		this.#apply(this.#step({type: 'malformed', status}));
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -1,11 +1,12 @@
 import {once} from 'node:events';
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {createServer, IncomingMessage, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {spawn} from '../concurrency/index.js';
-import {createRequestId, type InstanceId, type ZoneName} from '../model/index.js';
+import {CallerConnections, OwedResponse} from '../connections/index.js';
+import {createRequestId, type InstanceId, type RequestId, type ZoneName} from '../model/index.js';
 import {type CatalogueMessage, type MembershipClient, type QuarantineLedger} from '../platform/index.js';
 import {type Placement} from '../policy/placement/index.js';
-import {DecisionJournal, Metrics, type PartLogger, type StatusAnswer} from '../telemetry/index.js';
+import {DecisionJournal, LogLimit, Metrics, type PartLogger, type StatusAnswer} from '../telemetry/index.js';
 import {type Security} from '../wire/index.js';
 import {type ClaimManager} from './claims/index.js';
 import {type Caller} from './admission.js';
@@ -44,6 +45,8 @@
 	readonly onEnd?: (caller: Caller, end: CallEnd) => void;
 };
 
+const logMilliseconds = 1000;
+
 /** A stateless instance behind the load balancer: accepts callers' requests and finds an endpoint for each. */
 export class Entry<State = unknown> implements AsyncDisposable {
 	static async create<State>(options: EntryOptions<State>): Promise<Entry<State>> {
@@ -69,7 +72,9 @@
 	readonly retries: RetryController;
 	readonly telemetry: EntryTelemetry;
 	readonly #options: EntryOptions<State>;
-	readonly #server: http.Server;
+	readonly #server: Server<typeof IncomingMessage, typeof OwedResponse>;
+	readonly #connections: CallerConnections;
+	readonly #malformedLog = LogLimit.create({intervalMilliseconds: logMilliseconds, maxKeys: 1});
 	#address = '';
 	#limiter!: Limiter;
 	#requestServer!: RequestServer;
@@ -81,7 +86,6 @@
 	#isDraining = false;
 	/** True once new requests are refused. */
 	#isStopping = false;
-	#onIdle: (() => void) | undefined;
 
 	private constructor(options: EntryOptions<State>) {
 		this.#options = options;
@@ -92,9 +96,8 @@
 			catalogueOffset: () => options.catalogue.current().offset,
 			onPeerMessage: options.onPeerMessage ?? ignorePeerMessage,
 		});
-		this.#server = http.createServer({keepAliveTimeout: 65_000}, (request, response) => {
-			this.#accept(request, response);
-		});
+		this.#server = createServer({ServerResponse: OwedResponse, IncomingMessage, keepAliveTimeout: 65_000});
+		this.#connections = this.#openConnections();
 	}
 
 	/** IP address and port for callers; remains available after the entry has closed. */
@@ -133,20 +136,17 @@
 	/**
 	 * Shuts down gracefully. Readiness fails at once, but new requests are served for another
 	 * `noticeMilliseconds`: the load balancer notices the change late, and callers would otherwise be
-	 * refused during a graceful shutdown. After that, new requests are refused as not run. Resolves when
-	 * no request is in progress.
+	 * refused during a graceful shutdown. After that the port and idle connections are closed, and requests that
+	 * arrive on other connections are refused as not run. Resolves when no response is owed.
 	 */
 	async drain(noticeMilliseconds = 0): Promise<void> {
 		this.#isDraining = true;
+		this.#connections.startClosing();
 		await new Promise(resolve => {
 			setTimeout(resolve, noticeMilliseconds);
 		});
 		this.#isStopping = true;
-		if (this.#activeCount > 0) {
-			await new Promise<void>(resolve => {
-				this.#onIdle = resolve;
-			});
-		}
+		await this.#connections.end();
 	}
 
 	/** Closes at once and aborts requests in progress; call `drain` first to let them finish. */
@@ -165,27 +165,47 @@
 		return this.isReady ? 'serving' : 'starting';
 	}
 
+	#openConnections(): CallerConnections {
+		const {logger} = this.#options;
+		return CallerConnections.create({
+			server: this.#server,
+			onRequest: (request, response) => {
+				const id = this.#accept(request, response);
+				void spawn('request', () => this.#requestServer.serve(id, request, response));
+			},
+			onExcess: (request, response) => {
+				this.#requestServer.refuseExcess(this.#accept(request, response), response);
+			},
+			onIgnored() {
+				logger.info('A request behind a response that closes its connection has not run.');
+			},
+			onMalformed: (status, reason) => {
+				if (this.#malformedLog.allows('malformed')) {
+					logger.info('A caller sent what is no request.', {status, reason});
+				}
+			},
+		});
+	}
+
 	/**
 	 * A request counts as active until its response is closed, which Node reports after the bytes have
 	 * been handed to the operating system. Otherwise a shutdown could close the socket while the last
 	 * bytes are still in the process's buffer, and the caller would get a truncated response.
 	 */
-	#accept(request: IncomingMessage, response: ServerResponse): void {
+	#accept(request: IncomingMessage, response: OwedResponse): RequestId {
 		const id = createRequestId();
 		this.#activeCount += 1;
 		this.telemetry.active(this.#activeCount);
-		if (this.#isDraining) {
-			response.setHeader('connection', 'close');
-		}
-
+		const {socket} = request;
 		response.once('close', () => {
 			this.#activeCount -= 1;
 			this.telemetry.active(this.#activeCount);
-			if (this.#activeCount === 0) {
-				this.#onIdle?.();
+			// A caller that leaves ends or resets its connection; without either, this instance has closed it.
+			if (!response.writableFinished && !socket.readableEnded && socket.errored === null) {
+				this.#options.logger.warn('A response was cut off.', {request: id, hasBegun: response.headersSent, isStopping: this.#isDraining});
 			}
 		});
-		void spawn('request', () => this.#requestServer.serve(id, request, response));
+		return id;
 	}
 }
 
--- a/src/entry/protocol/body.ts
+++ b/src/entry/protocol/body.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {malformedEvent} from '../../connections/index.js';
 import {createFailure, FailureKind, RequestError} from '../../model/index.js';
 
 /**
@@ -37,8 +38,16 @@
 		request.once('end', () => {
 			resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
 		});
+		request.once(malformedEvent, () => {
+			reject(createMalformedError());
+		});
 		request.once('close', () => {
 			reject(RequestError.create(createFailure(FailureKind.cancelled, 'The caller left before its body was complete.')));
 		});
 	});
 }
+
+/** The error of a request whose body is none by HTTP's framing, or did not arrive in time. */
+export function createMalformedError(): RequestError {
+	return RequestError.create(createFailure(FailureKind.badRequest, 'The body is malformed, or did not arrive in time.'));
+}
--- a/src/entry/protocol/buffered-response.ts
+++ b/src/entry/protocol/buffered-response.ts
@@ -1,4 +1,4 @@
-import {type ServerResponse} from 'node:http';
+import {type OwedResponse} from '../../connections/index.js';
 import {createFailure, type Failure, FailureKind, Verdict} from '../../model/index.js';
 import {type ResponseWriter} from './response-writer.js';
 import {ResponseCollector, type ResponseKind} from './collector.js';
@@ -12,16 +12,16 @@
 
 /** Joins the events of a response and writes them as one object. Nothing is sent before the last event. */
 export class BufferedResponse implements ResponseWriter {
-	static create(response: ServerResponse, options: BufferedResponseOptions): BufferedResponse {
+	static create(response: OwedResponse, options: BufferedResponseOptions): BufferedResponse {
 		return new BufferedResponse(response, options);
 	}
 
-	readonly #response: ServerResponse;
+	readonly #response: OwedResponse;
 	readonly #options: BufferedResponseOptions;
 	readonly #collector: ResponseCollector;
 	#ended = false;
 
-	private constructor(response: ServerResponse, options: BufferedResponseOptions) {
+	private constructor(response: OwedResponse, options: BufferedResponseOptions) {
 		this.#response = response;
 		this.#options = options;
 		this.#collector = ResponseCollector.create(options.kind);
--- a/src/entry/protocol/failure-response.ts
+++ b/src/entry/protocol/failure-response.ts
@@ -1,4 +1,4 @@
-import {type ServerResponse} from 'node:http';
+import {type OwedResponse} from '../../connections/index.js';
 import {type Failure, statusOfFailure, Verdict} from '../../model/index.js';
 import {HeaderName} from './headers.js';
 
@@ -40,14 +40,14 @@
 }
 
 /** Sends a failure as the response. If a response was already started or the caller has left, closes the connection. */
-export function sendFailure(response: ServerResponse, failure: Failure, requestId?: string): void {
+export function sendFailure(response: OwedResponse, failure: Failure, requestId?: string): void {
 	if (response.headersSent || response.destroyed) {
 		response.destroy();
 		return;
 	}
 
 	response.writeHead(statusOfFailure[failure.kind], {...failureHeaders(failure, requestId), 'Content-Type': 'application/json'});
-	response.end(failureBody(failure, requestId));
+	response.endOnceRead(failureBody(failure, requestId));
 }
 
 function errorType(status: number): string {
--- a/src/entry/protocol/streaming-response.ts
+++ b/src/entry/protocol/streaming-response.ts
@@ -1,4 +1,4 @@
-import {type ServerResponse} from 'node:http';
+import {type OwedResponse} from '../../connections/index.js';
 import {type Failure} from '../../model/index.js';
 import {type ResponseWriter} from './response-writer.js';
 import {drainedOrClosed} from './drain.js';
@@ -22,15 +22,15 @@
 
 /** Writes a response as server-sent events. The status line is sent with the first event, not before. */
 export class StreamingResponse implements ResponseWriter {
-	static create(response: ServerResponse, options: StreamingResponseOptions): StreamingResponse {
+	static create(response: OwedResponse, options: StreamingResponseOptions): StreamingResponse {
 		return new StreamingResponse(response, options);
 	}
 
-	readonly #response: ServerResponse;
+	readonly #response: OwedResponse;
 	readonly #options: StreamingResponseOptions;
 	#ended = false;
 
-	private constructor(response: ServerResponse, options: StreamingResponseOptions) {
+	private constructor(response: OwedResponse, options: StreamingResponseOptions) {
 		this.#response = response;
 		this.#options = options;
 	}
--- a/src/entry/request-server.ts
+++ b/src/entry/request-server.ts
@@ -1,7 +1,8 @@
 import {once} from 'node:events';
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type IncomingMessage} from 'node:http';
 import {type Catalogue} from '../catalogue/index.js';
 import {type Body, wait} from '../concurrency/index.js';
+import {type OwedResponse} from '../connections/index.js';
 import {createFailure, FailureKind, RequestError, type RequestId, type RequestSummary, type WorkspaceName} from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {fingerprintOf} from '../policy/quarantine/index.js';
@@ -37,6 +38,9 @@
 	readonly isStopping: () => boolean;
 };
 
+/** Retry delay for a caller that has too many requests open on one connection: a few of them end within this time. */
+const excessRetryMilliseconds = 300;
+
 type ModelRoute = Extract<Route, {type: 'chat' | 'completion'}>;
 type ServiceRoute = Extract<Route, {type: 'service'}>;
 
@@ -55,7 +59,7 @@
 		this.#options = options;
 	}
 
-	* serve(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
+	* serve(id: RequestId, request: IncomingMessage, response: OwedResponse): Body<void> {
 		try {
 			yield * this.#dispatch(id, request, response);
 		} catch (error) {
@@ -63,11 +67,16 @@
 		}
 	}
 
+	/** Refuses a request since too many of its connection are open. */
+	refuseExcess(id: RequestId, response: OwedResponse): void {
+		this.#refuse(id, response, RequestError.create(createFailure(FailureKind.queueFull, 'Too many requests of this connection are open.', {retryAfterMilliseconds: excessRetryMilliseconds})));
+	}
+
 	/**
 	 * Reports an error thrown before the request body was sent to a side, so a request that ends with a `RequestError`
 	 * has certainly not run. Later failures are reported by the call itself and are never thrown.
 	 */
-	#refuse(id: RequestId, response: ServerResponse, error: unknown): void {
+	#refuse(id: RequestId, response: OwedResponse, error: unknown): void {
 		if (error instanceof RequestError) {
 			this.#options.telemetry.refused(id, error.failure);
 			sendFailure(response, error.failure, id);
@@ -78,8 +87,7 @@
 		sendFailure(response, createFailure(FailureKind.internal, 'The request failed inside the router.', {verdict: 'may-have-run'}), id);
 	}
 
-	* #dispatch(id: RequestId, request: IncomingMessage, response: ServerResponse): Body<void> {
-		const arrivedAt = performance.now();
+	* #dispatch(id: RequestId, request: IncomingMessage, response: OwedResponse): Body<void> {
 		const route = routeCall(request.method ?? 'GET', request.url ?? '/');
 		const catalogue = this.#requireCatalogue();
 		const caller = identifyCaller(catalogue, request.headers.authorization, singleHeader(request, 'cassiaflow-class'));
@@ -91,12 +99,12 @@
 
 			case 'chat':
 			case 'completion': {
-				yield * this.#serveModelCall({id, request, response, arrivedAt, route, catalogue, caller});
+				yield * this.#serveModelCall({id, request, response, route, catalogue, caller});
 				break;
 			}
 
 			case 'service': {
-				yield * this.#serveServiceCall({id, request, response, arrivedAt, route, catalogue, caller});
+				yield * this.#serveServiceCall({id, request, response, route, catalogue, caller});
 				break;
 			}
 		}
@@ -149,11 +157,14 @@
 	}
 
 	* #serveServiceCall(context: CallContext<ServiceRoute>): Body<void> {
-		const {id, request, route, catalogue, caller} = context;
+		const {id, request, response, route, catalogue, caller} = context;
 		const method = request.method ?? 'GET';
 		checkTarget(catalogue, caller, 'service', route.name);
 		const body = ServiceBody.create(request);
 		yield * body.readFirstPart();
+		yield * awaitTurn(response);
+		body.throwIfMalformed();
+		const arrivedAt = performance.now();
 		const summary = summarize(caller, {
 			id,
 			target: route.name,
@@ -164,10 +175,10 @@
 		});
 		this.#options.retries.requestArrived();
 		this.#options.telemetry.classified(summary);
-		yield * this.#withinLimits(caller, summary, () => this.#runServiceCall(context, body, summary));
+		yield * this.#withinLimits(caller, summary, () => this.#runServiceCall(context, {body, summary, arrivedAt}));
 	}
 
-	* #runServiceCall({request, response, arrivedAt, route}: CallContext<ServiceRoute>, body: ServiceBody, summary: RequestSummary): Body<void> {
+	* #runServiceCall({request, response, route}: CallContext<ServiceRoute>, {body, summary, arrivedAt}: Turn & {body: ServiceBody}): Body<void> {
 		const inProgress = ServiceCallInProgress.create({
 			telemetry: this.#options.telemetry,
 			fleet: this.#options.fleet,
@@ -182,17 +193,17 @@
 			quarantine: this.#options.quarantine,
 			claim: this.#claimOptions(request, summary, summary.fingerprint),
 		});
-		response.once('close', () => {
-			if (!response.writableFinished) {
-				inProgress.callerLeft();
-			}
+		onCallerLeft(response, () => {
+			inProgress.callerLeft();
 		});
 		yield * inProgress.run();
 	}
 
 	* #serveModelCall(context: CallContext<ModelRoute>): Body<void> {
-		const {id, request, route, catalogue, caller} = context;
+		const {id, request, response, route, catalogue, caller} = context;
 		const body = yield * wait(readBody(request, this.#options.bodyLimitBytes));
+		yield * awaitTurn(response);
+		const arrivedAt = performance.now();
 		const call = parseModelCall(route, body);
 		checkTarget(catalogue, caller, 'model', call.model);
 		const summary = summarize(caller, {
@@ -200,24 +211,22 @@
 		});
 		this.#options.retries.requestArrived();
 		this.#options.telemetry.classified(summary);
-		const end = yield * this.#withinLimits(caller, summary, () => this.#runModelCall(context, call, summary));
+		const end = yield * this.#withinLimits(caller, summary, () => this.#runModelCall(context, {call, summary, arrivedAt}));
 		this.#options.limiter.spend(caller.classEntry.name, end.tokens);
 		this.#options.telemetry.ended(summary, end);
 		this.#options.logger.debug('A model call ended.', {request: id, end: end.type, tokens: end.tokens, attempts: end.attempts});
 		this.#options.onEnd?.(caller, end);
 	}
 
-	* #runModelCall({id, request, response, arrivedAt, route}: CallContext<ModelRoute>, call: ModelCall, summary: RequestSummary): Body<CallEnd> {
+	* #runModelCall({id, request, response, route}: CallContext<ModelRoute>, {call, summary, arrivedAt}: Turn & {call: ModelCall}): Body<CallEnd> {
 		const writer = call.stream ? StreamingResponse.create(response, {requestId: id, includeUsage: call.includeUsage}) : BufferedResponse.create(response, {requestId: id, kind: route.type});
 		const inProgress = ModelCallInProgress.create({
 			telemetry: this.#options.telemetry, fleet: this.#options.fleet, summary, path: route.path, call, response: writer, arrivedAt,
 			retries: this.#options.retries, quarantine: this.#options.quarantine,
 			claim: this.#claimOptions(request, summary, call.fingerprintSource),
 		});
-		response.once('close', () => {
-			if (!response.writableFinished) {
-				inProgress.callerLeft();
-			}
+		onCallerLeft(response, () => {
+			inProgress.callerLeft();
 		});
 		return yield * inProgress.run();
 	}
@@ -226,14 +235,41 @@
 type CallContext<Kind extends Route> = {
 	readonly id: RequestId;
 	readonly request: IncomingMessage;
-	readonly response: ServerResponse;
-	readonly arrivedAt: number;
+	readonly response: OwedResponse;
 	readonly route: Kind;
 	readonly catalogue: Catalogue;
 	readonly caller: Caller;
 };
 
-function sendModels(response: ServerResponse, catalogue: Catalogue, caller: Caller): void {
+/** A request whose turn on its connection has come, and when it did: what it waits for its own connection counts for no queue. */
+type Turn = {readonly summary: RequestSummary; readonly arrivedAt: number};
+
+/**
+ * Waits until the responses before this one on its connection are complete. A call that ran before would have run for
+ * nothing if one of them breaks off and takes the connection with it.
+ */
+function * awaitTurn(response: OwedResponse): Body<void> {
+	yield * wait(response.turn);
+	if (response.destroyed) {
+		throw RequestError.create(createFailure(FailureKind.cancelled, 'The caller left before its request was begun.'));
+	}
+}
+
+/** Calls the listener once the connection has closed before the response was sent, also if that is so already. */
+function onCallerLeft(response: OwedResponse, listener: () => void): void {
+	if (response.destroyed) {
+		listener();
+		return;
+	}
+
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			listener();
+		}
+	});
+}
+
+function sendModels(response: OwedResponse, catalogue: Catalogue, caller: Caller): void {
 	const {targets} = caller.classEntry;
 	const available = catalogue.models().filter(model => targets.length === 0 || targets.includes(model.name));
 	const data = available.map(model => ({id: model.name, object: 'model', created: 0, owned_by: model.owner}));
--- a/src/entry/service-body.ts
+++ b/src/entry/service-body.ts
@@ -1,7 +1,9 @@
 import {type IncomingMessage} from 'node:http';
 import {type Body, channel, type Channel, receive, tryDeliver, wait} from '../concurrency/index.js';
+import {malformedEvent} from '../connections/index.js';
 import {type RequestId} from '../model/index.js';
 import {maximumPartBytes} from '../wire/index.js';
+import {createMalformedError} from './protocol/index.js';
 import {type Slot} from './slot.js';
 
 /** Parts of a body that may be sent before the service has read the first one. */
@@ -19,11 +21,25 @@
 	#buffered: Uint8Array<ArrayBuffer> = new Uint8Array();
 	readonly #request: IncomingMessage;
 	readonly #chunks: AsyncIterator<Uint8Array>;
+	#isMalformed = false;
+	/** Ends the wait for the next chunk with an error. */
+	#failNext: ((error: Error) => void) | undefined;
 	readonly #credits: Channel<number> = channel<number>(bodyWindowParts * 4);
 
 	private constructor(request: IncomingMessage) {
 		this.#request = request;
 		this.#chunks = request.iterator({destroyOnReturn: false}) as AsyncIterator<Uint8Array>;
+		request.once(malformedEvent, () => {
+			this.#isMalformed = true;
+			this.#failNext?.(createMalformedError());
+		});
+	}
+
+	/** Throws a `RequestError` if bytes of the body have arrived that are none by HTTP's framing. */
+	throwIfMalformed(): void {
+		if (this.#isMalformed) {
+			throw createMalformedError();
+		}
 	}
 
 	/** Waits for the first bytes, or for the end of the body. */
@@ -43,7 +59,7 @@
 		this.#credits.close();
 	}
 
-	/** Sends everything after the first part; throws if the caller closes its connection before the end of the body. */
+	/** Sends everything after the first part; throws if the caller closes its connection before the end of the body, and a `RequestError` if the body is malformed. */
 	* sendRest(slot: Slot, request: RequestId): Body<void> {
 		let window = bodyWindowParts;
 		let last = false;
@@ -67,7 +83,7 @@
 	/** The next part; an empty one at the end. */
 	async #next(): Promise<Uint8Array<ArrayBuffer>> {
 		if (this.#buffered.length === 0) {
-			const next = await this.#chunks.next();
+			const next = await this.#nextChunk();
 			this.#buffered = next.done ? new Uint8Array() : next.value as Uint8Array<ArrayBuffer>;
 		}
 
@@ -75,4 +91,13 @@
 		this.#buffered = this.#buffered.subarray(maximumPartBytes);
 		return part;
 	}
+
+	/** The iterator alone would wait for ever: bytes that are no body don't end the stream, as the responses before this one are still owed. */
+	#nextChunk(): Promise<IteratorResult<Uint8Array>> {
+		this.throwIfMalformed();
+		return new Promise((resolve, reject) => {
+			this.#failNext = reject;
+			this.#chunks.next().then(resolve, reject);
+		});
+	}
 }
--- a/src/entry/service-call.ts
+++ b/src/entry/service-call.ts
@@ -1,7 +1,7 @@
-import {type ServerResponse} from 'node:http';
 import {Alarm, type Body, channel, type Channel, receive, sleep, spawn, tryDeliver, wait} from '../concurrency/index.js';
+import {type OwedResponse} from '../connections/index.js';
 import {
-	combineVerdicts, createFailure, type Failure, FailureKind, type RequestSummary, Verdict,
+	combineVerdicts, createFailure, type Failure, FailureKind, RequestError, type RequestSummary, Verdict,
 } from '../model/index.js';
 import {type QuarantineLedger} from '../platform/index.js';
 import {type MessageOf, type StreamMessage} from '../wire/index.js';
@@ -30,7 +30,7 @@
 	readonly path: string;
 	readonly headers: Readonly<Record<string, string>>;
 	readonly body: ServiceBody;
-	readonly response: ServerResponse;
+	readonly response: OwedResponse;
 	readonly arrivedAt: number;
 	readonly retries: RetryController;
 	/** Records of requests that crash endpoints. */
@@ -167,7 +167,12 @@
 	* #sendBody(slot: Slot): Body<void> {
 		try {
 			yield * this.#options.body.sendRest(slot, this.#options.summary.id);
-		} catch {
+		} catch (error) {
+			if (error instanceof RequestError) {
+				// The service has a part of the body and may run it.
+				this.#response.fail({...error.failure, verdict: Verdict.mayHaveRun});
+			}
+
 			this.callerLeft();
 		}
 	}
--- a/src/entry/service-response.ts
+++ b/src/entry/service-response.ts
@@ -1,17 +1,17 @@
-import {type ServerResponse} from 'node:http';
+import {type OwedResponse} from '../connections/index.js';
 import {type Failure, type RequestId} from '../model/index.js';
 import {HeaderName, sendFailure} from './protocol/index.js';
 
 /** Writes a plain service's response to the caller. Ended exactly once, by `finish` or `fail`. */
 export class ServiceResponse {
-	static create(response: ServerResponse, requestId: RequestId): ServiceResponse {
+	static create(response: OwedResponse, requestId: RequestId): ServiceResponse {
 		return new ServiceResponse(response, requestId);
 	}
 
-	readonly #response: ServerResponse;
+	readonly #response: OwedResponse;
 	readonly #requestId: RequestId;
 
-	private constructor(response: ServerResponse, requestId: RequestId) {
+	private constructor(response: OwedResponse, requestId: RequestId) {
 		this.#response = response;
 		this.#requestId = requestId;
 	}
--- a/src/gateway/requests/caller.ts
+++ b/src/gateway/requests/caller.ts
@@ -8,9 +8,6 @@
 /** If at least this much data for a slow caller is unsent, the endpoint's response is paused. */
 const maxUnsentBytes = 256 * 1024;
 
-/** How long a connection that closes after a response stays open for the rest of a body that nobody reads. */
-const lingerMilliseconds = 500;
-
 /** Result of reading a caller's body. */
 export type BodyResult
 	= | {readonly type: 'whole'; readonly body: Uint8Array | undefined}
@@ -144,29 +141,7 @@
 			String(body.length),
 			...(retryAfterMilliseconds === undefined ? [] : ['Retry-After', (retryAfterMilliseconds / 1000).toFixed(2)]),
 		]);
-		if (closesConnection === true && !this.#request.complete) {
-			this.#response.write(body);
-			this.#endOnceRead();
-			return;
-		}
-
-		this.#response.end(body);
-	}
-
-	/**
-	 * Ends the response once the caller's body has arrived, or a moment later. A connection that is closed while bytes still arrive is reset, and the
-	 * reset can overtake the response: its caller would see neither that its request has not run nor when to come back.
-	 */
-	#endOnceRead(): void {
-		const timer = setTimeout(() => {
-			this.#response.end();
-		}, lingerMilliseconds);
-		for (const event of ['end', 'close']) {
-			this.#request.once(event, () => {
-				clearTimeout(timer);
-				this.#response.end();
-			});
-		}
+		this.#response.endOnceRead(body);
 	}
 }
 
--- a/test/entry/answers.test.ts
+++ b/test/entry/answers.test.ts
@@ -1,17 +1,18 @@
 import {once} from 'node:events';
-import {createServer, get, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {createServer, get, IncomingMessage} from 'node:http';
 import {connect, type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import OpenAI, {APIError} from 'openai';
 import tap from 'tap';
+import {OwedResponse} from '../../src/connections/index.js';
 import {createFailure, FailureKind, type RequestError, Verdict} from '../../src/model/index.js';
 import {readBody, sendFailure, StreamingResponse, BufferedResponse} from '../../src/entry/protocol/index.js';
 
-type Handle = (request: IncomingMessage, response: ServerResponse) => unknown;
+type Handle = (request: IncomingMessage, response: OwedResponse) => unknown;
 type TestServer = AsyncDisposable & {url: string; port: number};
 
 async function serve(handle: Handle): Promise<TestServer> {
-	const httpServer: Server = createServer((request, response) => {
+	const httpServer = createServer({ServerResponse: OwedResponse, IncomingMessage}, (request, response) => {
 		void handle(request, response);
 	}).listen(0, '127.0.0.1');
 	await once(httpServer, 'listening');
