wire: what was sent last on a connection reaches a peer that reads late

Cause: one time of 500 ms for two waits: until the last frames are written, and until the peer ends its side. Change: the first lasts as long as a silence by which a peer counts as lost (6 s); only then the 500 ms for the peer's end. Evidence: test/wire/last-frames failed before (16 MB for a peer that reads 1.5 s late did not arrive whole), passes now; late-loop, heartbeat pass.

--- a/src/wire/connection.ts
+++ b/src/wire/connection.ts
@@ -19,6 +19,8 @@
 export const idleSilenceMilliseconds = 45_000;
 /** What a silent peer has sent is read within this time; a process that stood still finds it in the kernel. */
 const lastReadMilliseconds = 40;
+/** How long an ended connection waits for the peer's end, after all that was sent is with the operating system. */
+const lastEndMilliseconds = 500;
 /** Heartbeat interval of a connection that carries requests. */
 export const busyHeartbeatMilliseconds = 2000;
 
@@ -158,13 +160,21 @@
 		this.#socket.destroy();
 	}
 
-	/** Flushes the queued messages, then ends the connection. */
+	/**
+	 * Flushes the queued messages, then ends the connection. What was sent last may be the end of an answer that has run: a peer that reads late gets it,
+	 * and is given up only after a silence by which it would count as lost. Once all is with the operating system, the peer's own end is awaited briefly.
+	 */
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#flush();
-		this.#socket.end();
-		const timer = setTimeout(() => {
+		const destroy = (): void => {
 			this.#socket.destroy();
-		}, 500);
+		};
+
+		let timer = setTimeout(destroy, silenceMilliseconds);
+		this.#socket.end(() => {
+			clearTimeout(timer);
+			timer = setTimeout(destroy, lastEndMilliseconds);
+		});
 		await this.closed;
 		clearTimeout(timer);
 	}
