entry, side and the operator's command end their process once their work is done and their output is written

Read, and shown by a program that leaves a timer and a port open: the binaries set an exit code and waited until nothing was open, so a forgotten handle kept a stopped process alive until it was killed. Node also takes back the listeners of signals at a natural end. Change: endProcess waits until standard output and error are with the operating system, then exits; gateway and bundle did so already.

--- a/src/bin/operator/operator-program.ts
+++ b/src/bin/operator/operator-program.ts
@@ -7,7 +7,7 @@
 	type CommandResult, type OperatorContext, type RoutingReader,
 } from '../../operator/index.js';
 import {HttpLogClient, HttpMembershipClient, PlatformError} from '../../platform/index.js';
-import {packageVersion} from '../../settings/index.js';
+import {endProcess, packageVersion} from '../../settings/index.js';
 
 /** Timeout of one request to the platform's log or membership list. */
 const requestTimeoutMilliseconds = 5000;
@@ -73,8 +73,8 @@
 	'store-address': {type: 'string', requiresArg: true, conflicts: 'against', describe: 'HOST:PORT of the platform\'s store, to compare with the version in force [CASSIAFLOW_STORE_ADDRESS]'},
 } as const;
 
-/** Runs the command of the process's arguments. Without a reader, routing tables can't be checked. */
-export async function runOperator(reader?: RoutingReader): Promise<void> {
+/** Runs the command of the process's arguments, and ends the process. Without a reader, routing tables can't be checked. */
+export async function runOperator(reader?: RoutingReader): Promise<never> {
 	try {
 		await createParser(reader).parseAsync();
 	} catch (error) {
@@ -85,6 +85,8 @@
 		process.stderr.write(`${error.message}\nSee cassiaflow --help.\n`);
 		process.exitCode = OperatorExit.usage;
 	}
+
+	return endProcess(Number(process.exitCode ?? OperatorExit.ok));
 }
 
 /** The command line. */
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -3,6 +3,7 @@
 	defineSettings, flagOf, type Setting, type SettingsDefinition, type SettingsOf, SettingsError, variableOf,
 } from './definition/index.js';
 export {type CommandLine, packageVersion, parseSettings, readCommandLine} from './command-line.js';
+export {endProcess} from './end-process.js';
 export {ExitCode, runProgram} from './run-program.js';
 export {entrySettings, type EntrySettings} from './entry-settings.js';
 export {sideSettings, type SideSettings} from './side-settings.js';
--- a/src/settings/run-program.ts
+++ b/src/settings/run-program.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import {readCommandLine} from './command-line.js';
+import {endProcess} from './end-process.js';
 import {type Setting, type SettingsDefinition, SettingsError, type SettingsOf} from './definition/index.js';
 
 /** The exit codes of every binary. */
@@ -7,25 +8,24 @@
 export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
 
 /**
- * Runs a program with the settings of the process's command line and environment, and sets the exit code. `main`
+ * Runs a program with the settings of the process's command line and environment, and ends the process. `main`
  * resolves after a requested shutdown; an error that `main` throws is reported on standard error.
  */
-export async function runProgram<All extends Readonly<Record<string, Setting>>>(definition: SettingsDefinition<All>, main: (values: SettingsOf<All>) => Promise<void>): Promise<void> {
+export async function runProgram<All extends Readonly<Record<string, Setting>>>(definition: SettingsDefinition<All>, main: (values: SettingsOf<All>) => Promise<void>): Promise<never> {
 	const commandLine = await readCommandLine(definition, process.argv.slice(2), process.env);
 	switch (commandLine.type) {
 		case 'print': {
 			process.stdout.write(`${commandLine.text}\n`);
-			return;
+			return endProcess(ExitCode.ok);
 		}
 
 		case 'wrong': {
 			process.stderr.write(`${commandLine.message}\n`);
-			process.exitCode = ExitCode.usage;
-			return;
+			return endProcess(ExitCode.usage);
 		}
 
 		case 'run': {
-			process.exitCode = await runMain(definition.program, async () => main(commandLine.values));
+			return endProcess(await runMain(definition.program, async () => main(commandLine.values)));
 		}
 	}
 }
