side: an error in one part of a stop does not end what runs

Cause, as in the gateway's stop: the refusal of the queue, the report to the entries and the wait for what runs were one sequence; an error in the first rejected the stop, and the process ended with its requests in progress. Each logs its error by itself now, and the wait always runs. Evidence: path/planned-stops "an error in one part of the stop of a side does not end what runs" failed before with the error of the queue, passes now, with the file's other three. The entry's stop has one part, which rejects in no case that was read; it was left as it is.

--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -111,8 +111,12 @@
 	/** Refuses new requests from now on, and resolves once all runs have ended. */
 	async drain(): Promise<void> {
 		this.#isDraining = true;
-		this.#executor.apply({type: 'leaving'});
-		this.#publishState();
+		this.#attempt('refusal of the queue', () => {
+			this.#executor.apply({type: 'leaving'});
+		});
+		this.#attempt('report to the entries', () => {
+			this.#publishState();
+		});
 		await this.#executor.idle();
 	}
 
@@ -162,6 +166,15 @@
 		this.#executor.apply({type: 'reported', memoryUsed: load.memoryUsed, running: load.running});
 	}
 
+	/** Does one part of a stop. Its error must not end the others: the requests that run would be cut off. */
+	#attempt(part: string, work: () => void): void {
+		try {
+			work();
+		} catch (error) {
+			this.#options.logger.error('A part of the stop has failed.', {part, err: error});
+		}
+	}
+
 	#accept(connection: Connection): void {
 		this.#nextLink += 1;
 		const link = EntryLink.create(connection, this.#nextLink);
--- a/test/path/planned-stops.test.ts
+++ b/test/path/planned-stops.test.ts
@@ -2,7 +2,8 @@
 import tap from 'tap';
 import {callModel, type CallResult} from '../../bench/harness/caller.js';
 import {keyOf, planCatalogue} from '../../bench/harness/catalogue.js';
-import {LocalFleet} from '../../bench/harness/local-fleet.js';
+import {LocalFleet, until} from '../../bench/harness/local-fleet.js';
+import {createSettings, createTieredScheduler, type TieredState, type Scheduler} from '../../src/policy/scheduler/index.js';
 
 const model = 'model';
 const workspace = 'stickwerk';
@@ -115,3 +116,29 @@
 	await Promise.all([fleet.stopEndpoint(fleet.endpoints[0]!), fleet.stopEntry(fleet.entries[0]!), fleet.endpoints[1]!.engine.crash()]);
 	t.same(outcomes(await load.finish()), ['whole']);
 });
+
+// An error in the refusal of the queue ended the stop of a side at once, and the requests that ran were cut off.
+tap.test('an error in one part of the stop of a side does not end what runs', async t => {
+	const scheduler = createTieredScheduler(createSettings());
+	const failing: Scheduler<TieredState> = {
+		...scheduler,
+		step(state, event, now) {
+			if (event.type === 'leaving') {
+				throw new Error('the queue is in disorder');
+			}
+
+			return scheduler.step(state, event, now);
+		},
+	};
+	await using fleet = await LocalFleet.create({
+		entries: 1, endpoints: 1, zones: ['zone-a'], models: [model], random: () => 0.5, logLevel: 'fatal', costs: {stepMilliseconds: 5}, scheduler: () => failing,
+	});
+	await fleet.publish(planCatalogue([model], [workspace]));
+	await fleet.connected();
+	const call = callModel({address: fleet.entries[0]!.entry.address, key: keyOf(workspace), className: 'order', model, prompt: 'Runs on [[tokens=100]]'});
+	const [endpoint] = fleet.endpoints;
+	await until(() => endpoint!.engine.running === 1);
+	await fleet.stopEndpoint(endpoint!);
+	const {outcome} = await call;
+	t.equal(outcome, 'whole');
+});
