--- a/src/connections/caller-connection.ts
+++ b/src/connections/caller-connection.ts
@@ -99,9 +99,11 @@
 		}
 
 		const last = [...this.#open.values()].at(-1);
-		const isInsideBody = last !== undefined && !last.request.complete;
-		if (isInsideBody && last.request.emit(malformedEvent, status)) {
-			return true;
+		if (last !== undefined && !last.request.complete) {
+			last.response.closesConnection = true;
+			if (last.request.emit(malformedEvent, status)) {
+				return true;
+			}
 		}
 
 		this.#apply(this.#step({type: 'malformed', status}));
--- a/src/entry/protocol/failure-response.ts
+++ b/src/entry/protocol/failure-response.ts
@@ -1,4 +1,4 @@
-import {type ServerResponse} from 'node:http';
+import {type PipelinedResponse} from '../../connections/index.js';
 import {type Failure, statusOfFailure, Verdict} from '../../model/index.js';
 import {HeaderName} from './headers.js';
 
@@ -40,13 +40,15 @@
 }
 
 /** Sends a failure as the response. If a response was already started or the caller has left, closes the connection. */
-export function sendFailure(response: ServerResponse, failure: Failure, requestId?: string): void {
+export function sendFailure(response: PipelinedResponse, failure: Failure, requestId?: string): void {
 	if (response.headersSent || response.destroyed) {
 		response.destroy();
 		return;
 	}
 
 	response.writeHead(statusOfFailure[failure.kind], {...failureHeaders(failure, requestId), 'Content-Type': 'application/json'});
+	// What is left of the body is read, so that the connection can be used again, or ends without a reset.
+	response.req.resume();
 	response.end(failureBody(failure, requestId));
 }
 
