a long answer that has begun is not cut off as silent

Callers of a route that may be repeated, whose answer is longer than the 512 KB that are held back, got a part of it and a closed connection: 2.5 targets after the sending the endpoint counted as silent, however much of the answer was arriving, and the attempt was ended for another endpoint, which cannot go on with an answer that has begun. The same when the caller read late, at the moment it read on. A shorter answer that arrives slowly was asked for twice.

Cause: only events of streams counted as signs of an endpoint, and whether the answer could go on elsewhere was asked after the attempt had been ended. Now bytes of other answers count too, silence is counted from when the caller reads on, and an endpoint is left only where the answer can go on at another one (RetryProgress.mayFailOver). That a resumable stream whose caller read late ran twice follows from the code; no test shows it.

--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -6,6 +6,8 @@
 /** How a worker responds to one request. */
 export type WorkerAnswer
 	= | {readonly type: 'whole'; readonly status?: number; readonly body: string; readonly headers?: Readonly<Record<string, string>>; readonly afterMilliseconds?: number; readonly isUnframed?: boolean}
+	/** A body of pieces, one after another. */
+		| {readonly type: 'pieces'; readonly count: number; readonly bytes: number; readonly gapMilliseconds: number}
 	/**
 	 * Events numbered after `Last-Event-Id`; the connection is broken after event `cutAfter`, in the middle of the next one. An unframed
 	 * response has neither a length nor chunks and ends with its connection, in an orderly way where it is cut, too.
@@ -141,6 +143,17 @@
 				return;
 			}
 
+			case 'pieces': {
+				response.writeHead(200, signatureHeaders);
+				for (let number = 0; number < answer.count; number++) {
+					await sleep(answer.gapMilliseconds);
+					response.write('x'.repeat(answer.bytes));
+				}
+
+				response.end();
+				return;
+			}
+
 			case 'events': {
 				response.writeHead(200, {...signatureHeaders, 'Content-Type': 'text/event-stream'});
 				await sendEvents(response, answer, {requestId: request.id, after: Number(request.headers['last-event-id'] ?? 0)});
--- a/src/gateway/requests/attempt-state.ts
+++ b/src/gateway/requests/attempt-state.ts
@@ -78,6 +78,8 @@
 	rawHeaders: RawHeaders = [];
 	firstEventAt: number | undefined;
 	lastEventAt: number | undefined;
+	/** When the endpoint last sent a part of its answer, or could do so again after its caller had read too slowly. */
+	lastSignAt: number | undefined;
 	longestPauseMilliseconds = 0;
 	events = 0;
 	/** When the endpoint's silence is reported as a failure. */
@@ -140,7 +142,7 @@
 	 */
 	recordEvent(now: number): PaceWindow | undefined {
 		this.suspectAt = undefined;
-		this.hasReportedSilence = false;
+		this.recordSign(now);
 		this.firstEventAt ??= now;
 		this.longestPauseMilliseconds = Math.max(this.longestPauseMilliseconds, now - (this.lastEventAt ?? now));
 		this.lastEventAt = now;
@@ -148,6 +150,12 @@
 		return this.#takePace(now);
 	}
 
+	/** Records that the endpoint is not silent now. */
+	recordSign(now: number): void {
+		this.hasReportedSilence = false;
+		this.lastSignAt = now;
+	}
+
 	/** Leaves the time out in which the caller reads too slowly: it shows nothing of the endpoint. */
 	skipPace(): void {
 		this.#paceFrom = undefined;
--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -69,15 +69,21 @@
 			: undefined;
 	}
 
-	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again, or could not end there before the instance stops. */
+	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again, its answer could not go on there, or it could not end there before the instance stops. */
 	#failoverAt(state: AttemptState): number {
-		const {end, retryProgress} = this.#options;
-		return retryProgress.mayRunElsewhere && performance.now() < end.lastStartAt ? Math.max(this.#silentAt(state), state.nextFailoverAt) : Infinity;
+		const {end, retryProgress, forwarder: {lastEventId}, exchange: {caller}} = this.#options;
+		return retryProgress.mayFailOver({hasResponse: caller.hasResponse, lastEventId}) && performance.now() < end.lastStartAt ? Math.max(this.#silentAt(state), state.nextFailoverAt) : Infinity;
 	}
 
 	/** When the endpoint has sent nothing for too long; infinite if the caller reads too slowly. */
-	#silentAt({startedAt, lastEventAt, decision: {expectedMilliseconds}}: AttemptState): number {
+	#silentAt({startedAt, lastEventAt, lastSignAt, decision: {expectedMilliseconds}}: AttemptState): number {
 		const {forwarder, exchange: {route: {targetMilliseconds, longestPauseMilliseconds}}} = this.#options;
-		return forwarder.isPaused ? Infinity : failoverAt({sentAt: startedAt, lastEventAt, targetMilliseconds, longestPauseMilliseconds, expectedMilliseconds});
+		if (forwarder.isPaused) {
+			return Infinity;
+		}
+
+		const timing = {sentAt: startedAt, targetMilliseconds, longestPauseMilliseconds, expectedMilliseconds};
+		const silentSinceSignAt = lastSignAt === undefined ? -Infinity : failoverAt({...timing, lastEventAt: lastSignAt});
+		return Math.max(failoverAt({...timing, lastEventAt}), silentSinceSignAt);
 	}
 }
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -188,6 +188,7 @@
 
 			case 'drained': {
 				this.#forwarder.isPaused = false;
+				state.recordSign(performance.now());
 				state.attempt.resume();
 				return undefined;
 			}
--- a/src/gateway/requests/response-forwarder.ts
+++ b/src/gateway/requests/response-forwarder.ts
@@ -74,15 +74,16 @@
 	}
 
 	#handleData(state: AttemptState, bytes: Uint8Array): Outcome | undefined {
+		if (state.isStream) {
+			return this.#handleEvents(state, bytes);
+		}
+
+		state.recordSign(performance.now());
 		if (state.isForwarding) {
 			this.#write(state, bytes);
 			return undefined;
 		}
 
-		if (state.isStream) {
-			return this.#handleEvents(state, bytes);
-		}
-
 		state.buffer(bytes);
 		if (state.bufferedBytes > maxBufferedBytes || state.holdsTooMuch) {
 			this.#options.caller.writeHead(state.status, this.#options.codec.responseHeaders(state.rawHeaders));
--- a/src/gateway/requests/retry-progress.ts
+++ b/src/gateway/requests/retry-progress.ts
@@ -5,16 +5,19 @@
 
 export type FailedOutcome = Extract<Outcome, {type: 'failed'}>;
 
+/** What the caller was sent of a response. */
+export type BegunResponse = {
+	readonly hasResponse: boolean;
+	/** Id of the last event that the caller was sent. */
+	readonly lastEventId: string | undefined;
+};
+
 /** State of a request at the time of the decision whether it is retried. */
-export type RetryContext = {
+export type RetryContext = BegunResponse & {
 	readonly hasLeft: boolean;
 	readonly remainingMilliseconds: number;
 	/** False if the instance stops before another attempt could end. */
 	readonly mayStart: boolean;
-	/** True if the response to the caller has begun. */
-	readonly hasResponse: boolean;
-	/** Id of the last event that the caller was sent. */
-	readonly lastEventId: string | undefined;
 	/** Whether the request, or a part of its prompt, has crashed endpoints, or most likely has, and is not sent on. */
 	readonly isQuarantined: () => boolean;
 	/** Reserves one retry of the allowance of all instances. */
@@ -56,9 +59,9 @@
 		return this.#route.kind === RouteKind.safe || this.#isResumable;
 	}
 
-	/** True if the request may run at one more endpoint while the attempt in progress may still run it. */
-	get mayRunElsewhere(): boolean {
-		return this.isIdempotent && this.#possibleRuns + 1 < this.#route.largestAttempts;
+	/** True if the request may run at one more endpoint while the attempt in progress may still run it, and its caller can be sent what that one answers. */
+	mayFailOver(response: BegunResponse): boolean {
+		return this.isIdempotent && this.#possibleRuns + 1 < this.#route.largestAttempts && this.#canGoOn(response);
 	}
 
 	/** Records a failed attempt and decides whether another one follows. */
@@ -96,6 +99,11 @@
 		return this.#route.kind === RouteKind.stream && this.#route.resumable;
 	}
 
+	/** Whether another endpoint can answer after what the caller was sent: nothing, or events after which the stream may go on. */
+	#canGoOn({hasResponse, lastEventId}: BegunResponse): boolean {
+		return !hasResponse || (this.#isResumable && lastEventId !== undefined);
+	}
+
 	#obstacle({verdict}: FailedOutcome, {hasLeft, remainingMilliseconds, mayStart, hasResponse, lastEventId, isQuarantined}: RetryContext): Exclude<Extract<RetryDecision, {type: 'give-up'}>['reason'], 'allowance'> | undefined {
 		if (verdict !== Verdict.notRun && !this.isIdempotent) {
 			return 'may-have-run';
@@ -105,7 +113,7 @@
 			return 'attempts';
 		}
 
-		if (hasResponse && !(this.#isResumable && lastEventId !== undefined)) {
+		if (!this.#canGoOn({hasResponse, lastEventId})) {
 			return 'response-begun';
 		}
 
