a stream that has begun is not broken off for a retry that is not granted

Callers of a resumable stream whose endpoint paused for four of its longest pauses got a stream that broke off when the instance's share of the retry allowance was used up, or the request was suspected of crashing endpoints: the attempt was ended first, and only then the retry was refused. The endpoint would have gone on. Rule: an endpoint's silence is no reason to end an answer sooner.

The retry is now reserved before such a stream leaves its endpoint; without one it stays. A request whose answer has not begun still fails at once, since its caller can go to another instance.

--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -19,6 +19,8 @@
 	readonly excluded: ReadonlySet<string>;
 	/** The build that the request is bound to, once it is. */
 	readonly build: () => string | undefined;
+	/** Whether the request may leave a silent endpoint for another one; if so, what that takes is reserved. */
+	readonly mayLeave: () => boolean;
 };
 
 /** What the silence of an endpoint leads to: its report, a retry at another endpoint, the end of the request. Times are milliseconds of the monotonic clock. */
@@ -41,7 +43,7 @@
 
 	/** Reports a silent endpoint; an outcome ends the attempt. */
 	check(state: AttemptState): Outcome | undefined {
-		const {end, excluded, build, exchange: {dispatcher, crashes, request, service}} = this.#options;
+		const {end, excluded, build, mayLeave, exchange: {dispatcher, crashes, request, service}} = this.#options;
 		const now = performance.now();
 		if (now >= end.at) {
 			// An endpoint that the instance's stop leaves no time is not silent, and its request not one that crashes it.
@@ -64,7 +66,7 @@
 		}
 
 		state.nextFailoverAt = now + failoverSearchMilliseconds;
-		return dispatcher.endpoints.hasAnother(service, {excluded, build: build()}, record)
+		return dispatcher.endpoints.hasAnother(service, {excluded, build: build()}, record) && mayLeave()
 			? {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'silent', isSilent: true}
 			: undefined;
 	}
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -16,7 +16,7 @@
 import {PlacementWait} from './placement-wait.js';
 import {RequestEnd} from './request-end.js';
 import {StreamBinding} from './stream-binding.js';
-import {type FailedOutcome, minRunMilliseconds, RetryProgress} from './retry-progress.js';
+import {type FailedOutcome, minRunMilliseconds, type RetryContext, RetryProgress} from './retry-progress.js';
 
 /** Capacity of the inbox; more than the number of event types, of which at most one each is pending at a time. */
 const inboxCapacity = 16;
@@ -75,6 +75,7 @@
 		this.#sender = AttemptSender.create({exchange: options, forwarder: this.#forwarder, inbox: this.#inbox});
 		this.#timeouts = AttemptTimeouts.create({
 			exchange: options, end: this.#end, retryProgress: this.#retryProgress, forwarder: this.#forwarder, excluded: this.#excluded, build: () => this.#binding.build,
+			mayLeave: () => !options.caller.hasResponse || this.#retryProgress.reserveFailover(this.#retryContext()),
 		});
 	}
 
@@ -238,15 +239,19 @@
 	}
 
 	#mayRetry(outcome: FailedOutcome): boolean {
-		const {dispatcher, caller, log, crashes, request} = this.#options;
+		const decision = this.#retryProgress.decide(outcome, this.#retryContext());
+		this.#options.log.logRetryDecision(this.#options, decision);
+		return decision.type === 'retry';
+	}
+
+	#retryContext(): RetryContext {
+		const {dispatcher, caller, crashes, request} = this.#options;
 		const now = performance.now();
-		const decision = this.#retryProgress.decide(outcome, {
+		return {
 			hasLeft: caller.hasDisconnected, remainingMilliseconds: this.#end.at - now, mayStart: now < this.#end.lastStartAt, hasResponse: caller.hasResponse, lastEventId: this.#forwarder.lastEventId,
 			isQuarantined: () => crashes.isSuspect(request, now),
 			reserveRetry: () => dispatcher.reserveRetry(this.#demand, now),
-		});
-		log.logRetryDecision(this.#options, decision);
-		return decision.type === 'retry';
+		};
 	}
 
 	/** Ends the request after an error of this process; one that was sent may have run. */
--- a/src/gateway/requests/retry-progress.ts
+++ b/src/gateway/requests/retry-progress.ts
@@ -73,8 +73,8 @@
 			return {type: 'give-up', reason};
 		}
 
-		// An attempt that was never sent has taken nothing from the allowance, and the next one is the first to arrive.
-		if (outcome.connection === 'none') {
+		// An attempt that was never sent has taken nothing from the allowance, and the next one is the first to arrive; a failover may have been reserved.
+		if (outcome.connection === 'none' || this.#hasReservation) {
 			return {type: 'retry'};
 		}
 
@@ -88,6 +88,15 @@
 		this.#verdict = combineVerdicts(this.#verdict, Verdict.mayHaveRun);
 	}
 
+	/**
+	 * Reserves the retry of a request whose response has begun before it leaves a silent endpoint, and returns whether it may leave. Once it has left, a
+	 * retry that is not granted would break off a response that the endpoint may still go on with.
+	 */
+	reserveFailover(context: RetryContext): boolean {
+		this.#hasReservation ||= this.#obstacle({verdict: Verdict.mayHaveRun}, context) === undefined && context.reserveRetry().isGranted;
+		return this.#hasReservation;
+	}
+
 	/** True once after a decision that has reserved a retry, for the caller to record it as sent or to release it. */
 	takeReservation(): boolean {
 		const hadReservation = this.#hasReservation;
@@ -104,7 +113,7 @@
 		return !hasResponse || (this.#isResumable && lastEventId !== undefined);
 	}
 
-	#obstacle({verdict}: FailedOutcome, {hasLeft, remainingMilliseconds, mayStart, hasResponse, lastEventId, isQuarantined}: RetryContext): Exclude<Extract<RetryDecision, {type: 'give-up'}>['reason'], 'allowance'> | undefined {
+	#obstacle({verdict}: Pick<FailedOutcome, 'verdict'>, {hasLeft, remainingMilliseconds, mayStart, hasResponse, lastEventId, isQuarantined}: RetryContext): Exclude<Extract<RetryDecision, {type: 'give-up'}>['reason'], 'allowance'> | undefined {
 		if (verdict !== Verdict.notRun && !this.isIdempotent) {
 			return 'may-have-run';
 		}
