a changed room of a service is in force at endpoints that are in use

The limit of connections to an endpoint was taken from the version at its first request. After a version that raised it, 12 of 20 orders at once were refused with 503 for want of a connection; after one that lowered it, 20 connections were open where the share is 8, and an endpoint resets those beyond its room, on which orders may have run. Now each sending sets the limit of its own version.

Evidence: changed-room.test.ts, 2 of 2 tests failed before, pass now.

--- a/src/gateway/endpoints/connection-pools.ts
+++ b/src/gateway/endpoints/connection-pools.ts
@@ -17,8 +17,11 @@
 
 	readonly #pools = new Map<string, ConnectionPool>();
 
+	/** The pool of an endpoint; the limit may change with each routing table, and connections beyond a lower one close after their responses. */
 	forEndpoint({id}: EndpointRecord, largestConnections = defaultMaxConnections): ConnectionPool {
-		const pool = this.#pools.get(id) ?? ConnectionPool.create(Math.max(8, Math.floor(largestConnections * connectionShare)));
+		const ownConnections = Math.max(8, Math.floor(largestConnections * connectionShare));
+		const pool = this.#pools.get(id) ?? ConnectionPool.create(ownConnections);
+		pool.maxSockets = ownConnections;
 		this.#pools.set(id, pool);
 		return pool;
 	}
@@ -38,6 +41,11 @@
 		this.#pools.get(id)?.closeStaleConnections();
 	}
 
+	/** Leaves the connections to an earlier incarnation that has left in a planned way to the requests on them. */
+	retireConnections(id: string): void {
+		this.#pools.get(id)?.retireConnections();
+	}
+
 	[Symbol.dispose](): void {
 		for (const pool of this.#pools.values()) {
 			pool.destroy();
