a start time that is stated for the first time, or a restart after leaving, cuts off no request

When an endpoint's record stated `born` for the first time, it counted as restarted: all its connections older than two seconds were closed. In the test orders got 502, streams broke off and lookups ran twice, at endpoints that had not restarted. The same where an endpoint announced its shutdown and its next incarnation registered under its id while the one before still answered what it had begun.

A restart is now one whose two records both state a start. After an announced shutdown, the connections to the earlier incarnation are used for no other request and closed once they are free; without one they are closed as before, as nothing may come on them any more.

Evidence: planned-endpoints.test.ts (leaving, draining, expiry, a store that lost its list, start times, an address of another service), each on young and on old connections. With the part for restarts after leaving taken out, those on old connections failed (streams broke off); so did what waited on young ones, with 503, as the test had no other endpoints then.

--- a/src/bin/gateway-parts.ts
+++ b/src/bin/gateway-parts.ts
@@ -97,12 +97,20 @@
 	return {...options, incarnation, metrics, store, routingState, peers: () => late.peers!, feeds: () => late.feeds, duties: () => late.duties};
 }
 
-/** Opens the connections to endpoints; those of an endpoint's earlier incarnation are closed. */
+/** Opens the connections to endpoints; those of an endpoint's earlier incarnation are closed, if it has left once they carry no request. */
 function openConnectionPools(routingState: RoutingState): ConnectionPools {
 	const connectionPools = ConnectionPools.create();
 	routingState.onChange(change => {
-		for (const id of change.type === 'reborn' ? change.ids : []) {
-			connectionPools.closeStaleConnections(id);
+		if (change.type !== 'reborn') {
+			return;
+		}
+
+		for (const id of change.ids) {
+			if (change.afterLeaving.has(id)) {
+				connectionPools.retireConnections(id);
+			} else {
+				connectionPools.closeStaleConnections(id);
+			}
 		}
 	});
 	return connectionPools;
--- a/src/gateway/endpoints/connection-pool.ts
+++ b/src/gateway/endpoints/connection-pool.ts
@@ -39,6 +39,8 @@
 
 	/** When each open connection was opened. */
 	readonly #openedAt = new Map<Socket, number>();
+	/** Connections that carry no request any more after the last restart. */
+	readonly #retired = new WeakSet<Socket>();
 
 	private constructor(largestConnections: number) {
 		super({keepAlive: true, keepAliveMsecs: keepAliveProbeMilliseconds, scheduling: 'lifo', maxSockets: largestConnections, noDelay: true});
@@ -49,10 +51,21 @@
 	 * ends its connections, and callers would wait for responses that never come.
 	 */
 	closeStaleConnections(): void {
-		const now = performance.now();
-		for (const [socket, at] of this.#openedAt) {
-			if (now - at > restartNoticeMilliseconds) {
-				socket.destroy(new Error('the endpoint has restarted'));
+		for (const socket of this.#staleConnections()) {
+			socket.destroy(new Error('the endpoint has restarted'));
+		}
+	}
+
+	/**
+	 * Uses connections to earlier incarnations for no other request, and closes them once they are free. An endpoint that leaves in a planned way
+	 * answers what it has begun, also when the next incarnation serves already.
+	 */
+	retireConnections(): void {
+		const free = new Set(Object.values(this.freeSockets).flat());
+		for (const socket of this.#staleConnections()) {
+			this.#retired.add(socket);
+			if (free.has(socket)) {
+				socket.destroy();
 			}
 		}
 	}
@@ -71,7 +84,7 @@
 		const announcedSeconds = /timeout=(?<seconds>\d+)/v.exec(socket._httpMessage?.res?.headers['keep-alive'] ?? '')?.groups?.seconds;
 		const announcedMilliseconds = announcedSeconds === undefined ? maxIdleMilliseconds : (Number(announcedSeconds) * 1000) - idleMarginMilliseconds;
 		const milliseconds = Math.min(maxIdleMilliseconds, announcedMilliseconds);
-		if (milliseconds <= 0 || socket.readableLength > 0 || !super.keepSocketAlive(socket)) {
+		if (milliseconds <= 0 || this.#retired.has(socket) || socket.readableLength > 0 || !super.keepSocketAlive(socket)) {
 			return false;
 		}
 
@@ -86,6 +99,11 @@
 		socket.removeListener('timeout', closeIdle);
 		socket.removeListener('data', closeOnUnexpectedData);
 	}
+
+	#staleConnections(): readonly Socket[] {
+		const now = performance.now();
+		return [...this.#openedAt].filter(([, at]) => now - at > restartNoticeMilliseconds).map(([socket]) => socket);
+	}
 }
 
 function closeIdle(this: Socket): void {
--- a/src/gateway/table/routing-state.ts
+++ b/src/gateway/table/routing-state.ts
@@ -5,8 +5,8 @@
 export type RoutingStateChange
 	= | {readonly type: 'table'; readonly input: RoutingTableInput}
 		| {readonly type: 'endpoints'; readonly changes: readonly EndpointChange[]}
-	/** Endpoints that have restarted under their ids. */
-		| {readonly type: 'reborn'; readonly ids: readonly string[]}
+	/** Endpoints that have restarted under their ids; those in `afterLeaving` had announced their shutdown, and may still answer what they have begun. */
+		| {readonly type: 'reborn'; readonly ids: readonly string[]; readonly afterLeaving: ReadonlySet<string>}
 	/**
 	 * The store was restored from a backup (its era, the generation number of its log, has risen), and endpoints that it lacks
 	 * are kept as unconfirmed.
@@ -125,7 +125,8 @@
 		const restarted = [...new Set(effective.map(change => endpointIdOf(change)))].filter(id => this.#hasRestarted(before, id));
 		if (restarted.length > 0) {
 			this.#logger.info('Endpoints restarted.', {endpoints: restarted, source});
-			this.#notify({type: 'reborn', ids: restarted}, source);
+			const afterLeaving = new Set(restarted.filter(id => before.entries.get(id)?.record.isLeaving));
+			this.#notify({type: 'reborn', ids: restarted, afterLeaving}, source);
 		}
 	}
 
@@ -140,10 +141,11 @@
 		this.#notify({type: 'era', era}, source);
 	}
 
+	/** Both records must state a start time: one that is stated for the first time is no sign of a restart, and requests in progress would be cut off. */
 	#hasRestarted(before: EndpointDirectory, id: string): boolean {
-		const previous = before.entries.get(id);
-		const next = this.#directory.entries.get(id);
-		return previous !== undefined && next !== undefined && isLaterIncarnation(next.record, previous.record);
+		const previous = before.entries.get(id)?.record;
+		const next = this.#directory.entries.get(id)?.record;
+		return previous?.bornAt !== undefined && next !== undefined && isLaterIncarnation(next, previous);
 	}
 
 	#isEffective(before: EndpointDirectory, change: EndpointChange): boolean {
