a connection is kept idle for as long as its last answer announced

A version that shortened idleTimeoutMs while a request ran closed its connection by the new limit after the end, though the answer had announced the old one (Keep-Alive: timeout=15, closed 1.3 s later): the next request of a caller that relied on it met a closed connection. Node announces the timeout at a request's arrival and applies the one at the response's end. The longer one is kept now; a connection that is idle already was not affected.

--- a/src/connections/caller-connections.ts
+++ b/src/connections/caller-connections.ts
@@ -17,6 +17,8 @@
 };
 
 const badRequest = 400;
+/** A connection stays open for so long after its announced idle timeout, for the time that the last answer and the next request are on their way. */
+const idleMarginMilliseconds = 1000;
 /** Statuses of the errors of Node's parser; all others are bad requests. */
 const statuses: Readonly<Record<string, number>> = {HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408};
 
@@ -111,6 +113,7 @@
 		switch (outcome) {
 			case 'serve': {
 				this.#watchEnd(response);
+				this.#keepAnnounced(request.socket, response);
 				this.#options.onRequest(request, response);
 				return;
 			}
@@ -137,6 +140,20 @@
 		});
 	}
 
+	/**
+	 * Keeps the connection idle for as long as the response announces, by the timeout at its request's arrival. Node closes it by the timeout that is in
+	 * force at the response's end: if that is shorter, the next request of a caller that relies on the announced one meets a closed connection.
+	 */
+	#keepAnnounced(socket: Socket, response: OwedResponse): void {
+		const announcedMilliseconds = this.#options.server.keepAliveTimeout + idleMarginMilliseconds;
+		response.once('finish', () => {
+			const {timeout = 0} = socket;
+			if (timeout > 0 && timeout < announcedMilliseconds) {
+				socket.setTimeout(announcedMilliseconds);
+			}
+		});
+	}
+
 	#rejectMalformed(error: ParserError, socket: Duplex): void {
 		const connection = this.#connections.get(socket);
 		// A caller that ends its connection within a request has left, as one that ends it behind a request.
