--- a/test/gateway/planned-play.ts
+++ b/test/gateway/planned-play.ts
@@ -7,7 +7,6 @@
 /** How long an endpoint works, and the whole of a stream takes: longer than a change takes to be in force. */
 export const workMilliseconds = 1200;
 const gapMilliseconds = 100;
-const eventCount = workMilliseconds / gapMilliseconds;
 /** More than the connection of a caller that does not read can hold. */
 const longBody = 'x'.repeat(8 * 1024 * 1024);
 const bodyBytes = 2000;
@@ -30,7 +29,7 @@
 export const plannedRoutes: readonly PlannedRoute[] = [
 	{...plannedRoute, name: 'lookup', pathPrefix: '/lookup/', kind: 'safe', service: 'orders', targetLatencyMs: 2000},
 	{...plannedRoute, name: 'doubt', pathPrefix: '/doubt/', kind: 'safe', service: 'orders'},
-	{...plannedRoute, name: 'release', pathPrefix: '/release/', kind: 'unsafe', service: 'orders', maxAttempts: 1},
+	{...plannedRoute, name: 'release', pathPrefix: '/release/', kind: 'unsafe', service: 'orders', maxAttempts: 1, targetLatencyMs: 2000},
 	{...plannedRoute, name: 'scarce', pathPrefix: '/scarce/', kind: 'unsafe', service: 'scarce', maxAttempts: 1, targetLatencyMs: 2000},
 	{...plannedRoute, name: 'chart', pathPrefix: '/chart/', kind: 'streaming', service: 'models', resumable: true, gapAimMs: 400},
 	{...plannedRoute, name: 'question', pathPrefix: '/question/', kind: 'streaming', service: 'models', maxAttempts: 1, gapAimMs: 400},
@@ -45,12 +44,12 @@
 
 /** A gateway with a request in each state that a planned change can meet, each on a connection of its own. */
 export class PlannedPlay implements AsyncDisposable {
-	static async create({stopSeconds = 8}: {stopSeconds?: number} = {}): Promise<PlannedPlay> {
+	static async create({stopSeconds = 8, workMilliseconds: milliseconds = workMilliseconds}: {stopSeconds?: number; workMilliseconds?: number} = {}): Promise<PlannedPlay> {
 		const testbed = await Testbed.create({services: ['orders', 'models', 'other'], workersEach: 2});
 		const scarce = await testbed.addWorker('scarce-0', 'scarce');
 		testbed.store.put('keyed.servers', scarce.id, scarce.beat({slots: 1, seq: 2}));
 		testbed.store.put('keyed.op', 'config', plannedState(2));
-		const play = new PlannedPlay(testbed);
+		const play = new PlannedPlay(testbed, milliseconds);
 		for (const worker of testbed.workers) {
 			worker.answer = request => play.#answer(request);
 		}
@@ -64,8 +63,11 @@
 	readonly testbed: Testbed;
 	readonly #silenced = new Set<string>();
 
-	private constructor(testbed: Testbed) {
+	readonly #workMilliseconds: number;
+
+	private constructor(testbed: Testbed, milliseconds: number) {
 		this.testbed = testbed;
+		this.#workMilliseconds = milliseconds;
 	}
 
 	/** Waits until a version is in force. */
@@ -138,7 +140,7 @@
 
 	#answer({id, headers}: WorkerRequest): WorkerAnswer {
 		if (id === 'chart' || id === 'question') {
-			return {type: 'events', count: eventCount, gapMilliseconds};
+			return {type: 'events', count: this.#workMilliseconds / gapMilliseconds, gapMilliseconds};
 		}
 
 		if (id === 'silent' && !this.#silenced.has(id)) {
@@ -147,7 +149,7 @@
 		}
 
 		const isQuick = ['silent', 'half-head', 'half-body', 'behind', 'waiting', 'long'].includes(id);
-		return {type: 'whole', body: id === 'long' ? longBody : `done for ${String(headers.tenant)}`, afterMilliseconds: isQuick ? 0 : workMilliseconds};
+		return {type: 'whole', body: id === 'long' ? longBody : `done for ${String(headers.tenant)}`, afterMilliseconds: isQuick ? 0 : this.#workMilliseconds};
 	}
 
 	async #beginHalf(name: string, id: string, splitAt: (text: string) => number): Promise<PlannedRequest> {
