--- a/src/connections/caller-connections.ts
+++ b/src/connections/caller-connections.ts
@@ -159,7 +159,7 @@
 	 * Keeps the connection idle for as long as the response announces, by the timeout at its request's arrival. Node closes it by the timeout that is in
 	 * force at the response's end: if that is shorter, the next request of a caller that relies on the announced one meets a closed connection.
 	 */
-	#keepAnnounced(socket: Socket, response: OwedResponse): void {
+	#keepAnnounced(socket: Socket, response: PipelinedResponse): void {
 		const announcedMilliseconds = this.#options.server.keepAliveTimeout + idleMarginMilliseconds;
 		response.once('finish', () => {
 			const {timeout = 0} = socket;
--- a/src/policy/connections/connection-state.ts
+++ b/src/policy/connections/connection-state.ts
@@ -107,8 +107,8 @@
 function sendHead(state: ConnectionState, {number, closes}: Extract<ConnectionEvent, {type: 'head'}>): ConnectionStep {
 	const isClosing = state.isClosing || closes;
 	const isLast = state.open.at(-1)?.number === number && state.malformedStatus === undefined;
-	// Headers that wait behind other responses are not sent yet: what is read until then is still served, unless nothing can be read.
-	const isSent = closes || state.open[0]?.number === number;
+	// Headers that wait behind other responses are not sent yet: what is read until then is still served, unless nothing can be read, or too many are open.
+	const isSent = closes || state.open.length > maxOpenRequests || state.open[0]?.number === number;
 	const announces = isClosing && isLast && isSent;
 	return {state: {...state, isClosing, hasAnnounced: state.hasAnnounced || announces}, action: announces ? {type: 'announce'} : none};
 }
