test: an endpoint that starts anew states its start twice, as registrations do

The test holds both now: the first statement changes nothing, the next one makes the endpoint unknown.

--- a/test/gateway/uneven-engines-unknown.test.ts
+++ b/test/gateway/uneven-engines-unknown.test.ts
@@ -19,6 +19,8 @@
 	const {loadTracker} = fleet.dispatchers[0]!;
 	const speed = loadTracker.prefillSpeed('models');
 	t.not(loadTracker.engineSpeed('engine-2', 'models', time.now).tokensPerMillisecond, speed.tokensPerMillisecond);
+	fleet.restart('engine-2', 500);
+	t.not(loadTracker.engineSpeed('engine-2', 'models', time.now).tokensPerMillisecond, speed.tokensPerMillisecond, 'a record that says for the first time when it has started is none of a restart');
 	fleet.restart('engine-2', 1000);
 	t.equal(loadTracker.engineSpeed('engine-2', 'models', time.now).tokensPerMillisecond, speed.tokensPerMillisecond);
 	t.not(loadTracker.engineSpeed('engine-5', 'models', time.now).tokensPerMillisecond, speed.tokensPerMillisecond, 'the others are known');
