log what an endpoint's restart does to its connections, and how much time a request had left when it ended

Logs could not tell a stream that this instance cuts off by news of its endpoint from one that the endpoint breaks off: the line of a restart named neither the connections that it closed nor how many carried a request, and 'expired' did not say whether the request's time was over or a late loop had ended it before. One line for each restarted endpoint says now how many connections were free and how many carried a request, by whose word, and what becomes of them; 'Finished.' says how much time was left and how late the loop was. No logic changes.

--- a/src/bin/gateway-parts.ts
+++ b/src/bin/gateway-parts.ts
@@ -58,7 +58,7 @@
 	const late: LateParts = {};
 	const base = openBase(options, late);
 	const {settings, adapter, logger, incarnation, metrics, store, routingState} = base;
-	const connectionPools = openConnectionPools(routingState);
+	const connectionPools = openConnectionPools(base);
 	const decisions = DecisionLog.create(forPart(logger, 'Request'), metrics);
 	const dispatcher = openDispatcher(base);
 	const {ledger: crashes, archive: crashArchive} = openGatewayCrashes(base);
@@ -98,19 +98,18 @@
 }
 
 /** Opens the connections to endpoints; those of an endpoint's earlier incarnation are closed, if it has left once they carry no request. */
-function openConnectionPools(routingState: RoutingState): ConnectionPools {
+function openConnectionPools({routingState, logger}: Base): ConnectionPools {
 	const connectionPools = ConnectionPools.create();
-	routingState.onChange(change => {
+	const log = forPart(logger, 'Endpoints');
+	routingState.onChange((change, source) => {
 		if (change.type !== 'reborn') {
 			return;
 		}
 
 		for (const id of change.ids) {
-			if (change.afterLeaving.has(id)) {
-				connectionPools.retireConnections(id);
-			} else {
-				connectionPools.closeStaleConnections(id);
-			}
+			const hadAnnounced = change.afterLeaving.has(id);
+			const {free, busy} = hadAnnounced ? connectionPools.retireConnections(id) : connectionPools.closeStaleConnections(id);
+			log.info(hadAnnounced ? 'Connections to an earlier incarnation take no more requests.' : 'Connections to an earlier incarnation closed.', {endpoint: id, free, busy, source});
 		}
 	});
 	return connectionPools;
--- a/src/gateway/endpoints/connection-pool.ts
+++ b/src/gateway/endpoints/connection-pool.ts
@@ -27,6 +27,9 @@
 /** Node's typings leave out the two methods that its documentation names for overriding. */
 const HookedAgent = Agent as unknown as new (options: AgentOptions) => Agent & AgentHooks;
 
+/** Connections to earlier incarnations of an endpoint, by whether they carried a request when it restarted. */
+export type StaleConnections = {readonly free: number; readonly busy: number};
+
 /**
  * Keep-alive connections to one endpoint, the most recently used first. Data on a connection that carries no request closes
  * it: bytes that an endpoint sends after a complete response, or a late second response, would otherwise be read as the
@@ -50,24 +53,31 @@
 	 * Closes connections to earlier incarnations. If an endpoint crashes and restarts behind a network partition, no packet
 	 * ends its connections, and callers would wait for responses that never come.
 	 */
-	closeStaleConnections(): void {
-		for (const socket of this.#staleConnections()) {
+	closeStaleConnections(): StaleConnections {
+		const free = this.#freeConnections();
+		const stale = this.#staleConnections();
+		for (const socket of stale) {
 			socket.destroy(new Error('the endpoint has restarted'));
 		}
+
+		return countStale(stale, free);
 	}
 
 	/**
 	 * Uses connections to earlier incarnations for no other request, and closes them once they are free. An endpoint that leaves in a planned way
 	 * answers what it has begun, also when the next incarnation serves already.
 	 */
-	retireConnections(): void {
-		const free = new Set(Object.values(this.freeSockets).flat());
-		for (const socket of this.#staleConnections()) {
+	retireConnections(): StaleConnections {
+		const free = this.#freeConnections();
+		const stale = this.#staleConnections();
+		for (const socket of stale) {
 			this.#retired.add(socket);
 			if (free.has(socket)) {
 				socket.destroy();
 			}
 		}
+
+		return countStale(stale, free);
 	}
 
 	/** Called by Node for each new connection; records its time while it is open. */
@@ -100,12 +110,21 @@
 		socket.removeListener('data', closeOnUnexpectedData);
 	}
 
+	#freeConnections(): ReadonlySet<Socket | undefined> {
+		return new Set(Object.values(this.freeSockets).flat());
+	}
+
 	#staleConnections(): readonly Socket[] {
 		const now = performance.now();
 		return [...this.#openedAt].filter(([, at]) => now - at > restartNoticeMilliseconds).map(([socket]) => socket);
 	}
 }
 
+function countStale(stale: readonly Socket[], free: ReadonlySet<Socket | undefined>): StaleConnections {
+	const count = stale.filter(socket => free.has(socket)).length;
+	return {free: count, busy: stale.length - count};
+}
+
 function closeIdle(this: Socket): void {
 	this.destroy();
 }
--- a/src/gateway/endpoints/connection-pools.ts
+++ b/src/gateway/endpoints/connection-pools.ts
@@ -1,5 +1,5 @@
 import {type EndpointRecord} from '../../routing/index.js';
-import {ConnectionPool} from './connection-pool.js';
+import {ConnectionPool, type StaleConnections} from './connection-pool.js';
 
 /** Connection limit for services that do not set one. */
 const defaultMaxConnections = 64;
@@ -9,6 +9,8 @@
  */
 const connectionShare = 0.3;
 
+const noneStale: StaleConnections = {free: 0, busy: 0};
+
 /** A connection pool for each endpoint. */
 export class ConnectionPools implements Disposable {
 	static create(): ConnectionPools {
@@ -37,13 +39,13 @@
 	}
 
 	/** Closes the connections to earlier incarnations of an endpoint that has restarted. */
-	closeStaleConnections(id: string): void {
-		this.#pools.get(id)?.closeStaleConnections();
+	closeStaleConnections(id: string): StaleConnections {
+		return this.#pools.get(id)?.closeStaleConnections() ?? noneStale;
 	}
 
 	/** Leaves the connections to an earlier incarnation that has left in a planned way to the requests on them. */
-	retireConnections(id: string): void {
-		this.#pools.get(id)?.retireConnections();
+	retireConnections(id: string): StaleConnections {
+		return this.#pools.get(id)?.retireConnections() ?? noneStale;
 	}
 
 	[Symbol.dispose](): void {
--- a/src/gateway/requests/decision-log.ts
+++ b/src/gateway/requests/decision-log.ts
@@ -15,6 +15,10 @@
 	readonly sendings: number;
 	readonly verdict: string;
 	readonly firstEventAt: number | undefined;
+	/** How much time it had left until its deadline or its route's timeout. */
+	readonly leftMilliseconds: number;
+	/** How late the event loop was, which ends requests sooner. */
+	readonly lagMilliseconds: number;
 };
 
 /** One attempt at one endpoint. */
@@ -147,7 +151,7 @@
 	}
 
 	/** Logs the final response; a request served by its first attempt already has its line. */
-	logResult({facts, route, arrivedAt}: LoggedRequest, {firstEventAt, ...result}: ExchangeResult): void {
+	logResult({facts, route, arrivedAt}: LoggedRequest, {firstEventAt, leftMilliseconds, lagMilliseconds, ...result}: ExchangeResult): void {
 		const milliseconds = performance.now() - arrivedAt;
 		this.#finished.add(1, {route: route.name, outcome: result.outcome});
 		this.#durations.record(milliseconds, {route: route.name});
@@ -156,7 +160,7 @@
 		}
 
 		if (result.outcome !== 'done' || result.sendings > 1) {
-			this.#write('Finished.', {request: facts.id, route: route.name, ...result, milliseconds: Math.round(milliseconds)});
+			this.#write('Finished.', {request: facts.id, route: route.name, ...result, milliseconds: Math.round(milliseconds), left: Math.round(leftMilliseconds), lag: Math.round(lagMilliseconds)});
 		}
 	}
 
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -272,7 +272,7 @@
 	}
 
 	#finish(outcome: Outcome, retryAfterMilliseconds = defaultRetryMilliseconds): void {
-		const {caller, codec, facts, log, dispatcher, service, stop, route} = this.#options;
+		const {caller, codec, facts, log, dispatcher, service, stop, route, lateness} = this.#options;
 		if (outcome.type === 'done' && this.#sentAt !== undefined) {
 			stop.recordRun(route, performance.now() - this.#sentAt);
 		}
@@ -284,6 +284,7 @@
 		log.logResult(this.#options, {
 			outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, sendings: this.#attempts,
 			verdict: this.#retryProgress.verdict, firstEventAt: this.#forwarder.firstEventAt,
+			leftMilliseconds: this.#end.leftMilliseconds, lagMilliseconds: lateness.milliseconds,
 		});
 		if (outcome.type === 'done' || outcome.type === 'left') {
 			return;
--- a/src/gateway/requests/request-end.ts
+++ b/src/gateway/requests/request-end.ts
@@ -35,6 +35,11 @@
 		return performance.now() >= stop.endsAt && stop.endsAt < endAt(this.#limit, lateness.milliseconds);
 	}
 
+	/** How much of its time the request has left. */
+	get leftMilliseconds(): number {
+		return this.#limit.deadlineAt - performance.now();
+	}
+
 	/** The last moment at which the request may be sent to an endpoint; infinite while the instance does not stop. */
 	get lastStartAt(): number {
 		const {route, stop} = this.#options;
