the news of an endpoint's restart ends no request there that still brings something, or that may be silent while it works

What callers saw: all streams of one endpoint at one instance that had lasted for over two seconds broke off within milliseconds of each other, and orders there got 502, although the endpoint went on sending. An endpoint that drops its registration without saying that it leaves goes on with what it has begun; when its next incarnation registered under its id, with a later start, each instance closed all older connections to it.

Cause: a decision about requests in progress by the news of their endpoint, and not by what they themselves saw. The news cannot tell a process that is gone from one that ends its work.

Change: after a restart, connections to the earlier incarnation carry no more requests, whether or not it had announced that it leaves; those without a request are closed. One with a request is given up only where the next incarnation has the address of the earlier one, which is assigned again only once the process before has ended, and then only once it has brought nothing for two seconds (src/policy/incarnations). At another address nothing tells of the process's end but its own silence: timeouts, failover and the probes of the connection decide.

One test is replaced: path, 'a stream on a worker that restarts continues elsewhere', said in its comment that the worker dies behind a partition, but its stand-in went on sending each 100 ms; it asked for the fault. The stand-in now falls silent after three events; attempts, events, the end and the cut are asserted as before.

--- a/src/bin/gateway-parts.ts
+++ b/src/bin/gateway-parts.ts
@@ -97,7 +97,7 @@
 	return {...options, incarnation, metrics, store, routingState, peers: () => late.peers!, feeds: () => late.feeds, duties: () => late.duties};
 }
 
-/** Opens the connections to endpoints; those of an endpoint's earlier incarnation are closed, if it has left once they carry no request. */
+/** Opens the connections to endpoints; those to an earlier incarnation of an endpoint carry no more requests. */
 function openConnectionPools({routingState, logger}: Base): ConnectionPools {
 	const connectionPools = ConnectionPools.create();
 	const log = forPart(logger, 'Endpoints');
@@ -106,10 +106,9 @@
 			return;
 		}
 
-		for (const id of change.ids) {
-			const hadAnnounced = change.afterLeaving.has(id);
-			const {free, busy} = hadAnnounced ? connectionPools.retireConnections(id) : connectionPools.closeStaleConnections(id);
-			log.info(hadAnnounced ? 'Connections to an earlier incarnation take no more requests.' : 'Connections to an earlier incarnation closed.', {endpoint: id, free, busy, source});
+		for (const restart of change.restarts) {
+			const {id: endpoint, ...known} = restart;
+			log.info('Connections to an earlier incarnation take no more requests.', {endpoint, ...known, ...connectionPools.handleRestart(restart), source});
 		}
 	});
 	return connectionPools;
--- a/src/gateway/crashes/registration-watch.ts
+++ b/src/gateway/crashes/registration-watch.ts
@@ -27,7 +27,7 @@
 			}
 
 			case 'reborn': {
-				for (const record of change.ids.flatMap(id => recordOf(id))) {
+				for (const record of change.restarts.flatMap(({id}) => recordOf(id))) {
 					monitor.recordRestart(record, now);
 				}
 
--- a/src/gateway/endpoints/connection-pool.ts
+++ b/src/gateway/endpoints/connection-pool.ts
@@ -1,6 +1,7 @@
 import {Agent, type AgentOptions, type ClientRequest, type ClientRequestArgs} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
+import {endsInSilence, type Restart} from '../../policy/incarnations/index.js';
 
 /**
  * Limit for idle connections. If an endpoint closes an idle connection, a request sent on it at that moment is reset, and one
@@ -44,40 +45,44 @@
 	readonly #openedAt = new Map<Socket, number>();
 	/** Connections that carry no request any more after the last restart. */
 	readonly #retired = new WeakSet<Socket>();
+	/** Called for connections with a request whose endpoint has restarted at its address. */
+	readonly #watchers = new Map<Socket, () => void>();
 
 	private constructor(largestConnections: number) {
 		super({keepAlive: true, keepAliveMsecs: keepAliveProbeMilliseconds, scheduling: 'lifo', maxSockets: largestConnections, noDelay: true});
 	}
 
 	/**
-	 * Closes connections to earlier incarnations. If an endpoint crashes and restarts behind a network partition, no packet
-	 * ends its connections, and callers would wait for responses that never come.
+	 * Uses connections to earlier incarnations for no other request, and closes them once they are free. Requests on them are told if their connection may
+	 * bring nothing more: if an endpoint crashes and restarts behind a network partition, no packet ends its connections, and callers would wait for
+	 * responses that never come.
 	 */
-	closeStaleConnections(): StaleConnections {
-		const free = this.#freeConnections();
-		const stale = this.#staleConnections();
-		for (const socket of stale) {
-			socket.destroy(new Error('the endpoint has restarted'));
-		}
-
-		return countStale(stale, free);
-	}
-
-	/**
-	 * Uses connections to earlier incarnations for no other request, and closes them once they are free. An endpoint that leaves in a planned way
-	 * answers what it has begun, also when the next incarnation serves already.
-	 */
-	retireConnections(): StaleConnections {
-		const free = this.#freeConnections();
+	handleRestart(restart: Restart): StaleConnections {
+		const free = new Set<Socket | undefined>(Object.values(this.freeSockets).flat());
 		const stale = this.#staleConnections();
 		for (const socket of stale) {
 			this.#retired.add(socket);
 			if (free.has(socket)) {
 				socket.destroy();
+			} else if (endsInSilence(restart)) {
+				this.#watchers.get(socket)?.();
 			}
 		}
 
-		return countStale(stale, free);
+		const count = stale.filter(socket => free.has(socket)).length;
+		return {free: count, busy: stale.length - count};
+	}
+
+	/** Calls the listener if the endpoint has restarted at its address since the connection was opened; disposing of the result ends that. */
+	onRestart(socket: Socket, listener: () => void): Disposable {
+		this.#watchers.set(socket, listener);
+		return {
+			[Symbol.dispose]: () => {
+				if (this.#watchers.get(socket) === listener) {
+					this.#watchers.delete(socket);
+				}
+			},
+		};
 	}
 
 	/** Called by Node for each new connection; records its time while it is open. */
@@ -110,21 +115,12 @@
 		socket.removeListener('data', closeOnUnexpectedData);
 	}
 
-	#freeConnections(): ReadonlySet<Socket | undefined> {
-		return new Set(Object.values(this.freeSockets).flat());
-	}
-
 	#staleConnections(): readonly Socket[] {
 		const now = performance.now();
 		return [...this.#openedAt].filter(([, at]) => now - at > restartNoticeMilliseconds).map(([socket]) => socket);
 	}
 }
 
-function countStale(stale: readonly Socket[], free: ReadonlySet<Socket | undefined>): StaleConnections {
-	const count = stale.filter(socket => free.has(socket)).length;
-	return {free: count, busy: stale.length - count};
-}
-
 function closeIdle(this: Socket): void {
 	this.destroy();
 }
--- a/src/gateway/endpoints/connection-pools.ts
+++ b/src/gateway/endpoints/connection-pools.ts
@@ -1,3 +1,4 @@
+import {type Restart} from '../../policy/incarnations/index.js';
 import {type EndpointRecord} from '../../routing/index.js';
 import {ConnectionPool, type StaleConnections} from './connection-pool.js';
 
@@ -38,14 +39,9 @@
 		}
 	}
 
-	/** Closes the connections to earlier incarnations of an endpoint that has restarted. */
-	closeStaleConnections(id: string): StaleConnections {
-		return this.#pools.get(id)?.closeStaleConnections() ?? noneStale;
-	}
-
-	/** Leaves the connections to an earlier incarnation that has left in a planned way to the requests on them. */
-	retireConnections(id: string): StaleConnections {
-		return this.#pools.get(id)?.retireConnections() ?? noneStale;
+	/** Leaves the connections to earlier incarnations of an endpoint that has restarted to the requests on them. */
+	handleRestart(restart: Restart): StaleConnections {
+		return this.#pools.get(restart.id)?.handleRestart(restart) ?? noneStale;
 	}
 
 	[Symbol.dispose](): void {
--- a/src/gateway/endpoints/statement-registry.ts
+++ b/src/gateway/endpoints/statement-registry.ts
@@ -53,7 +53,7 @@
 		this.#options = options;
 		options.routingState.onChange(change => {
 			if (change.type === 'reborn') {
-				for (const id of change.ids) {
+				for (const {id} of change.restarts) {
 					this.#forget(id);
 				}
 			}
--- a/src/gateway/placement/endpoint-pool.ts
+++ b/src/gateway/placement/endpoint-pool.ts
@@ -56,7 +56,7 @@
 		options.routingState.onChange(change => {
 			this.#endpoints.clear();
 			this.#candidates.clear();
-			for (const endpoint of change.type === 'reborn' ? change.ids : []) {
+			for (const {id: endpoint} of change.type === 'reborn' ? change.restarts : []) {
 				this.#health.delete(endpoint);
 				options.loadTracker.step({type: 'endpoint-restarted', endpoint}, performance.now());
 			}
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -3,6 +3,7 @@
 import {Timeout} from '../../concurrency/index.js';
 import {splitAddress, type Verdict as VerdictType, Verdict} from '../../model/index.js';
 import {abortRequest, limitReceivedBytes, watchConnection} from '../../platform/index.js';
+import {judgeSilence, type Progress, silenceMilliseconds} from '../../policy/incarnations/index.js';
 import {type ConnectionPool} from '../endpoints/index.js';
 
 /** Events of one attempt at one endpoint, in order. */
@@ -52,6 +53,9 @@
 	#isReset = false;
 	#socket: Socket | undefined;
 	readonly #connectTimeout: Timeout;
+	/** Ends the attempt if nothing more comes of an endpoint that has restarted. */
+	#restartTimeout: Timeout | undefined;
+	#isPaused = false;
 	#bodyBytes = 0;
 	#pieces = 0;
 
@@ -71,6 +75,7 @@
 		this.#request.once('socket', socket => {
 			this.#socket = socket;
 			this.#endConnectTimeout(socket);
+			this.#watchRestart(socket);
 			// Runs before the HTTP parser sees the end, while the state of the connection can still be read.
 			socket.prependListener('end', this.#onSocketEnd);
 		});
@@ -119,13 +124,37 @@
 	}
 
 	pause(): void {
+		this.#isPaused = true;
 		this.#response?.pause();
 	}
 
 	resume(): void {
+		this.#isPaused = false;
 		this.#response?.resume();
 	}
 
+	#watchRestart(socket: Socket): void {
+		const watch = this.#options.connectionPool.onRestart(socket, () => {
+			this.#restartTimeout ??= this.#awaitSilence({bytes: socket.bytesRead, at: performance.now()}, socket, silenceMilliseconds);
+		});
+		this.#request.once('close', () => {
+			watch[Symbol.dispose]();
+			this.#restartTimeout?.[Symbol.dispose]();
+		});
+	}
+
+	#awaitSilence(before: Progress, socket: Socket, milliseconds: number): Timeout {
+		return Timeout.start(milliseconds, () => {
+			const verdict = judgeSilence(before, {bytes: socket.bytesRead, isPaused: this.#isPaused, now: performance.now()});
+			if (verdict.type === 'silent') {
+				this.#fail('the endpoint has restarted');
+				return;
+			}
+
+			this.#restartTimeout = this.#awaitSilence(verdict.progress, socket, verdict.milliseconds);
+		});
+	}
+
 	#startConnectTimeout(): Timeout {
 		return Timeout.start(connectTimeoutMilliseconds, () => {
 			if (!this.#connection.isEstablished) {
--- a/src/gateway/table/routing-state.ts
+++ b/src/gateway/table/routing-state.ts
@@ -1,12 +1,13 @@
 import {EndpointDirectory, type EndpointChange, type EndpointEntry, type EndpointRecord, isLaterIncarnation, positionOf, RoutingTable, type RoutingTableInput} from '../../routing/index.js';
+import {type Restart} from '../../policy/incarnations/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 
 /** A change of the routing state; updates without an effect are not reported. */
 export type RoutingStateChange
 	= | {readonly type: 'table'; readonly input: RoutingTableInput}
 		| {readonly type: 'endpoints'; readonly changes: readonly EndpointChange[]}
-	/** Endpoints that have restarted under their ids; those in `afterLeaving` had announced their shutdown, and may still answer what they have begun. */
-		| {readonly type: 'reborn'; readonly ids: readonly string[]; readonly afterLeaving: ReadonlySet<string>}
+	/** Endpoints that have restarted under their ids. */
+		| {readonly type: 'reborn'; readonly restarts: readonly Restart[]}
 	/**
 	 * The store was restored from a backup (its era, the generation number of its log, has risen), and endpoints that it lacks
 	 * are kept as unconfirmed.
@@ -122,11 +123,10 @@
 			this.#notify({type: 'endpoints', changes: effective}, source);
 		}
 
-		const restarted = [...new Set(effective.map(change => endpointIdOf(change)))].filter(id => this.#hasRestarted(before, id));
-		if (restarted.length > 0) {
-			this.#logger.info('Endpoints restarted.', {endpoints: restarted, source});
-			const afterLeaving = new Set(restarted.filter(id => before.entries.get(id)?.record.isLeaving));
-			this.#notify({type: 'reborn', ids: restarted, afterLeaving}, source);
+		const restarts = [...new Set(effective.map(change => endpointIdOf(change)))].flatMap(id => this.#restartOf(before, id));
+		if (restarts.length > 0) {
+			this.#logger.info('Endpoints restarted.', {endpoints: restarts.map(({id}) => id), source});
+			this.#notify({type: 'reborn', restarts}, source);
 		}
 	}
 
@@ -141,11 +141,13 @@
 		this.#notify({type: 'era', era}, source);
 	}
 
-	/** Both records must state a start time: one that is stated for the first time is no sign of a restart, and requests in progress would be cut off. */
-	#hasRestarted(before: EndpointDirectory, id: string): boolean {
+	/** Both records must state a start time: one that is stated for the first time is no sign of a restart. */
+	#restartOf(before: EndpointDirectory, id: string): readonly Restart[] {
 		const previous = before.entries.get(id)?.record;
 		const next = this.#directory.entries.get(id)?.record;
-		return previous?.bornAt !== undefined && next !== undefined && isLaterIncarnation(next, previous);
+		return previous?.bornAt !== undefined && next !== undefined && isLaterIncarnation(next, previous)
+			? [{id, hadAnnounced: previous.isLeaving, isAtSameAddress: previous.address === next.address}]
+			: [];
 	}
 
 	#isEffective(before: EndpointDirectory, change: EndpointChange): boolean {
--- a/test/gateway/path.test.ts
+++ b/test/gateway/path.test.ts
@@ -286,7 +286,7 @@
 });
 
 // A worker dies behind a network partition while a stream runs there, and restarts under its id and address; no packet ends the old
-// connection, so the caller would wait until its timeout. The announcement of the new incarnation ends the attempts at the old one.
+// connection, so the caller would wait until its timeout. An attempt at the old incarnation that brings nothing after the announcement of the new one ends.
 tap.test('a stream on a worker that restarts continues elsewhere, and the worker is used again', async t => {
 	await using testbed = await Testbed.create({services: ['models'], workersEach: 2});
 	await testbed.startGateway();
@@ -299,7 +299,7 @@
 	testbed.store.put('keyed.servers', second!.id, second!.beat({born: 1000, seq: 40}));
 	await eventually(() => [...testbed.gateways[0]!.routingState.directory.entries.values()].every(({record}) => record.bornAt === 1000));
 	testbed.respondWith('models', ({id, headers}) => id === 'cut' && headers['last-event-id'] === undefined
-		? {type: 'events', count: 60, gapMilliseconds: 100}
+		? {type: 'crash', isSilent: true, afterEvents: 3}
 		: {type: 'events', count: 60});
 	const sent = testbed.send({path: '/chart/1', method: 'POST', id: 'cut', body: 'draw', headers: {'deadline-ms': '15000'}});
 	await eventually(() => testbed.attemptCount('cut') === 1);
