an answer that has begun is ended at its deadline or its route's timeout, and not before it where the loop is late

Cause: a late loop ends requests sooner by its lag (src/policy/lateness/time-limits), so that the response that says so leaves in time. That margin serves a caller who has nothing yet. Once an answer has begun there is no such response: what comes until the end is all that there is, and a lag that was measured shortly before, in a loop that is in time again, cost the rest.

Change: the margin ends with the beginning of the answer, and a stream's endpoint is given the time until the deadline itself. So that a loop that stays late does not end such an answer half a second after its time, it also ends in the turn that reads beyond that, and not only by its alarm, which comes several turns later.

--- a/src/gateway/requests/attempt-sender.ts
+++ b/src/gateway/requests/attempt-sender.ts
@@ -1,12 +1,14 @@
 import {type Channel, tryDeliver} from '../../concurrency/index.js';
 import {RouteKind} from '../../routing/index.js';
 import {Attempt, type AttemptEvent} from './attempt.js';
-import {AttemptState, type PlacedDecision} from './attempt-state.js';
+import {AttemptState, type Outcome, type PlacedDecision} from './attempt-state.js';
+import {outcomeAtEnd} from './attempt-timeouts.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {reportResponse} from './outcome-report.js';
+import {type RequestEnd} from './request-end.js';
 import {type ResponseForwarder} from './response-forwarder.js';
 
-export type AttemptSenderOptions = {readonly exchange: ExchangeOptions; readonly forwarder: ResponseForwarder; readonly inbox: Channel<ExchangeEvent>};
+export type AttemptSenderOptions = {readonly exchange: ExchangeOptions; readonly end: RequestEnd; readonly forwarder: ResponseForwarder; readonly inbox: Channel<ExchangeEvent>};
 
 /** One attempt that is to be sent: where, as which of its request's attempts, and for how long. */
 export type NewAttempt = {readonly decision: PlacedDecision; readonly number: number; readonly remainingMilliseconds: number};
@@ -65,11 +67,17 @@
 			monitor.recordResponse(state.decision.record, state.startedAt, performance.now());
 		}
 
-		const outcome = forwarder.handle(state, event);
+		const outcome = forwarder.handle(state, event) ?? this.#outcomeAtEnd();
 		if (outcome !== undefined) {
 			state.attempt.cancel();
 			state.hasOutcome = true;
 			tryDeliver(inbox, {type: 'outcome', number: state.number, outcome});
 		}
 	}
+
+	/** An answer that has begun ends in the turn of the event loop that reads beyond its time: in a late loop the alarm comes several turns later. */
+	#outcomeAtEnd(): Outcome | undefined {
+		const {end, exchange: {caller}} = this.#options;
+		return caller.hasResponse ? outcomeAtEnd(end, performance.now()) : undefined;
+	}
 }
--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -45,9 +45,9 @@
 	check(state: AttemptState): Outcome | undefined {
 		const {end, excluded, build, mayLeave, exchange: {dispatcher, crashes, request, service}} = this.#options;
 		const now = performance.now();
-		if (now >= end.at) {
-			// An endpoint that the instance's stop leaves no time is not silent, and its request not one that crashes it.
-			return end.isStopped ? {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'the instance stops'} : {type: 'expired'};
+		const outcome = outcomeAtEnd(end, now);
+		if (outcome !== undefined) {
+			return outcome;
 		}
 
 		const {record} = state.decision;
@@ -89,3 +89,12 @@
 		return Math.max(failoverAt({...timing, lastEventAt}), silentSinceSignAt);
 	}
 }
+
+/** How an attempt ends when the time of its request is over; undefined before. An endpoint that the instance's stop leaves no time is not silent, and its request not one that crashes it. */
+export function outcomeAtEnd(end: RequestEnd, now: number): Outcome | undefined {
+	if (now < end.at) {
+		return undefined;
+	}
+
+	return end.isStopped ? {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'the instance stops'} : {type: 'expired'};
+}
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -72,7 +72,7 @@
 				tryDeliver(this.#inbox, {type: 'drained'});
 			},
 		});
-		this.#sender = AttemptSender.create({exchange: options, forwarder: this.#forwarder, inbox: this.#inbox});
+		this.#sender = AttemptSender.create({exchange: options, end: this.#end, forwarder: this.#forwarder, inbox: this.#inbox});
 		this.#timeouts = AttemptTimeouts.create({
 			exchange: options, end: this.#end, retryProgress: this.#retryProgress, forwarder: this.#forwarder, excluded: this.#excluded, build: () => this.#binding.build,
 			mayLeave: () => !options.caller.hasResponse || this.#retryProgress.reserveFailover(this.#retryContext()),
@@ -144,15 +144,15 @@
 
 	/** Runs one attempt to its end. */
 	* #runAttempt(decision: PlacedDecision): Body<Outcome> {
-		const {dispatcher, caller} = this.#options;
+		const {dispatcher, caller, route} = this.#options;
 		using run = HeldRun.create({dispatcher, usage: this.#usage, runId: decision.runId});
-		const remaining = this.#end.at - performance.now();
-		if (remaining < minRunMilliseconds || caller.hasDisconnected) {
+		const now = performance.now();
+		if (this.#end.at - now < minRunMilliseconds || caller.hasDisconnected) {
 			return caller.hasDisconnected ? {type: 'left'} : {type: 'expired'};
 		}
 
 		this.#countAttempt();
-		const state = this.#sender.send({decision, number: this.#attempts, remainingMilliseconds: remaining});
+		const state = this.#sender.send({decision, number: this.#attempts, remainingMilliseconds: (route.kind === RouteKind.stream ? this.#end.onceBegunAt : this.#end.at) - now});
 		run.attempt = state;
 		const outcome = yield * this.#awaitOutcome(state);
 		this.#endAttempt(state, outcome, run);
--- a/src/gateway/requests/request-end.ts
+++ b/src/gateway/requests/request-end.ts
@@ -1,4 +1,4 @@
-import {endAt, nextLookAt} from '../../policy/lateness/index.js';
+import {endAt, nextLookAt, type TimeLimit} from '../../policy/lateness/index.js';
 import {type Route} from '../../routing/index.js';
 import {type RequestMetadata} from '../adapter/index.js';
 import {type ExchangeOptions} from './exchange-options.js';
@@ -8,19 +8,25 @@
 	return arrivedAt + Math.min(route.timeoutMilliseconds, facts.deadlineMilliseconds ?? Infinity);
 }
 
-/** When a request is ended: by its caller's deadline, its route's timeout or the instance's stop, and in a late event loop before them, so that its final response leaves in time. */
+/** When a request is ended: by its caller's deadline, its route's timeout or the instance's stop, and in a late event loop before them, so that its final response leaves in time, if none has begun. */
 export class RequestEnd {
 	static create(options: ExchangeOptions): RequestEnd {
 		return new RequestEnd(options);
 	}
 
+	/** When its time is over. */
+	readonly deadlineAt: number;
 	readonly #options: ExchangeOptions;
-	readonly #limit: {readonly arrivedAt: number; readonly deadlineAt: number};
 
 	private constructor(options: ExchangeOptions) {
 		const {arrivedAt, route, facts} = options;
 		this.#options = options;
-		this.#limit = {arrivedAt, deadlineAt: deadlineOf(arrivedAt, route, facts)};
+		this.deadlineAt = deadlineOf(arrivedAt, route, facts);
+	}
+
+	get #limit(): TimeLimit {
+		const {arrivedAt, caller} = this.#options;
+		return {arrivedAt, deadlineAt: this.deadlineAt, hasBegun: caller.hasResponse};
 	}
 
 	/** When the request is ended. */
@@ -29,6 +35,11 @@
 		return Math.min(endAt(this.#limit, lateness.milliseconds), stop.endsAt);
 	}
 
+	/** When the request is ended if its answer has begun by then: so long may an endpoint work on a stream. */
+	get onceBegunAt(): number {
+		return Math.min(this.deadlineAt, this.#options.stop.endsAt);
+	}
+
 	/** Whether the instance's stop, and neither its deadline nor its route's timeout, has ended the request. */
 	get isStopped(): boolean {
 		const {stop, lateness} = this.#options;
@@ -37,19 +48,19 @@
 
 	/** How much of its time the request has left. */
 	get leftMilliseconds(): number {
-		return this.#limit.deadlineAt - performance.now();
+		return this.deadlineAt - performance.now();
 	}
 
 	/** The last moment at which the request may be sent to an endpoint; infinite while the instance does not stop. */
 	get lastStartAt(): number {
 		const {route, stop} = this.#options;
-		return stop.lastStartAt({route, deadlineAt: this.#limit.deadlineAt});
+		return stop.lastStartAt({route, deadlineAt: this.deadlineAt});
 	}
 
 	/** When to look whether the request is ended. */
 	get nextLookAt(): number {
 		const {lateness: {isMeasured, milliseconds}, stop} = this.#options;
-		const lookAt = isMeasured ? nextLookAt(this.#limit, {lagMilliseconds: milliseconds, now: performance.now()}) : this.#limit.deadlineAt;
+		const lookAt = isMeasured ? nextLookAt(this.#limit, {lagMilliseconds: milliseconds, now: performance.now()}) : this.deadlineAt;
 		return Math.min(lookAt, stop.endsAt);
 	}
 }
--- a/src/policy/lateness/time-limits.ts
+++ b/src/policy/lateness/time-limits.ts
@@ -2,7 +2,8 @@
  * When a request is ended so that its final response leaves in time.
  *
  * Load pattern: see loop-lag.ts. A timer of a late loop fires late by its lag, and an endpoint's last words are read late by the same; without
- * a margin the caller has the response that much after its time.
+ * a margin the caller has the response that much after its time. An answer that has begun has no margin: what comes until its time is over is the
+ * caller's, and nobody waits for another response.
  */
 
 /** The margin takes at most this share of a request's time: most of it remains for the endpoint, however late the loop is. */
@@ -13,11 +14,13 @@
 	readonly arrivedAt: number;
 	/** When its caller's deadline or its route's timeout ends it, whichever is first. */
 	readonly deadlineAt: number;
+	/** Whether the caller has been sent the beginning of the answer. */
+	readonly hasBegun: boolean;
 };
 
-/** When the request is ended; its deadline while the loop is in time. */
-export function endAt({arrivedAt, deadlineAt}: TimeLimit, lagMilliseconds: number): number {
-	return deadlineAt - Math.min(lagMilliseconds, (deadlineAt - arrivedAt) * largestMarginShare);
+/** When the request is ended; its deadline while the loop is in time, or once its answer has begun. */
+export function endAt({arrivedAt, deadlineAt, hasBegun}: TimeLimit, lagMilliseconds: number): number {
+	return hasBegun ? deadlineAt : deadlineAt - Math.min(lagMilliseconds, (deadlineAt - arrivedAt) * largestMarginShare);
 }
 
 /**
--- a/test/policy/lateness.test.ts
+++ b/test/policy/lateness.test.ts
@@ -30,7 +30,7 @@
 		}
 	}
 
-	t.equal(endAt({arrivedAt: 100, deadlineAt: 900}, 0), 900);
+	t.equal(endAt({arrivedAt: 100, deadlineAt: 900, hasBegun: false}, 0), 900);
 });
 
 // Read 400 ms late and counted from then, a request was sent on up to 0.7 s after its caller's deadline.
@@ -72,10 +72,20 @@
 
 // An answer that its endpoint made in time was read 0.4 s late, 1.1 s after the route's timeout had begun to count.
 tap.test('a request is ended before its time by the lag, but not by more than a quarter', async t => {
-	const limit = {arrivedAt: 1000, deadlineAt: 1800};
+	const limit = {arrivedAt: 1000, deadlineAt: 1800, hasBegun: false};
 	t.equal(endAt(limit, 150), 1650);
 	t.equal(endAt(limit, 700), 1600);
 	t.equal(nextLookAt(limit, {lagMilliseconds: 0, now: 1100}), 1600, 'looked at once more where the margin begins');
 	t.equal(nextLookAt(limit, {lagMilliseconds: 0, now: 1600}), 1800);
 	t.equal(nextLookAt(limit, {lagMilliseconds: 150, now: 1600}), 1650);
 });
+
+// Streams that their endpoint went on with were cut off up to a quarter of their time before their deadline.
+tap.test('a request whose answer has begun is ended at its deadline, however late the loop is', async t => {
+	const limit = {arrivedAt: 1000, deadlineAt: 1800, hasBegun: true};
+	for (const lagMilliseconds of [0, 150, 700, Infinity]) {
+		t.equal(endAt(limit, lagMilliseconds), 1800);
+		t.equal(nextLookAt(limit, {lagMilliseconds, now: 1100}), 1800);
+		t.equal(nextLookAt(limit, {lagMilliseconds, now: 1700}), 1800);
+	}
+});
