a stream whose caller has just read on again is not given up for the time in which it read nothing

Cause: a connection to an endpoint that has restarted at its address is looked at each two seconds, and given up if it brought nothing since the look before. A pause of the caller counted only if it lasted at the look itself: one that ended between two looks counted as silence of the endpoint, though nothing is read from it meanwhile.

Change: the judgment is told until when the caller read too slowly, and counts two seconds from there.

--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -55,7 +55,8 @@
 	readonly #connectTimeout: Timeout;
 	/** Ends the attempt if nothing more comes of an endpoint that has restarted. */
 	#restartTimeout: Timeout | undefined;
-	#isPaused = false;
+	/** Until when the caller read too slowly: infinite while it does. */
+	#pausedUntil = -Infinity;
 	#bodyBytes = 0;
 	#pieces = 0;
 
@@ -124,12 +125,12 @@
 	}
 
 	pause(): void {
-		this.#isPaused = true;
+		this.#pausedUntil = Infinity;
 		this.#response?.pause();
 	}
 
 	resume(): void {
-		this.#isPaused = false;
+		this.#pausedUntil = performance.now();
 		this.#response?.resume();
 	}
 
@@ -145,7 +146,8 @@
 
 	#awaitSilence(before: Progress, socket: Socket, milliseconds: number): Timeout {
 		return Timeout.start(milliseconds, () => {
-			const verdict = judgeSilence(before, {bytes: socket.bytesRead, isPaused: this.#isPaused, now: performance.now()});
+			const now = performance.now();
+			const verdict = judgeSilence(before, {bytes: socket.bytesRead, pausedUntil: Math.min(now, this.#pausedUntil), now});
 			if (verdict.type === 'silent') {
 				this.#fail('the endpoint has restarted');
 				return;
--- a/src/policy/incarnations/earlier-incarnation.ts
+++ b/src/policy/incarnations/earlier-incarnation.ts
@@ -30,9 +30,12 @@
 /** What follows from looking at an answer again: it is given up, or looked at again later, compared with `progress`. */
 export type SilenceVerdict = {readonly type: 'silent'} | {readonly type: 'look-again'; readonly progress: Progress; readonly milliseconds: number};
 
+/** What an answer shows when it is looked at. `pausedUntil` is the time until which its caller last read too slowly: now while it does, minus infinity if it never has. */
+export type Look = {readonly bytes: number; readonly pausedUntil: number; readonly now: number};
+
 /** Judges an answer by what has arrived since an earlier look. While its caller reads too slowly, nothing is read from the endpoint, and silence shows nothing. */
-export function judgeSilence(before: Progress, {bytes, isPaused, now}: {readonly bytes: number; readonly isPaused: boolean; readonly now: number}): SilenceVerdict {
-	const progress = bytes > before.bytes || isPaused ? {bytes, at: now} : before;
+export function judgeSilence(before: Progress, {bytes, pausedUntil, now}: Look): SilenceVerdict {
+	const progress = bytes > before.bytes ? {bytes, at: now} : {bytes, at: Math.max(before.at, pausedUntil)};
 	const milliseconds = progress.at + silenceMilliseconds - now;
 	return milliseconds <= 0 ? {type: 'silent'} : {type: 'look-again', progress, milliseconds};
 }
