a restart at one address ends nothing at an earlier incarnation that had another one

What callers saw: an order at the first incarnation of an endpoint, silent while it worked, got 502 two seconds after the news of the third, if the third had the address of the second.

Cause: the news of a restart at the address of the process before was taken for all connections of the pool, which may still hold those of an incarnation before that, at an address of its own. Its process may be at work.

Change: a connection is given up in silence only if it leads to the address that is assigned again (endsInSilence, src/policy/incarnations).

--- a/src/gateway/endpoints/connection-pool.ts
+++ b/src/gateway/endpoints/connection-pool.ts
@@ -41,8 +41,8 @@
 		return new ConnectionPool(largestConnections);
 	}
 
-	/** When each open connection was opened. */
-	readonly #openedAt = new Map<Socket, number>();
+	/** When each open connection was opened, and to which address. */
+	readonly #opened = new Map<Socket, {readonly at: number; readonly address: string}>();
 	/** Connections that carry no request any more after the last restart. */
 	readonly #retired = new WeakSet<Socket>();
 	/** Called for connections with a request whose endpoint has restarted at its address. */
@@ -60,16 +60,16 @@
 	handleRestart(restart: Restart): StaleConnections {
 		const free = new Set<Socket | undefined>(Object.values(this.freeSockets).flat());
 		const stale = this.#staleConnections();
-		for (const socket of stale) {
+		for (const {socket, address} of stale) {
 			this.#retired.add(socket);
 			if (free.has(socket)) {
 				socket.destroy();
-			} else if (endsInSilence(restart)) {
+			} else if (endsInSilence(restart, address)) {
 				this.#watchers.get(socket)?.();
 			}
 		}
 
-		const count = stale.filter(socket => free.has(socket)).length;
+		const count = stale.filter(({socket}) => free.has(socket)).length;
 		return {free: count, busy: stale.length - count};
 	}
 
@@ -88,9 +88,9 @@
 	/** Called by Node for each new connection; records its time while it is open. */
 	override createConnection(options: ClientRequestArgs, callback?: OnConnected): Duplex {
 		const socket = super.createConnection(options, callback) as Socket;
-		this.#openedAt.set(socket, performance.now());
+		this.#opened.set(socket, {at: performance.now(), address: `${options.host}:${options.port}`});
 		socket.once('close', () => {
-			this.#openedAt.delete(socket);
+			this.#opened.delete(socket);
 		});
 		return socket;
 	}
@@ -115,9 +115,9 @@
 		socket.removeListener('data', closeOnUnexpectedData);
 	}
 
-	#staleConnections(): readonly Socket[] {
+	#staleConnections(): ReadonlyArray<{readonly socket: Socket; readonly address: string}> {
 		const now = performance.now();
-		return [...this.#openedAt].filter(([, at]) => now - at > restartNoticeMilliseconds).map(([socket]) => socket);
+		return [...this.#opened].flatMap(([socket, {at, address}]) => now - at > restartNoticeMilliseconds ? [{socket, address}] : []);
 	}
 }
 
--- a/src/gateway/table/routing-state.ts
+++ b/src/gateway/table/routing-state.ts
@@ -146,7 +146,7 @@
 		const previous = before.entries.get(id)?.record;
 		const next = this.#directory.entries.get(id)?.record;
 		return previous?.bornAt !== undefined && next !== undefined && isLaterIncarnation(next, previous)
-			? [{id, hadAnnounced: previous.isLeaving, isAtSameAddress: previous.address === next.address}]
+			? [{id, hadAnnounced: previous.isLeaving, address: next.address, isAtSameAddress: previous.address === next.address}]
 			: [];
 	}
 
--- a/src/policy/incarnations/earlier-incarnation.ts
+++ b/src/policy/incarnations/earlier-incarnation.ts
@@ -12,6 +12,8 @@
 	readonly id: string;
 	/** Whether the earlier incarnation had announced that it leaves. */
 	readonly hadAnnounced: boolean;
+	/** The address of the later incarnation. */
+	readonly address: string;
 	/** Whether the later incarnation has the address of the earlier one. */
 	readonly isAtSameAddress: boolean;
 };
@@ -19,9 +21,9 @@
 /** For how long a connection to an earlier incarnation may bring nothing once its address is assigned again: longer than the pauses of most streams. */
 export const silenceMilliseconds = 2000;
 
-/** Whether requests at the earlier incarnation are given up once they bring nothing more. */
-export function endsInSilence({hadAnnounced, isAtSameAddress}: Restart): boolean {
-	return isAtSameAddress && !hadAnnounced;
+/** Whether requests on a connection to this address are given up once they bring nothing more. Several incarnations may end their work at a time, each at its own address. */
+export function endsInSilence({hadAnnounced, isAtSameAddress, address}: Restart, connectedTo: string): boolean {
+	return isAtSameAddress && !hadAnnounced && connectedTo === address;
 }
 
 /** The part of an answer that had arrived at a time. Milliseconds of the monotonic clock. */
--- a/test/policy/incarnations.test.ts
+++ b/test/policy/incarnations.test.ts
@@ -114,8 +114,11 @@
 
 // An endpoint that had announced its leaving, or whose address is still its own, ends its work itself.
 tap.test('requests are given up in silence only where the address of an endpoint that announced nothing is assigned again', async t => {
-	t.ok(endsInSilence({id: 'a', hadAnnounced: false, isAtSameAddress: true}));
-	t.notOk(endsInSilence({id: 'a', hadAnnounced: true, isAtSameAddress: true}));
-	t.notOk(endsInSilence({id: 'a', hadAnnounced: false, isAtSameAddress: false}));
-	t.notOk(endsInSilence({id: 'a', hadAnnounced: true, isAtSameAddress: false}));
+	const address = '10.0.0.1:80';
+	const restart = {id: 'a', address, hadAnnounced: false, isAtSameAddress: true};
+	t.ok(endsInSilence(restart, address));
+	t.notOk(endsInSilence({...restart, hadAnnounced: true}, address));
+	t.notOk(endsInSilence({...restart, isAtSameAddress: false}, address));
+	t.notOk(endsInSilence({...restart, hadAnnounced: true, isAtSameAddress: false}, address));
+	t.notOk(endsInSilence(restart, '10.0.0.2:80'), 'an earlier incarnation at another address');
 });
