what breaks off at an earlier incarnation of an endpoint does not suspend the next one

What callers saw: an endpoint that had restarted under its id while the process before ended its work was suspended as unreachable when that one's last streams broke off, for 0.6 s and more, and requests that had no other endpoint were refused; an answer of the process before freed it of a suspension of its own.

Cause: the health of an endpoint is kept by id, and forgotten at the news of a restart; what attempts at the earlier incarnation showed afterwards was counted for the next one. The statements of endpoints were already told apart by incarnation.

Change: EndpointPool.report counts nothing for the health of an endpoint that has restarted since. A record that states its start for the first time is of the same process.

--- a/src/gateway/placement/endpoint-pool.ts
+++ b/src/gateway/placement/endpoint-pool.ts
@@ -97,14 +97,16 @@
 		}));
 	}
 
-	/** Updates an endpoint's health after a response, or after none was received. */
+	/** Updates an endpoint's health after a response, or after none was received. What an earlier incarnation shows says nothing about the next one. */
 	report(record: EndpointRecord, outcome: 'answered' | 'failed' | 'unreachable'): void {
 		const usualFailureShare = this.#failureShares.get(record.service) ?? 0;
 		if (outcome !== 'unreachable') {
 			this.#failureShares.set(record.service, usualFailureShare + (((outcome === 'failed' ? 1 : 0) - usualFailureShare) * failureShareWeight));
 		}
 
-		this.#updateHealth(record, outcome === 'failed' ? {type: 'failed', usualShare: usualFailureShare} : {type: outcome});
+		if (!this.#hasRestartedSince(record)) {
+			this.#updateHealth(record, outcome === 'failed' ? {type: 'failed', usualShare: usualFailureShare} : {type: outcome});
+		}
 	}
 
 	/** Updates an endpoint's health after what another instance has told of its request there. */
@@ -170,6 +172,12 @@
 		}
 	}
 
+	/** Whether another incarnation has taken the place of a record's; one that states its start for the first time has not. */
+	#hasRestartedSince({id, bornAt}: EndpointRecord): boolean {
+		const current = this.#options.routingState.directory.entries.get(id)?.record;
+		return bornAt !== undefined && current !== undefined && current.bornAt !== bornAt;
+	}
+
 	#availability(id: string, now: number): ReturnType<typeof availability> {
 		const health = this.#health.get(id);
 		return health === undefined ? 'open' : availability(health, now);
