--- a/src/policy/incarnations/earlier-incarnation.ts
+++ b/src/policy/incarnations/earlier-incarnation.ts
@@ -12,6 +12,8 @@
 	readonly id: string;
 	/** Whether the earlier incarnation had announced that it leaves. */
 	readonly hadAnnounced: boolean;
+	/** The address of the later incarnation. */
+	readonly address: string;
 	/** Whether the later incarnation has the address of the earlier one. */
 	readonly isAtSameAddress: boolean;
 };
@@ -19,9 +21,9 @@
 /** For how long a connection to an earlier incarnation may bring nothing once its address is assigned again: longer than the pauses of most streams. */
 export const silenceMilliseconds = 2000;
 
-/** Whether requests at the earlier incarnation are given up once they bring nothing more. */
-export function endsInSilence({hadAnnounced, isAtSameAddress}: Restart): boolean {
-	return isAtSameAddress && !hadAnnounced;
+/** Whether requests on a connection to this address are given up once they bring nothing more. Several incarnations may end their work at a time, each at its own address. */
+export function endsInSilence({hadAnnounced, isAtSameAddress, address}: Restart, connectedTo: string): boolean {
+	return isAtSameAddress && !hadAnnounced && connectedTo === address;
 }
 
 /** The part of an answer that had arrived at a time. Milliseconds of the monotonic clock. */
@@ -30,9 +32,12 @@
 /** What follows from looking at an answer again: it is given up, or looked at again later, compared with `progress`. */
 export type SilenceVerdict = {readonly type: 'silent'} | {readonly type: 'look-again'; readonly progress: Progress; readonly milliseconds: number};
 
+/** What an answer shows when it is looked at. `pausedUntil` is the time until which its caller last read too slowly: now while it does, minus infinity if it never has. */
+export type Look = {readonly bytes: number; readonly pausedUntil: number; readonly now: number};
+
 /** Judges an answer by what has arrived since an earlier look. While its caller reads too slowly, nothing is read from the endpoint, and silence shows nothing. */
-export function judgeSilence(before: Progress, {bytes, isPaused, now}: {readonly bytes: number; readonly isPaused: boolean; readonly now: number}): SilenceVerdict {
-	const progress = bytes > before.bytes || isPaused ? {bytes, at: now} : before;
+export function judgeSilence(before: Progress, {bytes, pausedUntil, now}: Look): SilenceVerdict {
+	const progress = bytes > before.bytes ? {bytes, at: now} : {bytes, at: Math.max(before.at, pausedUntil)};
 	const milliseconds = progress.at + silenceMilliseconds - now;
 	return milliseconds <= 0 ? {type: 'silent'} : {type: 'look-again', progress, milliseconds};
 }
