a second side of an endpoint ends no stream at the first one

What callers saw: when the side of an endpoint was replaced at another address, all streams at the earlier side, which drained or still served, broke off at one moment and were taken up at the replacement; calls of services got 502. While both sides were in the membership list, it went on: each connection closed the other, the closed one was dialled again half a second later, and no stream lasted to its end.

Cause: an entry kept one connection for each endpoint, and a hello or a state report on another one closed it ("a newer connection to the same endpoint"), with `link-lost` for each stream on it: a decision about requests in progress by the news of another process.

Change: an endpoint may have several connections (src/entry/endpoint-links). Its new requests go to the newest one whose side serves (src/policy/membership, current-connection), so state reports that arrive late change nothing. No connection is closed for another one: each keeps what it has begun, gets heartbeats, and ends by its own end or its own silence. An earlier one that is free is not closed either: it would be dialled again, as the newest, and requests would go back and forth. When the newer side leaves or is lost, the earlier one gets new requests again. A search for a slot tells reservations apart by connection, since each numbers its streams by itself.

--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -6,6 +6,7 @@
 import {rankByRendezvous} from '../policy/hashing/index.js';
 import {type QuarantineRecord} from '../policy/quarantine/index.js';
 import {dial, type Message, protocolVersion, type Security} from '../wire/index.js';
+import {EndpointLinks} from './endpoint-links.js';
 import {SideLink, type SideLinkOwner} from './side-link.js';
 
 const membershipPollMilliseconds = 1000;
@@ -46,7 +47,7 @@
 	#entries: ReadonlyMap<string, string> = new Map();
 	#sideMembers = new Map<string, Member>();
 	readonly #maintainedAddresses = new Set<string>();
-	readonly #links = new Map<EndpointId, SideLink>();
+	readonly #links = EndpointLinks.create();
 	readonly #timers: NodeJS.Timeout[];
 	#closed = false;
 
@@ -81,9 +82,9 @@
 		return rankByRendezvous(summary.fingerprint, serving.map(({identity}) => identity!.endpoint))[0];
 	}
 
-	/** The open connection to an endpoint's side, if there is one. */
+	/** The open connection to an endpoint's side for new requests, if there is one. */
 	link(endpoint: EndpointId): SideLink | undefined {
-		return this.#links.get(endpoint);
+		return this.#links.linkTo(endpoint);
 	}
 
 	/**
@@ -94,9 +95,9 @@
 		return this.#entries;
 	}
 
-	/** Every connected side. */
+	/** The connection of each endpoint for its new requests. */
 	get connected(): readonly SideLink[] {
-		return [...this.#links.values()];
+		return this.#links.current;
 	}
 
 	/** Passes an event of a request or a side to the placement policy. */
@@ -105,42 +106,20 @@
 	}
 
 	sideUpdated(link: SideLink): void {
-		const {identity, state} = link;
-		if (identity === undefined) {
+		const endpoint = link.identity?.endpoint;
+		if (endpoint === undefined || !link.isOpen) {
 			return;
 		}
 
-		const earlier = this.#links.get(identity.endpoint);
-		if (earlier !== undefined && earlier !== link) {
-			earlier.close('a newer connection to the same endpoint');
-		}
-
-		this.#links.set(identity.endpoint, link);
-		this.observe({
-			type: 'side-seen',
-			side: {
-				endpoint: identity.endpoint,
-				zone: identity.zone,
-				targets: identity.targets,
-				connected: true,
-				leaving: state !== undefined && state.phase !== 'serving',
-				slots: state?.slots ?? 1,
-				running: state?.running ?? 0,
-				firm: state?.firm,
-				waiting: state?.waiting ?? [],
-				tokenMilliseconds: state?.tokenMilliseconds ?? 0,
-			},
-		});
+		this.#links.add(endpoint, link);
+		this.#observeSide(endpoint);
 	}
 
 	sideLost(link: SideLink): void {
 		const endpoint = link.identity?.endpoint;
-		if (endpoint === undefined || this.#links.get(endpoint) !== link) {
-			return;
+		if (endpoint !== undefined && this.#links.delete(endpoint, link)) {
+			this.#observeSide(endpoint);
 		}
-
-		this.#links.delete(endpoint);
-		this.observe({type: 'side-lost', endpoint});
 	}
 
 	quarantineReceived(records: readonly QuarantineRecord[]): void {
@@ -157,11 +136,36 @@
 			clearInterval(timer);
 		}
 
-		for (const link of this.#links.values()) {
+		for (const link of this.#links.all) {
 			link.close('the entry is shutting down');
 		}
 	}
 
+	/** Passes what is known of an endpoint's side to the placement policy: of the one that gets its new requests, or that there is none. */
+	#observeSide(endpoint: EndpointId): void {
+		const {identity, state} = this.#links.linkTo(endpoint) ?? {};
+		if (identity === undefined) {
+			this.observe({type: 'side-lost', endpoint});
+			return;
+		}
+
+		this.observe({
+			type: 'side-seen',
+			side: {
+				endpoint,
+				zone: identity.zone,
+				targets: identity.targets,
+				connected: true,
+				leaving: state !== undefined && state.phase !== 'serving',
+				slots: state?.slots ?? 1,
+				running: state?.running ?? 0,
+				firm: state?.firm,
+				waiting: state?.waiting ?? [],
+				tokenMilliseconds: state?.tokenMilliseconds ?? 0,
+			},
+		});
+	}
+
 	* #followMembership(): Body<void> {
 		while (!this.#closed) {
 			yield * this.#refreshMembers();
@@ -224,13 +228,14 @@
 
 	#sendHeartbeats(): void {
 		const offset = this.#options.catalogueOffset();
-		for (const link of this.#links.values()) {
-			link.sendHeartbeatIfDue(offset, this.#links.size);
+		const links = this.#links.all;
+		for (const link of links) {
+			link.sendHeartbeatIfDue(offset, links.length);
 		}
 	}
 
 	#broadcast(message: Message): void {
-		for (const link of this.#links.values()) {
+		for (const link of this.#links.all) {
 			link.send(message);
 		}
 	}
--- a/src/entry/slot.ts
+++ b/src/entry/slot.ts
@@ -46,7 +46,7 @@
 		return new SlotSearch(options);
 	}
 
-	readonly #reservations = new Map<string, Slot>();
+	readonly #reservations = new Set<Slot>();
 	readonly #tried: EndpointId[] = [];
 	#lastRefusal: Failure | undefined;
 	readonly #options: SlotSearchOptions;
@@ -81,7 +81,7 @@
 
 		const stream = link.openStream(this.#options.summary.id, this.#options.inbox);
 		const slot = {endpoint, link, stream};
-		this.#reservations.set(reservationKey(link, stream), slot);
+		this.#reservations.add(slot);
 		link.send({type: 'reserve', stream, request: this.#options.summary.id, summary: {...this.#options.summary, asksFirst: isFirstChoice}});
 		this.#options.fleet.observe({type: 'reserved', endpoint, request: this.#options.summary.id});
 		this.#record(ReasonCode.reserved, {endpoint});
@@ -124,7 +124,7 @@
 	}
 
 	#handleFrame(link: EventLink, message: StreamMessage): SlotResult | undefined {
-		const slot = this.#reservations.get(reservationKey(link, message.stream));
+		const slot = this.#find(link, message.stream);
 		if (slot === undefined) {
 			return undefined;
 		}
@@ -132,7 +132,7 @@
 		if (message.type === 'offer') {
 			this.#options.fleet.observe({type: 'offered', endpoint: slot.endpoint, request: this.#options.summary.id});
 			this.#record(ReasonCode.offered, {endpoint: slot.endpoint});
-			this.#reservations.delete(reservationKey(link, message.stream));
+			this.#reservations.delete(slot);
 			this.#withdrawAll();
 			return {type: 'slot', slot: {...slot, startDeadline: performance.now() + (message.holdMilliseconds / 2)}};
 		}
@@ -148,15 +148,20 @@
 		return undefined;
 	}
 
+	/** The reservation that a frame is about: an endpoint may have two links, and each numbers its streams by itself. */
+	#find(link: EventLink, stream: number): Slot | undefined {
+		return [...this.#reservations].find(slot => slot.link === link && slot.stream === stream);
+	}
+
 	#withdrawAll(): void {
-		for (const slot of this.#reservations.values()) {
+		for (const slot of this.#reservations) {
 			slot.link.send({type: 'withdraw', stream: slot.stream, request: this.#options.summary.id});
 			this.#close(slot, 'withdrawn');
 		}
 	}
 
 	#dropLink(link: EventLink): void {
-		for (const slot of this.#reservations.values()) {
+		for (const slot of this.#reservations) {
 			if (slot.link === link) {
 				this.#close(slot, 'withdrawn');
 			}
@@ -165,15 +170,11 @@
 
 	#close(slot: Slot, outcome: 'refused' | 'withdrawn'): void {
 		slot.link.closeStream(slot.stream);
-		this.#reservations.delete(reservationKey(slot.link, slot.stream));
+		this.#reservations.delete(slot);
 		this.#options.fleet.observe({type: outcome, endpoint: slot.endpoint, request: this.#options.summary.id});
 	}
 }
 
-function reservationKey(link: EventLink, stream: number): string {
-	return `${link.identity?.endpoint ?? ''}:${stream}`;
-}
-
 /** The failure of a request for which no side that serves its target can be reached. */
 export function createNoEndpointFailure(): Failure {
 	return createFailure(FailureKind.noEndpoint, 'No endpoint serves this target now.', {retryAfterMilliseconds: 1000});
--- a/src/policy/membership/index.ts
+++ b/src/policy/membership/index.ts
@@ -9,9 +9,10 @@
  * arrives, or on repetitions, except for the connection events, which this process observes itself in their order.
  */
 import {type EndpointId, type InstanceId} from '../../model/index.js';
+import {type Phase} from './phase.js';
 
-/** The phase that a side announces. */
-export type Phase = 'serving' | 'leaving' | 'down';
+export {chooseConnection, type ConnectionView} from './current-connection.js';
+export type {Phase} from './phase.js';
 
 /** An observation about endpoints. */
 export type Evidence
--- /dev/null
+++ b/src/policy/membership/phase.ts
@@ -0,0 +1,2 @@
+/** The phase that a side announces. */
+export type Phase = 'serving' | 'leaving' | 'down';
