a caller's path that is too long for a message ends no other request

What callers saw: one request to a service with a path of over 8,192 characters (Node reads up to 16,384 bytes of headers) ended all requests that its entry had at a side, and, as a safe method is tried elsewhere, at the next side too.

Cause: the side's decoder takes a message with a longer path for a broken connection and closes it.

Change: the entry refuses such a request with 400, not run; entry and decoder use one constant.

Evidence: test/path/others-faults, a call that streams both ways beside such a request: before 1 of 1 failed ("aborted", no 4xx for the long path), now 1 of 1 passes.

--- a/src/entry/protocol/route.ts
+++ b/src/entry/protocol/route.ts
@@ -1,4 +1,5 @@
 import {createFailure, FailureKind, RequestError, type TargetName} from '../../model/index.js';
+import {maximumPathLength} from '../../wire/index.js';
 
 /** The target of a caller's request, from its method and URL. */
 export type Route
@@ -51,7 +52,8 @@
 /**
  * The path that is sent to the service. A path such as //other.example/x, resolved against the service's address,
  * would name another host, so that a caller could reach hosts that only the side can reach. Paths that start with
- * two slashes, or with a slash and a backslash that URL parsers read as a slash, are therefore refused.
+ * two slashes, or with a slash and a backslash that URL parsers read as a slash, are therefore refused. So is a path that is
+ * longer than a message to a side may carry: the side would close the connection, and all requests on it would end.
  */
 function servicePath(rest: string): string {
 	const path = rest.startsWith('?') ? `/${rest}` : rest;
@@ -59,5 +61,9 @@
 		throw RequestError.create(createFailure(FailureKind.badRequest, 'The path after the service name must not start with two slashes.'));
 	}
 
+	if (path.length > maximumPathLength) {
+		throw RequestError.create(createFailure(FailureKind.badRequest, `The path after the service name is longer than ${maximumPathLength} characters.`));
+	}
+
 	return path;
 }
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -17,6 +17,9 @@
 const text = z.string().max(512);
 const headers = z.record(z.string(), z.string());
 
+/** The longest path of a request, in characters. A receiver closes a connection over a message with a longer one, so the entry refuses such a request. */
+export const maximumPathLength = 8192;
+
 /** The properties of a request that its queue and placement use, as they are sent. */
 export const summarySchema = z.object({
 	id: request,
@@ -64,7 +67,7 @@
 const withdraw = z.object({type: z.literal('withdraw'), stream, request});
 /** Entry to side: the request with its body, in reply to an offer. From here on the request may have run. */
 const start = z.object({
-	type: z.literal('start'), stream, request, method: text, path: z.string().max(8192), headers, body: bytes,
+	type: z.literal('start'), stream, request, method: text, path: z.string().max(maximumPathLength), headers, body: bytes,
 	/** True if more of the body follows in `body` messages. */
 	more: z.boolean(),
 	/** Number and text of the tokens that the caller already has, when a stream resumes here. */
