a late event loop takes no engine for silent whose tokens have arrived

What callers saw: a stream paused and was taken up at another endpoint, or failed, although its engine had gone on: a side that stood still or was busy for seconds after a pause of the engine ended all streams whose idle time (10 s) passed meanwhile.

Cause: the wait for an engine's next event was a plain timer, and timers run before the sockets are read. The other timeouts of the product end with a turn of the event loop in which what has arrived is read (src/concurrency, Timeout and Alarm; wire's silence check).

Change: the wait uses `Timeout`.

An engine that sends nothing more is still silent after the idle timeout, before and after.

--- a/src/endpoint/event-queue.ts
+++ b/src/endpoint/event-queue.ts
@@ -1,3 +1,4 @@
+import {Timeout} from '../concurrency/index.js';
 import {type EngineEvent} from './engine-event.js';
 
 /** With this many events in the queue, the connection is not read until the consumer takes them. */
@@ -62,9 +63,11 @@
 
 	#waitForChange(idleTimeoutMilliseconds: number): Promise<void> {
 		return new Promise<void>(resolve => {
-			const timer = setTimeout(resolve, idleTimeoutMilliseconds);
+			const timeout = Timeout.start(idleTimeoutMilliseconds, () => {
+				resolve();
+			});
 			this.#resolveWait = () => {
-				clearTimeout(timer);
+				timeout[Symbol.dispose]();
 				resolve();
 			};
 		});
