requests behind a refused one whose body was awaited are answered; before, they were read and ignored until the connection closed

Cause: a request was refused while its body was awaited (by the schedule of a stop, or for memory), and its response closes the connection. Where the responses before it on the connection were still owed, its headers were written at once and waited behind them; from that moment the connection counted as announced closed. Change: such a refusal waits until its response is the next one of its connection (PipelinedResponse.front), and then closes the connection only if its body has still not ended; what was read meanwhile is served, or refused by itself. A body that is too long keeps its close (pipelined-requests, the fourteenth, asks for it); a refusal of too many requests and malformed bytes too, as nothing is read behind them. Failed try: also the body that is too long waited; pipelined-requests 14 then got an answer where it asks for none, so it is left.

--- a/src/connections/caller-connection.ts
+++ b/src/connections/caller-connection.ts
@@ -4,7 +4,7 @@
 import {malformedEvent, type PipelinedResponse} from './pipelined-response.js';
 
 /** A request with its response. */
-type OpenRequest = {readonly request: IncomingMessage; readonly response: PipelinedResponse; readonly begin: () => void};
+type OpenRequest = {readonly request: IncomingMessage; readonly response: PipelinedResponse; readonly begin: () => void; readonly reachFront: () => void};
 
 /** Methods that change nothing (RFC 9110, 9.2.1). */
 const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS', 'TRACE']);
@@ -64,7 +64,11 @@
 			return 'ignore';
 		}
 
-		this.#open.set(number, {request, response, begin: giveTurn(response)});
+		const turn = waitForTurn();
+		const front = waitForTurn();
+		response.turn = turn.promise;
+		response.front = front.promise;
+		this.#open.set(number, {request, response, begin: turn.end, reachFront: front.end});
 		this.#beginNext();
 		response.onHead = () => this.#step({type: 'head', number, closes: response.closesConnection}).type === 'announce';
 		response.once('finish', () => {
@@ -131,9 +135,10 @@
 
 	/** The connection is gone: nobody waits for the responses behind the first one. */
 	abandon(): void {
-		for (const {response, begin} of this.#open.values()) {
+		for (const {response, begin, reachFront} of this.#open.values()) {
 			response.closeUnsent();
 			begin();
+			reachFront();
 		}
 	}
 
@@ -150,6 +155,11 @@
 		for (const number of begunRequests(this.#state)) {
 			this.#open.get(number)?.begin();
 		}
+
+		const [first] = this.#state.open;
+		if (first !== undefined) {
+			this.#open.get(first.number)?.reachFront();
+		}
 	}
 
 	#step(event: ConnectionEvent): ConnectionAction {
@@ -169,11 +179,11 @@
 	}
 }
 
-/** Has a response wait for its turn; returns what ends the wait. */
-function giveTurn(response: PipelinedResponse): () => void {
-	let begin: () => void = () => undefined;
-	response.turn = new Promise(resolve => {
-		begin = resolve;
+/** A wait, and what ends it. */
+function waitForTurn(): {readonly promise: Promise<void>; readonly end: () => void} {
+	let end: () => void = () => undefined;
+	const promise = new Promise<void>(resolve => {
+		end = resolve;
 	});
-	return begin;
+	return {promise, end};
 }
--- a/src/connections/pipelined-response.ts
+++ b/src/connections/pipelined-response.ts
@@ -9,6 +9,8 @@
 	closesConnection = false;
 	/** Resolves once the request may be begun: the responses before it on the connection are complete, or the connection is gone. */
 	turn: Promise<void> = Promise.resolve();
+	/** Resolves once the response is the next one that its connection sends: those before it are complete, or the connection is gone. */
+	front: Promise<void> = Promise.resolve();
 	/** Called before the headers are sent; returns whether they say that the connection closes. */
 	onHead: () => boolean = () => false;
 
--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -105,7 +105,7 @@
 		using account = this.#bodyMemory.open();
 		const outcome = await this.#options.stop.beforeLastStart(scheduledOf(arrival, target), arrival.caller.readBody(target.table.limits.bodyBytes, this.#bodyMemory, account));
 		if (outcome === undefined) {
-			this.#reject(arrival, {...stopping, closesConnection: true});
+			await this.#rejectUnread(arrival, stopping);
 			return;
 		}
 
@@ -121,7 +121,8 @@
 			}
 
 			case 'no-room': {
-				this.#reject(arrival, {...noRoom, closesConnection: true});
+				account.hold(0);
+				await this.#rejectUnread(arrival, noRoom);
 				break;
 			}
 
@@ -198,6 +199,22 @@
 		};
 	}
 
+	/**
+	 * Rejects a request whose body is not awaited. Its connection is read on until the responses before it are complete; if its response said before that
+	 * the connection closes, the requests that arrive meanwhile would get no answer. Once it is next, it closes the connection only if its body has not ended.
+	 */
+	async #rejectUnread(arrival: Arrival, rejection: Rejection): Promise<void> {
+		const {caller} = arrival;
+		caller.discardBody();
+		await caller.front;
+		if (caller.hasDisconnected) {
+			this.#logDisconnect(arrival, 'The caller disconnected before its refusal was sent.');
+			return;
+		}
+
+		this.#reject(arrival, {...rejection, closesConnection: !caller.isWhole});
+	}
+
 	/** Sends a response that says why the request is not forwarded. */
 	#reject({caller, facts}: Arrival, {status, message, details, ...more}: Rejection): void {
 		const {log, routingState, codec} = this.#options;
--- a/src/gateway/requests/caller.ts
+++ b/src/gateway/requests/caller.ts
@@ -57,6 +57,16 @@
 		return this.#response.turn;
 	}
 
+	/** Resolves once its response is the next one that its connection sends. */
+	get front(): Promise<void> {
+		return this.#response.front;
+	}
+
+	/** Whether its request has arrived to the end, read or discarded. */
+	get isWhole(): boolean {
+		return this.#request.complete;
+	}
+
 	/** Calls the listener once if the connection closes before the response is sent. */
 	onDisconnect(listener: () => void): void {
 		this.#response.once('close', () => {
