each response that the end of a stop cuts off has its line in the log

Cause: the process closed what was left and ended in the same turns. Node tells the ends of sockets behind a turn, so the lines "Closed a connection without a whole response." (and "Sent." and "Finished." of requests that still ran) were never written. Of several responses on one connection the one that was being sent had no line at all: Node counts what a closed connection drops as sent (writableFinished).

--- a/src/connections/caller-connections.ts
+++ b/src/connections/caller-connections.ts
@@ -104,6 +104,17 @@
 		await this.#closeRest();
 	}
 
+	/** Cuts off what is left, and resolves once each response has told its end: a process that ended sooner would end without their lines in its log. */
+	async cut(): Promise<void> {
+		for (const connection of this.#connections.keys()) {
+			connection.destroy();
+		}
+
+		// The ends of sockets are told behind the turn, and those of the work for them in turns that follow.
+		await passTurn();
+		await passTurn();
+	}
+
 	#add(socket: Socket): void {
 		const connection = CallerConnection.create(socket);
 		this.#accepted += 1;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -114,7 +114,7 @@
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#acceptProbe[Symbol.dispose]();
 		this.#server.close();
-		this.#server.closeAllConnections();
+		await this.#connections.cut();
 	}
 
 	#openConnections(): CallerConnections {
@@ -142,12 +142,19 @@
 		await this.#requests.serve(request, response, this.#options.lateness.arrivalOf(request.socket));
 	}
 
-	/** Logs a response that this instance cuts off. A caller that leaves ends or resets its connection; without either, this instance has closed it. */
+	/**
+	 * Logs a response that this instance cuts off. A caller that leaves ends or resets its connection; without either, this instance has closed it.
+	 * Node counts what a closed connection drops as sent.
+	 */
 	#logIfCut(request: IncomingMessage, response: PipelinedResponse): void {
 		const {socket} = request;
+		let isSent = false;
+		response.once('finish', () => {
+			isSent = !socket.destroyed;
+		});
 		response.once('close', () => {
 			const hasLeft = socket.readableEnded || socket.errored !== null;
-			if (!response.writableFinished && !hasLeft) {
+			if (!isSent && !hasLeft) {
 				this.#options.log.logCut(idOf(request), {hasBegun: response.headersSent, isStopping: this.#isStopping});
 			}
 		});
