what ends or is due at the end of a stop has its answer although the loop is late then

Callers saw: streams that had ended whole at their endpoint, and orders, cut off without an answer at the end of a stop, and no line.

Cause: the schedule of a stop ends 0.8 s before the platform ends the process and the wait for it 0.6 s before. A loop that is late by more than the 0.2 s between sees both in one turn, in which timers run before sockets: the wait was over first, and all connections were closed before what lay unread was read and before what was due was answered.

Change: behind the wait the process waits for its port up to 0.1 s more, in which the loop reads and answers.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -13,6 +13,8 @@
 const stopMarginMilliseconds = 600;
 /** What has not ended so long before that is answered, so that the answer is sent before the process ends. */
 const answerMarginMilliseconds = 200;
+/** A loop that is late over the end sees both moments in one turn: what is due then is answered within this time, and what lies unread is delivered. */
+const lateAnswersMilliseconds = 100;
 
 /** One gateway process with all its parts. */
 export class GatewayProcess implements AsyncDisposable {
@@ -69,7 +71,9 @@
 		const released = this.#attempt('release of the duties', async () => duties?.release());
 		const served = this.#attempt('graceful shutdown of the port', async () => gateway.drain(performance.now() + milliseconds - answerMarginMilliseconds));
 		const drained = Promise.all([served, retracted, released]).then(async () => this.#attempt('last report of usage', () => duties?.sendEnd()));
-		return withinMilliseconds(drained, milliseconds);
+		const isWhole = await withinMilliseconds(drained, milliseconds);
+		await withinMilliseconds(served, lateAnswersMilliseconds);
+		return isWhole;
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
