test: a stop cuts none of the streams and orders that end within it, at the moments that one can meet them in

On a real process: streams that may and may not be resumed, a lookup, orders with a length and in chunks.

--- /dev/null
+++ b/test/bin/stream-run.ts
@@ -0,0 +1,138 @@
+import {once} from 'node:events';
+import {writeFileSync} from 'node:fs';
+import net from 'node:net';
+import {FakePlatformStore} from '../../fakes/platform-store.js';
+import {FakePlatformWorker, type WorkerAnswer} from '../../fakes/platform-worker.js';
+import {eventually, freePort} from '../gateway/testbed.js';
+import {plannedRoutes, plannedState} from '../gateway/planned-play.js';
+import {GatewayRun} from './gateway-child.js';
+
+/** Requests of each kind that a planned change can meet. `parts` is an order whose body comes in chunks. */
+export const streamIds = ['chart', 'question', 'lookup', 'release', 'parts'] as const;
+export type StreamId = (typeof streamIds)[number];
+
+/** What a caller has received for one request. */
+export type StreamCall = {readonly id: string; readonly socket: net.Socket; text: string; isClosed: boolean};
+
+type Parts = {
+	readonly store: FakePlatformStore;
+	readonly workers: readonly FakePlatformWorker[];
+	readonly callerPort: number;
+	readonly file: string;
+	readonly settings: Readonly<Record<string, unknown>>;
+	readonly gateway: GatewayRun;
+};
+
+/** A gateway as a process, with two endpoints of each service. Its route's timeouts are longer than a stop. */
+export class StreamRun implements AsyncDisposable {
+	static async start(folder: string, answer: (id: string) => WorkerAnswer, settings: Readonly<Record<string, unknown>> = {}): Promise<StreamRun> {
+		const store = await FakePlatformStore.create();
+		const workers = await Promise.all(['orders', 'models'].flatMap(service => [0, 1].map(async number => FakePlatformWorker.create(`${service}-${number}`, service))));
+		for (const worker of workers) {
+			worker.answer = request => answer(request.id);
+			store.put('keyed.servers', worker.id, worker.beat());
+		}
+
+		store.put('keyed.op', 'config', plannedState(1, {routes: plannedRoutes.map(route => ({...route, timeoutMs: 20_000}))}));
+		const [callerPort, adminPort, peerPort] = [await freePort(), await freePort(), await freePort()];
+		const value = {
+			instance: 'gateway', isFirstStart: true, availabilityZone: 'zone-a', callerAddress: `127.0.0.1:${callerPort}`, adminAddress: `127.0.0.1:${adminPort}`,
+			peerAddress: `127.0.0.1:${peerPort}`, storeAddress: store.address, memoryMegabytes: 200, stopSeconds: 8, retryRatio: 2, ...settings,
+		};
+		const file = `${folder}/gateway-${callerPort}.json`;
+		writeFileSync(file, JSON.stringify(value));
+		const run = new StreamRun({store, workers, callerPort, file, settings: value, gateway: GatewayRun.start(file, adminPort)});
+		if (!await run.gateway.isReady()) {
+			throw new Error(run.gateway.lines);
+		}
+
+		return run;
+	}
+
+	readonly store: FakePlatformStore;
+	readonly workers: readonly FakePlatformWorker[];
+	readonly gateway: GatewayRun;
+	readonly file: string;
+	readonly settings: Readonly<Record<string, unknown>>;
+	readonly #callerPort: number;
+
+	private constructor({store, workers, callerPort, file, settings, gateway}: Parts) {
+		this.store = store;
+		this.workers = workers;
+		this.gateway = gateway;
+		this.file = file;
+		this.settings = settings;
+		this.#callerPort = callerPort;
+	}
+
+	/** Sends one request; its kind is the part of its id before a dash. */
+	async call(id: string): Promise<StreamCall> {
+		const call = await this.connect(id);
+		call.socket.write(textOf(id));
+		return call;
+	}
+
+	/** Opens a connection for a request that is not sent yet. */
+	async connect(id: string): Promise<StreamCall> {
+		const call: StreamCall = {id, socket: net.connect(this.#callerPort, '127.0.0.1'), text: '', isClosed: false};
+		call.socket.on('data', (bytes: Uint8Array) => {
+			call.text += String(bytes);
+		});
+		call.socket.on('error', () => undefined);
+		call.socket.once('close', () => {
+			call.isClosed = true;
+		});
+		await once(call.socket, 'connect');
+		return call;
+	}
+
+	/** Sends one request of each kind, and waits until each is at an endpoint and each stream has begun. */
+	async begin(): Promise<readonly StreamCall[]> {
+		const calls = await Promise.all(streamIds.map(async id => this.call(id)));
+		await eventually(() => calls.every(({id, text}) => isStream(id) ? text.includes('id: 1\n') : this.runsOf(id) > 0));
+		return calls;
+	}
+
+	/** How often an endpoint got a request. */
+	runsOf(id: string): number {
+		return this.workers.reduce((sum, {requests}) => sum + requests.filter(request => request.id === id).length, 0);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await this.gateway[Symbol.asyncDispose]();
+		await Promise.all(this.workers.map(async worker => worker[Symbol.asyncDispose]()));
+		await this.store[Symbol.asyncDispose]();
+	}
+}
+
+export function isStream(id: string): boolean {
+	return id.startsWith('chart') || id.startsWith('question');
+}
+
+/** Waits until all calls have whole answers, or their connections are closed. */
+export async function whenEnded(calls: readonly StreamCall[], milliseconds = 10_000): Promise<void> {
+	await eventually(() => calls.every(call => call.isClosed || isWhole(call)), milliseconds);
+}
+
+/** Status, and whether the answer is whole with as many events as it should have. */
+export function answerOf(call: StreamCall, events?: number): {readonly id: string; readonly status: number; readonly isWhole: boolean} {
+	const hasAll = !isStream(call.id) || events === undefined || call.text.split('\ndata: ').length - 1 === events;
+	return {id: call.id, status: Number(call.text.slice(9, 12)), isWhole: isWhole(call) && hasAll};
+}
+
+/** Whether an answer is complete by its own framing. */
+export function isWhole({text}: StreamCall): boolean {
+	const headEnd = text.indexOf('\r\n\r\n');
+	const length = /^content-length: (?<length>\d+)/imv.exec(text.slice(0, headEnd))?.groups?.length;
+	return headEnd !== -1 && (length === undefined ? text.endsWith('\r\n0\r\n\r\n') : text.length - headEnd - 4 === Number(length));
+}
+
+export function textOf(id: string): string {
+	const kind = id.split('-', 1)[0] === 'parts' ? 'release' : id.split('-', 1)[0];
+	const head = `${kind === 'lookup' ? 'GET' : 'POST'} /${kind}/1 HTTP/1.1\r\nHost: studio.example\r\nRequest-Id: ${id}\r\nAuthorization: Bearer key-a\r\nDeadline-Ms: 15000\r\n`;
+	if (kind === 'lookup') {
+		return `${head}\r\n`;
+	}
+
+	return id.startsWith('parts') || id.startsWith('question') ? `${head}Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n` : `${head}Content-Length: 2\r\n\r\nhi`;
+}
