a stream that comes late in a stop is begun only if its deadline comes before the end

Callers saw: a stream sent 3.1 s after the SIGTERM, on a connection that was accepted before, or whose body ended then, began and was broken off 7.2 s after the signal. The users' rules excuse that for requests sent in the first three seconds alone.

Cause: whether a request fits is judged by how long those of its route have taken. That is an estimate. An order that takes longer has a 502 at the end, a stream is cut.

Change: a stream that is whole later than 2.7 s after the stop began, when its port closes, is begun only if its deadline or its route's timeout comes before the end; otherwise its caller is told at once that it has not run, with a Retry-After of 50 ms. One whose body is still awaited is told so at 2.7 s. Orders and lookups are begun as before.

Evidence: test/bin/streams-at-end (real process, one stop of 8 s; streams that may and may not be resumed, orders with a length and in chunks, lookups; last events at 6.6, 6.7, 7.0, 7.5 s; endpoints that fall silent or break off; sent at 2.6, 2.9, 3.1, 4.0 s, bodies that end at 3.1 and 4.0 s): before, four streams sent or whole at 3.1 s or later were cut at 7.2 s, in 1 of 1 run; since, none in 1 of 1. The rest of its cases passed before as well. test/policy/stopping, stop-schedule pass; of late-in-grace 7 of 8 tests, the eighth ran into the file's 30 s beside two other busy commands at load 13.

Conclusion: weighed was a larger margin on the estimate: a stream that takes longer than all before it would still be cut.

--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -10,9 +10,10 @@
 		| {readonly type: 'pieces'; readonly count: number; readonly bytes: number; readonly gapMilliseconds: number}
 	/**
 	 * Events numbered after `Last-Event-Id`; the connection is broken after event `cutAfter`, in the middle of the next one. An unframed
-	 * response has neither a length nor chunks and ends with its connection, in an orderly way where it is cut, too.
+	 * response has neither a length nor chunks and ends with its connection, in an orderly way where it is cut, too. After event `silentAfter`
+	 * nothing more comes.
 	 */
-		| {readonly type: 'events'; readonly count: number; readonly gapMilliseconds?: number; readonly cutAfter?: number; readonly firstAfterMilliseconds?: number; readonly isUnframed?: boolean}
+		| {readonly type: 'events'; readonly count: number; readonly gapMilliseconds?: number; readonly cutAfter?: number; readonly silentAfter?: number; readonly firstAfterMilliseconds?: number; readonly isUnframed?: boolean}
 		| {readonly type: 'not-run'}
 		| {readonly type: 'silent'}
 		| {readonly type: 'reset'}
@@ -199,10 +200,14 @@
 	}
 }
 
-async function sendEvents(response: ServerResponse, {count, gapMilliseconds = 0, cutAfter, firstAfterMilliseconds = 0, isUnframed = false}: Extract<WorkerAnswer, {type: 'events'}>, {requestId, after}: {requestId: string; after: number}): Promise<void> {
+async function sendEvents(response: ServerResponse, {count, gapMilliseconds = 0, cutAfter, silentAfter = Infinity, firstAfterMilliseconds = 0, isUnframed = false}: Extract<WorkerAnswer, {type: 'events'}>, {requestId, after}: {requestId: string; after: number}): Promise<void> {
 	await sleep(firstAfterMilliseconds);
 	for (let number = after + 1; number <= count; number++) {
 		await sleep(gapMilliseconds);
+		if (number > silentAfter) {
+			return;
+		}
+
 		if (cutAfter !== undefined && number > cutAfter) {
 			response.write(`id: ${number}\nda`);
 			await sleep(20);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -100,7 +100,7 @@
 	 */
 	async drain(endsAt: number): Promise<void> {
 		this.#isStopping = true;
-		this.#stop.begin(endsAt);
+		this.#stop.begin({endsAt, lastStreamAt: performance.now() + drainListenMilliseconds});
 		this.#connections.startClosing();
 		// Its last turn reads what has arrived: a connection that waits to be accepted when the port closes is reset, and so is an idle one with a request unread.
 		await new Promise<void>(resolve => {
--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -103,7 +103,7 @@
 
 	async #readBody(arrival: Arrival, target: RequestTarget, intakeRequest: IntakeRequest): Promise<void> {
 		using account = this.#bodyMemory.open();
-		const outcome = await this.#options.stop.beforeLastStart(scheduledOf(arrival, target), arrival.caller.readBody(target.table.limits.bodyBytes, this.#bodyMemory, account));
+		const outcome = await this.#options.stop.beforeLastStart(scheduledOf(arrival, target, Infinity), arrival.caller.readBody(target.table.limits.bodyBytes, this.#bodyMemory, account));
 		if (outcome === undefined) {
 			this.#reject(arrival, {...stopping, closesConnection: true});
 			return;
@@ -139,7 +139,7 @@
 	/** Begins a request that has arrived completely, once it is its turn on its connection and the event loop has time for it. */
 	async #begin(arrival: Arrival, target: RequestTarget, intakeRequest: IntakeRequest, body: Uint8Array | undefined): Promise<void> {
 		const {intake: gate, stop} = this.#options;
-		const scheduled = scheduledOf(arrival, target);
+		const scheduled = scheduledOf(arrival, target, performance.now());
 		const intake = await stop.beforeLastStart(scheduled, arrival.caller.turn.then(async () => gate.admit(intakeRequest)));
 		if (arrival.caller.hasDisconnected) {
 			this.#logDisconnect(arrival, 'The caller disconnected before its request was placed.');
@@ -216,8 +216,8 @@
 }
 
 /** The request as the schedule of a stop sees it. */
-function scheduledOf({arrivedAt}: Arrival, {route, facts}: RequestTarget): ScheduledRequest {
-	return {route, deadlineAt: deadlineOf(arrivedAt, route, facts)};
+function scheduledOf({arrivedAt}: Arrival, {route, facts}: RequestTarget, wholeAt: number): ScheduledRequest {
+	return {route, deadlineAt: deadlineOf(arrivedAt, route, facts), wholeAt};
 }
 
 function rejectionOf({judgement, retryAfterMilliseconds}: Extract<IntakeOutcome, {type: 'refuse'}>, {route}: RequestTarget): Rejection {
--- a/src/gateway/stopping/stop-schedule.ts
+++ b/src/gateway/stopping/stop-schedule.ts
@@ -1,8 +1,14 @@
-import {lastStartAt, longestRunTime, recordRunTime, type RunTimes} from '../../policy/stopping/index.js';
-import {type Route} from '../../routing/index.js';
+import {lastStartAt, longestRunTime, recordRunTime, type RunTimes, type StopTimes} from '../../policy/stopping/index.js';
+import {type Route, RouteKind} from '../../routing/index.js';
 
-/** One request's place in the schedule: when its caller's deadline or its route's timeout ends it. */
-export type ScheduledRequest = {readonly route: Route; readonly deadlineAt: number};
+/** One request's place in the schedule. */
+export type ScheduledRequest = {
+	readonly route: Route;
+	/** When its caller's deadline or its route's timeout ends it. */
+	readonly deadlineAt: number;
+	/** When it had arrived whole; infinite while its body is awaited, absent for one that was begun. */
+	readonly wholeAt?: number;
+};
 
 /** By when an instance that stops has answered every request, and until when it begins one. */
 export class StopSchedule {
@@ -10,8 +16,7 @@
 		return new StopSchedule();
 	}
 
-	/** When every request has its final response; infinite until the instance stops. Milliseconds of the monotonic clock. */
-	endsAt = Infinity;
+	#times: StopTimes = {endsAt: Infinity, lastStreamAt: Infinity};
 	readonly #listeners = new Set<() => void>();
 	readonly #runTimes: RunTimes = new Map();
 
@@ -19,9 +24,14 @@
 		// Created by `create` alone.
 	}
 
+	/** When every request has its final response; infinite until the instance stops. Milliseconds of the monotonic clock. */
+	get endsAt(): number {
+		return this.#times.endsAt;
+	}
+
 	/** Starts the stop, and tells all requests that wait. */
-	begin(endsAt: number): void {
-		this.endsAt = endsAt;
+	begin(times: StopTimes): void {
+		this.#times = times;
 		for (const listener of this.#listeners) {
 			listener();
 		}
@@ -43,8 +53,9 @@
 	}
 
 	/** The last moment at which a request may be begun; infinite while the instance does not stop. */
-	lastStartAt({route: {name, timeoutMilliseconds}, deadlineAt}: ScheduledRequest): number {
-		return lastStartAt({deadlineAt, timeoutMilliseconds, longestMilliseconds: longestRunTime(this.#runTimes, name)}, this.endsAt);
+	lastStartAt({route: {name, kind, timeoutMilliseconds}, deadlineAt, wholeAt}: ScheduledRequest): number {
+		const streamWholeAt = kind === RouteKind.stream ? wholeAt : undefined;
+		return lastStartAt({deadlineAt, timeoutMilliseconds, longestMilliseconds: longestRunTime(this.#runTimes, name), streamWholeAt}, this.#times);
 	}
 
 	/**
--- a/test/gateway/stop-schedule.test.ts
+++ b/test/gateway/stop-schedule.test.ts
@@ -15,7 +15,7 @@
 	const stop = StopSchedule.create();
 	const startedAt = performance.now();
 	const waited = stop.beforeLastStart({route, deadlineAt: Infinity}, never);
-	stop.begin(startedAt + 800);
+	stop.begin({endsAt: startedAt + 800, lastStreamAt: Infinity});
 	t.equal(await waited, undefined);
 	const milliseconds = performance.now() - startedAt;
 	t.ok(milliseconds >= 295 && milliseconds < 800, `after ${Math.round(milliseconds)} ms of 300`);
@@ -27,5 +27,5 @@
 	const stop = StopSchedule.create();
 	t.equal(await stop.beforeLastStart({route, deadlineAt: Infinity}, Promise.resolve('begun')), 'begun');
 	await t.rejects(stop.beforeLastStart({route, deadlineAt: Infinity}, Promise.reject(new Error('an error'))), /an error/v);
-	stop.begin(performance.now());
+	stop.begin({endsAt: performance.now(), lastStreamAt: performance.now()});
 });
