an endpoint that is forgotten and comes back has one limit of connections for its old streams and its new requests

What callers would see: an order whose connection the endpoint resets, as it was beyond its room.

Cause: two minutes after the end of a registration the endpoint's pool was dropped while streams still ran on its connections; when the endpoint came back, a second pool with a whole limit of its own was made, and the news of a restart reached only that one.

Change: a pool is dropped once it has no connections.

--- a/src/gateway/endpoints/connection-pool.ts
+++ b/src/gateway/endpoints/connection-pool.ts
@@ -52,6 +52,11 @@
 		super({keepAlive: true, keepAliveMsecs: keepAliveProbeMilliseconds, scheduling: 'lifo', maxSockets: largestConnections, noDelay: true});
 	}
 
+	/** Whether a connection is open or being opened; idle ones close after their timeout. */
+	get hasConnections(): boolean {
+		return this.#opened.size > 0;
+	}
+
 	/**
 	 * Uses connections to earlier incarnations for no other request, and closes them once they are free. Requests on them are told if their connection may
 	 * bring nothing more: if an endpoint crashes and restarts behind a network partition, no packet ends its connections, and callers would wait for
--- a/src/gateway/endpoints/connection-pools.ts
+++ b/src/gateway/endpoints/connection-pools.ts
@@ -29,11 +29,10 @@
 		return pool;
 	}
 
-	/** Drops the pools of endpoints that are gone. */
+	/** Drops the pools of endpoints that are gone, once they have no connections: an endpoint that comes back has one limit for those that it had and those that it gets. */
 	retain(ids: ReadonlySet<string>): void {
-		for (const id of this.#pools.keys()) {
-			if (!ids.has(id)) {
-				// Idle connections close after their timeout; one that still carries a response closes after that response ends.
+		for (const [id, pool] of this.#pools) {
+			if (!ids.has(id) && !pool.hasConnections) {
 				this.#pools.delete(id);
 			}
 		}
