what an engine sends for one request ends no other request at its side

What callers saw: one event of an engine ended all streams at its side. A token index or a number of tokens that is a long text was quoted in the failure of that request, which is then longer than a message may be: the entry closed the connection. An event, or the events that had arrived while a caller read nothing, of over 8 MiB together ended the whole side process, since the message could not be encoded.

Change: a failure quotes at most 50 characters of an engine. An event of over 1,048,576 characters is a fault of that response (bad_answer). Events are sent in as many messages as they need.

--- a/src/endpoint/response-checker.ts
+++ b/src/endpoint/response-checker.ts
@@ -1,7 +1,10 @@
 import {createFailure, FailureKind, Verdict, type Failure} from '../model/index.js';
+import {maximumEventLength} from '../wire/index.js';
 import {type EngineEvent} from './engine-event.js';
 
 const doneMarker = '[DONE]';
+/** The longest text of an engine that a failure's message quotes, in characters; a message that is too long would close the connection to the entry. */
+const maximumQuoteLength = 50;
 
 type RawEvent = {readonly id?: unknown; readonly token_index?: unknown; readonly usage?: unknown; readonly error?: unknown};
 
@@ -32,6 +35,10 @@
 			return this.#checkEnd();
 		}
 
+		if (data.length > maximumEventLength) {
+			return protocolError(`The engine sent an event of ${data.length} characters.`);
+		}
+
 		const event = parse(data);
 		if (event === undefined) {
 			return protocolError('The engine sent an event that is not JSON.');
@@ -50,7 +57,7 @@
 		}
 
 		if (event.token_index !== this.#nextIndex) {
-			return protocolError(`The engine sent token ${JSON.stringify(event.token_index)} where ${this.#nextIndex} was expected.`);
+			return protocolError(`The engine sent token ${quote(event.token_index)} where ${this.#nextIndex} was expected.`);
 		}
 
 		this.#nextIndex++;
@@ -75,7 +82,7 @@
 	#checkEnd(): EngineEvent {
 		return this.#reportedTokens === this.#nextIndex
 			? {type: 'done'}
-			: protocolError(`The engine ended its response with ${this.#nextIndex} tokens and reported ${JSON.stringify(this.#reportedTokens) ?? 'none'}.`);
+			: protocolError(`The engine ended its response with ${this.#nextIndex} tokens and reported ${quote(this.#reportedTokens)}.`);
 	}
 }
 
@@ -88,6 +95,10 @@
 	return {type: 'failed', failure: createBadResponseFailure(message)};
 }
 
+function quote(value: unknown): string {
+	return JSON.stringify(value)?.slice(0, maximumQuoteLength) ?? 'none';
+}
+
 function isObject(value: unknown): boolean {
 	return typeof value === 'object' && Boolean(value);
 }
--- a/src/side/model-run.ts
+++ b/src/side/model-run.ts
@@ -1,7 +1,7 @@
 import {type Body, wait} from '../concurrency/index.js';
 import {type EngineClient, type EngineEvent} from '../endpoint/index.js';
 import {createFailure, FailureKind, Verdict} from '../model/index.js';
-import {type MessageOf} from '../wire/index.js';
+import {maximumEventLength, type MessageOf} from '../wire/index.js';
 import {CreditWindow} from './credit-window.js';
 import {type Reservation, type RunResult, type RunningPhase, sendToEntry} from './reservation.js';
 
@@ -74,7 +74,7 @@
 		this.#onTokens = onTokens;
 	}
 
-	/** Forwards the events of one turn of the event loop as one chunk; returns the result of the run once the stream has ended. */
+	/** Forwards the events of one turn of the event loop, as one chunk unless they are too long for it; returns the result of the run once the stream has ended. */
 	forward(events: readonly EngineEvent[]): RunResult | undefined {
 		const tokens: string[] = [];
 		let end: RunResult | undefined;
@@ -82,9 +82,12 @@
 			end ??= this.#classify(event, tokens);
 		}
 
+		for (const part of split(tokens)) {
+			sendToEntry(this.#reservation, {type: 'chunk', index: this.#nextIndex, events: part});
+			this.#nextIndex += part.length;
+		}
+
 		if (tokens.length > 0) {
-			sendToEntry(this.#reservation, {type: 'chunk', index: this.#nextIndex, events: tokens});
-			this.#nextIndex += tokens.length;
 			this.#onTokens(tokens.length);
 		}
 
@@ -117,3 +120,20 @@
 		}
 	}
 }
+
+/** The events in parts that each fit into one message. */
+function split(events: string[]): string[][] {
+	const parts: string[][] = [];
+	let length = Infinity;
+	for (const event of events) {
+		length += event.length;
+		if (length > maximumEventLength) {
+			parts.push([]);
+			length = event.length;
+		}
+
+		parts.at(-1)!.push(event);
+	}
+
+	return parts;
+}
--- a/src/wire/frames.ts
+++ b/src/wire/frames.ts
@@ -6,6 +6,11 @@
 export const maximumFrameBytes = 8 * 1024 * 1024;
 /** The largest chunk of a service's body in one message, in bytes. */
 export const maximumPartBytes = 64 * 1024;
+/**
+ * The longest event of a model's response, in characters, and the most of them in one message with several events. A character takes at most three bytes, so that
+ * these messages are not longer than a frame may be.
+ */
+export const maximumEventLength = 1024 * 1024;
 const lengthBytes = 4;
 
 const codec = new Encoder({useRecords: false, mapsAsObjects: true, tagUint8Array: false});
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,5 +1,5 @@
 /** Frames, messages and connections between the processes of the system. */
-export {encodeFrame, FrameDecoder, FrameError, maximumFrameBytes, maximumPartBytes, type FrameFault} from './frames.js';
+export {encodeFrame, FrameDecoder, FrameError, maximumEventLength, maximumFrameBytes, maximumPartBytes, type FrameFault} from './frames.js';
 export {
 	isGatewayMessage, maximumPathLength, messageSchema, protocolVersion, type Message, type GatewayMessage, type MessageOf, type StreamMessage,
 } from './messages.js';
