test: news of sides, engines and the catalogue ends no stream that goes on

At a side: failed health checks, a crash that is concluded from another stream's end, quarantine of the stream's own request, another list of models, other connections of the same entry that begin and end, a drain (test/side/news). At an entry: a membership list that drops the side or names it as leaving, and a workspace, key, class and model that are removed (test/path/news). Peers that are gone are covered by path/stream-failures, path/replaced-side-gone and endpoint/late-loop.

--- a/test/side/side-play.ts
+++ b/test/side/side-play.ts
@@ -5,7 +5,7 @@
 import {EngineClient} from '../../src/endpoint/index.js';
 import {type EndpointId, type InstanceId, type TargetName, type ZoneName} from '../../src/model/index.js';
 import {createSettings, createTieredScheduler} from '../../src/policy/scheduler/index.js';
-import {Side} from '../../src/side/index.js';
+import {Side, type SideOptions} from '../../src/side/index.js';
 import {createLogger, forPart} from '../../src/telemetry/index.js';
 import {type Connection, dial, type Message, type MessageOf, protocolVersion} from '../../src/wire/index.js';
 
@@ -16,7 +16,7 @@
 
 /** A side between an engine and entries that the test plays. */
 export class SidePlay implements AsyncDisposable {
-	static async create(engine: Engine): Promise<SidePlay> {
+	static async create(engine: Engine, quarantine?: SideOptions<unknown>['quarantine']): Promise<SidePlay> {
 		const server = createServer((request: IncomingMessage, response) => {
 			request.resume();
 			response.writeHead(200, {'content-type': 'text/event-stream'});
@@ -27,7 +27,7 @@
 		const client = EngineClient.create({baseUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}`});
 		const side = await Side.create({
 			instance: 'side' as InstanceId, endpoint: 'engine' as EndpointId, zone: 'zone-a' as ZoneName, targets: ['model'] as TargetName[], host: '127.0.0.1', port: 0, security,
-			backend: {type: 'engine', client}, scheduler: createTieredScheduler(createSettings()), logger: forPart(createLogger({name: 'side', level: 'fatal'}), 'Side'), catalogueOffset: () => 0,
+			backend: {type: 'engine', client}, scheduler: createTieredScheduler(createSettings()), logger: forPart(createLogger({name: 'side', level: 'fatal'}), 'Side'), catalogueOffset: () => 0, quarantine,
 		});
 		return new SidePlay(side, [client, {
 			async [Symbol.asyncDispose]() {
