--- a/test/gateway/pipelined-requests.test.ts
+++ b/test/gateway/pipelined-requests.test.ts
@@ -161,6 +161,17 @@
 	t.ok(await drained);
 });
 
+// The first was refused as soon as its headers were parsed, which closed the connection: those that had come with it were ignored, and their callers saw a close.
+tap.test('what arrives in a stop together with a request that is refused at once is answered', async t => {
+	await using testbed = await createTestbed();
+	const connection = await connect(testbed);
+	const drained = testbed.gateways[0]!.drain();
+	connection.socket.write(lookupOf('first').replace('/lookup/1', '/nowhere/1') + lookupOf('second') + textOf('third'));
+	await eventually(() => connection.isClosed);
+	t.same(answersOf(connection), [{status: 404, id: 'first'}, {status: 200, id: 'second'}, {status: 200, id: 'third'}]);
+	t.ok(await drained);
+});
+
 /** What may stand behind a request, and the status that the caller gets for it after the request's own answer. */
 const malformed = [
 	{name: 'bytes that are no HTTP', bytes: 'no HTTP at all\r\n\r\n', status: 400},
