in a stop, requests that came together with one that is refused by its headers are answered; before, they were ignored and saw a close

Cause: the refusal (404, 401, a late loop) was written as soon as the headers were parsed. In a stop the last response that is owed closes the connection, and the refused request was the last known, although the next ones stood in the same piece of bytes. Change: a refusal by headers is sent once the piece is parsed (a microtask; Node runs none between the requests of one piece). What comes in a later piece still crosses the close.

--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -86,7 +86,7 @@
 		const arrival: Arrival = {request, caller: Caller.create(request, response), facts: factsOf(read), arrivedAt};
 		const found = findTarget({read, table, request, uptimeMilliseconds: arrivedAt - this.#startedAt});
 		if (found.type === 'rejected') {
-			this.#reject(arrival, found.rejection);
+			await this.#rejectByHeaders(arrival, found.rejection);
 			return;
 		}
 
@@ -94,7 +94,7 @@
 		const intakeRequest = intakeRequestOf({...target, arrivedAt}, codec);
 		const rejection = this.#rejectionByMemory(request) ?? this.#rejectionByLateness(intakeRequest, target);
 		if (rejection !== undefined) {
-			this.#reject(arrival, rejection);
+			await this.#rejectByHeaders(arrival, rejection);
 			return;
 		}
 
@@ -199,6 +199,12 @@
 		};
 	}
 
+	/** Rejects a request by its headers, once all that was read with them is parsed: in a stop the response closes the connection, and what came behind would be ignored. */
+	async #rejectByHeaders(arrival: Arrival, rejection: Rejection): Promise<void> {
+		await Promise.resolve();
+		this.#reject(arrival, rejection);
+	}
+
 	/**
 	 * Rejects a request whose body is not awaited. Its connection is read on until the responses before it are complete; if its response said before that
 	 * the connection closes, the requests that arrive meanwhile would get no answer. Once it is next, it closes the connection only if its body has not ended.
