a stream that endpoints break off once they have left is not refused as one that crashes endpoints

What callers saw: a stream that may be resumed, and that three endpoints broke off one after the other as they left (rolling replacement: an endpoint serves on for a while after it is told as draining, or after its record is removed, and then ends), was not sent on after the fourth, and the same request, also as its caller takes it up elsewhere, got 503 for ten minutes.

Cause: each connection that breaks without a later response within a second counted as a crash of the endpoint. An announced shutdown was an excuse for silence alone.

Change: a break shows nothing once the registration of the incarnation has ended, announced or not, or another one has taken its place: one that crashes breaks its connections first, and its registration ends after three heartbeats without one. Silence counts as before. What is lost: crashes by requests that are sent to an endpoint as the last resort after its end, and at endpoints whose registrations expired with the store while they live, for as long as they are missing.

No soak was run.

--- a/src/gateway/placement/endpoint-pool.ts
+++ b/src/gateway/placement/endpoint-pool.ts
@@ -146,6 +146,12 @@
 		return this.#availability(id, now) === 'open';
 	}
 
+	/** Whether the incarnation of a record is registered: it has not announced that it leaves, was not removed, and no other one has taken its place. */
+	isRegistered(record: EndpointRecord): boolean {
+		const entry = this.#options.routingState.directory.entries.get(record.id);
+		return entry !== undefined && entry.endedAt === undefined && !this.#hasRestartedSince(record);
+	}
+
 	#sort(request: PlacementRequest, now: number): SortedEndpoints {
 		const sorted: SortedEndpoints = {lists: {open: [], stating: [], trial: [], suspended: [], ending: []}, held: undefined, hasReady: false, isOpenHeld: false};
 		for (const endpoint of this.#endpointsOf(request.demand.service)) {
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -216,7 +216,7 @@
 
 	/** Cancels an attempt that has an outcome, and reports and logs what it has shown. */
 	#endAttempt(state: AttemptState, outcome: Outcome, run: HeldRun): void {
-		const {dispatcher, crashes, request, log} = this.#options;
+		const {dispatcher, log} = this.#options;
 		const {attempt, decision} = state;
 		const givenUp = givenUpOf(attempt, outcome);
 		const hasBegun = attempt.mayHaveReachedEndpoint && !(outcome.type === 'failed' && outcome.verdict === Verdict.notRun);
@@ -225,7 +225,7 @@
 		this.#excluded.add(decision.record.id);
 		reportOutcome(dispatcher, outcome, state);
 		reportOutput(this.#options, outcome, state);
-		reportCrashEvidence(crashes, request, outcome, state);
+		reportCrashEvidence(this.#options, outcome, state);
 		log.logAttempt(this.#options, decision, attemptResultOf(state, outcome, {waitedMilliseconds: this.#waitedMilliseconds, givenUp}));
 	}
 
--- a/src/gateway/requests/outcome-report.ts
+++ b/src/gateway/requests/outcome-report.ts
@@ -47,7 +47,7 @@
 }
 
 /** Tells the ledger whether the attempt may have crashed its endpoint, or has shown that the request can run to its end. */
-export function reportCrashEvidence(crashes: CrashLedger, request: RepeatableRequest, outcome: Outcome, {attempt, decision, startedAt, status, firstEventAt, lastEventAt = -Infinity}: AttemptState): void {
+export function reportCrashEvidence({crashes, request, dispatcher}: ExchangeOptions, outcome: Outcome, {attempt, decision, startedAt, status, firstEventAt, lastEventAt = -Infinity}: AttemptState): void {
 	const now = performance.now();
 	if (outcome.type === 'done') {
 		if (isSuccess(status)) {
@@ -61,7 +61,7 @@
 		crashes.recordBegun(request, now);
 	}
 
-	const sign = signOfCrash(outcome, firstEventAt !== undefined);
+	const sign = signOfCrash(outcome, {hasEvents: firstEventAt !== undefined, isRegistered: dispatcher.endpoints.isRegistered(decision.record)});
 	if (sign !== undefined && attempt.mayHaveReachedEndpoint) {
 		crashes.recordUnanswered(decision.record, request, {sentAt: startedAt, sign, now});
 	}
@@ -104,12 +104,13 @@
 
 /**
  * What an attempt without a complete response shows of its endpoint: after a break or in silence, it may have crashed. A caller that leaves, or
- * a stream that runs into the deadline, shows nothing; if the endpoint had been silent until then, it has been reported already.
+ * a stream that runs into the deadline, shows nothing; if the endpoint had been silent until then, it has been reported already. A break shows
+ * nothing once the endpoint's registration has ended: one that crashes breaks its connections first, one that has left ends with whatever it still runs.
  */
-function signOfCrash(outcome: Exclude<Outcome, {type: 'done'}>, hasEvents: boolean): CrashSign | undefined {
+function signOfCrash(outcome: Exclude<Outcome, {type: 'done'}>, {hasEvents, isRegistered}: {readonly hasEvents: boolean; readonly isRegistered: boolean}): CrashSign | undefined {
 	switch (outcome.type) {
 		case 'failed': {
-			return outcome.connection === 'broken' ? 'break' : (outcome.isSilent === true ? 'silence' : undefined);
+			return outcome.connection === 'broken' && isRegistered ? 'break' : (outcome.isSilent === true ? 'silence' : undefined);
 		}
 
 		case 'expired': {
