a stream that breaks off or falls silent at an earlier incarnation of an endpoint goes on at the next one

What callers saw: a stream that may be resumed ended in the middle where its service had one endpoint, which had restarted under its id while the process before ended its work: the next incarnation was in use, and counted as the endpoint that the stream had been at. One that fell silent there waited for the time of its request to be over.

Cause: what a request was sent to was excluded by the id of the endpoint. It costs nothing where each start has an id of its own.

Change: requests exclude incarnations; one that has not stated its start is excluded by its id, also once it has stated it, since it is the same process.

--- a/src/gateway/crashes/crash-monitor.ts
+++ b/src/gateway/crashes/crash-monitor.ts
@@ -1,6 +1,6 @@
 import {type CrashEvidence, type CrashSign, type DismissalReason, type EvidenceAction, type EvidenceEvent, isSettled, nextEvidenceAt, noEvidence, stepEvidence} from '../../policy/crashes/index.js';
 import {isPart} from '../../policy/quarantine/index.js';
-import {type EndpointRecord} from '../../routing/index.js';
+import {type EndpointRecord, incarnationOf} from '../../routing/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 
 /** What became of the evidence that a request crashed an endpoint. */
@@ -164,8 +164,3 @@
 		}
 	}
 }
-
-/** Each start of an endpoint is another incarnation, also under the same id. */
-function incarnationOf({id, bornAt}: EndpointRecord): string {
-	return bornAt === undefined ? id : `${id}@${bornAt}`;
-}
--- a/src/gateway/placement/decision.ts
+++ b/src/gateway/placement/decision.ts
@@ -12,7 +12,7 @@
 	waitsFor?: {readonly endpoint: string; readonly until: number};
 	/** The room in an engine's memory that it last waited for, if it has waited for any. */
 	memory?: MemoryShortage | undefined;
-	/** Endpoints that it was already sent to. */
+	/** Incarnations of endpoints that it was already sent to. */
 	readonly excluded: ReadonlySet<string>;
 	/** The build that its endpoint must have; undefined if any will do. */
 	readonly build: string | undefined;
--- a/src/gateway/placement/endpoint-pool.ts
+++ b/src/gateway/placement/endpoint-pool.ts
@@ -1,5 +1,5 @@
 import {availability, type Candidate, createEndpointHealth, type EndpointHealth, type HealthEvent, inHashOrder, type LoadTracker, stepEndpointHealth, trialTurnMilliseconds} from '../../policy/dispatch/index.js';
-import {type EndpointEntry, type EndpointRecord, EndpointStatus, buildOf, endpointStatusOf} from '../../routing/index.js';
+import {type EndpointEntry, type EndpointRecord, EndpointStatus, buildOf, endpointStatusOf, incarnationOf} from '../../routing/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 import {type RoutingState} from '../table/index.js';
 import {type StatementRegistry} from '../endpoints/index.js';
@@ -133,8 +133,8 @@
 	hasAnother(service: string, {excluded, build}: Pick<PlacementRequest, 'excluded' | 'build'>, record: EndpointRecord): boolean {
 		const now = performance.now();
 		return [...this.#options.routingState.directory.entries.values()].some(entry => entry.record.service === service
-			&& entry.record.id !== record.id
-			&& !excluded.has(entry.record.id)
+			&& (entry.record.id !== record.id || this.#hasRestartedSince(record))
+			&& !isExcluded(entry.record, excluded)
 			&& hasBuild(entry.record, build)
 			&& endpointStatusOf(entry, now) === EndpointStatus.ready
 			&& this.#availability(entry.record.id, now) === 'open'
@@ -157,7 +157,7 @@
 		for (const endpoint of this.#endpointsOf(request.demand.service)) {
 			const status = endpointStatusOf(endpoint.entry, now);
 			sorted.hasReady ||= status === EndpointStatus.ready;
-			if (status !== EndpointStatus.gone && !request.excluded.has(endpoint.record.id) && hasBuild(endpoint.record, request.build)) {
+			if (status !== EndpointStatus.gone && !isExcluded(endpoint.record, request.excluded) && hasBuild(endpoint.record, request.build)) {
 				this.#add(sorted, endpoint, {isReady: status === EndpointStatus.ready, now});
 			}
 		}
@@ -229,6 +229,11 @@
 	}
 }
 
+/** Whether a request was already sent to this incarnation of an endpoint, or to the endpoint before it had stated its start. */
+function isExcluded(record: EndpointRecord, excluded: ReadonlySet<string>): boolean {
+	return excluded.size > 0 && (excluded.has(incarnationOf(record)) || excluded.has(record.id));
+}
+
 function hasBuild(record: EndpointRecord, build: string | undefined): boolean {
 	return build === undefined || buildOf(record) === build;
 }
--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -15,7 +15,7 @@
 	readonly end: RequestEnd;
 	readonly retryProgress: RetryProgress;
 	readonly forwarder: ResponseForwarder;
-	/** Endpoints that the request has already been sent to. */
+	/** Incarnations of endpoints that the request has already been sent to. */
 	readonly excluded: ReadonlySet<string>;
 	/** The build that the request is bound to, once it is. */
 	readonly build: () => string | undefined;
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -1,7 +1,7 @@
 import {Alarm, type Body, channel, receive, tryDeliver} from '../../concurrency/index.js';
 import {Verdict} from '../../model/index.js';
 import {type Demand} from '../../policy/dispatch/index.js';
-import {buildOf, RouteKind} from '../../routing/index.js';
+import {buildOf, incarnationOf, RouteKind} from '../../routing/index.js';
 import {type Decision} from '../placement/index.js';
 import {RequestUsage} from '../duties/index.js';
 import {ResponseForwarder} from './response-forwarder.js';
@@ -222,7 +222,7 @@
 		const hasBegun = attempt.mayHaveReachedEndpoint && !(outcome.type === 'failed' && outcome.verdict === Verdict.notRun);
 		run.release({hasBegun, sign: signOf(outcome, state)});
 		this.#forwarder.isPaused = false;
-		this.#excluded.add(decision.record.id);
+		this.#excluded.add(incarnationOf(decision.record));
 		reportOutcome(dispatcher, outcome, state);
 		reportOutput(this.#options, outcome, state);
 		reportCrashEvidence(this.#options, outcome, state);
--- a/src/routing/endpoint-directory.ts
+++ b/src/routing/endpoint-directory.ts
@@ -138,6 +138,11 @@
 	return (bornAt ?? -Infinity) > (other ?? -Infinity);
 }
 
+/** The name of an incarnation: each start of an endpoint is another one, also under the same id. One that has not stated its start has the name of the endpoint. */
+export function incarnationOf({id, bornAt}: EndpointRecord): string {
+	return bornAt === undefined ? id : `${id}@${bornAt}`;
+}
+
 /** The newest position at which an endpoint is known to be registered: `newestPosition` without the revision. */
 export function positionOf(registrations: Registrations): LogPosition {
 	const {era, offset} = newestPosition(registrations);
