a plain service that refused one connection is used again

What callers saw: once a service had refused a connection, as while it restarts, its side answered every later request with 503 until the side itself was started again.

Cause: a refused connection sets the endpoint down, and only the health checks set it up again; services have none.

Change: for half a second after a refused connection a service gets no calls, and then the next one shows whether it is back. A refused connection has run nothing.

Evidence: test/path/service-back: before 1 of 1 failed (503 ten times, 22 s after the service was back), now 1 of 1 passes.

--- a/src/side/side.ts
+++ b/src/side/side.ts
@@ -21,6 +21,8 @@
  * control traffic.
  */
 const loadIntervalMilliseconds = 500;
+/** A plain service has no health check: for this time after a refused connection it gets no calls, and the next one shows whether it is back. */
+const serviceTrialMilliseconds = 500;
 
 /** The side (the sidecar process of one endpoint): accepts the connections of entries and reports the endpoint's state to them. */
 export class Side<State = unknown> implements AsyncDisposable, EntryLinkHandler, EndpointObserver {
@@ -50,6 +52,7 @@
 	#nextLink = 0;
 	#isDraining = false;
 	#isEndpointUp = true;
+	#trialTimer: NodeJS.Timeout | undefined;
 	#targets: readonly TargetName[];
 
 	private constructor(options: SideOptions<State>) {
@@ -60,6 +63,7 @@
 			...options,
 			onEndpointDown: () => {
 				this.setEndpointUp(false);
+				this.#scheduleTrial();
 			},
 			onBackoff: milliseconds => {
 				options.logger.info('The endpoint asks for a backoff.', {endpoint: options.endpoint, milliseconds});
@@ -126,6 +130,7 @@
 			clearInterval(timer);
 		}
 
+		clearTimeout(this.#trialTimer);
 		await this.#listener[Symbol.asyncDispose]();
 		await this.#links.closeAll();
 	}
@@ -175,6 +180,18 @@
 		}
 	}
 
+	/** Without a health check, nothing else would tell that the endpoint is back, and its side would refuse all requests ever after. */
+	#scheduleTrial(): void {
+		if (this.#options.backend.type !== 'service') {
+			return;
+		}
+
+		clearTimeout(this.#trialTimer);
+		this.#trialTimer = setTimeout(() => {
+			this.setEndpointUp(true);
+		}, serviceTrialMilliseconds);
+	}
+
 	#accept(connection: Connection): void {
 		this.#nextLink += 1;
 		const link = EntryLink.create(connection, this.#nextLink);
