an answer that has begun ends behind the turn that reads beyond its caller's time, counted from when the request was read

What callers saw: streams broke off up to 105 ms before their deadline at instances with part of a core, also where the loop's lag was 0; and streams whose last event and end lay unread together at the end of a stop lost the end. Causes: a late loop counts a request from the earliest moment at which it can have come, so that its deadline could end a turn before its caller's; and the look at each read cut the answer between two pieces of the same turn. Change: once an answer has begun its time counts from when its request was read, as that is later than its sending for certain; the look comes behind the turn.

--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -16,8 +16,8 @@
 /** Retry delay after an error of this process: the request reaches another instance, or this one past what caused the error. */
 const errorRetryMilliseconds = 300;
 
-/** A request whose headers have arrived. `facts` are undefined if its headers could not be read. */
-type Arrival = {readonly request: IncomingMessage; readonly caller: Caller; readonly facts: RequestMetadata | undefined; readonly arrivedAt: number};
+/** A request whose headers have arrived, at `arrivedAt` at the earliest, and were read at `readAt`. `facts` are undefined if they could not be read. */
+type Arrival = {readonly request: IncomingMessage; readonly caller: Caller; readonly facts: RequestMetadata | undefined; readonly arrivedAt: number; readonly readAt: number};
 
 const noRoom: Rejection = {status: 503, message: 'Too many bodies are held; the request has not run.', retryAfterMilliseconds: bufferFullRetryMilliseconds};
 
@@ -64,7 +64,8 @@
 	/** Refuses a request since too many of its connection are open. */
 	refuseExcess(request: IncomingMessage, response: PipelinedResponse): void {
 		const facts = factsOf(this.#options.codec.readRequest(request.headers));
-		this.#reject({request, caller: Caller.create(request, response), facts, arrivedAt: performance.now()}, {...excess, closesConnection: true});
+		const now = performance.now();
+		this.#reject({request, caller: Caller.create(request, response), facts, arrivedAt: now, readAt: now}, {...excess, closesConnection: true});
 	}
 
 	/** Ends one request after an error of this process, before the request was forwarded; one that was has ended in its own process. */
@@ -83,7 +84,7 @@
 	async #serve(request: IncomingMessage, response: PipelinedResponse, arrivedAt: number): Promise<void> {
 		const {routingState: {table}, codec} = this.#options;
 		const read = codec.readRequest(request.headers);
-		const arrival: Arrival = {request, caller: Caller.create(request, response), facts: factsOf(read), arrivedAt};
+		const arrival: Arrival = {request, caller: Caller.create(request, response), facts: factsOf(read), arrivedAt, readAt: performance.now()};
 		const found = findTarget({read, table, request, uptimeMilliseconds: arrivedAt - this.#startedAt});
 		if (found.type === 'rejected') {
 			await this.#rejectByHeaders(arrival, found.rejection);
@@ -167,10 +168,10 @@
 		await this.#forward(arrival, target, repeatable);
 	}
 
-	async #forward({request, caller, arrivedAt}: Arrival, {path: _, ...target}: RequestTarget, repeatable: RepeatableRequest): Promise<void> {
+	async #forward({request, caller, arrivedAt, readAt}: Arrival, {path: _, ...target}: RequestTarget, repeatable: RepeatableRequest): Promise<void> {
 		const {crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness, stop} = this.#options;
 		const exchange = Exchange.create({
-			...target, request: repeatable, rawHeaders: request.rawHeaders, caller, arrivedAt, crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness, stop, responseMemory: this.#responseMemory,
+			...target, request: repeatable, rawHeaders: request.rawHeaders, caller, arrivedAt, readAt, crashes, streams, codec, dispatcher, connectionPools, log, usage, lateness, stop, responseMemory: this.#responseMemory,
 		});
 		await spawn('exchange', () => exchange.run(), (_, error) => {
 			log.logError(error, {request: target.facts.id, route: target.route.name, sendings: 0});
--- a/src/gateway/requests/attempt-sender.ts
+++ b/src/gateway/requests/attempt-sender.ts
@@ -62,22 +62,35 @@
 
 	/** Forwards what an attempt brings in the turn of the event loop in which it arrives. */
 	#handleEvent(state: AttemptState, event: AttemptEvent): void {
-		const {forwarder, inbox, exchange: {crashes: {monitor}}} = this.#options;
+		const {forwarder, end, exchange: {caller, crashes: {monitor}}} = this.#options;
 		if (event.type === 'data' && monitor.isWatching) {
 			monitor.recordResponse(state.decision.record, state.startedAt, performance.now());
 		}
 
-		const outcome = forwarder.handle(state, event) ?? this.#outcomeAtEnd();
+		const outcome = forwarder.handle(state, event);
 		if (outcome !== undefined) {
-			state.attempt.cancel();
-			state.hasOutcome = true;
-			tryDeliver(inbox, {type: 'outcome', number: state.number, outcome});
+			this.#endAttempt(state, outcome);
+		} else if (caller.hasResponse && outcomeAtEnd(end, performance.now()) !== undefined) {
+			setImmediate(() => {
+				this.#endIfOver(state);
+			});
+		}
+	}
+
+	/**
+	 * Ends an answer that has begun behind the turn of the event loop that reads beyond its time: in a late loop the alarm comes several turns later. The
+	 * rest of what that turn reads may be the end of the answer.
+	 */
+	#endIfOver(state: AttemptState): void {
+		const outcome = state.hasOutcome ? undefined : outcomeAtEnd(this.#options.end, performance.now());
+		if (outcome !== undefined) {
+			this.#endAttempt(state, outcome);
 		}
 	}
 
-	/** An answer that has begun ends in the turn of the event loop that reads beyond its time: in a late loop the alarm comes several turns later. */
-	#outcomeAtEnd(): Outcome | undefined {
-		const {end, exchange: {caller}} = this.#options;
-		return caller.hasResponse ? outcomeAtEnd(end, performance.now()) : undefined;
+	#endAttempt(state: AttemptState, outcome: Outcome): void {
+		state.attempt.cancel();
+		state.hasOutcome = true;
+		tryDeliver(this.#options.inbox, {type: 'outcome', number: state.number, outcome});
 	}
 }
--- a/src/gateway/requests/exchange-options.ts
+++ b/src/gateway/requests/exchange-options.ts
@@ -27,6 +27,8 @@
 	readonly log: DecisionLog;
 	/** Counts requests that begin to run; absent where nothing is counted. */
 	readonly usage?: UsageCounter | undefined;
+	/** When its headers were read; it can have arrived up to a turn of the event loop before. */
+	readonly readAt: number;
 	/** By when an instance that stops has answered the request. */
 	readonly stop: StopSchedule;
 	/** How late this process's event loop is; 0 while it is in time, or if it is not measured. */
--- a/src/gateway/requests/request-end.ts
+++ b/src/gateway/requests/request-end.ts
@@ -14,19 +14,20 @@
 		return new RequestEnd(options);
 	}
 
-	/** When its time is over. */
-	readonly deadlineAt: number;
 	readonly #options: ExchangeOptions;
+	/** When its time is over if it arrived as early as it can have, and if it arrived when it was read. In between its caller's time ends. */
+	readonly #deadline: {readonly earliestAt: number; readonly latestAt: number};
 
 	private constructor(options: ExchangeOptions) {
-		const {arrivedAt, route, facts} = options;
+		const {arrivedAt, readAt, route, facts} = options;
 		this.#options = options;
-		this.deadlineAt = deadlineOf(arrivedAt, route, facts);
+		this.#deadline = {earliestAt: deadlineOf(arrivedAt, route, facts), latestAt: deadlineOf(readAt, route, facts)};
 	}
 
+	/** An answer that has begun goes on until its caller's time is over for certain. */
 	get #limit(): TimeLimit {
-		const {arrivedAt, caller} = this.#options;
-		return {arrivedAt, deadlineAt: this.deadlineAt, hasBegun: caller.hasResponse};
+		const {arrivedAt, caller: {hasResponse}} = this.#options;
+		return {arrivedAt, deadlineAt: hasResponse ? this.#deadline.latestAt : this.#deadline.earliestAt, hasBegun: hasResponse};
 	}
 
 	/** When the request is ended. */
@@ -37,7 +38,7 @@
 
 	/** When the request is ended if its answer has begun by then: so long may an endpoint work on a stream. */
 	get onceBegunAt(): number {
-		return Math.min(this.deadlineAt, this.#options.stop.endsAt);
+		return Math.min(this.#deadline.latestAt, this.#options.stop.endsAt);
 	}
 
 	/** Whether the instance's stop, and neither its deadline nor its route's timeout, has ended the request. */
@@ -48,19 +49,19 @@
 
 	/** How much of its time the request has left. */
 	get leftMilliseconds(): number {
-		return this.deadlineAt - performance.now();
+		return this.#limit.deadlineAt - performance.now();
 	}
 
 	/** The last moment at which the request may be sent to an endpoint; infinite while the instance does not stop. */
 	get lastStartAt(): number {
 		const {route, stop} = this.#options;
-		return stop.lastStartAt({route, deadlineAt: this.deadlineAt});
+		return stop.lastStartAt({route, deadlineAt: this.#deadline.earliestAt});
 	}
 
 	/** When to look whether the request is ended. */
 	get nextLookAt(): number {
 		const {lateness: {isMeasured, milliseconds}, stop} = this.#options;
-		const lookAt = isMeasured ? nextLookAt(this.#limit, {lagMilliseconds: milliseconds, now: performance.now()}) : this.deadlineAt;
+		const lookAt = isMeasured ? nextLookAt(this.#limit, {lagMilliseconds: milliseconds, now: performance.now()}) : this.#limit.deadlineAt;
 		return Math.min(lookAt, stop.endsAt);
 	}
 }
--- a/test/gateway/late-streams.test.ts
+++ b/test/gateway/late-streams.test.ts
@@ -7,7 +7,7 @@
 /** The loop is held up once, from before the last quarter of the request's time until shortly before its end, and counts as late from then on. */
 const heldBeforeMilliseconds = 600;
 const heldMilliseconds = 400;
-const turnMilliseconds = 120;
+const turnMilliseconds = 90;
 /** CONFIG and its kin count an answer as late from then on. */
 const lateMilliseconds = 500;
 /** The work of a whole stream takes longer than its caller waits. */
--- /dev/null
+++ b/test/gateway/request-end.test.ts
@@ -0,0 +1,39 @@
+import tap from 'tap';
+import {type ExchangeOptions} from '../../src/gateway/requests/exchange-options.js';
+import {RequestEnd} from '../../src/gateway/requests/request-end.js';
+import {StopSchedule} from '../../src/gateway/stopping/index.js';
+
+const arrivedAt = 1000;
+/** The loop was late: the request can have arrived a turn before it was read. */
+const readAt = 1150;
+const lagMilliseconds = 100;
+const deadlineMilliseconds = 4000;
+
+/** When a request in a late loop is ended, by whether its answer has begun. */
+function endOf(hasResponse: boolean, stop = StopSchedule.create()): RequestEnd {
+	return RequestEnd.create({
+		arrivedAt, readAt, stop, facts: {deadlineMilliseconds}, route: {timeoutMilliseconds: 9000}, caller: {hasResponse}, lateness: {isMeasured: true, milliseconds: lagMilliseconds},
+	} as unknown as ExchangeOptions);
+}
+
+// Its deadline was counted from the earliest moment at which it can have arrived: streams broke off by a turn of the loop too early.
+tap.test('an answer that has begun goes on until its caller\'s time is over for certain', async t => {
+	const end = endOf(true);
+	t.equal(end.at, readAt + deadlineMilliseconds);
+	t.equal(end.onceBegunAt, end.at);
+	t.equal(end.nextLookAt, end.at);
+});
+
+tap.test('one that has not is ended as long before the earliest end of that time as the loop is late', async t => {
+	const end = endOf(false);
+	t.equal(end.at, arrivedAt + deadlineMilliseconds - lagMilliseconds);
+	t.equal(end.onceBegunAt, readAt + deadlineMilliseconds, 'the endpoint of a stream may work on');
+});
+
+tap.test('a stop ends both', async t => {
+	const stop = StopSchedule.create();
+	stop.begin({endsAt: 3000, lastStreamAt: 2000});
+	for (const hasResponse of [true, false]) {
+		t.equal(endOf(hasResponse, stop).at, 3000);
+	}
+});
