--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -6,8 +6,8 @@
 /** How a worker responds to one request. */
 export type WorkerAnswer
 	= | {readonly type: 'whole'; readonly status?: number; readonly body: string; readonly headers?: Readonly<Record<string, string>>; readonly afterMilliseconds?: number; readonly isUnframed?: boolean}
-	/** A body of pieces, one after another. */
-		| {readonly type: 'pieces'; readonly count: number; readonly bytes: number; readonly gapMilliseconds: number}
+	/** A body of pieces, one after another, in chunks unless its length is stated. */
+		| {readonly type: 'pieces'; readonly count: number; readonly bytes: number; readonly gapMilliseconds: number; readonly hasLength?: boolean}
 	/**
 	 * Events numbered after `Last-Event-Id`; the connection is broken after event `cutAfter`, in the middle of the next one. An unframed
 	 * response has neither a length nor chunks and ends with its connection, in an orderly way where it is cut, too.
@@ -144,7 +144,7 @@
 			}
 
 			case 'pieces': {
-				response.writeHead(200, signatureHeaders);
+				response.writeHead(200, {...signatureHeaders, ...(answer.hasLength === true && {'Content-Length': answer.count * answer.bytes})});
 				for (let number = 0; number < answer.count; number++) {
 					await sleep(answer.gapMilliseconds);
 					response.write('x'.repeat(answer.bytes));
