a fault in the frames of one request ends no other request on its connection

Change: the request of that stream alone ends (bad_answer, may have run), and its side is told to give it up. Each frame carries its stream and its request, and both are checked, so the others need not be doubted. Frames that can't be decoded, and messages that no side sends, still close the connection: there nothing that follows can be trusted.

Left as it is at the side: an entry that reserves a stream twice, or sends a run more than it queues, loses its connection. A sound entry does neither (credit and body windows bound what is under way), and a stream number that is used twice spoils both requests.

--- a/src/entry/side-link.ts
+++ b/src/entry/side-link.ts
@@ -1,6 +1,6 @@
 import {type CatalogueMessage} from '../platform/index.js';
-import {type Body, type Channel, receive, tryDeliver} from '../concurrency/index.js';
-import {type EndpointId, type RequestId, type TargetName, type ZoneName} from '../model/index.js';
+import {type Body, type Channel, deliver, receive, tryDeliver} from '../concurrency/index.js';
+import {createFailure, type EndpointId, FailureKind, type RequestId, type TargetName, Verdict, type ZoneName} from '../model/index.js';
 import {isGatewayMessage, type Connection, type Message, type MessageOf, protocolVersion, type StreamMessage} from '../wire/index.js';
 import {type RequestEvent} from './request-event.js';
 import {type SideIdentity} from './side-identity.js';
@@ -33,7 +33,7 @@
 	state: MessageOf<'state'> | undefined;
 	/** Frames for a stream that is not open; expected after a withdrawal. */
 	staleFrames = 0;
-	/** Frames whose request id differs from the stream's; always a fault, after which the link is closed. */
+	/** Frames whose request id differs from the stream's; always a fault, after which the stream's request is ended. */
 	foreignFrames = 0;
 	readonly #connection: Connection;
 	readonly #streams = new Map<number, OpenStream>();
@@ -147,12 +147,25 @@
 
 		if (open.request !== message.request) {
 			this.foreignFrames += 1;
-			this.close('a frame has the request id of another request');
+			this.#endStream(message.stream, open, 'The side sent a frame of another request.');
 			return;
 		}
 
 		if (!tryDeliver(open.inbox, {type: 'frame', link: this, message})) {
-			this.close('more frames than the granted credit');
+			this.#endStream(message.stream, open, 'The side sent more than it was granted.');
 		}
 	}
+
+	/** Ends one stream whose frames are at fault. Each frame of the others is checked by itself, so they go on. */
+	#endStream(stream: number, {request, inbox}: OpenStream, reason: string): void {
+		this.send({type: 'withdraw', stream, request});
+		const failure = createFailure(FailureKind.badAnswer, reason, {verdict: Verdict.mayHaveRun});
+		this.closeStream(stream);
+		deliver(inbox, {type: 'frame', link: this, message: {type: 'fail', stream, request, ...failure}}, ignoreAccepted);
+	}
+}
+
+/** The failure of a full inbox waits in it for its turn; nothing waits for that. */
+function ignoreAccepted(): void {
+	// Intentionally empty.
 }
