test: on a path with a delay, an answer arrives although more was sent across the end of its connection; fails

A play with the path alone tells the cause: a server that answers, ends and reads on; its caller sends more 20 ms after its request, on a way of 40 ms.

--- a/test/fakes/network-path.test.ts
+++ b/test/fakes/network-path.test.ts
@@ -6,6 +6,7 @@
 import {FakePath} from '../../fakes/network-path.js';
 
 const settleMilliseconds = 100;
+const pathMilliseconds = 40;
 const smallBytes = 20_000;
 /** More than the buffers of both kernels hold. */
 const largeBytes = 8_000_000;
@@ -147,3 +148,55 @@
 		setTimeout(resolve, milliseconds);
 	});
 }
+
+/** A server that answers and ends, and reads on for a while, as one that closes with care (RFC 9112, 9.6). */
+async function createLingering(): Promise<{readonly server: Server; readonly port: number}> {
+	const server = createServer({allowHalfOpen: true}, socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.end('answer');
+			socket.resume();
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return {server, port: (server.address() as AddressInfo).port};
+}
+
+/** Sends a request, and more bytes that cross the end of the connection; returns what arrived. */
+async function sendAcross(port: number): Promise<{readonly text: string; readonly end: string}> {
+	const socket = connect(port, '127.0.0.1');
+	const received = {text: '', end: 'none'};
+	socket.on('data', (bytes: Uint8Array) => {
+		received.text += String(bytes);
+	});
+	socket.on('error', () => {
+		received.end = 'reset';
+	});
+	socket.once('end', () => {
+		received.end = 'orderly';
+	});
+	const closed = new Promise(resolve => {
+		socket.once('close', resolve);
+	});
+	await once(socket, 'connect');
+	socket.write('request');
+	await sleep(pathMilliseconds / 2);
+	if (socket.writable) {
+		socket.write('more');
+	}
+
+	await closed;
+	return received;
+}
+
+// A path closed both directions at the end of one: bytes that crossed that end met a closed connection, whose reset took the answer on its way with it.
+t.test('an answer arrives although more was sent across the end of its connection, as without a path', async t => {
+	const {server, port} = await createLingering();
+	await using path = await FakePath.create(`127.0.0.1:${port}`);
+	path.faults.delayMilliseconds = pathMilliseconds;
+	const expected = {text: 'answer', end: 'orderly'};
+	t.same(await sendAcross(port), expected, 'without a path');
+	t.same(await sendAcross(Number(path.address.split(':')[1])), expected, 'on a path');
+	server.close();
+});
