paths keep one direction of a connection open when the other ends, as kernels do

Cause: the path's sockets ended themselves when their peer ended, so bytes that crossed the end of a connection met a closed one; the path answered with a reset, at once, and dropped the answer that was still on its way. A gateway closes its connections so that this does not happen (it reads on for two seconds); behind a path the soak took it for a lost answer. Change: half-open sockets; an end is passed on as an end, a reset as a reset.

--- a/fakes/network-direction.ts
+++ b/fakes/network-direction.ts
@@ -59,6 +59,9 @@
 		from.prependListener('end', () => {
 			this.#isReset ||= from.remoteAddress === undefined;
 		});
+		from.on('end', () => {
+			this.#end();
+		});
 		from.on('close', () => {
 			this.#close();
 		});
@@ -96,6 +99,18 @@
 		}
 	}
 
+	/** One direction ends; the other goes on, as between kernels, so that bytes which cross the end take nothing with them. */
+	#end(): void {
+		if (this.#isReset) {
+			this.#from.destroy();
+			return;
+		}
+
+		this.#deliver(() => {
+			this.#to.end();
+		});
+	}
+
 	#close(): void {
 		const holding = this.#settings.holding();
 		if (this.#isReset && holding === Holding.inTransit) {
--- a/fakes/network-path.ts
+++ b/fakes/network-path.ts
@@ -30,7 +30,7 @@
 
 	private constructor(target: string) {
 		this.#target = parseTarget(target);
-		this.#server = createServer(socket => {
+		this.#server = createServer({allowHalfOpen: true}, socket => {
 			this.#accept(socket);
 		});
 	}
@@ -79,7 +79,7 @@
 			return;
 		}
 
-		const outgoing = connect(this.#target);
+		const outgoing = connect({...this.#target, allowHalfOpen: true});
 		this.#forward(incoming, outgoing);
 		this.#forward(outgoing, incoming);
 	}
