a stopping instance that knows few runs of a route begins no long one of it late in its grace

Cause: the deviation of run times started at half of the first run (RFC 6298). After one run of 18 ms the longest was taken to be 54 ms, and streams were begun until the end of the grace and cut off there. Change: the deviation starts at an eighth of the route's timeout, so that four of them are half of it, and follows the runs as before: a quarter less with each run that is as expected. After ten alike a thirteenth of that is left. Conclusion: an instance in its first runs refuses more in a stop. What runs long once in many times is still underestimated: after ten short runs a run of seconds counts for little.

--- a/src/gateway/stopping/stop-schedule.ts
+++ b/src/gateway/stopping/stop-schedule.ts
@@ -39,7 +39,7 @@
 
 	/** Records how long a request took, from its sending to the end of its response. */
 	recordRun(route: Route, milliseconds: number): void {
-		recordRunTime(this.#runTimes, route.name, milliseconds);
+		recordRunTime(this.#runTimes, route, milliseconds);
 	}
 
 	/** The last moment at which a request may be begun; infinite while the instance does not stop. */
--- a/src/policy/stopping/run-times.ts
+++ b/src/policy/stopping/run-times.ts
@@ -9,6 +9,8 @@
 /** Weights of a new value, and deviations above the mean that a request may take, as for the timeout of a retransmission in RFC 6298. */
 const weights = {mean: 1 / 8, deviation: 1 / 4};
 const deviations = 4;
+/** The first run tells little of how long others take: the deviation starts at this share of the route's timeout, and follows the runs from there. */
+const firstDeviationShare = 1 / 8;
 /** Routes come and go with changes of the routing table. */
 const maxRoutes = 1000;
 
@@ -16,10 +18,10 @@
 export type RunTimes = Map<string, RunTime>;
 
 /** Adds to the given run times that of a request that has ended. */
-export function recordRunTime(times: RunTimes, route: string, milliseconds: number): void {
-	const before = times.get(route);
-	times.delete(route);
-	times.set(route, nextOf(before, milliseconds));
+export function recordRunTime(times: RunTimes, {name, timeoutMilliseconds}: {readonly name: string; readonly timeoutMilliseconds: number}, milliseconds: number): void {
+	const before = times.get(name);
+	times.delete(name);
+	times.set(name, before === undefined ? firstOf(milliseconds, timeoutMilliseconds) : nextOf(before, milliseconds));
 	if (times.size > maxRoutes) {
 		times.delete(times.keys().next().value!);
 	}
@@ -31,11 +33,13 @@
 	return known && known.mean + (deviations * known.deviation);
 }
 
-function nextOf(before: RunTime | undefined, milliseconds: number): RunTime {
-	return before === undefined
-		? {mean: milliseconds, deviation: milliseconds / 2}
-		: {
-			mean: before.mean + (weights.mean * (milliseconds - before.mean)),
-			deviation: before.deviation + (weights.deviation * (Math.abs(milliseconds - before.mean) - before.deviation)),
-		};
+function firstOf(milliseconds: number, timeoutMilliseconds: number): RunTime {
+	return {mean: milliseconds, deviation: Math.max(milliseconds / 2, timeoutMilliseconds * firstDeviationShare)};
+}
+
+function nextOf(before: RunTime, milliseconds: number): RunTime {
+	return {
+		mean: before.mean + (weights.mean * (milliseconds - before.mean)),
+		deviation: before.deviation + (weights.deviation * (Math.abs(milliseconds - before.mean) - before.deviation)),
+	};
 }
--- a/test/policy/stopping.test.ts
+++ b/test/policy/stopping.test.ts
@@ -3,6 +3,8 @@
 import {lastStartAt, longestRunTime, recordRunTime, type RunTimes} from '../../src/policy/stopping/index.js';
 
 const endsAt = 10_000;
+/** The timeout of the routes that run. */
+const timeoutMilliseconds = 8000;
 
 // An instance that knows nothing of a route began its requests until the end, and cut them off.
 tap.test('a request of a route of which nothing is known may take its whole timeout', async t => {
@@ -20,7 +22,7 @@
 	fc.assert(fc.property(fc.integer({min: 1, max: 10_000}), fc.integer({min: 1, max: 10_000}), (one, other) => {
 		const times: RunTimes = new Map();
 		for (let number = 0; number < 40; number++) {
-			recordRunTime(times, 'route', number % 2 === 0 ? one : other);
+			recordRunTime(times, {name: 'route', timeoutMilliseconds}, number % 2 === 0 ? one : other);
 		}
 
 		return longestRunTime(times, 'route')! >= Math.max(one, other) - 1;
@@ -28,11 +30,23 @@
 	t.equal(longestRunTime(new Map(), 'route'), undefined);
 });
 
+// After one short run a long stream was begun until the end of the grace, and cut off.
+tap.test('one short run tells little of how long others take, and ten of them do', async t => {
+	const times: RunTimes = new Map();
+	recordRunTime(times, {name: 'route', timeoutMilliseconds}, 10);
+	t.ok(longestRunTime(times, 'route')! >= timeoutMilliseconds / 2);
+	for (let number = 1; number < 10; number++) {
+		recordRunTime(times, {name: 'route', timeoutMilliseconds}, 10);
+	}
+
+	t.ok(longestRunTime(times, 'route')! < timeoutMilliseconds / 16);
+});
+
 tap.test('the routes that are remembered are bounded, and those in use are kept', async t => {
 	const times: RunTimes = new Map();
 	for (let number = 0; number < 3000; number++) {
-		recordRunTime(times, `route-${number}`, 10);
-		recordRunTime(times, 'used', 20);
+		recordRunTime(times, {name: `route-${number}`, timeoutMilliseconds}, 10);
+		recordRunTime(times, {name: 'used', timeoutMilliseconds}, 20);
 	}
 
 	t.ok(times.size <= 1000);
