--- a/test/gateway/restart-goes-on.test.ts
+++ b/test/gateway/restart-goes-on.test.ts
@@ -6,16 +6,17 @@
 const gapMilliseconds = 60;
 const cutAfter = 55;
 
-/** The process before ends its work for a while, and breaks off what is not done by then. */
-function breaksOff({id}: WorkerRequest): WorkerAnswer {
-	return id === 'release' ? {type: 'whole', body: 'posted'} : {type: 'events', count: events, gapMilliseconds, cutAfter};
+/** The process before goes on until its connections are cut. */
+function goesOn({id}: WorkerRequest): WorkerAnswer {
+	return id === 'release' ? {type: 'whole', body: 'posted'} : {type: 'events', count: events, gapMilliseconds: 2 * gapMilliseconds};
 }
 
 // A stream that broke off at the end of an earlier incarnation was ended, though the next one of the same id was in use and there was no other endpoint.
 tap.test('a stream that breaks off at an earlier incarnation goes on at the next one', async t => {
-	await using play = await RestartPlay.create(breaksOff);
+	await using play = await RestartPlay.create(goesOn);
 	const {answers} = await play.begin();
 	await play.restart({isAtSameAddress: false, isRemovedBefore: true});
+	play.paths.get('models')!.cut();
 	const {chart, question} = await answers;
 	t.ok(chart.isComplete);
 	t.same([...chart.body.matchAll(/^id: (?<id>\d+)$/gmv)].map(({groups}) => Number(groups!.id)), Array.from({length: events}, (_, number) => number + 1));
