--- a/test/gateway/news-changes.ts
+++ b/test/gateway/news-changes.ts
@@ -25,29 +25,33 @@
 		async apply(play) {
 			play.tell('peer', {isLeaving: true});
 			play.tell('store', {isLeaving: true}, 'removed');
+			await whenEnded(play);
 		}, name: 'a peer, and then the store, tells that the endpoints leave',
 	},
 	{
 		async apply(play) {
 			play.tell('store', 'removed');
 			play.tell('peer', {isLeaving: true}, 'removed');
+			await whenEnded(play);
 		}, name: 'the store, and then a peer, tells that the endpoints have left',
 	},
 	{
 		async apply(play) {
 			play.tell('peer', 'removed', {}, 'removed', {});
 			play.tell('store', {}, 'removed');
+			await whenEnded(play);
 		}, name: 'the endpoints are told as removed and registered in turns',
 	},
 	{
-		async apply({gateway: {routingState}, othersRegistered}) {
-			routingState.applyEndpointSnapshot(othersRegistered, 0, performance.now());
+		async apply(play) {
+			play.gateway.routingState.applyEndpointSnapshot(play.othersRegistered, play.era, performance.now());
+			await whenEnded(play);
 		}, name: 'a snapshot of the store lacks the endpoints',
 	},
 	{
-		async apply({gateway: {routingState}}) {
-			routingState.applyEndpointSnapshot([], 7, performance.now());
-			routingState.applyEndpointSnapshot([], 7, performance.now());
+		async apply({gateway: {routingState}, era}) {
+			routingState.applyEndpointSnapshot([], era + 1, performance.now());
+			routingState.applyEndpointSnapshot([], era + 1, performance.now());
 		}, name: 'a restored store lacks the endpoints',
 	},
 	{
@@ -63,6 +67,7 @@
 	{
 		async apply(play) {
 			play.tell('store', 'removed');
+			await whenEnded(play);
 			play.gateway.routingState.prune(performance.now() + pruneLaterMilliseconds);
 			await sleep(stormMilliseconds);
 			await play.register({});
@@ -71,9 +76,10 @@
 	{
 		async apply(play) {
 			play.tell('store', 'removed');
+			await whenEnded(play);
 			const {routingState} = play.gateway;
 			const taken = play.workers.map(({id}, index) => ({...routingState.directory.entries.get(id)!.record, id: `taken-${index}`, service: index === 0 ? 'other' : 'models', revision: 1}));
-			routingState.applyEndpointChanges(taken.map(record => ({type: 'registered', era: 0, offset: 2_000_000, record})), 'store', performance.now());
+			routingState.applyEndpointChanges(taken.map(record => ({type: 'registered', era: play.era, offset: 2_000_000, record})), 'store', performance.now());
 		}, name: 'the addresses are assigned to other ids, of this and of other services',
 	},
 	{
--- a/test/gateway/news-play.ts
+++ b/test/gateway/news-play.ts
@@ -23,6 +23,7 @@
 
 function answerOf({id, path}: WorkerRequest): WorkerAnswer {
 	switch (id) {
+		case 'begun':
 		case 'chart':
 		case 'question': {
 			return {type: 'events', count: events, gapMilliseconds};
@@ -83,6 +84,10 @@
 		return this.testbed.workers.filter(({id}) => id.endsWith('-0'));
 	}
 
+	get era(): number {
+		return this.gateway.routingState.directory.era;
+	}
+
 	/** Records of the endpoints with requests, as the gateway knows them. */
 	get records(): readonly EndpointRecord[] {
 		return this.workers.flatMap(({id}) => this.gateway.routingState.directory.entries.get(id)?.record ?? []);
@@ -109,9 +114,10 @@
 	tell(source: 'store' | 'peer', ...changes: ReadonlyArray<'removed' | Partial<EndpointRecord>>): void {
 		for (const change of changes) {
 			this.#offset += 1;
+			const {era} = this;
 			const told = this.records.map((record): EndpointChange => change === 'removed'
-				? {type: 'removed', era: 0, offset: this.#offset, id: record.id}
-				: {type: 'registered', era: 0, offset: this.#offset, record: {...record, revision: record.revision + 1, ...change}});
+				? {type: 'removed', era, offset: this.#offset, id: record.id}
+				: {type: 'registered', era, offset: this.#offset, record: {...record, revision: record.revision + 1, ...change}});
 			this.gateway.routingState.applyEndpointChanges(told, source === 'store' ? 'store' : 'instance other', performance.now());
 		}
 	}
@@ -134,7 +140,7 @@
 
 	/** What a snapshot of the store names: all endpoints but those with requests. */
 	get othersRegistered(): readonly EndpointChange[] {
-		return [...this.gateway.routingState.directory.entries.values()].filter(({record}) => !record.id.endsWith('-0')).map(({record}) => ({type: 'registered', era: 0, offset: this.#offset, record}));
+		return [...this.gateway.routingState.directory.entries.values()].filter(({record}) => !record.id.endsWith('-0')).map(({record}) => ({type: 'registered', era: this.era, offset: this.#offset, record}));
 	}
 
 	/** Ids of requests that were cut off at their endpoints. */
