a stream that has begun looks for another endpoint for a second where none is registered

What callers saw: endpoints are replaced, and one breaks off its streams just before the registration of its replacement arrives. A stream that may be resumed was cut at once for want of an endpoint, although the replacement was there half a second later, sooner than its caller would have missed an event.

Cause: what no registered endpoint can take is refused at once, which is right for a request without a response, whose caller comes back by Retry-After; for a stream that has begun the refusal is a cut.

Change: a stream that has begun, whose service has no registered endpoint, looks again each 50 ms for a second (src/policy/streams/next-endpoint), not longer than its time and the instance's stop allow. Where an endpoint is registered that it has been at, as after a crash, nothing is being replaced, and it ends at once as before.

--- a/src/gateway/placement/endpoint-pool.ts
+++ b/src/gateway/placement/endpoint-pool.ts
@@ -141,6 +141,11 @@
 			&& this.#options.statements.admission(entry.record.id, now).type === 'open');
 	}
 
+	/** Whether a service has a registered endpoint, whatever its health. */
+	hasReady(service: string, now: number): boolean {
+		return this.#endpointsOf(service).some(({entry}) => endpointStatusOf(entry, now) === EndpointStatus.ready);
+	}
+
 	/** Whether an endpoint is in use: neither suspended nor in recovery. */
 	isOpen({id}: EndpointRecord, now: number): boolean {
 		return this.#availability(id, now) === 'open';
--- a/src/gateway/requests/placement-wait.ts
+++ b/src/gateway/requests/placement-wait.ts
@@ -1,7 +1,8 @@
 import {type Alarm, type Body, type Channel, receive, tryDeliver, tryReceive} from '../../concurrency/index.js';
 import {Verdict} from '../../model/index.js';
 import {type Demand} from '../../policy/dispatch/index.js';
-import {type Decision} from '../placement/index.js';
+import {nextSearchMilliseconds} from '../../policy/streams/index.js';
+import {type Decision, RefusalReason} from '../placement/index.js';
 import {type Outcome} from './attempt-state.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {placementRequestOf} from './placement-request.js';
@@ -41,20 +42,32 @@
 		const {inbox, alarm, end, exchange: {dispatcher}} = this.#options;
 		const submittedAt = performance.now();
 		let decision: Decision | undefined;
+		let isWithoutEndpoint = false;
 		try {
 			alarm.set(this.#nextLookAt - submittedAt);
 			this.#submit(id, next);
 			for (;;) {
 				const event = (yield * receive(inbox))!;
 				if (event.type === 'decided') {
+					isWithoutEndpoint = this.#awaitEndpoint(event.decision, submittedAt);
+					if (isWithoutEndpoint) {
+						continue;
+					}
+
 					({decision} = event);
 					return {type: 'decided', decision, waitedMilliseconds: performance.now() - submittedAt};
 				}
 
+				const isDue = isWithoutEndpoint && (event.type === 'stopping' || (event.type === 'alarm' && alarm.hasFired));
 				const outcome = this.#endOf(event);
 				if (outcome !== undefined) {
 					return {type: 'ended', outcome};
 				}
+
+				if (isDue) {
+					isWithoutEndpoint = false;
+					this.#submit(id, next);
+				}
 			}
 		} finally {
 			if (decision === undefined) {
@@ -64,6 +77,23 @@
 		}
 	}
 
+	/** Whether a stream that has begun waits for an endpoint that is not known yet; if so, sets the alarm for the next search. */
+	#awaitEndpoint(decision: Decision, submittedAt: number): boolean {
+		const {alarm, exchange: {caller, dispatcher, service}} = this.#options;
+		if (decision.type !== 'refused' || decision.reason !== RefusalReason.noEndpoint) {
+			return false;
+		}
+
+		const now = performance.now();
+		const milliseconds = nextSearchMilliseconds({hasBegun: caller.hasResponse, hasReady: dispatcher.endpoints.hasReady(service, now), waitedMilliseconds: now - submittedAt});
+		if (milliseconds === undefined) {
+			return false;
+		}
+
+		alarm.set(Math.min(milliseconds, this.#nextLookAt - now));
+		return true;
+	}
+
 	#submit(id: string, next: NextAttempt): void {
 		const {demand, inbox, end, exchange} = this.#options;
 		const {dispatcher, caller, route, arrivedAt, codec} = exchange;
--- a/src/policy/streams/index.ts
+++ b/src/policy/streams/index.ts
@@ -2,3 +2,4 @@
 export * from './origins.js';
 export * from './take-up.js';
 export * from './served-builds.js';
+export * from './next-endpoint.js';
--- a/test/policy/streams.test.ts
+++ b/test/policy/streams.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import tap from 'tap';
-import {addOrigin, decideTakeUp, findOrigin, originMilliseconds, type StreamOrigins} from '../../src/policy/streams/index.js';
+import {addOrigin, decideTakeUp, findOrigin, nextSearchMilliseconds, originMilliseconds, type StreamOrigins} from '../../src/policy/streams/index.js';
 
 tap.test('a stream is known until it can no longer be taken up', async t => {
 	const origins: StreamOrigins = new Map();
@@ -42,3 +42,12 @@
 	}));
 	t.pass();
 });
+
+// A stream was cut whose endpoint ended just before its replacement was known.
+tap.test('a stream that has begun looks for an endpoint for a second where none is registered', async t => {
+	t.ok(nextSearchMilliseconds({hasBegun: true, hasReady: false, waitedMilliseconds: 0})! > 0);
+	t.ok(nextSearchMilliseconds({hasBegun: true, hasReady: false, waitedMilliseconds: 900})! > 0);
+	t.equal(nextSearchMilliseconds({hasBegun: true, hasReady: false, waitedMilliseconds: 1000}), undefined);
+	t.equal(nextSearchMilliseconds({hasBegun: true, hasReady: true, waitedMilliseconds: 0}), undefined, 'the registered one has been tried');
+	t.equal(nextSearchMilliseconds({hasBegun: false, hasReady: false, waitedMilliseconds: 0}), undefined, 'one without a response is refused');
+});
