a stream that waits for its first event is not given up as silent for a retry that is not granted

Cause: the retry was asked for after the attempt had been given up, unless the answer had begun. Change: a stream reserves its retry before it leaves a silent endpoint, whether or not it has begun. Lookups fail as before: their caller learns at once that it has to come back (silent-without-retry, third). Left: a silent stream that has its retry is given up before its next place is certain; it waits in the line of a crowded instance meanwhile, and a stop ends it there.

--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -75,7 +75,8 @@
 		this.#sender = AttemptSender.create({exchange: options, end: this.#end, forwarder: this.#forwarder, inbox: this.#inbox});
 		this.#timeouts = AttemptTimeouts.create({
 			exchange: options, end: this.#end, retryProgress: this.#retryProgress, forwarder: this.#forwarder, excluded: this.#excluded, build: () => this.#binding.build,
-			mayLeave: () => !options.caller.hasResponse || this.#retryProgress.reserveFailover(this.#retryContext()),
+			// A lookup fails at once where no retry is left, and its caller may go to another instance; a silent engine may still read the prompt of a stream.
+			mayLeave: () => options.route.kind !== RouteKind.stream || this.#retryProgress.reserveFailover(this.#retryContext()),
 		});
 	}
 
--- a/test/gateway/silent-without-retry.test.ts
+++ b/test/gateway/silent-without-retry.test.ts
@@ -29,6 +29,16 @@
 	t.equal(testbed.attemptCount('kept'), 1);
 });
 
+// Its engine was still reading the prompt: the stream was given up for its silence, and failed with 502 since no retry was left.
+tap.test('a stream without its first event stays at a silent endpoint while no retry is left', async t => {
+	await using testbed = await createTestbed({retryRatio: 0});
+	testbed.respondWith('models', () => ({type: 'events', count: 4, gapMilliseconds: 10, firstAfterMilliseconds: 4 * workMilliseconds}));
+	const {status, isComplete, body} = await testbed.send({path: '/chart/1', method: 'POST', id: 'read', headers: {'deadline-ms': '9000'}});
+	t.same([status, isComplete], [200, true]);
+	t.equal(body.match(/^id: /gmv)?.length, 4);
+	t.equal(testbed.attemptCount('read'), 1);
+});
+
 // Nothing has begun: its caller learns at once that it has to come back, and may go to another instance.
 tap.test('a lookup at a silent endpoint fails while no retry is left', async t => {
 	await using testbed = await createTestbed({retryRatio: 0});
