test: nothing that neighbours do or tell cuts a request in progress

Earlier forms failed by the test itself: a port of the kernel's own range taken meanwhile; a request sent before the instance had read the endpoints again; a registration that says that an endpoint leaves and then no more; and a later start at the same address, where what is silent for two seconds is given up by design (src/policy/incarnations).

--- a/test/bin/stream-run.ts
+++ b/test/bin/stream-run.ts
@@ -1,9 +1,9 @@
 import {once} from 'node:events';
 import {writeFileSync} from 'node:fs';
-import net from 'node:net';
+import net, {type Server} from 'node:net';
 import {FakePlatformStore} from '../../fakes/platform-store.js';
 import {FakePlatformWorker, type WorkerAnswer} from '../../fakes/platform-worker.js';
-import {eventually, freePort} from '../gateway/testbed.js';
+import {eventually} from '../gateway/testbed.js';
 import {plannedRoutes, plannedState} from '../gateway/planned-play.js';
 import {GatewayRun} from './gateway-child.js';
 
@@ -17,18 +17,26 @@
 /** Timeouts are longer than a stop; streams may begin late and pause briefly before their endpoints count as silent. */
 const routes = plannedRoutes.map(route => ({...route, timeoutMs: 20_000, ...(route.kind === 'streaming' && {targetLatencyMs: 2000, gapAimMs: 120})}));
 
+/** Another instance beside the one that is looked at. */
+export type Neighbour = {readonly callerPort: number; readonly start: () => GatewayRun};
+
 type Parts = {
 	readonly store: FakePlatformStore;
 	readonly workers: readonly FakePlatformWorker[];
 	readonly callerPort: number;
 	readonly file: string;
 	readonly settings: Readonly<Record<string, unknown>>;
-	readonly gateway: GatewayRun;
 };
 
 /** A gateway as a process, with two endpoints of each service. */
 export class StreamRun implements AsyncDisposable {
-	static async start(folder: string, answer: (id: string) => WorkerAnswer, settings: Readonly<Record<string, unknown>> = {}): Promise<StreamRun> {
+	/** Starts all but the gateway, calls `before`, and then starts the gateway. */
+	static async start(
+		folder: string,
+		answer: (id: string) => WorkerAnswer,
+		settings: Readonly<Record<string, unknown>> = {},
+		before: (run: StreamRun) => Promise<void> = async () => undefined,
+	): Promise<StreamRun> {
 		const store = await FakePlatformStore.create();
 		const workers = await Promise.all(['orders', 'models'].flatMap(service => [0, 1].map(async number => FakePlatformWorker.create(`${service}-${number}`, service))));
 		for (const worker of workers) {
@@ -37,14 +45,16 @@
 		}
 
 		store.put('keyed.op', 'config', plannedState(1, {routes}));
-		const [callerPort, adminPort, peerPort] = [await freePort(), await freePort(), await freePort()];
+		const [callerPort, adminPort, peerPort] = [await quietPort(), await quietPort(), await quietPort()];
 		const value = {
 			instance: 'gateway', isFirstStart: true, availabilityZone: 'zone-a', callerAddress: `127.0.0.1:${callerPort}`, adminAddress: `127.0.0.1:${adminPort}`,
 			peerAddress: `127.0.0.1:${peerPort}`, storeAddress: store.address, memoryMegabytes: 200, stopSeconds: 8, retryRatio: 2, ...settings,
 		};
 		const file = `${folder}/gateway-${callerPort}.json`;
 		writeFileSync(file, JSON.stringify(value));
-		const run = new StreamRun({store, workers, callerPort, file, settings: value, gateway: GatewayRun.start(file, adminPort)});
+		const run = new StreamRun({store, workers, callerPort, file, settings: value});
+		await before(run);
+		run.gateway = GatewayRun.start(file, adminPort);
 		if (!await run.gateway.isReady()) {
 			throw new Error(run.gateway.lines);
 		}
@@ -54,30 +64,29 @@
 
 	readonly store: FakePlatformStore;
 	readonly workers: readonly FakePlatformWorker[];
-	readonly gateway: GatewayRun;
+	gateway!: GatewayRun;
 	readonly file: string;
 	readonly settings: Readonly<Record<string, unknown>>;
 	readonly #callerPort: number;
 
-	private constructor({store, workers, callerPort, file, settings, gateway}: Parts) {
+	private constructor({store, workers, callerPort, file, settings}: Parts) {
 		this.store = store;
 		this.workers = workers;
-		this.gateway = gateway;
 		this.file = file;
 		this.settings = settings;
 		this.#callerPort = callerPort;
 	}
 
-	/** Sends one request; its kind is the part of its id before a dash. */
-	async call(id: string): Promise<StreamCall> {
-		const call = await this.connect(id);
+	/** Sends one request, by default to the instance that is looked at; its kind is the part of its id before a dash. */
+	async call(id: string, port?: number): Promise<StreamCall> {
+		const call = await this.connect(id, port);
 		call.socket.write(textOf(id));
 		return call;
 	}
 
 	/** Opens a connection for a request that is not sent yet. */
-	async connect(id: string): Promise<StreamCall> {
-		const call: StreamCall = {id, socket: net.connect(this.#callerPort, '127.0.0.1'), text: '', isClosed: false};
+	async connect(id: string, port = this.#callerPort): Promise<StreamCall> {
+		const call: StreamCall = {id, socket: net.connect(port, '127.0.0.1'), text: '', isClosed: false};
 		call.socket.on('data', (bytes: Uint8Array) => {
 			call.text += String(bytes);
 		});
@@ -96,6 +105,16 @@
 		return calls;
 	}
 
+	/** Starts another instance of the same fleet; `start` starts it again, under the same name and addresses. */
+	async neighbour(instance: string, more: Readonly<Record<string, unknown>> = {}): Promise<Neighbour> {
+		const [callerPort, adminPort, peerPort] = [await quietPort(), await quietPort(), await quietPort()];
+		const file = `${this.file}-${instance}`;
+		writeFileSync(file, JSON.stringify({
+			...this.settings, instance, callerAddress: `127.0.0.1:${callerPort}`, adminAddress: `127.0.0.1:${adminPort}`, peerAddress: `127.0.0.1:${peerPort}`, ...more,
+		}));
+		return {callerPort, start: () => GatewayRun.start(file, adminPort)};
+	}
+
 	/** How often an endpoint got a request. */
 	runsOf(id: string): number {
 		return this.workers.reduce((sum, {requests}) => sum + requests.filter(request => request.id === id).length, 0);
@@ -112,6 +131,31 @@
 	return id.startsWith('chart') || id.startsWith('question');
 }
 
+/** Ports that the kernel gives to no outgoing connection: a process that starts again, or late, finds its own still free. */
+const quietPorts = {first: 12_000, count: 8000};
+
+/** A free port of those, at random, since test files run beside each other. */
+export async function quietPort(): Promise<number> {
+	for (;;) {
+		const port = quietPorts.first + Math.floor(Math.random() * quietPorts.count);
+		const server: Server = net.createServer();
+		const isFree = new Promise<boolean>(resolve => {
+			server.once('listening', () => {
+				server.close(() => {
+					resolve(true);
+				});
+			});
+			server.once('error', () => {
+				resolve(false);
+			});
+		});
+		server.listen(port, '127.0.0.1');
+		if (await isFree) {
+			return port;
+		}
+	}
+}
+
 /** Waits until all calls have whole answers, or their connections are closed. */
 export async function whenEnded(calls: readonly StreamCall[], milliseconds = 10_000): Promise<void> {
 	await eventually(() => calls.every(call => call.isClosed || isWhole(call)), milliseconds);
@@ -130,9 +174,10 @@
 	return headEnd !== -1 && (length === undefined ? text.endsWith('\r\n0\r\n\r\n') : text.length - headEnd - 4 === Number(length));
 }
 
+/** A request of its own content: one that others send would share what is known of its crashes. */
 export function textOf(id: string): string {
 	const kind = id.split('-', 1)[0] === 'parts' ? 'release' : id.split('-', 1)[0];
-	const head = `${kind === 'lookup' ? 'GET' : 'POST'} /${kind}/1 HTTP/1.1\r\nHost: studio.example\r\nRequest-Id: ${id}\r\nAuthorization: Bearer key-a\r\nDeadline-Ms: 15000\r\n`;
+	const head = `${kind === 'lookup' ? 'GET' : 'POST'} /${kind}/${id} HTTP/1.1\r\nHost: studio.example\r\nRequest-Id: ${id}\r\nAuthorization: Bearer key-a\r\nDeadline-Ms: 15000\r\n`;
 	if (kind === 'lookup') {
 		return `${head}\r\n`;
 	}
