--- a/test/bin/stream-run.ts
+++ b/test/bin/stream-run.ts
@@ -67,14 +67,14 @@
 	gateway!: GatewayRun;
 	readonly file: string;
 	readonly settings: Readonly<Record<string, unknown>>;
-	readonly #callerPort: number;
+	readonly callerPort: number;
 
 	private constructor({store, workers, callerPort, file, settings}: Parts) {
 		this.store = store;
 		this.workers = workers;
 		this.file = file;
 		this.settings = settings;
-		this.#callerPort = callerPort;
+		this.callerPort = callerPort;
 	}
 
 	/** Sends one request, by default to the instance that is looked at; its kind is the part of its id before a dash. */
@@ -85,7 +85,7 @@
 	}
 
 	/** Opens a connection for a request that is not sent yet. */
-	async connect(id: string, port = this.#callerPort): Promise<StreamCall> {
+	async connect(id: string, port = this.callerPort): Promise<StreamCall> {
 		const call: StreamCall = {id, socket: net.connect(port, '127.0.0.1'), text: '', isClosed: false};
 		call.socket.on('data', (bytes: Uint8Array) => {
 			call.text += String(bytes);
