--- a/test/gateway/refused-behind-others.test.ts
+++ b/test/gateway/refused-behind-others.test.ts
@@ -70,7 +70,8 @@
 
 /** Sends a report that runs, and behind it the beginning of a release, which no stop has time for. */
 async function sendUnfinished(testbed: Testbed): Promise<Connection> {
-	await Promise.all([testbed.send({path: '/release/1', method: 'POST', id: 'before'}), testbed.send({path: '/lookup/1', id: 'before-lookup'})]);
+	const lookups = Array.from({length: 10}, async (_, number) => testbed.send({path: '/lookup/1', id: `before-lookup-${number}`}));
+	await Promise.all([testbed.send({path: '/release/1', method: 'POST', id: 'before'}), ...lookups]);
 	const connection = await connect(testbed);
 	connection.socket.write(`${lookupOf('running', '/report/1')}${headOf('late')}hi`);
 	await eventually(() => testbed.attemptCount('running') === 1);
