a restart at the same address ends only requests that can go on elsewhere

Cause: its silence was taken for its end; an order is silent while it runs. Giving it up gains nobody anything: it may not be sent again, and neither may a stream that cannot be resumed. Change: only lookups and streams that may be resumed leave, by silence after the news; for others their own answer, their time and the keep-alive probes of the connection decide.

--- a/src/gateway/requests/attempt-sender.ts
+++ b/src/gateway/requests/attempt-sender.ts
@@ -39,6 +39,7 @@
 				remainingMilliseconds: Math.floor(remainingMilliseconds), resumeAfter: forwarder.lastEventId, fetchFrom: fetch?.address, route,
 			}),
 			body,
+			mayRunAgain: route.kind === RouteKind.safe || (route.kind === RouteKind.stream && route.resumable),
 			connectionPool: connectionPools.forEndpoint(record, table.service(record.service)?.largestConnections),
 			onEvent: event => {
 				this.#passEvent(state, event);
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -22,6 +22,8 @@
 	readonly headers: string[];
 	readonly body: Uint8Array | undefined;
 	readonly connectionPool: ConnectionPool;
+	/** Whether the request may be sent to another endpoint although it may have run at this one. */
+	readonly mayRunAgain: boolean;
 	readonly onEvent: (event: AttemptEvent) => void;
 };
 
@@ -134,7 +136,12 @@
 		this.#response?.resume();
 	}
 
+	/** Ends a request that can go on elsewhere; for any other its own answer, its time and the probes of the connection tell more than its silence. */
 	#watchRestart(socket: Socket): void {
+		if (!this.#options.mayRunAgain) {
+			return;
+		}
+
 		const watch = this.#options.connectionPool.onRestart(socket, () => {
 			this.#restartTimeout ??= this.#awaitSilence({bytes: socket.bytesRead, at: performance.now()}, socket, silenceMilliseconds);
 		});
--- a/src/policy/incarnations/earlier-incarnation.ts
+++ b/src/policy/incarnations/earlier-incarnation.ts
@@ -3,7 +3,7 @@
  * there. Some announce that they leave, some only drop their registration and go on with what they have begun, and some have crashed behind a network
  * partition, so that no packet ends their connections. If the news of the restart ended the requests, all streams of an endpoint that goes on
  * sending would break off at one moment. So the news alone ends nothing. The address tells more: it is assigned again only once the process before has
- * ended. There a connection that brings nothing any more is given up; at another address the earlier process may be silent for as long as it
+ * ended. There a request that can go on elsewhere does so once its connection brings nothing any more; at another address the earlier process may be silent for as long as it
  * works, and its own answers, the timeouts of its requests and the probes of the connection tell its end.
  */
 
--- a/test/gateway/dropped-pools.test.ts
+++ b/test/gateway/dropped-pools.test.ts
@@ -36,6 +36,7 @@
 		Attempt.start({
 			address: this.record.address, method: 'POST', path: '/', headers: ['Host', 'a.example', 'Content-Length', '0'], body: undefined,
 			connectionPool: this.pools.forEndpoint(this.record, largestConnections),
+			mayRunAgain: true,
 			onEvent(event) {
 				events.push(event);
 			},
