a stream that has begun goes on elsewhere in a stop until its end, whatever others of its route took

What callers saw: three seconds into a stop an endpoint broke off a stream, another one would have sent the rest in 0.1 s, and the stream was cut at once (a review's trial: one run of 18 ms was known of its route, 1 of 1; by the run times of before it went on). Cause: the estimate of a whole run decided for what has begun, too. It is right for what can be refused to another instance; one that has begun has none. Change: the last moment of a request whose answer has begun is the end of the stop. And whether a request fits into a stop goes by the latest end of its time: by the earliest one it could be begun late and cut by a turn of a late loop.

--- a/src/gateway/request-server.ts
+++ b/src/gateway/request-server.ts
@@ -240,8 +240,8 @@
 }
 
 /** The request as the schedule of a stop sees it. */
-function scheduledOf({arrivedAt}: Arrival, {route, facts}: RequestTarget, wholeAt: number): ScheduledRequest {
-	return {route, deadlineAt: deadlineOf(arrivedAt, route, facts), wholeAt};
+function scheduledOf({readAt}: Arrival, {route, facts}: RequestTarget, wholeAt: number): ScheduledRequest {
+	return {route, deadlineAt: deadlineOf(readAt, route, facts), wholeAt};
 }
 
 function rejectionOf({judgement, retryAfterMilliseconds}: Extract<IntakeOutcome, {type: 'refuse'}>, {route}: RequestTarget): Rejection {
--- a/src/gateway/requests/request-end.ts
+++ b/src/gateway/requests/request-end.ts
@@ -52,10 +52,13 @@
 		return this.#limit.deadlineAt - performance.now();
 	}
 
-	/** The last moment at which the request may be sent to an endpoint; infinite while the instance does not stop. */
+	/**
+	 * The last moment at which the request may be sent to an endpoint; infinite while the instance does not stop. One whose answer has begun cannot go to
+	 * another instance: it is tried until the end, however long others of its route have taken.
+	 */
 	get lastStartAt(): number {
-		const {route, stop} = this.#options;
-		return stop.lastStartAt({route, deadlineAt: this.#deadline.earliestAt});
+		const {route, stop, caller} = this.#options;
+		return caller.hasResponse ? stop.endsAt : stop.lastStartAt({route, deadlineAt: this.#deadline.latestAt});
 	}
 
 	/** When to look whether the request is ended. */
--- a/test/gateway/request-end.test.ts
+++ b/test/gateway/request-end.test.ts
@@ -37,3 +37,18 @@
 		t.equal(endOf(hasResponse, stop).at, 3000);
 	}
 });
+
+// A stream that broke off in a stop was not resumed, by an estimate of a whole run, although another endpoint would have sent the rest in time.
+tap.test('an answer that has begun may go on elsewhere until the end of a stop, and nothing else beyond what others took', async t => {
+	const stop = StopSchedule.create();
+	stop.begin({endsAt: 3000, lastStreamAt: 2000});
+	t.equal(endOf(true, stop).lastStartAt, 3000);
+	t.ok(endOf(false, stop).lastStartAt < 3000);
+});
+
+// By the earliest end of its time it seemed to fit into the stop, and was cut there before its time was over.
+tap.test('a request fits into a stop only if its time is over before for certain', async t => {
+	const stop = StopSchedule.create();
+	stop.begin({endsAt: readAt + deadlineMilliseconds - 1, lastStreamAt: 2000});
+	t.not(endOf(false, stop).lastStartAt, Infinity);
+});
