soak: what the course planned draws, publishes and judges can be given by another course

A course of long streams needs the same connections, series, versions and clauses with requests, routes and endpoints of its own. The stand-in of an endpoint knows when it had sent its last byte and when it broke off an answer itself, and can have a gap for each event.

--- a/bench/gateway-soak/checker.ts
+++ b/bench/gateway-soak/checker.ts
@@ -5,10 +5,10 @@
 /** Statuses that guarantee that the request has not run and never will. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
-/** Returns the violations found by comparing the callers' records with those of the workers. */
-export function violations(records: readonly ExchangeRecord[], workers: readonly FakePlatformWorker[]): string[] {
+/** Returns the violations found by comparing the callers' records with those of the workers; streams have a number of events that the course names. */
+export function violations(records: readonly ExchangeRecord[], workers: readonly FakePlatformWorker[], eventsOf: (id: string) => number = () => eventCount): string[] {
 	const runs = countRuns(workers);
-	return records.flatMap(record => violatedRules(record, runs.get(record.id) ?? 0).map(rule => `${rule}: ${record.kind} ${record.id}, status ${record.status}, ${runs.get(record.id) ?? 0} runs`));
+	return records.flatMap(record => violatedRules(record, runs.get(record.id) ?? 0, eventsOf(record.id)).map(rule => `${rule}: ${record.kind} ${record.id}, status ${record.status}, ${runs.get(record.id) ?? 0} runs`));
 }
 
 type UsageBody = {readonly window: number; readonly counts: Readonly<Record<string, number>>};
@@ -63,7 +63,7 @@
 	return runs;
 }
 
-function violatedRules({id, kind, status, body, isWhole}: ExchangeRecord, runs: number): string[] {
+function violatedRules({id, kind, status, body, isWhole}: ExchangeRecord, runs: number, events: number): string[] {
 	const found: string[] = [];
 	const isAtMostOnce = kind === 'release' || kind === 'question';
 	if (isAtMostOnce && runs > 1) {
@@ -75,7 +75,7 @@
 	}
 
 	const isStream = kind === 'chart' || kind === 'question';
-	if (status === 200 && isStream && !isStreamOf(id, body, isWhole)) {
+	if (status === 200 && isStream && !isStreamOf(id, body, {isWhole, count: events})) {
 		found.push('a stream with a gap, a repeat or another\'s events, or whole too soon');
 	}
 
@@ -87,8 +87,8 @@
 }
 
 /** Whether the events belong to the request, start with the first, have no gap, and are all there if the stream ended cleanly. */
-function isStreamOf(id: string, body: string, isWhole: boolean): boolean {
+function isStreamOf(id: string, body: string, {isWhole, count}: {readonly isWhole: boolean; readonly count: number}): boolean {
 	const events = [...body.matchAll(/^id: (?<number>\d+)\ndata: (?<owner>\S+) \k<number>\n\n/gmv)];
 	const isOwn = events.every((event, index) => Number(event.groups?.number) === index + 1 && event.groups?.owner === id);
-	return isOwn && (!isWhole || events.length === eventCount);
+	return isOwn && (!isWhole || events.length === count);
 }
--- a/bench/gateway-soak/planned-checker.ts
+++ b/bench/gateway-soak/planned-checker.ts
@@ -37,7 +37,7 @@
 /** The bounds of the users' settings, as the gateways of the course have them. */
 export const bounds = {lossSlackMilliseconds: 200, stabilityMilliseconds: 3000, applyMilliseconds: 2000, rollbackMilliseconds: 250, drainMilliseconds: 2000, graceMilliseconds: stopSeconds * 1000} as const;
 /** LOST: "on a request that was sent no later than 3 s after the SIGTERM". */
-const sentInGraceMilliseconds = 3000;
+export const sentInGraceMilliseconds = 3000;
 /** CONFIG: "half a second later"; "Eight or more of them, and over a quarter". */
 const late = {milliseconds: 500, least: 8, share: 0.25} as const;
 const notRunStatuses = new Set([408, 421, 429]);
@@ -47,6 +47,14 @@
 	const arrivals = arrivalsById(evidence.arrivals);
 	return [
 		...evidence.records.flatMap(record => recordViolations(record, arrivals.get(record.id) ?? [], evidence)),
+		...commonViolations(evidence),
+	];
+}
+
+/** What broke a rule in an answer, an arrival, a handling, a timeout or an end, whatever was lost. */
+export function commonViolations(evidence: PlannedEvidence): string[] {
+	return [
+		...evidence.records.flatMap(record => answerViolations(record)),
 		...arrivalViolations(evidence),
 		...handlingViolations(evidence),
 		...timeoutViolations(evidence),
@@ -54,7 +62,7 @@
 	];
 }
 
-function arrivalsById(arrivals: readonly Arrival[]): ReadonlyMap<string, readonly Arrival[]> {
+export function arrivalsById(arrivals: readonly Arrival[]): ReadonlyMap<string, readonly Arrival[]> {
 	const byId = new Map<string, Arrival[]>();
 	for (const arrival of arrivals) {
 		const {id} = arrival.request;
@@ -90,14 +98,13 @@
 	return versions.filter(({acknowledgedAt}, index) => index >= oldest && acknowledgedAt <= until);
 }
 
-function isStoreDisturbed(spans: readonly Span[], from: number, until: number): boolean {
+export function isStoreDisturbed(spans: readonly Span[], from: number, until: number): boolean {
 	return spans.some(span => span.from <= until && span.until + bounds.stabilityMilliseconds >= from);
 }
 
 function recordViolations(record: PlannedRecord, arrivals: readonly Arrival[], evidence: PlannedEvidence): string[] {
-	const {id, gateway, status, headers, isWhole, request: {route, key}} = record;
-	const at = `${record.kind} ${id} at gateway-${gateway}, status ${status}`;
-	const signature = headers.get('upstream-signature');
+	const {isWhole} = record;
+	const at = textOf(record);
 	const found: string[] = [];
 	if (isLost(record, arrivals, evidence)) {
 		found.push(`LOST: ${at}, ${arrivals.length === 0 ? 'not passed on' : 'passed on'}, closed ${record.close} ${Math.round(record.endedAt - record.lastByteAt)} ms after its last byte`);
@@ -107,6 +114,18 @@
 		found.push(`ENDED: ${at} after ${Math.round(record.endedAt - record.sentAt)} ms, ${arrivals.length} times passed on, no reason at a worker and time left: ${record.body.slice(0, 100)}`);
 	}
 
+	return found;
+}
+
+function textOf({kind, id, gateway, status}: PlannedRecord): string {
+	return `${kind} ${id} at gateway-${gateway}, status ${status}`;
+}
+
+function answerViolations(record: PlannedRecord): string[] {
+	const {id, status, headers, isWhole, request: {route, key}} = record;
+	const at = textOf(record);
+	const signature = headers.get('upstream-signature');
+	const found: string[] = [];
 	if (isWhole && status === 200 && (signature === undefined || headers.get('request-id') !== id)) {
 		found.push(`MIXED: ${at}, a success without its worker's signature or of request ${headers.get('request-id')}`);
 	}
@@ -133,6 +152,11 @@
 }
 
 function isLost(record: PlannedRecord, arrivals: readonly Arrival[], evidence: PlannedEvidence): boolean {
+	return isCut(record, arrivals.length > 0, evidence) && !isExcused(record, arrivals, evidence);
+}
+
+/** Whether the connection of a request that was read whole ended without its answer, whatever may excuse that. */
+export function isCut(record: PlannedRecord, isPassedOn: boolean, evidence: Pick<PlannedEvidence, 'delays' | 'totalLatenessBetween'>): boolean {
 	const {close, lastByteAt, endedAt, gateway, unreadMilliseconds} = record;
 	if (close === 'none' || close === 'caller') {
 		return false;
@@ -144,20 +168,23 @@
 	}
 
 	// MIXED: "An answer that ends early must not look complete", so nothing can follow one that breaks off; its own end is judged.
-	if (arrivals.length === 0 && record.behind !== undefined && record.behind.status > 0) {
+	if (!isPassedOn && record.behind !== undefined && record.behind.status > 0) {
 		return false;
 	}
 
 	const closedAfter = endedAt - lastByteAt - unreadMilliseconds - evidence.delays[gateway]! - evidence.totalLatenessBetween(lastByteAt, endedAt);
 	// LOST: "either once it has been passed on to a worker, or later than `lossSlackMs` after its last byte was sent"; a reset tells that something was not read.
-	const counts = arrivals.length > 0 || (close === 'orderly' && closedAfter > bounds.lossSlackMilliseconds);
-	return counts && !isExcused(record, arrivals, evidence);
+	return isPassedOn || (close === 'orderly' && closedAfter > bounds.lossSlackMilliseconds);
+}
+
+/** A gateway's own failure, without a worker's signature. */
+export function isOwnFailure({status, headers}: PlannedRecord): boolean {
+	return (status === 502 || status === 504 || status === 500) && !headers.has('upstream-signature');
 }
 
 function isEndedSooner(record: PlannedRecord, arrivals: readonly Arrival[], evidence: PlannedEvidence): boolean {
 	// LOST: "A worker's silence is no reason to end an answer sooner"; a gateway's own 502 and 504 have no signature.
-	const isOwn = (record.status === 502 || record.status === 504 || record.status === 500) && !record.headers.has('upstream-signature');
-	return isOwn && !isExcused(record, arrivals, evidence);
+	return isOwnFailure(record) && !isExcused(record, arrivals, evidence);
 }
 
 /** The time limit of the request, or the least timeout that its route may have. */
--- a/bench/gateway-soak/planned-connection.ts
+++ b/bench/gateway-soak/planned-connection.ts
@@ -15,8 +15,11 @@
 	/** The pause within the head, and the one before the last byte of the body; 0 for none. */
 	readonly headPauseMilliseconds: number;
 	readonly bodyPauseMilliseconds: number;
-	/** How long the caller reads nothing once it has sent the request. */
+	/** How long the caller reads nothing once it has sent the request, or a time later. */
 	readonly readPauseMilliseconds: number;
+	readonly readPauseAfterMilliseconds?: number;
+	/** Whether the body comes in chunks. */
+	readonly isChunked?: boolean;
 };
 
 /** What a caller saw of a request and of the end of its connection. Times are milliseconds of the monotonic clock. */
@@ -25,9 +28,13 @@
 	readonly gateway: number;
 	/** When its last byte was sent; Infinity if it never was. */
 	lastByteAt: number;
+	/** When the last part of its answer arrived; its sending before that. */
+	lastDataAt: number;
 	headers: ReadonlyMap<string, string>;
 	/** How the connection ended while the request had no complete answer. */
 	close: 'none' | 'orderly' | 'reset' | 'caller';
+	/** The call on the socket that failed, and how. */
+	error?: string | undefined;
 	/** How long the caller did not read meanwhile, and could not see the end of the connection. */
 	unreadMilliseconds: number;
 	/** The first request without an answer when the connection ended, if it is another one. */
@@ -62,6 +69,7 @@
 	#bytes: Uint8Array = Buffer.alloc(0);
 	#head: Head | undefined;
 	#lastWritten: Promise<void> = Promise.resolve();
+	#error: string | undefined;
 	#hasEnded = false;
 	#isLeft = false;
 
@@ -77,7 +85,9 @@
 		socket.on('end', () => {
 			this.#hasEnded = true;
 		});
-		socket.on('error', () => undefined);
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			this.#error = `${error.syscall} ${error.code}`;
+		});
 		socket.once('close', () => {
 			this.#close();
 		});
@@ -85,8 +95,9 @@
 
 	/** Sends a request behind those before it; resolves once it has its answer or the connection has ended. */
 	async send(request: PlannedRequest): Promise<PlannedRecord> {
+		const sentAt = performance.now();
 		const record: PlannedRecord = {
-			id: request.id, kind: request.kind, request, gateway: this.gateway, sentAt: performance.now(), endedAt: Infinity, status: 0, body: '', isWhole: false, lastByteAt: Infinity, headers: new Map(), close: 'none', unreadMilliseconds: 0, behind: undefined,
+			id: request.id, kind: request.kind, request, gateway: this.gateway, sentAt, lastDataAt: sentAt, endedAt: Infinity, status: 0, body: '', isWhole: false, lastByteAt: Infinity, headers: new Map(), close: 'none', unreadMilliseconds: 0, behind: undefined,
 		};
 		return new Promise(resolve => {
 			this.#open.push({record, end() {
@@ -107,10 +118,8 @@
 	}
 
 	async #write(record: PlannedRecord): Promise<void> {
-		const {id, route, kind, key, body, deadlineMilliseconds, headPauseMilliseconds, bodyPauseMilliseconds, readPauseMilliseconds} = record.request;
-		const isGet = kind === 'lookup';
-		const head = `${isGet ? 'GET' : 'POST'} /${route}/1 HTTP/1.1\r\nHost: studio.example\r\nRequest-Id: ${id}\r\nAuthorization: Bearer ${key}\r\nDeadline-Ms: ${deadlineMilliseconds}\r\n${isGet ? '' : `Content-Length: ${body.length}\r\n`}\r\n`;
-		const text = isGet ? head : `${head}${body}`;
+		const {headPauseMilliseconds, bodyPauseMilliseconds} = record.request;
+		const text = textOf(record.request);
 		const parts = [
 			{text: text.slice(0, 40), pause: headPauseMilliseconds},
 			{text: text.slice(40, -1), pause: bodyPauseMilliseconds},
@@ -129,7 +138,15 @@
 		}
 
 		record.lastByteAt = performance.now();
-		if (readPauseMilliseconds > 0) {
+		this.#pauseFor(record.request);
+	}
+
+	#pauseFor({readPauseMilliseconds, readPauseAfterMilliseconds = 0}: PlannedRequest): void {
+		if (readPauseMilliseconds === 0) {
+			return;
+		}
+
+		const pause = (): void => {
 			this.#socket.pause();
 			for (const {record: open} of this.#open) {
 				open.unreadMilliseconds += readPauseMilliseconds;
@@ -138,6 +155,12 @@
 			setTimeout(() => {
 				this.#socket.resume();
 			}, readPauseMilliseconds);
+		};
+
+		if (readPauseAfterMilliseconds === 0) {
+			pause();
+		} else {
+			setTimeout(pause, readPauseAfterMilliseconds);
 		}
 	}
 
@@ -183,6 +206,7 @@
 			}
 
 			this.#bytes = part.rest;
+			record.lastDataAt = performance.now();
 			record.body += part.text;
 			if (part.isLast) {
 				return true;
@@ -195,12 +219,30 @@
 		const [first] = this.#open;
 		for (const {record, end} of this.#open.splice(0)) {
 			record.behind = record === first?.record ? undefined : first?.record;
+			record.error = this.#error;
 			record.close = this.#isLeft ? 'caller' : (this.#hasEnded ? 'orderly' : 'reset');
 			end();
 		}
 	}
 }
 
+/** A request as it is written. */
+function textOf({id, route, kind, key, body, deadlineMilliseconds, isChunked = false}: PlannedRequest): string {
+	const isGet = kind === 'lookup';
+	const framing = isGet ? '' : (isChunked ? 'Transfer-Encoding: chunked\r\n' : `Content-Length: ${body.length}\r\n`);
+	const head = `${isGet ? 'GET' : 'POST'} /${route}/1 HTTP/1.1\r\nHost: studio.example\r\nRequest-Id: ${id}\r\nAuthorization: Bearer ${key}\r\nDeadline-Ms: ${deadlineMilliseconds}\r\n${framing}\r\n`;
+	if (isGet) {
+		return head;
+	}
+
+	return isChunked ? `${head}${chunksOf(body)}` : `${head}${body}`;
+}
+
+function chunksOf(body: string): string {
+	const half = Math.ceil(body.length / 2);
+	return [body.slice(0, half), body.slice(half), ''].map(chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`).join('');
+}
+
 function parseHead(bytes: Uint8Array): Head | undefined {
 	const end = Buffer.from(bytes).indexOf('\r\n\r\n');
 	if (end === -1) {
--- a/bench/gateway-soak/planned-course.ts
+++ b/bench/gateway-soak/planned-course.ts
@@ -7,6 +7,7 @@
 import {violations} from './checker.js';
 import {type CourseOptions, CourseWorld} from './course-world.js';
 import {endedSoonerCount, type PlannedEvidence, plannedViolations} from './planned-checker.js';
+import {Lateness} from './lateness.js';
 import {PlannedTraffic} from './planned-traffic.js';
 import {movedServices, PlannedVersions} from './planned-versions.js';
 import {PlannedWork, spareGateways} from './planned-work.js';
@@ -20,7 +21,6 @@
 const workersEach = 3;
 /** One-way delays between callers and gateways; every other gateway has a path without one. */
 const delayMilliseconds = {low: 5, high: 60};
-const samplePauseMilliseconds = 20;
 
 /** Runs one seed of the course. */
 export async function runPlannedSeed(options: CourseOptions): Promise<SeedResult> {
@@ -102,38 +102,3 @@
 		return this.#firstPort + (gateway * portsPerGateway);
 	}
 }
-
-/** How late the bench's own event loop was: what it sees as late may have come in time. */
-class Lateness implements Disposable {
-	static create(): Lateness {
-		return new Lateness();
-	}
-
-	readonly #samples: Array<{readonly at: number; readonly milliseconds: number}> = [];
-	#lastAt = performance.now();
-	readonly #timer = setInterval(() => {
-		const at = performance.now();
-		this.#samples.push({at, milliseconds: Math.max(0, at - this.#lastAt - samplePauseMilliseconds)});
-		this.#lastAt = at;
-	}, samplePauseMilliseconds);
-
-	private constructor() {
-		this.#timer.unref();
-	}
-
-	/** The largest lateness of a span, or of the first sample after it. */
-	between(from: number, until: number): number {
-		const next = this.#samples.find(({at}) => at >= until);
-		return Math.max(next?.milliseconds ?? 0, ...this.#samples.filter(({at}) => at >= from && at < until).map(({milliseconds}) => milliseconds));
-	}
-
-	/** All lateness of a span, with that of the first sample after it. */
-	totalBetween(from: number, until: number): number {
-		const next = this.#samples.find(({at}) => at >= until);
-		return this.#samples.filter(({at}) => at >= from && at < until).reduce((sum, {milliseconds}) => sum + milliseconds, next?.milliseconds ?? 0);
-	}
-
-	[Symbol.dispose](): void {
-		clearInterval(this.#timer);
-	}
-}
--- a/bench/gateway-soak/planned-work.ts
+++ b/bench/gateway-soak/planned-work.ts
@@ -2,9 +2,9 @@
 import {createRandom, type Random} from '../harness/random.js';
 import {type CourseOptions, type CourseWorld, type Range} from './course-world.js';
 import {type PlannedVersions} from './planned-versions.js';
-import {type LeftWorker, PlannedWorkers} from './planned-workers.js';
+import {type EndpointWork, type LeftWorker, PlannedWorkers} from './planned-workers.js';
 import {portsPerGateway} from './run-seed.js';
-import {sleep} from './traffic.js';
+import {between, sleep} from './traffic.js';
 
 /** Gateways that may be added. */
 export const spareGateways = 2;
@@ -30,6 +30,10 @@
 	readonly milliseconds: number;
 	/** Requests that callers await at a gateway. */
 	readonly openAt: (gateway: number) => number;
+	/** What endpoints do meanwhile, in series of their own; without it, they leave and are replaced in one series. */
+	readonly endpoints?: {readonly series: number; readonly work: EndpointWork};
+	/** How often, of 1, all gateways are stopped at once. */
+	readonly allAtOnceShare?: number;
 };
 
 export class PlannedWork {
@@ -44,12 +48,12 @@
 	readonly #readyLater: boolean[] = [];
 	readonly #options: PlannedWorkOptions;
 	readonly #stopping = new Set<number>();
-	readonly #workers: PlannedWorkers;
+	readonly #workers: EndpointWork;
 	readonly #until: number;
 	private constructor(options: PlannedWorkOptions) {
 		this.#options = options;
 		this.inUse = new Set(options.world.gateways.keys());
-		this.#workers = PlannedWorkers.create(options.world.platform, text => {
+		this.#workers = options.endpoints?.work ?? PlannedWorkers.create(options.world.platform, text => {
 			this.#note(text);
 		});
 		this.#until = performance.now() + options.milliseconds;
@@ -73,7 +77,7 @@
 			...Array.from({length: stopSeries}, async (_, number) => this.#series(10 + number, pauses.stop, async random => this.#stopSome(random))),
 			this.#series(1, pauses.version, async random => this.#publish(random)),
 			this.#series(2, pauses.reload, async random => this.#reload(random)),
-			this.#series(3, pauses.worker, async random => this.#workers.replaceOne(random)),
+			...Array.from({length: this.#options.endpoints?.series ?? 1}, async (_, number) => this.#series(3 + (number * 20), pauses.worker, async random => this.#workers.replaceOne(random))),
 			this.#series(4, pauses.store, async random => this.#disturbStore(random)),
 		]);
 		await this.#workers.settled();
@@ -91,6 +95,13 @@
 	}
 
 	async #stopSome(random: Random): Promise<void> {
+		const {allAtOnceShare} = this.#options;
+		if (allAtOnceShare !== undefined && random.uniform() < allAtOnceShare) {
+			this.#note('term all');
+			await Promise.all([...this.inUse].map(async index => this.#stop(index, random)));
+			return;
+		}
+
 		const first = this.#chooseGateway(random);
 		const others = random.uniform() < shares.twoAtOnce ? [(first + 1) % this.#options.course.gateways] : [];
 		await Promise.all([first, ...others].map(async index => this.#stop(index, random)));
@@ -245,7 +256,3 @@
 		this.#options.world.injected.push(`${text} at ${Math.round(at)}`);
 	}
 }
-
-function between(random: Random, {low, high}: Range): number {
-	return low + (random.uniform() * (high - low));
-}
--- a/bench/gateway-soak/planned-workers.ts
+++ b/bench/gateway-soak/planned-workers.ts
@@ -16,11 +16,18 @@
 const shares = {announced: 0.6, sameAddress: 0.5, otherService: 0.3} as const;
 
 /** A worker that has left: when the store had accepted so, and when its process ended. */
-export type LeftWorker = {readonly worker: FakePlatformWorker; readonly acknowledgedAt: number; exitedAt: number};
+export type LeftWorker = {readonly worker: Pick<FakePlatformWorker, 'id'>; readonly acknowledgedAt: number; exitedAt: number};
 /** A worker that exits after a time, and the service of the next one, at its address or another. */
 type Leaving = {readonly left: LeftWorker; readonly worker: SoakWorker; readonly exitAfter: number; readonly isSameAddress: boolean; readonly nextService: string};
 
-export class PlannedWorkers {
+/** What endpoints do in a course: one step of a series, and the end of what it has begun. */
+export type EndpointWork = {
+	readonly left: readonly LeftWorker[];
+	replaceOne(random: Random): Promise<void>;
+	settled(): Promise<void>;
+};
+
+export class PlannedWorkers implements EndpointWork {
 	static create(platform: SoakPlatform, note: (text: string) => void): PlannedWorkers {
 		return new PlannedWorkers(platform, note);
 	}
--- a/bench/gateway-soak/traffic.ts
+++ b/bench/gateway-soak/traffic.ts
@@ -1,6 +1,8 @@
 /** The traffic of the courses: requests to all gateways in turn. */
+import {type Random} from '../harness/random.js';
 import {type ExchangeRecord, sendRequest, type SoakRequest} from './caller.js';
 import {type GatewayChild} from './child.js';
+import {type Range} from './course-world.js';
 
 export type Traffic = {
 	readonly milliseconds: number;
@@ -27,6 +29,10 @@
 	return Number(id.split('-')[1]) % gateways;
 }
 
+export function between(random: Random, {low, high}: Range): number {
+	return low + (random.uniform() * (high - low));
+}
+
 export async function sleep(milliseconds: number): Promise<void> {
 	await new Promise(resolve => {
 		setTimeout(resolve, milliseconds);
--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -10,9 +10,10 @@
 		| {readonly type: 'pieces'; readonly count: number; readonly bytes: number; readonly gapMilliseconds: number}
 	/**
 	 * Events numbered after `Last-Event-Id`; the connection is broken after event `cutAfter`, in the middle of the next one. An unframed
-	 * response has neither a length nor chunks and ends with its connection, in an orderly way where it is cut, too.
+	 * response has neither a length nor chunks and ends with its connection, in an orderly way where it is cut, too. Events may have gaps of their own,
+	 * and a comment that makes them larger.
 	 */
-		| {readonly type: 'events'; readonly count: number; readonly gapMilliseconds?: number; readonly cutAfter?: number; readonly firstAfterMilliseconds?: number; readonly isUnframed?: boolean}
+		| {readonly type: 'events'; readonly count: number; readonly gapMilliseconds?: number; readonly cutAfter?: number; readonly firstAfterMilliseconds?: number; readonly isUnframed?: boolean; readonly gapsMilliseconds?: readonly number[]; readonly paddingBytes?: number}
 		| {readonly type: 'not-run'}
 		| {readonly type: 'silent'}
 		| {readonly type: 'reset'}
@@ -62,6 +63,10 @@
 	readonly abandoned: string[] = [];
 	/** When those connections closed, by the request's id. */
 	readonly abandonedAt = new Map<string, number>();
+	/** When it had sent its last byte, by the request's id. */
+	readonly finishedAt = new Map<string, number>();
+	/** When it broke off an answer itself, by the request's id. */
+	readonly brokenOffAt = new Map<string, number>();
 	readonly #server: Server = createServer((request, response) => {
 		void this.#take(request, response);
 	});
@@ -122,6 +127,9 @@
 
 		const received = {id, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, at: performance.now(), statements: this.statements, wasRun: false};
 		this.requests.push(received);
+		response.once('finish', () => {
+			this.finishedAt.set(id, performance.now());
+		});
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				this.abandoned.push(id);
@@ -156,7 +164,9 @@
 
 			case 'events': {
 				response.writeHead(200, {...signatureHeaders, 'Content-Type': 'text/event-stream'});
-				await sendEvents(response, answer, {requestId: request.id, after: Number(request.headers['last-event-id'] ?? 0)});
+				await sendEvents(response, answer, {requestId: request.id, after: Number(request.headers['last-event-id'] ?? 0), onBreak: () => {
+					this.brokenOffAt.set(request.id, performance.now());
+				}});
 				return;
 			}
 
@@ -170,6 +180,7 @@
 			}
 
 			case 'reset': {
+				this.brokenOffAt.set(request.id, performance.now());
 				response.socket?.resetAndDestroy();
 				return;
 			}
@@ -199,13 +210,14 @@
 	}
 }
 
-async function sendEvents(response: ServerResponse, {count, gapMilliseconds = 0, cutAfter, firstAfterMilliseconds = 0, isUnframed = false}: Extract<WorkerAnswer, {type: 'events'}>, {requestId, after}: {requestId: string; after: number}): Promise<void> {
+async function sendEvents(response: ServerResponse, {count, gapMilliseconds = 0, cutAfter, firstAfterMilliseconds = 0, isUnframed = false, gapsMilliseconds, paddingBytes = 0}: Extract<WorkerAnswer, {type: 'events'}>, {requestId, after, onBreak}: {requestId: string; after: number; onBreak: () => void}): Promise<void> {
 	await sleep(firstAfterMilliseconds);
 	for (let number = after + 1; number <= count; number++) {
-		await sleep(gapMilliseconds);
+		await sleep(gapsMilliseconds?.[number - 1] ?? gapMilliseconds);
 		if (cutAfter !== undefined && number > cutAfter) {
 			response.write(`id: ${number}\nda`);
 			await sleep(20);
+			onBreak();
 			if (isUnframed) {
 				response.end();
 			} else {
@@ -215,6 +227,10 @@
 			return;
 		}
 
+		if (paddingBytes > 0) {
+			response.write(`: ${'.'.repeat(paddingBytes)}\n`);
+		}
+
 		writeEvent(response, requestId, number);
 	}
 
--- a/test/soak/planned-checker.test.ts
+++ b/test/soak/planned-checker.test.ts
@@ -11,7 +11,7 @@
 	headPauseMilliseconds: 0, bodyPauseMilliseconds: 0, readPauseMilliseconds: 0,
 };
 const whole: PlannedRecord = {
-	id: 'a', kind: 'release', request, gateway: 0, sentAt: 10_000, lastByteAt: 10_000, endedAt: 10_100, status: 200, body: 'answer to a', isWhole: true, headers: new Map([['upstream-signature', 'w'], ['request-id', 'a']]),
+	id: 'a', kind: 'release', request, gateway: 0, sentAt: 10_000, lastDataAt: 0, lastByteAt: 10_000, endedAt: 10_100, status: 200, body: 'answer to a', isWhole: true, headers: new Map([['upstream-signature', 'w'], ['request-id', 'a']]),
 	close: 'none', unreadMilliseconds: 0, behind: undefined,
 };
 const cut: Partial<PlannedRecord> = {status: 0, isWhole: false, headers: new Map(), close: 'orderly', endedAt: 11_000};
