--- a/bench/gateway-soak/index.ts
+++ b/bench/gateway-soak/index.ts
@@ -11,14 +11,17 @@
 import {runLimitSeed} from './limit-course.js';
 import {runRetrySeed} from './retry-course.js';
 import {runStopSeed} from './stop-course.js';
+import {runStreamsSeed} from './streams-course.js';
 import {runPlannedSeed} from './planned-course.js';
 import {spareGateways} from './planned-work.js';
 import {runPartSeed} from './part-course.js';
 import {portsPerGateway, runSeed} from './run-seed.js';
 
-type Settings = {seed: number; count: number; jobs: number; gateways: number; course: 'mixed' | keyof typeof courses; faults: string; endpointFaults: string; firstPort: number; logs: string | undefined; bundle: string | undefined};
+type Settings = {seed: number; count: number; jobs: number; gateways: number | undefined; course: 'mixed' | keyof typeof courses; faults: string; endpointFaults: string; firstPort: number; logs: string | undefined; bundle: string | undefined};
 
-const courses = {retries: runRetrySeed, crashes: runCrashSeed, limits: runLimitSeed, held: runHeldSeed, builds: runBuildSeed, parts: runPartSeed, crowds: runCrowdSeed, busy: runBusySeed, stops: runStopSeed, planned: runPlannedSeed} as const;
+const courses = {retries: runRetrySeed, crashes: runCrashSeed, limits: runLimitSeed, held: runHeldSeed, builds: runBuildSeed, parts: runPartSeed, crowds: runCrowdSeed, busy: runBusySeed, stops: runStopSeed, planned: runPlannedSeed, streams: runStreamsSeed} as const;
+
+const defaultGateways = {streams: 4, others: 2} as const;
 
 /** Runs real gateways as processes with fault injection; prints the seeds and exits with 1 if a rule was violated. */
 export const gatewaySoakCommand: CommandModule<unknown, Settings> = {
@@ -28,15 +31,16 @@
 		seed: {type: 'number', default: 1, describe: 'the first seed'},
 		count: {type: 'number', default: 50, describe: 'how many seeds'},
 		jobs: {type: 'number', default: 4, describe: 'seeds at a time'},
-		course: {choices: ['mixed', 'retries', 'crashes', 'limits', 'held', 'builds', 'parts', 'crowds', 'busy', 'stops', 'planned'] as const, default: 'mixed' as const, describe: 'faults of every kind, or one matter while gateways come and go: retries, a request that crashes endpoints, rate limits, links that are held up, builds of endpoints, a prompt part that crashes endpoints, most connections at one gateway, more requests than the processors can pace, stops in series that overlap, all planned work in series that overlap'},
+		course: {choices: ['mixed', 'retries', 'crashes', 'limits', 'held', 'builds', 'parts', 'crowds', 'busy', 'stops', 'planned', 'streams'] as const, default: 'mixed' as const, describe: 'faults of every kind, or one matter while gateways come and go: retries, a request that crashes endpoints, rate limits, links that are held up, builds of endpoints, a prompt part that crashes endpoints, most connections at one gateway, more requests than the processors can pace, stops in series that overlap, all planned work in series that overlap, long streams under planned work and endpoints that restart'},
 		faults: {type: 'string', default: courseFaults.join(','), describe: 'the kinds of faults of the other courses than mixed, joined by commas'},
 		'endpoint-faults': {type: 'string', default: endpointFaults.join(','), describe: 'the kinds of faults of endpoints of the course held, joined by commas'},
 		'first-port': {type: 'number', default: 21_000, describe: 'the gateways listen from here on; two runs at a time need different ones'},
 		logs: {type: 'string', describe: 'a folder for the log lines of the gateways of each seed that violates a rule'},
 		bundle: {type: 'string', describe: 'a bundled gateway of another version to run in place of this one'},
-		gateways: {type: 'number', default: 2, describe: 'gateways of each seed'},
+		gateways: {type: 'number', describe: 'gateways of each seed; 4 in the course streams, 2 in the others, unless given'},
 	},
-	async handler({seed, count, jobs, gateways, course, faults, endpointFaults: endpointKinds, firstPort, logs, bundle}) {
+	async handler({seed, count, jobs, gateways: wanted, course, faults, endpointFaults: endpointKinds, firstPort, logs, bundle}) {
+		const gateways = wanted ?? defaultGateways[course === 'streams' ? 'streams' : 'others'];
 		if (bundle === undefined) {
 			execFileSync(process.execPath, ['tools/bundle.mjs'], {stdio: 'inherit'});
 		}
@@ -56,6 +60,10 @@
 					console.log(`seed ${next}: ${service}, at most ${retries} of ${Math.floor(allowed)} retries in a window`);
 				}
 
+				if (result.summary !== undefined) {
+					console.log(`seed ${next}: ${result.summary}`);
+				}
+
 				if (result.arrivals !== undefined) {
 					console.log(`seed ${next}: ${JSON.stringify(result.arrivals)}`);
 				}
--- a/bench/gateway-soak/run-seed.ts
+++ b/bench/gateway-soak/run-seed.ts
@@ -16,6 +16,8 @@
 	readonly requests: number;
 	readonly served: number;
 	readonly faults: readonly string[];
+	/** What is printed whether a rule was violated or not. */
+	readonly summary?: string;
 	readonly violations: readonly string[];
 	/** Log lines of all gateways. */
 	readonly lines: string;
