soak: a request counts as sent when its first byte is written, not while it waits behind others

The caller of the course planned noted a request as sent when it was handed to its connection; behind others with pauses, and since a caller that does not read writes nothing, the first byte may leave seconds later.

--- a/bench/gateway-soak/planned-connection.ts
+++ b/bench/gateway-soak/planned-connection.ts
@@ -26,6 +26,8 @@
 export type PlannedRecord = ExchangeRecord & {
 	readonly request: PlannedRequest;
 	readonly gateway: number;
+	/** When its first byte was sent, or was to be sent if none was. */
+	sentAt: number;
 	/** When its last byte was sent; Infinity if it never was. */
 	lastByteAt: number;
 	/** When the last part of its answer arrived; its sending before that. */
@@ -127,6 +129,7 @@
 			{text: text.slice(40, -1), pause: bodyPauseMilliseconds},
 			{text: text.slice(-1), pause: 0},
 		];
+		let isFirst = true;
 		for (const {text: part, pause} of headPauseMilliseconds + bodyPauseMilliseconds === 0 ? [{text, pause: 0}] : parts) {
 			// A write that fails would drop what has arrived and is not read yet, so that a complete answer would look lost.
 			await this.#reading;
@@ -135,6 +138,11 @@
 				return;
 			}
 
+			if (isFirst) {
+				isFirst = false;
+				record.sentAt = performance.now();
+			}
+
 			this.#socket.write(part);
 			if (pause > 0) {
 				await sleep(pause);
