--- a/bench/gateway-soak/planned-checker.ts
+++ b/bench/gateway-soak/planned-checker.ts
@@ -188,7 +188,7 @@
 }
 
 /** The time limit of the request, or the least timeout that its route may have. */
-function leastMilliseconds(record: PlannedRecord, evidence: PlannedEvidence): number {
+export function leastMilliseconds(record: PlannedRecord, evidence: PlannedEvidence): number {
 	return Math.min(record.request.deadlineMilliseconds, ...timeoutsOf(evidence, record));
 }
 
--- a/bench/gateway-soak/streams-checker.ts
+++ b/bench/gateway-soak/streams-checker.ts
@@ -4,7 +4,7 @@
  */
 import {type FakePlatformWorker} from '../../fakes/platform-worker.js';
 import {type Life} from './child.js';
-import {type Arrival, arrivalsById, bounds, commonViolations, isCut, isOwnFailure, isStoreDisturbed, type PlannedEvidence, sentInGraceMilliseconds, timeoutsOf} from './planned-checker.js';
+import {type Arrival, arrivalsById, bounds, commonViolations, isCut, isOwnFailure, isStoreDisturbed, leastMilliseconds, type PlannedEvidence, sentInGraceMilliseconds} from './planned-checker.js';
 import {type PlannedRecord} from './planned-connection.js';
 import {type EndpointNews, type EndpointProcess} from './streams-endpoints.js';
 
@@ -89,7 +89,12 @@
 }
 
 function isEndedSooner(judged: Judged, evidence: StreamsEvidence): boolean {
-	return judged.record.isWhole && isOwnFailure(judged.record) && judged.run !== undefined && !isExcused(judged, evidence);
+	return judged.record.isWhole && isOwnFailure(judged.record) && judged.run !== undefined && !isExcused(judged, evidence) && !isTimeNear(judged, evidence);
+}
+
+/** Prices: "broken off while their worker was at work, well before the requester's time limit and the route's timeout"; an own answer that nothing came before leaves in time for it. */
+function isTimeNear({record, cutAt}: Judged, evidence: StreamsEvidence): boolean {
+	return cutAt - record.sentAt + bounds.lossSlackMilliseconds >= leastMilliseconds(record, evidence);
 }
 
 function isExcused(judged: Judged, evidence: StreamsEvidence): boolean {
@@ -113,7 +118,7 @@
 
 /** Reached, not almost: the gateway's time begins later than the caller's. Of the route's timeouts any that may be in force counts. */
 function isTimeReached({record, cutAt}: Judged, evidence: StreamsEvidence): boolean {
-	return cutAt - record.sentAt + clockMilliseconds >= Math.min(record.request.deadlineMilliseconds, ...timeoutsOf(evidence, record));
+	return cutAt - record.sentAt + clockMilliseconds >= leastMilliseconds(record, evidence);
 }
 
 function isLeftToTheLastSixth({record, run, life}: Judged): boolean {
--- a/test/soak/streams-checker.test.ts
+++ b/test/soak/streams-checker.test.ts
@@ -70,6 +70,8 @@
 
 tap.test('the checker of streams finds own failures while the endpoint is at work', async t => {
 	t.match(await check(failed, [{abandonedAt: 15_000}]), [/^ENDED/v]);
+	t.match(await check({...failed, endedAt: 18_750}, [{abandonedAt: 18_750}]), [/^ENDED/v]);
+	t.same(await check({...failed, endedAt: 18_850}, [{abandonedAt: 18_850}]), [], 'not well before its time');
 	t.same(await check(failed, [{exitedAt: 14_900, abandonedAt: 14_901}]), []);
 	t.same(await check(failed, []), [], 'not offered: counted, the rules price it');
 });
