an answer whose time is over ends in the turn that has read beyond it

A review showed that the look behind the turn had no effect that could be measured: the request's process took its outcome two turns later. The response is ended at once now, and the process takes the outcome afterwards. Left: in a loop that stays late by 200 ms a turn and more, such an answer ends over half a second after its time; its caller has left by then.

--- a/src/gateway/requests/attempt-sender.ts
+++ b/src/gateway/requests/attempt-sender.ts
@@ -83,9 +83,12 @@
 	 * rest of what that turn reads may be the end of the answer.
 	 */
 	#endIfOver(state: AttemptState): void {
-		const outcome = state.hasOutcome ? undefined : outcomeAtEnd(this.#options.end, performance.now());
+		const {end, exchange: {caller}} = this.#options;
+		const outcome = state.hasOutcome ? undefined : outcomeAtEnd(end, performance.now());
 		if (outcome !== undefined) {
 			this.#endAttempt(state, outcome);
+			// The request's process takes the outcome in a later turn.
+			caller.abort();
 		}
 	}
 
