--- a/src/gateway/crashes/registration-watch.ts
+++ b/src/gateway/crashes/registration-watch.ts
@@ -1,12 +1,11 @@
-import {type EndpointRecord} from '../../routing/index.js';
+import {type EndpointRecord, hasRestarted} from '../../routing/index.js';
 import {type RoutingState} from '../table/index.js';
 import {type CrashMonitor} from './crash-monitor.js';
 
 /** Whether an incarnation's registration has ended without an announced shutdown, or another incarnation has taken its place. One that states its start for the first time is the same. */
-export function isRegistrationLost({directory}: RoutingState, {id, bornAt}: EndpointRecord): boolean {
-	const entry = directory.entries.get(id);
-	const hasRestarted = bornAt !== undefined && entry?.record.bornAt !== bornAt;
-	return entry !== undefined && (hasRestarted || (entry.endedAt !== undefined && !entry.record.isLeaving));
+export function isRegistrationLost({directory}: RoutingState, record: EndpointRecord): boolean {
+	const entry = directory.entries.get(record.id);
+	return entry !== undefined && (hasRestarted(record, entry.record) || (entry.endedAt !== undefined && !entry.record.isLeaving));
 }
 
 /** Tells the monitor of registrations that end or are back: an endpoint that has fallen silent and is not registered any more has crashed. */
--- a/src/gateway/placement/endpoint-pool.ts
+++ b/src/gateway/placement/endpoint-pool.ts
@@ -1,5 +1,5 @@
 import {availability, type Candidate, createEndpointHealth, type EndpointHealth, type HealthEvent, inHashOrder, type LoadTracker, stepEndpointHealth, trialTurnMilliseconds} from '../../policy/dispatch/index.js';
-import {type EndpointEntry, type EndpointRecord, EndpointStatus, buildOf, endpointStatusOf, incarnationOf} from '../../routing/index.js';
+import {type EndpointEntry, type EndpointRecord, EndpointStatus, buildOf, endpointStatusOf, hasRestarted, incarnationOf} from '../../routing/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 import {type RoutingState} from '../table/index.js';
 import {type StatementRegistry} from '../endpoints/index.js';
@@ -184,9 +184,9 @@
 	}
 
 	/** Whether another incarnation has taken the place of a record's; one that states its start for the first time has not. */
-	#hasRestartedSince({id, bornAt}: EndpointRecord): boolean {
-		const current = this.#options.routingState.directory.entries.get(id)?.record;
-		return bornAt !== undefined && current !== undefined && current.bornAt !== bornAt;
+	#hasRestartedSince(record: EndpointRecord): boolean {
+		const current = this.#options.routingState.directory.entries.get(record.id)?.record;
+		return current !== undefined && hasRestarted(record, current);
 	}
 
 	#availability(id: string, now: number): ReturnType<typeof availability> {
--- a/src/gateway/table/routing-state.ts
+++ b/src/gateway/table/routing-state.ts
@@ -1,4 +1,4 @@
-import {EndpointDirectory, type EndpointChange, type EndpointEntry, type EndpointRecord, isLaterIncarnation, positionOf, RoutingTable, type RoutingTableInput} from '../../routing/index.js';
+import {EndpointDirectory, type EndpointChange, type EndpointEntry, type EndpointRecord, hasRestarted, isLaterIncarnation, positionOf, RoutingTable, type RoutingTableInput} from '../../routing/index.js';
 import {type Restart} from '../../policy/incarnations/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 
@@ -141,12 +141,12 @@
 		this.#notify({type: 'era', era}, source);
 	}
 
-	/** Both records must state a start time: one that is stated for the first time is no sign of a restart. */
+	/** What is known of the restart of an endpoint, if it has restarted since. */
 	#restartOf(before: EndpointDirectory, id: string): readonly Restart[] {
 		const previous = before.entries.get(id)?.record;
 		const next = this.#directory.entries.get(id)?.record;
-		return previous?.bornAt !== undefined && next !== undefined && isLaterIncarnation(next, previous)
-			? [{id, hadAnnounced: previous.isLeaving, address: next.address, isAtSameAddress: previous.address === next.address}]
+		return previous !== undefined && next !== undefined && hasRestarted(previous, next)
+			? [{id, hadAnnouncedLeaving: previous.isLeaving, address: next.address, isAtSameAddress: previous.address === next.address}]
 			: [];
 	}
 
--- a/src/policy/incarnations/earlier-incarnation.ts
+++ b/src/policy/incarnations/earlier-incarnation.ts
@@ -11,7 +11,7 @@
 export type Restart = {
 	readonly id: string;
 	/** Whether the earlier incarnation had announced that it leaves. */
-	readonly hadAnnounced: boolean;
+	readonly hadAnnouncedLeaving: boolean;
 	/** The address of the later incarnation. */
 	readonly address: string;
 	/** Whether the later incarnation has the address of the earlier one. */
@@ -22,8 +22,8 @@
 export const silenceMilliseconds = 2000;
 
 /** Whether requests on a connection to this address are given up once they bring nothing more. Several incarnations may end their work at a time, each at its own address. */
-export function endsInSilence({hadAnnounced, isAtSameAddress, address}: Restart, connectedTo: string): boolean {
-	return isAtSameAddress && !hadAnnounced && connectedTo === address;
+export function endsInSilence({hadAnnouncedLeaving, isAtSameAddress, address}: Restart, connectedTo: string): boolean {
+	return isAtSameAddress && !hadAnnouncedLeaving && connectedTo === address;
 }
 
 /** The part of an answer that had arrived at a time. Milliseconds of the monotonic clock. */
--- a/src/routing/endpoint-directory.ts
+++ b/src/routing/endpoint-directory.ts
@@ -138,6 +138,11 @@
 	return (bornAt ?? -Infinity) > (other ?? -Infinity);
 }
 
+/** Whether the endpoint of an earlier record has restarted by the later one; a record that states a start for the first time is no sign of that. */
+export function hasRestarted({bornAt}: EndpointRecord, later: EndpointRecord): boolean {
+	return bornAt !== undefined && later.bornAt !== bornAt;
+}
+
 /** The name of an incarnation: each start of an endpoint is another one, also under the same id. One that has not stated its start has the name of the endpoint. */
 export function incarnationOf({id, bornAt}: EndpointRecord): string {
 	return bornAt === undefined ? id : `${id}@${bornAt}`;
--- a/test/gateway/restart-in-progress.test.ts
+++ b/test/gateway/restart-in-progress.test.ts
@@ -30,7 +30,7 @@
 		t.same([release.status, release.body], [200, 'posted']);
 		t.same(play.abandoned, []);
 		t.match(play.testbed.logLines.find(({msg, endpoint}) => String(msg).includes('earlier incarnation take no more') && endpoint === 'models-0'), {
-			busy: 2, free: 0, hadAnnounced: false, isAtSameAddress: restart.isAtSameAddress, source: 'store',
+			busy: 2, free: 0, hadAnnouncedLeaving: false, isAtSameAddress: restart.isAtSameAddress, source: 'store',
 		});
 	});
 }
--- a/test/gateway/restart-paused.test.ts
+++ b/test/gateway/restart-paused.test.ts
@@ -37,7 +37,7 @@
 	const [socket] = await connected as [net.Socket];
 	await delay(longMilliseconds);
 	attempt.pause();
-	connectionPool.handleRestart({id: 'a', hadAnnounced: false, address, isAtSameAddress: true});
+	connectionPool.handleRestart({id: 'a', hadAnnouncedLeaving: false, address, isAtSameAddress: true});
 	await delay(pauseMilliseconds);
 	const inPause = events.map(({type}) => type);
 	attempt.resume();
--- a/test/gateway/restart-twice.test.ts
+++ b/test/gateway/restart-twice.test.ts
@@ -53,7 +53,7 @@
 	const atFirst = start(pools, first.address);
 	const atSecond = start(pools, second.address);
 	await sleep(ageMilliseconds);
-	pools.handleRestart({id: 'a', hadAnnounced: false, isAtSameAddress: true, address: second.address});
+	pools.handleRestart({id: 'a', hadAnnouncedLeaving: false, isAtSameAddress: true, address: second.address});
 	await sleep(workMilliseconds - ageMilliseconds);
 	first.responses[0]!.end('posted');
 	await sleep(100);
--- a/test/policy/incarnations.test.ts
+++ b/test/policy/incarnations.test.ts
@@ -115,10 +115,10 @@
 // An endpoint that had announced its leaving, or whose address is still its own, ends its work itself.
 tap.test('requests are given up in silence only where the address of an endpoint that announced nothing is assigned again', async t => {
 	const address = '10.0.0.1:80';
-	const restart = {id: 'a', address, hadAnnounced: false, isAtSameAddress: true};
+	const restart = {id: 'a', address, hadAnnouncedLeaving: false, isAtSameAddress: true};
 	t.ok(endsInSilence(restart, address));
-	t.notOk(endsInSilence({...restart, hadAnnounced: true}, address));
+	t.notOk(endsInSilence({...restart, hadAnnouncedLeaving: true}, address));
 	t.notOk(endsInSilence({...restart, isAtSameAddress: false}, address));
-	t.notOk(endsInSilence({...restart, hadAnnounced: true, isAtSameAddress: false}, address));
+	t.notOk(endsInSilence({...restart, hadAnnouncedLeaving: true, isAtSameAddress: false}, address));
 	t.notOk(endsInSilence(restart, '10.0.0.2:80'), 'an earlier incarnation at another address');
 });
