a stop counts from when its signal was sent, not from when a late loop reads it

Callers saw streams cut 8.0 s after a SIGTERM, also such as had been sent more than three seconds after it. Cause: the loop read the signal late, and the stop's schedule (until when streams are begun, when what runs is answered) counted from there; over 0.8 s later, the platform's SIGKILL came first, with no line. A timer of 50 ms now bounds from below when a signal that is read can have been sent, and the gateway, the entry and the side count from that. The line Stopping says how late the signal was read, which tells this cause from others.

The schedule of test calls without a time counts from the call, as before.

--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -12,7 +12,7 @@
 	entrySettings, type EntrySettings, readSecurity, runProgram,
 } from '../settings/index.js';
 import {PlatformParts} from './platform-parts.js';
-import {logIgnoredSignals, stopSignal} from './stop-signal.js';
+import {describeStop, logIgnoredSignals, stopRequest} from './stop-signal.js';
 import {withinMilliseconds} from './within-milliseconds.js';
 
 async function main(settings: EntrySettings): Promise<void> {
@@ -32,10 +32,10 @@
 		routes: createOperatorRoutes({instance, role: 'entry', journal, status: () => entry.status(), quarantine: operatorQuarantine(platform.quarantine)}),
 	});
 	log.info('Listening.', {address: entry.address, internalAddress: entry.internalAddress, adminPort: admin.port});
-	const signal = await stopSignal();
+	const request = await stopRequest();
 	using _signals = logIgnoredSignals(log, 'reads-settings-once');
-	log.info('Stopping.', {signal});
-	const isDrained = await withinMilliseconds(entry.drain(settings.noticeMilliseconds), settings.stopMilliseconds);
+	log.info('Stopping.', describeStop(request));
+	const isDrained = await withinMilliseconds(entry.drain(settings.noticeMilliseconds), request.at + settings.stopMilliseconds - performance.now());
 	log.info(isDrained ? 'Stopped with nothing in progress.' : 'Stopped with requests in progress after the drain timeout.');
 }
 
--- a/src/bin/cassiaflow-side.ts
+++ b/src/bin/cassiaflow-side.ts
@@ -14,7 +14,7 @@
 	readSecurity, runProgram, sideSettings, type SideSettings,
 } from '../settings/index.js';
 import {PlatformParts} from './platform-parts.js';
-import {logIgnoredSignals, stopSignal} from './stop-signal.js';
+import {describeStop, logIgnoredSignals, stopRequest} from './stop-signal.js';
 import {withinMilliseconds} from './within-milliseconds.js';
 
 const healthTimeoutMilliseconds = 1000;
@@ -44,10 +44,10 @@
 		routes: createOperatorRoutes({instance, role: 'side', journal, status: () => side.status()}),
 	});
 	log.info('Listening.', {address: side.address, adminPort: admin.port});
-	const signal = await stopSignal();
+	const request = await stopRequest();
 	using _signals = logIgnoredSignals(log, 'reads-settings-once');
-	log.info('Stopping.', {signal});
-	const isDrained = await withinMilliseconds(side.drain(), settings.stopMilliseconds);
+	log.info('Stopping.', describeStop(request));
+	const isDrained = await withinMilliseconds(side.drain(), request.at + settings.stopMilliseconds - performance.now());
 	log.info(isDrained ? 'Stopped with nothing running.' : 'Stopped with requests running after the drain timeout.');
 }
 
--- a/src/bin/early-signals.ts
+++ b/src/bin/early-signals.ts
@@ -9,13 +9,37 @@
 export type StopSignal = 'SIGTERM' | 'SIGINT';
 /** A signal that a program takes. */
 export type TakenSignal = StopSignal | 'SIGHUP';
+/** A request for a graceful shutdown, and when it can have been sent at the earliest, in milliseconds of the monotonic clock. */
+export type StopRequest = {readonly signal: StopSignal; readonly at: number};
+
+/** Interval at which a timer tells when the event loop has turned. */
+const turnSampleMilliseconds = 50;
+/** A timer in time has run twice within this time. */
+const inTimeMilliseconds = 3 * turnSampleMilliseconds;
 
 const listeners = new Set<(signal: TakenSignal) => void>();
-let firstStop: StopSignal | undefined;
+let firstStop: StopRequest | undefined;
+/** When the timer ran last, and the time before. */
+let turnAt = performance.now();
+let previousTurnAt = turnAt;
+
+setInterval(() => {
+	previousTurnAt = turnAt;
+	turnAt = performance.now();
+}, turnSampleMilliseconds).unref();
+
+/**
+ * A late event loop reads a signal long after it was sent, and the platform counts the time until it kills the process from its sending. A turn runs
+ * the timers first: what the turn before had not read was sent after the timer's run before the last one.
+ */
+function earliestSending(): number {
+	const now = performance.now();
+	return now - previousTurnAt > inTimeMilliseconds ? previousTurnAt : now;
+}
 
 function take(signal: TakenSignal): void {
 	if (signal !== 'SIGHUP') {
-		firstStop ??= signal;
+		firstStop ??= {signal, at: earliestSending()};
 	}
 
 	for (const listener of listeners) {
@@ -28,7 +52,7 @@
 }
 
 /** The first signal that requested a graceful shutdown, since the process has started; undefined if none has. */
-export function firstStopSignal(): StopSignal | undefined {
+export function firstStopRequest(): StopRequest | undefined {
 	return firstStop;
 }
 
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -58,8 +58,11 @@
 		this.#parts.dispatcher.retries.setAllowance(allowanceOf(settings), performance.now());
 	}
 
-	/** Shuts down gracefully; resolves to true if all requests ended, and the attempt to retract the announcement too, before the deadline. */
-	async drain(): Promise<boolean> {
+	/**
+	 * Shuts down gracefully, in the time that the platform leaves since it asked for that; resolves to true if all requests ended, and the attempt to
+	 * retract the announcement too, before the deadline.
+	 */
+	async drain(requestedAt = performance.now()): Promise<boolean> {
 		const {gateway, store, settings, duties} = this.#parts;
 		this.#announcementAbort.abort();
 		// An announcement that reached the store after its withdrawal would stay there.
@@ -67,11 +70,11 @@
 			await this.#announced;
 			await store.retract(settings.instance);
 		});
-		const milliseconds = (settings.stopSeconds * 1000) - stopMarginMilliseconds;
+		const deadlineAt = requestedAt + (settings.stopSeconds * 1000) - stopMarginMilliseconds;
 		const released = this.#attempt('release of the duties', async () => duties?.release());
-		const served = this.#attempt('graceful shutdown of the port', async () => gateway.drain(performance.now() + milliseconds - answerMarginMilliseconds));
+		const served = this.#attempt('graceful shutdown of the port', async () => gateway.drain({requestedAt, endsAt: deadlineAt - answerMarginMilliseconds}));
 		const drained = Promise.all([served, retracted, released]).then(async () => this.#attempt('last report of usage', () => duties?.sendEnd()));
-		const isWhole = await withinMilliseconds(drained, milliseconds);
+		const isWhole = await withinMilliseconds(drained, deadlineAt - performance.now());
 		await withinMilliseconds(served, lateAnswersMilliseconds);
 		return isWhole;
 	}
--- a/src/bin/gateway-program.ts
+++ b/src/bin/gateway-program.ts
@@ -5,8 +5,8 @@
 import {type GatewayAdapter} from './gateway-adapter.js';
 import {GatewayProcess} from './gateway-process.js';
 import {readStartSettings, waitForPorts} from './gateway-start.js';
-import {firstStopSignal, onSignal} from './early-signals.js';
-import {logIgnoredSignals, stopSignal} from './stop-signal.js';
+import {firstStopRequest, onSignal} from './early-signals.js';
+import {describeStop, logIgnoredSignals, stopRequest} from './stop-signal.js';
 
 /** Poll interval of the settings file, for changes without a signal. */
 const settingsPollMilliseconds = 2000;
@@ -15,7 +15,7 @@
 export async function runGateway(settingsFile: string, adapter: GatewayAdapter): Promise<void> {
 	const start = await readStartSettings(settingsFile);
 	if (start.type === 'stopped' || !await waitForPorts(start.settings)) {
-		process.stderr.write(`cassiaflow-gateway: Stopped by ${firstStopSignal()} before the start.\n`);
+		process.stderr.write(`cassiaflow-gateway: Stopped by ${firstStopRequest()?.signal} before the start.\n`);
 		return;
 	}
 
@@ -32,10 +32,10 @@
 		program.apply(changed);
 	}});
 	log.info('Started.', {version: process.version, milliseconds: Math.round(performance.now()), settings: describe(settings)});
-	const signal = await stopSignal();
+	const request = await stopRequest();
 	using _signals = logIgnoredSignals(log, 'reloads');
-	log.info('Stopping.', {signal, open: program.gateway.openRequests});
-	const isDrained = await program.drain();
+	log.info('Stopping.', {...describeStop(request), open: program.gateway.openRequests});
+	const isDrained = await program.drain(request.at);
 	log.info('Stopped.', {isWhole: isDrained, open: program.gateway.openRequests});
 }
 
--- a/src/bin/gateway-start.ts
+++ b/src/bin/gateway-start.ts
@@ -5,7 +5,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {splitAddress} from '../model/index.js';
 import {type GatewaySettings, parseGatewaySettings} from '../settings/gateway/index.js';
-import {firstStopSignal} from './early-signals.js';
+import {firstStopRequest} from './early-signals.js';
 
 /** A start looks so often, and so long, for settings that can be read. */
 const settingsRetry = {milliseconds: 100, tries: 20};
@@ -20,7 +20,7 @@
  * missing until it is started again. Throws the last error once the file had time to be whole.
  */
 export async function readStartSettings(file: string): Promise<StartSettings> {
-	for (let tries = 1; firstStopSignal() === undefined; tries++) {
+	for (let tries = 1; firstStopRequest() === undefined; tries++) {
 		try {
 			const text = readFileSync(file, 'utf8');
 			return {type: 'read', text, settings: parseGatewaySettings(text)};
@@ -48,7 +48,7 @@
 	const until = performance.now() + (stopSeconds * 1000);
 	for (const address of [callerAddress, adminAddress, peerAddress]) {
 		let hasSaid = false;
-		while (firstStopSignal() === undefined && !await isFree(address) && performance.now() < until) {
+		while (firstStopRequest() === undefined && !await isFree(address) && performance.now() < until) {
 			if (!hasSaid) {
 				process.stderr.write(`cassiaflow-gateway: ${address} is in use, trying again.\n`);
 				hasSaid = true;
@@ -58,7 +58,7 @@
 		}
 	}
 
-	return firstStopSignal() === undefined;
+	return firstStopRequest() === undefined;
 }
 
 async function isFree(address: string): Promise<boolean> {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,9 @@
 /** Limit for the headers of a request; prompt parts take a few hundred bytes of it. */
 const maxHeaderBytes = 16_384;
 
+/** When the platform asked for the shutdown, and by when all requests have their answers. */
+export type Stop = {readonly requestedAt: number; readonly endsAt: number};
+
 /** The HTTP server for callers. */
 export class Gateway implements AsyncDisposable {
 	static async create(options: GatewayOptions): Promise<Gateway> {
@@ -98,9 +101,9 @@
 	 * Shuts down gracefully: serves open requests, and new ones while the port stays open, and resolves once none is left. What cannot end by `endsAt`
 	 * is not begun, and what has not ended by then is answered. Milliseconds of the monotonic clock.
 	 */
-	async drain(endsAt: number): Promise<void> {
+	async drain({requestedAt, endsAt}: Stop): Promise<void> {
 		this.#isStopping = true;
-		this.#stop.begin({endsAt, lastStreamAt: performance.now() + drainListenMilliseconds});
+		this.#stop.begin({endsAt, lastStreamAt: requestedAt + drainListenMilliseconds});
 		this.#connections.startClosing();
 		// Its last turn reads what has arrived: a connection that waits to be accepted when the port closes is reset, and so is an idle one with a request unread.
 		await new Promise<void>(resolve => {
