a stream leaves a silent endpoint once it has a place at another one, not before

Cause: a silent attempt was ended on the word that another endpoint exists, not that it has room. Now a stream asks for its next place beside the attempt, with its retry reserved; it leaves when it has the place and its endpoint is still silent, else it gives place and retry back. Lookups leave at once as before: their callers may go to another instance.

What a request needs for a retry (allowance, exclusions, the search) is one class now, which took it from exchange.ts.

--- a/src/gateway/requests/attempt-state.ts
+++ b/src/gateway/requests/attempt-state.ts
@@ -88,6 +88,8 @@
 	suspectAt: number | undefined;
 	/** Earliest time of the next search for another endpoint, after one that found none. */
 	nextFailoverAt = -Infinity;
+	/** Searches for another endpoint beside this attempt. */
+	searches = 0;
 	/** True once the endpoint's silence since its last event is reported to the crash ledger. */
 	hasReportedSilence = false;
 	/** What this attempt holds of its answer; whoever ends the attempt disposes of it. */
--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -1,26 +1,25 @@
 import {Verdict} from '../../model/index.js';
 import {failoverAt} from '../../policy/dispatch/index.js';
+import {RouteKind} from '../../routing/index.js';
 import {type AttemptState, type Outcome} from './attempt-state.js';
 import {type ExchangeOptions} from './exchange-options.js';
 import {reportSilence} from './outcome-report.js';
 import {type RequestEnd} from './request-end.js';
+import {type RequestRetries} from './request-retries.js';
 import {type ResponseForwarder} from './response-forwarder.js';
-import {type RetryProgress} from './retry-progress.js';
 
 /** Interval between searches for another endpoint while the one in use is silent and no other one is available. */
 const failoverSearchMilliseconds = 50;
 
+const silent: Outcome = {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'silent', isSilent: true};
+
 export type AttemptTimeoutsOptions = {
 	readonly exchange: ExchangeOptions;
 	readonly end: RequestEnd;
-	readonly retryProgress: RetryProgress;
+	readonly retries: RequestRetries;
 	readonly forwarder: ResponseForwarder;
-	/** Incarnations of endpoints that the request has already been sent to. */
-	readonly excluded: ReadonlySet<string>;
-	/** The build that the request is bound to, once it is. */
-	readonly build: () => string | undefined;
-	/** Whether the request may leave a silent endpoint for another one; if so, what that takes is reserved. */
-	readonly mayLeave: () => boolean;
+	/** Under which the request asks for its next place. */
+	readonly placementId: () => string;
 };
 
 /** What the silence of an endpoint leads to: its report, a retry at another endpoint, the end of the request. Times are milliseconds of the monotonic clock. */
@@ -38,22 +37,21 @@
 	/** Time until `check` may have something to do. */
 	nextMilliseconds(state: AttemptState): number {
 		const silentAt = state.hasReportedSilence ? Infinity : this.#silentAt(state);
-		return Math.max(0, Math.min(this.#options.end.nextLookAt, this.#failoverAt(state), silentAt, state.suspectAt ?? Infinity) - performance.now());
+		return Math.max(0, Math.min(this.#options.end.nextLookAt, Math.max(this.#failoverAt(state), state.nextFailoverAt), silentAt, state.suspectAt ?? Infinity) - performance.now());
 	}
 
 	/** Reports a silent endpoint; an outcome ends the attempt. */
 	check(state: AttemptState): Outcome | undefined {
-		const {end, excluded, build, mayLeave, exchange: {dispatcher, crashes, request, service}} = this.#options;
+		const {end, exchange: {dispatcher, crashes, request}} = this.#options;
 		const now = performance.now();
 		const outcome = outcomeAtEnd(end, now);
 		if (outcome !== undefined) {
 			return outcome;
 		}
 
-		const {record} = state.decision;
 		if (state.suspectAt !== undefined && now >= state.suspectAt) {
 			state.suspectAt = undefined;
-			dispatcher.endpoints.report(record, 'unreachable');
+			dispatcher.endpoints.report(state.decision.record, 'unreachable');
 		}
 
 		if (!state.hasReportedSilence && now >= this.#silentAt(state)) {
@@ -61,20 +59,54 @@
 			reportSilence(crashes, request, state);
 		}
 
+		return this.#checkFailover(state, now);
+	}
+
+	/** Called when the search for the next endpoint was decided; an outcome ends the attempt, for the place that was found. */
+	checkSuccessor(state: AttemptState): Outcome | undefined {
+		const {retries} = this.#options;
+		const {progress} = retries.search;
+		if (progress === 'placed' && !state.hasOutcome && performance.now() >= this.#failoverAt(state)) {
+			return silent;
+		}
+
+		if (progress === 'placed' || progress === 'refused') {
+			retries.endSearch();
+		}
+
+		return undefined;
+	}
+
+	#checkFailover(state: AttemptState, now: number): Outcome | undefined {
+		const {retries, placementId, exchange: {dispatcher, route, service}} = this.#options;
 		if (now < this.#failoverAt(state)) {
+			retries.endSearch();
+			return undefined;
+		}
+
+		if (retries.search.progress !== 'none' || now < state.nextFailoverAt) {
 			return undefined;
 		}
 
 		state.nextFailoverAt = now + failoverSearchMilliseconds;
-		return dispatcher.endpoints.hasAnother(service, {excluded, build: build()}, record) && mayLeave()
-			? {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'silent', isSilent: true}
-			: undefined;
+		if (!dispatcher.endpoints.hasAnother(service, retries.next(), state.decision.record) || !retries.mayLeave()) {
+			return undefined;
+		}
+
+		// A lookup fails at once, and its caller may go to another instance.
+		if (route.kind !== RouteKind.stream) {
+			return silent;
+		}
+
+		state.searches += 1;
+		retries.beginSearch(placementId(), state);
+		return undefined;
 	}
 
 	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again, its answer could not go on there, or it could not end there before the instance stops. */
 	#failoverAt(state: AttemptState): number {
-		const {end, retryProgress, forwarder: {lastEventId}, exchange: {caller}} = this.#options;
-		return retryProgress.mayFailOver({hasResponse: caller.hasResponse, lastEventId}) && performance.now() < end.lastStartAt ? Math.max(this.#silentAt(state), state.nextFailoverAt) : Infinity;
+		const {end, retries, forwarder: {lastEventId}, exchange: {caller}} = this.#options;
+		return retries.mayFailOver({hasResponse: caller.hasResponse, lastEventId}) && performance.now() < end.lastStartAt ? this.#silentAt(state) : Infinity;
 	}
 
 	/** When the endpoint has sent nothing for too long; infinite if the caller reads too slowly. */
--- a/src/gateway/requests/decision-log.ts
+++ b/src/gateway/requests/decision-log.ts
@@ -32,6 +32,8 @@
 	readonly outcome: ExchangeResult['outcome'];
 	readonly reason: string | undefined;
 	readonly status: number;
+	/** Searches for another endpoint while this one was silent, if there were any. */
+	readonly searches?: number;
 	/** Set if the attempt was given up while its endpoint might not have the request yet. */
 	readonly givenUp: GivenUp | undefined;
 };
--- a/src/gateway/requests/exchange-options.ts
+++ b/src/gateway/requests/exchange-options.ts
@@ -41,6 +41,8 @@
 		| {readonly type: 'left'}
 		| {readonly type: 'drained'}
 		| {readonly type: 'decided'; readonly decision: Decision}
+	/** The search for the next endpoint of a silent attempt was decided. */
+		| {readonly type: 'successor'}
 	/** The instance has begun to stop, which changes when the request is ended. */
 		| {readonly type: 'stopping'}
 	/** An error while an attempt's event was handled; it ends the request. */
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -1,7 +1,7 @@
 import {Alarm, type Body, channel, receive, tryDeliver} from '../../concurrency/index.js';
 import {Verdict} from '../../model/index.js';
 import {type Demand} from '../../policy/dispatch/index.js';
-import {buildOf, incarnationOf, RouteKind} from '../../routing/index.js';
+import {buildOf, RouteKind} from '../../routing/index.js';
 import {type Decision} from '../placement/index.js';
 import {RequestUsage} from '../duties/index.js';
 import {ResponseForwarder} from './response-forwarder.js';
@@ -13,10 +13,12 @@
 import {sendErrorResponse} from './error-response.js';
 import {HeldRun} from './held-run.js';
 import {demandOf} from './placement-request.js';
+import {PlacementSubmission} from './placement-submission.js';
 import {PlacementWait} from './placement-wait.js';
 import {RequestEnd} from './request-end.js';
 import {StreamBinding} from './stream-binding.js';
-import {type FailedOutcome, minRunMilliseconds, type RetryContext, RetryProgress} from './retry-progress.js';
+import {RequestRetries} from './request-retries.js';
+import {minRunMilliseconds} from './retry-progress.js';
 
 /** Capacity of the inbox; more than the number of event types, of which at most one each is pending at a time. */
 const inboxCapacity = 16;
@@ -34,8 +36,7 @@
 	readonly #alarm = Alarm.create(this.#inbox);
 	readonly #end: RequestEnd;
 	readonly #demand: Demand;
-	readonly #excluded = new Set<string>();
-	readonly #retryProgress: RetryProgress;
+	readonly #retries: RequestRetries;
 	/** Number of attempts that were sent; the newest has this number. */
 	#attempts = 0;
 	/** When the first attempt was sent. */
@@ -53,8 +54,8 @@
 		this.#end = RequestEnd.create(options);
 		this.#binding = StreamBinding.create(options);
 		this.#demand = demandOf(options, options.dispatcher.outputs);
-		this.#placementWait = PlacementWait.create({exchange: options, demand: this.#demand, inbox: this.#inbox, alarm: this.#alarm, end: this.#end});
-		this.#retryProgress = RetryProgress.create(options.route);
+		const submission = PlacementSubmission.create({exchange: options, demand: this.#demand, end: this.#end});
+		this.#placementWait = PlacementWait.create({exchange: options, submission, inbox: this.#inbox, alarm: this.#alarm, end: this.#end});
 		this.#usage = RequestUsage.create(options.usage, options.workspace?.name);
 		this.#forwarder = ResponseForwarder.create({
 			caller: options.caller,
@@ -73,10 +74,9 @@
 			},
 		});
 		this.#sender = AttemptSender.create({exchange: options, end: this.#end, forwarder: this.#forwarder, inbox: this.#inbox});
+		this.#retries = RequestRetries.create({exchange: options, demand: this.#demand, end: this.#end, binding: this.#binding, forwarder: this.#forwarder, submission, inbox: this.#inbox});
 		this.#timeouts = AttemptTimeouts.create({
-			exchange: options, end: this.#end, retryProgress: this.#retryProgress, forwarder: this.#forwarder, excluded: this.#excluded, build: () => this.#binding.build,
-			// A lookup fails at once where no retry is left, and its caller may go to another instance; a silent engine may still read the prompt of a stream.
-			mayLeave: () => options.route.kind !== RouteKind.stream || this.#retryProgress.reserveFailover(this.#retryContext()),
+			exchange: options, end: this.#end, retries: this.#retries, forwarder: this.#forwarder, placementId: () => this.#placementId,
 		});
 	}
 
@@ -118,11 +118,15 @@
 		}
 	}
 
-	/** Waits for a placement; undefined if the exchange ended without one. */
+	/** Waits for a placement, unless the attempt before has left one; undefined if the exchange ended without one. */
 	* #awaitPlacement(): Body<PlacedDecision | undefined> {
-		const result = yield * this.#placementWait.run(`${this.#options.facts.id}#${this.#attempts}`, {
-			excluded: this.#excluded, build: this.#binding.build, isIdempotent: this.#retryProgress.isIdempotent,
-		});
+		const successor = this.#retries.takeSuccessor();
+		if (successor !== undefined) {
+			this.#waitedMilliseconds = successor.waitedMilliseconds;
+			return successor.decision;
+		}
+
+		const result = yield * this.#placementWait.run(this.#placementId, this.#retries.next());
 		if (result.type === 'ended') {
 			this.#finish(result.outcome);
 			return undefined;
@@ -132,6 +136,10 @@
 		return this.#acceptDecision(result.decision);
 	}
 
+	get #placementId(): string {
+		return `${this.#options.facts.id}#${this.#attempts}`;
+	}
+
 	/** Returns a placement; a refusal ends the exchange. */
 	#acceptDecision(decision: Decision): PlacedDecision | undefined {
 		if (decision.type === 'placed') {
@@ -139,7 +147,7 @@
 		}
 
 		this.#options.log.logRefusal(this.#options, decision, this.#waitedMilliseconds);
-		this.#finish({type: 'failed', verdict: this.#retryProgress.verdict, reason: decision.reason}, decision.retryAfterMilliseconds);
+		this.#finish({type: 'failed', verdict: this.#retries.verdict, reason: decision.reason}, decision.retryAfterMilliseconds);
 		return undefined;
 	}
 
@@ -161,14 +169,10 @@
 	}
 
 	#countAttempt(): void {
-		const {dispatcher, route, service} = this.#options;
 		this.#attempts += 1;
 		this.#sentAt ??= performance.now();
-		if (this.#retryProgress.takeReservation()) {
-			dispatcher.retries.recordSent(service, performance.now());
-		}
-
-		this.#usage.recordSent(route.kind === RouteKind.stream);
+		this.#retries.recordSent();
+		this.#usage.recordSent(this.#options.route.kind === RouteKind.stream);
 	}
 
 	* #awaitOutcome(state: AttemptState): Body<Outcome> {
@@ -205,6 +209,10 @@
 				return this.#alarm.hasFired && !state.hasOutcome ? this.#timeouts.check(state) : undefined;
 			}
 
+			case 'successor': {
+				return this.#timeouts.checkSuccessor(state);
+			}
+
 			case 'error': {
 				throw event.error;
 			}
@@ -223,7 +231,7 @@
 		const hasBegun = attempt.mayHaveReachedEndpoint && !(outcome.type === 'failed' && outcome.verdict === Verdict.notRun);
 		run.release({hasBegun, sign: signOf(outcome, state)});
 		this.#forwarder.isPaused = false;
-		this.#excluded.add(incarnationOf(decision.record));
+		this.#retries.recordEnd(state);
 		reportOutcome(dispatcher, outcome, state);
 		reportOutput(this.#options, outcome, state);
 		reportCrashEvidence(this.#options, outcome, state);
@@ -232,7 +240,7 @@
 
 	/** Decides whether the request is retried; if not, its final response is sent at once. */
 	#shouldRetry(outcome: Outcome): boolean {
-		if (outcome.type === 'failed' && this.#mayRetry(outcome)) {
+		if (outcome.type === 'failed' && this.#retries.decide(outcome)) {
 			return true;
 		}
 
@@ -240,32 +248,16 @@
 		return false;
 	}
 
-	#mayRetry(outcome: FailedOutcome): boolean {
-		const decision = this.#retryProgress.decide(outcome, this.#retryContext());
-		this.#options.log.logRetryDecision(this.#options, decision);
-		return decision.type === 'retry';
-	}
-
-	#retryContext(): RetryContext {
-		const {dispatcher, caller, crashes, request} = this.#options;
-		const now = performance.now();
-		return {
-			hasLeft: caller.hasDisconnected, remainingMilliseconds: this.#end.at - now, mayStart: now < this.#end.lastStartAt, hasResponse: caller.hasResponse, lastEventId: this.#forwarder.lastEventId,
-			isQuarantined: () => crashes.isSuspect(request, now),
-			reserveRetry: () => dispatcher.reserveRetry(this.#demand, now),
-		};
-	}
-
 	/** Ends the request after an error of this process; one that was sent may have run. */
 	#endByError(error: unknown): void {
 		const {log, facts, route, caller} = this.#options;
 		log.logError(error, {request: facts.id, route: route.name, sendings: this.#attempts});
 		if (this.#attempts > 0) {
-			this.#retryProgress.recordUnknownRun();
+			this.#retries.recordUnknownRun();
 		}
 
 		try {
-			this.#finish({type: 'failed', verdict: this.#retryProgress.verdict, reason: 'an error of this process'});
+			this.#finish({type: 'failed', verdict: this.#retries.verdict, reason: 'an error of this process'});
 		} catch (error_) {
 			log.logError(error_, {request: facts.id, route: route.name, sendings: this.#attempts});
 			caller.abort();
@@ -273,24 +265,21 @@
 	}
 
 	#finish(outcome: Outcome, retryAfterMilliseconds = defaultRetryMilliseconds): void {
-		const {caller, codec, facts, log, dispatcher, service, stop, route, lateness} = this.#options;
+		const {caller, codec, facts, log, stop, route, lateness} = this.#options;
 		if (outcome.type === 'done' && this.#sentAt !== undefined) {
 			stop.recordRun(route, performance.now() - this.#sentAt);
 		}
 
-		if (this.#retryProgress.takeReservation()) {
-			dispatcher.retries.release(service, performance.now());
-		}
-
+		this.#retries.release();
 		log.logResult(this.#options, {
 			outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, sendings: this.#attempts,
-			verdict: this.#retryProgress.verdict, firstEventAt: this.#forwarder.firstEventAt,
+			verdict: this.#retries.verdict, firstEventAt: this.#forwarder.firstEventAt,
 			leftMilliseconds: this.#end.leftMilliseconds, lagMilliseconds: lateness.milliseconds,
 		});
 		if (outcome.type === 'done' || outcome.type === 'left') {
 			return;
 		}
 
-		sendErrorResponse({caller, codec, facts}, outcome, {verdict: this.#retryProgress.verdict, hasBeenSent: this.#attempts > 0, retryAfterMilliseconds});
+		sendErrorResponse({caller, codec, facts}, outcome, {verdict: this.#retries.verdict, hasBeenSent: this.#attempts > 0, retryAfterMilliseconds});
 	}
 }
--- a/src/gateway/requests/placement-wait.ts
+++ b/src/gateway/requests/placement-wait.ts
@@ -1,25 +1,20 @@
 import {type Alarm, type Body, type Channel, receive, tryDeliver, tryReceive} from '../../concurrency/index.js';
 import {Verdict} from '../../model/index.js';
-import {type Demand} from '../../policy/dispatch/index.js';
 import {nextSearchMilliseconds} from '../../policy/streams/index.js';
 import {type Decision, RefusalReason} from '../placement/index.js';
 import {type Outcome} from './attempt-state.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
-import {placementRequestOf} from './placement-request.js';
+import {type NextAttempt, type PlacementSubmission} from './placement-submission.js';
 import {type RequestEnd} from './request-end.js';
-import {minRunMilliseconds} from './retry-progress.js';
 
 export type PlacementWaitOptions = {
 	readonly exchange: ExchangeOptions;
-	readonly demand: Demand;
+	readonly submission: PlacementSubmission;
 	readonly inbox: Channel<ExchangeEvent>;
 	readonly alarm: Alarm;
 	readonly end: RequestEnd;
 };
 
-/** What the attempts of a request so far require of its next endpoint. */
-export type NextAttempt = {readonly excluded: ReadonlySet<string>; readonly build: string | undefined; readonly isIdempotent: boolean};
-
 export type WaitResult
 	= | {readonly type: 'decided'; readonly decision: Decision; readonly waitedMilliseconds: number}
 	/** The caller left, or the request's time is over; no placement is held. */
@@ -39,7 +34,7 @@
 
 	/** Asks for a placement under an id, and waits until it is decided or the request ends. */
 	* run(id: string, next: NextAttempt): Body<WaitResult> {
-		const {inbox, alarm, end, exchange: {dispatcher}} = this.#options;
+		const {inbox, alarm, end, submission} = this.#options;
 		const submittedAt = performance.now();
 		let decision: Decision | undefined;
 		let isWithoutEndpoint = false;
@@ -71,7 +66,7 @@
 			}
 		} finally {
 			if (decision === undefined) {
-				dispatcher.cancel(id);
+				submission.cancel(id);
 				this.#releaseLatePlacement();
 			}
 		}
@@ -95,17 +90,9 @@
 	}
 
 	#submit(id: string, next: NextAttempt): void {
-		const {demand, inbox, end, exchange} = this.#options;
-		const {dispatcher, caller, route, arrivedAt, codec} = exchange;
-		const expectedDisconnectAt = caller.hasResponse ? Infinity : arrivedAt + codec.patienceMilliseconds(route);
-		dispatcher.submit({
-			...placementRequestOf(exchange, demand),
-			...next,
-			id,
-			lastStartAt: Math.min(end.at - minRunMilliseconds, end.lastStartAt, expectedDisconnectAt),
-			onDecision(decision) {
-				tryDeliver(inbox, {type: 'decided', decision});
-			},
+		const {submission, inbox} = this.#options;
+		submission.submit(id, next, decision => {
+			tryDeliver(inbox, {type: 'decided', decision});
 		});
 	}
 
@@ -144,10 +131,10 @@
 
 	/** Releases a placement that was made in the turn of the event loop in which the request ended. */
 	#releaseLatePlacement(): void {
-		const {inbox, exchange: {dispatcher}} = this.#options;
+		const {inbox, submission} = this.#options;
 		for (let event = tryReceive(inbox); event !== undefined; event = tryReceive(inbox)) {
 			if (event.type === 'decided' && event.decision.type === 'placed') {
-				dispatcher.recordEnd(event.decision.runId);
+				submission.release(event.decision);
 			}
 		}
 	}
