a stop whose signal was sent at an unknown time ends early enough for the kill, and late enough for what runs

If it was sent later in the same long turn, the end came before the last sixth of the grace, in which alone a stream in progress may be cut. src/policy/stopping/stop-times takes both moments: the end lies 0.8 s before the kill by the reading, and 0.4 s before it by the earliest sending; where not both hold, no stream is begun whose time is not over by then.

--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -35,7 +35,7 @@
 	const request = await stopRequest();
 	using _signals = logIgnoredSignals(log, 'reads-settings-once');
 	log.info('Stopping.', describeStop(request));
-	const isDrained = await withinMilliseconds(entry.drain(settings.noticeMilliseconds), request.at + settings.stopMilliseconds - performance.now());
+	const isDrained = await withinMilliseconds(entry.drain(settings.noticeMilliseconds), request.earliestAt + settings.stopMilliseconds - performance.now());
 	log.info(isDrained ? 'Stopped with nothing in progress.' : 'Stopped with requests in progress after the drain timeout.');
 }
 
--- a/src/bin/cassiaflow-side.ts
+++ b/src/bin/cassiaflow-side.ts
@@ -47,7 +47,7 @@
 	const request = await stopRequest();
 	using _signals = logIgnoredSignals(log, 'reads-settings-once');
 	log.info('Stopping.', describeStop(request));
-	const isDrained = await withinMilliseconds(side.drain(), request.at + settings.stopMilliseconds - performance.now());
+	const isDrained = await withinMilliseconds(side.drain(), request.earliestAt + settings.stopMilliseconds - performance.now());
 	log.info(isDrained ? 'Stopped with nothing running.' : 'Stopped with requests running after the drain timeout.');
 }
 
--- a/src/bin/early-signals.ts
+++ b/src/bin/early-signals.ts
@@ -9,8 +9,8 @@
 export type StopSignal = 'SIGTERM' | 'SIGINT';
 /** A signal that a program takes. */
 export type TakenSignal = StopSignal | 'SIGHUP';
-/** A request for a graceful shutdown, and when it can have been sent at the earliest, in milliseconds of the monotonic clock. */
-export type StopRequest = {readonly signal: StopSignal; readonly at: number};
+/** A request for a graceful shutdown: when it can have been sent at the earliest, and when it was read, in milliseconds of the monotonic clock. */
+export type StopRequest = {readonly signal: StopSignal; readonly earliestAt: number; readonly readAt: number};
 
 /** Interval at which a timer tells when the event loop has turned. */
 const turnSampleMilliseconds = 50;
@@ -32,14 +32,14 @@
  * A late event loop reads a signal long after it was sent, and the platform counts the time until it kills the process from its sending. A turn runs
  * the timers first: what the turn before had not read was sent after the timer's run before the last one.
  */
-function earliestSending(): number {
-	const now = performance.now();
+function earliestSending(now: number): number {
 	return now - previousTurnAt > inTimeMilliseconds ? previousTurnAt : now;
 }
 
 function take(signal: TakenSignal): void {
 	if (signal !== 'SIGHUP') {
-		firstStop ??= {signal, at: earliestSending()};
+		const now = performance.now();
+		firstStop ??= {signal, earliestAt: earliestSending(now), readAt: now};
 	}
 
 	for (const listener of listeners) {
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {type Gateway, type Peers, type RoutingState} from '../gateway/index.js';
+import {drainListenMilliseconds, type Gateway, type Peers, type RoutingState} from '../gateway/index.js';
 import {type ZoneName} from '../model/index.js';
+import {type StopRequestTime, stopTimesOf} from '../policy/stopping/index.js';
 import {type GatewaySettings} from '../settings/gateway/index.js';
 import {allowanceOf} from './gateway-dispatcher.js';
 import {type GatewayProcessOptions, openParts, type Parts} from './gateway-parts.js';
@@ -9,10 +10,8 @@
 const announceRetryMilliseconds = 1000;
 /** After the store is restored from a backup, all instances announce themselves again, at random times within this period. */
 const announceSpreadMilliseconds = 2000;
-/** A graceful shutdown ends this long before the platform would kill the process. */
-const stopMarginMilliseconds = 600;
-/** What has not ended so long before that is answered, so that the answer is sent before the process ends. */
-const answerMarginMilliseconds = 200;
+/** The process ends so long after its last requests were answered, so that their answers are sent before. */
+const answerMilliseconds = 200;
 /** A loop that is late over the end sees both moments in one turn: what is due then is answered within this time, and what lies unread is delivered. */
 const lateAnswersMilliseconds = 100;
 
@@ -59,10 +58,10 @@
 	}
 
 	/**
-	 * Shuts down gracefully, in the time that the platform leaves since it asked for that; resolves to true if all requests ended, and the attempt to
-	 * retract the announcement too, before the deadline.
+	 * Shuts down gracefully, in the time that the platform leaves since it asked for that, by default now; resolves to true if all requests ended, and the
+	 * attempt to retract the announcement too, before the deadline.
 	 */
-	async drain(requestedAt = performance.now()): Promise<boolean> {
+	async drain(requested: StopRequestTime = requestedNow()): Promise<boolean> {
 		const {gateway, store, settings, duties} = this.#parts;
 		this.#announcementAbort.abort();
 		// An announcement that reached the store after its withdrawal would stay there.
@@ -70,11 +69,11 @@
 			await this.#announced;
 			await store.retract(settings.instance);
 		});
-		const deadlineAt = requestedAt + (settings.stopSeconds * 1000) - stopMarginMilliseconds;
+		const times = stopTimesOf(requested, {graceMilliseconds: settings.stopSeconds * 1000, listenMilliseconds: drainListenMilliseconds});
 		const released = this.#attempt('release of the duties', async () => duties?.release());
-		const served = this.#attempt('graceful shutdown of the port', async () => gateway.drain({requestedAt, endsAt: deadlineAt - answerMarginMilliseconds}));
+		const served = this.#attempt('graceful shutdown of the port', async () => gateway.drain(times));
 		const drained = Promise.all([served, retracted, released]).then(async () => this.#attempt('last report of usage', () => duties?.sendEnd()));
-		const isWhole = await withinMilliseconds(drained, deadlineAt - performance.now());
+		const isWhole = await withinMilliseconds(drained, times.endsAt + answerMilliseconds - performance.now());
 		await withinMilliseconds(served, lateAnswersMilliseconds);
 		return isWhole;
 	}
@@ -122,3 +121,8 @@
 		}
 	}
 }
+
+function requestedNow(): StopRequestTime {
+	const now = performance.now();
+	return {earliestAt: now, readAt: now};
+}
--- a/src/bin/gateway-program.ts
+++ b/src/bin/gateway-program.ts
@@ -35,7 +35,7 @@
 	const request = await stopRequest();
 	using _signals = logIgnoredSignals(log, 'reloads');
 	log.info('Stopping.', {...describeStop(request), open: program.gateway.openRequests});
-	const isDrained = await program.drain(request.at);
+	const isDrained = await program.drain(request);
 	log.info('Stopped.', {isWhole: isDrained, open: program.gateway.openRequests});
 }
 
--- a/src/bin/stop-signal.ts
+++ b/src/bin/stop-signal.ts
@@ -16,9 +16,9 @@
 	});
 }
 
-/** What a program logs of a request to stop: the signal, and how late it was read. */
-export function describeStop({signal, at}: StopRequest): {readonly signal: string; readonly lateMilliseconds: number} {
-	return {signal, lateMilliseconds: Math.round(performance.now() - at)};
+/** What a program logs of a request to stop: the signal, and how late it was read at most. */
+export function describeStop({signal, earliestAt, readAt}: StopRequest): {readonly signal: string; readonly lateMilliseconds: number} {
+	return {signal, lateMilliseconds: Math.round(readAt - earliestAt)};
 }
 
 /** Logs signals that change nothing: any during a graceful shutdown, which ends by itself, and SIGHUP in a program whose settings are read once. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import {type AddressInfo, type Socket} from 'node:net';
 import {Timeout} from '../concurrency/index.js';
 import {CallerConnections, PipelinedResponse} from '../connections/index.js';
+import {type StopTimes} from '../policy/stopping/index.js';
 import {AcceptProbe} from './accept-probe.js';
 import {IntakeGate} from './intake-gate.js';
 import {type GatewayOptions} from './gateway-options.js';
@@ -22,9 +23,6 @@
 /** Limit for the headers of a request; prompt parts take a few hundred bytes of it. */
 const maxHeaderBytes = 16_384;
 
-/** When the platform asked for the shutdown, and by when all requests have their answers. */
-export type Stop = {readonly requestedAt: number; readonly endsAt: number};
-
 /** The HTTP server for callers. */
 export class Gateway implements AsyncDisposable {
 	static async create(options: GatewayOptions): Promise<Gateway> {
@@ -98,12 +96,12 @@
 	}
 
 	/**
-	 * Shuts down gracefully: serves open requests, and new ones while the port stays open, and resolves once none is left. What cannot end by `endsAt`
-	 * is not begun, and what has not ended by then is answered. Milliseconds of the monotonic clock.
+	 * Shuts down gracefully: serves open requests, and new ones while the port stays open, and resolves once none is left. What cannot end by the end
+	 * of the stop is not begun, and what has not ended by then is answered.
 	 */
-	async drain({requestedAt, endsAt}: Stop): Promise<void> {
+	async drain(times: StopTimes): Promise<void> {
 		this.#isStopping = true;
-		this.#stop.begin({endsAt, lastStreamAt: requestedAt + drainListenMilliseconds});
+		this.#stop.begin(times);
 		this.#connections.startClosing();
 		// Its last turn reads what has arrived: a connection that waits to be accepted when the port closes is reset, and so is an idle one with a request unread.
 		await new Promise<void>(resolve => {
