--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -84,11 +84,15 @@
 			return undefined;
 		}
 
-		if (retries.search.progress !== 'none' || now < state.nextFailoverAt) {
+		if (now < state.nextFailoverAt) {
 			return undefined;
 		}
 
 		state.nextFailoverAt = now + failoverSearchMilliseconds;
+		if (retries.search.progress !== 'none') {
+			return undefined;
+		}
+
 		if (!dispatcher.endpoints.hasAnother(service, retries.next(), state.decision.record) || !retries.mayLeave()) {
 			return undefined;
 		}
