only a stream that has begun waits for its next place beside its attempt; its endpoint's silence counts at once

A stream of which its caller has nothing yet stayed at a silent endpoint where the line refused it, although its caller could have gone to another instance; it leaves at once again. And an endpoint that fell silent under begun streams counted as unreachable only once they had left, so that others were sent there meanwhile; it is reported when the search begins, once a silence.

--- a/src/gateway/requests/attempt-state.ts
+++ b/src/gateway/requests/attempt-state.ts
@@ -88,6 +88,8 @@
 	suspectAt: number | undefined;
 	/** Earliest time of the next search for another endpoint, after one that found none. */
 	nextFailoverAt = -Infinity;
+	/** True once the endpoint's silence since its last event is reported to its health. */
+	hasReportedUnreachable = false;
 	/** Searches for another endpoint beside this attempt. */
 	searches = 0;
 	/** True once the endpoint's silence since its last event is reported to the crash ledger. */
@@ -157,6 +159,7 @@
 	/** Records that the endpoint is not silent now. */
 	recordSign(now: number): void {
 		this.hasReportedSilence = false;
+		this.hasReportedUnreachable = false;
 		this.lastSignAt = now;
 	}
 
--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -1,6 +1,5 @@
 import {Verdict} from '../../model/index.js';
 import {failoverAt} from '../../policy/dispatch/index.js';
-import {RouteKind} from '../../routing/index.js';
 import {type AttemptState, type Outcome} from './attempt-state.js';
 import {type ExchangeOptions} from './exchange-options.js';
 import {reportSilence} from './outcome-report.js';
@@ -78,7 +77,7 @@
 	}
 
 	#checkFailover(state: AttemptState, now: number): Outcome | undefined {
-		const {retries, placementId, exchange: {dispatcher, route, service}} = this.#options;
+		const {retries, placementId, exchange: {dispatcher, caller, service}} = this.#options;
 		if (now < this.#failoverAt(state)) {
 			retries.endSearch();
 			return undefined;
@@ -97,16 +96,25 @@
 			return undefined;
 		}
 
-		// A lookup fails at once, and its caller may go to another instance.
-		if (route.kind !== RouteKind.stream) {
+		// A request that its caller has nothing of waits in the line, or fails there, and its caller may go to another instance.
+		if (!caller.hasResponse) {
 			return silent;
 		}
 
+		this.#reportUnreachable(state);
 		state.searches += 1;
 		retries.beginSearch(placementId(), state);
 		return undefined;
 	}
 
+	/** Other requests avoid an endpoint that is silent, also while this one finds no place elsewhere. */
+	#reportUnreachable(state: AttemptState): void {
+		if (!state.hasReportedUnreachable) {
+			state.hasReportedUnreachable = true;
+			this.#options.exchange.dispatcher.endpoints.report(state.decision.record, 'unreachable');
+		}
+	}
+
 	/** When the request is retried at another endpoint because this one is silent; infinite if it may not run again, its answer could not go on there, or it could not end there before the instance stops. */
 	#failoverAt(state: AttemptState): number {
 		const {end, retries, forwarder: {lastEventId}, exchange: {caller}} = this.#options;
--- a/src/gateway/requests/outcome-report.ts
+++ b/src/gateway/requests/outcome-report.ts
@@ -13,14 +13,14 @@
 const begunMilliseconds = 300;
 
 /** Tells the dispatcher what an attempt has shown of its endpoint: its health, and the service time of a plain service. */
-export function reportOutcome({endpoints, loadTracker}: Dispatcher, outcome: Outcome, {decision, isStream, startedAt, status}: AttemptState): void {
+export function reportOutcome({endpoints, loadTracker}: Dispatcher, outcome: Outcome, {decision, isStream, startedAt, status, hasReportedUnreachable}: AttemptState): void {
 	const {record, candidates} = decision;
 	if (outcome.type === 'done') {
 		endpoints.report(record, 'answered');
 		if (!isStream && candidates > 0) {
 			loadTracker.recordServiceTime(record.service, performance.now() - startedAt);
 		}
-	} else if (outcome.type === 'failed') {
+	} else if (outcome.type === 'failed' && !(hasReportedUnreachable && outcome.isSilent === true)) {
 		endpoints.report(record, status > 0 && outcome.verdict !== Verdict.mayHaveRun ? 'failed' : 'unreachable');
 	}
 }
--- a/src/gateway/requests/successor-search.ts
+++ b/src/gateway/requests/successor-search.ts
@@ -15,8 +15,8 @@
 export type SuccessorSearchOptions = {readonly submission: PlacementSubmission; readonly inbox: Channel<ExchangeEvent>};
 
 /**
- * The search of a stream for its next endpoint while the attempt at a silent one goes on. An attempt that ended first would leave the stream in the line,
- * where its time or the instance's stop ends it, although the endpoint might still have gone on.
+ * The search of a stream that has begun for its next endpoint, while the attempt at a silent one goes on. An attempt that ended first would leave the stream
+ * in the line, where its time or the instance's stop ends it, although the endpoint might still have gone on.
  */
 export class SuccessorSearch {
 	static create(options: SuccessorSearchOptions): SuccessorSearch {
