a stream that waits for a place beside its attempt is looked at each 50 ms, not in each turn

Callers of a crowded instance would see late answers: while the search of a silent attempt stands in the line, the moment of the next look lies in the past, and the request's alarm fires in each turn of the event loop, as long as the wait lasts and once for each such stream. Since: the moment was moved on only where no search was under way. Cause found by reading, shown by counting how often the alarm is set.

test/gateway/search-looks, one stream silent for 3 s with all other places taken: 842 settings on (2 of 2 runs failed, the bound is 120, twice one per 50 ms), 50 and 64 after (2 of 2). silent-without-place, silent-without-retry, attempt, silence-after-begin, stalled-endpoint, stream-goes-on, stream-without-endpoint, news-silent, late-answers, silent-endpoint-timers, full-memory, full-queue pass, 1 of 1 each. What it costs a crowded instance in processor time was not measured.

--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -84,12 +84,12 @@
 			return undefined;
 		}
 
-		if (retries.search.progress !== 'none' || now < state.nextFailoverAt) {
+		if (now < state.nextFailoverAt) {
 			return undefined;
 		}
 
 		state.nextFailoverAt = now + failoverSearchMilliseconds;
-		if (!dispatcher.endpoints.hasAnother(service, retries.next(), state.decision.record) || !retries.mayLeave()) {
+		if (retries.search.progress !== 'none' || !dispatcher.endpoints.hasAnother(service, retries.next(), state.decision.record) || !retries.mayLeave()) {
 			return undefined;
 		}
 
