a stream whose request has become suspect in its search stays at its endpoint

Callers would see a begun stream break off that its endpoint would have gone on with: while its search for the next place stood in the line, other instances told that the request crashes endpoints; the place came, the attempt was ended for it, and then the retry was refused as quarantined. Cause, since: what stands against a retry was asked when the search began, and again only after the attempt had ended; the reservation of the search passed for the answer. Now it is asked when the place comes, before the attempt ends; the place and the retry are given back and the stream stays.

test/gateway/search-quarantined, the ledger's answer turned between two questions: on cut after event 3, "Not retried." quarantined (2 of 5 assertions failed, 1 of 1), whole at its endpoint after (2 of 2). The news of a crash was stood in for, no soak was seen to bring it about.

--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -66,7 +66,7 @@
 	checkSuccessor(state: AttemptState): Outcome | undefined {
 		const {retries} = this.#options;
 		const {progress} = retries.search;
-		if (progress === 'placed' && !state.hasOutcome && performance.now() >= this.#failoverAt(state)) {
+		if (progress === 'placed' && !state.hasOutcome && performance.now() >= this.#failoverAt(state) && retries.mayLeave()) {
 			return silent;
 		}
 
--- a/src/gateway/requests/retry-progress.ts
+++ b/src/gateway/requests/retry-progress.ts
@@ -90,10 +90,15 @@
 
 	/**
 	 * Reserves the retry of a request whose response has begun before it leaves a silent endpoint, and returns whether it may leave. Once it has left, a
-	 * retry that is not granted would break off a response that the endpoint may still go on with.
+	 * retry that is not granted would break off a response that the endpoint may still go on with. A search for its next place takes time: what stands
+	 * against the retry is asked again at its end.
 	 */
 	reserveFailover(context: RetryContext): boolean {
-		this.#hasReservation ||= this.#obstacle({verdict: Verdict.mayHaveRun}, context) === undefined && context.reserveRetry().isGranted;
+		if (this.#obstacle({verdict: Verdict.mayHaveRun}, context) !== undefined) {
+			return false;
+		}
+
+		this.#hasReservation ||= context.reserveRetry().isGranted;
 		return this.#hasReservation;
 	}
 
