a stream's wait for a replacement does not count time in which its instance read nothing

Callers would see a begun stream break off whose endpoint had been replaced: it waits a second for the registration of another one, counted from when it asked for its place. An instance that stood still meanwhile, or a stream that had stood in a line before, had used up the second at its first look, with the news unread. Cause: the time was counted by the clock, not by looks. Each look now counts for 100 ms at most.

Not seen in a soak; the case of the line is read, not played. In a loop of long turns the wait lasts longer than a second: ten looks.

--- a/src/gateway/requests/placement-wait.ts
+++ b/src/gateway/requests/placement-wait.ts
@@ -1,6 +1,6 @@
 import {type Alarm, type Body, type Channel, receive, tryDeliver, tryReceive} from '../../concurrency/index.js';
 import {Verdict} from '../../model/index.js';
-import {nextSearchMilliseconds} from '../../policy/streams/index.js';
+import {type EndpointWait, nextSearchMilliseconds, stepEndpointWait} from '../../policy/streams/index.js';
 import {type Decision, RefusalReason} from '../placement/index.js';
 import {type Outcome} from './attempt-state.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
@@ -38,13 +38,15 @@
 		const submittedAt = performance.now();
 		let decision: Decision | undefined;
 		let isWithoutEndpoint = false;
+		let endpointWait: EndpointWait = {milliseconds: 0, lookedAt: submittedAt};
 		try {
 			alarm.set(this.#nextLookAt - submittedAt);
 			this.#submit(id, next);
 			for (;;) {
 				const event = (yield * receive(inbox))!;
 				if (event.type === 'decided') {
-					isWithoutEndpoint = this.#awaitEndpoint(event.decision, submittedAt);
+					endpointWait = stepEndpointWait(endpointWait, performance.now());
+					isWithoutEndpoint = this.#awaitEndpoint(event.decision, endpointWait);
 					if (isWithoutEndpoint) {
 						continue;
 					}
@@ -73,14 +75,14 @@
 	}
 
 	/** Whether a stream that has begun waits for an endpoint that is not known yet; if so, sets the alarm for the next search. */
-	#awaitEndpoint(decision: Decision, submittedAt: number): boolean {
+	#awaitEndpoint(decision: Decision, wait: EndpointWait): boolean {
 		const {alarm, exchange: {caller, dispatcher, service}} = this.#options;
 		if (decision.type !== 'refused' || decision.reason !== RefusalReason.noEndpoint) {
 			return false;
 		}
 
 		const now = performance.now();
-		const milliseconds = nextSearchMilliseconds({hasBegun: caller.hasResponse, hasReady: dispatcher.endpoints.hasReady(service, now), waitedMilliseconds: now - submittedAt});
+		const milliseconds = nextSearchMilliseconds({hasBegun: caller.hasResponse, hasReady: dispatcher.endpoints.hasReady(service, now), waitedMilliseconds: wait.milliseconds});
 		if (milliseconds === undefined) {
 			return false;
 		}
--- a/src/policy/streams/next-endpoint.ts
+++ b/src/policy/streams/next-endpoint.ts
@@ -7,6 +7,16 @@
 /** A new registration reaches all instances within 0.7 s; a caller that is held longer may leave anyway. */
 const registrationMilliseconds = 1000;
 const searchMilliseconds = 50;
+/** An instance that looks again later than this has read nothing in between: what came meanwhile lies in the kernel, and the time does not count. */
+const longestStepMilliseconds = 2 * searchMilliseconds;
+
+/** How long a stream has waited for an endpoint to register, and when it looked last. */
+export type EndpointWait = {readonly milliseconds: number; readonly lookedAt: number};
+
+/** The wait after one more look. */
+export function stepEndpointWait({milliseconds, lookedAt}: EndpointWait, now: number): EndpointWait {
+	return {milliseconds: milliseconds + Math.min(now - lookedAt, longestStepMilliseconds), lookedAt: now};
+}
 
 export type EndpointlessStream = {
 	/** Whether its caller has a part of it. */
