answers of other instances that came in time end a question about a stream, although the loop was late

Callers that took a stream up would be refused (503, the build that began it is not known) by an instance whose loop had been in one turn for a quarter of a second: the question to the other instances ended by a timer, which runs before the sockets are read, with the answers in the kernel. The timeout now passes in steps with turns of the loop, as all others on what arrives by sockets do.

The wait of 300 ms for stored builds (stream-registry) is a plain timer too; read, not changed: it acts after a start alone.

--- a/src/gateway/streams/stream-question.ts
+++ b/src/gateway/streams/stream-question.ts
@@ -1,3 +1,5 @@
+import {Timeout} from '../../concurrency/index.js';
+
 /** How long another instance may take to answer; a busy one answers after some turns of its event loop. */
 const answerMilliseconds = 250;
 
@@ -14,9 +16,11 @@
 	private constructor(names: readonly string[]) {
 		this.#asked = new Set(names);
 		this.ended = new Promise(resolve => {
-			const timer = setTimeout(resolve, answerMilliseconds);
+			const timeout = Timeout.start(answerMilliseconds, () => {
+				resolve();
+			});
 			this.#abort.signal.addEventListener('abort', () => {
-				clearTimeout(timer);
+				timeout[Symbol.dispose]();
 				resolve();
 			});
 		});
