--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -65,7 +65,7 @@
 	checkSuccessor(state: AttemptState): Outcome | undefined {
 		const {retries} = this.#options;
 		const {progress} = retries.search;
-		if (progress === 'placed' && !state.hasOutcome && performance.now() >= this.#failoverAt(state)) {
+		if (progress === 'placed' && !state.hasOutcome && performance.now() >= this.#failoverAt(state) && retries.mayLeave()) {
 			return silent;
 		}
 
@@ -88,11 +88,7 @@
 		}
 
 		state.nextFailoverAt = now + failoverSearchMilliseconds;
-		if (retries.search.progress !== 'none') {
-			return undefined;
-		}
-
-		if (!dispatcher.endpoints.hasAnother(service, retries.next(), state.decision.record) || !retries.mayLeave()) {
+		if (retries.search.progress !== 'none' || !dispatcher.endpoints.hasAnother(service, retries.next(), state.decision.record) || !retries.mayLeave()) {
 			return undefined;
 		}
 
