what is held of an answer that does not end is kept as it was read, and counted by the memory that it takes

An event of a megabyte was copied into room that doubled: up to twice what the pool of all answers counted was held, and for each byte that was read about four more were allocated and dropped. V8 starts to mark only when buffers have grown by tens of megabytes since its last collection, and ends some 60 ms later; what endpoints send in that time is added. So the peak depends on how much is allocated for each byte, and on the machine's pace, not on the pool's limit alone.

The search for an event's end no longer needs what came before but its last three bytes.

--- a/src/gateway/requests/attempt-state.ts
+++ b/src/gateway/requests/attempt-state.ts
@@ -198,7 +198,7 @@
 	}
 
 	#recordHeld(): void {
-		this.held.hold(this.#splitter.restBytes + this.#buffered.length);
+		this.held.hold(this.#splitter.heldBytes + this.#buffered.heldBytes);
 	}
 
 	#takePace(now: number): PaceWindow | undefined {
--- a/src/gateway/requests/event-splitter.ts
+++ b/src/gateway/requests/event-splitter.ts
@@ -26,29 +26,41 @@
 		return this.#rest.length;
 	}
 
+	/** Bytes of memory that are held for it. */
+	get heldBytes(): number {
+		return this.#rest.heldBytes;
+	}
+
 	push(bytes: Uint8Array): StreamEvent[] {
-		// What was searched before is not searched again: an endpoint that sends no end of an event, byte by byte, would take the processor.
-		const searchedBytes = Math.max(0, this.#rest.length - maxPartialEndBytes);
-		const joined = this.#join(bytes);
-		const buffer = Buffer.from(joined.buffer, joined.byteOffset, joined.byteLength);
+		if (!this.#endsEvent(bytes)) {
+			this.#keep(bytes);
+			return [];
+		}
+
+		const buffer = asBuffer(this.#join(bytes));
 		const events: StreamEvent[] = [];
 		let start = 0;
-		for (let end = endOfEvent(buffer, searchedBytes); end !== -1; end = endOfEvent(buffer, start)) {
+		for (let end = endOfEvent(buffer, start); end !== -1; end = endOfEvent(buffer, start)) {
 			const event = buffer.subarray(start, end);
 			events.push({bytes: event, id: idOf(event.toString('latin1'))});
 			start = end;
 		}
 
-		if (events.length > 0 || this.#rest.length === 0) {
-			this.#rest.take();
-			this.#rest.append(buffer.subarray(start));
-		}
+		this.#keep(buffer.subarray(start));
+		return events;
+	}
 
+	/** Whether an event ends in these bytes. What came before is not searched again: an endpoint that sends no end of an event, byte by byte, would take the processor. */
+	#endsEvent(bytes: Uint8Array): boolean {
+		const seam = Buffer.concat([this.#rest.last(maxPartialEndBytes), bytes.subarray(0, maxPartialEndBytes)]);
+		return endOfEvent(seam, 0) !== -1 || endOfEvent(asBuffer(bytes), 0) !== -1;
+	}
+
+	#keep(bytes: Uint8Array): void {
+		this.#rest.append(bytes);
 		if (this.#rest.length > maxEventBytes) {
 			throw new RangeError('An event exceeds the size limit.');
 		}
-
-		return events;
 	}
 
 	/** The rest and what follows it; what follows no rest is not copied. */
@@ -58,10 +70,14 @@
 		}
 
 		this.#rest.append(bytes);
-		return this.#rest.view;
+		return this.#rest.take();
 	}
 }
 
+function asBuffer({buffer, byteOffset, byteLength}: Uint8Array) {
+	return Buffer.from(buffer, byteOffset, byteLength);
+}
+
 type Searchable = {indexOf(text: string, start: number): number};
 
 function endOfEvent(buffer: Searchable, start: number): number {
