--- a/src/gateway/requests/event-splitter.ts
+++ b/src/gateway/requests/event-splitter.ts
@@ -52,8 +52,16 @@
 
 	/** Whether an event ends in these bytes. What came before is not searched again: an endpoint that sends no end of an event, byte by byte, would take the processor. */
 	#endsEvent(bytes: Uint8Array): boolean {
+		if (endOfEvent(asBuffer(bytes), 0) !== -1) {
+			return true;
+		}
+
+		if (this.#rest.length === 0) {
+			return false;
+		}
+
 		const seam = Buffer.concat([this.#rest.last(maxPartialEndBytes), bytes.subarray(0, maxPartialEndBytes)]);
-		return endOfEvent(seam, 0) !== -1 || endOfEvent(asBuffer(bytes), 0) !== -1;
+		return endOfEvent(seam, 0) !== -1;
 	}
 
 	#keep(bytes: Uint8Array): void {
