calls that are read together with an answer by headers are answered in a stop of the entry

Callers that wrote several calls at once on a kept connection got one answer and a closed connection if the first was answered by its headers alone (an unknown service, path or key, a list of models) while the entry stopped: the others were read and ignored. The answer was sent from the parser, so it was the last one that was owed when its head was sent, and it closed the connection before the requests behind it were known. The gateway had the same fault, and its mend is taken over: such an answer waits until all that was read with it is parsed.

The waits of a request for its connection move to response-turn.ts unchanged, the test's connections to connection-bed.ts.

--- a/src/entry/request-server.ts
+++ b/src/entry/request-server.ts
@@ -1,4 +1,3 @@
-import {once} from 'node:events';
 import {type IncomingMessage} from 'node:http';
 import {type Catalogue} from '../catalogue/index.js';
 import {type Body, wait} from '../concurrency/index.js';
@@ -18,6 +17,7 @@
 import {
 	type ModelCall, parseModelCall, readBody, type Route, routeCall, sendFailure, StreamingResponse, BufferedResponse,
 } from './protocol/index.js';
+import {awaitParsed, awaitTurn, onCallerLeft} from './response-turn.js';
 import {type RetryController} from './retry-controller.js';
 import {ServiceBody} from './service-body.js';
 import {ServiceCallInProgress} from './service-call.js';
@@ -63,6 +63,7 @@
 		try {
 			yield * this.#dispatch(id, request, response);
 		} catch (error) {
+			yield * awaitParsed();
 			this.#refuse(id, response, error);
 		}
 	}
@@ -93,6 +94,7 @@
 		const caller = identifyCaller(catalogue, request.headers.authorization, singleHeader(request, 'cassiaflow-class'));
 		switch (route.type) {
 			case 'models': {
+				yield * awaitParsed();
 				sendModels(response, catalogue, caller);
 				break;
 			}
@@ -244,31 +246,6 @@
 /** A request whose turn on its connection has come, and when it did: what it waits for its own connection counts for no queue. */
 type Turn = {readonly summary: RequestSummary; readonly arrivedAt: number};
 
-/**
- * Waits until the responses before this one on its connection are complete. A call that ran before would have run for
- * nothing if one of them breaks off and takes the connection with it.
- */
-function * awaitTurn(response: PipelinedResponse): Body<void> {
-	yield * wait(response.turn);
-	if (response.destroyed) {
-		throw RequestError.create(createFailure(FailureKind.cancelled, 'The caller left before its request was begun.'));
-	}
-}
-
-/** Calls the listener once the connection has closed before the response was sent, also if that is so already. */
-function onCallerLeft(response: PipelinedResponse, listener: () => void): void {
-	if (response.destroyed) {
-		listener();
-		return;
-	}
-
-	response.once('close', () => {
-		if (!response.writableFinished) {
-			listener();
-		}
-	});
-}
-
 function sendModels(response: PipelinedResponse, catalogue: Catalogue, caller: Caller): void {
 	const {targets} = caller.classEntry;
 	const available = catalogue.models().filter(model => targets.length === 0 || targets.includes(model.name));
--- a/test/entry/requests-behind.test.ts
+++ b/test/entry/requests-behind.test.ts
@@ -1,98 +1,15 @@
-import {once} from 'node:events';
-import net from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import tap from 'tap';
-import {keyOf, planCatalogue} from '../../bench/harness/catalogue.js';
-import {LocalFleet, until} from '../../bench/harness/local-fleet.js';
-import {type FakeService} from '../../fakes/index.js';
-import {type Entry} from '../../src/entry/index.js';
+import {until} from '../../bench/harness/local-fleet.js';
 import {maxOpenRequests} from '../../src/policy/connections/index.js';
+import {
+	answersOf, connect, headOf, lookupOf, orderOf, streamOf, Testbed, workMilliseconds,
+} from './connection-bed.js';
 
-const workspace = 'stickwerk';
-const model = 'model';
-const workMilliseconds = 300;
 /** Long enough for a request to be read, and shorter than it runs. */
 const laterMilliseconds = 100;
 /** Longer than all that the tests send behind each other takes. */
 const noticeMilliseconds = 500;
-const stepMilliseconds = 20;
-
-/** One entry with a service whose calls take a while, and an engine. */
-class Testbed implements AsyncDisposable {
-	static async create(): Promise<Testbed> {
-		const fleet = await LocalFleet.create({
-			entries: 1, endpoints: 1, zones: ['zone-a'], models: [model], random: () => 0.5, logLevel: 'fatal', costs: {stepMilliseconds},
-		});
-		const service = await fleet.addService('kitchen', 'zone-a');
-		service.faults.workMilliseconds = workMilliseconds;
-		await fleet.publish([...planCatalogue([model], [workspace]), {kind: 'service', name: 'kitchen', owner: 'platform', idempotentMethods: ['GET']}]);
-		const testbed = new Testbed(fleet, service);
-		await until(() => testbed.entry.fleet.connected.length === 2);
-		return testbed;
-	}
-
-	readonly service: FakeService;
-	readonly #fleet: LocalFleet;
-
-	private constructor(fleet: LocalFleet, service: FakeService) {
-		this.#fleet = fleet;
-		this.service = service;
-	}
-
-	get entry(): Entry<any> {
-		return this.#fleet.entries[0]!.entry;
-	}
-
-	runsOf(body: string): number {
-		return this.service.runsByBody.get(body) ?? 0;
-	}
-
-	async [Symbol.asyncDispose](): Promise<void> {
-		await this.#fleet[Symbol.asyncDispose]();
-	}
-}
-
-type Connection = {readonly socket: net.Socket; text: string; isClosed: boolean};
-
-async function connect({entry}: Testbed): Promise<Connection> {
-	const [host, port] = entry.address.split(':');
-	const connection: Connection = {socket: net.connect(Number(port), host), text: '', isClosed: false};
-	connection.socket.on('data', (bytes: Uint8Array) => {
-		connection.text += String(bytes);
-	});
-	connection.socket.on('error', () => undefined);
-	connection.socket.once('close', () => {
-		connection.isClosed = true;
-	});
-	await once(connection.socket, 'connect');
-	return connection;
-}
-
-function headOf(method: string, path: string): string {
-	return `${method} ${path} HTTP/1.1\r\nHost: studio.example\r\nAuthorization: Bearer ${keyOf(workspace)}\r\nContent-Type: application/json\r\n`;
-}
-
-/** A call that may run once. */
-function orderOf(body: string): string {
-	return `${headOf('POST', '/services/kitchen/tickets')}Content-Length: ${body.length}\r\n\r\n${body}`;
-}
-
-/** A call that may run again. */
-function lookupOf(body: string): string {
-	return orderOf(body).replace('POST', 'GET');
-}
-
-function streamOf(tokens: number): string {
-	const body = JSON.stringify({model, stream: true, messages: [{role: 'user', content: `Behind [[tokens=${tokens}]]`}]});
-	return `${headOf('POST', '/v1/chat/completions')}Content-Length: ${body.length}\r\n\r\n${body}`;
-}
-
-/** The responses of a connection in their order: the status, and the body that an order or a lookup had. */
-function answersOf({text}: Connection): Array<{status: number; of: string | undefined}> {
-	return text.split(/(?=HTTP\/1\.1 \d)/v).filter(part => part !== '').map(part => ({
-		status: Number(part.slice(9, 12)), of: /"body":"(?<body>\w+)"/v.exec(part)?.groups?.body,
-	}));
-}
 
 const threeAnswers = [{status: 200, of: 'first'}, {status: 200, of: 'second'}, {status: 200, of: 'third'}];
 
