--- a/test/bin/stream-run.ts
+++ b/test/bin/stream-run.ts
@@ -57,7 +57,8 @@
 		writeFileSync(file, JSON.stringify(value));
 		const run = new StreamRun({store, workers, callerPort, file, settings: value});
 		await before(run);
-		run.gateway = GatewayRun.start(file, adminPort);
+		run.startNext = () => GatewayRun.start(file, adminPort);
+		run.gateway = run.startNext();
 		if (!await run.gateway.isReady()) {
 			throw new Error(run.gateway.lines);
 		}
@@ -68,6 +69,8 @@
 	readonly store: FakePlatformStore;
 	readonly workers: readonly FakePlatformWorker[];
 	gateway!: GatewayRun;
+	/** Starts the next process of the instance, with the same settings. */
+	startNext!: () => GatewayRun;
 	readonly file: string;
 	readonly settings: Readonly<Record<string, unknown>>;
 	readonly callerPort: number;
