the soak of long streams plays signals in a long turn of the event loop, and what its course left out

In 0.4 of the stops of the course streams the process now stands still for 0.1 to 1.3 s, and its first or a later signal comes meanwhile. Besides: a store that is away over a whole stop, services of which all endpoints have one or two slots, resets of one stream beside sound ones, instances that are added or removed alone, ten to fourteen endpoints of a service. The store's disturbances of planned work move to planned-store.

--- a/bench/gateway-soak/child.ts
+++ b/bench/gateway-soak/child.ts
@@ -44,6 +44,8 @@
 	/** Whether the platform had to end it. */
 	isKilled: boolean;
 	hasWritten: boolean;
+	/** Long turns of its event loop. */
+	readonly longTurns: Array<{readonly from: number; readonly until: number}>;
 };
 
 /** One gateway as a real process that reaches the store over a network path with fault injection. */
@@ -64,6 +66,7 @@
 	#settings: Readonly<Record<string, unknown>> = {};
 	#process: ChildProcess | undefined;
 	#isExitExpected = false;
+	#isInLongTurn = false;
 	#lastReplacement: Promise<void> = Promise.resolve();
 
 	private constructor(options: ChildOptions, storePath: FakePath) {
@@ -82,7 +85,7 @@
 	async start(): Promise<void> {
 		this.#writeSettings();
 		this.#isExitExpected = false;
-		const life: Life = {startedAt: performance.now(), stopAt: Infinity, endedAt: Infinity, end: undefined, isKilled: false, hasWritten: false};
+		const life: Life = {startedAt: performance.now(), stopAt: Infinity, endedAt: Infinity, end: undefined, isKilled: false, hasWritten: false, longTurns: []};
 		this.lives.push(life);
 		const started = spawn(process.execPath, [...(this.options.nodeFlags ?? []), '--import', clockShift, this.options.program ?? builtProgram], {
 			env: {...process.env, CASSIAFLOW_CONFIG: this.#file, CLOCK_SHIFT_MILLISECONDS: String(this.options.clockMilliseconds)}, stdio: ['ignore', 'pipe', 'pipe'],
@@ -148,11 +151,33 @@
 	}
 
 	freeze(): void {
-		this.#process?.kill('SIGSTOP');
+		if (!this.#isInLongTurn) {
+			this.#process?.kill('SIGSTOP');
+		}
 	}
 
 	wake(): void {
-		this.#process?.kill('SIGCONT');
+		if (!this.#isInLongTurn) {
+			this.#process?.kill('SIGCONT');
+		}
+	}
+
+	/** Lets the process do nothing for a time, as in one long turn of its event loop; nothing else freezes or wakes it meanwhile. */
+	async turnFor(milliseconds: number): Promise<void> {
+		const life = this.lives.at(-1)!;
+		if (life.end !== undefined || this.#isInLongTurn) {
+			return;
+		}
+
+		const from = performance.now();
+		this.freeze();
+		this.#isInLongTurn = true;
+		await new Promise(resolve => {
+			setTimeout(resolve, milliseconds);
+		});
+		this.#isInLongTurn = false;
+		this.wake();
+		life.longTurns.push({from, until: performance.now()});
 	}
 
 	reload(): void {
--- a/bench/gateway-soak/planned-checker.ts
+++ b/bench/gateway-soak/planned-checker.ts
@@ -7,7 +7,7 @@
 import {handlingViolations} from './planned-handling.js';
 import {type PlannedRecord} from './planned-connection.js';
 import {lastingRoutes, type PlannedVersion} from './planned-versions.js';
-import {type Span} from './planned-work.js';
+import {type Span} from './planned-store.js';
 import {type LeftWorker} from './planned-workers.js';
 import {validKey} from './soak-platform.js';
 
--- a/bench/gateway-soak/planned-work.ts
+++ b/bench/gateway-soak/planned-work.ts
@@ -2,27 +2,29 @@
 import {createRandom, type Random} from '../harness/random.js';
 import {type CourseOptions, type CourseWorld, type Range} from './course-world.js';
 import {type PlannedVersions} from './planned-versions.js';
+import {PlannedStore, type Span} from './planned-store.js';
 import {type EndpointWork, type LeftWorker, PlannedWorkers} from './planned-workers.js';
 import {portsPerGateway} from './run-seed.js';
+import {enterTurn, type LongTurn, textOfTroubles, TroubleDraws, type TroubleShares} from './stop-troubles.js';
 import {between, sleep} from './traffic.js';
 
 /** Gateways that may be added. */
 export const spareGateways = 2;
+/** So many stay at least where an instance is removed with none in its place. */
+const fewestInstances = 2;
 const readyPauseMilliseconds = 1000;
 
 const pauses = {
 	stop: {low: 300, high: 3000}, signal: {low: 0, high: 2500}, down: {low: 0, high: 1500}, early: {low: 0, high: 1500}, readyAgain: {low: 0, high: 3000},
 	reload: {low: 200, high: 2500}, half: {low: 50, high: 2500}, version: {low: 300, high: 2500}, storm: {low: 330, high: 330}, worker: {low: 500, high: 2500},
-	store: {low: 2000, high: 8000}, storeFault: {low: 300, high: 2500},
+	store: {low: 2000, high: 8000},
 } as const satisfies Record<string, Range>;
 const stormVersions = 8;
 /** How often, of 1. */
 const shares = {twoAtOnce: 0.2, busiest: 0.3, otherSignal: 0.7, removed: 0.15, stoppedEarly: 0.3, storm: 0.3} as const;
 /** Signals within a stop, which change nothing. */
 const laterSignals = ['SIGTERM', 'SIGTERM', 'SIGHUP', 'SIGINT'] as const;
-const storeFaults = ['refuse', 'reset', 'silent', 'late', 'lose-answer'] as const;
 
-export type Span = {readonly from: number; until: number};
 export type PlannedWorkOptions = {
 	readonly world: CourseWorld;
 	readonly versions: PlannedVersions;
@@ -34,6 +36,8 @@
 	readonly endpoints?: {readonly series: number; readonly work: EndpointWork};
 	/** How often, of 1, all gateways are stopped at once. */
 	readonly allAtOnceShare?: number;
+	/** How often stops meet a long turn of the event loop, or a store that is away; without it, never. */
+	readonly troubleShares?: TroubleShares;
 };
 
 export class PlannedWork {
@@ -43,13 +47,15 @@
 
 	/** Gateways to which callers open connections. */
 	readonly inUse: Set<number>;
-	readonly storeSpans: Span[] = [];
 	/** Of each stop, whether the gateway was still asked for requests 4 s later. */
 	readonly #readyLater: boolean[] = [];
 	readonly #options: PlannedWorkOptions;
 	readonly #stopping = new Set<number>();
 	readonly #workers: EndpointWork;
 	readonly #until: number;
+	readonly #troubles: TroubleDraws;
+	readonly #store: PlannedStore;
+
 	private constructor(options: PlannedWorkOptions) {
 		this.#options = options;
 		this.inUse = new Set(options.world.gateways.keys());
@@ -57,6 +63,15 @@
 			this.#note(text);
 		});
 		this.#until = performance.now() + options.milliseconds;
+		this.#troubles = TroubleDraws.create(options.course.seed, options.troubleShares);
+		this.#store = PlannedStore.create(options.world.platform.store, text => {
+			this.#note(text);
+		});
+	}
+
+	/** When the store was disturbed. */
+	get storeSpans(): readonly Span[] {
+		return this.#store.spans;
 	}
 
 	get leftWorkers(): readonly LeftWorker[] {
@@ -78,11 +93,37 @@
 			this.#series(1, pauses.version, async random => this.#publish(random)),
 			this.#series(2, pauses.reload, async random => this.#reload(random)),
 			...Array.from({length: this.#options.endpoints?.series ?? 1}, async (_, number) => this.#series(3 + (number * 20), pauses.worker, async random => this.#workers.replaceOne(random))),
-			this.#series(4, pauses.store, async random => this.#disturbStore(random)),
+			this.#series(4, pauses.store, async random => this.#store.disturb(random)),
 		]);
 		await this.#workers.settled();
 	}
 
+	/** Adds an instance, unless none is left to add. */
+	async addInstance(): Promise<void> {
+		const {world, course: {gateways, firstPort, program}} = this.#options;
+		const added = world.gateways.length;
+		if (added >= gateways + spareGateways) {
+			return;
+		}
+
+		this.#note(`added ${added}`);
+		await world.addGateway(`gateway-${added}`, firstPort + (added * portsPerGateway), program);
+		this.inUse.add(added);
+	}
+
+	/** Stops an instance for good, unless few are left. */
+	async removeInstance(random: Random): Promise<void> {
+		const index = random.pick([...this.inUse]);
+		if (this.inUse.size <= fewestInstances || this.#stopping.has(index)) {
+			return;
+		}
+
+		this.#note(`removed ${index}`);
+		this.#stopping.add(index);
+		this.inUse.delete(index);
+		await this.#options.world.gateways[index]!.stop();
+	}
+
 	/** Repeats one kind of work after pauses. */
 	async #series(number: number, pause: Range, work: (random: Random) => Promise<void>): Promise<void> {
 		const random = createRandom((this.#options.course.seed * 1000) + number);
@@ -116,7 +157,8 @@
 	async #stop(index: number, random: Random): Promise<void> {
 		const gateway = this.#options.world.gateways[index]!;
 		const draws = {signalAfter: between(random, pauses.signal), later: random.uniform() < shares.otherSignal ? random.pick(laterSignals) : undefined, down: between(random, pauses.down), isRemoved: random.uniform() < shares.removed, isEarly: random.uniform() < shares.stoppedEarly, early: between(random, pauses.early)};
-		this.#note(`term ${index}${draws.later === undefined ? '' : ` then ${draws.later} ${Math.round(draws.signalAfter)}`}`);
+		const troubles = this.#troubles.next(index);
+		this.#note(`term ${index}${draws.later === undefined ? '' : ` then ${draws.later} ${Math.round(draws.signalAfter)}`}${textOfTroubles(troubles)}`);
 		if (this.#stopping.has(index)) {
 			gateway.signal('SIGTERM');
 			return;
@@ -124,9 +166,12 @@
 
 		this.#stopping.add(index);
 		const wasReady = await gateway.isReady();
-		const besides = Promise.all([this.#signalLater(index, draws.signalAfter, draws.later), this.#watchReadiness(index, wasReady)]);
-		await gateway.stop();
-		await besides;
+		await this.#store.whileAway(troubles.storeAway, async () => {
+			const {isOver} = await enterTurn(gateway, troubles.firstTurn);
+			const besides = Promise.all([isOver, this.#signalLater(index, draws.signalAfter, {signal: draws.later, turn: troubles.laterTurn}), this.#watchReadiness(index, wasReady)]);
+			await gateway.stop();
+			await besides;
+		});
 		await sleep(draws.down);
 		if (draws.isRemoved && await this.#replaceInstance(index)) {
 			return;
@@ -144,12 +189,14 @@
 		await sleep(between(random, pauses.readyAgain));
 	}
 
-	async #signalLater(index: number, milliseconds: number, signal: NodeJS.Signals | undefined): Promise<void> {
+	async #signalLater(index: number, milliseconds: number, {signal, turn}: {readonly signal: NodeJS.Signals | undefined; readonly turn: LongTurn | undefined}): Promise<void> {
 		const gateway = this.#options.world.gateways[index]!;
 		const {pid} = gateway;
 		await sleep(milliseconds);
 		if (signal !== undefined && gateway.pid === pid) {
+			const {isOver} = await enterTurn(gateway, turn);
 			gateway.signal(signal);
+			await isOver;
 		}
 	}
 
@@ -170,16 +217,14 @@
 
 	/** Adds a gateway at a new address in the place of one that stays away; returns false if none is left to add. */
 	async #replaceInstance(index: number): Promise<boolean> {
-		const {world, course: {gateways, firstPort, program}} = this.#options;
-		const added = world.gateways.length;
-		if (added >= gateways + spareGateways) {
+		const {world, course: {gateways}} = this.#options;
+		if (world.gateways.length >= gateways + spareGateways) {
 			return false;
 		}
 
-		this.#note(`removed ${index}, added ${added}`);
+		this.#note(`removed ${index}`);
 		this.inUse.delete(index);
-		await world.addGateway(`gateway-${added}`, firstPort + (added * portsPerGateway), program);
-		this.inUse.add(added);
+		await this.addInstance();
 		return true;
 	}
 
@@ -239,18 +284,6 @@
 		}
 	}
 
-	async #disturbStore(random: Random): Promise<void> {
-		const {platform: {store}} = this.#options.world;
-		const kind = random.pick(storeFaults);
-		const span: Span = {from: performance.now(), until: Infinity};
-		this.storeSpans.push(span);
-		this.#note(`store ${kind}`);
-		store.fault = () => kind;
-		await sleep(between(random, pauses.storeFault));
-		store.fault = () => undefined;
-		span.until = performance.now();
-	}
-
 	#note(text: string): void {
 		const at = this.#options.milliseconds - (this.#until - performance.now());
 		this.#options.world.injected.push(`${text} at ${Math.round(at)}`);
--- a/bench/gateway-soak/streams-checker.ts
+++ b/bench/gateway-soak/streams-checker.ts
@@ -141,7 +141,7 @@
 		`sent at ${since(sentAt, evidence.startedAt)}, its last byte ${since(lastByteAt, sentAt)} ms later, ended after ${since(endedAt, sentAt)} ms of ${record.request.deadlineMilliseconds}`,
 		...(kind === 'chart' || kind === 'question' ? [`${events} of ${evidence.eventsOf(id)} events`] : []),
 		`${since(endedAt, lastDataAt)} ms after its last data`,
-		life === undefined || life.stopAt === Infinity ? 'no signal' : `cut ${since(cutAt, life.stopAt)} ms after SIGTERM, sent ${since(sentAt, life.stopAt)} ms after it, process ended ${since(life.endedAt, life.stopAt)} ms after it`,
+		life === undefined || life.stopAt === Infinity ? 'no signal' : `cut ${since(cutAt, life.stopAt)} ms after SIGTERM, sent ${since(sentAt, life.stopAt)} ms after it, process ended ${since(life.endedAt, life.stopAt)} ms after it${life.longTurns.map(({from, until}) => `, in a long turn from ${since(from, life.stopAt)} to ${since(until, life.stopAt)} ms after it`).join('')}`,
 		run === undefined ? 'not passed on' : `passed on to ${arrivals.map(({worker, request}) => `${worker} after ${since(request.at, sentAt)} ms`).join(', ')}`,
 		...(run === undefined ? [] : [run.abandonedAt < Infinity ? `given up there after ${since(run.abandonedAt, sentAt)} ms` : (run.finishedAt < Infinity ? `finished there after ${since(run.finishedAt, sentAt)} ms` : 'no end there')]),
 		news === undefined ? 'no news of the endpoint' : `last news "${news.text}" ${since(endedAt, news.at)} ms before its end`,
--- a/bench/gateway-soak/streams-course.ts
+++ b/bench/gateway-soak/streams-course.ts
@@ -13,6 +13,7 @@
 import {portsPerGateway, type SeedResult} from './run-seed.js';
 import {endedLookupCount, notOfferedCount, stoppedStreams, type StreamsEvidence, streamsViolations} from './streams-checker.js';
 import {StreamEndpoints} from './streams-endpoints.js';
+import {endpointsEach, runStreamsExtras} from './streams-extras.js';
 import {drawStreams, streamServices, streamVersionPlan} from './streams-requests.js';
 
 const workMilliseconds = 18_000;
@@ -21,6 +22,8 @@
 const endpointSeries = 3;
 const allAtOnceShare = 0.08;
 const behindShare = 0.08;
+/** How often, of 1, a stop meets an event loop in a long turn, and a store that is away until the process has ended. */
+const troubleShares = {longTurn: 0.4, storeAway: 0.1} as const;
 
 /** Runs one seed of the course. */
 export async function runStreamsSeed(options: CourseOptions): Promise<SeedResult> {
@@ -32,15 +35,15 @@
 		addressOf: gateway => ({host: '127.0.0.1', port: options.firstPort + (gateway * portsPerGateway)}),
 	});
 	const endpoints = await StreamEndpoints.create(platform, {
-		services: [...streamServices, ...movedServices], each: 3 + Math.floor(options.gateways / 4), answer: request => traffic.answer(request) ?? {type: 'not-run'},
+		services: [...streamServices, ...movedServices], each: endpointsEach(options.seed, 3 + Math.floor(options.gateways / 4)), answer: request => traffic.answer(request) ?? {type: 'not-run'},
 	});
 	versions.publish();
 	using lateness = Lateness.create();
 	const notReady = await world.listNotReady();
 	using shares = CoreShares.create(() => world.gateways, (options.seed * 1000) + 7);
 	const startedAt = performance.now();
-	const work = PlannedWork.create({world, versions, course: options, milliseconds: workMilliseconds, openAt: gateway => traffic.openAt(gateway), endpoints: {series: endpointSeries, work: endpoints}, allAtOnceShare});
-	await Promise.all([traffic.run(), work.run()]);
+	const work = PlannedWork.create({world, versions, course: options, milliseconds: workMilliseconds, openAt: gateway => traffic.openAt(gateway), endpoints: {series: endpointSeries, work: endpoints}, allAtOnceShare, troubleShares});
+	await Promise.all([traffic.run(), work.run(), runStreamsExtras({seed: options.seed, milliseconds: workMilliseconds, services: streamServices, endpoints, work})]);
 	const {records, strays, brokenOff} = traffic;
 	const workers = platform.workers.map(({worker}) => worker);
 	const evidence: StreamsEvidence = {
--- a/bench/gateway-soak/streams-endpoints.ts
+++ b/bench/gateway-soak/streams-endpoints.ts
@@ -55,6 +55,8 @@
 	readonly #options: {readonly services: readonly string[]; readonly each: number; readonly answer: ChooseAnswer};
 	readonly #endpoints: Endpoint[] = [];
 	readonly #begun: Array<Promise<void>> = [];
+	/** Slots that no endpoint of a service exceeds. */
+	readonly #scarce = new Map<string, number>();
 	#names = 0;
 
 	private constructor(platform: SoakPlatform, options: {readonly services: readonly string[]; readonly each: number; readonly answer: ChooseAnswer}) {
@@ -81,6 +83,15 @@
 		this.#begun.push(this.#play(step, endpoint, draws));
 	}
 
+	/** All endpoints of a service have hardly any slots for a time; those within a step say so at their next registration. */
+	async makeScarce(service: string, {slots, milliseconds}: {readonly slots: number; readonly milliseconds: number}): Promise<void> {
+		this.#scarce.set(service, slots);
+		this.#registerFree(service);
+		await sleep(milliseconds);
+		this.#scarce.delete(service);
+		this.#registerFree(service);
+	}
+
 	/** Resolves once all steps are over. */
 	async settled(): Promise<void> {
 		await Promise.all(this.#begun);
@@ -244,9 +255,16 @@
 		this.#register(endpoint);
 	}
 
+	#registerFree(service: string): void {
+		for (const endpoint of this.#staying(service).filter(({isBusy}) => !isBusy)) {
+			this.#register(endpoint);
+		}
+	}
+
 	#register(endpoint: Endpoint, state: 'ready' | 'draining' = 'ready'): void {
 		endpoint.revision += 1;
-		const {id, process: {worker}, path, born, slots, revision} = endpoint;
+		const {id, service, process: {worker}, path, born, revision} = endpoint;
+		const slots = Math.min(endpoint.slots, this.#scarce.get(service) ?? allSlots);
 		this.#platform.store.put('keyed.servers', id, {...worker.beat({state, slots, seq: revision, born}), address: path.address});
 		this.#note(endpoint, `${state}, born ${born}, ${slots} slots at ${path.address}`);
 	}
--- a/bench/gateway-soak/streams-requests.ts
+++ b/bench/gateway-soak/streams-requests.ts
@@ -51,7 +51,7 @@
 	return {
 		breaksOff,
 		answer: isStream(kind)
-			? {type: 'events', count: gapsMilliseconds.length, gapsMilliseconds, ...(breaksOff && {cutAfter}), ...(isPadded && {paddingBytes})}
+			? {type: 'events', count: gapsMilliseconds.length, gapsMilliseconds, ...(breaksOff && {cutAfter, isReset: cutAfter % 2 === 0}), ...(isPadded && {paddingBytes})}
 			: (breaksOff ? {type: 'reset'} : {type: 'whole', body: `answer to ${id}`, afterMilliseconds: workMilliseconds}),
 		request: {
 			id, kind, route, key: random.uniform() < shares.otherKey ? random.pick(passingKeys) : validKey, deadlineMilliseconds: random.pick(isLong ? longDeadlines : shortDeadlines),
--- a/fakes/platform-worker.ts
+++ b/fakes/platform-worker.ts
@@ -11,11 +11,11 @@
 	/**
 	 * Events numbered after `Last-Event-Id`; the connection is broken after event `cutAfter`, in the middle of the next one. An unframed
 	 * response has neither a length nor chunks and ends with its connection, in an orderly way where it is cut, too. After event `silentAfter`
-	 * nothing more comes. Events may have gaps of their own, and a comment that makes them larger.
+	 * nothing more comes. Events may have gaps of their own, and a comment that makes them larger. A connection may be broken by a reset.
 	 */
 		| {
 			readonly type: 'events'; readonly count: number; readonly gapMilliseconds?: number; readonly cutAfter?: number; readonly silentAfter?: number; readonly firstAfterMilliseconds?: number;
-			readonly isUnframed?: boolean; readonly gapsMilliseconds?: readonly number[]; readonly paddingBytes?: number;
+			readonly isUnframed?: boolean; readonly gapsMilliseconds?: readonly number[]; readonly paddingBytes?: number; readonly isReset?: boolean;
 		}
 		| {readonly type: 'not-run'}
 		| {readonly type: 'silent'}
@@ -217,7 +217,7 @@
 
 async function sendEvents(
 	response: ServerResponse,
-	{count, gapMilliseconds = 0, cutAfter, silentAfter = Infinity, firstAfterMilliseconds = 0, isUnframed = false, gapsMilliseconds, paddingBytes = 0}: Extract<WorkerAnswer, {type: 'events'}>,
+	{count, gapMilliseconds = 0, cutAfter, silentAfter = Infinity, firstAfterMilliseconds = 0, isUnframed = false, gapsMilliseconds, paddingBytes = 0, isReset = false}: Extract<WorkerAnswer, {type: 'events'}>,
 	{requestId, after, onBreak}: SentStream,
 ): Promise<void> {
 	await sleep(firstAfterMilliseconds);
@@ -233,6 +233,8 @@
 			onBreak();
 			if (isUnframed) {
 				response.end();
+			} else if (isReset) {
+				response.socket?.resetAndDestroy();
 			} else {
 				response.destroy();
 			}
--- a/test/soak/planned-checker.test.ts
+++ b/test/soak/planned-checker.test.ts
@@ -15,7 +15,7 @@
 	close: 'none', unreadMilliseconds: 0, behind: undefined,
 };
 const cut: Partial<PlannedRecord> = {status: 0, isWhole: false, headers: new Map(), close: 'orderly', endedAt: 11_000};
-const life: Life = {startedAt: 0, stopAt: Infinity, endedAt: Infinity, end: undefined, isKilled: false, hasWritten: true};
+const life: Life = {startedAt: 0, stopAt: Infinity, endedAt: Infinity, end: undefined, isKilled: false, hasWritten: true, longTurns: []};
 const first: PlannedVersion = {acknowledgedAt: 0, keys: ['key-a', 'key-b'], routes: [{name: 'release', service: 'orders', timeoutMilliseconds: 8000}, {name: 'extra-0', service: 'orders', timeoutMilliseconds: 8000}]};
 const moved: PlannedVersion = {...first, acknowledgedAt: 5000, keys: ['key-a'], routes: [{name: 'release', service: 'stock', timeoutMilliseconds: 8000}]};
 
--- a/test/soak/streams-checker.test.ts
+++ b/test/soak/streams-checker.test.ts
@@ -14,7 +14,7 @@
 	close: 'orderly', unreadMilliseconds: 0, behind: undefined,
 };
 const failed: Partial<PlannedRecord> = {status: 502, isWhole: true, headers: new Map(), close: 'none'};
-const life: Life = {startedAt: 0, stopAt: Infinity, endedAt: Infinity, end: undefined, isKilled: false, hasWritten: true};
+const life: Life = {startedAt: 0, stopAt: Infinity, endedAt: Infinity, end: undefined, isKilled: false, hasWritten: true, longTurns: []};
 
 type Seen = {readonly abandonedAt?: number; readonly finishedAt?: number; readonly brokenOffAt?: number; readonly exitedAt?: number};
 
