the soak's endpoints that exit at a time keep what they have handed to their kernel

The kernel of a process that ends still sends it. The process now ends first, and its path is cut half a second later, as for the others. No check changes.

--- a/bench/gateway-soak/streams-endpoints.ts
+++ b/bench/gateway-soak/streams-endpoints.ts
@@ -11,7 +11,7 @@
 const drainMilliseconds = 2000;
 const longestDrainMilliseconds = 14_000;
 const idleLookMilliseconds = 50;
-/** From its last byte until an endpoint exits: what it has handed to its kernel must have passed the paths of the bench. */
+/** From the last byte of an endpoint, or its exit if that comes at a time, until its path is cut: what it has handed to its kernel must have passed the path. */
 const lastBytesMilliseconds = 500;
 /** An address is not assigned again before this time. */
 const reuseMilliseconds = 2000;
@@ -202,8 +202,12 @@
 
 		process.exitedAt = performance.now();
 		this.news.push({at: process.exitedAt, id, text: `${process.name} exits`});
-		path.cut();
 		await process.worker[Symbol.asyncDispose]();
+		if (isHard) {
+			await sleep(lastBytesMilliseconds);
+		}
+
+		path.cut();
 	}
 
 	#tellLeaving(endpoint: Endpoint, isAnnounced: boolean): void {
