a stop whose signal came at the end of a long turn cuts what runs in the last sixth of its time alone

Cause: end a stop early enough for a kill that counts from the beginning of the turn. A signal that came at the turn's end is only milliseconds old then, and the stop ended seconds before the last sixth of its time.

Both bounds can't hold once the reading is uncertain by more than that sixth. A kill cuts what runs in the last sixth, and what was sent in the first seconds may be cut there by whomever; an earlier cut is excused by nothing. So what runs goes on until the last sixth by the reading, and what is begun, and its time, still count from the earliest sending (`certainUntil`): nothing is begun that a kill could cut off. Where the reading is certain nothing changes.

The property of stop-times is another: before, it let the end come early where nothing is begun; now long streams are cut in the last sixth whenever the signal was sent, what is begun ends before the kill, and the end may come after the kill only where nothing is begun any more.

--- a/src/policy/stopping/last-start.ts
+++ b/src/policy/stopping/last-start.ts
@@ -15,6 +15,8 @@
 export type StopTimes = {
 	/** When every request has its final response. */
 	readonly endsAt: number;
+	/** By when a request must end to be begun, if that is before the end: the platform certainly kills the process later. */
+	readonly certainUntil?: number;
 	/** A stream that is whole later is not begun unless its deadline comes before the end. */
 	readonly lastStreamAt: number;
 };
@@ -24,12 +26,12 @@
  * response by then. Where nothing is known of its route it may take the whole timeout. How long such requests take is no certainty: an order that takes
  * longer is answered at the end, and a stream is broken off there, which only those that came early in the stop may be.
  */
-export function lastStartAt({deadlineAt, timeoutMilliseconds, longestMilliseconds, streamWholeAt = -Infinity}: StartingRequest, {endsAt, lastStreamAt}: StopTimes): number {
-	if (deadlineAt <= endsAt) {
+export function lastStartAt({deadlineAt, timeoutMilliseconds, longestMilliseconds, streamWholeAt = -Infinity}: StartingRequest, {endsAt, lastStreamAt, certainUntil = endsAt}: StopTimes): number {
+	if (deadlineAt <= certainUntil) {
 		return Infinity;
 	}
 
-	const lastAt = endsAt - Math.min(timeoutMilliseconds, longestMilliseconds ?? Infinity);
+	const lastAt = certainUntil - Math.min(timeoutMilliseconds, longestMilliseconds ?? Infinity);
 	if (streamWholeAt <= lastStreamAt) {
 		return lastAt;
 	}
--- a/src/policy/stopping/stop-times.ts
+++ b/src/policy/stopping/stop-times.ts
@@ -2,7 +2,8 @@
  * The times of a stop, from when it was asked for. Load pattern: an event loop in a long turn reads its signal late, while the platform counts the time
  * until it kills the process from the sending. Counted from the reading, the stop began long streams that its end cut off, and the kill came
  * before that end, without an answer or a line in the log. When the signal was sent is known between two moments only: the stop ends late enough for
- * the one and early enough for the other, and where it cannot, it begins nothing that its end might cut off.
+ * the one and early enough for the other. Where it cannot, it begins nothing that its end might cut off, and what runs goes on into the last share of
+ * the time, in which callers reckon with a cut whoever makes it: an earlier end would break off what a kill may not even reach.
  */
 import {type StopTimes} from './last-start.js';
 
@@ -18,9 +19,8 @@
 
 /** The times of a stop of `graceMilliseconds`, in which the port is open, and long streams are begun, for the first `listenMilliseconds`. */
 export function stopTimesOf({earliestAt, readAt}: StopRequestTime, {graceMilliseconds, listenMilliseconds}: {readonly graceMilliseconds: number; readonly listenMilliseconds: number}): StopTimes {
+	const certainUntil = Math.min(readAt + graceMilliseconds - endMarginMilliseconds, earliestAt + graceMilliseconds - leastMarginMilliseconds);
+	const lastShareAt = readAt + (graceMilliseconds * (1 - lastShare));
 	const isCertain = readAt - earliestAt <= Math.max(0, (graceMilliseconds * lastShare) - leastMarginMilliseconds);
-	return {
-		endsAt: Math.min(readAt + graceMilliseconds - endMarginMilliseconds, earliestAt + graceMilliseconds - leastMarginMilliseconds),
-		lastStreamAt: isCertain ? earliestAt + listenMilliseconds : -Infinity,
-	};
+	return isCertain ? {endsAt: certainUntil, lastStreamAt: earliestAt + listenMilliseconds} : {endsAt: Math.max(certainUntil, lastShareAt), certainUntil, lastStreamAt: -Infinity};
 }
