--- a/bench/gateway-soak/planned-traffic.ts
+++ b/bench/gateway-soak/planned-traffic.ts
@@ -42,6 +42,7 @@
 	readonly #answers = new Map<string, WorkerAnswer>();
 	readonly #open = new Map<number, number>();
 	readonly #kept: PlannedConnection[] = [];
+	readonly #late: Array<Promise<void>> = [];
 	readonly #options: PlannedTrafficOptions;
 	#requests = 0;
 
@@ -70,6 +71,11 @@
 		return answer?.type === 'events' ? answer.count : eventCount;
 	}
 
+	/** Opens a connection now and sends its first requests later, unless it is closed by then. */
+	callLater(random: Random, caller: number, {gateway, milliseconds}: {readonly gateway: number; readonly milliseconds: number}): void {
+		this.#late.push(this.#callLater(random, caller, {gateway, milliseconds}));
+	}
+
 	/** Sends for a time; resolves once all requests have their answers, or their connections have ended. */
 	async run(): Promise<void> {
 		const until = performance.now() + this.#options.milliseconds;
@@ -79,11 +85,26 @@
 				await this.#useConnection(random, caller, until);
 			}
 		}));
+		await Promise.all(this.#late);
 		for (const connection of this.#kept) {
 			this.#leave(connection);
 		}
 	}
 
+	async #callLater(random: Random, caller: number, {gateway, milliseconds}: {readonly gateway: number; readonly milliseconds: number}): Promise<void> {
+		const connection = await PlannedConnection.open(this.#options.addressOf(gateway), gateway);
+		if (connection === undefined) {
+			return;
+		}
+
+		await sleep(milliseconds);
+		if (!connection.isClosed) {
+			await this.#sendGroup(random, caller, connection);
+		}
+
+		this.#leave(connection);
+	}
+
 	/** Opens a connection and uses it until it is closed. */
 	async #useConnection(random: Random, caller: number, until: number): Promise<void> {
 		const gateway = random.pick(this.#options.inUse());
--- a/bench/gateway-soak/planned-work.ts
+++ b/bench/gateway-soak/planned-work.ts
@@ -38,6 +38,8 @@
 	readonly allAtOnceShare?: number;
 	/** How often stops meet a long turn of the event loop, or a store that is away; without it, never. */
 	readonly troubleShares?: TroubleShares;
+	/** Called before a stop, and how long before its signal. */
+	readonly beforeStop?: (gateway: number, milliseconds: number) => void;
 };
 
 export class PlannedWork {
@@ -167,6 +169,7 @@
 		this.#stopping.add(index);
 		const wasReady = await gateway.isReady();
 		await this.#store.whileAway(troubles.storeAway, async () => {
+			this.#options.beforeStop?.(index, troubles.firstTurn?.beforeMilliseconds ?? 0);
 			const {isOver} = await enterTurn(gateway, troubles.firstTurn);
 			const besides = Promise.all([isOver, this.#signalLater(index, draws.signalAfter, {signal: draws.later, turn: troubles.laterTurn}), this.#watchReadiness(index, wasReady)]);
 			await gateway.stop();
--- a/bench/gateway-soak/streams-course.ts
+++ b/bench/gateway-soak/streams-course.ts
@@ -13,7 +13,7 @@
 import {portsPerGateway, type SeedResult} from './run-seed.js';
 import {endedLookupCount, notOfferedCount, stoppedStreams, type StreamsEvidence, streamsViolations} from './streams-checker.js';
 import {StreamEndpoints} from './streams-endpoints.js';
-import {endpointsEach, runStreamsExtras} from './streams-extras.js';
+import {endpointsEach, LateCallers, runStreamsExtras} from './streams-extras.js';
 import {drawStreams, streamServices, streamVersionPlan} from './streams-requests.js';
 
 const workMilliseconds = 18_000;
@@ -41,8 +41,11 @@
 	using lateness = Lateness.create();
 	const notReady = await world.listNotReady();
 	using shares = CoreShares.create(() => world.gateways, (options.seed * 1000) + 7);
+	const lateCallers = LateCallers.create(options.seed);
 	const startedAt = performance.now();
-	const work = PlannedWork.create({world, versions, course: options, milliseconds: workMilliseconds, openAt: gateway => traffic.openAt(gateway), endpoints: {series: endpointSeries, work: endpoints}, allAtOnceShare, troubleShares});
+	const work = PlannedWork.create({world, versions, course: options, milliseconds: workMilliseconds, openAt: gateway => traffic.openAt(gateway), endpoints: {series: endpointSeries, work: endpoints}, allAtOnceShare, troubleShares, beforeStop(gateway, milliseconds) {
+		lateCallers.begin(traffic, gateway, milliseconds);
+	}});
 	await Promise.all([traffic.run(), work.run(), runStreamsExtras({seed: options.seed, milliseconds: workMilliseconds, services: streamServices, endpoints, work})]);
 	const {records, strays, brokenOff} = traffic;
 	const workers = platform.workers.map(({worker}) => worker);
