--- a/bench/gateway-soak/streams-endpoints.ts
+++ b/bench/gateway-soak/streams-endpoints.ts
@@ -11,7 +11,7 @@
 const drainMilliseconds = 2000;
 const longestDrainMilliseconds = 14_000;
 const idleLookMilliseconds = 50;
-/** From its last byte until an endpoint exits: what it has handed to its kernel must have passed the paths of the bench. */
+/** From the last byte of an endpoint, or its exit if that comes at a time, until its path is cut: what it has handed to its kernel must have passed the path. */
 const lastBytesMilliseconds = 500;
 /** An address is not assigned again before this time. */
 const reuseMilliseconds = 2000;
@@ -55,6 +55,8 @@
 	readonly #options: {readonly services: readonly string[]; readonly each: number; readonly answer: ChooseAnswer};
 	readonly #endpoints: Endpoint[] = [];
 	readonly #begun: Array<Promise<void>> = [];
+	/** Slots that no endpoint of a service exceeds. */
+	readonly #scarce = new Map<string, number>();
 	#names = 0;
 
 	private constructor(platform: SoakPlatform, options: {readonly services: readonly string[]; readonly each: number; readonly answer: ChooseAnswer}) {
@@ -81,6 +83,15 @@
 		this.#begun.push(this.#play(step, endpoint, draws));
 	}
 
+	/** All endpoints of a service have hardly any slots for a time; those within a step say so at their next registration. */
+	async makeScarce(service: string, {slots, milliseconds}: {readonly slots: number; readonly milliseconds: number}): Promise<void> {
+		this.#scarce.set(service, slots);
+		this.#registerFree(service);
+		await sleep(milliseconds);
+		this.#scarce.delete(service);
+		this.#registerFree(service);
+	}
+
 	/** Resolves once all steps are over. */
 	async settled(): Promise<void> {
 		await Promise.all(this.#begun);
@@ -191,8 +202,12 @@
 
 		process.exitedAt = performance.now();
 		this.news.push({at: process.exitedAt, id, text: `${process.name} exits`});
-		path.cut();
 		await process.worker[Symbol.asyncDispose]();
+		if (isHard) {
+			await sleep(lastBytesMilliseconds);
+		}
+
+		path.cut();
 	}
 
 	#tellLeaving(endpoint: Endpoint, isAnnounced: boolean): void {
@@ -244,9 +259,16 @@
 		this.#register(endpoint);
 	}
 
+	#registerFree(service: string): void {
+		for (const endpoint of this.#staying(service).filter(({isBusy}) => !isBusy)) {
+			this.#register(endpoint);
+		}
+	}
+
 	#register(endpoint: Endpoint, state: 'ready' | 'draining' = 'ready'): void {
 		endpoint.revision += 1;
-		const {id, process: {worker}, path, born, slots, revision} = endpoint;
+		const {id, service, process: {worker}, path, born, revision} = endpoint;
+		const slots = Math.min(endpoint.slots, this.#scarce.get(service) ?? allSlots);
 		this.#platform.store.put('keyed.servers', id, {...worker.beat({state, slots, seq: revision, born}), address: path.address});
 		this.#note(endpoint, `${state}, born ${born}, ${slots} slots at ${path.address}`);
 	}
