a stream does not leave a silent endpoint to try a suspended one

Callers would see a begun stream break off in a stop: its endpoint paused for 1.5 s, the only healthy other one was full, and the place that its search got was the trial of a suspended endpoint, which was gone; the stop ended the stream in the line. Since: that another healthy endpoint exists was asked when the search began, not of the place that it found.

--- a/src/gateway/placement/decision.ts
+++ b/src/gateway/placement/decision.ts
@@ -18,6 +18,8 @@
 	readonly build: string | undefined;
 	/** True if it may run again, so that it may be sent to an endpoint as a trial of its recovery. */
 	readonly isIdempotent: boolean;
+	/** True if its attempt at an endpoint goes on meanwhile: then it is no trial of another one's recovery. */
+	readonly hasAttempt?: boolean;
 	readonly onDecision: (decision: Decision) => void;
 };
 
--- a/src/gateway/placement/endpoint-pool.ts
+++ b/src/gateway/placement/endpoint-pool.ts
@@ -74,7 +74,7 @@
 		// Those with a statement come last: the order decides which engines latency-critical streams share, and must not change with each request.
 		const open = [...lists.open, ...lists.stating];
 		const usable = [open, lists.trial, isOpenHeld ? [] : lists.suspended, hasReady ? [] : lists.ending].find(list => list.length > 0) ?? [];
-		return {trial: request.isIdempotent ? lists.trial[0] : undefined, usable, held};
+		return {trial: request.isIdempotent && request.hasAttempt !== true ? lists.trial[0] : undefined, usable, held};
 	}
 
 	/**
--- a/src/gateway/requests/attempt-timeouts.ts
+++ b/src/gateway/requests/attempt-timeouts.ts
@@ -64,9 +64,10 @@
 
 	/** Called when the search for the next endpoint was decided; an outcome ends the attempt, for the place that was found. */
 	checkSuccessor(state: AttemptState): Outcome | undefined {
-		const {retries} = this.#options;
-		const {progress} = retries.search;
-		if (progress === 'placed' && !state.hasOutcome && performance.now() >= this.#failoverAt(state) && retries.mayLeave()) {
+		const {retries, exchange: {dispatcher}} = this.#options;
+		const {progress, record} = retries.search;
+		const now = performance.now();
+		if (record !== undefined && !state.hasOutcome && now >= this.#failoverAt(state) && dispatcher.endpoints.isOpen(record, now) && retries.mayLeave()) {
 			return silent;
 		}
 
--- a/src/gateway/requests/placement-submission.ts
+++ b/src/gateway/requests/placement-submission.ts
@@ -9,7 +9,7 @@
 export type PlacementSubmissionOptions = {readonly exchange: ExchangeOptions; readonly demand: Demand; readonly end: RequestEnd};
 
 /** What the attempts of a request so far require of its next endpoint. */
-export type NextAttempt = {readonly excluded: ReadonlySet<string>; readonly build: string | undefined; readonly isIdempotent: boolean};
+export type NextAttempt = {readonly excluded: ReadonlySet<string>; readonly build: string | undefined; readonly isIdempotent: boolean; readonly hasAttempt?: boolean};
 
 /** What one request asks of the dispatcher. */
 export class PlacementSubmission {
--- a/src/gateway/requests/request-retries.ts
+++ b/src/gateway/requests/request-retries.ts
@@ -64,9 +64,9 @@
 		return this.#options.exchange.route.kind !== RouteKind.stream || this.#progress.reserveFailover(this.#context());
 	}
 
-	/** Looks for the next endpoint while the attempt goes on. */
+	/** Looks for the next endpoint while the attempt goes on: not for a suspended one, whose trial may fail while the endpoint in use goes on. */
 	beginSearch(placementId: string, current: AttemptState): void {
-		this.search.begin(placementId, this.next(current));
+		this.search.begin(placementId, {...this.next(current), hasAttempt: true});
 	}
 
 	/** Ends the search; the attempt goes on, and the retry that was reserved is released. */
--- a/src/gateway/requests/successor-search.ts
+++ b/src/gateway/requests/successor-search.ts
@@ -1,4 +1,5 @@
 import {type Channel, tryDeliver} from '../../concurrency/index.js';
+import {type EndpointRecord} from '../../routing/index.js';
 import {type Decision} from '../placement/index.js';
 import {type PlacedDecision} from './attempt-state.js';
 import {type ExchangeEvent} from './exchange-options.js';
@@ -35,6 +36,11 @@
 		return this.#state.type;
 	}
 
+	/** The endpoint of the place that was found, if one was. */
+	get record(): EndpointRecord | undefined {
+		return this.#state.type === 'placed' ? this.#state.successor.decision.record : undefined;
+	}
+
 	/** Asks for a place under an id, which the request uses for nothing else meanwhile. */
 	begin(id: string, next: NextAttempt): void {
 		const since = performance.now();
