an entry that stops begins nothing that cannot end in its stop

Callers whose call or stream came late in the notice of a stopping entry had it begun, whatever it takes, and the end of stopMilliseconds cut it off: a closed connection, and nobody knew whether it had run. The entry had no last moment for beginnings; the gateway has one.

The entry asks the same policy (src/policy/stopping), by target and class: what does not fit is refused as not run, at admission, while it waits in queues, and before a retry; a stream whose answer has begun is tried until the end. Its times come from stopTimesOf, as the gateway's. Routes of an entry have no timeout, so 20 s are reckoned with where no run has ended. With the default of 600 s of stop nothing changes.

ServiceCallOptions moves to a file of its own unchanged.

--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -7,6 +7,7 @@
 import {createInstanceId, type InstanceId, type ZoneName} from '../model/index.js';
 import {handleCatalogueMessage, type QuarantineLedger} from '../platform/index.js';
 import {subsetPlacement} from '../policy/placement/index.js';
+import {stopTimesOf} from '../policy/stopping/index.js';
 import {AdminServer, createLogger, createOperatorRoutes, DecisionJournal, forPart, Metrics, type OperatorRoutesOptions, type PartLogger} from '../telemetry/index.js';
 import {
 	entrySettings, type EntrySettings, readSecurity, runProgram,
@@ -35,7 +36,8 @@
 	const request = await stopRequest();
 	using _signals = logIgnoredSignals(log, 'reads-settings-once');
 	log.info('Stopping.', describeStop(request));
-	const isDrained = await withinMilliseconds(entry.drain(settings.noticeMilliseconds), request.earliestAt + settings.stopMilliseconds - performance.now());
+	const times = stopTimesOf(request, {graceMilliseconds: settings.stopMilliseconds, listenMilliseconds: settings.noticeMilliseconds});
+	const isDrained = await withinMilliseconds(entry.drain(settings.noticeMilliseconds, times), request.earliestAt + settings.stopMilliseconds - performance.now());
 	log.info(isDrained ? 'Stopped with nothing in progress.' : 'Stopped with requests in progress after the drain timeout.');
 }
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,6 +6,7 @@
 import {createRequestId, type InstanceId, type RequestId, type ZoneName} from '../model/index.js';
 import {type CatalogueMessage, type MembershipClient, type QuarantineLedger} from '../platform/index.js';
 import {type Placement} from '../policy/placement/index.js';
+import {type StopTimes} from '../policy/stopping/index.js';
 import {DecisionJournal, LogLimit, Metrics, type PartLogger, type StatusAnswer} from '../telemetry/index.js';
 import {type Security} from '../wire/index.js';
 import {type ClaimManager} from './claims/index.js';
@@ -18,6 +19,7 @@
 import {RequestServer} from './request-server.js';
 import {RetryController} from './retry-controller.js';
 import {type SideLink} from './side-link.js';
+import {StopSchedule} from './stop-schedule.js';
 
 export type EntryOptions<State> = {
 	readonly instance: InstanceId;
@@ -60,7 +62,7 @@
 		});
 		entry.#limiter = limiter;
 		entry.#requestServer = RequestServer.create({
-			...options, fleet: entry.fleet, retries: entry.retries, telemetry: entry.telemetry, limiter, isStopping: () => entry.#isStopping,
+			...options, fleet: entry.fleet, retries: entry.retries, telemetry: entry.telemetry, limiter, stop: entry.#stop, isStopping: () => entry.#isStopping,
 		});
 		entry.#server.listen(options.port, options.host);
 		await once(entry.#server, 'listening');
@@ -79,6 +81,7 @@
 	#limiter!: Limiter;
 	#requestServer!: RequestServer;
 	#activeCount = 0;
+	readonly #stop = StopSchedule.create();
 	/**
 	 * True from the start of a shutdown: the entry reports that it is not ready, but still serves requests until the
 	 * load balancer has noticed.
@@ -137,10 +140,15 @@
 	 * Shuts down gracefully. Readiness fails at once, but new requests are served for another
 	 * `noticeMilliseconds`: the load balancer notices the change late, and callers would otherwise be
 	 * refused during a graceful shutdown. After that the port and idle connections are closed, and requests that
-	 * arrive on other connections are refused as not run. Resolves when no response is owed.
+	 * arrive on other connections are refused as not run. What cannot end by the `times` of the stop is not begun, without them all is. Resolves when no
+	 * response is owed.
 	 */
-	async drain(noticeMilliseconds = 0): Promise<void> {
+	async drain(noticeMilliseconds = 0, times?: StopTimes): Promise<void> {
 		this.#isDraining = true;
+		if (times !== undefined) {
+			this.#stop.begin(times);
+		}
+
 		this.#connections.startClosing();
 		await new Promise(resolve => {
 			setTimeout(resolve, noticeMilliseconds);
--- a/src/entry/model-call.ts
+++ b/src/entry/model-call.ts
@@ -14,6 +14,7 @@
 import {type RetryController} from './retry-controller.js';
 import {type Slot} from './slot.js';
 import {SlotFinder, type SlotFound} from './slot-finder.js';
+import {type StopSchedule} from './stop-schedule.js';
 
 export type ModelCallOptions = {
 	readonly telemetry: EntryTelemetry;
@@ -24,6 +25,7 @@
 	readonly response: ResponseWriter;
 	readonly arrivedAt: number;
 	readonly retries: RetryController;
+	readonly stop: StopSchedule;
 	/** Records of requests that crash endpoints. */
 	readonly quarantine?: QuarantineLedger;
 	/** Set for a request that may run at most once under its idempotency key. */
@@ -50,6 +52,7 @@
 	#attempts = 0;
 	#failures = 0;
 	#preemptions = 0;
+	#firstStartAt: number | undefined;
 	readonly #timer: Alarm;
 	readonly #claim: ClaimGuard | undefined;
 
@@ -60,7 +63,13 @@
 		this.#claim = claim && ClaimGuard.create(claim.manager, claim.request, () => {
 			tryDeliver(this.inbox, {type: 'claim-stopped'});
 		});
-		this.#finder = SlotFinder.create({...options, inbox: this.inbox, timer: this.#timer, claim: this.#claim});
+		this.#finder = SlotFinder.create({...options, inbox: this.inbox, timer: this.#timer, claim: this.#claim, lastStartAt: () => this.#lastStartAt});
+	}
+
+	/** One whose answer has begun cannot go to another instance: it is tried until the end. */
+	get #lastStartAt(): number {
+		const {stop, summary, call, arrivedAt, response} = this.#options;
+		return response.hasStarted ? stop.endsAt : stop.lastStartAt({summary, streamWholeAt: call.stream ? arrivedAt : undefined});
 	}
 
 	/** The caller closed its connection. */
@@ -87,6 +96,7 @@
 			}
 
 			this.#attempts += 1;
+			this.#firstStartAt ??= performance.now();
 			const end = yield * this.#runAttempt(found.slot);
 			if (end.type === 'whole') {
 				return yield * this.#complete(end.usage, found.slot.endpoint);
@@ -204,8 +214,9 @@
 	}
 
 	* #complete(usage: string | undefined, endpoint: EndpointId): Body<CallEnd> {
-		const {response, arrivedAt} = this.#options;
+		const {response, arrivedAt, stop, summary} = this.#options;
 		response.finish(usage);
+		stop.recordRun(summary, performance.now() - this.#firstStartAt!);
 		const {firstTokenAt, events} = this.#progress;
 		if (this.#claim) {
 			yield * this.#claim.finished(endpoint, encodeEvents({events, usage}));
@@ -239,8 +250,3 @@
 		return choice?.delta?.content ?? choice?.text ?? '';
 	}).join('');
 }
-
-/** The failure of a request that arrived while its entry was shutting down. */
-export function createStoppingFailure(): Failure {
-	return createFailure(FailureKind.stopping, 'This instance is shutting down.', {retryAfterMilliseconds: 0});
-}
--- a/src/entry/request-server.ts
+++ b/src/entry/request-server.ts
@@ -13,7 +13,7 @@
 import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {type Limiter} from './limits/index.js';
-import {ModelCallInProgress, createStoppingFailure} from './model-call.js';
+import {ModelCallInProgress} from './model-call.js';
 import {
 	type ModelCall, parseModelCall, readBody, type Route, routeCall, sendFailure, StreamingResponse, BufferedResponse,
 } from './protocol/index.js';
@@ -21,6 +21,8 @@
 import {type RetryController} from './retry-controller.js';
 import {ServiceBody} from './service-body.js';
 import {ServiceCallInProgress} from './service-call.js';
+import {type StopSchedule} from './stop-schedule.js';
+import {createStoppingFailure} from './stopping-failure.js';
 
 /** The parts of an entry that serving a request needs. */
 export type RequestServerOptions = {
@@ -34,6 +36,7 @@
 	readonly retries: RetryController;
 	readonly telemetry: EntryTelemetry;
 	readonly limiter: Limiter;
+	readonly stop: StopSchedule;
 	/** True once new requests are refused. */
 	readonly isStopping: () => boolean;
 };
@@ -192,6 +195,7 @@
 			response,
 			arrivedAt,
 			retries: this.#options.retries,
+			stop: this.#options.stop,
 			quarantine: this.#options.quarantine,
 			claim: this.#claimOptions(request, summary, summary.fingerprint),
 		});
@@ -224,7 +228,7 @@
 		const writer = call.stream ? StreamingResponse.create(response, {requestId: id, includeUsage: call.includeUsage}) : BufferedResponse.create(response, {requestId: id, kind: route.type});
 		const inProgress = ModelCallInProgress.create({
 			telemetry: this.#options.telemetry, fleet: this.#options.fleet, summary, path: route.path, call, response: writer, arrivedAt,
-			retries: this.#options.retries, quarantine: this.#options.quarantine,
+			retries: this.#options.retries, stop: this.#options.stop, quarantine: this.#options.quarantine,
 			claim: this.#claimOptions(request, summary, call.fingerprintSource),
 		});
 		onCallerLeft(response, () => {
--- a/src/entry/service-call.ts
+++ b/src/entry/service-call.ts
@@ -1,19 +1,14 @@
 import {Alarm, type Body, channel, type Channel, receive, sleep, spawn, tryDeliver, wait} from '../concurrency/index.js';
-import {type PipelinedResponse} from '../connections/index.js';
 import {
-	combineVerdicts, createFailure, type Failure, FailureKind, RequestError, type RequestSummary, Verdict,
+	combineVerdicts, createFailure, type Failure, FailureKind, RequestError, Verdict,
 } from '../model/index.js';
-import {type QuarantineLedger} from '../platform/index.js';
 import {type MessageOf, type StreamMessage} from '../wire/index.js';
 import {ReasonCode} from '../telemetry/index.js';
-import {ClaimGuard, type ClaimManager, type ClaimRequest, type ClaimStop} from './claims/index.js';
-import {type EntryTelemetry} from './entry-telemetry.js';
-import {type Fleet} from './fleet.js';
+import {ClaimGuard, type ClaimStop} from './claims/index.js';
 import {drainedOrClosed} from './protocol/index.js';
 import {inboxCapacity, type RequestEvent} from './request-event.js';
-import {type RetryController} from './retry-controller.js';
+import {type ServiceCallOptions} from './service-call-options.js';
 import {ServiceResponse} from './service-response.js';
-import {type ServiceBody} from './service-body.js';
 import {type Slot} from './slot.js';
 import {SlotFinder, type SlotFound} from './slot-finder.js';
 
@@ -22,23 +17,6 @@
 /** Time without progress after which the connection counts as hung; longer than a service may take for its response head. */
 const stallTimeoutMilliseconds = 70_000;
 
-export type ServiceCallOptions = {
-	readonly telemetry: EntryTelemetry;
-	readonly fleet: Fleet;
-	readonly summary: RequestSummary;
-	readonly method: string;
-	readonly path: string;
-	readonly headers: Readonly<Record<string, string>>;
-	readonly body: ServiceBody;
-	readonly response: PipelinedResponse;
-	readonly arrivedAt: number;
-	readonly retries: RetryController;
-	/** Records of requests that crash endpoints. */
-	readonly quarantine?: QuarantineLedger;
-	/** Set for a call that may run at most once under its idempotency key. */
-	readonly claim?: {readonly manager: ClaimManager; readonly request: ClaimRequest};
-};
-
 type AttemptEnd
 	= | {readonly type: 'whole'}
 		| {readonly type: 'caller-left'}
@@ -70,7 +48,7 @@
 		this.#claim = claim && ClaimGuard.create(claim.manager, claim.request, () => {
 			tryDeliver(this.inbox, {type: 'claim-stopped'});
 		});
-		this.#finder = SlotFinder.create({...options, inbox: this.inbox, timer: this.#timer, claim: this.#claim});
+		this.#finder = SlotFinder.create({...options, inbox: this.inbox, timer: this.#timer, claim: this.#claim, lastStartAt: () => options.stop.lastStartAt(options)});
 		this.#response = ServiceResponse.create(options.response, options.summary.id);
 	}
 
@@ -143,7 +121,8 @@
 	}
 
 	* #runAttempt(slot: Slot): Body<AttemptEnd> {
-		const {fleet, summary, method, path, headers, body} = this.#options;
+		const {fleet, summary, method, path, headers, body, stop} = this.#options;
+		const startedAt = performance.now();
 		this.#attempts += 1;
 		slot.link.send({
 			type: 'start', stream: slot.stream, request: summary.id, method, path, headers: {...headers},
@@ -155,7 +134,9 @@
 		}
 
 		const end = yield * this.#relay(slot);
-		if (end.type !== 'whole') {
+		if (end.type === 'whole') {
+			stop.recordRun(summary, performance.now() - startedAt);
+		} else {
 			slot.link.send({type: 'cancel', stream: slot.stream, request: summary.id});
 		}
 
--- a/src/entry/slot-finder.ts
+++ b/src/entry/slot-finder.ts
@@ -8,7 +8,9 @@
 import {type EntryTelemetry} from './entry-telemetry.js';
 import {type Fleet} from './fleet.js';
 import {type RequestEvent} from './request-event.js';
+import {createStoppingFailure} from './stopping-failure.js';
 import {createNoEndpointFailure, type Slot, SlotSearch} from './slot.js';
+import {type StopSchedule} from './stop-schedule.js';
 
 /** Pause before the next search when no endpoint can be used. */
 const noEndpointPauseMilliseconds = 100;
@@ -25,6 +27,9 @@
 	readonly timer: Alarm;
 	/** The claim of the idempotency key, which must be won before the slot may be used. */
 	readonly claim?: ClaimGuard | undefined;
+	readonly stop: StopSchedule;
+	/** The last moment at which an attempt may begin; infinite while the instance does not stop. */
+	readonly lastStartAt: () => number;
 };
 
 export type SlotFound
@@ -49,9 +54,9 @@
 		this.#waitStartedAt = options.arrivedAt;
 	}
 
-	/** The end of the request's time in queues, on the clock of `performance.now()`. */
+	/** The end of the request's time in queues, or of the time in which a stop still begins it, on the clock of `performance.now()`. */
 	get deadline(): number {
-		return this.#waitStartedAt + this.#options.summary.queueMilliseconds;
+		return Math.min(this.#waitStartedAt + this.#options.summary.queueMilliseconds, this.#options.lastStartAt());
 	}
 
 	/** Excludes an endpoint from the next search. */
@@ -101,7 +106,7 @@
 	}
 
 	* #search(changes: Partial<RequestSummary>): Body<SlotFound> {
-		const {fleet, summary, inbox, timer, claim, telemetry} = this.#options;
+		const {fleet, summary, inbox, timer, claim, telemetry, stop} = this.#options;
 		let failure = createNoEndpointFailure();
 		while (this.#queueTimeLeft() > 0) {
 			if (claim?.stop) {
@@ -121,6 +126,9 @@
 			}
 
 			timer.set(this.#queueTimeLeft());
+			using _listener = stop.onBegin(() => {
+				timer.set(this.#queueTimeLeft());
+			});
 			const result = yield * SlotSearch.create({fleet, summary: {...this.#currentSummary(), ...changes}, inbox, timer, telemetry}).run(endpoints);
 			if (result.type === 'claim-stopped') {
 				continue;
@@ -136,7 +144,12 @@
 			}
 		}
 
-		return {type: 'failed', failure};
+		return {type: 'failed', failure: this.#isTooLate ? createStoppingFailure() : failure};
+	}
+
+	/** Whether the instance stops before an attempt that begins now could end. */
+	get #isTooLate(): boolean {
+		return performance.now() >= this.#options.lastStartAt();
 	}
 
 	#rank(): readonly EndpointId[] {
--- a/test/bin/entry-child.ts
+++ b/test/bin/entry-child.ts
@@ -62,8 +62,10 @@
 
 /** One entry and the sides of one engine and one service as processes, with the platform and the endpoints in this process. */
 export class RoleFleet implements AsyncDisposable {
-	static async create(): Promise<RoleFleet> {
+	/** `entryParameters` are those of the first entry. */
+	static async create(entryParameters: readonly string[] = []): Promise<RoleFleet> {
 		const fleet = new RoleFleet(await FakeLog.create(), await FakeMembers.create(), {
+			entryParameters,
 			engine: await FakeEngine.create({models: [model], costs: {stepMilliseconds: 10}}), service: await FakeService.create(),
 		});
 		await fleet.#publish();
@@ -83,18 +85,19 @@
 	readonly service: FakeService;
 	#address = '';
 
-	private constructor(log: FakeLog, members: FakeMembers, {engine, service}: {engine: FakeEngine; service: FakeService}) {
+	private constructor(log: FakeLog, members: FakeMembers, {engine, service, entryParameters}: {engine: FakeEngine; service: FakeService; entryParameters: readonly string[]}) {
 		this.log = log;
 		this.members = members;
 		this.engine = engine;
 		this.service = service;
-		this.entry = this.startEntry();
+		this.entry = this.startEntry(entryParameters);
 		this.engineSide = this.startSide('engine-1', engine.url, model);
 		this.serviceSide = this.startSide('service-1', service.url, kitchen, ['--endpoint-kind', 'service']);
 	}
 
-	startEntry(): RoleRun {
-		return RoleRun.start('entry', ['--listen-port', '0', '--notice-milliseconds', '200'], this.#environment);
+	startEntry(parameters: readonly string[] = []): RoleRun {
+		const notice = parameters.includes('--notice-milliseconds') ? [] : ['--notice-milliseconds', '200'];
+		return RoleRun.start('entry', ['--listen-port', '0', ...notice, ...parameters], this.#environment);
 	}
 
 	startSide(name: string, url: string, target: string, more: readonly string[] = []): RoleRun {
