the end of an entry's stop says how many responses it cuts off, and waits for their lines

An entry whose stop ended with calls in progress closed their connections and went on to end: that each cut response had its line in the log was left to how many turns the rest of the end takes, and the last line did not say how many there were, so nobody could tell whether one was missing. It ends its connections as the gateway does (CallerConnections.cut, which waits for the ends to be told), and "Stopped" has the number.

--- a/src/bin/cassiaflow-entry.ts
+++ b/src/bin/cassiaflow-entry.ts
@@ -38,7 +38,7 @@
 	log.info('Stopping.', describeStop(request));
 	const times = stopTimesOf(request, {graceMilliseconds: settings.stopMilliseconds, listenMilliseconds: settings.noticeMilliseconds});
 	const isDrained = await withinMilliseconds(entry.drain(settings.noticeMilliseconds, times), request.earliestAt + settings.stopMilliseconds - performance.now());
-	log.info(isDrained ? 'Stopped with nothing in progress.' : 'Stopped with requests in progress after the drain timeout.');
+	log.info(isDrained ? 'Stopped with nothing in progress.' : 'Stopped with requests in progress after the drain timeout.', {open: entry.activeRequests});
 }
 
 type EntryParts = {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -162,7 +162,7 @@
 		await this.fleet[Symbol.asyncDispose]();
 		await this.#limiter[Symbol.asyncDispose]();
 		this.#server.close();
-		this.#server.closeAllConnections();
+		await this.#connections.cut();
 	}
 
 	#phase(): StatusAnswer['phase'] {
