--- a/test/bin/entry-child.ts
+++ b/test/bin/entry-child.ts
@@ -60,12 +60,14 @@
 	}
 }
 
+type RoleFleetParts = {readonly engine: FakeEngine; readonly service: FakeService; readonly entryParameters: readonly string[]; readonly sideParameters: readonly string[]};
+
 /** One entry and the sides of one engine and one service as processes, with the platform and the endpoints in this process. */
 export class RoleFleet implements AsyncDisposable {
-	/** `entryParameters` are those of the first entry. */
-	static async create(entryParameters: readonly string[] = []): Promise<RoleFleet> {
+	/** `entryParameters` are those of the first entry, `sideParameters` of both sides. */
+	static async create(entryParameters: readonly string[] = [], sideParameters: readonly string[] = []): Promise<RoleFleet> {
 		const fleet = new RoleFleet(await FakeLog.create(), await FakeMembers.create(), {
-			entryParameters,
+			entryParameters, sideParameters,
 			engine: await FakeEngine.create({models: [model], costs: {stepMilliseconds: 10}}), service: await FakeService.create(),
 		});
 		await fleet.#publish();
@@ -85,14 +87,14 @@
 	readonly service: FakeService;
 	#address = '';
 
-	private constructor(log: FakeLog, members: FakeMembers, {engine, service, entryParameters}: {engine: FakeEngine; service: FakeService; entryParameters: readonly string[]}) {
+	private constructor(log: FakeLog, members: FakeMembers, {engine, service, entryParameters, sideParameters}: RoleFleetParts) {
 		this.log = log;
 		this.members = members;
 		this.engine = engine;
 		this.service = service;
 		this.entry = this.startEntry(entryParameters);
-		this.engineSide = this.startSide('engine-1', engine.url, model);
-		this.serviceSide = this.startSide('service-1', service.url, kitchen, ['--endpoint-kind', 'service']);
+		this.engineSide = this.startSide('engine-1', engine.url, model, sideParameters);
+		this.serviceSide = this.startSide('service-1', service.url, kitchen, ['--endpoint-kind', 'service', ...sideParameters]);
 	}
 
 	startEntry(parameters: readonly string[] = []): RoleRun {
@@ -100,13 +102,21 @@
 		return RoleRun.start('entry', ['--listen-port', '0', ...notice, ...parameters], this.#environment);
 	}
 
+	/** Starts another entry, and waits until it serves. */
+	async startServing(): Promise<RoleRun> {
+		const run = this.startEntry();
+		const {address} = await run.listening();
+		await this.#serves(address);
+		return run;
+	}
+
 	startSide(name: string, url: string, target: string, more: readonly string[] = []): RoleRun {
 		return RoleRun.start('side', ['--endpoint', name, '--endpoint-url', url, '--targets', target, ...more], this.#environment);
 	}
 
 	/** Sends a call that may run once; resolves to the status of its whole answer, 0 if there is none. */
-	sendOrder(body: string): Promise<number> {
-		const [host, port] = this.#address.split(':');
+	sendOrder(body: string, address = this.#address): Promise<number> {
+		const [host, port] = address.split(':');
 		return new Promise(resolve => {
 			const sent = httpRequest({
 				host, port, method: 'POST', path: `/services/${kitchen}/tickets`, agent: false, headers: {authorization: `Bearer ${keyOf(workspace)}`},
@@ -123,8 +133,8 @@
 	}
 
 	/** Sends a model call with a streamed answer; resolves to its outcome. */
-	async sendStream(tokens: number): Promise<string> {
-		const {outcome} = await callModel({address: this.#address, key: keyOf(workspace), className: 'order', model, prompt: `Signals [[tokens=${tokens}]]`});
+	async sendStream(tokens: number, address = this.#address): Promise<string> {
+		const {outcome} = await callModel({address, key: keyOf(workspace), className: 'order', model, prompt: `Signals [[tokens=${tokens}]]`});
 		return outcome;
 	}
 
@@ -139,9 +149,9 @@
 	}
 
 	/** Waits until both kinds of calls are served. */
-	async #serves(): Promise<void> {
+	async #serves(address = this.#address): Promise<void> {
 		const giveUpAt = performance.now() + readyMilliseconds;
-		while (await this.sendOrder('first') !== 200 || await this.sendStream(1) !== 'whole') {
+		while (await this.sendOrder('first', address) !== 200 || await this.sendStream(1, address) !== 'whole') {
 			if (performance.now() > giveUpAt) {
 				throw new Error('The processes did not serve in time.');
 			}
--- a/test/bin/entry-lines-of-the-end.test.ts
+++ b/test/bin/entry-lines-of-the-end.test.ts
@@ -22,7 +22,9 @@
 	t.equal(fleet.entry.endedBy, 'code 0');
 	const open = Number(/"open":(?<open>\d+),"msg":"Entry: Stopped/v.exec(fleet.entry.lines)?.groups?.open);
 	t.equal(open, 2 * calls);
-	const cut = (await Promise.all(streams)).filter(outcome => outcome !== 'whole').length + (await Promise.all(orders)).filter(status => status === 0).length;
+	const outcomes = await Promise.all(streams);
+	const statuses = await Promise.all(orders);
+	const cut = outcomes.filter(outcome => outcome !== 'whole').length + statuses.filter(status => status === 0).length;
 	t.equal(fleet.entry.lines.split('A response was cut off.').length - 1, cut, 'as many as callers have lost');
 	t.ok(cut >= calls, String(cut));
 });
