--- a/bench/gateway-soak/planned-traffic.ts
+++ b/bench/gateway-soak/planned-traffic.ts
@@ -23,6 +23,9 @@
 	readonly behindShare?: number;
 };
 
+/** A connection that is opened now, and when its first requests are sent, drawn in a way of their own. */
+export type LateCall = {readonly gateway: number; readonly milliseconds: number; readonly draw: DrawRequest};
+
 /** After its deadline a caller waits this long before it leaves. */
 const leaveMilliseconds = 2000;
 const connectPauseMilliseconds = 100;
@@ -72,8 +75,8 @@
 	}
 
 	/** Opens a connection now and sends its first requests later, unless it is closed by then. */
-	callLater(random: Random, caller: number, {gateway, milliseconds}: {readonly gateway: number; readonly milliseconds: number}): void {
-		this.#late.push(this.#callLater(random, caller, {gateway, milliseconds}));
+	callLater(random: Random, caller: number, call: LateCall): void {
+		this.#late.push(this.#callLater(random, caller, call));
 	}
 
 	/** Sends for a time; resolves once all requests have their answers, or their connections have ended. */
@@ -91,7 +94,7 @@
 		}
 	}
 
-	async #callLater(random: Random, caller: number, {gateway, milliseconds}: {readonly gateway: number; readonly milliseconds: number}): Promise<void> {
+	async #callLater(random: Random, caller: number, {gateway, milliseconds, draw}: LateCall): Promise<void> {
 		const connection = await PlannedConnection.open(this.#options.addressOf(gateway), gateway);
 		if (connection === undefined) {
 			return;
@@ -99,7 +102,7 @@
 
 		await sleep(milliseconds);
 		if (!connection.isClosed) {
-			await this.#sendGroup(random, caller, connection);
+			await this.#sendGroup(random, caller, connection, draw);
 		}
 
 		this.#leave(connection);
@@ -137,9 +140,9 @@
 	}
 
 	/** Sends one request, or several behind each other. */
-	async #sendGroup(random: Random, caller: number, connection: PlannedConnection): Promise<void> {
+	async #sendGroup(random: Random, caller: number, connection: PlannedConnection, draw = this.#options.draw ?? drawPlanned): Promise<void> {
 		const count = random.uniform() < (this.#options.behindShare ?? shares.behind) ? 2 + random.below(3) : 1;
-		const requests = Array.from({length: count}, () => this.#draw(random, caller));
+		const requests = Array.from({length: count}, () => this.#draw(random, caller, draw));
 		const {gateway} = connection;
 		this.#open.set(gateway, this.openAt(gateway) + count);
 		const leaving = setTimeout(() => {
@@ -150,10 +153,10 @@
 		this.#open.set(gateway, this.openAt(gateway) - count);
 	}
 
-	#draw(random: Random, caller: number): PlannedRequest {
+	#draw(random: Random, caller: number, draw: DrawRequest): PlannedRequest {
 		this.#requests += 1;
 		const id = `planned-${caller}-${this.#requests}`;
-		const {request, answer, breaksOff} = (this.#options.draw ?? drawPlanned)(random, id, this.#options.seed);
+		const {request, answer, breaksOff} = draw(random, id, this.#options.seed);
 		this.#answers.set(id, answer);
 		if (breaksOff) {
 			this.brokenOff.add(id);
--- a/bench/gateway-soak/streams-course.ts
+++ b/bench/gateway-soak/streams-course.ts
@@ -14,7 +14,7 @@
 import {endedLookupCount, notOfferedCount, stoppedStreams, type StreamsEvidence, streamsViolations} from './streams-checker.js';
 import {StreamEndpoints} from './streams-endpoints.js';
 import {endpointsEach, LateCallers, runStreamsExtras} from './streams-extras.js';
-import {drawStreams, streamServices, streamVersionPlan} from './streams-requests.js';
+import {drawStreams, hasLongLateAlone, streamServices, streamVersionPlan} from './streams-requests.js';
 
 const workMilliseconds = 18_000;
 const trafficMilliseconds = 20_000;
@@ -24,6 +24,7 @@
 const behindShare = 0.08;
 /** How often, of 1, a stop meets an event loop in a long turn, and a store that is away until the process has ended. */
 const troubleShares = {longTurn: 0.4, storeAway: 0.1} as const;
+const lateTroubleShares = {longTurn: 0.9, storeAway: 0} as const;
 
 /** Runs one seed of the course. */
 export async function runStreamsSeed(options: CourseOptions): Promise<SeedResult> {
@@ -43,7 +44,7 @@
 	using shares = CoreShares.create(() => world.gateways, (options.seed * 1000) + 7);
 	const lateCallers = LateCallers.create(options.seed);
 	const startedAt = performance.now();
-	const work = PlannedWork.create({world, versions, course: options, milliseconds: workMilliseconds, openAt: gateway => traffic.openAt(gateway), endpoints: {series: endpointSeries, work: endpoints}, allAtOnceShare, troubleShares, beforeStop(gateway, milliseconds) {
+	const work = PlannedWork.create({world, versions, course: options, milliseconds: workMilliseconds, openAt: gateway => traffic.openAt(gateway), endpoints: {series: endpointSeries, work: endpoints}, allAtOnceShare, troubleShares: hasLongLateAlone(options.seed) ? lateTroubleShares : troubleShares, beforeStop(gateway, milliseconds) {
 		lateCallers.begin(traffic, gateway, milliseconds);
 	}});
 	await Promise.all([traffic.run(), work.run(), runStreamsExtras({seed: options.seed, milliseconds: workMilliseconds, services: streamServices, endpoints, work})]);
--- a/bench/gateway-soak/streams-extras.ts
+++ b/bench/gateway-soak/streams-extras.ts
@@ -4,6 +4,7 @@
 import {type PlannedTraffic} from './planned-traffic.js';
 import {type PlannedWork} from './planned-work.js';
 import {type StreamEndpoints} from './streams-endpoints.js';
+import {drawLateStreams} from './streams-requests.js';
 import {between, sleep} from './traffic.js';
 
 const pauses = {scarce: {low: 2000, high: 7000}, instance: {low: 4000, high: 12_000}} as const satisfies Record<string, Range>;
@@ -47,7 +48,7 @@
 			const caller = firstLateCaller + (gateway * lateCallers) + number;
 			const random = this.#generators.get(caller) ?? createRandom((this.#seed * 100_000) + caller);
 			this.#generators.set(caller, random);
-			traffic.callLater(random, caller, {gateway, milliseconds: signalMilliseconds + between(random, lateMilliseconds)});
+			traffic.callLater(random, caller, {gateway, milliseconds: signalMilliseconds + between(random, lateMilliseconds), draw: drawLateStreams});
 		}
 	}
 }
--- a/bench/gateway-soak/streams-requests.ts
+++ b/bench/gateway-soak/streams-requests.ts
@@ -23,7 +23,7 @@
 const mostPauses = 6;
 const paddingBytes = 20_000;
 const ranges = {
-	long: {low: 1000, high: 10_000}, silentLong: {low: 1000, high: 5500}, silence: {low: 1000, high: 4500}, short: {low: 20, high: 600}, work: {low: 1, high: 1500}, head: {low: 50, high: 1000},
+	long: {low: 1000, high: 10_000}, late: {low: 5500, high: 10_000}, silentLong: {low: 1000, high: 5500}, silence: {low: 1000, high: 4500}, short: {low: 20, high: 600}, work: {low: 1, high: 1500}, head: {low: 50, high: 1000},
 	body: {low: 200, high: 3000}, read: {low: 300, high: 3000}, readAfter: {low: 0, high: 5000},
 } as const satisfies Record<string, Range>;
 /** How often, of 1. The rest are lookups. */
@@ -35,7 +35,36 @@
 	timeouts, firstTimeoutMilliseconds: timeouts[0], rooms: [16, 40, 100], services: movedServices, engines: streamServices,
 };
 
-export function drawStreams(random: Random, id: string): DrawnRequest {
+/** In each fifth seed only callers that send late in a stop have long questions: a gateway that has seen short ones alone begins them as long as it may. */
+export function hasLongLateAlone(seed: number): boolean {
+	return seed % 5 === 0;
+}
+
+/** The requests of a caller that sends late in a stop. */
+export function drawLateStreams(random: Random, id: string, seed: number): DrawnRequest {
+	const drawn = drawAny(random, id);
+	if (!hasLongLateAlone(seed)) {
+		return drawn;
+	}
+
+	const gapsMilliseconds = evenGaps(longEvents, between(random, ranges.late));
+	return {
+		...drawn, breaksOff: false, answer: {type: 'events', count: gapsMilliseconds.length, gapsMilliseconds},
+		request: {...drawn.request, kind: 'question', route: 'question', key: validKey, deadlineMilliseconds: Math.max(...longDeadlines), headPauseMilliseconds: 0, bodyPauseMilliseconds: 0},
+	};
+}
+
+export function drawStreams(random: Random, id: string, seed: number): DrawnRequest {
+	const drawn = drawAny(random, id);
+	if (!hasLongLateAlone(seed) || drawn.request.kind !== 'question') {
+		return drawn;
+	}
+
+	const gapsMilliseconds = evenGaps(shortEvents, between(random, ranges.short));
+	return {...drawn, breaksOff: false, answer: {type: 'events', count: gapsMilliseconds.length, gapsMilliseconds}};
+}
+
+function drawAny(random: Random, id: string): DrawnRequest {
 	const share = random.uniform();
 	const isLong = share < shares.long;
 	const kind = drawKind(random, share);
