--- a/test/bin/stop-beside-leaving.test.ts
+++ b/test/bin/stop-beside-leaving.test.ts
@@ -5,6 +5,8 @@
 import {type StreamRun} from './stream-run.js';
 
 const stepMilliseconds = 400;
+/** From then on the connections of all streams count as older than the next incarnation. */
+const restartMilliseconds = 2200;
 const born = Date.now() - 60_000;
 
 type Beat = Readonly<Record<string, unknown>>;
@@ -32,6 +34,7 @@
 for (const {name, hasAnnounced, isRemoved} of ways) {
 	tap.test(`a stop cuts nothing while the next incarnation registers of an endpoint ${name}`, async t => {
 		await playStop(t, async ({run, beats, later, fail}) => {
+			const startedAt = performance.now();
 			registerAll(run, beats, {seq: 2});
 			await sleep(stepMilliseconds);
 			if (hasAnnounced) {
@@ -44,6 +47,7 @@
 				await sleep(stepMilliseconds);
 			}
 
+			await sleep(startedAt + restartMilliseconds - performance.now());
 			for (const {id, service} of run.workers) {
 				const worker = await FakePlatformWorker.create(id, service);
 				worker.answer = run.workers[0]!.answer;
