test: calls and streams that wait in a stop of the entry, and a retry, begin only if they can end

A call without an endpoint, streams at a full side, and a lookup whose answer is lost late in the stop.

No test tells whether a request in a side's queue is refused at the last moment or only when its own time in queues ends; the answer is the same.

--- a/test/entry/connection-bed.ts
+++ b/test/entry/connection-bed.ts
@@ -19,7 +19,7 @@
 		});
 		const service = await fleet.addService('kitchen', 'zone-a');
 		service.faults.workMilliseconds = workMilliseconds;
-		await fleet.publish([...planCatalogue([model], [workspace]), {kind: 'service', name: 'kitchen', owner: 'platform', idempotentMethods: ['GET']}]);
+		await fleet.publish([...planCatalogue([model], [workspace]), ...['kitchen', 'pantry'].map(name => ({kind: 'service' as const, name, owner: 'platform', idempotentMethods: ['GET' as const]}))]);
 		const testbed = new Testbed(fleet, service);
 		await until(() => testbed.entry.fleet.connected.length === 2);
 		return testbed;
