the soak of long streams draws its troubles from the whole seed, and for each stop that it plays

The first number of xoroshiro128plus is over 0.99 for all small seeds, and the second hardly differs between neighbours: no instance's first stop met a long turn, and no seed had services of ten and more endpoints. The new draws skip the first sixteen. A stop of an instance that stops already took the draws of the next one as well.

--- a/bench/gateway-soak/planned-work.ts
+++ b/bench/gateway-soak/planned-work.ts
@@ -159,13 +159,15 @@
 	async #stop(index: number, random: Random): Promise<void> {
 		const gateway = this.#options.world.gateways[index]!;
 		const draws = {signalAfter: between(random, pauses.signal), later: random.uniform() < shares.otherSignal ? random.pick(laterSignals) : undefined, down: between(random, pauses.down), isRemoved: random.uniform() < shares.removed, isEarly: random.uniform() < shares.stoppedEarly, early: between(random, pauses.early)};
-		const troubles = this.#troubles.next(index);
-		this.#note(`term ${index}${draws.later === undefined ? '' : ` then ${draws.later} ${Math.round(draws.signalAfter)}`}${textOfTroubles(troubles)}`);
+		const text = `term ${index}${draws.later === undefined ? '' : ` then ${draws.later} ${Math.round(draws.signalAfter)}`}`;
 		if (this.#stopping.has(index)) {
+			this.#note(text);
 			gateway.signal('SIGTERM');
 			return;
 		}
 
+		const troubles = this.#troubles.next(index);
+		this.#note(`${text}${textOfTroubles(troubles)}`);
 		this.#stopping.add(index);
 		const wasReady = await gateway.isReady();
 		await this.#store.whileAway(troubles.storeAway, async () => {
--- a/bench/gateway-soak/stop-troubles.ts
+++ b/bench/gateway-soak/stop-troubles.ts
@@ -1,5 +1,5 @@
 /** What may be in force when an instance is stopped: a long turn of its event loop, in which it reads no signal, and a store that is away until it has ended. */
-import {createRandom, type Random} from '../harness/random.js';
+import {createMixedRandom, type Random} from '../harness/random.js';
 import {type GatewayChild} from './child.js';
 import {type Range} from './course-world.js';
 import {between, sleep} from './traffic.js';
@@ -42,7 +42,7 @@
 			return {firstTurn: undefined, laterTurn: undefined, storeAway: undefined};
 		}
 
-		const random = this.#generators.get(instance) ?? createRandom((this.#seed * 1000) + firstGenerator + instance);
+		const random = this.#generators.get(instance) ?? createMixedRandom((this.#seed * 1000) + firstGenerator + instance);
 		this.#generators.set(instance, random);
 		const hasTurn = random.uniform() < this.#shares.longTurn;
 		const isFirst = random.uniform() < firstShare;
--- a/bench/gateway-soak/streams-extras.ts
+++ b/bench/gateway-soak/streams-extras.ts
@@ -1,5 +1,5 @@
 /** Further series of the course streams, each with a generator of its own: services of which all endpoints have one or two slots, instances that are added or removed alone, callers that send late in a stop. */
-import {createRandom, type Random} from '../harness/random.js';
+import {createMixedRandom, type Random} from '../harness/random.js';
 import {type Range} from './course-world.js';
 import {type PlannedTraffic} from './planned-traffic.js';
 import {type PlannedWork} from './planned-work.js';
@@ -25,7 +25,7 @@
 
 /** How many endpoints each service of a seed has, of which it would have a number. */
 export function endpointsEach(seed: number, number: number): number {
-	const random = createRandom((seed * 1000) + generators.many);
+	const random = createMixedRandom((seed * 1000) + generators.many);
 	return random.uniform() < manyShare ? Math.max(number, many.least + random.below(many.most - many.least + 1)) : number;
 }
 
@@ -46,7 +46,7 @@
 	begin(traffic: PlannedTraffic, gateway: number, signalMilliseconds: number): void {
 		for (let number = 0; number < lateCallers; number++) {
 			const caller = firstLateCaller + (gateway * lateCallers) + number;
-			const random = this.#generators.get(caller) ?? createRandom((this.#seed * 100_000) + caller);
+			const random = this.#generators.get(caller) ?? createMixedRandom((this.#seed * 100_000) + caller);
 			this.#generators.set(caller, random);
 			traffic.callLater(random, caller, {gateway, milliseconds: signalMilliseconds + between(random, lateMilliseconds), draw: drawLateStreams});
 		}
@@ -57,7 +57,7 @@
 export async function runStreamsExtras({seed, milliseconds, services, endpoints, work}: StreamsExtrasOptions): Promise<void> {
 	const until = performance.now() + milliseconds;
 	const series = async (number: number, pause: Range, step: (random: Random) => Promise<void>): Promise<void> => {
-		const random = createRandom((seed * 1000) + number);
+		const random = createMixedRandom((seed * 1000) + number);
 		while (performance.now() < until) {
 			await sleep(between(random, pause));
 			if (performance.now() < until) {
--- a/bench/harness/random.ts
+++ b/bench/harness/random.ts
@@ -23,3 +23,15 @@
 		pick: values => values[Math.floor(uniform() * values.length)]!,
 	};
 }
+
+const skippedNumbers = 16;
+
+/** Creates a generator whose first numbers depend on the whole seed: those of `createRandom` are nearly the same for all small seeds. */
+export function createMixedRandom(seed: number): Random {
+	const random = createRandom(seed);
+	for (let skipped = 0; skipped < skippedNumbers; skipped++) {
+		random.uniform();
+	}
+
+	return random;
+}
