--- a/test/gateway/attempt-timeouts.test.ts
+++ b/test/gateway/attempt-timeouts.test.ts
@@ -12,6 +12,9 @@
 	readonly isPaused?: boolean;
 	readonly hasOutcome?: boolean;
 	readonly hasAnother?: boolean;
+	/** Whether the endpoint of the place that was found may still be used. */
+	readonly isOpen?: boolean;
+	readonly hasResponse?: boolean;
 	readonly mayLeave?: boolean;
 	readonly mayFailOver?: boolean;
 	readonly leavesTime?: boolean;
@@ -23,20 +26,20 @@
 
 /** An attempt of a begun stream at an endpoint that is silent, with another one, a retry and time left, unless a test says otherwise. */
 function createAttempt(situation: Situation): {readonly timeouts: AttemptTimeouts; readonly state: AttemptState; readonly calls: string[]} {
-	const {progress = 'none', isSilent = true, isPaused = false, hasOutcome = false, hasAnother = true, mayLeave = true, mayFailOver = true, leavesTime = true} = situation;
+	const {progress = 'none', isSilent = true, isPaused = false, hasOutcome = false, hasAnother = true, isOpen = true, hasResponse = true, mayLeave = true, mayFailOver = true, leavesTime = true} = situation;
 	const calls: string[] = [];
 	const now = performance.now();
 	const options = {
 		exchange: {
-			dispatcher: {endpoints: {hasAnother: () => hasAnother, report: () => undefined}},
-			crashes: {}, request: {}, service: {}, caller: {hasResponse: true},
+			dispatcher: {endpoints: {hasAnother: () => hasAnother, isOpen: () => isOpen, report: () => undefined}},
+			crashes: {}, request: {}, service: {}, caller: {hasResponse},
 			route: {kind: situation.kind ?? RouteKind.stream, targetMilliseconds: 1000, longestPauseMilliseconds: 1000},
 		},
 		end: {
 			at: situation.isOver === true ? now - 1 : Infinity, nextLookAt: Infinity, lastStartAt: leavesTime ? Infinity : now - 1, isStopped: situation.isStopped === true,
 		},
 		retries: {
-			search: {progress}, next: () => ({}), mayLeave: () => mayLeave, mayFailOver: () => mayFailOver,
+			search: {progress, record: progress === 'placed' ? {} : undefined}, next: () => ({}), mayLeave: () => mayLeave, mayFailOver: () => mayFailOver,
 			endSearch() {
 				calls.push('end');
 			},
@@ -68,6 +71,8 @@
 	{name: 'that may not run again', situation: {mayFailOver: false}},
 	{name: 'that could not end elsewhere before the instance stops', situation: {leavesTime: false}},
 	{name: 'whose attempt has ended', situation: {hasOutcome: true}},
+	{name: 'whose next endpoint is suspended meanwhile', situation: {isOpen: false}},
+	{name: 'whose request may not be retried any more', situation: {mayLeave: false}},
 ];
 
 // Without each of these, an answer was ended that its endpoint went on with, or that could go on nowhere else.
@@ -108,10 +113,13 @@
 	});
 }
 
-tap.test('a lookup leaves a silent endpoint at once', async t => {
-	const {timeouts, state} = createAttempt({kind: RouteKind.safe});
-	t.match(timeouts.check(state), {type: 'failed', isSilent: true});
-});
+for (const kind of [RouteKind.safe, RouteKind.stream]) {
+	tap.test(`a request of kind ${kind} that its caller has nothing of leaves a silent endpoint at once`, async t => {
+		const {timeouts, state, calls} = createAttempt({kind, hasResponse: false});
+		t.match(timeouts.check(state), {type: 'failed', isSilent: true});
+		t.same(calls, []);
+	});
+}
 
 // Without this, what a stop cuts would count as a request whose time was over.
 tap.test('an attempt that the stop ends says so, and one whose time is over expires', async t => {
