--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 import {decisionsCommand} from './decisions/index.js';
 import {controlCommand} from './control/index.js';
 import {loadCommand} from './load/index.js';
+import {gatewayEndsCommand} from './gateway-ends/index.js';
 import {gatewayLoadCommand} from './gateway-load/index.js';
 import {gatewayOverloadCommand} from './gateway-overload/index.js';
 import {gatewayWaitsCommand} from './gateway-waits/index.js';
@@ -27,6 +28,7 @@
 	.command(crashBlameCommand)
 	.command(lossesCommand)
 	.command(gatewaySoakCommand)
+	.command(gatewayEndsCommand)
 	.command(gatewayLoadCommand)
 	.command(gatewayOverloadCommand)
 	.command(gatewayWaitsCommand)
