the line of a request's end says which limit ended it, in which version, how long it can have lain unread, and how late the loop was at most

Finished. had the time that was left until the earlier of deadline and timeout, and the lag as it had decayed since: a caller's own deadline and a route's timeout looked alike, and so did a request that was read late and one that was looked at late.

Change: limit, version, unread, longestLag. The longest lag of the last two to four seconds is kept in LoopLag; nothing is decided by it yet.

--- a/src/gateway/loop-lateness.ts
+++ b/src/gateway/loop-lateness.ts
@@ -49,6 +49,11 @@
 		return this.#lag?.millisecondsAt(performance.now()) ?? 0;
 	}
 
+	/** The longest lag of the last seconds; 0 while the loop was in time. */
+	get longestMilliseconds(): number {
+		return this.#lag?.longestMillisecondsAt(performance.now()) ?? 0;
+	}
+
 	/** The lag of the event loop for the order of its intake; 0 while it is in time, or where that order is not wanted. */
 	get intakeMilliseconds(): number {
 		return this.givesAway ? this.milliseconds : 0;
--- a/src/gateway/requests/decision-log.ts
+++ b/src/gateway/requests/decision-log.ts
@@ -17,8 +17,14 @@
 	readonly firstEventAt: number | undefined;
 	/** How much time it had left until its deadline or its route's timeout. */
 	readonly leftMilliseconds: number;
+	/** Which of the two ends it first. */
+	readonly limit: 'deadline' | 'timeout';
+	/** How long before its reading it can have arrived. */
+	readonly unreadMilliseconds: number;
 	/** How late the event loop was, which ends requests sooner. */
 	readonly lagMilliseconds: number;
+	/** How late it was at most in the last seconds, by which an answer that has begun ends sooner. */
+	readonly longestLagMilliseconds: number;
 };
 
 /** One attempt at one endpoint. */
@@ -153,7 +159,7 @@
 	}
 
 	/** Logs the final response; a request served by its first attempt already has its line. */
-	logResult({facts, route, arrivedAt}: LoggedRequest, {firstEventAt, leftMilliseconds, lagMilliseconds, ...result}: ExchangeResult): void {
+	logResult({facts, route, table, arrivedAt}: LoggedRequest, {firstEventAt, leftMilliseconds, unreadMilliseconds, lagMilliseconds, longestLagMilliseconds, ...result}: ExchangeResult): void {
 		const milliseconds = performance.now() - arrivedAt;
 		this.#finished.add(1, {route: route.name, outcome: result.outcome});
 		this.#durations.record(milliseconds, {route: route.name});
@@ -162,7 +168,10 @@
 		}
 
 		if (result.outcome !== 'done' || result.sendings > 1) {
-			this.#write('Finished.', {request: facts.id, route: route.name, ...result, milliseconds: Math.round(milliseconds), left: Math.round(leftMilliseconds), lag: Math.round(lagMilliseconds)});
+			this.#write('Finished.', {
+				request: facts.id, route: route.name, version: table.version, ...result, milliseconds: Math.round(milliseconds), left: Math.round(leftMilliseconds), unread: Math.round(unreadMilliseconds),
+				lag: Math.round(lagMilliseconds), longestLag: Math.round(longestLagMilliseconds),
+			});
 		}
 	}
 
--- a/src/gateway/requests/exchange-options.ts
+++ b/src/gateway/requests/exchange-options.ts
@@ -32,7 +32,7 @@
 	/** By when an instance that stops has answered the request. */
 	readonly stop: StopSchedule;
 	/** How late this process's event loop is; 0 while it is in time, or if it is not measured. */
-	readonly lateness: {readonly isMeasured: boolean; readonly milliseconds: number};
+	readonly lateness: {readonly isMeasured: boolean; readonly milliseconds: number; readonly longestMilliseconds: number};
 };
 
 /** Events that an exchange waits for. Events of an attempt carry its number, so that stale ones are recognised. */
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -265,7 +265,7 @@
 	}
 
 	#finish(outcome: Outcome, retryAfterMilliseconds = defaultRetryMilliseconds): void {
-		const {caller, codec, facts, log, stop, route, lateness} = this.#options;
+		const {caller, codec, facts, log, stop, route, lateness, readAt, arrivedAt} = this.#options;
 		if (outcome.type === 'done' && this.#sentAt !== undefined) {
 			stop.recordRun(route, performance.now() - this.#sentAt);
 		}
@@ -274,7 +274,8 @@
 		log.logResult(this.#options, {
 			outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, sendings: this.#attempts,
 			verdict: this.#retries.verdict, firstEventAt: this.#forwarder.firstEventAt,
-			leftMilliseconds: this.#end.leftMilliseconds, lagMilliseconds: lateness.milliseconds,
+			leftMilliseconds: this.#end.leftMilliseconds, limit: this.#end.limitedBy, unreadMilliseconds: readAt - arrivedAt,
+			lagMilliseconds: lateness.milliseconds, longestLagMilliseconds: lateness.longestMilliseconds,
 		});
 		if (outcome.type === 'done' || outcome.type === 'left') {
 			return;
--- a/src/gateway/requests/request-end.ts
+++ b/src/gateway/requests/request-end.ts
@@ -47,6 +47,12 @@
 		return performance.now() >= stop.endsAt && stop.endsAt < endAt(this.#limit, lateness.milliseconds);
 	}
 
+	/** Whether its caller's deadline or its route's timeout ends it. */
+	get limitedBy(): 'deadline' | 'timeout' {
+		const {route, facts} = this.#options;
+		return (facts.deadlineMilliseconds ?? Infinity) < route.timeoutMilliseconds ? 'deadline' : 'timeout';
+	}
+
 	/** How much of its time the request has left. */
 	get leftMilliseconds(): number {
 		return this.#limit.deadlineAt - performance.now();
--- a/src/policy/lateness/loop-lag.ts
+++ b/src/policy/lateness/loop-lag.ts
@@ -16,6 +16,9 @@
 /** A loop that was late is in time again below this share of the lag from which it counts as late. */
 const inTimeShare = 0.5;
 
+/** The longest lag counts for one to two such times: an instance that stands still or does much in a turn does so again within a second or two. */
+const longestSpanMilliseconds = 2000;
+
 /** When a connection was accepted, and the earliest moment at which it can have been opened. */
 export type ConnectionTimes = {readonly acceptedAt: number; readonly openedAt: number};
 
@@ -26,13 +29,17 @@
 	readonly previousTickAt: number;
 	readonly smoothed: number;
 	readonly wasLate: boolean;
+	readonly longest: LongestLag;
 };
 
+/** The longest lag of the span that began at `since`, and of the one before it. */
+type LongestLag = {readonly since: number; readonly milliseconds: number; readonly before: number};
+
 /** The lateness of one event loop. Times are milliseconds of the monotonic clock. */
 export class LoopLag {
 	/** `lateMilliseconds` is the lag from which the loop counts as late. */
 	static create(lateMilliseconds: number, now: number): LoopLag {
-		return new LoopLag({lateMilliseconds, tickAt: now, previousTickAt: now, smoothed: 0, wasLate: false});
+		return new LoopLag({lateMilliseconds, tickAt: now, previousTickAt: now, smoothed: 0, wasLate: false, longest: {since: now, milliseconds: 0, before: 0}});
 	}
 
 	readonly #state: LagState;
@@ -43,12 +50,12 @@
 
 	/** The timer has run. */
 	tick(now: number): LoopLag {
-		const {lateMilliseconds, tickAt, smoothed, wasLate} = this.#state;
+		const {lateMilliseconds, tickAt, smoothed, wasLate, longest} = this.#state;
 		const sample = Math.max(0, now - tickAt - lagSampleMilliseconds);
 		const weight = sample > smoothed ? riseShare : 1 - Math.exp((tickAt - now) / fallMilliseconds);
 		const lag = smoothed + ((sample - smoothed) * weight);
 		const isLate = lag >= lateMilliseconds * (wasLate ? inTimeShare : 1);
-		return new LoopLag({lateMilliseconds, tickAt: now, previousTickAt: tickAt, smoothed: lag, wasLate: isLate});
+		return new LoopLag({lateMilliseconds, tickAt: now, previousTickAt: tickAt, smoothed: lag, wasLate: isLate, longest: longestAfter(longest, sample, now)});
 	}
 
 	/** The lag at a moment, also within a turn that is late by itself; 0 while the loop is in time. */
@@ -58,6 +65,13 @@
 		return wasLate || lag >= lateMilliseconds ? lag : 0;
 	}
 
+	/** The longest lag of the last seconds, by which the next turn may be late; 0 while no turn was. */
+	longestMillisecondsAt(now: number): number {
+		const {lateMilliseconds, longest} = this.#state;
+		const lag = Math.max(longest.milliseconds, longest.before, this.#pending(now));
+		return lag >= lateMilliseconds ? lag : 0;
+	}
+
 	/**
 	 * The earliest moment at which what is read now can have arrived; `now` while the loop is in time. Each turn runs due timers and then
 	 * reads the sockets: what the turn before had not read arrived after the timer's run before the last one.
@@ -85,3 +99,9 @@
 		return Math.max(0, now - this.#state.tickAt - lagSampleMilliseconds);
 	}
 }
+
+function longestAfter({since, milliseconds, before}: LongestLag, sample: number, now: number): LongestLag {
+	return now - since < longestSpanMilliseconds
+		? {since, milliseconds: Math.max(milliseconds, sample), before}
+		: {since: now, milliseconds: sample, before: milliseconds};
+}
--- a/test/policy/lateness.test.ts
+++ b/test/policy/lateness.test.ts
@@ -89,3 +89,21 @@
 		t.equal(nextLookAt(limit, {lagMilliseconds, now: 1700}), 1800);
 	}
 });
+
+tap.test('the longest lag counts for two to four seconds, and not below the named lag', async t => {
+	const {lag, now} = loopAfter([600, 30, 30]);
+	t.equal(lag.longestMillisecondsAt(now), 600 - lagSampleMilliseconds);
+	const ticked = (milliseconds: number): LoopLag => {
+		let later = lag;
+		for (let at = now + lagSampleMilliseconds; at <= now + milliseconds; at += lagSampleMilliseconds) {
+			later = later.tick(at);
+		}
+
+		return later;
+	};
+
+	t.equal(ticked(1900).longestMillisecondsAt(now + 1900), 600 - lagSampleMilliseconds);
+	t.equal(ticked(4500).longestMillisecondsAt(now + 4500), 0);
+	t.equal(loopAfter([40, 40]).lag.longestMillisecondsAt(1080), 0);
+	t.equal(lag.longestMillisecondsAt(now + 1000), 1000 - lagSampleMilliseconds, 'also within a turn that is late by itself');
+});
