a request that comes after a long turn counts from that turn's end

Callers saw: streams and orders of calls that came in the first 25 ms after a process had stood still ended up to half a second before their time. Cause: what is read before the lag's timer runs again counted from that timer's run before the last one, also in turns behind the one in which it ran. That one has read all that had lain there. Change: the loop records that its sockets were read since the timer ran; what comes later arrived after that run. Evidence: policy/lateness 'what is read after the turn of the timer ...' needs LoopLag.read, which was not there. Conclusion: it narrows the span in which a request can have arrived; it never shifts it beyond the truth, since a socket that was read in one turn gives in a later one only what came after.

--- a/src/gateway/loop-lateness.ts
+++ b/src/gateway/loop-lateness.ts
@@ -109,6 +109,9 @@
 		this.#timer = setTimeout(() => {
 			this.#lag = this.#lag?.tick(performance.now());
 			this.#longestLag = Math.max(this.#longestLag, this.milliseconds);
+			setImmediate(() => {
+				this.#lag = this.#lag?.read();
+			});
 			this.#armTimer();
 		}, lagSampleMilliseconds);
 	}
--- a/src/policy/lateness/loop-lag.ts
+++ b/src/policy/lateness/loop-lag.ts
@@ -27,6 +27,8 @@
 	/** When the timer last ran, and the time before. */
 	readonly tickAt: number;
 	readonly previousTickAt: number;
+	/** Whether the sockets were read since the timer last ran. */
+	readonly hasRead: boolean;
 	readonly smoothed: number;
 	readonly wasLate: boolean;
 	readonly longest: LongestLag;
@@ -39,7 +41,7 @@
 export class LoopLag {
 	/** `lateMilliseconds` is the lag from which the loop counts as late. */
 	static create(lateMilliseconds: number, now: number): LoopLag {
-		return new LoopLag({lateMilliseconds, tickAt: now, previousTickAt: now, smoothed: 0, wasLate: false, longest: {since: now, milliseconds: 0, before: 0}});
+		return new LoopLag({lateMilliseconds, tickAt: now, previousTickAt: now, hasRead: false, smoothed: 0, wasLate: false, longest: {since: now, milliseconds: 0, before: 0}});
 	}
 
 	readonly #state: LagState;
@@ -55,7 +57,12 @@
 		const weight = sample > smoothed ? riseShare : 1 - Math.exp((tickAt - now) / fallMilliseconds);
 		const lag = smoothed + ((sample - smoothed) * weight);
 		const isLate = lag >= lateMilliseconds * (wasLate ? inTimeShare : 1);
-		return new LoopLag({lateMilliseconds, tickAt: now, previousTickAt: tickAt, smoothed: lag, wasLate: isLate, longest: longestAfter(longest, sample, now)});
+		return new LoopLag({lateMilliseconds, tickAt: now, previousTickAt: tickAt, hasRead: false, smoothed: lag, wasLate: isLate, longest: longestAfter(longest, sample, now)});
+	}
+
+	/** The turn in which the timer ran has read the sockets. */
+	read(): LoopLag {
+		return new LoopLag({...this.#state, hasRead: true});
 	}
 
 	/** The lag at a moment, also within a turn that is late by itself; 0 while the loop is in time. */
@@ -74,16 +81,22 @@
 
 	/**
 	 * The earliest moment at which what is read now can have arrived; `now` while the loop is in time. Each turn runs due timers and then
-	 * reads the sockets: what the turn before had not read arrived after the timer's run before the last one.
+	 * reads the sockets: what the turn before had not read arrived after the timer's run before the last one, and what is read in a later turn than the timer's last run, after
+	 * that run.
 	 */
 	arrivalOf(now: number): number {
 		if (this.millisecondsAt(now) === 0) {
 			return now;
 		}
 
-		const {tickAt, previousTickAt} = this.#state;
+		const {tickAt, previousTickAt, hasRead} = this.#state;
 		const wasTickLate = tickAt - previousTickAt >= 2 * lagSampleMilliseconds;
-		return wasTickLate || this.#pending(now) >= lagSampleMilliseconds ? previousTickAt : now;
+		const isLate = this.#pending(now) >= lagSampleMilliseconds;
+		if (hasRead) {
+			return isLate ? tickAt : now;
+		}
+
+		return wasTickLate || isLate ? previousTickAt : now;
 	}
 
 	/**
--- a/test/policy/lateness.test.ts
+++ b/test/policy/lateness.test.ts
@@ -40,6 +40,15 @@
 	t.ok(lag.millisecondsAt(now) > 200);
 });
 
+// A request that came just after a long turn counted from before that turn: its 504 came half a second before its time.
+tap.test('what is read after the turn of the timer arrived after the timer ran', async t => {
+	const {lag, now} = loopAfter([600]);
+	t.equal(lag.arrivalOf(now + 5), now - 600, 'the turn of the timer reads what has lain there');
+	t.equal(lag.read().arrivalOf(now + 5), now + 5, 'the turns behind it read what has come since');
+	t.equal(lag.read().arrivalOf(now + 300), now, 'also where they are late by themselves');
+	t.equal(lag.read().tick(now + 300).arrivalOf(now + 305), now, 'until the timer runs again');
+});
+
 tap.test('a request read within a turn that is late by itself arrived before it', async t => {
 	const {lag, now} = loopAfter([]);
 	t.ok(lag.arrivalOf(now + 300) <= now);
