a begun answer whose request was read late ends within the span in which its caller's time ends

Callers saw: streams of a process that stands still in periods had no end half a second after their route's timeout, 49 of 100 at 525 of 700 ms. Cause: when a request arrived that a late turn reads is known within that turn only. Since its time counted from its reading, the latest it can have come; the next stand came on top. Before it counted from the earliest, less the lag, and 69 of 100 ended over 150 ms too early. Change: the end lies where it is as much too early, by the earliest arrival, as too late, by a look that is late by the longest lag of the last seconds; never before the earliest nor after the latest. While looks are in time that is the latest as before, and always in a planned stop, which breaks off nothing.

--- a/src/gateway/requests/request-end.ts
+++ b/src/gateway/requests/request-end.ts
@@ -1,4 +1,4 @@
-import {endAt, nextLookAt, type TimeLimit} from '../../policy/lateness/index.js';
+import {endAt, type Lateness, nextLookAt, type TimeLimit} from '../../policy/lateness/index.js';
 import {type Route} from '../../routing/index.js';
 import {type RequestMetadata} from '../adapter/index.js';
 import {type ExchangeOptions} from './exchange-options.js';
@@ -24,16 +24,23 @@
 		this.#deadline = {earliestAt: deadlineOf(arrivedAt, route, facts), latestAt: deadlineOf(readAt, route, facts)};
 	}
 
-	/** An answer that has begun goes on until its caller's time is over for certain. */
 	get #limit(): TimeLimit {
-		const {arrivedAt, caller: {hasResponse}} = this.#options;
-		return {arrivedAt, deadlineAt: hasResponse ? this.#deadline.latestAt : this.#deadline.earliestAt, hasBegun: hasResponse};
+		const {arrivedAt, caller: {hasResponse}, stop} = this.#options;
+		return {arrivedAt, ...this.#deadline, hasBegun: hasResponse, isStopping: stop.endsAt < Infinity};
+	}
+
+	get #lateness(): Lateness {
+		const {milliseconds, longestMilliseconds} = this.#options.lateness;
+		return {lagMilliseconds: milliseconds, longestMilliseconds};
 	}
 
 	/** When the request is ended. */
 	get at(): number {
-		const {lateness, stop} = this.#options;
-		return Math.min(endAt(this.#limit, lateness.milliseconds), stop.endsAt);
+		return Math.min(this.#endAt, this.#options.stop.endsAt);
+	}
+
+	get #endAt(): number {
+		return endAt(this.#limit, this.#lateness);
 	}
 
 	/** When the request is ended if its answer has begun by then: so long may an endpoint work on a stream. */
@@ -43,8 +50,8 @@
 
 	/** Whether the instance's stop, and neither its deadline nor its route's timeout, has ended the request. */
 	get isStopped(): boolean {
-		const {stop, lateness} = this.#options;
-		return performance.now() >= stop.endsAt && stop.endsAt < endAt(this.#limit, lateness.milliseconds);
+		const {stop} = this.#options;
+		return performance.now() >= stop.endsAt && stop.endsAt < this.#endAt;
 	}
 
 	/** Whether its caller's deadline or its route's timeout ends it. */
@@ -55,7 +62,7 @@
 
 	/** How much of its time the request has left. */
 	get leftMilliseconds(): number {
-		return this.#limit.deadlineAt - performance.now();
+		return this.#deadlineAt - performance.now();
 	}
 
 	/**
@@ -69,8 +76,13 @@
 
 	/** When to look whether the request is ended. */
 	get nextLookAt(): number {
-		const {lateness: {isMeasured, milliseconds}, stop} = this.#options;
-		const lookAt = isMeasured ? nextLookAt(this.#limit, {lagMilliseconds: milliseconds, now: performance.now()}) : this.#limit.deadlineAt;
+		const {lateness: {isMeasured}, stop} = this.#options;
+		const lookAt = isMeasured ? nextLookAt(this.#limit, this.#lateness, performance.now()) : this.#deadlineAt;
 		return Math.min(lookAt, stop.endsAt);
 	}
+
+	/** An answer that has begun may go on until its time is over for certain. */
+	get #deadlineAt(): number {
+		return this.#options.caller.hasResponse ? this.#deadline.latestAt : this.#deadline.earliestAt;
+	}
 }
