--- a/bench/gateway-ends/index.ts
+++ b/bench/gateway-ends/index.ts
@@ -21,15 +21,15 @@
 		program: {type: 'string', describe: 'the bundled program of another version, to play in place of this one'},
 	},
 	async handler({stand, kinds, callers, seconds, seed, port, program}) {
-		console.log(`stand/period answer: ends, over ${earlyMilliseconds} ms early, none after ${heldMilliseconds} ms; half, nine tenths, last (ms after the timeout)`);
+		console.log(`stand/period answer: ends, over ${earlyMilliseconds} ms early, none after ${heldMilliseconds} ms; half, nine tenths, last (ms after the timeout); longest stand: longer than asked for where the bench itself was late`);
 		for (const span of stand.split(',')) {
 			const [standMilliseconds, periodMilliseconds] = span.split('/').map(Number) as [number, number];
 			for (const kind of kinds.split(',') as AnswerKind[]) {
-				const {milliseconds} = await playEnds({kind, standMilliseconds, periodMilliseconds, callers, seconds, seed, firstPort: port, program});
+				const {milliseconds, standStillMilliseconds} = await playEnds({kind, standMilliseconds, periodMilliseconds, callers, seconds, seed, firstPort: port, program});
 				const shown = [0.5, 0.9, 1].map(share => Math.round(quantile(milliseconds, share)));
 				const early = milliseconds.filter(end => end < -earlyMilliseconds).length;
 				const held = milliseconds.filter(end => end > heldMilliseconds).length;
-				console.log(`${span} ${kind}: ${milliseconds.length}, ${early}, ${held}; ${shown.join(', ')}`);
+				console.log(`${span} ${kind}: ${milliseconds.length}, ${early}, ${held}; ${shown.join(', ')}; longest stand ${Math.round(standStillMilliseconds)}`);
 			}
 		}
 	},
--- a/bench/gateway-ends/play.ts
+++ b/bench/gateway-ends/play.ts
@@ -26,7 +26,11 @@
 };
 
 /** How long after its route's timeout each request had its end; negative before it. */
-export type Ends = {readonly milliseconds: readonly number[]; readonly standStillMilliseconds: number};
+export type Ends = {
+	readonly milliseconds: readonly number[];
+	/** How long the gateway stood still at most. */
+	readonly standStillMilliseconds: number;
+};
 
 /** A request that has no end so long after its timeout counts as held. */
 export const heldMilliseconds = 500;
--- a/src/policy/lateness/loop-lag.ts
+++ b/src/policy/lateness/loop-lag.ts
@@ -16,7 +16,7 @@
 /** A loop that was late is in time again below this share of the lag from which it counts as late. */
 const inTimeShare = 0.5;
 
-/** The longest lag counts for one to two such times: an instance that stands still or does much in a turn does so again within a second or two. */
+/** The longest lag counts for one to two such times: an instance that got too little of its processor gets it in bursts, a second or two apart. */
 const longestSpanMilliseconds = 2000;
 
 /** When a connection was accepted, and the earliest moment at which it can have been opened. */
@@ -81,8 +81,8 @@
 
 	/**
 	 * The earliest moment at which what is read now can have arrived; `now` while the loop is in time. Each turn runs due timers and then
-	 * reads the sockets: what the turn before had not read arrived after the timer's run before the last one, and what is read in a later turn than the timer's last run, after
-	 * that run.
+	 * reads the sockets: what the turn before had not read arrived after the timer's run before the last one. The turn of that last run has read what
+	 * lay there then, so that what a later turn reads arrived after it.
 	 */
 	arrivalOf(now: number): number {
 		if (this.millisecondsAt(now) === 0) {
--- a/src/policy/lateness/time-limits.ts
+++ b/src/policy/lateness/time-limits.ts
@@ -24,6 +24,7 @@
 	readonly latestAt: number;
 	/** Whether the caller has been sent the beginning of the answer. */
 	readonly hasBegun: boolean;
+	/** Whether a planned stop has begun. */
 	readonly isStopping: boolean;
 };
 
