an answer that was reset is no whole one, whoever reads it

What callers saw: a service that answers without a length, sends a part and resets its connection had its part passed on as a whole answer, framed as complete, on the path of entry and side. With a long request still being written or not, with one of bytes or a stream, the reset in the turn of the last bytes or later: 8 of 8 ways, each time. The same part was taken for a whole page by the clients of the platform where the reset was read in one turn with the bytes (4 of 4, adapter and log client). The gateway's own attempts were right (32 of 32 ways before and after, 16 of them while the caller reads slowly), as were streams of engines, which need their end mark.

Cause: a response without a length ends with its connection, and Node's parser is told only that no more bytes come: after a reset, after the failure of a write (the request emits an error first, to which nobody listens once the response has begun), and after a reset that libuv reports as an end. `response.complete` is true in all three. Only the attempt of the gateway knew it, for one of the three. Class: an end taken for completeness.

An orderly close of an answer without a length is a whole answer, also while its request is being written (RFC 9112, section 8): nothing tells it from one.

A stand-in, fakes/broken-server, breaks off in each way.

--- /dev/null
+++ b/fakes/broken-server.ts
@@ -0,0 +1,109 @@
+/** A server whose answers break off: the stand-in for endpoints and stores that crash while they answer. */
+import {once} from 'node:events';
+import net, {type AddressInfo} from 'node:net';
+
+/** How the length of the body is told. */
+export const Framing = {length: 'length', chunks: 'chunks', none: 'none'} as const;
+export type Framing = (typeof Framing)[keyof typeof Framing];
+
+/** How the connection ends after a part of the body: reset a moment later, reset in the turn that sends the part, or closed in an orderly way. */
+export const Ending = {reset: 'reset', resetAtOnce: 'reset at once', closed: 'closed'} as const;
+export type Ending = (typeof Ending)[keyof typeof Ending];
+
+/** One answer that breaks off. */
+export type BrokenAnswer = {
+	readonly framing: Framing;
+	readonly ending: Ending;
+	/** Whether the whole request is read; otherwise its sender is still writing when the answer breaks off. */
+	readonly readsRequest: boolean;
+	/** Lines of the head besides the status line and those of the framing. */
+	readonly headers: readonly string[];
+	/** The part of the body that is sent. */
+	readonly part: string;
+};
+
+/** All answers that are incomplete by their framing or by a reset; one without a length that is closed in an orderly way is complete. */
+export const brokenAnswers: ReadonlyArray<Omit<BrokenAnswer, 'headers' | 'part'>> = Object.values(Framing).flatMap(framing =>
+	Object.values(Ending).flatMap(ending => [true, false].map(readsRequest => ({framing, ending, readsRequest}))))
+	.filter(({framing, ending}) => framing !== Framing.none || ending !== Ending.closed);
+
+const resetDelayMilliseconds = 20;
+/** A body that no kernel takes whole, so that its sender is still writing. */
+export const longUploadBytes = 32 * 1024 * 1024;
+
+/** Answers each request with what `answerOf` returns then. */
+export class BrokenServer implements AsyncDisposable {
+	static async create(answerOf: () => BrokenAnswer, statusLine = 'HTTP/1.1 200 OK'): Promise<BrokenServer> {
+		const server = net.createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				const answer = answerOf();
+				if (!answer.readsRequest) {
+					socket.pause();
+				}
+
+				respond(socket, statusLine, answer);
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		return new BrokenServer(server);
+	}
+
+	readonly #server: net.Server;
+
+	private constructor(server: net.Server) {
+		this.#server = server;
+	}
+
+	get port(): number {
+		return (this.#server.address() as AddressInfo).port;
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#server.close();
+	}
+}
+
+function respond(socket: net.Socket, statusLine: string, {framing, ending, headers, part}: BrokenAnswer): void {
+	const lines = [statusLine, ...headers, ...framingHeaders(framing, part)];
+	const body = framing === Framing.chunks ? `${part.length.toString(16)}\r\n${part}\r\n` : part;
+	const bytes = `${lines.join('\r\n')}\r\n\r\n${body}`;
+	switch (ending) {
+		case Ending.reset: {
+			socket.write(bytes, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, resetDelayMilliseconds);
+			});
+			break;
+		}
+
+		case Ending.resetAtOnce: {
+			socket.write(bytes);
+			socket.resetAndDestroy();
+			break;
+		}
+
+		case Ending.closed: {
+			socket.end(bytes);
+			break;
+		}
+	}
+}
+
+function framingHeaders(framing: Framing, part: string): string[] {
+	switch (framing) {
+		case Framing.length: {
+			return [`Content-Length: ${part.length + 1}`];
+		}
+
+		case Framing.chunks: {
+			return ['Transfer-Encoding: chunked'];
+		}
+
+		case Framing.none: {
+			return [];
+		}
+	}
+}
--- a/src/endpoint/engine-control.ts
+++ b/src/endpoint/engine-control.ts
@@ -101,7 +101,7 @@
 		}
 
 		const responseBody = await readJson(opened.response);
-		if (!opened.response.complete) {
+		if (!opened.response.complete || opened.answer.isBroken) {
 			discard(opened.response);
 			return {type: 'failed', mayHaveHappened: true, reason: 'the response was incomplete'};
 		}
--- a/src/endpoint/open-call.ts
+++ b/src/endpoint/open-call.ts
@@ -1,6 +1,6 @@
 import {request as httpRequest, type Agent, type ClientRequest, type IncomingMessage} from 'node:http';
 import {Timeout} from '../concurrency/index.js';
-import {abortOnSignal, abortRequest, watchConnection} from '../platform/index.js';
+import {abortOnSignal, abortRequest, type AnswerWatch, watchAnswer, watchConnection} from '../platform/index.js';
 import {createFailure, FailureKind, Verdict, type Failure} from '../model/index.js';
 
 export type CallSettings = {
@@ -21,8 +21,11 @@
 	readonly write: (request: ClientRequest) => void;
 };
 
+/** A call whose response has begun. */
+export type AnsweredCall = {readonly type: 'answered'; readonly response: IncomingMessage; readonly answer: AnswerWatch};
+
 export type CallResult
-	= | {readonly type: 'answered'; readonly response: IncomingMessage}
+	= | AnsweredCall
 		| {readonly type: 'failed'; readonly failure: Failure};
 
 /**
@@ -42,6 +45,7 @@
 		});
 		abortOnSignal(request, settings.signal);
 		const connection = watchConnection(request);
+		const answer = watchAnswer(request);
 		// The listener is not removed: the response reports an error after the headers, and it must not be thrown here as well.
 		request.on('error', error => {
 			timeout[Symbol.dispose]();
@@ -50,7 +54,7 @@
 		});
 		request.once('response', response => {
 			timeout[Symbol.dispose]();
-			resolve({type: 'answered', response});
+			resolve({type: 'answered', response, answer});
 		});
 		settings.write(request);
 	});
--- a/src/endpoint/service-client.ts
+++ b/src/endpoint/service-client.ts
@@ -1,7 +1,7 @@
-import {Agent, type ClientRequest, type IncomingMessage} from 'node:http';
+import {Agent, type ClientRequest} from 'node:http';
 import {Readable, pipeline} from 'node:stream';
 import {areForwardable, RequestError, type Failure} from '../model/index.js';
-import {createConnectionFailure, openCall} from './open-call.js';
+import {type AnsweredCall, createConnectionFailure, openCall} from './open-call.js';
 import {createBadResponseFailure} from './response-checker.js';
 import {readRetryAfter} from './retry-after.js';
 import {responseHeadersForCaller, requestHeadersForService} from './service-headers.js';
@@ -75,7 +75,7 @@
 			return opened;
 		}
 
-		const {response} = opened;
+		const {response, answer} = opened;
 		const status = response.statusCode ?? 0;
 		if (status < firstFinalStatus || !areForwardable(response.rawHeaders)) {
 			response.destroy();
@@ -83,7 +83,7 @@
 		}
 
 		return {
-			type: 'answered', status, headers: responseHeadersForCaller(response.headers), body: readBody(response, call.signal),
+			type: 'answered', status, headers: responseHeadersForCaller(response.headers), body: readBody(opened, call.signal),
 			backoffMilliseconds: refusalStatuses.has(status) ? readRetryAfter(response.headers) : undefined,
 		};
 	}
@@ -114,11 +114,10 @@
 }
 
 /**
- * Yields the body and throws if it is incomplete. Node distinguishes a truncated body from one that ended; without
- * the error, if a service fails in the middle of a response, its caller would take the partial response for a
- * complete one.
+ * Yields the body and throws if it is incomplete. Without the error, if a service fails in the middle of a response, its caller would take
+ * the partial response for a complete one.
  */
-async function * readBody(response: IncomingMessage, signal: AbortSignal | undefined): AsyncGenerator<Uint8Array> {
+async function * readBody({response, answer}: AnsweredCall, signal: AbortSignal | undefined): AsyncGenerator<Uint8Array> {
 	try {
 		for await (const chunk of response as AsyncIterable<Uint8Array>) {
 			yield chunk;
@@ -126,4 +125,8 @@
 	} catch (error) {
 		throw RequestError.create(createConnectionFailure(error instanceof Error ? error : new Error(String(error)), true, signal));
 	}
+
+	if (answer.isBroken) {
+		throw RequestError.create(createConnectionFailure(new Error('reset'), true, signal));
+	}
 }
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -2,7 +2,7 @@
 import {type Socket} from 'node:net';
 import {Timeout} from '../../concurrency/index.js';
 import {splitAddress, type Verdict as VerdictType, Verdict} from '../../model/index.js';
-import {abortRequest, limitReceivedBytes, watchConnection} from '../../platform/index.js';
+import {abortRequest, type AnswerWatch, limitReceivedBytes, watchAnswer, watchConnection} from '../../platform/index.js';
 import {judgeSilence, type Progress, silenceMilliseconds} from '../../policy/incarnations/index.js';
 import {type ConnectionPool} from '../endpoints/index.js';
 
@@ -52,8 +52,7 @@
 	readonly #connection: {readonly isEstablished: boolean};
 	#response: IncomingMessage | undefined;
 	#isFinished = false;
-	#isReset = false;
-	#socket: Socket | undefined;
+	readonly #answer: AnswerWatch;
 	readonly #connectTimeout: Timeout;
 	/** Ends the attempt if nothing more comes of an endpoint that has restarted. */
 	#restartTimeout: Timeout | undefined;
@@ -73,14 +72,12 @@
 			setHost: false,
 		});
 		this.#connection = watchConnection(this.#request);
+		this.#answer = watchAnswer(this.#request);
 		limitReceivedBytes(this.#request, () => maxOverheadBytes + (this.#bodyBytes * maxFramingFactor));
 		this.#connectTimeout = this.#startConnectTimeout();
 		this.#request.once('socket', socket => {
-			this.#socket = socket;
 			this.#endConnectTimeout(socket);
 			this.#watchRestart(socket);
-			// Runs before the HTTP parser sees the end, while the state of the connection can still be read.
-			socket.prependListener('end', this.#onSocketEnd);
 		});
 		this.#request.on('error', (error: Error) => {
 			this.#fail(error.message);
@@ -198,9 +195,8 @@
 			this.#fail('the connection closed before the end');
 		});
 		response.once('end', () => {
-			this.#socket?.removeListener('end', this.#onSocketEnd);
 			// Node also emits `end` for a truncated response and marks it as incomplete.
-			if (response.complete && !this.#isReset) {
+			if (response.complete && !this.#answer.isBroken) {
 				this.#emit({type: 'end'});
 				this.#isFinished = true;
 			}
@@ -223,15 +219,6 @@
 		this.#emit({type: 'data', bytes});
 	}
 
-	/**
-	 * If data and a reset are read in one turn of the event loop, libuv reports the reset as a plain end, and a truncated
-	 * response without a length would pass for complete. A reset connection has no remote address any more, one that was ended
-	 * has.
-	 */
-	readonly #onSocketEnd = (): void => {
-		this.#isReset = this.#socket !== undefined && this.#socket.remoteAddress === undefined;
-	};
-
 	#fail(reason: string): void {
 		this.#connectTimeout[Symbol.dispose]();
 		this.#emit({type: 'broken', verdict: this.#connection.isEstablished ? Verdict.mayHaveRun : Verdict.notRun, reason});
--- a/src/platform/http-caller.ts
+++ b/src/platform/http-caller.ts
@@ -3,6 +3,7 @@
 import {Timeout} from '../concurrency/index.js';
 import {limitReceivedBytes} from './byte-limit.js';
 import {abortRequest} from './abort-request.js';
+import {watchAnswer} from './answer-watch.js';
 import {watchConnection} from './connection-watch.js';
 import {PlatformError} from './error.js';
 
@@ -84,6 +85,7 @@
 }
 
 const staleConnectionReason = 'the keep-alive connection was closed';
+const brokenAnswerReason = 'the response was reset';
 
 type RawResponse = {status: number; retryAfter: string | undefined; etag: string | undefined; text: string};
 
@@ -97,12 +99,18 @@
 function exchange(clientRequest: ClientRequest, {payload, abortReason}: {payload: string | undefined; abortReason: () => string | undefined}): Promise<RawResponse> {
 	return new Promise<RawResponse>((resolve, reject) => {
 		const connection = watchConnection(clientRequest);
+		const answer = watchAnswer(clientRequest);
 		clientRequest.on('error', (error: NodeJS.ErrnoException) => {
 			const reason = abortReason() ?? (clientRequest.reusedSocket && error.code === 'ECONNRESET' ? staleConnectionReason : error.message);
 			reject(PlatformError.create(connection.isEstablished ? {type: 'lost', reason} : {type: 'unreachable', reason}));
 		});
 		clientRequest.once('response', response => {
 			readText(response).then(text => {
+				if (answer.isBroken) {
+					reject(PlatformError.create({type: 'lost', reason: brokenAnswerReason}));
+					return;
+				}
+
 				resolve({status: response.statusCode ?? 0, retryAfter: response.headers['retry-after'], etag: response.headers.etag, text});
 			}, (error: unknown) => {
 				reject(PlatformError.create({type: 'lost', reason: String(error)}));
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -12,5 +12,6 @@
 export {QuarantineLedger, quarantineStream, type QuarantineLedgerSettings} from './quarantine-ledger.js';
 export {handleCatalogueMessage, type CatalogueMessage} from './catalogue-peer.js';
 export {limitReceivedBytes} from './byte-limit.js';
+export {watchAnswer, type AnswerWatch} from './answer-watch.js';
 export {watchConnection} from './connection-watch.js';
 export {abortOnSignal, abortRequest} from './abort-request.js';
--- /dev/null
+++ b/test/endpoint/broken-answers.test.ts
@@ -0,0 +1,68 @@
+import {Buffer} from 'node:buffer';
+import tap from 'tap';
+import {BrokenServer, type BrokenAnswer, brokenAnswers, longUploadBytes} from '../../fakes/broken-server.js';
+import {EngineClient, type EngineEvent, ServiceClient} from '../../src/endpoint/index.js';
+
+/** A body that goes on until its reader gives up. */
+async function * endlessUpload(): AsyncGenerator<Uint8Array> {
+	for (let sent = 0; sent < longUploadBytes; sent += 64 * 1024) {
+		yield Buffer.alloc(64 * 1024);
+	}
+}
+
+const uploads = [
+	{name: 'bytes', body: () => Buffer.alloc(longUploadBytes)},
+	{name: 'a stream', body: () => endlessUpload()},
+];
+
+async function readWhole(body: AsyncGenerator<Uint8Array>): Promise<string> {
+	let text = '';
+	for await (const bytes of body) {
+		text += Buffer.from(bytes).toString('utf8');
+	}
+
+	return text;
+}
+
+async function eventsOf(engines: EngineClient, body: string): Promise<EngineEvent[]> {
+	const events: EngineEvent[] = [];
+	const run = {requestId: 'r', method: 'POST', path: '/v1/chat/completions', headers: {}, body: Buffer.from(body), resumeTokens: 0, resumeText: '', priority: 0};
+	for await (const turn of engines.run(run)) {
+		events.push(...turn);
+	}
+
+	return events;
+}
+
+// Callers got the part of an answer that was reset as a whole one.
+for (const {name, body} of uploads) {
+	tap.test(`an answer that breaks off is no whole one to a caller who uploads ${name}`, async t => {
+		let answer: BrokenAnswer;
+		await using server = await BrokenServer.create(() => answer);
+		for (const broken of brokenAnswers) {
+			answer = {...broken, headers: ['Content-Type: text/plain'], part: 'half of it'};
+			await using services = ServiceClient.create({baseUrl: `http://127.0.0.1:${server.port}`});
+			const response = await services.call({requestId: 'r', method: 'POST', path: '/tickets', headers: {}, body: body()});
+			const about = JSON.stringify(broken);
+			if (response.type === 'answered') {
+				const end: unknown = await readWhole(response.body).catch((error: unknown) => error);
+				t.match(end, {failure: {verdict: 'may-have-run'}}, about);
+			} else {
+				t.match(response.failure, {verdict: 'may-have-run'}, about);
+			}
+		}
+	});
+}
+
+// A stream of events without its end passed for a whole one.
+tap.test('a stream of an engine that breaks off is no whole one', async t => {
+	let answer: BrokenAnswer;
+	await using server = await BrokenServer.create(() => answer);
+	for (const broken of brokenAnswers) {
+		answer = {...broken, headers: ['Content-Type: text/event-stream'], part: 'data: {"id":"r","token_index":0}\n\n'};
+		await using engines = EngineClient.create({baseUrl: `http://127.0.0.1:${server.port}`});
+		const events = await eventsOf(engines, JSON.stringify({content: 'x'.repeat(longUploadBytes / 8)}));
+
+		t.match(events.at(-1), {type: 'failed', failure: {verdict: 'may-have-run'}}, JSON.stringify(broken));
+	}
+});
--- /dev/null
+++ b/test/gateway/broken-answers.test.ts
@@ -0,0 +1,61 @@
+import tap from 'tap';
+import {type BrokenAnswer, brokenAnswers, BrokenServer, longUploadBytes} from '../../fakes/broken-server.js';
+import {ConnectionPool} from '../../src/gateway/endpoints/connection-pool.js';
+import {Attempt, type AttemptEvent} from '../../src/gateway/requests/attempt.js';
+import {Testbed} from './testbed.js';
+
+/** Sends one request with a long body, and returns the last event of the attempt. */
+async function lastEventOf(port: number, pausesAtHead: boolean): Promise<AttemptEvent> {
+	const connectionPool = ConnectionPool.create(4);
+	const last = await new Promise<AttemptEvent>(resolve => {
+		const attempt = Attempt.start({
+			address: `127.0.0.1:${port}`, method: 'POST', path: '/', headers: ['Host', 'a.example', 'Content-Length', String(longUploadBytes)],
+			body: new Uint8Array(longUploadBytes), connectionPool, mayRunAgain: true,
+			onEvent(event) {
+				if (event.type === 'head' && pausesAtHead) {
+					attempt.pause();
+					setTimeout(() => {
+						attempt.resume();
+					}, 50);
+				}
+
+				if (event.type === 'end' || event.type === 'broken') {
+					resolve(event);
+				}
+			},
+		});
+	});
+	connectionPool.destroy();
+	return last;
+}
+
+// A caller got the part of an answer that was reset as a whole one.
+tap.test('an attempt whose answer breaks off is broken, also while its body is being written', async t => {
+	let answer: BrokenAnswer;
+	await using server = await BrokenServer.create(() => answer);
+	for (const broken of brokenAnswers) {
+		for (const pausesAtHead of [false, true]) {
+			answer = {...broken, headers: [], part: 'half of it'};
+			t.match(await lastEventOf(server.port, pausesAtHead), {type: 'broken', verdict: 'may-have-run'}, JSON.stringify({...broken, pausesAtHead}));
+		}
+	}
+});
+
+const requests = [
+	{name: 'a request that may run once', method: 'POST', path: '/release/1', service: 'orders', part: 'half of it'},
+	{name: 'a stream', method: 'POST', path: '/question/1', service: 'models', part: 'id: 0\ndata: a\n\n'},
+] as const;
+
+// The same, as its caller sees it.
+for (const {name, method, path, service, part} of requests) {
+	tap.test(`the answer to ${name} that breaks off does not look whole`, async t => {
+		for (const broken of brokenAnswers) {
+			await using testbed = await Testbed.create({services: []});
+			await using server = await BrokenServer.create(() => ({...broken, headers: ['Request-Id: cut', 'Upstream-Signature: s', 'Content-Type: text/event-stream'], part}));
+			testbed.store.put('keyed.servers', 'cut', {service, address: `127.0.0.1:${server.port}`, zone: 'zone-a', version: 'v1', slots: 16, state: 'ready', seq: 1});
+			await testbed.startGateway();
+			const {status, isComplete} = await testbed.send({id: 'cut', method, path, body: 'x'.repeat(90_000)});
+			t.ok(status === 502 || !isComplete, `${status}, ${isComplete}: ${JSON.stringify(broken)}`);
+		}
+	});
+}
--- /dev/null
+++ b/test/platform/broken-answers.test.ts
@@ -0,0 +1,21 @@
+import tap from 'tap';
+import {type BrokenAnswer, brokenAnswers, BrokenServer, longUploadBytes} from '../../fakes/broken-server.js';
+import {httpCall} from '../../platform/http-call.js';
+import {HttpCaller} from '../../src/platform/index.js';
+
+const timeoutMilliseconds = 5000;
+
+// A page of the store of which a part came was taken for the whole page.
+tap.test('an answer of the platform that breaks off is lost', async t => {
+	let answer: BrokenAnswer;
+	await using server = await BrokenServer.create(() => answer);
+	for (const broken of brokenAnswers) {
+		answer = {...broken, headers: ['Content-Type: application/json'], part: '{}'};
+		const about = JSON.stringify(broken);
+		const adapterCall = httpCall({host: '127.0.0.1', port: server.port, method: 'POST', path: '/', body: new Uint8Array(longUploadBytes), timeoutMilliseconds});
+		t.match(await adapterCall.catch((error: unknown) => error), {failure: {type: 'lost'}}, `adapter: ${about}`);
+		await using caller = HttpCaller.create({baseUrl: `http://127.0.0.1:${server.port}`, timeoutMilliseconds});
+		const call = caller.call({method: 'POST', path: '/', body: 'x'.repeat(longUploadBytes)});
+		t.match(await call.catch((error: unknown) => error), {failure: {type: 'lost'}}, `client: ${about}`);
+	}
+});
