a status that is none is no answer, and only a refusal says that nothing ran

An engine that answered 000, 201, 204, 302 or 399 was said not to have run, so that its request, which may have run, could run again elsewhere; an append that the log answered with 000 to 099 was called refused; an order to an engine the same.

Cause: statuses compared with one bound, 500 or 200, where the ranges of RFC 9110 have two ends. Class: what is left over takes the meaning of a neighbour.

Change: isFinalStatus (200 to 599) and isRefusal (400 to 499) in src/model; a final answer of any other status is malformed, and its request may have run. Used by attempt, service client, engine client, engine control, HTTP caller, log client and the adapter's calls.

--- a/src/endpoint/engine-client.ts
+++ b/src/endpoint/engine-client.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, type IncomingMessage} from 'node:http';
-import {createFailure, FailureKind, Verdict, type Failure} from '../model/index.js';
+import {createFailure, FailureKind, isRefusal, Verdict, type Failure} from '../model/index.js';
 import {createBadResponseFailure} from './response-checker.js';
 import {type EngineEvent} from './engine-event.js';
 import {readEngineStream} from './engine-stream.js';
@@ -119,7 +119,6 @@
 const statusOk = 200;
 const statusBadRequest = 400;
 const statusTooManyRequests = 429;
-const firstServerError = 500;
 
 /** The failure for a response that is not an event stream; `undefined` if it is one. */
 async function failureOf(response: IncomingMessage): Promise<Failure | undefined> {
@@ -136,9 +135,9 @@
 	const retryAfterMilliseconds = readRetryAfter(response.headers);
 	const body = await readJson(response);
 	const reason = errorMessage(body) ?? 'no reason given';
-	// By the published protocol a 4xx means that nothing happened; after a 5xx the request may have run.
+	// By the published protocol a 4xx means that nothing happened; after any other status the request may have run.
 	return createFailure(kindOfStatus(status), `The engine refused with status ${status}: ${reason}.`, {
-		verdict: status >= firstServerError ? Verdict.mayHaveRun : Verdict.notRun,
+		verdict: isRefusal(status) ? Verdict.notRun : Verdict.mayHaveRun,
 		...(retryAfterMilliseconds !== undefined && {retryAfterMilliseconds}),
 	});
 }
--- a/src/endpoint/engine-control.ts
+++ b/src/endpoint/engine-control.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Agent} from 'node:http';
 import {z} from 'zod';
+import {isRefusal} from '../model/index.js';
 import {openCall} from './open-call.js';
 import {discard, readJson} from './read-response.js';
 
@@ -29,7 +30,6 @@
 
 const statusOk = 200;
 const statusConflict = 409;
-const firstServerError = 500;
 
 /** The client for an engine's control interface: health, load, models and orders. */
 export class EngineControl implements AsyncDisposable {
@@ -76,7 +76,7 @@
 
 		return response.status === statusConflict
 			? {type: 'fenced'}
-			: {type: 'failed', mayHaveHappened: response.status >= firstServerError, reason: `status ${response.status}`};
+			: {type: 'failed', mayHaveHappened: !isRefusal(response.status), reason: `status ${response.status}`};
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
--- a/src/endpoint/service-client.ts
+++ b/src/endpoint/service-client.ts
@@ -1,6 +1,6 @@
 import {Agent, type ClientRequest} from 'node:http';
 import {Readable, pipeline} from 'node:stream';
-import {areForwardable, RequestError, type Failure} from '../model/index.js';
+import {areForwardable, isFinalStatus, RequestError, type Failure} from '../model/index.js';
 import {type AnsweredCall, createConnectionFailure, openCall} from './open-call.js';
 import {createBadResponseFailure} from './response-checker.js';
 import {readRetryAfter} from './retry-after.js';
@@ -37,7 +37,6 @@
 	}
 	| {readonly type: 'failed'; readonly failure: Failure};
 
-const firstFinalStatus = 200;
 /** Too many requests, and service unavailable. With other statuses `Retry-After` concerns the resource of the one call. */
 const refusalStatuses: ReadonlySet<number> = new Set([429, 503]);
 /** A service call may be a long job. A minute limits the wait for a call whose connection is dead but was not closed. */
@@ -77,7 +76,7 @@
 
 		const {response, answer} = opened;
 		const status = response.statusCode ?? 0;
-		if (status < firstFinalStatus || !areForwardable(response.rawHeaders)) {
+		if (!isFinalStatus(status) || !areForwardable(response.rawHeaders)) {
 			response.destroy();
 			return {type: 'failed', failure: createBadResponseFailure(`status ${status} or a header that cannot be forwarded`)};
 		}
--- a/src/gateway/requests/attempt-state.ts
+++ b/src/gateway/requests/attempt-state.ts
@@ -1,4 +1,4 @@
-import {areForwardable, Verdict} from '../../model/index.js';
+import {areForwardable, isFinalStatus, Verdict} from '../../model/index.js';
 import {type Decision} from '../placement/index.js';
 import {type MemoryAccount, type MemoryPool} from '../memory/index.js';
 import {type ResponseMetadata, type RawHeaders, type RequestCodec} from '../adapter/index.js';
@@ -131,7 +131,7 @@
 			return {type: 'failed', verdict: Verdict.notRun, reason: response.isMisdirected ? 'other endpoint' : 'rejected'};
 		}
 
-		const reason = areForwardable(rawHeaders) && status >= firstSuccess ? invalidReason(response) : 'a status or header that cannot be forwarded';
+		const reason = areForwardable(rawHeaders) && isFinalStatus(status) ? invalidReason(response) : 'a status or header that cannot be forwarded';
 		if (reason !== undefined) {
 			return {type: 'failed', verdict: Verdict.mayHaveRun, reason};
 		}
--- a/src/model/http-headers.ts
+++ b/src/model/http-headers.ts
@@ -13,6 +13,21 @@
 	return rawHeaders.every((text, index) => (index % 2 === 0 ? namePattern : valuePattern).test(text));
 }
 
+/** Statuses of final responses (RFC 9110, section 15); those below are informational, and those beyond are none. */
+const finalStatuses = {first: 200, last: 599};
+/** Statuses by which a receiver refuses a request. */
+const refusalStatuses = {first: 400, last: 499};
+
+/** Whether a number is the status of a final response. */
+export function isFinalStatus(status: number): boolean {
+	return status >= finalStatuses.first && status <= finalStatuses.last;
+}
+
+/** Whether a status says that the request was refused, and so that nothing has happened. */
+export function isRefusal(status: number): boolean {
+	return status >= refusalStatuses.first && status <= refusalStatuses.last;
+}
+
 const asciiPattern = /^[\u{20}-\u{7E}]+$/v;
 
 /** Without control characters, unpaired surrogates, and the character that stands for bytes that are no text. */
--- a/src/platform/error.ts
+++ b/src/platform/error.ts
@@ -4,7 +4,7 @@
 	= | {readonly type: 'unreachable'; readonly reason: string}
 	/** The call was sent, but no complete response arrived: it may have taken effect. */
 		| {readonly type: 'lost'; readonly reason: string}
-	/** An error status: 4xx did not take effect, 5xx may have. */
+	/** An error status: with 4xx the call did not take effect, with any other it may have. */
 		| {readonly type: 'status'; readonly status: number; readonly reason: string; readonly retryAfterMilliseconds?: number}
 	/** The response violates the published protocol. */
 		| {readonly type: 'malformed'; readonly reason: string};
--- a/src/platform/http-caller.ts
+++ b/src/platform/http-caller.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request as httpRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {Timeout} from '../concurrency/index.js';
+import {isFinalStatus} from '../model/index.js';
 import {limitReceivedBytes} from './byte-limit.js';
 import {abortRequest} from './abort-request.js';
 import {watchAnswer} from './answer-watch.js';
@@ -138,6 +139,10 @@
 const statusGone = 410;
 
 function parseResponse(response: RawResponse): HttpResponse {
+	if (!isFinalStatus(response.status)) {
+		throw PlatformError.create({type: 'malformed', reason: `status ${response.status}`});
+	}
+
 	if (response.status === statusNotModified) {
 		return {status: response.status, body: undefined, etag: response.etag};
 	}
--- a/src/platform/log-client.ts
+++ b/src/platform/log-client.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {isRefusal} from '../model/index.js';
 import {PlatformError} from './error.js';
 import {HttpCaller, type HttpClientSettings} from './http-caller.js';
 import {type AppendResult, type LogClient, type ReadResult} from './types.js';
@@ -12,7 +13,6 @@
 const goneSchema = z.object({first: z.number().int().nonnegative(), next: z.number().int().nonnegative()});
 
 const statusGone = 410;
-const firstServerError = 500;
 const defaultLimit = 500;
 
 /** The platform's log over HTTP, as specified in docs/PLATFORM.md. */
@@ -72,7 +72,7 @@
 		}
 
 		case 'status': {
-			return {type: failure.status < firstServerError ? 'refused' : 'unknown', reason: failure.reason};
+			return {type: isRefusal(failure.status) ? 'refused' : 'unknown', reason: failure.reason};
 		}
 
 		case 'lost':
--- a/test/endpoint/broken-answers.test.ts
+++ b/test/endpoint/broken-answers.test.ts
@@ -66,3 +66,14 @@
 		t.match(events.at(-1), {type: 'failed', failure: {verdict: 'may-have-run'}}, JSON.stringify(broken));
 	}
 });
+
+// An engine that ran a request and answered with a status that is no refusal had it run again elsewhere.
+tap.test('only a refusal of an engine says that a request has not run', async t => {
+	for (const status of ['000', '001', '099', '201', '204', '302', '399', '500', '600', '999']) {
+		await using server = await BrokenServer.create(() => ({framing: 'none', ending: 'closed', readsRequest: true, headers: [], part: ''}), `HTTP/1.1 ${status} X`);
+		await using engines = EngineClient.create({baseUrl: `http://127.0.0.1:${server.port}`});
+		const events = await eventsOf(engines, '{}');
+
+		t.match(events.at(-1), {type: 'failed', failure: {verdict: 'may-have-run'}}, status);
+	}
+});
--- a/test/gateway/broken-answers.test.ts
+++ b/test/gateway/broken-answers.test.ts
@@ -59,3 +59,18 @@
 		}
 	});
 }
+
+// Callers got an answer whose status is none.
+tap.test('an answer whose status is none is not forwarded', async t => {
+	for (const {method, path, service} of [...requests, {method: 'GET', path: '/lookup/1', service: 'orders'}]) {
+		for (const status of ['000', '001', '099', '600', '999']) {
+			await using testbed = await Testbed.create({services: []});
+			const answer: BrokenAnswer = {framing: 'none', ending: 'closed', readsRequest: true, headers: ['Request-Id: odd', 'Upstream-Signature: s'], part: 'ok'};
+			await using server = await BrokenServer.create(() => answer, `HTTP/1.1 ${status} X`);
+			testbed.store.put('keyed.servers', 'odd', {service, address: `127.0.0.1:${server.port}`, zone: 'zone-a', version: 'v1', slots: 16, state: 'ready', seq: 1});
+			await testbed.startGateway();
+			const received = await testbed.send({id: 'odd', method, path, body: method === 'POST' ? 'x' : undefined});
+			t.match({status: received.status, signature: received.headers['upstream-signature']}, {status: 502, signature: undefined}, `${path}, ${status}`);
+		}
+	}
+});
--- a/test/platform/broken-answers.test.ts
+++ b/test/platform/broken-answers.test.ts
@@ -1,7 +1,7 @@
 import tap from 'tap';
 import {type BrokenAnswer, brokenAnswers, BrokenServer, longUploadBytes} from '../../fakes/broken-server.js';
 import {httpCall} from '../../platform/http-call.js';
-import {HttpCaller} from '../../src/platform/index.js';
+import {HttpCaller, HttpLogClient, type PlatformError} from '../../src/platform/index.js';
 
 const timeoutMilliseconds = 5000;
 
@@ -19,3 +19,14 @@
 		t.match(await call.catch((error: unknown) => error), {failure: {type: 'lost'}}, `client: ${about}`);
 	}
 });
+
+// An append that the log may have made was called refused.
+tap.test('a status that is none does not say that an append was refused', async t => {
+	for (const status of ['000', '001', '099', '600', '999']) {
+		await using server = await BrokenServer.create(() => ({framing: 'none', ending: 'closed', readsRequest: true, headers: [], part: '{}'}), `HTTP/1.1 ${status} X`);
+		await using log = HttpLogClient.create({baseUrl: `http://127.0.0.1:${server.port}`, timeoutMilliseconds});
+		t.match(await log.append('stream', {value: 1}), {type: 'unknown'}, status);
+		const call = httpCall({host: '127.0.0.1', port: server.port, method: 'POST', path: '/', timeoutMilliseconds});
+		t.match(await call.then(response => response as unknown, (error: unknown) => (error as PlatformError).failure), {type: 'malformed'}, `adapter, ${status}`);
+	}
+});
