the line of an attempt says what stood when its longest pause ended

`Sent.` told the longest pause of a stream and not whose it was: an engine that read prompts, one that is slow, or this instance, which had no processor time to read the event. Now it says `pauseLag`, `pauseBacklog` and `pauseRuns`, taken when a pause is the longest so far of its attempt, so a few times a stream.

--- a/src/gateway/requests/attempt-state.ts
+++ b/src/gateway/requests/attempt-state.ts
@@ -25,6 +25,19 @@
 /** Events of a stream, and how long they took. */
 export type PaceWindow = {readonly events: number; readonly milliseconds: number};
 
+/** What stood at this instance and at the endpoint when a pause ended. */
+export type PauseCircumstances = {
+	/** How late this instance's event loop was, so that the event lay unread. */
+	readonly lagMilliseconds: number;
+	/** Prefill that the endpoint still had to do, as time. */
+	readonly backlogMilliseconds: number;
+	/** Requests that ran there. */
+	readonly running: number;
+};
+
+/** The longest time between two events of an attempt, and what stood when it ended; nothing before the second event. */
+export type LongestPause = PauseCircumstances & {readonly milliseconds: number};
+
 /** The placement of a request at an endpoint. */
 export type PlacedDecision = Extract<Decision, {type: 'placed'}>;
 
@@ -82,7 +95,7 @@
 	lastEventAt: number | undefined;
 	/** When the endpoint last sent a part of its answer, or could do so again after its caller had read too slowly. */
 	lastSignAt: number | undefined;
-	longestPauseMilliseconds = 0;
+	longestPause: LongestPause | undefined;
 	events = 0;
 	/** When the endpoint's silence is reported as a failure. */
 	suspectAt: number | undefined;
@@ -146,16 +159,23 @@
 	 * Records a complete event of the stream. Returns the events since the last time that it returned some, and how long they took, once
 	 * that is long enough to tell the pace of the endpoint.
 	 */
-	recordEvent(now: number): PaceWindow | undefined {
+	recordEvent(now: number, circumstances: () => PauseCircumstances): PaceWindow | undefined {
 		this.suspectAt = undefined;
 		this.recordSign(now);
 		this.firstEventAt ??= now;
-		this.longestPauseMilliseconds = Math.max(this.longestPauseMilliseconds, now - (this.lastEventAt ?? now));
+		this.#recordPause(now, circumstances);
 		this.lastEventAt = now;
 		this.events += 1;
 		return this.#takePace(now);
 	}
 
+	#recordPause(now: number, circumstances: () => PauseCircumstances): void {
+		const milliseconds = now - (this.lastEventAt ?? now);
+		if (milliseconds > (this.longestPause?.milliseconds ?? 0)) {
+			this.longestPause = {milliseconds, ...circumstances()};
+		}
+	}
+
 	/** Records that the endpoint is not silent now. */
 	recordSign(now: number): void {
 		this.hasReportedSilence = false;
--- a/src/gateway/requests/decision-log.ts
+++ b/src/gateway/requests/decision-log.ts
@@ -1,7 +1,7 @@
 import {type MemoryShortage, findKept, type KeptValue} from '../../policy/dispatch/index.js';
 import {type Counter, type Latency, LogLimit, type Metrics, type PartLogger} from '../../telemetry/index.js';
 import {type Decision, type Dispatcher} from '../placement/index.js';
-import {type PlacedDecision} from './attempt-state.js';
+import {type LongestPause, type PlacedDecision} from './attempt-state.js';
 import {type RequestContext} from './placement-request.js';
 import {type RetryDecision} from './retry-progress.js';
 
@@ -33,8 +33,7 @@
 	readonly startedAt: number;
 	readonly firstEventAt: number | undefined;
 	readonly events: number;
-	/** The longest time between two of its events. */
-	readonly pauseMilliseconds: number;
+	readonly longestPause: LongestPause | undefined;
 	readonly outcome: ExchangeResult['outcome'];
 	readonly reason: string | undefined;
 	readonly status: number;
@@ -120,7 +119,7 @@
 	logAttempt(
 		{facts, route, table, service, workspace, dispatcher}: LoggedRequest,
 		decision: PlacedDecision,
-		{waitedMilliseconds, startedAt, firstEventAt, pauseMilliseconds, givenUp, ...outcome}: AttemptResult,
+		{waitedMilliseconds, startedAt, firstEventAt, longestPause, givenUp, ...outcome}: AttemptResult,
 	): void {
 		const now = performance.now();
 		this.#decisions.add(1, {decision: 'placed'});
@@ -135,7 +134,7 @@
 			speed: Math.round(dispatcher.loadTracker.prefillSpeed(decision.record.service).tokensPerMillisecond),
 			class: dispatcher.loadTracker.paces.classes(decision.record.service)?.get(decision.record.id),
 			...loggedKept(decision.kept), candidates: decision.candidates, waited: Math.round(waitedMilliseconds), line: dispatcher.queueLength, ...memoryFields(decision.memory), ...outcome,
-			firstEvent: firstEventAt === undefined ? undefined : Math.round(firstEventAt - startedAt), pause: Math.round(pauseMilliseconds), milliseconds: Math.round(now - startedAt),
+			firstEvent: firstEventAt === undefined ? undefined : Math.round(firstEventAt - startedAt), ...pauseFields(longestPause), milliseconds: Math.round(now - startedAt),
 			...(givenUp !== undefined && {givenUpUnsent: givenUp.unsentBytes}),
 		});
 	}
@@ -242,6 +241,13 @@
 	return milliseconds === undefined ? undefined : Math.round(milliseconds);
 }
 
+/** The longest pause of an attempt: whether the endpoint read prompts for it, or this instance read late. */
+function pauseFields(pause: LongestPause | undefined): Readonly<Record<string, number>> {
+	return pause === undefined
+		? {}
+		: {pause: Math.round(pause.milliseconds), pauseLag: Math.round(pause.lagMilliseconds), pauseBacklog: Math.round(pause.backlogMilliseconds), pauseRuns: pause.running};
+}
+
 /** The room in an engine's memory that a request has waited for, or is refused for want of. */
 function memoryFields(memory: MemoryShortage | undefined): Readonly<Record<string, number | undefined>> {
 	return memory === undefined
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -69,6 +69,10 @@
 			onPace(state, window) {
 				options.dispatcher.recordPace(state.decision.runId, window);
 			},
+			pauseCircumstances({decision: {record}}) {
+				const {backlogMilliseconds, running} = options.dispatcher.loadTracker.load(record.id, performance.now());
+				return {lagMilliseconds: options.lateness.milliseconds, backlogMilliseconds, running};
+			},
 			onDrained: () => {
 				tryDeliver(this.#inbox, {type: 'drained'});
 			},
--- a/src/gateway/requests/outcome-report.ts
+++ b/src/gateway/requests/outcome-report.ts
@@ -88,9 +88,9 @@
 
 /** What the log says of an attempt. */
 export function attemptResultOf(state: AttemptState, outcome: Outcome, more: Pick<AttemptResult, 'waitedMilliseconds' | 'givenUp'>): AttemptResult {
-	const {startedAt, firstEventAt, events, longestPauseMilliseconds, searches, status} = state;
+	const {startedAt, firstEventAt, events, longestPause, searches, status} = state;
 	return {
-		...more, startedAt, firstEventAt, events, pauseMilliseconds: longestPauseMilliseconds, ...(searches > 0 && {searches}),
+		...more, startedAt, firstEventAt, events, longestPause, ...(searches > 0 && {searches}),
 		outcome: outcome.type, reason: outcome.type === 'failed' ? outcome.reason : undefined, status,
 	};
 }
--- a/src/gateway/requests/response-forwarder.ts
+++ b/src/gateway/requests/response-forwarder.ts
@@ -1,7 +1,7 @@
 import {Verdict} from '../../model/index.js';
 import {type RequestCodec} from '../adapter/index.js';
 import {type AttemptEvent} from './attempt.js';
-import {type AttemptState, type Outcome, type PaceWindow} from './attempt-state.js';
+import {type AttemptState, type Outcome, type PaceWindow, type PauseCircumstances} from './attempt-state.js';
 import {type Caller} from './caller.js';
 import {isNextEventId} from './event-id.js';
 import {type StreamEvent} from './event-splitter.js';
@@ -15,6 +15,8 @@
 	readonly onFirstEvent: (state: AttemptState) => void;
 	/** Called with what the events of an attempt show of its endpoint's pace. */
 	readonly onPace: (state: AttemptState, window: PaceWindow) => void;
+	/** Asked when a pause is the longest of its attempt. */
+	readonly pauseCircumstances: (state: AttemptState) => PauseCircumstances;
 	/** Called when the caller has read what was written. */
 	readonly onDrained: () => void;
 };
@@ -122,7 +124,7 @@
 			this.firstEventAt ??= now;
 		}
 
-		const pace = state.recordEvent(now);
+		const pace = state.recordEvent(now, () => this.#options.pauseCircumstances(state));
 		if (pace !== undefined) {
 			this.#options.onPace(state, pace);
 		}
