a deployment weighs the speeds of engines unless it says otherwise

Tests never saw it: they run with the weights of the policy, deployments with those of the settings. Class: a decision that outlives its reason.

Change: on by default; it takes effect where the spread that is seen is over 1.5, so at engines that are alike nothing changes (test/gateway/alike-engines).

--- a/src/settings/gateway/gateway-settings.ts
+++ b/src/settings/gateway/gateway-settings.ts
@@ -57,8 +57,8 @@
 		/** Room in the memory of engines, and which prompt parts they still keep. */
 		weighsMemory: z.boolean().default(false),
 		/** Speeds of the engines of one service, where these are uneven. */
-		weighsSpeeds: z.boolean().default(false),
-	}).default({weighsMemory: false, weighsSpeeds: false}),
+		weighsSpeeds: z.boolean().default(true),
+	}).default({weighsMemory: false, weighsSpeeds: true}),
 	/** What an instance does while its own event loop is late; absent where nothing is to change then. */
 	lateLoop: z.object({
 		/** The lag of the event loop from which it counts as late, in milliseconds. */
