a whole answer is delivered although its connection is reset while its caller reads slowly

What callers saw: an answer whose length the endpoint had said and sent, and whose caller read it slowly, ended as a failure (502, or a cut in the middle) when the endpoint's connection was reset behind it.

Cause: an error of the connection ended the attempt, whatever had arrived. Class: the other side of an end taken for completeness: a break taken for incompleteness. Change: with a whole answer the rest is still here, and the attempt goes on to its end. Evidence: test/gateway/broken-answers "an answer that is whole by its length ..." (1 of 1 failed before, passes).

--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -80,7 +80,10 @@
 			this.#watchRestart(socket);
 		});
 		this.#request.on('error', (error: Error) => {
-			this.#fail(error.message);
+			// The rest of a whole answer, which its caller has not read yet, is still here.
+			if (this.#response?.complete !== true) {
+				this.#fail(error.message);
+			}
 		});
 		// An answer that would switch protocols ends the connection with neither a response nor an error.
 		this.#request.once('close', () => {
--- a/test/gateway/broken-answers.test.ts
+++ b/test/gateway/broken-answers.test.ts
@@ -41,6 +41,12 @@
 	}
 });
 
+// A caller who read slowly got a failure in place of the answer that its endpoint had made.
+tap.test('an answer that is whole by its length is whole although its connection is reset while its caller reads slowly', async t => {
+	await using server = await BrokenServer.create(() => ({framing: 'none', ending: 'reset', readsRequest: false, headers: ['Content-Length: 10'], part: 'all of it.'}));
+	t.match(await lastEventOf(server.port, true), {type: 'end'});
+});
+
 const requests = [
 	{name: 'a request that may run once', method: 'POST', path: '/release/1', service: 'orders', part: 'half of it'},
 	{name: 'a stream', method: 'POST', path: '/question/1', service: 'models', part: 'id: 0\ndata: a\n\n'},
