--- a/src/endpoint/engine-control.ts
+++ b/src/endpoint/engine-control.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Agent} from 'node:http';
 import {z} from 'zod';
-import {isRefusal} from '../model/index.js';
+import {isFinalStatus, isRefusal} from '../model/index.js';
 import {openCall} from './open-call.js';
 import {discard, readJson} from './read-response.js';
 
@@ -101,12 +101,13 @@
 		}
 
 		const responseBody = await readJson(opened.response);
-		if (!opened.response.complete || opened.answer.isBroken) {
+		const {statusCode: status = 0, complete} = opened.response;
+		if (!complete || opened.answer.isBroken || !isFinalStatus(status)) {
 			discard(opened.response);
-			return {type: 'failed', mayHaveHappened: true, reason: 'the response was incomplete'};
+			return {type: 'failed', mayHaveHappened: true, reason: 'the response was incomplete, or its status is none'};
 		}
 
-		return {type: 'answered', status: opened.response.statusCode ?? 0, body: responseBody};
+		return {type: 'answered', status, body: responseBody};
 	}
 }
 
--- a/test/endpoint/broken-answers.test.ts
+++ b/test/endpoint/broken-answers.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import tap from 'tap';
 import {BrokenServer, type BrokenAnswer, brokenAnswers, longUploadBytes} from '../../fakes/broken-server.js';
-import {EngineClient, type EngineEvent, ServiceClient} from '../../src/endpoint/index.js';
+import {EngineClient, EngineControl, type EngineEvent, ServiceClient} from '../../src/endpoint/index.js';
 
 /** A body that goes on until its reader gives up. */
 async function * endlessUpload(): AsyncGenerator<Uint8Array> {
@@ -77,3 +77,15 @@
 		t.match(events.at(-1), {type: 'failed', failure: {verdict: 'may-have-run'}}, status);
 	}
 });
+
+// An order that an engine had carried out was said not to have happened, and a report of load counted whose status is none.
+tap.test('a status that is none answers no order and no question', async t => {
+	for (const status of ['000', '099', '204', '302', '600']) {
+		await using server = await BrokenServer.create(() => ({framing: 'none', ending: 'closed', readsRequest: true, headers: [], part: '{"running":1,"waiting":0,"memoryUsed":0,"stepMilliseconds":5}'}), `HTTP/1.1 ${status} X`);
+		await using control = EngineControl.create({baseUrl: `http://127.0.0.1:${server.port}`, timeoutMilliseconds: 5000});
+		t.match(await control.order({order: 'load-model', name: 'model', version: '1', fence: 1}), {type: 'failed', mayHaveHappened: true}, status);
+		if (['000', '099', '600'].includes(status)) {
+			t.equal(await control.load(), undefined, status);
+		}
+	}
+});
