a stream that goes on elsewhere does not have the length that its first endpoint said

What callers saw: an endpoint says the length of a stream, breaks off, and the stream goes on at another endpoint. The caller had the first endpoint's length: its parser ended the stream within the next event, as a whole answer, and took the rest for another answer on the same connection.

Cause: a stream's head was passed on with the length of one attempt, while its body is that of several. Class: what holds of an attempt said of the answer. Change: a stream is sent without a length; Node frames it in chunks.

Whether endpoints of the users' deployments say a length of streams is not known.

--- a/src/gateway/requests/response-forwarder.ts
+++ b/src/gateway/requests/response-forwarder.ts
@@ -1,4 +1,4 @@
-import {Verdict} from '../../model/index.js';
+import {Verdict, withoutLength} from '../../model/index.js';
 import {type RequestCodec} from '../adapter/index.js';
 import {type AttemptEvent} from './attempt.js';
 import {type AttemptState, type Outcome, type PaceWindow, type PauseCircumstances} from './attempt-state.js';
@@ -131,13 +131,17 @@
 	}
 
 	#forwardEvent(state: AttemptState, {id, bytes}: StreamEvent): void {
+		this.#beginStream(state);
+		this.lastEventId = id ?? this.lastEventId;
+		this.#write(state, bytes);
+	}
+
+	/** A stream may go on at another endpoint, so that what the first one says of its length holds for its own part at most. */
+	#beginStream({status, rawHeaders}: AttemptState): void {
 		const {caller, codec} = this.#options;
 		if (!caller.hasResponse) {
-			caller.writeHead(state.status, codec.responseHeaders(state.rawHeaders));
+			caller.writeHead(status, codec.responseHeaders(withoutLength(rawHeaders)));
 		}
-
-		this.lastEventId = id ?? this.lastEventId;
-		this.#write(state, bytes);
 	}
 
 	#write(state: AttemptState, bytes: Uint8Array): void {
@@ -171,16 +175,12 @@
 	}
 
 	#endStream(state: AttemptState): Outcome {
-		const {caller, codec} = this.#options;
 		if (state.unfinishedBytes > 0) {
 			return {type: 'failed', verdict: Verdict.mayHaveRun, reason: 'ended within an event'};
 		}
 
-		if (!caller.hasResponse) {
-			caller.writeHead(state.status, codec.responseHeaders(state.rawHeaders));
-		}
-
-		caller.end();
+		this.#beginStream(state);
+		this.#options.caller.end();
 		return {type: 'done'};
 	}
 }
--- a/src/model/http-headers.ts
+++ b/src/model/http-headers.ts
@@ -13,6 +13,11 @@
 	return rawHeaders.every((text, index) => (index % 2 === 0 ? namePattern : valuePattern).test(text));
 }
 
+/** Raw headers, names and values in turn, without those that say how long the body is. */
+export function withoutLength(rawHeaders: readonly string[]): string[] {
+	return rawHeaders.filter((_, index) => rawHeaders[index - (index % 2)]!.toLowerCase() !== 'content-length');
+}
+
 /** Statuses of final responses (RFC 9110, section 15); those below are informational, and those beyond are none. */
 const finalStatuses = {first: 200, last: 599};
 /** Statuses by which a receiver refuses a request. */
--- a/test/gateway/broken-answers.test.ts
+++ b/test/gateway/broken-answers.test.ts
@@ -43,7 +43,7 @@
 
 // A caller who read slowly got a failure in place of the answer that its endpoint had made.
 tap.test('an answer that is whole by its length is whole although its connection is reset while its caller reads slowly', async t => {
-	await using server = await BrokenServer.create(() => ({framing: 'none', ending: 'reset', readsRequest: false, headers: ['Content-Length: 10'], part: 'all of it.'}));
+	await using server = await BrokenServer.create(() => ({framing: 'length', ending: 'reset', readsRequest: false, missingBytes: 0, headers: [], part: 'all of it.'}));
 	t.match(await lastEventOf(server.port, true), {type: 'end'});
 });
 
@@ -66,13 +66,33 @@
 	});
 }
 
+// A caller's parser took the first bytes of the next endpoint's events for the end of the stream, and the others for another answer.
+tap.test('a stream whose endpoint said its length and that goes on elsewhere has no such length', async t => {
+	await using testbed = await Testbed.create({services: ['models'], workersEach: 1});
+	testbed.respondWith('models', () => ({type: 'events', count: 6}));
+	const [sound] = testbed.workers;
+	testbed.store.put('keyed.servers', sound!.id, sound!.beat({zone: 'zone-b', seq: 2}));
+	let id = '';
+	await using server = await BrokenServer.create(() => ({
+		framing: 'length', ending: 'closed', readsRequest: true, headers: [`Request-Id: ${id}`, 'Upstream-Signature: s', 'Content-Type: text/event-stream'], part: `id: 1\ndata: ${id} 1\n\n`,
+	}));
+	testbed.store.put('keyed.servers', 'cut', {service: 'models', address: `127.0.0.1:${server.port}`, zone: 'zone-a', version: 'v1', slots: 16, state: 'ready', seq: 1});
+	await testbed.startGateway();
+	for (let number = 0; number < 10; number++) {
+		id = `length-${number}`;
+		const {status, isComplete, body} = await testbed.send({id, method: 'POST', path: '/chart/1', body: 'x'});
+		t.match({status, events: body.split('\n\n').length - 1, isComplete}, {status: 200, events: 6, isComplete: true}, JSON.stringify(body));
+	}
+});
+
+const closed = {framing: 'none', ending: 'closed', readsRequest: true} as const;
+
 // Callers got an answer whose status is none.
 tap.test('an answer whose status is none is not forwarded', async t => {
 	for (const {method, path, service} of [...requests, {method: 'GET', path: '/lookup/1', service: 'orders'}]) {
 		for (const status of ['000', '001', '099', '600', '999']) {
 			await using testbed = await Testbed.create({services: []});
-			const answer: BrokenAnswer = {framing: 'none', ending: 'closed', readsRequest: true, headers: ['Request-Id: odd', 'Upstream-Signature: s'], part: 'ok'};
-			await using server = await BrokenServer.create(() => answer, `HTTP/1.1 ${status} X`);
+			await using server = await BrokenServer.create(() => ({...closed, statusLine: `HTTP/1.1 ${status} X`, headers: ['Request-Id: odd', 'Upstream-Signature: s'], part: 'ok'}));
 			testbed.store.put('keyed.servers', 'odd', {service, address: `127.0.0.1:${server.port}`, zone: 'zone-a', version: 'v1', slots: 16, state: 'ready', seq: 1});
 			await testbed.startGateway();
 			const received = await testbed.send({id: 'odd', method, path, body: method === 'POST' ? 'x' : undefined});
