soak: endpoints that break their answers off in each way, beside long uploads

No caller may get a part as a whole answer, a status that is none, a second run, or another's events.

--- a/bench/gateway-soak/caller.ts
+++ b/bench/gateway-soak/caller.ts
@@ -23,6 +23,8 @@
 /** How long a caller waits. */
 export const deadlineMilliseconds = 1500;
 
+const artwork = Buffer.from('artwork');
+
 export type SoakRequest = {
 	readonly id: string;
 	readonly kind: Kind;
@@ -31,6 +33,8 @@
 	readonly path?: string;
 	/** Its prompt parts, each with its number of tokens. */
 	readonly prompt?: string;
+	/** Instead of a few bytes. */
+	readonly body?: Uint8Array;
 	/** The stream that it takes up: the request that began it, and the last event that was received. */
 	readonly resumption?: {readonly request: string; readonly lastEvent: number};
 	/** When the caller disconnects, whether it has its response or not. */
@@ -38,7 +42,7 @@
 };
 
 /** Sends one request; resolves when its response has ended, cleanly or not. */
-export function sendRequest({id, kind, port, key, path = `/${kind}/1`, prompt, resumption, leaveAfterMilliseconds}: SoakRequest): Promise<ExchangeRecord> {
+export function sendRequest({id, kind, port, key, path = `/${kind}/1`, prompt, body = artwork, resumption, leaveAfterMilliseconds}: SoakRequest): Promise<ExchangeRecord> {
 	return new Promise(resolve => {
 		const record: ExchangeRecord = {id, kind, sentAt: performance.now(), endedAt: Infinity, status: 0, body: '', isWhole: false};
 		const end = (): void => {
@@ -62,7 +66,7 @@
 			}, leaveAfterMilliseconds);
 		}
 
-		sent.end(method === 'POST' ? 'artwork' : undefined);
+		sent.end(method === 'POST' ? body : undefined);
 	});
 }
 
--- a/bench/gateway-soak/checker.ts
+++ b/bench/gateway-soak/checker.ts
@@ -2,11 +2,14 @@
 import {type FakePlatformWorker} from '../../fakes/platform-worker.js';
 import {eventCount, type ExchangeRecord} from './caller.js';
 
+/** An endpoint with the requests that it received. */
+type Endpoint = Pick<FakePlatformWorker, 'requests'>;
+
 /** Statuses that guarantee that the request has not run and never will. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
 /** Returns the violations found by comparing the callers' records with those of the workers; streams have a number of events that the course names. */
-export function violations(records: readonly ExchangeRecord[], workers: readonly FakePlatformWorker[], eventsOf: (id: string) => number = () => eventCount): string[] {
+export function violations(records: readonly ExchangeRecord[], workers: readonly Endpoint[], eventsOf: (id: string) => number = () => eventCount): string[] {
 	const runs = countRuns(workers);
 	return records.flatMap(record => violatedRules(record, runs.get(record.id) ?? 0, eventsOf(record.id)).map(rule => `${rule}: ${record.kind} ${record.id}, status ${record.status}, ${runs.get(record.id) ?? 0} runs`));
 }
@@ -52,7 +55,7 @@
 }
 
 /** Counts the runs of each request; refusals by a worker do not count. */
-function countRuns(workers: readonly FakePlatformWorker[]): Map<string, number> {
+function countRuns(workers: readonly Endpoint[]): Map<string, number> {
 	const runs = new Map<string, number>();
 	for (const {requests} of workers) {
 		for (const {id, wasRun} of requests) {
--- a/bench/gateway-soak/index.ts
+++ b/bench/gateway-soak/index.ts
@@ -2,6 +2,7 @@
 import {mkdirSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {type CommandModule} from 'yargs';
+import {runAnswerSeed} from './answer-course.js';
 import {courseFaults} from './course-world.js';
 import {runBuildSeed} from './build-course.js';
 import {runCrashSeed} from './crash-course.js';
@@ -19,7 +20,7 @@
 
 type Settings = {seed: number; count: number; jobs: number; gateways: number | undefined; course: 'mixed' | keyof typeof courses; faults: string; endpointFaults: string; firstPort: number; logs: string | undefined; bundle: string | undefined};
 
-const courses = {retries: runRetrySeed, crashes: runCrashSeed, limits: runLimitSeed, held: runHeldSeed, builds: runBuildSeed, parts: runPartSeed, crowds: runCrowdSeed, busy: runBusySeed, stops: runStopSeed, planned: runPlannedSeed, streams: runStreamsSeed} as const;
+const courses = {retries: runRetrySeed, crashes: runCrashSeed, limits: runLimitSeed, held: runHeldSeed, builds: runBuildSeed, parts: runPartSeed, crowds: runCrowdSeed, busy: runBusySeed, stops: runStopSeed, planned: runPlannedSeed, streams: runStreamsSeed, answers: runAnswerSeed} as const;
 
 const defaultGateways = {streams: 4, others: 2} as const;
 
@@ -31,7 +32,7 @@
 		seed: {type: 'number', default: 1, describe: 'the first seed'},
 		count: {type: 'number', default: 50, describe: 'how many seeds'},
 		jobs: {type: 'number', default: 4, describe: 'seeds at a time'},
-		course: {choices: ['mixed', 'retries', 'crashes', 'limits', 'held', 'builds', 'parts', 'crowds', 'busy', 'stops', 'planned', 'streams'] as const, default: 'mixed' as const, describe: 'faults of every kind, or one matter while gateways come and go: retries, a request that crashes endpoints, rate limits, links that are held up, builds of endpoints, a prompt part that crashes endpoints, most connections at one gateway, more requests than the processors can pace, stops in series that overlap, all planned work in series that overlap, long streams under planned work and endpoints that restart'},
+		course: {choices: ['mixed', 'retries', 'crashes', 'limits', 'held', 'builds', 'parts', 'crowds', 'busy', 'stops', 'planned', 'streams', 'answers'] as const, default: 'mixed' as const, describe: 'faults of every kind, or one matter while gateways come and go: retries, a request that crashes endpoints, rate limits, links that are held up, builds of endpoints, a prompt part that crashes endpoints, most connections at one gateway, more requests than the processors can pace, stops in series that overlap, all planned work in series that overlap, long streams under planned work and endpoints that restart, endpoints that break their answers off'},
 		faults: {type: 'string', default: courseFaults.join(','), describe: 'the kinds of faults of the other courses than mixed, joined by commas'},
 		'endpoint-faults': {type: 'string', default: endpointFaults.join(','), describe: 'the kinds of faults of endpoints of the course held, joined by commas'},
 		'first-port': {type: 'number', default: 21_000, describe: 'the gateways listen from here on; two runs at a time need different ones'},
--- a/bench/gateway-soak/soak-platform.ts
+++ b/bench/gateway-soak/soak-platform.ts
@@ -53,6 +53,8 @@
 	isRevoked = false;
 	/** Timeout of all routes; without it, that of the stand-in's desired state. */
 	routeTimeoutMilliseconds: number | undefined;
+	/** Limit of the bodies of requests; without it, that of the stand-in's desired state. */
+	maxBodyBytes: number | undefined;
 	/** A further key of the second workspace, if it has one. */
 	#seriesKey: string | undefined;
 	readonly #random: Random;
@@ -163,7 +165,8 @@
 		const tenants = [{name: 'studio-a', apiKeys: [validKey]}, {name: 'studio-b', apiKeys: [...(this.isRevoked ? [] : [revokedKey]), ...(this.#seriesKey === undefined ? [] : [this.#seriesKey])]}];
 		const state = desiredState(this.#version, {tenants});
 		const routes = (state.routes as ReadonlyArray<Readonly<Record<string, unknown>>>).map(route => this.routeTimeoutMilliseconds === undefined ? route : {...route, timeoutMs: this.routeTimeoutMilliseconds});
-		this.store.put('keyed.op', 'config', {...state, routes});
+		const limits = {...state.limits as Readonly<Record<string, unknown>>, ...(this.maxBodyBytes !== undefined && {maxBodyBytes: this.maxBodyBytes})};
+		this.store.put('keyed.op', 'config', {...state, routes, limits});
 	}
 }
 
--- a/fakes/broken-server.ts
+++ b/fakes/broken-server.ts
@@ -1,4 +1,5 @@
 /** A server whose answers break off: the stand-in for endpoints and stores that crash while they answer. */
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import net, {type AddressInfo} from 'node:net';
 
@@ -16,14 +17,18 @@
 	readonly ending: Ending;
 	/** Whether the whole request is read; otherwise its sender is still writing when the answer breaks off. */
 	readonly readsRequest: boolean;
+	/** Instead of that of a success. */
+	readonly statusLine?: string;
 	/** Lines of the head besides the status line and those of the framing. */
 	readonly headers: readonly string[];
 	/** The part of the body that is sent. */
 	readonly part: string;
+	/** Bytes of the body that the framing announces and that are not sent. */
+	readonly missingBytes?: number;
 };
 
 /** All answers that are incomplete by their framing or by a reset; one without a length that is closed in an orderly way is complete. */
-export const brokenAnswers: ReadonlyArray<Omit<BrokenAnswer, 'headers' | 'part'>> = Object.values(Framing).flatMap(framing =>
+export const brokenAnswers: ReadonlyArray<Pick<BrokenAnswer, 'framing' | 'ending' | 'readsRequest'>> = Object.values(Framing).flatMap(framing =>
 	Object.values(Ending).flatMap(ending => [true, false].map(readsRequest => ({framing, ending, readsRequest}))))
 	.filter(({framing, ending}) => framing !== Framing.none || ending !== Ending.closed);
 
@@ -31,18 +36,18 @@
 /** A body that no kernel takes whole, so that its sender is still writing. */
 export const longUploadBytes = 32 * 1024 * 1024;
 
-/** Answers each request with what `answerOf` returns then. */
+/** Answers each request with what `answerOf` returns then, to which it gives the request's head. */
 export class BrokenServer implements AsyncDisposable {
-	static async create(answerOf: () => BrokenAnswer, statusLine = 'HTTP/1.1 200 OK'): Promise<BrokenServer> {
+	static async create(answerOf: (head: string) => BrokenAnswer): Promise<BrokenServer> {
 		const server = net.createServer(socket => {
 			socket.on('error', () => undefined);
-			socket.once('data', () => {
-				const answer = answerOf();
+			socket.once('data', (bytes: Uint8Array) => {
+				const answer = answerOf(Buffer.from(bytes).toString('latin1'));
 				if (!answer.readsRequest) {
 					socket.pause();
 				}
 
-				respond(socket, statusLine, answer);
+				respond(socket, answer);
 			});
 		});
 		server.listen(0, '127.0.0.1');
@@ -65,9 +70,9 @@
 	}
 }
 
-function respond(socket: net.Socket, statusLine: string, {framing, ending, headers, part}: BrokenAnswer): void {
-	const lines = [statusLine, ...headers, ...framingHeaders(framing, part)];
-	const body = framing === Framing.chunks ? `${part.length.toString(16)}\r\n${part}\r\n` : part;
+function respond(socket: net.Socket, {statusLine = 'HTTP/1.1 200 OK', framing, ending, headers, part, missingBytes = 1}: BrokenAnswer): void {
+	const lines = [statusLine, ...headers, ...framingHeaders(framing, part.length + missingBytes)];
+	const body = framing === Framing.chunks ? `${part.length.toString(16)}\r\n${part}\r\n${missingBytes === 0 ? '0\r\n\r\n' : ''}` : part;
 	const bytes = `${lines.join('\r\n')}\r\n\r\n${body}`;
 	switch (ending) {
 		case Ending.reset: {
@@ -92,10 +97,10 @@
 	}
 }
 
-function framingHeaders(framing: Framing, part: string): string[] {
+function framingHeaders(framing: Framing, bytes: number): string[] {
 	switch (framing) {
 		case Framing.length: {
-			return [`Content-Length: ${part.length + 1}`];
+			return [`Content-Length: ${bytes}`];
 		}
 
 		case Framing.chunks: {
--- a/test/endpoint/broken-answers.test.ts
+++ b/test/endpoint/broken-answers.test.ts
@@ -67,10 +67,12 @@
 	}
 });
 
+const closed = {framing: 'none', ending: 'closed', readsRequest: true} as const;
+
 // An engine that ran a request and answered with a status that is no refusal had it run again elsewhere.
 tap.test('only a refusal of an engine says that a request has not run', async t => {
 	for (const status of ['000', '001', '099', '201', '204', '302', '399', '500', '600', '999']) {
-		await using server = await BrokenServer.create(() => ({framing: 'none', ending: 'closed', readsRequest: true, headers: [], part: ''}), `HTTP/1.1 ${status} X`);
+		await using server = await BrokenServer.create(() => ({...closed, statusLine: `HTTP/1.1 ${status} X`, headers: [], part: ''}));
 		await using engines = EngineClient.create({baseUrl: `http://127.0.0.1:${server.port}`});
 		const events = await eventsOf(engines, '{}');
 
@@ -78,10 +80,12 @@
 	}
 });
 
+const loadReport = '{"running":1,"waiting":0,"memoryUsed":0,"stepMilliseconds":5}';
+
 // An order that an engine had carried out was said not to have happened, and a report of load counted whose status is none.
 tap.test('a status that is none answers no order and no question', async t => {
 	for (const status of ['000', '099', '204', '302', '600']) {
-		await using server = await BrokenServer.create(() => ({framing: 'none', ending: 'closed', readsRequest: true, headers: [], part: '{"running":1,"waiting":0,"memoryUsed":0,"stepMilliseconds":5}'}), `HTTP/1.1 ${status} X`);
+		await using server = await BrokenServer.create(() => ({...closed, statusLine: `HTTP/1.1 ${status} X`, headers: [], part: loadReport}));
 		await using control = EngineControl.create({baseUrl: `http://127.0.0.1:${server.port}`, timeoutMilliseconds: 5000});
 		t.match(await control.order({order: 'load-model', name: 'model', version: '1', fence: 1}), {type: 'failed', mayHaveHappened: true}, status);
 		if (['000', '099', '600'].includes(status)) {
--- a/test/platform/broken-answers.test.ts
+++ b/test/platform/broken-answers.test.ts
@@ -20,10 +20,12 @@
 	}
 });
 
+const closed = {framing: 'none', ending: 'closed', readsRequest: true} as const;
+
 // An append that the log may have made was called refused.
 tap.test('a status that is none does not say that an append was refused', async t => {
 	for (const status of ['000', '001', '099', '600', '999']) {
-		await using server = await BrokenServer.create(() => ({framing: 'none', ending: 'closed', readsRequest: true, headers: [], part: '{}'}), `HTTP/1.1 ${status} X`);
+		await using server = await BrokenServer.create(() => ({...closed, statusLine: `HTTP/1.1 ${status} X`, headers: [], part: '{}'}));
 		await using log = HttpLogClient.create({baseUrl: `http://127.0.0.1:${server.port}`, timeoutMilliseconds});
 		t.match(await log.append('stream', {value: 1}), {type: 'unknown'}, status);
 		const call = httpCall({host: '127.0.0.1', port: server.port, method: 'POST', path: '/', timeoutMilliseconds});
