--- a/fakes/broken-server.ts
+++ b/fakes/broken-server.ts
@@ -36,19 +36,22 @@
 /** A body that no kernel takes whole, so that its sender is still writing. */
 export const longUploadBytes = 32 * 1024 * 1024;
 
+const wholeAnswer = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}';
+
 /** Answers each request with what `answerOf` returns then, to which it gives the request's head. */
 export class BrokenServer implements AsyncDisposable {
-	static async create(answerOf: (head: string) => BrokenAnswer): Promise<BrokenServer> {
+	/** With `keepsFirst`, the first request of each connection gets a whole answer, and only the next one a broken one. */
+	static async create(answerOf: (head: string) => BrokenAnswer, {keepsFirst = false}: {readonly keepsFirst?: boolean} = {}): Promise<BrokenServer> {
 		const server = net.createServer(socket => {
 			socket.on('error', () => undefined);
-			socket.once('data', (bytes: Uint8Array) => {
-				const answer = answerOf(Buffer.from(bytes).toString('latin1'));
-				if (!answer.readsRequest) {
-					socket.pause();
-				}
-
-				respond(socket, answer);
-			});
+			if (keepsFirst) {
+				socket.once('data', () => {
+					socket.write(wholeAnswer);
+					breakNext(socket, answerOf);
+				});
+			} else {
+				breakNext(socket, answerOf);
+			}
 		});
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
@@ -70,9 +73,20 @@
 	}
 }
 
+function breakNext(socket: net.Socket, answerOf: (head: string) => BrokenAnswer): void {
+	socket.once('data', (bytes: Uint8Array) => {
+		const answer = answerOf(Buffer.from(bytes).toString('latin1'));
+		if (!answer.readsRequest) {
+			socket.pause();
+		}
+
+		respond(socket, answer);
+	});
+}
+
 function respond(socket: net.Socket, {statusLine = 'HTTP/1.1 200 OK', framing, ending, headers, part, missingBytes = 1}: BrokenAnswer): void {
 	const lines = [statusLine, ...headers, ...framingHeaders(framing, part.length + missingBytes)];
-	const body = framing === Framing.chunks ? `${part.length.toString(16)}\r\n${part}\r\n${missingBytes === 0 ? '0\r\n\r\n' : ''}` : part;
+	const body = framing === Framing.chunks && part.length > 0 ? `${part.length.toString(16)}\r\n${part}\r\n${missingBytes === 0 ? '0\r\n\r\n' : ''}` : part;
 	const bytes = `${lines.join('\r\n')}\r\n\r\n${body}`;
 	switch (ending) {
 		case Ending.reset: {
--- a/test/endpoint/broken-answers.test.ts
+++ b/test/endpoint/broken-answers.test.ts
@@ -2,6 +2,7 @@
 import tap from 'tap';
 import {BrokenServer, type BrokenAnswer, brokenAnswers, longUploadBytes} from '../../fakes/broken-server.js';
 import {EngineClient, EngineControl, type EngineEvent, ServiceClient} from '../../src/endpoint/index.js';
+import {type Failure, type RequestError} from '../../src/model/index.js';
 
 /** A body that goes on until its reader gives up. */
 async function * endlessUpload(): AsyncGenerator<Uint8Array> {
@@ -24,6 +25,20 @@
 	return text;
 }
 
+/** The whole body of a call's answer, or its failure. */
+async function endOf(services: ServiceClient, body: Uint8Array | AsyncIterable<Uint8Array>): Promise<string | Failure> {
+	const response = await services.call({requestId: 'r', method: 'POST', path: '/tickets', headers: {}, body});
+	if (response.type === 'failed') {
+		return response.failure;
+	}
+
+	try {
+		return await readWhole(response.body);
+	} catch (error) {
+		return (error as RequestError).failure;
+	}
+}
+
 async function eventsOf(engines: EngineClient, body: string): Promise<EngineEvent[]> {
 	const events: EngineEvent[] = [];
 	const run = {requestId: 'r', method: 'POST', path: '/v1/chat/completions', headers: {}, body: Buffer.from(body), resumeTokens: 0, resumeText: '', priority: 0};
@@ -36,22 +51,23 @@
 
 // Callers got the part of an answer that was reset as a whole one.
 for (const {name, body} of uploads) {
-	tap.test(`an answer that breaks off is no whole one to a caller who uploads ${name}`, async t => {
-		let answer: BrokenAnswer;
-		await using server = await BrokenServer.create(() => answer);
-		for (const broken of brokenAnswers) {
-			answer = {...broken, headers: ['Content-Type: text/plain'], part: 'half of it'};
-			await using services = ServiceClient.create({baseUrl: `http://127.0.0.1:${server.port}`});
-			const response = await services.call({requestId: 'r', method: 'POST', path: '/tickets', headers: {}, body: body()});
-			const about = JSON.stringify(broken);
-			if (response.type === 'answered') {
-				const end: unknown = await readWhole(response.body).catch((error: unknown) => error);
-				t.match(end, {failure: {verdict: 'may-have-run'}}, about);
-			} else {
-				t.match(response.failure, {verdict: 'may-have-run'}, about);
+	for (const isKept of [false, true]) {
+		tap.test(`an answer that breaks off is no whole one to a caller who uploads ${name} on a ${isKept ? 'kept' : 'new'} connection`, async t => {
+			let answer: BrokenAnswer;
+			await using server = await BrokenServer.create(() => answer, {keepsFirst: isKept});
+			for (const broken of brokenAnswers) {
+				for (const part of ['half of it', '']) {
+					answer = {...broken, headers: ['Content-Type: text/plain'], part};
+					await using services = ServiceClient.create({baseUrl: `http://127.0.0.1:${server.port}`});
+					if (isKept) {
+						t.equal(await endOf(services, Buffer.alloc(1)), '{}');
+					}
+
+					t.match(await endOf(services, body()), {verdict: 'may-have-run'}, JSON.stringify({...broken, part}));
+				}
 			}
-		}
-	});
+		});
+	}
 }
 
 // A stream of events without its end passed for a whole one.
--- a/test/gateway/broken-answers.test.ts
+++ b/test/gateway/broken-answers.test.ts
@@ -4,19 +4,38 @@
 import {Attempt, type AttemptEvent} from '../../src/gateway/requests/attempt.js';
 import {Testbed} from './testbed.js';
 
-/** Sends one request with a long body, and returns the last event of the attempt. */
-async function lastEventOf(port: number, pausesAtHead: boolean): Promise<AttemptEvent> {
+/** Longer than a reset comes after the head. */
+const pauseMilliseconds = 50;
+
+type Play = {
+	/** Whether the answer is not read for a moment once its head has come. */
+	readonly pausesAtHead: boolean;
+	/** Whether a request before it has left its connection open. */
+	readonly isKept: boolean;
+};
+
+/** Sends a request with a long body, and returns the last event of its attempt. */
+async function lastEventOf(port: number, {pausesAtHead, isKept}: Play): Promise<AttemptEvent> {
 	const connectionPool = ConnectionPool.create(4);
-	const last = await new Promise<AttemptEvent>(resolve => {
-		const attempt = Attempt.start({
-			address: `127.0.0.1:${port}`, method: 'POST', path: '/', headers: ['Host', 'a.example', 'Content-Length', String(longUploadBytes)],
-			body: new Uint8Array(longUploadBytes), connectionPool, mayRunAgain: true,
+	if (isKept) {
+		await attempt(port, {connectionPool, body: new Uint8Array(1), pausesAtHead: false});
+	}
+
+	const last = await attempt(port, {connectionPool, body: new Uint8Array(longUploadBytes), pausesAtHead});
+	connectionPool.destroy();
+	return last;
+}
+
+async function attempt(port: number, {connectionPool, body, pausesAtHead}: {connectionPool: ConnectionPool; body: Uint8Array; pausesAtHead: boolean}): Promise<AttemptEvent> {
+	return new Promise<AttemptEvent>(resolve => {
+		const started = Attempt.start({
+			address: `127.0.0.1:${port}`, method: 'POST', path: '/', headers: ['Host', 'a.example', 'Content-Length', String(body.length)], body, connectionPool, mayRunAgain: true,
 			onEvent(event) {
 				if (event.type === 'head' && pausesAtHead) {
-					attempt.pause();
+					started.pause();
 					setTimeout(() => {
-						attempt.resume();
-					}, 50);
+						started.resume();
+					}, pauseMilliseconds);
 				}
 
 				if (event.type === 'end' || event.type === 'broken') {
@@ -25,26 +44,28 @@
 			},
 		});
 	});
-	connectionPool.destroy();
-	return last;
 }
 
 // A caller got the part of an answer that was reset as a whole one.
-tap.test('an attempt whose answer breaks off is broken, also while its body is being written', async t => {
-	let answer: BrokenAnswer;
-	await using server = await BrokenServer.create(() => answer);
-	for (const broken of brokenAnswers) {
-		for (const pausesAtHead of [false, true]) {
-			answer = {...broken, headers: [], part: 'half of it'};
-			t.match(await lastEventOf(server.port, pausesAtHead), {type: 'broken', verdict: 'may-have-run'}, JSON.stringify({...broken, pausesAtHead}));
+for (const isKept of [false, true]) {
+	tap.test(`an attempt on a ${isKept ? 'kept' : 'new'} connection whose answer breaks off is broken, also while its body is being written`, async t => {
+		let answer: BrokenAnswer;
+		await using server = await BrokenServer.create(() => answer, {keepsFirst: isKept});
+		for (const broken of brokenAnswers) {
+			for (const pausesAtHead of [false, true]) {
+				for (const part of ['half of it', '']) {
+					answer = {...broken, headers: [], part};
+					t.match(await lastEventOf(server.port, {pausesAtHead, isKept}), {type: 'broken', verdict: 'may-have-run'}, JSON.stringify({...broken, pausesAtHead, part}));
+				}
+			}
 		}
-	}
-});
+	});
+}
 
 // A caller who read slowly got a failure in place of the answer that its endpoint had made.
 tap.test('an answer that is whole by its length is whole although its connection is reset while its caller reads slowly', async t => {
 	await using server = await BrokenServer.create(() => ({framing: 'length', ending: 'reset', readsRequest: false, missingBytes: 0, headers: [], part: 'all of it.'}));
-	t.match(await lastEventOf(server.port, true), {type: 'end'});
+	t.match(await lastEventOf(server.port, {pausesAtHead: true, isKept: false}), {type: 'end'});
 });
 
 const requests = [
