instances that know the classes of engines tell them to those that cannot learn them

Cause: an instance that is short of processor time does not learn, since it would take its own delays for the engines'. It then took engines for alike, packed streams onto others than the rest of the fleet, and sent long prompts to those where the rest kept theirs.

Change: src/policy/dispatch/told-classes: the first three by name of those that know the classes tell them, when one has changed (a second apart at least) and every 8 s; what was told holds for 24 s; whoever does not learn takes what most tellers say. One message, engine-classes, some 18 bytes an engine, only to peers whose hello takes it, since an older build closes the link over it. A line when others begin and stop to tell.

--- a/src/gateway/peers/peer-link.ts
+++ b/src/gateway/peers/peer-link.ts
@@ -1,5 +1,5 @@
 import {type PartLogger} from '../../telemetry/index.js';
-import {type Connection, type MessageOf} from '../../wire/index.js';
+import {type Connection, type GatewayMessage, type MessageOf} from '../../wire/index.js';
 
 /** The connection to one peer. */
 export type PeerLink = {
@@ -10,6 +10,8 @@
 	readonly isDialled: boolean;
 	/** When the peer's hello arrived. */
 	readonly since: number;
+	/** Whether the peer's build takes classes of engines. */
+	readonly takesClasses: boolean;
 	/** The newest version of the routing table that the peer has named. */
 	routingVersion: number;
 	/** Whether the peer has read what is stored of crashes, or was told all of it. */
@@ -17,9 +19,9 @@
 };
 
 /** The link that a peer's hello opens. It keeps the routing version of an existing link to the same incarnation. */
-export function createPeerLink({instance, incarnation}: MessageOf<'gateway-hello'>, {connection, isDialled, existing}: {connection: Connection; isDialled: boolean; existing: PeerLink | undefined}): PeerLink {
+export function createPeerLink({instance, incarnation, takesClasses = false}: MessageOf<'gateway-hello'>, {connection, isDialled, existing}: {connection: Connection; isDialled: boolean; existing: PeerLink | undefined}): PeerLink {
 	return {
-		connection, instance, incarnation, isDialled, since: performance.now(),
+		connection, instance, incarnation, isDialled, takesClasses, since: performance.now(),
 		routingVersion: existing?.incarnation === incarnation ? existing.routingVersion : -Infinity,
 		knowsCrashes: existing?.incarnation === incarnation && existing.knowsCrashes,
 	};
@@ -34,6 +36,11 @@
 	return existing.isDialled === isDialled || isDialled === (ownInstance < existing.instance);
 }
 
+/** Whether the peer's build takes such a message. */
+export function takes({takesClasses}: Pick<PeerLink, 'takesClasses'>, {type}: GatewayMessage): boolean {
+	return type !== 'engine-classes' || takesClasses;
+}
+
 /** Logs how many messages were dropped since the previous call because the peer takes less than it is sent. */
 export function logDropped({connection, instance}: Pick<PeerLink, 'connection' | 'instance'>, logger: PartLogger): void {
 	const messages = connection.takeDropped();
--- a/src/gateway/peers/peer-messages.ts
+++ b/src/gateway/peers/peer-messages.ts
@@ -1,4 +1,4 @@
-import {decodeLoad, type LoadEvent, unflattenParts} from '../../policy/dispatch/index.js';
+import {type ClassStatement, decodeLoad, EngineClass, type LoadEvent, unflattenParts} from '../../policy/dispatch/index.js';
 import {type EndpointChange, positionOf} from '../../routing/index.js';
 import {type Connection, type GatewayMessage, type MessageOf, MessagePriority} from '../../wire/index.js';
 import {type CrashNews, isEmptyNews} from '../crashes/index.js';
@@ -13,6 +13,9 @@
  * than this time.
  */
 const recentRemovalMilliseconds = 20_000;
+const hundredths = 100;
+/** The classes of engines in the order of their codes. */
+const engineClasses = [EngineClass.fast, EngineClass.usual, EngineClass.slow] as const;
 
 /** Message that announces a change of the routing state to peers, if any. */
 export function messageForChange(change: RoutingStateChange): GatewayMessage | undefined {
@@ -72,6 +75,15 @@
 	];
 }
 
+/** The message that tells peers the classes of engines. */
+export function encodeClasses({service, engines}: ClassStatement): MessageOf<'engine-classes'> {
+	return {type: 'engine-classes', service, engines: engines.map(({endpoint, engineClass, relativeSpeed}) => [endpoint, engineClasses.indexOf(engineClass), Math.max(1, Math.round(relativeSpeed * hundredths))])};
+}
+
+function decodeClasses({service, engines}: MessageOf<'engine-classes'>, teller: string): ClassStatement {
+	return {teller, service, engines: engines.map(([endpoint, code, speed]) => ({endpoint, engineClass: engineClasses[code]!, relativeSpeed: speed / hundredths}))};
+}
+
 /** The message that reports to a peer what a response to this instance has shown. */
 export function encodeRateLimitReport({endpoint, bornAt, rateLimit, observedAt}: RateLimitReport, now: number): MessageOf<'endpoint-rate-limit'> {
 	return {
@@ -167,6 +179,11 @@
 			return;
 		}
 
+		case 'engine-classes': {
+			onLoad({type: 'classes', statement: decodeClasses(message, incarnation)});
+			return;
+		}
+
 		case 'endpoint-rate-limit': {
 			onRateLimitReport(decodeRateLimitReport(message, performance.now()));
 			return;
--- a/src/gateway/peers/peers.ts
+++ b/src/gateway/peers/peers.ts
@@ -5,8 +5,8 @@
 import {type CachedPromptParts} from '../endpoints/index.js';
 import {InitialSync} from './initial-sync.js';
 import {LoadBatch} from './load-batch.js';
-import {createPeerLink, isPreferredLink, logDropped, type PeerLink} from './peer-link.js';
-import {handleMessage, messageForChange} from './peer-messages.js';
+import {createPeerLink, isPreferredLink, logDropped, type PeerLink, takes} from './peer-link.js';
+import {encodeClasses, handleMessage, messageForChange} from './peer-messages.js';
 import {type PeerRecord, PeerRoster} from './peer-roster.js';
 import {PeerSender} from './peer-sender.js';
 import {type PeersOptions} from './peers-options.js';
@@ -140,9 +140,11 @@
 		this.#options.onView(this.view);
 	}
 
-	/** Reports load to the neighbours, batched with other events of a few milliseconds. */
+	/** Reports load to the neighbours, batched with other events of a few milliseconds, or what this instance has learned of engines. */
 	broadcastLoad(event: LoadEvent): void {
-		if (this.#links.size > 0) {
+		if (event.type === 'classes') {
+			this.#broadcast(encodeClasses(event.statement));
+		} else if (this.#links.size > 0) {
 			this.#loadBatch.add(event);
 		}
 	}
@@ -155,7 +157,7 @@
 	}
 
 	#broadcast(message: GatewayMessage): void {
-		this.#sender.send(message, Array.from(this.#links.values(), ({connection}) => connection));
+		this.#sender.send(message, [...this.#links.values()].filter(link => takes(link, message)).map(({connection}) => connection));
 	}
 
 	* #maintainLinks(): Body<void> {
@@ -197,7 +199,7 @@
 	* #serve(connection: Connection, address?: string): Body<void> {
 		const {instance, incarnation, knowsEndpoints} = this.#options;
 		connection.setBusy(true, heartbeatTimes);
-		connection.send({type: 'gateway-hello', protocol: protocolVersion, instance, incarnation, knowsEndpoints: knowsEndpoints()});
+		connection.send({type: 'gateway-hello', protocol: protocolVersion, instance, incarnation, knowsEndpoints: knowsEndpoints(), takesClasses: true});
 		let link: PeerLink | undefined;
 		for (let messages = yield * receive(connection.incoming); messages !== undefined; messages = yield * receive(connection.incoming)) {
 			for (const message of messages) {
--- a/src/gateway/placement/dispatcher.ts
+++ b/src/gateway/placement/dispatcher.ts
@@ -10,7 +10,7 @@
 import {groupWait} from './group-wait.js';
 import {reportOthersSign} from './others-sign.js';
 import {EndpointPool, type HeldEndpoint, type PlacementEndpoint} from './endpoint-pool.js';
-import {logClassChange} from './class-log.js';
+import {connectPaces} from './paces.js';
 import {createPlacementContext} from './placement-context.js';
 import {queueReports} from './queue-reports.js';
 import {type QueueActivity, QueueMeter} from './queue-meter.js';
@@ -49,13 +49,9 @@
 
 	private constructor(options: DispatcherOptions) {
 		this.#options = options;
-		this.loadTracker.paces.setting = options.tuning.learnsEngines;
+		connectPaces(this.loadTracker.paces, options);
 		this.loadTracker.held.followsHeld = options.tuning.weighsKept;
 		this.loadTracker.held.isCounted = options.tuning.heedsMemory || options.tuning.weighsKept || options.tuning.spreadsPrefixes;
-		this.loadTracker.paces.onChange = (service, change) => {
-			logClassChange(options.logger, service, change);
-		};
-
 		this.retries = RetryShare.create({allowance: options.allowance, startedAt: performance.now()});
 		this.#queueReporter = QueueReporter.create(options.incarnation);
 		this.#yielding = Yielding.create({loadTracker: this.loadTracker, tuning: options.tuning, random: options.random, view: () => this.view});
--- a/src/gateway/placement/others-sign.ts
+++ b/src/gateway/placement/others-sign.ts
@@ -22,6 +22,7 @@
 		case 'owner-lost':
 		case 'endpoint-restarted':
 		case 'waiting':
+		case 'classes':
 		case 'kept':
 			// They show nothing of an endpoint's responses.
 	}
--- a/src/policy/dispatch/engine-classes.ts
+++ b/src/policy/dispatch/engine-classes.ts
@@ -17,6 +17,8 @@
 /** The classes of a service's engines; unknown engines are in the usual class. */
 export type ServiceClasses = {
 	readonly isUneven: boolean;
+	/** Whether enough engines are known to say so. */
+	readonly isKnown: boolean;
 	/** Speed of the fastest third of the known engines as a multiple of the slowest third's. */
 	readonly spread: number;
 	readonly classes: ReadonlyMap<string, EngineClass>;
@@ -34,7 +36,7 @@
 const slowSpeed = {enter: 0.8, leave: 0.92};
 
 export function createServiceClasses(): ServiceClasses {
-	return {isUneven: false, spread: 1, classes: new Map()};
+	return {isUneven: false, isKnown: false, spread: 1, classes: new Map()};
 }
 
 /** Classes by what is known now of all engines of the service that have been seen. `forced` overrides whether they are uneven. */
@@ -49,7 +51,7 @@
 	const spread = meanOf(factors.slice(-third)) / meanOf(factors.slice(0, third));
 	const isUneven = forced ?? spread >= (before.isUneven ? unevenSpread.until : unevenSpread.from);
 	const median = factors[Math.floor(factors.length / 2)]!;
-	return {isUneven, spread, classes: isUneven ? new Map(known.map(({endpoint, factor}) => [endpoint, classOf(factor / median, before.classes.get(endpoint))])) : new Map()};
+	return {isUneven, isKnown: true, spread, classes: isUneven ? new Map(known.map(({endpoint, factor}) => [endpoint, classOf(factor / median, before.classes.get(endpoint))])) : new Map()};
 }
 
 /** Engines whose class differs, with what it follows from. */
@@ -65,6 +67,16 @@
 		.filter(({from, to}) => from !== to);
 }
 
+/** The engines of a class with their speeds, as multiples of the median engine's. */
+export function classifiedEngines({classes}: ServiceClasses, evidence: readonly EngineEvidence[]): Array<{endpoint: string; engineClass: EngineClass; relativeSpeed: number}> {
+	const factors = evidence.filter(engine => isKnown(engine)).map(({factor}) => factor).toSorted((left, right) => left - right);
+	const median = factors[Math.floor(factors.length / 2)] ?? 1;
+	return evidence.flatMap(({endpoint, factor}) => {
+		const engineClass = classes.get(endpoint);
+		return engineClass === undefined ? [] : [{endpoint, engineClass, relativeSpeed: factor / median}];
+	});
+}
+
 function isKnown({samples, spanMilliseconds}: EngineEvidence): boolean {
 	return samples >= leastEvidence.samples && spanMilliseconds >= leastEvidence.spanMilliseconds;
 }
--- a/src/policy/dispatch/engine-paces.ts
+++ b/src/policy/dispatch/engine-paces.ts
@@ -1,8 +1,9 @@
 import {
-	changedClasses, type ClassChange, classifyEngines, createServiceClasses, type EngineClass, type EngineEvidence, type ServiceClasses,
+	changedClasses, type ClassChange, classifiedEngines, classifyEngines, createServiceClasses, type EngineClass, type EngineEvidence, type ServiceClasses,
 } from './engine-classes.js';
 import {createEngineSpeed, type EngineSpeed, learnEngineSpeed, passingFactor, type WorkSample} from './engine-speed.js';
 import {type PrefillSpeed} from './speed.js';
+import {type ClassStatement, ToldClasses, type ToldView} from './told-classes.js';
 import {createStepPace, eventIntervalMilliseconds, learnStepPace, type StepPace} from './step-pace.js';
 
 /** Speed of one engine in its two phases: reading prompts, and the steps that write events. */
@@ -44,8 +45,15 @@
 
 	/** Whether engines of one service differ in speed; if undefined, what they show decides. */
 	setting: boolean | undefined;
+	/** Names this start of the instance in what it tells. */
+	teller = '';
 	readonly #engines = new Map<string, EnginePace>();
 	readonly #services = new Map<string, ServicePace>();
+	readonly #told = ToldClasses.create();
+	/** Called with what this instance has to tell the others. */
+	onTell: (statement: ClassStatement) => void = () => undefined;
+	/** Called when others begin to tell classes of this many engines, or, without a number, no longer do. */
+	onTold: (service: string, engines: number | undefined) => void = () => undefined;
 	/** Called when an engine changes its class. */
 	onChange: (service: string, change: ClassChange) => void = () => undefined;
 	/**
@@ -92,28 +100,42 @@
 		}
 	}
 
+	/** Records what another instance tells of the engines' classes. */
+	recordTold(statement: ClassStatement, now: number): void {
+		const before = this.#told.view(statement.service);
+		this.#told.record(statement, now);
+		this.#reportTold(statement.service, before);
+	}
+
+	/** Drops what others have told too long ago. */
+	prune(now: number): void {
+		for (const service of this.#told.lapse(now)) {
+			this.onTold(service, undefined);
+		}
+	}
+
 	/** Forgets an engine: a new one, or a new start of this one, has shown nothing yet. */
 	forget(endpoint: string): void {
 		this.#engines.delete(endpoint);
+		this.#told.forget(endpoint);
 	}
 
 	isUneven(service: string): boolean {
-		return this.setting ?? this.#services.get(service)?.classes.isUneven ?? false;
+		return this.setting ?? (this.#toldView(service) !== undefined || (this.#services.get(service)?.classes.isUneven ?? false));
 	}
 
 	/** The classes of a service's engines, of those that are known; undefined where engines are alike. */
 	classes(service: string): ReadonlyMap<string, EngineClass> | undefined {
-		return this.isUneven(service) ? this.#services.get(service)?.classes.classes : undefined;
+		return this.isUneven(service) ? this.#toldView(service)?.classes ?? this.#services.get(service)?.classes.classes : undefined;
 	}
 
-	/** The prefill speed of an engine: its service's, corrected by what the engine has shown. */
-	prefillSpeed(endpoint: string, speed: PrefillSpeed, now: number): PrefillSpeed {
-		const engine = this.#engines.get(endpoint);
-		if (engine === undefined) {
+	/** The prefill speed of an engine: its service's, corrected by what the engine has shown, here or to others. */
+	prefillSpeed(endpoint: string, service: string, {speed, now}: {speed: PrefillSpeed; now: number}): PrefillSpeed {
+		const factor = this.#factorOf(endpoint, service, {phase: 'reading', now});
+		if (factor === 1) {
 			return speed;
 		}
 
-		const factor = engine.reading.lastingFactor * passingOf(engine, now);
 		const {baseMilliseconds, tokensPerMillisecond, samples, rateSums, baseSums} = speed;
 		return {baseMilliseconds: baseMilliseconds / factor, tokensPerMillisecond: tokensPerMillisecond * factor, samples, rateSums, baseSums};
 	}
@@ -121,8 +143,7 @@
 	/** Predicted time between two events of a stream at an engine that runs this many requests. */
 	eventIntervalMilliseconds(endpoint: string, service: string, {running, now}: {running: number; now: number}): number {
 		const milliseconds = eventIntervalMilliseconds(this.#service(service).steps, running) ?? 0;
-		const engine = this.#engines.get(endpoint);
-		return engine === undefined ? milliseconds : milliseconds / (engine.steps.lastingFactor * passingOf(engine, now));
+		return milliseconds / this.#factorOf(endpoint, service, {phase: 'steps', now});
 	}
 
 	/** Speed of the fastest third of a service's engines as a multiple of the slowest third's, as far as is known. */
@@ -138,13 +159,36 @@
 		return {engines, reading: meanOf('reading'), steps: meanOf('steps')};
 	}
 
+	#reportTold(service: string, before: ToldView | undefined): void {
+		const view = this.#told.view(service);
+		if ((before === undefined) !== (view === undefined)) {
+			this.onTold(service, view?.classes.size);
+		}
+	}
+
+	/** What others tell, where this instance does not know the classes itself. */
+	#toldView(service: string): ToldView | undefined {
+		const isKnown = this.isLearning && this.#services.get(service)?.classes.isKnown === true;
+		return isKnown || this.setting !== undefined ? undefined : this.#told.view(service);
+	}
+
+	#factorOf(endpoint: string, service: string, {phase, now}: {phase: 'reading' | 'steps'; now: number}): number {
+		const told = this.#toldView(service);
+		if (told !== undefined) {
+			return told.speeds.get(endpoint) ?? 1;
+		}
+
+		const engine = this.#engines.get(endpoint);
+		return engine === undefined ? 1 : engine[phase].lastingFactor * passingOf(engine, now);
+	}
+
 	#classify(service: string, state: ServicePace, now: number): void {
 		if (now - state.classifiedAt < classifyMilliseconds) {
 			return;
 		}
 
 		state.classifiedAt = now;
-		this.#prune(now);
+		this.#forgetSilent(now);
 		const engines = [...this.#engines].filter(([, engine]) => engine.service === service);
 		const phases = {reading: summarize(engines.map(([, {reading}]) => reading)), steps: summarize(engines.map(([, {steps}]) => steps))};
 		const evidence = engines.map(([endpoint, engine]) => evidenceOf(endpoint, engine, {phases, now}));
@@ -153,9 +197,13 @@
 		for (const change of changedClasses(before, state.classes, evidence)) {
 			this.onChange(service, change);
 		}
+
+		if (state.classes.isKnown && this.#told.isDue({teller: this.teller, service, classes: state.classes.classes}, now)) {
+			this.onTell({teller: this.teller, service, engines: classifiedEngines(state.classes, evidence)});
+		}
 	}
 
-	#prune(now: number): void {
+	#forgetSilent(now: number): void {
 		for (const [endpoint, {reading, steps}] of this.#engines) {
 			if (now - Math.max(reading.lastAt, steps.lastAt) > forgetMilliseconds) {
 				this.#engines.delete(endpoint);
--- a/src/policy/dispatch/index.ts
+++ b/src/policy/dispatch/index.ts
@@ -25,3 +25,4 @@
 export * from './failover.js';
 export * from './engine-classes.js';
 export * from './engine-paces.js';
+export * from './told-classes.js';
--- a/src/policy/dispatch/load-event.ts
+++ b/src/policy/dispatch/load-event.ts
@@ -1,4 +1,5 @@
 import {type QueueReport} from './peer-queues.js';
+import {type ClassStatement} from './told-classes.js';
 import {type PromptPart} from './prefix-cache.js';
 
 /** A request that an endpoint runs or is about to run, whichever instance sent it. */
@@ -32,5 +33,7 @@
 		| {readonly type: 'endpoint-restarted'; readonly endpoint: string}
 	/** Requests that wait at another instance. */
 		| QueueReport
+	/** Classes of engines that another instance has learned. */
+		| {readonly type: 'classes'; readonly statement: ClassStatement}
 	/** Prompt parts that the endpoint itself reports as cached. */
 		| {readonly type: 'kept'; readonly endpoint: string; readonly parts: readonly PromptPart[]};
--- a/src/policy/dispatch/load-rows.ts
+++ b/src/policy/dispatch/load-rows.ts
@@ -82,6 +82,7 @@
 
 		case 'owner-lost':
 		case 'endpoint-restarted':
+		case 'classes':
 		case 'kept': {
 			return undefined;
 		}
--- a/src/policy/dispatch/load.ts
+++ b/src/policy/dispatch/load.ts
@@ -97,6 +97,11 @@
 
 			case 'kept': {
 				this.#endpoint(event.endpoint).cache.replace(event.parts);
+				return;
+			}
+
+			case 'classes': {
+				this.paces.recordTold(event.statement, now);
 			}
 		}
 	}
@@ -151,7 +156,7 @@
 	/** The speed of one engine: its service's, corrected by what the engine has shown where engines are uneven. */
 	engineSpeed(endpoint: string, service: string, now: number): PrefillSpeed {
 		const speed = this.prefillSpeed(service);
-		return this.paces.isUneven(service) ? this.paces.prefillSpeed(endpoint, speed, now) : speed;
+		return this.paces.isUneven(service) ? this.paces.prefillSpeed(endpoint, service, {speed, now}) : speed;
 	}
 
 	/** Learns from events that an own run has received. */
@@ -174,6 +179,7 @@
 
 	/** Drops runs without a report of their end for longer than any response lasts. */
 	prune(now: number): void {
+		this.paces.prune(now);
 		this.#drop(run => now - run.placedAt > runTimeoutMilliseconds, now);
 	}
 
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -15,6 +15,10 @@
 const bytes = z.instanceof(Uint8Array);
 const milliseconds = z.number().nonnegative();
 const text = z.string().max(512);
+/** Fast, usual and slow are 0 to 2. */
+const maxClassCode = 2;
+/** More engines than a service has. */
+const maxTellableEngines = 10_000;
 const headers = z.record(z.string(), z.string());
 
 /** The longest path of a request, in characters. A receiver closes a connection over a message with a longer one, so the entry refuses such a request. */
@@ -130,6 +134,8 @@
 	type: z.literal('gateway-hello'), protocol: z.number().int(), instance: text, incarnation: text,
 	/** True if the sender has read the endpoints recently, so that it lacks only the latest removals. */
 	knowsEndpoints: z.boolean().default(false),
+	/** True if the sender takes classes of engines; an instance of an older build closes the link over such a message. */
+	takesClasses: z.boolean().optional(),
 });
 /** Gateway to gateway: the version of the sender's routing table in force. */
 const routingVersion = z.object({type: z.literal('routing-version'), version: z.number()});
@@ -145,6 +151,11 @@
 /** Gateway to gateway: the cached prompt parts that an endpoint reports, as alternating ids and token counts. */
 const kept = z.object({type: z.literal('kept'), endpoint: text, parts: z.custom<readonly number[]>(parts => Array.isArray(parts) && parts.every(value => typeof value === 'number' && value >= 0), 'not numbers')});
 
+/** Gateway to gateway: the class of each engine of a service by its code, and its speed in hundredths of the median engine's; none where engines are alike. */
+const engineClasses = z.object({
+	type: z.literal('engine-classes'), service: text,
+	engines: z.array(z.tuple([text, z.number().int().nonnegative().max(maxClassCode), z.number().int().positive()])).max(maxTellableEngines),
+});
 /** Gateway to gateway: a response to the sender showed this rate limit, or none, of this incarnation of an endpoint. */
 const endpointRateLimit = z.object({
 	type: z.literal('endpoint-rate-limit'), endpoint: text, bornAt: z.number().optional(), requestsPerSecond: rate.optional(),
@@ -226,6 +237,7 @@
 	endpoints,
 	load,
 	kept,
+	engineClasses,
 	endpointRateLimit,
 	rateSharesWanted,
 	rateSharesLent,
@@ -237,9 +249,9 @@
 export type Message = z.infer<typeof messageSchema>;
 export type MessageOf<Type extends Message['type']> = Extract<Message, {type: Type}>;
 /** The messages that only gateways send to each other. */
-export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'endpoint-rate-limit' | 'rate-shares-wanted' | 'rate-shares-lent' | 'request-crashes' | 'stream-origins' | 'usage' | 'duty-holder'>;
+export type GatewayMessage = MessageOf<'gateway-hello' | 'routing-version' | 'routing-wanted' | 'routing' | 'endpoints' | 'load' | 'kept' | 'engine-classes' | 'endpoint-rate-limit' | 'rate-shares-wanted' | 'rate-shares-lent' | 'request-crashes' | 'stream-origins' | 'usage' | 'duty-holder'>;
 
-const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'endpoint-rate-limit', 'rate-shares-wanted', 'rate-shares-lent', 'request-crashes', 'stream-origins', 'usage', 'duty-holder']);
+const gatewayTypes: ReadonlySet<string> = new Set<GatewayMessage['type']>(['gateway-hello', 'routing-version', 'routing-wanted', 'routing', 'endpoints', 'load', 'kept', 'engine-classes', 'endpoint-rate-limit', 'rate-shares-wanted', 'rate-shares-lent', 'request-crashes', 'stream-origins', 'usage', 'duty-holder']);
 
 export function isGatewayMessage(message: Message): message is GatewayMessage {
 	return gatewayTypes.has(message.type);
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -5,7 +5,8 @@
 import {RoutingState, initialMessages, noCrashNews, PeerRoster, Peers} from '../../src/gateway/index.js';
 import {type RoutingTableInput} from '../../src/routing/index.js';
 import {dial, encodeFrame, FrameDecoder, protocolVersion} from '../../src/wire/index.js';
-import {LoadTracker, type LoadEvent} from '../../src/policy/dispatch/index.js';
+import {takes} from '../../src/gateway/peers/peer-link.js';
+import {type ClassStatement, LoadTracker, type LoadEvent} from '../../src/policy/dispatch/index.js';
 
 const silentLogger = {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined};
 
@@ -92,6 +93,20 @@
 	await one.peers[Symbol.asyncDispose]();
 });
 
+// An instance of an older build closes the link over a message that it does not know.
+tap.test('classes of engines are told to peers whose build takes them', async t => {
+	const one = await createPeers('one');
+	const two = await createPeers('two', [one.peers.address]);
+	await waitUntil(() => one.peers.count === 1);
+	const statement: ClassStatement = {teller: 'one-first', service: 'models', engines: [{endpoint: 'e', engineClass: 'fast', relativeSpeed: 1.23}, {endpoint: 'f', engineClass: 'slow', relativeSpeed: 0.6}]};
+	one.peers.broadcastLoad({type: 'classes', statement});
+	await waitUntil(() => two.events.length > 0);
+	t.same(two.events[0], {type: 'classes', statement});
+	t.notOk(takes({takesClasses: false}, {type: 'engine-classes', service: 'models', engines: []}));
+	await one.peers[Symbol.asyncDispose]();
+	await two.peers[Symbol.asyncDispose]();
+});
+
 // Links of small instances were full of news of crashes, and a table that was in force elsewhere was told and sent to them many seconds late.
 tap.test('the version of a new table does not wait behind crash news that its link cannot carry', async t => {
 	const one = await createPeers('one');
--- a/test/gateway/streams-on-slow-engines.test.ts
+++ b/test/gateway/streams-on-slow-engines.test.ts
@@ -16,3 +16,12 @@
 		t.ok(shareInTime(requests, kind) >= targetShare, `${shareInTime(requests, kind)} of ${kind.name} in time`);
 	}
 });
+
+// Guards against instances that take engines for alike, since they have no time to learn them, and send long prompts to those where others keep their streams.
+tap.test('instances that cannot learn the engines place streams like those that can', async t => {
+	for (const learners of [1, 2]) {
+		const requests = requestsOf({seed: 5, learners});
+		t.ok(shareInTime(requests, answer) >= targetShare, `${shareInTime(requests, answer)} of answers in time where ${learners} of four instances learn`);
+		t.ok(shareInTime(requests, summary) >= targetShare, `${shareInTime(requests, summary)} of long prompts`);
+	}
+});
--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -35,6 +35,8 @@
 	readonly speedOf?: (engine: number, now: number) => number;
 	/** Weights of placement that differ from the defaults. */
 	readonly tuning?: Partial<Tuning>;
+	/** Instances, from the first on, that have processor time to learn the engines' speeds; all, if absent. */
+	readonly learners?: number;
 	/** Time until another instance has a report; if absent, that of real instances. */
 	readonly reportMilliseconds?: number;
 	/** Urgencies of the workspaces. Requests are assigned to workspaces in turn. */
@@ -149,6 +151,7 @@
 			});
 			dispatcher.view = {links: options.instances - 1, instances: options.instances};
 			this.#chargeEndpointChecks(dispatcher, options.slowness?.[number] ?? 1);
+			dispatcher.loadTracker.paces.mayLearn = () => number < (options.learners ?? options.instances);
 			return dispatcher;
 		});
 		this.publishTable(1, options.workspaceUrgencies);
--- a/test/policy/engine-paces.test.ts
+++ b/test/policy/engine-paces.test.ts
@@ -52,9 +52,9 @@
 	observe(paces, [0.6, 1, 1.6], {from: 0, to: 5000});
 	const speed = createPrefillSpeed();
 	t.equal(paces.classes(service)?.get('engine-2'), EngineClass.fast);
-	t.ok(paces.prefillSpeed('engine-2', speed, 5000).tokensPerMillisecond > speed.tokensPerMillisecond * 1.3);
+	t.ok(paces.prefillSpeed('engine-2', service, {speed, now: 5000}).tokensPerMillisecond > speed.tokensPerMillisecond * 1.3);
 	paces.forget('engine-2');
-	t.same(paces.prefillSpeed('engine-2', speed, 5000), speed);
+	t.same(paces.prefillSpeed('engine-2', service, {speed, now: 5000}), speed);
 	observe(paces, [0.6, 1, 0.6], {from: 5000, to: 9000});
 	t.not(paces.classes(service)?.get('engine-2'), EngineClass.fast);
 });
