speeds of engines count once streams are late by the engines' pauses

Cause: what an engine reads, short prompts or long ones, shows in its reading speed; with few engines no median evens that out. Class: a measurement that is acted upon where nothing is to be gained by it.

Change: speeds count, and are told, once 15 in 100 of the last ten or so streams with the tightest pauses are late by a pause of their engine, less this instance's own lag; then for as long as the engines look uneven (src/policy/dispatch/late-pauses.ts). The virtual fleet records its streams' pauses like a gateway does.

--- a/src/gateway/placement/dispatcher.ts
+++ b/src/gateway/placement/dispatcher.ts
@@ -1,6 +1,6 @@
 import {
 	type Demand, type EndpointSign, choosePlace, type PlacementContext, groupKeyOf, ScanResults, QueueReporter, LoadTracker, type LoadEvent, type Place, type RetryGrant,
-	OutputEstimates, RetryShare, runId,
+	OutputEstimates, RetryShare, runId, LatePauses,
 } from '../../policy/dispatch/index.js';
 import {singleInstanceView, type FleetView} from '../../policy/sharing/index.js';
 import {type EndpointRecord} from '../../routing/index.js';
@@ -26,6 +26,8 @@
 	}
 
 	readonly loadTracker = LoadTracker.create();
+	/** Whether streams are late by the pauses of engines. */
+	readonly latePauses = LatePauses.create();
 	readonly endpoints: EndpointPool;
 	readonly statements: StatementRegistry;
 	readonly retries: RetryShare;
@@ -49,7 +51,7 @@
 
 	private constructor(options: DispatcherOptions) {
 		this.#options = options;
-		connectPaces(this.loadTracker.paces, options);
+		connectPaces(this.loadTracker.paces, this.latePauses, options);
 		this.loadTracker.held.followsHeld = options.tuning.weighsKept;
 		this.loadTracker.held.isCounted = options.tuning.heedsMemory || options.tuning.weighsKept || options.tuning.spreadsPrefixes;
 		this.retries = RetryShare.create({allowance: options.allowance, startedAt: performance.now()});
--- a/src/gateway/placement/paces.ts
+++ b/src/gateway/placement/paces.ts
@@ -1,15 +1,20 @@
-import {type ClassChange, type EnginePaces} from '../../policy/dispatch/index.js';
+import {type ClassChange, type EnginePaces, type LatePauses} from '../../policy/dispatch/index.js';
 import {type PartLogger} from '../../telemetry/index.js';
 import {type DispatcherOptions} from './dispatcher-options.js';
 
 /** Connects what is learned of engines' speeds with the settings, the log and the other instances. */
-export function connectPaces(paces: EnginePaces, {tuning, incarnation, logger, onLoad}: DispatcherOptions): void {
+export function connectPaces(paces: EnginePaces, latePauses: LatePauses, {tuning, incarnation, logger, onLoad}: DispatcherOptions): void {
 	paces.setting = tuning.learnsEngines;
 	paces.teller = incarnation;
 	paces.onTell = statement => {
 		onLoad({type: 'classes', statement});
 	};
 
+	paces.isNeeded = service => latePauses.isNeeded(service);
+	paces.onAlike = service => {
+		latePauses.reset(service);
+	};
+
 	paces.onChange = (service, change) => {
 		logClassChange(logger, service, change);
 	};
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -8,7 +8,7 @@
 import {AttemptSender} from './attempt-sender.js';
 import {type AttemptState, type Outcome, type PlacedDecision} from './attempt-state.js';
 import {AttemptTimeouts} from './attempt-timeouts.js';
-import {attemptResultOf, givenUpOf, reportCrashEvidence, reportOutcome, reportOutput, signOf} from './outcome-report.js';
+import {attemptResultOf, givenUpOf, reportCrashEvidence, reportOutcome, reportOutput, reportPauses, signOf} from './outcome-report.js';
 import {type ExchangeEvent, type ExchangeOptions} from './exchange-options.js';
 import {sendErrorResponse} from './error-response.js';
 import {HeldRun} from './held-run.js';
@@ -238,6 +238,7 @@
 		this.#retries.recordEnd(state);
 		reportOutcome(dispatcher, outcome, state);
 		reportOutput(this.#options, outcome, state);
+		reportPauses(this.#options, outcome, state);
 		reportCrashEvidence(this.#options, outcome, state);
 		log.logAttempt(this.#options, decision, attemptResultOf(state, outcome, {waitedMilliseconds: this.#waitedMilliseconds, givenUp}));
 	}
--- a/src/gateway/requests/outcome-report.ts
+++ b/src/gateway/requests/outcome-report.ts
@@ -46,6 +46,15 @@
 	statements.recordResponse(decision.record, {...response.stated, sentAt: startedAt, canWithdraw: response.requestId === requestId}, performance.now());
 }
 
+/** Tells whether a complete stream was late by the pauses of its engine, if pauses of its route are the ones that matter there. */
+export function reportPauses({route, service, table, dispatcher}: ExchangeOptions, outcome: Outcome, {isStream, longestPause}: AttemptState): void {
+	const {longestPauseMilliseconds: maxPauseMilliseconds} = route;
+	if (outcome.type === 'done' && isStream && longestPause !== undefined && maxPauseMilliseconds !== undefined && table.isLatencyCritical(route, service)) {
+		const {milliseconds: pauseMilliseconds, lagMilliseconds} = longestPause;
+		dispatcher.latePauses.record(service, {pauseMilliseconds, lagMilliseconds, maxPauseMilliseconds});
+	}
+}
+
 /** Tells the ledger whether the attempt may have crashed its endpoint, or has shown that the request can run to its end. */
 export function reportCrashEvidence({crashes, request, dispatcher}: ExchangeOptions, outcome: Outcome, {attempt, decision, startedAt, status, firstEventAt, lastEventAt = -Infinity}: AttemptState): void {
 	const now = performance.now();
--- a/src/policy/dispatch/engine-paces.ts
+++ b/src/policy/dispatch/engine-paces.ts
@@ -44,6 +44,8 @@
 /** While an engine reads, steps get the rest of its time; the share of reading is not known better than this. */
 const mostPrefillTimeShare = 0.8;
 
+const noClasses: ReadonlyMap<string, EngineClass> = new Map();
+
 /** Speeds of all engines by what this instance sees and hears, and their classes where a service's engines are uneven. */
 export class EnginePaces {
 	static create(): EnginePaces {
@@ -68,6 +70,10 @@
 	 * delays for differences between engines, and prefer others than the remaining instances do.
 	 */
 	mayLearn: () => boolean = () => true;
+	/** Whether streams are late by the pauses of a service's engines, so that their speeds are needed; asked while these look uneven. */
+	isNeeded: (service: string) => boolean = () => true;
+	/** Called when the engines of a service prove alike. */
+	onAlike: (service: string) => void = () => undefined;
 
 	/** Whether what is recorded now counts. */
 	get isLearning(): boolean {
@@ -136,7 +142,7 @@
 	}
 
 	isUneven(service: string): boolean {
-		return this.setting ?? (this.#toldView(service) !== undefined || (this.#services.get(service)?.classes.isUneven ?? false));
+		return this.setting ?? (this.#toldView(service) !== undefined || ((this.#services.get(service)?.classes.isUneven ?? false) && this.isNeeded(service)));
 	}
 
 	/** The classes of a service's engines, of those that are known; undefined where engines are alike. */
@@ -214,8 +220,20 @@
 			this.onChange(service, change);
 		}
 
-		if (state.classes.isKnown && this.#told.isDue({teller: this.teller, service, classes: state.classes.classes}, now)) {
-			this.onTell({teller: this.teller, service, engines: classifiedEngines(state.classes, evidence)});
+		if (state.classes.isKnown) {
+			this.#tell(service, state.classes, {evidence, now});
+		}
+	}
+
+	/** Tells the others what is in force here: nothing where engines are alike, or where no stream is late by them. */
+	#tell(service: string, known: ServiceClasses, {evidence, now}: {evidence: readonly EngineEvidence[]; now: number}): void {
+		if (!known.isUneven) {
+			this.onAlike(service);
+		}
+
+		const classes = known.isUneven && this.isNeeded(service) ? known.classes : noClasses;
+		if (this.#told.isDue({teller: this.teller, service, classes}, now)) {
+			this.onTell({teller: this.teller, service, engines: classes.size === 0 ? [] : classifiedEngines(known, evidence)});
 		}
 	}
 
--- a/src/policy/dispatch/index.ts
+++ b/src/policy/dispatch/index.ts
@@ -26,3 +26,4 @@
 export * from './engine-classes.js';
 export * from './engine-paces.js';
 export * from './told-classes.js';
+export * from './late-pauses.js';
--- a/test/gateway/virtual-fleet.ts
+++ b/test/gateway/virtual-fleet.ts
@@ -327,7 +327,7 @@
 	}
 
 	#startAttempt(
-		request: RequestRecord, {events = 1, responseMilliseconds, outputTokens = defaultOutputTokens}: RequestKind,
+		request: RequestRecord, {events = 1, responseMilliseconds, maxPauseMilliseconds, outputTokens = defaultOutputTokens}: RequestKind,
 		{dispatcher, decision, urgency, parts}: {dispatcher: Dispatcher; decision: Extract<Decision, {type: 'placed'}>; urgency: number; parts: readonly PromptPart[]},
 	): void {
 		const {time} = this.#options;
@@ -361,6 +361,10 @@
 			onEnd: () => {
 				request.endedAt = time.now;
 				this.#runOnProcessor(request.instance, 0, () => {
+					if (maxPauseMilliseconds === Math.min(...this.#options.kinds.map(kind => kind.maxPauseMilliseconds))) {
+						dispatcher.latePauses.record(service, {pauseMilliseconds: request.longestPauseMilliseconds, lagMilliseconds: 0, maxPauseMilliseconds});
+					}
+
 					dispatcher.recordEnd(runId);
 				});
 			},
--- a/test/policy/told-classes.test.ts
+++ b/test/policy/told-classes.test.ts
@@ -1,5 +1,5 @@
 import tap from 'tap';
-import {type ClassStatement, EngineClass, EnginePaces, createPrefillSpeed, statementLeaseMilliseconds, ToldClasses} from '../../src/policy/dispatch/index.js';
+import {type ClassStatement, EngineClass, EnginePaces, LatePauses, createPrefillSpeed, statementLeaseMilliseconds, ToldClasses} from '../../src/policy/dispatch/index.js';
 
 const service = 'models';
 
@@ -72,3 +72,30 @@
 	t.notOk(paces.isUneven(service));
 	t.same(ended, [[service, 2], [service, undefined]]);
 });
+
+// Guards against streams that move by what engines seem to be where all of them are in time.
+tap.test('speeds are needed once streams are late by pauses, for as long as engines are uneven', async t => {
+	const pauses = LatePauses.create();
+	const record = (pauseMilliseconds: number, lagMilliseconds = 0): void => {
+		pauses.record(service, {pauseMilliseconds, lagMilliseconds, maxPauseMilliseconds: 200});
+	};
+
+	for (let number = 0; number < 20; number++) {
+		record(200);
+		record(500, 400);
+	}
+
+	t.notOk(pauses.isNeeded(service), 'in time, but for what this instance read late');
+	record(201);
+	t.notOk(pauses.isNeeded(service), 'one is late');
+	record(300);
+	t.ok(pauses.isNeeded(service), 'two in a row are');
+	for (let number = 0; number < 20; number++) {
+		record(10);
+	}
+
+	t.ok(pauses.isNeeded(service), 'in time again because of them');
+	pauses.reset(service);
+	t.notOk(pauses.isNeeded(service), 'engines are alike now');
+	t.notOk(pauses.isNeeded('other'));
+});
