--- a/src/gateway/placement/paces.ts
+++ b/src/gateway/placement/paces.ts
@@ -16,7 +16,7 @@
 	};
 
 	paces.onChange = (service, change) => {
-		logClassChange(logger, service, change);
+		logClassChange(logger, {service, isNeeded: latePauses.isNeeded(service)}, change);
 	};
 
 	paces.onTold = (service, engines) => {
@@ -24,10 +24,10 @@
 	};
 }
 
-/** Logs that an engine has changed its class, with what it follows from: requests go elsewhere from now on. */
-function logClassChange(logger: PartLogger, service: string, {endpoint, from, to, relativeSpeed, spread, samples, spanMilliseconds, ageMilliseconds}: ClassChange): void {
+/** Logs that an engine has changed its class, with what it follows from. Where speeds are needed, requests go elsewhere from now on. */
+function logClassChange(logger: PartLogger, of: {readonly service: string; readonly isNeeded: boolean}, {endpoint, from, to, relativeSpeed, spread, samples, spanMilliseconds, ageMilliseconds}: ClassChange): void {
 	logger.info('Engine class changed.', {
-		endpoint, service, from, to, speed: rounded(relativeSpeed), spread: rounded(spread), samples, span: Math.round(spanMilliseconds), age: Math.round(ageMilliseconds),
+		endpoint, ...of, from, to, speed: rounded(relativeSpeed), spread: rounded(spread), samples, span: Math.round(spanMilliseconds), age: Math.round(ageMilliseconds),
 	});
 }
 
