--- a/src/side/entry-messages.ts
+++ b/src/side/entry-messages.ts
@@ -69,6 +69,7 @@
 		case 'routing-version':
 		case 'routing-wanted':
 		case 'kept':
+		case 'engine-classes':
 		case 'endpoint-rate-limit':
 		case 'rate-shares-wanted':
 		case 'rate-shares-lent':
