--- /dev/null
+++ b/review/stand-ins-2/time.mjs
@@ -0,0 +1,6 @@
+/** Waits for `milliseconds`. */
+export async function sleep(milliseconds) {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
