--- a/review/stand-ins-2/gateway.mjs
+++ b/review/stand-ins-2/gateway.mjs
@@ -21,16 +21,18 @@
 	return /^run = "(?<run>[^"]+)"/mv.exec(deploy).groups.run.split(' ');
 }
 
-async function freePort(host) {
-	const server = createServer();
-	await new Promise(resolve => {
-		server.listen(0, host, resolve);
-	});
-	const {port} = server.address();
-	await new Promise(resolve => {
+/** Ports that are free on an address, all of them different. */
+async function freePorts(host, count) {
+	const servers = Array.from({length: count}, () => createServer());
+	const ports = await Promise.all(servers.map(async server => new Promise(resolve => {
+		server.listen(0, host, () => {
+			resolve(server.address().port);
+		});
+	})));
+	await Promise.all(servers.map(async server => new Promise(resolve => {
 		server.close(resolve);
-	});
-	return port;
+	})));
+	return ports;
 }
 
 export class Gateway {
@@ -38,9 +40,10 @@
 		const gateway = new Gateway();
 		gateway.name = name;
 		gateway.host = host;
-		gateway.callerPort = await freePort(host);
-		gateway.readyPort = await freePort(host);
-		gateway.peerAddress = `${host}:${await freePort(host)}`;
+		const [callerPort, readyPort, peerPort] = await freePorts(host, 3);
+		gateway.callerPort = callerPort;
+		gateway.readyPort = readyPort;
+		gateway.peerAddress = `${host}:${peerPort}`;
 		gateway.logFile = path.join(folder, `${name}.log`);
 		gateway.settingsFile = path.join(folder, `${name}.conf`);
 		writeFileSync(gateway.settingsFile, JSON.stringify({
