--- a/review/stand-ins-2/gateway.mjs
+++ b/review/stand-ins-2/gateway.mjs
@@ -9,6 +9,19 @@
 import process from 'node:process';
 import {sleep} from './time.mjs';
 
+/** The gateways that were started: none outlives the script, however that ends. */
+const children = new Set();
+process.once('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+	process.once(signal, () => {
+		process.exit(2);
+	});
+}
+
 const repository = new URL('../..', import.meta.url).pathname;
 /** Settings of a small deployment: the users' page DEPLOY.md, by the template of the deploy file. */
 const bounds = {
@@ -63,8 +76,10 @@
 			}, stdio: ['ignore', output, output],
 		});
 		closeSync(output);
+		children.add(this.child);
 		this.exited = new Promise(resolve => {
 			this.child.once('exit', (code, signal) => {
+				children.delete(this.child);
 				resolve({code, signal});
 			});
 		});
